Lay out the monorepo, its toolchain and the interfaces between packages

Types, settings schema, platform clients and the interfaces of placement, routing, membership and records, so that the packages can be filled side by side.

--- /dev/null
+++ b/packages/gypsumwall-placement/src/index.ts
@@ -0,0 +1,1 @@
+export * as placer from './placer.js';
--- /dev/null
+++ b/packages/gypsumwall-platform/src/index.ts
@@ -0,0 +1,9 @@
+export * as httpCall from './http_call.js';
+export * as httpInstanceList from './http_instance_list.js';
+export * as httpPlatformLog from './http_platform_log.js';
+export * as httpUpstream from './http_upstream.js';
+export * as httpWorker from './http_worker.js';
+export * as instanceList from './instance_list.js';
+export * as platformLog from './platform_log.js';
+export * as upstream from './upstream.js';
+export * as worker from './worker.js';
--- /dev/null
+++ b/packages/gypsumwall-protocol/src/index.ts
@@ -0,0 +1,1 @@
+export * as peer from './gypsumwall/peer/v1/peer_pb.js';
--- /dev/null
+++ b/packages/gypsumwall-records/src/domain_records.ts
@@ -0,0 +1,67 @@
+/**
+ * Records of one failure domain's stream, `domain.<name>`. Their order in the
+ * log decides: who holds the domain's claim, which jobs were accepted, how
+ * tasks ended.
+ */
+import type * as types from '@gypsumwall/types';
+
+/** Offset of a claim's record: its epoch. Higher is newer. */
+export type Epoch = number;
+
+/** How a taker knows that nobody extended the claim before. */
+export type Witness =
+  /** There was no claim, or its holder released it. */
+  | {readonly type: 'vacant'}
+  /** A peer named on the claim, whose promise has run out. */
+  | {readonly type: 'named_peer'; readonly entryId: types.ids.EntryId}
+  /** Neither holder nor any named peer lives any more. */
+  | {readonly type: 'all_gone'};
+
+/** A record of the stream. */
+export type DomainRecord =
+  | {
+      readonly type: 'claim';
+      readonly holder: types.ids.EntryId;
+      /** Peers whose promises together extend the claim without the log. */
+      readonly named: readonly types.ids.EntryId[];
+      /** How long it holds, from before the append. */
+      readonly ttlMs: number;
+      /** The claim it replaces; it counts only if that is the newest. */
+      readonly replaces: Epoch | null;
+      readonly witness: Witness;
+    }
+  | {
+      readonly type: 'renew';
+      readonly epoch: Epoch;
+      readonly holder: types.ids.EntryId;
+      readonly named: readonly types.ids.EntryId[];
+      readonly ttlMs: number;
+    }
+  | {
+      readonly type: 'release';
+      readonly epoch: Epoch;
+      readonly holder: types.ids.EntryId;
+    }
+  | {
+      readonly type: 'job_accepted';
+      readonly jobId: types.ids.JobId;
+      /** The caller's key; a second record with it is no new job. */
+      readonly key: types.ids.IdempotencyKey;
+      readonly spec: types.job.JobSpec;
+      readonly acceptedAt: types.clock.WallMs;
+    }
+  | {
+      readonly type: 'job_cancelled';
+      readonly jobId: types.ids.JobId;
+    }
+  | {
+      readonly type: 'job_given_up';
+      readonly jobId: types.ids.JobId;
+      readonly message: string;
+    }
+  | {
+      readonly type: 'task_ended';
+      readonly taskId: types.ids.TaskId;
+      readonly attempt: types.ids.AttemptId;
+      readonly end: types.job.TaskEnd;
+    };
--- /dev/null
+++ b/packages/gypsumwall-routing/src/index.ts
@@ -0,0 +1,1 @@
+export * as router from './router.js';
--- /dev/null
+++ b/packages/gypsumwall-settings/src/index.ts
@@ -0,0 +1,2 @@
+export * as cellTree from './cell_tree.js';
+export * as entrySettings from './entry_settings.js';
--- /dev/null
+++ b/packages/gypsumwall-telemetry/src/index.ts
@@ -0,0 +1,1 @@
+export * as logger from './logger.js';
--- /dev/null
+++ b/packages/gypsumwall-telemetry/src/logger.ts
@@ -0,0 +1,64 @@
+/**
+ * The one logger: a line of key=value pairs for each event, through loglevel.
+ * Field `event` comes first; values with blanks or quotes are quoted.
+ */
+import * as loglevel from 'loglevel';
+
+/** Values a log line may carry. */
+export type LogValue = string | number | boolean | undefined;
+
+/** Pairs of one log line. */
+export type LogFields = Readonly<Record<string, LogValue>>;
+
+/** How loud a logger is. */
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error' | 'silent';
+
+/** Writes events as lines. */
+export interface Logger {
+  debug(event: string, fields?: LogFields): void;
+  info(event: string, fields?: LogFields): void;
+  warn(event: string, fields?: LogFields): void;
+  error(event: string, fields?: LogFields): void;
+  /** A logger whose lines all carry the given pairs too. */
+  with(fields: LogFields): Logger;
+}
+
+/** Makes the logger of a process; lines go to standard error. */
+export function createLogger(level: LogLevel, base: LogFields = {}): Logger {
+  const sink = loglevel.default.getLogger(`gypsumwall-${level}`);
+  sink.methodFactory = () => (line: unknown) => {
+    process.stderr.write(`${String(line)}\n`);
+  };
+  sink.setLevel(level, false);
+  return bind(sink, base);
+}
+
+function bind(sink: loglevel.Logger, base: LogFields): Logger {
+  const line = (level: string, event: string, fields: LogFields = {}) =>
+    formatLine({
+      time: new Date().toISOString(),
+      level,
+      event,
+      ...base,
+      ...fields,
+    });
+  return {
+    debug: (event, fields) => sink.debug(line('debug', event, fields)),
+    info: (event, fields) => sink.info(line('info', event, fields)),
+    warn: (event, fields) => sink.warn(line('warn', event, fields)),
+    error: (event, fields) => sink.error(line('error', event, fields)),
+    with: (fields) => bind(sink, {...base, ...fields}),
+  };
+}
+
+/** One line of key=value pairs; undefined values are left out. */
+export function formatLine(fields: LogFields): string {
+  return Object.entries(fields)
+    .filter(([, value]) => value !== undefined)
+    .map(([key, value]) => `${key}=${formatValue(String(value))}`)
+    .join(' ');
+}
+
+function formatValue(text: string): string {
+  return /^[^\s"=]+$/.test(text) ? text : JSON.stringify(text);
+}
--- /dev/null
+++ b/scripts/package_arrows.mjs
@@ -0,0 +1,44 @@
+/**
+ * Which package may import which. The lint rule and the project references
+ * are both made from this table, so an arrow the wrong way fails the build.
+ */
+export const PACKAGE_ARROWS = {
+  types: [],
+  settings: ['types'],
+  telemetry: ['types'],
+  protocol: [],
+  platform: ['types', 'telemetry'],
+  records: ['types', 'settings', 'telemetry', 'platform'],
+  membership: ['types', 'telemetry', 'platform', 'records', 'protocol'],
+  placement: ['types'],
+  routing: ['types', 'telemetry', 'platform'],
+  entry: [
+    'types',
+    'settings',
+    'telemetry',
+    'protocol',
+    'platform',
+    'records',
+    'membership',
+    'placement',
+    'routing',
+  ],
+  '': ['types', 'settings', 'telemetry', 'platform', 'entry'],
+  testing: [
+    'types',
+    'settings',
+    'telemetry',
+    'protocol',
+    'platform',
+    'records',
+    'membership',
+    'placement',
+    'routing',
+    'entry',
+  ],
+};
+
+/** Folder name of a package, from its short name in the table above. */
+export function folderOf(name) {
+  return name === '' ? 'gypsumwall' : `gypsumwall-${name}`;
+}
