Follow log streams, append by group commit, fold records into state

A lost append answer is settled by a later void record from the same producer instead of a blind repetition: every reader drops a sequence its producer has passed, so not_run is proved.

--- /dev/null
+++ b/packages/gypsumwall-records/src/config_fold.ts
@@ -0,0 +1,123 @@
+/**
+ * The settings tree as the log's order made it. A publish counts only if it
+ * was based on the subtree's newest revision: of two operators who race, the
+ * first in the log wins and the other is told so.
+ */
+import * as settings from '@gypsumwall/settings';
+import type * as configRecords from './config_records.js';
+import type * as streamFold from './stream_fold.js';
+
+/** A subtree in force. */
+export interface Subtree {
+  /** Offset of the record that set it. */
+  readonly revision: number;
+  readonly value: unknown;
+}
+
+/** What became of the publish record at an offset. */
+export type PublishVerdict =
+  | {readonly type: 'in_force'}
+  | {readonly type: 'conflict'; readonly newest: number}
+  | {readonly type: 'invalid'; readonly message: string};
+
+/** The settings tree. */
+export interface ConfigFold extends streamFold.StreamFold {
+  subtree(path: configRecords.SubtreePath): Subtree | undefined;
+  paths(): readonly configRecords.SubtreePath[];
+  cell(): settings.cellTree.CellPolicy | undefined;
+  team(id: string): settings.cellTree.TeamPolicy | undefined;
+  teams(): ReadonlyMap<string, settings.cellTree.TeamPolicy>;
+  /** Verdict on a publish that this process follows; see `expect`. */
+  verdict(offset: number): PublishVerdict | undefined;
+}
+
+/** Revision of a subtree that was never published. */
+export const NO_REVISION = -1;
+/** Verdicts kept for the publishers that wait for them. */
+const KEPT_VERDICTS = 1_000;
+
+/** Makes an empty tree; `onChange` is told of each subtree that changed. */
+export function createConfigFold(
+  onChange: (path: configRecords.SubtreePath) => void = () => undefined,
+): ConfigFold {
+  const subtrees = new Map<configRecords.SubtreePath, Subtree>();
+  const teams = new Map<string, settings.cellTree.TeamPolicy>();
+  const verdicts = new Map<number, PublishVerdict>();
+  let cell: settings.cellTree.CellPolicy | undefined;
+
+  function install(path: string, subtree: Subtree): void {
+    const parsed = parseSubtree(path, subtree.value);
+    if (parsed.type === 'invalid') return;
+    subtrees.set(path, subtree);
+    if (parsed.type === 'cell') cell = parsed.policy;
+    else teams.set(parsed.team, parsed.policy);
+    onChange(path);
+  }
+
+  function judge(
+    offset: number,
+    record: configRecords.PublishRecord,
+  ): PublishVerdict {
+    const newest = subtrees.get(record.path)?.revision ?? NO_REVISION;
+    if (record.base !== newest) return {type: 'conflict', newest};
+    const parsed = parseSubtree(record.path, record.value);
+    if (parsed.type === 'invalid') return parsed;
+    install(record.path, {revision: offset, value: record.value});
+    return {type: 'in_force'};
+  }
+
+  return {
+    apply: (offset, body) => {
+      const record = body as configRecords.PublishRecord;
+      if (record.type !== 'publish') return;
+      verdicts.set(offset, judge(offset, record));
+      if (verdicts.size > KEPT_VERDICTS) {
+        verdicts.delete(Math.min(...verdicts.keys()));
+      }
+    },
+    snapshot: () => JSON.stringify([...subtrees]),
+    restore: (text) => {
+      const entries = JSON.parse(text) as Array<[string, Subtree]>;
+      for (const [path, subtree] of entries) {
+        const held = subtrees.get(path)?.revision ?? NO_REVISION;
+        if (subtree.revision > held) install(path, subtree);
+      }
+    },
+    subtree: (path) => subtrees.get(path),
+    paths: () => [...subtrees.keys()].sort(),
+    cell: () => cell,
+    team: (id) => teams.get(id),
+    teams: () => teams,
+    verdict: (offset) => verdicts.get(offset),
+  };
+}
+
+type ParsedSubtree =
+  | {readonly type: 'cell'; readonly policy: settings.cellTree.CellPolicy}
+  | {
+      readonly type: 'team';
+      readonly team: string;
+      readonly policy: settings.cellTree.TeamPolicy;
+    }
+  | {readonly type: 'invalid'; readonly message: string};
+
+const TEAM_PATH = /^teams\/([a-z0-9-]+)$/;
+
+function parseSubtree(path: string, value: unknown): ParsedSubtree {
+  if (path === 'cell') {
+    const parsed = settings.cellTree.cellSchema.safeParse(value);
+    if (!parsed.success) return invalid(path, parsed.error.message);
+    return {type: 'cell', policy: parsed.data};
+  }
+  const team = TEAM_PATH.exec(path)?.[1];
+  if (team === undefined) {
+    return invalid(path, 'use "cell" or "teams/<team>"');
+  }
+  const parsed = settings.cellTree.teamSchema.safeParse(value);
+  if (!parsed.success) return invalid(path, parsed.error.message);
+  return {type: 'team', team, policy: parsed.data};
+}
+
+function invalid(path: string, message: string): ParsedSubtree {
+  return {type: 'invalid', message: `subtree "${path}": ${message}`};
+}
--- a/packages/gypsumwall-records/src/index.ts
+++ b/packages/gypsumwall-records/src/index.ts
@@ -1,3 +1,11 @@
+export * as configFold from './config_fold.js';
 export * as configRecords from './config_records.js';
 export * as domainRecords from './domain_records.js';
+export * as envelope from './envelope.js';
+export * as jobFold from './job_fold.js';
+export * as logAppender from './log_appender.js';
+export * as requestFold from './request_fold.js';
 export * as requestRecords from './request_records.js';
+export * as snapshotText from './snapshot_text.js';
+export * as streamFold from './stream_fold.js';
+export * as streamFollower from './stream_follower.js';
--- /dev/null
+++ b/packages/gypsumwall-records/src/job_fold.ts
@@ -0,0 +1,173 @@
+/**
+ * The jobs of one failure domain as its stream tells them. What runs where is
+ * not here: workers know that, and the domain's holder learns it from them.
+ */
+import * as types from '@gypsumwall/types';
+import type * as domainRecords from './domain_records.js';
+import type * as streamFold from './stream_fold.js';
+
+/** How far a job is. */
+export type JobPhase =
+  | {readonly type: 'open'}
+  | {readonly type: 'done'}
+  | {readonly type: 'cancelled'}
+  | {readonly type: 'given_up'; readonly message: string};
+
+/** A job that was accepted. */
+export interface JobState {
+  readonly jobId: types.ids.JobId;
+  readonly key: types.ids.IdempotencyKey;
+  readonly spec: types.job.JobSpec;
+  readonly acceptedAt: types.clock.WallMs;
+  phase: JobPhase;
+  /** Results of the tasks that are done, by index. */
+  readonly results: Map<number, string>;
+}
+
+/** What a record changed, for the holder that schedules. */
+export type JobChange =
+  | {readonly type: 'accepted'; readonly job: JobState}
+  | {readonly type: 'closed'; readonly job: JobState}
+  | {readonly type: 'restored'};
+
+/** The jobs of a domain. */
+export interface JobFold extends streamFold.StreamFold {
+  job(jobId: types.ids.JobId): JobState | undefined;
+  /** The job that a team's key stands for. */
+  byKey(
+    team: types.ids.TeamId,
+    key: types.ids.IdempotencyKey,
+  ): JobState | undefined;
+  jobs(): IterableIterator<JobState>;
+  openJobs(): readonly JobState[];
+}
+
+/** Closed jobs kept for readers and for their keys; the oldest go first. */
+export const KEPT_CLOSED_JOBS = 50_000;
+
+/** Makes a fold without jobs. */
+export function createJobFold(
+  onChange: (change: JobChange) => void = () => undefined,
+): JobFold {
+  const jobs = new Map<types.ids.JobId, JobState>();
+  const byKey = new Map<string, JobState>();
+  const open = new Set<JobState>();
+  /** In the order of closing. */
+  const closed = new Set<JobState>();
+
+  function accept(record: AcceptedRecord): void {
+    const name = keyName(record.spec.team, record.key);
+    // The first record for a key is the job; a later one is a repetition.
+    if (byKey.has(name) || jobs.has(record.jobId)) return;
+    const job: JobState = {
+      jobId: record.jobId,
+      key: record.key,
+      spec: record.spec,
+      acceptedAt: record.acceptedAt,
+      phase: {type: 'open'},
+      results: new Map(),
+    };
+    jobs.set(job.jobId, job);
+    byKey.set(name, job);
+    open.add(job);
+    onChange({type: 'accepted', job});
+  }
+
+  function close(job: JobState | undefined, phase: JobPhase): void {
+    if (job === undefined || job.phase.type !== 'open') return;
+    job.phase = phase;
+    open.delete(job);
+    closed.add(job);
+    if (closed.size > KEPT_CLOSED_JOBS) forgetOldest();
+    onChange({type: 'closed', job});
+  }
+
+  function forgetOldest(): void {
+    const oldest = closed.values().next();
+    if (oldest.done === true) return;
+    closed.delete(oldest.value);
+    jobs.delete(oldest.value.jobId);
+    byKey.delete(keyName(oldest.value.spec.team, oldest.value.key));
+  }
+
+  function endTask(record: EndedRecord): void {
+    const {jobId, index} = types.ids.splitTaskId(record.taskId);
+    const job = jobs.get(jobId);
+    if (job === undefined || job.phase.type !== 'open') return;
+    // Only `done` is final; the holder starts anything else again.
+    if (record.end.type !== 'done') return;
+    if (job.spec.shape.kind === 'service') return;
+    job.results.set(index, record.end.result);
+    const wanted = types.job.taskCount(job.spec.shape);
+    if (job.results.size >= wanted) close(job, {type: 'done'});
+  }
+
+  function apply(record: domainRecords.DomainRecord): void {
+    switch (record.type) {
+      case 'job_accepted':
+        accept(record);
+        return;
+      case 'job_cancelled':
+        close(jobs.get(record.jobId), {type: 'cancelled'});
+        return;
+      case 'job_given_up':
+        close(jobs.get(record.jobId), {
+          type: 'given_up',
+          message: record.message,
+        });
+        return;
+      case 'task_ended':
+        endTask(record);
+        return;
+      case 'claim':
+      case 'renew':
+      case 'release':
+        return;
+    }
+  }
+
+  function put(job: JobState): void {
+    jobs.set(job.jobId, job);
+    byKey.set(keyName(job.spec.team, job.key), job);
+    (job.phase.type === 'open' ? open : closed).add(job);
+  }
+
+  return {
+    apply: (_offset, record) => apply(record as domainRecords.DomainRecord),
+    snapshot: () =>
+      JSON.stringify(
+        [...closed, ...open].map((job) => ({
+          ...job,
+          results: [...job.results],
+        })),
+      ),
+    restore: (text) => {
+      [jobs, byKey, open, closed].forEach((table) => table.clear());
+      for (const saved of JSON.parse(text) as SavedJob[]) {
+        put({...saved, results: new Map(saved.results)});
+      }
+      onChange({type: 'restored'});
+    },
+    job: (jobId) => jobs.get(jobId),
+    byKey: (team, key) => byKey.get(keyName(team, key)),
+    jobs: () => jobs.values(),
+    openJobs: () => [...open],
+  };
+}
+
+type AcceptedRecord = Extract<
+  domainRecords.DomainRecord,
+  {type: 'job_accepted'}
+>;
+type EndedRecord = Extract<domainRecords.DomainRecord, {type: 'task_ended'}>;
+type SavedJob = Omit<JobState, 'results'> & {
+  readonly results: Array<[number, string]>;
+};
+
+/** Keys are each team's own: one team can't meet another's job by its key. */
+function keyName(
+  team: types.ids.TeamId,
+  key: types.ids.IdempotencyKey,
+): string {
+  return `${team} ${key}`;
+}
--- /dev/null
+++ b/packages/gypsumwall-records/src/log_appender.ts
@@ -0,0 +1,228 @@
+/**
+ * Appends to one stream by group commit: while one append is under way, what
+ * comes in the meantime gathers for the next. The log takes hundreds of
+ * appends a second, the peak brings thousands of records.
+ *
+ * An append whose answer was lost is never sent again blindly. A void record
+ * with a higher sequence is appended until the log confirms it; what then
+ * stands before it has taken effect, and what doesn't never will (see
+ * `producer_counts.ts`). So a caller is told `not_run` only when it is proved.
+ */
+import * as result from 'true-myth/result';
+import type * as platform from '@gypsumwall/platform';
+import type * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import * as envelope from './envelope.js';
+import type * as streamFollower from './stream_follower.js';
+
+/** What the appender needs. */
+export interface LogAppenderOptions {
+  readonly stream: string;
+  /** Unique to this process: a new process must not go on in an old count. */
+  readonly producer: string;
+  readonly log: platform.platformLog.PlatformLog;
+  readonly clock: types.clock.Clock;
+  readonly logger: telemetry.logger.Logger;
+  readonly follower: Pick<
+    streamFollower.StreamFollower,
+    'waitFor' | 'restores'
+  >;
+  /** Ends the loops that outlast a caller. */
+  readonly signal: AbortSignal;
+}
+
+type AppendResult = result.Result<
+  {readonly offset: number},
+  types.stepError.StepError
+>;
+
+/** Appends records. */
+export interface LogAppender {
+  /**
+   * Resolves at the deadline at the latest. Errors: effect `not_run` when the
+   * record surely does not and will not stand in the log, else `unknown`.
+   */
+  append(
+    body: string,
+    deadline: types.clock.MonotonicMs,
+  ): Promise<AppendResult>;
+  /** The follower hands in each record of the stream that counted. */
+  observe(record: platform.platformLog.LogRecord): void;
+  /** Whether an append would be refused at once, and when to come back. */
+  outage(): {readonly retryAfterMs: number} | undefined;
+}
+
+const MAX_BATCH = 512;
+const RESOLVE_RETRY_MS = 300;
+/** How often the wait for the follower looks whether the process is closing. */
+const FOLLOW_MS = 1_000;
+
+interface Pending {
+  readonly body: string;
+  readonly deadline: types.clock.MonotonicMs;
+  /** Settles the caller's promise; later calls have no effect. */
+  readonly settle: (answer: AppendResult) => void;
+  settled: boolean;
+}
+
+interface SentBatch {
+  readonly sequence: number;
+  readonly pendings: readonly Pending[];
+}
+
+/** Makes an appender with an empty queue. */
+export function createLogAppender(options: LogAppenderOptions): LogAppender {
+  const {stream, producer, log, clock} = options;
+  const logger = options.logger.with({stream});
+  const queue: Pending[] = [];
+  /** Own records seen by the follower while a batch is in doubt. */
+  const observed = new Map<number, number>();
+  let sequence = 0;
+  let sending = false;
+  let inDoubt = false;
+
+  function refuse(
+    pending: Pending,
+    effect: types.stepError.Effect,
+    message: string,
+  ): void {
+    pending.settle(
+      result.err({
+        kind: effect === 'unknown' ? 'timeout' : 'unreachable',
+        step: 'log.append',
+        peer: stream,
+        effect,
+        message,
+        retryAfterMs: RESOLVE_RETRY_MS * 2,
+      }),
+    );
+  }
+
+  async function sendAll(): Promise<void> {
+    if (sending) return;
+    sending = true;
+    while (queue.length > 0) {
+      const pendings = queue
+        .splice(0, MAX_BATCH)
+        .filter((pending) => !pending.settled);
+      if (pendings.length > 0) await sendBatch(pendings);
+    }
+    sending = false;
+  }
+
+  async function sendBatch(pendings: readonly Pending[]): Promise<void> {
+    const batch: SentBatch = {sequence, pendings};
+    observed.clear();
+    sequence += pendings.length;
+    const answer = await log.append({
+      stream,
+      producer,
+      sequence: batch.sequence,
+      bodies: pendings.map((pending) => pending.body),
+    });
+    if (answer.isOk) {
+      const first = answer.value.firstOffset;
+      pendings.forEach((pending, index) =>
+        pending.settle(result.ok({offset: first + index})),
+      );
+      return;
+    }
+    logger.warn('append_failed', {
+      records: pendings.length,
+      reason: types.stepError.describeError(answer.error),
+    });
+    if (answer.error.effect === 'not_run') {
+      for (const pending of pendings) {
+        refuse(pending, 'not_run', answer.error.message);
+      }
+      return;
+    }
+    await resolveDoubt(batch);
+  }
+
+  async function resolveDoubt(batch: SentBatch): Promise<void> {
+    inDoubt = true;
+    // Whoever waits in the queue was never sent: told so at once.
+    for (const pending of queue.splice(0)) {
+      refuse(pending, 'not_run', 'an earlier append is in doubt');
+    }
+    const restoresBefore = options.follower.restores();
+    const seen = await followTo(await appendVoid());
+    // A snapshot in between covers records without showing them one by one.
+    const sawEach = seen && options.follower.restores() === restoresBefore;
+    batch.pendings.forEach((pending, index) => {
+      const offset = observed.get(batch.sequence + index);
+      if (offset !== undefined) pending.settle(result.ok({offset}));
+      else if (sawEach) refuse(pending, 'not_run', 'the log did not take it');
+      else refuse(pending, 'unknown', 'the log could not be read back');
+    });
+    observed.clear();
+    inDoubt = false;
+    logger.info('append_doubt_resolved', {records: batch.pendings.length});
+  }
+
+  /** Waits until the follower has seen the offset; false when closing. */
+  async function followTo(offset: number | undefined): Promise<boolean> {
+    while (offset !== undefined && !options.signal.aborted) {
+      const deadline = types.clock.after(clock.monotonic(), FOLLOW_MS);
+      if (await options.follower.waitFor(offset, deadline)) return true;
+    }
+    return false;
+  }
+
+  /** Appends void records until one is confirmed; its offset. */
+  async function appendVoid(): Promise<number | undefined> {
+    const body = envelope.encode({type: 'void', v: envelope.RECORD_VERSION});
+    while (!options.signal.aborted) {
+      const answer = await log.append({
+        stream,
+        producer,
+        sequence,
+        bodies: [body],
+      });
+      sequence += 1;
+      if (answer.isOk) return answer.value.firstOffset;
+      const retryAt = types.clock.after(clock.monotonic(), RESOLVE_RETRY_MS);
+      await clock.sleepUntil(retryAt, options.signal);
+    }
+    return undefined;
+  }
+
+  return {
+    append: (body, deadline) =>
+      new Promise<AppendResult>((resolve) => {
+        const timer = new AbortController();
+        const pending: Pending = {
+          body,
+          deadline,
+          settled: false,
+          settle: (answer) => {
+            if (pending.settled) return;
+            pending.settled = true;
+            timer.abort();
+            resolve(answer);
+          },
+        };
+        if (inDoubt) {
+          refuse(pending, 'not_run', 'the log does not answer');
+          return;
+        }
+        queue.push(pending);
+        void clock.sleepUntil(deadline, timer.signal).then(() => {
+          const unsent = queue.includes(pending);
+          refuse(
+            pending,
+            unsent ? 'not_run' : 'unknown',
+            'the log did not answer in time',
+          );
+        });
+        void sendAll();
+      }),
+    observe: (record) => {
+      if (record.producer !== producer) return;
+      // Kept only until the batch it belongs to is settled.
+      if (sending) observed.set(record.sequence, record.offset);
+    },
+    outage: () => (inDoubt ? {retryAfterMs: RESOLVE_RETRY_MS * 2} : undefined),
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-records/src/request_fold.ts
@@ -0,0 +1,135 @@
+/**
+ * The requests that may not be repeated, by team and key, as the log's order
+ * tells them. The first intent for a key is the only one that may run; a new
+ * one counts only after an outcome that proves that nothing ran.
+ */
+import * as types from '@gypsumwall/types';
+import type * as requestRecords from './request_records.js';
+import type * as streamFold from './stream_fold.js';
+
+type IntentRecord = Extract<requestRecords.RequestRecord, {type: 'intent'}>;
+type OutcomeRecord = Extract<requestRecords.RequestRecord, {type: 'outcome'}>;
+
+/** What is known of a key. */
+export interface KeyState {
+  readonly intent: IntentRecord;
+  /** Offset of the intent that may run. */
+  readonly offset: number;
+  /** Without an outcome by then, the run's end is unknown. */
+  readonly windowEnds: types.clock.MonotonicMs;
+  outcome?: OutcomeRecord;
+}
+
+/** The keys of a cell. */
+export interface RequestFold extends streamFold.StreamFold {
+  key(
+    team: types.ids.TeamId,
+    key: types.ids.IdempotencyKey,
+  ): KeyState | undefined;
+  /** Resolves when the key has an outcome, or at the deadline. */
+  waitForOutcome(
+    team: types.ids.TeamId,
+    key: types.ids.IdempotencyKey,
+    deadline: types.clock.MonotonicMs,
+  ): Promise<void>;
+  size(): number;
+}
+
+/** Keys kept; the oldest go first. Stated to callers in docs/API.md. */
+export const KEPT_KEYS = 100_000;
+
+/** Makes a fold without keys. */
+export function createRequestFold(clock: types.clock.Clock): RequestFold {
+  const keys = new Map<string, KeyState>();
+  const waiters = new Map<string, Set<() => void>>();
+
+  function applyIntent(
+    offset: number,
+    intent: IntentRecord,
+    readAt: types.clock.MonotonicMs,
+  ): void {
+    const name = keyName(intent.team, intent.key);
+    const known = keys.get(name);
+    const free =
+      known === undefined || known.outcome?.outcome.type === 'not_run';
+    if (!free) return;
+    keys.delete(name);
+    const windowEnds = types.clock.after(readAt, intent.windowMs);
+    keys.set(name, {intent, offset, windowEnds});
+    if (keys.size > KEPT_KEYS) forgetOldest();
+  }
+
+  function forgetOldest(): void {
+    const oldest = keys.keys().next();
+    if (oldest.done !== true) keys.delete(oldest.value);
+  }
+
+  function applyOutcome(record: OutcomeRecord): void {
+    const name = keyName(record.team, record.key);
+    const known = keys.get(name);
+    // The outcome of a run that was not the key's is nobody's.
+    if (known?.intent.requestId !== record.requestId) return;
+    if (known.outcome !== undefined) return;
+    known.outcome = record;
+    waiters.get(name)?.forEach((wake) => wake());
+  }
+
+  function apply(
+    offset: number,
+    record: requestRecords.RequestRecord,
+    readAt: types.clock.MonotonicMs,
+  ): void {
+    switch (record.type) {
+      case 'intent':
+        applyIntent(offset, record, readAt);
+        return;
+      case 'outcome':
+        applyOutcome(record);
+        return;
+    }
+  }
+
+  return {
+    apply: (offset, record, readAt) =>
+      apply(offset, record as requestRecords.RequestRecord, readAt),
+    snapshot: () =>
+      JSON.stringify(
+        [...keys.values()].map(({intent, offset, outcome}) => ({
+          intent,
+          offset,
+          outcome,
+        })),
+      ),
+    restore: (text, readAt) => {
+      keys.clear();
+      for (const saved of JSON.parse(text) as SavedKey[]) {
+        const {intent} = saved;
+        const windowEnds = types.clock.after(readAt, intent.windowMs);
+        keys.set(keyName(intent.team, intent.key), {...saved, windowEnds});
+      }
+      waiters.forEach((set) => set.forEach((wake) => wake()));
+    },
+    key: (team, key) => keys.get(keyName(team, key)),
+    waitForOutcome: async (team, key, deadline) => {
+      const name = keyName(team, key);
+      if (keys.get(name)?.outcome !== undefined) return;
+      const timer = new AbortController();
+      const wake = () => timer.abort();
+      const set = waiters.get(name) ?? new Set();
+      waiters.set(name, set.add(wake));
+      await clock.sleepUntil(deadline, timer.signal);
+      set.delete(wake);
+      if (set.size === 0) waiters.delete(name);
+    },
+    size: () => keys.size,
+  };
+}
+
+type SavedKey = Omit<KeyState, 'windowEnds'>;
+
+function keyName(
+  team: types.ids.TeamId,
+  key: types.ids.IdempotencyKey,
+): string {
+  return `${team} ${key}`;
+}
--- /dev/null
+++ b/packages/gypsumwall-records/src/stream_follower.ts
@@ -0,0 +1,256 @@
+/**
+ * Follows one stream of the platform's log and folds its records into a
+ * state. One loop reads; others ask how far it is or wait for an offset.
+ */
+import * as platform from '@gypsumwall/platform';
+import type * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import * as envelope from './envelope.js';
+import * as producerCounts from './producer_counts.js';
+import * as snapshotText from './snapshot_text.js';
+import type * as streamFold from './stream_fold.js';
+
+/** What the follower needs. */
+export interface StreamFollowerOptions {
+  readonly stream: string;
+  readonly log: platform.platformLog.PlatformLog;
+  readonly fold: streamFold.StreamFold;
+  readonly clock: types.clock.Clock;
+  readonly logger: telemetry.logger.Logger;
+  /** Told of each record that counted, after the fold took it. */
+  readonly onRecord?: (record: platform.platformLog.LogRecord) => void;
+  /** Told after each page that brought something. */
+  readonly onProgress?: () => void;
+}
+
+/** Reads a stream. */
+export interface StreamFollower {
+  /** Reads until the signal aborts. */
+  run(signal: AbortSignal): Promise<void>;
+  /** Offset after the last record seen. */
+  nextOffset(): number;
+  /** Whether the state was complete at the last read that succeeded. */
+  caughtUp(): boolean;
+  /** When the log last answered; undefined before the first time. */
+  lastAnswerAt(): types.clock.MonotonicMs | undefined;
+  /** Resolves true once the record at `offset` was seen, false at deadline. */
+  waitFor(offset: number, deadline: types.clock.MonotonicMs): Promise<boolean>;
+  /** How often the state was replaced by a snapshot instead of folded. */
+  restores(): number;
+  /** Records seen since the last snapshot in the stream. */
+  recordsSinceSnapshot(): number;
+  /** The state now, for a snapshot record or for a peer. */
+  snapshot(): snapshotText.Snapshot;
+  /**
+   * Takes a peer's state while the log is out of reach; ignored unless it is
+   * ahead of this one, so that nothing ever goes back.
+   */
+  adopt(snapshot: snapshotText.Snapshot): boolean;
+}
+
+const PAGE_LIMIT = 2_000;
+const LONG_POLL_MS = 1_000;
+const RETRY_AFTER_MS = 200;
+
+interface Waiter {
+  readonly offset: number;
+  readonly resolve: (seen: boolean) => void;
+}
+
+/** Makes a follower; nothing is read before `run`. */
+export function createStreamFollower(
+  options: StreamFollowerOptions,
+): StreamFollower {
+  const {stream, log, fold, clock} = options;
+  const logger = options.logger.with({stream});
+  const counts = producerCounts.createProducerCounts();
+  const waiters = new Set<Waiter>();
+  let next = 0;
+  let complete = false;
+  let sinceSnapshot = 0;
+  let restores = 0;
+  let lastAnswer: types.clock.MonotonicMs | undefined;
+  /**
+   * Set while the start of the stream is lost to retention: records wait
+   * here until a snapshot says what came before them.
+   */
+  let awaitingSnapshot: AwaitingSnapshot | undefined;
+
+  function applyRecord(record: platform.platformLog.LogRecord): void {
+    const read = envelope.decode(record.body);
+    switch (read.type) {
+      case 'malformed':
+        logger.warn('record_malformed', {
+          offset: record.offset,
+          reason: read.message,
+        });
+        return;
+      case 'newer':
+        // The log keeps it; an entry of the newer release applies it.
+        logger.warn('record_from_newer_version', {
+          offset: record.offset,
+          version: read.version,
+          known: envelope.RECORD_VERSION,
+        });
+        return;
+      case 'known':
+        break;
+    }
+    if (read.envelope.type === 'snapshot') {
+      sinceSnapshot = 0;
+      return;
+    }
+    if (!counts.take(record.producer, record.sequence)) {
+      logger.info('record_void', {
+        offset: record.offset,
+        producer: record.producer,
+        sequence: record.sequence,
+      });
+      return;
+    }
+    sinceSnapshot += 1;
+    if (read.envelope.type === 'record') {
+      fold.apply(record.offset, read.envelope.record, clock.monotonic());
+    }
+    options.onRecord?.(record);
+  }
+
+  function restore(snapshot: snapshotText.Snapshot): void {
+    const body = snapshotText.readText(snapshot.text);
+    restores += 1;
+    counts.restore(body.producers);
+    fold.restore(body.state, clock.monotonic());
+    logger.info('snapshot_restored', {
+      next_offset: snapshot.nextOffset,
+      bytes: snapshot.text.length,
+    });
+  }
+
+  function collect(
+    waiting: AwaitingSnapshot,
+    record: platform.platformLog.LogRecord,
+  ): void {
+    const read = envelope.decode(record.body);
+    if (read.type === 'known' && read.envelope.type === 'snapshot') {
+      const found = waiting.collector.add(record.producer, read.envelope);
+      if (found !== undefined && found.nextOffset >= waiting.firstOffset) {
+        awaitingSnapshot = undefined;
+        restore(found);
+        waiting.records
+          .filter((kept) => kept.offset >= found.nextOffset)
+          .forEach(applyRecord);
+      }
+      return;
+    }
+    waiting.records.push(record);
+  }
+
+  function takePage(page: platform.platformLog.LogPage): void {
+    if (page.firstOffset > next) {
+      // Retention passed this reader: what was between is gone, so the state
+      // is rebuilt from a snapshot instead of carried on with a hole in it.
+      logger.warn('retention_passed', {next, first: page.firstOffset});
+      awaitingSnapshot = {
+        firstOffset: page.firstOffset,
+        records: [],
+        collector: snapshotText.createSnapshotCollector(),
+      };
+      next = page.firstOffset;
+    }
+    for (const record of page.records) {
+      // An overlapping page must not apply a record twice.
+      if (record.offset < next) continue;
+      if (awaitingSnapshot === undefined) applyRecord(record);
+      else collect(awaitingSnapshot, record);
+      next = record.offset + 1;
+    }
+    complete = awaitingSnapshot === undefined && next >= page.endOffset;
+    lastAnswer = clock.monotonic();
+    wakeWaiters();
+    if (page.records.length > 0) options.onProgress?.();
+  }
+
+  function wakeWaiters(): void {
+    if (awaitingSnapshot !== undefined) return;
+    for (const waiter of waiters) {
+      if (waiter.offset < next) waiter.resolve(true);
+    }
+  }
+
+  async function waitFor(
+    offset: number,
+    deadline: types.clock.MonotonicMs,
+  ): Promise<boolean> {
+    if (offset < next && awaitingSnapshot === undefined) return true;
+    const timer = new AbortController();
+    const seen = new Promise<boolean>((resolve) => {
+      const waiter: Waiter = {
+        offset,
+        resolve: (value) => {
+          waiters.delete(waiter);
+          timer.abort();
+          resolve(value);
+        },
+      };
+      waiters.add(waiter);
+      void clock
+        .sleepUntil(deadline, timer.signal)
+        .then(() => waiter.resolve(false));
+    });
+    return seen;
+  }
+
+  async function run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const page = await log.read({
+        stream,
+        from: next,
+        limit: PAGE_LIMIT,
+        waitMs: complete ? LONG_POLL_MS : 0,
+        signal,
+      });
+      if (signal.aborted) return;
+      if (page.isOk) {
+        takePage(page.value);
+        continue;
+      }
+      logger.debug('log_read_failed', {
+        reason: types.stepError.describeError(page.error),
+      });
+      const retryAt = types.clock.after(clock.monotonic(), RETRY_AFTER_MS);
+      await clock.sleepUntil(retryAt, signal);
+    }
+  }
+
+  return {
+    run,
+    waitFor,
+    nextOffset: () => next,
+    caughtUp: () => complete,
+    lastAnswerAt: () => lastAnswer,
+    restores: () => restores,
+    recordsSinceSnapshot: () => sinceSnapshot,
+    snapshot: () => ({
+      nextOffset: next,
+      text: snapshotText.writeText(counts, fold),
+    }),
+    adopt: (snapshot) => {
+      const behind =
+        awaitingSnapshot !== undefined || snapshot.nextOffset > next;
+      if (!behind) return false;
+      awaitingSnapshot = undefined;
+      restore(snapshot);
+      next = snapshot.nextOffset;
+      complete = true;
+      wakeWaiters();
+      options.onProgress?.();
+      return true;
+    },
+  };
+}
+
+interface AwaitingSnapshot {
+  readonly firstOffset: number;
+  readonly records: platform.platformLog.LogRecord[];
+  readonly collector: snapshotText.SnapshotCollector;
+}
