--- /dev/null
+++ b/packages/gypsumwall-entry/src/task_table.ts
@@ -0,0 +1,75 @@
+/** What the holder knows of each task that may run: where, and how far. */
+import type * as types from '@gypsumwall/types';
+
+/** A task that holds room on a worker. */
+export interface ActiveTask {
+  readonly taskId: types.ids.TaskId;
+  readonly attempt: types.ids.AttemptId;
+  readonly workerId: types.ids.WorkerId;
+  readonly size: types.resources.Resources;
+  phase: 'starting' | 'running' | 'stopping' | 'recording';
+  startedAt: types.clock.MonotonicMs;
+}
+
+/** Active tasks by id and by worker. */
+export interface TaskTable {
+  get(taskId: types.ids.TaskId): ActiveTask | undefined;
+  /** The task, if this very attempt is the active one. */
+  attempt(
+    taskId: types.ids.TaskId,
+    attempt: types.ids.AttemptId,
+  ): ActiveTask | undefined;
+  put(task: ActiveTask): void;
+  remove(task: ActiveTask): void;
+  at(workerId: types.ids.WorkerId): readonly ActiveTask[];
+  of(jobId: types.ids.JobId): readonly ActiveTask[];
+  size(): number;
+}
+
+/** Makes an empty table. */
+export function createTaskTable(
+  jobOf: (taskId: types.ids.TaskId) => types.ids.JobId,
+): TaskTable {
+  const byId = new Map<types.ids.TaskId, ActiveTask>();
+  const byWorker = new Map<types.ids.WorkerId, Set<ActiveTask>>();
+  const byJob = new Map<types.ids.JobId, Set<ActiveTask>>();
+  return {
+    get: (taskId) => byId.get(taskId),
+    attempt: (taskId, attempt) => {
+      const task = byId.get(taskId);
+      return task?.attempt === attempt ? task : undefined;
+    },
+    put: (task) => {
+      byId.set(task.taskId, task);
+      addTo(byWorker, task.workerId, task);
+      addTo(byJob, jobOf(task.taskId), task);
+    },
+    remove: (task) => {
+      byId.delete(task.taskId);
+      removeFrom(byWorker, task.workerId, task);
+      removeFrom(byJob, jobOf(task.taskId), task);
+    },
+    at: (workerId) => [...(byWorker.get(workerId) ?? [])],
+    of: (jobId) => [...(byJob.get(jobId) ?? [])],
+    size: () => byId.size,
+  };
+}
+
+function addTo<Key>(
+  table: Map<Key, Set<ActiveTask>>,
+  key: Key,
+  task: ActiveTask,
+): void {
+  const set = table.get(key) ?? new Set();
+  table.set(key, set.add(task));
+}
+
+function removeFrom<Key>(
+  table: Map<Key, Set<ActiveTask>>,
+  key: Key,
+  task: ActiveTask,
+): void {
+  const set = table.get(key);
+  set?.delete(task);
+  if (set?.size === 0) table.delete(key);
+}
