Check settings files and subtrees, with place, value and remedy

Cause: a bad file or publish must be told with file, line, path, value and remedy before it reaches an entry. The schema library finds single faults; rules across fields (spans, ports, shared tokens, subtrees outside the tree) stand beside it. Schemas got upper bounds that only a wrong unit goes over.

--- a/packages/gypsumwall-settings/src/cell_tree.ts
+++ b/packages/gypsumwall-settings/src/cell_tree.ts
@@ -4,6 +4,7 @@
  * of these subtrees whole.
  */
 import * as zod from 'zod';
+import * as subtreePath from './subtree_path.js';
 
 /** What is used where a team's subtree says nothing. */
 export const TEAM_DEFAULTS = {
@@ -22,12 +23,23 @@
   estimateMs: 50,
 } as const;
 
+/** Bounds that only a wrong unit goes over, such as bytes for mebibytes. */
+const MOST_CPU_MILLIS = 10_000_000;
+const MOST_MEMORY_MB = 100_000_000;
+const MOST_ACCELERATORS = 1_000_000;
+/** A day, in milliseconds. */
+const LONGEST_SPAN_MS = 86_400_000;
+
+/** Names that stand in URLs, ids and paths of the tree. */
+const OPERATION_NAME = /^[a-zA-Z0-9._-]+$/;
+const DOMAIN_NAME = /^[a-z0-9-]+$/;
+
 const sha256 = zod.string().regex(/^[0-9a-f]{64}$/, 'not a SHA-256 in hex');
 
 const resources = zod.strictObject({
-  cpuMillis: zod.number().int().min(0),
-  memoryMb: zod.number().int().min(0),
-  accelerators: zod.number().int().min(0),
+  cpuMillis: zod.number().int().min(0).max(MOST_CPU_MILLIS),
+  memoryMb: zod.number().int().min(0).max(MOST_MEMORY_MB),
+  accelerators: zod.number().int().min(0).max(MOST_ACCELERATORS),
 });
 
 /** Policy of one kind of request, such as `airspace-check`. */
@@ -42,12 +54,14 @@
     .number()
     .int()
     .positive()
+    .max(LONGEST_SPAN_MS)
     .default(OPERATION_DEFAULTS.timeoutMs),
   /** Usual time an upstream needs, in milliseconds. */
   estimateMs: zod
     .number()
     .int()
     .positive()
+    .max(LONGEST_SPAN_MS)
     .default(OPERATION_DEFAULTS.estimateMs),
 });
 
@@ -72,7 +86,9 @@
     .default(TEAM_DEFAULTS.maxQueuedRequests),
   /** Retries allowed, as a share of first tries. */
   retryBudget: zod.number().min(0).max(1).default(TEAM_DEFAULTS.retryBudget),
-  operations: zod.record(zod.string(), operationSchema).default({}),
+  operations: zod
+    .record(zod.string().regex(OPERATION_NAME), operationSchema)
+    .default({}),
 });
 
 /** An operator who may publish some subtrees. */
@@ -85,14 +101,14 @@
 /** What holds for the whole cell. */
 export const cellSchema = zod.strictObject({
   name: zod.string().min(1),
-  failureDomains: zod.array(zod.string().min(1)).min(1),
+  failureDomains: zod.array(zod.string().regex(DOMAIN_NAME)).min(1),
   operators: zod.record(zod.string(), operatorSchema).default({}),
 });
 
 /** The whole tree, as a file for `settings publish` holds it. */
 export const cellTreeSchema = zod.strictObject({
   cell: cellSchema,
-  teams: zod.record(zod.string().regex(/^[a-z0-9-]+$/), teamSchema),
+  teams: zod.record(zod.string().regex(subtreePath.TEAM_NAME), teamSchema),
 });
 
 /** Checked policy of one operation. */
--- a/packages/gypsumwall-settings/src/entry_settings.ts
+++ b/packages/gypsumwall-settings/src/entry_settings.ts
@@ -26,7 +26,10 @@
   drainTimeoutMs: 30_000,
 } as const;
 
-const span = zod.number().int().positive();
+/** A day: a longer span has the wrong unit. */
+const LONGEST_SPAN_MS = 86_400_000;
+
+const span = zod.number().int().positive().max(LONGEST_SPAN_MS);
 
 /** Shape of the file. Unknown keys are refused. */
 export const entrySettingsSchema = zod.strictObject({
--- a/packages/gypsumwall-settings/src/index.ts
+++ b/packages/gypsumwall-settings/src/index.ts
@@ -1,2 +1,9 @@
 export * as cellTree from './cell_tree.js';
+export * as checkCellTree from './check_cell_tree.js';
+export * as checkEntrySettings from './check_entry_settings.js';
+export * as checkSubtree from './check_subtree.js';
 export * as entrySettings from './entry_settings.js';
+export * as readJsonc from './read_jsonc.js';
+export * as settingsDiff from './settings_diff.js';
+export * as settingsProblem from './settings_problem.js';
+export * as subtreePath from './subtree_path.js';
