--- a/packages/gypsumwall-settings/src/read_jsonc.ts
+++ b/packages/gypsumwall-settings/src/read_jsonc.ts
@@ -13,7 +13,7 @@
 export interface JsoncDocument {
   readonly value: unknown;
   /** Where the value at `path` stands, or the nearest one around it. */
-  placeOf(path: readonly PropertyKey[]): Place;
+  readonly placeOf: (path: readonly PropertyKey[]) => Place;
 }
 
 const BYTE_ORDER_MARK = '\uFEFF';
