--- /dev/null
+++ b/packages/gypsumwall-bench/src/render_report.ts
@@ -0,0 +1,155 @@
+/** The report as one HTML page with plots in SVG, without any library. */
+import type * as benchModule from './bench_module.js';
+import * as formatTable from './format_table.js';
+
+const WIDTH = 640;
+const HEIGHT = 320;
+const MARGIN = 60;
+const TICKS = 5;
+const COLOURS = ['#1b6ca8', '#c8553d', '#3a7d44', '#7d3c98', '#8a6d3b'];
+
+/** A titled part of the page. */
+export interface ReportSection {
+  readonly name: string;
+  readonly report: benchModule.BenchReport;
+}
+
+/** Renders all sections as one page. */
+export function renderReport(
+  title: string,
+  sections: readonly ReportSection[],
+): string {
+  const body = sections.map(renderSection).join('\n');
+  return `<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>${escapeText(title)}</title>
+<style>
+body{font-family:sans-serif;margin:2em;max-width:75em}
+table{border-collapse:collapse;margin:1em 0}
+td,th{border:1px solid #bbb;padding:.2em .6em;text-align:right}
+td:first-child,th:first-child{text-align:left}
+</style></head><body>
+<h1>${escapeText(title)}</h1>
+${body}
+</body></html>
+`;
+}
+
+function renderSection(section: ReportSection): string {
+  const notes = section.report.notes
+    .map((note) => `<li>${escapeText(note)}</li>`)
+    .join('');
+  const tables = section.report.tables.map(renderTable).join('\n');
+  const plots = section.report.plots.map(renderPlot).join('\n');
+  return `<h2>${escapeText(section.name)}</h2><ul>${notes}</ul>${tables}${plots}`;
+}
+
+function renderTable(table: benchModule.BenchTable): string {
+  const head = table.columns.map((each) => `<th>${escapeText(each)}</th>`);
+  const rows = table.rows.map((row) => {
+    const cells = row.map(
+      (cell) => `<td>${escapeText(formatTable.formatCell(cell))}</td>`,
+    );
+    return `<tr>${cells.join('')}</tr>`;
+  });
+  return `<h3>${escapeText(table.title)}</h3><table><tr>${head.join('')}</tr>${rows.join('')}</table>`;
+}
+
+/** Maps values of one axis to pixels. */
+interface Axis {
+  readonly place: (value: number) => number;
+  readonly ticks: readonly number[];
+}
+
+function makeAxis(
+  values: readonly number[],
+  log: boolean,
+  from: number,
+  to: number,
+): Axis {
+  const usable = values.filter((each) => !log || each > 0);
+  const scale = (value: number) =>
+    log ? Math.log10(Math.max(value, Number.MIN_VALUE)) : value;
+  const low = log ? scale(Math.min(...usable)) : 0;
+  const high = Math.max(scale(Math.max(...usable)), low + 1e-9);
+  const place = (value: number) =>
+    from + ((scale(value) - low) / (high - low)) * (to - from);
+  const ticks = Array.from({length: TICKS}, (_, index) => {
+    const at = low + ((high - low) * index) / (TICKS - 1);
+    return log ? 10 ** at : at;
+  });
+  return {place, ticks};
+}
+
+/** Renders one plot as SVG. */
+export function renderPlot(plot: benchModule.BenchPlot): string {
+  const points = plot.series.flatMap((each) => each.points);
+  if (points.length === 0) return '';
+  const xAxis = makeAxis(
+    points.map((each) => each.x),
+    plot.logX === true,
+    MARGIN,
+    WIDTH - MARGIN,
+  );
+  const yAxis = makeAxis(
+    points.map((each) => each.y),
+    plot.logY === true,
+    HEIGHT - MARGIN,
+    MARGIN / 2,
+  );
+  const parts = [
+    ...xAxis.ticks.map((tick) =>
+      label(xAxis.place(tick), HEIGHT - MARGIN + 18, tick),
+    ),
+    ...yAxis.ticks.map((tick) =>
+      label(MARGIN - 28, yAxis.place(tick) + 4, tick),
+    ),
+    ...plot.series.map((each, index) =>
+      renderSeries(each, index, xAxis, yAxis),
+    ),
+    text(WIDTH / 2, HEIGHT - 12, plot.xLabel),
+    text(WIDTH / 2, 14, `${plot.title} (${plot.yLabel})`),
+    `<path d="M${MARGIN} ${MARGIN / 2}V${HEIGHT - MARGIN}H${WIDTH - MARGIN}" fill="none" stroke="#333"/>`,
+  ];
+  return `<svg xmlns="http://www.w3.org/2000/svg" width="${WIDTH}" height="${HEIGHT}" font-size="11">${parts.join('')}</svg>`;
+}
+
+function renderSeries(
+  series: benchModule.BenchSeries,
+  index: number,
+  xAxis: Axis,
+  yAxis: Axis,
+): string {
+  const colour = COLOURS[index % COLOURS.length];
+  const path = series.points
+    .map(
+      (each) => `${round(xAxis.place(each.x))},${round(yAxis.place(each.y))}`,
+    )
+    .join(' ');
+  const dots = series.points
+    .map(
+      (each) =>
+        `<circle cx="${round(xAxis.place(each.x))}" cy="${round(yAxis.place(each.y))}" r="3" fill="${colour}"/>`,
+    )
+    .join('');
+  const name = `<text x="${MARGIN + 8}" y="${MARGIN / 2 + 14 * (index + 1)}" fill="${colour}">${escapeText(series.name)}</text>`;
+  return `<polyline points="${path}" fill="none" stroke="${colour}"/>${dots}${name}`;
+}
+
+function label(x: number, y: number, value: number): string {
+  return text(x, y, formatTable.formatCell(Number(value.toPrecision(3))));
+}
+
+function text(x: number, y: number, content: string): string {
+  return `<text x="${round(x)}" y="${round(y)}" text-anchor="middle">${escapeText(content)}</text>`;
+}
+
+function round(value: number): number {
+  return Math.round(value * 10) / 10;
+}
+
+function escapeText(content: string): string {
+  return content
+    .replaceAll('&', '&amp;')
+    .replaceAll('<', '&lt;')
+    .replaceAll('>', '&gt;');
+}
--- a/packages/gypsumwall-placement/src/index.ts
+++ b/packages/gypsumwall-placement/src/index.ts
@@ -1,1 +1,2 @@
+export * as createBaselinePlacer from './create_baseline_placer.js';
 export * as placer from './placer.js';
--- a/scripts/package_arrows.mjs
+++ b/scripts/package_arrows.mjs
@@ -36,6 +36,18 @@
     'routing',
     'entry',
   ],
+  bench: [
+    'types',
+    'settings',
+    'telemetry',
+    'protocol',
+    'platform',
+    'records',
+    'membership',
+    'placement',
+    'routing',
+    'entry',
+  ],
 };
 
 /** Folder name of a package, from its short name in the table above. */
