--- /dev/null
+++ b/packages/gypsumwall-entry/src/authenticate.ts
@@ -0,0 +1,91 @@
+/**
+ * Who calls: a team by its token, or an operator. Tokens are known only by
+ * their hashes, and are compared in constant time.
+ */
+import * as crypto from 'node:crypto';
+import type * as records from '@gypsumwall/records';
+import * as types from '@gypsumwall/types';
+
+/** A caller who proved who it is. */
+export type Identity =
+  | {readonly type: 'team'; readonly team: types.ids.TeamId}
+  | {
+      readonly type: 'operator';
+      readonly name: string;
+      /** Subtrees the operator may publish; `*` is the whole tree. */
+      readonly subtrees: readonly string[];
+    };
+
+/** Whom a token stands for; undefined when for nobody. */
+export type Authenticate = (
+  authorization: string | undefined,
+) => Identity | undefined;
+
+const BEARER = /^Bearer +(\S+)$/i;
+const ROOT_OPERATOR = 'root';
+/** Tokens whose owner is remembered, to spare the walk over all hashes. */
+const KEPT_IDENTITIES = 10_000;
+
+/** Makes the check against the tree in force. */
+export function createAuthenticate(
+  config: records.configFold.ConfigFold,
+  rootOperatorTokenHash: string,
+): {readonly authenticate: Authenticate; readonly forget: () => void} {
+  const known = new Map<string, Identity>();
+
+  function find(hash: string): Identity | undefined {
+    if (sameHash(hash, rootOperatorTokenHash)) {
+      return {type: 'operator', name: ROOT_OPERATOR, subtrees: ['*']};
+    }
+    const operators = Object.entries(config.cell()?.operators ?? {});
+    for (const [name, operator] of operators) {
+      if (sameHash(hash, operator.tokenHash)) {
+        return {type: 'operator', name, subtrees: operator.subtrees};
+      }
+    }
+    for (const [id, team] of config.teams()) {
+      if (team.tokenHashes.some((allowed) => sameHash(hash, allowed))) {
+        return {type: 'team', team: types.ids.brand<types.ids.TeamId>(id)};
+      }
+    }
+    return undefined;
+  }
+
+  return {
+    // A changed tree may take a token back.
+    forget: () => known.clear(),
+    authenticate: (authorization) => {
+      const token = BEARER.exec(authorization ?? '')?.[1];
+      if (token === undefined) return undefined;
+      const hash = sha256(token);
+      const remembered = known.get(hash);
+      if (remembered !== undefined) return remembered;
+      const identity = find(hash);
+      if (identity !== undefined && known.size < KEPT_IDENTITIES) {
+        known.set(hash, identity);
+      }
+      return identity;
+    },
+  };
+}
+
+/** SHA-256 in hex. */
+export function sha256(data: string | Uint8Array): string {
+  return crypto.createHash('sha256').update(data).digest('hex');
+}
+
+function sameHash(left: string, right: string): boolean {
+  return (
+    left.length === right.length &&
+    crypto.timingSafeEqual(Buffer.from(left), Buffer.from(right))
+  );
+}
+
+/** Whether an operator may publish a subtree. */
+export function mayPublish(identity: Identity, path: string): boolean {
+  if (identity.type !== 'operator') return false;
+  return identity.subtrees.some(
+    (allowed) =>
+      allowed === '*' || allowed === path || path.startsWith(`${allowed}/`),
+  );
+}
--- /dev/null
+++ b/packages/gypsumwall-entry/src/call_context.ts
@@ -0,0 +1,119 @@
+/** What every route reads off a call before it does anything. */
+import * as crypto from 'node:crypto';
+import type * as fastify from 'fastify';
+import * as result from 'true-myth/result';
+import * as types from '@gypsumwall/types';
+import type * as authenticate from './authenticate.js';
+import * as problem from './problem.js';
+
+/** Longest time a call may ask for. */
+export const MAX_TIMEOUT_MS = 600_000;
+
+/** The caller's time limit as a deadline here, or what is wrong with it. */
+export function readDeadline(
+  req: fastify.FastifyRequest,
+  defaultMs: number,
+  clock: types.clock.Clock,
+): result.Result<types.clock.MonotonicMs, problem.Problem> {
+  const text = headerOf(req, 'gypsumwall-timeout-ms');
+  const spanMs = text === undefined ? defaultMs : Number(text);
+  if (!Number.isFinite(spanMs) || spanMs > MAX_TIMEOUT_MS) {
+    return result.err(
+      problem.notRun(
+        'invalid',
+        `header gypsumwall-timeout-ms "${text}": give milliseconds from 1 ` +
+          `to ${MAX_TIMEOUT_MS}`,
+      ),
+    );
+  }
+  if (spanMs <= 0) {
+    return result.err(
+      problem.notRun(
+        'deadline_passed',
+        `header gypsumwall-timeout-ms "${text}": the deadline has passed; ` +
+          'ask again with time left',
+      ),
+    );
+  }
+  return result.ok(types.clock.after(clock.monotonic(), spanMs));
+}
+
+/** The one value of a header. */
+export function headerOf(
+  req: fastify.FastifyRequest,
+  name: string,
+): string | undefined {
+  const value = req.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+const KEY_PATTERN = /^[\x21-\x7e]{1,200}$/;
+
+/** The caller's idempotency key, if it gave one. */
+export function readKey(
+  req: fastify.FastifyRequest,
+): result.Result<types.ids.IdempotencyKey | undefined, problem.Problem> {
+  const text = headerOf(req, 'idempotency-key');
+  if (text === undefined) return result.ok(undefined);
+  if (KEY_PATTERN.test(text)) {
+    return result.ok(types.ids.brand<types.ids.IdempotencyKey>(text));
+  }
+  return result.err(
+    problem.notRun(
+      'invalid',
+      `header idempotency-key "${text.slice(0, 40)}": use 1 to 200 visible ` +
+        'ASCII characters without blanks',
+    ),
+  );
+}
+
+/** A key for a call whose caller gave none. */
+export function newKey(): types.ids.IdempotencyKey {
+  return types.ids.brand<types.ids.IdempotencyKey>(
+    `auto-${crypto.randomUUID()}`,
+  );
+}
+
+/** The team that calls, or the refusal. */
+export function requireTeam(
+  identity: authenticate.Identity | undefined,
+): result.Result<types.ids.TeamId, problem.Problem> {
+  if (identity === undefined) return result.err(unauthenticated());
+  switch (identity.type) {
+    case 'team':
+      return result.ok(identity.team);
+    case 'operator':
+      return result.err(
+        problem.notRun(
+          'forbidden',
+          'an operator has no work of its own: use a team token',
+        ),
+      );
+  }
+}
+
+/** The operator that calls, or the refusal. */
+export function requireOperator(
+  identity: authenticate.Identity | undefined,
+): result.Result<
+  Extract<authenticate.Identity, {type: 'operator'}>,
+  problem.Problem
+> {
+  if (identity === undefined) return result.err(unauthenticated());
+  switch (identity.type) {
+    case 'operator':
+      return result.ok(identity);
+    case 'team':
+      return result.err(
+        problem.notRun('forbidden', 'use an operator token for this call'),
+      );
+  }
+}
+
+function unauthenticated(): problem.Problem {
+  return problem.notRun(
+    'unauthenticated',
+    'send the header "authorization: Bearer TOKEN" with a token whose hash ' +
+      'stands in the settings tree',
+  );
+}
--- /dev/null
+++ b/packages/gypsumwall-entry/src/entry_context.ts
@@ -0,0 +1,40 @@
+/** The parts of an entry that its routes work with. */
+import type * as membership from '@gypsumwall/membership';
+import type * as records from '@gypsumwall/records';
+import type * as routing from '@gypsumwall/routing';
+import type * as settings from '@gypsumwall/settings';
+import type * as telemetry from '@gypsumwall/telemetry';
+import type * as types from '@gypsumwall/types';
+import type * as authenticate from './authenticate.js';
+import type * as domainScheduler from './domain_scheduler.js';
+import type * as forwarder from './forwarder.js';
+import type * as jobService from './job_service.js';
+import type * as onceRequest from './once_request.js';
+import type * as settingsService from './settings_service.js';
+
+/** What a route may use. */
+export interface EntryContext {
+  readonly self: types.ids.EntryId;
+  readonly settings: settings.entrySettings.EntrySettings;
+  readonly failureDomain: types.ids.FailureDomain;
+  readonly clock: types.clock.Clock;
+  readonly logger: telemetry.logger.Logger;
+  readonly authenticate: authenticate.Authenticate;
+  readonly config: records.configFold.ConfigFold;
+  readonly configFollower: records.streamFollower.StreamFollower;
+  readonly domainFollower: records.streamFollower.StreamFollower;
+  readonly requestFollower: records.streamFollower.StreamFollower;
+  readonly view: () => membership.domainView.DomainView;
+  readonly claim: () => membership.domainClaim.ClaimState;
+  readonly scheduler: () => domainScheduler.DomainScheduler | undefined;
+  readonly router: routing.router.Router;
+  readonly jobs: jobService.JobService;
+  readonly runOnce: ReturnType<typeof onceRequest.createOnceRequest>;
+  readonly settingsService: settingsService.SettingsService;
+  readonly sendToPeer: forwarder.SendToPeer;
+  readonly forwardMark: forwarder.ForwardMark;
+  readonly isReady: () => string | undefined;
+  readonly isLeaving: () => boolean;
+  /** Starts the planned stop; returns at once. */
+  readonly startDrain: () => void;
+}
--- /dev/null
+++ b/packages/gypsumwall-entry/src/http_server.ts
@@ -0,0 +1,62 @@
+/** The caller's interface over HTTP (docs/API.md). */
+import * as fastify from 'fastify';
+import * as types from '@gypsumwall/types';
+import type * as entryContext from './entry_context.js';
+import * as jobRoutes from './job_routes.js';
+import * as problem from './problem.js';
+import * as requestRoutes from './request_routes.js';
+import * as settingsRoutes from './settings_routes.js';
+import * as statusRoutes from './status_routes.js';
+
+/** Largest body of a call, in bytes. */
+const BODY_LIMIT = 1024 * 1024;
+/** A caller that sends its head or body slower than this is cut off. */
+const REQUEST_TIMEOUT_MS = 10_000;
+const HEADERS_TIMEOUT_MS = 5_000;
+
+/** Makes the server; it does not listen yet. */
+export function createHttpServer(
+  context: entryContext.EntryContext,
+): fastify.FastifyInstance {
+  const app = fastify.fastify({
+    logger: false,
+    bodyLimit: BODY_LIMIT,
+    requestTimeout: REQUEST_TIMEOUT_MS,
+    http: {headersTimeout: HEADERS_TIMEOUT_MS},
+    forceCloseConnections: 'idle',
+  });
+  // Bodies are kept as bytes: they are passed on unread, and a job's JSON is
+  // parsed by the route, which can name what is wrong with it.
+  app.removeAllContentTypeParsers();
+  app.addContentTypeParser('*', {parseAs: 'buffer'}, (_req, body, done) =>
+    done(null, body),
+  );
+  app.setErrorHandler((err, _req, res) => {
+    const status = statusOf(err);
+    if (status >= 500) {
+      const reason = types.stepError.messageOf(err);
+      context.logger.error('call_failed', {step: 'http.call', reason});
+    }
+    const told =
+      status >= 500
+        ? problem.unknownOutcome('the entry failed while it served the call')
+        : problem.notRun('invalid', types.stepError.messageOf(err));
+    return problem.send(res, {...told, status});
+  });
+  app.setNotFoundHandler((req, res) =>
+    problem.send(
+      res,
+      problem.notRun('not_found', `no route ${req.method} ${req.url}`),
+    ),
+  );
+  requestRoutes.addRequestRoutes(app, context);
+  jobRoutes.addJobRoutes(app, context);
+  settingsRoutes.addSettingsRoutes(app, context);
+  statusRoutes.addStatusRoutes(app, context);
+  return app;
+}
+
+function statusOf(err: unknown): number {
+  const status = (err as {statusCode?: unknown}).statusCode;
+  return typeof status === 'number' ? status : 500;
+}
--- /dev/null
+++ b/packages/gypsumwall-entry/src/job_request.ts
@@ -0,0 +1,71 @@
+/** Checks the body of a job submission. */
+import * as result from 'true-myth/result';
+import * as zod from 'zod';
+import type * as types from '@gypsumwall/types';
+
+/** Most tasks of one job. */
+export const MAX_TASKS = 100_000;
+
+const positive = zod.number().int().positive();
+
+const shape = zod.discriminatedUnion('kind', [
+  zod.strictObject({
+    kind: zod.literal('batch'),
+    tasks: positive.max(MAX_TASKS),
+  }),
+  zod.strictObject({
+    kind: zod.literal('gang'),
+    tasks: positive.max(MAX_TASKS),
+  }),
+  zod.strictObject({
+    kind: zod.literal('service'),
+    replicas: positive.max(MAX_TASKS),
+  }),
+]);
+
+const jobRequestSchema = zod.strictObject({
+  shape,
+  jobClass: zod.string().min(1).max(100),
+  urgency: zod.enum(['urgent', 'normal', 'overnight']),
+  size: zod.strictObject({
+    cpuMillis: positive.max(10_000_000),
+    memoryMb: positive.max(100_000_000),
+    accelerators: zod.number().int().min(0).max(10_000),
+  }),
+  estimateMs: positive,
+  /** ISO 8601 with a time zone. */
+  deadline: zod.iso.datetime({offset: true}).optional(),
+  work: zod.strictObject({
+    command: zod.string().min(1).max(1_000),
+    args: zod
+      .record(
+        zod.string(),
+        zod.union([zod.string(), zod.number(), zod.boolean()]),
+      )
+      .default({}),
+  }),
+});
+
+/** The job that a body asks for, or what is wrong with it. */
+export function checkJobRequest(
+  body: unknown,
+  team: types.ids.TeamId,
+): result.Result<types.job.JobSpec, string> {
+  const parsed = jobRequestSchema.safeParse(body);
+  if (!parsed.success) {
+    return result.err(parsed.error.issues.map(explain).join('; '));
+  }
+  const {deadline, ...rest} = parsed.data;
+  return result.ok({
+    ...rest,
+    team,
+    ...(deadline === undefined
+      ? {}
+      : {deadline: Date.parse(deadline) as types.clock.WallMs}),
+  });
+}
+
+function explain(issue: zod.core.$ZodIssue): string {
+  const field = issue.path.map(String).join('.') || '(body)';
+  return `field "${field}": ${issue.message}`;
+}
--- /dev/null
+++ b/packages/gypsumwall-entry/src/job_routes.ts
@@ -0,0 +1,197 @@
+/** Jobs: submitted, read, listed and cancelled through any entry. */
+import type * as fastify from 'fastify';
+import type * as result from 'true-myth/result';
+import * as types from '@gypsumwall/types';
+import * as callContext from './call_context.js';
+import type * as entryContext from './entry_context.js';
+import * as forwardCall from './forward_call.js';
+import * as jobRequest from './job_request.js';
+import * as problem from './problem.js';
+
+/** Time a job call gets when its caller says nothing. */
+const DEFAULT_TIMEOUT_MS = 5_000;
+const LIST_LIMIT = 1_000;
+
+interface JobParams {
+  readonly jobId: string;
+}
+
+type JobCall = fastify.FastifyRequest<{Params: JobParams}>;
+
+/** Adds the routes. */
+export function addJobRoutes(
+  app: fastify.FastifyInstance,
+  context: entryContext.EntryContext,
+): void {
+  app.post('/v1/jobs', (req, res) => submit(context, req, res));
+  app.get('/v1/jobs', (req, res) => list(context, req, res));
+  app.get<{Params: JobParams}>('/v1/jobs/:jobId', (req, res) =>
+    view(context, req, res),
+  );
+  app.delete<{Params: JobParams}>('/v1/jobs/:jobId', (req, res) =>
+    cancel(context, req, res),
+  );
+}
+
+/** Who calls and until when, or the refusal. */
+function check(
+  context: entryContext.EntryContext,
+  req: fastify.FastifyRequest,
+): result.Result<
+  {
+    readonly team: types.ids.TeamId;
+    readonly deadline: types.clock.MonotonicMs;
+  },
+  problem.Problem
+> {
+  const identity = context.authenticate(req.headers.authorization);
+  return callContext
+    .requireTeam(identity)
+    .andThen((team) =>
+      callContext
+        .readDeadline(req, DEFAULT_TIMEOUT_MS, context.clock)
+        .map((deadline) => ({team, deadline})),
+    );
+}
+
+async function submit(
+  context: entryContext.EntryContext,
+  req: fastify.FastifyRequest,
+  res: fastify.FastifyReply,
+): Promise<fastify.FastifyReply> {
+  const checked = check(context, req);
+  if (checked.isErr) return problem.send(res, checked.error);
+  const {team, deadline} = checked.value;
+  const body = parseBody(req);
+  const spec = jobRequest.checkJobRequest(body, team);
+  if (spec.isErr) {
+    return problem.send(res, problem.notRun('invalid', spec.error));
+  }
+  const givenKey = callContext.readKey(req);
+  if (givenKey.isErr) return problem.send(res, givenKey.error);
+  const key = givenKey.value ?? callContext.newKey();
+  // The holder keeps the domain's books, so it can refuse early. A submission
+  // is idempotent by its key: should the holder not answer, this entry may
+  // append the job itself without a risk of taking it twice.
+  if (context.scheduler() === undefined) {
+    const handed = forwardCall.mayForward(context, req)
+      ? await forwardCall.forwardCall(context, req, res, {
+          peers: forwardCall.holderOfDomain(context),
+          deadline,
+          idempotent: true,
+          extraHeaders: {'idempotency-key': key},
+        })
+      : undefined;
+    if (handed !== undefined) return handed;
+  }
+  const accepted = await context.jobs.submit(spec.value, key, deadline);
+  if (accepted.isErr) return problem.send(res, accepted.error);
+  return res.status(202).send({jobId: accepted.value});
+}
+
+function parseBody(req: fastify.FastifyRequest): unknown {
+  if (!Buffer.isBuffer(req.body)) return req.body;
+  try {
+    return JSON.parse(req.body.toString('utf8')) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Whether the answer is to come from another entry, and from whom. */
+function peersFor(
+  context: entryContext.EntryContext,
+  jobId: types.ids.JobId,
+): forwardCall.PeerChoice {
+  const home = types.ids.homeOfJob(jobId);
+  if (home !== context.failureDomain) {
+    return forwardCall.peersOfDomain(context, home);
+  }
+  return context.scheduler() === undefined
+    ? forwardCall.holderOfDomain(context)
+    : [];
+}
+
+async function handOn(
+  context: entryContext.EntryContext,
+  req: JobCall,
+  res: fastify.FastifyReply,
+  deadline: types.clock.MonotonicMs,
+): Promise<fastify.FastifyReply | undefined> {
+  if (!forwardCall.mayForward(context, req)) return undefined;
+  const jobId = types.ids.brand<types.ids.JobId>(req.params.jobId);
+  const peers = peersFor(context, jobId);
+  return forwardCall.forwardCall(context, req, res, {
+    peers,
+    deadline,
+    idempotent: true,
+  });
+}
+
+/** An entry that can't reach a job's home knows nothing about the job. */
+function isForeign(
+  context: entryContext.EntryContext,
+  jobId: types.ids.JobId,
+): boolean {
+  const home = types.ids.homeOfJob(jobId);
+  const domains = context.config.cell()?.failureDomains ?? [];
+  return home !== context.failureDomain && domains.includes(home);
+}
+
+function homeUnreachable(jobId: types.ids.JobId): problem.Problem {
+  const home = types.ids.homeOfJob(jobId);
+  const detail = `no entry of failure domain "${home}" can be reached now`;
+  return problem.notRun('not_ready', detail, 2_000);
+}
+
+async function view(
+  context: entryContext.EntryContext,
+  req: JobCall,
+  res: fastify.FastifyReply,
+): Promise<fastify.FastifyReply> {
+  const checked = check(context, req);
+  if (checked.isErr) return problem.send(res, checked.error);
+  const handed = await handOn(context, req, res, checked.value.deadline);
+  if (handed !== undefined) return handed;
+  const jobId = types.ids.brand<types.ids.JobId>(req.params.jobId);
+  if (isForeign(context, jobId)) {
+    return problem.send(res, homeUnreachable(jobId));
+  }
+  const found = context.jobs.view(checked.value.team, jobId);
+  if (found !== undefined) return res.send(found);
+  return problem.send(res, problem.notRun('not_found', `no job "${jobId}"`));
+}
+
+async function list(
+  context: entryContext.EntryContext,
+  req: fastify.FastifyRequest,
+  res: fastify.FastifyReply,
+): Promise<fastify.FastifyReply> {
+  const checked = check(context, req);
+  if (checked.isErr) return problem.send(res, checked.error);
+  return res.send({
+    failureDomain: context.failureDomain,
+    jobs: context.jobs.list(checked.value.team, LIST_LIMIT),
+  });
+}
+
+async function cancel(
+  context: entryContext.EntryContext,
+  req: JobCall,
+  res: fastify.FastifyReply,
+): Promise<fastify.FastifyReply> {
+  const checked = check(context, req);
+  if (checked.isErr) return problem.send(res, checked.error);
+  const {team, deadline} = checked.value;
+  const jobId = types.ids.brand<types.ids.JobId>(req.params.jobId);
+  if (types.ids.homeOfJob(jobId) !== context.failureDomain) {
+    const handed = await handOn(context, req, res, deadline);
+    if (handed !== undefined) return handed;
+    if (isForeign(context, jobId)) {
+      return problem.send(res, homeUnreachable(jobId));
+    }
+  }
+  const cancelled = await context.jobs.cancel(team, jobId, deadline);
+  if (cancelled.isErr) return problem.send(res, cancelled.error);
+  return res.status(202).send({jobId});
+}
--- /dev/null
+++ b/packages/gypsumwall-entry/src/once_request.ts
@@ -0,0 +1,225 @@
+/**
+ * Runs a request that may not be repeated: at most one attempt, ever, for a
+ * team's key. The log decides: an intent is appended first, and only the
+ * entry whose intent is the key's first in log order sends anything. An entry
+ * that dies in between leaves an intent without an outcome, and the key's
+ * answer is then `unknown`, never a second run.
+ */
+import * as result from 'true-myth/result';
+import * as records from '@gypsumwall/records';
+import type * as routing from '@gypsumwall/routing';
+import * as types from '@gypsumwall/types';
+import * as authenticate from './authenticate.js';
+import * as jobService from './job_service.js';
+import * as problem from './problem.js';
+import * as wholeAnswer from './whole_answer.js';
+
+/** What is needed to run such a request. */
+export interface OnceRequestOptions {
+  readonly self: types.ids.EntryId;
+  readonly clock: types.clock.Clock;
+  readonly requests: records.requestFold.RequestFold;
+  readonly follower: records.streamFollower.StreamFollower;
+  readonly appender: records.logAppender.LogAppender;
+  readonly router: routing.router.Router;
+}
+
+/** A request with its key. */
+export type KeyedRequest = routing.router.RoutedRequest & {
+  readonly key: types.ids.IdempotencyKey;
+};
+
+/** Time kept back to record the outcome, in milliseconds. */
+const RECORD_MS = 10_000;
+/** Added to the window, so that an outcome on its way still counts. */
+const WINDOW_SLACK_MS = 5_000;
+const COME_BACK_MS = 1_000;
+
+type Answer = Promise<result.Result<wholeAnswer.WholeAnswer, problem.Problem>>;
+
+/** Makes the function that runs such requests. */
+export function createOnceRequest(
+  options: OnceRequestOptions,
+): (req: KeyedRequest) => Answer {
+  const {clock, requests, follower, appender} = options;
+
+  async function runOnce(req: KeyedRequest): Answer {
+    const known = requests.key(req.team, req.key);
+    const bodyHash = authenticate.sha256(req.body);
+    if (known !== undefined && known.outcome?.outcome.type !== 'not_run') {
+      return answerOfOther(req, bodyHash);
+    }
+    const intent = await appendIntent(req, bodyHash);
+    if (intent.isErr) return result.err(intent.error);
+    const first = requests.key(req.team, req.key);
+    if (first?.offset !== intent.value) return answerOfOther(req, bodyHash);
+    // Waiting for the log took time, and a paused process wakes up late.
+    if (clock.monotonic() >= req.deadline) {
+      const late = notRun('deadline_passed', 'the log took too long');
+      await appendOutcome(req, late);
+      return result.err(problem.ofOutcome(late));
+    }
+    return run(req);
+  }
+
+  async function appendIntent(
+    req: KeyedRequest,
+    bodyHash: string,
+  ): Promise<result.Result<number, problem.Problem>> {
+    const outage = appender.outage();
+    if (outage !== undefined) {
+      return result.err(jobService.logDown(outage.retryAfterMs));
+    }
+    const spanMs = Math.max(0, req.deadline - clock.monotonic());
+    const appended = await appendRecord(
+      {
+        type: 'intent',
+        team: req.team,
+        key: req.key,
+        requestId: req.requestId,
+        entryId: options.self,
+        operation: req.operation,
+        bodyHash,
+        windowMs: Math.ceil(spanMs) + WINDOW_SLACK_MS,
+        acceptedAt: clock.wall(),
+      },
+      req.deadline,
+    );
+    // Nothing is sent before the intent is seen to be the first, so whatever
+    // became of the append, this request did not run.
+    if (appended.isErr) {
+      const message = types.stepError.describeError(appended.error);
+      if (appended.error.effect === 'unknown') void withdraw(req, message);
+      return result.err(
+        problem.notRun('log_unavailable', message, COME_BACK_MS),
+      );
+    }
+    const {offset} = appended.value;
+    if (await follower.waitFor(offset, req.deadline)) return result.ok(offset);
+    const message = 'the log can not be read back';
+    void withdraw(req, message);
+    return result.err(problem.notRun('log_unavailable', message, COME_BACK_MS));
+  }
+
+  /**
+   * An intent that nobody acts on would hold its key until the window ends
+   * and then read as `unknown`; its withdrawal frees the key for a retry.
+   */
+  function withdraw(req: KeyedRequest, message: string): Promise<void> {
+    return appendOutcome(req, notRun('log_unavailable', message));
+  }
+
+  async function run(req: KeyedRequest): Answer {
+    const routed = await options.router.route({...req, idempotent: false});
+    if (routed.isErr) {
+      await appendOutcome(req, routed.error);
+      return result.err(problem.ofOutcome(routed.error));
+    }
+    const whole = await wholeAnswer.collect(routed.value);
+    if (whole.isErr) {
+      const unknown = unknownEnd(whole.error);
+      await appendOutcome(req, unknown);
+      return result.err(problem.ofOutcome(unknown));
+    }
+    await appendOutcome(req, {type: 'done'}, whole.value);
+    return result.ok(whole.value);
+  }
+
+  /** The answer of the run that the key stands for. */
+  async function answerOfOther(req: KeyedRequest, bodyHash: string): Answer {
+    const other = requests.key(req.team, req.key);
+    if (other === undefined) {
+      return result.err(
+        problem.notRun(
+          'key_in_use',
+          `key "${req.key}" is in use`,
+          COME_BACK_MS,
+        ),
+      );
+    }
+    if (other.intent.bodyHash !== bodyHash) {
+      return result.err(
+        problem.notRun(
+          'key_in_use',
+          `idempotency-key "${req.key}" was used with another body: use a ` +
+            'new key for a new request',
+        ),
+      );
+    }
+    const until = Math.min(
+      req.deadline,
+      other.windowEnds,
+    ) as types.clock.MonotonicMs;
+    await requests.waitForOutcome(req.team, req.key, until);
+    return toldOutcome(requests.key(req.team, req.key));
+  }
+
+  async function appendRecord(
+    record: records.requestRecords.RequestRecord,
+    deadline: types.clock.MonotonicMs,
+  ) {
+    return appender.append(records.envelope.encodeRecord(record), deadline);
+  }
+
+  async function appendOutcome(
+    req: KeyedRequest,
+    outcome: types.outcome.Outcome,
+    answer?: wholeAnswer.WholeAnswer,
+  ): Promise<void> {
+    const deadline = types.clock.after(clock.monotonic(), RECORD_MS);
+    await appendRecord(
+      {
+        type: 'outcome',
+        team: req.team,
+        key: req.key,
+        requestId: req.requestId,
+        outcome,
+        ...(answer === undefined
+          ? {}
+          : {
+              answer: Buffer.from(answer.body).toString('base64'),
+              contentType: answer.contentType,
+            }),
+      },
+      deadline,
+    );
+  }
+
+  return runOnce;
+}
+
+function toldOutcome(
+  known: records.requestFold.KeyState | undefined,
+): result.Result<wholeAnswer.WholeAnswer, problem.Problem> {
+  const told = known?.outcome;
+  if (told === undefined) {
+    return result.err(
+      problem.unknownOutcome(
+        'the one attempt for this key has no recorded end: it may have run',
+      ),
+    );
+  }
+  switch (told.outcome.type) {
+    case 'done':
+      return result.ok({
+        contentType: told.contentType ?? 'application/octet-stream',
+        body: Buffer.from(told.answer ?? '', 'base64'),
+      });
+    case 'not_run':
+    case 'unknown':
+      return result.err(problem.ofOutcome(told.outcome));
+  }
+}
+
+function notRun(
+  reason: types.outcome.RefusalReason,
+  message: string,
+): Extract<types.outcome.Outcome, {type: 'not_run'}> {
+  return {type: 'not_run', reason, message, retryAfterMs: COME_BACK_MS};
+}
+
+function unknownEnd(
+  message: string,
+): Extract<types.outcome.Outcome, {type: 'unknown'}> {
+  return {type: 'unknown', message};
+}
--- /dev/null
+++ b/packages/gypsumwall-entry/src/request_routes.ts
@@ -0,0 +1,187 @@
+/** Quick requests: one answer of an upstream to one caller. */
+import * as crypto from 'node:crypto';
+import type * as fastify from 'fastify';
+import type * as settings from '@gypsumwall/settings';
+import * as types from '@gypsumwall/types';
+import * as callContext from './call_context.js';
+import type * as entryContext from './entry_context.js';
+import * as forwardCall from './forward_call.js';
+import * as problem from './problem.js';
+import * as wholeAnswer from './whole_answer.js';
+
+const REQUEST_ID_HEADER = 'gypsumwall-request-id';
+
+interface Params {
+  readonly operation: string;
+}
+
+/** A call that passed all checks. */
+interface CheckedCall {
+  readonly team: types.ids.TeamId;
+  readonly policy: settings.cellTree.OperationPolicy;
+  readonly key?: types.ids.IdempotencyKey;
+  readonly deadline: types.clock.MonotonicMs;
+}
+
+/** Adds the routes. */
+export function addRequestRoutes(
+  app: fastify.FastifyInstance,
+  context: entryContext.EntryContext,
+): void {
+  app.post<{Params: Params}>('/v1/requests/:operation', async (req, res) => {
+    const checked = check(context, req, req.params.operation);
+    if ('reason' in checked) return problem.send(res, checked);
+    if (context.isLeaving()) return refuseLeaving(context, req, res, checked);
+    if (checked.policy.idempotent) {
+      return answerRepeatable(context, req, res, checked);
+    }
+    return answerOnce(context, req, res, checked);
+  });
+}
+
+function check(
+  context: entryContext.EntryContext,
+  req: fastify.FastifyRequest,
+  operation: string,
+): CheckedCall | problem.Problem {
+  const identity = context.authenticate(req.headers.authorization);
+  const team = callContext.requireTeam(identity);
+  if (team.isErr) return team.error;
+  const policy = context.config.team(team.value)?.operations[operation];
+  if (policy === undefined) {
+    return problem.notRun(
+      'not_found',
+      `team "${team.value}" has no operation "${operation}": add it under ` +
+        `teams/${team.value}/operations`,
+    );
+  }
+  const key = callContext.readKey(req);
+  if (key.isErr) return key.error;
+  if (!policy.idempotent && key.value === undefined) {
+    return problem.notRun(
+      'invalid',
+      `operation "${operation}" may not be repeated: send the header ` +
+        'idempotency-key with a key of your own',
+    );
+  }
+  const {clock} = context;
+  const deadline = callContext.readDeadline(req, policy.timeoutMs, clock);
+  if (deadline.isErr) return deadline.error;
+  return {
+    team: team.value,
+    policy,
+    key: key.value,
+    deadline: deadline.value,
+  };
+}
+
+function toRouted(
+  req: fastify.FastifyRequest,
+  operation: string,
+  checked: CheckedCall,
+) {
+  return {
+    requestId: crypto.randomUUID(),
+    team: checked.team,
+    operation,
+    urgency: checked.policy.urgency,
+    idempotent: checked.policy.idempotent,
+    key: checked.key,
+    estimateMs: checked.policy.estimateMs,
+    body: Buffer.isBuffer(req.body) ? req.body : Buffer.alloc(0),
+    deadline: checked.deadline,
+    traceparent: callContext.headerOf(req, 'traceparent'),
+  };
+}
+
+async function answerRepeatable(
+  context: entryContext.EntryContext,
+  req: fastify.FastifyRequest<{Params: Params}>,
+  res: fastify.FastifyReply,
+  checked: CheckedCall,
+): Promise<fastify.FastifyReply> {
+  const routed = toRouted(req, req.params.operation, checked);
+  const answer = await context.router.route(routed);
+  if (answer.isErr) {
+    const {error} = answer;
+    const elsewhere =
+      error.type === 'not_run' &&
+      error.reason === 'no_upstream' &&
+      forwardCall.mayForward(context, req);
+    const handed = elsewhere
+      ? await forwardCall.forwardCall(context, req, res, {
+          peers: otherDomains(context),
+          deadline: checked.deadline,
+          idempotent: true,
+        })
+      : undefined;
+    return handed ?? problem.send(res, problem.ofOutcome(error));
+  }
+  const {contentType, contentLength, body} = answer.value;
+  void res
+    .status(200)
+    .type(contentType)
+    .header('gypsumwall-outcome', 'done')
+    .header(REQUEST_ID_HEADER, routed.requestId);
+  // With its length declared, an answer that breaks off reads as broken.
+  if (contentLength !== undefined) {
+    void res.header('content-length', contentLength);
+  }
+  return res.send(body);
+}
+
+function otherDomains(
+  context: entryContext.EntryContext,
+): forwardCall.PeerChoice {
+  return context
+    .view()
+    .peers.filter((peer) => peer.failureDomain !== context.failureDomain)
+    .filter((peer) => peer.state === 'live')
+    .map((peer) => peer.address);
+}
+
+async function answerOnce(
+  context: entryContext.EntryContext,
+  req: fastify.FastifyRequest<{Params: Params}>,
+  res: fastify.FastifyReply,
+  checked: CheckedCall,
+): Promise<fastify.FastifyReply> {
+  const routed = toRouted(req, req.params.operation, checked);
+  const {key} = routed;
+  if (key === undefined) throw new Error('checked before: the key is there');
+  const answer = await context.runOnce({...routed, key});
+  if (answer.isErr) return problem.send(res, answer.error);
+  return sendWhole(res, answer.value, routed.requestId);
+}
+
+function sendWhole(
+  res: fastify.FastifyReply,
+  answer: wholeAnswer.WholeAnswer,
+  requestId: string,
+): fastify.FastifyReply {
+  return res
+    .status(200)
+    .type(answer.contentType)
+    .header('gypsumwall-outcome', 'done')
+    .header(REQUEST_ID_HEADER, requestId)
+    .send(Buffer.from(answer.body));
+}
+
+/** A leaving entry takes nothing new, but may know who does. */
+async function refuseLeaving(
+  context: entryContext.EntryContext,
+  req: fastify.FastifyRequest,
+  res: fastify.FastifyReply,
+  checked: CheckedCall,
+): Promise<fastify.FastifyReply> {
+  const peers = forwardCall.peersOfDomain(context, context.failureDomain);
+  const handed = forwardCall.mayForward(context, req)
+    ? await forwardCall.forwardCall(context, req, res, {
+        peers,
+        deadline: checked.deadline,
+        idempotent: checked.policy.idempotent,
+      })
+    : undefined;
+  const refusal = problem.notRun('leaving', 'this entry is leaving', 1_000);
+  return handed ?? problem.send(res, refusal);
+}
--- /dev/null
+++ b/packages/gypsumwall-entry/src/settings_service.ts
@@ -0,0 +1,101 @@
+/** Publishes and shows subtrees of the settings tree. */
+import * as result from 'true-myth/result';
+import * as records from '@gypsumwall/records';
+import * as settings from '@gypsumwall/settings';
+import type * as types from '@gypsumwall/types';
+import * as jobService from './job_service.js';
+import * as problem from './problem.js';
+
+/** What the service needs. */
+export interface SettingsServiceOptions {
+  readonly config: records.configFold.ConfigFold;
+  readonly follower: records.streamFollower.StreamFollower;
+  readonly appender: records.logAppender.LogAppender;
+}
+
+/** A publish that an operator asks for. */
+export interface PublishRequest {
+  readonly path: string;
+  /** Revision it is based on; -1 for a subtree that is new. */
+  readonly base: number;
+  readonly value: unknown;
+  readonly operator: string;
+}
+
+/** The settings tree, for operators. */
+export interface SettingsService {
+  /** The new revision; the log's order decides between two who race. */
+  publish(
+    req: PublishRequest,
+    deadline: types.clock.MonotonicMs,
+  ): Promise<result.Result<number, problem.Problem>>;
+}
+
+/** Makes the service. */
+export function createSettingsService(
+  options: SettingsServiceOptions,
+): SettingsService {
+  const {config, follower, appender} = options;
+
+  /** Faults that can be told before anything is appended. */
+  function foresee(req: PublishRequest): problem.Problem | undefined {
+    const checked = settings.checkSubtree.checkSubtree(req.path, req.value);
+    if (checked.isErr) return invalid(checked.error);
+    const newest = config.subtree(req.path)?.revision;
+    const known = newest ?? records.configFold.NO_REVISION;
+    return req.base < known ? conflict(req, known) : undefined;
+  }
+
+  return {
+    publish: async (req, deadline) => {
+      const foreseen = foresee(req);
+      if (foreseen !== undefined) return result.err(foreseen);
+      const outage = appender.outage();
+      if (outage !== undefined) {
+        return result.err(jobService.logDown(outage.retryAfterMs));
+      }
+      const body = records.envelope.encodeRecord({type: 'publish', ...req});
+      const appended = await appender.append(body, deadline);
+      if (appended.isErr) {
+        return result.err(jobService.ofStepError(appended.error));
+      }
+      const {offset} = appended.value;
+      const seen = await follower.waitFor(offset, deadline);
+      const verdict = seen ? config.verdict(offset) : undefined;
+      if (verdict === undefined) {
+        return result.err(
+          problem.unknownOutcome(
+            `the record stands at offset ${offset}, but can not be read ` +
+              'back: read the subtree again before the next publish',
+          ),
+        );
+      }
+      switch (verdict.type) {
+        case 'in_force':
+          return result.ok(offset);
+        case 'conflict':
+          return result.err(conflict(req, verdict.newest));
+        case 'invalid':
+          return result.err(invalid(verdict.problems));
+      }
+    },
+  };
+}
+
+function conflict(req: PublishRequest, newest: number): problem.Problem {
+  return problem.notRun(
+    'conflict',
+    `subtree "${req.path}" is at revision ${newest}, the change was based ` +
+      `on ${req.base}: read it again and repeat the change on top`,
+  );
+}
+
+function invalid(
+  problems: readonly settings.settingsProblem.SettingsProblem[],
+): problem.Problem {
+  const texts = problems.map(
+    ({path, value, message, remedy}) =>
+      `${path}: ${message} (value ${value}); ${remedy}`,
+  );
+  return problem.notRun('invalid', texts.join(' | '));
+}
--- /dev/null
+++ b/packages/gypsumwall-entry/src/status_routes.ts
@@ -0,0 +1,60 @@
+/** Health for the balancer, and what this entry believes, for operators. */
+import type * as fastify from 'fastify';
+import * as callContext from './call_context.js';
+import type * as entryContext from './entry_context.js';
+import * as problem from './problem.js';
+
+/** Adds the routes. */
+export function addStatusRoutes(
+  app: fastify.FastifyInstance,
+  context: entryContext.EntryContext,
+): void {
+  app.get('/healthz', (_req, res) => res.send({alive: true}));
+  app.get('/readyz', (_req, res) => {
+    const reason = context.isReady();
+    if (reason === undefined) return res.send({ready: true});
+    return problem.send(res, problem.notRun('not_ready', reason, 1_000));
+  });
+  app.get('/v1/status', (req, res) => {
+    const operator = callContext.requireOperator(
+      context.authenticate(req.headers.authorization),
+    );
+    if (operator.isErr) return problem.send(res, operator.error);
+    return res.send(status(context));
+  });
+  app.post('/v1/drain', (req, res) => {
+    const operator = callContext.requireOperator(
+      context.authenticate(req.headers.authorization),
+    );
+    if (operator.isErr) return problem.send(res, operator.error);
+    context.startDrain();
+    return res.status(202).send({draining: true});
+  });
+}
+
+function status(context: entryContext.EntryContext): object {
+  const now = context.clock.monotonic();
+  const age = (moment: number | undefined) =>
+    moment === undefined ? null : Math.round(now - moment);
+  const view = context.view();
+  const stream = (follower: entryContext.EntryContext['configFollower']) => ({
+    nextOffset: follower.nextOffset(),
+    caughtUp: follower.caughtUp(),
+    lastAnswerAgeMs: age(follower.lastAnswerAt()),
+  });
+  return {
+    id: context.self,
+    failureDomain: context.failureDomain,
+    leaving: context.isLeaving(),
+    notReadyBecause: context.isReady() ?? null,
+    list: {ageMs: age(view.listFetchedAt), peers: view.peers},
+    claim: context.claim(),
+    streams: {
+      config: stream(context.configFollower),
+      domain: stream(context.domainFollower),
+      requests: stream(context.requestFollower),
+    },
+    scheduler: context.scheduler()?.status() ?? null,
+    router: context.router.status(),
+  };
+}
--- a/packages/gypsumwall-records/src/config_fold.ts
+++ b/packages/gypsumwall-records/src/config_fold.ts
@@ -18,7 +18,10 @@
 export type PublishVerdict =
   | {readonly type: 'in_force'}
   | {readonly type: 'conflict'; readonly newest: number}
-  | {readonly type: 'invalid'; readonly message: string};
+  | {
+      readonly type: 'invalid';
+      readonly problems: readonly settings.settingsProblem.SettingsProblem[];
+    };
 
 /** The settings tree. */
 export interface ConfigFold extends streamFold.StreamFold {
@@ -27,7 +30,7 @@
   cell(): settings.cellTree.CellPolicy | undefined;
   team(id: string): settings.cellTree.TeamPolicy | undefined;
   teams(): ReadonlyMap<string, settings.cellTree.TeamPolicy>;
-  /** Verdict on a publish that this process follows; see `expect`. */
+  /** Verdict on the publish at an offset, while it is remembered. */
   verdict(offset: number): PublishVerdict | undefined;
 }
 
@@ -46,11 +49,18 @@
   let cell: settings.cellTree.CellPolicy | undefined;
 
   function install(path: string, subtree: Subtree): void {
-    const parsed = parseSubtree(path, subtree.value);
-    if (parsed.type === 'invalid') return;
+    const checked = settings.checkSubtree.checkSubtree(path, subtree.value);
+    if (checked.isErr) return;
     subtrees.set(path, subtree);
-    if (parsed.type === 'cell') cell = parsed.policy;
-    else teams.set(parsed.team, parsed.policy);
+    const found = checked.value;
+    switch (found.type) {
+      case 'cell':
+        cell = found.policy;
+        break;
+      case 'team':
+        teams.set(found.team, found.policy);
+        break;
+    }
     onChange(path);
   }
 
@@ -60,8 +70,11 @@
   ): PublishVerdict {
     const newest = subtrees.get(record.path)?.revision ?? NO_REVISION;
     if (record.base !== newest) return {type: 'conflict', newest};
-    const parsed = parseSubtree(record.path, record.value);
-    if (parsed.type === 'invalid') return parsed;
+    const checked = settings.checkSubtree.checkSubtree(
+      record.path,
+      record.value,
+    );
+    if (checked.isErr) return {type: 'invalid', problems: checked.error};
     install(record.path, {revision: offset, value: record.value});
     return {type: 'in_force'};
   }
@@ -91,33 +104,3 @@
     verdict: (offset) => verdicts.get(offset),
   };
 }
-
-type ParsedSubtree =
-  | {readonly type: 'cell'; readonly policy: settings.cellTree.CellPolicy}
-  | {
-      readonly type: 'team';
-      readonly team: string;
-      readonly policy: settings.cellTree.TeamPolicy;
-    }
-  | {readonly type: 'invalid'; readonly message: string};
-
-const TEAM_PATH = /^teams\/([a-z0-9-]+)$/;
-
-function parseSubtree(path: string, value: unknown): ParsedSubtree {
-  if (path === 'cell') {
-    const parsed = settings.cellTree.cellSchema.safeParse(value);
-    if (!parsed.success) return invalid(path, parsed.error.message);
-    return {type: 'cell', policy: parsed.data};
-  }
-  const team = TEAM_PATH.exec(path)?.[1];
-  if (team === undefined) {
-    return invalid(path, 'use "cell" or "teams/<team>"');
-  }
-  const parsed = settings.cellTree.teamSchema.safeParse(value);
-  if (!parsed.success) return invalid(path, parsed.error.message);
-  return {type: 'team', team, policy: parsed.data};
-}
-
-function invalid(path: string, message: string): ParsedSubtree {
-  return {type: 'invalid', message: `subtree "${path}": ${message}`};
-}
