--- /dev/null
+++ b/packages/gypsumwall-routing/src/__fixtures__/manual_clock.ts
@@ -0,0 +1,58 @@
+/** A clock that stands still until a test moves it. */
+import * as timers from 'node:timers/promises';
+import type * as types from '@gypsumwall/types';
+
+/** A clock with a hand on it. */
+export interface ManualClock extends types.clock.Clock {
+  /** Moves on by `spanMs`, waking each sleeper at its own moment. */
+  advance(spanMs: number): Promise<void>;
+}
+
+interface Sleeper {
+  readonly at: number;
+  readonly wake: () => void;
+}
+
+/** Makes a clock at time 0. */
+export function createManualClock(): ManualClock {
+  let now = 0;
+  const sleepers = new Set<Sleeper>();
+
+  const sleepUntil = (deadline: number, signal?: AbortSignal) =>
+    new Promise<void>((resolve) => {
+      if (signal?.aborted === true || deadline <= now) {
+        resolve();
+        return;
+      }
+      const wake = () => {
+        sleepers.delete(sleeper);
+        signal?.removeEventListener('abort', wake);
+        resolve();
+      };
+      const sleeper = {at: deadline, wake};
+      sleepers.add(sleeper);
+      signal?.addEventListener('abort', wake, {once: true});
+    });
+
+  const earliest = (until: number) =>
+    [...sleepers]
+      .filter((one) => one.at <= until)
+      .sort((left, right) => left.at - right.at)[0];
+
+  return {
+    monotonic: () => now as types.clock.MonotonicMs,
+    wall: () => now as types.clock.WallMs,
+    sleepUntil,
+    advance: async (spanMs) => {
+      const until = now + spanMs;
+      await timers.setImmediate();
+      for (let due = earliest(until); due; due = earliest(until)) {
+        now = due.at;
+        due.wake();
+        await timers.setImmediate();
+      }
+      now = until;
+      await timers.setImmediate();
+    },
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-routing/src/__fixtures__/router_harness.ts
@@ -0,0 +1,69 @@
+/** A router with fake upstreams on a manual clock, past its settling time. */
+import * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import * as createRouter from '../create_router.js';
+import type * as router from '../router.js';
+import type * as routerOptions from '../router_options.js';
+import * as fakeUpstreams from './fake_upstreams.js';
+import * as manualClock from './manual_clock.js';
+
+/** What a test holds in its hands. */
+export interface RouterHarness {
+  readonly clock: manualClock.ManualClock;
+  readonly fakes: fakeUpstreams.FakeUpstreams;
+  readonly router: router.Router;
+  readonly view: router.RouterView;
+  makeRequest(fields?: Partial<router.RoutedRequest>): router.RoutedRequest;
+}
+
+/** A list lag and request bound small enough to step over. */
+export const LAG_MS = 100;
+const BOUND_MS = 1_000;
+const SEED = 7;
+
+/** Makes a router alone with upstreams `u0`, `u1` and so on. */
+export async function createRouterHarness(
+  upstreams: number,
+  slots: number,
+  overrides: Partial<routerOptions.RouterOptions> = {},
+): Promise<RouterHarness> {
+  const clock = manualClock.createManualClock();
+  const fakes = fakeUpstreams.createFakeUpstreams();
+  const made = createRouter.createRouter({
+    entryId: 'e0',
+    clock,
+    random: types.random.createRandom(SEED),
+    logger: telemetry.logger.createLogger('silent'),
+    listLagMs: LAG_MS,
+    requestBoundMs: BOUND_MS,
+    makeUpstream: (upstream, count) => fakes.make(upstream, count),
+    defaults: {weight: 1, maxQueuedRequests: 10, retryBudget: 0.1},
+    ...overrides,
+  });
+  const listed = Array.from({length: upstreams}, (_, index) =>
+    fakeUpstreams.makeListed(`u${index}`, slots),
+  );
+  const view = {upstreams: listed, entries: ['e0']};
+  for (let ms = 0; ms <= LAG_MS + BOUND_MS; ms += LAG_MS) {
+    made.setView(view);
+    await clock.advance(LAG_MS);
+  }
+  let requests = 0;
+  return {
+    clock,
+    fakes,
+    router: made,
+    view,
+    makeRequest: (fields) => ({
+      requestId: `r${(requests += 1)}`,
+      team: types.ids.brand<types.ids.TeamId>('skyroute'),
+      operation: 'airspace-check',
+      urgency: 'urgent',
+      idempotent: true,
+      estimateMs: 10,
+      body: new Uint8Array(),
+      deadline: types.clock.after(clock.monotonic(), 500),
+      ...fields,
+    }),
+  };
+}
--- a/packages/gypsumwall-routing/src/router.ts
+++ b/packages/gypsumwall-routing/src/router.ts
@@ -60,7 +60,12 @@
 
 /** Sends requests to upstreams. */
 export interface Router {
-  /** The latest belief; a share shrinks at once and grows after the lag. */
+  /**
+   * The latest belief; a share shrinks at once and grows after the lag.
+   * To be called at every refresh, changed or not, and at least once within
+   * `listLagMs`: nothing is started on an older view, and a share grows only
+   * here. An entry that is cut off goes on calling it with what it believes.
+   */
   setView(view: RouterView): void;
   setTeam(team: RouterTeam): void;
   route(
