--- /dev/null
+++ b/packages/gypsumwall/src/read_input.ts
@@ -0,0 +1,26 @@
+/** Reads the files that a command line names. */
+import * as fs from 'node:fs';
+import * as types from '@gypsumwall/types';
+import * as settings from '@gypsumwall/settings';
+import * as fail from './fail.js';
+
+/** Text of a file, or of standard input for `-`. */
+export function readInput(file: string): string {
+  try {
+    return fs.readFileSync(file === '-' ? process.stdin.fd : file, 'utf8');
+  } catch (thrown) {
+    const cause = types.stepError.messageOf(thrown);
+    return fail.fail(
+      'invalid',
+      `can't read ${file}: ${cause}. Name a file that can be read, or - for standard input.`,
+    );
+  }
+}
+
+/** Ends the command with one line for each problem. */
+export function failWithProblems(
+  problems: readonly settings.settingsProblem.SettingsProblem[],
+): never {
+  const lines = problems.map(settings.settingsProblem.describeProblem);
+  return fail.fail('invalid', lines.join('\n'));
+}
