Keep a crossed answer from ending the entry's process

Cause: an answer with another request's id is destroyed with nobody listening for the failure of its stream, and Node ends the process on an unhandled 'error' event.

--- a/packages/gypsumwall-platform/src/http_upstream.ts
+++ b/packages/gypsumwall-platform/src/http_upstream.ts
@@ -69,7 +69,7 @@
     });
     if (res.statusCode !== 200) return await refused(options, res);
     if (headerOf(res.headers, REQUEST_ID_HEADER) !== req.requestId) {
-      res.body.destroy();
+      discard(res.body);
       return result.err(crossedAnswer(options));
     }
     return result.ok(wholeAnswer(res));
@@ -111,6 +111,15 @@
   });
 }
 
+/**
+ * Breaks an answer off. Its stream then fails, and a failure that nobody
+ * listens for would end the whole process.
+ */
+function discard(body: stream.Readable): void {
+  body.on('error', () => undefined);
+  body.destroy();
+}
+
 /**
  * An answer that carries another request's id would tell one caller what
  * another asked. The request itself may have run.
