Add stand-ins for the platform, workers and upstreams

Each runs as a process of its own (bin/stand_in.ts), answers docs/PLATFORM.md, takes faults over /control and gives its recorded history. Moments are machine-wide monotonic, so histories of several processes can be ordered.

--- /dev/null
+++ b/packages/gypsumwall-testing/src/history.ts
@@ -0,0 +1,53 @@
+/** Records events in order, each with its moment. */
+import type * as historyEvent from './history_event.js';
+import * as machineClock from './machine_clock.js';
+
+/** One process's recorded events. */
+export interface History {
+  record(body: historyEvent.EventBody): void;
+  /** Events from the given number on. */
+  since(number: number): readonly historyEvent.HistoryEvent[];
+}
+
+/** Makes an empty history of the named recorder. */
+export function createHistory(source: string): History {
+  const events: historyEvent.HistoryEvent[] = [];
+  return {
+    record: (body) => {
+      const at = machineClock.machineNow();
+      events.push({...body, at, source, number: events.length});
+    },
+    since: (number) => events.slice(number),
+  };
+}
+
+/** All recorders' events in one order of time. */
+export function merge(
+  histories: ReadonlyArray<readonly historyEvent.HistoryEvent[]>,
+): historyEvent.HistoryEvent[] {
+  return histories
+    .flat()
+    .sort((left, right) => left.at - right.at || left.number - right.number);
+}
+
+/** One event as a line of text, with its moment relative to `from`. */
+export function describe(
+  event: historyEvent.HistoryEvent,
+  from: machineClock.MachineMs,
+): string {
+  const {at, source, number, type, ...rest} = event;
+  const seconds = ((at - from) / 1_000).toFixed(3).padStart(8);
+  const fields = Object.entries(rest)
+    .map(([key, value]) => `${key}=${fieldText(value)}`)
+    .join(' ');
+  return `${seconds} ${source}#${number} ${type} ${fields}`;
+}
+
+const LONGEST_FIELD = 200;
+
+function fieldText(value: unknown): string {
+  const text = typeof value === 'string' ? value : JSON.stringify(value);
+  return text.length > LONGEST_FIELD
+    ? `${text.slice(0, LONGEST_FIELD)}...`
+    : text;
+}
--- a/packages/gypsumwall-testing/src/index.ts
+++ b/packages/gypsumwall-testing/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+export * as history from './history.js';
+export * as historyEvent from './history_event.js';
+export * as machineClock from './machine_clock.js';
+export * as standInConfig from './stand_in_config.js';
--- /dev/null
+++ b/packages/gypsumwall-testing/src/machine_clock.ts
@@ -0,0 +1,15 @@
+/**
+ * One clock for all processes of a test. Node's high-resolution time counts
+ * from the machine's boot, so moments of different processes on one machine
+ * can be compared; wall clocks could step in between.
+ */
+
+/** A moment on the machine's monotonic clock, in milliseconds. */
+export type MachineMs = number & {readonly __unit: 'MachineMs'};
+
+const NANOS_IN_MS = 1e6;
+
+/** Now, in milliseconds since the machine's boot. */
+export function machineNow(): MachineMs {
+  return (Number(process.hrtime.bigint()) / NANOS_IN_MS) as MachineMs;
+}
--- /dev/null
+++ b/packages/gypsumwall-testing/src/workers_stand_in.ts
@@ -0,0 +1,199 @@
+/** Many workers in one process, each on its own port. */
+import type * as fastify from 'fastify';
+import * as zod from 'zod';
+import type * as platform from '@gypsumwall/platform';
+import * as types from '@gypsumwall/types';
+import * as history from './history.js';
+import * as standInConfig from './stand_in_config.js';
+import * as standInServer from './stand_in_server.js';
+import * as workerModel from './worker_model.js';
+
+const epoch = zod.number().int();
+const holderCall = {epoch, incarnation: zod.string()};
+const attemptRef = zod.object({taskId: zod.string(), attempt: zod.string()});
+
+const attachBody = zod.strictObject({epoch, holder: zod.string()});
+const startBody = zod.strictObject({
+  ...holderCall,
+  startBy: zod.number(),
+  tasks: zod.array(
+    zod.strictObject({
+      taskId: zod.string(),
+      attempt: zod.string(),
+      size: standInConfig.resourcesSchema,
+      work: zod.object({
+        command: zod.string(),
+        args: zod.record(
+          zod.string(),
+          zod.union([zod.string(), zod.number(), zod.boolean()]),
+        ),
+      }),
+      leaseUntil: zod.number(),
+    }),
+  ),
+});
+const heartbeatBody = zod.strictObject({
+  ...holderCall,
+  leaseUntil: zod.number(),
+  acknowledged: zod.array(zod.string()),
+});
+const stopBody = zod.strictObject({
+  ...holderCall,
+  attempts: zod.array(attemptRef),
+});
+const throttleBody = zod.strictObject({
+  ...holderCall,
+  attempt: zod.string(),
+  cpuMillis: zod.number().min(0),
+});
+const checkpointBody = zod.strictObject({
+  ...holderCall,
+  attempt: zod.string(),
+});
+
+/** A worker's faults, and a gate that a frozen worker's calls wait at. */
+interface WorkerState {
+  readonly model: workerModel.WorkerModel;
+  fault: standInConfig.WorkerFault;
+  thawed: Promise<void>;
+  thaw: () => void;
+}
+
+const workerParams = zod.object({id: zod.string()});
+
+/** Starts the workers. */
+export async function createWorkersStandIn(
+  cfg: standInConfig.WorkersConfig,
+): Promise<standInServer.StandIn> {
+  const recorded = history.createHistory('workers');
+  const random = types.random.createRandom(cfg.seed);
+  const checkpoints = new Map<string, number>();
+  const states = new Map<string, WorkerState>();
+  const servers: fastify.FastifyInstance[] = [];
+  const addresses: Record<string, string> = {};
+
+  for (const worker of cfg.workers) {
+    const {usageLagMs} = cfg;
+    const model = workerModel.createWorkerModel({
+      ...worker,
+      usageLagMs,
+      random,
+      recorded,
+      checkpoints,
+    });
+    const state: WorkerState = {
+      model,
+      fault: {mode: 'none'},
+      thawed: Promise.resolve(),
+      thaw: () => undefined,
+    };
+    states.set(worker.id, state);
+    const server = createWorkerServer(worker.id, state, recorded);
+    servers.push(server);
+    addresses[worker.id] = await standInServer.listen(server);
+  }
+  const control = createControlServer(states, recorded);
+  servers.push(control);
+  return {
+    control: await standInServer.listen(control),
+    addresses,
+    close: async () => {
+      await Promise.all(servers.map((server) => server.close()));
+    },
+  };
+}
+
+function createControlServer(
+  states: ReadonlyMap<string, WorkerState>,
+  recorded: history.History,
+): fastify.FastifyInstance {
+  const server = standInServer.createServer();
+  const stateOf = (req: fastify.FastifyRequest): WorkerState => {
+    const {id} = workerParams.parse(req.params);
+    const state = states.get(id);
+    if (state === undefined) throw new Error(`no worker ${id}`);
+    return state;
+  };
+  server.post('/control/workers/:id/fault', (req) => {
+    setFault(stateOf(req), standInConfig.workerFaultSchema.parse(req.body));
+    return {};
+  });
+  server.post('/control/workers/:id/restart', (req) => {
+    stateOf(req).model.restart();
+    return {};
+  });
+  standInServer.addHistoryRoute(server, recorded);
+  return server;
+}
+
+function setFault(state: WorkerState, fault: standInConfig.WorkerFault): void {
+  state.fault = fault;
+  state.model.setFailsAll(fault.mode === 'fail_all');
+  state.thaw();
+  if (fault.mode !== 'frozen') return;
+  state.thawed = new Promise((resolve) => {
+    state.thaw = resolve;
+  });
+}
+
+function createWorkerServer(
+  id: string,
+  state: WorkerState,
+  recorded: history.History,
+): fastify.FastifyInstance {
+  const {model} = state;
+  const server = standInServer.createServer(({error, message}, call) => {
+    recorded.record({
+      type: 'worker_refused',
+      workerId: id,
+      call,
+      error,
+      message,
+    });
+  });
+  // A frozen process answers nothing; what it read before acts on its thaw.
+  server.addHook('preHandler', () => state.thawed);
+
+  server.post('/v1/attach', (req) => {
+    return model.attach(attachBody.parse(req.body).epoch);
+  });
+  server.post('/v1/start', (req, reply) => {
+    const body = startBody.parse(req.body);
+    const tasks = body.tasks as unknown as platform.worker.StartTask[];
+    const answers = model.start(callOf(body), body.startBy, tasks);
+    if (state.fault.mode !== 'lose_start_answers') return {answers};
+    const starts = state.fault.starts - 1;
+    state.fault = starts > 0 ? {...state.fault, starts} : {mode: 'none'};
+    return standInServer.breakOff(reply);
+  });
+  server.post('/v1/heartbeat', (req) => {
+    const body = heartbeatBody.parse(req.body);
+    return model.heartbeat(callOf(body), body.leaseUntil, body.acknowledged);
+  });
+  server.post('/v1/stop', (req) => {
+    const body = stopBody.parse(req.body);
+    model.stop(callOf(body), body.attempts);
+    return {};
+  });
+  server.post('/v1/throttle', (req) => {
+    const body = throttleBody.parse(req.body);
+    model.throttle(callOf(body), body.attempt, body.cpuMillis);
+    return {};
+  });
+  server.post('/v1/checkpoint', (req) => {
+    const body = checkpointBody.parse(req.body);
+    model.checkpoint(callOf(body), body.attempt);
+    return {};
+  });
+  return server;
+}
+
+function callOf(body: {
+  epoch: number;
+  incarnation: string;
+}): platform.worker.HolderCall {
+  return {
+    epoch: body.epoch,
+    incarnation: types.ids.brand<types.ids.WorkerIncarnation>(body.incarnation),
+  };
+}
