Keep the claim on a failure domain, and the view of peers around it

One holder per domain by a claim in the domain's log stream. A claim or renewal counts only if it has seen the newest record that counts (new field seen), so late duplicates and takers that missed a renewal fall out by the log's order alone, and a change of the named peers is safe. Records also carry the addresses of holder and named, so that a taker which never met them can ask them, and allGoneMs, the wait before the list's word counts.

A renewal whose answer is lost may stand in the log with other names, so until that is known the peers of both are asked for their promise. Promises are kept by claim, releases by claim and seen offset: a witness that once released may promise again only to a holder whose later renewal is in the log.

--- /dev/null
+++ b/packages/gypsumwall-membership/src/__fixtures__/virtual_time.ts
@@ -0,0 +1,120 @@
+/**
+ * Time that jumps from event to event, so that hours of a protocol run in
+ * milliseconds and a run repeats exactly. Processes have clocks of their own
+ * rate on it, and can be paused: what reaches them meanwhile waits.
+ */
+import * as types from '@gypsumwall/types';
+
+interface Event {
+  readonly at: number;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+/** True time, in milliseconds; no process can read it. */
+export interface VirtualTime {
+  now(): number;
+  at(moment: number, run: () => void): void;
+  /** Runs all events up to the moment; `afterEach` sees each one's outcome. */
+  advanceTo(moment: number, afterEach: () => void): Promise<void>;
+}
+
+/** Makes a time that starts at 0. */
+export function createVirtualTime(): VirtualTime {
+  const events: Event[] = [];
+  let now = 0;
+  let order = 0;
+
+  function takeDue(moment: number): Event | undefined {
+    let best = -1;
+    for (const [index, event] of events.entries()) {
+      if (event.at > moment) continue;
+      const known = events[best];
+      const isEarlier =
+        known === undefined ||
+        event.at < known.at ||
+        (event.at === known.at && event.order < known.order);
+      if (isEarlier) best = index;
+    }
+    return best < 0 ? undefined : events.splice(best, 1)[0];
+  }
+
+  return {
+    now: () => now,
+    at: (moment, run) => {
+      events.push({at: Math.max(moment, now), order: order++, run});
+    },
+    advanceTo: async (moment, afterEach) => {
+      for (let due = takeDue(moment); due; due = takeDue(moment)) {
+        now = due.at;
+        due.run();
+        // All promise callbacks run before the next turn of the event loop.
+        await new Promise((resolve) => setImmediate(resolve));
+        afterEach();
+      }
+      now = moment;
+    },
+  };
+}
+
+/** A process on virtual time. */
+export interface VirtualProcess {
+  readonly clock: types.clock.Clock;
+  /** Runs `run` in the process at the moment, or when its pause is over. */
+  deliverAt(moment: number, run: () => void): void;
+  /** Stops it for a while; its clock goes on. */
+  pauseUntil(moment: number): void;
+  kill(): void;
+  isAlive(): boolean;
+  isPaused(): boolean;
+}
+
+/** Starts a process whose clock runs `rate` times as fast as true time. */
+export function createVirtualProcess(
+  time: VirtualTime,
+  rate: number,
+): VirtualProcess {
+  const bornAt = time.now();
+  let alive = true;
+  let pausedUntil = 0;
+
+  function deliverAt(moment: number, run: () => void) {
+    time.at(moment, () => {
+      if (!alive) return;
+      if (time.now() < pausedUntil) deliverAt(pausedUntil, run);
+      else run();
+    });
+  }
+
+  const monotonic = () =>
+    ((time.now() - bornAt) * rate) as types.clock.MonotonicMs;
+  return {
+    deliverAt,
+    isAlive: () => alive,
+    isPaused: () => time.now() < pausedUntil,
+    pauseUntil: (moment) => {
+      pausedUntil = Math.max(pausedUntil, moment);
+    },
+    kill: () => {
+      alive = false;
+    },
+    clock: {
+      monotonic,
+      wall: () => time.now() as types.clock.WallMs,
+      sleepUntil: (deadline, signal) =>
+        new Promise((resolve) => {
+          if (signal?.aborted === true) {
+            resolve();
+            return;
+          }
+          const finish = () => {
+            signal?.removeEventListener('abort', finish);
+            resolve();
+          };
+          // Never before the deadline on this process's own clock.
+          deliverAt(Math.ceil(bornAt + deadline / rate) + 1, finish);
+          signal?.addEventListener('abort', finish, {once: true});
+        }),
+    },
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-membership/src/__tests__/claim_calls.test.ts
@@ -0,0 +1,48 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as types from '@gypsumwall/types';
+import * as peerFixture from '../__fixtures__/peer_fixture.js';
+import * as silentProxy from '../__fixtures__/silent_proxy.js';
+import * as claimCalls from '../claim_calls.js';
+
+const holder = types.ids.brand<types.ids.EntryId>('holder');
+const taker = types.ids.brand<types.ids.EntryId>('taker');
+const ask = {holder, epoch: 4, seen: 9, promiseMs: 60_000};
+
+nodeTest.test('a promise blocks a witness until it runs out', async () => {
+  const peer = await peerFixture.startPeer('p', peerFixture.createFakeList());
+  const calls = claimCalls.createClaimCalls(peer.clients);
+  assert.deepEqual(await calls.promise(peer, ask), {type: 'promised'});
+  const early = await calls.witness(peer, {taker, epoch: 4, seen: 9});
+  assert.equal(early.type, 'wait');
+  const free = await calls.witness(peer, {taker, epoch: 2, seen: 3});
+  assert.deepEqual(free, {type: 'released'});
+  const late = await calls.promise(peer, {...ask, epoch: 2, seen: 3});
+  assert.equal(late.type, 'refused');
+  await peer.stop();
+});
+
+nodeTest.test('only proof makes a peer gone', async () => {
+  // Another process at the address, or a port that refuses, proves that the
+  // named process ended. A connection that swallows calls proves nothing: the
+  // peer may live, and may even have promised.
+  const list = peerFixture.createFakeList();
+  const peer = await peerFixture.startPeer('p', list);
+  const port = Number(new URL(peer.address).port);
+  const proxy = await silentProxy.startSilentProxy(port);
+  const caller = await peerFixture.startPeer('caller', list);
+  const calls = claimCalls.createClaimCalls(caller.clients);
+  const {address} = peer;
+  const former = types.ids.brand<types.ids.EntryId>('former');
+  assert.deepEqual(await calls.promise({entryId: former, address}, ask), {
+    type: 'gone',
+  });
+  const proxied = {entryId: peer.entryId, address: proxy.address};
+  assert.deepEqual(await calls.promise(proxied, ask), {type: 'promised'});
+  proxy.silenceOpenConnections();
+  assert.deepEqual(await calls.promise(proxied, ask), {type: 'silent'});
+  await peer.stop();
+  assert.deepEqual(await calls.promise(peer, ask), {type: 'gone'});
+  await caller.stop();
+  await proxy.close();
+});
--- /dev/null
+++ b/packages/gypsumwall-membership/src/__tests__/domain_view_keeper.test.ts
@@ -0,0 +1,91 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as peerFixture from '../__fixtures__/peer_fixture.js';
+import * as silentProxy from '../__fixtures__/silent_proxy.js';
+
+/** What `from` believes of the peer at an address. */
+function beliefOf(from: peerFixture.PeerFixture, address: string) {
+  return from.view.current().peers.find((peer) => peer.address === address);
+}
+
+nodeTest.test('peers find each other, also off the list', async () => {
+  // The list shows only one of two entries. That one learns of the other by
+  // the heartbeat that comes in.
+  const list = peerFixture.createFakeList();
+  const shown = await peerFixture.startPeer('shown', list);
+  const hidden = await peerFixture.startPeer('hidden', list);
+  list.instances = [peerFixture.listedEntry(shown.address)];
+  await peerFixture.until('both live', () =>
+    [beliefOf(shown, hidden.address), beliefOf(hidden, shown.address)].every(
+      (peer) => peer?.state === 'live' && peer.configOffset === 3,
+    ),
+  );
+  assert.equal(beliefOf(shown, hidden.address)?.entryId, 'hidden');
+  await Promise.all([shown.stop(), hidden.stop()]);
+});
+
+nodeTest.test('a new process at an old address has a new id', async () => {
+  // A peer ends and another process starts at its address, both within the
+  // list's lag: the list says nothing, the next heartbeat's answer does.
+  const list = peerFixture.createFakeList();
+  const watcher = await peerFixture.startPeer('watcher', list);
+  const first = await peerFixture.startPeer('first', list);
+  list.instances = [peerFixture.listedEntry(first.address)];
+  await peerFixture.until(
+    'first heard',
+    () => beliefOf(watcher, first.address)?.entryId === 'first',
+  );
+  await first.stop();
+  await peerFixture.until(
+    'silent at once',
+    () => beliefOf(watcher, first.address)?.state === 'silent',
+  );
+  const port = Number(new URL(first.address).port);
+  const second = await peerFixture.startPeer('second', list, port);
+  await peerFixture.until('second heard', () => {
+    const peer = beliefOf(watcher, first.address);
+    return peer?.entryId === 'second' && peer.state === 'live';
+  });
+  await Promise.all([watcher.stop(), second.stop()]);
+});
+
+nodeTest.test('leaving beats live, and a list that is down', async () => {
+  // The peer says that it leaves while the list, down since, last said live.
+  const list = peerFixture.createFakeList();
+  const watcher = await peerFixture.startPeer('watcher', list);
+  const leaver = await peerFixture.startPeer('leaver', list);
+  list.instances = [peerFixture.listedEntry(leaver.address)];
+  await peerFixture.until(
+    'heard',
+    () => beliefOf(watcher, leaver.address)?.state === 'live',
+  );
+  list.isDown = true;
+  leaver.leaving = true;
+  await peerFixture.until(
+    'leaving',
+    () => beliefOf(watcher, leaver.address)?.state === 'leaving',
+  );
+  await Promise.all([watcher.stop(), leaver.stop()]);
+});
+
+nodeTest.test('a silent connection is replaced, its peer kept', async () => {
+  // Something between the two ends loses track of the open connection: it
+  // stays open and passes nothing. The next heartbeat times out, a new
+  // connection is made, and the peer is live again without the list's help.
+  const list = peerFixture.createFakeList();
+  const peer = await peerFixture.startPeer('peer', list);
+  const port = Number(new URL(peer.address).port);
+  const proxy = await silentProxy.startSilentProxy(port);
+  const watcher = await peerFixture.startPeer('watcher', list);
+  list.instances = [peerFixture.listedEntry(proxy.address)];
+  const isLive = () => beliefOf(watcher, proxy.address)?.state === 'live';
+  await peerFixture.until('live', isLive);
+  const before = proxy.connections();
+  proxy.silenceOpenConnections();
+  await peerFixture.until(
+    'a new connection',
+    () => proxy.connections() > before && isLive(),
+  );
+  await Promise.all([watcher.stop(), peer.stop()]);
+  await proxy.close();
+});
--- /dev/null
+++ b/packages/gypsumwall-membership/src/claim_holder.ts
@@ -0,0 +1,230 @@
+/**
+ * The holder's part: it renews its claim through the log and, when the log
+ * doesn't answer, by the promises of every peer named on the claim.
+ */
+import type * as records from '@gypsumwall/records';
+import * as types from '@gypsumwall/types';
+import type * as claimFold from './claim_fold.js';
+import type * as claimKeeperOptions from './claim_keeper_options.js';
+import * as claimTiming from './claim_timing.js';
+import type * as claimPeers from './claim_peers.js';
+import type * as wakeUp from './wake_up.js';
+
+/** Most peers named on a claim; each one can block a renewal by silence. */
+export const MOST_NAMED = 4;
+
+/** Keeps this entry's claim alive. */
+export interface ClaimHolder {
+  /** Until when the claim is surely this entry's; undefined if it isn't. */
+  deadline(newest: claimFold.NewestClaim): types.clock.MonotonicMs | undefined;
+  /** Appends a claim; it's held once the log has been read up to it. */
+  claim(
+    replaced: claimFold.NewestClaim | undefined,
+    witness: records.domainRecords.Witness,
+  ): Promise<void>;
+  /** Renews once. Ends within the patience for log and peers. */
+  renew(newest: claimFold.NewestClaim): Promise<void>;
+  /** To be called whenever the newest claim changed. */
+  noteNewest(newest: claimFold.NewestClaim): void;
+}
+
+/** A renewal sent through the log of which it isn't known if it counts. */
+interface Doubt {
+  readonly seen: number;
+  readonly peers: readonly claimPeers.NamedPeer[];
+}
+
+/** Makes the holder's part of a keeper. */
+export function createClaimHolder(
+  options: claimKeeperOptions.ClaimKeeperOptions,
+  fold: claimFold.ClaimFold,
+  wake: wakeUp.WakeUp,
+): ClaimHolder {
+  const {clock, self, logger, ttlMs} = options;
+  const patienceMs = ttlMs / claimTiming.PATIENCE_PER_TTL;
+  const allGoneMs = options.allGoneMs ?? ttlMs * claimTiming.ALL_GONE_TTLS;
+  const sentAtByOffset = new Map<number, types.clock.MonotonicMs>();
+  const gone = new Set<types.ids.EntryId>();
+  let held: {epoch: number; deadline: types.clock.MonotonicMs} | undefined;
+  let headSentAt: types.clock.MonotonicMs | undefined;
+  let doubts: Doubt[] = [];
+  let appending = false;
+
+  function extend(epoch: number, deadline: types.clock.MonotonicMs) {
+    if (held?.epoch === epoch && held.deadline >= deadline) return;
+    held = {epoch, deadline};
+    wake.wake();
+  }
+
+  /**
+   * An append's answer only tells the offset. Whether the record counts is
+   * known once the log has been read up to it: a taker's claim may stand
+   * before it, and a holder that trusted the answer would hold beside it.
+   */
+  function noteNewest(newest: claimFold.NewestClaim) {
+    doubts = doubts.filter((doubt) => doubt.seen === newest.head);
+    if (newest.holder !== self) return;
+    const sentAt = sentAtByOffset.get(newest.head);
+    if (sentAt === undefined) return;
+    headSentAt = sentAt;
+    for (const offset of sentAtByOffset.keys()) {
+      if (offset < newest.head) sentAtByOffset.delete(offset);
+    }
+    extend(newest.epoch, claimTiming.holderDeadline(sentAt, newest.ttlMs));
+  }
+
+  /** Returns whether the record is in the log or may still appear there. */
+  async function append(record: records.domainRecords.DomainRecord) {
+    const sentAt = clock.monotonic();
+    const answer = await options.appendRecord(record);
+    if (answer.isErr) {
+      logger.warn('claim_append_failed', {
+        record: record.type,
+        error: types.stepError.describeError(answer.error),
+      });
+      return answer.error.effect !== 'not_run';
+    }
+    sentAtByOffset.set(answer.value.offset, sentAt);
+    const newest = fold.newest();
+    if (newest !== undefined) noteNewest(newest);
+    return true;
+  }
+
+  function peersToName(): readonly claimPeers.NamedPeer[] {
+    return options
+      .view()
+      .peers.filter(
+        (peer) =>
+          peer.failureDomain === options.failureDomain &&
+          peer.state === 'live' &&
+          peer.entryId !== '' &&
+          peer.entryId !== self,
+      )
+      .map(({entryId, address}) => ({entryId, address}))
+      .sort((left, right) => (left.entryId < right.entryId ? -1 : 1))
+      .slice(0, MOST_NAMED);
+  }
+
+  async function renewByLog(newest: claimFold.NewestClaim) {
+    const peers = peersToName();
+    // From here on a taker may have read this renewal and go by its names,
+    // so they are asked too until the log shows whether it counts.
+    const doubt = {seen: newest.head, peers};
+    doubts.push(doubt);
+    appending = true;
+    const mayAppear = await append({
+      type: 'renew',
+      epoch: newest.epoch,
+      seen: newest.head,
+      ...termsFor(peers),
+    });
+    appending = false;
+    if (!mayAppear) doubts = doubts.filter((other) => other !== doubt);
+  }
+
+  function termsFor(peers: readonly claimPeers.NamedPeer[]) {
+    const own = {entryId: self, address: options.address};
+    const addresses: Record<types.ids.EntryId, string> = {};
+    for (const peer of [own, ...peers]) addresses[peer.entryId] = peer.address;
+    const named = peers.map((peer) => peer.entryId);
+    return {holder: self, named, addresses, ttlMs, allGoneMs};
+  }
+
+  /** Whether the deadline already counts from `since` or later. */
+  function renewedSince(epoch: number, since: types.clock.MonotonicMs) {
+    const wanted = claimTiming.holderDeadline(since, ttlMs);
+    return held?.epoch === epoch && held.deadline >= wanted;
+  }
+
+  async function renewByPromises(newest: claimFold.NewestClaim) {
+    const sentAt = clock.monotonic();
+    const asked = [
+      ...namedPeers(newest),
+      ...doubts.flatMap((doubt) => doubt.peers),
+    ].filter(
+      (peer, index, all) =>
+        !gone.has(peer.entryId) &&
+        all.findIndex((other) => other.entryId === peer.entryId) === index,
+    );
+    const ask = {
+      holder: self,
+      epoch: newest.epoch,
+      seen: newest.head,
+      promiseMs: newest.ttlMs,
+    };
+    const replies = await Promise.all(
+      asked.map(async (peer) => {
+        const reply = await options.peers.promise(peer, ask);
+        if (reply.type === 'gone') gone.add(peer.entryId);
+        return reply.type === 'promised' || reply.type === 'gone';
+      }),
+    );
+    const now = fold.newest();
+    if (now?.epoch !== newest.epoch || now.released) return;
+    if (!replies.every((safe) => safe)) {
+      logger.warn('claim_promise_missing', {
+        epoch: newest.epoch,
+        asked: asked.length,
+        missing: replies.filter((safe) => !safe).length,
+      });
+      return;
+    }
+    const promised = claimTiming.holderDeadline(sentAt, newest.ttlMs);
+    const cap = allGoneCap(newest);
+    if (cap === undefined) return;
+    extend(newest.epoch, promised < cap ? promised : cap);
+  }
+
+  /**
+   * Named peers can't stop a taker whose witness is `all_gone`: to it this
+   * process and they have long been off the list, though they are only cut
+   * off. So a holder goes on by promises no longer than such a taker waits,
+   * from when the log or the list last proved that the platform sees it.
+   */
+  function allGoneCap(newest: claimFold.NewestClaim) {
+    const listedAt = options.view().selfListedAt;
+    const caps: types.clock.MonotonicMs[] = [];
+    if (headSentAt !== undefined) {
+      caps.push(claimTiming.holderDeadline(headSentAt, newest.allGoneMs));
+    }
+    if (listedAt !== undefined) {
+      const spanMs = newest.allGoneMs - options.listLagMs;
+      caps.push(claimTiming.holderDeadline(listedAt, spanMs));
+    }
+    return caps.sort((left, right) => right - left)[0];
+  }
+
+  return {
+    noteNewest,
+    claim: async (replaced, witness) => {
+      await append({
+        type: 'claim',
+        replaces: replaced?.epoch ?? null,
+        seen: replaced?.head ?? null,
+        witness,
+        ...termsFor(peersToName()),
+      });
+    },
+    deadline: (newest) =>
+      held?.epoch === newest.epoch ? held.deadline : undefined,
+    renew: async (newest) => {
+      const startedAt = clock.monotonic();
+      if (!appending) void renewByLog(newest);
+      await wake.waitUntil(types.clock.after(startedAt, patienceMs), () =>
+        renewedSince(newest.epoch, startedAt),
+      );
+      if (renewedSince(newest.epoch, startedAt)) return;
+      await renewByPromises(newest);
+    },
+  };
+}
+
+/** The peers that a claim names, with their addresses. */
+export function namedPeers(
+  newest: claimFold.NewestClaim,
+): readonly claimPeers.NamedPeer[] {
+  return newest.named.map((entryId) => ({
+    entryId,
+    address: newest.addresses[entryId] ?? '',
+  }));
+}
--- /dev/null
+++ b/packages/gypsumwall-membership/src/claim_taker.ts
@@ -0,0 +1,145 @@
+/**
+ * The taker's part: finds out whether the domain's claim may be taken over,
+ * and by what witness. It never holds anything itself.
+ */
+import * as crypto from 'node:crypto';
+import type * as records from '@gypsumwall/records';
+import * as types from '@gypsumwall/types';
+import type * as claimFold from './claim_fold.js';
+import * as claimHolder from './claim_holder.js';
+import type * as claimKeeperOptions from './claim_keeper_options.js';
+import type * as claimPromises from './claim_promises.js';
+import * as claimTiming from './claim_timing.js';
+import type * as domainView from './domain_view.js';
+
+/** Finds a witness for a takeover. */
+export interface ClaimTaker {
+  /** When this entry's turn to take comes; takers come one after another. */
+  turnAt(): types.clock.MonotonicMs;
+  /** Undefined while the claim may still be held. */
+  findWitness(): Promise<records.domainRecords.Witness | undefined>;
+  /** To be called regularly, so that it sees who is off the list. */
+  lookAtList(): void;
+}
+
+/** Makes the taker's part of a keeper. */
+export function createClaimTaker(
+  options: claimKeeperOptions.ClaimKeeperOptions,
+  fold: claimFold.ClaimFold,
+  promises: claimPromises.ClaimPromises,
+): ClaimTaker {
+  const {clock, self} = options;
+  const startedAt = clock.monotonic();
+  let allGoneSince:
+    | {
+        readonly epoch: number;
+        readonly at: types.clock.MonotonicMs;
+      }
+    | undefined;
+
+  function domainPeers(): readonly domainView.PeerEntry[] {
+    return options
+      .view()
+      .peers.filter((peer) => peer.failureDomain === options.failureDomain);
+  }
+
+  function lookAtList() {
+    const newest = fold.newest();
+    if (newest === undefined || !listSaysAllGone(newest)) {
+      allGoneSince = undefined;
+    } else if (allGoneSince?.epoch !== newest.epoch) {
+      allGoneSince = {epoch: newest.epoch, at: clock.monotonic()};
+    }
+  }
+
+  /** Whether everyone listed in the domain answers and is somebody else. */
+  function listSaysAllGone(newest: claimFold.NewestClaim): boolean {
+    const fetchedAt = options.view().listFetchedAt;
+    if (fetchedAt === undefined) return false;
+    const staleAt = types.clock.after(fetchedAt, options.listLagMs);
+    if (clock.monotonic() >= staleAt) return false;
+    const members = new Set([newest.holder, ...newest.named]);
+    return domainPeers().every(
+      (peer) =>
+        peer.entryId !== '' &&
+        peer.state !== 'silent' &&
+        !members.has(peer.entryId),
+    );
+  }
+
+  function goneLongEnough(newest: claimFold.NewestClaim): boolean {
+    if (allGoneSince?.epoch !== newest.epoch) return false;
+    const from = Math.max(
+      allGoneSince.at,
+      fold.headReadAt(),
+    ) as types.clock.MonotonicMs;
+    return clock.monotonic() >= types.clock.after(from, newest.allGoneMs);
+  }
+
+  async function findWitness(): Promise<
+    records.domainRecords.Witness | undefined
+  > {
+    const newest = fold.newest();
+    if (newest === undefined || newest.released) return {type: 'vacant'};
+    const ask = {taker: self, epoch: newest.epoch, seen: newest.head};
+    if (newest.named.includes(self)) {
+      const own = promises.answerWitness(ask);
+      if (own.type === 'released') return {type: 'named_peer', entryId: self};
+    }
+    const others = claimHolder
+      .namedPeers(newest)
+      .filter((peer) => peer.entryId !== self);
+    const replies = await Promise.all(
+      others.map((peer) => options.peers.witness(peer, ask)),
+    );
+    const released = replies.findIndex((reply) => reply.type === 'released');
+    const witness = others[released];
+    if (witness !== undefined) {
+      return {type: 'named_peer', entryId: witness.entryId};
+    }
+    if (newest.named.includes(self)) return undefined;
+    if (goneLongEnough(newest)) return {type: 'all_gone'};
+    if (!replies.every((reply) => reply.type === 'gone')) return undefined;
+    const holder = {
+      entryId: newest.holder,
+      address: newest.addresses[newest.holder] ?? '',
+    };
+    const reply = await options.peers.witness(holder, ask);
+    return reply.type === 'gone' ? {type: 'all_gone'} : undefined;
+  }
+
+  return {
+    findWitness,
+    lookAtList,
+    turnAt: () => {
+      const newest = fold.newest();
+      const opensAt =
+        newest === undefined
+          ? startedAt
+          : newest.released
+            ? fold.headReadAt()
+            : types.clock.after(fold.headReadAt(), newest.ttlMs);
+      const candidates = domainPeers()
+        .filter((peer) => peer.state === 'live' && peer.entryId !== '')
+        .map((peer) => peer.entryId)
+        .filter((entryId) => entryId !== newest?.holder);
+      const turn = turnOf(self, candidates, `${newest?.head ?? 'none'}`);
+      const stepMs = options.ttlMs / claimTiming.RENEWALS_PER_TTL;
+      return types.clock.after(opensAt, turn * stepMs);
+    },
+  };
+}
+
+/** How many of the candidates come before this entry: rendezvous order. */
+function turnOf(
+  self: types.ids.EntryId,
+  candidates: readonly types.ids.EntryId[],
+  key: string,
+): number {
+  const score = (entryId: string) =>
+    crypto.createHash('sha256').update(`${key} ${entryId}`).digest('hex');
+  const own = score(self);
+  return candidates.filter(
+    (entryId) => entryId !== self && score(entryId) > own,
+  ).length;
+}
--- a/packages/gypsumwall-membership/src/domain_claim.ts
+++ b/packages/gypsumwall-membership/src/domain_claim.ts
@@ -12,6 +12,8 @@
       readonly epoch: number;
       readonly holder: types.ids.EntryId;
     }
+  /** This entry's own claim, past its deadline: it may start nothing. */
+  | {readonly type: 'lapsed'; readonly epoch: number}
   | {
       readonly type: 'held';
       readonly epoch: number;
--- a/packages/gypsumwall-membership/src/domain_view.ts
+++ b/packages/gypsumwall-membership/src/domain_view.ts
@@ -18,6 +18,7 @@
 
 /** A moment's belief. */
 export interface DomainView {
+  /** Other entries, of all domains. */
   readonly peers: readonly PeerEntry[];
   /** Workers of this entry's own domain. */
   readonly workers: readonly platform.instanceList.ListedWorker[];
@@ -25,4 +26,6 @@
   readonly upstreams: readonly platform.instanceList.ListedUpstream[];
   /** When the list was last fetched; undefined before the first time. */
   readonly listFetchedAt?: types.clock.MonotonicMs;
+  /** When a list that shows this process was last asked for. */
+  readonly selfListedAt?: types.clock.MonotonicMs;
 }
--- /dev/null
+++ b/packages/gypsumwall-membership/src/domain_view_keeper.ts
@@ -0,0 +1,186 @@
+/**
+ * Keeps the view of the instances around this entry: polls the platform's
+ * list, and runs one loop of heartbeats for each peer on it.
+ */
+import type * as platform from '@gypsumwall/platform';
+import type * as protocol from '@gypsumwall/protocol';
+import type * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import type * as domainView from './domain_view.js';
+import * as listCorrections from './list_corrections.js';
+import type * as peerClients from './peer_clients.js';
+import * as peerLink from './peer_link.js';
+import type * as peerServer from './peer_server.js';
+
+/** Options of `createDomainViewKeeper`. */
+export interface DomainViewKeeperOptions {
+  readonly self: types.ids.EntryId;
+  readonly failureDomain: types.ids.FailureDomain;
+  /** Address of this process's peer service, as the list gives it. */
+  readonly address: string;
+  readonly clock: types.clock.Clock;
+  readonly logger: telemetry.logger.Logger;
+  readonly list: platform.instanceList.InstanceList;
+  readonly clients: peerClients.PeerClients;
+  readonly listPollMs: number;
+  readonly listLagMs: number;
+  readonly heartbeatMs: number;
+  readonly silenceMs: number;
+  ownState(): peerServer.OwnState;
+  /** Called when a peer's state, or the list, has changed. */
+  onChange?(view: domainView.DomainView): void;
+}
+
+/** Keeps the view. */
+export interface DomainViewKeeper {
+  /** Polls and sends heartbeats until `signal` aborts. */
+  run(signal: AbortSignal): Promise<void>;
+  /** The view at this moment; peers fall silent by the clock. */
+  current(): domainView.DomainView;
+  /** A heartbeat came in; the sender may not be on the list yet. */
+  noteHeartbeat(req: protocol.peer.HeartbeatRequest): void;
+  /** Direct evidence that a worker or upstream is gone. */
+  noteGone(id: string): void;
+}
+
+interface TrackedPeer {
+  readonly link: peerLink.PeerLink;
+  readonly stop: AbortController;
+  /** Off the list since; undefined while on it. */
+  unlistedAt?: types.clock.MonotonicMs;
+}
+
+/** Makes a keeper; nothing happens before `run`. */
+export function createDomainViewKeeper(
+  options: DomainViewKeeperOptions,
+): DomainViewKeeper {
+  const {clock, logger, failureDomain, listLagMs} = options;
+  const corrections = listCorrections.createListCorrections(clock, listLagMs);
+  const tracked = new Map<string, TrackedPeer>();
+  const loops = new Set<Promise<void>>();
+  let listed: readonly platform.instanceList.ListedInstance[] = [];
+  let listFetchedAt: types.clock.MonotonicMs | undefined;
+  let selfListedAt: types.clock.MonotonicMs | undefined;
+  let running: AbortSignal | undefined;
+
+  function current(): domainView.DomainView {
+    const own = corrections
+      .correct(listed)
+      .filter((instance) => instance.failureDomain === failureDomain);
+    return {
+      peers: [...tracked.values()].map(({link}) => link.peer()),
+      workers: own.filter((instance) => instance.kind === 'worker'),
+      upstreams: own.filter((instance) => instance.kind === 'upstream'),
+      listFetchedAt,
+      selfListedAt,
+    };
+  }
+
+  function announce() {
+    options.onChange?.(current());
+  }
+
+  function track(
+    address: string,
+    domain: types.ids.FailureDomain,
+  ): TrackedPeer | undefined {
+    if (address === options.address || running?.aborted !== false) {
+      return undefined;
+    }
+    const known = tracked.get(address);
+    if (known !== undefined) return known;
+    const link = peerLink.createPeerLink({
+      address,
+      failureDomain: domain,
+      client: options.clients.at(address),
+      clock,
+      heartbeatMs: options.heartbeatMs,
+      silenceMs: options.silenceMs,
+      listLagMs,
+      ownHeartbeat: () => ({
+        entryId: options.self,
+        failureDomain,
+        address: options.address,
+        configOffset: BigInt(options.ownState().configOffset),
+        leaving: options.ownState().leaving,
+      }),
+      onChange: announce,
+    });
+    const peer: TrackedPeer = {link, stop: new AbortController()};
+    tracked.set(address, peer);
+    const loop = link.run(AbortSignal.any([peer.stop.signal, running]));
+    loops.add(loop);
+    void loop.finally(() => loops.delete(loop));
+    logger.info('peer_found', {peer: address, domain});
+    return peer;
+  }
+
+  function noteList(
+    instances: readonly platform.instanceList.ListedInstance[],
+    askedAt: types.clock.MonotonicMs,
+  ) {
+    const changed = JSON.stringify(instances) !== JSON.stringify(listed);
+    listed = instances;
+    listFetchedAt = clock.monotonic();
+    const addresses = new Set<string>();
+    for (const entry of instances) {
+      if (entry.kind !== 'entry') continue;
+      addresses.add(entry.address);
+      if (entry.address === options.address) selfListedAt = askedAt;
+      const peer = track(entry.address, entry.failureDomain);
+      if (peer === undefined) continue;
+      delete peer.unlistedAt;
+      peer.link.noteListed(entry.state);
+    }
+    dropUnlisted(addresses);
+    if (changed) announce();
+  }
+
+  /**
+   * A peer that is off the list but answers is kept as long as the list may
+   * lag: a new entry makes itself heard before the list shows it.
+   */
+  function dropUnlisted(addresses: ReadonlySet<string>) {
+    const now = clock.monotonic();
+    for (const [address, peer] of tracked) {
+      if (addresses.has(address)) continue;
+      peer.unlistedAt ??= now;
+      const dropAt = types.clock.after(peer.unlistedAt, listLagMs);
+      if (peer.link.peer().state !== 'silent' && now < dropAt) continue;
+      peer.stop.abort();
+      tracked.delete(address);
+      options.clients.drop(address);
+      logger.info('peer_dropped', {peer: address});
+      announce();
+    }
+  }
+
+  async function pollList(signal: AbortSignal) {
+    while (!signal.aborted) {
+      const askedAt = clock.monotonic();
+      const answer = await options.list.fetch();
+      if (answer.isOk) {
+        noteList(answer.value, askedAt);
+      } else {
+        // The last view stays: a list that is down says nothing of anybody.
+        const error = types.stepError.describeError(answer.error);
+        logger.warn('list_unavailable', {error});
+      }
+      const nextAt = types.clock.after(askedAt, options.listPollMs);
+      await clock.sleepUntil(nextAt, signal);
+    }
+  }
+
+  return {
+    current,
+    noteGone: (id) => corrections.noteGone(id),
+    noteHeartbeat: (req) => {
+      track(req.address, types.ids.brand(req.failureDomain));
+    },
+    run: async (signal) => {
+      running = signal;
+      await pollList(signal);
+      await Promise.all(loops);
+    },
+  };
+}
--- a/packages/gypsumwall-membership/src/index.ts
+++ b/packages/gypsumwall-membership/src/index.ts
@@ -1,2 +1,12 @@
+export * as claimCalls from './claim_calls.js';
+export * as claimFold from './claim_fold.js';
+export * as claimKeeper from './claim_keeper.js';
+export * as claimKeeperOptions from './claim_keeper_options.js';
+export * as claimPeers from './claim_peers.js';
+export * as claimTiming from './claim_timing.js';
 export * as domainClaim from './domain_claim.js';
 export * as domainView from './domain_view.js';
+export * as domainViewKeeper from './domain_view_keeper.js';
+export * as peerClient from './peer_client.js';
+export * as peerClients from './peer_clients.js';
+export * as peerServer from './peer_server.js';
--- /dev/null
+++ b/packages/gypsumwall-membership/src/peer_client.ts
@@ -0,0 +1,174 @@
+/**
+ * Calls to one entry's peer service, over one HTTP/2 connection that is
+ * replaced when it goes silent.
+ */
+import * as bufbuild from '@bufbuild/protobuf';
+import * as connect from '@connectrpc/connect';
+import * as connectNode from '@connectrpc/connect-node';
+import * as result from 'true-myth/result';
+import * as platform from '@gypsumwall/platform';
+import * as protocol from '@gypsumwall/protocol';
+import * as types from '@gypsumwall/types';
+
+type Answer<Value> = Promise<result.Result<Value, types.stepError.StepError>>;
+type Init<Schema extends bufbuild.DescMessage> =
+  bufbuild.MessageInitShape<Schema>;
+
+/** Where the peer is, and how long it may take. */
+export interface PeerClientOptions {
+  /** `http://ip:port` */
+  readonly address: string;
+  /** For all calls that aren't given a time of their own. */
+  readonly timeoutMs: number;
+  /** How long calls on a replaced connection may go on. */
+  readonly retireMs?: number;
+}
+
+/** One peer, as this process calls it. */
+export interface PeerClient {
+  heartbeat(
+    req: Init<typeof protocol.peer.HeartbeatRequestSchema>,
+  ): Answer<protocol.peer.HeartbeatResponse>;
+  promiseClaim(
+    req: Init<typeof protocol.peer.PromiseClaimRequestSchema>,
+  ): Answer<protocol.peer.PromiseClaimResponse>;
+  witnessTakeover(
+    req: Init<typeof protocol.peer.WitnessTakeoverRequestSchema>,
+  ): Answer<protocol.peer.WitnessTakeoverResponse>;
+  forward(
+    req: Init<typeof protocol.peer.ForwardRequestSchema>,
+    timeoutMs: number,
+    signal?: AbortSignal,
+  ): Answer<protocol.peer.ForwardResponse>;
+  readState(
+    req: Init<typeof protocol.peer.ReadStateRequestSchema>,
+  ): Answer<protocol.peer.ReadStateResponse>;
+  /** New calls use a new connection; running ones may still end. */
+  replaceConnection(): void;
+  close(): void;
+}
+
+const DEFAULT_RETIRE_MS = 30_000;
+const CONNECTION_REFUSED = 'ECONNREFUSED';
+
+interface Connection {
+  readonly session: connectNode.Http2SessionManager;
+  readonly service: connect.Client<typeof protocol.peer.PeerService>;
+}
+
+/** Makes a client; it connects with its first call. */
+export function createPeerClient(options: PeerClientOptions): PeerClient {
+  const {address, timeoutMs} = options;
+  const retireMs = options.retireMs ?? DEFAULT_RETIRE_MS;
+  const retiring = new Map<connectNode.Http2SessionManager, NodeJS.Timeout>();
+  let connection = open();
+
+  function open(): Connection {
+    const session = new connectNode.Http2SessionManager(address);
+    const transport = connectNode.createConnectTransport({
+      baseUrl: address,
+      httpVersion: '2',
+      useBinaryFormat: true,
+      sessionManager: session,
+    });
+    const service = connect.createClient(protocol.peer.PeerService, transport);
+    return {session, service};
+  }
+
+  async function call<Value>(
+    step: string,
+    run: () => Promise<Value>,
+  ): Answer<Value> {
+    try {
+      return result.ok(await run());
+    } catch (thrown) {
+      return result.err(peerError(step, address, thrown));
+    }
+  }
+
+  return {
+    heartbeat: (req) =>
+      call('peer.heartbeat', () =>
+        connection.service.heartbeat(req, {timeoutMs}),
+      ),
+    promiseClaim: (req) =>
+      call('peer.promise_claim', () =>
+        connection.service.promiseClaim(req, {timeoutMs}),
+      ),
+    witnessTakeover: (req) =>
+      call('peer.witness_takeover', () =>
+        connection.service.witnessTakeover(req, {timeoutMs}),
+      ),
+    forward: (req, forwardTimeoutMs, signal) =>
+      call('peer.forward', () =>
+        connection.service.forward(req, {timeoutMs: forwardTimeoutMs, signal}),
+      ),
+    readState: (req) =>
+      call('peer.read_state', () =>
+        connection.service.readState(req, {timeoutMs}),
+      ),
+    // Something between the ends can lose track of a connection: it stays
+    // open and every call on it times out, while new ones would work. The old
+    // one is not cut at once, since a slow peer may still be answering on it.
+    replaceConnection: () => {
+      const {session} = connection;
+      connection = open();
+      const timer = setTimeout(() => {
+        retiring.delete(session);
+        session.abort();
+      }, retireMs);
+      timer.unref();
+      retiring.set(session, timer);
+    },
+    close: () => {
+      for (const [session, timer] of retiring) {
+        clearTimeout(timer);
+        session.abort();
+      }
+      retiring.clear();
+      connection.session.abort();
+    },
+  };
+}
+
+/** Whether nothing listens at the address, though its machine is up. */
+export function isRefusedConnection(err: types.stepError.StepError): boolean {
+  return err.kind === 'unreachable' && err.message.includes(CONNECTION_REFUSED);
+}
+
+function peerError(
+  step: string,
+  peer: string,
+  thrown: unknown,
+): types.stepError.StepError {
+  if (!(thrown instanceof connect.ConnectError)) {
+    return platform.httpCall.transportError({step, peer}, thrown);
+  }
+  // The cause, not the text, tells whether anything was sent.
+  if (platform.httpCall.codeOf(thrown.cause) !== '') {
+    return platform.httpCall.transportError({step, peer}, thrown.cause);
+  }
+  const {message} = thrown;
+  switch (thrown.code) {
+    case connect.Code.DeadlineExceeded:
+      return {kind: 'timeout', step, peer, effect: 'unknown', message};
+    case connect.Code.Canceled:
+    case connect.Code.Aborted:
+    case connect.Code.Unavailable:
+    case connect.Code.Internal:
+    case connect.Code.Unknown:
+    case connect.Code.DataLoss:
+      return {kind: 'closed', step, peer, effect: 'unknown', message};
+    case connect.Code.InvalidArgument:
+    case connect.Code.OutOfRange:
+      return {kind: 'invalid', step, peer, effect: 'not_run', message};
+    case connect.Code.NotFound:
+    case connect.Code.AlreadyExists:
+    case connect.Code.PermissionDenied:
+    case connect.Code.Unauthenticated:
+    case connect.Code.ResourceExhausted:
+    case connect.Code.FailedPrecondition:
+    case connect.Code.Unimplemented:
+      return {kind: 'refused', step, peer, effect: 'not_run', message};
+  }
+}
--- a/packages/gypsumwall-records/src/domain_records.ts
+++ b/packages/gypsumwall-records/src/domain_records.ts
@@ -17,26 +17,37 @@
   /** Neither holder nor any named peer lives any more. */
   | {readonly type: 'all_gone'};
 
+/** Where the peer service of each process named in a record is. */
+export type PeerAddresses = Readonly<Record<types.ids.EntryId, string>>;
+
+/** What a claim and each of its renewals say alike. */
+interface ClaimTerms {
+  readonly holder: types.ids.EntryId;
+  /** Peers whose promises together extend the claim without the log. */
+  readonly named: readonly types.ids.EntryId[];
+  /** Of the holder and of all named peers. */
+  readonly addresses: PeerAddresses;
+  /** How long it holds, from before the append. */
+  readonly ttlMs: number;
+  /** How long the list must lack holder and named before `all_gone`. */
+  readonly allGoneMs: number;
+  /**
+   * Offset of the newest claim, renewal or release that counted when this was
+   * written, null for none. The record counts only if that still is the
+   * newest: a late duplicate, or a taker that missed a renewal, falls out.
+   */
+  readonly seen: number | null;
+}
+
 /** A record of the stream. */
 export type DomainRecord =
-  | {
+  | (ClaimTerms & {
       readonly type: 'claim';
-      readonly holder: types.ids.EntryId;
-      /** Peers whose promises together extend the claim without the log. */
-      readonly named: readonly types.ids.EntryId[];
-      /** How long it holds, from before the append. */
-      readonly ttlMs: number;
       /** The claim it replaces; it counts only if that is the newest. */
       readonly replaces: Epoch | null;
       readonly witness: Witness;
-    }
-  | {
-      readonly type: 'renew';
-      readonly epoch: Epoch;
-      readonly holder: types.ids.EntryId;
-      readonly named: readonly types.ids.EntryId[];
-      readonly ttlMs: number;
-    }
+    })
+  | (ClaimTerms & {readonly type: 'renew'; readonly epoch: Epoch})
   | {
       readonly type: 'release';
       readonly epoch: Epoch;
