--- a/packages/gypsumwall-membership/src/claim_holder.ts
+++ b/packages/gypsumwall-membership/src/claim_holder.ts
@@ -44,9 +44,20 @@
   const patienceMs = ttlMs / claimTiming.PATIENCE_PER_TTL;
   const allGoneMs = options.allGoneMs ?? ttlMs * claimTiming.ALL_GONE_TTLS;
   const sentAtByOffset = new Map<number, types.clock.MonotonicMs>();
+  /**
+   * Named peers that ended before they could let anyone take the claim. One
+   * found gone after the deadline may have taken the claim itself before it
+   * ended, and this process, cut off from the log, would hold beside the next.
+   */
   const gone = new Set<types.ids.EntryId>();
   let held: {epoch: number; deadline: types.clock.MonotonicMs} | undefined;
-  let headSentAt: types.clock.MonotonicMs | undefined;
+  /**
+   * Named peers can't stop a taker whose witness is `all_gone`: to it this
+   * process and they have long been off the list, though they are only cut
+   * off. So a holder goes on by promises only as long as the log or the list
+   * keeps proving that the platform sees it.
+   */
+  let unconfirmedUntil: types.clock.MonotonicMs | undefined;
   let doubts: Doubt[] = [];
   let appending = false;
 
@@ -66,7 +77,11 @@
     if (newest.holder !== self) return;
     const sentAt = sentAtByOffset.get(newest.head);
     if (sentAt === undefined) return;
-    headSentAt = sentAt;
+    unconfirmedUntil = claimTiming.unconfirmedDeadline(
+      sentAt,
+      newest.allGoneMs,
+      options.listLagMs,
+    );
     for (const offset of sentAtByOffset.keys()) {
       if (offset < newest.head) sentAtByOffset.delete(offset);
     }
@@ -130,6 +145,10 @@
     return {holder: self, named, addresses, ttlMs, allGoneMs};
   }
 
+  function isHeld(epoch: number): boolean {
+    return held?.epoch === epoch && clock.monotonic() < held.deadline;
+  }
+
   /** Whether the deadline already counts from `since` or later. */
   function renewedSince(epoch: number, since: types.clock.MonotonicMs) {
     const wanted = claimTiming.holderDeadline(since, ttlMs);
@@ -155,8 +174,10 @@
     const replies = await Promise.all(
       asked.map(async (peer) => {
         const reply = await options.peers.promise(peer, ask);
-        if (reply.type === 'gone') gone.add(peer.entryId);
-        return reply.type === 'promised' || reply.type === 'gone';
+        if (reply.type === 'gone' && isHeld(newest.epoch)) {
+          gone.add(peer.entryId);
+        }
+        return reply.type === 'promised' || gone.has(peer.entryId);
       }),
     );
     const now = fold.newest();
@@ -170,28 +191,27 @@
       return;
     }
     const promised = claimTiming.holderDeadline(sentAt, newest.ttlMs);
-    const cap = allGoneCap(newest);
+    const cap = goOnUntil(newest);
     if (cap === undefined) return;
     extend(newest.epoch, promised < cap ? promised : cap);
   }
 
-  /**
-   * Named peers can't stop a taker whose witness is `all_gone`: to it this
-   * process and they have long been off the list, though they are only cut
-   * off. So a holder goes on by promises no longer than such a taker waits,
-   * from when the log or the list last proved that the platform sees it.
-   */
-  function allGoneCap(newest: claimFold.NewestClaim) {
-    const listedAt = options.view().selfListedAt;
-    const caps: types.clock.MonotonicMs[] = [];
-    if (headSentAt !== undefined) {
-      caps.push(claimTiming.holderDeadline(headSentAt, newest.allGoneMs));
-    }
-    if (listedAt !== undefined) {
-      const spanMs = newest.allGoneMs - options.listLagMs;
-      caps.push(claimTiming.holderDeadline(listedAt, spanMs));
+  /** Takes the list into account; returns when promises end to suffice. */
+  function goOnUntil(newest: claimFold.NewestClaim) {
+    const {selfListedAt} = options.view();
+    if (unconfirmedUntil === undefined || selfListedAt === undefined) {
+      return unconfirmedUntil;
     }
-    return caps.sort((left, right) => right - left)[0];
+    const until = claimTiming.unconfirmedDeadline(
+      selfListedAt,
+      newest.allGoneMs,
+      options.listLagMs,
+    );
+    // A gap in the proofs can't be mended by a later list: in the gap a taker
+    // may have sent its claim, which may reach the log at any later moment.
+    if (selfListedAt >= unconfirmedUntil) return unconfirmedUntil;
+    if (until > unconfirmedUntil) unconfirmedUntil = until;
+    return unconfirmedUntil;
   }
 
   return {
--- a/packages/gypsumwall-membership/src/claim_taker.ts
+++ b/packages/gypsumwall-membership/src/claim_taker.ts
@@ -22,6 +22,12 @@
   lookAtList(): void;
 }
 
+/** Something seen of a claim, and when first. */
+interface Sighting {
+  readonly epoch: number;
+  readonly at: types.clock.MonotonicMs;
+}
+
 /** Makes the taker's part of a keeper. */
 export function createClaimTaker(
   options: claimKeeperOptions.ClaimKeeperOptions,
@@ -30,12 +36,8 @@
 ): ClaimTaker {
   const {clock, self} = options;
   const startedAt = clock.monotonic();
-  let allGoneSince:
-    | {
-        readonly epoch: number;
-        readonly at: types.clock.MonotonicMs;
-      }
-    | undefined;
+  let allGoneSince: Sighting | undefined;
+  let holderGone: Sighting | undefined;
 
   function domainPeers(): readonly domainView.PeerEntry[] {
     return options
@@ -105,7 +107,14 @@
       address: newest.addresses[newest.holder] ?? '',
     };
     const reply = await options.peers.witness(holder, ask);
-    return reply.type === 'gone' ? {type: 'all_gone'} : undefined;
+    if (reply.type !== 'gone') return undefined;
+    if (holderGone?.epoch !== newest.epoch) {
+      holderGone = {epoch: newest.epoch, at: clock.monotonic()};
+    }
+    // The holder may have renewed by promises till it ended, and starts that
+    // it sent may still arrive; none is accepted later than a ttl after.
+    const silentAt = types.clock.after(holderGone.at, newest.ttlMs);
+    return clock.monotonic() >= silentAt ? {type: 'all_gone'} : undefined;
   }
 
   return {
--- a/packages/gypsumwall-membership/src/claim_timing.ts
+++ b/packages/gypsumwall-membership/src/claim_timing.ts
@@ -28,3 +28,24 @@
 ): types.clock.MonotonicMs {
   return types.clock.after(sentAt, spanMs / CLOCK_DRIFT_FACTOR);
 }
+
+/**
+ * What a taker's wait for `all_gone` exceeds the holder's patience by, in
+ * list lags: the holder's list may show it that long after it was dropped,
+ * the taker's list may lack it that long after it came back, and the taker's
+ * list may have been fetched that long ago.
+ */
+const ALL_GONE_MARGIN_LAGS = 3;
+
+/**
+ * Until when a holder may go on by promises after the log or the list last
+ * proved that the platform sees it.
+ */
+export function unconfirmedDeadline(
+  provedAt: types.clock.MonotonicMs,
+  allGoneMs: number,
+  listLagMs: number,
+): types.clock.MonotonicMs {
+  const spanMs = allGoneMs - ALL_GONE_MARGIN_LAGS * listLagMs;
+  return holderDeadline(provedAt, Math.max(0, spanMs));
+}
