--- /dev/null
+++ b/packages/gypsumwall-entry/src/create_entry.ts
@@ -0,0 +1,441 @@
+/** Puts the parts of an entry together and runs them. */
+import * as crypto from 'node:crypto';
+import * as result from 'true-myth/result';
+import * as undici from 'undici';
+import * as membership from '@gypsumwall/membership';
+import * as placement from '@gypsumwall/placement';
+import * as platform from '@gypsumwall/platform';
+import type * as protocol from '@gypsumwall/protocol';
+import * as records from '@gypsumwall/records';
+import * as routing from '@gypsumwall/routing';
+import * as settings from '@gypsumwall/settings';
+import type * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import * as authenticate from './authenticate.js';
+import * as domainFold from './domain_fold.js';
+import * as domainHolder from './domain_holder.js';
+import type * as entryContext from './entry_context.js';
+import * as entryStream from './entry_stream.js';
+import * as forwarder from './forwarder.js';
+import * as httpServer from './http_server.js';
+import * as jobService from './job_service.js';
+import * as onceRequest from './once_request.js';
+import * as peerCatchUp from './peer_catch_up.js';
+import * as peerForwarding from './peer_forwarding.js';
+import * as recoveryGate from './recovery_gate.js';
+import * as settingsService from './settings_service.js';
+import * as snapshotKeeper from './snapshot_keeper.js';
+import * as viewTicker from './view_ticker.js';
+
+/** What an entry is made of; the same code runs on another clock or seed. */
+export interface EntryOptions {
+  readonly settings: settings.entrySettings.EntrySettings;
+  readonly clock: types.clock.Clock;
+  readonly random: types.random.Random;
+  readonly logger: telemetry.logger.Logger;
+}
+
+/** A running entry. */
+export interface Entry {
+  readonly id: types.ids.EntryId;
+  /** Where callers reach it, `http://ip:port`. */
+  readonly address: string;
+  /** Where other entries reach it. */
+  readonly peerAddress: string;
+  /** Takes nothing new, hands the claim over, finishes what is in flight. */
+  drain(): Promise<void>;
+  /** Ends at once. */
+  close(): Promise<void>;
+}
+
+const APPEND_MS = 10_000;
+/** A log unheard for this long is not known to its end. */
+const CAUGHT_UP_MS = 2_500;
+const PEER_TIMEOUT_MS = 2_000;
+const PEER_CLOSE_MS = 1_000;
+const VIEW_BEAT_MS = 200;
+const CONFIG_STREAM = 'config';
+const REQUESTS_STREAM = 'requests';
+
+/** Starts an entry; resolves once it listens. */
+export async function createEntry(options: EntryOptions): Promise<Entry> {
+  const {clock, random} = options;
+  const cfg = options.settings;
+  // Every process is a new entry to its peers: it remembers no promise.
+  const self = types.ids.brand<types.ids.EntryId>(
+    `${cfg.id}-${crypto.randomBytes(4).toString('hex')}`,
+  );
+  const failureDomain = types.ids.brand<types.ids.FailureDomain>(
+    cfg.failureDomain,
+  );
+  const logger = options.logger.with({entry: cfg.id, domain: failureDomain});
+  const closing = new AbortController();
+  const {signal} = closing;
+  let leaving = false;
+  let ownSlots = 0;
+  let draining: Promise<void> | undefined;
+
+  const log = platform.httpPlatformLog.createHttpPlatformLog({
+    url: cfg.logUrl,
+    timeoutMs: cfg.platformTimeoutMs,
+  });
+  const list = platform.httpInstanceList.createHttpInstanceList({
+    url: cfg.listUrl,
+    timeoutMs: cfg.platformTimeoutMs,
+  });
+  const clients = membership.peerClients.createPeerClients(PEER_TIMEOUT_MS);
+  const streamOf = (
+    stream: string,
+    fold: records.streamFold.StreamFold,
+  ): entryStream.EntryStream =>
+    entryStream.createEntryStream({
+      stream,
+      self,
+      log,
+      fold,
+      clock,
+      logger,
+      signal,
+    });
+
+  // Settings tree.
+  const config = records.configFold.createConfigFold(() => onConfig());
+  const configStream = streamOf(CONFIG_STREAM, config);
+  const identities = authenticate.createAuthenticate(
+    config,
+    cfg.rootOperatorTokenHash,
+  );
+
+  // Requests that may not be repeated.
+  const requests = records.requestFold.createRequestFold(clock);
+  const requestStream = streamOf(REQUESTS_STREAM, requests);
+
+  // Peers. The server listens first, since its address is part of the view.
+  const forwardMark = forwarder.createForwardMark();
+  const peerServer = await membership.peerServer.createPeerServer({
+    self,
+    failureDomain,
+    host: cfg.host,
+    port: cfg.peerPort,
+    handlers: {
+      claim: {
+        answerPromise: (ask) => claim.answerPromise(ask),
+        answerWitness: (ask) => claim.answerWitness(ask),
+      },
+      ownState,
+      onHeartbeat: (req) => viewKeeper.noteHeartbeat(req),
+      forward: (req) => peerForwarding.serveForwarded(app, forwardMark, req),
+      readState: (req) => Promise.resolve(readState(req)),
+    },
+  });
+  const recentWorkers = recoveryGate.createRecentWorkers();
+  const viewKeeper = membership.domainViewKeeper.createDomainViewKeeper({
+    self,
+    failureDomain,
+    address: peerServer.address,
+    clock,
+    logger,
+    list,
+    clients,
+    listPollMs: cfg.listPollMs,
+    listLagMs: cfg.listLagMs,
+    heartbeatMs: cfg.peerHeartbeatMs,
+    silenceMs: cfg.peerSilenceMs,
+    ownState,
+  });
+
+  // The domain: its jobs, its claim, and the holder's part.
+  const jobs = records.jobFold.createJobFold((change) => holder.onJob(change));
+  const claim = membership.claimKeeper.createClaimKeeper({
+    self,
+    failureDomain,
+    address: peerServer.address,
+    clock,
+    random,
+    logger,
+    ttlMs: cfg.claimTtlMs,
+    listLagMs: cfg.listLagMs,
+    appendRecord: (record) => appendDomain(record),
+    caughtUp: () => isCurrent(domainStream),
+    view: () => viewKeeper.current(),
+    peers: membership.claimCalls.createClaimCalls(clients),
+    onChange: (state) => holder.onClaim(state),
+  });
+  const domainStream = streamOf(
+    `domain.${failureDomain}`,
+    domainFold.createDomainFold(jobs, claim),
+  );
+  const workerDispatcher = new undici.Agent({connections: 2});
+  const holder = domainHolder.createDomainHolder({
+    claim: () => claim.state(),
+    view: () => viewKeeper.current(),
+    teams: () => config.teams(),
+    makePlacer: () => placement.createBaselinePlacer.createBaselinePlacer(),
+    scheduler: {
+      self,
+      spans: {
+        workerHeartbeatMs: cfg.workerHeartbeatMs,
+        taskLeaseMs: cfg.taskLeaseMs,
+        serviceLeaseMs: cfg.serviceLeaseMs,
+        leaseGraceMs: cfg.leaseGraceMs,
+        listLagMs: cfg.listLagMs,
+      },
+      clock,
+      logger,
+      jobs,
+      recentWorkers,
+      makeWorker: (listed) =>
+        platform.httpWorker.createHttpWorker({
+          id: listed.id,
+          address: listed.address,
+          timeoutMs: cfg.platformTimeoutMs,
+          dispatcher: workerDispatcher,
+        }),
+      append: async (record) => (await appendDomain(record)).isOk,
+    },
+  });
+
+  // Quick requests.
+  const router = routing.createRouter.createRouter({
+    entryId: self,
+    clock,
+    random,
+    logger,
+    listLagMs: cfg.listLagMs,
+    defaults: settings.cellTree.TEAM_DEFAULTS,
+    makeUpstream: (listed, connections) =>
+      platform.httpUpstream.createHttpUpstream({
+        id: listed.id,
+        address: listed.address,
+        connections,
+        clock,
+      }),
+  });
+
+  const context: entryContext.EntryContext = {
+    self,
+    settings: cfg,
+    failureDomain,
+    clock,
+    logger,
+    authenticate: identities.authenticate,
+    config,
+    configFollower: configStream.follower,
+    domainFollower: domainStream.follower,
+    requestFollower: requestStream.follower,
+    view: () => viewKeeper.current(),
+    claim: () => claim.state(),
+    scheduler: () => holder.current(),
+    router,
+    jobs: jobService.createJobService({
+      failureDomain,
+      clock,
+      jobs,
+      follower: domainStream.follower,
+      appender: domainStream.appender,
+      scheduler: () => holder.current(),
+      newSuffix: () => crypto.randomBytes(8).toString('hex'),
+    }),
+    runOnce: onceRequest.createOnceRequest({
+      self,
+      clock,
+      requests,
+      follower: requestStream.follower,
+      appender: requestStream.appender,
+      router,
+    }),
+    settingsService: settingsService.createSettingsService({
+      config,
+      follower: configStream.follower,
+      appender: configStream.appender,
+    }),
+    sendToPeer: peerForwarding.createSendToPeer(clients, clock),
+    forwardMark,
+    isReady: notReadyBecause,
+    isLeaving: () => leaving,
+    hasSlots: () => ownSlots > 0,
+    startDrain: () => void drain(),
+  };
+  const app = httpServer.createHttpServer(context);
+
+  function ownState(): membership.peerServer.OwnState {
+    const state = claim.state();
+    return {
+      configOffset: configStream.follower.nextOffset(),
+      leaving,
+      heldEpoch: state.type === 'held' ? state.epoch : undefined,
+    };
+  }
+
+  function onConfig(): void {
+    identities.forget();
+    for (const [id, policy] of config.teams()) {
+      router.setTeam({
+        id: types.ids.brand<types.ids.TeamId>(id),
+        weight: policy.weight,
+        maxQueuedRequests: policy.maxQueuedRequests,
+        retryBudget: policy.retryBudget,
+      });
+    }
+    holder.onTeams();
+  }
+
+  function onView(view: membership.domainView.DomainView): void {
+    recentWorkers.note(
+      view.workers.map((worker) => worker.id),
+      clock.monotonic(),
+    );
+    router.setView({
+      upstreams: view.upstreams,
+      entries: [self, ...entriesOf(view, failureDomain)],
+    });
+    holder.onView(view);
+    ownSlots = router
+      .status()
+      .upstreams.reduce((sum, upstream) => sum + upstream.share, 0);
+  }
+
+  async function appendDomain(
+    record: records.domainRecords.DomainRecord,
+  ): Promise<result.Result<{offset: number}, types.stepError.StepError>> {
+    const body = records.envelope.encodeRecord(record);
+    const deadline = types.clock.after(clock.monotonic(), APPEND_MS);
+    return domainStream.appender.append(body, deadline);
+  }
+
+  function isCurrent(stream: entryStream.EntryStream): boolean {
+    const last = stream.follower.lastAnswerAt();
+    if (!stream.follower.caughtUp() || last === undefined) return false;
+    return clock.monotonic() < types.clock.after(last, CAUGHT_UP_MS);
+  }
+
+  function notReadyBecause(): string | undefined {
+    if (leaving) return 'this entry is leaving';
+    if (config.cell() === undefined) {
+      return 'no settings yet: neither the log nor a peer has told any';
+    }
+    const behind = [configStream, domainStream, requestStream].find(
+      (stream) => !stream.follower.caughtUp(),
+    );
+    if (behind === undefined) return undefined;
+    return `stream "${behind.name}" is not read to its end yet`;
+  }
+
+  function readState(req: protocol.peer.ReadStateRequest) {
+    const found = [configStream, domainStream, requestStream].find(
+      (stream) => stream.name === req.stream,
+    );
+    const next = found?.follower.nextOffset() ?? 0;
+    // A reader that is as far gets no state, only the word that it is.
+    if (found?.follower.caughtUp() !== true || next <= Number(req.above)) {
+      return {entryId: self, nextOffset: BigInt(next)};
+    }
+    const snapshot = found.follower.snapshot();
+    return {
+      entryId: self,
+      nextOffset: BigInt(snapshot.nextOffset),
+      snapshot: Buffer.from(snapshot.text),
+    };
+  }
+
+  function startLoops(): void {
+    const streams = [configStream, domainStream, requestStream];
+    for (const stream of streams) void stream.follower.run(signal);
+    void viewKeeper.run(signal);
+    void claim.run(signal);
+    void viewTicker.tickView(
+      {
+        clock,
+        everyMs: VIEW_BEAT_MS,
+        pauseMs: cfg.listLagMs,
+        fetchMs: cfg.platformTimeoutMs,
+        view: () => viewKeeper.current(),
+        onView,
+      },
+      signal,
+    );
+    void snapshotKeeper.keepSnapshots(
+      {
+        streams,
+        clock,
+        random,
+        logger,
+        everyRecords: cfg.snapshotEveryRecords,
+        everyMs: cfg.snapshotEveryMs,
+      },
+      signal,
+    );
+    const all = () => viewKeeper.current().peers;
+    const sameDomain = () =>
+      all().filter((peer) => peer.failureDomain === failureDomain);
+    void peerCatchUp.catchUpFromPeers(
+      {
+        streams: [
+          {stream: configStream, peers: all},
+          {stream: requestStream, peers: all},
+          {stream: domainStream, peers: sameDomain},
+        ],
+        clients,
+        clock,
+        random,
+        logger,
+      },
+      signal,
+    );
+  }
+
+  function drain(): Promise<void> {
+    draining ??= drainOnce();
+    return draining;
+  }
+
+  async function drainOnce(): Promise<void> {
+    leaving = true;
+    logger.info('drain_started');
+    const deadline = types.clock.after(clock.monotonic(), cfg.drainTimeoutMs);
+    holder.close();
+    await claim.release();
+    const timer = new AbortController();
+    await Promise.race([
+      router.drain().then(() => app.close()),
+      clock.sleepUntil(deadline, timer.signal),
+    ]);
+    timer.abort();
+    logger.info('drain_finished', {
+      in_time: clock.monotonic() < deadline,
+    });
+    await close();
+  }
+
+  async function close(): Promise<void> {
+    leaving = true;
+    closing.abort();
+    holder.close();
+    await app.close();
+    await router.close();
+    await peerServer.close(PEER_CLOSE_MS);
+    clients.close();
+    await workerDispatcher.destroy();
+  }
+
+  const address = await app.listen({host: cfg.host, port: cfg.port});
+  startLoops();
+  logger.info('entry_listening', {address, peer_address: peerServer.address});
+  return {
+    id: self,
+    address,
+    peerAddress: peerServer.address,
+    drain,
+    close,
+  };
+}
+
+/** Ids of the domain's other entries that may use its upstreams. */
+function entriesOf(
+  view: membership.domainView.DomainView,
+  failureDomain: types.ids.FailureDomain,
+): string[] {
+  return view.peers
+    .filter((peer) => peer.failureDomain === failureDomain)
+    .map((peer) => (peer.entryId === '' ? peer.address : peer.entryId));
+}
--- a/packages/gypsumwall-entry/src/domain_scheduler.ts
+++ b/packages/gypsumwall-entry/src/domain_scheduler.ts
@@ -37,6 +37,8 @@
   ) => platform.worker.Worker;
   /** Deadline of the claim now; undefined when it is not held any more. */
   readonly claimDeadline: () => types.clock.MonotonicMs | undefined;
+  /** Ids of attempts are unique to the entry and the epoch. */
+  readonly nextAttempt: () => types.ids.AttemptId;
   /** Appends to the domain's stream; true once the record stands there. */
   readonly append: (
     record: records.domainRecords.DomainRecord,
@@ -57,6 +59,7 @@
 export interface DomainScheduler {
   /** Workers as the list shows them now. */
   setWorkers(listed: readonly platform.instanceList.ListedWorker[]): void;
+  setTeam(team: placement.placer.PlacerTeam): void;
   onJob(change: records.jobFold.JobChange): void;
   running(jobId: types.ids.JobId): number;
   explain(jobId: types.ids.JobId): string;
@@ -96,7 +99,6 @@
   /** Jobs accepted before this epoch, held back until the gate opens. */
   const gated = new Set<records.jobFold.JobState>(jobs.openJobs());
   let recovered = false;
-  let attempts = 0;
   let roundDue = false;
 
   function jobOfTask(
@@ -172,10 +174,7 @@
       placer.release(decided.taskId, {type: 'not_started'});
       return;
     }
-    attempts += 1;
-    const attempt = types.ids.brand<types.ids.AttemptId>(
-      `${epoch}.${attempts}`,
-    );
+    const attempt = options.nextAttempt();
     tasks.put({
       ...decided,
       attempt,
@@ -436,8 +435,7 @@
         stopTasksOf(change.job);
         return;
       case 'restored':
-        // Cannot be folded into the books piecemeal: all is learned anew.
-        logger.warn('jobs_restored');
+        // The holder makes a new scheduler; see `domain_holder.ts`.
         return;
     }
   }
@@ -461,6 +459,7 @@
 
   return {
     setWorkers,
+    setTeam: (team) => placer.setTeam(team),
     onJob,
     running: (jobId) => tasks.of(jobId).length,
     explain: (jobId) => placer.explain(jobId),
--- a/packages/gypsumwall-entry/src/entry_context.ts
+++ b/packages/gypsumwall-entry/src/entry_context.ts
@@ -35,6 +35,8 @@
   readonly forwardMark: forwarder.ForwardMark;
   readonly isReady: () => string | undefined;
   readonly isLeaving: () => boolean;
+  /** Whether this entry has a share of any upstream's slots by now. */
+  readonly hasSlots: () => boolean;
   /** Starts the planned stop; returns at once. */
   readonly startDrain: () => void;
 }
--- /dev/null
+++ b/packages/gypsumwall-entry/src/peer_catch_up.ts
@@ -0,0 +1,77 @@
+/**
+ * Learns from peers what the log can't tell for now: a new entry, or one that
+ * is cut off from the log, takes the newest state that a peer holds.
+ */
+import type * as membership from '@gypsumwall/membership';
+import type * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import type * as entryStream from './entry_stream.js';
+
+/** What is needed. */
+export interface PeerCatchUpOptions {
+  /** Streams with the peers that follow them too. */
+  readonly streams: ReadonlyArray<{
+    readonly stream: entryStream.EntryStream;
+    readonly peers: () => readonly membership.domainView.PeerEntry[];
+  }>;
+  readonly clients: membership.peerClients.PeerClients;
+  readonly clock: types.clock.Clock;
+  readonly random: types.random.Random;
+  readonly logger: telemetry.logger.Logger;
+}
+
+const LOOK_EVERY_MS = 1_000;
+/** A log unheard for this long counts as out of reach. */
+const LOG_SILENCE_MS = 3_000;
+
+/** Asks peers until the signal aborts. */
+export async function catchUpFromPeers(
+  options: PeerCatchUpOptions,
+  signal: AbortSignal,
+): Promise<void> {
+  const {clock} = options;
+  while (!signal.aborted) {
+    const lookAt = types.clock.after(clock.monotonic(), LOOK_EVERY_MS);
+    await clock.sleepUntil(lookAt, signal);
+    for (const {stream, peers} of options.streams) {
+      if (signal.aborted) return;
+      if (logAnswers(stream, clock)) continue;
+      await askOne(options, stream, peers());
+    }
+  }
+}
+
+function logAnswers(
+  stream: entryStream.EntryStream,
+  clock: types.clock.Clock,
+): boolean {
+  const last = stream.follower.lastAnswerAt();
+  if (last === undefined) return false;
+  return clock.monotonic() < types.clock.after(last, LOG_SILENCE_MS);
+}
+
+async function askOne(
+  options: PeerCatchUpOptions,
+  stream: entryStream.EntryStream,
+  peers: readonly membership.domainView.PeerEntry[],
+): Promise<void> {
+  const living = peers.filter((peer) => peer.state !== 'silent');
+  if (living.length === 0) return;
+  const peer = living[options.random.integer(0, living.length - 1)];
+  if (peer === undefined) return;
+  const answer = await options.clients.at(peer.address).readState({
+    stream: stream.name,
+    above: BigInt(stream.follower.nextOffset()),
+  });
+  if (answer.isErr || answer.value.snapshot.length === 0) return;
+  const adopted = stream.follower.adopt({
+    nextOffset: Number(answer.value.nextOffset),
+    text: Buffer.from(answer.value.snapshot).toString('utf8'),
+  });
+  if (!adopted) return;
+  options.logger.info('state_from_peer', {
+    stream: stream.name,
+    peer: peer.address,
+    next_offset: Number(answer.value.nextOffset),
+  });
+}
--- a/packages/gypsumwall-entry/src/request_routes.ts
+++ b/packages/gypsumwall-entry/src/request_routes.ts
@@ -100,20 +100,19 @@
   res: fastify.FastifyReply,
   checked: CheckedCall,
 ): Promise<fastify.FastifyReply> {
+  // An entry that has just started has no slots of its own yet.
+  if (!context.hasSlots()) {
+    const handed = await handOver(context, req, res, checked);
+    if (handed !== undefined) return handed;
+  }
   const routed = toRouted(req, req.params.operation, checked);
   const answer = await context.router.route(routed);
   if (answer.isErr) {
     const {error} = answer;
-    const elsewhere =
-      error.type === 'not_run' &&
-      error.reason === 'no_upstream' &&
-      forwardCall.mayForward(context, req);
-    const handed = elsewhere
-      ? await forwardCall.forwardCall(context, req, res, {
-          peers: otherDomains(context),
-          deadline: checked.deadline,
-          idempotent: true,
-        })
+    const noUpstream =
+      error.type === 'not_run' && error.reason === 'no_upstream';
+    const handed = noUpstream
+      ? await handOver(context, req, res, checked)
       : undefined;
     return handed ?? problem.send(res, problem.ofOutcome(error));
   }
@@ -130,6 +129,22 @@
   return res.send(body);
 }
 
+/** Lets another entry answer: one of this domain before one of another. */
+async function handOver(
+  context: entryContext.EntryContext,
+  req: fastify.FastifyRequest,
+  res: fastify.FastifyReply,
+  checked: CheckedCall,
+): Promise<fastify.FastifyReply | undefined> {
+  if (!forwardCall.mayForward(context, req)) return undefined;
+  const own = forwardCall.peersOfDomain(context, context.failureDomain);
+  return forwardCall.forwardCall(context, req, res, {
+    peers: [...own, ...otherDomains(context)],
+    deadline: checked.deadline,
+    idempotent: checked.policy.idempotent,
+  });
+}
+
 function otherDomains(
   context: entryContext.EntryContext,
 ): forwardCall.PeerChoice {
@@ -148,6 +163,11 @@
 ): Promise<fastify.FastifyReply> {
   const routed = toRouted(req, req.params.operation, checked);
   const {key} = routed;
+  // Nothing is appended before the intent, so handing it over is safe.
+  if (!context.hasSlots()) {
+    const handed = await handOver(context, req, res, checked);
+    if (handed !== undefined) return handed;
+  }
   if (key === undefined) throw new Error('checked before: the key is there');
   const answer = await context.runOnce({...routed, key});
   if (answer.isErr) return problem.send(res, answer.error);
@@ -174,14 +194,7 @@
   res: fastify.FastifyReply,
   checked: CheckedCall,
 ): Promise<fastify.FastifyReply> {
-  const peers = forwardCall.peersOfDomain(context, context.failureDomain);
-  const handed = forwardCall.mayForward(context, req)
-    ? await forwardCall.forwardCall(context, req, res, {
-        peers,
-        deadline: checked.deadline,
-        idempotent: checked.policy.idempotent,
-      })
-    : undefined;
+  const handed = await handOver(context, req, res, checked);
   const refusal = problem.notRun('leaving', 'this entry is leaving', 1_000);
   return handed ?? problem.send(res, refusal);
 }
--- /dev/null
+++ b/packages/gypsumwall-records/src/__tests__/config_fold.test.ts
@@ -0,0 +1,47 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import type * as types from '@gypsumwall/types';
+import * as configFold from '../config_fold.js';
+
+const NOW = 0 as types.clock.MonotonicMs;
+const quota = {cpuMillis: 1, memoryMb: 1, accelerators: 0};
+const team = (weight: number) => ({
+  tokenHashes: ['a'.repeat(64)],
+  quota,
+  weight,
+});
+const publish = (base: number, weight: number) => ({
+  type: 'publish',
+  path: 'teams/web',
+  base,
+  value: team(weight),
+  operator: 'root',
+});
+
+nodeTest.test('of two operators who race, the first wins', () => {
+  // Both are told the truth: one is in force, the other has a conflict.
+  // Both read revision -1; the log puts one publish before the other.
+  const fold = configFold.createConfigFold();
+  fold.apply(7, publish(configFold.NO_REVISION, 2), NOW);
+  fold.apply(8, publish(configFold.NO_REVISION, 3), NOW);
+  assert.equal(fold.team('web')?.weight, 2);
+  assert.deepEqual(fold.verdict(7), {type: 'in_force'});
+  assert.deepEqual(fold.verdict(8), {type: 'conflict', newest: 7});
+});
+
+nodeTest.test('an older snapshot does not take a subtree back', () => {
+  const fold = configFold.createConfigFold();
+  fold.apply(1, publish(configFold.NO_REVISION, 2), NOW);
+  const old = fold.snapshot();
+  fold.apply(2, publish(1, 5), NOW);
+  fold.restore(old, NOW);
+  assert.equal(fold.team('web')?.weight, 5);
+});
+
+nodeTest.test('a value that does not pass the check changes nothing', () => {
+  const fold = configFold.createConfigFold();
+  fold.apply(1, publish(configFold.NO_REVISION, 2), NOW);
+  fold.apply(2, publish(1, -5), NOW);
+  assert.equal(fold.team('web')?.weight, 2);
+  assert.equal(fold.verdict(2)?.type, 'invalid');
+});
--- /dev/null
+++ b/packages/gypsumwall-records/src/__tests__/request_fold.test.ts
@@ -0,0 +1,85 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as types from '@gypsumwall/types';
+import type * as requestRecords from '../request_records.js';
+import * as requestFold from '../request_fold.js';
+
+const clock = types.clock.createSystemClock();
+const NOW = clock.monotonic();
+const team = types.ids.brand<types.ids.TeamId>('web');
+const key = types.ids.brand<types.ids.IdempotencyKey>('k1');
+
+function intent(requestId: string): requestRecords.RequestRecord {
+  return {
+    type: 'intent',
+    team,
+    key,
+    requestId,
+    entryId: types.ids.brand<types.ids.EntryId>('e1'),
+    operation: 'file-plan',
+    bodyHash: '',
+    windowMs: 1_000,
+    acceptedAt: clock.wall(),
+  };
+}
+
+function outcome(
+  requestId: string,
+  told: types.outcome.Outcome,
+): requestRecords.RequestRecord {
+  return {type: 'outcome', team, key, requestId, outcome: told};
+}
+
+nodeTest.test('only the first intent for a key may run', () => {
+  const fold = requestFold.createRequestFold(clock);
+  fold.apply(3, intent('first'), NOW);
+  fold.apply(4, intent('second'), NOW);
+  assert.equal(fold.key(team, key)?.offset, 3);
+});
+
+nodeTest.test('a proof that nothing ran frees the key', () => {
+  const fold = requestFold.createRequestFold(clock);
+  fold.apply(3, intent('first'), NOW);
+  const refused = {
+    type: 'not_run',
+    reason: 'overloaded',
+    message: '',
+  } as const;
+  fold.apply(4, outcome('first', refused), NOW);
+  fold.apply(5, intent('second'), NOW);
+  assert.equal(fold.key(team, key)?.offset, 5);
+});
+
+nodeTest.test('an unknown end never frees the key', () => {
+  // A second run after an unknown end could bill a pilot twice.
+  const fold = requestFold.createRequestFold(clock);
+  fold.apply(3, intent('first'), NOW);
+  fold.apply(4, outcome('first', {type: 'unknown', message: ''}), NOW);
+  fold.apply(5, intent('second'), NOW);
+  assert.equal(fold.key(team, key)?.offset, 3);
+});
+
+nodeTest.test("the outcome of another run is not the key's", () => {
+  // A withdrawn intent that lost the race must not free the winner's key.
+  const fold = requestFold.createRequestFold(clock);
+  fold.apply(3, intent('first'), NOW);
+  fold.apply(4, intent('second'), NOW);
+  const withdrawn = {
+    type: 'not_run',
+    reason: 'log_unavailable',
+    message: '',
+  } as const;
+  fold.apply(5, outcome('second', withdrawn), NOW);
+  assert.equal(fold.key(team, key)?.outcome, undefined);
+});
+
+nodeTest.test('a restored fold decides as the one it came from', () => {
+  const fold = requestFold.createRequestFold(clock);
+  fold.apply(3, intent('first'), NOW);
+  fold.apply(4, outcome('first', {type: 'done'}), NOW);
+  const restored = requestFold.createRequestFold(clock);
+  restored.restore(fold.snapshot(), NOW);
+  restored.apply(5, intent('second'), NOW);
+  assert.equal(restored.key(team, key)?.offset, 3);
+  assert.equal(restored.key(team, key)?.outcome?.outcome.type, 'done');
+});
--- a/packages/gypsumwall-records/src/stream_follower.ts
+++ b/packages/gypsumwall-records/src/stream_follower.ts
@@ -67,6 +67,8 @@
   const waiters = new Set<Waiter>();
   let next = 0;
   let complete = false;
+  /** Whether the last page went to the stream's end; then reads may wait. */
+  let atEnd = false;
   let sinceSnapshot = 0;
   let restores = 0;
   let lastAnswer: types.clock.MonotonicMs | undefined;
@@ -164,7 +166,8 @@
       else collect(awaitingSnapshot, record);
       next = record.offset + 1;
     }
-    complete = awaitingSnapshot === undefined && next >= page.endOffset;
+    atEnd = next >= page.endOffset;
+    complete = awaitingSnapshot === undefined && atEnd;
     lastAnswer = clock.monotonic();
     wakeWaiters();
     if (page.records.length > 0) options.onProgress?.();
@@ -206,7 +209,7 @@
         stream,
         from: next,
         limit: PAGE_LIMIT,
-        waitMs: complete ? LONG_POLL_MS : 0,
+        waitMs: atEnd ? LONG_POLL_MS : 0,
         signal,
       });
       if (signal.aborted) return;
--- a/packages/gypsumwall-settings/src/entry_settings.ts
+++ b/packages/gypsumwall-settings/src/entry_settings.ts
@@ -22,7 +22,12 @@
   workerHeartbeatMs: 1_000,
   taskLeaseMs: 15_000,
   /** Added to a lease before its task counts as stopped. */
+  /** Long, so that a service outlives a time without a holder. */
+  serviceLeaseMs: 3_600_000,
   leaseGraceMs: 2_000,
+  /** Keep it well under the log's retention. */
+  snapshotEveryMs: 300_000,
+  snapshotEveryRecords: 20_000,
   drainTimeoutMs: 30_000,
 } as const;
 
@@ -63,7 +68,10 @@
   claimTtlMs: span.default(ENTRY_DEFAULTS.claimTtlMs),
   workerHeartbeatMs: span.default(ENTRY_DEFAULTS.workerHeartbeatMs),
   taskLeaseMs: span.default(ENTRY_DEFAULTS.taskLeaseMs),
+  serviceLeaseMs: span.default(ENTRY_DEFAULTS.serviceLeaseMs),
   leaseGraceMs: span.default(ENTRY_DEFAULTS.leaseGraceMs),
+  snapshotEveryMs: span.default(ENTRY_DEFAULTS.snapshotEveryMs),
+  snapshotEveryRecords: span.default(ENTRY_DEFAULTS.snapshotEveryRecords),
   drainTimeoutMs: span.default(ENTRY_DEFAULTS.drainTimeoutMs),
 });
 
