Queue fairly, refuse early, and retry within a budget

Cause: the thin router waited in order of arrival and tried once. Now: start-time fair queueing over teams, urgency and latest start within one, admission by expected wait with learned service times, shedding of the least urgent, one layer of retries within a token bucket per team, health of upstreams with probes, and patience on silent ones. A request that may not be repeated ends unknown after one try that may have run; an unknown try outlives later refusals. Slots stay in use until the last byte, and for the typical time after an unknown end.

--- a/packages/gypsumwall-routing/src/__fixtures__/router_harness.ts
+++ b/packages/gypsumwall-routing/src/__fixtures__/router_harness.ts
@@ -14,6 +14,8 @@
   readonly router: router.Router;
   readonly view: router.RouterView;
   makeRequest(fields?: Partial<router.RoutedRequest>): router.RoutedRequest;
+  /** Routes a request and reads its answer to the end. */
+  send(fields?: Partial<router.RoutedRequest>): Promise<types.outcome.Outcome>;
 }
 
 /** A list lag and request bound small enough to step over. */
@@ -29,7 +31,7 @@
 ): Promise<RouterHarness> {
   const clock = manualClock.createManualClock();
   const fakes = fakeUpstreams.createFakeUpstreams();
-  const made = createRouter.createRouter({
+  const options: routerOptions.RouterOptions = {
     entryId: 'e0',
     clock,
     random: types.random.createRandom(SEED),
@@ -39,31 +41,36 @@
     makeUpstream: (upstream, count) => fakes.make(upstream, count),
     defaults: {weight: 1, maxQueuedRequests: 10, retryBudget: 0.1},
     ...overrides,
-  });
+  };
+  const made = createRouter.createRouter(options);
   const listed = Array.from({length: upstreams}, (_, index) =>
     fakeUpstreams.makeListed(`u${index}`, slots),
   );
   const view = {upstreams: listed, entries: ['e0']};
-  for (let ms = 0; ms <= 2 * LAG_MS + BOUND_MS; ms += LAG_MS) {
+  const {listLagMs, requestBoundMs = BOUND_MS} = options;
+  const settledAt = 2 * listLagMs + requestBoundMs;
+  made.setView(view);
+  while (clock.monotonic() < settledAt) {
+    await clock.advance(listLagMs);
     made.setView(view);
-    await clock.advance(LAG_MS);
   }
   let requests = 0;
-  return {
-    clock,
-    fakes,
-    router: made,
-    view,
-    makeRequest: (fields) => ({
-      requestId: `r${(requests += 1)}`,
-      team: types.ids.brand<types.ids.TeamId>('skyroute'),
-      operation: 'airspace-check',
-      urgency: 'urgent',
-      idempotent: true,
-      estimateMs: 10,
-      body: new Uint8Array(),
-      deadline: types.clock.after(clock.monotonic(), 500),
-      ...fields,
-    }),
+  const makeRequest: RouterHarness['makeRequest'] = (fields) => ({
+    requestId: `r${(requests += 1)}`,
+    team: types.ids.brand<types.ids.TeamId>('skyroute'),
+    operation: 'airspace-check',
+    urgency: 'urgent',
+    idempotent: true,
+    estimateMs: 10,
+    body: new Uint8Array(),
+    deadline: types.clock.after(clock.monotonic(), 500),
+    ...fields,
+  });
+  const send: RouterHarness['send'] = async (fields) => {
+    const routed = await made.route(makeRequest(fields));
+    if (routed.isErr) return routed.error;
+    routed.value.body.resume();
+    return {type: 'done'};
   };
+  return {clock, fakes, router: made, view, makeRequest, send};
 }
--- /dev/null
+++ b/packages/gypsumwall-routing/src/__tests__/queueing.test.ts
@@ -0,0 +1,114 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as timers from 'node:timers/promises';
+import * as types from '@gypsumwall/types';
+import * as routerHarness from '../__fixtures__/router_harness.js';
+
+const AMPLE = types.clock.after(0 as types.clock.MonotonicMs, 1_000_000);
+const OTHER_TEAM = types.ids.brand<types.ids.TeamId>('tesfaye');
+const SPAN_MS = 100_000;
+
+/** A router whose only slot is taken, so that what follows has to wait. */
+async function createBusyHarness(maxQueuedRequests: number) {
+  const harness = await routerHarness.createRouterHarness(1, 1, {
+    requestBoundMs: SPAN_MS,
+    listLagMs: SPAN_MS,
+    defaults: {weight: 1, maxQueuedRequests, retryBudget: 0.1},
+  });
+  void harness.send({deadline: AMPLE, idempotent: false});
+  await timers.setImmediate();
+  return harness;
+}
+
+/** Answers what is in flight, one after the other. */
+async function serve(harness: routerHarness.RouterHarness, count: number) {
+  for (let served = 0; served < count; served += 1) {
+    harness.fakes.attempts.at(-1)?.done();
+    await harness.clock.advance(1);
+  }
+}
+
+/** The refusal that an outcome must be. */
+function refusalOf(outcome: types.outcome.Outcome) {
+  assert.ok(outcome.type === 'not_run', outcome.type);
+  return outcome;
+}
+
+nodeTest.test('the most urgent goes first, then the latest start', async () => {
+  const harness = await createBusyHarness(10);
+  const later = types.clock.after(AMPLE, 1);
+  void harness.send({requestId: 'third', urgency: 'normal', deadline: AMPLE});
+  void harness.send({requestId: 'second', deadline: later});
+  void harness.send({requestId: 'first', deadline: AMPLE});
+  await serve(harness, 4);
+  assert.deepEqual(
+    harness.fakes.attempts.slice(1).map((attempt) => attempt.req.requestId),
+    ['first', 'second', 'third'],
+  );
+});
+
+nodeTest.test('a full queue sheds the least urgent first', async () => {
+  const harness = await createBusyHarness(1);
+  const overnight = harness.send({urgency: 'overnight', deadline: AMPLE});
+  void harness.send({deadline: AMPLE});
+  const shed = refusalOf(await overnight);
+  assert.equal(shed.reason, 'overloaded');
+  assert.ok((shed.retryAfterMs ?? 0) > 0);
+  const refused = refusalOf(await harness.send({deadline: AMPLE}));
+  assert.equal(refused.reason, 'overloaded');
+});
+
+nodeTest.test("a request that can't make it is refused at once", async () => {
+  // The queue holds 50 s of work for one slot. A request due in 10 s hears
+  // of it now, not in 10 s.
+  const harness = await createBusyHarness(10);
+  for (let sent = 0; sent < 5; sent += 1) {
+    void harness.send({estimateMs: 10_000, deadline: AMPLE});
+  }
+  const before = harness.clock.monotonic();
+  const deadline = types.clock.after(before, 10_000);
+  const refused = refusalOf(await harness.send({deadline}));
+  assert.equal(refused.reason, 'deadline_unreachable');
+  assert.ok((refused.retryAfterMs ?? 0) >= 40_000);
+  assert.equal(harness.clock.monotonic(), before);
+});
+
+nodeTest.test('one that waited is dropped at its latest start', async () => {
+  const harness = await createBusyHarness(10);
+  const deadline = types.clock.after(harness.clock.monotonic(), 1_000);
+  const waiting = harness.send({estimateMs: 100, deadline});
+  await harness.clock.advance(900);
+  assert.equal(harness.router.status().queued, 0);
+  assert.equal(refusalOf(await waiting).reason, 'deadline_unreachable');
+});
+
+nodeTest.test("one team's flood does not keep another waiting", async () => {
+  // Ten requests of one team wait; then one of another team comes. It is the
+  // first or second to be served, not the eleventh.
+  const harness = await createBusyHarness(10);
+  for (let sent = 0; sent < 10; sent += 1) void harness.send({deadline: AMPLE});
+  void harness.send({deadline: AMPLE, team: OTHER_TEAM});
+  await serve(harness, 2);
+  const teams = harness.fakes.attempts.map((attempt) => attempt.req.team);
+  assert.ok(teams.includes(OTHER_TEAM));
+});
+
+nodeTest.test(
+  'drain lets what is under way finish, takes no more',
+  async () => {
+    const harness = await createBusyHarness(10);
+    const waiting = harness.router.route(
+      harness.makeRequest({deadline: AMPLE}),
+    );
+    let drained = false;
+    void harness.router.drain().then(() => (drained = true));
+    assert.equal(refusalOf(await harness.send()).reason, 'leaving');
+    await serve(harness, 2);
+    const answer = await waiting;
+    assert.ok(answer.isOk);
+    assert.equal(drained, false);
+    answer.value.body.resume();
+    await harness.clock.advance(1);
+    assert.equal(drained, true);
+  },
+);
--- /dev/null
+++ b/packages/gypsumwall-routing/src/attempt.ts
@@ -0,0 +1,211 @@
+/**
+ * One try of a request at one upstream: it ends with the head of an answer or
+ * with an error, and the slot is given back when the upstream is done with it.
+ */
+import * as stream from 'node:stream';
+import type * as result from 'true-myth/result';
+import type * as platform from '@gypsumwall/platform';
+import * as types from '@gypsumwall/types';
+import type * as retryBudget from './retry_budget.js';
+import type * as router from './router.js';
+import type * as serviceTimes from './service_times.js';
+import type * as upstreamHealth from './upstream_health.js';
+import type * as upstreamTable from './upstream_table.js';
+
+/** The parts that an attempt goes through. */
+export interface AttemptOptions {
+  readonly clock: types.clock.Clock;
+  readonly times: serviceTimes.ServiceTimes;
+  readonly requestBoundMs: number;
+  /** Called once, when the slot may be used again. */
+  readonly release: (slots: upstreamTable.UpstreamSlots) => void;
+  /** Called when an answer that was promised has come to its end. */
+  readonly answerEnded: (req: router.RoutedRequest, tookMs: number) => void;
+  /** Called when the upstream turned suspect. */
+  readonly onSuspect: (slots: upstreamTable.UpstreamSlots) => void;
+}
+
+/** How a try ended. */
+export interface AttemptEnd {
+  readonly answer: result.Result<
+    platform.upstream.UpstreamAnswer,
+    types.stepError.StepError
+  >;
+  /** The retry that follows has been taken out of the budget already. */
+  readonly retryTaken: boolean;
+}
+
+/** Sends one request to one upstream. */
+export type Attempt = (
+  req: router.RoutedRequest,
+  slots: upstreamTable.UpstreamSlots,
+  budget: retryBudget.RetryBudget,
+) => Promise<AttemptEnd>;
+
+/**
+ * An upstream that takes this many times the pessimistic time is silent or
+ * far too slow. A request that may be repeated then moves, if a retry is left
+ * for it; without one, to wait on is the better chance.
+ */
+const PATIENCE_FACTOR = 3;
+const SHORTEST_PATIENCE_MS = 50;
+
+/** Makes the function that sends. */
+export function createAttempt(options: AttemptOptions): Attempt {
+  const {clock, times} = options;
+
+  const blame = (
+    slots: upstreamTable.UpstreamSlots,
+    fault: upstreamHealth.UpstreamFault,
+  ) => {
+    slots.health.failed(fault, clock.monotonic());
+    options.onSuspect(slots);
+  };
+
+  /**
+   * After an unknown end the upstream may still be at work on the request, and
+   * a new one in its place could be one too many there.
+   */
+  const releaseAfterLinger = async (
+    req: router.RoutedRequest,
+    slots: upstreamTable.UpstreamSlots,
+    latest: types.clock.MonotonicMs,
+  ) => {
+    const typical = types.clock.after(clock.monotonic(), times.typicalMs(req));
+    await clock.sleepUntil(typical < latest ? typical : latest);
+    options.release(slots);
+  };
+
+  return async (req, slots, budget) => {
+    const startedAt = clock.monotonic();
+    const bound = types.clock.after(startedAt, options.requestBoundMs);
+    const deadline = req.deadline < bound ? req.deadline : bound;
+    const patienceMs = Math.max(
+      SHORTEST_PATIENCE_MS,
+      PATIENCE_FACTOR * times.pessimisticMs(req),
+    );
+    const watch = watchPatience(clock, req, startedAt, patienceMs, () => {
+      blame(slots, 'failing');
+      const wouldMakeIt =
+        clock.monotonic() + times.typicalMs(req) < req.deadline;
+      return req.idempotent && wouldMakeIt && budget.take();
+    });
+    const answer = await slots.client.execute(
+      upstreamRequest(req, deadline, watch.signal),
+    );
+    watch.stop();
+    const end = {answer, retryTaken: watch.gaveUp()};
+    if (answer.isErr) {
+      const fault = faultOf(answer.error, req, watch);
+      if (fault !== undefined) blame(slots, fault);
+      if (answer.error.effect === 'not_run') options.release(slots);
+      else void releaseAfterLinger(req, slots, bound);
+      if (watch.gaveUp()) times.learn(req, clock.monotonic() - startedAt);
+      return end;
+    }
+    if (!watch.isOver()) slots.health.succeeded();
+    // The slot is in use until the last byte of the answer has come.
+    stream.finished(answer.value.body, (err) => {
+      if (isBroken(err, req)) blame(slots, 'failing');
+      options.release(slots);
+      options.answerEnded(req, clock.monotonic() - startedAt);
+    });
+    return end;
+  };
+}
+
+function upstreamRequest(
+  req: router.RoutedRequest,
+  deadline: types.clock.MonotonicMs,
+  signal: AbortSignal,
+): platform.upstream.UpstreamRequest {
+  const {requestId, team, operation, key, body, traceparent} = req;
+  return {
+    requestId,
+    team,
+    operation,
+    key,
+    body,
+    deadline,
+    signal,
+    traceparent,
+  };
+}
+
+/** Whether an answer broke off for want of its upstream. */
+function isBroken(
+  err: NodeJS.ErrnoException | null | undefined,
+  req: router.RoutedRequest,
+): boolean {
+  if (err === null || err === undefined) return false;
+  if (err.name === 'TimeoutError' || req.signal?.aborted === true) return false;
+  // The reader stopped reading.
+  return err.code !== 'ERR_STREAM_PREMATURE_CLOSE';
+}
+
+/** What an error says about the upstream; undefined when it says nothing. */
+function faultOf(
+  err: types.stepError.StepError,
+  req: router.RoutedRequest,
+  watch: PatienceWatch,
+): upstreamHealth.UpstreamFault | undefined {
+  // Blamed when the patience ended; a caller that left proves nothing.
+  if (watch.isOver() || req.signal?.aborted === true) return undefined;
+  switch (err.kind) {
+    case 'unreachable':
+      return 'unreachable';
+    case 'refused':
+      return err.effect === 'not_run' ? 'refusing' : 'failing';
+    case 'conflict':
+    case 'invalid':
+    case 'truncated':
+    case 'stale_epoch':
+    case 'closed':
+      return 'failing';
+    case 'timeout':
+    case 'too_late':
+      // The request's own deadline came first.
+      return undefined;
+  }
+}
+
+/** Watches one try for too long a silence. */
+interface PatienceWatch {
+  /** Ends the try: given up, or its caller left. */
+  readonly signal: AbortSignal;
+  /** Whether the patience has ended, given up or not. */
+  isOver(): boolean;
+  /** Whether the try was given up for another one. */
+  gaveUp(): boolean;
+  stop(): void;
+}
+
+function watchPatience(
+  clock: types.clock.Clock,
+  req: router.RoutedRequest,
+  startedAt: types.clock.MonotonicMs,
+  patienceMs: number,
+  mayGiveUp: () => boolean,
+): PatienceWatch {
+  const send = new AbortController();
+  const stopTimer = new AbortController();
+  let over = false;
+  let gaveUp = false;
+  const leave = () => send.abort(req.signal?.reason);
+  req.signal?.addEventListener('abort', leave, {once: true});
+  void clock
+    .sleepUntil(types.clock.after(startedAt, patienceMs), stopTimer.signal)
+    .then(() => {
+      if (stopTimer.signal.aborted) return;
+      over = true;
+      gaveUp = mayGiveUp();
+      if (!gaveUp) return;
+      send.abort(new DOMException('silent for too long', 'TimeoutError'));
+    });
+  return {
+    signal: send.signal,
+    isOver: () => over,
+    gaveUp: () => gaveUp,
+    stop: () => stopTimer.abort(),
+  };
+}
--- a/packages/gypsumwall-routing/src/create_baseline_router.ts
+++ b/packages/gypsumwall-routing/src/create_baseline_router.ts
@@ -6,6 +6,8 @@
 import * as result from 'true-myth/result';
 import type * as platform from '@gypsumwall/platform';
 import * as types from '@gypsumwall/types';
+import * as chooseUpstream from './choose_upstream.js';
+import * as routeFailure from './route_failure.js';
 import type * as router from './router.js';
 import * as routerOptions from './router_options.js';
 import * as upstreamTable from './upstream_table.js';
@@ -15,8 +17,14 @@
   router.RouteFailure
 >;
 
+interface Waiting {
+  readonly req: router.RoutedRequest;
+  readonly grant: (slots: upstreamTable.UpstreamSlots) => void;
+}
+
 /** Tries after the first one, whatever became of the one before. */
 const MAX_RETRIES = 3;
+const NONE: ReadonlySet<upstreamTable.UpstreamSlots> = new Set();
 
 /** Makes a baseline router; not for production use. */
 export function createBaselineRouter(
@@ -25,23 +33,22 @@
   const table = upstreamTable.createUpstreamTable(
     options,
     options.requestBoundMs ?? routerOptions.DEFAULT_REQUEST_BOUND_MS,
+    chooseUpstream.chooseAtRandom,
   );
-  const waiting: Array<(slots: upstreamTable.UpstreamSlots) => void> = [];
+  const waiting = new Set<Waiting>();
 
   const pump = () => {
-    while (waiting.length > 0) {
-      const free = table.free();
-      if (free.length === 0) return;
-      const pick = free[options.random.integer(0, free.length - 1)];
-      if (pick === undefined) return;
-      pick.inFlight += 1;
-      waiting.shift()?.(pick);
+    for (const one of waiting) {
+      const slots = table.take(one.req, NONE);
+      if (slots === undefined) return;
+      waiting.delete(one);
+      one.grant(slots);
     }
   };
 
   const attempt = async (req: router.RoutedRequest): Promise<Routed> => {
     const slots = await new Promise<upstreamTable.UpstreamSlots>((resolve) => {
-      waiting.push(resolve);
+      waiting.add({req, grant: resolve});
       pump();
     });
     const answer = await slots.client.execute(req);
@@ -55,7 +62,7 @@
     }
     release();
     const message = types.stepError.describeError(answer.error);
-    return result.err({type: 'unknown', message});
+    return result.err(routeFailure.unknown(message));
   };
 
   return {
@@ -71,11 +78,11 @@
       }
       return last;
     },
-    status: () => ({
-      queued: waiting.length,
-      inFlight: [...table.all()].reduce((sum, one) => sum + one.inFlight, 0),
-      upstreams: [...table.all()],
-    }),
+    status: () => {
+      const upstreams = table.status();
+      const inFlight = upstreams.reduce((sum, one) => sum + one.inFlight, 0);
+      return {queued: waiting.size, inFlight, upstreams};
+    },
     drain: () => Promise.resolve(),
     close: () => table.close(),
   };
--- a/packages/gypsumwall-routing/src/create_router.ts
+++ b/packages/gypsumwall-routing/src/create_router.ts
@@ -1,13 +1,21 @@
 /**
- * The policy for quick requests: a bounded queue for each team, the entry's
- * share of every upstream's slots, and refusals that are final.
+ * The policy for quick requests: bounded queues that are fair to teams, the
+ * entry's share of every upstream's slots, one layer of retries within a
+ * budget, and refusals that are early and final.
  */
 import * as result from 'true-myth/result';
 import type * as platform from '@gypsumwall/platform';
 import * as types from '@gypsumwall/types';
+import * as admission from './admission.js';
+import * as attempt from './attempt.js';
+import * as chooseUpstream from './choose_upstream.js';
 import * as requestQueue from './request_queue.js';
+import * as retryBudget from './retry_budget.js';
+import * as routeFailure from './route_failure.js';
 import type * as router from './router.js';
 import * as routerOptions from './router_options.js';
+import * as serviceTimes from './service_times.js';
+import * as slotWait from './slot_wait.js';
 import * as upstreamTable from './upstream_table.js';
 
 type Routed = result.Result<
@@ -15,117 +23,148 @@
   router.RouteFailure
 >;
 
-/** When a caller may come back where nothing better is known. */
-const RETRY_AFTER_MS = 1_000;
+/** When to come back to an entry that has no share or is stopping. */
+const OTHER_ENTRY_AFTER_MS = 1_000;
 
 /** Makes the router of one entry; it serves nothing before its first view. */
 export function createRouter(
   options: routerOptions.RouterOptions,
+  choose: chooseUpstream.ChooseUpstream = chooseUpstream.chooseLeastLoaded,
 ): router.Router {
-  const {clock} = options;
+  const {clock, random, logger} = options;
   const requestBoundMs =
     options.requestBoundMs ?? routerOptions.DEFAULT_REQUEST_BOUND_MS;
-  const table = upstreamTable.createUpstreamTable(options, requestBoundMs);
+  const table = upstreamTable.createUpstreamTable(
+    options,
+    requestBoundMs,
+    choose,
+  );
   const queue = requestQueue.createRequestQueue();
-  const teams = new Map<string, router.RouterTeam>();
+  const times = serviceTimes.createServiceTimes();
+  const teams = new Map<types.ids.TeamId, routerOptions.TeamDefaults>();
+  const budgets = new Map<types.ids.TeamId, retryBudget.RetryBudget>();
   const idleWaiters: Array<() => void> = [];
   let active = 0;
   let draining = false;
 
-  const limitsOf = (team: string) => teams.get(team) ?? options.defaults;
+  const limitsOf = (team: types.ids.TeamId) =>
+    teams.get(team) ?? options.defaults;
+  const gate = admission.createAdmission({clock, random, queue, table, times});
+  const slots = slotWait.createSlotWait({
+    clock,
+    queue,
+    table,
+    times,
+    gate,
+    limitsOf,
+  });
+  const budgetOf = (team: types.ids.TeamId) => {
+    const known = budgets.get(team);
+    if (known !== undefined) return known;
+    const made = retryBudget.createRetryBudget();
+    budgets.set(team, made);
+    return made;
+  };
+  const leave = () => {
+    active -= 1;
+    if (active === 0) idleWaiters.splice(0).forEach((wake) => wake());
+  };
+  /** Those who wait learn of a probe that falls due without any other event. */
+  const pumpAtProbe = async (one: upstreamTable.UpstreamSlots) => {
+    const at = one.health.probeAt();
+    if (at === undefined) return;
+    logger.debug('routing.suspect', {upstream: one.id});
+    await clock.sleepUntil(at);
+    slots.pump();
+  };
+  const send = attempt.createAttempt({
+    clock,
+    times,
+    requestBoundMs,
+    release: (one) => {
+      table.release(one);
+      slots.pump();
+    },
+    answerEnded: (req, tookMs) => {
+      const {weight} = limitsOf(req.team);
+      queue.correct(req.team, weight, tookMs - times.typicalMs(req));
+      times.learn(req, tookMs);
+      leave();
+    },
+    onSuspect: (one) => void pumpAtProbe(one),
+  });
 
-  const pump = () => {
+  const tryUntilFinal = async (req: router.RoutedRequest): Promise<Routed> => {
+    const budget = budgetOf(req.team);
+    const failed = new Set<upstreamTable.UpstreamSlots>();
+    let mayHaveRun: string | undefined;
     for (;;) {
-      const slots = leastLoaded(table.free());
-      if (slots === undefined) return;
-      const next = queue.shift();
-      if (next === undefined) return;
-      slots.inFlight += 1;
-      next.grant(slots);
+      const waited = await slots.wait(req, failed);
+      if (waited.type === 'refused') {
+        // A proof that nothing ran must cover the tries before it, too.
+        if (mayHaveRun === undefined) return result.err(waited.failure);
+        return result.err(routeFailure.unknown(mayHaveRun));
+      }
+      if (failed.size === 0) budget.earn(limitsOf(req.team).retryBudget);
+      const end = await send(req, waited.slots, budget);
+      if (end.answer.isOk) return result.ok(end.answer.value);
+      const err = end.answer.error;
+      const message = types.stepError.describeError(err);
+      if (err.effect === 'unknown') mayHaveRun = message;
+      failed.add(waited.slots);
+      if (mayTryAgain(req, err) && (end.retryTaken || budget.take())) continue;
+      if (mayHaveRun !== undefined) {
+        return result.err(routeFailure.unknown(mayHaveRun));
+      }
+      return result.err(finalRefusal(req, message));
     }
   };
 
-  const waitForSlot = async (
-    req: router.RoutedRequest,
-  ): Promise<upstreamTable.UpstreamSlots | router.RouteFailure> => {
-    const stopTimer = new AbortController();
-    const queued = requestQueue.createQueuedRequest(req);
-    if (!queue.push(queued, limitsOf(req.team).maxQueuedRequests)) {
-      return refusal('overloaded', "the team's queue is full", RETRY_AFTER_MS);
-    }
-    pump();
-    const latestStart = types.clock.after(req.deadline, -req.estimateMs);
-    const signal =
-      req.signal === undefined
-        ? stopTimer.signal
-        : AbortSignal.any([stopTimer.signal, req.signal]);
-    const late = clock.sleepUntil(latestStart, signal).then(() => undefined);
-    const slots = await Promise.race([queued.granted, late]);
-    stopTimer.abort();
-    if (slots !== undefined) return slots;
-    // Granted in the very moment in which the timer fired: the slot is held.
-    if (!queue.remove(queued)) return await queued.granted;
-    return req.signal?.aborted === true
-      ? refusal('cancelled', 'the caller left before it started')
-      : refusal(
-          'deadline_unreachable',
-          'no slot was free in time',
-          RETRY_AFTER_MS,
+  const finalRefusal = (req: router.RoutedRequest, message: string) =>
+    req.signal?.aborted === true
+      ? routeFailure.notRun('cancelled', 'the caller left')
+      : routeFailure.notRun(
+          'no_upstream',
+          message,
+          gate.retryAfterMs(req, limitsOf(req.team).weight),
         );
-  };
 
-  const execute = async (
-    req: router.RoutedRequest,
-    slots: upstreamTable.UpstreamSlots,
-  ): Promise<Routed> => {
-    const bound = types.clock.after(clock.monotonic(), requestBoundMs);
-    const deadline = req.deadline < bound ? req.deadline : bound;
-    const answer = await slots.client.execute({...req, deadline});
-    const release = () => {
-      table.release(slots);
-      pump();
-    };
-    if (answer.isErr) {
-      release();
-      return result.err(failureOf(answer.error));
-    }
-    // The slot is in use until the last byte of the answer has come.
-    answer.value.body.once('close', release);
-    return result.ok(answer.value);
-  };
-
-  const route = async (req: router.RoutedRequest): Promise<Routed> => {
+  const refusalAtTheDoor = (req: router.RoutedRequest) => {
     if (draining) {
-      return result.err(refusal('leaving', 'this entry is stopping'));
+      const message = 'this entry is stopping';
+      return routeFailure.notRun('leaving', message, OTHER_ENTRY_AFTER_MS);
+    }
+    if (req.estimateMs > requestBoundMs) {
+      const message = `estimateMs is ${req.estimateMs}; a quick request may take ${requestBoundMs} at most: submit a job instead`;
+      return routeFailure.notRun('invalid', message);
     }
-    active += 1;
-    try {
-      const slots = await waitForSlot(req);
-      if ('type' in slots) return result.err(slots);
-      return await execute(req, slots);
-    } finally {
-      active -= 1;
-      if (active === 0) idleWaiters.splice(0).forEach((wake) => wake());
+    if (!table.hasShare()) {
+      const message = 'this entry has no share of any upstream yet';
+      return routeFailure.notRun('no_upstream', message, OTHER_ENTRY_AFTER_MS);
     }
+    return undefined;
   };
 
   return {
     setView: (view) => {
       table.setView(view);
-      pump();
+      slots.pump();
     },
     setTeam: (team) => void teams.set(team.id, team),
-    route,
-    status: () => ({
-      queued: queue.size,
-      inFlight: [...table.all()].reduce((sum, one) => sum + one.inFlight, 0),
-      upstreams: [...table.all()].map((one) => ({
-        id: one.id,
-        share: one.share,
-        inFlight: one.inFlight,
-        state: one.state,
-      })),
-    }),
+    route: async (req) => {
+      const failure = refusalAtTheDoor(req);
+      if (failure !== undefined) return result.err(failure);
+      active += 1;
+      const routed = await tryUntilFinal(req);
+      // An answer is active until its last byte has come.
+      if (routed.isErr) leave();
+      return routed;
+    },
+    status: () => {
+      const upstreams = table.status();
+      const inFlight = upstreams.reduce((sum, one) => sum + one.inFlight, 0);
+      return {queued: queue.size, inFlight, upstreams};
+    },
     drain: async () => {
       draining = true;
       if (active === 0) return;
@@ -135,31 +174,16 @@
   };
 }
 
-function leastLoaded(
-  free: readonly upstreamTable.UpstreamSlots[],
-): upstreamTable.UpstreamSlots | undefined {
-  const loadOf = (one: upstreamTable.UpstreamSlots) => one.inFlight / one.share;
-  return free.reduce<upstreamTable.UpstreamSlots | undefined>(
-    (best, one) =>
-      best === undefined || loadOf(one) < loadOf(best) ? one : best,
-    undefined,
-  );
-}
-
-function refusal(
-  reason: types.outcome.RefusalReason,
-  message: string,
-  retryAfterMs?: number,
-): router.RouteFailure {
-  return {type: 'not_run', reason, message, retryAfterMs};
-}
-
-function failureOf(err: types.stepError.StepError): router.RouteFailure {
-  const message = types.stepError.describeError(err);
+/** Whether another try can't make a request run twice that must not. */
+function mayTryAgain(
+  req: router.RoutedRequest,
+  err: types.stepError.StepError,
+): boolean {
+  if (req.signal?.aborted === true) return false;
   switch (err.effect) {
     case 'not_run':
-      return refusal('no_upstream', message, RETRY_AFTER_MS);
+      return true;
     case 'unknown':
-      return {type: 'unknown', message};
+      return req.idempotent;
   }
 }
--- a/packages/gypsumwall-routing/src/index.ts
+++ b/packages/gypsumwall-routing/src/index.ts
@@ -1,3 +1,4 @@
+export * as chooseUpstream from './choose_upstream.js';
 export * as createBaselineRouter from './create_baseline_router.js';
 export * as createRouter from './create_router.js';
 export * as router from './router.js';
--- a/packages/gypsumwall-routing/src/request_queue.ts
+++ b/packages/gypsumwall-routing/src/request_queue.ts
@@ -1,60 +1,97 @@
-/** Requests that wait for a slot, bounded for each team. */
-import type * as router from './router.js';
-import type * as upstreamTable from './upstream_table.js';
+/**
+ * Requests that wait for a slot: shared out fairly over teams by weight, and
+ * within a team the most urgent first, then the one that must start first.
+ */
+import type * as types from '@gypsumwall/types';
+import type * as queuedRequest from './queued_request.js';
+import * as teamQueue from './team_queue.js';
 
-/** A request that waits, and the slot that it will be given. */
-export interface QueuedRequest {
-  readonly req: router.RoutedRequest;
-  readonly granted: Promise<upstreamTable.UpstreamSlots>;
-  grant(slots: upstreamTable.UpstreamSlots): void;
-}
-
-/** Waiting requests in the order in which they are served. */
+/** All waiting requests of an entry. */
 export interface RequestQueue {
   readonly size: number;
-  /** False when the team's queue is full. */
-  push(queued: QueuedRequest, maxQueued: number): boolean;
-  shift(): QueuedRequest | undefined;
-  /** False when it no longer waits, since it was granted a slot. */
-  remove(queued: QueuedRequest): boolean;
+  /** The queue of a team; made on first use. */
+  ofTeam(team: types.ids.TeamId): teamQueue.TeamQueue;
+  push(queued: queuedRequest.QueuedRequest): void;
+  /** The one to be served next; it stays in the queue. */
+  peek(): queuedRequest.QueuedRequest | undefined;
+  /** Takes out the one to be served and charges its team for it. */
+  serve(queued: queuedRequest.QueuedRequest): void;
+  /** Takes out one that will not be served; false when it isn't in there. */
+  remove(queued: queuedRequest.QueuedRequest): boolean;
+  /** Charges or credits a team by how far off an expected time was. */
+  correct(team: types.ids.TeamId, weight: number, offMs: number): void;
+  /** Share of all service that falls to a team of this weight now. */
+  fairShare(team: types.ids.TeamId, weight: number): number;
 }
 
-/** Makes a waiting request that is in no queue yet. */
-export function createQueuedRequest(req: router.RoutedRequest): QueuedRequest {
-  let grant: QueuedRequest['grant'] = () => undefined;
-  const granted = new Promise<upstreamTable.UpstreamSlots>((resolve) => {
-    grant = resolve;
-  });
-  return {req, granted, grant};
-}
-
-/** Makes an empty queue that serves in order of arrival. */
+/**
+ * Makes an empty queue. Fairness is start-time fair queueing: each team has a
+ * virtual time that moves on by the slot time it uses over its weight, and
+ * the team furthest behind is served next. A team that was idle comes in at
+ * the time of those that were not, so that it can't save up.
+ */
 export function createRequestQueue(): RequestQueue {
-  const waiting = new Set<QueuedRequest>();
-  const countOf = new Map<string, number>();
-  const count = (team: string, change: number) =>
-    countOf.set(team, (countOf.get(team) ?? 0) + change);
+  const teams = new Map<types.ids.TeamId, teamQueue.TeamQueue>();
+  const backlogged = new Set<teamQueue.TeamQueue>();
+  let virtualTime = 0;
+  let size = 0;
 
-  const remove = (queued: QueuedRequest) => {
-    const found = waiting.delete(queued);
-    if (found) count(queued.req.team, -1);
-    return found;
+  const ofTeam = (team: types.ids.TeamId) => {
+    const known = teams.get(team);
+    if (known !== undefined) return known;
+    const made = teamQueue.createTeamQueue(team);
+    teams.set(team, made);
+    return made;
+  };
+  const next = () => {
+    let first: teamQueue.TeamQueue | undefined;
+    for (const team of backlogged) {
+      if (first === undefined || team.virtualTime < first.virtualTime) {
+        first = team;
+      }
+    }
+    return first;
   };
+  const remove = (queued: queuedRequest.QueuedRequest) => {
+    const team = ofTeam(queued.req.team);
+    if (!team.remove(queued)) return false;
+    size -= 1;
+    if (team.size === 0) backlogged.delete(team);
+    return true;
+  };
+
   return {
     get size() {
-      return waiting.size;
+      return size;
     },
-    push: (queued, maxQueued) => {
-      if ((countOf.get(queued.req.team) ?? 0) >= maxQueued) return false;
-      waiting.add(queued);
-      count(queued.req.team, 1);
-      return true;
+    ofTeam,
+    push: (queued) => {
+      const team = ofTeam(queued.req.team);
+      if (team.size === 0) {
+        team.virtualTime = Math.max(team.virtualTime, virtualTime);
+        backlogged.add(team);
+      }
+      team.weight = queued.weight;
+      team.push(queued);
+      size += 1;
     },
-    shift: () => {
-      const first = waiting.values().next().value;
-      if (first !== undefined) remove(first);
-      return first;
+    peek: () => next()?.first(),
+    serve: (queued) => {
+      const team = ofTeam(queued.req.team);
+      virtualTime = Math.max(virtualTime, team.virtualTime);
+      team.virtualTime += queued.typicalMs / queued.weight;
+      remove(queued);
     },
     remove,
+    correct: (team, weight, offMs) => {
+      ofTeam(team).virtualTime += offMs / weight;
+    },
+    fairShare: (team, weight) => {
+      let others = 0;
+      for (const one of backlogged) {
+        if (one.id !== team) others += one.weight;
+      }
+      return weight / (weight + others);
+    },
   };
 }
--- a/packages/gypsumwall-routing/src/upstream_table.ts
+++ b/packages/gypsumwall-routing/src/upstream_table.ts
@@ -1,32 +1,47 @@
 /**
- * The upstreams that this entry knows of, its share of each, and what it has
- * in flight there.
+ * The upstreams that this entry knows of: its share of each, what it has in
+ * flight there, and which one takes the next request.
  */
 import type * as platform from '@gypsumwall/platform';
 import type * as types from '@gypsumwall/types';
+import * as chooseUpstream from './choose_upstream.js';
 import type * as router from './router.js';
 import type * as routerOptions from './router_options.js';
 import * as slotShares from './slot_shares.js';
+import * as upstreamHealth from './upstream_health.js';
 
 /** One upstream as this entry uses it. */
 export interface UpstreamSlots {
   readonly id: types.ids.UpstreamId;
+  readonly address: string;
   readonly client: platform.upstream.Upstream;
+  readonly health: upstreamHealth.UpstreamHealth;
   /** Slots this entry may use; 0 when the upstream is leaving. */
   share: number;
   connections: number;
   inFlight: number;
-  state: 'open' | 'leaving';
+  leaving: boolean;
+  listed: boolean;
 }
 
 /** All upstreams of the failure domain. */
 export interface UpstreamTable {
   setView(view: router.RouterView): void;
-  /** Upstreams that can take a request now. */
-  free(): readonly UpstreamSlots[];
-  all(): Iterable<UpstreamSlots>;
+  /**
+   * Takes a slot for a request, if need be at one of those to `avoid`;
+   * undefined when none is free or the view is too old.
+   */
+  take(
+    req: router.RoutedRequest,
+    avoid: ReadonlySet<UpstreamSlots>,
+  ): UpstreamSlots | undefined;
   /** Gives a slot back and forgets an upstream that is gone. */
   release(slots: UpstreamSlots): void;
+  /** Slots of this entry at upstreams that can be relied on. */
+  reliableSlots(): number;
+  /** Whether this entry has any share at all. */
+  hasShare(): boolean;
+  status(): router.RouterStatus['upstreams'];
   close(): Promise<void>;
 }
 
@@ -34,7 +49,9 @@
 export function createUpstreamTable(
   options: routerOptions.RouterOptions,
   requestBoundMs: number,
+  choose: chooseUpstream.ChooseUpstream,
 ): UpstreamTable {
+  const {clock, random} = options;
   const shares = slotShares.createSlotShares({
     entryId: options.entryId,
     listLagMs: options.listLagMs,
@@ -42,47 +59,56 @@
   });
   const table = new Map<string, UpstreamSlots>();
 
+  const forgetIfGone = (slots: UpstreamSlots) => {
+    if (slots.listed || slots.inFlight > 0) return;
+    // It may be listed anew under its old id, as another object.
+    if (table.get(slots.id) === slots) table.delete(slots.id);
+    void slots.client.close();
+  };
   const update = (listed: platform.instanceList.ListedUpstream) => {
-    const known = table.get(listed.id);
-    const leaving = listed.state === 'leaving';
     const connections = shares.shareOf(listed.id, listed.connections);
-    const slots = known ?? add(options, table, listed, connections);
-    slots.state = leaving ? 'leaving' : 'open';
-    slots.share = leaving ? 0 : shares.shareOf(listed.id, listed.slots);
-    if (slots.connections !== connections) {
-      slots.connections = connections;
-      slots.client.setConnections(connections);
-    }
+    const known = table.get(listed.id);
+    const moved = known?.address !== listed.address;
+    const slots = moved ? makeSlots(options, listed) : known;
+    // What is still in flight at an old address ends there by itself.
+    if (known !== undefined && moved) forgetIfGone(known);
+    table.set(listed.id, slots);
+    slots.listed = true;
+    slots.leaving = listed.state === 'leaving';
+    slots.share = slots.leaving ? 0 : shares.shareOf(listed.id, listed.slots);
+    if (slots.connections === connections) return;
+    slots.connections = connections;
+    slots.client.setConnections(connections);
   };
-
-  const forgetIfIdle = (slots: UpstreamSlots, listed: boolean) => {
-    if (listed || slots.inFlight > 0) return;
-    table.delete(slots.id);
-    void slots.client.close();
+  const markUnlisted = (slots: UpstreamSlots) => {
+    slots.listed = false;
+    slots.leaving = true;
+    slots.share = 0;
   };
 
-  let listedIds = new Set<string>();
   return {
     setView: (view) => {
-      shares.observe(view.entries, options.clock.monotonic());
-      listedIds = new Set(view.upstreams.map((listed) => listed.id));
+      shares.observe(view.entries, clock.monotonic());
+      for (const slots of table.values()) markUnlisted(slots);
       view.upstreams.forEach(update);
-      for (const slots of table.values()) {
-        if (listedIds.has(slots.id)) continue;
-        slots.state = 'leaving';
-        slots.share = 0;
-        forgetIfIdle(slots, false);
-      }
+      for (const slots of table.values()) forgetIfGone(slots);
+    },
+    take: (req, avoid) => {
+      const now = clock.monotonic();
+      if (shares.isStale(now)) return undefined;
+      const slots = choose({table, req, avoid, now, random});
+      if (slots === undefined) return undefined;
+      if (slots.health.mode(now) === 'probe') slots.health.probing(now);
+      slots.inFlight += 1;
+      return slots;
     },
-    free: () =>
-      shares.isStale(options.clock.monotonic())
-        ? []
-        : [...table.values()].filter((slots) => slots.inFlight < slots.share),
-    all: () => table.values(),
     release: (slots) => {
       slots.inFlight -= 1;
-      forgetIfIdle(slots, listedIds.has(slots.id));
+      forgetIfGone(slots);
     },
+    reliableSlots: () => reliableSlots(table, clock.monotonic()),
+    hasShare: () => [...table.values()].some((slots) => slots.share > 0),
+    status: () => [...table.values()].map((slots) => statusOf(slots, clock)),
     close: async () => {
       await Promise.all([...table.values()].map((one) => one.client.close()));
       table.clear();
@@ -90,20 +116,40 @@
   };
 }
 
-function add(
+function makeSlots(
   options: routerOptions.RouterOptions,
-  table: Map<string, UpstreamSlots>,
   listed: platform.instanceList.ListedUpstream,
-  connections: number,
 ): UpstreamSlots {
-  const slots: UpstreamSlots = {
+  return {
     id: listed.id,
-    client: options.makeUpstream(listed, connections),
+    address: listed.address,
+    client: options.makeUpstream(listed, 0),
+    health: upstreamHealth.createUpstreamHealth(options.random),
     share: 0,
-    connections,
+    connections: 0,
     inFlight: 0,
-    state: 'open',
+    leaving: false,
+    listed: true,
   };
-  table.set(listed.id, slots);
-  return slots;
+}
+
+function reliableSlots(
+  table: ReadonlyMap<string, UpstreamSlots>,
+  now: types.clock.MonotonicMs,
+): number {
+  let sum = 0;
+  for (const slots of table.values()) {
+    if (slots.health.mode(now) === 'open') sum += slots.share;
+  }
+  return sum;
+}
+
+function statusOf(
+  slots: UpstreamSlots,
+  clock: types.clock.Clock,
+): router.RouterStatus['upstreams'][number] {
+  const {id, share, inFlight} = slots;
+  if (slots.leaving) return {id, share, inFlight, state: 'leaving'};
+  const open = slots.health.mode(clock.monotonic()) === 'open';
+  return {id, share, inFlight, state: open ? 'open' : 'suspect'};
 }
