Measure routing beside its baseline, and stop giving up on long requests

Now: a try is given up between 3 x and 8 x that time, as late as another can still make it; the slot stays in use as long again; slowness is judged by a mean over answers; less urgent work is admitted by the rate at which more urgent work overtakes it, and learns at once when it became hopeless. The baseline now has one timeout for all tries: with the deadline passed on it was no naive router.

--- /dev/null
+++ b/packages/gypsumwall-bench/src/routing_bench.ts
@@ -0,0 +1,215 @@
+/**
+ * Routing of quick requests, policy beside baseline on the same seeds: real
+ * router code, upstreams in process, virtual time.
+ */
+import * as routing from '@gypsumwall/routing';
+import type * as types from '@gypsumwall/types';
+import type * as benchModule from './bench_module.js';
+import type * as fakeUpstreams from './routing_fake_upstreams.js';
+import * as routingRun from './routing_run.js';
+
+interface Contender {
+  readonly name: string;
+  readonly makeRouter: routingRun.MakeRouter;
+}
+
+interface Case {
+  readonly name: string;
+  readonly load: number;
+  readonly fault: fakeUpstreams.UpstreamFault;
+}
+
+const POLICY: Contender = {
+  name: 'policy',
+  makeRouter: (options) => routing.createRouter.createRouter(options),
+};
+const BASELINE: Contender = {
+  name: 'baseline',
+  makeRouter: (options) =>
+    routing.createBaselineRouter.createBaselineRouter(options),
+};
+const TWO_CHOICES: Contender = {
+  name: 'policy, two choices',
+  makeRouter: (options) =>
+    routing.createRouter.createRouter(
+      options,
+      routing.chooseUpstream.chooseOfTwo,
+    ),
+};
+
+const LOADS: readonly Case[] = [0.7, 0.95, 2, 5].map((load) => ({
+  name: `${load}x`,
+  load,
+  fault: 'none',
+}));
+const FAULT_LOAD = 0.7;
+const FAULTS: readonly Case[] = (
+  ['dead', 'slow', 'refusing', 'silent-connections'] as const
+).map((fault) => ({name: fault, load: FAULT_LOAD, fault}));
+
+const URGENCIES: readonly types.job.Urgency[] = [
+  'urgent',
+  'normal',
+  'overnight',
+];
+const SPAN_MS = 12_000;
+const QUICK_SPAN_MS = 6_000;
+const QUICK_SEEDS = 2;
+const TENTHS = 10;
+
+/** The bench of the routing policy. */
+export const ROUTING_BENCH: benchModule.BenchModule = {
+  name: 'routing',
+  run,
+};
+
+async function run(
+  options: benchModule.BenchOptions,
+): Promise<benchModule.BenchReport> {
+  const spanMs = options.quick ? QUICK_SPAN_MS : SPAN_MS;
+  const seeds = options.quick
+    ? options.seeds.slice(0, QUICK_SEEDS)
+    : options.seeds;
+  const measured: Measured[] = [];
+  for (const one of [...LOADS, ...FAULTS]) {
+    for (const contender of contendersOf(one)) {
+      const figures: routingRun.RunFigures[] = [];
+      for (const seed of seeds) {
+        const {load, fault} = one;
+        const {makeRouter} = contender;
+        figures.push(
+          await routingRun.runOnce({seed, makeRouter, load, fault, spanMs}),
+        );
+      }
+      measured.push({one, contender, figures});
+    }
+  }
+  return {
+    notes: [
+      `${routingRun.UPSTREAMS} upstreams with ${routingRun.SLOTS} slots, one entry, ${spanMs} ms of virtual time, ${seeds.length} seeds; cells are medians over seeds, with the least and the greatest in brackets where they differ.`,
+      'Load is offered slot time over all slot time; goodput is slot time of whole answers in time over all slot time.',
+      `Faults befall one upstream of ${routingRun.UPSTREAMS} in the middle half of the run at ${FAULT_LOAD}x load.`,
+      'Processor time takes in the fakes and the virtual clock: an upper bound for the router.',
+    ],
+    tables: [outcomeTable(measured), waitingTable(measured)],
+    plots: [goodputPlot(measured)],
+  };
+}
+
+interface Measured {
+  readonly one: Case;
+  readonly contender: Contender;
+  readonly figures: readonly routingRun.RunFigures[];
+}
+
+function contendersOf(one: Case): readonly Contender[] {
+  return one.fault === 'none' && one.load < 1
+    ? [POLICY, TWO_CHOICES, BASELINE]
+    : [POLICY, BASELINE];
+}
+
+function outcomeTable(measured: readonly Measured[]): benchModule.BenchTable {
+  return {
+    title: 'Outcomes',
+    columns: [
+      'case, router',
+      'goodput',
+      'amplification',
+      'not_run %',
+      'unknown %',
+      'late %',
+      'refused after p99 ms',
+      'upstream refusals',
+      'CPU us/request',
+    ],
+    rows: measured.map(({one, contender, figures}) => [
+      `${one.name}, ${contender.name}`,
+      spread(figures, (each) => each.goodput),
+      spread(figures, (each) => each.amplification),
+      spread(figures, (each) => (100 * each.notRun) / sentOf(each)),
+      spread(figures, (each) => (100 * each.unknown) / sentOf(each)),
+      spread(figures, (each) => (100 * each.late) / sentOf(each)),
+      spread(
+        figures,
+        (each) => each.refusedAfter.getValueAtPercentile(99) / TENTHS,
+      ),
+      spread(figures, (each) => each.upstreamRefusals),
+      spread(figures, (each) => each.cpuMicros),
+    ]),
+  };
+}
+
+function waitingTable(measured: readonly Measured[]): benchModule.BenchTable {
+  const rows = measured.flatMap(({one, contender, figures}) =>
+    URGENCIES.map((urgency) => {
+      const waited = (percentile: number) =>
+        spread(
+          figures,
+          (each) =>
+            each.byUrgency[urgency].waited.getValueAtPercentile(percentile) /
+            TENTHS,
+        );
+      const inTime = spread(figures, (each) => {
+        const {done, sent} = each.byUrgency[urgency];
+        return (100 * done) / sent;
+      });
+      const name = `${one.name}, ${contender.name}, ${urgency}`;
+      return [name, waited(50), waited(99), waited(99.9), inTime];
+    }),
+  );
+  return {
+    title: 'Waiting from arrival to the first try, and answers in time',
+    columns: [
+      'case, router, urgency',
+      'p50 ms',
+      'p99 ms',
+      'p99.9 ms',
+      'in time %',
+    ],
+    rows,
+  };
+}
+
+function goodputPlot(measured: readonly Measured[]): benchModule.BenchPlot {
+  const series = [POLICY, BASELINE].map((contender) => ({
+    name: contender.name,
+    points: measured
+      .filter((each) => each.contender === contender)
+      .filter((each) => each.one.fault === 'none')
+      .map((each) => ({
+        x: each.one.load,
+        y: median(each.figures.map((figures) => figures.goodput)),
+      })),
+  }));
+  return {
+    title: 'Goodput under overload',
+    xLabel: 'offered load over capacity',
+    yLabel: 'useful slot time over all slot time',
+    series,
+  };
+}
+
+function sentOf(figures: routingRun.RunFigures): number {
+  return URGENCIES.reduce((sum, each) => sum + figures.byUrgency[each].sent, 0);
+}
+
+/** The median, with the least and the greatest. */
+function spread(
+  figures: readonly routingRun.RunFigures[],
+  valueOf: (figures: routingRun.RunFigures) => number,
+): string {
+  const values = figures.map(valueOf);
+  const short = (value: number) => String(Number(value.toPrecision(3)));
+  const least = short(Math.min(...values));
+  const greatest = short(Math.max(...values));
+  const middle = short(median(values));
+  return least === greatest ? middle : `${middle} [${least}..${greatest}]`;
+}
+
+function median(values: readonly number[]): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  const middle = sorted.length >> 1;
+  const upper = sorted[middle] ?? 0;
+  if (sorted.length % 2 === 1) return upper;
+  return ((sorted[middle - 1] ?? 0) + upper) / 2;
+}
--- /dev/null
+++ b/packages/gypsumwall-bench/src/routing_workload.ts
@@ -0,0 +1,149 @@
+/**
+ * Requests shaped on the brief's two users: kinds of quick work with their
+ * own urgency and deadline, heavy-tailed service times and gaps, and declared
+ * times that are off by up to a factor of four.
+ */
+import type * as routing from '@gypsumwall/routing';
+import * as types from '@gypsumwall/types';
+
+/** One kind of quick request. */
+interface Operation {
+  readonly team: string;
+  readonly name: string;
+  readonly urgency: types.job.Urgency;
+  readonly idempotent: boolean;
+  readonly meanMs: number;
+  readonly deadlineMs: number;
+  /** Share of all requests. */
+  readonly share: number;
+}
+
+const OPERATIONS: readonly Operation[] = [
+  {
+    team: 'skyroute-counter',
+    name: 'airspace-check',
+    urgency: 'urgent',
+    idempotent: true,
+    meanMs: 20,
+    deadlineMs: 1_000,
+    share: 0.5,
+  },
+  {
+    team: 'skyroute-counter',
+    name: 'file-plan',
+    urgency: 'urgent',
+    idempotent: false,
+    meanMs: 40,
+    deadlineMs: 2_000,
+    share: 0.1,
+  },
+  {
+    team: 'skyroute-clubs',
+    name: 'route-preview',
+    urgency: 'normal',
+    idempotent: true,
+    meanMs: 60,
+    deadlineMs: 3_000,
+    share: 0.2,
+  },
+  {
+    team: 'skyroute-clubs',
+    name: 'letter-check',
+    urgency: 'overnight',
+    idempotent: true,
+    meanMs: 100,
+    deadlineMs: 8_000,
+    share: 0.2,
+  },
+];
+
+/** Mean slot time of a request, in milliseconds. */
+export const MEAN_SERVICE_MS = OPERATIONS.reduce(
+  (sum, each) => sum + each.share * each.meanMs,
+  0,
+);
+
+/** A request and what nobody but the bench knows of it. */
+export interface WorkloadRequest {
+  readonly at: number;
+  readonly serviceMs: number;
+  readonly req: routing.router.RoutedRequest;
+}
+
+/** How much work there is. */
+export interface WorkloadOptions {
+  readonly random: types.random.Random;
+  /** Mean requests a second. */
+  readonly perSecond: number;
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+const FAR_OFF = 4;
+/** Spread of the logarithm; the largest in a thousand is about 13 x mean. */
+const SERVICE_SIGMA = 0.9;
+const GAP_SIGMA = 1.2;
+
+/** Makes the requests of one run, in order of arrival. */
+export function makeWorkload(options: WorkloadOptions): WorkloadRequest[] {
+  const {random} = options;
+  // How far off each kind declares itself; the same for the whole run.
+  const biases = OPERATIONS.map(() => FAR_OFF ** (2 * random.next() - 1));
+  const requests: WorkloadRequest[] = [];
+  let at = options.fromMs;
+  for (;;) {
+    at += logNormal(random, 1_000 / options.perSecond, GAP_SIGMA);
+    if (at >= options.untilMs) return requests;
+    const index = pick(random.next());
+    const operation = OPERATIONS[index];
+    if (operation === undefined) continue;
+    const serviceMs = logNormal(random, operation.meanMs, SERVICE_SIGMA);
+    const estimateMs = operation.meanMs * (biases[index] ?? 1);
+    const id = `r${requests.length}`;
+    requests.push({
+      at,
+      serviceMs,
+      req: makeRequest(operation, id, at, estimateMs),
+    });
+  }
+}
+
+function makeRequest(
+  operation: Operation,
+  requestId: string,
+  at: number,
+  estimateMs: number,
+): routing.router.RoutedRequest {
+  return {
+    requestId,
+    team: types.ids.brand<types.ids.TeamId>(operation.team),
+    operation: operation.name,
+    urgency: operation.urgency,
+    idempotent: operation.idempotent,
+    estimateMs,
+    body: NO_BODY,
+    deadline: (at + operation.deadlineMs) as types.clock.MonotonicMs,
+  };
+}
+
+const NO_BODY = new Uint8Array();
+
+function pick(drawn: number): number {
+  let sum = 0;
+  for (const [index, each] of OPERATIONS.entries()) {
+    sum += each.share;
+    if (drawn < sum) return index;
+  }
+  return OPERATIONS.length - 1;
+}
+
+/** A log-normal number with the given mean (Box and Muller). */
+function logNormal(
+  random: types.random.Random,
+  mean: number,
+  sigma: number,
+): number {
+  const radius = Math.sqrt(-2 * Math.log(1 - random.next()));
+  const normal = radius * Math.cos(2 * Math.PI * random.next());
+  return mean * Math.exp(sigma * normal - (sigma * sigma) / 2);
+}
--- a/packages/gypsumwall-routing/src/admission.ts
+++ b/packages/gypsumwall-routing/src/admission.ts
@@ -4,6 +4,7 @@
  * doesn't, and its slot time is lost to others.
  */
 import type * as types from '@gypsumwall/types';
+import type * as queuedRequest from './queued_request.js';
 import type * as requestQueue from './request_queue.js';
 import * as routeFailure from './route_failure.js';
 import type * as router from './router.js';
@@ -26,10 +27,14 @@
     req: router.RoutedRequest,
     team: Omit<router.RouterTeam, 'id'>,
   ): router.RouteFailure | undefined;
+  /** Whether one that waits would most likely miss its deadline by now. */
+  isHopeless(queued: queuedRequest.QueuedRequest): boolean;
   /** When to come back after a refusal, from how fast the queue drains. */
   retryAfterMs(req: router.RoutedRequest, weight: number): number;
 }
 
+/** Share of a team's slots that its less urgent work is taken to get. */
+const LEAST_SHARE = 0.02;
 const SOONEST_RETRY_MS = 100;
 const LATEST_RETRY_MS = 60_000;
 
@@ -39,9 +44,13 @@
 
   const expectedWaitMs = (req: router.RoutedRequest, weight: number) => {
     if (queue.size === 0) return 0;
-    const slots = Math.max(1, table.reliableSlots());
-    const ahead = queue.ofTeam(req.team).workAheadMs(req.urgency);
-    return ahead / (slots * queue.fairShare(req.team, weight));
+    const team = queue.ofTeam(req.team);
+    const ahead = team.workAheadMs(req.urgency);
+    const slots =
+      Math.max(1, table.reliableSlots()) * queue.fairShare(req.team, weight);
+    // What is more urgent and comes in meanwhile goes first, too.
+    const overtaking = team.slotsOvertaking(req.urgency, clock.monotonic());
+    return ahead / Math.max(slots - overtaking, slots * LEAST_SHARE);
   };
   // Callers refused together must not come back together.
   const withJitter = (spanMs: number) =>
@@ -71,6 +80,10 @@
         waitMs === 0 ? undefined : withJitter(neededMs - slackMs),
       );
     },
+    isHopeless: ({req, weight}) => {
+      const neededMs = expectedWaitMs(req, weight) + times.typicalMs(req);
+      return neededMs > req.deadline - clock.monotonic();
+    },
     retryAfterMs: (req, weight) => withJitter(expectedWaitMs(req, weight)),
   };
 }
--- a/packages/gypsumwall-routing/src/attempt.ts
+++ b/packages/gypsumwall-routing/src/attempt.ts
@@ -43,11 +43,13 @@
 ) => Promise<AttemptEnd>;
 
 /**
- * An upstream that takes this many times the pessimistic time is silent or
- * far too slow. A request that may be repeated then moves, if a retry is left
- * for it; without one, to wait on is the better chance.
+ * Service times have long tails: to give up a request that is merely long
+ * wastes what was done for it, and a slot at the upstream until it is done.
+ * So a try is given up only in this range of multiples of the pessimistic
+ * time, as late as another try can still make the deadline.
  */
-const PATIENCE_FACTOR = 3;
+const SOONEST_GIVE_UP = 3;
+const LATEST_GIVE_UP = 8;
 const SHORTEST_PATIENCE_MS = 50;
 
 /** Makes the function that sends. */
@@ -64,31 +66,41 @@
 
   /**
    * After an unknown end the upstream may still be at work on the request, and
-   * a new one in its place could be one too many there.
+   * a new one in its place would be one too many there. It is taken to be at
+   * work for as long again as it has been.
    */
   const releaseAfterLinger = async (
-    req: router.RoutedRequest,
     slots: upstreamTable.UpstreamSlots,
+    startedAt: types.clock.MonotonicMs,
     latest: types.clock.MonotonicMs,
   ) => {
-    const typical = types.clock.after(clock.monotonic(), times.typicalMs(req));
-    await clock.sleepUntil(typical < latest ? typical : latest);
+    const now = clock.monotonic();
+    const twice = types.clock.after(now, now - startedAt);
+    await clock.sleepUntil(twice < latest ? twice : latest);
     options.release(slots);
   };
 
+  const giveUpAfterMs = (req: router.RoutedRequest, slackMs: number) => {
+    const pessimisticMs = times.pessimisticMs(req);
+    const lastChanceMs = slackMs - pessimisticMs;
+    const soonestMs = Math.max(
+      SHORTEST_PATIENCE_MS,
+      SOONEST_GIVE_UP * pessimisticMs,
+    );
+    return lastChanceMs < soonestMs
+      ? Infinity
+      : Math.min(lastChanceMs, LATEST_GIVE_UP * pessimisticMs);
+  };
+
   return async (req, slots, budget) => {
     const startedAt = clock.monotonic();
     const bound = types.clock.after(startedAt, options.requestBoundMs);
     const deadline = req.deadline < bound ? req.deadline : bound;
-    const patienceMs = Math.max(
-      SHORTEST_PATIENCE_MS,
-      PATIENCE_FACTOR * times.pessimisticMs(req),
-    );
+    const typicalMs = times.typicalMs(req);
+    const patienceMs = giveUpAfterMs(req, req.deadline - startedAt);
     const watch = watchPatience(clock, req, startedAt, patienceMs, () => {
       blame(slots, 'failing');
-      const wouldMakeIt =
-        clock.monotonic() + times.typicalMs(req) < req.deadline;
-      return req.idempotent && wouldMakeIt && budget.take();
+      return req.idempotent && budget.take();
     });
     const answer = await slots.client.execute(
       upstreamRequest(req, deadline, watch.signal),
@@ -99,16 +111,17 @@
       const fault = faultOf(answer.error, req, watch);
       if (fault !== undefined) blame(slots, fault);
       if (answer.error.effect === 'not_run') options.release(slots);
-      else void releaseAfterLinger(req, slots, bound);
-      if (watch.gaveUp()) times.learn(req, clock.monotonic() - startedAt);
+      else void releaseAfterLinger(slots, startedAt, bound);
       return end;
     }
-    if (!watch.isOver()) slots.health.succeeded();
     // The slot is in use until the last byte of the answer has come.
     stream.finished(answer.value.body, (err) => {
+      const now = clock.monotonic();
+      const tookMs = now - startedAt;
       if (isBroken(err, req)) blame(slots, 'failing');
+      else if (!watch.isOver()) slots.health.answered(tookMs / typicalMs, now);
       options.release(slots);
-      options.answerEnded(req, clock.monotonic() - startedAt);
+      options.answerEnded(req, tookMs);
     });
     return end;
   };
--- a/packages/gypsumwall-routing/src/create_baseline_router.ts
+++ b/packages/gypsumwall-routing/src/create_baseline_router.ts
@@ -1,6 +1,6 @@
 /**
  * The naive way, kept runnable to be measured against: a random upstream, an
- * unbounded queue in order of arrival, and blind retries. Its shares are those
+ * unbounded queue in order of arrival, one timeout for all tries, blind retries. Its shares are those
  * of the policy, so that a comparison shows the decisions and nothing else.
  */
 import * as result from 'true-myth/result';
@@ -30,9 +30,11 @@
 export function createBaselineRouter(
   options: routerOptions.RouterOptions,
 ): router.Router {
+  const timeoutMs =
+    options.requestBoundMs ?? routerOptions.DEFAULT_REQUEST_BOUND_MS;
   const table = upstreamTable.createUpstreamTable(
     options,
-    options.requestBoundMs ?? routerOptions.DEFAULT_REQUEST_BOUND_MS,
+    timeoutMs,
     chooseUpstream.chooseAtRandom,
   );
   const waiting = new Set<Waiting>();
@@ -51,7 +53,8 @@
       waiting.add({req, grant: resolve});
       pump();
     });
-    const answer = await slots.client.execute(req);
+    const deadline = types.clock.after(options.clock.monotonic(), timeoutMs);
+    const answer = await slots.client.execute({...req, deadline});
     const release = () => {
       table.release(slots);
       pump();
--- a/packages/gypsumwall-routing/src/request_queue.ts
+++ b/packages/gypsumwall-routing/src/request_queue.ts
@@ -11,7 +11,7 @@
   readonly size: number;
   /** The queue of a team; made on first use. */
   ofTeam(team: types.ids.TeamId): teamQueue.TeamQueue;
-  push(queued: queuedRequest.QueuedRequest): void;
+  push(queued: queuedRequest.QueuedRequest, now: types.clock.MonotonicMs): void;
   /** The one to be served next; it stays in the queue. */
   peek(): queuedRequest.QueuedRequest | undefined;
   /** Takes out the one to be served and charges its team for it. */
@@ -65,14 +65,14 @@
       return size;
     },
     ofTeam,
-    push: (queued) => {
+    push: (queued, now) => {
       const team = ofTeam(queued.req.team);
       if (team.size === 0) {
         team.virtualTime = Math.max(team.virtualTime, virtualTime);
         backlogged.add(team);
       }
       team.weight = queued.weight;
-      team.push(queued);
+      team.push(queued, now);
       size += 1;
     },
     peek: () => next()?.first(),
--- a/packages/gypsumwall-routing/src/slot_wait.ts
+++ b/packages/gypsumwall-routing/src/slot_wait.ts
@@ -85,6 +85,17 @@
       gate.retryAfterMs(req, options.limitsOf(req.team).weight),
     );
 
+  /** Those that a newcomer has pushed back too far learn of it at once. */
+  const refuseHopeless = (newcomer: queuedRequest.QueuedRequest) => {
+    const team = queue.ofTeam(newcomer.req.team);
+    for (;;) {
+      const last = team.last();
+      if (last === undefined || last === newcomer) return;
+      if (!gate.isHopeless(last)) return;
+      refuseLate(last);
+    }
+  };
+
   /** Ends the wait when it is too late or the caller has left. */
   const endInTime = async (queued: queuedRequest.QueuedRequest) => {
     const {req} = queued;
@@ -121,8 +132,9 @@
         weight: limits.weight,
         latestStart: types.clock.after(req.deadline, -typicalMs),
       });
-      queue.push(queued);
+      queue.push(queued, clock.monotonic());
       pump();
+      if (queued.ended === undefined) refuseHopeless(queued);
       return queued.ended ?? (await endInTime(queued));
     },
   };
--- a/packages/gypsumwall-routing/src/team_queue.ts
+++ b/packages/gypsumwall-routing/src/team_queue.ts
@@ -1,6 +1,7 @@
 /** The waiting requests of one team, in the order in which they are served. */
 import type * as types from '@gypsumwall/types';
 import * as queuedRequest from './queued_request.js';
+import * as workRate from './work_rate.js';
 
 /** One team's queue. */
 export interface TeamQueue {
@@ -9,13 +10,18 @@
   weight: number;
   /** Slot time used over weight; see `createRequestQueue`. */
   virtualTime: number;
-  push(queued: queuedRequest.QueuedRequest): void;
+  push(queued: queuedRequest.QueuedRequest, now: types.clock.MonotonicMs): void;
   first(): queuedRequest.QueuedRequest | undefined;
   /** The one to shed first. */
   last(): queuedRequest.QueuedRequest | undefined;
   remove(queued: queuedRequest.QueuedRequest): boolean;
   /** Expected slot time of all that is at least this urgent. */
   workAheadMs(urgency: types.job.Urgency): number;
+  /** Slots that more urgent requests, as they have come in, keep busy. */
+  slotsOvertaking(
+    urgency: types.job.Urgency,
+    now: types.clock.MonotonicMs,
+  ): number;
 }
 
 /** Makes an empty queue. */
@@ -27,6 +33,11 @@
     normal: 0,
     overnight: 0,
   };
+  const arrivals: Record<types.job.Urgency, workRate.WorkRate> = {
+    urgent: workRate.createWorkRate(),
+    normal: workRate.createWorkRate(),
+    overnight: workRate.createWorkRate(),
+  };
   return {
     id,
     weight: 1,
@@ -34,7 +45,8 @@
     get size() {
       return waiting.length;
     },
-    push: (queued) => {
+    push: (queued, now) => {
+      arrivals[queued.req.urgency].add(queued.typicalMs, now);
       waiting.splice(placeAfterEqual(waiting, queued), 0, queued);
       workMs[queued.req.urgency] += queued.typicalMs;
     },
@@ -57,6 +69,16 @@
           return workMs.urgent + workMs.normal + workMs.overnight;
       }
     },
+    slotsOvertaking: (urgency, now) => {
+      switch (urgency) {
+        case 'urgent':
+          return 0;
+        case 'normal':
+          return arrivals.urgent.slots(now);
+        case 'overnight':
+          return arrivals.urgent.slots(now) + arrivals.normal.slots(now);
+      }
+    },
   };
 }
 
--- a/packages/gypsumwall-routing/src/upstream_health.ts
+++ b/packages/gypsumwall-routing/src/upstream_health.ts
@@ -27,8 +27,8 @@
 /** The health of one upstream. */
 export interface UpstreamHealth {
   mode(now: types.clock.MonotonicMs): UpstreamMode;
-  /** An answer came in time. */
-  succeeded(): void;
+  /** An answer came, after this multiple of the time to expect. */
+  answered(slowness: number, now: types.clock.MonotonicMs): void;
   failed(fault: UpstreamFault, now: types.clock.MonotonicMs): void;
   /** Whether a failed probe most likely proves that it did not run. */
   probeIsSafe(): boolean;
@@ -44,6 +44,13 @@
  * two connections to an upstream, so that a third fault in a row means more.
  */
 const FAULTS_TO_SUSPECT = 3;
+/**
+ * Answers that take so much longer than expected on average make an upstream
+ * suspect. Times have long tails, so that a single one says little.
+ */
+const SUSPECT_SLOWNESS = 4;
+const SLOWNESS_GAIN = 1 / 8;
+const LARGEST_SLOWNESS = 20;
 const FIRST_PAUSE_MS = 100;
 const LONGEST_PAUSE_MS = 5_000;
 /** Without a probe for so long (too few may be repeated), it is trusted. */
@@ -55,6 +62,7 @@
 ): UpstreamHealth {
   let faults = 0;
   let fault: UpstreamFault | undefined;
+  let meanSlowness = 1;
   let pauseMs = FIRST_PAUSE_MS;
   let nextProbeAt: types.clock.MonotonicMs | undefined;
 
@@ -64,6 +72,11 @@
     nextProbeAt = types.clock.after(now, pauseMs * jitter);
     pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
   };
+  const suspect = (why: UpstreamFault, now: types.clock.MonotonicMs) => {
+    fault = why;
+    // Requests that were under way together count as one failed probe.
+    if (nextProbeAt === undefined || now >= nextProbeAt) pause(now);
+  };
   return {
     mode: (now) => {
       if (nextProbeAt === undefined) return 'open';
@@ -71,19 +84,26 @@
       if (now >= nextProbeAt) return 'probe';
       return fault === 'unreachable' ? 'dead' : 'suspect';
     },
-    succeeded: () => {
+    answered: (sample, now) => {
+      const wasSuspect = nextProbeAt !== undefined;
       faults = 0;
       fault = undefined;
+      // One answer in the expected time clears a suspect upstream.
+      meanSlowness = wasSuspect
+        ? sample
+        : meanSlowness +
+          SLOWNESS_GAIN * (Math.min(sample, LARGEST_SLOWNESS) - meanSlowness);
+      if (meanSlowness >= SUSPECT_SLOWNESS) {
+        suspect('failing', now);
+        return;
+      }
       pauseMs = FIRST_PAUSE_MS;
       nextProbeAt = undefined;
     },
     failed: (latest, now) => {
       faults += 1;
-      fault = latest;
-      const certain = latest === 'unreachable';
-      if (!certain && faults < FAULTS_TO_SUSPECT) return;
-      // Requests that were under way together count as one failed probe.
-      if (nextProbeAt === undefined || now >= nextProbeAt) pause(now);
+      const certain = latest === 'unreachable' || nextProbeAt !== undefined;
+      if (certain || faults >= FAULTS_TO_SUSPECT) suspect(latest, now);
     },
     probeIsSafe: () => fault === 'unreachable' || fault === 'refusing',
     probing: (now) => pause(now),
