--- /dev/null
+++ b/packages/gypsumwall-bench/src/routing_run.ts
@@ -0,0 +1,266 @@
+/** One run of a router under one load and one fault, and what came of it. */
+import * as hdr from 'hdr-histogram-js';
+import type * as platform from '@gypsumwall/platform';
+import * as routing from '@gypsumwall/routing';
+import * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import * as fakeUpstreams from './routing_fake_upstreams.js';
+import * as virtualClock from './routing_virtual_clock.js';
+import * as workload from './routing_workload.js';
+
+/** A router to be measured. */
+export type MakeRouter = (
+  options: routing.routerOptions.RouterOptions,
+) => routing.router.Router;
+
+/** What a run is. */
+export interface RunOptions {
+  readonly seed: number;
+  readonly makeRouter: MakeRouter;
+  /** Offered work over what all slots can do. */
+  readonly load: number;
+  readonly fault: fakeUpstreams.UpstreamFault;
+  readonly spanMs: number;
+  readonly cell: RoutingCell;
+}
+
+/** The instances of one failure domain. */
+export interface RoutingCell {
+  readonly entries: number;
+  readonly upstreams: number;
+  readonly slots: number;
+  /** Each entry believes that it is alone, and so takes every slot. */
+  readonly unaware?: boolean;
+}
+
+/** What came of the requests of one urgency. */
+export interface UrgencyFigures {
+  sent: number;
+  done: number;
+  /** From arrival to the first try, in tenths of a millisecond. */
+  readonly waited: hdr.Histogram;
+  /** From arrival to the head of the answer, in tenths of a millisecond. */
+  readonly answered: hdr.Histogram;
+}
+
+/** What came of a run. */
+export interface RunFigures {
+  readonly byUrgency: Record<types.job.Urgency, UrgencyFigures>;
+  /** Slot time of answers in time, within the span, over all slot time. */
+  readonly goodput: number;
+  /** Tries over requests that were tried. */
+  readonly amplification: number;
+  readonly notRun: number;
+  readonly unknown: number;
+  /** Answers after the deadline, and requests without any word by the end. */
+  readonly late: number;
+  /** From arrival to the refusal, in tenths of a millisecond. */
+  readonly refusedAfter: hdr.Histogram;
+  readonly upstreamRefusals: number;
+  /** Processor time of everything, fakes included, for each request. */
+  readonly cpuMicros: number;
+}
+
+/** One entry and its share of a third of a service of today. */
+export const ONE_ENTRY: RoutingCell = {entries: 1, upstreams: 10, slots: 4};
+
+const LAG_MS = 500;
+const BOUND_MS = 8_000;
+const TENTHS = 10;
+
+/** Runs routers through one workload. */
+export async function runOnce(options: RunOptions): Promise<RunFigures> {
+  const {cell, spanMs} = options;
+  const clock = virtualClock.createVirtualClock();
+  const random = types.random.createRandom(options.seed);
+  const startMs = 2 * LAG_MS + BOUND_MS + LAG_MS;
+  const endMs = startMs + spanMs;
+  const requests = workload.makeWorkload({
+    random,
+    perSecond:
+      (options.load * totalSlots(cell) * 1_000) / workload.MEAN_SERVICE_MS,
+    fromMs: startMs,
+    untilMs: endMs,
+  });
+  const serviceOf = new Map(
+    requests.map((each) => [each.req.requestId, each.serviceMs]),
+  );
+  const fakes = fakeUpstreams.createFakeUpstreams({
+    clock,
+    fault: options.fault,
+    faultFrom: startMs + spanMs / 4,
+    faultUntil: startMs + (spanMs * 3) / 4,
+    serviceMsOf: (id) => serviceOf.get(id) ?? 0,
+  });
+  const ids = Array.from({length: cell.entries}, (_, index) => `e${index}`);
+  const routers = ids.map((entryId) =>
+    options.makeRouter({
+      entryId,
+      clock,
+      random,
+      logger: telemetry.logger.createLogger('silent'),
+      listLagMs: LAG_MS,
+      requestBoundMs: BOUND_MS,
+      makeUpstream: (listed) => fakes.make(listed),
+      defaults: {weight: 1, maxQueuedRequests: 500, retryBudget: 0.1},
+    }),
+  );
+  routers.forEach((router, index) => {
+    const entries = cell.unaware === true ? [`e${index}`] : ids;
+    void refreshView(clock, router, {upstreams: listAll(cell), entries});
+  });
+  const tally = createTally();
+  void offer(clock, routers, requests, tally, random);
+  const before = process.cpuUsage();
+  await clock.runUntil(endMs + BOUND_MS);
+  const used = process.cpuUsage(before);
+  await Promise.all(routers.map((router) => router.close()));
+  return summarize({
+    endMs,
+    requests,
+    tally,
+    used,
+    slotMs: totalSlots(cell) * spanMs,
+    record: fakes.record,
+  });
+}
+
+function totalSlots(cell: RoutingCell): number {
+  return cell.upstreams * cell.slots;
+}
+
+/** What callers were told, as it comes in. */
+interface Tally {
+  readonly doneAt: Map<string, number>;
+  readonly refusedAfter: hdr.Histogram;
+  notRun: number;
+  unknown: number;
+}
+
+function createTally(): Tally {
+  return {
+    doneAt: new Map(),
+    refusedAfter: makeHistogram(),
+    notRun: 0,
+    unknown: 0,
+  };
+}
+
+function makeHistogram(): hdr.Histogram {
+  return hdr.build({numberOfSignificantValueDigits: 3});
+}
+
+async function refreshView(
+  clock: types.clock.Clock,
+  router: routing.router.Router,
+  view: routing.router.RouterView,
+): Promise<never> {
+  for (;;) {
+    router.setView(view);
+    await clock.sleepUntil(types.clock.after(clock.monotonic(), LAG_MS / 2));
+  }
+}
+
+/** The upstreams of a cell as the platform lists them. */
+export function listAll(
+  cell: RoutingCell,
+): platform.instanceList.ListedUpstream[] {
+  return Array.from({length: cell.upstreams}, (_, index) => ({
+    kind: 'upstream',
+    id: types.ids.brand<types.ids.UpstreamId>(`u${index}`),
+    failureDomain: types.ids.brand<types.ids.FailureDomain>('bkk-a'),
+    address: `http://127.0.0.1/${index}`,
+    state: 'live',
+    slots: cell.slots,
+    connections: 64,
+  }));
+}
+
+async function offer(
+  clock: types.clock.Clock,
+  routers: readonly routing.router.Router[],
+  requests: readonly workload.WorkloadRequest[],
+  tally: Tally,
+  random: types.random.Random,
+): Promise<void> {
+  for (const each of requests) {
+    await clock.sleepUntil(each.at as types.clock.MonotonicMs);
+    const router = routers[random.integer(0, routers.length - 1)];
+    if (router !== undefined) void ask(clock, router, each, tally);
+  }
+}
+
+async function ask(
+  clock: types.clock.Clock,
+  router: routing.router.Router,
+  each: workload.WorkloadRequest,
+  tally: Tally,
+): Promise<void> {
+  const routed = await router.route(each.req);
+  if (routed.isOk) {
+    tally.doneAt.set(each.req.requestId, clock.monotonic());
+    routed.value.body.resume();
+    return;
+  }
+  switch (routed.error.type) {
+    case 'not_run':
+      tally.notRun += 1;
+      tally.refusedAfter.recordValue(
+        Math.round((clock.monotonic() - each.at) * TENTHS),
+      );
+      return;
+    case 'unknown':
+      tally.unknown += 1;
+      return;
+  }
+}
+
+interface RunResult {
+  readonly endMs: number;
+  readonly slotMs: number;
+  readonly requests: readonly workload.WorkloadRequest[];
+  readonly record: fakeUpstreams.UpstreamRecord;
+  readonly tally: Tally;
+  readonly used: NodeJS.CpuUsage;
+}
+
+function summarize(run: RunResult): RunFigures {
+  const {endMs, requests, record, tally, used} = run;
+  const byUrgency = {
+    urgent: makeUrgencyFigures(),
+    normal: makeUrgencyFigures(),
+    overnight: makeUrgencyFigures(),
+  };
+  let usefulMs = 0;
+  let inTime = 0;
+  for (const {at, req, serviceMs} of requests) {
+    const figures = byUrgency[req.urgency];
+    figures.sent += 1;
+    const triedAt = record.firstTry.get(req.requestId);
+    if (triedAt !== undefined) {
+      figures.waited.recordValue(Math.round((triedAt - at) * TENTHS));
+    }
+    const doneAt = tally.doneAt.get(req.requestId);
+    if (doneAt === undefined) continue;
+    figures.answered.recordValue(Math.round((doneAt - at) * TENTHS));
+    if (doneAt > req.deadline) continue;
+    figures.done += 1;
+    inTime += 1;
+    if (doneAt <= endMs) usefulMs += serviceMs;
+  }
+  return {
+    byUrgency,
+    goodput: usefulMs / run.slotMs,
+    amplification: record.tries / Math.max(1, record.firstTry.size),
+    notRun: tally.notRun,
+    unknown: tally.unknown,
+    late: requests.length - inTime - tally.notRun - tally.unknown,
+    refusedAfter: tally.refusedAfter,
+    upstreamRefusals: record.refusals,
+    cpuMicros: (used.user + used.system) / requests.length,
+  };
+}
+
+function makeUrgencyFigures(): UrgencyFigures {
+  return {sent: 0, done: 0, waited: makeHistogram(), answered: makeHistogram()};
+}
--- a/packages/gypsumwall-routing/src/slot_shares.ts
+++ b/packages/gypsumwall-routing/src/slot_shares.ts
@@ -10,7 +10,7 @@
 /** How long views may differ, and how long a request may hold a slot. */
 export interface SlotSharesOptions {
   readonly entryId: string;
-  /** An entry's view is never older than this. */
+  /** A view is never older than this when it is handed over. */
   readonly listLagMs: number;
   /** No request holds a slot for longer than this. */
   readonly requestBoundMs: number;
@@ -21,8 +21,8 @@
   /** Takes in a view that is current now; the only moment a share may grow. */
   observe(entries: readonly string[], now: types.clock.MonotonicMs): void;
   /**
-   * Whether the last view is older than the lag allows, so that nothing may
-   * be started on it. A process that wakes from a pause still believes its
+   * Whether the last view was handed over longer than `listLagMs` ago, so
+   * that nothing may be started on it. A process that wakes from a pause still believes its
    * old view, while others have stopped counting it.
    */
   isStale(now: types.clock.MonotonicMs): boolean;
@@ -30,38 +30,86 @@
   shareOf(upstream: string, total: number): number;
 }
 
+/** Upstreams that come and go must not fill the memory. */
+const MAX_RANKS = 100_000;
+
+/** How long each kind of change has to wait; see `createSlotShares`. */
+interface Waits {
+  /** A view is used for no longer than this after it was handed over. */
+  readonly viewHoldMs: number;
+  /** From an entry's first view of itself to its first use of a share. */
+  readonly joinMs: number;
+  /** From the first view without another entry to the use of its share. */
+  readonly leaveMs: number;
+  /** A longer time without a view makes an entry start anew. */
+  readonly restartMs: number;
+}
+
+/**
+ * With `age` the oldest view in use:
+ * - every other entry has seen a new one within `age`, and what they sent
+ *   before ends within the bound: `joinMs`;
+ * - an entry that the list dropped while it was alive sees that within `age`
+ *   and its requests end within the bound; another `age` covers one that came
+ *   back on the list, which a lagging view does not show yet: `leaveMs`;
+ * - in a shorter gap than `restartMs` an entry can have missed only an
+ *   absence too short for the others to have used its share.
+ */
+function waitsFor(options: SlotSharesOptions): Waits {
+  const viewHoldMs = options.listLagMs;
+  const ageMs = options.listLagMs + viewHoldMs;
+  return {
+    viewHoldMs,
+    joinMs: ageMs + options.requestBoundMs,
+    leaveMs: 2 * ageMs + options.requestBoundMs,
+    restartMs: viewHoldMs + options.requestBoundMs,
+  };
+}
+
 /** Keeps what one entry has seen of the others. */
 export function createSlotShares(options: SlotSharesOptions): SlotShares {
-  const joinMs = options.listLagMs + options.requestBoundMs;
-  const leaveMs = 2 * options.listLagMs + options.requestBoundMs;
+  const waits = waitsFor(options);
   /** For each entry that counts: since when it is absent from the views. */
   const absentSince = new Map<string, types.clock.MonotonicMs | undefined>();
   let presentSince: types.clock.MonotonicMs | undefined;
   let observedAt: types.clock.MonotonicMs | undefined;
   let settled = false;
   let counted: readonly string[] = [];
+  /** Ranks by upstream; they hold as long as the same entries count. */
+  const ranks = new Map<string, number>();
+  const rankFor = (upstream: string) => {
+    const known = ranks.get(upstream);
+    if (known !== undefined) return known;
+    const rank = rankOf(upstream, options.entryId, counted);
+    if (ranks.size >= MAX_RANKS) ranks.clear();
+    ranks.set(upstream, rank);
+    return rank;
+  };
 
-  const isStale = (now: types.clock.MonotonicMs) =>
-    observedAt === undefined || now - observedAt > options.listLagMs;
+  const sinceView = (now: types.clock.MonotonicMs) =>
+    observedAt === undefined ? Infinity : now - observedAt;
 
   return {
-    isStale,
+    isStale: (now) => sinceView(now) > waits.viewHoldMs,
     observe: (entries, now) => {
       markPresence(absentSince, entries, now);
-      dropLongAbsent(absentSince, now, leaveMs);
+      dropLongAbsent(absentSince, now, waits.leaveMs);
       const present = entries.includes(options.entryId);
       // A process that was paused may have been dropped from the list and
       // come back unseen, with its share given away: it starts anew.
-      if (isStale(now)) presentSince = undefined;
+      if (sinceView(now) > waits.restartMs) presentSince = undefined;
       presentSince = present ? (presentSince ?? now) : undefined;
       observedAt = now;
       // Others may not have seen a new entry yet: until they have, and until
       // what they sent before has ended, its share is in use elsewhere.
-      settled = presentSince !== undefined && now - presentSince >= joinMs;
+      settled =
+        presentSince !== undefined && now - presentSince >= waits.joinMs;
+      const before = counted;
       counted = [...absentSince.keys()];
+      if (!sameEntries(before, counted)) ranks.clear();
     },
     shareOf: (upstream, total) =>
-      settled ? divide(total, upstream, options.entryId, counted) : 0,
+      settled ? divideByRank(total, counted.length, rankFor(upstream)) : 0,
   };
 }
 
@@ -99,14 +147,27 @@
   entries: readonly string[],
 ): number {
   if (!entries.includes(entry)) return 0;
-  const even = Math.floor(total / entries.length);
-  const leftOver = total % entries.length;
-  if (leftOver === 0) return even;
-  return rank(upstream, entry, entries) < leftOver ? even + 1 : even;
+  const rank = rankOf(upstream, entry, entries);
+  return divideByRank(total, entries.length, rank);
+}
+
+function divideByRank(total: number, entries: number, rank: number): number {
+  const even = Math.floor(total / entries);
+  return rank < total % entries ? even + 1 : even;
+}
+
+function sameEntries(
+  before: readonly string[],
+  after: readonly string[],
+): boolean {
+  return (
+    before.length === after.length &&
+    before.every((id, index) => id === after[index])
+  );
 }
 
 /** How many entries come before this one for the upstream (rendezvous). */
-function rank(
+function rankOf(
   upstream: string,
   entry: string,
   entries: readonly string[],
