--- /dev/null
+++ b/packages/gypsumwall-testing/src/__tests__/relay.test.ts
@@ -0,0 +1,68 @@
+import * as assert from 'node:assert/strict';
+import * as net from 'node:net';
+import * as nodeTest from 'node:test';
+import * as relay from '../relay.js';
+
+function once(emitter: net.Socket | net.Server, name: string) {
+  return new Promise<unknown>((resolve) => emitter.once(name, resolve));
+}
+
+async function startEcho(test: nodeTest.TestContext): Promise<relay.Relay> {
+  const echo = net.createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.pipe(socket);
+  });
+  echo.listen(0, '127.0.0.1');
+  await once(echo, 'listening');
+  const {port} = echo.address() as net.AddressInfo;
+  const path = await relay.createRelay({host: '127.0.0.1', port});
+  test.after(async () => {
+    await path.close();
+    echo.close();
+  });
+  return path;
+}
+
+async function open(path: relay.Relay): Promise<net.Socket> {
+  const {hostname, port} = new URL(path.address);
+  const socket = net.connect(Number(port), hostname);
+  await once(socket, 'connect');
+  return socket;
+}
+
+async function echoOf(socket: net.Socket, text: string): Promise<string> {
+  socket.write(text);
+  const chunk = (await once(socket, 'data')) as Buffer;
+  return chunk.toString();
+}
+
+nodeTest.describe('relay', {timeout: 10_000}, () => {
+  nodeTest.test('delivers late what a cut held back', async (test) => {
+    const path = await startEcho(test);
+    const socket = await open(path);
+    assert.equal(await echoOf(socket, 'a'), 'a');
+    path.cut();
+    const late = echoOf(socket, 'b');
+    const during = await open(path);
+    const broken = once(during, 'close');
+    path.heal();
+    assert.equal(await late, 'b');
+    await broken;
+    socket.destroy();
+  });
+
+  nodeTest.test('silences open connections and serves new', async (test) => {
+    const path = await startEcho(test);
+    const old = await open(path);
+    assert.equal(await echoOf(old, 'a'), 'a');
+    path.silenceOpen();
+    let answered = false;
+    old.on('data', () => (answered = true));
+    old.write('b');
+    const fresh = await open(path);
+    assert.equal(await echoOf(fresh, 'c'), 'c');
+    assert.equal(answered, false);
+    old.destroy();
+    fresh.destroy();
+  });
+});
--- /dev/null
+++ b/packages/gypsumwall-testing/src/instance_board.ts
@@ -0,0 +1,30 @@
+/** What truly runs in a cell; the platform's list follows it with its lag. */
+import type * as platform from '@gypsumwall/platform';
+
+/** All instances, as the list will show them. */
+export interface InstanceBoard {
+  put(instance: platform.instanceList.ListedInstance): void;
+  remove(id: string): void;
+  setState(id: string, state: 'live' | 'leaving'): void;
+  all(): readonly platform.instanceList.ListedInstance[];
+  ofDomain(failureDomain: string): string[];
+}
+
+/** Makes an empty board. */
+export function createInstanceBoard(): InstanceBoard {
+  const instances = new Map<string, platform.instanceList.ListedInstance>();
+  return {
+    put: (instance) => void instances.set(instance.id, instance),
+    remove: (id) => void instances.delete(id),
+    setState: (id, state) => {
+      const known = instances.get(id);
+      if (known === undefined) throw new Error(`no instance ${id}`);
+      instances.set(id, {...known, state});
+    },
+    all: () => [...instances.values()],
+    ofDomain: (failureDomain) =>
+      [...instances.values()]
+        .filter((instance) => instance.failureDomain === failureDomain)
+        .map((instance) => instance.id),
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-testing/src/network.ts
@@ -0,0 +1,58 @@
+/** The relays of one cell: a path for each pair of named ends. */
+import * as relay from './relay.js';
+
+/** Paths between an entry and its surroundings, by name. */
+export interface Network {
+  /** Makes or moves the path; gives the address that `from` has to use. */
+  connect(from: string, to: string, address: string): Promise<string>;
+  /** Cuts both directions between every `left` and every `right`. */
+  cut(left: readonly string[], right: readonly string[]): void;
+  heal(left: readonly string[], right: readonly string[]): void;
+  silenceOpen(left: readonly string[], right: readonly string[]): void;
+  close(): Promise<void>;
+}
+
+/** Makes a network without paths. */
+export function createNetwork(): Network {
+  const relays = new Map<string, Map<string, relay.Relay>>();
+
+  const between = (
+    left: readonly string[],
+    right: readonly string[],
+  ): relay.Relay[] => {
+    const found: Array<relay.Relay | undefined> = [];
+    for (const one of left) {
+      for (const other of right) {
+        found.push(relays.get(one)?.get(other), relays.get(other)?.get(one));
+      }
+    }
+    return found.filter((path) => path !== undefined);
+  };
+
+  return {
+    connect: async (from, to, address) => {
+      const url = new URL(address);
+      const target = {host: url.hostname, port: Number(url.port)};
+      const paths = relays.get(from) ?? new Map<string, relay.Relay>();
+      relays.set(from, paths);
+      const known = paths.get(to);
+      known?.setTarget(target);
+      const path = known ?? (await relay.createRelay(target));
+      paths.set(to, path);
+      return path.address;
+    },
+    cut: (left, right) => {
+      for (const path of between(left, right)) path.cut();
+    },
+    heal: (left, right) => {
+      for (const path of between(left, right)) path.heal();
+    },
+    silenceOpen: (left, right) => {
+      for (const path of between(left, right)) path.silenceOpen();
+    },
+    close: async () => {
+      const all = [...relays.values()].flatMap((paths) => [...paths.values()]);
+      await Promise.all(all.map((path) => path.close()));
+    },
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-testing/src/relay.ts
@@ -0,0 +1,129 @@
+/**
+ * A TCP pipe between two named ends that a test can cut. It stands between
+ * one end and another, so that a cut strikes this one path only.
+ */
+import * as net from 'node:net';
+
+/** Where a relay sends what it takes. */
+export interface RelayTarget {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** One directed path. */
+export interface Relay {
+  readonly address: string;
+  /** Sends new connections there from now on. */
+  setTarget(target: RelayTarget): void;
+  /**
+   * Holds all bytes, as a network does that drops packets. New connections
+   * seem to open and stay silent.
+   */
+  cut(): void;
+  /** Lets held bytes go on; what was opened during the cut breaks. */
+  heal(): void;
+  /** Open connections go silent for good; new ones work. */
+  silenceOpen(): void;
+  close(): Promise<void>;
+}
+
+interface Pair {
+  readonly inbound: net.Socket;
+  /** Absent for a connection that was opened during a cut. */
+  readonly outbound?: net.Socket;
+  silenced: boolean;
+}
+
+/** Starts a relay on a port from the kernel. */
+export async function createRelay(initial: RelayTarget): Promise<Relay> {
+  const pairs = new Set<Pair>();
+  let target = initial;
+  let isCut = false;
+
+  const open = (inbound: net.Socket): void => {
+    const outbound = isCut ? undefined : net.connect(target);
+    const pair: Pair = {inbound, outbound, silenced: false};
+    pairs.add(pair);
+    inbound.setNoDelay(true);
+    outbound?.setNoDelay(true);
+    const end = () => {
+      // Neither end of a held connection learns that the other is gone.
+      if (isCut || pair.silenced) return;
+      destroy(pair);
+      pairs.delete(pair);
+    };
+    for (const socket of socketsOf(pair)) {
+      socket.on('error', () => undefined);
+      socket.on('close', end);
+    }
+    if (isCut) inbound.pause();
+    else join(pair);
+  };
+  const server = net.createServer({noDelay: true}, open);
+  const port = await listen(server);
+
+  return {
+    address: `http://127.0.0.1:${port}`,
+    setTarget: (wanted) => {
+      target = wanted;
+    },
+    cut: () => {
+      isCut = true;
+      for (const pair of pairs) hold(pair);
+    },
+    heal: () => {
+      if (!isCut) return;
+      isCut = false;
+      for (const pair of [...pairs]) {
+        if (pair.silenced) continue;
+        if (socketsOf(pair).some((socket) => socket.destroyed)) destroy(pair);
+        else if (pair.outbound === undefined) destroy(pair);
+        else join(pair);
+      }
+    },
+    silenceOpen: () => {
+      for (const pair of pairs) {
+        pair.silenced = true;
+        hold(pair);
+      }
+    },
+    close: async () => {
+      const closed = new Promise<void>((resolve) => {
+        server.close(() => resolve());
+      });
+      for (const pair of pairs) destroy(pair);
+      await closed;
+    },
+  };
+}
+
+function listen(server: net.Server): Promise<number> {
+  return new Promise((resolve) => {
+    server.listen(0, '127.0.0.1', () => {
+      resolve((server.address() as net.AddressInfo).port);
+    });
+  });
+}
+
+function socketsOf(pair: Pair): net.Socket[] {
+  return pair.outbound === undefined
+    ? [pair.inbound]
+    : [pair.inbound, pair.outbound];
+}
+
+function join({inbound, outbound}: Pair): void {
+  if (outbound === undefined) return;
+  inbound.pipe(outbound);
+  outbound.pipe(inbound);
+}
+
+function hold(pair: Pair): void {
+  for (const socket of socketsOf(pair)) {
+    socket.unpipe();
+    socket.pause();
+  }
+}
+
+function destroy(pair: Pair): void {
+  for (const socket of socketsOf(pair)) socket.destroy();
+}
--- /dev/null
+++ b/packages/gypsumwall-testing/src/site.ts
@@ -0,0 +1,98 @@
+/** Where a cell runs: its failure domains and the sizes of what is in them. */
+import * as zod from 'zod';
+import type * as platform from '@gypsumwall/platform';
+import * as types from '@gypsumwall/types';
+import * as standInConfig from './stand_in_config.js';
+
+const count = zod.number().int().min(0);
+
+/** Shape of `site.jsonc`. */
+export const siteSchema = zod.strictObject({
+  failureDomains: zod
+    .array(
+      zod.strictObject({
+        name: zod.string().min(1),
+        entries: count,
+        upstreams: count,
+        racks: count,
+      }),
+    )
+    .min(1),
+  workersPerRack: count,
+  workerCapacity: standInConfig.resourcesSchema,
+  upstream: zod.strictObject({
+    slots: zod.number().int().positive(),
+    connections: zod.number().int().positive(),
+  }),
+  platform: standInConfig.platformConfigSchema.omit({kind: true}).prefault({}),
+  usageLagMs: count.default(500),
+  /** How far each worker's clock may be off, either way. */
+  clockSkewMs: count.default(60_000),
+  /** Settings of every entry besides its id, domain and addresses. */
+  entrySettings: zod.record(zod.string(), zod.unknown()).default({}),
+});
+
+/** Tokens of a site's callers and operators, for trials only. */
+export const tokensSchema = zod.strictObject({
+  rootOperator: zod.string(),
+  teams: zod.record(zod.string(), zod.string()),
+  operators: zod.record(zod.string(), zod.string()),
+});
+
+/** Checked site and tokens. */
+export type Site = zod.infer<typeof siteSchema>;
+export type Tokens = zod.infer<typeof tokensSchema>;
+
+/** An entry to be started. */
+export interface SiteEntry {
+  readonly id: string;
+  readonly failureDomain: types.ids.FailureDomain;
+}
+
+type Listed<Instance> = Omit<Instance, 'address' | 'state'>;
+
+/** All instances of a site, named `<domain>-<kind><n>`. */
+export interface SiteInstances {
+  readonly entries: readonly SiteEntry[];
+  readonly workers: ReadonlyArray<Listed<platform.instanceList.ListedWorker>>;
+  readonly upstreams: ReadonlyArray<
+    Listed<platform.instanceList.ListedUpstream>
+  >;
+}
+
+/** Names every instance of the site. */
+export function instancesOf(site: Site): SiteInstances {
+  return {
+    entries: site.failureDomains.flatMap(({name, entries}) =>
+      numbers(entries).map((n) => {
+        const failureDomain = types.ids.brand<types.ids.FailureDomain>(name);
+        return {id: `${name}-entry${n}`, failureDomain};
+      }),
+    ),
+    workers: site.failureDomains.flatMap(({name, racks}) =>
+      numbers(racks).flatMap((rack) =>
+        numbers(site.workersPerRack).map((n) => ({
+          kind: 'worker' as const,
+          id: types.ids.brand<types.ids.WorkerId>(
+            `${name}-rack${rack}-worker${n}`,
+          ),
+          failureDomain: types.ids.brand<types.ids.FailureDomain>(name),
+          rack: types.ids.brand<types.ids.RackId>(`${name}-rack${rack}`),
+          capacity: site.workerCapacity,
+        })),
+      ),
+    ),
+    upstreams: site.failureDomains.flatMap(({name, upstreams}) =>
+      numbers(upstreams).map((n) => ({
+        kind: 'upstream' as const,
+        id: types.ids.brand<types.ids.UpstreamId>(`${name}-upstream${n}`),
+        failureDomain: types.ids.brand<types.ids.FailureDomain>(name),
+        ...site.upstream,
+      })),
+    ),
+  };
+}
+
+function numbers(upTo: number): number[] {
+  return Array.from({length: upTo}, (_, index) => index + 1);
+}
