Add the judge: recorded histories against the promises

Nine promises by small rules over what stand-ins recorded and callers were told; nothing of the product is asked. 16 pairs of histories, each sound and with one fault planted: sound ones pass, each fault is named (node scripts/run_tests.mjs gypsumwall-testing/lib/judge: 16 pass).

--- /dev/null
+++ b/packages/gypsumwall-testing/src/judge/__tests__/judge.test.ts
@@ -0,0 +1,387 @@
+/**
+ * Histories with one planted fault each; the judge must name the promise that
+ * it breaks, and must find nothing in the same history without the fault.
+ */
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import type * as types from '@gypsumwall/types';
+import type * as historyEvent from '../../history_event.js';
+import type * as machineClock from '../../machine_clock.js';
+import type * as finding from '../finding.js';
+import * as judge from '../judge.js';
+
+type Body = historyEvent.EventBody;
+
+const STEP_MS = 1_000;
+
+/** A history with an event a second. */
+function historyOf(bodies: readonly Body[]): historyEvent.HistoryEvent[] {
+  return bodies.map((body, number) => {
+    const at = (number * STEP_MS) as machineClock.MachineMs;
+    return {...body, at, source: 'test', number};
+  });
+}
+
+function size(cpuMillis: number): types.resources.Resources {
+  return {cpuMillis, memoryMb: 100, accelerators: 0};
+}
+
+function workerUp(workerId: string): Body {
+  const incarnation = `${workerId}-1`;
+  return {type: 'worker_up', workerId, incarnation, capacity: size(1_000)};
+}
+
+function taskStarted(
+  workerId: string,
+  taskId: string,
+  cpuMillis: number,
+): Body {
+  const label = 'job-1';
+  const attempt = '1.1';
+  const needed = {...size(cpuMillis), memoryMb: 10};
+  return {
+    type: 'task_started',
+    workerId,
+    taskId,
+    attempt,
+    epoch: 1,
+    size: needed,
+    label,
+  };
+}
+
+function taskEnded(
+  workerId: string,
+  taskId: string,
+  cause: historyEvent.EndCause = 'done',
+): Body {
+  const used = size(1);
+  const attempt = '1.1';
+  return {type: 'task_ended', workerId, taskId, attempt, cause, used, ranMs: 5};
+}
+
+function requestSent(callId: string, bodyHash: string): Body {
+  const call = {entryId: 'e1', team: 't', operation: 'file-plan', key: 'k'};
+  return {type: 'request_sent', callId, bodyHash, ...call};
+}
+
+function requestTold(callId: string, told: historyEvent.RequestTold): Body {
+  return {type: 'request_told', callId, told};
+}
+
+function done(answerHash: string): historyEvent.RequestTold {
+  return {type: 'done', answerHash, bytes: 3};
+}
+
+function notRun(reason = 'overloaded'): historyEvent.RequestTold {
+  return {type: 'not_run', reason, message: ''};
+}
+
+function broken(neverSent: boolean): historyEvent.RequestTold {
+  return {type: 'broken', message: '', neverSent};
+}
+
+function executed(executionId: string, bodyHash: string): Body {
+  const fields = {requestId: 'r', team: 't', operation: 'file-plan'};
+  return {
+    type: 'execution_started',
+    upstreamId: 'u1',
+    executionId,
+    bodyHash,
+    ...fields,
+    key: 'k',
+    authority: true,
+  };
+}
+
+function answered(executionId: string, answerHash: string): Body {
+  const upstreamId = 'u1';
+  return {
+    type: 'execution_ended',
+    upstreamId,
+    executionId,
+    answerHash,
+    bytes: 3,
+  };
+}
+
+function published(callId: string, base: number, revision: number): Body {
+  const told = {type: 'accepted' as const, revision};
+  const where = {entryId: 'e1', path: 'teams/t'};
+  return {type: 'publish_told', callId, ...where, base, told};
+}
+
+function settingSeen(revision: number, askedAtStep: number): Body {
+  const askedAt = (askedAtStep * STEP_MS) as machineClock.MachineMs;
+  return {
+    type: 'setting_seen',
+    entryId: 'e2',
+    path: 'teams/t',
+    revision,
+    askedAt,
+  };
+}
+
+function jobTold(told: historyEvent.JobTold): Body {
+  return {type: 'job_told', callId: 'c1', label: 'job-1', told};
+}
+
+const ACCEPTED = jobTold({type: 'accepted', jobId: 'd.j'});
+
+function jobSeen(state: types.job.JobView['state'], tasks = 1): Body {
+  const view = {
+    jobId: 'd.j',
+    state,
+    tasks,
+    kind: 'batch',
+    running: 0,
+    message: '',
+  };
+  return {type: 'job_seen', entryId: 'e1', view: view as never};
+}
+
+const STOPPING: Body = {type: 'entry_stopping', entryId: 'e1'};
+const SETTLED: Body = {type: 'settled'};
+
+function exited(code: number): Body {
+  return {type: 'entry_exited', entryId: 'e1', code, signal: ''};
+}
+
+interface Planted {
+  readonly name: string;
+  readonly promise: finding.PromiseName;
+  readonly sound: readonly Body[];
+  readonly faulty: readonly Body[];
+}
+
+const PLANTED: readonly Planted[] = [
+  {
+    name: 'a worker holds more than its processors',
+    promise: 'capacity',
+    sound: [
+      workerUp('w1'),
+      taskStarted('w1', 'd.j/0', 600),
+      taskEnded('w1', 'd.j/0'),
+      taskStarted('w1', 'd.j/1', 600),
+    ],
+    faulty: [
+      workerUp('w1'),
+      taskStarted('w1', 'd.j/0', 600),
+      taskStarted('w1', 'd.j/1', 600),
+    ],
+  },
+  {
+    name: 'a task runs on two workers',
+    promise: 'one_place',
+    sound: [
+      workerUp('w1'),
+      workerUp('w2'),
+      taskStarted('w1', 'd.j/0', 1),
+      taskEnded('w1', 'd.j/0', 'lease_lapsed'),
+      taskStarted('w2', 'd.j/0', 1),
+    ],
+    faulty: [
+      workerUp('w1'),
+      workerUp('w2'),
+      taskStarted('w1', 'd.j/0', 1),
+      taskStarted('w2', 'd.j/0', 1),
+    ],
+  },
+  {
+    name: "a caller gets another's answer",
+    promise: 'whole_answer',
+    sound: [
+      requestSent('c1', 'b1'),
+      executed('x1', 'b1'),
+      answered('x1', 'a1'),
+      requestTold('c1', done('a1')),
+    ],
+    faulty: [
+      requestSent('c1', 'b1'),
+      executed('x1', 'b1'),
+      answered('x1', 'a1'),
+      requestTold('c1', done('a2')),
+    ],
+  },
+  {
+    name: 'a request told not_run runs later',
+    promise: 'not_run_is_true',
+    sound: [
+      requestSent('c1', 'b1'),
+      requestTold('c1', notRun()),
+      requestSent('c2', 'b1'),
+      executed('x1', 'b1'),
+      requestTold('c2', {type: 'unknown', message: ''}),
+    ],
+    faulty: [
+      requestSent('c1', 'b1'),
+      requestTold('c1', notRun()),
+      executed('x1', 'b1'),
+    ],
+  },
+  {
+    name: 'a key that has run is told not_run',
+    promise: 'not_run_is_true',
+    sound: [
+      requestSent('c1', 'b1'),
+      executed('x1', 'b1'),
+      answered('x1', 'a1'),
+      requestTold('c1', done('a1')),
+      requestSent('c2', 'b1'),
+      requestTold('c2', notRun('key_in_use')),
+    ],
+    faulty: [
+      requestSent('c1', 'b1'),
+      executed('x1', 'b1'),
+      answered('x1', 'a1'),
+      requestTold('c1', done('a1')),
+      requestSent('c2', 'b1'),
+      requestTold('c2', notRun()),
+    ],
+  },
+  {
+    name: 'a refused job has a task',
+    promise: 'not_run_is_true',
+    sound: [
+      workerUp('w1'),
+      jobTold(notRun() as historyEvent.JobTold),
+      jobTold({type: 'unknown', message: ''}),
+      taskStarted('w1', 'd.j/0', 1),
+    ],
+    faulty: [
+      workerUp('w1'),
+      jobTold(notRun() as historyEvent.JobTold),
+      taskStarted('w1', 'd.j/0', 1),
+    ],
+  },
+  {
+    name: 'a plan is filed twice',
+    promise: 'at_most_once',
+    sound: [requestSent('c1', 'b1'), executed('x1', 'b1')],
+    faulty: [
+      requestSent('c1', 'b1'),
+      executed('x1', 'b1'),
+      executed('x2', 'b1'),
+    ],
+  },
+  {
+    name: 'a leaving upstream gets new work',
+    promise: 'leaving_upstream',
+    sound: [
+      {type: 'upstream_leaving', upstreamId: 'u1'},
+      requestSent('c1', 'b1'),
+      executed('x1', 'b1'),
+    ],
+    faulty: [
+      {type: 'upstream_leaving', upstreamId: 'u1'},
+      ...Array.from({length: 6}, (): Body => ({type: 'step', text: ''})),
+      requestSent('c1', 'b1'),
+      executed('x1', 'b1'),
+    ],
+  },
+  {
+    name: 'a planned stop cuts a call off',
+    promise: 'planned_stop',
+    sound: [
+      requestSent('c1', 'b1'),
+      STOPPING,
+      requestTold('c1', {type: 'unknown', message: ''}),
+      requestSent('c2', 'b2'),
+      requestTold('c2', broken(true)),
+      exited(0),
+    ],
+    faulty: [
+      requestSent('c1', 'b1'),
+      STOPPING,
+      requestTold('c1', broken(false)),
+      exited(0),
+    ],
+  },
+  {
+    name: 'a planned stop ends with an error',
+    promise: 'planned_stop',
+    sound: [STOPPING, exited(0)],
+    faulty: [STOPPING, exited(1)],
+  },
+  {
+    name: 'a setting reverts',
+    promise: 'configuration',
+    sound: [settingSeen(1, 0), settingSeen(1, 0.5), settingSeen(2, 2)],
+    faulty: [settingSeen(2, 0), settingSeen(1, 0.5)],
+  },
+  {
+    name: 'an accepted setting is not in force after the bound',
+    promise: 'configuration',
+    sound: [published('p1', 1, 2), settingSeen(1, 3), settingSeen(2, 9)],
+    faulty: [published('p1', 1, 2), settingSeen(1, 9)],
+  },
+  {
+    name: 'two operators win one race',
+    promise: 'configuration',
+    sound: [published('p1', 1, 2), published('p2', 2, 3)],
+    faulty: [published('p1', 1, 2), published('p2', 1, 3)],
+  },
+  {
+    name: 'an accepted job is never finished',
+    promise: 'nothing_lost',
+    sound: [
+      workerUp('w1'),
+      ACCEPTED,
+      taskStarted('w1', 'd.j/0', 1),
+      taskEnded('w1', 'd.j/0'),
+      jobSeen('done'),
+      SETTLED,
+    ],
+    faulty: [ACCEPTED, jobSeen('running'), SETTLED],
+  },
+  {
+    name: 'a job is called done before its tasks ended',
+    promise: 'nothing_lost',
+    sound: [
+      workerUp('w1'),
+      ACCEPTED,
+      taskStarted('w1', 'd.j/0', 1),
+      taskEnded('w1', 'd.j/0'),
+      jobSeen('done', 1),
+      SETTLED,
+    ],
+    faulty: [
+      workerUp('w1'),
+      ACCEPTED,
+      taskStarted('w1', 'd.j/0', 1),
+      taskEnded('w1', 'd.j/0'),
+      jobSeen('done', 2),
+      SETTLED,
+    ],
+  },
+  {
+    name: 'an accepted job is forgotten',
+    promise: 'nothing_lost',
+    sound: [ACCEPTED, {type: 'job_cancel_accepted', jobId: 'd.j'}, SETTLED],
+    faulty: [ACCEPTED, SETTLED],
+  },
+];
+
+/** Steps of a second make settings late sooner than the default bound. */
+const BOUNDS = {...judge.DEFAULT_BOUNDS, configBoundMs: 5_000};
+
+/**
+ * `askedAt` of a planted reading counts in seconds from the first event; its
+ * own moment must not be before it.
+ */
+function orderReadings(bodies: readonly Body[]): historyEvent.HistoryEvent[] {
+  return historyOf(bodies).map((event) => {
+    if (event.type !== 'setting_seen') return event;
+    const at = Math.max(event.at, event.askedAt) as machineClock.MachineMs;
+    return {...event, at};
+  });
+}
+
+for (const {name, promise, sound, faulty} of PLANTED) {
+  nodeTest.test(`finds: ${name}`, () => {
+    assert.deepEqual(judge.judge(orderReadings(sound), BOUNDS), []);
+    const found = judge.judge(orderReadings(faulty), BOUNDS);
+    assert.ok(found.length > 0, 'nothing found');
+    for (const one of found) assert.equal(one.promise, promise, one.message);
+  });
+}
--- /dev/null
+++ b/packages/gypsumwall-testing/src/judge/entry_rules.ts
@@ -0,0 +1,146 @@
+/** Planned stops and the configuration, as callers and operators saw them. */
+import type * as historyEvent from '../history_event.js';
+import * as finding from './finding.js';
+
+/** A planned stop cuts off no call in flight at the entry. */
+export function checkPlannedStop(
+  events: readonly historyEvent.HistoryEvent[],
+): finding.Finding[] {
+  const told = new Map(
+    [
+      ...finding.eventsOf(events, 'request_told'),
+      ...finding.eventsOf(events, 'job_told'),
+    ].map((event) => [event.callId, event] as const),
+  );
+  const sent = [
+    ...finding.eventsOf(events, 'request_sent'),
+    ...finding.eventsOf(events, 'job_sent'),
+  ];
+  const exits = finding.eventsOf(events, 'entry_exited');
+  const findings: finding.Finding[] = [];
+  for (const stopping of finding.eventsOf(events, 'entry_stopping')) {
+    const {entryId} = stopping;
+    const exit = exits.find(
+      (event) => event.entryId === entryId && event.at > stopping.at,
+    );
+    for (const call of sent) {
+      if (call.entryId !== entryId) continue;
+      if (exit !== undefined && call.at > exit.at) continue;
+      const end = told.get(call.callId);
+      if (end === undefined || end.at < stopping.at) continue;
+      if (end.told.type !== 'broken' || end.told.neverSent) continue;
+      findings.push({
+        promise: 'planned_stop',
+        message: `the planned stop of ${entryId} cut off call ${call.callId}`,
+        evidence: [call, stopping, end, ...(exit === undefined ? [] : [exit])],
+      });
+    }
+    if (exit === undefined || exit.code === 0) continue;
+    findings.push({
+      promise: 'planned_stop',
+      message: `the planned stop of ${entryId} ended with ${exit.code ?? exit.signal}`,
+      evidence: [stopping, exit],
+    });
+  }
+  return findings;
+}
+
+type Seen = finding.EventOf<'setting_seen'>;
+type Published = finding.EventOf<'publish_told'>;
+
+interface AcceptedPublish {
+  readonly event: Published;
+  readonly revision: number;
+}
+
+function acceptedPublishes(
+  events: readonly historyEvent.HistoryEvent[],
+): AcceptedPublish[] {
+  return finding.eventsOf(events, 'publish_told').flatMap((event) => {
+    if (event.told.type !== 'accepted') return [];
+    return [{event, revision: event.told.revision}];
+  });
+}
+
+/** Accepted settings are in force within the bound and never revert. */
+export function checkConfiguration(
+  events: readonly historyEvent.HistoryEvent[],
+  boundMs: number,
+): finding.Finding[] {
+  const seen = finding.eventsOf(events, 'setting_seen');
+  const accepted = acceptedPublishes(events);
+  return [
+    ...checkOneWinner(accepted),
+    ...checkNoRevert(seen),
+    ...checkInForce(events, seen, accepted, boundMs),
+  ];
+}
+
+/** Of publishes on one base, one wins. */
+function checkOneWinner(
+  accepted: readonly AcceptedPublish[],
+): finding.Finding[] {
+  const byBase = finding.groupBy(
+    accepted,
+    ({event}) => `${event.path} on revision ${event.base}`,
+  );
+  return [...byBase].flatMap(([what, winners]) => {
+    if (winners.length < 2) return [];
+    const message = `${winners.length} publishes of ${what} were accepted`;
+    const evidence = winners.map(({event}) => event);
+    return [{promise: 'configuration', message, evidence}];
+  });
+}
+
+/** A later reading at an entry never shows an older revision. */
+function checkNoRevert(seen: readonly Seen[]): finding.Finding[] {
+  const findings: finding.Finding[] = [];
+  const groups = finding.groupBy(
+    seen,
+    (event) => `${event.entryId} ${event.path}`,
+  );
+  for (const readings of groups.values()) {
+    let newest: Seen | undefined;
+    for (const reading of readings) {
+      if (
+        newest !== undefined &&
+        reading.askedAt > newest.at &&
+        reading.revision < newest.revision
+      ) {
+        findings.push({
+          promise: 'configuration',
+          message: `${reading.path} reverted at ${reading.entryId}`,
+          evidence: [newest, reading],
+        });
+      }
+      if (newest === undefined || reading.revision > newest.revision) {
+        newest = reading;
+      }
+    }
+  }
+  return findings;
+}
+
+/** The bound counts from the acceptance, or from the last change of faults. */
+function checkInForce(
+  events: readonly historyEvent.HistoryEvent[],
+  seen: readonly Seen[],
+  accepted: readonly AcceptedPublish[],
+  boundMs: number,
+): finding.Finding[] {
+  const faults = finding.eventsOf(events, 'fault');
+  return seen.flatMap((reading) => {
+    const fault = faults.filter((event) => event.at < reading.askedAt).at(-1);
+    if (fault !== undefined && reading.askedAt < fault.at + boundMs) return [];
+    const missed = accepted.find(
+      ({event, revision}) =>
+        event.path === reading.path &&
+        revision > reading.revision &&
+        event.at + boundMs < reading.askedAt,
+    );
+    if (missed === undefined) return [];
+    const message = `${reading.path} at ${reading.entryId} is still ${reading.revision}, accepted was ${missed.revision}`;
+    const evidence = [missed.event, reading];
+    return [{promise: 'configuration', message, evidence}];
+  });
+}
--- /dev/null
+++ b/packages/gypsumwall-testing/src/judge/job_rules.ts
@@ -0,0 +1,70 @@
+/** Nothing accepted is lost: what callers were told, and how it ended. */
+import * as types from '@gypsumwall/types';
+import type * as historyEvent from '../history_event.js';
+import * as finding from './finding.js';
+
+type Seen = finding.EventOf<'job_seen'>;
+
+/** Every accepted job ends, or goes on as a service, once all is settled. */
+export function checkNothingLost(
+  events: readonly historyEvent.HistoryEvent[],
+): finding.Finding[] {
+  const settled = finding.eventsOf(events, 'settled').at(-1);
+  if (settled === undefined) return [];
+  const cancelled = new Set(
+    finding.eventsOf(events, 'job_cancel_accepted').map((event) => event.jobId),
+  );
+  const seen = finding.groupBy(
+    finding.eventsOf(events, 'job_seen'),
+    (event) => event.view.jobId,
+  );
+  const ends = finding.groupBy(
+    finding.eventsOf(events, 'task_ended'),
+    (event) => types.ids.splitTaskId(types.ids.brand(event.taskId)).jobId,
+  );
+  const findings: finding.Finding[] = [];
+  for (const event of finding.eventsOf(events, 'job_told')) {
+    if (event.told.type !== 'accepted') continue;
+    const {jobId} = event.told;
+    if (cancelled.has(jobId)) continue;
+    const last = seen.get(jobId)?.at(-1);
+    const message = findLoss(last, ends.get(jobId) ?? []);
+    if (message === undefined) continue;
+    const evidence = last === undefined ? [event] : [event, last];
+    findings.push({
+      promise: 'nothing_lost',
+      message: `job ${jobId}: ${message}`,
+      evidence: [...evidence, settled],
+    });
+  }
+  return findings;
+}
+
+/** Why the job counts as lost, by its last view and what workers recorded. */
+function findLoss(
+  last: Seen | undefined,
+  ends: ReadonlyArray<finding.EventOf<'task_ended'>>,
+): string | undefined {
+  if (last === undefined) return 'accepted, but never seen by its id';
+  const {view} = last;
+  switch (view.state) {
+    case 'queued':
+    case 'cancelled':
+      return `accepted, but ${view.state}: ${view.message}`;
+    case 'running':
+      return view.kind === 'service' && view.running > 0
+        ? undefined
+        : `accepted, but not finished: ${view.message}`;
+    case 'failed':
+      return ends.some((end) => end.cause === 'failed')
+        ? undefined
+        : `failed, but no worker recorded a failure: ${view.message}`;
+    case 'done': {
+      const done = ends.filter((end) => end.cause === 'done');
+      const tasks = new Set(done.map((end) => end.taskId));
+      return tasks.size >= view.tasks
+        ? undefined
+        : `done, but workers finished ${tasks.size} of ${view.tasks} tasks`;
+    }
+  }
+}
--- /dev/null
+++ b/packages/gypsumwall-testing/src/judge/worker_rules.ts
@@ -0,0 +1,79 @@
+/** What workers recorded: capacity held and tasks in one place. */
+import * as types from '@gypsumwall/types';
+import type * as historyEvent from '../history_event.js';
+import type * as finding from './finding.js';
+
+type Started = finding.EventOf<'task_started'>;
+
+/** No worker ever holds more than its capacity, on any dimension. */
+export function checkCapacity(
+  events: readonly historyEvent.HistoryEvent[],
+): finding.Finding[] {
+  const findings: finding.Finding[] = [];
+  const capacities = new Map<string, types.resources.Resources>();
+  const held = new Map<string, Map<string, Started>>();
+  for (const event of events) {
+    if (event.type === 'worker_up') {
+      capacities.set(event.workerId, event.capacity);
+      held.set(event.workerId, new Map());
+    }
+    if (event.type === 'task_ended') {
+      held.get(event.workerId)?.delete(attemptKey(event));
+    }
+    if (event.type !== 'task_started') continue;
+    const there = held.get(event.workerId) ?? new Map<string, Started>();
+    held.set(event.workerId, there);
+    there.set(attemptKey(event), event);
+    const starts = [...there.values()];
+    const capacity =
+      capacities.get(event.workerId) ?? types.resources.NO_RESOURCES;
+    const sum = starts
+      .map((start) => start.size)
+      .reduce(types.resources.add, types.resources.NO_RESOURCES);
+    if (types.resources.fits(sum, capacity)) continue;
+    findings.push({
+      promise: 'capacity',
+      message: `${event.workerId} holds ${JSON.stringify(sum)} of ${JSON.stringify(capacity)}`,
+      evidence: starts,
+    });
+  }
+  return findings;
+}
+
+/** No task runs in two places, or twice in one, at the same time. */
+export function checkOnePlace(
+  events: readonly historyEvent.HistoryEvent[],
+): finding.Finding[] {
+  const findings: finding.Finding[] = [];
+  const running = new Map<string, Map<string, Started>>();
+  for (const event of events) {
+    if (event.type === 'task_ended') {
+      running.get(event.taskId)?.delete(placeKey(event));
+    }
+    if (event.type !== 'task_started') continue;
+    const places = running.get(event.taskId) ?? new Map<string, Started>();
+    running.set(event.taskId, places);
+    places.set(placeKey(event), event);
+    if (places.size < 2) continue;
+    const where = [...places.values()].map((start) => start.workerId);
+    findings.push({
+      promise: 'one_place',
+      message: `task ${event.taskId} runs at once on ${where.join(' and ')}`,
+      evidence: [...places.values()],
+    });
+  }
+  return findings;
+}
+
+interface Attempt {
+  readonly taskId: string;
+  readonly attempt: string;
+}
+
+function attemptKey({taskId, attempt}: Attempt): string {
+  return `${taskId} ${attempt}`;
+}
+
+function placeKey(event: Attempt & {readonly workerId: string}): string {
+  return `${event.workerId} ${event.attempt}`;
+}
