--- /dev/null
+++ b/packages/gypsumwall-testing/src/demo/demo_figures.ts
@@ -0,0 +1,158 @@
+/** The demo's figures, worked out from recorded histories alone. */
+import * as hdr from 'hdr-histogram-js';
+import type * as historyEvent from '../history_event.js';
+import * as finding from '../judge/finding.js';
+import type * as demoLoad from './demo_load.js';
+
+/** One row of the table. */
+export interface ClassFigures {
+  readonly name: string;
+  readonly sent: number;
+  /** Requests with a whole answer; jobs whose tasks all ended as done. */
+  readonly done: number;
+  readonly refused: number;
+  readonly unknown: number;
+  /**
+   * Milliseconds from sending: a request's to its answer, each task's to its
+   * first start at a worker.
+   */
+  readonly waitingP50: number | undefined;
+  readonly waitingP99: number | undefined;
+}
+
+/** How well workers were used, each a share from 0 to 1. */
+export interface Packing {
+  /** Processors held, of those of workers that held anything, over time. */
+  readonly heldOfBusy: number;
+  /** Processors truly used, of those held, over all ended tasks. */
+  readonly usedOfHeld: number;
+}
+
+const MICROS_IN_MS = 1_000;
+
+/** Figures of one class. */
+export function classFigures(
+  sent: demoLoad.SentClass,
+  events: readonly historyEvent.HistoryEvent[],
+): ClassFigures {
+  const callIds = new Set(sent.callIds);
+  const isOwn = (event: {readonly callId: string}) => callIds.has(event.callId);
+  return sent.kind === 'request'
+    ? requestFigures(sent.name, events, isOwn)
+    : jobFigures(sent.name, events, isOwn);
+}
+
+type IsOwn = (event: {readonly callId: string}) => boolean;
+
+function requestFigures(
+  name: string,
+  events: readonly historyEvent.HistoryEvent[],
+  isOwn: IsOwn,
+): ClassFigures {
+  const sent = finding.eventsOf(events, 'request_sent').filter(isOwn);
+  const sentAt = new Map(sent.map((event) => [event.callId, event.at]));
+  const told = finding.eventsOf(events, 'request_told').filter(isOwn);
+  const done = told.filter((event) => event.told.type === 'done');
+  const waits = done.map((event) => {
+    return event.at - (sentAt.get(event.callId) ?? event.at);
+  });
+  const refused = told.filter((event) => event.told.type === 'not_run').length;
+  return {
+    name,
+    sent: sent.length,
+    done: done.length,
+    refused,
+    unknown: sent.length - done.length - refused,
+    ...percentiles(waits),
+  };
+}
+
+function jobFigures(
+  name: string,
+  events: readonly historyEvent.HistoryEvent[],
+  isOwn: IsOwn,
+): ClassFigures {
+  const sent = finding.eventsOf(events, 'job_sent').filter(isOwn);
+  const sentAt = new Map(sent.map((event) => [event.label, event.at]));
+  const told = finding.eventsOf(events, 'job_told').filter(isOwn);
+  const accepted = new Set(
+    told.flatMap(({told: one}) => (one.type === 'accepted' ? [one.jobId] : [])),
+  );
+  const ended = new Map(
+    finding
+      .eventsOf(events, 'job_seen')
+      .map((event) => [event.view.jobId as string, event.view.state]),
+  );
+  const done = [...accepted].filter((jobId) => ended.get(jobId) === 'done');
+  const firstStarts = new Map<string, number>();
+  for (const event of finding.eventsOf(events, 'task_started')) {
+    const from = sentAt.get(event.label);
+    if (from === undefined || firstStarts.has(event.taskId)) continue;
+    firstStarts.set(event.taskId, event.at - from);
+  }
+  const refused = told.filter((event) => event.told.type === 'not_run').length;
+  return {
+    name,
+    sent: sent.length,
+    done: done.length,
+    refused,
+    unknown: sent.length - accepted.size - refused,
+    ...percentiles([...firstStarts.values()]),
+  };
+}
+
+function percentiles(
+  waits: readonly number[],
+): Pick<ClassFigures, 'waitingP50' | 'waitingP99'> {
+  if (waits.length === 0) return {waitingP50: undefined, waitingP99: undefined};
+  const histogram = hdr.build({numberOfSignificantValueDigits: 3});
+  for (const wait of waits) {
+    histogram.recordValue(Math.max(1, Math.round(wait * MICROS_IN_MS)));
+  }
+  const at = (percent: number) =>
+    histogram.getValueAtPercentile(percent) / MICROS_IN_MS;
+  return {waitingP50: at(50), waitingP99: at(99)};
+}
+
+/** Packing over the whole history. */
+export function packingFigures(
+  events: readonly historyEvent.HistoryEvent[],
+): Packing {
+  const capacity = new Map<string, number>();
+  const held = new Map<string, Map<string, number>>();
+  let heldTime = 0;
+  let busyTime = 0;
+  let usedTime = 0;
+  let endedTime = 0;
+  let last = events[0]?.at ?? 0;
+  const addTime = (until: number): void => {
+    const spanMs = until - last;
+    last = until;
+    for (const [workerId, tasks] of held) {
+      if (tasks.size === 0) continue;
+      busyTime += (capacity.get(workerId) ?? 0) * spanMs;
+      for (const cpuMillis of tasks.values()) heldTime += cpuMillis * spanMs;
+    }
+  };
+  for (const event of events) {
+    if (event.type === 'worker_up') {
+      capacity.set(event.workerId, event.capacity.cpuMillis);
+      held.set(event.workerId, new Map());
+    }
+    if (event.type !== 'task_started' && event.type !== 'task_ended') continue;
+    addTime(event.at);
+    const tasks = held.get(event.workerId);
+    const key = `${event.taskId} ${event.attempt}`;
+    if (event.type === 'task_started') {
+      tasks?.set(key, event.size.cpuMillis);
+      continue;
+    }
+    usedTime += event.used.cpuMillis * event.ranMs;
+    endedTime += (tasks?.get(key) ?? 0) * event.ranMs;
+    tasks?.delete(key);
+  }
+  return {
+    heldOfBusy: busyTime === 0 ? 0 : heldTime / busyTime,
+    usedOfHeld: endedTime === 0 ? 0 : usedTime / endedTime,
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-testing/src/demo/demo_load.ts
@@ -0,0 +1,162 @@
+/** Sends the demo's mixed work for some seconds. */
+import * as timers from 'node:timers/promises';
+import type * as types from '@gypsumwall/types';
+import type * as entryClient from '../entry_client.js';
+import type * as historyEvent from '../history_event.js';
+import type * as jobWatch from '../job_watch.js';
+import type * as launchCell from '../launch_cell.js';
+import type * as workload from '../workload.js';
+
+/** What to send. */
+export interface DemoLoadOptions {
+  readonly cell: launchCell.Cell;
+  readonly work: workload.Workload;
+  readonly seconds: number;
+  readonly random: types.random.Random;
+}
+
+/** Counts while it runs. */
+export interface DemoProgress {
+  sent: number;
+  told: number;
+  done: number;
+  accepted: number;
+}
+
+/** What was sent of one class. */
+export interface SentClass {
+  readonly name: string;
+  readonly kind: 'request' | 'job';
+  readonly callIds: string[];
+}
+
+/** A running load. */
+export interface DemoLoad {
+  readonly progress: Readonly<DemoProgress>;
+  readonly classes: readonly SentClass[];
+  readonly jobs: readonly jobWatch.AcceptedJob[];
+  /** Resolves when all is sent and every caller was told. */
+  readonly finished: Promise<void>;
+}
+
+/** Starts sending. */
+export function startDemoLoad(options: DemoLoadOptions): DemoLoad {
+  const {cell, work, random} = options;
+  const until = performance.now() + options.seconds * 1_000;
+  const progress = {sent: 0, told: 0, done: 0, accepted: 0};
+  const jobs: jobWatch.AcceptedJob[] = [];
+  const classes: SentClass[] = [];
+
+  const pick = (): entryClient.EntryClient => {
+    const entries = cell.entries();
+    const entry = entries[random.integer(0, entries.length - 1)];
+    if (entry === undefined) throw new Error('no entry runs');
+    return entry.client;
+  };
+  const pickOther = (first: entryClient.EntryClient) => {
+    const second = pick();
+    return second.entryId === first.entryId ? pick() : second;
+  };
+  const tokenOf = (team: string): string =>
+    cell.options.tokens.teams[team] ?? '';
+  const count = (told: historyEvent.RequestTold | historyEvent.JobTold) => {
+    progress.told += 1;
+    if (told.type === 'done') progress.done += 1;
+    if (told.type === 'accepted') progress.accepted += 1;
+  };
+  const addClass = (name: string, kind: SentClass['kind']): SentClass => {
+    const added = {name, kind, callIds: []};
+    classes.push(added);
+    return added;
+  };
+  const nextId = (sent: SentClass): string => {
+    const callId = `${sent.name} ${sent.callIds.length + 1}`;
+    sent.callIds.push(callId);
+    progress.sent += 1;
+    return callId;
+  };
+
+  const sendRequest = async (
+    cls: workload.RequestClass,
+    sent: SentClass,
+    again: SentClass | undefined,
+  ): Promise<void> => {
+    const callId = nextId(sent);
+    const {team, operation, workMs, answerBytes} = cls;
+    const body = Buffer.from(
+      JSON.stringify({workMs, answerBytes, nonce: callId}),
+    );
+    const key = `key of ${callId}`.replaceAll(' ', '-');
+    const token = tokenOf(team);
+    const req = {callId, token, team, operation, key, body};
+    const first = pick();
+    const calls = [first.request(req)];
+    if (again !== undefined) {
+      const second = {...req, callId: nextId(again)};
+      calls.push(pickOther(first).request(second));
+    }
+    for (const told of await Promise.all(calls)) count(told);
+  };
+
+  const submitJob = async (
+    cls: workload.JobClass,
+    sent: SentClass,
+  ): Promise<void> => {
+    const callId = nextId(sent);
+    const {team, shape, urgency, size, estimateMs, args, deadlineMs} = cls;
+    const token = tokenOf(team);
+    const told = await pick().submit({
+      callId,
+      token,
+      team,
+      label: callId,
+      key: callId.replaceAll(' ', '-').replaceAll(/[()]/g, ''),
+      spec: {
+        shape,
+        jobClass: cls.class,
+        urgency,
+        size,
+        estimateMs,
+        ...(deadlineMs === undefined
+          ? {}
+          : {deadline: new Date(Date.now() + deadlineMs).toISOString()}),
+        work: {command: cls.class, args: {...args, label: callId}},
+      },
+    });
+    count(told);
+    if (told.type !== 'accepted') return;
+    jobs.push({jobId: told.jobId, token, kind: shape.kind});
+  };
+
+  /** Sends at random moments, `perSecond` on average. */
+  const sendOften = async (
+    perSecond: number,
+    send: () => Promise<void>,
+  ): Promise<void> => {
+    const underWay: Array<Promise<void>> = [];
+    for (;;) {
+      const spanMs = (-Math.log(1 - random.next()) / perSecond) * 1_000;
+      if (performance.now() + spanMs > until) break;
+      await timers.setTimeout(spanMs);
+      underWay.push(send());
+    }
+    await Promise.all(underWay);
+  };
+
+  const requests = work.requests.map((cls) => {
+    const sent = addClass(cls.class, 'request');
+    const again = cls.twice
+      ? addClass(`${cls.class}, again`, 'request')
+      : undefined;
+    return sendOften(cls.perSecond, () => sendRequest(cls, sent, again));
+  });
+  const submissions = work.jobs.map(async (cls) => {
+    const sent = addClass(cls.class, 'job');
+    for (let n = 0; n < (cls.count ?? 0); n += 1) await submitJob(cls, sent);
+    const {perSecond} = cls;
+    if (perSecond === undefined) return;
+    await sendOften(perSecond, () => submitJob(cls, sent));
+  });
+  const finished = Promise.all([...requests, ...submissions]).then(() => {});
+  return {progress, classes, jobs, finished};
+}
--- /dev/null
+++ b/packages/gypsumwall-testing/src/demo/demo_table.ts
@@ -0,0 +1,46 @@
+/** Prints the demo's figures for a person. */
+import type * as demoFigures from './demo_figures.js';
+
+const HEADS = [
+  'class',
+  'sent',
+  'done',
+  'refused',
+  'unknown',
+  'wait p50 ms',
+  'wait p99 ms',
+];
+
+/** The table, one row a class. */
+export function formatTable(rows: readonly demoFigures.ClassFigures[]): string {
+  const cells = rows.map((row) => [
+    row.name,
+    String(row.sent),
+    String(row.done),
+    String(row.refused),
+    String(row.unknown),
+    formatMs(row.waitingP50),
+    formatMs(row.waitingP99),
+  ]);
+  const widths = HEADS.map((head, column) =>
+    Math.max(head.length, ...cells.map((row) => row[column]?.length ?? 0)),
+  );
+  const line = (row: readonly string[]): string =>
+    row
+      .map((cell, column) => {
+        const width = widths[column] ?? 0;
+        return column === 0 ? cell.padEnd(width) : cell.padStart(width);
+      })
+      .join('  ');
+  const rule = widths.map((width) => '-'.repeat(width));
+  return [line(HEADS), line(rule), ...cells.map(line)].join('\n');
+}
+
+function formatMs(value: number | undefined): string {
+  return value === undefined ? '-' : value.toFixed(1);
+}
+
+/** A share as a percentage. */
+export function formatShare(share: number): string {
+  return `${(share * 100).toFixed(1)} %`;
+}
--- /dev/null
+++ b/packages/gypsumwall-testing/src/job_watch.ts
@@ -0,0 +1,56 @@
+/** Asks after accepted jobs until they have ended. */
+import * as timers from 'node:timers/promises';
+import type * as types from '@gypsumwall/types';
+import type * as entryClient from './entry_client.js';
+
+/** A job that was accepted. */
+export interface AcceptedJob {
+  readonly jobId: string;
+  readonly token: string;
+  readonly kind: types.job.JobShape['kind'];
+}
+
+const POLL_MS = 100;
+/** Asked at one time, so that asking is no load of its own. */
+const AT_ONCE = 8;
+
+/**
+ * Resolves when each job has ended, or runs if it is a service, or at the
+ * deadline on `performance.now()`. `pick` gives an entry to ask.
+ */
+export async function watchJobs(
+  jobs: readonly AcceptedJob[],
+  pick: () => entryClient.EntryClient,
+  deadline: number,
+): Promise<boolean> {
+  let open = [...jobs];
+  while (open.length > 0) {
+    const asked = open.slice(0, AT_ONCE);
+    const settled = await Promise.all(asked.map((job) => isSettled(job, pick)));
+    const kept = asked.filter((_, index) => settled[index] !== true);
+    // Unsettled ones go to the back, so that all are asked in turn.
+    open = [...open.slice(AT_ONCE), ...kept];
+    if (open.length === 0) break;
+    if (performance.now() > deadline) return false;
+    if (kept.length === asked.length) await timers.setTimeout(POLL_MS);
+  }
+  return true;
+}
+
+async function isSettled(
+  job: AcceptedJob,
+  pick: () => entryClient.EntryClient,
+): Promise<boolean> {
+  const view = await pick().job(job.token, job.jobId);
+  if (view === undefined) return false;
+  switch (view.state) {
+    case 'done':
+    case 'failed':
+    case 'cancelled':
+      return true;
+    case 'queued':
+      return false;
+    case 'running':
+      return job.kind === 'service' && view.running === view.tasks;
+  }
+}
--- a/packages/gypsumwall-testing/src/judge/__tests__/judge.test.ts
+++ b/packages/gypsumwall-testing/src/judge/__tests__/judge.test.ts
@@ -354,6 +354,28 @@
       SETTLED,
     ],
   },
+  {
+    name: 'an entry knows nothing of a job that was done',
+    promise: 'nothing_lost',
+    sound: [
+      workerUp('w1'),
+      ACCEPTED,
+      taskStarted('w1', 'd.j/0', 1),
+      taskEnded('w1', 'd.j/0'),
+      {type: 'job_missing', entryId: 'e1', jobId: 'd.j'},
+      jobSeen('done'),
+      SETTLED,
+    ],
+    faulty: [
+      workerUp('w1'),
+      ACCEPTED,
+      taskStarted('w1', 'd.j/0', 1),
+      taskEnded('w1', 'd.j/0'),
+      jobSeen('done'),
+      {type: 'job_missing', entryId: 'e1', jobId: 'd.j'},
+      SETTLED,
+    ],
+  },
   {
     name: 'an accepted job is forgotten',
     promise: 'nothing_lost',
--- a/packages/gypsumwall-testing/src/judge/job_rules.ts
+++ b/packages/gypsumwall-testing/src/judge/job_rules.ts
@@ -18,6 +18,10 @@
     finding.eventsOf(events, 'job_seen'),
     (event) => event.view.jobId,
   );
+  const missing = finding.groupBy(
+    finding.eventsOf(events, 'job_missing'),
+    (event) => event.jobId,
+  );
   const ends = finding.groupBy(
     finding.eventsOf(events, 'task_ended'),
     (event) => types.ids.splitTaskId(types.ids.brand(event.taskId)).jobId,
@@ -28,9 +32,13 @@
     const {jobId} = event.told;
     if (cancelled.has(jobId)) continue;
     const last = seen.get(jobId)?.at(-1);
-    const message = findLoss(last, ends.get(jobId) ?? []);
+    const gone = missing.get(jobId)?.at(-1);
+    const message =
+      gone !== undefined && gone.at > (last?.at ?? 0)
+        ? `accepted, but ${gone.entryId} knows no such job`
+        : findLoss(last, ends.get(jobId) ?? []);
     if (message === undefined) continue;
-    const evidence = last === undefined ? [event] : [event, last];
+    const evidence = [event, last, gone].filter((one) => one !== undefined);
     findings.push({
       promise: 'nothing_lost',
       message: `job ${jobId}: ${message}`,
