--- a/packages/gypsumwall-testing/src/platform_stand_in.ts
+++ b/packages/gypsumwall-testing/src/platform_stand_in.ts
@@ -33,10 +33,11 @@
   addresses: zod.record(zod.string(), zod.string()),
 });
 
-const dropBody = zod.strictObject({
-  stream: zod.string(),
-  before: zod.number().int(),
-});
+/** Either the first offset to be kept, or how many records from the end. */
+const dropBody = zod.union([
+  zod.strictObject({stream: zod.string(), before: zod.number().int()}),
+  zod.strictObject({stream: zod.string(), keep: zod.number().int().min(0)}),
+]);
 
 const retentionBody = zod.strictObject({
   keepRecords: zod.number().int().min(0),
@@ -123,7 +124,12 @@
     return {};
   });
   server.post('/control/log/drop', (req) => {
-    const {stream, before} = dropBody.parse(req.body);
+    const body = dropBody.parse(req.body);
+    const {stream} = body;
+    const before =
+      'before' in body
+        ? body.before
+        : store.read(stream, 0, 1).endOffset - body.keep;
     const firstOffset = store.drop(stream, before);
     recorded.record({type: 'records_dropped', stream, firstOffset});
     return {firstOffset};
--- /dev/null
+++ b/packages/gypsumwall-testing/src/scenario/scenario_file.ts
@@ -0,0 +1,61 @@
+/** Finds and reads scenario files. */
+import * as fs from 'node:fs';
+import * as path from 'node:path';
+import * as result from 'true-myth/result';
+import type * as zod from 'zod';
+import * as exampleCell from '../example_cell.js';
+import * as jsoncFile from '../jsonc_file.js';
+import * as site from '../site.js';
+import * as scenarioSchema from './scenario_schema.js';
+
+const FOLDER = path.join(exampleCell.REPOSITORY, 'scenarios');
+const SITE_FILE = 'site.jsonc';
+const ENDING = '.jsonc';
+
+/** Names of all scenarios, in order. */
+export function scenarioNames(): string[] {
+  return fs
+    .readdirSync(FOLDER)
+    .filter((file) => file.endsWith(ENDING) && file !== SITE_FILE)
+    .map((file) => file.slice(0, -ENDING.length))
+    .sort();
+}
+
+/** A scenario with the site that it runs on. */
+export interface ReadScenario {
+  readonly scenario: scenarioSchema.Scenario;
+  readonly site: site.Site;
+}
+
+/** Reads one; the error names file, line and remedy. */
+export function readScenario(
+  name: string,
+): result.Result<ReadScenario, string> {
+  const file = path.join('scenarios', `${name}${ENDING}`);
+  const scenario = readIn(file, scenarioSchema.scenarioSchema);
+  if (scenario.isErr) return result.err(scenario.error);
+  const base = readIn(path.join('scenarios', SITE_FILE), site.siteSchema);
+  if (base.isErr) return result.err(base.error);
+  const merged = site.siteSchema.safeParse({
+    ...base.value,
+    ...scenario.value.site,
+  });
+  if (merged.success) {
+    return result.ok({scenario: scenario.value, site: merged.data});
+  }
+  const [issue] = merged.error.issues;
+  const where = issue?.path.join('.') ?? '';
+  return result.err(`${file}: site.${where}: ${issue?.message ?? ''}`);
+}
+
+function readIn<Schema extends zod.ZodType>(
+  file: string,
+  schema: Schema,
+): result.Result<zod.infer<Schema>, string> {
+  const full = path.join(exampleCell.REPOSITORY, file);
+  if (!fs.existsSync(full)) {
+    const known = scenarioNames().join(', ');
+    return result.err(`${file}: no such file; there are ${known}`);
+  }
+  return jsoncFile.parseJsonc(file, fs.readFileSync(full, 'utf8'), schema);
+}
