Run scenarios against a product without one safeguard

--without NAME applies scenarios/without/NAME.patch to a scratch copy, builds it and expects every scenario that names it to turn red. Not run yet: no patches so far.

--- a/packages/gypsumwall-testing/src/bin/demo.ts
+++ b/packages/gypsumwall-testing/src/bin/demo.ts
@@ -10,17 +10,15 @@
 import * as demoLoad from '../demo/demo_load.js';
 import * as demoTable from '../demo/demo_table.js';
 import * as exampleCell from '../example_cell.js';
-import * as history from '../history.js';
 import * as jobWatch from '../job_watch.js';
 import * as jsoncFile from '../jsonc_file.js';
-import type * as finding from '../judge/finding.js';
 import * as judge from '../judge/judge.js';
 import * as launchCell from '../launch_cell.js';
+import * as scenarioReport from '../scenario/scenario_report.js';
 import * as workload from '../workload.js';
 
 const PROGRESS_MS = 1_000;
 const SETTLE_MS = 30_000;
-const EVIDENCE_SHOWN = 20;
 
 const {values} = util.parseArgs({
   options: {
@@ -80,17 +78,6 @@
   return settled;
 }
 
-function showFindings(findings: readonly finding.Finding[]): void {
-  for (const {promise, message, evidence} of findings) {
-    say(`\nBROKEN ${promise}: ${message}`);
-    const from = evidence[0]?.at;
-    if (from === undefined) continue;
-    for (const event of evidence.slice(0, EVIDENCE_SHOWN)) {
-      say(`  ${history.describe(event, from)}`);
-    }
-  }
-}
-
 async function runDemo(): Promise<number> {
   const example = exampleCell.readExampleCell(values.site);
   const work = jsoncFile.requireJsoncFile(
@@ -131,7 +118,7 @@
       `control cost  ${(cpuMs / units).toFixed(2)} ms of entry processor time for each of ${units} requests, jobs and tasks; ${demoTable.formatShare(cpuMs / spanMs / entries.length)} of a core for each entry`,
     );
     const findings = judge.judge(events);
-    showFindings(findings);
+    for (const found of findings) say(scenarioReport.formatFinding(found));
     if (!settled) say('\nSome accepted jobs had not ended in time.');
     say(
       findings.length === 0
@@ -144,4 +131,9 @@
   }
 }
 
-process.exitCode = await runDemo();
+try {
+  process.exitCode = await runDemo();
+} catch (thrown) {
+  process.stderr.write(`the demo broke off: ${String(thrown)}\n`);
+  process.exitCode = 1;
+}
--- a/packages/gypsumwall-testing/src/bin/scenarios.ts
+++ b/packages/gypsumwall-testing/src/bin/scenarios.ts
@@ -1,100 +1,110 @@
 /**
  * `npm run scenarios [-- NAME ...] [--history]`: runs the scenarios one after
  * another, a line each, and ends with 1 if a promise was broken, 2 if a file
- * is bad.
+ * is bad. `--without SAFEGUARD` runs those that name the safeguard against a
+ * product without it: each must turn red.
  */
 import * as util from 'node:util';
 import * as exampleCell from '../example_cell.js';
-import * as history from '../history.js';
-import type * as finding from '../judge/finding.js';
 import * as runScenario from '../scenario/run_scenario.js';
 import * as scenarioFile from '../scenario/scenario_file.js';
+import * as scenarioReport from '../scenario/scenario_report.js';
+import * as without from '../scenario/without.js';
 
 const {values, positionals} = util.parseArgs({
   allowPositionals: true,
   options: {
     history: {type: 'boolean', default: false},
-    /** Another built tree whose entries are to be run. */
-    'entry-main': {type: 'string'},
+    without: {type: 'string'},
+    /** Keeps settings and logs of each cell, and says where. */
+    keep: {type: 'boolean', default: false},
   },
 });
 
-const FINDINGS_SHOWN = 5;
-const EVIDENCE_SHOWN = 20;
-
 function say(text: string): void {
   process.stdout.write(`${text}\n`);
 }
 
-function showFinding({promise, message, evidence}: finding.Finding): void {
-  say(`  BROKEN ${promise}: ${message}`);
-  const from = evidence[0]?.at;
-  if (from === undefined) return;
-  for (const event of evidence.slice(0, EVIDENCE_SHOWN)) {
-    say(`    ${history.describe(event, from)}`);
-  }
-}
-
-function showVerdict(verdict: runScenario.ScenarioVerdict): void {
-  if (verdict.failure !== '') say(`  FAILED ${verdict.failure}`);
-  verdict.findings.slice(0, FINDINGS_SHOWN).forEach(showFinding);
-  const more = verdict.findings.length - FINDINGS_SHOWN;
-  if (more > 0) say(`  and ${more} more broken promises`);
-}
-
-function showHistory(verdict: runScenario.ScenarioVerdict): void {
-  const from = verdict.events[0]?.at;
-  if (from === undefined) return;
-  for (const event of verdict.events) say(history.describe(event, from));
+interface NamedScenario {
+  readonly name: string;
+  readonly read: scenarioFile.ReadScenario;
 }
 
 /** Runs one; whether it passed. */
 async function runOne(
-  name: string,
-  read: scenarioFile.ReadScenario,
+  {name, read}: NamedScenario,
+  entryCommand: readonly string[],
 ): Promise<boolean> {
   const {scenario} = read;
-  const main = values['entry-main'];
-  const entryCommand =
-    main === undefined
-      ? exampleCell.ENTRY_COMMAND
-      : [main, ...exampleCell.ENTRY_COMMAND.slice(1)];
   try {
     const verdict = await runScenario.runScenario({
       scenario,
       site: read.site,
       example: exampleCell.readExampleCell(scenario.example),
       entryCommand,
+      keepFolder: values.keep,
     });
-    const passed = verdict.failure === '' && verdict.findings.length === 0;
-    const seconds = (verdict.spanMs / 1_000).toFixed(1);
-    const word = passed ? 'pass' : 'FAIL';
-    say(`${word}  ${name}  (seed ${scenario.seed}, ${seconds} s)`);
-    if (values.history) showHistory(verdict);
-    if (!passed) showVerdict(verdict);
-    return passed;
+    say(scenarioReport.formatVerdict(name, scenario.seed, verdict));
+    if (values.keep) say(`  settings and logs: ${verdict.folder}`);
+    if (values.history) say(scenarioReport.formatHistory(verdict.events));
+    return runScenario.hasPassed(verdict);
   } catch (thrown) {
     say(`FAIL  ${name}: the cell did not come up: ${String(thrown)}`);
     return false;
   }
 }
 
-async function runAll(): Promise<number> {
+async function runAll(scenarios: readonly NamedScenario[]): Promise<number> {
+  let passed = 0;
+  for (const scenario of scenarios) {
+    if (await runOne(scenario, exampleCell.ENTRY_COMMAND)) passed += 1;
+  }
+  say(`${passed} of ${scenarios.length} scenarios passed`);
+  return passed === scenarios.length ? 0 : 1;
+}
+
+/** Each scenario that names the safeguard must fail without it. */
+async function runWithout(
+  safeguard: string,
+  scenarios: readonly NamedScenario[],
+): Promise<number> {
+  const chosen = scenarios.filter(({read}) =>
+    read.scenario.without.includes(safeguard),
+  );
+  if (chosen.length === 0) {
+    const known = without.safeguardNames().join(', ');
+    say(`no scenario names the safeguard "${safeguard}"; there are ${known}`);
+    return 2;
+  }
+  const built = without.buildWithout(safeguard);
+  const command = [built.main, ...exampleCell.ENTRY_COMMAND.slice(1)];
+  let red = 0;
+  try {
+    for (const scenario of chosen) {
+      if (!(await runOne(scenario, command))) red += 1;
+    }
+  } finally {
+    built.remove();
+  }
+  say(`without ${safeguard}: ${red} of ${chosen.length} turned red`);
+  return red === chosen.length ? 0 : 1;
+}
+
+async function main(): Promise<number> {
   const names =
     positionals.length > 0 ? positionals : scenarioFile.scenarioNames();
-  const all = names.map((name) => {
-    return {name, read: scenarioFile.readScenario(name)};
-  });
-  const bad = all.flatMap(({read}) => (read.isErr ? [read.error] : []));
-  for (const error of bad) process.stderr.write(`${error}\n`);
-  if (bad.length > 0) return 2;
-  let failed = 0;
-  for (const {name, read} of all) {
-    if (read.isErr) continue;
-    if (!(await runOne(name, read.value))) failed += 1;
+  const scenarios: NamedScenario[] = [];
+  const errors: string[] = [];
+  for (const name of names) {
+    const read = scenarioFile.readScenario(name);
+    if (read.isErr) errors.push(read.error);
+    else scenarios.push({name, read: read.value});
   }
-  say(`${all.length - failed} of ${all.length} scenarios passed`);
-  return failed === 0 ? 0 : 1;
+  for (const error of errors) process.stderr.write(`${error}\n`);
+  if (errors.length > 0) return 2;
+  return values.without === undefined
+    ? runAll(scenarios)
+    : runWithout(values.without, scenarios);
 }
 
-process.exitCode = await runAll();
+process.exitCode = await main();
--- a/packages/gypsumwall-testing/src/launch_cell.ts
+++ b/packages/gypsumwall-testing/src/launch_cell.ts
@@ -25,6 +25,8 @@
   /** Whether every path of an entry goes through a relay, to be cut. */
   readonly relayed: boolean;
   readonly seed: number;
+  /** Leaves settings and logs behind for a person to read. */
+  readonly keepFolder?: boolean;
 }
 
 /** A running cell. */
@@ -178,6 +180,7 @@
       }
       await standIns.close();
       await paths.close();
+      if (options.keepFolder === true) return;
       fs.rmSync(folder, {recursive: true, force: true});
     },
   };
--- a/packages/gypsumwall-testing/src/scenario/run_scenario.ts
+++ b/packages/gypsumwall-testing/src/scenario/run_scenario.ts
@@ -20,6 +20,13 @@
   readonly findings: readonly finding.Finding[];
   readonly events: readonly historyEvent.HistoryEvent[];
   readonly spanMs: number;
+  /** Settings and logs of the cell; gone unless it was to be kept. */
+  readonly folder: string;
+}
+
+/** Whether no step failed and no promise was broken. */
+export function hasPassed(verdict: ScenarioVerdict): boolean {
+  return verdict.failure === '' && verdict.findings.length === 0;
 }
 
 /** What to run it on. */
@@ -28,6 +35,7 @@
   readonly example: exampleCell.ExampleCell;
   readonly site: site.Site;
   readonly entryCommand: readonly string[];
+  readonly keepFolder: boolean;
 }
 
 /** Runs it. Throws only when the cell doesn't come up. */
@@ -42,6 +50,7 @@
     tree: example.tree,
     entryCommand,
     relayed: true,
+    keepFolder: options.keepFolder,
     seed: scenario.seed,
   });
   const state = scenarioState.createScenarioState(cell, scenario);
@@ -51,7 +60,7 @@
     const events = await cell.history();
     const findings = judge.judge(events, scenario);
     const spanMs = performance.now() - startedAt;
-    return {failure, findings, events, spanMs};
+    return {failure, findings, events, spanMs, folder: cell.folder};
   } finally {
     for (const id of state.frozen) cell.entry(id).child.send('SIGCONT');
     await cell.close();
--- /dev/null
+++ b/packages/gypsumwall-testing/src/scenario/without.ts
@@ -0,0 +1,79 @@
+/**
+ * Builds the product without one safeguard: a patch of `scenarios/without/`
+ * is applied to a scratch copy of the sources. The product itself carries no
+ * switch for it.
+ */
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as exampleCell from '../example_cell.js';
+
+const PATCHES = path.join(exampleCell.REPOSITORY, 'scenarios', 'without');
+const PATCH_ENDING = '.patch';
+/** What of the repository the build needs, besides the libraries. */
+const COPIED = ['packages', 'tsconfig.base.json', 'tsconfig.json'];
+/** Packages of this repository; they must come from the copy. */
+const OWN_SCOPE = '@gypsumwall';
+
+/** A scratch copy that was built. */
+export interface BuiltWithout {
+  /** Its program, as Node runs it. */
+  readonly main: string;
+  remove(): void;
+}
+
+/** Names of all patches. */
+export function safeguardNames(): string[] {
+  if (!fs.existsSync(PATCHES)) return [];
+  return fs
+    .readdirSync(PATCHES)
+    .filter((file) => file.endsWith(PATCH_ENDING))
+    .map((file) => file.slice(0, -PATCH_ENDING.length))
+    .sort();
+}
+
+/** Copies, patches and builds; throws when the patch no longer applies. */
+export function buildWithout(safeguard: string): BuiltWithout {
+  const scratch = fs.mkdtempSync(path.join(os.tmpdir(), 'gypsumwall-without-'));
+  const remove = () => fs.rmSync(scratch, {recursive: true, force: true});
+  try {
+    for (const name of COPIED) {
+      const from = path.join(exampleCell.REPOSITORY, name);
+      fs.cpSync(from, path.join(scratch, name), {recursive: true});
+    }
+    linkLibraries(scratch);
+    const patch = path.join(PATCHES, `${safeguard}${PATCH_ENDING}`);
+    run('git', ['apply', patch], scratch);
+    const compiler = path.join(scratch, 'node_modules/typescript/bin/tsc');
+    run(process.execPath, [compiler, '-b', 'packages/gypsumwall'], scratch);
+  } catch (thrown) {
+    remove();
+    throw thrown;
+  }
+  return {main: path.join(scratch, 'packages/gypsumwall/lib/main.js'), remove};
+}
+
+/** Libraries are shared by links; the project's own packages are not. */
+function linkLibraries(scratch: string): void {
+  const from = path.join(exampleCell.REPOSITORY, 'node_modules');
+  const to = path.join(scratch, 'node_modules');
+  fs.mkdirSync(path.join(to, OWN_SCOPE), {recursive: true});
+  for (const name of fs.readdirSync(from)) {
+    if (name === OWN_SCOPE) continue;
+    fs.symlinkSync(path.join(from, name), path.join(to, name));
+  }
+  for (const name of fs.readdirSync(path.join(from, OWN_SCOPE))) {
+    const folder = path.join(scratch, 'packages', `gypsumwall-${name}`);
+    fs.symlinkSync(folder, path.join(to, OWN_SCOPE, name));
+  }
+}
+
+function run(program: string, args: readonly string[], cwd: string): void {
+  const ran = childProcess.spawnSync(program, args, {cwd, encoding: 'utf8'});
+  if (ran.status === 0) return;
+  const shown = path.basename(program);
+  throw new Error(
+    `${shown} ${args.join(' ')} failed: ${ran.stdout}${ran.stderr}`,
+  );
+}
