--- a/packages/gypsumwall-testing/src/bin/scenarios.ts
+++ b/packages/gypsumwall-testing/src/bin/scenarios.ts
@@ -1,7 +1,7 @@
 /**
  * `npm run scenarios [-- NAME ...] [--history]`: runs the scenarios one after
  * another, a line each, and ends with 1 if a promise was broken, 2 if a file
- * is bad. `--without SAFEGUARD` runs those that name the safeguard against a
+ * is bad. `--random N [--seed S]` draws scenarios instead. `--without SAFEGUARD` runs those that name the safeguard against a
  * product without it: each must turn red.
  */
 import * as util from 'node:util';
@@ -16,6 +16,9 @@
   options: {
     history: {type: 'boolean', default: false},
     without: {type: 'string'},
+    /** Draws so many scenarios with two faults each, from the seed. */
+    random: {type: 'string'},
+    seed: {type: 'string', default: '1'},
     /** Keeps settings and logs of each cell, and says where. */
     keep: {type: 'boolean', default: false},
   },
@@ -45,6 +48,7 @@
       keepFolder: values.keep,
     });
     say(scenarioReport.formatVerdict(name, scenario.seed, verdict));
+    if (values.random !== undefined) say(`  ${scenario.story.join(' ')}`);
     if (values.keep) say(`  settings and logs: ${verdict.folder}`);
     if (values.history) say(scenarioReport.formatHistory(verdict.events));
     return runScenario.hasPassed(verdict);
@@ -90,18 +94,36 @@
   return red === chosen.length ? 0 : 1;
 }
 
-async function main(): Promise<number> {
+/** Scenarios of the files, or drawn ones; errors are printed. */
+function chooseScenarios(): NamedScenario[] | undefined {
+  if (values.random !== undefined) {
+    const {seed} = values;
+    const drawn = scenarioFile.drawScenarios(
+      Number(values.random),
+      Number(seed),
+    );
+    if (drawn.isErr) {
+      process.stderr.write(`${drawn.error}\n`);
+      return undefined;
+    }
+    return drawn.value.map((read, index) => {
+      return {name: `random-${seed}-${index + 1}`, read};
+    });
+  }
   const names =
     positionals.length > 0 ? positionals : scenarioFile.scenarioNames();
   const scenarios: NamedScenario[] = [];
-  const errors: string[] = [];
   for (const name of names) {
     const read = scenarioFile.readScenario(name);
-    if (read.isErr) errors.push(read.error);
+    if (read.isErr) process.stderr.write(`${read.error}\n`);
     else scenarios.push({name, read: read.value});
   }
-  for (const error of errors) process.stderr.write(`${error}\n`);
-  if (errors.length > 0) return 2;
+  return scenarios.length === names.length ? scenarios : undefined;
+}
+
+async function main(): Promise<number> {
+  const scenarios = chooseScenarios();
+  if (scenarios === undefined) return 2;
   return values.without === undefined
     ? runAll(scenarios)
     : runWithout(values.without, scenarios);
--- a/packages/gypsumwall-testing/src/scenario/__tests__/scenario_file.test.ts
+++ b/packages/gypsumwall-testing/src/scenario/__tests__/scenario_file.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as jsoncFile from '../../jsonc_file.js';
+import * as randomScenario from '../random_scenario.js';
 import * as scenarioFile from '../scenario_file.js';
 import * as scenarioSchema from '../scenario_schema.js';
 
@@ -37,3 +38,10 @@
     /scenarios\/no-such\.jsonc: no such file; there are /,
   );
 });
+
+nodeTest.test('a seed draws the same scenarios again', () => {
+  const draw = () => randomScenario.randomScenarios(20, 7);
+  assert.deepEqual(draw(), draw());
+  const stories = new Set(draw().map(({story}) => story.join()));
+  assert.ok(stories.size > 15, `${stories.size} different ones`);
+});
--- a/packages/gypsumwall-testing/src/scenario/scenario_file.ts
+++ b/packages/gypsumwall-testing/src/scenario/scenario_file.ts
@@ -6,6 +6,7 @@
 import * as exampleCell from '../example_cell.js';
 import * as jsoncFile from '../jsonc_file.js';
 import * as site from '../site.js';
+import * as randomScenario from './random_scenario.js';
 import * as scenarioSchema from './scenario_schema.js';
 
 const FOLDER = path.join(exampleCell.REPOSITORY, 'scenarios');
@@ -27,6 +28,19 @@
   readonly site: site.Site;
 }
 
+/** Scenarios with two faults drawn at random, on the common site. */
+export function drawScenarios(
+  count: number,
+  seed: number,
+): result.Result<ReadScenario[], string> {
+  return readIn(path.join('scenarios', SITE_FILE), site.siteSchema).map(
+    (where) =>
+      randomScenario
+        .randomScenarios(count, seed)
+        .map((scenario) => ({scenario, site: where})),
+  );
+}
+
 /** Reads one; the error names file, line and remedy. */
 export function readScenario(
   name: string,
