--- /dev/null
+++ b/packages/gypsumwall-telemetry/src/metric_table.ts
@@ -0,0 +1,173 @@
+/**
+ * Every metric by its name in code. docs/METRICS.md shows the same table, and
+ * a test holds the two together.
+ */
+
+/** What can be done with a metric. */
+export type MetricKind = 'counter' | 'gauge' | 'histogram';
+
+/** One metric. */
+export interface MetricDefinition {
+  readonly kind: MetricKind;
+  /** Name on the wire; the prefix `gypsumwall.` is put before it. */
+  readonly name: string;
+  readonly unit: string;
+  /** Tags; each takes few values, so that no caller can make up series. */
+  readonly tags: readonly string[];
+  readonly meaning: string;
+}
+
+/** Put before every name. */
+export const METRIC_PREFIX = 'gypsumwall.';
+
+/** All metrics. */
+export const METRICS = {
+  requests: {
+    kind: 'counter',
+    name: 'requests',
+    unit: 'requests',
+    tags: ['operation', 'outcome', 'reason'],
+    meaning: 'Requests answered, by outcome; reason only for not_run.',
+  },
+  requestWait: {
+    kind: 'histogram',
+    name: 'request.wait',
+    unit: 'ms',
+    tags: ['operation'],
+    meaning: 'From the arrival of a request to its start at an upstream.',
+  },
+  requestTime: {
+    kind: 'histogram',
+    name: 'request.time',
+    unit: 'ms',
+    tags: ['operation', 'outcome'],
+    meaning: 'From the arrival of a request to the end of its answer.',
+  },
+  requestsQueued: {
+    kind: 'gauge',
+    name: 'requests.queued',
+    unit: 'requests',
+    tags: [],
+    meaning: 'Requests that wait for an upstream now.',
+  },
+  upstreamTries: {
+    kind: 'counter',
+    name: 'upstream.tries',
+    unit: 'tries',
+    tags: ['outcome'],
+    meaning: 'Tries sent to upstreams; over requests, the amplification.',
+  },
+  upstreamSlots: {
+    kind: 'gauge',
+    name: 'upstream.slots',
+    unit: 'slots',
+    tags: ['state'],
+    meaning: 'Upstream slots of this entry, by state: used or share.',
+  },
+  jobs: {
+    kind: 'counter',
+    name: 'jobs',
+    unit: 'jobs',
+    tags: ['kind', 'outcome'],
+    meaning: 'Jobs accepted, refused or ended, by shape.',
+  },
+  taskStarts: {
+    kind: 'counter',
+    name: 'task.starts',
+    unit: 'tasks',
+    tags: ['outcome'],
+    meaning: 'Starts sent to workers: started, refused or unknown.',
+  },
+  taskWait: {
+    kind: 'histogram',
+    name: 'task.wait',
+    unit: 'ms',
+    tags: ['urgency'],
+    meaning: 'From the acceptance of a task to its start at a worker.',
+  },
+  tasks: {
+    kind: 'gauge',
+    name: 'tasks',
+    unit: 'tasks',
+    tags: ['state'],
+    meaning: 'Tasks of this failure domain, by state: queued or running.',
+  },
+  placementTime: {
+    kind: 'histogram',
+    name: 'placement.time',
+    unit: 'ms',
+    tags: [],
+    meaning: 'Time that one placement decision took.',
+  },
+  workerUsed: {
+    kind: 'gauge',
+    name: 'worker.used',
+    unit: 'ratio',
+    tags: ['resource'],
+    meaning: 'Share of the workers that is held: cpu, memory, accelerators.',
+  },
+  workersQuarantined: {
+    kind: 'gauge',
+    name: 'workers.quarantined',
+    unit: 'workers',
+    tags: [],
+    meaning: 'Workers that get no work because they fail what they start.',
+  },
+  logAppends: {
+    kind: 'counter',
+    name: 'log.appends',
+    unit: 'appends',
+    tags: ['stream', 'outcome'],
+    meaning: 'Appends to the log, by kind of stream and outcome.',
+  },
+  logAppendTime: {
+    kind: 'histogram',
+    name: 'log.append.time',
+    unit: 'ms',
+    tags: ['stream'],
+    meaning: 'Time that an append to the log took.',
+  },
+  settingsOffset: {
+    kind: 'gauge',
+    name: 'settings.offset',
+    unit: 'offset',
+    tags: [],
+    meaning: 'Highest offset of the settings that is in force here.',
+  },
+  listAge: {
+    kind: 'gauge',
+    name: 'list.age',
+    unit: 'ms',
+    tags: [],
+    meaning: 'Time since the instance list was last read.',
+  },
+  peers: {
+    kind: 'gauge',
+    name: 'peers',
+    unit: 'entries',
+    tags: ['state'],
+    meaning: 'Other entries, by state: heard or silent.',
+  },
+  claimHeld: {
+    kind: 'gauge',
+    name: 'claim.held',
+    unit: 'claims',
+    tags: [],
+    meaning: '1 while this entry holds the claim of its failure domain.',
+  },
+} as const satisfies Record<string, MetricDefinition>;
+
+/** Name of a metric in code. */
+export type MetricName = keyof typeof METRICS;
+
+/** Names of the metrics of one kind. */
+export type MetricOf<Kind extends MetricKind> = {
+  [Name in MetricName]: (typeof METRICS)[Name]['kind'] extends Kind
+    ? Name
+    : never;
+}[MetricName];
+
+/** Tags that a metric may carry. */
+export type TagsOf<Name extends MetricName> = {
+  readonly [Tag in (typeof METRICS)[Name]['tags'][number]]?: string;
+};
