Add the command line: settings, submit, job, request, status, drain

Cause: operators and callers need commands with help, examples, documented exit codes and errors that name value and remedy. Commands that oclif loads hold only flags; what they do is imported when they run, so that a light command loads neither the entry nor the HTTP client. Messages are printed in one piece, since oclif breaks lines inside file:line:column. A lost answer is never a success: a connect fault is 'unreachable' (nothing ran), any other loss of a change is 'unknown', a broken answer ends with an error.

--- a/packages/gypsumwall-settings/src/check_subtree.ts
+++ b/packages/gypsumwall-settings/src/check_subtree.ts
@@ -26,14 +26,18 @@
 
 type Checked<T> = result.Result<T, settingsProblem.SettingsProblem[]>;
 
+/** The file that a subtree was read from. */
+export type SubtreeOrigin = Pick<explainIssue.Source, 'file' | 'placeOf'>;
+
 /** The checked subtree at `path` (`cell` or `teams/<team>`), or its problems. */
 export function checkSubtree(
   path: string,
   value: unknown,
+  origin: SubtreeOrigin = {},
 ): Checked<CheckedSubtree> {
   const place = subtreePath.parseSubtreePath(path);
   if (place === undefined) return result.err([unknownPath(path)]);
-  const source = {value, prefix: path.split('/')};
+  const source = {...origin, value, prefix: path.split('/')};
   switch (place.type) {
     case 'cell': {
       const checked = checkPolicy(
--- /dev/null
+++ b/packages/gypsumwall/src/__fixtures__/run_binary.ts
@@ -0,0 +1,34 @@
+/** Runs the compiled command line as a process of its own. */
+import * as childProcess from 'node:child_process';
+import * as url from 'node:url';
+
+/** What a command printed and how it ended. */
+export interface CommandRun {
+  readonly code: number | null;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+const MAIN = url.fileURLToPath(new URL('../main.js', import.meta.url));
+
+/** Runs one command to its end. */
+export function runBinary(
+  args: readonly string[],
+  options: {
+    readonly env?: Readonly<Record<string, string>>;
+    readonly input?: string;
+  } = {},
+): Promise<CommandRun> {
+  const child = childProcess.spawn(process.execPath, [MAIN, ...args], {
+    env: {PATH: process.env['PATH'], ...options.env},
+  });
+  let stdout = '';
+  let stderr = '';
+  child.stdout.setEncoding('utf8').on('data', (text) => (stdout += text));
+  child.stderr.setEncoding('utf8').on('data', (text) => (stderr += text));
+  child.stdin.end(options.input ?? '');
+  return new Promise((resolve, reject) => {
+    child.on('error', reject);
+    child.on('close', (code) => resolve({code, stdout, stderr}));
+  });
+}
--- /dev/null
+++ b/packages/gypsumwall/src/__tests__/commands.test.ts
@@ -0,0 +1,197 @@
+import * as assert from 'node:assert/strict';
+import * as fs from 'node:fs';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as nodeTest from 'node:test';
+import * as commandTable from '../command_table.js';
+import * as exitCodes from '../exit_codes.js';
+import * as fakeEntry from '../__fixtures__/fake_entry.js';
+import * as runBinary from '../__fixtures__/run_binary.js';
+
+const EXIT = exitCodes.EXIT_CODES;
+const TOKEN = 'token-of-abeba';
+const CLI_PAGE = new URL('../../../../docs/CLI.md', import.meta.url);
+
+const TEAM = {
+  tokenHashes: ['b'.repeat(64)],
+  quota: {cpuMillis: 32_000, memoryMb: 65_536, accelerators: 0},
+};
+
+const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'gypsumwall-cli-'));
+nodeTest.after(() => fs.rmSync(folder, {recursive: true}));
+
+/** Writes a file for one test; its path. */
+function write(name: string, value: unknown): string {
+  const file = path.join(folder, name);
+  const text = typeof value === 'string' ? value : JSON.stringify(value);
+  fs.writeFileSync(file, text);
+  return file;
+}
+
+/** Runs a command against an entry that answers as the test says. */
+async function run(
+  args: readonly string[],
+  answer: (call: fakeEntry.SeenCall) => fakeEntry.FakeAnswer,
+  input?: string,
+) {
+  const entry = await fakeEntry.createFakeEntry(answer);
+  const env = {GYPSUMWALL_TOKEN: TOKEN, GYPSUMWALL_ENTRY: entry.url};
+  const ran = await runBinary.runBinary(args, {env, input});
+  entry.close();
+  assert.doesNotMatch(ran.stdout + ran.stderr, new RegExp(TOKEN));
+  return {...ran, calls: entry.calls};
+}
+
+nodeTest.test('every command has help with an example', async () => {
+  for (const id of Object.keys(commandTable.COMMAND_TABLE)) {
+    const words = id.split(':');
+    const help = await runBinary.runBinary([...words, '--help']);
+    assert.equal(help.code, EXIT.ok, help.stderr);
+    assert.match(help.stdout, new RegExp(`EXAMPLES\\n.*${words.join(' ')}`));
+  }
+});
+
+nodeTest.test('docs/CLI.md names every command and exit code', () => {
+  const page = fs.readFileSync(CLI_PAGE, 'utf8');
+  for (const id of Object.keys(commandTable.COMMAND_TABLE)) {
+    assert.match(page, new RegExp(`^### ${id.replace(':', ' ')}$`, 'm'));
+  }
+  for (const [name, code] of Object.entries(EXIT)) {
+    assert.match(page, new RegExp(`^\\| +${code} +\\| \`${name}\` +\\|`, 'm'));
+  }
+});
+
+nodeTest.test(
+  'settings check tells place, path, value and remedy',
+  async () => {
+    const file = write('bad.jsonc', '{\n  // no id\n  "peerSilence": "2s"\n}');
+    const ran = await runBinary.runBinary(['settings', 'check', file]);
+    assert.equal(ran.code, EXIT.invalid);
+    assert.match(ran.stderr, /bad\.jsonc:3:3: peerSilence = "2s": the key is/);
+    assert.match(ran.stderr, /Did you mean peerSilenceMs/);
+    const json = ['settings', 'check', '--json', file];
+    const problems = JSON.parse((await runBinary.runBinary(json)).stdout) as {
+      problems: {line: number}[];
+    };
+    assert.ok(problems.problems.some((problem) => problem.line === 3));
+  },
+);
+
+// Two operators publish the same subtree. The entry tells the second one that
+// another revision is in force. The command must say so and end with the code
+// for a conflict, so that a script never takes it for a success.
+nodeTest.test('a lost publish race ends as a clear conflict', async () => {
+  const file = write('team.jsonc', TEAM);
+  const flags = ['--path', 'teams/night-plans', '--base', '4'];
+  const ran = await run(['settings', 'publish', file, ...flags], (call) =>
+    call.method === 'PUT'
+      ? fakeEntry.problem(409, 'conflict')
+      : {body: {path: 'teams/night-plans', revision: 5, value: {}}},
+  );
+  assert.equal(ran.code, EXIT.conflict);
+  assert.match(ran.stderr, /conflict: because of conflict\. Nothing ran/);
+  assert.equal(ran.calls.at(-1)?.headers['if-match'], '4');
+});
+
+nodeTest.test('publishing a tree sends only what differs', async () => {
+  const cell = {name: 'addis', failureDomains: ['bole-hall']};
+  const file = write('cell.jsonc', {cell, teams: {'night-plans': TEAM}});
+  const answer = (call: fakeEntry.SeenCall): fakeEntry.FakeAnswer => {
+    if (call.method === 'PUT') return {body: {revision: 9}};
+    return call.path === '/v1/settings/cell'
+      ? {body: {path: 'cell', revision: 3, value: cell}}
+      : fakeEntry.problem(404, 'not_found');
+  };
+  const ran = await run(['settings', 'publish', file], answer);
+  assert.equal(ran.code, EXIT.ok, ran.stderr);
+  assert.equal(ran.stdout, 'teams/night-plans  revision 9\n');
+  const puts = ran.calls.filter((call) => call.method === 'PUT');
+  assert.deepEqual(
+    puts.map((call) => [call.path, call.headers['if-match']]),
+    [['/v1/settings/teams/night-plans', '-1']],
+  );
+  const diff = await run(['settings', 'diff', file], answer);
+  assert.equal(diff.code, EXIT.differs);
+  assert.match(diff.stdout, /^teams\/night-plans: \(absent\) -> /);
+});
+
+nodeTest.test('submit sends the job with a key and prints its id', async () => {
+  const args = ['submit', '-', '--key', 'k-1'];
+  const job = '{"jobClass": "plans" /* night */}';
+  const ran = await run(args, () => ({body: {jobId: 'bole-hall.1'}}), job);
+  assert.deepEqual([ran.code, ran.stdout], [EXIT.ok, 'bole-hall.1\n']);
+  assert.equal(ran.calls[0]?.headers['idempotency-key'], 'k-1');
+  assert.equal(ran.calls[0]?.headers.authorization, `Bearer ${TOKEN}`);
+  assert.equal(ran.calls[0]?.body, '{"jobClass":"plans"}');
+});
+
+nodeTest.test('a request streams its answer', async () => {
+  const body = 'clear'.repeat(100_000);
+  const ran = await run(['request', 'airspace-check'], () => ({body}));
+  assert.equal(ran.code, EXIT.ok, ran.stderr);
+  assert.equal(ran.stdout, body);
+});
+
+nodeTest.test('an answer that breaks off is never a success', async () => {
+  const ran = await run(['request', 'file-plan', '--key', 'k'], () => ({
+    body: 'half an ans',
+    breakOff: true,
+  }));
+  assert.equal(ran.code, EXIT.unknown);
+  assert.match(ran.stderr, /broke off/);
+});
+
+nodeTest.test('outcomes have exit codes of their own', async () => {
+  const cases = [
+    [fakeEntry.problem(503, 'overloaded', {retryAfterMs: 900}), EXIT.notRun],
+    [fakeEntry.problem(502, 'x', {outcome: 'unknown'}), EXIT.unknown],
+    [{status: 502, body: '<html>a balancer</html>'}, EXIT.unknown],
+    [fakeEntry.problem(401, 'unauthenticated'), EXIT.forbidden],
+    [fakeEntry.problem(404, 'not_found'), EXIT.notFound],
+    [fakeEntry.problem(400, 'invalid'), EXIT.invalid],
+  ] as const;
+  for (const [answer, code] of cases) {
+    const ran = await run(['request', 'airspace-check'], () => answer);
+    assert.equal(ran.code, code, ran.stderr);
+  }
+});
+
+nodeTest.test(
+  'an entry that is gone and a missing token are told',
+  async () => {
+    const gone = {GYPSUMWALL_ENTRY: 'http://127.0.0.1:1'};
+    const noToken = await runBinary.runBinary(['status'], {env: gone});
+    assert.equal(noToken.code, EXIT.forbidden);
+    assert.match(noToken.stderr, /--token-file/);
+    const env = {...gone, GYPSUMWALL_TOKEN: TOKEN};
+    const ran = await runBinary.runBinary(['submit', '-'], {env, input: '{}'});
+    assert.equal(ran.code, EXIT.unreachable);
+    assert.match(ran.stderr, /Nothing ran/);
+  },
+);
+
+nodeTest.test('a job is shown, waited for and cancelled', async () => {
+  const view = {jobId: 'a.1', kind: 'batch', tasks: 2, finished: 2};
+  const counts = {failed: 0, running: 0, message: '', results: ['x', 'y']};
+  const states = ['running', 'done'];
+  const answer = () => ({
+    body: {...view, ...counts, state: states.shift() ?? 'done'},
+  });
+  const result = await run(
+    ['job', 'result', 'a.1', '--wait-ms', '60000'],
+    answer,
+  );
+  assert.deepEqual([result.code, result.stdout], [EXIT.ok, 'x\ny\n']);
+  assert.equal(result.calls.length, 2);
+  const shown = await run(['job', 'status', 'a.1'], answer);
+  assert.match(shown.stdout, /a\.1 {2}batch {2}done {2}\(2\/2 finished/);
+  const cancelled = await run(['job', 'cancel', 'a/1'], answer);
+  assert.equal(cancelled.calls[0]?.method, 'DELETE');
+  assert.equal(cancelled.calls[0]?.path, '/v1/jobs/a%2F1');
+});
+
+nodeTest.test('status prints each belief on a line', async () => {
+  const body = {id: 'bole-1', list: {ageMs: 12, peers: []}};
+  const ran = await run(['status'], () => ({body}));
+  assert.equal(ran.stdout, 'id: bole-1\nlist.ageMs: 12\nlist.peers: none\n');
+});
--- a/packages/gypsumwall/src/command_plugin.ts
+++ b/packages/gypsumwall/src/command_plugin.ts
@@ -62,8 +62,8 @@
     id,
     aliases: [],
     hiddenAliases: [],
-    args: command.args,
-    flags: command.flags,
+    args: withNames(command.args),
+    flags: withNames(command.flags),
     description: command.description,
     summary: command.summary,
     examples: command.examples,
@@ -73,3 +73,12 @@
     load: () => Promise.resolve(command),
   };
 }
+
+/** oclif's help reads the name of a flag off the flag itself. */
+function withNames<Described extends object>(
+  table: Readonly<Record<string, Described>>,
+): Record<string, Described & {name: string}> {
+  return Object.fromEntries(
+    Object.entries(table).map(([name, item]) => [name, {...item, name}]),
+  );
+}
--- a/packages/gypsumwall/src/commands/entry_command.ts
+++ b/packages/gypsumwall/src/commands/entry_command.ts
@@ -1,13 +1,5 @@
 /** `gypsumwall entry`: runs one entry process until it is told to stop. */
-import * as nodeCrypto from 'node:crypto';
 import * as oclif from '@oclif/core';
-import * as settings from '@gypsumwall/settings';
-import * as telemetry from '@gypsumwall/telemetry';
-import * as types from '@gypsumwall/types';
-import type * as entryModule from '../entry_module.js';
-import * as readInput from '../read_input.js';
-
-const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const;
 
 /** Runs an entry process. */
 export class EntryCommand extends oclif.Command {
@@ -29,43 +21,8 @@
 
   override async run(): Promise<void> {
     const {flags} = await this.parse(EntryCommand);
-    const checked = settings.checkEntrySettings.checkEntrySettings(
-      readInput.readInput(flags.settings),
-      flags.settings,
-    );
-    if (checked.isErr) return readInput.failWithProblems(checked.error);
-    await runEntry(checked.value, (line) => this.log(line));
+    // Loaded here, so that the light commands don't pay for it.
+    const {runEntry} = await import('../run_entry.js');
+    await runEntry(flags.settings, (line) => this.log(line));
   }
 }
-
-async function runEntry(
-  cfg: settings.entrySettings.EntrySettings,
-  print: (line: string) => void,
-): Promise<void> {
-  const logger = telemetry.logger.createLogger(cfg.logLevel, {entry: cfg.id});
-  const stopSignal = nextSignal();
-  const seed = nodeCrypto.randomBytes(4).readInt32LE();
-  // Loaded here, so that the light commands don't pay for it.
-  const module =
-    (await import('@gypsumwall/entry')) as unknown as entryModule.EntryModule;
-  const entry = await module.entry.createEntry({
-    settings: cfg,
-    clock: types.clock.createSystemClock(),
-    random: types.random.createRandom(seed),
-    logger,
-  });
-  const {address, peerAddress} = entry;
-  print(JSON.stringify({event: 'listening', id: cfg.id, address, peerAddress}));
-  const signal = await stopSignal;
-  logger.info('stopping', {signal});
-  await entry.drain();
-  await entry.close();
-  logger.info('stopped');
-}
-
-/** The first stop signal; later ones change nothing, as a drain has an end. */
-function nextSignal(): Promise<string> {
-  return new Promise((resolve) => {
-    for (const signal of STOP_SIGNALS) process.on(signal, resolve);
-  });
-}
--- a/packages/gypsumwall/src/exit_codes.ts
+++ b/packages/gypsumwall/src/exit_codes.ts
@@ -19,6 +19,8 @@
   notFound: 8,
   /** The token is missing, unknown or not allowed. */
   forbidden: 9,
+  /** `settings diff` found differences. */
+  differs: 10,
 } as const;
 
 /** Why a command ended. */
--- a/packages/gypsumwall/src/read_input.ts
+++ b/packages/gypsumwall/src/read_input.ts
@@ -1,7 +1,6 @@
 /** Reads the files that a command line names. */
 import * as fs from 'node:fs';
 import * as types from '@gypsumwall/types';
-import * as settings from '@gypsumwall/settings';
 import * as fail from './fail.js';
 
 /** Text of a file, or of standard input for `-`. */
@@ -16,11 +15,3 @@
     );
   }
 }
-
-/** Ends the command with one line for each problem. */
-export function failWithProblems(
-  problems: readonly settings.settingsProblem.SettingsProblem[],
-): never {
-  const lines = problems.map(settings.settingsProblem.describeProblem);
-  return fail.fail('invalid', lines.join('\n'));
-}
--- a/packages/gypsumwall/src/run_cli.ts
+++ b/packages/gypsumwall/src/run_cli.ts
@@ -3,6 +3,7 @@
 import * as oclif from '@oclif/core';
 import * as commandPlugin from './command_plugin.js';
 import * as commandTable from './command_table.js';
+import * as fail from './fail.js';
 
 /** Runs the command that `argv` names; ends the process where it fails. */
 export async function runCli(argv: readonly string[]): Promise<void> {
@@ -16,6 +17,6 @@
     await oclif.run([...argv], {root, pjson: plugin.pjson, plugins});
     await oclif.flush();
   } catch (thrown) {
-    await oclif.handle(thrown as Error);
+    await fail.reportFailure(thrown);
   }
 }
--- /dev/null
+++ b/packages/gypsumwall/src/run_entry.ts
@@ -0,0 +1,50 @@
+/** Runs an entry process from its settings file to its planned stop. */
+import * as nodeCrypto from 'node:crypto';
+import type * as settings from '@gypsumwall/settings';
+import * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import type * as callFlags from './call_flags.js';
+import type * as entryModule from './entry_module.js';
+import * as readSettings from './read_settings.js';
+
+const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const;
+
+/** Runs until a stop signal, then drains; settles when all is closed. */
+export async function runEntry(
+  settingsFile: string,
+  print: callFlags.Print,
+): Promise<void> {
+  const cfg = readSettings.readEntrySettings(settingsFile);
+  const logger = telemetry.logger.createLogger(cfg.logLevel, {entry: cfg.id});
+  const stopSignal = nextSignal();
+  const entry = await startEntry(cfg, logger);
+  const {address, peerAddress} = entry;
+  print(JSON.stringify({event: 'listening', id: cfg.id, address, peerAddress}));
+  const signal = await stopSignal;
+  logger.info('stopping', {signal});
+  await entry.drain();
+  await entry.close();
+  logger.info('stopped');
+}
+
+async function startEntry(
+  cfg: settings.entrySettings.EntrySettings,
+  logger: telemetry.logger.Logger,
+): Promise<entryModule.Entry> {
+  const seed = nodeCrypto.randomBytes(4).readInt32LE();
+  const module =
+    (await import('@gypsumwall/entry')) as unknown as entryModule.EntryModule;
+  return module.entry.createEntry({
+    settings: cfg,
+    clock: types.clock.createSystemClock(),
+    random: types.random.createRandom(seed),
+    logger,
+  });
+}
+
+/** The first stop signal; later ones change nothing, as a drain has an end. */
+function nextSignal(): Promise<string> {
+  return new Promise((resolve) => {
+    for (const signal of STOP_SIGNALS) process.on(signal, resolve);
+  });
+}
