--- a/packages/gypsumwall/src/published_settings.ts
+++ b/packages/gypsumwall/src/published_settings.ts
@@ -33,6 +33,9 @@
 ): Promise<void> {
   const client = entryClient.createEntryClient(flags);
   if (path === undefined) return listSubtrees(client, flags.json, print);
+  if (settings.subtreePath.parseSubtreePath(path) === undefined) {
+    return fail.fail('usage', `no subtree ${path}. Use cell or teams/TEAM.`);
+  }
   const found = await readSubtree(client, path);
   if (found.revision === NO_REVISION) {
     return fail.fail(
