Let settings check pass sound files

Cause: it read the error of a check that had none, and true-myth throws then. Symptom: 'Cannot get the error of Ok' for every sound file.

--- a/packages/gypsumwall/src/__tests__/commands.test.ts
+++ b/packages/gypsumwall/src/__tests__/commands.test.ts
@@ -77,6 +77,25 @@
   },
 );
 
+nodeTest.test('settings check passes sound files of each kind', async () => {
+  const cell = {name: 'addis', failureDomains: ['bole-hall']};
+  const tree = write('cell.jsonc', {cell, teams: {'night-plans': TEAM}});
+  const entry = write('entry.jsonc', {
+    id: 'bole-1',
+    failureDomain: 'bole-hall',
+    logUrl: 'http://127.0.0.1:7000',
+    listUrl: 'http://127.0.0.1:7000',
+    rootOperatorTokenHash: 'a'.repeat(64),
+  });
+  const files = await runBinary.runBinary(['settings', 'check', tree, entry]);
+  assert.deepEqual([files.code, files.stderr], [EXIT.ok, '']);
+  const team = write('team.jsonc', TEAM);
+  const flags = ['--path', 'teams/night-plans', '--json'];
+  const subtree = ['settings', 'check', ...flags, team];
+  const checked = await runBinary.runBinary(subtree);
+  assert.deepEqual(JSON.parse(checked.stdout), {problems: []});
+});
+
 // Two operators publish the same subtree. The entry tells the second one that
 // another revision is in force. The command must say so and end with the code
 // for a conflict, so that a script never takes it for a success.
--- a/packages/gypsumwall/src/check_settings.ts
+++ b/packages/gypsumwall/src/check_settings.ts
@@ -1,4 +1,5 @@
 /** `settings check`: all problems of settings files. */
+import type * as result from 'true-myth/result';
 import * as settings from '@gypsumwall/settings';
 import type * as callFlags from './call_flags.js';
 import * as fail from './fail.js';
@@ -46,11 +47,8 @@
     : problemsOf(settings.checkEntrySettings.checkEntrySettings(text, file));
 }
 
-function problemsOf(checked: {
-  readonly isErr: boolean;
-  readonly error?: Problems;
-}): Problems {
-  return checked.error ?? [];
+function problemsOf(checked: result.Result<unknown, Problems>): Problems {
+  return checked.isErr ? checked.error : [];
 }
 
 /** Only a tree has a cell or teams; any other file is an entry's. */
