--- a/packages/gypsumwall-placement/src/index.ts
+++ b/packages/gypsumwall-placement/src/index.ts
@@ -1,2 +1,3 @@
 export * as createBaselinePlacer from './create_baseline_placer.js';
+export * as createPlacer from './create_placer.js';
 export * as placer from './placer.js';
--- /dev/null
+++ b/packages/gypsumwall-placement/src/job_failures.ts
@@ -0,0 +1,105 @@
+/**
+ * Finds jobs that can never run well. A task that fails on one worker is kept
+ * off that worker; a job that fails on distinct workers without a success, or
+ * whose one task does, is given up with the reason. Failures on one worker
+ * alone may be the worker's fault and don't condemn the job.
+ */
+import type * as types from '@gypsumwall/types';
+
+/** Give up after failures on this many distinct workers. */
+const DISTINCT_WORKERS = 3;
+/** Give up after this many failures even where there are fewer workers. */
+const FAILURES_ANYWHERE = 6;
+/** Only failing jobs are remembered; the oldest is forgotten beyond this. */
+const MAX_JOBS = 10_000;
+const MAX_TASKS_PER_JOB = 100;
+
+/** Remembers the failures of jobs. */
+export interface JobFailures {
+  /** Returns why the job is to be given up; undefined while it isn't. */
+  noteFailure(
+    jobId: types.ids.JobId,
+    index: number,
+    workerId: types.ids.WorkerId,
+    message: string,
+  ): string | undefined;
+  noteSuccess(jobId: types.ids.JobId, index: number): void;
+  forget(jobId: types.ids.JobId): void;
+  /** Workers on which the job failed since its last success. */
+  workersToAvoid(
+    jobId: types.ids.JobId,
+  ): ReadonlySet<types.ids.WorkerId> | undefined;
+}
+
+interface Failures {
+  count: number;
+  readonly workers: Set<types.ids.WorkerId>;
+}
+
+interface FailingJob extends Failures {
+  readonly tasks: Map<number, Failures>;
+}
+
+/** Creates an empty record. */
+export function createJobFailures(): JobFailures {
+  const jobs = new Map<types.ids.JobId, FailingJob>();
+
+  function jobOf(jobId: types.ids.JobId): FailingJob {
+    const known = jobs.get(jobId);
+    if (known !== undefined) return known;
+    if (jobs.size >= MAX_JOBS) dropFirst(jobs);
+    const made = {count: 0, workers: new Set<never>(), tasks: new Map()};
+    jobs.set(jobId, made);
+    return made;
+  }
+
+  function taskOf(job: FailingJob, index: number): Failures {
+    const known = job.tasks.get(index);
+    if (known !== undefined) return known;
+    if (job.tasks.size >= MAX_TASKS_PER_JOB) dropFirst(job.tasks);
+    const made = {count: 0, workers: new Set<never>()};
+    job.tasks.set(index, made);
+    return made;
+  }
+
+  return {
+    noteFailure(jobId, index, workerId, message) {
+      const job = jobOf(jobId);
+      const task = taskOf(job, index);
+      for (const failures of [job, task]) {
+        failures.count += 1;
+        failures.workers.add(workerId);
+      }
+      const worst = isHopeless(task) ? task : job;
+      if (!isHopeless(worst)) return undefined;
+      const what = worst === task ? `task ${index}` : 'the job';
+      const where = [...worst.workers].join(', ');
+      return `${what} failed ${worst.count} times without a success, on ${where}; the last: ${message}`;
+    },
+    noteSuccess(jobId, index) {
+      const job = jobs.get(jobId);
+      if (job === undefined) return;
+      job.tasks.delete(index);
+      job.count = 0;
+      job.workers.clear();
+      if (job.tasks.size === 0) jobs.delete(jobId);
+    },
+    forget: (jobId) => void jobs.delete(jobId),
+    workersToAvoid(jobId) {
+      const workers = jobs.get(jobId)?.workers;
+      return workers === undefined || workers.size === 0 ? undefined : workers;
+    },
+  };
+}
+
+function isHopeless(failures: Failures): boolean {
+  return (
+    failures.workers.size >= DISTINCT_WORKERS ||
+    failures.count >= FAILURES_ANYWHERE
+  );
+}
+
+function dropFirst<Key>(map: Map<Key, unknown>): void {
+  const first = map.keys().next();
+  if (first.done !== true) map.delete(first.value);
+}
--- /dev/null
+++ b/packages/gypsumwall-placement/src/pick_worker.ts
@@ -0,0 +1,104 @@
+/**
+ * Chooses the worker for one task: a handful of workers with room, scored by
+ * how tightly the task would fill them, how even the rest would be, and, for
+ * services, how many replicas the rack already has. A team's packing weight
+ * moves both the place where the search starts and the score.
+ */
+import * as types from '@gypsumwall/types';
+import type * as books from './books.js';
+import type * as workerIndex from './worker_index.js';
+
+const CANDIDATES = 6;
+/**
+ * Searches for a service's replica start at this many evenly spaced workers,
+ * so that the candidates lie in distinct racks.
+ */
+const SPREAD_STARTS = 8;
+const CANDIDATES_PER_START = 2;
+/** A replica more in the rack outweighs every other term of the score. */
+const RACK_WEIGHT = 10;
+const IMBALANCE_WEIGHT = 0.5;
+
+/** What is to be placed. */
+export interface Pick {
+  readonly need: types.resources.Resources;
+  /** 0: emptiest worker; 1: fullest worker that still has room. */
+  readonly packing: number;
+  readonly avoid?: ReadonlySet<types.ids.WorkerId>;
+  /** Replicas by rack, for services. */
+  readonly racks?: ReadonlyMap<types.ids.RackId, number>;
+  /** Workers outside the index that may be used when no other has room. */
+  readonly extra?: Iterable<books.WorkerRecord>;
+}
+
+/** Picks a worker; undefined when none has room. */
+export type WorkerPicker = (pick: Pick) => books.WorkerRecord | undefined;
+
+/** Creates a picker over an index. */
+export function createWorkerPicker(
+  index: workerIndex.WorkerIndex,
+  random: types.random.Random,
+): WorkerPicker {
+  function candidates(pick: Pick): books.WorkerRecord[] {
+    const {need, avoid} = pick;
+    const skip =
+      avoid === undefined
+        ? undefined
+        : (worker: books.WorkerRecord) => avoid.has(worker.id);
+    if (pick.racks === undefined) {
+      const from = (1 - pick.packing) * random.next();
+      return index.find({need, from, limit: CANDIDATES, skip});
+    }
+    const found: books.WorkerRecord[] = [];
+    const offset = random.next();
+    for (let start = 0; start < SPREAD_STARTS; start += 1) {
+      const from = ((start + offset) / SPREAD_STARTS) % 1;
+      const limit = CANDIDATES_PER_START;
+      found.push(...index.find({need, from, limit, skip}));
+    }
+    return found;
+  }
+
+  function extras(pick: Pick): books.WorkerRecord[] {
+    const found: books.WorkerRecord[] = [];
+    for (const worker of pick.extra ?? []) {
+      if (!worker.open || worker.quarantined) continue;
+      if (pick.avoid?.has(worker.id) === true) continue;
+      if (types.resources.fits(pick.need, worker.room)) found.push(worker);
+    }
+    return found;
+  }
+
+  return (pick) => {
+    const found = candidates(pick);
+    return best(pick, found.length > 0 ? found : extras(pick));
+  };
+}
+
+function best(
+  pick: Pick,
+  found: readonly books.WorkerRecord[],
+): books.WorkerRecord | undefined {
+  let chosen: books.WorkerRecord | undefined;
+  let lowest = Infinity;
+  for (const worker of found) {
+    const score = scoreOf(pick, worker);
+    if (score >= lowest) continue;
+    chosen = worker;
+    lowest = score;
+  }
+  return chosen;
+}
+
+/** Lower is better. */
+function scoreOf(pick: Pick, worker: books.WorkerRecord): number {
+  const {room, capacity} = worker;
+  const {need, packing} = pick;
+  const cpuLeft = (room.cpuMillis - need.cpuMillis) / capacity.cpuMillis;
+  const memoryLeft = (room.memoryMb - need.memoryMb) / capacity.memoryMb;
+  const left = (cpuLeft + memoryLeft) / 2;
+  const tightness = packing * left + (1 - packing) * (1 - left);
+  const imbalance = Math.abs(cpuLeft - memoryLeft) * IMBALANCE_WEIGHT;
+  const replicas = pick.racks?.get(worker.rack) ?? 0;
+  return tightness + imbalance + replicas * RACK_WEIGHT;
+}
--- /dev/null
+++ b/packages/gypsumwall-placement/src/rack_spread.ts
@@ -0,0 +1,31 @@
+/** Counts the replicas of each service by rack. */
+import * as types from '@gypsumwall/types';
+import type * as books from './books.js';
+
+/** Replicas by rack. */
+export interface RackSpread {
+  note(task: books.HeldRecord, sign: 1 | -1): void;
+  racksOf(
+    jobId: types.ids.JobId,
+  ): ReadonlyMap<types.ids.RackId, number> | undefined;
+}
+
+/** Creates empty counts; tasks of other kinds of jobs are passed over. */
+export function createRackSpread(): RackSpread {
+  const services = new Map<types.ids.JobId, Map<types.ids.RackId, number>>();
+
+  return {
+    note(task, sign) {
+      if (task.spec.shape.kind !== 'service') return;
+      const {jobId} = types.ids.splitTaskId(task.taskId);
+      const racks = services.get(jobId) ?? new Map<types.ids.RackId, number>();
+      services.set(jobId, racks);
+      const {rack} = task.worker;
+      const count = (racks.get(rack) ?? 0) + sign;
+      if (count > 0) racks.set(rack, count);
+      else racks.delete(rack);
+      if (racks.size === 0) services.delete(jobId);
+    },
+    racksOf: (jobId) => services.get(jobId),
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-placement/src/size_learner.ts
@@ -0,0 +1,170 @@
+/**
+ * Learns what tasks of a job class really need, since declared sizes and run
+ * times are off by a factor of 4 either way. Processors may be placed on a
+ * quantile: when it was too low, tasks run slower and are throttled. Memory
+ * never goes below the declared size, since too little memory kills a task.
+ */
+import type * as types from '@gypsumwall/types';
+import * as quantityHistory from './quantity_history.js';
+
+/** Below this many runs or reports the declared figures stand. */
+const SAMPLES_TO_BELIEVE = 8;
+/** How far declared figures may be off, as the users report. */
+const DECLARED_FACTOR = 4;
+const MEMORY_QUANTILE = 0.99;
+const TYPICAL_QUANTILE = 0.5;
+const PESSIMISTIC_QUANTILE = 0.95;
+/** Processors are booked in steps, so that like tasks have like sizes. */
+const CPU_STEP_MILLIS = 10;
+/** About 12 KB each; the class longest without a run is forgotten. */
+const MAX_CLASSES = 1000;
+/** Estimates are worked out again when samples have grown by this factor. */
+const REFRESH_GROWTH = 1.2;
+
+/** What a task of a class is expected to need. */
+export interface Estimate {
+  readonly size: types.resources.Resources;
+  readonly typicalMs: number;
+  readonly pessimisticMs: number;
+}
+
+/** Learns from reports and answers with estimates. */
+export interface SizeLearner {
+  noteUsage(spec: types.job.JobSpec, used: types.resources.Resources): void;
+  noteRun(spec: types.job.JobSpec, ranMs: number): void;
+  /** `cpuQuantile`: the share of tasks that must do with the processors. */
+  estimate(spec: types.job.JobSpec, cpuQuantile: number): Estimate;
+}
+
+interface JobClass {
+  readonly cpu: quantityHistory.QuantityHistory;
+  readonly memory: quantityHistory.QuantityHistory;
+  readonly run: quantityHistory.QuantityHistory;
+  /** The last estimate and what it was made for. */
+  cached: Estimate | undefined;
+  cachedFor: types.job.JobSpec | undefined;
+  cachedQuantile: number;
+  changes: number;
+  refreshAt: number;
+}
+
+/** Creates a learner that knows nothing. */
+export function createSizeLearner(): SizeLearner {
+  const classes = new Map<string, JobClass>();
+
+  function classOf(spec: types.job.JobSpec): JobClass {
+    const key = keyOf(spec);
+    const known = classes.get(key);
+    if (known !== undefined) return known;
+    if (classes.size >= MAX_CLASSES) forgetOldest();
+    const made: JobClass = {
+      cpu: quantityHistory.createQuantityHistory(),
+      memory: quantityHistory.createQuantityHistory(),
+      run: quantityHistory.createQuantityHistory(),
+      cached: undefined,
+      cachedFor: undefined,
+      cachedQuantile: 0,
+      changes: 0,
+      refreshAt: 0,
+    };
+    classes.set(key, made);
+    return made;
+  }
+
+  function forgetOldest(): void {
+    const oldest = classes.keys().next();
+    if (oldest.done !== true) classes.delete(oldest.value);
+  }
+
+  function noteChange(jobClass: JobClass): void {
+    jobClass.changes += 1;
+    if (jobClass.changes < jobClass.refreshAt) return;
+    jobClass.refreshAt = Math.ceil(jobClass.changes * REFRESH_GROWTH) + 1;
+    jobClass.cached = undefined;
+  }
+
+  return {
+    noteUsage(spec, used) {
+      const jobClass = classOf(spec);
+      jobClass.cpu.record(spec.size.cpuMillis, used.cpuMillis);
+      jobClass.memory.record(spec.size.memoryMb, used.memoryMb);
+      noteChange(jobClass);
+    },
+    noteRun(spec, ranMs) {
+      const jobClass = classOf(spec);
+      const key = keyOf(spec);
+      classes.delete(key);
+      classes.set(key, jobClass);
+      jobClass.run.record(spec.estimateMs, ranMs);
+      noteChange(jobClass);
+    },
+    estimate(spec, cpuQuantile) {
+      const jobClass = classOf(spec);
+      const fresh =
+        jobClass.cached !== undefined &&
+        jobClass.cachedQuantile === cpuQuantile &&
+        jobClass.cachedFor !== undefined &&
+        declaresTheSame(jobClass.cachedFor, spec);
+      if (fresh) return jobClass.cached!;
+      const made = {
+        size: estimateSize(jobClass, spec, cpuQuantile),
+        ...estimateRun(jobClass, spec),
+      };
+      jobClass.cached = made;
+      jobClass.cachedFor = spec;
+      jobClass.cachedQuantile = cpuQuantile;
+      return made;
+    },
+  };
+}
+
+function keyOf(spec: types.job.JobSpec): string {
+  return `${spec.team}/${spec.jobClass}`;
+}
+
+function declaresTheSame(
+  left: types.job.JobSpec,
+  right: types.job.JobSpec,
+): boolean {
+  return (
+    left === right ||
+    (left.estimateMs === right.estimateMs &&
+      left.size.cpuMillis === right.size.cpuMillis &&
+      left.size.memoryMb === right.size.memoryMb &&
+      left.size.accelerators === right.size.accelerators)
+  );
+}
+
+function estimateSize(
+  jobClass: JobClass,
+  spec: types.job.JobSpec,
+  cpuQuantile: number,
+): types.resources.Resources {
+  const {cpu, memory} = jobClass;
+  if (cpu.samples() < SAMPLES_TO_BELIEVE) return spec.size;
+  const cpuSeen = cpu.quantile(spec.size.cpuMillis, cpuQuantile);
+  const memorySeen = memory.quantile(spec.size.memoryMb, MEMORY_QUANTILE);
+  const cpuSteps = Math.max(1, Math.ceil(cpuSeen / CPU_STEP_MILLIS));
+  return {
+    cpuMillis: cpuSteps * CPU_STEP_MILLIS,
+    memoryMb: Math.max(spec.size.memoryMb, Math.ceil(memorySeen)),
+    accelerators: spec.size.accelerators,
+  };
+}
+
+function estimateRun(
+  jobClass: JobClass,
+  spec: types.job.JobSpec,
+): {typicalMs: number; pessimisticMs: number} {
+  const {run} = jobClass;
+  if (run.samples() < SAMPLES_TO_BELIEVE) {
+    return {
+      typicalMs: spec.estimateMs,
+      pessimisticMs: spec.estimateMs * DECLARED_FACTOR,
+    };
+  }
+  return {
+    typicalMs: run.quantile(spec.estimateMs, TYPICAL_QUANTILE),
+    pessimisticMs: run.quantile(spec.estimateMs, PESSIMISTIC_QUANTILE),
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-placement/src/worker_index.ts
@@ -0,0 +1,181 @@
+/**
+ * Finds workers with room for a size without looking at every worker: a tree
+ * over the workers in which each node knows the most room of each kind below
+ * it. A search goes down only where the size could fit. Workers with
+ * accelerators are in a tree of their own, so that plain tasks fill them last.
+ */
+import type * as types from '@gypsumwall/types';
+import type * as books from './books.js';
+
+/**
+ * Nodes one search may visit. Room of different kinds may lie on different
+ * workers below a node, so a search can go down in vain; this bounds a
+ * decision's time at any number of workers. The next search starts elsewhere.
+ */
+const VISITS_PER_SEARCH = 600;
+const FIRST_SLOTS = 32;
+
+/** What to look for. */
+export interface Search {
+  readonly need: types.resources.Resources;
+  /** Where to start among the workers, from 0 to below 1. */
+  readonly from: number;
+  /** Stop after so many fitting workers. */
+  readonly limit: number;
+  readonly skip?: (worker: books.WorkerRecord) => boolean;
+}
+
+/** The open workers by room. */
+export interface WorkerIndex {
+  /** Adds a worker or takes in its new room; `usable` false hides it. */
+  update(worker: books.WorkerRecord, usable: boolean): void;
+  remove(worker: books.WorkerRecord): void;
+  /** Fitting workers, in slot order from the start and around. */
+  find(search: Search): books.WorkerRecord[];
+}
+
+/** Creates an empty index. */
+export function createWorkerIndex(): WorkerIndex {
+  const plain = createRoomTree();
+  const accelerated = createRoomTree();
+  const treeOf = (worker: books.WorkerRecord) =>
+    worker.capacity.accelerators > 0 ? accelerated : plain;
+
+  return {
+    update(worker, usable) {
+      const tree = treeOf(worker);
+      // A changed capacity may have moved it to the other tree.
+      (tree === plain ? accelerated : plain).remove(worker);
+      tree.update(worker, usable);
+    },
+    remove(worker) {
+      plain.remove(worker);
+      accelerated.remove(worker);
+    },
+    find(search) {
+      if (search.need.accelerators > 0) return accelerated.find(search);
+      const found = plain.find(search);
+      return found.length > 0 ? found : accelerated.find(search);
+    },
+  };
+}
+
+/** One tree; leaf `slots + i` is slot i, node n has children 2n and 2n+1. */
+function createRoomTree() {
+  let slots = FIRST_SLOTS;
+  let cpu = new Float64Array(slots * 2).fill(-1);
+  let memory = new Float64Array(slots * 2).fill(-1);
+  let accelerators = new Float64Array(slots * 2).fill(-1);
+  /** Least room of processors and memory, against a fixed reference worker. */
+  let balance = new Float64Array(slots * 2).fill(-1);
+  let reference: types.resources.Resources | undefined;
+  const slotOf = new Map<books.WorkerRecord, number>();
+  const workerAt: Array<books.WorkerRecord | undefined> = [];
+  const freeSlots: number[] = [];
+  let visits = 0;
+
+  function balanceOf(room: types.resources.Resources): number {
+    if (reference === undefined) return 0;
+    return Math.min(
+      room.cpuMillis / reference.cpuMillis,
+      room.memoryMb / reference.memoryMb,
+    );
+  }
+
+  function grow(): void {
+    const records = workerAt.slice();
+    const usable = records.map((_, slot) => cpu[slots + slot]! >= 0);
+    slots *= 2;
+    cpu = new Float64Array(slots * 2).fill(-1);
+    memory = new Float64Array(slots * 2).fill(-1);
+    accelerators = new Float64Array(slots * 2).fill(-1);
+    balance = new Float64Array(slots * 2).fill(-1);
+    records.forEach((worker, slot) => {
+      if (worker !== undefined) setLeaf(slot, worker, usable[slot] === true);
+    });
+  }
+
+  function setLeaf(
+    slot: number,
+    worker: books.WorkerRecord,
+    usable: boolean,
+  ): void {
+    let node = slots + slot;
+    cpu[node] = usable ? worker.room.cpuMillis : -1;
+    memory[node] = usable ? worker.room.memoryMb : -1;
+    accelerators[node] = usable ? worker.room.accelerators : -1;
+    balance[node] = usable ? balanceOf(worker.room) : -1;
+    for (node >>= 1; node >= 1; node >>= 1) {
+      const left = node * 2;
+      const right = left + 1;
+      cpu[node] = Math.max(cpu[left]!, cpu[right]!);
+      memory[node] = Math.max(memory[left]!, memory[right]!);
+      accelerators[node] = Math.max(accelerators[left]!, accelerators[right]!);
+      balance[node] = Math.max(balance[left]!, balance[right]!);
+    }
+  }
+
+  function takeSlot(worker: books.WorkerRecord): number {
+    const slot = freeSlots.pop() ?? workerAt.length;
+    if (slot >= slots) grow();
+    slotOf.set(worker, slot);
+    workerAt[slot] = worker;
+    return slot;
+  }
+
+  /** Adds fitting workers of slots from `low` to below `high` to `found`. */
+  function collect(
+    search: Search,
+    needBalance: number,
+    node: number,
+    nodeLow: number,
+    nodeHigh: number,
+    low: number,
+    high: number,
+    found: books.WorkerRecord[],
+  ): void {
+    if (nodeHigh <= low || nodeLow >= high) return;
+    if (found.length >= search.limit || visits >= VISITS_PER_SEARCH) return;
+    visits += 1;
+    const {need} = search;
+    if (cpu[node]! < need.cpuMillis || memory[node]! < need.memoryMb) return;
+    if (accelerators[node]! < need.accelerators) return;
+    if (balance[node]! < needBalance) return;
+    if (node >= slots) {
+      const worker = workerAt[node - slots];
+      if (worker !== undefined && search.skip?.(worker) !== true) {
+        found.push(worker);
+      }
+      return;
+    }
+    const middle = (nodeLow + nodeHigh) >> 1;
+    const left = node * 2;
+    collect(search, needBalance, left, nodeLow, middle, low, high, found);
+    collect(search, needBalance, left + 1, middle, nodeHigh, low, high, found);
+  }
+
+  return {
+    update(worker: books.WorkerRecord, usable: boolean): void {
+      reference ??= worker.capacity.cpuMillis > 0 ? worker.capacity : undefined;
+      const slot = slotOf.get(worker) ?? takeSlot(worker);
+      setLeaf(slot, worker, usable);
+    },
+    remove(worker: books.WorkerRecord): void {
+      const slot = slotOf.get(worker);
+      if (slot === undefined) return;
+      setLeaf(slot, worker, false);
+      slotOf.delete(worker);
+      workerAt[slot] = undefined;
+      freeSlots.push(slot);
+    },
+    find(search: Search): books.WorkerRecord[] {
+      const found: books.WorkerRecord[] = [];
+      const start = Math.floor(search.from * workerAt.length);
+      const needBalance = balanceOf(search.need);
+      visits = 0;
+      collect(search, needBalance, 1, 0, slots, start, slots, found);
+      collect(search, needBalance, 1, 0, slots, 0, start, found);
+      return found;
+    },
+  };
+}
