--- /dev/null
+++ b/packages/gypsumwall-placement/src/__tests__/worker_index.test.ts
@@ -0,0 +1,40 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as types from '@gypsumwall/types';
+import * as fc from 'fast-check';
+import * as specs from '../__fixtures__/specs.js';
+import * as books from '../books.js';
+import * as workerIndex from '../worker_index.js';
+
+nodeTest.describe('createWorkerIndex', () => {
+  nodeTest.it('finds a worker exactly when one has room', () => {
+    const room = fc.record({
+      cpuMillis: fc.integer({min: 0, max: 8}),
+      memoryMb: fc.integer({min: 0, max: 8}),
+      accelerators: fc.integer({min: 0, max: 2}),
+    });
+    const rooms = fc.array(fc.tuple(room, fc.boolean()), {maxLength: 100});
+    const from = fc.double({min: 0, max: 0.99, noNaN: true});
+    fc.assert(
+      fc.property(rooms, room, from, (all, need, start) => {
+        const index = workerIndex.createWorkerIndex();
+        const made = books.createBooks((worker) =>
+          index.update(worker, worker.open),
+        );
+        all.forEach(([capacity, open], n) => {
+          const worker = made.setWorker(specs.worker(n, capacity));
+          made.setOpen(worker, open);
+        });
+        const found = index.find({need, from: start, limit: 1});
+        const some = all.some(
+          ([capacity, open]) => open && types.resources.fits(need, capacity),
+        );
+        assert.equal(found.length, some ? 1 : 0);
+        for (const each of found) {
+          assert.ok(each.open && types.resources.fits(need, each.room));
+        }
+      }),
+      {seed: 7, numRuns: 500},
+    );
+  });
+});
--- a/packages/gypsumwall-placement/src/create_baseline_placer.ts
+++ b/packages/gypsumwall-placement/src/create_baseline_placer.ts
@@ -69,6 +69,14 @@
     return types.resources.fits(wanted, quota);
   }
 
+  function hasRoom(size: types.resources.Resources): boolean {
+    for (const booked of workers.values()) {
+      if (!booked.open) continue;
+      if (types.resources.fits(size, booked.free)) return true;
+    }
+    return false;
+  }
+
   function placeOne(job: WaitingJob): placer.HeldTask | undefined {
     const index = job.waiting[0];
     if (index === undefined || !fitsQuota(job.spec)) return undefined;
@@ -194,15 +202,23 @@
     reportUsage: () => undefined,
     decide(_now, limit) {
       const placements: placer.Placement[] = [];
+      // Room only shrinks within a round: what is no smaller than a size that
+      // found none needn't be tried. It changes no decision, only the time.
+      const foundNone: types.resources.Resources[] = [];
       for (const job of queue.values()) {
         const left = limit - placements.length;
         if (left <= 0) break;
+        const {size} = job.spec;
+        if (foundNone.some((each) => types.resources.fits(each, size))) {
+          continue;
+        }
         const placed =
           job.spec.shape.kind === 'gang'
             ? placeGang(job)
             : placeSeveral(job, left);
         placements.push(...placed);
         if (job.waiting.length === 0) queue.delete(job.jobId);
+        else if (!hasRoom(size)) foundNone.push(size);
       }
       return {placements, reliefs: []};
     },
