--- a/packages/gypsumwall-bench/src/bench_modules.ts
+++ b/packages/gypsumwall-bench/src/bench_modules.ts
@@ -1,4 +1,7 @@
 /** Every bench, in the order they run. */
 import type * as benchModule from './bench_module.js';
+import * as policyBench from './policy_bench.js';
 
-export const BENCH_MODULES: readonly benchModule.BenchModule[] = [];
+export const BENCH_MODULES: readonly benchModule.BenchModule[] = [
+  policyBench.POLICY_BENCH,
+];
--- /dev/null
+++ b/packages/gypsumwall-bench/src/offline_schedule.ts
@@ -0,0 +1,74 @@
+/**
+ * The offline schedule that deadlines are judged by: it knows every true size
+ * and run time beforehand, runs deadline work alone, may stop and move tasks at
+ * no cost and sees all processors as one pool, earliest deadline first. No
+ * policy can have it so well; a deadline that even this schedule misses is
+ * nobody's fault.
+ */
+import type * as workload from './workload.js';
+
+const STEP_MS = 250;
+
+interface Demand {
+  readonly arrival: workload.Arrival;
+  readonly left: number[];
+  missed: boolean;
+}
+
+/** Job ids whose deadlines the schedule misses. */
+export function missedOffline(
+  arrivals: readonly workload.Arrival[],
+  capacityMillis: number,
+  horizonMs: number,
+): Set<string> {
+  const coming = arrivals
+    .map((arrival) => ({
+      arrival,
+      left: arrival.tasks.map((task) => task.runMs),
+      missed: false,
+    }))
+    .sort((left, right) => left.arrival.at - right.arrival.at);
+  const missed = new Set<string>();
+  let active: Demand[] = [];
+  let next = 0;
+  for (let now = 0; now < horizonMs; now += STEP_MS) {
+    const end = now + STEP_MS;
+    while (next < coming.length && coming[next]!.arrival.at < end) {
+      active.push(coming[next]!);
+      next += 1;
+    }
+    if (active.length === 0) continue;
+    active.sort((left, right) => deadlineOf(left) - deadlineOf(right));
+    runStep(active, now, capacityMillis);
+    active = active.filter((demand) => {
+      const done = demand.left.every((left) => left <= 0);
+      if (!done && deadlineOf(demand) <= end) {
+        missed.add(demand.arrival.jobId);
+      }
+      return !done && deadlineOf(demand) > end;
+    });
+  }
+  return missed;
+}
+
+function runStep(
+  active: readonly Demand[],
+  now: number,
+  capacityMillis: number,
+): void {
+  let free = capacityMillis;
+  for (const demand of active) {
+    const runsMs = Math.min(STEP_MS, now + STEP_MS - demand.arrival.at);
+    demand.arrival.tasks.forEach((task, index) => {
+      const left = demand.left[index]!;
+      if (left <= 0 || free <= 0) return;
+      const share = Math.min(1, free / task.cpuMillis);
+      demand.left[index] = left - runsMs * share;
+      free -= task.cpuMillis * share;
+    });
+  }
+}
+
+function deadlineOf(demand: Demand): number {
+  return demand.arrival.spec.deadline ?? Infinity;
+}
--- /dev/null
+++ b/packages/gypsumwall-bench/src/policy_bench.ts
@@ -0,0 +1,127 @@
+/** The placement policy against the naive baseline, on the same seeds. */
+import * as placement from '@gypsumwall/placement';
+import * as types from '@gypsumwall/types';
+import type * as benchModule from './bench_module.js';
+import * as offlineSchedule from './offline_schedule.js';
+import * as policyTables from './policy_tables.js';
+import * as profiles from './profiles.js';
+import * as virtualCell from './virtual_cell.js';
+import * as workload from './workload.js';
+
+const MINUTE_MS = 60_000;
+const BAD_WORKER = 15;
+/** One in so many jobs can never run, in the scenario with faults. */
+const BROKEN_ONE_IN = 100;
+
+interface Scenario {
+  readonly name: string;
+  readonly profile: profiles.Profile;
+  readonly load: number;
+  readonly declaredOff: boolean;
+  readonly faults: boolean;
+}
+
+const SCENARIOS: readonly Scenario[] = [
+  scenario('addis 95%', profiles.ADDIS, 0.95),
+  scenario('thailand 95%', profiles.THAILAND, 0.95),
+  scenario('addis 130% (backlog)', profiles.ADDIS, 1.3),
+  scenario('thailand 130% (backlog)', profiles.THAILAND, 1.3),
+  {
+    ...scenario('thailand 95%, declared right', profiles.THAILAND, 0.95),
+    declaredOff: false,
+  },
+  {...scenario('addis 80%, faults', profiles.ADDIS, 0.8), faults: true},
+];
+
+function scenario(
+  name: string,
+  profile: profiles.Profile,
+  load: number,
+): Scenario {
+  return {name, profile, load, declaredOff: true, faults: false};
+}
+
+const POLICIES = ['policy', 'baseline'] as const;
+
+/** The bench. */
+export const POLICY_BENCH: benchModule.BenchModule = {
+  name: 'placement-policy',
+  run: (options) => Promise.resolve(runAll(options)),
+};
+
+function runAll(options: benchModule.BenchOptions): benchModule.BenchReport {
+  const horizonMs = (options.quick ? 10 : 40) * MINUTE_MS;
+  const seeds = options.quick ? options.seeds.slice(0, 3) : options.seeds;
+  const results: policyTables.ScenarioResult[] = [];
+  for (const each of SCENARIOS) {
+    const runs = seeds.flatMap((seed) =>
+      POLICIES.map((policy) => runOne(each, policy, seed, horizonMs)),
+    );
+    results.push({name: each.name, profile: each.profile, runs});
+  }
+  return policyTables.tabulate(results, {seeds, horizonMs});
+}
+
+function runOne(
+  each: Scenario,
+  policy: (typeof POLICIES)[number],
+  seed: number,
+  horizonMs: number,
+): policyTables.PolicyRun {
+  const {profile, load, declaredOff, faults} = each;
+  const arrivals = workload.makeWorkload({
+    profile,
+    seed,
+    horizonMs,
+    load,
+    declaredOff,
+  });
+  const broken = new Set(
+    arrivals.filter((_, n) => n % BROKEN_ONE_IN === 7).map((a) => a.jobId),
+  );
+  const outcome = virtualCell.runCell({
+    profile,
+    arrivals,
+    horizonMs,
+    warmUpMs: horizonMs / 4,
+    placer: makePlacer(policy, seed),
+    badWorker: faults ? BAD_WORKER : undefined,
+    isBroken: faults ? (arrival) => broken.has(arrival.jobId) : undefined,
+  });
+  countDeadlines(outcome, profile, horizonMs);
+  return {policy, seed, measures: outcome.measures};
+}
+
+function makePlacer(
+  policy: (typeof POLICIES)[number],
+  seed: number,
+): placement.placer.Placer {
+  switch (policy) {
+    case 'policy':
+      return placement.createPlacer.createPlacer({
+        random: types.random.createRandom(seed),
+      });
+    case 'baseline':
+      return placement.createBaselinePlacer.createBaselinePlacer();
+  }
+}
+
+function countDeadlines(
+  outcome: virtualCell.CellOutcome,
+  profile: profiles.Profile,
+  horizonMs: number,
+): void {
+  const {measures, deadlineJobs} = outcome;
+  const offline = offlineSchedule.missedOffline(
+    deadlineJobs.map((each) => each.arrival),
+    profile.workers * profile.capacity.cpuMillis,
+    horizonMs,
+  );
+  for (const {arrival, doneAt} of deadlineJobs) {
+    measures.deadlineJobs += 1;
+    const deadline = arrival.spec.deadline ?? Infinity;
+    if (doneAt !== undefined && doneAt <= deadline) continue;
+    measures.deadlineMissed += 1;
+    if (!offline.has(arrival.jobId)) measures.deadlineAvoidable += 1;
+  }
+}
--- /dev/null
+++ b/packages/gypsumwall-bench/src/profiles.ts
@@ -0,0 +1,175 @@
+/** The two users' deployments and their work, as the brief tells of them. */
+import type * as types from '@gypsumwall/types';
+import type * as draw from './draw.js';
+
+/** One class of work. */
+export interface WorkClass {
+  readonly name: string;
+  readonly team: string;
+  readonly kind: types.job.JobShape['kind'];
+  readonly urgency: types.job.Urgency;
+  /** Share of the load; all shares of a profile add up to 1. */
+  readonly loadShare: number;
+  readonly tasks: draw.HeavyTailed;
+  readonly cores: draw.HeavyTailed;
+  readonly memoryPerCoreMb: number;
+  readonly runMs: draw.HeavyTailed;
+  /** Deadline as a multiple of the run time; none when absent. */
+  readonly slackRuns?: draw.HeavyTailed;
+}
+
+/** One user's failure domain. */
+export interface Profile {
+  readonly name: string;
+  readonly workers: number;
+  readonly workersPerRack: number;
+  readonly capacity: types.resources.Resources;
+  /** Packing weight of the teams. */
+  readonly packing: number;
+  readonly classes: readonly WorkClass[];
+}
+
+const ONE: draw.HeavyTailed = {median: 1, sigma: 0, low: 1, high: 1};
+
+function tailed(
+  median: number,
+  sigma: number,
+  low: number,
+  high: number,
+): draw.HeavyTailed {
+  return {median, sigma, low, high};
+}
+
+/** Tesfaye: overnight work on the workers there are; packing counts most. */
+export const ADDIS: Profile = {
+  name: 'addis',
+  workers: 30,
+  workersPerRack: 8,
+  capacity: {cpuMillis: 32_000, memoryMb: 131_072, accelerators: 0},
+  packing: 0.9,
+  classes: [
+    {
+      name: 'booking-service',
+      team: 'booking',
+      kind: 'service',
+      urgency: 'urgent',
+      loadShare: 0.1,
+      tasks: tailed(4, 0, 4, 4),
+      cores: tailed(2, 0.5, 0.5, 6),
+      memoryPerCoreMb: 1024,
+      runMs: ONE,
+    },
+    {
+      name: 'confirmation',
+      team: 'booking',
+      kind: 'batch',
+      urgency: 'urgent',
+      loadShare: 0.05,
+      tasks: ONE,
+      cores: tailed(0.5, 0.5, 0.1, 2),
+      memoryPerCoreMb: 1024,
+      runMs: tailed(2000, 1, 200, 60_000),
+    },
+    {
+      name: 'repayment-plan',
+      team: 'plans',
+      kind: 'batch',
+      urgency: 'normal',
+      loadShare: 0.25,
+      tasks: tailed(4, 1, 1, 60),
+      cores: tailed(1, 0.6, 0.2, 6),
+      memoryPerCoreMb: 1024,
+      runMs: tailed(20_000, 0.8, 2000, 300_000),
+      slackRuns: tailed(20, 0.8, 4, 200),
+    },
+    {
+      name: 'letter-check',
+      team: 'letters',
+      kind: 'batch',
+      urgency: 'overnight',
+      loadShare: 0.5,
+      tasks: tailed(20, 1.2, 1, 600),
+      cores: tailed(1, 0.8, 0.2, 8),
+      memoryPerCoreMb: 1024,
+      runMs: tailed(30_000, 1, 2000, 600_000),
+    },
+    {
+      name: 'model-fit',
+      team: 'letters',
+      kind: 'gang',
+      urgency: 'overnight',
+      loadShare: 0.1,
+      tasks: tailed(8, 0.6, 2, 24),
+      cores: tailed(4, 0.4, 2, 7),
+      memoryPerCoreMb: 1024,
+      runMs: tailed(60_000, 0.6, 10_000, 300_000),
+    },
+  ],
+};
+
+/** Skyroute: pilots wait at the counter; waiting time counts most. */
+export const THAILAND: Profile = {
+  name: 'thailand',
+  workers: 30,
+  workersPerRack: 8,
+  capacity: {cpuMillis: 16_000, memoryMb: 32_768, accelerators: 0},
+  packing: 0.4,
+  classes: [
+    {
+      name: 'filing-service',
+      team: 'filing',
+      kind: 'service',
+      urgency: 'urgent',
+      loadShare: 0.1,
+      tasks: tailed(4, 0, 4, 4),
+      cores: tailed(1, 0.5, 0.5, 3),
+      memoryPerCoreMb: 512,
+      runMs: ONE,
+    },
+    {
+      name: 'airspace-check',
+      team: 'counter',
+      kind: 'batch',
+      urgency: 'urgent',
+      loadShare: 0.1,
+      tasks: ONE,
+      cores: tailed(0.5, 0.5, 0.1, 2),
+      memoryPerCoreMb: 512,
+      runMs: tailed(800, 0.8, 100, 20_000),
+    },
+    {
+      name: 'route-optimisation',
+      team: 'routes',
+      kind: 'batch',
+      urgency: 'normal',
+      loadShare: 0.4,
+      tasks: tailed(2, 0.8, 1, 16),
+      cores: tailed(1.5, 0.5, 0.5, 3.5),
+      memoryPerCoreMb: 512,
+      runMs: tailed(30_000, 0.8, 5000, 300_000),
+      slackRuns: tailed(12, 1, 4, 200),
+    },
+    {
+      name: 'weather-pack',
+      team: 'weather',
+      kind: 'batch',
+      urgency: 'overnight',
+      loadShare: 0.3,
+      tasks: tailed(10, 1, 1, 200),
+      cores: tailed(0.8, 0.7, 0.2, 3.5),
+      memoryPerCoreMb: 512,
+      runMs: tailed(20_000, 1, 2000, 300_000),
+    },
+    {
+      name: 'wind-model',
+      team: 'weather',
+      kind: 'gang',
+      urgency: 'normal',
+      loadShare: 0.1,
+      tasks: tailed(6, 0.5, 2, 16),
+      cores: tailed(2, 0.4, 1, 3.5),
+      memoryPerCoreMb: 512,
+      runMs: tailed(40_000, 0.6, 10_000, 300_000),
+    },
+  ],
+};
--- /dev/null
+++ b/packages/gypsumwall-bench/src/workload.ts
@@ -0,0 +1,202 @@
+/**
+ * Seeded work shaped on the two users of the brief: heavy-tailed gaps between
+ * arrivals, sizes and run times, and declared figures that are off by up to a
+ * factor of 4 either way.
+ */
+import * as types from '@gypsumwall/types';
+import * as draw from './draw.js';
+import type * as profiles from './profiles.js';
+
+/** What a task really does; the policy only learns of it by reports. */
+export interface Truth {
+  readonly cpuMillis: number;
+  readonly memoryMb: number;
+  /** At full speed. */
+  readonly runMs: number;
+}
+
+/** A job on its way. */
+export interface Arrival {
+  readonly at: number;
+  readonly jobId: types.ids.JobId;
+  readonly spec: types.job.JobSpec;
+  readonly className: string;
+  readonly tasks: readonly Truth[];
+}
+
+/** What to make. */
+export interface WorkloadOptions {
+  readonly profile: profiles.Profile;
+  readonly seed: number;
+  readonly horizonMs: number;
+  /** True processor use over capacity. */
+  readonly load: number;
+  /** False: teams declare what they really need. */
+  readonly declaredOff: boolean;
+}
+
+/** Each class of work has so many job classes, each off in its own way. */
+const JOB_CLASSES = 5;
+/** Declared figures are off by up to this factor either way. */
+const DECLARED_FACTOR = 4;
+/** Spread of the gaps between arrivals; their standard deviation is 2.9 times the mean. */
+const GAP_SIGMA = 1.5;
+
+/** Makes all arrivals of a run, in order of time. */
+export function makeWorkload(options: WorkloadOptions): Arrival[] {
+  const arrivals: Arrival[] = [];
+  options.profile.classes.forEach((workClass, position) => {
+    const random = types.random.createRandom(options.seed * 1000 + position);
+    arrivals.push(...makeClass(options, workClass, random));
+  });
+  return arrivals.sort((left, right) => left.at - right.at);
+}
+
+/** How a job class declares, against the truth. */
+interface Bias {
+  readonly cpu: number;
+  readonly memory: number;
+  readonly run: number;
+}
+
+function makeClass(
+  options: WorkloadOptions,
+  workClass: profiles.WorkClass,
+  random: types.random.Random,
+): Arrival[] {
+  const {profile, load, horizonMs} = options;
+  const biases = Array.from({length: JOB_CLASSES}, () =>
+    makeBias(random, options.declaredOff),
+  );
+  const capacityMillis = profile.workers * profile.capacity.cpuMillis;
+  const perMs = (capacityMillis * load * workClass.loadShare) / 1000;
+  if (workClass.kind === 'service') {
+    return makeServices(options, workClass, random, biases);
+  }
+  const target = perMs * horizonMs;
+  const drawn: Array<{at: number; tasks: Truth[]}> = [];
+  let work = 0;
+  let at = 0;
+  while (work < target) {
+    at += draw.logNormalMean(random, 1, GAP_SIGMA);
+    const tasks = drawTasks(workClass, random);
+    work += workOf(tasks);
+    drawn.push({at, tasks});
+  }
+  // Heavy tails leave no run at its nominal load; the gaps are stretched so
+  // that the work offered is the load asked for.
+  const stretch = horizonMs / at;
+  return drawn.map(({at: drawnAt, tasks}, n) => {
+    const arrivesAt = drawnAt * stretch;
+    const variant = random.integer(0, JOB_CLASSES - 1);
+    const bias = biases[variant]!;
+    return {
+      at: arrivesAt,
+      jobId: types.ids.brand(`${profile.name}.${workClass.name}-${n}`),
+      className: workClass.name,
+      tasks,
+      spec: makeSpec(workClass, random, tasks, bias, variant, arrivesAt),
+    };
+  });
+}
+
+/** Services are there from the start and stay. */
+function makeServices(
+  options: WorkloadOptions,
+  workClass: profiles.WorkClass,
+  random: types.random.Random,
+  biases: readonly Bias[],
+): Arrival[] {
+  const {profile, load} = options;
+  let left =
+    profile.workers * profile.capacity.cpuMillis * load * workClass.loadShare;
+  const arrivals: Arrival[] = [];
+  while (left > 0) {
+    const variant = arrivals.length % JOB_CLASSES;
+    const one = drawTasks(workClass, random)[0]!;
+    const tasks = Array.from({length: workClass.tasks.median}, () => ({
+      ...one,
+      runMs: options.horizonMs * 2,
+    }));
+    const spec = makeSpec(
+      workClass,
+      random,
+      tasks,
+      biases[variant]!,
+      variant,
+      0,
+    );
+    const jobId = `${profile.name}.${workClass.name}-${arrivals.length}`;
+    arrivals.push({
+      at: 0,
+      jobId: types.ids.brand(jobId),
+      className: workClass.name,
+      tasks,
+      spec,
+    });
+    left -= one.cpuMillis * tasks.length;
+  }
+  return arrivals;
+}
+
+function makeBias(random: types.random.Random, off: boolean): Bias {
+  const factor = () => (off ? DECLARED_FACTOR ** (random.next() * 2 - 1) : 1);
+  return {cpu: factor(), memory: factor(), run: factor()};
+}
+
+/** Processor time of a job, in core milliseconds. */
+function workOf(tasks: readonly Truth[]): number {
+  let sum = 0;
+  for (const task of tasks) sum += (task.cpuMillis * task.runMs) / 1000;
+  return sum;
+}
+
+function drawTasks(
+  workClass: profiles.WorkClass,
+  random: types.random.Random,
+): Truth[] {
+  const {tasks, cores, memoryPerCoreMb, runMs} = workClass;
+  const count = Math.round(draw.heavyTailed(random, tasks));
+  const jobCores = draw.heavyTailed(random, cores);
+  const jobRunMs = draw.heavyTailed(random, runMs);
+  return Array.from({length: count}, () => {
+    // Tasks of one job are alike, but not the same.
+    const cpuMillis = Math.max(20, jobCores * 1000 * draw.jitter(random));
+    const memoryMb = (cpuMillis / 1000) * memoryPerCoreMb * draw.jitter(random);
+    return {cpuMillis, memoryMb, runMs: jobRunMs * draw.jitter(random)};
+  });
+}
+
+function makeSpec(
+  workClass: profiles.WorkClass,
+  random: types.random.Random,
+  tasks: readonly Truth[],
+  bias: Bias,
+  variant: number,
+  at: number,
+): types.job.JobSpec {
+  const first = tasks[0]!;
+  const runMs = Math.max(...tasks.map((task) => task.runMs));
+  const {slackRuns} = workClass;
+  const deadline =
+    slackRuns === undefined
+      ? undefined
+      : at + runMs * draw.heavyTailed(random, slackRuns);
+  return {
+    team: types.ids.brand(workClass.team),
+    shape:
+      workClass.kind === 'service'
+        ? {kind: 'service', replicas: tasks.length}
+        : {kind: workClass.kind, tasks: tasks.length},
+    jobClass: `${workClass.name}-${variant}`,
+    urgency: workClass.urgency,
+    size: {
+      cpuMillis: Math.ceil(first.cpuMillis * bias.cpu),
+      memoryMb: Math.ceil(first.memoryMb * bias.memory),
+      accelerators: 0,
+    },
+    estimateMs: Math.ceil(first.runMs * bias.run),
+    deadline: deadline as types.clock.WallMs | undefined,
+    work: {command: workClass.name, args: {}},
+  };
+}
--- a/packages/gypsumwall-placement/src/admission.ts
+++ b/packages/gypsumwall-placement/src/admission.ts
@@ -71,11 +71,7 @@
 ): placer.PlacementRefusal | undefined {
   const {quota} = view.books.team(spec.team);
   const tasks = tasksAtOnce(spec.shape);
-  const need = {
-    cpuMillis: spec.size.cpuMillis * tasks,
-    memoryMb: spec.size.memoryMb * tasks,
-    accelerators: spec.size.accelerators * tasks,
-  };
+  const need = types.resources.times(spec.size, tasks);
   if (types.resources.fits(need, quota)) return undefined;
   return {
     reason: 'over_quota',
--- a/packages/gypsumwall-placement/src/books.ts
+++ b/packages/gypsumwall-placement/src/books.ts
@@ -23,15 +23,18 @@
   open: boolean;
   /** Kept out by quarantine, but for one probe at a time. */
   quarantined: boolean;
-  /** The job that room is being kept for, if any. */
-  reservedFor: types.ids.JobId | undefined;
   /** Sum of the sizes that tasks were told. */
   readonly held: MutableResources;
   /** Processors in use as reported; a silent task counts what it holds. */
   usedCpuMillis: number;
   /** Sum over tasks of the larger of memory held and memory reported. */
   claimedMemoryMb: number;
-  /** What may be placed here; kept up to date by `refreshRoom`. */
+  /** Kept for jobs that wait for room, on top of what is held. */
+  readonly reserved: MutableResources;
+  /**
+   * What may be placed here: capacity less what is held and reserved. Below
+   * zero while a reservation waits for tasks to end.
+   */
   readonly room: MutableResources;
   readonly tasks: Set<HeldRecord>;
   /** Where it is in the list of workers. */
@@ -62,6 +65,8 @@
   packing: number;
   quota: types.resources.Resources;
   readonly held: MutableResources;
+  /** The same, apart for each urgency. */
+  readonly heldBy: Readonly<Record<types.job.Urgency, MutableResources>>;
   waitingJobs: number;
 }
 
@@ -94,8 +99,20 @@
   book(task: placer.HeldTask, endsAt: number): HeldRecord;
   unbook(taskId: types.ids.TaskId): HeldRecord | undefined;
   noteUsage(task: HeldRecord, used: types.resources.Resources): void;
-  /** The largest share of the domain that a team holds of any resource. */
-  dominantShare(team: TeamRecord): number;
+  /** Keeps room (or with -1 gives it back) on top of what is held. */
+  reserve(
+    worker: WorkerRecord,
+    amount: types.resources.Resources,
+    sign: 1 | -1,
+  ): void;
+  /**
+   * The largest share of the domain that a team holds of any resource, for
+   * work of the given urgencies.
+   */
+  dominantShare(
+    team: TeamRecord,
+    urgencies: readonly types.job.Urgency[],
+  ): number;
 }
 
 /**
@@ -122,6 +139,11 @@
       packing: DEFAULT_PACKING,
       quota: UNLIMITED,
       held: mutable(types.resources.NO_RESOURCES),
+      heldBy: {
+        urgent: mutable(types.resources.NO_RESOURCES),
+        normal: mutable(types.resources.NO_RESOURCES),
+        overnight: mutable(types.resources.NO_RESOURCES),
+      },
       waitingJobs: 0,
     };
     teams.set(id, made);
@@ -138,10 +160,10 @@
       capacity: types.resources.NO_RESOURCES,
       open: false,
       quarantined: false,
-      reservedFor: undefined,
       held: mutable(types.resources.NO_RESOURCES),
       usedCpuMillis: 0,
       claimedMemoryMb: 0,
+      reserved: mutable(types.resources.NO_RESOURCES),
       room: mutable(types.resources.NO_RESOURCES),
       tasks: new Set(),
       position: list.length,
@@ -168,11 +190,13 @@
   }
 
   function refreshRoom(record: WorkerRecord): void {
-    const {capacity, room} = record;
+    const {capacity, room, reserved} = record;
     const cpuTaken = Math.max(record.held.cpuMillis, record.usedCpuMillis);
-    const cpuMillis = capacity.cpuMillis - cpuTaken;
-    const memoryMb = capacity.memoryMb - record.claimedMemoryMb;
-    const accelerators = capacity.accelerators - record.held.accelerators;
+    const cpuMillis = capacity.cpuMillis - cpuTaken - reserved.cpuMillis;
+    const memoryMb =
+      capacity.memoryMb - record.claimedMemoryMb - reserved.memoryMb;
+    const accelerators =
+      capacity.accelerators - record.held.accelerators - reserved.accelerators;
     const grew =
       cpuMillis > room.cpuMillis ||
       memoryMb > room.memoryMb ||
@@ -194,11 +218,17 @@
     onRoom(record, open);
   }
 
+  function moveTeam(task: HeldRecord, sign: 1 | -1): void {
+    const record = team(task.spec.team);
+    moveBy(record.held, task.size, sign);
+    moveBy(record.heldBy[task.spec.urgency], task.size, sign);
+  }
+
   function unbook(taskId: types.ids.TaskId): HeldRecord | undefined {
     const task = held.get(taskId);
     if (task === undefined) return undefined;
     held.delete(taskId);
-    moveBy(team(task.spec.team).held, task.size, -1);
+    moveTeam(task, -1);
     const record = task.worker;
     record.tasks.delete(task);
     moveBy(record.held, task.size, -1);
@@ -261,7 +291,7 @@
         checkpointAskedAt: 0,
       };
       held.set(task.taskId, made);
-      moveBy(team(task.spec.team).held, task.size, 1);
+      moveTeam(made, 1);
       record.tasks.add(made);
       moveBy(record.held, task.size, 1);
       record.usedCpuMillis += made.usedCpuMillis;
@@ -280,15 +310,42 @@
       task.reports += 1;
       refreshRoom(record);
     },
-    dominantShare(record) {
-      const cpu = share(record.held.cpuMillis, total.cpuMillis);
-      const memory = share(record.held.memoryMb, total.memoryMb);
-      const accelerators = share(record.held.accelerators, total.accelerators);
-      return Math.max(cpu, memory, accelerators);
+    reserve(record, amount, sign) {
+      moveBy(record.reserved, amount, sign);
+      refreshRoom(record);
+    },
+    dominantShare(record, urgencies) {
+      let cpu = 0;
+      let memory = 0;
+      let accelerators = 0;
+      for (const urgency of urgencies) {
+        const part = record.heldBy[urgency];
+        cpu += part.cpuMillis;
+        memory += part.memoryMb;
+        accelerators += part.accelerators;
+      }
+      return Math.max(
+        share(cpu, total.cpuMillis),
+        share(memory, total.memoryMb),
+        share(accelerators, total.accelerators),
+      );
     },
   };
 }
 
+/** Whether a size fits a worker when what is reserved there is used too. */
+export function fitsReserved(
+  need: types.resources.Resources,
+  worker: WorkerRecord,
+): boolean {
+  const {room, reserved} = worker;
+  return (
+    need.cpuMillis <= room.cpuMillis + reserved.cpuMillis &&
+    need.memoryMb <= room.memoryMb + reserved.memoryMb &&
+    need.accelerators <= room.accelerators + reserved.accelerators
+  );
+}
+
 function share(part: number, whole: number): number {
   return whole > 0 ? part / whole : 0;
 }
--- a/packages/gypsumwall-placement/src/create_placer.ts
+++ b/packages/gypsumwall-placement/src/create_placer.ts
@@ -54,13 +54,16 @@
   const sizes = taskSize.createTaskSizes(learner, domainBooks);
   const sizeOf = (job: jobQueue.JobRecord) => sizes.sizeOf(job.spec);
   const waiting = waitingJobs.createWaitingJobs(domainBooks, sizes);
-  const {list} = domainBooks;
+  const {list, largest} = domainBooks;
   const watch = relief.createReliefWatch({list, random, sizeOf});
   const reserved = reservations.createReservations({
     list,
+    largest,
     random,
     sizeOf,
-    onChange: onUsable,
+    reserve: (worker, amount, sign) =>
+      domainBooks.reserve(worker, amount, sign),
+    quietly,
   });
   const quarantined = quarantine.createQuarantine(
     domainBooks.workers,
@@ -81,9 +84,7 @@
   };
 
   function isUsable(worker: books.WorkerRecord): boolean {
-    return (
-      worker.open && !worker.quarantined && worker.reservedFor === undefined
-    );
+    return worker.open && !worker.quarantined;
   }
 
   function onRoom(worker: books.WorkerRecord, grew: boolean): void {
@@ -101,12 +102,17 @@
     quarantined.noteProbeStarted(record.worker);
   }
 
-  function undo(placements: readonly placer.Placement[]): void {
+  /** Room given back by `action` is no new room for those who wait. */
+  function quietly(action: () => void): void {
     undoing = true;
-    for (const each of placements) unhold(each.taskId);
+    action();
     undoing = false;
   }
 
+  function undo(placements: readonly placer.Placement[]): void {
+    quietly(() => placements.forEach((each) => unhold(each.taskId)));
+  }
+
   function unhold(taskId: types.ids.TaskId): books.HeldRecord | undefined {
     const task = domainBooks.unbook(taskId);
     if (task !== undefined) spread.note(task, -1);
@@ -222,19 +228,19 @@
       lastNow = Math.max(lastNow, now);
       quarantined.tick(now);
       waiting.promoteDue(now);
-      reserved.tick(now, () => waiting.queue.blockedHeads());
+      const made = reserved.tick(now, () => waiting.queue.blockedHeads());
       waiting.queue.unblock(grown, now);
       grown.clear();
       const placements = placementRound.runRound(parts, now, limit);
       const due = waiting.queue.blockedDue();
-      return {placements, reliefs: watch.decide(now, due)};
+      return {placements, reliefs: [...made, ...watch.decide(now, due)]};
     },
     waitingTasks: () => waiting.tasks(),
     explain(jobId) {
       const job = waiting.get(jobId);
       if (job === undefined) return '';
       const avoided = failures.workersToAvoid(jobId);
-      return explainWait.explainWait(job, reserved.current(), avoided);
+      return explainWait.explainWait(job, reserved.of(job), avoided);
     },
     takeGivenUp() {
       const taken = [...givenUp].map(([jobId, message]) => ({jobId, message}));
--- /dev/null
+++ b/packages/gypsumwall-placement/src/drain_times.ts
@@ -0,0 +1,102 @@
+/** When running tasks will have given back enough room for waiting ones. */
+import * as types from '@gypsumwall/types';
+import type * as books from './books.js';
+
+/** How long a checkpoint takes to give room back, as far as plans go. */
+const CHECKPOINT_TAKES_MS = 500;
+
+/** Where and when there will be room for all of a job's tasks. */
+export interface FutureRoom {
+  /** Tasks by worker. */
+  readonly slots: ReadonlyMap<books.WorkerRecord, number>;
+  /** Tasks to checkpoint, without which it would take longer. */
+  readonly victims: readonly books.HeldRecord[];
+  readonly readyAt: number;
+}
+
+/** What is looked for. */
+export interface RoomSearch {
+  readonly size: types.resources.Resources;
+  readonly count: number;
+  readonly now: number;
+  /** Tasks that may be checkpointed for it. */
+  readonly mayMove: (task: books.HeldRecord) => boolean;
+}
+
+interface Slot {
+  readonly worker: books.WorkerRecord;
+  readonly at: number;
+  readonly victims: readonly books.HeldRecord[];
+}
+
+/**
+ * The soonest room on the given workers, as far as tasks end when expected;
+ * undefined when they can't hold as many. Services don't end, and what others
+ * have reserved stays theirs.
+ */
+export function soonestRoom(
+  workers: readonly books.WorkerRecord[],
+  search: RoomSearch,
+): FutureRoom | undefined {
+  const {count, now} = search;
+  const all: Slot[] = [];
+  for (const worker of workers) all.push(...slotsOn(worker, search));
+  if (all.length < count) return undefined;
+  all.sort((left, right) => left.at - right.at);
+  const slots = new Map<books.WorkerRecord, number>();
+  const victims: books.HeldRecord[] = [];
+  for (const slot of all.slice(0, count)) {
+    slots.set(slot.worker, (slots.get(slot.worker) ?? 0) + 1);
+    victims.push(...slot.victims);
+  }
+  return {slots, victims, readyAt: all[count - 1]?.at ?? now};
+}
+
+interface Ending {
+  readonly task: books.HeldRecord;
+  readonly at: number;
+  readonly moved: boolean;
+}
+
+/** The moments at which one more task fits on a worker. */
+function slotsOn(worker: books.WorkerRecord, search: RoomSearch): Slot[] {
+  const {size, count, now} = search;
+  const endings = endingsOn(worker, search);
+  const free = {...worker.room};
+  const slots: Slot[] = [];
+  let victims: books.HeldRecord[] = [];
+  let at = now;
+  let next = 0;
+  while (slots.length < count) {
+    if (types.resources.fits(size, free)) {
+      slots.push({worker, at, victims});
+      victims = [];
+      free.cpuMillis -= size.cpuMillis;
+      free.memoryMb -= size.memoryMb;
+      free.accelerators -= size.accelerators;
+      continue;
+    }
+    const ending = endings[next];
+    if (ending === undefined) break;
+    next += 1;
+    at = Math.max(at, ending.at);
+    const {task} = ending;
+    if (ending.moved) victims.push(task);
+    free.cpuMillis += task.size.cpuMillis;
+    free.memoryMb += Math.max(task.size.memoryMb, task.usedMemoryMb);
+    free.accelerators += task.size.accelerators;
+  }
+  return slots;
+}
+
+/** Tasks by when they end or could be checkpointed, the soonest first. */
+function endingsOn(worker: books.WorkerRecord, search: RoomSearch): Ending[] {
+  const movedAt = search.now + CHECKPOINT_TAKES_MS;
+  const endings: Ending[] = [];
+  for (const task of worker.tasks) {
+    if (task.spec.shape.kind === 'service') continue;
+    const moved = task.endsAt > movedAt && search.mayMove(task);
+    endings.push({task, moved, at: moved ? movedAt : task.endsAt});
+  }
+  return endings.sort((left, right) => left.at - right.at);
+}
--- a/packages/gypsumwall-placement/src/explain_wait.ts
+++ b/packages/gypsumwall-placement/src/explain_wait.ts
@@ -9,8 +9,8 @@
   avoided: ReadonlySet<string> | undefined,
 ): string {
   const tasks = `${job.waiting.size()} tasks wait`;
-  if (reservation?.job === job) {
-    return `${tasks}: room is kept for it on ${reservation.workers.size} workers, which should have drained by ${new Date(reservation.readyAt).toISOString()}`;
+  if (reservation !== undefined) {
+    return `${tasks}: room is kept for it on ${reservation.slots.size} workers, which should have drained by ${new Date(reservation.readyAt).toISOString()}`;
   }
   const state = job.group?.state;
   if (state === 'over_quota') {
--- a/packages/gypsumwall-placement/src/job_queue.ts
+++ b/packages/gypsumwall-placement/src/job_queue.ts
@@ -7,7 +7,7 @@
  */
 import * as types from '@gypsumwall/types';
 import * as binaryHeap from './binary_heap.js';
-import type * as books from './books.js';
+import * as books from './books.js';
 import type * as indexRanges from './index_ranges.js';
 
 /** Earlier tiers go first. */
@@ -38,6 +38,8 @@
   retryAt: number;
   /** No room is reserved for it before then. */
   reserveAfter: number;
+  /** Room is being kept for it. */
+  reserved: boolean;
   /** Until when room made for it by checkpoints is still expected. */
   reliefUntil: number;
 }
@@ -90,9 +92,13 @@
   ready: number;
 }
 
-/** Creates an empty queue; `share` is what a team holds of the domain. */
+/**
+ * Creates an empty queue; `shareOf` is what a team holds of the domain with
+ * work of a tier and of the tiers before it. Later tiers give way to it and
+ * so don't count against it.
+ */
 export function createJobQueue(
-  share: (team: books.TeamRecord) => number,
+  shareOf: (team: books.TeamRecord, tier: number) => number,
 ): JobQueue {
   const tiers = Array.from(
     {length: TIERS},
@@ -186,13 +192,13 @@
   }
 
   /** Weighted fair share: the team that holds least for its weight. */
-  function nextByShare(tier: Map<unknown, TeamQueue>): JobRecord | undefined {
+  function nextByShare(tier: number): JobRecord | undefined {
     let best: TeamQueue | undefined;
     let bestShare = Infinity;
-    for (const queue of tier.values()) {
+    for (const queue of tiers[tier]!.values()) {
       if (queue.ready === 0) continue;
       const weighted =
-        share(queue.team) / Math.max(queue.team.weight, LEAST_WEIGHT);
+        shareOf(queue.team, tier) / Math.max(queue.team.weight, LEAST_WEIGHT);
       if (weighted >= bestShare) continue;
       best = queue;
       bestShare = weighted;
@@ -213,7 +219,7 @@
       const head = firstOf(queue);
       if (head === undefined) continue;
       const entitled = queue.team.weight / weights;
-      const over = tier.size > 1 && share(queue.team) > entitled;
+      const over = tier.size > 1 && shareOf(queue.team, TIER_DUE) > entitled;
       const better =
         best === undefined ||
         (over === bestOver ? startsBefore(head, best) : !over);
@@ -255,7 +261,7 @@
       for (let tier = 0; tier < TIERS; tier += 1) {
         const queues = tiers[tier]!;
         if (queues.size === 0) continue;
-        const job = tier === TIER_DUE ? nextDue(queues) : nextByShare(queues);
+        const job = tier === TIER_DUE ? nextDue(queues) : nextByShare(tier);
         if (job !== undefined) return job;
       }
       return undefined;
@@ -271,9 +277,10 @@
     },
     unblock(grown, now) {
       for (const group of blocked) {
-        if (!group.grew) group.grew = fitsAny(group.floor, grown);
-        if (!group.grew) continue;
         const head = headOf(group);
+        const reserved = head?.reserved === true;
+        if (!group.grew) group.grew = fitsAny(group.floor, grown, reserved);
+        if (!group.grew) continue;
         if (head !== undefined && head.retryAt > now) continue;
         setState(group, 'ready');
       }
@@ -329,9 +336,11 @@
 function fitsAny(
   floor: types.resources.Resources,
   grown: ReadonlySet<books.WorkerRecord>,
+  reserved: boolean,
 ): boolean {
   for (const worker of grown) {
     if (types.resources.fits(floor, worker.room)) return true;
+    if (reserved && books.fitsReserved(floor, worker)) return true;
   }
   return false;
 }
--- a/packages/gypsumwall-placement/src/pick_worker.ts
+++ b/packages/gypsumwall-placement/src/pick_worker.ts
@@ -4,8 +4,8 @@
  * services, how many replicas the rack already has. A team's packing weight
  * moves both the place where the search starts and the score.
  */
-import * as types from '@gypsumwall/types';
-import type * as books from './books.js';
+import type * as types from '@gypsumwall/types';
+import * as books from './books.js';
 import type * as workerIndex from './worker_index.js';
 
 const CANDIDATES = 6;
@@ -27,7 +27,7 @@
   readonly avoid?: ReadonlySet<types.ids.WorkerId>;
   /** Replicas by rack, for services. */
   readonly racks?: ReadonlyMap<types.ids.RackId, number>;
-  /** Workers outside the index that may be used when no other has room. */
+  /** Workers whose reserved room may be used when there is no other. */
   readonly extra?: Iterable<books.WorkerRecord>;
 }
 
@@ -64,7 +64,7 @@
     for (const worker of pick.extra ?? []) {
       if (!worker.open || worker.quarantined) continue;
       if (pick.avoid?.has(worker.id) === true) continue;
-      if (types.resources.fits(pick.need, worker.room)) found.push(worker);
+      if (books.fitsReserved(pick.need, worker)) found.push(worker);
     }
     return found;
   }
--- a/packages/gypsumwall-placement/src/placement_round.ts
+++ b/packages/gypsumwall-placement/src/placement_round.ts
@@ -71,8 +71,12 @@
 ): Miss | undefined {
   const size = parts.sizes.sizeOf(job.spec);
   if (!fitsQuota(job, size)) return 'over_quota';
+  parts.reservations.suspend(job);
   const placement = choose(parts, job, size, now);
-  if (placement === undefined) return 'no_room';
+  if (placement === undefined) {
+    parts.reservations.resume(job);
+    return 'no_room';
+  }
   noteProgress(parts, job);
   job.waiting.remove(indexOf(placement));
   parts.noteTaken(job, 1);
@@ -89,13 +93,30 @@
 ): Miss | undefined {
   const size = parts.sizes.sizeOf(job.spec);
   const tasks = job.waiting.size();
-  const whole = {
-    cpuMillis: size.cpuMillis * tasks,
-    memoryMb: size.memoryMb * tasks,
-    accelerators: size.accelerators * tasks,
-  };
+  const whole = types.resources.times(size, tasks);
   if (!fitsQuota(job, whole)) return 'over_quota';
-  if (!types.resources.fits(whole, parts.books.free)) return 'no_room';
+  parts.reservations.suspend(job);
+  const placed = types.resources.fits(whole, parts.books.free)
+    ? placeAll(parts, job, size, now)
+    : [];
+  if (placed.length === 0) {
+    parts.reservations.resume(job);
+    return 'no_room';
+  }
+  noteProgress(parts, job);
+  parts.noteTaken(job, tasks);
+  placements.push(...placed);
+  return undefined;
+}
+
+/** Books every waiting task or none. */
+function placeAll(
+  parts: RoundParts,
+  job: jobQueue.JobRecord,
+  size: types.resources.Resources,
+  now: number,
+): placer.Placement[] {
+  const tasks = job.waiting.size();
   const placed: placer.Placement[] = [];
   while (placed.length < tasks) {
     const placement = choose(parts, job, size, now);
@@ -103,15 +124,10 @@
     placed.push(placement);
     job.waiting.remove(indexOf(placement));
   }
-  if (placed.length < tasks) {
-    parts.undo(placed);
-    for (const each of placed) job.waiting.add(indexOf(each));
-    return 'no_room';
-  }
-  noteProgress(parts, job);
-  parts.noteTaken(job, tasks);
-  placements.push(...placed);
-  return undefined;
+  if (placed.length === tasks) return placed;
+  parts.undo(placed);
+  for (const each of placed) job.waiting.add(indexOf(each));
+  return [];
 }
 
 /** Finds a worker for the job's next task and books it. */
@@ -137,7 +153,7 @@
     packing: job.team.packing,
     avoid: parts.failures.workersToAvoid(jobId),
     racks: isService ? (parts.spread.racksOf(jobId) ?? NO_RACKS) : undefined,
-    extra: reservedWorkers(parts, job, now + estimate.pessimisticMs),
+    extra: parts.reservations.usableBy(job, now + estimate.pessimisticMs),
   });
   if (worker === undefined) return undefined;
   const placement = {taskId, workerId: worker.id, size};
@@ -147,24 +163,6 @@
 
 const NO_RACKS: ReadonlyMap<types.ids.RackId, number> = new Map();
 
-/**
- * Reserved workers are for the job that waits for them; besides, for due
- * work, and for tasks that will be done before the others there are.
- */
-function reservedWorkers(
-  parts: RoundParts,
-  job: jobQueue.JobRecord,
-  doneAt: number,
-): Iterable<books.WorkerRecord> | undefined {
-  const reservation = parts.reservations.current();
-  if (reservation === undefined) return undefined;
-  const mayUse =
-    reservation.job === job ||
-    job.tier < reservation.job.tier ||
-    doneAt <= reservation.readyAt;
-  return mayUse ? reservation.workers : undefined;
-}
-
 function fitsQuota(
   job: jobQueue.JobRecord,
   size: types.resources.Resources,
--- a/packages/gypsumwall-placement/src/relief.ts
+++ b/packages/gypsumwall-placement/src/relief.ts
@@ -6,6 +6,7 @@
 import * as types from '@gypsumwall/types';
 import type * as books from './books.js';
 import type * as jobQueue from './job_queue.js';
+import * as movable from './movable.js';
 import type * as placer from './placer.js';
 
 /** Due work waits this long for a task to end by itself. */
@@ -14,8 +15,8 @@
 const SAMPLES = 24;
 /** Workers on which one round makes room. */
 const WORKERS_PER_ROUND = 8;
-/** A checkpoint that had no effect by then is asked for again. */
-const CHECKPOINT_EXPECTED_MS = 10_000;
+/** Room made for a job is waited for so long before more is made. */
+const RELIEF_EXPECTED_MS = 1000;
 /**
  * Throttles are lifted when usage as it was before them would take at most
  * this share of the processors; on present usage alone they would be lifted
@@ -23,13 +24,6 @@
  */
 const LIFT_BELOW = 0.95;
 
-/** Lower is taken from first. */
-const URGENCY_RANK: Readonly<Record<types.job.Urgency, number>> = {
-  overnight: 0,
-  normal: 1,
-  urgent: 2,
-};
-
 /** Watches workers and due work. */
 export interface ReliefWatch {
   /** A worker's usage or tasks changed. */
@@ -70,8 +64,10 @@
     for (let task = 0; task < tasks; task += 1) {
       const victims = cheapestVictims(job, size, now);
       if (victims === undefined) return;
-      for (const victim of victims) askCheckpoint(victim, now, reliefs);
-      job.reliefUntil = now + CHECKPOINT_EXPECTED_MS / 10;
+      for (const victim of victims) {
+        reliefs.push(movable.askCheckpoint(victim, now));
+      }
+      job.reliefUntil = now + RELIEF_EXPECTED_MS;
     }
   }
 
@@ -106,7 +102,7 @@
     let excess = worker.usedCpuMillis - worker.capacity.cpuMillis;
     const over = [...worker.tasks]
       .filter((task) => task.throttledFromMillis === 0 && overSize(task) > 0)
-      .sort((left, right) => rankOf(left) - rankOf(right));
+      .sort((left, right) => movable.rankOf(left) - movable.rankOf(right));
     for (const task of over) {
       if (excess <= 0) break;
       excess -= overSize(task);
@@ -125,12 +121,12 @@
     let used = 0;
     for (const task of worker.tasks) used += task.usedMemoryMb;
     const tasks = [...worker.tasks]
-      .filter((task) => isMovable(task, now))
-      .sort((left, right) => rankOf(left) - rankOf(right));
+      .filter((task) => movable.isMovable(task, now))
+      .sort((left, right) => movable.rankOf(left) - movable.rankOf(right));
     for (const task of tasks) {
       if (used <= worker.capacity.memoryMb) return;
       used -= task.usedMemoryMb;
-      askCheckpoint(task, now, reliefs);
+      reliefs.push(movable.askCheckpoint(task, now));
     }
   }
 
@@ -184,35 +180,6 @@
   };
 }
 
-function askCheckpoint(
-  task: books.HeldRecord,
-  now: number,
-  reliefs: placer.Relief[],
-): void {
-  task.checkpointAskedAt = now;
-  reliefs.push({type: 'checkpoint', taskId: task.taskId});
-}
-
-/**
- * Only batch work without a deadline is moved: a gang would lose all its
- * tasks, a service its replica, and a deadline its slack.
- */
-function isMovable(task: books.HeldRecord, now: number): boolean {
-  return (
-    task.spec.shape.kind === 'batch' &&
-    task.spec.deadline === undefined &&
-    task.spec.urgency !== 'urgent' &&
-    !isBeingMoved(task, now)
-  );
-}
-
-function isBeingMoved(task: books.HeldRecord, now: number): boolean {
-  return (
-    task.checkpointAskedAt > 0 &&
-    task.checkpointAskedAt + CHECKPOINT_EXPECTED_MS > now
-  );
-}
-
 function victimsOn(
   worker: books.WorkerRecord,
   job: jobQueue.JobRecord,
@@ -221,16 +188,22 @@
 ): books.HeldRecord[] | undefined {
   const room = {...worker.room};
   const victims: books.HeldRecord[] = [];
-  const movable: books.HeldRecord[] = [];
+  const candidates: books.HeldRecord[] = [];
   for (const task of worker.tasks) {
     // Room that an earlier round asked for is meant for another task.
-    if (isBeingMoved(task, now)) return undefined;
-    if (isMovable(task, now)) movable.push(task);
+    if (movable.isBeingMoved(task, now)) return undefined;
+    if (movable.isMovable(task, now)) candidates.push(task);
   }
-  movable.sort((left, right) => rankOf(left) - rankOf(right));
-  for (const task of movable) {
+  candidates.sort(
+    (left, right) => movable.rankOf(left) - movable.rankOf(right),
+  );
+  for (const task of candidates) {
     if (types.resources.fits(size, room)) break;
-    if (rankOf(task) >= URGENCY_RANK[job.spec.urgency] && job.tier > 0) break;
+    if (
+      movable.rankOf(task) >= movable.URGENCY_RANK[job.spec.urgency] &&
+      job.tier > 0
+    )
+      break;
     victims.push(task);
     room.cpuMillis += task.size.cpuMillis;
     room.memoryMb += Math.max(task.size.memoryMb, task.usedMemoryMb);
@@ -242,11 +215,7 @@
 
 /** Each task moved costs one, a normal one as much as three overnight. */
 function costOf(victims: readonly books.HeldRecord[]): number {
-  return victims.reduce((sum, task) => sum + 1 + rankOf(task) * 2, 0);
-}
-
-function rankOf(task: books.HeldRecord): number {
-  return URGENCY_RANK[task.spec.urgency];
+  return victims.reduce((sum, task) => sum + 1 + movable.rankOf(task) * 2, 0);
 }
 
 function overSize(task: books.HeldRecord): number {
--- a/packages/gypsumwall-placement/src/reservations.ts
+++ b/packages/gypsumwall-placement/src/reservations.ts
@@ -1,22 +1,37 @@
 /**
- * Keeps room for a job that doesn't fit at present, such as a large gang, so
- * that small tasks which fit at once don't pass it for good.
+ * Keeps room for jobs that don't fit at present, such as a large gang, so
+ * that small tasks which fit at once don't pass them for good.
  *
- * One job at a time has a reservation in a domain. Two gangs that each held
- * half of what both need would wait for each other without end; with one
- * reservation there is nobody to wait for. A reservation has a deadline, so a
- * job whose workers don't drain gives way to the next one.
+ * A reservation is made for all tasks of the job at once, out of room that
+ * running tasks will give back, and never together with others for more than
+ * a worker has. So a job with a reservation waits for running tasks only and
+ * never for another reservation: two gangs can't block each other half
+ * reserved. A deadline ends a reservation whose workers don't drain.
  */
-import type * as types from '@gypsumwall/types';
+import * as types from '@gypsumwall/types';
+import * as drainTimes from './drain_times.js';
 import type * as books from './books.js';
 import type * as jobQueue from './job_queue.js';
+import * as movable from './movable.js';
+import type * as placer from './placer.js';
 
 /** A job blocked for so long may have room kept for it. */
-const PATIENCE_MS = 2000;
+const PATIENCE_MS = 1000;
+/** How often jobs are looked at that might get a reservation. */
+const LOOK_EVERY_MS = 250;
 const SHORTEST_MS = 10_000;
 const LONGEST_MS = 1_800_000;
 /** A reservation lasts this much longer than its workers should take. */
 const DRAIN_MARGIN = 1.5;
+/** Reservations at one time; others wait until one ends. */
+const MAX_RESERVATIONS = 2;
+/**
+ * Room is kept for gangs, and for single tasks of at least this share of the
+ * largest worker; smaller ones find room soon enough.
+ */
+const LARGE_SHARE = 0.25;
+/** Batch work as urgent as the job itself is moved for it after this. */
+const MOVE_EQUALS_AFTER_MS = 30_000;
 /** Workers looked at: more for a larger gang, but never all of thousands. */
 const SAMPLES = 64;
 const SAMPLES_PER_TASK = 4;
@@ -24,78 +39,114 @@
 /** Room that is being kept. */
 export interface Reservation {
   readonly job: jobQueue.JobRecord;
-  readonly workers: ReadonlySet<books.WorkerRecord>;
+  readonly size: types.resources.Resources;
+  /** Tasks by worker. */
+  readonly slots: ReadonlyMap<books.WorkerRecord, number>;
   /** When its workers should have drained. */
   readonly readyAt: number;
   readonly deadline: number;
 }
 
-/** The reservation of a domain, if any. */
+/** The reservations of a domain. */
 export interface Reservations {
-  current(): Reservation | undefined;
-  /** Ends a reservation that is over; begins one for a job that waited long. */
-  tick(now: number, blocked: () => readonly jobQueue.JobRecord[]): void;
+  of(job: jobQueue.JobRecord): Reservation | undefined;
+  /**
+   * Ends what is over; begins one for a job that has waited long. Returns the
+   * checkpoints that make room for it.
+   */
+  tick(
+    now: number,
+    blocked: () => readonly jobQueue.JobRecord[],
+  ): readonly placer.Relief[];
+  /** Frees the job's own room for a try; `resume` keeps it again. */
+  suspend(job: jobQueue.JobRecord): void;
+  resume(job: jobQueue.JobRecord): void;
   /** The job was placed or went away. */
   end(job: jobQueue.JobRecord): void;
   dropWorker(worker: books.WorkerRecord): void;
+  /**
+   * Workers whose reserved room the job may use: those kept for less urgent
+   * work, and those it would leave before they are needed.
+   */
+  usableBy(
+    job: jobQueue.JobRecord,
+    doneAt: number,
+  ): Iterable<books.WorkerRecord> | undefined;
 }
 
 /** What reservations need to know. */
 export interface ReservationsOptions {
   readonly list: readonly books.WorkerRecord[];
+  readonly largest: types.resources.Resources;
   readonly random: types.random.Random;
   sizeOf(job: jobQueue.JobRecord): types.resources.Resources;
-  /** Told of a worker whose `reservedFor` changed. */
-  onChange(worker: books.WorkerRecord): void;
+  reserve(
+    worker: books.WorkerRecord,
+    amount: types.resources.Resources,
+    sign: 1 | -1,
+  ): void;
+  /** Runs an action whose changes of room wake nobody. */
+  quietly(action: () => void): void;
 }
 
 /** Creates the reservations of a domain. */
 export function createReservations(options: ReservationsOptions): Reservations {
-  let current: Reservation | undefined;
+  const current = new Map<jobQueue.JobRecord, Reservation>();
+  let suspended: Reservation | undefined;
   let lookAgainAt = 0;
 
-  function finish(): void {
-    if (current === undefined) return;
-    const {workers} = current;
-    current = undefined;
-    for (const worker of workers) setReserved(worker, undefined);
+  function move(reservation: Reservation, sign: 1 | -1): void {
+    for (const [worker, count] of reservation.slots) {
+      const amount = types.resources.times(reservation.size, count);
+      options.reserve(worker, amount, sign);
+    }
   }
 
-  function setReserved(
-    worker: books.WorkerRecord,
-    jobId: types.ids.JobId | undefined,
-  ): void {
-    worker.reservedFor = jobId;
-    options.onChange(worker);
+  function finish(reservation: Reservation): void {
+    current.delete(reservation.job);
+    reservation.job.reserved = false;
+    if (suspended === reservation) suspended = undefined;
+    else move(reservation, -1);
   }
 
-  function begin(job: jobQueue.JobRecord, now: number): void {
+  function begin(
+    job: jobQueue.JobRecord,
+    now: number,
+  ): readonly placer.Relief[] {
     const size = options.sizeOf(job);
     const tasks = job.spec.shape.kind === 'gang' ? job.waiting.size() : 1;
     const sample = sampleWorkers(SAMPLES + tasks * SAMPLES_PER_TASK);
-    const drains = sample
-      .map((worker) => ({worker, readyAt: drainedAt(worker, now)}))
-      .sort((left, right) => left.readyAt - right.readyAt);
-    const chosen = new Set<books.WorkerRecord>();
-    let readyAt = now;
-    let room = 0;
-    for (const drain of drains) {
-      if (room >= tasks) break;
-      const fits = tasksWhenDrained(drain.worker, size);
-      if (fits === 0) continue;
-      chosen.add(drain.worker);
-      room += fits;
-      readyAt = Math.max(readyAt, drain.readyAt);
-    }
-    if (room < tasks) {
+    const found = drainTimes.soonestRoom(sample, {
+      size,
+      count: tasks,
+      now,
+      mayMove: (task) => mayMove(job, task, now),
+    });
+    if (found === undefined) {
       job.reserveAfter = now + SHORTEST_MS;
-      return;
+      return [];
     }
+    const {slots, readyAt, victims} = found;
     const drainMs = (readyAt - now) * DRAIN_MARGIN;
     const lastsMs = Math.min(LONGEST_MS, Math.max(SHORTEST_MS, drainMs));
-    current = {job, workers: chosen, readyAt, deadline: now + lastsMs};
-    job.reserveAfter = now + lastsMs * 2;
-    for (const worker of chosen) setReserved(worker, job.jobId);
+    const deadline = now + lastsMs;
+    const reservation = {job, size, slots, readyAt, deadline};
+    job.reserveAfter = deadline + SHORTEST_MS;
+    job.reserved = true;
+    current.set(job, reservation);
+    move(reservation, 1);
+    return victims.map((task) => movable.askCheckpoint(task, now));
+  }
+
+  function isLarge(job: jobQueue.JobRecord): boolean {
+    if (job.spec.shape.kind === 'gang') return true;
+    const size = options.sizeOf(job);
+    const {largest} = options;
+    return (
+      size.cpuMillis >= largest.cpuMillis * LARGE_SHARE ||
+      size.memoryMb >= largest.memoryMb * LARGE_SHARE ||
+      size.accelerators > 0
+    );
   }
 
   function sampleWorkers(count: number): books.WorkerRecord[] {
@@ -112,30 +163,80 @@
     return found;
   }
 
+  /** The job to keep room for next. */
+  function longestBlocked(
+    blocked: readonly jobQueue.JobRecord[],
+    now: number,
+  ): jobQueue.JobRecord | undefined {
+    let first: jobQueue.JobRecord | undefined;
+    for (const job of blocked) {
+      const since = job.blockedSince;
+      if (since === undefined || since + PATIENCE_MS > now) continue;
+      if (job.reserved || job.reserveAfter > now || !isLarge(job)) continue;
+      if (first === undefined || goesBefore(job, first)) first = job;
+    }
+    return first;
+  }
+
   return {
-    current: () => current,
+    of: (job) => current.get(job),
     tick(now, blocked) {
-      if (current !== undefined && current.deadline <= now) finish();
-      if (current !== undefined || now < lookAgainAt) return;
-      lookAgainAt = now + PATIENCE_MS / 4;
-      let first: jobQueue.JobRecord | undefined;
-      for (const job of blocked()) {
-        const since = job.blockedSince;
-        if (since === undefined || since + PATIENCE_MS > now) continue;
-        if (job.reserveAfter > now) continue;
-        if (first === undefined || goesBefore(job, first)) first = job;
+      for (const reservation of current.values()) {
+        if (reservation.deadline <= now) finish(reservation);
       }
-      if (first !== undefined) begin(first, now);
+      if (now < lookAgainAt || current.size >= MAX_RESERVATIONS) return [];
+      lookAgainAt = now + LOOK_EVERY_MS;
+      const first = longestBlocked(blocked(), now);
+      return first === undefined ? [] : begin(first, now);
+    },
+    suspend(job) {
+      if (!job.reserved) return;
+      suspended = current.get(job);
+      if (suspended === undefined) return;
+      const reservation = suspended;
+      options.quietly(() => move(reservation, -1));
+    },
+    resume(job) {
+      if (suspended?.job !== job) return;
+      const reservation = suspended;
+      suspended = undefined;
+      options.quietly(() => move(reservation, 1));
     },
     end(job) {
-      if (current?.job === job) finish();
+      const reservation = current.get(job);
+      if (reservation !== undefined) finish(reservation);
     },
     dropWorker(worker) {
-      if (current?.workers.has(worker) === true) finish();
+      for (const reservation of current.values()) {
+        if (reservation.slots.has(worker)) finish(reservation);
+      }
+    },
+    usableBy(job, doneAt) {
+      if (current.size === 0) return undefined;
+      const found: books.WorkerRecord[] = [];
+      for (const reservation of current.values()) {
+        const mayUse =
+          job.tier < reservation.job.tier || doneAt <= reservation.readyAt;
+        if (mayUse) found.push(...reservation.slots.keys());
+      }
+      return found;
     },
   };
 }
 
+/** Whether a running task may be checkpointed for the job's sake. */
+function mayMove(
+  job: jobQueue.JobRecord,
+  task: books.HeldRecord,
+  now: number,
+): boolean {
+  if (!movable.isMovable(task, now)) return false;
+  const rank = movable.URGENCY_RANK[job.spec.urgency];
+  const blockedMs = now - (job.blockedSince ?? now);
+  const equals = blockedMs >= MOVE_EQUALS_AFTER_MS;
+  return movable.rankOf(task) < rank + (equals ? 1 : 0);
+}
+
 function goesBefore(
   left: jobQueue.JobRecord,
   right: jobQueue.JobRecord,
@@ -143,32 +244,3 @@
   if (left.tier !== right.tier) return left.tier < right.tier;
   return left.startBy < right.startBy;
 }
-
-/** When all tasks but services should have ended there. */
-function drainedAt(worker: books.WorkerRecord, now: number): number {
-  let latest = now;
-  for (const task of worker.tasks) {
-    if (task.spec.shape.kind === 'service') continue;
-    latest = Math.max(latest, task.endsAt);
-  }
-  return latest;
-}
-
-function tasksWhenDrained(
-  worker: books.WorkerRecord,
-  size: types.resources.Resources,
-): number {
-  let {cpuMillis, memoryMb, accelerators} = worker.capacity;
-  for (const task of worker.tasks) {
-    if (task.spec.shape.kind !== 'service') continue;
-    cpuMillis -= task.size.cpuMillis;
-    memoryMb -= Math.max(task.size.memoryMb, task.usedMemoryMb);
-    accelerators -= task.size.accelerators;
-  }
-  const fits = Math.min(
-    size.cpuMillis > 0 ? cpuMillis / size.cpuMillis : Infinity,
-    size.memoryMb > 0 ? memoryMb / size.memoryMb : Infinity,
-    size.accelerators > 0 ? accelerators / size.accelerators : Infinity,
-  );
-  return Math.max(0, Math.floor(fits));
-}
--- a/packages/gypsumwall-placement/src/task_size.ts
+++ b/packages/gypsumwall-placement/src/task_size.ts
@@ -11,7 +11,7 @@
  * the risk that more tasks run slower than they could.
  */
 const SAFEST_CPU_QUANTILE = 0.95;
-const TIGHTEST_CPU_QUANTILE = 0.6;
+const TIGHTEST_CPU_QUANTILE = 0.4;
 
 /** Sizes and run times of jobs. */
 export interface TaskSizes {
--- a/packages/gypsumwall-placement/src/waiting_jobs.ts
+++ b/packages/gypsumwall-placement/src/waiting_jobs.ts
@@ -21,6 +21,12 @@
   normal: 600_000,
   overnight: 28_800_000,
 };
+/** Urgencies that count against a team's share, by tier. */
+const URGENCIES_UP_TO: ReadonlyArray<readonly types.job.Urgency[]> = [
+  ['urgent'],
+  ['urgent', 'normal'],
+  ['urgent', 'normal', 'overnight'],
+];
 /** Work with a deadline becomes due this long before its latest start. */
 const DUE_AHEAD_MS = 2000;
 /** A job of many tasks may count on this share of the processors. */
@@ -54,8 +60,8 @@
   domainBooks: books.Books,
   sizes: taskSize.TaskSizes,
 ): WaitingJobs {
-  const queue = jobQueue.createJobQueue((team) =>
-    domainBooks.dominantShare(team),
+  const queue = jobQueue.createJobQueue((team, tier) =>
+    domainBooks.dominantShare(team, URGENCIES_UP_TO[tier] ?? []),
   );
   const demand = deadlineDemand.createDeadlineDemand();
   const jobs = new Map<types.ids.JobId, jobQueue.JobRecord>();
@@ -100,6 +106,7 @@
       retryAt: 0,
       reserveAfter: 0,
       reliefUntil: 0,
+      reserved: false,
     };
   }
 
--- a/packages/gypsumwall-types/src/resources.ts
+++ b/packages/gypsumwall-types/src/resources.ts
@@ -34,6 +34,15 @@
   };
 }
 
+/** An amount `count` times over. */
+export function times(amount: Resources, count: number): Resources {
+  return {
+    cpuMillis: amount.cpuMillis * count,
+    memoryMb: amount.memoryMb * count,
+    accelerators: amount.accelerators * count,
+  };
+}
+
 /** Whether `need` fits into `free` on every dimension. */
 export function fits(need: Resources, free: Resources): boolean {
   return (
