--- a/packages/gypsumwall-entry/src/create_entry.ts
+++ b/packages/gypsumwall-entry/src/create_entry.ts
@@ -170,7 +170,7 @@
     claim: () => claim.state(),
     view: () => viewKeeper.current(),
     teams: () => config.teams(),
-    makePlacer: () => placement.createBaselinePlacer.createBaselinePlacer(),
+    makePlacer: () => placement.createPlacer.createPlacer({random}),
     scheduler: {
       self,
       spans: {
