Run the cell against the real entry

Launching waits until entries have slots: a cell that starts whole is ready (200 on /readyz) for 2 x listLagMs + 5 s before it can answer a request.

--- a/packages/gypsumwall-testing/src/__tests__/contract.test.ts
+++ b/packages/gypsumwall-testing/src/__tests__/contract.test.ts
@@ -136,6 +136,7 @@
   const addresses = {u1: 'http://127.0.0.1:2'};
   await control(standIn, 'views', {view: 'e1', addresses});
   assert.equal(unwrap(await fetch(url))[0]?.address, instance.address);
+  assert.deepEqual(unwrap(await fetch(`${url}/views/e2`)), []);
   const seen = unwrap(await fetch(`${url}/views/e1`));
   assert.equal(seen[0]?.address, addresses.u1);
   await control(standIn, 'list-lag', {lagMs: 60_000});
--- a/packages/gypsumwall-testing/src/__tests__/relay.test.ts
+++ b/packages/gypsumwall-testing/src/__tests__/relay.test.ts
@@ -51,6 +51,22 @@
     socket.destroy();
   });
 
+  nodeTest.test(
+    'refuses once its target is gone, after a cut',
+    async (test) => {
+      const path = await startEcho(test);
+      path.cut();
+      path.refuse();
+      const held = await open(path);
+      const broken = once(held, 'close');
+      path.heal();
+      await broken;
+      const {hostname, port} = new URL(path.address);
+      const err = await once(net.connect(Number(port), hostname), 'error');
+      assert.equal((err as NodeJS.ErrnoException).code, 'ECONNREFUSED');
+    },
+  );
+
   nodeTest.test('silences open connections and serves new', async (test) => {
     const path = await startEcho(test);
     const old = await open(path);
--- a/packages/gypsumwall-testing/src/demo/demo_figures.ts
+++ b/packages/gypsumwall-testing/src/demo/demo_figures.ts
@@ -8,7 +8,7 @@
 export interface ClassFigures {
   readonly name: string;
   readonly sent: number;
-  /** Requests with a whole answer; jobs whose tasks all ended as done. */
+  /** Requests with a whole answer; jobs done; services that came up. */
   readonly done: number;
   readonly refused: number;
   readonly unknown: number;
@@ -78,12 +78,12 @@
   const accepted = new Set(
     told.flatMap(({told: one}) => (one.type === 'accepted' ? [one.jobId] : [])),
   );
-  const ended = new Map(
-    finding
-      .eventsOf(events, 'job_seen')
-      .map((event) => [event.view.jobId as string, event.view.state]),
-  );
-  const done = [...accepted].filter((jobId) => ended.get(jobId) === 'done');
+  const done = new Set<string>();
+  for (const {view} of finding.eventsOf(events, 'job_seen')) {
+    const isUp = view.kind === 'service' && view.running === view.tasks;
+    if (!accepted.has(view.jobId)) continue;
+    if (view.state === 'done' || isUp) done.add(view.jobId);
+  }
   const firstStarts = new Map<string, number>();
   for (const event of finding.eventsOf(events, 'task_started')) {
     const from = sentAt.get(event.label);
@@ -94,7 +94,7 @@
   return {
     name,
     sent: sent.length,
-    done: done.length,
+    done: done.size,
     refused,
     unknown: sent.length - accepted.size - refused,
     ...percentiles([...firstStarts.values()]),
--- a/packages/gypsumwall-testing/src/launch_cell.ts
+++ b/packages/gypsumwall-testing/src/launch_cell.ts
@@ -68,6 +68,7 @@
     );
     await publishTree(cell);
     await waitUntilReady(cell);
+    await waitUntilServing(cell);
     return cell;
   } catch (thrown) {
     await cell.close();
@@ -106,8 +107,9 @@
     for (const view of running.keys()) {
       const addresses: Record<string, string> = {};
       for (const {id, address} of board.all()) {
-        if (id === view) continue;
-        addresses[id] = await paths.connect(view, id, address);
+        // An entry finds itself on the list by the address it listens on.
+        addresses[id] =
+          id === view ? address : await paths.connect(view, id, address);
       }
       await standIns.control('platform', 'views', {view, addresses});
     }
@@ -117,6 +119,11 @@
       ? paths.connect(id, end, standIns.platform)
       : Promise.resolve(standIns.platform);
 
+  const listUrl = async (id: string): Promise<string> => {
+    const address = await platformPath(id, 'list');
+    return options.relayed ? `${address}/views/${id}` : address;
+  };
+
   const cell: Cell = {
     options,
     recorded,
@@ -135,13 +142,14 @@
         settings: {
           ...options.site.entrySettings,
           logUrl: await platformPath(id, 'log'),
-          listUrl: `${await platformPath(id, 'list')}/views/${id}`,
+          listUrl: await listUrl(id),
           rootOperatorTokenHash: sha256(token),
         },
         folder,
         recorded,
       });
       running.set(id, started);
+      void started.child.exited.then(() => paths.refuse(id));
       const address = started.peerAddress;
       const state = 'live';
       board.put({kind: 'entry', id, failureDomain, address, state});
@@ -238,6 +246,32 @@
   }
 }
 
+interface SeenStatus {
+  readonly router: {
+    readonly upstreams: ReadonlyArray<{readonly share: number}>;
+  };
+}
+
+/**
+ * Waits until every entry has slots of upstreams. A whole cell that starts at
+ * once has none for a while, and a test would strike nothing.
+ */
+async function waitUntilServing(cell: Cell): Promise<void> {
+  const deadline = types.clock.after(performance.now(), READY_TIMEOUT_MS);
+  const token = cell.options.tokens.rootOperator;
+  for (const {entry, client} of cell.entries()) {
+    for (;;) {
+      const status = (await client.status(token)) as SeenStatus | undefined;
+      const upstreams = status?.router.upstreams ?? [];
+      if (upstreams.some(({share}) => share > 0)) break;
+      if (performance.now() > deadline) {
+        throw new Error(`entry ${entry.id} gets no slots of upstreams`);
+      }
+      await timers.setTimeout(POLL_MS);
+    }
+  }
+}
+
 function sha256(text: string): string {
   return crypto.createHash('sha256').update(text).digest('hex');
 }
--- a/packages/gypsumwall-testing/src/network.ts
+++ b/packages/gypsumwall-testing/src/network.ts
@@ -9,12 +9,16 @@
   cut(left: readonly string[], right: readonly string[]): void;
   heal(left: readonly string[], right: readonly string[]): void;
   silenceOpen(left: readonly string[], right: readonly string[]): void;
+  /** That end is gone for good: every path to it refuses connections. */
+  refuse(to: string): void;
   close(): Promise<void>;
 }
 
 /** Makes a network without paths. */
 export function createNetwork(): Network {
   const relays = new Map<string, Map<string, relay.Relay>>();
+  /** One after another, so that two callers never lay one path twice. */
+  let laying: Promise<unknown> = Promise.resolve();
 
   const between = (
     left: readonly string[],
@@ -29,17 +33,27 @@
     return found.filter((path) => path !== undefined);
   };
 
+  const lay = async (
+    from: string,
+    to: string,
+    address: string,
+  ): Promise<string> => {
+    const url = new URL(address);
+    const target = {host: url.hostname, port: Number(url.port)};
+    const paths = relays.get(from) ?? new Map<string, relay.Relay>();
+    relays.set(from, paths);
+    const known = paths.get(to);
+    known?.setTarget(target);
+    const path = known ?? (await relay.createRelay(target));
+    paths.set(to, path);
+    return path.address;
+  };
+
   return {
-    connect: async (from, to, address) => {
-      const url = new URL(address);
-      const target = {host: url.hostname, port: Number(url.port)};
-      const paths = relays.get(from) ?? new Map<string, relay.Relay>();
-      relays.set(from, paths);
-      const known = paths.get(to);
-      known?.setTarget(target);
-      const path = known ?? (await relay.createRelay(target));
-      paths.set(to, path);
-      return path.address;
+    connect: (from, to, address) => {
+      const laid = laying.then(() => lay(from, to, address));
+      laying = laid;
+      return laid;
     },
     cut: (left, right) => {
       for (const path of between(left, right)) path.cut();
@@ -50,6 +64,9 @@
     silenceOpen: (left, right) => {
       for (const path of between(left, right)) path.silenceOpen();
     },
+    refuse: (to) => {
+      for (const paths of relays.values()) paths.get(to)?.refuse();
+    },
     close: async () => {
       const all = [...relays.values()].flatMap((paths) => [...paths.values()]);
       await Promise.all(all.map((path) => path.close()));
--- a/packages/gypsumwall-testing/src/platform_stand_in.ts
+++ b/packages/gypsumwall-testing/src/platform_stand_in.ts
@@ -178,11 +178,11 @@
   server.get('/views/:view/v1/instances', (req) => {
     const {view} = zod.object({view: zod.string()}).parse(req.params);
     const addresses = views.get(view) ?? {};
-    const instances = listed().map((instance) => {
-      return {
-        ...instance,
-        address: addresses[String(instance.id)] ?? instance.address,
-      };
+    // An instance whose path is not laid yet must not be seen by its own
+    // address: no cut could strike it there.
+    const instances = listed().flatMap((instance) => {
+      const address = addresses[String(instance.id)];
+      return address === undefined ? [] : [{...instance, address}];
     });
     return {instances};
   });
--- a/packages/gypsumwall-testing/src/relay.ts
+++ b/packages/gypsumwall-testing/src/relay.ts
@@ -24,6 +24,11 @@
   heal(): void;
   /** Open connections go silent for good; new ones work. */
   silenceOpen(): void;
+  /**
+   * The target is gone for good: new connections are refused, as its own
+   * machine would. A cut hides that until it is healed.
+   */
+  refuse(): void;
   close(): Promise<void>;
 }
 
@@ -39,6 +44,7 @@
   const pairs = new Set<Pair>();
   let target = initial;
   let isCut = false;
+  let refused = false;
 
   const open = (inbound: net.Socket): void => {
     const outbound = isCut ? undefined : net.connect(target);
@@ -61,6 +67,12 @@
   };
   const server = net.createServer({noDelay: true}, open);
   const port = await listen(server);
+  const shut = (): void => {
+    server.close();
+    for (const pair of pairs) {
+      if (!pair.silenced) destroy(pair);
+    }
+  };
 
   return {
     address: `http://127.0.0.1:${port}`,
@@ -80,6 +92,7 @@
         else if (pair.outbound === undefined) destroy(pair);
         else join(pair);
       }
+      if (refused) shut();
     },
     silenceOpen: () => {
       for (const pair of pairs) {
@@ -87,6 +100,10 @@
         hold(pair);
       }
     },
+    refuse: () => {
+      refused = true;
+      if (!isCut) shut();
+    },
     close: async () => {
       const closed = new Promise<void>((resolve) => {
         server.close(() => resolve());
