--- a/packages/gypsumwall-testing/src/launch_cell.ts
+++ b/packages/gypsumwall-testing/src/launch_cell.ts
@@ -56,6 +56,7 @@
 
 const READY_TIMEOUT_MS = 60_000;
 const POLL_MS = 50;
+const BALANCER_MS = 100;
 
 /** Starts all, publishes the tree and waits until every entry is ready. */
 export async function launchCell(options: CellOptions): Promise<Cell> {
@@ -166,11 +167,13 @@
     },
     stopEntry: async (id) => {
       const entry = entryOf(id);
-      running.delete(id);
       board.setState(id, 'leaving');
       await updateList();
       recorded.record({type: 'entry_stopping', entryId: id});
       entry.child.send('SIGTERM');
+      // The balancer sends callers there until it sees that it isn't ready.
+      while (await entry.client.ready()) await timers.setTimeout(BALANCER_MS);
+      running.delete(id);
       await entry.child.exited;
       board.remove(id);
       await updateList();
--- a/packages/gypsumwall-testing/src/scenario/scenario_file.ts
+++ b/packages/gypsumwall-testing/src/scenario/scenario_file.ts
@@ -50,10 +50,9 @@
   if (scenario.isErr) return result.err(scenario.error);
   const base = readIn(path.join('scenarios', SITE_FILE), site.siteSchema);
   if (base.isErr) return result.err(base.error);
-  const merged = site.siteSchema.safeParse({
-    ...base.value,
-    ...scenario.value.site,
-  });
+  const merged = site.siteSchema.safeParse(
+    overlay(base.value, scenario.value.site),
+  );
   if (merged.success) {
     return result.ok({scenario: scenario.value, site: merged.data});
   }
@@ -62,6 +61,23 @@
   return result.err(`${file}: site.${where}: ${issue?.message ?? ''}`);
 }
 
+type Fields = Readonly<Record<string, unknown>>;
+
+/** Fields of `over` in place of those of `base`, objects field by field. */
+function overlay(base: Fields, over: Fields): Fields {
+  const merged: Record<string, unknown> = {...base};
+  for (const [key, value] of Object.entries(over)) {
+    const below = merged[key];
+    merged[key] =
+      isFields(below) && isFields(value) ? overlay(below, value) : value;
+  }
+  return merged;
+}
+
+function isFields(value: unknown): value is Fields {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
 function readIn<Schema extends zod.ZodType>(
   file: string,
   schema: Schema,
--- a/packages/gypsumwall-testing/src/scenario/scenario_schema.ts
+++ b/packages/gypsumwall-testing/src/scenario/scenario_schema.ts
@@ -123,6 +123,8 @@
     sameAs: name.optional(),
     to: entryRef.optional(),
     background: zod.boolean().default(false),
+    /** Sent again after a `not_run` answer, for so long. */
+    retryForMs: zod.number().int().min(0).default(0),
     expect: outcomes.optional(),
   }),
   zod.strictObject({
@@ -142,6 +144,8 @@
     key: name.optional(),
     to: entryRef.optional(),
     background: zod.boolean().default(false),
+    /** Sent again after a `not_run` answer, for so long. */
+    retryForMs: zod.number().int().min(0).default(0),
     expect: jobOutcomes.optional(),
   }),
   zod.strictObject({
--- a/packages/gypsumwall-testing/src/scenario/scenario_state.ts
+++ b/packages/gypsumwall-testing/src/scenario/scenario_state.ts
@@ -133,6 +133,23 @@
   return nextClient(state);
 }
 
+/**
+ * A caller of one of these entries in turn, as a balancer picks it: one that
+ * runs, or any that is awake.
+ */
+export async function runningClient(
+  state: ScenarioState,
+  refs: readonly scenarioSchema.EntryRef[],
+  turnOfRefs: number,
+): Promise<entryClient.EntryClient> {
+  const ids = await Promise.all(refs.map((ref) => resolveEntry(state, ref)));
+  const running = state.cell.entries().filter(({entry}) => {
+    return ids.includes(entry.id);
+  });
+  const chosen = running[turnOfRefs % running.length];
+  return chosen?.client ?? nextClient(state);
+}
+
 /** A caller of the next awake entry in turn. */
 export function nextClient(state: ScenarioState): entryClient.EntryClient {
   const awake = awakeEntries(state);
