--- a/packages/gypsumwall-entry/src/create_entry.ts
+++ b/packages/gypsumwall-entry/src/create_entry.ts
@@ -168,6 +168,7 @@
   const workerDispatcher = new undici.Agent({connections: 2});
   const holder = domainHolder.createDomainHolder({
     claim: () => claim.state(),
+    hadPredecessor: () => claim.newest()?.replaces !== null,
     view: () => viewKeeper.current(),
     teams: () => config.teams(),
     makePlacer: () => placement.createPlacer.createPlacer({random}),
@@ -317,8 +318,13 @@
     const behind = [configStream, domainStream, requestStream].find(
       (stream) => !stream.follower.caughtUp(),
     );
-    if (behind === undefined) return undefined;
-    return `stream "${behind.name}" is not read to its end yet`;
+    if (behind !== undefined) {
+      return `stream "${behind.name}" is not read to its end yet`;
+    }
+    const view = viewKeeper.current();
+    if (isEmpty(view)) return 'the instance list shows nobody yet';
+    if (view.upstreams.length === 0 || ownSlots > 0) return undefined;
+    return "no share of an upstream's slots yet";
   }
 
   function readState(req: protocol.peer.ReadStateRequest) {
@@ -430,6 +436,10 @@
   };
 }
 
+function isEmpty(view: membership.domainView.DomainView): boolean {
+  return view.peers.length + view.workers.length + view.upstreams.length === 0;
+}
+
 /** Ids of the domain's other entries that may use its upstreams. */
 function entriesOf(
   view: membership.domainView.DomainView,
--- a/packages/gypsumwall-entry/src/domain_holder.ts
+++ b/packages/gypsumwall-entry/src/domain_holder.ts
@@ -9,8 +9,9 @@
 export interface DomainHolderOptions {
   readonly scheduler: Omit<
     domainScheduler.DomainSchedulerOptions,
-    'epoch' | 'claimDeadline' | 'placer' | 'nextAttempt'
+    'epoch' | 'hadPredecessor' | 'claimDeadline' | 'placer' | 'nextAttempt'
   >;
+  readonly hadPredecessor: () => boolean;
   readonly makePlacer: () => domainScheduler.DomainSchedulerOptions['placer'];
   readonly claim: () => membership.domainClaim.ClaimState;
   readonly view: () => membership.domainView.DomainView;
@@ -40,6 +41,7 @@
     held = domainScheduler.createDomainScheduler({
       ...options.scheduler,
       epoch,
+      hadPredecessor: options.hadPredecessor(),
       placer: options.makePlacer(),
       claimDeadline: () => deadlineOf(options.claim(), epoch),
       nextAttempt: () => {
--- a/packages/gypsumwall-entry/src/domain_scheduler.ts
+++ b/packages/gypsumwall-entry/src/domain_scheduler.ts
@@ -26,6 +26,8 @@
 export interface DomainSchedulerOptions {
   readonly epoch: number;
   readonly self: types.ids.EntryId;
+  /** Whether anybody has held the domain before this epoch. */
+  readonly hadPredecessor: boolean;
   readonly spans: SchedulerSpans;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
@@ -218,6 +220,7 @@
     if (recovered) return;
     recovered = recoveryGate.isOpen({
       now: clock.monotonic(),
+      hadPredecessor: options.hadPredecessor,
       heldSince,
       leaseMs: spans.taskLeaseMs,
       graceMs: spans.leaseGraceMs,
--- a/packages/gypsumwall-entry/src/recovery_gate.ts
+++ b/packages/gypsumwall-entry/src/recovery_gate.ts
@@ -7,7 +7,7 @@
  * worker that the list showed lately has been attached (what runs there is
  * known, and the old holder is fenced there), or else when the last lease
  * the old holder can have granted has run out, by which the worker has
- * stopped the task itself. Jobs accepted after the claim pass at once: the
+ * stopped the task itself. A domain's first holder has no such wait. Jobs accepted after the claim pass at once: the
  * old holder's deadline was over before it could see them.
  */
 import * as types from '@gypsumwall/types';
@@ -44,6 +44,8 @@
 /** What the gate is judged by. */
 export interface GateInput {
   readonly now: MonotonicMs;
+  /** Whether anybody has held the domain before. */
+  readonly hadPredecessor: boolean;
   /** When this entry became the holder. */
   readonly heldSince: MonotonicMs;
   /** Longest lease that a holder grants to work that must run only once. */
@@ -57,6 +59,7 @@
 
 /** Whether tasks of older jobs may be started. */
 export function isOpen(input: GateInput): boolean {
+  if (!input.hadPredecessor) return true;
   const outlast = input.leaseMs + input.graceMs;
   if (input.now >= types.clock.after(input.heldSince, outlast)) return true;
   const watching = input.recent.watchingSince();
--- a/packages/gypsumwall-membership/src/claim_fold.ts
+++ b/packages/gypsumwall-membership/src/claim_fold.ts
@@ -20,6 +20,8 @@
   readonly ttlMs: number;
   readonly allGoneMs: number;
   readonly released: boolean;
+  /** The claim before it; null for a domain's first. */
+  readonly replaces: number | null;
 }
 
 /** Follows a domain's claim. */
@@ -75,7 +77,13 @@
     case 'claim': {
       if (record.replaces !== (newest?.epoch ?? null)) return newest;
       if (record.seen !== (newest?.head ?? null)) return newest;
-      return {...termsOf(record), epoch: offset, head: offset, released: false};
+      return {
+        ...termsOf(record),
+        epoch: offset,
+        head: offset,
+        released: false,
+        replaces: record.replaces,
+      };
     }
     case 'renew': {
       if (newest === undefined || !isHolders(newest, record)) return newest;
@@ -85,6 +93,7 @@
         epoch: newest.epoch,
         head: offset,
         released: false,
+        replaces: newest.replaces,
       };
     }
     case 'release': {
--- a/packages/gypsumwall-testing/src/scenario/call_steps.ts
+++ b/packages/gypsumwall-testing/src/scenario/call_steps.ts
@@ -12,7 +12,7 @@
   expected: readonly string[] | undefined,
 ): void {
   if (expected === undefined || expected.includes(told.type)) return;
-  throw new scenarioState.StepFailure(
+  throw scenarioState.stepFailure(
     `${name} was told ${JSON.stringify(told)}, expected ${expected.join(' or ')}`,
   );
 }
@@ -80,13 +80,13 @@
 ): Promise<void> {
   const job = state.jobs.get(step.job);
   if (job === undefined) {
-    throw new scenarioState.StepFailure(`no accepted job "${step.job}"`);
+    throw scenarioState.stepFailure(`no accepted job "${step.job}"`);
   }
   const client = await scenarioState.clientFor(state, step.to);
   const accepted = await client.cancel(job.token, job.jobId);
   if (accepted === step.expect) return;
   const what = accepted ? 'accepted' : 'not accepted';
-  throw new scenarioState.StepFailure(`cancel of ${step.job} was ${what}`);
+  throw scenarioState.stepFailure(`cancel of ${step.job} was ${what}`);
 }
 
 /** Publishes at several entries at once, all on the same base. */
@@ -99,7 +99,7 @@
   const reader = scenarioState.nextClient(state);
   const seen = await reader.setting(token, path);
   if (seen === undefined) {
-    throw new scenarioState.StepFailure(`${path} can't be read`);
+    throw scenarioState.stepFailure(`${path} can't be read`);
   }
   const clients = await Promise.all(
     step.at.map((ref) => scenarioState.clientFor(state, ref)),
@@ -189,12 +189,12 @@
 ): Promise<void> {
   const running = state.loads.get(step.load);
   if (running === undefined) {
-    throw new scenarioState.StepFailure(`no load "${step.load}"`);
+    throw scenarioState.stepFailure(`no load "${step.load}"`);
   }
   await running.stop();
   const {sent, done} = running.counts;
   if (done >= sent * step.doneShare) return;
-  throw new scenarioState.StepFailure(
+  throw scenarioState.stepFailure(
     `load ${step.load}: ${done} of ${sent} done, expected ${step.doneShare}`,
   );
 }
--- a/packages/gypsumwall-testing/src/scenario/run_scenario.ts
+++ b/packages/gypsumwall-testing/src/scenario/run_scenario.ts
@@ -152,7 +152,7 @@
   const holds = conditions.createCheck(state, step.until);
   while (!(await holds())) {
     if (performance.now() > deadline) {
-      throw new scenarioState.StepFailure(`not within ${step.withinMs} ms`);
+      throw scenarioState.stepFailure(`not within ${step.withinMs} ms`);
     }
     await timers.setTimeout(POLL_MS);
   }
--- a/packages/gypsumwall-testing/src/scenario/scenario_state.ts
+++ b/packages/gypsumwall-testing/src/scenario/scenario_state.ts
@@ -39,7 +39,9 @@
 }
 
 /** A step that could not be done or was answered against its expectation. */
-export class StepFailure extends Error {}
+export function stepFailure(message: string): Error {
+  return new Error(message);
+}
 
 /** Makes the state of a run. */
 export function createScenarioState(
@@ -63,7 +65,7 @@
 /** The token of a team. */
 export function tokenOf(state: ScenarioState, team: string): string {
   const token = state.cell.options.tokens.teams[team];
-  if (token === undefined) throw new StepFailure(`no team "${team}"`);
+  if (token === undefined) throw stepFailure(`no team "${team}"`);
   return token;
 }
 
@@ -113,7 +115,7 @@
           .map((entry) => entry.entry.id)
           .find((id) => !holders.includes(id));
   if (found === undefined) {
-    throw new StepFailure(`no entry fits ${JSON.stringify(ref)}`);
+    throw stepFailure(`no entry fits ${JSON.stringify(ref)}`);
   }
   return found;
 }
@@ -136,7 +138,7 @@
   const awake = awakeEntries(state);
   turn += 1;
   const entry = awake[turn % awake.length];
-  if (entry === undefined) throw new StepFailure('no entry is awake');
+  if (entry === undefined) throw stepFailure('no entry is awake');
   return entry.client;
 }
 
