Trace each hop, count calls, starts and appends, state the gauges

A call's span goes caller, entry, peer entry, upstream; a job's trace context stands in its record, so a start at a worker belongs to its submission.

--- /dev/null
+++ b/packages/gypsumwall-entry/src/call_telemetry.ts
@@ -0,0 +1,70 @@
+/** A span, a counter and a log line for each call of a caller or a peer. */
+import type * as fastify from 'fastify';
+import type * as telemetry from '@gypsumwall/telemetry';
+import type * as types from '@gypsumwall/types';
+
+/** What is needed. */
+export interface CallTelemetryOptions {
+  readonly clock: types.clock.Clock;
+  readonly logger: telemetry.logger.Logger;
+  readonly metrics: telemetry.metrics.Metrics;
+  readonly tracer: telemetry.tracing.Tracer;
+}
+
+interface CallUnderWay {
+  readonly span: telemetry.tracing.Span;
+  readonly arrivedAt: types.clock.MonotonicMs;
+}
+
+/** Routes that a balancer asks all the time; they would drown the rest. */
+const QUIET_ROUTES = new Set(['/healthz', '/readyz']);
+const SERVER_FAULT = 500;
+
+/** Adds the hooks. A route finds its span's context in `traceparent`. */
+export function addCallTelemetry(
+  app: fastify.FastifyInstance,
+  options: CallTelemetryOptions,
+): void {
+  const {clock, logger, metrics, tracer} = options;
+  const underWay = new WeakMap<fastify.FastifyRequest, CallUnderWay>();
+
+  app.addHook('onRequest', (req, _res, done) => {
+    const route = req.routeOptions.url ?? 'none';
+    if (!QUIET_ROUTES.has(route)) {
+      const given = req.headers.traceparent;
+      const parent = typeof given === 'string' ? given : undefined;
+      const span = tracer.startSpan('entry.call', parent, {route});
+      req.headers.traceparent = span.traceparent;
+      underWay.set(req, {span, arrivedAt: clock.monotonic()});
+    }
+    done();
+  });
+
+  app.addHook('onResponse', (req, res, done) => {
+    const call = underWay.get(req);
+    if (call !== undefined) {
+      const outcome = String(res.getHeader('gypsumwall-outcome') ?? 'none');
+      const tookMs = clock.monotonic() - call.arrivedAt;
+      const {operation} = (req.params ?? {}) as {operation?: string};
+      if (operation !== undefined) {
+        metrics.count('requests', {operation, outcome});
+        metrics.observe('requestTime', tookMs, {operation, outcome});
+      }
+      logger.debug('call_answered', {
+        step: 'http.call',
+        peer: req.ip,
+        method: req.method,
+        route: req.routeOptions.url,
+        status: res.statusCode,
+        outcome,
+        took_ms: Math.round(tookMs),
+        trace: call.span.traceId,
+      });
+      call.span.setAttribute('status', res.statusCode);
+      call.span.setAttribute('outcome', outcome);
+      const fault = res.statusCode >= SERVER_FAULT;
+      call.span.end(fault ? `status ${res.statusCode}` : undefined);
+    }
+    done();
+  });
+}
--- a/packages/gypsumwall-entry/src/create_entry.ts
+++ b/packages/gypsumwall-entry/src/create_entry.ts
@@ -1,20 +1,19 @@
 /** Puts the parts of an entry together and runs them. */
 import * as crypto from 'node:crypto';
 import * as result from 'true-myth/result';
-import * as undici from 'undici';
 import * as membership from '@gypsumwall/membership';
 import * as placement from '@gypsumwall/placement';
-import * as platform from '@gypsumwall/platform';
-import type * as protocol from '@gypsumwall/protocol';
 import * as records from '@gypsumwall/records';
 import * as routing from '@gypsumwall/routing';
 import * as settings from '@gypsumwall/settings';
-import type * as telemetry from '@gypsumwall/telemetry';
+import * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import * as authenticate from './authenticate.js';
 import * as domainFold from './domain_fold.js';
 import * as domainHolder from './domain_holder.js';
+import * as entryClients from './entry_clients.js';
 import type * as entryContext from './entry_context.js';
+import * as entryReadiness from './entry_readiness.js';
 import * as entryStream from './entry_stream.js';
 import * as forwarder from './forwarder.js';
 import * as httpServer from './http_server.js';
@@ -22,7 +21,9 @@
 import * as onceRequest from './once_request.js';
 import * as peerCatchUp from './peer_catch_up.js';
 import * as peerForwarding from './peer_forwarding.js';
+import * as readState from './read_state.js';
 import * as recoveryGate from './recovery_gate.js';
+import * as reportGauges from './report_gauges.js';
 import * as settingsService from './settings_service.js';
 import * as snapshotKeeper from './snapshot_keeper.js';
 import * as viewTicker from './view_ticker.js';
@@ -33,6 +34,10 @@
   readonly clock: types.clock.Clock;
   readonly random: types.random.Random;
   readonly logger: telemetry.logger.Logger;
+  /** Made from the settings where absent. */
+  readonly tracer?: telemetry.tracing.Tracer;
+  /** Made from the settings where absent. */
+  readonly metrics?: telemetry.metrics.Metrics;
 }
 
 /** A running entry. */
@@ -69,19 +74,19 @@
     cfg.failureDomain,
   );
   const logger = options.logger.with({entry: cfg.id, domain: failureDomain});
+  const tracer = options.tracer ?? makeTracer(cfg, self, logger);
+  const metrics = options.metrics ?? makeMetrics(cfg, logger);
   const closing = new AbortController();
   const {signal} = closing;
   let leaving = false;
   let ownSlots = 0;
   let draining: Promise<void> | undefined;
 
-  const log = platform.httpPlatformLog.createHttpPlatformLog({
-    url: cfg.logUrl,
-    timeoutMs: cfg.platformTimeoutMs,
-  });
-  const list = platform.httpInstanceList.createHttpInstanceList({
-    url: cfg.listUrl,
-    timeoutMs: cfg.platformTimeoutMs,
+  const outside = entryClients.createEntryClients({
+    settings: cfg,
+    clock,
+    metrics,
+    tracer,
   });
   const clients = membership.peerClients.createPeerClients(PEER_TIMEOUT_MS);
   const streamOf = (
@@ -91,7 +96,7 @@
     entryStream.createEntryStream({
       stream,
       self,
-      log,
+      log: outside.log,
       fold,
       clock,
       logger,
@@ -125,7 +130,8 @@
       ownState,
       onHeartbeat: (req) => viewKeeper.noteHeartbeat(req),
       forward: (req) => peerForwarding.serveForwarded(app, forwardMark, req),
-      readState: (req) => Promise.resolve(readState(req)),
+      readState: (req) =>
+        Promise.resolve(readState.readState(self, streams(), req)),
     },
   });
   const recentWorkers = recoveryGate.createRecentWorkers();
@@ -135,7 +141,7 @@
     address: peerServer.address,
     clock,
     logger,
-    list,
+    list: outside.list,
     clients,
     listPollMs: cfg.listPollMs,
     listLagMs: cfg.listLagMs,
@@ -165,7 +171,6 @@
     `domain.${failureDomain}`,
     domainFold.createDomainFold(jobs, claim),
   );
-  const workerDispatcher = new undici.Agent({connections: 2});
   const holder = domainHolder.createDomainHolder({
     claim: () => claim.state(),
     hadPredecessor: () => claim.newest()?.replaces !== null,
@@ -185,13 +190,9 @@
       logger,
       jobs,
       recentWorkers,
-      makeWorker: (listed) =>
-        platform.httpWorker.createHttpWorker({
-          id: listed.id,
-          address: listed.address,
-          timeoutMs: cfg.platformTimeoutMs,
-          dispatcher: workerDispatcher,
-        }),
+      makeWorker: (listed) => outside.makeWorker(listed),
+      tracer,
+      metrics,
       append: async (record) => (await appendDomain(record)).isOk,
     },
   });
@@ -205,12 +206,7 @@
     listLagMs: cfg.listLagMs,
     defaults: settings.cellTree.TEAM_DEFAULTS,
     makeUpstream: (listed, connections) =>
-      platform.httpUpstream.createHttpUpstream({
-        id: listed.id,
-        address: listed.address,
-        connections,
-        clock,
-      }),
+      outside.makeUpstream(listed, connections),
   });
 
   const context: entryContext.EntryContext = {
@@ -219,6 +215,8 @@
     failureDomain,
     clock,
     logger,
+    metrics,
+    tracer,
     authenticate: identities.authenticate,
     config,
     configFollower: configStream.follower,
@@ -250,9 +248,20 @@
       follower: configStream.follower,
       appender: configStream.appender,
     }),
-    sendToPeer: peerForwarding.createSendToPeer(clients, clock),
+    sendToPeer: peerForwarding.createSendToPeer({
+      clients,
+      clock,
+      tracer,
+    }),
     forwardMark,
-    isReady: notReadyBecause,
+    isReady: () =>
+      entryReadiness.notReadyBecause({
+        leaving,
+        config,
+        streams: streams(),
+        view: viewKeeper.current(),
+        ownSlots,
+      }),
     isLeaving: () => leaving,
     hasSlots: () => ownSlots > 0,
     startDrain: () => void drain(),
@@ -310,45 +319,15 @@
     return clock.monotonic() < types.clock.after(last, CAUGHT_UP_MS);
   }
 
-  function notReadyBecause(): string | undefined {
-    if (leaving) return 'this entry is leaving';
-    if (config.cell() === undefined) {
-      return 'no settings yet: neither the log nor a peer has told any';
-    }
-    const behind = [configStream, domainStream, requestStream].find(
-      (stream) => !stream.follower.caughtUp(),
-    );
-    if (behind !== undefined) {
-      return `stream "${behind.name}" is not read to its end yet`;
-    }
-    const view = viewKeeper.current();
-    if (isEmpty(view)) return 'the instance list shows nobody yet';
-    if (view.upstreams.length === 0 || ownSlots > 0) return undefined;
-    return "no share of an upstream's slots yet";
-  }
-
-  function readState(req: protocol.peer.ReadStateRequest) {
-    const found = [configStream, domainStream, requestStream].find(
-      (stream) => stream.name === req.stream,
-    );
-    const next = found?.follower.nextOffset() ?? 0;
-    // A reader that is as far gets no state, only the word that it is.
-    if (found?.follower.caughtUp() !== true || next <= Number(req.above)) {
-      return {entryId: self, nextOffset: BigInt(next)};
-    }
-    const snapshot = found.follower.snapshot();
-    return {
-      entryId: self,
-      nextOffset: BigInt(snapshot.nextOffset),
-      snapshot: Buffer.from(snapshot.text),
-    };
+  function streams(): readonly entryStream.EntryStream[] {
+    return [configStream, domainStream, requestStream];
   }
 
   function startLoops(): void {
-    const streams = [configStream, domainStream, requestStream];
-    for (const stream of streams) void stream.follower.run(signal);
+    for (const stream of streams()) void stream.follower.run(signal);
     void viewKeeper.run(signal);
     void claim.run(signal);
+    void reportGauges.reportGauges(context, metrics, signal);
     void viewTicker.tickView(
       {
         clock,
@@ -362,7 +341,7 @@
     );
     void snapshotKeeper.keepSnapshots(
       {
-        streams,
+        streams: streams(),
         clock,
         random,
         logger,
@@ -421,7 +400,9 @@
     await router.close();
     await peerServer.close(PEER_CLOSE_MS);
     clients.close();
-    await workerDispatcher.destroy();
+    await outside.close();
+    await tracer.close();
+    await metrics.close();
   }
 
   const address = await app.listen({host: cfg.host, port: cfg.port});
@@ -436,10 +417,6 @@
   };
 }
 
-function isEmpty(view: membership.domainView.DomainView): boolean {
-  return view.peers.length + view.workers.length + view.upstreams.length === 0;
-}
-
 /** Ids of the domain's other entries that may use its upstreams. */
 function entriesOf(
   view: membership.domainView.DomainView,
@@ -449,3 +426,27 @@
     .filter((peer) => peer.failureDomain === failureDomain)
     .map((peer) => (peer.entryId === '' ? peer.address : peer.entryId));
 }
+
+function makeTracer(
+  cfg: settings.entrySettings.EntrySettings,
+  self: types.ids.EntryId,
+  logger: telemetry.logger.Logger,
+): telemetry.tracing.Tracer {
+  return telemetry.tracing.createTracer({
+    instance: self,
+    collectorUrl: cfg.tracesUrl,
+    onError: (reason) => logger.warn('trace_export_failed', {reason}),
+  });
+}
+
+function makeMetrics(
+  cfg: settings.entrySettings.EntrySettings,
+  logger: telemetry.logger.Logger,
+): telemetry.metrics.Metrics {
+  if (cfg.statsd === undefined) return telemetry.metrics.createSilentMetrics();
+  return telemetry.metrics.createMetrics({
+    ...cfg.statsd,
+    tags: {entry: cfg.id, failure_domain: cfg.failureDomain},
+    onError: (err) => logger.warn('metrics_failed', {reason: err.message}),
+  });
+}
--- a/packages/gypsumwall-entry/src/domain_scheduler.ts
+++ b/packages/gypsumwall-entry/src/domain_scheduler.ts
@@ -31,6 +31,8 @@
   readonly spans: SchedulerSpans;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
+  readonly tracer: telemetry.tracing.Tracer;
+  readonly metrics: telemetry.metrics.Metrics;
   readonly placer: placement.placer.Placer;
   readonly jobs: records.jobFold.JobFold;
   readonly recentWorkers: recoveryGate.RecentWorkers;
@@ -162,7 +164,14 @@
     openGateWhenSafe();
     const deadline = options.claimDeadline();
     if (deadline === undefined || deadline <= clock.monotonic()) return;
+    const startedAt = clock.monotonic();
     const decisions = placer.decide(clock.wall(), ROUND_LIMIT);
+    const {metrics} = options;
+    const decided = decisions.placements.length;
+    if (decided > 0) {
+      const tookMs = clock.monotonic() - startedAt;
+      metrics.observe('placementTime', tookMs / decided);
+    }
     decisions.placements.forEach(startTask);
     decisions.reliefs.forEach(relieve);
     placer.takeGivenUp().forEach(giveUpJob);
@@ -177,6 +186,9 @@
       return;
     }
     const attempt = options.nextAttempt();
+    const waitMs = clock.wall() - job.acceptedAt;
+    const {urgency} = job.spec;
+    options.metrics.observe('taskWait', waitMs, {urgency});
     tasks.put({
       ...decided,
       attempt,
@@ -188,6 +200,7 @@
       attempt,
       size: decided.size,
       work: job.spec.work,
+      traceparent: job.traceparent,
       leaseMs: runsOnce(decided.taskId)
         ? spans.taskLeaseMs
         : spans.serviceLeaseMs,
@@ -392,6 +405,8 @@
       self: options.self,
       clock,
       logger,
+      tracer: options.tracer,
+      metrics: options.metrics,
       heartbeatMs: spans.workerHeartbeatMs,
       leaseMs: spans.taskLeaseMs,
       graceMs: spans.leaseGraceMs,
--- a/packages/gypsumwall-entry/src/entry_context.ts
+++ b/packages/gypsumwall-entry/src/entry_context.ts
@@ -19,6 +19,8 @@
   readonly failureDomain: types.ids.FailureDomain;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
+  readonly metrics: telemetry.metrics.Metrics;
+  readonly tracer: telemetry.tracing.Tracer;
   readonly authenticate: authenticate.Authenticate;
   readonly config: records.configFold.ConfigFold;
   readonly configFollower: records.streamFollower.StreamFollower;
--- a/packages/gypsumwall-entry/src/http_server.ts
+++ b/packages/gypsumwall-entry/src/http_server.ts
@@ -1,6 +1,7 @@
 /** The caller's interface over HTTP (docs/API.md). */
 import * as fastify from 'fastify';
 import * as types from '@gypsumwall/types';
+import * as callTelemetry from './call_telemetry.js';
 import type * as entryContext from './entry_context.js';
 import * as jobRoutes from './job_routes.js';
 import * as problem from './problem.js';
@@ -49,6 +50,7 @@
       problem.notRun('not_found', `no route ${req.method} ${req.url}`),
     ),
   );
+  callTelemetry.addCallTelemetry(app, context);
   requestRoutes.addRequestRoutes(app, context);
   jobRoutes.addJobRoutes(app, context);
   settingsRoutes.addSettingsRoutes(app, context);
--- a/packages/gypsumwall-entry/src/job_routes.ts
+++ b/packages/gypsumwall-entry/src/job_routes.ts
@@ -84,7 +84,12 @@
       : undefined;
     if (handed !== undefined) return handed;
   }
-  const accepted = await context.jobs.submit(spec.value, key, deadline);
+  const accepted = await context.jobs.submit(
+    spec.value,
+    key,
+    deadline,
+    callContext.headerOf(req, 'traceparent'),
+  );
   if (accepted.isErr) return problem.send(res, accepted.error);
   return res.status(202).send({jobId: accepted.value});
 }
--- a/packages/gypsumwall-entry/src/job_service.ts
+++ b/packages/gypsumwall-entry/src/job_service.ts
@@ -29,6 +29,7 @@
     spec: types.job.JobSpec,
     key: types.ids.IdempotencyKey,
     deadline: types.clock.MonotonicMs,
+    traceparent?: string,
   ): Answer<types.ids.JobId>;
   view(
     team: types.ids.TeamId,
@@ -67,7 +68,7 @@
   }
 
   return {
-    submit: async (spec, key, deadline) => {
+    submit: async (spec, key, deadline, traceparent) => {
       const before = jobs.byKey(spec.team, key);
       if (before !== undefined) return sameJob(before, spec);
       const refusal = options.scheduler()?.admit(spec);
@@ -81,7 +82,14 @@
         options.newSuffix(),
       );
       const appended = await append(
-        {type: 'job_accepted', jobId, key, spec, acceptedAt: clock.wall()},
+        {
+          type: 'job_accepted',
+          jobId,
+          key,
+          spec,
+          acceptedAt: clock.wall(),
+          traceparent,
+        },
         deadline,
       );
       if (appended.isErr) return result.err(appended.error);
--- a/packages/gypsumwall-entry/src/peer_forwarding.ts
+++ b/packages/gypsumwall-entry/src/peer_forwarding.ts
@@ -2,20 +2,31 @@
 import type * as fastify from 'fastify';
 import type * as membership from '@gypsumwall/membership';
 import type * as protocol from '@gypsumwall/protocol';
-import type * as types from '@gypsumwall/types';
+import type * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
 import * as forwarder from './forwarder.js';
 
 /** Time left for the way back of an answer, in milliseconds. */
 const WAY_BACK_MS = 20;
 
+/** What the sending side needs. */
+export interface SendToPeerOptions {
+  readonly clients: membership.peerClients.PeerClients;
+  readonly clock: types.clock.Clock;
+  readonly tracer: telemetry.tracing.Tracer;
+}
+
 /** Makes the sending side. */
 export function createSendToPeer(
-  clients: membership.peerClients.PeerClients,
-  clock: types.clock.Clock,
+  options: SendToPeerOptions,
 ): forwarder.SendToPeer {
+  const {clients, clock, tracer} = options;
   return async (address, call, deadline) => {
     const leftMs = Math.max(1, Math.floor(deadline - clock.monotonic()));
     const timeoutMs = Math.max(1, leftMs - WAY_BACK_MS);
+    const span = tracer.startSpan('peer.forward', call.headers['traceparent'], {
+      peer: address,
+    });
     const answer = await clients.at(address).forward(
       {
         method: call.method,
@@ -23,6 +34,7 @@
         headers: {
           ...call.headers,
           'gypsumwall-timeout-ms': String(timeoutMs),
+          traceparent: span.traceparent,
         },
         body: call.body,
         deadlineMs: BigInt(leftMs),
@@ -30,6 +42,9 @@
       },
       leftMs,
     );
+    span.end(
+      answer.isErr ? types.stepError.describeError(answer.error) : undefined,
+    );
     return answer.map(({status, headers, body}) => ({status, headers, body}));
   };
 }
--- /dev/null
+++ b/packages/gypsumwall-entry/src/read_state.ts
@@ -0,0 +1,23 @@
+/** Serves a peer that can't reach the log with a stream's state. */
+import type * as protocol from '@gypsumwall/protocol';
+import type * as types from '@gypsumwall/types';
+import type * as entryStream from './entry_stream.js';
+
+/** The state of the asked stream, if it goes further than the asker's. */
+export function readState(
+  self: types.ids.EntryId,
+  streams: readonly entryStream.EntryStream[],
+  req: protocol.peer.ReadStateRequest,
+): {entryId: string; nextOffset: bigint; snapshot?: Uint8Array} {
+  const found = streams.find((stream) => stream.name === req.stream);
+  const next = found?.follower.nextOffset() ?? 0;
+  if (found?.follower.caughtUp() !== true || next <= Number(req.above)) {
+    return {entryId: self, nextOffset: BigInt(next)};
+  }
+  const snapshot = found.follower.snapshot();
+  return {
+    entryId: self,
+    nextOffset: BigInt(snapshot.nextOffset),
+    snapshot: Buffer.from(snapshot.text),
+  };
+}
--- a/packages/gypsumwall-entry/src/worker_session.ts
+++ b/packages/gypsumwall-entry/src/worker_session.ts
@@ -21,6 +21,8 @@
   readonly size: types.resources.Resources;
   readonly work: types.job.Work;
   readonly leaseMs: number;
+  /** Trace context of the submission. */
+  readonly traceparent?: string;
 }
 
 /** What the session tells the scheduler. */
@@ -49,6 +51,8 @@
   readonly self: types.ids.EntryId;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
+  readonly tracer: telemetry.tracing.Tracer;
+  readonly metrics: telemetry.metrics.Metrics;
   readonly heartbeatMs: number;
   /** Lease that heartbeats renew to. */
   readonly leaseMs: number;
@@ -169,12 +173,27 @@
       if (options.runsOnce(task.taskId)) noteLease(held, task.leaseUntil);
     }
     const startBy = workerClock.toWorkerTime(held.clock, deadline);
+    const spans = orders.map((order) =>
+      options.tracer.startSpan('worker.start', order.traceparent, {
+        worker: workerId,
+        task: order.taskId,
+        attempt: order.attempt,
+      }),
+    );
     const answer = await worker.start(held.call, startBy, tasks);
-    if (answer.isErr) return startFailed(orders, answer.error);
+    if (answer.isErr) {
+      const {error} = answer;
+      spans.forEach((span) => span.end(describe(error)));
+      return startFailed(orders, error);
+    }
     orders.forEach((order, index) => {
       const said = answer.value[index];
-      if (said?.type === 'started') events.started(order);
-      else events.notStarted(order, said?.message ?? 'no answer for it');
+      const fault = startFault(said);
+      spans[index]?.end(fault);
+      const outcome = fault === undefined ? 'started' : 'refused';
+      options.metrics.count('taskStarts', {outcome});
+      if (fault === undefined) events.started(order);
+      else events.notStarted(order, fault);
     });
     return true;
   }
@@ -206,6 +225,11 @@
     err: types.stepError.StepError,
   ): boolean {
     logger.warn('start_failed', {tasks: orders.length, reason: describe(err)});
+    options.metrics.count(
+      'taskStarts',
+      {outcome: err.effect === 'not_run' ? 'refused' : 'unknown'},
+      orders.length,
+    );
     for (const order of orders) {
       if (err.effect === 'not_run') events.notStarted(order, err.message);
       else inDoubt.set(order.attempt, order);
@@ -353,3 +377,17 @@
     },
   };
 }
+
+/** Why a start was refused; undefined when the task started. */
+function startFault(
+  said: platform.worker.StartAnswer | undefined,
+): string | undefined {
+  switch (said?.type) {
+    case undefined:
+      return 'the worker gave no answer for it';
+    case 'started':
+      return undefined;
+    case 'refused':
+      return said.message;
+  }
+}
--- a/packages/gypsumwall-records/src/domain_records.ts
+++ b/packages/gypsumwall-records/src/domain_records.ts
@@ -60,6 +60,8 @@
       readonly key: types.ids.IdempotencyKey;
       readonly spec: types.job.JobSpec;
       readonly acceptedAt: types.clock.WallMs;
+      /** W3C trace context of the submission. */
+      readonly traceparent?: string;
     }
   | {
       readonly type: 'job_cancelled';
--- a/packages/gypsumwall-records/src/job_fold.ts
+++ b/packages/gypsumwall-records/src/job_fold.ts
@@ -19,6 +19,7 @@
   readonly key: types.ids.IdempotencyKey;
   readonly spec: types.job.JobSpec;
   readonly acceptedAt: types.clock.WallMs;
+  readonly traceparent?: string;
   phase: JobPhase;
   /** Results of the tasks that are done, by index. */
   readonly results: Map<number, string>;
@@ -64,6 +65,7 @@
       key: record.key,
       spec: record.spec,
       acceptedAt: record.acceptedAt,
+      traceparent: record.traceparent,
       phase: {type: 'open'},
       results: new Map(),
     };
