--- a/packages/gypsumwall-membership/src/__fixtures__/claim_scripts.ts
+++ b/packages/gypsumwall-membership/src/__fixtures__/claim_scripts.ts
@@ -129,6 +129,23 @@
       ],
     },
   },
+  {
+    // A renewal that names the newcomer too reaches the log, and the holder
+    // is cut off before it reads it. The newcomer's promise is needed.
+    name: 'a renewal with more names in doubt',
+    script: {
+      machines: 2,
+      seed: 4,
+      steps: [
+        spareJoins,
+        step(200, {
+          type: 'cut_from_log',
+          machine: 'holder',
+          forMs: FOR_GOOD_MS,
+        }),
+      ],
+    },
+  },
   {
     // A renewal that names the old peer takes effect after one that names the
     // new. If it counted, the old peer could take over unasked.
