--- /dev/null
+++ b/packages/gypsumwall-bench/src/bench_modules.ts
@@ -0,0 +1,9 @@
+/** Every bench, in the order they run. */
+import type * as benchModule from './bench_module.js';
+import * as policyBench from './policy_bench.js';
+import * as routingBench from './routing_bench.js';
+
+export const BENCH_MODULES: readonly benchModule.BenchModule[] = [
+  policyBench.POLICY_BENCH,
+  routingBench.ROUTING_BENCH,
+];
