Judge waits by what other teams bring, and learn times more calmly

And a team's fair share alone overstates its wait when many teams have little in the queue each. Now: plain means at first, then a gain of 1/32; the wait is the lesser of the one by fair share and the one by what others really bring. A lost share ends every wait at once; one log line for each probe that is awaited.

--- a/packages/gypsumwall-routing/src/__tests__/queueing.test.ts
+++ b/packages/gypsumwall-routing/src/__tests__/queueing.test.ts
@@ -112,3 +112,28 @@
     assert.equal(drained, true);
   },
 );
+
+nodeTest.test('many teams with little each are not refused', async () => {
+  // Nine teams have one request of 10 s each in the queue. A tenth gets
+  // through after 100 s at most: a ninth of the slot for what it has ahead,
+  // as its fair share alone would have it, is no reason to refuse it.
+  const harness = await createBusyHarness(10);
+  for (let team = 0; team < 9; team += 1) {
+    const id = types.ids.brand<types.ids.TeamId>(`team-${team}`);
+    void harness.send({team: id, estimateMs: 10_000, deadline: AMPLE});
+  }
+  void harness.send({estimateMs: 10_000, deadline: AMPLE});
+  const now = harness.clock.monotonic();
+  const deadline = types.clock.after(now, 101_000);
+  void harness.send({estimateMs: 10, deadline});
+  await timers.setImmediate();
+  assert.equal(harness.router.status().queued, 11);
+});
+
+nodeTest.test('a lost share ends every wait at once', async () => {
+  const harness = await createBusyHarness(10);
+  const waiting = harness.send({deadline: AMPLE});
+  await timers.setImmediate();
+  harness.router.setView({...harness.view, entries: []});
+  assert.equal(refusalOf(await waiting).reason, 'no_upstream');
+});
--- a/packages/gypsumwall-routing/src/admission.ts
+++ b/packages/gypsumwall-routing/src/admission.ts
@@ -33,7 +33,7 @@
   retryAfterMs(req: router.RoutedRequest, weight: number): number;
 }
 
-/** Share of a team's slots that its less urgent work is taken to get. */
+/** Share of all slots that the least urgent work is taken to get at least. */
 const LEAST_SHARE = 0.02;
 const SOONEST_RETRY_MS = 100;
 const LATEST_RETRY_MS = 60_000;
@@ -44,13 +44,21 @@
 
   const expectedWaitMs = (req: router.RoutedRequest, weight: number) => {
     if (queue.size === 0) return 0;
+    const now = clock.monotonic();
     const team = queue.ofTeam(req.team);
-    const ahead = team.workAheadMs(req.urgency);
-    const slots =
-      Math.max(1, table.reliableSlots()) * queue.fairShare(req.team, weight);
+    const slots = Math.max(1, table.reliableSlots());
     // What is more urgent and comes in meanwhile goes first, too.
-    const overtaking = team.slotsOvertaking(req.urgency, clock.monotonic());
-    return ahead / Math.max(slots - overtaking, slots * LEAST_SHARE);
+    const overtaking = team.slotsOvertaking(req.urgency, now);
+    const drainMs = (workMs: number, takenSlots: number) =>
+      workMs / Math.max(slots - takenSlots, slots * LEAST_SHARE);
+    const fairSlots = slots * queue.fairShare(req.team, weight);
+    const others = queue.slotsWantedByOthers(req.team, now);
+    // Others can't take more than they bring: many teams with little each
+    // get through sooner than by their shares.
+    return Math.min(
+      drainMs(team.workAheadMs(req.urgency), slots - fairSlots + overtaking),
+      drainMs(queue.workMs, others + overtaking),
+    );
   };
   // Callers refused together must not come back together.
   const withJitter = (spanMs: number) =>
--- a/packages/gypsumwall-routing/src/create_router.ts
+++ b/packages/gypsumwall-routing/src/create_router.ts
@@ -72,11 +72,14 @@
     active -= 1;
     if (active === 0) idleWaiters.splice(0).forEach((wake) => wake());
   };
+  const probesAwaited = new WeakMap<upstreamTable.UpstreamSlots, number>();
   /** Those who wait learn of a probe that falls due without any other event. */
   const pumpAtProbe = async (one: upstreamTable.UpstreamSlots) => {
     const at = one.health.probeAt();
-    if (at === undefined) return;
-    logger.debug('routing.suspect', {upstream: one.id});
+    if (at === undefined || probesAwaited.get(one) === at) return;
+    probesAwaited.set(one, at);
+    const inMs = Math.round(at - clock.monotonic());
+    logger.info('routing.suspect', {upstream: one.id, probeInMs: inMs});
     await clock.sleepUntil(at);
     slots.pump();
   };
@@ -155,7 +158,8 @@
   return {
     setView: (view) => {
       table.setView(view);
-      slots.pump();
+      if (table.hasShare()) slots.pump();
+      else slots.refuseAll();
     },
     setTeam: (team) => void teams.set(team.id, team),
     route: async (req) => {
--- a/packages/gypsumwall-routing/src/request_queue.ts
+++ b/packages/gypsumwall-routing/src/request_queue.ts
@@ -5,10 +5,13 @@
 import type * as types from '@gypsumwall/types';
 import type * as queuedRequest from './queued_request.js';
 import * as teamQueue from './team_queue.js';
+import * as workRate from './work_rate.js';
 
 /** All waiting requests of an entry. */
 export interface RequestQueue {
   readonly size: number;
+  /** Expected slot time of all that waits. */
+  readonly workMs: number;
   /** The queue of a team; made on first use. */
   ofTeam(team: types.ids.TeamId): teamQueue.TeamQueue;
   push(queued: queuedRequest.QueuedRequest, now: types.clock.MonotonicMs): void;
@@ -20,6 +23,11 @@
   remove(queued: queuedRequest.QueuedRequest): boolean;
   /** Charges or credits a team by how far off an expected time was. */
   correct(team: types.ids.TeamId, weight: number, offMs: number): void;
+  /** Slots that the requests of other teams, as they come in, keep busy. */
+  slotsWantedByOthers(
+    team: types.ids.TeamId,
+    now: types.clock.MonotonicMs,
+  ): number;
   /** Share of all service that falls to a team of this weight now. */
   fairShare(team: types.ids.TeamId, weight: number): number;
 }
@@ -34,7 +42,9 @@
   const teams = new Map<types.ids.TeamId, teamQueue.TeamQueue>();
   const backlogged = new Set<teamQueue.TeamQueue>();
   let virtualTime = 0;
+  const arrivals = workRate.createWorkRate();
   let size = 0;
+  let workMs = 0;
 
   const ofTeam = (team: types.ids.TeamId) => {
     const known = teams.get(team);
@@ -56,6 +66,7 @@
     const team = ofTeam(queued.req.team);
     if (!team.remove(queued)) return false;
     size -= 1;
+    workMs = size === 0 ? 0 : workMs - queued.typicalMs;
     if (team.size === 0) backlogged.delete(team);
     return true;
   };
@@ -64,6 +75,9 @@
     get size() {
       return size;
     },
+    get workMs() {
+      return workMs;
+    },
     ofTeam,
     push: (queued, now) => {
       const team = ofTeam(queued.req.team);
@@ -73,7 +87,9 @@
       }
       team.weight = queued.weight;
       team.push(queued, now);
+      arrivals.add(queued.typicalMs, now);
       size += 1;
+      workMs += queued.typicalMs;
     },
     peek: () => next()?.first(),
     serve: (queued) => {
@@ -86,6 +102,8 @@
     correct: (team, weight, offMs) => {
       ofTeam(team).virtualTime += offMs / weight;
     },
+    slotsWantedByOthers: (team, now) =>
+      Math.max(0, arrivals.slots(now) - ofTeam(team).slotsWanted(now)),
     fairShare: (team, weight) => {
       let others = 0;
       for (const one of backlogged) {
--- a/packages/gypsumwall-routing/src/service_times.ts
+++ b/packages/gypsumwall-routing/src/service_times.ts
@@ -16,15 +16,19 @@
 
 /** Mean and mean deviation of time taken over time declared. */
 interface LearnedRatio {
-  mean: number;
-  deviation: number;
+  readonly mean: number;
+  readonly deviation: number;
+  readonly samples: number;
 }
 
-/** Weights of a new sample, as TCP weighs round trips (RFC 6298). */
-const MEAN_GAIN = 1 / 8;
-const DEVIATION_GAIN = 1 / 4;
+/**
+ * The first answers count as in a plain mean, later ones for at least this
+ * much. With a larger weight a single answer out of the long tail makes all
+ * requests look long for a while, and they are refused without need.
+ */
+const LEAST_GAIN = 1 / 32;
 /** Nothing learned yet: it may be off by a factor of four and have a tail. */
-const FIRST_RATIO: LearnedRatio = {mean: 1, deviation: 4};
+const FIRST_RATIO: LearnedRatio = {mean: 1, deviation: 4, samples: 1};
 const PESSIMISTIC_DEVIATIONS = 2;
 /** One answer out of all proportion must not close the door for the next. */
 const LARGEST_RATIO = 20;
@@ -46,16 +50,22 @@
     learn: (req, tookMs) => {
       const old = ratioOf(req);
       const sample = Math.min(tookMs / declaredMs(req), LARGEST_RATIO);
-      const off = sample - old.mean;
-      const mean = old.mean + MEAN_GAIN * off;
-      const deviation =
-        old.deviation + DEVIATION_GAIN * (Math.abs(off) - old.deviation);
-      learned.set(operationKey(req), {mean, deviation});
+      learned.set(operationKey(req), mixIn(old, sample));
       if (learned.size > MAX_OPERATIONS) forgetFirst(learned);
     },
   };
 }
 
+function mixIn(old: LearnedRatio, sample: number): LearnedRatio {
+  const gain = Math.max(LEAST_GAIN, 1 / (old.samples + 1));
+  const off = sample - old.mean;
+  return {
+    mean: old.mean + gain * off,
+    deviation: old.deviation + gain * (Math.abs(off) - old.deviation),
+    samples: old.samples + 1,
+  };
+}
+
 function declaredMs(req: router.RoutedRequest): number {
   return Math.max(SHORTEST_ESTIMATE_MS, req.estimateMs);
 }
--- a/packages/gypsumwall-routing/src/slot_wait.ts
+++ b/packages/gypsumwall-routing/src/slot_wait.ts
@@ -30,6 +30,8 @@
   ): Promise<queuedRequest.WaitEnd>;
   /** Gives free slots to those who wait; to be called when one came free. */
   pump(): void;
+  /** Ends every wait: this entry has no share any more. */
+  refuseAll(): void;
 }
 
 /** Makes the wait in front of a table of upstreams. */
@@ -113,8 +115,19 @@
     return ended;
   };
 
+  const refuseAll = () => {
+    for (;;) {
+      const next = queue.peek();
+      if (next === undefined) return;
+      const message = 'this entry has no share of any upstream any more';
+      const retryAfterMs = gate.retryAfterMs(next.req, next.weight);
+      refuse(next, routeFailure.notRun('no_upstream', message, retryAfterMs));
+    }
+  };
+
   return {
     pump,
+    refuseAll,
     wait: async (req, avoid) => {
       const limits = options.limitsOf(req.team);
       const isRetry = avoid.size > 0;
--- a/packages/gypsumwall-routing/src/team_queue.ts
+++ b/packages/gypsumwall-routing/src/team_queue.ts
@@ -17,6 +17,8 @@
   remove(queued: queuedRequest.QueuedRequest): boolean;
   /** Expected slot time of all that is at least this urgent. */
   workAheadMs(urgency: types.job.Urgency): number;
+  /** Slots that this team's requests, as they have come in, keep busy. */
+  slotsWanted(now: types.clock.MonotonicMs): number;
   /** Slots that more urgent requests, as they have come in, keep busy. */
   slotsOvertaking(
     urgency: types.job.Urgency,
@@ -69,6 +71,10 @@
           return workMs.urgent + workMs.normal + workMs.overnight;
       }
     },
+    slotsWanted: (now) =>
+      arrivals.urgent.slots(now) +
+      arrivals.normal.slots(now) +
+      arrivals.overnight.slots(now),
     slotsOvertaking: (urgency, now) => {
       switch (urgency) {
         case 'urgent':
