--- a/packages/gypsumwall-entry/src/domain_scheduler.ts
+++ b/packages/gypsumwall-entry/src/domain_scheduler.ts
@@ -26,6 +26,8 @@
 export interface DomainSchedulerOptions {
   readonly epoch: number;
   readonly self: types.ids.EntryId;
+  /** Whether anybody has held the domain before this epoch. */
+  readonly hadPredecessor: boolean;
   readonly spans: SchedulerSpans;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
@@ -37,6 +39,8 @@
   ) => platform.worker.Worker;
   /** Deadline of the claim now; undefined when it is not held any more. */
   readonly claimDeadline: () => types.clock.MonotonicMs | undefined;
+  /** Ids of attempts are unique to the entry and the epoch. */
+  readonly nextAttempt: () => types.ids.AttemptId;
   /** Appends to the domain's stream; true once the record stands there. */
   readonly append: (
     record: records.domainRecords.DomainRecord,
@@ -57,6 +61,7 @@
 export interface DomainScheduler {
   /** Workers as the list shows them now. */
   setWorkers(listed: readonly platform.instanceList.ListedWorker[]): void;
+  setTeam(team: placement.placer.PlacerTeam): void;
   onJob(change: records.jobFold.JobChange): void;
   running(jobId: types.ids.JobId): number;
   explain(jobId: types.ids.JobId): string;
@@ -96,7 +101,6 @@
   /** Jobs accepted before this epoch, held back until the gate opens. */
   const gated = new Set<records.jobFold.JobState>(jobs.openJobs());
   let recovered = false;
-  let attempts = 0;
   let roundDue = false;
 
   function jobOfTask(
@@ -172,10 +176,7 @@
       placer.release(decided.taskId, {type: 'not_started'});
       return;
     }
-    attempts += 1;
-    const attempt = types.ids.brand<types.ids.AttemptId>(
-      `${epoch}.${attempts}`,
-    );
+    const attempt = options.nextAttempt();
     tasks.put({
       ...decided,
       attempt,
@@ -219,6 +220,7 @@
     if (recovered) return;
     recovered = recoveryGate.isOpen({
       now: clock.monotonic(),
+      hadPredecessor: options.hadPredecessor,
       heldSince,
       leaseMs: spans.taskLeaseMs,
       graceMs: spans.leaseGraceMs,
@@ -436,8 +438,7 @@
         stopTasksOf(change.job);
         return;
       case 'restored':
-        // Cannot be folded into the books piecemeal: all is learned anew.
-        logger.warn('jobs_restored');
+        // The holder makes a new scheduler; see `domain_holder.ts`.
         return;
     }
   }
@@ -461,6 +462,7 @@
 
   return {
     setWorkers,
+    setTeam: (team) => placer.setTeam(team),
     onJob,
     running: (jobId) => tasks.of(jobId).length,
     explain: (jobId) => placer.explain(jobId),
--- /dev/null
+++ b/packages/gypsumwall-testing/src/bin/scenarios.ts
@@ -0,0 +1,132 @@
+/**
+ * `npm run scenarios [-- NAME ...] [--history]`: runs the scenarios one after
+ * another, a line each, and ends with 1 if a promise was broken, 2 if a file
+ * is bad. `--random N [--seed S]` draws scenarios instead. `--without SAFEGUARD` runs those that name the safeguard against a
+ * product without it: each must turn red.
+ */
+import * as util from 'node:util';
+import * as exampleCell from '../example_cell.js';
+import * as runScenario from '../scenario/run_scenario.js';
+import * as scenarioFile from '../scenario/scenario_file.js';
+import * as scenarioReport from '../scenario/scenario_report.js';
+import * as without from '../scenario/without.js';
+
+const {values, positionals} = util.parseArgs({
+  allowPositionals: true,
+  options: {
+    history: {type: 'boolean', default: false},
+    without: {type: 'string'},
+    /** Draws so many scenarios with two faults each, from the seed. */
+    random: {type: 'string'},
+    seed: {type: 'string', default: '1'},
+    /** Keeps settings and logs of each cell, and says where. */
+    keep: {type: 'boolean', default: false},
+  },
+});
+
+function say(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+interface NamedScenario {
+  readonly name: string;
+  readonly read: scenarioFile.ReadScenario;
+}
+
+/** Runs one; whether it passed. */
+async function runOne(
+  {name, read}: NamedScenario,
+  entryCommand: readonly string[],
+): Promise<boolean> {
+  const {scenario} = read;
+  try {
+    const verdict = await runScenario.runScenario({
+      scenario,
+      site: read.site,
+      example: exampleCell.readExampleCell(scenario.example),
+      entryCommand,
+      keepFolder: values.keep,
+    });
+    say(scenarioReport.formatVerdict(name, scenario.seed, verdict));
+    if (values.random !== undefined) say(`  ${scenario.story.join(' ')}`);
+    if (values.keep) say(`  settings and logs: ${verdict.folder}`);
+    if (values.history) say(scenarioReport.formatHistory(verdict.events));
+    return runScenario.hasPassed(verdict);
+  } catch (thrown) {
+    say(`FAIL  ${name}: the cell did not come up: ${String(thrown)}`);
+    return false;
+  }
+}
+
+async function runAll(scenarios: readonly NamedScenario[]): Promise<number> {
+  let passed = 0;
+  for (const scenario of scenarios) {
+    if (await runOne(scenario, exampleCell.ENTRY_COMMAND)) passed += 1;
+  }
+  say(`${passed} of ${scenarios.length} scenarios passed`);
+  return passed === scenarios.length ? 0 : 1;
+}
+
+/** Each scenario that names the safeguard must fail without it. */
+async function runWithout(
+  safeguard: string,
+  scenarios: readonly NamedScenario[],
+): Promise<number> {
+  const chosen = scenarios.filter(({read}) =>
+    read.scenario.without.includes(safeguard),
+  );
+  if (chosen.length === 0) {
+    const known = without.safeguardNames().join(', ');
+    say(`no scenario names the safeguard "${safeguard}"; there are ${known}`);
+    return 2;
+  }
+  const built = without.buildWithout(safeguard);
+  const command = [built.main, ...exampleCell.ENTRY_COMMAND.slice(1)];
+  let red = 0;
+  try {
+    for (const scenario of chosen) {
+      if (!(await runOne(scenario, command))) red += 1;
+    }
+  } finally {
+    built.remove();
+  }
+  say(`without ${safeguard}: ${red} of ${chosen.length} turned red`);
+  return red === chosen.length ? 0 : 1;
+}
+
+/** Scenarios of the files, or drawn ones; errors are printed. */
+function chooseScenarios(): NamedScenario[] | undefined {
+  if (values.random !== undefined) {
+    const {seed} = values;
+    const drawn = scenarioFile.drawScenarios(
+      Number(values.random),
+      Number(seed),
+    );
+    if (drawn.isErr) {
+      process.stderr.write(`${drawn.error}\n`);
+      return undefined;
+    }
+    return drawn.value.map((read, index) => {
+      return {name: `random-${seed}-${index + 1}`, read};
+    });
+  }
+  const names =
+    positionals.length > 0 ? positionals : scenarioFile.scenarioNames();
+  const scenarios: NamedScenario[] = [];
+  for (const name of names) {
+    const read = scenarioFile.readScenario(name);
+    if (read.isErr) process.stderr.write(`${read.error}\n`);
+    else scenarios.push({name, read: read.value});
+  }
+  return scenarios.length === names.length ? scenarios : undefined;
+}
+
+async function main(): Promise<number> {
+  const scenarios = chooseScenarios();
+  if (scenarios === undefined) return 2;
+  return values.without === undefined
+    ? runAll(scenarios)
+    : runWithout(values.without, scenarios);
+}
+
+process.exitCode = await main();
