Plan reservations on what tasks give back, with a little room to spare

Conclusion: sizes are fixed by the reservation, forecasts take the larger of held and used, one task in eight is spare, late room is planned anew.

--- a/packages/gypsumwall-placement/src/drain_times.ts
+++ b/packages/gypsumwall-placement/src/drain_times.ts
@@ -1,6 +1,7 @@
 /** When running tasks will have given back enough room for waiting ones. */
-import * as types from '@gypsumwall/types';
+import type * as types from '@gypsumwall/types';
 import type * as books from './books.js';
+import * as roomForecast from './room_forecast.js';
 
 /** How long a checkpoint takes to give room back, as far as plans go. */
 const CHECKPOINT_TAKES_MS = 500;
@@ -62,18 +63,16 @@
 function slotsOn(worker: books.WorkerRecord, search: RoomSearch): Slot[] {
   const {size, count, now} = search;
   const endings = endingsOn(worker, search);
-  const free = {...worker.room};
+  const forecast = roomForecast.createRoomForecast(worker);
   const slots: Slot[] = [];
   let victims: books.HeldRecord[] = [];
   let at = now;
   let next = 0;
   while (slots.length < count) {
-    if (types.resources.fits(size, free)) {
+    if (forecast.fits(size)) {
       slots.push({worker, at, victims});
       victims = [];
-      free.cpuMillis -= size.cpuMillis;
-      free.memoryMb -= size.memoryMb;
-      free.accelerators -= size.accelerators;
+      forecast.withOne(size);
       continue;
     }
     const ending = endings[next];
@@ -82,9 +81,7 @@
     at = Math.max(at, ending.at);
     const {task} = ending;
     if (ending.moved) victims.push(task);
-    free.cpuMillis += task.size.cpuMillis;
-    free.memoryMb += Math.max(task.size.memoryMb, task.usedMemoryMb);
-    free.accelerators += task.size.accelerators;
+    forecast.without(task);
   }
   return slots;
 }
--- a/packages/gypsumwall-placement/src/job_queue.ts
+++ b/packages/gypsumwall-placement/src/job_queue.ts
@@ -7,7 +7,7 @@
  */
 import * as types from '@gypsumwall/types';
 import * as binaryHeap from './binary_heap.js';
-import * as books from './books.js';
+import type * as books from './books.js';
 import type * as indexRanges from './index_ranges.js';
 
 /** Earlier tiers go first. */
@@ -278,8 +278,7 @@
     unblock(grown, now) {
       for (const group of blocked) {
         const head = headOf(group);
-        const reserved = head?.reserved === true;
-        if (!group.grew) group.grew = fitsAny(group.floor, grown, reserved);
+        if (!group.grew) group.grew = fitsAny(group.floor, grown);
         if (!group.grew) continue;
         if (head !== undefined && head.retryAt > now) continue;
         setState(group, 'ready');
@@ -336,11 +335,9 @@
 function fitsAny(
   floor: types.resources.Resources,
   grown: ReadonlySet<books.WorkerRecord>,
-  reserved: boolean,
 ): boolean {
   for (const worker of grown) {
     if (types.resources.fits(floor, worker.room)) return true;
-    if (reserved && books.fitsReserved(floor, worker)) return true;
   }
   return false;
 }
--- a/packages/gypsumwall-placement/src/placement_round.ts
+++ b/packages/gypsumwall-placement/src/placement_round.ts
@@ -45,15 +45,17 @@
   limit: number,
 ): placer.Placement[] {
   const placements: placer.Placement[] = [];
+  for (const job of parts.reservations.readyJobs()) {
+    if (placements.length < limit) tryReserved(parts, job, now, placements);
+  }
   let misses = 0;
   let gangMisses = 0;
   while (placements.length < limit && misses < MISSES_PER_ROUND) {
     const job = parts.queue.next();
     if (job === undefined) break;
     const isGang = job.spec.shape.kind === 'gang';
-    const miss = isGang
-      ? placeGang(parts, job, now, placements)
-      : placeOne(parts, job, now, placements);
+    // What has room kept for it was tried already.
+    const miss = job.reserved ? 'no_room' : place(parts, job, now, placements);
     if (miss === undefined) continue;
     misses += 1;
     noteMiss(parts, job, now, miss);
@@ -63,13 +65,39 @@
   return placements;
 }
 
+/**
+ * A job that room is kept for goes before the queue: else that room would lie
+ * idle while the round tries the many that came before it.
+ */
+function tryReserved(
+  parts: RoundParts,
+  job: jobQueue.JobRecord,
+  now: number,
+  placements: placer.Placement[],
+): void {
+  if (job.retryAt > now) return;
+  const miss = place(parts, job, now, placements);
+  if (miss !== undefined) job.retryAt = now + FIRST_GANG_RETRY_MS;
+}
+
+function place(
+  parts: RoundParts,
+  job: jobQueue.JobRecord,
+  now: number,
+  placements: placer.Placement[],
+): Miss | undefined {
+  return job.spec.shape.kind === 'gang'
+    ? placeGang(parts, job, now, placements)
+    : placeOne(parts, job, now, placements);
+}
+
 function placeOne(
   parts: RoundParts,
   job: jobQueue.JobRecord,
   now: number,
   placements: placer.Placement[],
 ): Miss | undefined {
-  const size = parts.sizes.sizeOf(job.spec);
+  const size = sizeFor(parts, job);
   if (!fitsQuota(job, size)) return 'over_quota';
   parts.reservations.suspend(job);
   const placement = choose(parts, job, size, now);
@@ -84,6 +112,18 @@
   return undefined;
 }
 
+/**
+ * Room was kept for the size of that time. A size learned since may be a
+ * little larger, and the last task of a gang would never fit.
+ */
+function sizeFor(
+  parts: RoundParts,
+  job: jobQueue.JobRecord,
+): types.resources.Resources {
+  const reservation = parts.reservations.of(job);
+  return reservation?.size ?? parts.sizes.sizeOf(job.spec);
+}
+
 /** All waiting tasks of the gang or none. */
 function placeGang(
   parts: RoundParts,
@@ -91,7 +131,7 @@
   now: number,
   placements: placer.Placement[],
 ): Miss | undefined {
-  const size = parts.sizes.sizeOf(job.spec);
+  const size = sizeFor(parts, job);
   const tasks = job.waiting.size();
   const whole = types.resources.times(size, tasks);
   if (!fitsQuota(job, whole)) return 'over_quota';
@@ -185,7 +225,8 @@
 ): void {
   if (miss === 'no_room') {
     job.blockedSince ??= now;
-    if (job.spec.shape.kind === 'gang') job.retryAt = nextRetry(job, now);
+    if (!job.reserved && job.spec.shape.kind === 'gang')
+      job.retryAt = nextRetry(job, now);
   }
   const size = parts.sizes.sizeOf(job.spec);
   const alone = parts.failures.workersToAvoid(job.jobId) !== undefined;
--- a/packages/gypsumwall-placement/src/relief.ts
+++ b/packages/gypsumwall-placement/src/relief.ts
@@ -3,11 +3,12 @@
  * throttle where true usage passes a worker's processors, by a checkpoint
  * where reported memory does or where due work finds no room anywhere.
  */
-import * as types from '@gypsumwall/types';
+import type * as types from '@gypsumwall/types';
 import type * as books from './books.js';
 import type * as jobQueue from './job_queue.js';
 import * as movable from './movable.js';
 import type * as placer from './placer.js';
+import * as roomForecast from './room_forecast.js';
 
 /** Due work waits this long for a task to end by itself. */
 const DUE_PATIENCE_MS = 200;
@@ -186,7 +187,7 @@
   size: types.resources.Resources,
   now: number,
 ): books.HeldRecord[] | undefined {
-  const room = {...worker.room};
+  const forecast = roomForecast.createRoomForecast(worker);
   const victims: books.HeldRecord[] = [];
   const candidates: books.HeldRecord[] = [];
   for (const task of worker.tasks) {
@@ -198,18 +199,16 @@
     (left, right) => movable.rankOf(left) - movable.rankOf(right),
   );
   for (const task of candidates) {
-    if (types.resources.fits(size, room)) break;
+    if (forecast.fits(size)) break;
     if (
       movable.rankOf(task) >= movable.URGENCY_RANK[job.spec.urgency] &&
       job.tier > 0
     )
       break;
     victims.push(task);
-    room.cpuMillis += task.size.cpuMillis;
-    room.memoryMb += Math.max(task.size.memoryMb, task.usedMemoryMb);
-    room.accelerators += task.size.accelerators;
+    forecast.without(task);
   }
-  const enough = types.resources.fits(size, room) && victims.length > 0;
+  const enough = forecast.fits(size) && victims.length > 0;
   return enough ? victims : undefined;
 }
 
--- a/packages/gypsumwall-placement/src/reservations.ts
+++ b/packages/gypsumwall-placement/src/reservations.ts
@@ -19,19 +19,31 @@
 const PATIENCE_MS = 1000;
 /** How often jobs are looked at that might get a reservation. */
 const LOOK_EVERY_MS = 250;
+/** Room that isn't there so long after it should be is planned anew. */
+const LATE_AFTER_MS = 500;
 const SHORTEST_MS = 10_000;
 const LONGEST_MS = 1_800_000;
 /** A reservation lasts this much longer than its workers should take. */
 const DRAIN_MARGIN = 1.5;
 /** Reservations at one time; others wait until one ends. */
 const MAX_RESERVATIONS = 2;
+/**
+ * Room for one task more is kept for each so many: urgent tasks and usage
+ * above the books take a little of it before the last worker has drained.
+ */
+const TASKS_PER_SPARE = 8;
 /**
  * Room is kept for gangs, and for single tasks of at least this share of the
  * largest worker; smaller ones find room soon enough.
  */
 const LARGE_SHARE = 0.25;
 /** Batch work as urgent as the job itself is moved for it after this. */
-const MOVE_EQUALS_AFTER_MS = 30_000;
+const MOVE_EQUALS_AFTER_MS = 60_000;
+/**
+ * Share of a reservation's workers that must have drained before the job is
+ * tried. Not all of them: there is spare room, and some tasks fit elsewhere.
+ */
+const READY_SHARE = 0.75;
 /** Workers looked at: more for a larger gang, but never all of thousands. */
 const SAMPLES = 64;
 const SAMPLES_PER_TASK = 4;
@@ -58,6 +70,8 @@
     now: number,
     blocked: () => readonly jobQueue.JobRecord[],
   ): readonly placer.Relief[];
+  /** Jobs for which most of the room kept for them is free. */
+  readyJobs(): jobQueue.JobRecord[];
   /** Frees the job's own room for a try; `resume` keeps it again. */
   suspend(job: jobQueue.JobRecord): void;
   resume(job: jobQueue.JobRecord): void;
@@ -112,16 +126,20 @@
   function begin(
     job: jobQueue.JobRecord,
     now: number,
+    givenDeadline?: number,
   ): readonly placer.Relief[] {
     const size = options.sizeOf(job);
     const tasks = job.spec.shape.kind === 'gang' ? job.waiting.size() : 1;
     const sample = sampleWorkers(SAMPLES + tasks * SAMPLES_PER_TASK);
-    const found = drainTimes.soonestRoom(sample, {
-      size,
-      count: tasks,
-      now,
-      mayMove: (task) => mayMove(job, task, now),
-    });
+    const search = (count: number) =>
+      drainTimes.soonestRoom(sample, {
+        size,
+        count,
+        now,
+        mayMove: (task) => mayMove(job, task, now),
+      });
+    const spare = Math.ceil(tasks / TASKS_PER_SPARE);
+    const found = search(tasks + spare) ?? search(tasks);
     if (found === undefined) {
       job.reserveAfter = now + SHORTEST_MS;
       return [];
@@ -129,7 +147,7 @@
     const {slots, readyAt, victims} = found;
     const drainMs = (readyAt - now) * DRAIN_MARGIN;
     const lastsMs = Math.min(LONGEST_MS, Math.max(SHORTEST_MS, drainMs));
-    const deadline = now + lastsMs;
+    const deadline = givenDeadline ?? now + lastsMs;
     const reservation = {job, size, slots, readyAt, deadline};
     job.reserveAfter = deadline + SHORTEST_MS;
     job.reserved = true;
@@ -138,6 +156,20 @@
     return victims.map((task) => movable.askCheckpoint(task, now));
   }
 
+  /**
+   * Plans again for a job whose room should have been there by now: urgent
+   * tasks or usage above the books took some of it. The deadline stays.
+   */
+  function replanLate(now: number): placer.Relief[] {
+    const reliefs: placer.Relief[] = [];
+    for (const reservation of [...current.values()]) {
+      if (reservation.readyAt + LATE_AFTER_MS > now) continue;
+      finish(reservation);
+      reliefs.push(...begin(reservation.job, now, reservation.deadline));
+    }
+    return reliefs;
+  }
+
   function isLarge(job: jobQueue.JobRecord): boolean {
     if (job.spec.shape.kind === 'gang') return true;
     const size = options.sizeOf(job);
@@ -184,11 +216,15 @@
       for (const reservation of current.values()) {
         if (reservation.deadline <= now) finish(reservation);
       }
-      if (now < lookAgainAt || current.size >= MAX_RESERVATIONS) return [];
+      if (now < lookAgainAt) return [];
       lookAgainAt = now + LOOK_EVERY_MS;
+      const replanned = replanLate(now);
+      if (current.size >= MAX_RESERVATIONS) return replanned;
       const first = longestBlocked(blocked(), now);
-      return first === undefined ? [] : begin(first, now);
+      if (first !== undefined) replanned.push(...begin(first, now));
+      return replanned;
     },
+    readyJobs: () => [...current.values()].filter(isReady).map(({job}) => job),
     suspend(job) {
       if (!job.reserved) return;
       suspended = current.get(job);
@@ -224,6 +260,16 @@
   };
 }
 
+function isReady(reservation: Reservation): boolean {
+  let free = 0;
+  for (const {room} of reservation.slots.keys()) {
+    const isFree =
+      room.cpuMillis >= 0 && room.memoryMb >= 0 && room.accelerators >= 0;
+    if (isFree) free += 1;
+  }
+  return free >= reservation.slots.size * READY_SHARE;
+}
+
 /** Whether a running task may be checkpointed for the job's sake. */
 function mayMove(
   job: jobQueue.JobRecord,
