--- a/packages/gypsumwall-entry/src/peer_catch_up.ts
+++ b/packages/gypsumwall-entry/src/peer_catch_up.ts
@@ -6,6 +6,7 @@
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import type * as entryStream from './entry_stream.js';
+import * as readState from './read_state.js';
 
 /** What is needed. */
 export interface PeerCatchUpOptions {
@@ -63,7 +64,12 @@
     stream: stream.name,
     above: BigInt(stream.follower.nextOffset()),
   });
-  if (answer.isErr || answer.value.snapshot.length === 0) return;
+  if (answer.isErr || answer.value.nextOffset === readState.NOT_KNOWN) return;
+  if (answer.value.snapshot.length === 0) {
+    // A stream may well be empty: the word that it is counts as much.
+    stream.follower.noteAsFarAsPeer(Number(answer.value.nextOffset));
+    return;
+  }
   const adopted = stream.follower.adopt({
     nextOffset: Number(answer.value.nextOffset),
     text: Buffer.from(answer.value.snapshot).toString('utf8'),
--- a/packages/gypsumwall-entry/src/read_state.ts
+++ b/packages/gypsumwall-entry/src/read_state.ts
@@ -3,6 +3,9 @@
 import type * as types from '@gypsumwall/types';
 import type * as entryStream from './entry_stream.js';
 
+/** Said of a stream that this entry has not read to its end itself. */
+export const NOT_KNOWN = -1n;
+
 /** The state of the asked stream, if it goes further than the asker's. */
 export function readState(
   self: types.ids.EntryId,
@@ -10,8 +13,11 @@
   req: protocol.peer.ReadStateRequest,
 ): {entryId: string; nextOffset: bigint; snapshot?: Uint8Array} {
   const found = streams.find((stream) => stream.name === req.stream);
-  const next = found?.follower.nextOffset() ?? 0;
-  if (found?.follower.caughtUp() !== true || next <= Number(req.above)) {
+  if (found?.follower.caughtUp() !== true) {
+    return {entryId: self, nextOffset: NOT_KNOWN};
+  }
+  const next = found.follower.nextOffset();
+  if (next <= Number(req.above)) {
     return {entryId: self, nextOffset: BigInt(next)};
   }
   const snapshot = found.follower.snapshot();
--- a/packages/gypsumwall-records/src/stream_follower.ts
+++ b/packages/gypsumwall-records/src/stream_follower.ts
@@ -46,6 +46,8 @@
    * ahead of this one, so that nothing ever goes back.
    */
   adopt(snapshot: snapshotText.Snapshot): boolean;
+  /** A peer that is caught up has read no further than this reader has. */
+  noteAsFarAsPeer(nextOffset: number): void;
 }
 
 const PAGE_LIMIT = 2_000;
@@ -237,6 +239,11 @@
       nextOffset: next,
       text: snapshotText.writeText(counts, fold),
     }),
+    noteAsFarAsPeer: (nextOffset) => {
+      if (awaitingSnapshot === undefined && nextOffset === next) {
+        complete = true;
+      }
+    },
     adopt: (snapshot) => {
       const behind =
         awaitingSnapshot !== undefined || snapshot.nextOffset > next;
