--- a/packages/gypsumwall-entry/src/create_entry.ts
+++ b/packages/gypsumwall-entry/src/create_entry.ts
@@ -380,6 +380,9 @@
     const deadline = types.clock.after(clock.monotonic(), cfg.drainTimeoutMs);
     holder.close();
     await claim.release();
+    // Until the balancer has seen it, calls still come: they are handed over.
+    const noticed = types.clock.after(clock.monotonic(), cfg.drainNoticeMs);
+    await clock.sleepUntil(noticed, signal);
     const timer = new AbortController();
     await Promise.race([
       router.drain().then(() => app.close()),
--- a/packages/gypsumwall-entry/src/domain_scheduler.ts
+++ b/packages/gypsumwall-entry/src/domain_scheduler.ts
@@ -313,10 +313,10 @@
   }
 
   function onEnded(
-    state: () => WorkerState | undefined,
+    listed: platform.instanceList.ListedWorker,
     ended: platform.worker.FinishedTask,
   ): void {
-    const session = state()?.session;
+    const session = workers.get(listed.id)?.session;
     const task = tasks.attempt(ended.taskId, ended.attempt);
     const job = jobOfTask(ended.taskId);
     const {index} = types.ids.splitTaskId(ended.taskId);
@@ -331,26 +331,51 @@
       if (task !== undefined) release(task, reportOf(ended.end, ranMs));
       return;
     }
+    record(session, ended, job, task ?? holdEnded(listed, ended, job));
+  }
+
+  /**
+   * A task that had ended before this epoch counts as active until its end
+   * stands in the log: were it forgotten, it would be run a second time.
+   */
+  function holdEnded(
+    listed: platform.instanceList.ListedWorker,
+    ended: platform.worker.FinishedTask,
+    job: records.jobFold.JobState,
+  ): taskTable.ActiveTask | undefined {
+    if (tasks.get(ended.taskId) !== undefined) return undefined;
+    const held: taskTable.ActiveTask = {
+      taskId: ended.taskId,
+      attempt: ended.attempt,
+      workerId: listed.id,
+      size: job.spec.size,
+      phase: 'running',
+      startedAt: heldSince,
+    };
+    tasks.put(held);
+    placer.adopt({...held, spec: job.spec});
+    return held;
+  }
+
+  /** Acknowledges the end once it is in the log; until then it is repeated. */
+  function record(
+    session: workerSession.WorkerSession | undefined,
+    ended: platform.worker.FinishedTask,
+    job: records.jobFold.JobState,
+    task: taskTable.ActiveTask | undefined,
+  ): void {
     if (task?.phase === 'recording') return;
     if (task !== undefined) task.phase = 'recording';
-    // Until the end stands in the log, the task counts as active: were it
-    // forgotten here, it would be started a second time.
-    void options
-      .append({
-        type: 'task_ended',
-        taskId: ended.taskId,
-        attempt: ended.attempt,
-        end: ended.end,
-      })
-      .then((recorded) => {
-        if (!recorded) {
-          // The worker tells the end again until it is acknowledged.
-          if (task !== undefined) task.phase = 'running';
-          return;
-        }
-        session?.acknowledge(ended.attempt);
-        if (task !== undefined) release(task, reportOf(ended.end, ranMs));
-      });
+    const ranMs = clock.monotonic() - (task?.startedAt ?? heldSince);
+    void options.append({type: 'task_ended', ...ended}).then((recorded) => {
+      if (!recorded) {
+        if (task !== undefined) task.phase = 'running';
+        return;
+      }
+      session?.acknowledge(ended.attempt);
+      const current = tasks.attempt(ended.taskId, ended.attempt);
+      if (current !== undefined) release(current, {type: 'done', ranMs});
+    });
   }
 
   function eventsOf(
@@ -369,7 +394,7 @@
         const task = tasks.attempt(order.taskId, order.attempt);
         if (task !== undefined) release(task, {type: 'not_started'});
       },
-      ended: (ended) => onEnded(() => workers.get(id), ended),
+      ended: (ended) => onEnded(listed, ended),
       stopped: (stopped) => {
         const task = tasks.attempt(stopped.taskId, stopped.attempt);
         if (task !== undefined) release(task, {type: 'stopped'});
--- a/packages/gypsumwall-settings/src/entry_settings.ts
+++ b/packages/gypsumwall-settings/src/entry_settings.ts
@@ -28,6 +28,8 @@
   /** Keep it well under the log's retention. */
   snapshotEveryMs: 300_000,
   snapshotEveryRecords: 20_000,
+  /** How long a leaving entry still hands over what comes. */
+  drainNoticeMs: 2_000,
   drainTimeoutMs: 30_000,
 } as const;
 
@@ -72,6 +74,7 @@
   leaseGraceMs: span.default(ENTRY_DEFAULTS.leaseGraceMs),
   snapshotEveryMs: span.default(ENTRY_DEFAULTS.snapshotEveryMs),
   snapshotEveryRecords: span.default(ENTRY_DEFAULTS.snapshotEveryRecords),
+  drainNoticeMs: span.default(ENTRY_DEFAULTS.drainNoticeMs),
   drainTimeoutMs: span.default(ENTRY_DEFAULTS.drainTimeoutMs),
 });
 
