--- a/packages/gypsumwall-bench/src/bench_modules.ts
+++ b/packages/gypsumwall-bench/src/bench_modules.ts
@@ -1,9 +1,11 @@
 /** Every bench, in the order they run. */
 import type * as benchModule from './bench_module.js';
+import * as controlBench from './control_bench.js';
 import * as policyBench from './policy_bench.js';
 import * as routingBench from './routing_bench.js';
 
 export const BENCH_MODULES: readonly benchModule.BenchModule[] = [
   policyBench.POLICY_BENCH,
   routingBench.ROUTING_BENCH,
+  controlBench.CONTROL_BENCH,
 ];
--- /dev/null
+++ b/packages/gypsumwall-bench/src/control_records.ts
@@ -0,0 +1,178 @@
+/** Cost of records: appending by group commit, folding, snapshots, rebuild. */
+import * as result from 'true-myth/result';
+import type * as platform from '@gypsumwall/platform';
+import * as records from '@gypsumwall/records';
+import * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import type * as benchModule from './bench_module.js';
+import * as statistics from './statistics.js';
+
+const JOBS = [1_000, 4_000, 16_000, 64_000];
+const TASKS_A_JOB = 4;
+const RATES = [100, 1_000, 3_000, 7_500];
+/** Time that the platform's log takes for one append. */
+const APPEND_MS = 5;
+const NOW = 0 as types.clock.MonotonicMs;
+
+/** Tables of group commit and of folding, snapshot and rebuild. */
+export async function measureRecords(
+  quick: boolean,
+): Promise<benchModule.BenchTable[]> {
+  const appended = [];
+  for (const rate of RATES) {
+    appended.push(await measureAppends(rate, quick ? 1_000 : 5_000));
+  }
+  return [
+    {
+      title: `Group commit on a log that takes ${APPEND_MS} ms an append`,
+      columns: [
+        'records/s',
+        'appends/s',
+        'records an append',
+        'CPU us a record',
+      ],
+      rows: appended,
+    },
+    foldTable(),
+  ];
+}
+
+async function measureAppends(
+  rate: number,
+  spanMs: number,
+): Promise<Array<string | number>> {
+  const clock = types.clock.createSystemClock();
+  let appends = 0;
+  let taken = 0;
+  const log: platform.platformLog.PlatformLog = {
+    append: async ({bodies}) => {
+      appends += 1;
+      const firstOffset = taken;
+      taken += bodies.length;
+      const done = types.clock.after(clock.monotonic(), APPEND_MS);
+      await clock.sleepUntil(done);
+      return result.ok({firstOffset});
+    },
+    read: () => Promise.reject(new Error('the bench reads nothing')),
+  };
+  const appender = records.logAppender.createLogAppender({
+    stream: 'bench',
+    producer: 'bench',
+    log,
+    clock,
+    logger: telemetry.logger.createLogger('silent'),
+    follower: {waitFor: () => Promise.resolve(true), restores: () => 0},
+    signal: new AbortController().signal,
+  });
+  const body = records.envelope.encodeRecord(endRecord(0, 0));
+  const startedAt = clock.monotonic();
+  const before = process.cpuUsage();
+  const pending: Array<Promise<unknown>> = [];
+  let sent = 0;
+  for (;;) {
+    const elapsedMs = clock.monotonic() - startedAt;
+    if (elapsedMs >= spanMs) break;
+    for (; sent < (elapsedMs * rate) / 1_000; sent += 1) {
+      const deadline = types.clock.after(clock.monotonic(), 10_000);
+      pending.push(appender.append(body, deadline));
+    }
+    await clock.sleepUntil(types.clock.after(clock.monotonic(), 1));
+  }
+  await Promise.all(pending);
+  const used = process.cpuUsage(before);
+  const seconds = (clock.monotonic() - startedAt) / 1_000;
+  return [
+    Math.round(sent / seconds),
+    statistics.short(appends / seconds),
+    statistics.short(sent / appends),
+    statistics.short((used.user + used.system) / sent),
+  ];
+}
+
+function foldTable(): benchModule.BenchTable {
+  // Code that is not yet compiled would count as the first row's cost.
+  measureFold(1_000);
+  return {
+    title: `Folding open jobs of ${TASKS_A_JOB} tasks, half of them done`,
+    columns: [
+      'jobs',
+      'fold us a record',
+      'heap bytes a job',
+      'snapshot bytes a job',
+      'write ms',
+      'restore ms',
+    ],
+    rows: JOBS.map(measureFold),
+  };
+}
+
+function measureFold(jobs: number): Array<string | number> {
+  const fold = records.jobFold.createJobFold();
+  const heapBefore = heapBytes();
+  const startedAt = performance.now();
+  let count = 0;
+  for (let job = 0; job < jobs; job += 1) {
+    fold.apply(count++, acceptRecord(job), NOW);
+    for (let index = 0; index < TASKS_A_JOB / 2; index += 1) {
+      fold.apply(count++, endRecord(job, index), NOW);
+    }
+  }
+  const foldMs = performance.now() - startedAt;
+  const heapAfter = heapBytes();
+  const writeAt = performance.now();
+  const text = fold.snapshot();
+  const writeMs = performance.now() - writeAt;
+  const restored = records.jobFold.createJobFold();
+  const restoreAt = performance.now();
+  restored.restore(text, NOW);
+  const restoreMs = performance.now() - restoreAt;
+  return [
+    jobs,
+    statistics.short((foldMs * 1_000) / count),
+    statistics.short((heapAfter - heapBefore) / jobs),
+    statistics.short(text.length / jobs),
+    statistics.short(writeMs),
+    statistics.short(restoreMs),
+  ];
+}
+
+/** Heap in use; needs `node --expose-gc` to be exact. */
+function heapBytes(): number {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed;
+}
+
+function jobIdOf(job: number): types.ids.JobId {
+  const home = types.ids.brand<types.ids.FailureDomain>('merkato-hall');
+  return types.ids.makeJobId(home, job.toString(16).padStart(16, '0'));
+}
+
+function acceptRecord(job: number): records.domainRecords.DomainRecord {
+  return {
+    type: 'job_accepted',
+    jobId: jobIdOf(job),
+    key: types.ids.brand<types.ids.IdempotencyKey>(`night-${job}`),
+    acceptedAt: 0 as types.clock.WallMs,
+    spec: {
+      team: types.ids.brand<types.ids.TeamId>('night-plans'),
+      shape: {kind: 'batch', tasks: TASKS_A_JOB},
+      jobClass: 'repayment-plan',
+      urgency: 'overnight',
+      size: {cpuMillis: 1_000, memoryMb: 2_048, accelerators: 0},
+      estimateMs: 60_000,
+      work: {command: 'build-plan', args: {client: `household-${job}`}},
+    },
+  };
+}
+
+function endRecord(
+  job: number,
+  index: number,
+): records.domainRecords.DomainRecord {
+  return {
+    type: 'task_ended',
+    taskId: types.ids.makeTaskId(jobIdOf(job), index),
+    attempt: types.ids.brand<types.ids.AttemptId>(`123456.${index}`),
+    end: {type: 'done', result: `plan ${job}/${index}`},
+  };
+}
