Name the sharing entries by address, and take no share while unlisted

Cause: the entry handed the router process ids where it had learned them and addresses where it had not, so two entries could call a third by different names, rank the left-over slots differently, and use more than there are; and each newly learned id counted beside its old address until the wait for a leave was over. It also counted itself when the list had dropped it, when others stop counting it. Now: addresses of the list on all sides; this entry only while the latest list shows it. Additive: DomainView.selfListed, set by the keeper. This is outside the routing package (entry, membership), at the smallest.

--- a/packages/gypsumwall-entry/src/create_entry.ts
+++ b/packages/gypsumwall-entry/src/create_entry.ts
@@ -199,7 +199,7 @@
 
   // Quick requests.
   const router = routing.createRouter.createRouter({
-    entryId: self,
+    entryId: peerServer.address,
     clock,
     random,
     logger,
@@ -297,7 +297,7 @@
     );
     router.setView({
       upstreams: view.upstreams,
-      entries: [self, ...entriesOf(view, failureDomain)],
+      entries: sharingEntries(view, failureDomain, peerServer.address),
     });
     holder.onView(view);
     ownSlots = router
@@ -417,14 +417,21 @@
   };
 }
 
-/** Ids of the domain's other entries that may use its upstreams. */
-function entriesOf(
+/**
+ * The entries that share the domain's upstreams, by the addresses on the
+ * list. Ids of processes are learned one by one: entries that call the same
+ * one by different names would divide the slots differently. One that the
+ * list does not show takes no share, since others stop counting it.
+ */
+function sharingEntries(
   view: membership.domainView.DomainView,
   failureDomain: types.ids.FailureDomain,
+  own: string,
 ): string[] {
-  return view.peers
+  const others = view.peers
     .filter((peer) => peer.failureDomain === failureDomain)
-    .map((peer) => (peer.entryId === '' ? peer.address : peer.entryId));
+    .map((peer) => peer.address);
+  return view.selfListed === true ? [own, ...others] : others;
 }
 
 function makeTracer(
--- a/packages/gypsumwall-membership/src/domain_view.ts
+++ b/packages/gypsumwall-membership/src/domain_view.ts
@@ -28,4 +28,6 @@
   readonly listFetchedAt?: types.clock.MonotonicMs;
   /** When a list that shows this process was last asked for. */
   readonly selfListedAt?: types.clock.MonotonicMs;
+  /** Whether the latest list that was fetched shows this process. */
+  readonly selfListed?: boolean;
 }
--- a/packages/gypsumwall-membership/src/domain_view_keeper.ts
+++ b/packages/gypsumwall-membership/src/domain_view_keeper.ts
@@ -61,6 +61,7 @@
   let listed: readonly platform.instanceList.ListedInstance[] = [];
   let listFetchedAt: types.clock.MonotonicMs | undefined;
   let selfListedAt: types.clock.MonotonicMs | undefined;
+  let selfListed = false;
   let running: AbortSignal | undefined;
 
   function current(): domainView.DomainView {
@@ -73,6 +74,7 @@
       upstreams: own.filter((instance) => instance.kind === 'upstream'),
       listFetchedAt,
       selfListedAt,
+      selfListed,
     };
   }
 
@@ -122,6 +124,9 @@
     const changed = JSON.stringify(instances) !== JSON.stringify(listed);
     listed = instances;
     listFetchedAt = clock.monotonic();
+    selfListed = instances.some(
+      (one) => one.kind === 'entry' && one.address === options.address,
+    );
     const addresses = new Set<string>();
     for (const entry of instances) {
       if (entry.kind !== 'entry') continue;
