Keep a peer's GOAWAY from ending the process; bound waits for peers

One in 16 runs of the view's tests ended by an uncaught 'received GOAWAY without any open streams': connect-node destroys the session with an error and may have left it before Node emits that error. In an entry this would be a crash whenever a peer stops as planned.

Heartbeats time out at a third of the silence, so that a silent connection is replaced before its peer counts as silent; promises and witnesses within the claim's own patience.

--- a/packages/gypsumwall-membership/src/__tests__/claim_calls.test.ts
+++ b/packages/gypsumwall-membership/src/__tests__/claim_calls.test.ts
@@ -5,6 +5,7 @@
 import * as silentProxy from '../__fixtures__/silent_proxy.js';
 import * as claimCalls from '../claim_calls.js';
 
+const TIMEOUT_MS = 200;
 const holder = types.ids.brand<types.ids.EntryId>('holder');
 const taker = types.ids.brand<types.ids.EntryId>('taker');
 const ask = {holder, epoch: 4, seen: 9, promiseMs: 60_000};
@@ -12,12 +13,26 @@
 nodeTest.test('a promise blocks a witness until it runs out', async () => {
   const peer = await peerFixture.startPeer('p', peerFixture.createFakeList());
   const calls = claimCalls.createClaimCalls(peer.clients);
-  assert.deepEqual(await calls.promise(peer, ask), {type: 'promised'});
-  const early = await calls.witness(peer, {taker, epoch: 4, seen: 9});
+  assert.deepEqual(await calls.promise(peer, ask, TIMEOUT_MS), {
+    type: 'promised',
+  });
+  const early = await calls.witness(
+    peer,
+    {taker, epoch: 4, seen: 9},
+    TIMEOUT_MS,
+  );
   assert.equal(early.type, 'wait');
-  const free = await calls.witness(peer, {taker, epoch: 2, seen: 3});
+  const free = await calls.witness(
+    peer,
+    {taker, epoch: 2, seen: 3},
+    TIMEOUT_MS,
+  );
   assert.deepEqual(free, {type: 'released'});
-  const late = await calls.promise(peer, {...ask, epoch: 2, seen: 3});
+  const late = await calls.promise(
+    peer,
+    {...ask, epoch: 2, seen: 3},
+    TIMEOUT_MS,
+  );
   assert.equal(late.type, 'refused');
   await peer.stop();
 });
@@ -34,15 +49,22 @@
   const calls = claimCalls.createClaimCalls(caller.clients);
   const {address} = peer;
   const former = types.ids.brand<types.ids.EntryId>('former');
-  assert.deepEqual(await calls.promise({entryId: former, address}, ask), {
-    type: 'gone',
-  });
+  assert.deepEqual(
+    await calls.promise({entryId: former, address}, ask, TIMEOUT_MS),
+    {
+      type: 'gone',
+    },
+  );
   const proxied = {entryId: peer.entryId, address: proxy.address};
-  assert.deepEqual(await calls.promise(proxied, ask), {type: 'promised'});
+  assert.deepEqual(await calls.promise(proxied, ask, TIMEOUT_MS), {
+    type: 'promised',
+  });
   proxy.silenceOpenConnections();
-  assert.deepEqual(await calls.promise(proxied, ask), {type: 'silent'});
+  assert.deepEqual(await calls.promise(proxied, ask, TIMEOUT_MS), {
+    type: 'silent',
+  });
   await peer.stop();
-  assert.deepEqual(await calls.promise(peer, ask), {type: 'gone'});
+  assert.deepEqual(await calls.promise(peer, ask, TIMEOUT_MS), {type: 'gone'});
   await caller.stop();
   await proxy.close();
 });
--- a/packages/gypsumwall-membership/src/__tests__/claim_timing.test.ts
+++ b/packages/gypsumwall-membership/src/__tests__/claim_timing.test.ts
@@ -4,12 +4,15 @@
 import * as types from '@gypsumwall/types';
 import * as claimTiming from '../claim_timing.js';
 
+/** What docs/design/001-decisions.md promises to withstand. */
+const PROMISED_DRIFT = 1.01;
+
 nodeTest.test('no clock within the drift outruns a holder', () => {
   // Holder and taker count the same span on clocks of different rates, the
   // taker from no earlier than the holder. The holder must end first.
   const rate = fastCheck.double({
     min: 1,
-    max: claimTiming.CLOCK_DRIFT_FACTOR,
+    max: PROMISED_DRIFT,
     noNaN: true,
   });
   const span = fastCheck.integer({min: 1, max: 3_600_000});
--- a/packages/gypsumwall-membership/src/claim_calls.ts
+++ b/packages/gypsumwall-membership/src/claim_calls.ts
@@ -5,32 +5,38 @@
 import * as peerClient from './peer_client.js';
 import type * as peerClients from './peer_clients.js';
 
-/** Makes the calls; they end within the clients' timeout. */
+/** Makes the calls. */
 export function createClaimCalls(
   clients: peerClients.PeerClients,
 ): claimPeers.ClaimPeers {
   return {
-    promise: async (peer, ask) => {
+    promise: async (peer, ask, timeoutMs) => {
       if (peer.address === '') return {type: 'silent'};
-      const answer = await clients.at(peer.address).promiseClaim({
-        holder: ask.holder,
-        epoch: BigInt(ask.epoch),
-        seen: BigInt(ask.seen),
-        promiseMs: BigInt(Math.ceil(ask.promiseMs)),
-      });
+      const answer = await clients.at(peer.address).promiseClaim(
+        {
+          holder: ask.holder,
+          epoch: BigInt(ask.epoch),
+          seen: BigInt(ask.seen),
+          promiseMs: BigInt(Math.ceil(ask.promiseMs)),
+        },
+        timeoutMs,
+      );
       return replyOf(peer, answer, (res) =>
         res.promised
           ? {type: 'promised'}
           : {type: 'refused', reason: res.refusalReason},
       );
     },
-    witness: async (peer, ask) => {
+    witness: async (peer, ask, timeoutMs) => {
       if (peer.address === '') return {type: 'silent'};
-      const answer = await clients.at(peer.address).witnessTakeover({
-        taker: ask.taker,
-        epoch: BigInt(ask.epoch),
-        seen: BigInt(ask.seen),
-      });
+      const answer = await clients.at(peer.address).witnessTakeover(
+        {
+          taker: ask.taker,
+          epoch: BigInt(ask.epoch),
+          seen: BigInt(ask.seen),
+        },
+        timeoutMs,
+      );
       return replyOf(peer, answer, (res) =>
         res.released
           ? {type: 'released'}
--- a/packages/gypsumwall-membership/src/claim_holder.ts
+++ b/packages/gypsumwall-membership/src/claim_holder.ts
@@ -173,7 +173,7 @@
     };
     const replies = await Promise.all(
       asked.map(async (peer) => {
-        const reply = await options.peers.promise(peer, ask);
+        const reply = await options.peers.promise(peer, ask, patienceMs);
         if (reply.type === 'gone' && isHeld(newest.epoch)) {
           gone.add(peer.entryId);
         }
--- a/packages/gypsumwall-membership/src/claim_peers.ts
+++ b/packages/gypsumwall-membership/src/claim_peers.ts
@@ -42,8 +42,16 @@
  */
 export type NoReply = {readonly type: 'gone'} | {readonly type: 'silent'};
 
-/** Asks named peers. Neither call throws, and both end within a timeout. */
+/** Asks named peers. Neither call throws; both end within `timeoutMs`. */
 export interface ClaimPeers {
-  promise(peer: NamedPeer, ask: PromiseAsk): Promise<PromiseReply | NoReply>;
-  witness(peer: NamedPeer, ask: WitnessAsk): Promise<WitnessReply | NoReply>;
+  promise(
+    peer: NamedPeer,
+    ask: PromiseAsk,
+    timeoutMs: number,
+  ): Promise<PromiseReply | NoReply>;
+  witness(
+    peer: NamedPeer,
+    ask: WitnessAsk,
+    timeoutMs: number,
+  ): Promise<WitnessReply | NoReply>;
 }
--- a/packages/gypsumwall-membership/src/claim_taker.ts
+++ b/packages/gypsumwall-membership/src/claim_taker.ts
@@ -35,6 +35,7 @@
   promises: claimPromises.ClaimPromises,
 ): ClaimTaker {
   const {clock, self} = options;
+  const patienceMs = options.ttlMs / claimTiming.PATIENCE_PER_TTL;
   const startedAt = clock.monotonic();
   let allGoneSince: Sighting | undefined;
   let holderGone: Sighting | undefined;
@@ -93,7 +94,9 @@
       .namedPeers(newest)
       .filter((peer) => peer.entryId !== self);
     const [holderReply, ...replies] = await Promise.all(
-      [holder, ...named].map((peer) => options.peers.witness(peer, ask)),
+      [holder, ...named].map((peer) =>
+        options.peers.witness(peer, ask, patienceMs),
+      ),
     );
     const witness = named.find(
       (_, index) => replies[index]?.type === 'released',
--- a/packages/gypsumwall-membership/src/peer_client.ts
+++ b/packages/gypsumwall-membership/src/peer_client.ts
@@ -9,6 +9,7 @@
 import * as platform from '@gypsumwall/platform';
 import * as protocol from '@gypsumwall/protocol';
 import * as types from '@gypsumwall/types';
+import * as guardedSession from './guarded_session.js';
 
 type Answer<Value> = Promise<result.Result<Value, types.stepError.StepError>>;
 type Init<Schema extends bufbuild.DescMessage> =
@@ -28,12 +29,15 @@
 export interface PeerClient {
   heartbeat(
     req: Init<typeof protocol.peer.HeartbeatRequestSchema>,
+    timeoutMs?: number,
   ): Answer<protocol.peer.HeartbeatResponse>;
   promiseClaim(
     req: Init<typeof protocol.peer.PromiseClaimRequestSchema>,
+    timeoutMs?: number,
   ): Answer<protocol.peer.PromiseClaimResponse>;
   witnessTakeover(
     req: Init<typeof protocol.peer.WitnessTakeoverRequestSchema>,
+    timeoutMs?: number,
   ): Answer<protocol.peer.WitnessTakeoverResponse>;
   forward(
     req: Init<typeof protocol.peer.ForwardRequestSchema>,
@@ -52,19 +56,19 @@
 const CONNECTION_REFUSED = 'ECONNREFUSED';
 
 interface Connection {
-  readonly session: connectNode.Http2SessionManager;
+  readonly session: guardedSession.GuardedSession;
   readonly service: connect.Client<typeof protocol.peer.PeerService>;
 }
 
 /** Makes a client; it connects with its first call. */
 export function createPeerClient(options: PeerClientOptions): PeerClient {
-  const {address, timeoutMs} = options;
+  const {address} = options;
   const retireMs = options.retireMs ?? DEFAULT_RETIRE_MS;
-  const retiring = new Map<connectNode.Http2SessionManager, NodeJS.Timeout>();
+  const retiring = new Map<guardedSession.GuardedSession, NodeJS.Timeout>();
   let connection = open();
 
   function open(): Connection {
-    const session = new connectNode.Http2SessionManager(address);
+    const session = guardedSession.createGuardedSession(address);
     const transport = connectNode.createConnectTransport({
       baseUrl: address,
       httpVersion: '2',
@@ -87,15 +91,15 @@
   }
 
   return {
-    heartbeat: (req) =>
+    heartbeat: (req, timeoutMs = options.timeoutMs) =>
       call('peer.heartbeat', () =>
         connection.service.heartbeat(req, {timeoutMs}),
       ),
-    promiseClaim: (req) =>
+    promiseClaim: (req, timeoutMs = options.timeoutMs) =>
       call('peer.promise_claim', () =>
         connection.service.promiseClaim(req, {timeoutMs}),
       ),
-    witnessTakeover: (req) =>
+    witnessTakeover: (req, timeoutMs = options.timeoutMs) =>
       call('peer.witness_takeover', () =>
         connection.service.witnessTakeover(req, {timeoutMs}),
       ),
@@ -105,7 +109,7 @@
       ),
     readState: (req) =>
       call('peer.read_state', () =>
-        connection.service.readState(req, {timeoutMs}),
+        connection.service.readState(req, {timeoutMs: options.timeoutMs}),
       ),
     // Something between the ends can lose track of a connection: it stays
     // open and every call on it times out, while new ones would work. The old
--- a/packages/gypsumwall-membership/src/peer_link.ts
+++ b/packages/gypsumwall-membership/src/peer_link.ts
@@ -32,9 +32,14 @@
   heardAt(): types.clock.MonotonicMs | undefined;
 }
 
+const HEARTBEATS_IN_SILENCE = 3;
+
 /** Makes a link that has not heard its peer yet. */
 export function createPeerLink(options: PeerLinkOptions): PeerLink {
   const {address, failureDomain, client, clock} = options;
+  // Short enough that a silent connection is replaced, and the next heartbeat
+  // answered on a new one, before the peer itself counts as silent.
+  const timeoutMs = options.silenceMs / HEARTBEATS_IN_SILENCE;
   let entryId = types.ids.brand<types.ids.EntryId>('');
   let configOffset = 0;
   let leaving = false;
@@ -73,7 +78,8 @@
   }
 
   async function beat() {
-    const answer = await client.heartbeat(options.ownHeartbeat());
+    const req = options.ownHeartbeat();
+    const answer = await client.heartbeat(req, timeoutMs);
     if (answer.isOk) {
       noteAnswer(answer.value);
     } else if (answer.error.effect === 'unknown') {
