--- a/packages/gypsumwall-entry/src/domain_scheduler.ts
+++ b/packages/gypsumwall-entry/src/domain_scheduler.ts
@@ -31,6 +31,8 @@
   readonly spans: SchedulerSpans;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
+  readonly tracer: telemetry.tracing.Tracer;
+  readonly metrics: telemetry.metrics.Metrics;
   readonly placer: placement.placer.Placer;
   readonly jobs: records.jobFold.JobFold;
   readonly recentWorkers: recoveryGate.RecentWorkers;
@@ -162,7 +164,14 @@
     openGateWhenSafe();
     const deadline = options.claimDeadline();
     if (deadline === undefined || deadline <= clock.monotonic()) return;
+    const startedAt = clock.monotonic();
     const decisions = placer.decide(clock.wall(), ROUND_LIMIT);
+    const {metrics} = options;
+    const decided = decisions.placements.length;
+    if (decided > 0) {
+      const tookMs = clock.monotonic() - startedAt;
+      metrics.observe('placementTime', tookMs / decided);
+    }
     decisions.placements.forEach(startTask);
     decisions.reliefs.forEach(relieve);
     placer.takeGivenUp().forEach(giveUpJob);
@@ -177,6 +186,9 @@
       return;
     }
     const attempt = options.nextAttempt();
+    const waitMs = clock.wall() - job.acceptedAt;
+    const {urgency} = job.spec;
+    options.metrics.observe('taskWait', waitMs, {urgency});
     tasks.put({
       ...decided,
       attempt,
@@ -188,6 +200,7 @@
       attempt,
       size: decided.size,
       work: job.spec.work,
+      traceparent: job.traceparent,
       leaseMs: runsOnce(decided.taskId)
         ? spans.taskLeaseMs
         : spans.serviceLeaseMs,
@@ -300,10 +313,10 @@
   }
 
   function onEnded(
-    state: () => WorkerState | undefined,
+    listed: platform.instanceList.ListedWorker,
     ended: platform.worker.FinishedTask,
   ): void {
-    const session = state()?.session;
+    const session = workers.get(listed.id)?.session;
     const task = tasks.attempt(ended.taskId, ended.attempt);
     const job = jobOfTask(ended.taskId);
     const {index} = types.ids.splitTaskId(ended.taskId);
@@ -318,26 +331,51 @@
       if (task !== undefined) release(task, reportOf(ended.end, ranMs));
       return;
     }
+    record(session, ended, job, task ?? holdEnded(listed, ended, job));
+  }
+
+  /**
+   * A task that had ended before this epoch counts as active until its end
+   * stands in the log: were it forgotten, it would be run a second time.
+   */
+  function holdEnded(
+    listed: platform.instanceList.ListedWorker,
+    ended: platform.worker.FinishedTask,
+    job: records.jobFold.JobState,
+  ): taskTable.ActiveTask | undefined {
+    if (tasks.get(ended.taskId) !== undefined) return undefined;
+    const held: taskTable.ActiveTask = {
+      taskId: ended.taskId,
+      attempt: ended.attempt,
+      workerId: listed.id,
+      size: job.spec.size,
+      phase: 'running',
+      startedAt: heldSince,
+    };
+    tasks.put(held);
+    placer.adopt({...held, spec: job.spec});
+    return held;
+  }
+
+  /** Acknowledges the end once it is in the log; until then it is repeated. */
+  function record(
+    session: workerSession.WorkerSession | undefined,
+    ended: platform.worker.FinishedTask,
+    job: records.jobFold.JobState,
+    task: taskTable.ActiveTask | undefined,
+  ): void {
     if (task?.phase === 'recording') return;
     if (task !== undefined) task.phase = 'recording';
-    // Until the end stands in the log, the task counts as active: were it
-    // forgotten here, it would be started a second time.
-    void options
-      .append({
-        type: 'task_ended',
-        taskId: ended.taskId,
-        attempt: ended.attempt,
-        end: ended.end,
-      })
-      .then((recorded) => {
-        if (!recorded) {
-          // The worker tells the end again until it is acknowledged.
-          if (task !== undefined) task.phase = 'running';
-          return;
-        }
-        session?.acknowledge(ended.attempt);
-        if (task !== undefined) release(task, reportOf(ended.end, ranMs));
-      });
+    const ranMs = clock.monotonic() - (task?.startedAt ?? heldSince);
+    void options.append({type: 'task_ended', ...ended}).then((recorded) => {
+      if (!recorded) {
+        if (task !== undefined) task.phase = 'running';
+        return;
+      }
+      session?.acknowledge(ended.attempt);
+      const current = tasks.attempt(ended.taskId, ended.attempt);
+      if (current !== undefined) release(current, {type: 'done', ranMs});
+    });
   }
 
   function eventsOf(
@@ -356,7 +394,7 @@
         const task = tasks.attempt(order.taskId, order.attempt);
         if (task !== undefined) release(task, {type: 'not_started'});
       },
-      ended: (ended) => onEnded(() => workers.get(id), ended),
+      ended: (ended) => onEnded(listed, ended),
       stopped: (stopped) => {
         const task = tasks.attempt(stopped.taskId, stopped.attempt);
         if (task !== undefined) release(task, {type: 'stopped'});
@@ -392,6 +430,8 @@
       self: options.self,
       clock,
       logger,
+      tracer: options.tracer,
+      metrics: options.metrics,
       heartbeatMs: spans.workerHeartbeatMs,
       leaseMs: spans.taskLeaseMs,
       graceMs: spans.leaseGraceMs,
