Start the real entry from the binary; hold pages to what landed

The entry's type comes from its package now, and the binary's test starts it from an empty folder with the platform down: it listens, says not ready, and SIGTERM ends it with 0. A service's lease that one lost heartbeat would end is refused. Metrics that nothing sends are taken out of table and page (request.wait, jobs, worker.used, workers.quarantined, the tag 'reason'); a test finds each metric where it is sent.

--- a/packages/gypsumwall-settings/src/__tests__/check_settings.test.ts
+++ b/packages/gypsumwall-settings/src/__tests__/check_settings.test.ts
@@ -99,6 +99,7 @@
   const pairs = {
     peerSilenceMs: {peerHeartbeatMs: 1_000, peerSilenceMs: 1_000},
     taskLeaseMs: {workerHeartbeatMs: 1_000, taskLeaseMs: 2_000},
+    serviceLeaseMs: {serviceLeaseMs: 2_000},
     claimTtlMs: {peerHeartbeatMs: 1_900, claimTtlMs: 3_800},
     listLagMs: {listPollMs: 5_000, listLagMs: 5_000},
     peerPort: {port: 7_100, peerPort: 7_100},
--- a/packages/gypsumwall-settings/src/check_entry_settings.ts
+++ b/packages/gypsumwall-settings/src/check_entry_settings.ts
@@ -63,6 +63,12 @@
     shorter: 'workerHeartbeatMs',
     symptom: 'one lost heartbeat would stop running tasks',
   },
+  {
+    longer: 'serviceLeaseMs',
+    times: 2,
+    shorter: 'workerHeartbeatMs',
+    symptom: 'one lost heartbeat would stop running services',
+  },
   {
     longer: 'claimTtlMs',
     times: 2,
--- a/packages/gypsumwall-settings/src/entry_settings.ts
+++ b/packages/gypsumwall-settings/src/entry_settings.ts
@@ -21,9 +21,9 @@
   claimTtlMs: 6_000,
   workerHeartbeatMs: 1_000,
   taskLeaseMs: 15_000,
-  /** Added to a lease before its task counts as stopped. */
   /** Long, so that a service outlives a time without a holder. */
   serviceLeaseMs: 3_600_000,
+  /** Added to a lease before its task counts as stopped. */
   leaseGraceMs: 2_000,
   /** Keep it well under the log's retention. */
   snapshotEveryMs: 300_000,
@@ -34,6 +34,7 @@
 /** A day: a longer span has the wrong unit. */
 const LONGEST_SPAN_MS = 86_400_000;
 
+const records = zod.number().int().positive();
 const span = zod.number().int().positive().max(LONGEST_SPAN_MS);
 
 /** Shape of the file. Unknown keys are refused. */
@@ -71,7 +72,7 @@
   serviceLeaseMs: span.default(ENTRY_DEFAULTS.serviceLeaseMs),
   leaseGraceMs: span.default(ENTRY_DEFAULTS.leaseGraceMs),
   snapshotEveryMs: span.default(ENTRY_DEFAULTS.snapshotEveryMs),
-  snapshotEveryRecords: span.default(ENTRY_DEFAULTS.snapshotEveryRecords),
+  snapshotEveryRecords: records.default(ENTRY_DEFAULTS.snapshotEveryRecords),
   drainTimeoutMs: span.default(ENTRY_DEFAULTS.drainTimeoutMs),
 });
 
--- a/packages/gypsumwall-telemetry/src/__tests__/metrics.test.ts
+++ b/packages/gypsumwall-telemetry/src/__tests__/metrics.test.ts
@@ -8,6 +8,8 @@
 
 const METRICS_PAGE = new URL('../../../../docs/METRICS.md', import.meta.url);
 
+const PACKAGES = new URL('../../../', import.meta.url);
+
 nodeTest.test('metrics reach the daemon with prefix and tags', async () => {
   const daemon = dgram.createSocket('udp4');
   daemon.bind(0, '127.0.0.1');
@@ -20,7 +22,7 @@
   });
   sender.count('requests', {operation: 'airspace-check', outcome: 'done'});
   sender.gauge('tasks', 3, {state: 'running'});
-  sender.observe('requestWait', 1.5, {operation: 'airspace-check'});
+  sender.observe('taskWait', 1.5, {urgency: 'urgent'});
   const received = events.EventEmitter.once(daemon, 'message');
   await sender.close();
   const [packet] = (await received) as [Buffer];
@@ -28,7 +30,7 @@
   assert.deepEqual(packet.toString().trim().split('\n'), [
     'gypsumwall.requests:1|c|#entry:bole-1,operation:airspace-check,outcome:done',
     'gypsumwall.tasks:3|g|#entry:bole-1,state:running',
-    'gypsumwall.request.wait:1.5|h|#entry:bole-1,operation:airspace-check',
+    'gypsumwall.task.wait:1.5|h|#entry:bole-1,urgency:urgent',
   ]);
 });
 
@@ -58,3 +60,15 @@
     expected,
   );
 });
+
+nodeTest.test('every metric in the table is sent somewhere', () => {
+  const sources = fs
+    .readdirSync(PACKAGES, {recursive: true, encoding: 'utf8'})
+    .filter((name) => /\/src\/[^/]+\.ts$/.test(name))
+    .map((name) => fs.readFileSync(new URL(name, PACKAGES), 'utf8'))
+    .join('\n');
+  for (const name of Object.keys(metricTable.METRICS)) {
+    const sent = new RegExp(`\\.(count|gauge|observe)\\(\\s*'${name}'`);
+    assert.match(sources, sent);
+  }
+});
--- a/packages/gypsumwall-telemetry/src/metric_table.ts
+++ b/packages/gypsumwall-telemetry/src/metric_table.ts
@@ -26,15 +26,8 @@
     kind: 'counter',
     name: 'requests',
     unit: 'requests',
-    tags: ['operation', 'outcome', 'reason'],
-    meaning: 'Requests answered, by outcome; reason only for not_run.',
-  },
-  requestWait: {
-    kind: 'histogram',
-    name: 'request.wait',
-    unit: 'ms',
-    tags: ['operation'],
-    meaning: 'From the arrival of a request to its start at an upstream.',
+    tags: ['operation', 'outcome'],
+    meaning: 'Requests answered, by outcome.',
   },
   requestTime: {
     kind: 'histogram',
@@ -64,13 +57,6 @@
     tags: ['state'],
     meaning: 'Upstream slots of this entry, by state: used or share.',
   },
-  jobs: {
-    kind: 'counter',
-    name: 'jobs',
-    unit: 'jobs',
-    tags: ['kind', 'outcome'],
-    meaning: 'Jobs accepted, refused or ended, by shape.',
-  },
   taskStarts: {
     kind: 'counter',
     name: 'task.starts',
@@ -99,20 +85,6 @@
     tags: [],
     meaning: 'Time that one placement decision took.',
   },
-  workerUsed: {
-    kind: 'gauge',
-    name: 'worker.used',
-    unit: 'ratio',
-    tags: ['resource'],
-    meaning: 'Share of the workers that is held: cpu, memory, accelerators.',
-  },
-  workersQuarantined: {
-    kind: 'gauge',
-    name: 'workers.quarantined',
-    unit: 'workers',
-    tags: [],
-    meaning: 'Workers that get no work because they fail what they start.',
-  },
   logAppends: {
     kind: 'counter',
     name: 'log.appends',
--- a/packages/gypsumwall/src/__tests__/binary.test.ts
+++ b/packages/gypsumwall/src/__tests__/binary.test.ts
@@ -1,10 +1,14 @@
 import * as assert from 'node:assert/strict';
 import * as childProcess from 'node:child_process';
+import * as events from 'node:events';
 import * as fs from 'node:fs';
 import * as os from 'node:os';
 import * as path from 'node:path';
+import * as readline from 'node:readline';
+import type * as stream from 'node:stream';
 import * as nodeTest from 'node:test';
 import * as url from 'node:url';
+import * as undici from 'undici';
 import * as exitCodes from '../exit_codes.js';
 import * as product from '../product.js';
 
@@ -16,7 +20,48 @@
   return childProcess.spawnSync(binary, args, options);
 }
 
-nodeTest.test('the built binary is one file that runs anywhere', () => {
+/** Settings of an entry whose platform is down. */
+const ENTRY = {
+  id: 'bole-1',
+  failureDomain: 'bole-hall',
+  logUrl: 'http://127.0.0.1:1',
+  listUrl: 'http://127.0.0.1:1',
+  rootOperatorTokenHash: 'a'.repeat(64),
+};
+
+// The platform is down when an entry starts. It must still listen, so that an
+// operator can ask what it lacks; say that it is not ready, so that the
+// balancer sends nothing; and end with 0 on SIGTERM like any planned stop.
+async function startAndStop(binary: string, settings: string): Promise<void> {
+  const child = childProcess.spawn(binary, ['entry', '--settings', settings], {
+    stdio: ['ignore', 'pipe', 'ignore'],
+    env: {},
+  });
+  try {
+    await checkEntry(child);
+  } finally {
+    child.kill('SIGKILL');
+  }
+}
+
+async function checkEntry(
+  child: childProcess.ChildProcessByStdio<null, stream.Readable, null>,
+): Promise<void> {
+  const exited = events.EventEmitter.once(child, 'exit');
+  const lines = readline.createInterface({input: child.stdout});
+  const first = await lines[Symbol.asyncIterator]().next();
+  const listening = JSON.parse(String(first.value)) as {address: string};
+  const health = await undici.request(`${listening.address}/healthz`);
+  assert.equal(health.statusCode, 200);
+  await health.body.dump();
+  const readiness = await undici.request(`${listening.address}/readyz`);
+  assert.equal(readiness.statusCode, 503);
+  await readiness.body.dump();
+  child.kill('SIGTERM');
+  assert.deepEqual(await exited, [0, null]);
+}
+
+nodeTest.test('the built binary is one file that runs anywhere', async () => {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'gypsumwall-binary-'));
   const emptyFolder = path.join(folder, 'empty');
   fs.mkdirSync(emptyFolder);
@@ -44,6 +89,9 @@
       assert.equal(refused.status, exitCodes.EXIT_CODES.invalid);
       assert.match(refused.stderr, /failureDomain = \(absent\)/);
     }
+    const sound = path.join(folder, 'sound.jsonc');
+    fs.writeFileSync(sound, JSON.stringify(ENTRY));
+    await startAndStop(binary, sound);
   } finally {
     fs.rmSync(folder, {recursive: true});
   }
--- a/packages/gypsumwall/src/run_entry.ts
+++ b/packages/gypsumwall/src/run_entry.ts
@@ -1,10 +1,10 @@
 /** Runs an entry process from its settings file to its planned stop. */
 import * as nodeCrypto from 'node:crypto';
+import type * as entryPackage from '@gypsumwall/entry';
 import type * as settings from '@gypsumwall/settings';
 import * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import type * as callFlags from './call_flags.js';
-import type * as entryModule from './entry_module.js';
 import * as fail from './fail.js';
 import * as readSettings from './read_settings.js';
 
@@ -31,12 +31,11 @@
 async function startEntry(
   cfg: settings.entrySettings.EntrySettings,
   logger: telemetry.logger.Logger,
-): Promise<entryModule.Entry> {
+): Promise<entryPackage.entry.Entry> {
   const seed = nodeCrypto.randomBytes(4).readInt32LE();
-  const module =
-    (await import('@gypsumwall/entry')) as unknown as entryModule.EntryModule;
+  const {entry} = await import('@gypsumwall/entry');
   try {
-    return await module.entry.createEntry({
+    return await entry.createEntry({
       settings: cfg,
       clock: types.clock.createSystemClock(),
       random: types.random.createRandom(seed),
