--- a/packages/gypsumwall-bench/src/bench_modules.ts
+++ b/packages/gypsumwall-bench/src/bench_modules.ts
@@ -1,7 +1,11 @@
 /** Every bench, in the order they run. */
 import type * as benchModule from './bench_module.js';
+import * as decisionBench from './decision_bench.js';
+import * as memoryBench from './memory_bench.js';
 import * as policyBench from './policy_bench.js';
 
 export const BENCH_MODULES: readonly benchModule.BenchModule[] = [
   policyBench.POLICY_BENCH,
+  decisionBench.DECISION_BENCH,
+  memoryBench.MEMORY_BENCH,
 ];
--- a/packages/gypsumwall-bench/src/cell_measures.ts
+++ b/packages/gypsumwall-bench/src/cell_measures.ts
@@ -24,6 +24,8 @@
   capacity: number;
   /** Worker milliseconds with more memory used than there is. */
   memoryOver: number;
+  /** Worker milliseconds in which tasks slowed each other. */
+  crowded: number;
   workerTime: number;
   throttles: number;
   checkpoints: number;
@@ -52,6 +54,7 @@
     held: 0,
     capacity: 0,
     memoryOver: 0,
+    crowded: 0,
     workerTime: 0,
     throttles: 0,
     checkpoints: 0,
--- /dev/null
+++ b/packages/gypsumwall-bench/src/memory_bench.ts
@@ -0,0 +1,173 @@
+/** Heap that the policy's state takes, as slopes over four sizes. */
+import * as v8 from 'node:v8';
+import * as vm from 'node:vm';
+import * as placement from '@gypsumwall/placement';
+import * as types from '@gypsumwall/types';
+import type * as benchModule from './bench_module.js';
+import * as statistics from './statistics.js';
+
+const CAPACITY = {cpuMillis: 32_000, memoryMb: 131_072, accelerators: 0};
+const SMALL = {cpuMillis: 100, memoryMb: 256, accelerators: 0};
+
+interface Subject {
+  readonly name: string;
+  readonly sizes: readonly number[];
+  readonly build: (count: number) => placement.placer.Placer;
+}
+
+const SUBJECTS: readonly Subject[] = [
+  {name: 'worker', sizes: [2000, 4000, 8000, 16_000, 31_000], build: workers},
+  {
+    name: 'running task',
+    sizes: [20_000, 40_000, 80_000, 160_000],
+    build: runningTasks,
+  },
+  {
+    name: 'waiting job of one task',
+    sizes: [10_000, 20_000, 40_000, 80_000],
+    build: waitingJobs,
+  },
+  {
+    name: 'waiting task of one job',
+    sizes: [20_000, 40_000, 80_000, 160_000],
+    build: waitingTasks,
+  },
+  {name: 'job class learned', sizes: [100, 200, 400, 800], build: classes},
+];
+
+/** The bench. */
+export const MEMORY_BENCH: benchModule.BenchModule = {
+  name: 'placement-memory',
+  run: () => Promise.resolve(runAll()),
+};
+
+function runAll(): benchModule.BenchReport {
+  const collect = exposeCollector();
+  // What the first build loads must not count as state.
+  for (const subject of SUBJECTS) heapOf(subject, 200, collect);
+  const measured = SUBJECTS.map((subject) => ({
+    subject,
+    points: subject.sizes.map((x) => ({x, y: heapOf(subject, x, collect)})),
+  }));
+  return {
+    notes: [
+      'heap in use after a forced collection, with the state less without it; task ids are made by the placer, the specification of a job is shared with its holder and counted once for each waiting job',
+    ],
+    tables: [
+      {
+        title: 'Heap of the placement state',
+        columns: ['one more', 'bytes (slope)', 'sizes', 'heap MB at each'],
+        rows: measured.map(({subject, points}) => [
+          subject.name,
+          Math.round(statistics.slope(points)),
+          points.map(({x}) => x).join(', '),
+          points.map(({y}) => statistics.short(y / 2 ** 20)).join(', '),
+        ]),
+      },
+    ],
+    plots: [
+      {
+        title: 'Heap by size',
+        xLabel: 'count',
+        yLabel: 'MB',
+        logX: true,
+        logY: true,
+        series: measured.map(({subject, points}) => ({
+          name: subject.name,
+          points: points.map(({x, y}) => ({x, y: y / 2 ** 20})),
+        })),
+      },
+    ],
+  };
+}
+
+/** Forced collection, without a flag on the command line. */
+function exposeCollector(): () => void {
+  v8.setFlagsFromString('--expose-gc');
+  return vm.runInNewContext('gc') as () => void;
+}
+
+function heapOf(subject: Subject, count: number, collect: () => void): number {
+  // Twice: state of the run before is only freed by the second.
+  collect();
+  collect();
+  const before = process.memoryUsage().heapUsed;
+  const buffersBefore = process.memoryUsage().arrayBuffers;
+  const placer = subject.build(count);
+  collect();
+  const after = process.memoryUsage();
+  // Keeps the state alive until it has been measured.
+  placer.waitingTasks();
+  return after.heapUsed - before + after.arrayBuffers - buffersBefore;
+}
+
+function workers(count: number): placement.placer.Placer {
+  const placer = placement.createPlacer.createPlacer();
+  for (let n = 0; n < count; n += 1) {
+    placer.setWorker({
+      id: types.ids.brand(`worker-${n}`),
+      rack: types.ids.brand(`rack-${n >> 3}`),
+      capacity: CAPACITY,
+    });
+  }
+  return placer;
+}
+
+/** One shared specification, jobs of 100 tasks, all placed. */
+function runningTasks(count: number): placement.placer.Placer {
+  const placer = workers(count / 100);
+  for (let n = 0; n < count / 100; n += 1) {
+    enqueue(placer, `bench.${n}`, SHARED, 100);
+  }
+  for (;;) {
+    const now = 0 as types.clock.WallMs;
+    if (placer.decide(now, 1000).placements.length === 0) return placer;
+  }
+}
+
+function waitingJobs(count: number): placement.placer.Placer {
+  const placer = placement.createPlacer.createPlacer();
+  for (let n = 0; n < count; n += 1) {
+    enqueue(placer, `bench.${n}`, {...SHARED, size: {...SMALL}}, 1);
+  }
+  return placer;
+}
+
+function waitingTasks(count: number): placement.placer.Placer {
+  const placer = placement.createPlacer.createPlacer();
+  enqueue(placer, 'bench.1', SHARED, count);
+  return placer;
+}
+
+function classes(count: number): placement.placer.Placer {
+  const placer = placement.createPlacer.createPlacer();
+  for (let n = 0; n < count; n += 1) {
+    const spec = {...SHARED, jobClass: `class-${n}`};
+    placer.admit(spec, 0 as types.clock.WallMs);
+  }
+  return placer;
+}
+
+const SHARED: types.job.JobSpec = {
+  team: types.ids.brand('bench'),
+  shape: {kind: 'batch', tasks: 100},
+  jobClass: 'bench',
+  urgency: 'normal',
+  size: SMALL,
+  estimateMs: 1000,
+  work: {command: 'bench', args: {}},
+};
+
+function enqueue(
+  placer: placement.placer.Placer,
+  name: string,
+  spec: types.job.JobSpec,
+  tasks: number,
+): void {
+  placer.enqueue({
+    jobId: types.ids.brand(name),
+    spec,
+    acceptedAt: 0 as types.clock.WallMs,
+    waiting: Array.from({length: tasks}, (_, index) => index),
+  });
+}
--- a/packages/gypsumwall-bench/src/virtual_worker.ts
+++ b/packages/gypsumwall-bench/src/virtual_worker.ts
@@ -32,12 +32,16 @@
   ended(now: number): VirtualTask | undefined;
   /** Processors in use. */
   usedMillis(): number;
+  /** Whether tasks want more processors than there are. */
+  isCrowded(): boolean;
   usedMemoryMb(): number;
   /** Processors in use by one task. */
   usedBy(task: VirtualTask): number;
 }
 
 const DONE_BELOW_MS = 1e-6;
+/** Tasks that are slowed by a hundredth don't count as crowded. */
+const CROWDED_FROM = 1.01;
 
 /** Creates an idle worker. */
 export function createVirtualWorker(
@@ -115,6 +119,7 @@
       }
       return undefined;
     },
+    isCrowded: () => wantedMillis > capacity.cpuMillis * CROWDED_FROM,
     usedMillis: () => Math.min(capacity.cpuMillis, wantedMillis),
     usedMemoryMb: () => memoryMb,
     usedBy: (task) => wanted(task) * crowding(),
--- a/packages/gypsumwall-placement/src/admission.ts
+++ b/packages/gypsumwall-placement/src/admission.ts
@@ -69,7 +69,7 @@
   view: AdmissionView,
   spec: types.job.JobSpec,
 ): placer.PlacementRefusal | undefined {
-  const {quota} = view.books.team(spec.team);
+  const {quota} = view.books.teams.team(spec.team);
   const tasks = tasksAtOnce(spec.shape);
   const need = types.resources.times(spec.size, tasks);
   if (types.resources.fits(need, quota)) return undefined;
--- a/packages/gypsumwall-placement/src/books.ts
+++ b/packages/gypsumwall-placement/src/books.ts
@@ -5,14 +5,9 @@
  * capacity, whatever the worker reports and however late.
  */
 import * as types from '@gypsumwall/types';
+import * as mutableResources from './mutable_resources.js';
 import type * as placer from './placer.js';
-
-/** An amount that is updated in place. */
-export interface MutableResources {
-  cpuMillis: number;
-  memoryMb: number;
-  accelerators: number;
-}
+import * as teamBooks from './team_books.js';
 
 /** A worker and what is booked on it. */
 export interface WorkerRecord {
@@ -24,18 +19,18 @@
   /** Kept out by quarantine, but for one probe at a time. */
   quarantined: boolean;
   /** Sum of the sizes that tasks were told. */
-  readonly held: MutableResources;
+  readonly held: mutableResources.MutableResources;
   /** Processors in use as reported; a silent task counts what it holds. */
   usedCpuMillis: number;
   /** Sum over tasks of the larger of memory held and memory reported. */
   claimedMemoryMb: number;
   /** Kept for jobs that wait for room, on top of what is held. */
-  readonly reserved: MutableResources;
+  readonly reserved: mutableResources.MutableResources;
   /**
    * What may be placed here: capacity less what is held and reserved. Below
    * zero while a reservation waits for tasks to end.
    */
-  readonly room: MutableResources;
+  readonly room: mutableResources.MutableResources;
   readonly tasks: Set<HeldRecord>;
   /** Where it is in the list of workers. */
   position: number;
@@ -58,26 +53,6 @@
   checkpointAskedAt: number;
 }
 
-/** A team and what it holds. */
-export interface TeamRecord {
-  readonly id: types.ids.TeamId;
-  weight: number;
-  packing: number;
-  quota: types.resources.Resources;
-  readonly held: MutableResources;
-  /** The same, apart for each urgency. */
-  readonly heldBy: Readonly<Record<types.job.Urgency, MutableResources>>;
-  waitingJobs: number;
-}
-
-/** What a team gets before its settings arrive. */
-const UNLIMITED: types.resources.Resources = {
-  cpuMillis: Infinity,
-  memoryMb: Infinity,
-  accelerators: Infinity,
-};
-const DEFAULT_PACKING = 0.5;
-
 /** All books of one domain. */
 export interface Books {
   readonly workers: ReadonlyMap<types.ids.WorkerId, WorkerRecord>;
@@ -86,13 +61,11 @@
   /** The most of each kind that any one worker has. */
   readonly largest: types.resources.Resources;
   readonly held: ReadonlyMap<types.ids.TaskId, HeldRecord>;
-  readonly teams: ReadonlyMap<types.ids.TeamId, TeamRecord>;
+  readonly teams: teamBooks.TeamBooks;
   /** Capacity of all open workers. */
   readonly total: types.resources.Resources;
   /** Room on all open workers. */
   readonly free: types.resources.Resources;
-  team(id: types.ids.TeamId): TeamRecord;
-  setTeam(team: placer.PlacerTeam): void;
   setWorker(worker: placer.PlacerWorker): WorkerRecord;
   setOpen(worker: WorkerRecord, open: boolean): void;
   removeWorker(id: types.ids.WorkerId): WorkerRecord | undefined;
@@ -105,14 +78,6 @@
     amount: types.resources.Resources,
     sign: 1 | -1,
   ): void;
-  /**
-   * The largest share of the domain that a team holds of any resource, for
-   * work of the given urgencies.
-   */
-  dominantShare(
-    team: TeamRecord,
-    urgencies: readonly types.job.Urgency[],
-  ): number;
 }
 
 /**
@@ -124,31 +89,11 @@
 ): Books {
   const workers = new Map<types.ids.WorkerId, WorkerRecord>();
   const list: WorkerRecord[] = [];
-  const largest = mutable(types.resources.NO_RESOURCES);
+  const largest = mutableResources.mutable(types.resources.NO_RESOURCES);
   const held = new Map<types.ids.TaskId, HeldRecord>();
-  const teams = new Map<types.ids.TeamId, TeamRecord>();
-  const total = mutable(types.resources.NO_RESOURCES);
-  const free = mutable(types.resources.NO_RESOURCES);
-
-  function team(id: types.ids.TeamId): TeamRecord {
-    const known = teams.get(id);
-    if (known !== undefined) return known;
-    const made = {
-      id,
-      weight: 1,
-      packing: DEFAULT_PACKING,
-      quota: UNLIMITED,
-      held: mutable(types.resources.NO_RESOURCES),
-      heldBy: {
-        urgent: mutable(types.resources.NO_RESOURCES),
-        normal: mutable(types.resources.NO_RESOURCES),
-        overnight: mutable(types.resources.NO_RESOURCES),
-      },
-      waitingJobs: 0,
-    };
-    teams.set(id, made);
-    return made;
-  }
+  const total = mutableResources.mutable(types.resources.NO_RESOURCES);
+  const free = mutableResources.mutable(types.resources.NO_RESOURCES);
+  const teams = teamBooks.createTeamBooks(total);
 
   /** A worker that tasks were adopted on before it was added. */
   function worker(id: types.ids.WorkerId): WorkerRecord {
@@ -160,11 +105,11 @@
       capacity: types.resources.NO_RESOURCES,
       open: false,
       quarantined: false,
-      held: mutable(types.resources.NO_RESOURCES),
+      held: mutableResources.mutable(types.resources.NO_RESOURCES),
       usedCpuMillis: 0,
       claimedMemoryMb: 0,
-      reserved: mutable(types.resources.NO_RESOURCES),
-      room: mutable(types.resources.NO_RESOURCES),
+      reserved: mutableResources.mutable(types.resources.NO_RESOURCES),
+      room: mutableResources.mutable(types.resources.NO_RESOURCES),
       tasks: new Set(),
       position: list.length,
     };
@@ -201,11 +146,11 @@
       cpuMillis > room.cpuMillis ||
       memoryMb > room.memoryMb ||
       accelerators > room.accelerators;
-    if (record.open) moveBy(free, room, -1);
+    if (record.open) mutableResources.moveBy(free, room, -1);
     room.cpuMillis = cpuMillis;
     room.memoryMb = memoryMb;
     room.accelerators = accelerators;
-    if (record.open) moveBy(free, room, 1);
+    if (record.open) mutableResources.moveBy(free, room, 1);
     // A task may outlive the books of its worker; nobody places there.
     if (workers.get(record.id) === record) onRoom(record, grew);
   }
@@ -213,25 +158,19 @@
   function setOpen(record: WorkerRecord, open: boolean): void {
     if (record.open === open) return;
     record.open = open;
-    moveBy(total, record.capacity, open ? 1 : -1);
-    moveBy(free, record.room, open ? 1 : -1);
+    mutableResources.moveBy(total, record.capacity, open ? 1 : -1);
+    mutableResources.moveBy(free, record.room, open ? 1 : -1);
     onRoom(record, open);
   }
 
-  function moveTeam(task: HeldRecord, sign: 1 | -1): void {
-    const record = team(task.spec.team);
-    moveBy(record.held, task.size, sign);
-    moveBy(record.heldBy[task.spec.urgency], task.size, sign);
-  }
-
   function unbook(taskId: types.ids.TaskId): HeldRecord | undefined {
     const task = held.get(taskId);
     if (task === undefined) return undefined;
     held.delete(taskId);
-    moveTeam(task, -1);
+    teams.move(task, -1);
     const record = task.worker;
     record.tasks.delete(task);
-    moveBy(record.held, task.size, -1);
+    mutableResources.moveBy(record.held, task.size, -1);
     record.usedCpuMillis -= task.usedCpuMillis;
     record.claimedMemoryMb -= Math.max(task.size.memoryMb, task.usedMemoryMb);
     refreshRoom(record);
@@ -246,15 +185,8 @@
     teams,
     total,
     free,
-    team,
     setOpen,
     unbook,
-    setTeam(next) {
-      const record = team(next.id);
-      record.weight = next.weight;
-      record.packing = next.packing;
-      record.quota = next.quota;
-    },
     setWorker(next) {
       const record = worker(next.id);
       setOpen(record, false);
@@ -291,9 +223,9 @@
         checkpointAskedAt: 0,
       };
       held.set(task.taskId, made);
-      moveTeam(made, 1);
+      teams.move(made, 1);
       record.tasks.add(made);
-      moveBy(record.held, task.size, 1);
+      mutableResources.moveBy(record.held, task.size, 1);
       record.usedCpuMillis += made.usedCpuMillis;
       record.claimedMemoryMb += task.size.memoryMb;
       refreshRoom(record);
@@ -311,25 +243,9 @@
       refreshRoom(record);
     },
     reserve(record, amount, sign) {
-      moveBy(record.reserved, amount, sign);
+      mutableResources.moveBy(record.reserved, amount, sign);
       refreshRoom(record);
     },
-    dominantShare(record, urgencies) {
-      let cpu = 0;
-      let memory = 0;
-      let accelerators = 0;
-      for (const urgency of urgencies) {
-        const part = record.heldBy[urgency];
-        cpu += part.cpuMillis;
-        memory += part.memoryMb;
-        accelerators += part.accelerators;
-      }
-      return Math.max(
-        share(cpu, total.cpuMillis),
-        share(memory, total.memoryMb),
-        share(accelerators, total.accelerators),
-      );
-    },
   };
 }
 
@@ -345,21 +261,3 @@
     need.accelerators <= room.accelerators + reserved.accelerators
   );
 }
-
-function share(part: number, whole: number): number {
-  return whole > 0 ? part / whole : 0;
-}
-
-function mutable(from: types.resources.Resources): MutableResources {
-  return {...from};
-}
-
-function moveBy(
-  target: MutableResources,
-  amount: types.resources.Resources,
-  sign: 1 | -1,
-): void {
-  target.cpuMillis += sign * amount.cpuMillis;
-  target.memoryMb += sign * amount.memoryMb;
-  target.accelerators += sign * amount.accelerators;
-}
--- a/packages/gypsumwall-placement/src/create_placer.ts
+++ b/packages/gypsumwall-placement/src/create_placer.ts
@@ -166,8 +166,8 @@
 
   return {
     setTeam(team) {
-      domainBooks.setTeam(team);
-      waiting.queue.unblockTeam(domainBooks.team(team.id));
+      domainBooks.teams.setTeam(team);
+      waiting.queue.unblockTeam(domainBooks.teams.team(team.id));
     },
     setWorker: (worker) => void domainBooks.setWorker(worker),
     closeWorker(workerId) {
@@ -192,7 +192,7 @@
         demand: waiting.demand,
         maxWaitingJobs,
         waitingJobs: waiting.jobs(),
-        teamWaitingJobs: domainBooks.team(spec.team).waitingJobs,
+        teamWaitingJobs: domainBooks.teams.team(spec.team).waitingJobs,
         waitingWork: waiting.work(),
         estimate: sizes.estimate(spec),
       };
@@ -213,7 +213,7 @@
       const task = unhold(taskId);
       if (task === undefined) return;
       watch.noteWorker(task.worker);
-      waiting.queue.unblockTeam(domainBooks.team(task.spec.team));
+      waiting.queue.unblockTeam(domainBooks.teams.team(task.spec.team));
       noteEnd(task, report);
     },
     reportUsage(taskId, used) {
--- a/packages/gypsumwall-placement/src/explain_wait.ts
+++ b/packages/gypsumwall-placement/src/explain_wait.ts
@@ -8,7 +8,7 @@
   reservation: reservations.Reservation | undefined,
   avoided: ReadonlySet<string> | undefined,
 ): string {
-  const tasks = `${job.waiting.size()} tasks wait`;
+  const tasks = `${job.waiting.size} tasks wait`;
   if (reservation !== undefined) {
     return `${tasks}: room is kept for it on ${reservation.slots.size} workers, which should have drained by ${new Date(reservation.readyAt).toISOString()}`;
   }
--- a/packages/gypsumwall-placement/src/job_queue.ts
+++ b/packages/gypsumwall-placement/src/job_queue.ts
@@ -9,6 +9,7 @@
 import * as binaryHeap from './binary_heap.js';
 import type * as books from './books.js';
 import type * as indexRanges from './index_ranges.js';
+import type * as teamBooks from './team_books.js';
 
 /** Earlier tiers go first. */
 export const TIER_DUE = 0;
@@ -24,7 +25,7 @@
 export interface JobRecord {
   readonly jobId: types.ids.JobId;
   readonly spec: types.job.JobSpec;
-  readonly team: books.TeamRecord;
+  readonly team: teamBooks.TeamRecord;
   readonly waiting: indexRanges.IndexRanges;
   /** Latest start: deadline less a pessimistic run time. */
   readonly startBy: number;
@@ -50,7 +51,7 @@
 /** Jobs of one team and tier with about the same size. */
 export interface JobGroup {
   readonly key: string;
-  readonly team: books.TeamRecord;
+  readonly team: teamBooks.TeamRecord;
   readonly tier: number;
   /** No job in it is smaller than this. */
   readonly floor: types.resources.Resources;
@@ -79,7 +80,7 @@
   ): void;
   /** Lets groups be tried again that may fit where room grew. */
   unblock(grown: ReadonlySet<books.WorkerRecord>, now: number): void;
-  unblockTeam(team: books.TeamRecord): void;
+  unblockTeam(team: teamBooks.TeamRecord): void;
   /** First jobs of groups that found no room. */
   blockedHeads(): JobRecord[];
   /** Those of them that are urgent or due. */
@@ -87,7 +88,7 @@
 }
 
 interface TeamQueue {
-  readonly team: books.TeamRecord;
+  readonly team: teamBooks.TeamRecord;
   readonly groups: Map<string, JobGroup>;
   ready: number;
 }
@@ -98,7 +99,7 @@
  * so don't count against it.
  */
 export function createJobQueue(
-  shareOf: (team: books.TeamRecord, tier: number) => number,
+  shareOf: (team: teamBooks.TeamRecord, tier: number) => number,
 ): JobQueue {
   const tiers = Array.from(
     {length: TIERS},
--- a/packages/gypsumwall-placement/src/placement_round.ts
+++ b/packages/gypsumwall-placement/src/placement_round.ts
@@ -1,6 +1,7 @@
 /** One round of decisions: takes jobs in queue order and finds them workers. */
 import * as types from '@gypsumwall/types';
 import type * as books from './books.js';
+import * as indexRanges from './index_ranges.js';
 import type * as jobFailures from './job_failures.js';
 import type * as jobQueue from './job_queue.js';
 import type * as pickWorker from './pick_worker.js';
@@ -106,7 +107,7 @@
     return 'no_room';
   }
   noteProgress(parts, job);
-  job.waiting.remove(indexOf(placement));
+  indexRanges.remove(job.waiting, indexOf(placement));
   parts.noteTaken(job, 1);
   placements.push(placement);
   return undefined;
@@ -132,7 +133,7 @@
   placements: placer.Placement[],
 ): Miss | undefined {
   const size = sizeFor(parts, job);
-  const tasks = job.waiting.size();
+  const tasks = job.waiting.size;
   const whole = types.resources.times(size, tasks);
   if (!fitsQuota(job, whole)) return 'over_quota';
   parts.reservations.suspend(job);
@@ -156,17 +157,17 @@
   size: types.resources.Resources,
   now: number,
 ): placer.Placement[] {
-  const tasks = job.waiting.size();
+  const tasks = job.waiting.size;
   const placed: placer.Placement[] = [];
   while (placed.length < tasks) {
     const placement = choose(parts, job, size, now);
     if (placement === undefined) break;
     placed.push(placement);
-    job.waiting.remove(indexOf(placement));
+    indexRanges.remove(job.waiting, indexOf(placement));
   }
   if (placed.length === tasks) return placed;
   parts.undo(placed);
-  for (const each of placed) job.waiting.add(indexOf(each));
+  for (const each of placed) indexRanges.add(job.waiting, indexOf(each));
   return [];
 }
 
@@ -177,7 +178,7 @@
   size: types.resources.Resources,
   now: number,
 ): placer.Placement | undefined {
-  const index = job.waiting.peek();
+  const index = indexRanges.lowest(job.waiting);
   if (index === undefined) return undefined;
   const {spec, jobId} = job;
   const taskId = types.ids.makeTaskId(jobId, index);
--- a/packages/gypsumwall-placement/src/relief.ts
+++ b/packages/gypsumwall-placement/src/relief.ts
@@ -61,7 +61,7 @@
     if (since === undefined || since + DUE_PATIENCE_MS > now) return;
     if (job.reliefUntil > now) return;
     const size = options.sizeOf(job);
-    const tasks = Math.min(job.waiting.size(), WORKERS_PER_ROUND);
+    const tasks = Math.min(job.waiting.size, WORKERS_PER_ROUND);
     for (let task = 0; task < tasks; task += 1) {
       const victims = cheapestVictims(job, size, now);
       if (victims === undefined) return;
--- a/packages/gypsumwall-placement/src/reservations.ts
+++ b/packages/gypsumwall-placement/src/reservations.ts
@@ -129,7 +129,7 @@
     givenDeadline?: number,
   ): readonly placer.Relief[] {
     const size = options.sizeOf(job);
-    const tasks = job.spec.shape.kind === 'gang' ? job.waiting.size() : 1;
+    const tasks = job.spec.shape.kind === 'gang' ? job.waiting.size : 1;
     const sample = sampleWorkers(SAMPLES + tasks * SAMPLES_PER_TASK);
     const search = (count: number) =>
       drainTimes.soonestRoom(sample, {
--- a/packages/gypsumwall-placement/src/task_size.ts
+++ b/packages/gypsumwall-placement/src/task_size.ts
@@ -26,7 +26,7 @@
   domainBooks: books.Books,
 ): TaskSizes {
   function estimate(spec: types.job.JobSpec): sizeLearner.Estimate {
-    const {packing} = domainBooks.team(spec.team);
+    const {packing} = domainBooks.teams.team(spec.team);
     return learner.estimate(spec, cpuQuantile(spec, packing));
   }
 
@@ -57,7 +57,7 @@
   domainBooks: books.Books,
 ): types.resources.Resources {
   const {largest, total} = domainBooks;
-  const {quota} = domainBooks.team(spec.team);
+  const {quota} = domainBooks.teams.team(spec.team);
   const {kind} = spec.shape;
   const atOnce = kind === 'batch' ? 1 : types.job.taskCount(spec.shape);
   const fitsAll =
--- a/packages/gypsumwall-placement/src/waiting_jobs.ts
+++ b/packages/gypsumwall-placement/src/waiting_jobs.ts
@@ -61,7 +61,7 @@
   sizes: taskSize.TaskSizes,
 ): WaitingJobs {
   const queue = jobQueue.createJobQueue((team, tier) =>
-    domainBooks.dominantShare(team, URGENCIES_UP_TO[tier] ?? []),
+    domainBooks.teams.dominantShare(team, URGENCIES_UP_TO[tier] ?? []),
   );
   const demand = deadlineDemand.createDeadlineDemand();
   const jobs = new Map<types.ids.JobId, jobQueue.JobRecord>();
@@ -96,8 +96,8 @@
     return {
       jobId: queued.jobId,
       spec,
-      team: domainBooks.team(spec.team),
-      waiting: indexRanges.createIndexRanges([]),
+      team: domainBooks.teams.team(spec.team),
+      waiting: indexRanges.createIndexRanges(),
       startBy,
       workPerTask,
       tier: tierOf(spec, startBy, now),
@@ -123,8 +123,8 @@
     if (!jobs.delete(job.jobId)) return;
     job.team.waitingJobs -= 1;
     queue.remove(job);
-    count(job, -job.waiting.size());
-    job.waiting.clear();
+    count(job, -job.waiting.size);
+    indexRanges.clear(job.waiting);
     if (notYetDue.size() > jobs.size * 2 + HEAP_SLACK) {
       notYetDue.keepOnly((each) => each.group !== undefined);
     }
@@ -137,7 +137,7 @@
 
   function noteTaken(job: jobQueue.JobRecord, taken: number): void {
     count(job, -taken);
-    if (job.waiting.size() === 0) drop(job);
+    if (job.waiting.size === 0) drop(job);
   }
 
   return {
@@ -154,17 +154,17 @@
       if (queued.waiting.length === 0) return;
       const known = jobs.get(queued.jobId);
       const job = known ?? makeRecord(queued, now);
-      const before = job.waiting.size();
-      for (const index of queued.waiting) job.waiting.add(index);
-      count(job, job.waiting.size() - before);
+      const before = job.waiting.size;
+      for (const index of queued.waiting) indexRanges.add(job.waiting, index);
+      count(job, job.waiting.size - before);
       if (known === undefined) add(job);
     },
     takeOut(jobId, index) {
       const job = jobs.get(jobId);
       if (job === undefined) return;
-      const before = job.waiting.size();
-      job.waiting.remove(index);
-      noteTaken(job, before - job.waiting.size());
+      const before = job.waiting.size;
+      indexRanges.remove(job.waiting, index);
+      noteTaken(job, before - job.waiting.size);
     },
     promoteDue(now) {
       for (;;) {
