--- a/packages/gypsumwall-entry/src/peer_catch_up.ts
+++ b/packages/gypsumwall-entry/src/peer_catch_up.ts
@@ -36,18 +36,19 @@
     await clock.sleepUntil(lookAt, signal);
     for (const {stream, peers} of options.streams) {
       if (signal.aborted) return;
-      if (logAnswers(stream, clock)) continue;
+      if (logSuffices(stream, clock)) continue;
       await askOne(options, stream, peers());
     }
   }
 }
 
-function logAnswers(
+/** Whether the log has answered lately, and with all that is needed. */
+function logSuffices(
   stream: entryStream.EntryStream,
   clock: types.clock.Clock,
 ): boolean {
   const last = stream.follower.lastAnswerAt();
-  if (last === undefined) return false;
+  if (last === undefined || !stream.follower.caughtUp()) return false;
   return clock.monotonic() < types.clock.after(last, LOG_SILENCE_MS);
 }
 
@@ -62,7 +63,7 @@
   if (peer === undefined) return;
   const answer = await options.clients.at(peer.address).readState({
     stream: stream.name,
-    above: BigInt(stream.follower.nextOffset()),
+    above: BigInt(stream.follower.wantsAbove()),
   });
   if (answer.isErr || answer.value.nextOffset === readState.NOT_KNOWN) return;
   if (answer.value.snapshot.length === 0) {
--- a/packages/gypsumwall-entry/src/snapshot_keeper.ts
+++ b/packages/gypsumwall-entry/src/snapshot_keeper.ts
@@ -44,7 +44,10 @@
     for (const stream of options.streams) {
       const since = stream.follower.recordsSinceSnapshot();
       const timeIsUp = clock.monotonic() >= (dueAt.get(stream) ?? 0);
-      const due = since >= options.everyRecords || (timeIsUp && since > 0);
+      // Retention has already dropped what a new reader would need.
+      const urgent = !stream.follower.isRebuildable();
+      const due =
+        urgent || since >= options.everyRecords || (timeIsUp && since > 0);
       if (timeIsUp) dueAt.set(stream, nextDue(options));
       if (due && stream.follower.caughtUp()) await write(options, stream);
     }
--- a/packages/gypsumwall-records/src/__tests__/stream_follower.test.ts
+++ b/packages/gypsumwall-records/src/__tests__/stream_follower.test.ts
@@ -72,3 +72,26 @@
   assert.ok(next.isOk && (await reader.seen(next.value.offset)));
   assert.deepEqual(reader.fold.taken, ['known']);
 });
+
+nodeTest.test('a peer fills the gap that retention left', async (t) => {
+  // A new entry is ready although no snapshot stands in the log yet.
+  // Retention drops the first record, the log has the second, a peer has all
+  // but the third: its state and the records after it make up the whole.
+  const log = memoryLog.createMemoryLog();
+  const peer = openStream.openStream(t, log);
+  await peer.append('a');
+  const second = await peer.append('b');
+  assert.ok(second.isOk && (await peer.seen(second.value.offset)));
+  const held = peer.follower.snapshot();
+  const third = await peer.append('c');
+  assert.ok(third.isOk && (await peer.seen(third.value.offset)));
+  log.dropBelow(1);
+  const late = openStream.openStream(t, log, 'entry-2');
+  while (late.follower.nextOffset() < 3) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  assert.equal(late.follower.isRebuildable(), false);
+  assert.ok(late.follower.adopt(held));
+  assert.deepEqual(late.fold.taken, ['a', 'b', 'c']);
+  assert.equal(late.follower.caughtUp(), true);
+});
--- a/packages/gypsumwall-records/src/stream_follower.ts
+++ b/packages/gypsumwall-records/src/stream_follower.ts
@@ -39,6 +39,10 @@
   restores(): number;
   /** Records seen since the last snapshot in the stream. */
   recordsSinceSnapshot(): number;
+  /** Whether a reader that starts now could rebuild the state from the log. */
+  isRebuildable(): boolean;
+  /** A state is of use to this reader only if it goes further than this. */
+  wantsAbove(): number;
   /** The state now, for a snapshot record or for a peer. */
   snapshot(): snapshotText.Snapshot;
   /**
@@ -72,6 +76,10 @@
   /** Whether the last page went to the stream's end; then reads may wait. */
   let atEnd = false;
   let sinceSnapshot = 0;
+  /** Oldest record that the log still has, as of its last answer. */
+  let oldest = 0;
+  /** First record of the newest snapshot; records before it are not needed. */
+  let snapshotAt: number | undefined;
   let restores = 0;
   let lastAnswer: types.clock.MonotonicMs | undefined;
   /**
@@ -102,6 +110,7 @@
     }
     if (read.envelope.type === 'snapshot') {
       sinceSnapshot = 0;
+      if (read.envelope.part === 0) snapshotAt = record.offset;
       return;
     }
     if (!counts.take(record.producer, record.sequence)) {
@@ -130,19 +139,28 @@
     });
   }
 
+  /** Takes the state that was waited for, and what came after it. */
+  function resume(
+    waiting: AwaitingSnapshot,
+    found: snapshotText.Snapshot,
+  ): void {
+    awaitingSnapshot = undefined;
+    restore(found);
+    waiting.records
+      .filter((kept) => kept.offset >= found.nextOffset)
+      .forEach(applyRecord);
+  }
+
   function collect(
     waiting: AwaitingSnapshot,
     record: platform.platformLog.LogRecord,
   ): void {
     const read = envelope.decode(record.body);
     if (read.type === 'known' && read.envelope.type === 'snapshot') {
+      if (read.envelope.part === 0) snapshotAt = record.offset;
       const found = waiting.collector.add(record.producer, read.envelope);
       if (found !== undefined && found.nextOffset >= waiting.firstOffset) {
-        awaitingSnapshot = undefined;
-        restore(found);
-        waiting.records
-          .filter((kept) => kept.offset >= found.nextOffset)
-          .forEach(applyRecord);
+        resume(waiting, found);
       }
       return;
     }
@@ -169,6 +187,7 @@
       next = record.offset + 1;
     }
     atEnd = next >= page.endOffset;
+    oldest = page.firstOffset;
     complete = awaitingSnapshot === undefined && atEnd;
     lastAnswer = clock.monotonic();
     wakeWaiters();
@@ -205,6 +224,12 @@
     return seen;
   }
 
+  function wantsAbove(): number {
+    return awaitingSnapshot === undefined
+      ? next
+      : awaitingSnapshot.firstOffset - 1;
+  }
+
   async function run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const page = await log.read({
@@ -235,6 +260,8 @@
     lastAnswerAt: () => lastAnswer,
     restores: () => restores,
     recordsSinceSnapshot: () => sinceSnapshot,
+    isRebuildable: () => oldest === 0 || (snapshotAt ?? -1) >= oldest,
+    wantsAbove,
     snapshot: () => ({
       nextOffset: next,
       text: snapshotText.writeText(counts, fold),
@@ -245,12 +272,10 @@
       }
     },
     adopt: (snapshot) => {
-      const behind =
-        awaitingSnapshot !== undefined || snapshot.nextOffset > next;
-      if (!behind) return false;
-      awaitingSnapshot = undefined;
-      restore(snapshot);
-      next = snapshot.nextOffset;
+      if (snapshot.nextOffset <= wantsAbove()) return false;
+      if (awaitingSnapshot === undefined) restore(snapshot);
+      else resume(awaitingSnapshot, snapshot);
+      next = Math.max(next, snapshot.nextOffset);
       complete = true;
       wakeWaiters();
       options.onProgress?.();
