Split the scheduler into books, ends and sessions; move tasks off a leaving worker

A worker that leaves took its tasks with it when it went. Batch tasks and replicas now save their progress and move at once; gangs are left to end. Test: one task, two workers, runs at both, never at the same moment.

--- a/packages/gypsumwall-entry/src/domain_holder.ts
+++ b/packages/gypsumwall-entry/src/domain_holder.ts
@@ -4,15 +4,16 @@
 import type * as settings from '@gypsumwall/settings';
 import * as types from '@gypsumwall/types';
 import * as domainScheduler from './domain_scheduler.js';
+import type * as schedulerOptions from './scheduler_options.js';
 
 /** What the holder needs; the rest of a scheduler's options stay the same. */
 export interface DomainHolderOptions {
   readonly scheduler: Omit<
-    domainScheduler.DomainSchedulerOptions,
+    schedulerOptions.DomainSchedulerOptions,
     'epoch' | 'hadPredecessor' | 'claimDeadline' | 'placer' | 'nextAttempt'
   >;
   readonly hadPredecessor: () => boolean;
-  readonly makePlacer: () => domainScheduler.DomainSchedulerOptions['placer'];
+  readonly makePlacer: () => schedulerOptions.DomainSchedulerOptions['placer'];
   readonly claim: () => membership.domainClaim.ClaimState;
   readonly view: () => membership.domainView.DomainView;
   readonly teams: () => ReadonlyMap<string, settings.cellTree.TeamPolicy>;
--- a/packages/gypsumwall-entry/src/domain_scheduler.ts
+++ b/packages/gypsumwall-entry/src/domain_scheduler.ts
@@ -6,48 +6,13 @@
 import type * as placement from '@gypsumwall/placement';
 import type * as platform from '@gypsumwall/platform';
 import type * as records from '@gypsumwall/records';
-import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import * as recoveryGate from './recovery_gate.js';
-import * as taskTable from './task_table.js';
-import * as workerSession from './worker_session.js';
-
-/** Spans of the scheduler, in milliseconds, out of the entry's settings. */
-export interface SchedulerSpans {
-  readonly workerHeartbeatMs: number;
-  readonly taskLeaseMs: number;
-  /** Lease of a service's task, which may run twice for a while. */
-  readonly serviceLeaseMs: number;
-  readonly leaseGraceMs: number;
-  readonly listLagMs: number;
-}
-
-/** What a scheduler needs. */
-export interface DomainSchedulerOptions {
-  readonly epoch: number;
-  readonly self: types.ids.EntryId;
-  /** Whether anybody has held the domain before this epoch. */
-  readonly hadPredecessor: boolean;
-  readonly spans: SchedulerSpans;
-  readonly clock: types.clock.Clock;
-  readonly logger: telemetry.logger.Logger;
-  readonly tracer: telemetry.tracing.Tracer;
-  readonly metrics: telemetry.metrics.Metrics;
-  readonly placer: placement.placer.Placer;
-  readonly jobs: records.jobFold.JobFold;
-  readonly recentWorkers: recoveryGate.RecentWorkers;
-  readonly makeWorker: (
-    listed: platform.instanceList.ListedWorker,
-  ) => platform.worker.Worker;
-  /** Deadline of the claim now; undefined when it is not held any more. */
-  readonly claimDeadline: () => types.clock.MonotonicMs | undefined;
-  /** Ids of attempts are unique to the entry and the epoch. */
-  readonly nextAttempt: () => types.ids.AttemptId;
-  /** Appends to the domain's stream; true once the record stands there. */
-  readonly append: (
-    record: records.domainRecords.DomainRecord,
-  ) => Promise<boolean>;
-}
+import type * as schedulerOptions from './scheduler_options.js';
+import * as taskBooks from './task_books.js';
+import * as taskEnds from './task_ends.js';
+import * as workerPool from './worker_pool.js';
+import type * as workerSession from './worker_session.js';
 
 /** State for `status`. */
 export interface SchedulerStatus {
@@ -78,79 +43,45 @@
 /** A round is due at least this often, for deadlines and quarantines. */
 const ROUND_EVERY_MS = 200;
 
-interface WorkerState {
-  readonly listed: platform.instanceList.ListedWorker;
-  readonly session: workerSession.WorkerSession;
-  readonly abort: AbortController;
-  gone: boolean;
-}
-
 /** Makes the scheduler of an epoch and starts its loops. */
 export function createDomainScheduler(
-  options: DomainSchedulerOptions,
+  options: schedulerOptions.DomainSchedulerOptions,
 ): DomainScheduler {
-  const {clock, placer, jobs, spans, epoch} = options;
+  const {clock, placer, spans, epoch} = options;
   const logger = options.logger.with({epoch});
   const heldSince = clock.monotonic();
   const closing = new AbortController();
-  const workers = new Map<types.ids.WorkerId, WorkerState>();
-  const attached = new Set<types.ids.WorkerId>();
   /** Attached at some time in this epoch: older holders are fenced there. */
   const fenced = new Set<types.ids.WorkerId>();
-  const tasks = taskTable.createTaskTable(
-    (taskId) => types.ids.splitTaskId(taskId).jobId,
-  );
-  /** Jobs accepted before this epoch, held back until the gate opens. */
-  const gated = new Set<records.jobFold.JobState>(jobs.openJobs());
+  const capacities = new Map<types.ids.WorkerId, types.resources.Resources>();
+  const books = taskBooks.createTaskBooks(options, scheduleRound);
+  const {tasks} = books;
+  const pool = workerPool.createWorkerPool({
+    scheduler: {...options, logger},
+    runsOnce: (taskId) => books.runsOnce(taskId),
+    eventsOf,
+    onClosed: (id) => {
+      placer.closeWorker(id);
+      evacuate(id);
+    },
+    onReopened: openWorker,
+    onForgotten: (id) => {
+      capacities.delete(id);
+      placer.removeWorker(id);
+    },
+    hasTasks: (id) => tasks.at(id).length > 0,
+    signal: closing.signal,
+  });
+  const onTaskEnd = taskEnds.createTaskEnds({
+    clock,
+    append: options.append,
+    books,
+    heldSince,
+    acknowledge: (id, attempt) => pool.session(id)?.acknowledge(attempt),
+  });
   let recovered = false;
   let roundDue = false;
 
-  function jobOfTask(
-    taskId: types.ids.TaskId,
-  ): records.jobFold.JobState | undefined {
-    return jobs.job(types.ids.splitTaskId(taskId).jobId);
-  }
-
-  function runsOnce(taskId: types.ids.TaskId): boolean {
-    return jobOfTask(taskId)?.spec.shape.kind !== 'service';
-  }
-
-  /** Indexes of a job's tasks that neither run nor are done. */
-  function waitingIndexes(job: records.jobFold.JobState): number[] {
-    const waiting: number[] = [];
-    const count = types.job.taskCount(job.spec.shape);
-    for (let index = 0; index < count; index++) {
-      if (job.results.has(index)) continue;
-      const taskId = types.ids.makeTaskId(job.jobId, index);
-      if (tasks.get(taskId) === undefined) waiting.push(index);
-    }
-    return waiting;
-  }
-
-  function enqueue(
-    job: records.jobFold.JobState,
-    waiting: readonly number[],
-  ): void {
-    if (waiting.length === 0) return;
-    const {jobId, spec, acceptedAt} = job;
-    placer.enqueue({jobId, spec, acceptedAt, waiting});
-    scheduleRound();
-  }
-
-  /** Gives a task's room back; it waits again if its job still wants it. */
-  function release(
-    task: taskTable.ActiveTask,
-    report: placement.placer.RunReport,
-  ): void {
-    tasks.remove(task);
-    placer.release(task.taskId, report);
-    const job = jobOfTask(task.taskId);
-    const {index} = types.ids.splitTaskId(task.taskId);
-    const wanted = job?.phase.type === 'open' && !job.results.has(index);
-    if (job !== undefined && wanted && !gated.has(job)) enqueue(job, [index]);
-    scheduleRound();
-  }
-
   function scheduleRound(): void {
     if (roundDue || closing.signal.aborted) return;
     roundDue = true;
@@ -161,47 +92,43 @@
   }
 
   function round(): void {
-    openGateWhenSafe();
+    if (!recovered) openGateWhenSafe();
     const deadline = options.claimDeadline();
     if (deadline === undefined || deadline <= clock.monotonic()) return;
     const startedAt = clock.monotonic();
     const decisions = placer.decide(clock.wall(), ROUND_LIMIT);
-    const {metrics} = options;
     const decided = decisions.placements.length;
     if (decided > 0) {
       const tookMs = clock.monotonic() - startedAt;
-      metrics.observe('placementTime', tookMs / decided);
+      options.metrics.observe('placementTime', tookMs / decided);
     }
     decisions.placements.forEach(startTask);
     decisions.reliefs.forEach(relieve);
     placer.takeGivenUp().forEach(giveUpJob);
-    if (decisions.placements.length >= ROUND_LIMIT) scheduleRound();
+    if (decided >= ROUND_LIMIT) scheduleRound();
   }
 
   function startTask(decided: placement.placer.Placement): void {
-    const job = jobOfTask(decided.taskId);
-    const state = workers.get(decided.workerId);
-    if (job === undefined || state === undefined) {
-      placer.release(decided.taskId, {type: 'not_started'});
+    const {taskId, size} = decided;
+    const job = books.jobOf(taskId);
+    const session = pool.session(decided.workerId);
+    if (job === undefined || session === undefined) {
+      placer.release(taskId, {type: 'not_started'});
       return;
     }
     const attempt = options.nextAttempt();
+    const {urgency, work} = job.spec;
     const waitMs = clock.wall() - job.acceptedAt;
-    const {urgency} = job.spec;
     options.metrics.observe('taskWait', waitMs, {urgency});
-    tasks.put({
-      ...decided,
-      attempt,
-      phase: 'starting',
-      startedAt: clock.monotonic(),
-    });
-    state.session.start({
-      taskId: decided.taskId,
+    const startedAt = clock.monotonic();
+    tasks.put({...decided, attempt, phase: 'starting', startedAt});
+    session.start({
+      taskId,
       attempt,
-      size: decided.size,
-      work: job.spec.work,
+      size,
+      work,
       traceparent: job.traceparent,
-      leaseMs: runsOnce(decided.taskId)
+      leaseMs: books.runsOnce(taskId)
         ? spans.taskLeaseMs
         : spans.serviceLeaseMs,
     });
@@ -209,7 +136,7 @@
 
   function relieve(relief: placement.placer.Relief): void {
     const task = tasks.get(relief.taskId);
-    const session = task && workers.get(task.workerId)?.session;
+    const session = task && pool.session(task.workerId);
     if (task === undefined || session === undefined) return;
     switch (relief.type) {
       case 'throttle':
@@ -230,7 +157,6 @@
   }
 
   function openGateWhenSafe(): void {
-    if (recovered) return;
     recovered = recoveryGate.isOpen({
       now: clock.monotonic(),
       hadPredecessor: options.hadPredecessor,
@@ -245,58 +171,37 @@
     logger.info('domain_recovered', {
       after_ms: Math.round(clock.monotonic() - heldSince),
       active: tasks.size(),
-      gated_jobs: gated.size,
+      gated_jobs: books.gatedJobs(),
     });
-    const waiting = [...gated];
-    gated.clear();
-    for (const job of waiting) {
-      if (job.phase.type === 'open') enqueue(job, waitingIndexes(job));
-    }
+    books.openGate();
   }
 
+  /** Takes over a task that runs, or stops it if nobody wants it there. */
   function adopt(
     workerId: types.ids.WorkerId,
     running: platform.worker.RunningTask,
   ): void {
-    const job = jobOfTask(running.taskId);
-    const {index} = types.ids.splitTaskId(running.taskId);
     const known = tasks.get(running.taskId);
     if (known?.attempt === running.attempt) {
       // A cancelled task that is being stopped stays so.
       if (known.phase === 'starting') known.phase = 'running';
       return;
     }
-    const wanted =
-      job?.phase.type === 'open' &&
-      !job.results.has(index) &&
-      index < types.job.taskCount(job.spec.shape);
-    if (job === undefined || !wanted || known !== undefined) {
-      workers.get(workerId)?.session.stop(running);
+    const job = books.jobOf(running.taskId);
+    const isWanted = known === undefined && books.isWanted(running.taskId);
+    if (job === undefined || !isWanted) {
+      pool.session(workerId)?.stop(running);
       return;
     }
-    tasks.put({
-      taskId: running.taskId,
-      attempt: running.attempt,
-      workerId,
-      size: running.size,
-      phase: 'running',
-      startedAt: clock.monotonic(),
-    });
-    placer.adopt({
-      taskId: running.taskId,
-      spec: job.spec,
-      workerId,
-      size: running.size,
-    });
+    books.hold(running, workerId, job, clock.monotonic());
   }
 
   function onAttached(
-    listed: platform.instanceList.ListedWorker,
+    id: types.ids.WorkerId,
     answer: platform.worker.Attached,
   ): void {
-    const {id, rack} = listed;
-    attached.add(id);
     fenced.add(id);
+    capacities.set(id, answer.capacity);
     const told = new Set([
       ...answer.running.map((task) => task.attempt),
       ...answer.finished.map((task) => task.attempt),
@@ -304,87 +209,40 @@
     for (const task of tasks.at(id)) {
       // Starts under way are settled by their own answer.
       if (task.phase === 'starting' || told.has(task.attempt)) continue;
-      release(task, {type: 'stopped'});
+      books.release(task, {type: 'stopped'});
     }
-    placer.setWorker({id, rack, capacity: answer.capacity});
-    if (listed.state === 'leaving') placer.closeWorker(id);
+    openWorker(id);
     answer.running.forEach((task) => adopt(id, task));
+    if (pool.listed(id)?.state === 'leaving') evacuate(id);
     scheduleRound();
   }
 
-  function onEnded(
-    listed: platform.instanceList.ListedWorker,
-    ended: platform.worker.FinishedTask,
-  ): void {
-    const session = workers.get(listed.id)?.session;
-    const task = tasks.attempt(ended.taskId, ended.attempt);
-    const job = jobOfTask(ended.taskId);
-    const {index} = types.ids.splitTaskId(ended.taskId);
-    const ranMs = clock.monotonic() - (task?.startedAt ?? heldSince);
-    const recordable =
-      ended.end.type === 'done' &&
-      job?.phase.type === 'open' &&
-      job.spec.shape.kind !== 'service' &&
-      !job.results.has(index);
-    if (!recordable) {
-      session?.acknowledge(ended.attempt);
-      if (task !== undefined) release(task, reportOf(ended.end, ranMs));
-      return;
-    }
-    record(session, ended, job, task ?? holdEnded(listed, ended, job));
+  function openWorker(id: types.ids.WorkerId): void {
+    const listed = pool.listed(id);
+    const capacity = capacities.get(id);
+    if (listed === undefined || capacity === undefined) return;
+    placer.setWorker({id, rack: listed.rack, capacity});
+    if (listed.state === 'leaving') placer.closeWorker(id);
   }
 
   /**
-   * A task that had ended before this epoch counts as active until its end
-   * stands in the log: were it forgotten, it would be run a second time.
+   * A worker that leaves takes its tasks with it when it goes. Those that can
+   * go on elsewhere save their progress and move now; a gang would have to
+   * move whole and is left to end.
    */
-  function holdEnded(
-    listed: platform.instanceList.ListedWorker,
-    ended: platform.worker.FinishedTask,
-    job: records.jobFold.JobState,
-  ): taskTable.ActiveTask | undefined {
-    if (tasks.get(ended.taskId) !== undefined) return undefined;
-    const held: taskTable.ActiveTask = {
-      taskId: ended.taskId,
-      attempt: ended.attempt,
-      workerId: listed.id,
-      size: job.spec.size,
-      phase: 'running',
-      startedAt: heldSince,
-    };
-    tasks.put(held);
-    placer.adopt({...held, spec: job.spec});
-    return held;
-  }
-
-  /** Acknowledges the end once it is in the log; until then it is repeated. */
-  function record(
-    session: workerSession.WorkerSession | undefined,
-    ended: platform.worker.FinishedTask,
-    job: records.jobFold.JobState,
-    task: taskTable.ActiveTask | undefined,
-  ): void {
-    if (task?.phase === 'recording') return;
-    if (task !== undefined) task.phase = 'recording';
-    const ranMs = clock.monotonic() - (task?.startedAt ?? heldSince);
-    void options.append({type: 'task_ended', ...ended}).then((recorded) => {
-      if (!recorded) {
-        if (task !== undefined) task.phase = 'running';
-        return;
-      }
-      session?.acknowledge(ended.attempt);
-      const current = tasks.attempt(ended.taskId, ended.attempt);
-      if (current !== undefined) release(current, {type: 'done', ranMs});
-    });
+  function evacuate(id: types.ids.WorkerId): void {
+    const session = pool.session(id);
+    if (session?.isAttached() !== true) return;
+    for (const task of tasks.at(id)) {
+      const kind = books.jobOf(task.taskId)?.spec.shape.kind;
+      if (task.phase !== 'running' || kind === 'gang') continue;
+      session.checkpoint(task.attempt);
+    }
   }
 
-  function eventsOf(
-    listed: platform.instanceList.ListedWorker,
-  ): workerSession.SessionEvents {
-    const {id} = listed;
+  function eventsOf(id: types.ids.WorkerId): workerSession.SessionEvents {
     return {
-      attached: (answer) =>
-        onAttached(workers.get(id)?.listed ?? listed, answer),
+      attached: (answer) => onAttached(id, answer),
       started: (order) => {
         const task = tasks.attempt(order.taskId, order.attempt);
         if (task?.phase === 'starting') task.phase = 'running';
@@ -392,89 +250,39 @@
       notStarted: (order, message) => {
         logger.info('task_not_started', {task: order.taskId, reason: message});
         const task = tasks.attempt(order.taskId, order.attempt);
-        if (task !== undefined) release(task, {type: 'not_started'});
+        if (task !== undefined) books.release(task, {type: 'not_started'});
       },
-      ended: (ended) => onEnded(listed, ended),
+      ended: (ended) => onTaskEnd(id, ended),
       stopped: (stopped) => {
         const task = tasks.attempt(stopped.taskId, stopped.attempt);
-        if (task !== undefined) release(task, {type: 'stopped'});
+        if (task !== undefined) books.release(task, {type: 'stopped'});
       },
       usage: (usage) => {
         for (const {taskId, used} of usage) placer.reportUsage(taskId, used);
       },
-      silent: () => {
-        attached.delete(id);
-        placer.closeWorker(id);
-      },
+      silent: () => placer.closeWorker(id),
       lapsed: () => {
-        for (const task of tasks.at(id)) release(task, {type: 'stopped'});
-        const state = workers.get(id);
-        if (state?.gone === true) forget(id, state);
+        for (const task of tasks.at(id)) books.release(task, {type: 'stopped'});
+        pool.forgetIfGone(id);
       },
     };
   }
 
-  function forget(id: types.ids.WorkerId, state: WorkerState): void {
-    state.abort.abort();
-    workers.delete(id);
-    attached.delete(id);
-    placer.removeWorker(id);
-  }
-
-  function addWorker(listed: platform.instanceList.ListedWorker): void {
-    const abort = new AbortController();
-    const session = workerSession.createWorkerSession({
-      workerId: listed.id,
-      worker: options.makeWorker(listed),
-      epoch,
-      self: options.self,
-      clock,
-      logger,
-      tracer: options.tracer,
-      metrics: options.metrics,
-      heartbeatMs: spans.workerHeartbeatMs,
-      leaseMs: spans.taskLeaseMs,
-      graceMs: spans.leaseGraceMs,
-      runsOnce,
-      claimDeadline: options.claimDeadline,
-      events: eventsOf(listed),
-    });
-    workers.set(listed.id, {listed, session, abort, gone: false});
-    const signal = AbortSignal.any([abort.signal, closing.signal]);
-    void session.run(signal);
-  }
-
-  function setWorkers(
-    listed: readonly platform.instanceList.ListedWorker[],
-  ): void {
-    const present = new Set(listed.map((worker) => worker.id));
-    for (const worker of listed) {
-      const known = workers.get(worker.id);
-      if (known === undefined) {
-        addWorker(worker);
-        continue;
-      }
-      workers.set(worker.id, {...known, listed: worker, gone: false});
-      if (worker.state === 'leaving') placer.closeWorker(worker.id);
-    }
-    for (const [id, state] of workers) {
-      if (present.has(id)) continue;
-      // Off the list is not stopped: its tasks count until leases lapse.
-      state.gone = true;
-      placer.closeWorker(id);
-      if (tasks.at(id).length === 0) forget(id, state);
+  function stopTasksOf(job: records.jobFold.JobState): void {
+    for (const task of tasks.of(job.jobId)) {
+      if (task.phase === 'recording') continue;
+      task.phase = 'stopping';
+      pool.session(task.workerId)?.stop(task);
     }
-    scheduleRound();
   }
 
   function onJob(change: records.jobFold.JobChange): void {
     switch (change.type) {
       case 'accepted':
-        enqueue(change.job, waitingIndexes(change.job));
+        books.enqueueJob(change.job);
         return;
       case 'closed':
-        placer.cancel(change.job.jobId);
-        gated.delete(change.job);
+        books.closeJob(change.job);
         stopTasksOf(change.job);
         return;
       case 'restored':
@@ -483,14 +291,6 @@
     }
   }
 
-  function stopTasksOf(job: records.jobFold.JobState): void {
-    for (const task of tasks.of(job.jobId)) {
-      if (task.phase === 'recording') continue;
-      task.phase = 'stopping';
-      workers.get(task.workerId)?.session.stop(task);
-    }
-  }
-
   async function tick(): Promise<void> {
     while (!closing.signal.aborted) {
       scheduleRound();
@@ -501,7 +301,10 @@
   void tick();
 
   return {
-    setWorkers,
+    setWorkers: (listed) => {
+      pool.setListed(listed);
+      scheduleRound();
+    },
     setTeam: (team) => placer.setTeam(team),
     onJob,
     running: (jobId) => tasks.of(jobId).length,
@@ -510,25 +313,11 @@
     status: () => ({
       epoch,
       recovered,
-      workers: workers.size,
-      attachedWorkers: attached.size,
+      workers: pool.size(),
+      attachedWorkers: pool.attached(),
       activeTasks: tasks.size(),
       waitingTasks: placer.waitingTasks(),
     }),
     close: () => closing.abort(),
   };
 }
-
-function reportOf(
-  end: types.job.TaskEnd,
-  ranMs: number,
-): placement.placer.RunReport {
-  switch (end.type) {
-    case 'done':
-      return {type: 'done', ranMs};
-    case 'failed':
-      return {type: 'failed', message: end.message};
-    case 'stopped':
-      return {type: 'stopped'};
-  }
-}
--- a/packages/gypsumwall-testing/src/__fixtures__/domain_harness.ts
+++ b/packages/gypsumwall-testing/src/__fixtures__/domain_harness.ts
@@ -23,7 +23,7 @@
   | {readonly type: 'hold'; readonly until: Promise<void>};
 
 /** Spans of a test's domain: long enough to work, short enough to wait out. */
-export const SPANS: entry.domainScheduler.SchedulerSpans = {
+export const SPANS: entry.schedulerOptions.SchedulerSpans = {
   workerHeartbeatMs: 20,
   taskLeaseMs: 300,
   serviceLeaseMs: 60_000,
@@ -199,6 +199,17 @@
     return jobId;
   }
 
+  /** Shows a holder a list on which the worker is leaving. */
+  function leave(holder: Holder, workerId: string): void {
+    holder.scheduler.setWorkers(
+      listed.map((worker) =>
+        worker.id === workerId
+          ? {...worker, state: 'leaving' as const}
+          : worker,
+      ),
+    );
+  }
+
   const events = () => recorded.since(0);
   return {
     clock,
@@ -207,6 +218,7 @@
     apply,
     hold,
     submit,
+    leave,
     startFaults,
     events,
     starts: () => events().filter((event) => event.type === 'task_started'),
--- a/packages/gypsumwall-testing/src/__tests__/domain_scheduler.test.ts
+++ b/packages/gypsumwall-testing/src/__tests__/domain_scheduler.test.ts
@@ -142,3 +142,24 @@
   assert.equal(before, 0);
   await until('started', () => domain.starts().length === 1);
 });
+
+nodeTest.test('a worker that leaves hands its tasks on', async (t) => {
+  // The plan goes on at another worker, and never runs at both.
+  // The list says that its worker is leaving: the task saves its progress,
+  // stops, and is placed anew; nothing new starts at the leaving worker.
+  const domain = domainHarness.createDomainHarness(t, ['w1', 'w2']);
+  const holder = domain.hold(1);
+  const jobId = domain.submit('a', 300);
+  await until('started', () => holder.scheduler.status().activeTasks === 1);
+  await until('runs', () => domain.starts().length === 1);
+  const first = domain.starts()[0];
+  assert.ok(first !== undefined && 'workerId' in first);
+  domain.leave(holder, first.workerId);
+  await until('done', () => domain.jobs.job(jobId)?.phase.type === 'done');
+  const places = domain
+    .starts()
+    .map((event) => 'workerId' in event && event.workerId);
+  assert.equal(places.length, 2);
+  assert.notEqual(places[1], first.workerId);
+  assert.equal(mostAtOnce(domain.events()), 1);
+});
