--- a/packages/gypsumwall-entry/src/create_entry.ts
+++ b/packages/gypsumwall-entry/src/create_entry.ts
@@ -6,27 +6,26 @@
 import * as records from '@gypsumwall/records';
 import * as routing from '@gypsumwall/routing';
 import * as settings from '@gypsumwall/settings';
-import * as telemetry from '@gypsumwall/telemetry';
+import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import * as authenticate from './authenticate.js';
 import * as domainFold from './domain_fold.js';
 import * as domainHolder from './domain_holder.js';
 import * as entryClients from './entry_clients.js';
 import type * as entryContext from './entry_context.js';
+import * as entryLoops from './entry_loops.js';
 import * as entryReadiness from './entry_readiness.js';
+import * as entryStop from './entry_stop.js';
 import * as entryStream from './entry_stream.js';
+import * as entryTelemetry from './entry_telemetry.js';
 import * as forwarder from './forwarder.js';
 import * as httpServer from './http_server.js';
 import * as jobService from './job_service.js';
 import * as onceRequest from './once_request.js';
-import * as peerCatchUp from './peer_catch_up.js';
 import * as peerForwarding from './peer_forwarding.js';
 import * as readState from './read_state.js';
 import * as recoveryGate from './recovery_gate.js';
-import * as reportGauges from './report_gauges.js';
 import * as settingsService from './settings_service.js';
-import * as snapshotKeeper from './snapshot_keeper.js';
-import * as viewTicker from './view_ticker.js';
 
 /** What an entry is made of; the same code runs on another clock or seed. */
 export interface EntryOptions {
@@ -57,8 +56,6 @@
 /** A log unheard for this long is not known to its end. */
 const CAUGHT_UP_MS = 2_500;
 const PEER_TIMEOUT_MS = 2_000;
-const PEER_CLOSE_MS = 1_000;
-const VIEW_BEAT_MS = 200;
 const CONFIG_STREAM = 'config';
 const REQUESTS_STREAM = 'requests';
 
@@ -74,13 +71,12 @@
     cfg.failureDomain,
   );
   const logger = options.logger.with({entry: cfg.id, domain: failureDomain});
-  const tracer = options.tracer ?? makeTracer(cfg, self, logger);
-  const metrics = options.metrics ?? makeMetrics(cfg, logger);
+  const tracer = options.tracer ?? entryTelemetry.makeTracer(cfg, self, logger);
+  const metrics = options.metrics ?? entryTelemetry.makeMetrics(cfg, logger);
   const closing = new AbortController();
   const {signal} = closing;
   let leaving = false;
   let ownSlots = 0;
-  let draining: Promise<void> | undefined;
 
   const outside = entryClients.createEntryClients({
     settings: cfg,
@@ -264,7 +260,7 @@
       }),
     isLeaving: () => leaving,
     hasSlots: () => ownSlots > 0,
-    startDrain: () => void drain(),
+    startDrain: () => void stop.drain(),
   };
   const app = httpServer.createHttpServer(context);
 
@@ -323,100 +319,46 @@
     return [configStream, domainStream, requestStream];
   }
 
-  function startLoops(): void {
-    for (const stream of streams()) void stream.follower.run(signal);
-    void viewKeeper.run(signal);
-    void claim.run(signal);
-    void reportGauges.reportGauges(context, metrics, signal);
-    void viewTicker.tickView(
-      {
-        clock,
-        everyMs: VIEW_BEAT_MS,
-        pauseMs: cfg.listLagMs,
-        fetchMs: cfg.platformTimeoutMs,
-        view: () => viewKeeper.current(),
-        onView,
-      },
-      signal,
-    );
-    void snapshotKeeper.keepSnapshots(
-      {
-        streams: streams(),
-        clock,
-        random,
-        logger,
-        everyRecords: cfg.snapshotEveryRecords,
-        everyMs: cfg.snapshotEveryMs,
-      },
-      signal,
-    );
-    const all = () => viewKeeper.current().peers;
-    const sameDomain = () =>
-      all().filter((peer) => peer.failureDomain === failureDomain);
-    void peerCatchUp.catchUpFromPeers(
-      {
-        streams: [
-          {stream: configStream, peers: all},
-          {stream: requestStream, peers: all},
-          {stream: domainStream, peers: sameDomain},
-        ],
-        clients,
-        clock,
-        random,
-        logger,
-      },
-      signal,
-    );
-  }
-
-  function drain(): Promise<void> {
-    draining ??= drainOnce();
-    return draining;
-  }
-
-  async function drainOnce(): Promise<void> {
-    leaving = true;
-    logger.info('drain_started');
-    const deadline = types.clock.after(clock.monotonic(), cfg.drainTimeoutMs);
-    holder.close();
-    await claim.release();
-    // Until the balancer has seen it, calls still come: they are handed over.
-    const noticed = types.clock.after(clock.monotonic(), cfg.drainNoticeMs);
-    await clock.sleepUntil(noticed, signal);
-    const timer = new AbortController();
-    await Promise.race([
-      router.drain().then(() => app.close()),
-      clock.sleepUntil(deadline, timer.signal),
-    ]);
-    timer.abort();
-    logger.info('drain_finished', {
-      in_time: clock.monotonic() < deadline,
-    });
-    await close();
-  }
-
-  async function close(): Promise<void> {
-    leaving = true;
-    closing.abort();
-    holder.close();
-    await app.close();
-    await router.close();
-    await peerServer.close(PEER_CLOSE_MS);
-    clients.close();
-    await outside.close();
-    await tracer.close();
-    await metrics.close();
-  }
+  const stop = entryStop.createEntryStop({
+    settings: cfg,
+    clock,
+    logger,
+    claim,
+    holder,
+    router,
+    app,
+    peerServer,
+    peerClients: clients,
+    outside,
+    tracer,
+    metrics,
+    closing,
+    onLeaving: () => {
+      leaving = true;
+    },
+  });
 
   const address = await app.listen({host: cfg.host, port: cfg.port});
-  startLoops();
+  entryLoops.startEntryLoops({
+    context,
+    metrics,
+    random,
+    viewKeeper,
+    claim,
+    onView,
+    peerClients: clients,
+    config: configStream,
+    requests: requestStream,
+    domain: domainStream,
+    signal,
+  });
   logger.info('entry_listening', {address, peer_address: peerServer.address});
   return {
     id: self,
     address,
     peerAddress: peerServer.address,
-    drain,
-    close,
+    drain: () => stop.drain(),
+    close: () => stop.close(),
   };
 }
 
@@ -436,27 +378,3 @@
     .map((peer) => peer.address);
   return view.selfListed === true ? [own, ...others] : others;
 }
-
-function makeTracer(
-  cfg: settings.entrySettings.EntrySettings,
-  self: types.ids.EntryId,
-  logger: telemetry.logger.Logger,
-): telemetry.tracing.Tracer {
-  return telemetry.tracing.createTracer({
-    instance: self,
-    collectorUrl: cfg.tracesUrl,
-    onError: (reason) => logger.warn('trace_export_failed', {reason}),
-  });
-}
-
-function makeMetrics(
-  cfg: settings.entrySettings.EntrySettings,
-  logger: telemetry.logger.Logger,
-): telemetry.metrics.Metrics {
-  if (cfg.statsd === undefined) return telemetry.metrics.createSilentMetrics();
-  return telemetry.metrics.createMetrics({
-    ...cfg.statsd,
-    tags: {entry: cfg.id, failure_domain: cfg.failureDomain},
-    onError: (err) => logger.warn('metrics_failed', {reason: err.message}),
-  });
-}
--- /dev/null
+++ b/packages/gypsumwall-entry/src/entry_loops.ts
@@ -0,0 +1,85 @@
+/** The loops of an entry; each is written straight down in its own module. */
+import type * as membership from '@gypsumwall/membership';
+import type * as telemetry from '@gypsumwall/telemetry';
+import type * as types from '@gypsumwall/types';
+import type * as entryContext from './entry_context.js';
+import type * as entryStream from './entry_stream.js';
+import * as peerCatchUp from './peer_catch_up.js';
+import * as reportGauges from './report_gauges.js';
+import * as snapshotKeeper from './snapshot_keeper.js';
+import * as viewTicker from './view_ticker.js';
+
+/** What the loops work on. */
+export interface EntryLoopsOptions {
+  readonly context: entryContext.EntryContext;
+  readonly metrics: telemetry.metrics.Metrics;
+  readonly random: types.random.Random;
+  readonly viewKeeper: membership.domainViewKeeper.DomainViewKeeper;
+  readonly claim: membership.claimKeeper.ClaimKeeper;
+  readonly onView: (view: membership.domainView.DomainView) => void;
+  readonly peerClients: membership.peerClients.PeerClients;
+  readonly config: entryStream.EntryStream;
+  readonly requests: entryStream.EntryStream;
+  readonly domain: entryStream.EntryStream;
+  /** Ends all loops. */
+  readonly signal: AbortSignal;
+}
+
+const VIEW_BEAT_MS = 200;
+
+/** Starts them all; they run until the signal aborts. */
+export function startEntryLoops(options: EntryLoopsOptions): void {
+  const {context, config, requests, domain, signal} = options;
+  const streams = [config, domain, requests];
+  for (const stream of streams) void stream.follower.run(signal);
+  void options.viewKeeper.run(signal);
+  void options.claim.run(signal);
+  void reportGauges.reportGauges(context, options.metrics, signal);
+  void viewTicker.tickView(tickerOptions(options), signal);
+  void snapshotKeeper.keepSnapshots(
+    {
+      streams,
+      clock: context.clock,
+      random: options.random,
+      logger: context.logger,
+      everyRecords: context.settings.snapshotEveryRecords,
+      everyMs: context.settings.snapshotEveryMs,
+    },
+    signal,
+  );
+  void peerCatchUp.catchUpFromPeers(catchUpOptions(options), signal);
+}
+
+function tickerOptions(
+  options: EntryLoopsOptions,
+): viewTicker.ViewTickerOptions {
+  const {clock, settings} = options.context;
+  return {
+    clock,
+    everyMs: VIEW_BEAT_MS,
+    pauseMs: settings.listLagMs,
+    fetchMs: settings.platformTimeoutMs,
+    view: () => options.viewKeeper.current(),
+    onView: options.onView,
+  };
+}
+
+function catchUpOptions(
+  options: EntryLoopsOptions,
+): peerCatchUp.PeerCatchUpOptions {
+  const {clock, logger, failureDomain, view} = options.context;
+  const all = () => view().peers;
+  const sameDomain = () =>
+    all().filter((peer) => peer.failureDomain === failureDomain);
+  return {
+    streams: [
+      {stream: options.config, peers: all},
+      {stream: options.requests, peers: all},
+      {stream: options.domain, peers: sameDomain},
+    ],
+    clients: options.peerClients,
+    clock,
+    random: options.random,
+    logger,
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-entry/src/entry_telemetry.ts
@@ -0,0 +1,30 @@
+/** The tracer and the metrics of an entry, as its settings ask for them. */
+import type * as settings from '@gypsumwall/settings';
+import * as telemetry from '@gypsumwall/telemetry';
+import type * as types from '@gypsumwall/types';
+
+/** A tracer; without a collector it still hands contexts on. */
+export function makeTracer(
+  cfg: settings.entrySettings.EntrySettings,
+  self: types.ids.EntryId,
+  logger: telemetry.logger.Logger,
+): telemetry.tracing.Tracer {
+  return telemetry.tracing.createTracer({
+    instance: self,
+    collectorUrl: cfg.tracesUrl,
+    onError: (reason) => logger.warn('trace_export_failed', {reason}),
+  });
+}
+
+/** Metrics that go to StatsD, or nowhere. */
+export function makeMetrics(
+  cfg: settings.entrySettings.EntrySettings,
+  logger: telemetry.logger.Logger,
+): telemetry.metrics.Metrics {
+  if (cfg.statsd === undefined) return telemetry.metrics.createSilentMetrics();
+  return telemetry.metrics.createMetrics({
+    ...cfg.statsd,
+    tags: {entry: cfg.id, failure_domain: cfg.failureDomain},
+    onError: (err) => logger.warn('metrics_failed', {reason: err.message}),
+  });
+}
