Discard an answer whose try was given up, and split what had grown

Cause: an answer that comes in the moment in which its try is given up was handed on, while the signal had cut its connection: it would break off.

--- a/packages/gypsumwall-bench/src/routing_run.ts
+++ b/packages/gypsumwall-bench/src/routing_run.ts
@@ -22,6 +22,8 @@
   readonly fault: fakeUpstreams.UpstreamFault;
   /** How many times its usual requests one team sends; 1 if left out. */
   readonly flood?: number;
+  /** Into how many teams each team is split; 1 if left out. */
+  readonly split?: number;
   readonly spanMs: number;
   readonly cell: RoutingCell;
 }
@@ -82,6 +84,7 @@
     perSecond:
       (options.load * totalSlots(cell) * 1_000) / workload.MEAN_SERVICE_MS,
     flood: options.flood ?? 1,
+    split: options.split ?? 1,
     fromMs: startMs,
     untilMs: endMs,
   });
--- a/packages/gypsumwall-bench/src/routing_slopes.ts
+++ b/packages/gypsumwall-bench/src/routing_slopes.ts
@@ -8,10 +8,13 @@
 import type * as benchModule from './bench_module.js';
 import * as routingRun from './routing_run.js';
 import * as virtualClock from './routing_virtual_clock.js';
+import * as workload from './routing_workload.js';
 
 const UPSTREAM_COUNTS = [30, 100, 300, 1_000];
 const HELD_UPSTREAM_COUNTS = [300, 1_000, 3_000, 10_000];
 const VIEWS = 200;
+/** Each of the two teams of the workload is split into so many. */
+const SPLITS = [1, 6, 60, 300];
 const QUEUE_LENGTHS = [1_000, 3_000, 10_000, 30_000];
 const REQUESTS_PER_RUN = 6_000;
 const LAG_MS = 1_000;
@@ -31,7 +34,13 @@
   for (const upstreams of UPSTREAM_COUNTS) {
     rows.push([
       `CPU us/request at 0.7x, ${upstreams} upstreams`,
-      await cpuMicros(seeds, makeRouter, upstreams),
+      await cpuMicros(seeds, makeRouter, 0.7, upstreams, 1),
+    ]);
+  }
+  for (const split of SPLITS) {
+    rows.push([
+      `CPU us/request at 2x, 30 upstreams, ${2 * split} teams`,
+      await cpuMicros(seeds, makeRouter, 2, 30, split),
     ]);
   }
   for (const upstreams of UPSTREAM_COUNTS) {
@@ -58,11 +67,14 @@
 async function cpuMicros(
   seeds: readonly number[],
   makeRouter: routingRun.MakeRouter,
+  load: number,
   upstreams: number,
+  split: number,
 ): Promise<number> {
   const cell = {entries: 1, upstreams, slots: 4};
   // The same number of requests at any size.
-  const spanMs = (REQUESTS_PER_RUN * 46) / (0.7 * upstreams * cell.slots);
+  const workMs = REQUESTS_PER_RUN * workload.MEAN_SERVICE_MS;
+  const spanMs = workMs / (load * upstreams * cell.slots);
   const measured: number[] = [];
   for (const seed of seeds) {
     const figures = await routingRun.runOnce({
@@ -70,7 +82,8 @@
       makeRouter,
       cell,
       spanMs,
-      load: 0.7,
+      load,
+      split,
       fault: 'none',
     });
     measured.push(figures.cpuMicros);
--- a/packages/gypsumwall-bench/src/routing_workload.ts
+++ b/packages/gypsumwall-bench/src/routing_workload.ts
@@ -77,6 +77,8 @@
   readonly perSecond: number;
   /** How many times the usual requests the flooding team sends. */
   readonly flood: number;
+  /** Into how many teams each team is split. */
+  readonly split: number;
   readonly fromMs: number;
   readonly untilMs: number;
 }
@@ -109,10 +111,11 @@
     const serviceMs = logNormal(random, operation.meanMs, SERVICE_SIGMA);
     const estimateMs = operation.meanMs * (biases[index] ?? 1);
     const id = `r${requests.length}`;
+    const part = options.split > 1 ? random.integer(1, options.split) : 0;
     requests.push({
       at,
       serviceMs,
-      req: makeRequest(operation, id, at, estimateMs),
+      req: makeRequest(operation, id, at, estimateMs, part),
     });
   }
 }
@@ -122,10 +125,13 @@
   requestId: string,
   at: number,
   estimateMs: number,
+  part: number,
 ): routing.router.RoutedRequest {
   return {
     requestId,
-    team: types.ids.brand<types.ids.TeamId>(operation.team),
+    team: types.ids.brand<types.ids.TeamId>(
+      part === 0 ? operation.team : `${operation.team}-${part}`,
+    ),
     operation: operation.name,
     urgency: operation.urgency,
     idempotent: operation.idempotent,
--- a/packages/gypsumwall-routing/src/__tests__/retries.test.ts
+++ b/packages/gypsumwall-routing/src/__tests__/retries.test.ts
@@ -1,6 +1,9 @@
 import * as assert from 'node:assert/strict';
+import * as stream from 'node:stream';
 import * as nodeTest from 'node:test';
 import * as timers from 'node:timers/promises';
+import * as result from 'true-myth/result';
+import type * as platform from '@gypsumwall/platform';
 import * as types from '@gypsumwall/types';
 import * as routerHarness from '../__fixtures__/router_harness.js';
 import type * as router from '../router.js';
@@ -80,6 +83,36 @@
   assert.ok((await routed).isOk);
 });
 
+nodeTest.test('an answer to a try that was given up is not used', async () => {
+  // The answer comes in the very moment in which its try is given up, and
+  // its connection is cut: the caller would get the first part of it only.
+  const bodies: stream.PassThrough[] = [];
+  const execute: platform.upstream.Upstream['execute'] = (req) =>
+    new Promise((resolve) => {
+      const body = new stream.PassThrough();
+      bodies.push(body);
+      const answer = {contentType: 'text/plain', body};
+      req.signal?.addEventListener('abort', () => resolve(result.ok(answer)));
+    });
+  const harness = await routerHarness.createRouterHarness(2, 1, {
+    makeUpstream: () => ({
+      execute,
+      setConnections: () => undefined,
+      close: () => Promise.resolve(),
+    }),
+  });
+  const deadline = types.clock.after(harness.clock.monotonic(), 10_000);
+  let ended = false;
+  void harness.send({deadline}).then(() => (ended = true));
+  for (let step = 0; step < 200 && bodies.length < 2; step += 1) {
+    await harness.clock.advance(10);
+    harness.router.setView(harness.view);
+  }
+  assert.equal(bodies.length, 2);
+  assert.equal(bodies[0]?.destroyed, true);
+  assert.equal(ended, false);
+});
+
 nodeTest.test('retries stay within a tenth of first tries', async () => {
   // Every upstream refuses everything. Blind retries would multiply the load
   // by four; the budget allows a tenth and the few of the start.
--- a/packages/gypsumwall-routing/src/attempt.ts
+++ b/packages/gypsumwall-routing/src/attempt.ts
@@ -3,10 +3,11 @@
  * with an error, and the slot is given back when the upstream is done with it.
  */
 import * as stream from 'node:stream';
-import type * as result from 'true-myth/result';
+import * as result from 'true-myth/result';
 import type * as platform from '@gypsumwall/platform';
 import * as types from '@gypsumwall/types';
 import type * as alarms from './alarms.js';
+import * as patienceWatch from './patience_watch.js';
 import type * as retryBudget from './retry_budget.js';
 import type * as router from './router.js';
 import type * as serviceTimes from './service_times.js';
@@ -27,12 +28,14 @@
   readonly onFault: (slots: upstreamTable.UpstreamSlots) => void;
 }
 
+type Sent = result.Result<
+  platform.upstream.UpstreamAnswer,
+  types.stepError.StepError
+>;
+
 /** How a try ended. */
 export interface AttemptEnd {
-  readonly answer: result.Result<
-    platform.upstream.UpstreamAnswer,
-    types.stepError.StepError
-  >;
+  readonly answer: Sent;
   /** The retry that follows has been taken out of the budget already. */
   readonly retryTaken: boolean;
 }
@@ -101,14 +104,20 @@
     const typicalMs = times.typicalMs(req);
     const patienceMs = giveUpAfterMs(req, req.deadline - startedAt);
     const giveUpAt = types.clock.after(startedAt, patienceMs);
-    const watch = watchPatience(options.alarms, req, giveUpAt, () => {
-      blame(slots, 'failing');
-      return req.idempotent && budget.take();
-    });
-    const answer = await slots.client.execute(
+    const watch = patienceWatch.watchPatience(
+      options.alarms,
+      req,
+      giveUpAt,
+      () => {
+        blame(slots, 'failing');
+        return req.idempotent && budget.take();
+      },
+    );
+    const sent = await slots.client.execute(
       upstreamRequest(req, deadline, watch.signal),
     );
     watch.stop();
+    const answer = watch.gaveUp() ? withoutAnswer(sent, slots.id) : sent;
     const end = {answer, retryTaken: watch.gaveUp()};
     if (answer.isErr) {
       const fault = faultOf(answer.error, req, watch);
@@ -151,6 +160,22 @@
   };
 }
 
+/**
+ * An answer may come in the moment in which its try is given up. The signal
+ * has cut its connection already: it would break off halfway.
+ */
+function withoutAnswer(
+  sent: Sent,
+  peer: string,
+): result.Result<never, types.stepError.StepError> {
+  if (sent.isErr) return result.err(sent.error);
+  sent.value.body.on('error', () => undefined);
+  sent.value.body.destroy();
+  const step = 'routing.attempt';
+  const message = 'the answer came when the try had been given up';
+  return result.err({kind: 'timeout', effect: 'unknown', step, peer, message});
+}
+
 /** Whether an answer broke off for want of its upstream. */
 function isBroken(
   err: NodeJS.ErrnoException | null | undefined,
@@ -166,7 +191,7 @@
 function faultOf(
   err: types.stepError.StepError,
   req: router.RoutedRequest,
-  watch: PatienceWatch,
+  watch: patienceWatch.PatienceWatch,
 ): upstreamHealth.UpstreamFault | undefined {
   // Blamed when the patience ended; a caller that left proves nothing.
   if (watch.isOver() || req.signal?.aborted === true) return undefined;
@@ -187,46 +212,3 @@
       return undefined;
   }
 }
-
-/** Watches one try for too long a silence. */
-interface PatienceWatch {
-  /** Ends the try: given up, or its caller left. */
-  readonly signal: AbortSignal | undefined;
-  /** Whether the patience has ended, given up or not. */
-  isOver(): boolean;
-  /** Whether the try was given up for another one. */
-  gaveUp(): boolean;
-  stop(): void;
-}
-
-function watchPatience(
-  alarms: alarms.Alarms,
-  req: router.RoutedRequest,
-  giveUpAt: types.clock.MonotonicMs,
-  mayGiveUp: () => boolean,
-): PatienceWatch {
-  // One that may not be repeated is never given up: it could only be lost.
-  const send = req.idempotent ? new AbortController() : undefined;
-  let over = false;
-  let gaveUp = false;
-  if (send !== undefined) {
-    const leave = () => send.abort(req.signal?.reason);
-    req.signal?.addEventListener('abort', leave, {once: true});
-  }
-  const alarm =
-    giveUpAt === Infinity
-      ? undefined
-      : alarms.set(giveUpAt, () => {
-          over = true;
-          gaveUp = mayGiveUp();
-          if (gaveUp) send?.abort(new DOMException(SILENT, 'TimeoutError'));
-        });
-  return {
-    signal: send?.signal ?? req.signal,
-    isOver: () => over,
-    gaveUp: () => gaveUp,
-    stop: () => alarm?.cancel(),
-  };
-}
-
-const SILENT = 'silent for too long';
