--- a/packages/gypsumwall-membership/src/claim_holder.ts
+++ b/packages/gypsumwall-membership/src/claim_holder.ts
@@ -173,7 +173,7 @@
     };
     const replies = await Promise.all(
       asked.map(async (peer) => {
-        const reply = await options.peers.promise(peer, ask);
+        const reply = await options.peers.promise(peer, ask, patienceMs);
         if (reply.type === 'gone' && isHeld(newest.epoch)) {
           gone.add(peer.entryId);
         }
@@ -243,8 +243,13 @@
 export function namedPeers(
   newest: claimFold.NewestClaim,
 ): readonly claimPeers.NamedPeer[] {
-  return newest.named.map((entryId) => ({
-    entryId,
-    address: newest.addresses[entryId] ?? '',
-  }));
+  return newest.named.map((entryId) => peerOf(newest, entryId));
+}
+
+/** The holder or a named peer of a claim, with its address. */
+export function peerOf(
+  newest: claimFold.NewestClaim,
+  entryId: types.ids.EntryId,
+): claimPeers.NamedPeer {
+  return {entryId, address: newest.addresses[entryId] ?? ''};
 }
