--- a/packages/gypsumwall-bench/src/routing_bench.ts
+++ b/packages/gypsumwall-bench/src/routing_bench.ts
@@ -28,6 +28,7 @@
     : options.seeds;
   const policy = routingCases.POLICY.makeRouter;
   await warmUp(policy);
+  await warmUp(routingCases.BASELINE.makeRouter);
   const measured = await measureAll(
     [...routingCases.LOADS, routingCases.FLOOD, ...routingCases.FAULTS],
     seeds,
