Keep in touch with two entries of each other domain, not with all

Own domain: full mesh, as claims and slot shares need. Other domains: two representatives by each entry's own rendezvous order, one more for each silent one. At 15 domains of 4 entries that is 31 peers instead of 59; with today's 6 to 7 entries in three domains it changes nothing.

A process that the list shows under a translated address knows itself by its id, so that the list still proves it seen; a named peer is called where it was heard before where the claim says. The view no longer corrects and compares the whole cell's list, only the own domain's.

--- a/packages/gypsumwall-membership/src/claim_holder.ts
+++ b/packages/gypsumwall-membership/src/claim_holder.ts
@@ -7,6 +7,7 @@
 import type * as claimFold from './claim_fold.js';
 import type * as claimKeeperOptions from './claim_keeper_options.js';
 import * as claimTiming from './claim_timing.js';
+import type * as domainView from './domain_view.js';
 import type * as claimPeers from './claim_peers.js';
 import type * as wakeUp from './wake_up.js';
 
@@ -158,7 +159,7 @@
   async function renewByPromises(newest: claimFold.NewestClaim) {
     const sentAt = clock.monotonic();
     const asked = [
-      ...namedPeers(newest),
+      ...namedPeers(newest, options.view()),
       ...doubts.flatMap((doubt) => doubt.peers),
     ].filter(
       (peer, index, all) =>
@@ -242,14 +243,21 @@
 /** The peers that a claim names, with their addresses. */
 export function namedPeers(
   newest: claimFold.NewestClaim,
+  view: domainView.DomainView,
 ): readonly claimPeers.NamedPeer[] {
-  return newest.named.map((entryId) => peerOf(newest, entryId));
+  return newest.named.map((entryId) => peerOf(newest, entryId, view));
 }
 
-/** The holder or a named peer of a claim, with its address. */
+/**
+ * The holder or a named peer of a claim. Where it was heard comes before what
+ * the claim says: addresses may be translated on the way.
+ */
 export function peerOf(
   newest: claimFold.NewestClaim,
   entryId: types.ids.EntryId,
+  view: domainView.DomainView,
 ): claimPeers.NamedPeer {
-  return {entryId, address: newest.addresses[entryId] ?? ''};
+  const heard = view.peers.find((peer) => peer.entryId === entryId);
+  const address = heard?.address ?? newest.addresses[entryId] ?? '';
+  return {entryId, address};
 }
--- a/packages/gypsumwall-membership/src/claim_taker.ts
+++ b/packages/gypsumwall-membership/src/claim_taker.ts
@@ -89,9 +89,10 @@
       const own = promises.answerWitness(ask);
       if (own.type === 'released') return {type: 'named_peer', entryId: self};
     }
-    const holder = claimHolder.peerOf(newest, newest.holder);
+    const view = options.view();
+    const holder = claimHolder.peerOf(newest, newest.holder, view);
     const named = claimHolder
-      .namedPeers(newest)
+      .namedPeers(newest, view)
       .filter((peer) => peer.entryId !== self);
     const [holderReply, ...replies] = await Promise.all(
       [holder, ...named].map((peer) =>
--- a/packages/gypsumwall-membership/src/domain_view_keeper.ts
+++ b/packages/gypsumwall-membership/src/domain_view_keeper.ts
@@ -8,6 +8,7 @@
 import * as types from '@gypsumwall/types';
 import type * as domainView from './domain_view.js';
 import * as listCorrections from './list_corrections.js';
+import * as peerChoice from './peer_choice.js';
 import type * as peerClients from './peer_clients.js';
 import * as peerLink from './peer_link.js';
 import type * as peerServer from './peer_server.js';
@@ -46,7 +47,7 @@
 interface TrackedPeer {
   readonly link: peerLink.PeerLink;
   readonly stop: AbortController;
-  /** Off the list since; undefined while on it. */
+  /** Off the list, or not chosen, since; undefined otherwise. */
   unlistedAt?: types.clock.MonotonicMs;
 }
 
@@ -59,18 +60,18 @@
   const tracked = new Map<string, TrackedPeer>();
   const loops = new Set<Promise<void>>();
   let listed: readonly platform.instanceList.ListedInstance[] = [];
+  let corrected: readonly platform.instanceList.ListedInstance[] = [];
   let listFetchedAt: types.clock.MonotonicMs | undefined;
   let selfListedAt: types.clock.MonotonicMs | undefined;
   let running: AbortSignal | undefined;
 
   function current(): domainView.DomainView {
-    const own = corrections
-      .correct(listed)
-      .filter((instance) => instance.failureDomain === failureDomain);
     return {
-      peers: [...tracked.values()].map(({link}) => link.peer()),
-      workers: own.filter((instance) => instance.kind === 'worker'),
-      upstreams: own.filter((instance) => instance.kind === 'upstream'),
+      peers: [...tracked.values()]
+        .map(({link}) => link.peer())
+        .filter(({entryId}) => entryId !== options.self),
+      workers: corrected.filter((instance) => instance.kind === 'worker'),
+      upstreams: corrected.filter((instance) => instance.kind === 'upstream'),
       listFetchedAt,
       selfListedAt,
     };
@@ -115,24 +116,44 @@
     return peer;
   }
 
+  function choose(
+    entries: readonly platform.instanceList.ListedEntry[],
+  ): ReadonlySet<string> {
+    const candidates = entries
+      .filter(({address}) => address !== options.address)
+      .map((entry) => ({
+        address: entry.address,
+        failureDomain: entry.failureDomain,
+        isSilent: tracked.get(entry.address)?.link.isUnanswered() ?? false,
+      }));
+    return peerChoice.choosePeers(options, candidates);
+  }
+
   function noteList(
     instances: readonly platform.instanceList.ListedInstance[],
     askedAt: types.clock.MonotonicMs,
   ) {
-    const changed = JSON.stringify(instances) !== JSON.stringify(listed);
-    listed = instances;
+    // Instances of other domains are most of a large cell's list.
+    const own = instances.filter(
+      (instance) => instance.failureDomain === failureDomain,
+    );
+    const changed = JSON.stringify(own) !== JSON.stringify(listed);
+    listed = own;
+    corrected = corrections.correct(own);
     listFetchedAt = clock.monotonic();
-    const addresses = new Set<string>();
-    for (const entry of instances) {
-      if (entry.kind !== 'entry') continue;
-      addresses.add(entry.address);
+    const entries = instances.filter((instance) => instance.kind === 'entry');
+    const chosen = choose(entries);
+    for (const entry of entries) {
       if (entry.address === options.address) selfListedAt = askedAt;
+      if (!chosen.has(entry.address)) continue;
       const peer = track(entry.address, entry.failureDomain);
       if (peer === undefined) continue;
+      // Behind an address translation the list's address isn't the own one.
+      if (peer.link.peer().entryId === options.self) selfListedAt = askedAt;
       delete peer.unlistedAt;
       peer.link.noteListed(entry.state);
     }
-    dropUnlisted(addresses);
+    dropUnchosen(chosen);
     if (changed) announce();
   }
 
@@ -140,10 +161,10 @@
    * A peer that is off the list but answers is kept as long as the list may
    * lag: a new entry makes itself heard before the list shows it.
    */
-  function dropUnlisted(addresses: ReadonlySet<string>) {
+  function dropUnchosen(chosen: ReadonlySet<string>) {
     const now = clock.monotonic();
     for (const [address, peer] of tracked) {
-      if (addresses.has(address)) continue;
+      if (chosen.has(address)) continue;
       peer.unlistedAt ??= now;
       const dropAt = types.clock.after(peer.unlistedAt, listLagMs);
       if (peer.link.peer().state !== 'silent' && now < dropAt) continue;
@@ -177,6 +198,7 @@
         // The last view stays: a list that is down says nothing of anybody.
         const error = types.stepError.describeError(answer.error);
         logger.warn('list_unavailable', {error});
+        corrected = corrections.correct(listed);
       }
       const nextAt = types.clock.after(askedAt, options.listPollMs);
       await clock.sleepUntil(nextAt, signal);
@@ -185,8 +207,12 @@
 
   return {
     current,
-    noteGone: (id) => corrections.noteGone(id),
+    noteGone: (id) => {
+      corrections.noteGone(id);
+      corrected = corrections.correct(listed);
+    },
     noteHeartbeat: (req) => {
+      if (req.failureDomain !== failureDomain) return;
       if (isListed(req.entryId)) return;
       track(req.address, types.ids.brand(req.failureDomain));
     },
--- a/packages/gypsumwall-membership/src/peer_link.ts
+++ b/packages/gypsumwall-membership/src/peer_link.ts
@@ -28,8 +28,8 @@
   peer(): domainView.PeerEntry;
   /** The list's word, to be repeated with each list; leaving beats live. */
   noteListed(state: 'live' | 'leaving'): void;
-  /** When the peer was last heard; undefined before the first time. */
-  heardAt(): types.clock.MonotonicMs | undefined;
+  /** Silent though it was called; false before the first answer is due. */
+  isUnanswered(): boolean;
 }
 
 const HEARTBEATS_IN_SILENCE = 3;
@@ -45,6 +45,7 @@
   let leaving = false;
   let listedLeavingUntil: types.clock.MonotonicMs | undefined;
   let heardAt: types.clock.MonotonicMs | undefined;
+  let wasCalled = false;
   let told = '';
 
   function state(): domainView.PeerEntry['state'] {
@@ -80,6 +81,7 @@
   async function beat() {
     const req = options.ownHeartbeat();
     const answer = await client.heartbeat(req, timeoutMs);
+    wasCalled = true;
     if (answer.isOk) {
       noteAnswer(answer.value);
     } else if (answer.error.effect === 'unknown') {
@@ -92,7 +94,7 @@
   }
 
   return {
-    heardAt: () => heardAt,
+    isUnanswered: () => wasCalled && state() === 'silent',
     peer: () => ({
       entryId,
       failureDomain,
