--- a/packages/gypsumwall-testing/src/entry_process.ts
+++ b/packages/gypsumwall-testing/src/entry_process.ts
@@ -21,6 +21,8 @@
   readonly entry: site.SiteEntry;
   readonly child: child.Child;
   readonly client: entryClient.EntryClient;
+  /** Where callers reach it. */
+  readonly address: string;
   readonly peerAddress: string;
   /** Processor time so far, in milliseconds. */
   cpuMs(): number;
@@ -50,9 +52,9 @@
     address: line.address,
     recorded,
   });
-  const {peerAddress} = line;
+  const {address, peerAddress} = line;
   const cpuMs = () => readCpuMs(started.pid);
-  return {entry, child: started, client, peerAddress, cpuMs};
+  return {entry, child: started, client, address, peerAddress, cpuMs};
 }
 
 /** Clock ticks of `/proc/<pid>/stat` are hundredths of a second on Linux. */
--- a/packages/gypsumwall/src/__tests__/commands.test.ts
+++ b/packages/gypsumwall/src/__tests__/commands.test.ts
@@ -176,8 +176,11 @@
 });
 
 nodeTest.test(
-  'an entry that is gone and a missing token are told',
+  'a missing entry, a missing token and an entry that is gone are told',
   async () => {
+    const noEntry = await runBinary.runBinary(['status']);
+    assert.equal(noEntry.code, EXIT.usage);
+    assert.match(noEntry.stderr, /--entry URL, or set GYPSUMWALL_ENTRY/);
     const gone = {GYPSUMWALL_ENTRY: 'http://127.0.0.1:1'};
     const noToken = await runBinary.runBinary(['status'], {env: gone});
     assert.equal(noToken.code, EXIT.forbidden);
--- a/packages/gypsumwall/src/call_flags.ts
+++ b/packages/gypsumwall/src/call_flags.ts
@@ -7,7 +7,6 @@
 /** How an entry is reached, and as whom. */
 export const CALL_FLAGS = {
   entry: oclif.Flags.string({
-    required: true,
     env: 'GYPSUMWALL_ENTRY',
     helpValue: 'URL',
     description: 'address of an entry, such as http://10.0.0.5:7000',
@@ -41,7 +40,7 @@
 
 /** The call flags as oclif parsed them. */
 export interface CallFlags {
-  readonly entry: string;
+  readonly entry?: string;
   readonly 'token-file'?: string;
   readonly 'timeout-ms'?: number;
 }
--- a/packages/gypsumwall/src/entry_client.ts
+++ b/packages/gypsumwall/src/entry_client.ts
@@ -36,6 +36,8 @@
 
 /** Calls one entry. */
 export interface EntryClient {
+  /** Address of the entry. */
+  readonly origin: string;
   call(call: EntryCall): Promise<result.Result<EntryAnswer, LostCall>>;
 }
 
@@ -60,6 +62,7 @@
   const token = readToken(flags['token-file']);
   const timeoutMs = flags['timeout-ms'];
   return {
+    origin,
     call: async (call) => {
       const waitMs = timeoutMs ?? DEFAULT_WAIT_MS;
       const signal = AbortSignal.timeout(waitMs + ANSWER_MARGIN_MS);
@@ -76,7 +79,7 @@
         });
         return result.ok(answerOf(res));
       } catch (thrown) {
-        return result.err(lostCall(flags.entry, call, thrown));
+        return result.err(lostCall(origin, call, thrown));
       }
     },
   };
@@ -128,7 +131,13 @@
   return {effect: 'unknown', message: `the answer broke off: ${cause}`};
 }
 
-function readOrigin(entry: string): string {
+function readOrigin(entry: string | undefined): string {
+  if (entry === undefined) {
+    return fail.fail(
+      'usage',
+      'no entry to call. Name one with --entry URL, or set GYPSUMWALL_ENTRY.',
+    );
+  }
   const url = URL.canParse(entry) ? new URL(entry) : undefined;
   if (url?.protocol === 'http:' || url?.protocol === 'https:') {
     return url.origin;
--- a/packages/gypsumwall/src/show_status.ts
+++ b/packages/gypsumwall/src/show_status.ts
@@ -22,7 +22,7 @@
 ): Promise<void> {
   const client = entryClient.createEntryClient(flags);
   await callEntry.callForJson(client, {method: 'POST', path: '/v1/drain'});
-  print(`${flags.entry}: draining`);
+  print(`${client.origin}: draining`);
 }
 
 /** One line for each value: `claim.epoch: 7`. */
