--- a/packages/gypsumwall-membership/src/domain_view_keeper.ts
+++ b/packages/gypsumwall-membership/src/domain_view_keeper.ts
@@ -61,6 +61,7 @@
   let listed: readonly platform.instanceList.ListedInstance[] = [];
   let listFetchedAt: types.clock.MonotonicMs | undefined;
   let selfListedAt: types.clock.MonotonicMs | undefined;
+  let selfListed = false;
   let running: AbortSignal | undefined;
 
   function current(): domainView.DomainView {
@@ -73,6 +74,7 @@
       upstreams: own.filter((instance) => instance.kind === 'upstream'),
       listFetchedAt,
       selfListedAt,
+      selfListed,
     };
   }
 
@@ -122,6 +124,9 @@
     const changed = JSON.stringify(instances) !== JSON.stringify(listed);
     listed = instances;
     listFetchedAt = clock.monotonic();
+    selfListed = instances.some(
+      (one) => one.kind === 'entry' && one.address === options.address,
+    );
     const addresses = new Set<string>();
     for (const entry of instances) {
       if (entry.kind !== 'entry') continue;
@@ -155,6 +160,18 @@
     }
   }
 
+  /**
+   * A peer may listen on another address than the list gives for it, as
+   * behind an address translation. Tracked under both it would count twice,
+   * and stay in reach by the one while the other is cut.
+   */
+  function isListed(entryId: string): boolean {
+    return [...tracked.values()].some(
+      ({link, unlistedAt}) =>
+        unlistedAt === undefined && link.peer().entryId === entryId,
+    );
+  }
+
   async function pollList(signal: AbortSignal) {
     while (!signal.aborted) {
       const askedAt = clock.monotonic();
@@ -175,6 +192,7 @@
     current,
     noteGone: (id) => corrections.noteGone(id),
     noteHeartbeat: (req) => {
+      if (isListed(req.entryId)) return;
       track(req.address, types.ids.brand(req.failureDomain));
     },
     run: async (signal) => {
