--- a/packages/gypsumwall-entry/src/job_request.ts
+++ b/packages/gypsumwall-entry/src/job_request.ts
@@ -1,6 +1,7 @@
 /** Checks the body of a job submission. */
 import * as result from 'true-myth/result';
 import * as zod from 'zod';
+import * as settings from '@gypsumwall/settings';
 import type * as types from '@gypsumwall/types';
 
 /** Most tasks of one job. */
@@ -46,14 +47,30 @@
   }),
 });
 
+/** Every key of a job, for the remedy of a misspelt one. */
+const KNOWN_KEYS = [
+  ...Object.keys(jobRequestSchema.shape),
+  ...Object.keys(jobRequestSchema.shape.size.shape),
+  ...Object.keys(jobRequestSchema.shape.work.shape),
+];
+
 /** The job that a body asks for, or what is wrong with it. */
 export function checkJobRequest(
   body: unknown,
   team: types.ids.TeamId,
 ): result.Result<types.job.JobSpec, string> {
+  if (body === undefined) {
+    return result.err('the body is no JSON. Send a job as docs/API.md has it');
+  }
   const parsed = jobRequestSchema.safeParse(body);
   if (!parsed.success) {
-    return result.err(parsed.error.issues.map(explain).join('; '));
+    const problems = settings.explainIssue.explainIssues(
+      parsed.error.issues,
+      {value: body},
+      KNOWN_KEYS,
+    );
+    const told = problems.map(settings.settingsProblem.describeProblem);
+    return result.err(told.join(' | '));
   }
   const {deadline, ...rest} = parsed.data;
   return result.ok({
@@ -64,8 +81,3 @@
       : {deadline: Date.parse(deadline) as types.clock.WallMs}),
   });
 }
-
-function explain(issue: zod.core.$ZodIssue): string {
-  const field = issue.path.map(String).join('.') || '(body)';
-  return `field "${field}": ${issue.message}`;
-}
--- a/packages/gypsumwall-settings/src/explain_issue.ts
+++ b/packages/gypsumwall-settings/src/explain_issue.ts
@@ -105,9 +105,19 @@
   if (issue.code === 'invalid_type') {
     return `Write ${typePhrase(issue.expected)}${units.unitPhrase(key)}.`;
   }
+  if (issue.code === 'invalid_union') return unionRemedy(issue);
   return `Write ${formatPhrase(issue)}.`;
 }
 
+function unionRemedy(issue: zod.core.$ZodIssueInvalidUnion): string {
+  const {options = []} = issue as {options?: readonly unknown[]};
+  if (options.length > 0) return `Use one of ${options.join(', ')}.`;
+  const types = issue.errors
+    .flat()
+    .map((inner) => (inner.code === 'invalid_type' ? inner.expected : 'other'));
+  return `Write a value of type ${[...new Set(types)].join(' or ')}.`;
+}
+
 function typePhrase(expected: string): string {
   if (expected === 'int') return 'a whole number';
   if (expected === 'record' || expected === 'object') return 'an object';
@@ -117,6 +127,9 @@
 
 function formatPhrase(issue: zod.core.$ZodIssue): string {
   if (issue.code !== 'invalid_format') return 'a value that fits';
+  if (issue.format === 'datetime') {
+    return 'a moment with its zone, such as 2027-03-01T05:00:00+03:00';
+  }
   if (issue.format === 'url') return 'a URL such as http://10.0.0.1:7000';
   return `a text that matches ${issue.pattern ?? issue.format}`;
 }
--- a/packages/gypsumwall-settings/src/index.ts
+++ b/packages/gypsumwall-settings/src/index.ts
@@ -3,6 +3,7 @@
 export * as checkEntrySettings from './check_entry_settings.js';
 export * as checkSubtree from './check_subtree.js';
 export * as entrySettings from './entry_settings.js';
+export * as explainIssue from './explain_issue.js';
 export * as readJsonc from './read_jsonc.js';
 export * as settingsDiff from './settings_diff.js';
 export * as settingsProblem from './settings_problem.js';
--- a/packages/gypsumwall/src/__tests__/docs.test.ts
+++ b/packages/gypsumwall/src/__tests__/docs.test.ts
@@ -3,6 +3,7 @@
 import * as path from 'node:path';
 import * as nodeTest from 'node:test';
 import * as url from 'node:url';
+import * as settings from '@gypsumwall/settings';
 
 const REPOSITORY = url.fileURLToPath(new URL('../../../..', import.meta.url));
 
@@ -66,3 +67,11 @@
     assert.match(sources, new RegExp(`'${event}'|\\b${event}:`), event);
   }
 });
+
+nodeTest.test('the example cells pass settings check', () => {
+  for (const name of fs.readdirSync(path.join(REPOSITORY, 'examples'))) {
+    const file = path.join('examples', name, 'cell.jsonc');
+    const checked = settings.checkCellTree.checkCellTree(read(file), file);
+    assert.deepEqual(checked.isErr ? checked.error : [], []);
+  }
+});
--- a/packages/gypsumwall/src/published_settings.ts
+++ b/packages/gypsumwall/src/published_settings.ts
@@ -73,13 +73,7 @@
   const changes: settings.settingsDiff.SettingsChange[] = [];
   for (const {path, value} of readSettings.readSubtrees(file, flags.path)) {
     const inForce = await readSubtree(client, path);
-    changes.push(
-      ...settings.settingsDiff.diffSettings(
-        inForce.value,
-        value,
-        path.split('/'),
-      ),
-    );
+    changes.push(...changesOf(path, inForce.value, value));
   }
   if (flags.json) print(JSON.stringify({changes}, null, 2));
   else changes.forEach((change) => print(describeChange(change)));
@@ -102,9 +96,8 @@
   for (const subtree of readSettings.readSubtrees(file, flags.path)) {
     const inForce = await readSubtree(client, subtree.path);
     const base = flags.base ?? inForce.revision;
-    if (flags.base === undefined && isSame(inForce.value, subtree.value)) {
-      continue;
-    }
+    const changes = changesOf(subtree.path, inForce.value, subtree.value);
+    if (flags.base === undefined && changes.length === 0) continue;
     const revision = await publishSubtree(client, subtree, base);
     published.push({path: subtree.path, revision});
     if (!flags.json) print(`${subtree.path}  revision ${revision}`);
@@ -127,8 +120,23 @@
   return body.revision;
 }
 
-function isSame(before: unknown, after: unknown): boolean {
-  return settings.settingsDiff.diffSettings(before, after).length === 0;
+/** What changes in effect: a default that is written out changes nothing. */
+function changesOf(
+  path: string,
+  before: unknown,
+  after: unknown,
+): settings.settingsDiff.SettingsChange[] {
+  return settings.settingsDiff.diffSettings(
+    withDefaults(path, before),
+    withDefaults(path, after),
+    path.split('/'),
+  );
+}
+
+/** A value that this version can't check is compared as it stands. */
+function withDefaults(path: string, value: unknown): unknown {
+  const checked = settings.checkSubtree.checkSubtree(path, value);
+  return checked.isOk ? checked.value.policy : value;
 }
 
 async function readSubtree(
