--- /dev/null
+++ b/packages/gypsumwall/src/commands/entry_command.ts
@@ -0,0 +1,28 @@
+/** `gypsumwall entry`: runs one entry process until it is told to stop. */
+import * as oclif from '@oclif/core';
+
+/** Runs an entry process. */
+export class EntryCommand extends oclif.Command {
+  static override summary = 'Run one entry process.';
+  static override description =
+    'Prints one JSON line once it listens, with its id and addresses. SIGTERM ' +
+    'and SIGINT are a planned stop: nothing new is taken, what is in flight ' +
+    'is finished, and the process ends with 0.';
+  static override examples = [
+    '<%= config.bin %> <%= command.id %> --settings entry.jsonc',
+  ];
+  static override flags = {
+    settings: oclif.Flags.string({
+      required: true,
+      helpValue: 'FILE',
+      description: 'settings of this process, JSON with comments',
+    }),
+  };
+
+  override async run(): Promise<void> {
+    const {flags} = await this.parse(EntryCommand);
+    // Loaded here, so that the light commands don't pay for it.
+    const {runEntry} = await import('../run_entry.js');
+    await runEntry(flags.settings, (line) => this.log(line));
+  }
+}
