--- a/packages/gypsumwall-bench/src/bench_modules.ts
+++ b/packages/gypsumwall-bench/src/bench_modules.ts
@@ -1,5 +1,6 @@
 /** Every bench, in the order they run. */
 import type * as benchModule from './bench_module.js';
+import * as controlBench from './control_bench.js';
 import * as decisionBench from './decision_bench.js';
 import * as memoryBench from './memory_bench.js';
 import * as policyBench from './policy_bench.js';
@@ -10,4 +11,5 @@
   decisionBench.DECISION_BENCH,
   memoryBench.MEMORY_BENCH,
   routingBench.ROUTING_BENCH,
+  controlBench.CONTROL_BENCH,
 ];
