--- a/packages/gypsumwall/src/__tests__/commands.test.ts
+++ b/packages/gypsumwall/src/__tests__/commands.test.ts
@@ -118,7 +118,7 @@
   const answer = (call: fakeEntry.SeenCall): fakeEntry.FakeAnswer => {
     if (call.method === 'PUT') return {body: {revision: 9}};
     return call.path === '/v1/settings/cell'
-      ? {body: {path: 'cell', revision: 3, value: cell}}
+      ? {body: {path: 'cell', revision: 3, value: {...cell, operators: {}}}}
       : fakeEntry.problem(404, 'not_found');
   };
   const ran = await run(['settings', 'publish', file], answer);
@@ -176,8 +176,11 @@
 });
 
 nodeTest.test(
-  'an entry that is gone and a missing token are told',
+  'a missing entry, a missing token and an entry that is gone are told',
   async () => {
+    const noEntry = await runBinary.runBinary(['status']);
+    assert.equal(noEntry.code, EXIT.usage);
+    assert.match(noEntry.stderr, /--entry URL, or set GYPSUMWALL_ENTRY/);
     const gone = {GYPSUMWALL_ENTRY: 'http://127.0.0.1:1'};
     const noToken = await runBinary.runBinary(['status'], {env: gone});
     assert.equal(noToken.code, EXIT.forbidden);
