--- a/packages/gypsumwall-testing/src/judge/__tests__/judge.test.ts
+++ b/packages/gypsumwall-testing/src/judge/__tests__/judge.test.ts
@@ -187,6 +187,25 @@
       taskStarted('w2', 'd.j/0', 1),
     ],
   },
+  {
+    name: 'a task that was done is started again',
+    promise: 'done_once',
+    sound: [
+      workerUp('w1'),
+      taskStarted('w1', 'd.j/0', 1),
+      taskEnded('w1', 'd.j/0', 'lease_lapsed'),
+      taskStarted('w1', 'd.j/0', 1),
+      taskEnded('w1', 'd.j/0'),
+      workerUp('w1'),
+      taskStarted('w1', 'd.j/0', 1),
+    ],
+    faulty: [
+      workerUp('w1'),
+      taskStarted('w1', 'd.j/0', 1),
+      taskEnded('w1', 'd.j/0'),
+      taskStarted('w1', 'd.j/0', 1),
+    ],
+  },
   {
     name: "a caller gets another's answer",
     promise: 'whole_answer',
--- a/packages/gypsumwall-testing/src/judge/finding.ts
+++ b/packages/gypsumwall-testing/src/judge/finding.ts
@@ -5,6 +5,7 @@
 export type PromiseName =
   | 'capacity'
   | 'one_place'
+  | 'done_once'
   | 'whole_answer'
   | 'not_run_is_true'
   | 'at_most_once'
--- a/packages/gypsumwall-testing/src/judge/judge.ts
+++ b/packages/gypsumwall-testing/src/judge/judge.ts
@@ -32,6 +32,7 @@
   return [
     ...workerRules.checkCapacity(events),
     ...workerRules.checkOnePlace(events),
+    ...workerRules.checkDoneOnce(events),
     ...requestRules.checkWholeAnswer(events),
     ...requestRules.checkRequestNotRun(events),
     ...requestRules.checkJobNotRun(events),
--- a/packages/gypsumwall-testing/src/judge/worker_rules.ts
+++ b/packages/gypsumwall-testing/src/judge/worker_rules.ts
@@ -1,7 +1,7 @@
 /** What workers recorded: capacity held and tasks in one place. */
 import * as types from '@gypsumwall/types';
 import type * as historyEvent from '../history_event.js';
-import type * as finding from './finding.js';
+import * as finding from './finding.js';
 
 type Started = finding.EventOf<'task_started'>;
 
@@ -65,6 +65,45 @@
   return findings;
 }
 
+/**
+ * A task that a worker ended as done is not started again: a letter checked
+ * twice makes two advisers call one lender. The worker repeats the end until
+ * it is acknowledged, so only its restart may lose it. Replicas of a service
+ * start again by their nature.
+ */
+export function checkDoneOnce(
+  events: readonly historyEvent.HistoryEvent[],
+): finding.Finding[] {
+  const findings: finding.Finding[] = [];
+  const services = new Set(
+    finding
+      .eventsOf(events, 'job_seen')
+      .filter(({view}) => view.kind === 'service')
+      .map(({view}) => view.jobId as string),
+  );
+  const done = new Map<string, finding.EventOf<'task_ended'>>();
+  for (const event of events) {
+    if (event.type === 'worker_up') {
+      for (const [taskId, end] of done) {
+        if (end.workerId === event.workerId) done.delete(taskId);
+      }
+    }
+    if (event.type === 'task_ended' && event.cause === 'done') {
+      done.set(event.taskId, event);
+    }
+    if (event.type !== 'task_started') continue;
+    const end = done.get(event.taskId);
+    const {jobId} = types.ids.splitTaskId(types.ids.brand(event.taskId));
+    if (end === undefined || services.has(jobId)) continue;
+    findings.push({
+      promise: 'done_once',
+      message: `task ${event.taskId} was done and was started again`,
+      evidence: [end, event],
+    });
+  }
+  return findings;
+}
+
 interface Attempt {
   readonly taskId: string;
   readonly attempt: string;
