Give connect whole milliseconds; follow one request in a trace

Cause: a heartbeat's timeout became a third of peerSilenceMs, 666.67 ms by default; connect refuses a fraction before it sends, so every peer looked silent, nothing was handed on and no claim could be promised. Unit tests used spans that divide evenly.

--- a/packages/gypsumwall-membership/src/__tests__/domain_view_keeper.test.ts
+++ b/packages/gypsumwall-membership/src/__tests__/domain_view_keeper.test.ts
@@ -89,3 +89,19 @@
   await Promise.all([watcher.stop(), peer.stop()]);
   await proxy.close();
 });
+
+nodeTest.test('a span that divides into fractions is no fault', async () => {
+  // Every peer looked silent and no call was handed on. A heartbeat's timeout
+  // was a third of 2,000 ms; connect refuses a fraction of a millisecond
+  // before it sends anything.
+  const list = peerFixture.createFakeList();
+  const peer = await peerFixture.startPeer('peer', list);
+  const answer = await peer.clients
+    .at(peer.address)
+    .heartbeat(
+      {entryId: 'caller', failureDomain: 'bkk-a', address: ''},
+      2_000 / 3,
+    );
+  assert.ok(answer.isOk, answer.isErr ? answer.error.message : '');
+  await peer.stop();
+});
--- a/packages/gypsumwall-membership/src/peer_client.ts
+++ b/packages/gypsumwall-membership/src/peer_client.ts
@@ -93,19 +93,24 @@
   return {
     heartbeat: (req, timeoutMs = options.timeoutMs) =>
       call('peer.heartbeat', () =>
-        connection.service.heartbeat(req, {timeoutMs}),
+        connection.service.heartbeat(req, {timeoutMs: wholeMs(timeoutMs)}),
       ),
     promiseClaim: (req, timeoutMs = options.timeoutMs) =>
       call('peer.promise_claim', () =>
-        connection.service.promiseClaim(req, {timeoutMs}),
+        connection.service.promiseClaim(req, {timeoutMs: wholeMs(timeoutMs)}),
       ),
     witnessTakeover: (req, timeoutMs = options.timeoutMs) =>
       call('peer.witness_takeover', () =>
-        connection.service.witnessTakeover(req, {timeoutMs}),
+        connection.service.witnessTakeover(req, {
+          timeoutMs: wholeMs(timeoutMs),
+        }),
       ),
     forward: (req, forwardTimeoutMs, signal) =>
       call('peer.forward', () =>
-        connection.service.forward(req, {timeoutMs: forwardTimeoutMs, signal}),
+        connection.service.forward(req, {
+          timeoutMs: wholeMs(forwardTimeoutMs),
+          signal,
+        }),
       ),
     readState: (req) =>
       call('peer.read_state', () =>
@@ -135,6 +140,14 @@
   };
 }
 
+/**
+ * Connect refuses a timeout with a fraction before it sends anything: a span
+ * that was divided would make every call fail, and every peer look silent.
+ */
+function wholeMs(spanMs: number): number {
+  return Math.max(1, Math.floor(spanMs));
+}
+
 /** Whether nothing listens at the address, though its machine is up. */
 export function isRefusedConnection(err: types.stepError.StepError): boolean {
   return err.kind === 'unreachable' && err.message.includes(CONNECTION_REFUSED);
--- a/packages/gypsumwall-testing/src/bin/demo.ts
+++ b/packages/gypsumwall-testing/src/bin/demo.ts
@@ -1,5 +1,5 @@
 /**
- * `npm run demo [-- --site addis] [--seconds N] [--seed N]`: starts an example
+ * `npm run demo [-- --site addis] [--seconds N] [--seed N] [--trace]`: starts an example
  * cell, sends mixed work, prints a table, and ends with 1 if the judge finds a
  * broken promise.
  */
@@ -15,6 +15,8 @@
 import * as judge from '../judge/judge.js';
 import * as launchCell from '../launch_cell.js';
 import * as scenarioReport from '../scenario/scenario_report.js';
+import type * as site from '../site.js';
+import * as traceCollector from '../trace_collector.js';
 import * as workload from '../workload.js';
 
 const PROGRESS_MS = 1_000;
@@ -25,6 +27,7 @@
     site: {type: 'string', default: 'skyroute'},
     seconds: {type: 'string', default: '8'},
     seed: {type: 'string', default: '1'},
+    trace: {type: 'boolean', default: false},
   },
 });
 
@@ -78,6 +81,19 @@
   return settled;
 }
 
+/** The site with entries that export their traces, where one is asked for. */
+function traced(plain: site.Site, tracesUrl: string | undefined): site.Site {
+  if (tracesUrl === undefined) return plain;
+  const entrySettings = {...plain.entrySettings, tracesUrl};
+  return {...plain, entrySettings};
+}
+
+function sayTrace(collector: traceCollector.TraceCollector): void {
+  const trace = traceCollector.longestTrace(collector.spans());
+  say('\nThe trace with the most hops:');
+  say(trace === undefined ? 'none came' : traceCollector.formatTrace(trace));
+}
+
 async function runDemo(): Promise<number> {
   const example = exampleCell.readExampleCell(values.site);
   const work = jsoncFile.requireJsoncFile(
@@ -85,8 +101,12 @@
     workload.workloadSchema,
   );
   say(`Starting the cell ${values.site} (seed ${values.seed}) ...`);
+  const collector = values.trace
+    ? await traceCollector.createTraceCollector()
+    : undefined;
   const cell = await launchCell.launchCell({
     ...example,
+    site: traced(example.site, collector?.url),
     entryCommand: exampleCell.ENTRY_COMMAND,
     relayed: false,
     seed: Number(values.seed),
@@ -117,6 +137,7 @@
     say(
       `control cost  ${(cpuMs / units).toFixed(2)} ms of entry processor time for each of ${units} requests, jobs and tasks; ${demoTable.formatShare(cpuMs / spanMs / entries.length)} of a core for each entry`,
     );
+    if (collector !== undefined) sayTrace(collector);
     const findings = judge.judge(events);
     for (const found of findings) say(scenarioReport.formatFinding(found));
     if (!settled) say('\nSome accepted jobs had not ended in time.');
@@ -128,6 +149,7 @@
     return findings.length === 0 && settled ? 0 : 1;
   } finally {
     await cell.close();
+    await collector?.close();
   }
 }
 
