Send whole milliseconds as a call's timeout, so that peers hear each other

Cause: the heartbeat's timeout became silenceMs / 3, that is 666.67 ms by the default settings. Connect puts it into a header and its server refuses a part of a millisecond as malformed. The membership tests use spans that divide by three. Rounded down now where calls are sent.

--- a/packages/gypsumwall-membership/src/peer_client.ts
+++ b/packages/gypsumwall-membership/src/peer_client.ts
@@ -93,23 +93,23 @@
   return {
     heartbeat: (req, timeoutMs = options.timeoutMs) =>
       call('peer.heartbeat', () =>
-        connection.service.heartbeat(req, {timeoutMs}),
+        connection.service.heartbeat(req, within(timeoutMs)),
       ),
     promiseClaim: (req, timeoutMs = options.timeoutMs) =>
       call('peer.promise_claim', () =>
-        connection.service.promiseClaim(req, {timeoutMs}),
+        connection.service.promiseClaim(req, within(timeoutMs)),
       ),
     witnessTakeover: (req, timeoutMs = options.timeoutMs) =>
       call('peer.witness_takeover', () =>
-        connection.service.witnessTakeover(req, {timeoutMs}),
+        connection.service.witnessTakeover(req, within(timeoutMs)),
       ),
     forward: (req, forwardTimeoutMs, signal) =>
       call('peer.forward', () =>
-        connection.service.forward(req, {timeoutMs: forwardTimeoutMs, signal}),
+        connection.service.forward(req, {...within(forwardTimeoutMs), signal}),
       ),
     readState: (req) =>
       call('peer.read_state', () =>
-        connection.service.readState(req, {timeoutMs: options.timeoutMs}),
+        connection.service.readState(req, within(options.timeoutMs)),
       ),
     // Something between the ends can lose track of a connection: it stays
     // open and every call on it times out, while new ones would work. The old
@@ -135,6 +135,15 @@
   };
 }
 
+/**
+ * Connect sends the timeout as a header that must be a whole number. A part
+ * of a millisecond would have the peer refuse every call as malformed, and
+ * each peer would look silent to the others.
+ */
+function within(timeoutMs: number): {timeoutMs: number} {
+  return {timeoutMs: Math.max(1, Math.floor(timeoutMs))};
+}
+
 /** Whether nothing listens at the address, though its machine is up. */
 export function isRefusedConnection(err: types.stepError.StepError): boolean {
   return err.kind === 'unreachable' && err.message.includes(CONNECTION_REFUSED);
