--- a/packages/gypsumwall-testing/src/bin/demo.ts
+++ b/packages/gypsumwall-testing/src/bin/demo.ts
@@ -1,9 +1,10 @@
 /**
- * `npm run demo [-- --site addis] [--seconds N] [--seed N]`: starts an example
- * cell, sends mixed work, prints a table, and ends with 1 if the judge finds a
- * broken promise.
+ * `npm run demo [-- --site addis] [--seconds N] [--seed N] [--trace]`: starts
+ * an example cell, sends mixed work, prints a table, with `--trace` also the
+ * spans of one call, and ends with 1 if the judge finds a broken promise.
  */
 import * as path from 'node:path';
+import * as timers from 'node:timers/promises';
 import * as util from 'node:util';
 import * as types from '@gypsumwall/types';
 import * as demoFigures from '../demo/demo_figures.js';
@@ -12,19 +13,25 @@
 import * as exampleCell from '../example_cell.js';
 import * as jobWatch from '../job_watch.js';
 import * as jsoncFile from '../jsonc_file.js';
+import * as formatTrace from '../format_trace.js';
 import * as judge from '../judge/judge.js';
 import * as launchCell from '../launch_cell.js';
 import * as scenarioReport from '../scenario/scenario_report.js';
+import type * as site from '../site.js';
+import * as traceCollector from '../trace_collector.js';
 import * as workload from '../workload.js';
 
 const PROGRESS_MS = 1_000;
 const SETTLE_MS = 30_000;
+const TRACE_WAIT_MS = 3_000;
+const POLL_MS = 50;
 
 const {values} = util.parseArgs({
   options: {
     site: {type: 'string', default: 'skyroute'},
     seconds: {type: 'string', default: '8'},
     seed: {type: 'string', default: '1'},
+    trace: {type: 'boolean', default: false},
   },
 });
 
@@ -78,6 +85,29 @@
   return settled;
 }
 
+/** The site with entries that export their traces to the collector. */
+function withTraces(
+  where: site.Site,
+  collector: traceCollector.TraceCollector | undefined,
+): site.Site {
+  if (collector === undefined) return where;
+  const entrySettings = {...where.entrySettings, tracesUrl: collector.url};
+  return {...where, entrySettings};
+}
+
+/** Prints one trace; entries export theirs with a little delay. */
+async function sayTrace(
+  collector: traceCollector.TraceCollector,
+): Promise<void> {
+  const deadline = performance.now() + TRACE_WAIT_MS;
+  while (collector.traces().size === 0 && performance.now() < deadline) {
+    await timers.setTimeout(POLL_MS);
+  }
+  const spans = formatTrace.longestTrace(collector.traces());
+  if (spans === undefined) return say('\nNo trace was exported.');
+  say(`\nTrace ${spans[0]?.traceId}:\n${formatTrace.formatTrace(spans)}`);
+}
+
 async function runDemo(): Promise<number> {
   const example = exampleCell.readExampleCell(values.site);
   const work = jsoncFile.requireJsoncFile(
@@ -85,8 +115,12 @@
     workload.workloadSchema,
   );
   say(`Starting the cell ${values.site} (seed ${values.seed}) ...`);
+  const collector = values.trace
+    ? await traceCollector.startTraceCollector()
+    : undefined;
   const cell = await launchCell.launchCell({
     ...example,
+    site: withTraces(example.site, collector),
     entryCommand: exampleCell.ENTRY_COMMAND,
     relayed: false,
     seed: Number(values.seed),
@@ -117,6 +151,7 @@
     say(
       `control cost  ${(cpuMs / units).toFixed(2)} ms of entry processor time for each of ${units} requests, jobs and tasks; ${demoTable.formatShare(cpuMs / spanMs / entries.length)} of a core for each entry`,
     );
+    if (collector !== undefined) await sayTrace(collector);
     const findings = judge.judge(events);
     for (const found of findings) say(scenarioReport.formatFinding(found));
     if (!settled) say('\nSome accepted jobs had not ended in time.');
@@ -128,6 +163,7 @@
     return findings.length === 0 && settled ? 0 : 1;
   } finally {
     await cell.close();
+    await collector?.close();
   }
 }
 
--- /dev/null
+++ b/packages/gypsumwall-testing/src/format_trace.ts
@@ -0,0 +1,60 @@
+/** A trace as text: one line a span, each below its parent. */
+import type * as traceCollector from './trace_collector.js';
+
+type Span = traceCollector.CollectedSpan;
+
+const INSTANCE = 'service.instance.id';
+
+/** The spans as a tree; a span whose parent is unknown stands at the left. */
+export function formatTrace(spans: readonly Span[]): string {
+  const known = new Set(spans.map((span) => span.spanId));
+  const firstMs = Math.min(...spans.map((span) => span.startMs));
+  const roots = spans.filter((span) => !known.has(span.parentSpanId ?? ''));
+  return inOrder(roots)
+    .flatMap((root) => linesOf(root, spans, 0, firstMs))
+    .join('\n');
+}
+
+/** The trace that passes the most kinds of hops; undefined for none. */
+export function longestTrace(
+  traces: ReadonlyMap<string, readonly Span[]>,
+): readonly Span[] | undefined {
+  const kinds = (spans: readonly Span[]) =>
+    new Set(spans.map((span) => span.name)).size;
+  return [...traces.values()].sort(
+    (left, right) => kinds(right) - kinds(left) || left.length - right.length,
+  )[0];
+}
+
+function linesOf(
+  span: Span,
+  spans: readonly Span[],
+  depth: number,
+  firstMs: number,
+): string[] {
+  const below = inOrder(
+    spans.filter((other) => other.parentSpanId === span.spanId),
+  );
+  return [
+    formatSpan(span, depth, firstMs),
+    ...below.flatMap((child) => linesOf(child, spans, depth + 1, firstMs)),
+  ];
+}
+
+function formatSpan(span: Span, depth: number, firstMs: number): string {
+  const {[INSTANCE]: instance, ...others} = span.attributes;
+  const pairs = Object.entries(others).map(([key, value]) => `${key}=${value}`);
+  const at = (span.startMs - firstMs).toFixed(1);
+  const failed = span.error === undefined ? [] : [`failed: ${span.error}`];
+  return [
+    `${'  '.repeat(depth)}${span.name}`,
+    `at ${at} ms for ${span.durationMs.toFixed(1)} ms`,
+    `by ${instance ?? '?'}`,
+    ...pairs,
+    ...failed,
+  ].join('  ');
+}
+
+function inOrder(spans: readonly Span[]): Span[] {
+  return [...spans].sort((left, right) => left.startMs - right.startMs);
+}
