Leave no timer behind when a router closes

Cause: sleeps for probes, latest starts and slots after an unknown end kept a process alive for seconds after close(). They now end with it; who waits is refused.

--- a/packages/gypsumwall-routing/src/__fixtures__/manual_clock.ts
+++ b/packages/gypsumwall-routing/src/__fixtures__/manual_clock.ts
@@ -6,6 +6,8 @@
 export interface ManualClock extends types.clock.Clock {
   /** Moves on by `spanMs`, waking each sleeper at its own moment. */
   advance(spanMs: number): Promise<void>;
+  /** How many sleeps are under way. */
+  sleepers(): number;
 }
 
 interface Sleeper {
@@ -43,6 +45,7 @@
     monotonic: () => now as types.clock.MonotonicMs,
     wall: () => now as types.clock.WallMs,
     sleepUntil,
+    sleepers: () => sleepers.size,
     advance: async (spanMs) => {
       const until = now + spanMs;
       await timers.setImmediate();
--- a/packages/gypsumwall-routing/src/__tests__/queueing.test.ts
+++ b/packages/gypsumwall-routing/src/__tests__/queueing.test.ts
@@ -137,3 +137,13 @@
   harness.router.setView({...harness.view, entries: []});
   assert.equal(refusalOf(await waiting).reason, 'no_upstream');
 });
+
+nodeTest.test('closing ends every wait and leaves no timer', async () => {
+  const harness = await createBusyHarness(10);
+  const waiting = harness.send({deadline: AMPLE});
+  await timers.setImmediate();
+  await harness.router.close();
+  assert.equal(refusalOf(await waiting).reason, 'deadline_unreachable');
+  await timers.setImmediate();
+  assert.equal(harness.clock.sleepers(), 0);
+});
--- a/packages/gypsumwall-routing/src/alarms.ts
+++ b/packages/gypsumwall-routing/src/alarms.ts
@@ -19,12 +19,19 @@
 /** Moments within this many milliseconds of each other share a timer. */
 export const GRAIN_MS = 10;
 
-/** Makes one without alarms. */
-export function createAlarms(clock: types.clock.Clock): Alarms {
+/**
+ * Makes one without alarms. When `closing` aborts, all ring at once: no timer
+ * keeps the process from ending.
+ */
+export function createAlarms(
+  clock: types.clock.Clock,
+  closing: AbortSignal,
+): Alarms {
   const ringsAt = new Map<number, Set<() => void>>();
 
   const ringTogether = async (grain: number, rings: Set<() => void>) => {
-    await clock.sleepUntil((grain * GRAIN_MS) as types.clock.MonotonicMs);
+    const at = (grain * GRAIN_MS) as types.clock.MonotonicMs;
+    await clock.sleepUntil(at, closing);
     ringsAt.delete(grain);
     for (const ring of rings) ring();
   };
--- a/packages/gypsumwall-routing/src/attempt.ts
+++ b/packages/gypsumwall-routing/src/attempt.ts
@@ -74,15 +74,15 @@
    * a new one in its place would be one too many there. It is taken to be at
    * work for as long again as it has been.
    */
-  const releaseAfterLinger = async (
+  const releaseAfterLinger = (
     slots: upstreamTable.UpstreamSlots,
     startedAt: types.clock.MonotonicMs,
     latest: types.clock.MonotonicMs,
   ) => {
     const now = clock.monotonic();
     const twice = types.clock.after(now, now - startedAt);
-    await clock.sleepUntil(twice < latest ? twice : latest);
-    options.release(slots);
+    const endsAt = twice < latest ? twice : latest;
+    options.alarms.set(endsAt, () => options.release(slots));
   };
 
   const giveUpAfterMs = (req: router.RoutedRequest, slackMs: number) => {
@@ -123,7 +123,7 @@
       const fault = faultOf(answer.error, req, watch);
       if (fault !== undefined) blame(slots, fault);
       if (answer.error.effect === 'not_run') options.release(slots);
-      else void releaseAfterLinger(slots, startedAt, bound);
+      else releaseAfterLinger(slots, startedAt, bound);
       return end;
     }
     // The slot is in use until the last byte of the answer has come.
--- a/packages/gypsumwall-routing/src/create_router.ts
+++ b/packages/gypsumwall-routing/src/create_router.ts
@@ -3,6 +3,7 @@
  * entry's share of every upstream's slots, one layer of retries within a
  * budget, and refusals that are early and final.
  */
+import * as events from 'node:events';
 import * as result from 'true-myth/result';
 import type * as platform from '@gypsumwall/platform';
 import * as types from '@gypsumwall/types';
@@ -40,7 +41,10 @@
     requestBoundMs,
     choose,
   );
-  const ringing = alarms.createAlarms(clock);
+  const closing = new AbortController();
+  // Every timer of the router listens to it; that is no leak.
+  events.EventEmitter.setMaxListeners(0, closing.signal);
+  const ringing = alarms.createAlarms(clock, closing.signal);
   const queue = requestQueue.createRequestQueue();
   const times = serviceTimes.createServiceTimes();
   const teams = new Map<types.ids.TeamId, routerOptions.TeamDefaults>();
@@ -80,7 +84,7 @@
     probesAwaited.set(one, at);
     const inMs = Math.round(at - clock.monotonic());
     logger.info('routing.suspect', {upstream: one.id, probeInMs: inMs});
-    await clock.sleepUntil(at);
+    await clock.sleepUntil(at, closing.signal);
     slots.pump();
   };
   const send = attempt.createAttempt({
@@ -181,7 +185,10 @@
       if (active === 0) return;
       await new Promise<void>((resolve) => idleWaiters.push(resolve));
     },
-    close: () => table.close(),
+    close: async () => {
+      closing.abort('closed');
+      await table.close();
+    },
   };
 }
 
