--- a/packages/gypsumwall-bench/src/bench_modules.ts
+++ b/packages/gypsumwall-bench/src/bench_modules.ts
@@ -8,8 +8,8 @@
 
 export const BENCH_MODULES: readonly benchModule.BenchModule[] = [
   policyBench.POLICY_BENCH,
-  routingBench.ROUTING_BENCH,
-  controlBench.CONTROL_BENCH,
   decisionBench.DECISION_BENCH,
   memoryBench.MEMORY_BENCH,
+  routingBench.ROUTING_BENCH,
+  controlBench.CONTROL_BENCH,
 ];
