--- a/packages/gypsumwall-membership/src/__tests__/peer_choice.test.ts
+++ b/packages/gypsumwall-membership/src/__tests__/peer_choice.test.ts
@@ -47,3 +47,10 @@
   assert.equal(after.size, before.size + 1);
   assert.ok([...before].every((address) => after.has(address)));
 });
+
+nodeTest.test('more peers of other domains cost no more heartbeats', () => {
+  for (const peers of [1, 8, 9, 28, 118]) {
+    const rate = peers / peerChoice.slowdown(peers);
+    assert.ok(rate <= peerChoice.FULL_RATE_PEERS, `${peers} peers`);
+  }
+});
--- a/packages/gypsumwall-membership/src/domain_view_keeper.ts
+++ b/packages/gypsumwall-membership/src/domain_view_keeper.ts
@@ -64,6 +64,8 @@
   let listFetchedAt: types.clock.MonotonicMs | undefined;
   let selfListedAt: types.clock.MonotonicMs | undefined;
   let running: AbortSignal | undefined;
+  /** Peers of other domains that are kept in touch with. */
+  let othersTracked = 0;
 
   function current(): domainView.DomainView {
     return {
@@ -98,6 +100,8 @@
       heartbeatMs: options.heartbeatMs,
       silenceMs: options.silenceMs,
       listLagMs,
+      slowdown: () =>
+        domain === failureDomain ? 1 : peerChoice.slowdown(othersTracked),
       ownHeartbeat: () => ({
         entryId: options.self,
         failureDomain,
@@ -154,6 +158,9 @@
       peer.link.noteListed(entry.state);
     }
     dropUnchosen(chosen);
+    othersTracked = [...tracked.values()].filter(
+      ({link}) => link.peer().failureDomain !== failureDomain,
+    ).length;
     if (changed) announce();
   }
 
--- a/packages/gypsumwall-membership/src/peer_choice.ts
+++ b/packages/gypsumwall-membership/src/peer_choice.ts
@@ -10,6 +10,17 @@
 /** Entries of another domain that are kept in touch with, if so many live. */
 export const REPRESENTATIVES = 2;
 
+/**
+ * Peers of other domains that are called at the full rate; with more of them,
+ * each is called more seldom, so that their cost stays the same.
+ */
+export const FULL_RATE_PEERS = 8;
+
+/** How many times as long a heartbeat to another domain takes its turn. */
+export function slowdown(peersOfOtherDomains: number): number {
+  return Math.max(1, Math.ceil(peersOfOtherDomains / FULL_RATE_PEERS));
+}
+
 /** An entry that could be kept in touch with. */
 export interface Candidate {
   readonly address: string;
--- a/packages/gypsumwall-membership/src/peer_link.ts
+++ b/packages/gypsumwall-membership/src/peer_link.ts
@@ -16,6 +16,8 @@
   readonly heartbeatMs: number;
   readonly silenceMs: number;
   readonly listLagMs: number;
+  /** Factor on both spans now; 1 or more. */
+  slowdown(): number;
   /** What this process says of itself. */
   ownHeartbeat(): Parameters<peerClient.PeerClient['heartbeat']>[0];
   onChange(): void;
@@ -51,7 +53,8 @@
   function state(): domainView.PeerEntry['state'] {
     if (leaving || isListedLeaving()) return 'leaving';
     if (heardAt === undefined) return 'silent';
-    const silentAt = types.clock.after(heardAt, options.silenceMs);
+    const silenceMs = options.silenceMs * options.slowdown();
+    const silentAt = types.clock.after(heardAt, silenceMs);
     return clock.monotonic() < silentAt ? 'live' : 'silent';
   }
 
@@ -113,7 +116,8 @@
       while (!signal.aborted) {
         const sentAt = clock.monotonic();
         await beat();
-        const nextAt = types.clock.after(sentAt, options.heartbeatMs);
+        const spanMs = options.heartbeatMs * options.slowdown();
+        const nextAt = types.clock.after(sentAt, spanMs);
         await clock.sleepUntil(nextAt, signal);
       }
     },
