--- a/packages/gypsumwall-membership/src/domain_view_keeper.ts
+++ b/packages/gypsumwall-membership/src/domain_view_keeper.ts
@@ -63,6 +63,7 @@
   let corrected: readonly platform.instanceList.ListedInstance[] = [];
   let listFetchedAt: types.clock.MonotonicMs | undefined;
   let selfListedAt: types.clock.MonotonicMs | undefined;
+  let selfListed = false;
   let running: AbortSignal | undefined;
   /** Peers of other domains that are kept in touch with. */
   let othersTracked = 0;
@@ -76,6 +77,7 @@
       upstreams: corrected.filter((instance) => instance.kind === 'upstream'),
       listFetchedAt,
       selfListedAt,
+      selfListed,
     };
   }
 
@@ -145,6 +147,9 @@
     listed = own;
     corrected = corrections.correct(own);
     listFetchedAt = clock.monotonic();
+    selfListed = instances.some(
+      (one) => one.kind === 'entry' && one.address === options.address,
+    );
     const entries = instances.filter((instance) => instance.kind === 'entry');
     const chosen = choose(entries);
     for (const entry of entries) {
