Give a finished task back only once its end is applied here

Cause: the scheduler released a done task when the log had answered the append; the entry's own follower reads the record back a little later. In between the job's state lacks the result, so the task counted as wanted, was queued and started again, and stopped when the record came ('stop_call'). Found by the trace test (two worker.start for one task). The scheduler's append now waits until the record is applied.

--- a/packages/gypsumwall-entry/src/create_entry.ts
+++ b/packages/gypsumwall-entry/src/create_entry.ts
@@ -189,7 +189,7 @@
       makeWorker: (listed) => outside.makeWorker(listed),
       tracer,
       metrics,
-      append: async (record) => (await appendDomain(record)).isOk,
+      append: appendAndApply,
     },
   });
 
@@ -309,6 +309,21 @@
     return domainStream.appender.append(body, deadline);
   }
 
+  /**
+   * Appends, and waits until the record is applied here. The log's answer can
+   * come before the record is read back: a task's end would then be released
+   * while the job's state still lacks its result, and the task would be
+   * started a second time.
+   */
+  async function appendAndApply(
+    record: records.domainRecords.DomainRecord,
+  ): Promise<boolean> {
+    const appended = await appendDomain(record);
+    if (appended.isErr) return false;
+    const deadline = types.clock.after(clock.monotonic(), APPEND_MS);
+    return domainStream.follower.waitFor(appended.value.offset, deadline);
+  }
+
   function isCurrent(stream: entryStream.EntryStream): boolean {
     const last = stream.follower.lastAnswerAt();
     if (!stream.follower.caughtUp() || last === undefined) return false;
--- a/packages/gypsumwall-entry/src/scheduler_options.ts
+++ b/packages/gypsumwall-entry/src/scheduler_options.ts
@@ -37,7 +37,7 @@
   readonly claimDeadline: () => types.clock.MonotonicMs | undefined;
   /** Ids of attempts are unique to the entry and the epoch. */
   readonly nextAttempt: () => types.ids.AttemptId;
-  /** Appends to the domain's stream; true once the record stands there. */
+  /** Appends to the domain's stream; true once the record is applied here. */
   readonly append: (
     record: records.domainRecords.DomainRecord,
   ) => Promise<boolean>;
