--- a/packages/gypsumwall-membership/src/domain_view_keeper.ts
+++ b/packages/gypsumwall-membership/src/domain_view_keeper.ts
@@ -65,6 +65,8 @@
   let selfListedAt: types.clock.MonotonicMs | undefined;
   let selfListed = false;
   let running: AbortSignal | undefined;
+  /** Peers of other domains that are kept in touch with. */
+  let othersTracked = 0;
 
   function current(): domainView.DomainView {
     return {
@@ -100,6 +102,8 @@
       heartbeatMs: options.heartbeatMs,
       silenceMs: options.silenceMs,
       listLagMs,
+      slowdown: () =>
+        domain === failureDomain ? 1 : peerChoice.slowdown(othersTracked),
       ownHeartbeat: () => ({
         entryId: options.self,
         failureDomain,
@@ -159,6 +163,9 @@
       peer.link.noteListed(entry.state);
     }
     dropUnchosen(chosen);
+    othersTracked = [...tracked.values()].filter(
+      ({link}) => link.peer().failureDomain !== failureDomain,
+    ).length;
     if (changed) announce();
   }
 
