Refuse a publish that takes over another subtree's token hash

Cause: files were checked for shared hashes, publishes were not. An operator may read every subtree and write the own team's; by copying another team's hash there, that team's callers could count as the own team. Now the log's order decides: the first subtree keeps the hash, a later publish with it is invalid, in every entry alike. Two operators of one cell may not share one either.

--- a/packages/gypsumwall-records/src/__tests__/config_fold.test.ts
+++ b/packages/gypsumwall-records/src/__tests__/config_fold.test.ts
@@ -45,3 +45,18 @@
   assert.equal(fold.team('web')?.weight, 2);
   assert.equal(fold.verdict(2)?.type, 'invalid');
 });
+
+// An operator of team `desk` copies the token hash of team `web` into the own
+// subtree. Were it accepted, callers of `web` could count as `desk`, which
+// would read and cancel their jobs. The publish is refused; `web` keeps it,
+// and may itself be published again.
+nodeTest.test('a token hash of another subtree is refused', () => {
+  const fold = configFold.createConfigFold();
+  fold.apply(1, publish(configFold.NO_REVISION, 2), NOW);
+  const stolen = {...publish(configFold.NO_REVISION, 9), path: 'teams/desk'};
+  fold.apply(2, stolen, NOW);
+  assert.equal(fold.verdict(2)?.type, 'invalid');
+  assert.equal(fold.team('desk'), undefined);
+  fold.apply(3, publish(1, 4), NOW);
+  assert.deepEqual(fold.verdict(3), {type: 'in_force'});
+});
--- a/packages/gypsumwall-records/src/config_fold.ts
+++ b/packages/gypsumwall-records/src/config_fold.ts
@@ -64,6 +64,17 @@
     onChange(path);
   }
 
+  function inForce(): settings.checkSubtree.CheckedSubtree[] {
+    const found = [...teams].map(([team, policy]) => ({
+      type: 'team' as const,
+      path: `teams/${team}`,
+      team,
+      policy,
+    }));
+    if (cell === undefined) return found;
+    return [{type: 'cell', path: 'cell', policy: cell}, ...found];
+  }
+
   function judge(
     offset: number,
     record: configRecords.PublishRecord,
@@ -75,6 +86,13 @@
       record.value,
     );
     if (checked.isErr) return {type: 'invalid', problems: checked.error};
+    const owner = settings.tokenHashes.otherOwner(checked.value, inForce());
+    if (owner !== undefined) {
+      return {
+        type: 'invalid',
+        problems: [sharedToken(record.path, owner.path)],
+      };
+    }
     install(record.path, {revision: offset, value: record.value});
     return {type: 'in_force'};
   }
@@ -104,3 +122,21 @@
     verdict: (offset) => verdicts.get(offset),
   };
 }
+
+/**
+ * An operator may write only the own team's subtree, but could copy another
+ * team's hash into it. That team's callers would then count as this one's:
+ * their work read, cancelled and billed by the wrong team. The first subtree
+ * in the log's order keeps the hash.
+ */
+function sharedToken(
+  path: string,
+  owner: string,
+): settings.settingsProblem.SettingsProblem {
+  return {
+    path,
+    value: '(hidden)',
+    message: `one of its token hashes stands in ${owner} already`,
+    remedy: 'Give each team and each operator a token of its own.',
+  };
+}
--- a/packages/gypsumwall-settings/src/__tests__/check_settings.test.ts
+++ b/packages/gypsumwall-settings/src/__tests__/check_settings.test.ts
@@ -151,6 +151,14 @@
   assert.match(shared[0]!.message, /same token hash/);
 });
 
+nodeTest.test('two operators of a cell may not share a token', () => {
+  const abeba = CELL.operators.abeba;
+  const operators = {abeba, selam: abeba};
+  const checked = checkSubtree.checkSubtree('cell', {...CELL, operators});
+  assert.ok(checked.isErr);
+  assert.equal(checked.error[0]!.path, 'cell/operators/selam/tokenHash');
+});
+
 nodeTest.test('a difference names each leaf that changed', () => {
   const after = {...TEAM, weight: 2, quota: {...TEAM.quota, memoryMb: 1}};
   assert.deepEqual(settingsDiff.diffSettings(TEAM, after), [
--- a/packages/gypsumwall-settings/src/index.ts
+++ b/packages/gypsumwall-settings/src/index.ts
@@ -8,3 +8,4 @@
 export * as settingsDiff from './settings_diff.js';
 export * as settingsProblem from './settings_problem.js';
 export * as subtreePath from './subtree_path.js';
+export * as tokenHashes from './token_hashes.js';
--- a/packages/gypsumwall-settings/src/policy_faults.ts
+++ b/packages/gypsumwall-settings/src/policy_faults.ts
@@ -21,15 +21,19 @@
     teamFaults(policy).map((fault) => below(['teams', team], fault)),
   );
   return [
-    ...cellFaults(tree.cell).map((fault) => below(['cell'], fault)),
+    ...shapeFaults(tree.cell).map((fault) => below(['cell'], fault)),
     ...teams,
     ...missingSubtrees(tree),
-    ...sharedTokens(tree),
+    ...sharedTokens(treeTokens(tree)),
   ];
 }
 
 /** Contradictions in the `cell` subtree. */
 export function cellFaults(cell: cellTree.CellPolicy): Fault[] {
+  return [...shapeFaults(cell), ...sharedTokens(operatorTokens(cell))];
+}
+
+function shapeFaults(cell: cellTree.CellPolicy): Fault[] {
   const domains = cell.failureDomains.flatMap((domain, index) =>
     cell.failureDomains.indexOf(domain) === index
       ? []
@@ -101,23 +105,41 @@
   );
 }
 
+interface TokenPlace {
+  readonly hash: string;
+  readonly path: readonly string[];
+}
+
+function operatorTokens(cell: cellTree.CellPolicy): TokenPlace[] {
+  return Object.entries(cell.operators).map(([name, operator]) => ({
+    hash: operator.tokenHash,
+    path: ['operators', name, 'tokenHash'],
+  }));
+}
+
+function teamTokens(team: cellTree.TeamPolicy): TokenPlace[] {
+  return team.tokenHashes.map((hash, index) => ({
+    hash,
+    path: ['tokenHashes', String(index)],
+  }));
+}
+
+function treeTokens(tree: cellTree.CellTree): TokenPlace[] {
+  const within = (prefix: readonly string[], places: TokenPlace[]) =>
+    places.map(({hash, path}) => ({hash, path: [...prefix, ...path]}));
+  return [
+    ...within(['cell'], operatorTokens(tree.cell)),
+    ...Object.entries(tree.teams).flatMap(([team, policy]) =>
+      within(['teams', team], teamTokens(policy)),
+    ),
+  ];
+}
+
 /**
  * A token hash that stands at two places proves nothing: work of one team
  * would be read and billed as another's.
  */
-function sharedTokens(tree: cellTree.CellTree): Fault[] {
-  const places = [
-    ...Object.entries(tree.cell.operators).map(([name, operator]) => ({
-      hash: operator.tokenHash,
-      path: ['cell', 'operators', name, 'tokenHash'],
-    })),
-    ...Object.entries(tree.teams).flatMap(([team, policy]) =>
-      policy.tokenHashes.map((hash, index) => ({
-        hash,
-        path: ['teams', team, 'tokenHashes', String(index)],
-      })),
-    ),
-  ];
+function sharedTokens(places: readonly TokenPlace[]): Fault[] {
   return places.flatMap(({hash, path}, index) => {
     const first = places.findIndex((place) => place.hash === hash);
     const other = places[first]?.path.join('/') ?? '';
