Tell peers which instances the list shows as leaving

Each heartbeat's answer now carries the leaving instances of the domain as the answering entry's own list shows them; hearsay is not passed on.

--- a/packages/gypsumwall-entry/src/create_entry.ts
+++ b/packages/gypsumwall-entry/src/create_entry.ts
@@ -124,6 +124,7 @@
         answerWitness: (ask) => claim.answerWitness(ask),
       },
       ownState,
+      leavingInstances: () => viewKeeper.listedLeaving(),
       onHeartbeat: (req) => viewKeeper.noteHeartbeat(req),
       forward: (req) => peerForwarding.serveForwarded(app, forwardMark, req),
       readState: (req) =>
--- a/packages/gypsumwall-membership/src/__fixtures__/peer_fixture.ts
+++ b/packages/gypsumwall-membership/src/__fixtures__/peer_fixture.ts
@@ -68,6 +68,7 @@
     port,
     handlers: {
       claim: claimPromises.createClaimPromises(clock),
+      leavingInstances: () => view.listedLeaving(),
       ownState,
       onHeartbeat: (req) => view.noteHeartbeat(req),
       forward: (req) => Promise.resolve({status: 200, body: req.body}),
--- a/packages/gypsumwall-membership/src/__tests__/domain_view_keeper.test.ts
+++ b/packages/gypsumwall-membership/src/__tests__/domain_view_keeper.test.ts
@@ -1,5 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
+import * as types from '@gypsumwall/types';
 import * as peerFixture from '../__fixtures__/peer_fixture.js';
 import * as silentProxy from '../__fixtures__/silent_proxy.js';
 
@@ -89,3 +90,36 @@
   await Promise.all([watcher.stop(), peer.stop()]);
   await proxy.close();
 });
+
+nodeTest.test(
+  'a peer tells what leaves to one cut off from the list',
+  async () => {
+    // An upstream that leaves gets nothing new, also from an entry that can't
+    // read the list any more. The entry's list fails, then a peer's list shows
+    // the upstream as leaving; the next heartbeat's answer brings it.
+    const cutList = peerFixture.createFakeList();
+    const list = peerFixture.createFakeList();
+    const cut = await peerFixture.startPeer('cut', cutList);
+    const peer = await peerFixture.startPeer('peer', list);
+    const upstream = {
+      kind: 'upstream' as const,
+      id: types.ids.brand<types.ids.UpstreamId>('u1'),
+      failureDomain: types.ids.brand<types.ids.FailureDomain>('bkk-a'),
+      address: 'http://127.0.0.1:9',
+      slots: 8,
+      connections: 64,
+      state: 'live' as 'live' | 'leaving',
+    };
+    list.instances = [peerFixture.listedEntry(cut.address), upstream];
+    cutList.instances = [peerFixture.listedEntry(peer.address), upstream];
+    const stateAtCut = () => cut.view.current().upstreams[0]?.state;
+    await peerFixture.until('both seen', () => stateAtCut() === 'live');
+    cutList.isDown = true;
+    list.instances = [
+      peerFixture.listedEntry(cut.address),
+      {...upstream, state: 'leaving'},
+    ];
+    await peerFixture.until('told', () => stateAtCut() === 'leaving');
+    await Promise.all([cut.stop(), peer.stop()]);
+  },
+);
--- a/packages/gypsumwall-membership/src/bin/heartbeat_bench.ts
+++ b/packages/gypsumwall-membership/src/bin/heartbeat_bench.ts
@@ -93,6 +93,7 @@
     handlers: {
       claim: claimPromises.createClaimPromises(clock),
       ownState: () => ({configOffset: 26_000, leaving: false, heldEpoch: 9}),
+      leavingInstances: () => [],
       onHeartbeat: () => undefined,
       forward: () => Promise.resolve({status: 501}),
       readState: () => Promise.resolve({entryId}),
--- a/packages/gypsumwall-membership/src/domain_view_keeper.ts
+++ b/packages/gypsumwall-membership/src/domain_view_keeper.ts
@@ -40,6 +40,8 @@
   current(): domainView.DomainView;
   /** A heartbeat came in; the sender may not be on the list yet. */
   noteHeartbeat(req: protocol.peer.HeartbeatRequest): void;
+  /** Instances of the own domain that the list itself shows as leaving. */
+  listedLeaving(): readonly string[];
   /** Direct evidence that a worker or upstream is gone. */
   noteGone(id: string): void;
 }
@@ -85,6 +87,16 @@
     options.onChange?.(current());
   }
 
+  /**
+   * An entry that is cut off from the platform would go on sending work to an
+   * upstream that leaves; a peer that still reads the list tells it.
+   */
+  function noteLeaving(ids: readonly string[]) {
+    if (ids.length === 0) return;
+    ids.forEach((id) => corrections.noteLeaving(id));
+    corrected = corrections.correct(listed);
+  }
+
   function track(
     address: string,
     domain: types.ids.FailureDomain,
@@ -112,6 +124,7 @@
         leaving: options.ownState().leaving,
       }),
       onChange: announce,
+      onLeavingInstances: noteLeaving,
     });
     const peer: TrackedPeer = {link, stop: new AbortController()};
     tracked.set(address, peer);
@@ -219,6 +232,10 @@
 
   return {
     current,
+    // Not what peers told: two cut-off entries would tell it to each other
+    // for ever.
+    listedLeaving: () =>
+      listed.filter(({state}) => state === 'leaving').map(({id}) => id),
     noteGone: (id) => {
       corrections.noteGone(id);
       corrected = corrections.correct(listed);
--- a/packages/gypsumwall-membership/src/list_corrections.ts
+++ b/packages/gypsumwall-membership/src/list_corrections.ts
@@ -10,6 +10,8 @@
 export interface ListCorrections {
   /** Direct evidence that an instance is gone, such as a refusal. */
   noteGone(id: string): void;
+  /** A peer's list shows the instance as leaving. */
+  noteLeaving(id: string): void;
   /** The list as it should be read. */
   correct(
     instances: readonly platform.instanceList.ListedInstance[],
@@ -39,6 +41,9 @@
     noteGone: (id) => {
       goneUntil.set(id, types.clock.after(clock.monotonic(), listLagMs));
     },
+    noteLeaving: (id) => {
+      leavingUntil.set(id, types.clock.after(clock.monotonic(), listLagMs));
+    },
     correct: (instances) => {
       const staleAt = types.clock.after(clock.monotonic(), listLagMs);
       for (const {id, state} of instances) {
--- a/packages/gypsumwall-membership/src/peer_link.ts
+++ b/packages/gypsumwall-membership/src/peer_link.ts
@@ -21,6 +21,8 @@
   /** What this process says of itself. */
   ownHeartbeat(): Parameters<peerClient.PeerClient['heartbeat']>[0];
   onChange(): void;
+  /** Instances that the peer's list shows as leaving. */
+  onLeavingInstances(ids: readonly string[]): void;
 }
 
 /** A peer, as it was last heard. */
@@ -79,6 +81,7 @@
     configOffset = Number(res.configOffset);
     leaving ||= res.leaving;
     heardAt = clock.monotonic();
+    options.onLeavingInstances(res.leavingInstances);
   }
 
   async function beat() {
--- a/packages/gypsumwall-membership/src/peer_server.ts
+++ b/packages/gypsumwall-membership/src/peer_server.ts
@@ -24,6 +24,8 @@
     'answerPromise' | 'answerWitness'
   >;
   ownState(): OwnState;
+  /** Instances of the own domain that the list shows as leaving. */
+  leavingInstances(): readonly string[];
   /** A peer has made itself heard. */
   onHeartbeat(req: protocol.peer.HeartbeatRequest): void;
   forward(
@@ -111,6 +113,7 @@
             failureDomain,
             configOffset: BigInt(own.configOffset),
             leaving: own.leaving,
+            leavingInstances: [...handlers.leavingInstances()],
             heldEpoch:
               own.heldEpoch === undefined ? undefined : BigInt(own.heldEpoch),
           };
