--- a/packages/gypsumwall-membership/src/peer_link.ts
+++ b/packages/gypsumwall-membership/src/peer_link.ts
@@ -16,9 +16,13 @@
   readonly heartbeatMs: number;
   readonly silenceMs: number;
   readonly listLagMs: number;
+  /** Factor on both spans now; 1 or more. */
+  slowdown(): number;
   /** What this process says of itself. */
   ownHeartbeat(): Parameters<peerClient.PeerClient['heartbeat']>[0];
   onChange(): void;
+  /** Instances that the peer's list shows as leaving. */
+  onLeavingInstances(ids: readonly string[]): void;
 }
 
 /** A peer, as it was last heard. */
@@ -51,7 +55,8 @@
   function state(): domainView.PeerEntry['state'] {
     if (leaving || isListedLeaving()) return 'leaving';
     if (heardAt === undefined) return 'silent';
-    const silentAt = types.clock.after(heardAt, options.silenceMs);
+    const silenceMs = options.silenceMs * options.slowdown();
+    const silentAt = types.clock.after(heardAt, silenceMs);
     return clock.monotonic() < silentAt ? 'live' : 'silent';
   }
 
@@ -76,6 +81,7 @@
     configOffset = Number(res.configOffset);
     leaving ||= res.leaving;
     heardAt = clock.monotonic();
+    options.onLeavingInstances(res.leavingInstances);
   }
 
   async function beat() {
@@ -113,7 +119,8 @@
       while (!signal.aborted) {
         const sentAt = clock.monotonic();
         await beat();
-        const nextAt = types.clock.after(sentAt, options.heartbeatMs);
+        const spanMs = options.heartbeatMs * options.slowdown();
+        const nextAt = types.clock.after(sentAt, spanMs);
         await clock.sleepUntil(nextAt, signal);
       }
     },
