--- a/packages/gypsumwall-bench/src/control_records.ts
+++ b/packages/gypsumwall-bench/src/control_records.ts
@@ -10,6 +10,8 @@
 const JOBS = [1_000, 4_000, 16_000, 64_000];
 const TASKS_A_JOB = 4;
 const RATES = [100, 1_000, 3_000, 7_500];
+/** Without a least gap, and with the one of a domain's stream. */
+const GAPS_MS = [0, 50];
 /** Time that the platform's log takes for one append. */
 const APPEND_MS = 5;
 const NOW = 0 as types.clock.MonotonicMs;
@@ -19,8 +21,10 @@
   quick: boolean,
 ): Promise<benchModule.BenchTable[]> {
   const appended = [];
-  for (const rate of RATES) {
-    appended.push(await measureAppends(rate, quick ? 1_000 : 5_000));
+  for (const gapMs of GAPS_MS) {
+    for (const rate of RATES) {
+      appended.push(await measureAppends(rate, gapMs, quick ? 1_000 : 5_000));
+    }
   }
   return [
     {
@@ -39,6 +43,7 @@
 
 async function measureAppends(
   rate: number,
+  gapMs: number,
   spanMs: number,
 ): Promise<Array<string | number>> {
   const clock = types.clock.createSystemClock();
@@ -61,6 +66,7 @@
     log,
     clock,
     logger: telemetry.logger.createLogger('silent'),
+    minGapMs: gapMs,
     follower: {waitFor: () => Promise.resolve(true), restores: () => 0},
     signal: new AbortController().signal,
   });
@@ -82,6 +88,7 @@
   const used = process.cpuUsage(before);
   const seconds = (clock.monotonic() - startedAt) / 1_000;
   return [
+    gapMs,
     Math.round(sent / seconds),
     statistics.short(appends / seconds),
     statistics.short(sent / appends),
--- a/packages/gypsumwall-entry/src/create_entry.ts
+++ b/packages/gypsumwall-entry/src/create_entry.ts
@@ -56,6 +56,11 @@
 /** A log unheard for this long is not known to its end. */
 const CAUGHT_UP_MS = 2_500;
 const PEER_TIMEOUT_MS = 2_000;
+/** A busy holder's ends of tasks: 20 appends a second, however many. */
+const DOMAIN_GAP_MS = 50;
+/** A caller waits for each of these. */
+const REQUESTS_GAP_MS = 10;
+const CONFIG_GAP_MS = 10;
 const CONFIG_STREAM = 'config';
 const REQUESTS_STREAM = 'requests';
 
@@ -88,12 +93,14 @@
   const streamOf = (
     stream: string,
     fold: records.streamFold.StreamFold,
+    minGapMs: number,
   ): entryStream.EntryStream =>
     entryStream.createEntryStream({
       stream,
       self,
       log: outside.log,
       fold,
+      minGapMs,
       clock,
       logger,
       signal,
@@ -101,7 +108,7 @@
 
   // Settings tree.
   const config = records.configFold.createConfigFold(() => onConfig());
-  const configStream = streamOf(CONFIG_STREAM, config);
+  const configStream = streamOf(CONFIG_STREAM, config, CONFIG_GAP_MS);
   const identities = authenticate.createAuthenticate(
     config,
     cfg.rootOperatorTokenHash,
@@ -109,7 +116,7 @@
 
   // Requests that may not be repeated.
   const requests = records.requestFold.createRequestFold(clock);
-  const requestStream = streamOf(REQUESTS_STREAM, requests);
+  const requestStream = streamOf(REQUESTS_STREAM, requests, REQUESTS_GAP_MS);
 
   // Peers. The server listens first, since its address is part of the view.
   const forwardMark = forwarder.createForwardMark();
@@ -167,6 +174,7 @@
   const domainStream = streamOf(
     `domain.${failureDomain}`,
     domainFold.createDomainFold(jobs, claim),
+    DOMAIN_GAP_MS,
   );
   const holder = domainHolder.createDomainHolder({
     claim: () => claim.state(),
--- a/packages/gypsumwall-entry/src/entry_stream.ts
+++ b/packages/gypsumwall-entry/src/entry_stream.ts
@@ -10,6 +10,8 @@
   readonly self: types.ids.EntryId;
   readonly log: platform.platformLog.PlatformLog;
   readonly fold: records.streamFold.StreamFold;
+  /** See `LogAppenderOptions.minGapMs`. */
+  readonly minGapMs: number;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
   readonly signal: AbortSignal;
@@ -41,6 +43,7 @@
     clock,
     logger,
     follower,
+    minGapMs: options.minGapMs,
     signal,
   });
   return {name: stream, follower, appender};
--- a/packages/gypsumwall-records/src/__fixtures__/open_stream.ts
+++ b/packages/gypsumwall-records/src/__fixtures__/open_stream.ts
@@ -16,6 +16,7 @@
   context: nodeTest.TestContext,
   log: memoryLog.MemoryLog,
   producer = 'entry-1',
+  minGapMs = 0,
 ) {
   const clock = types.clock.createSystemClock();
   const logger = telemetry.logger.createLogger('silent');
@@ -37,6 +38,7 @@
     clock,
     logger,
     follower,
+    minGapMs,
     signal: closing.signal,
   });
   void follower.run(closing.signal);
--- a/packages/gypsumwall-records/src/__tests__/log_appender.test.ts
+++ b/packages/gypsumwall-records/src/__tests__/log_appender.test.ts
@@ -51,3 +51,20 @@
   assert.ok(next.isOk && (await seen(next.value.offset)));
   assert.deepEqual(fold.taken, ['next']);
 });
+
+nodeTest.test('under load appends keep their distance', async (t) => {
+  // The log is shared by all entries: a busy one fills its batches instead of
+  // sending more of them. Records that come one by one for a while.
+  const gapMs = 30;
+  const log = memoryLog.createMemoryLog();
+  const {append} = openStream.openStream(t, log, 'entry-1', gapMs);
+  const startedAt = performance.now();
+  const answers = [];
+  while (performance.now() < startedAt + 10 * gapMs) {
+    answers.push(append('record'));
+    await new Promise((resolve) => setTimeout(resolve, 1));
+  }
+  await Promise.all(answers);
+  const most = (performance.now() - startedAt) / gapMs + 2;
+  assert.ok(log.appends() <= most, `${log.appends()} appends, at most ${most}`);
+});
--- a/packages/gypsumwall-records/src/log_appender.ts
+++ b/packages/gypsumwall-records/src/log_appender.ts
@@ -27,6 +27,12 @@
     streamFollower.StreamFollower,
     'waitFor' | 'restores'
   >;
+  /**
+   * Least time between the beginnings of two appends. The log takes some
+   * hundreds of appends a second from all entries together: under load this
+   * fills the batches instead. An append after a pause goes at once.
+   */
+  readonly minGapMs: number;
   /** Ends the loops that outlast a caller. */
   readonly signal: AbortSignal;
 }
@@ -79,6 +85,7 @@
   const observed = new Map<number, number>();
   let sequence = 0;
   let sending = false;
+  let nextAppendAt = clock.monotonic();
   let inDoubt = false;
 
   function refuse(
@@ -102,6 +109,8 @@
     if (sending) return;
     sending = true;
     while (queue.length > 0) {
+      await clock.sleepUntil(nextAppendAt, options.signal);
+      nextAppendAt = types.clock.after(clock.monotonic(), options.minGapMs);
       const pendings = queue
         .splice(0, MAX_BATCH)
         .filter((pending) => !pending.settled);
