Answer unreadable and slow calls with a problem, and cut slow ones in time

Cause: the HTTP library answered these by itself, without outcome, and looked for slow senders only every 30 s. Now 400, 408 and 431 are problem+json with not_run, which holds since a route sees a call only once its body is there. Excluded: an answer while an earlier call of the connection still runs; it would be read as that call's. The connection is cut then (test).

--- a/packages/gypsumwall-entry/src/http_server.ts
+++ b/packages/gypsumwall-entry/src/http_server.ts
@@ -1,6 +1,7 @@
 /** The caller's interface over HTTP (docs/API.md). */
 import * as fastify from 'fastify';
 import * as types from '@gypsumwall/types';
+import * as answerClientFault from './answer_client_fault.js';
 import * as callTelemetry from './call_telemetry.js';
 import type * as entryContext from './entry_context.js';
 import * as jobRoutes from './job_routes.js';
@@ -14,6 +15,8 @@
 /** A caller that sends its head or body slower than this is cut off. */
 const REQUEST_TIMEOUT_MS = 10_000;
 const HEADERS_TIMEOUT_MS = 5_000;
+/** Node looks for slow senders this often; by default only every 30 s. */
+const CHECK_CONNECTIONS_MS = 1_000;
 
 /** Makes the server; it does not listen yet. */
 export function createHttpServer(
@@ -23,7 +26,11 @@
     logger: false,
     bodyLimit: BODY_LIMIT,
     requestTimeout: REQUEST_TIMEOUT_MS,
-    http: {headersTimeout: HEADERS_TIMEOUT_MS},
+    http: {
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      connectionsCheckingInterval: CHECK_CONNECTIONS_MS,
+    },
+    clientErrorHandler: answerClientFault.answerClientFault,
     forceCloseConnections: 'idle',
   });
   // Bodies are kept as bytes: they are passed on unread, and a job's JSON is
