--- a/packages/gypsumwall-bench/src/bin/bench.ts
+++ b/packages/gypsumwall-bench/src/bin/bench.ts
@@ -38,12 +38,14 @@
     process.exitCode = 2;
     return;
   }
+  // Read first: the tree may change while a long run goes on.
+  const commit = currentCommit();
   const sections = [];
   for (const each of chosen) {
     sections.push({name: each.name, report: await runOne(each, options)});
   }
   const fallback = values.quick ? 'quick' : 'full';
-  writeResults(values.out ?? fallback, options, sections);
+  writeResults(values.out ?? fallback, commit, options, sections);
 }
 
 async function runOne(
@@ -64,13 +66,14 @@
 
 function writeResults(
   name: string,
+  commit: string,
   options: benchModule.BenchOptions,
   sections: readonly renderReport.ReportSection[],
 ): void {
   fs.mkdirSync(RESULTS, {recursive: true});
   const run = {
     command: `npm run bench -- ${process.argv.slice(2).join(' ')}`.trim(),
-    commit: currentCommit(),
+    commit,
     node: process.version,
     cpu: os.cpus()[0]?.model ?? 'unknown',
     cores: os.cpus().length,
--- a/packages/gypsumwall-placement/src/pick_worker.ts
+++ b/packages/gypsumwall-placement/src/pick_worker.ts
@@ -28,7 +28,7 @@
   /** Replicas by rack, for services. */
   readonly racks?: ReadonlyMap<types.ids.RackId, number>;
   /** Workers whose reserved room may be used when there is no other. */
-  readonly extra?: Iterable<books.WorkerRecord>;
+  readonly extra?: () => Iterable<books.WorkerRecord>;
 }
 
 /** Picks a worker; undefined when none has room. */
@@ -61,7 +61,7 @@
 
   function extras(pick: Pick): books.WorkerRecord[] {
     const found: books.WorkerRecord[] = [];
-    for (const worker of pick.extra ?? []) {
+    for (const worker of pick.extra?.() ?? []) {
       if (!worker.open || worker.quarantined) continue;
       if (pick.avoid?.has(worker.id) === true) continue;
       if (books.fitsReserved(pick.need, worker)) found.push(worker);
--- a/packages/gypsumwall-placement/src/placement_round.ts
+++ b/packages/gypsumwall-placement/src/placement_round.ts
@@ -194,7 +194,7 @@
     packing: job.team.packing,
     avoid: parts.failures.workersToAvoid(jobId),
     racks: isService ? (parts.spread.racksOf(jobId) ?? NO_RACKS) : undefined,
-    extra: parts.reservations.usableBy(job, now + estimate.pessimisticMs),
+    extra: () => parts.reservations.usableBy(job, now + estimate.pessimisticMs),
   });
   if (worker === undefined) return undefined;
   const placement = {taskId, workerId: worker.id, size};
--- a/packages/gypsumwall-placement/src/reservations.ts
+++ b/packages/gypsumwall-placement/src/reservations.ts
@@ -85,7 +85,7 @@
   usableBy(
     job: jobQueue.JobRecord,
     doneAt: number,
-  ): Iterable<books.WorkerRecord> | undefined;
+  ): Iterable<books.WorkerRecord>;
 }
 
 /** What reservations need to know. */
@@ -248,7 +248,6 @@
       }
     },
     usableBy(job, doneAt) {
-      if (current.size === 0) return undefined;
       const found: books.WorkerRecord[] = [];
       for (const reservation of current.values()) {
         const mayUse =
