--- a/packages/gypsumwall-membership/src/peer_link.ts
+++ b/packages/gypsumwall-membership/src/peer_link.ts
@@ -16,9 +16,13 @@
   readonly heartbeatMs: number;
   readonly silenceMs: number;
   readonly listLagMs: number;
+  /** Factor on both spans now; 1 or more. */
+  slowdown(): number;
   /** What this process says of itself. */
   ownHeartbeat(): Parameters<peerClient.PeerClient['heartbeat']>[0];
   onChange(): void;
+  /** Instances that the peer's list shows as leaving. */
+  onLeavingInstances(ids: readonly string[]): void;
 }
 
 /** A peer, as it was last heard. */
@@ -28,8 +32,8 @@
   peer(): domainView.PeerEntry;
   /** The list's word, to be repeated with each list; leaving beats live. */
   noteListed(state: 'live' | 'leaving'): void;
-  /** When the peer was last heard; undefined before the first time. */
-  heardAt(): types.clock.MonotonicMs | undefined;
+  /** Silent though it was called; false before the first answer is due. */
+  isUnanswered(): boolean;
 }
 
 const HEARTBEATS_IN_SILENCE = 3;
@@ -45,12 +49,14 @@
   let leaving = false;
   let listedLeavingUntil: types.clock.MonotonicMs | undefined;
   let heardAt: types.clock.MonotonicMs | undefined;
+  let wasCalled = false;
   let told = '';
 
   function state(): domainView.PeerEntry['state'] {
     if (leaving || isListedLeaving()) return 'leaving';
     if (heardAt === undefined) return 'silent';
-    const silentAt = types.clock.after(heardAt, options.silenceMs);
+    const silenceMs = options.silenceMs * options.slowdown();
+    const silentAt = types.clock.after(heardAt, silenceMs);
     return clock.monotonic() < silentAt ? 'live' : 'silent';
   }
 
@@ -75,11 +81,13 @@
     configOffset = Number(res.configOffset);
     leaving ||= res.leaving;
     heardAt = clock.monotonic();
+    options.onLeavingInstances(res.leavingInstances);
   }
 
   async function beat() {
     const req = options.ownHeartbeat();
     const answer = await client.heartbeat(req, timeoutMs);
+    wasCalled = true;
     if (answer.isOk) {
       noteAnswer(answer.value);
     } else if (answer.error.effect === 'unknown') {
@@ -92,7 +100,7 @@
   }
 
   return {
-    heardAt: () => heardAt,
+    isUnanswered: () => wasCalled && state() === 'silent',
     peer: () => ({
       entryId,
       failureDomain,
@@ -111,7 +119,8 @@
       while (!signal.aborted) {
         const sentAt = clock.monotonic();
         await beat();
-        const nextAt = types.clock.after(sentAt, options.heartbeatMs);
+        const spanMs = options.heartbeatMs * options.slowdown();
+        const nextAt = types.clock.after(sentAt, spanMs);
         await clock.sleepUntil(nextAt, signal);
       }
     },
