--- a/packages/gypsumwall-records/src/job_fold.ts
+++ b/packages/gypsumwall-records/src/job_fold.ts
@@ -44,7 +44,7 @@
 }
 
 /** Closed jobs kept for readers and for their keys; the oldest go first. */
-export const KEPT_CLOSED_JOBS = 50_000;
+export const KEPT_CLOSED_JOBS = 20_000;
 
 /** Makes a fold without jobs. */
 export function createJobFold(
