Never tell not_run after a peer's answer was lost

Excluded: the appender's own verdicts, which the void record settles. What a call met on its way now goes with it, and after a lost answer only unknown is told.

--- a/packages/gypsumwall-entry/src/forward_call.ts
+++ b/packages/gypsumwall-entry/src/forward_call.ts
@@ -39,10 +39,21 @@
   return context.forwardMark.read(req.headers).length < forwarder.MAX_HOPS;
 }
 
+/** What became of handing a call on. */
+export type Handed =
+  /** A peer's answer was passed on to the caller. */
+  | {readonly type: 'answered'; readonly reply: fastify.FastifyReply}
+  /** No peer has had it. */
+  | {readonly type: 'not_taken'}
+  /** A peer may have done it, but its answer is lost. */
+  | {readonly type: 'in_doubt'; readonly detail: string};
+
+/** A call that no peer was asked to take. */
+export const NOT_TAKEN: Handed = {type: 'not_taken'};
+
 /**
- * Hands the call to the first peer that can be reached; undefined when none
- * has taken it. Once a peer may have taken it, no other one is tried, unless
- * the call is idempotent.
+ * Hands the call to the first peer that answers. Once a peer may have taken
+ * it, no other one is tried, unless the call is idempotent.
  */
 export async function forwardCall(
   context: entryContext.EntryContext,
@@ -54,7 +65,7 @@
     readonly idempotent: boolean;
     readonly extraHeaders?: Readonly<Record<string, string>>;
   },
-): Promise<fastify.FastifyReply | undefined> {
+): Promise<Handed> {
   const via = [...context.forwardMark.read(req.headers), context.self];
   const call: forwarder.ForwardedCall = {
     method: req.method,
@@ -66,25 +77,48 @@
     body: rawBody(req),
     via,
   };
+  let handed = NOT_TAKEN;
   for (const address of options.peers) {
     const answer = await context.sendToPeer(address, call, options.deadline);
     if (answer.isOk) {
-      return res
-        .status(answer.value.status)
-        .headers(answer.value.headers)
-        .send(Buffer.from(answer.value.body));
+      const {status, headers, body} = answer.value;
+      const reply = res.status(status).headers(headers).send(Buffer.from(body));
+      return {type: 'answered', reply};
     }
+    const {error} = answer;
     context.logger.warn('forward_failed', {
-      step: answer.error.step,
+      step: error.step,
       peer: address,
-      reason: answer.error.message,
+      reason: error.message,
     });
-    if (answer.error.effect === 'unknown' && !options.idempotent) {
-      const told = types.stepError.describeError(answer.error);
-      return problem.send(res, problem.unknownOutcome(told));
+    if (error.effect === 'unknown') {
+      handed = {type: 'in_doubt', detail: types.stepError.describeError(error)};
+      if (!options.idempotent) return handed;
     }
   }
-  return undefined;
+  return handed;
+}
+
+/**
+ * Tells the caller of a call that no peer has answered.
+ *
+ * Failure: a peer takes the call and its answer is lost; this entry then
+ * finds itself unable to serve the call. Symptom: the caller is told `not_run`
+ * of work that ran. After a lost answer only `unknown` is true.
+ */
+export function sendAfter(
+  handed: Handed,
+  res: fastify.FastifyReply,
+  told: problem.Problem,
+): fastify.FastifyReply {
+  switch (handed.type) {
+    case 'answered':
+      return handed.reply;
+    case 'not_taken':
+      return problem.send(res, told);
+    case 'in_doubt':
+      return problem.send(res, problem.unknownOutcome(handed.detail));
+  }
 }
 
 function rawBody(req: fastify.FastifyRequest): Uint8Array {
--- a/packages/gypsumwall-entry/src/job_routes.ts
+++ b/packages/gypsumwall-entry/src/job_routes.ts
@@ -73,24 +73,17 @@
   // The holder keeps the domain's books, so it can refuse early. A submission
   // is idempotent by its key: should the holder not answer, this entry may
   // append the job itself without a risk of taking it twice.
-  if (context.scheduler() === undefined) {
-    const handed = forwardCall.mayForward(context, req)
-      ? await forwardCall.forwardCall(context, req, res, {
-          peers: forwardCall.holderOfDomain(context),
-          deadline,
-          idempotent: true,
-          extraHeaders: {'idempotency-key': key},
-        })
-      : undefined;
-    if (handed !== undefined) return handed;
-  }
+  const handed = await handToHolder(context, req, res, deadline, key);
+  if (handed.type === 'answered') return handed.reply;
   const accepted = await context.jobs.submit(
     spec.value,
     key,
     deadline,
     callContext.headerOf(req, 'traceparent'),
   );
-  if (accepted.isErr) return problem.send(res, accepted.error);
+  if (accepted.isErr) {
+    return forwardCall.sendAfter(handed, res, accepted.error);
+  }
   return res.status(202).send({jobId: accepted.value});
 }
 
@@ -103,6 +96,26 @@
   }
 }
 
+/** Hands a submission to the domain's holder, unless it is this entry. */
+async function handToHolder(
+  context: entryContext.EntryContext,
+  req: fastify.FastifyRequest,
+  res: fastify.FastifyReply,
+  deadline: types.clock.MonotonicMs,
+  key: types.ids.IdempotencyKey,
+): Promise<forwardCall.Handed> {
+  const isHolder = context.scheduler() !== undefined;
+  if (isHolder || !forwardCall.mayForward(context, req)) {
+    return forwardCall.NOT_TAKEN;
+  }
+  return forwardCall.forwardCall(context, req, res, {
+    peers: forwardCall.holderOfDomain(context),
+    deadline,
+    idempotent: true,
+    extraHeaders: {'idempotency-key': key},
+  });
+}
+
 /** Whether the answer is to come from another entry, and from whom. */
 function peersFor(
   context: entryContext.EntryContext,
@@ -122,8 +135,8 @@
   req: JobCall,
   res: fastify.FastifyReply,
   deadline: types.clock.MonotonicMs,
-): Promise<fastify.FastifyReply | undefined> {
-  if (!forwardCall.mayForward(context, req)) return undefined;
+): Promise<forwardCall.Handed> {
+  if (!forwardCall.mayForward(context, req)) return forwardCall.NOT_TAKEN;
   const jobId = types.ids.brand<types.ids.JobId>(req.params.jobId);
   const peers = peersFor(context, jobId);
   return forwardCall.forwardCall(context, req, res, {
@@ -157,7 +170,7 @@
   const checked = check(context, req);
   if (checked.isErr) return problem.send(res, checked.error);
   const handed = await handOn(context, req, res, checked.value.deadline);
-  if (handed !== undefined) return handed;
+  if (handed.type === 'answered') return handed.reply;
   const jobId = types.ids.brand<types.ids.JobId>(req.params.jobId);
   if (isForeign(context, jobId)) {
     return problem.send(res, homeUnreachable(jobId));
@@ -191,9 +204,9 @@
   const jobId = types.ids.brand<types.ids.JobId>(req.params.jobId);
   if (types.ids.homeOfJob(jobId) !== context.failureDomain) {
     const handed = await handOn(context, req, res, deadline);
-    if (handed !== undefined) return handed;
+    if (handed.type === 'answered') return handed.reply;
     if (isForeign(context, jobId)) {
-      return problem.send(res, homeUnreachable(jobId));
+      return forwardCall.sendAfter(handed, res, homeUnreachable(jobId));
     }
   }
   const cancelled = await context.jobs.cancel(team, jobId, deadline);
--- a/packages/gypsumwall-entry/src/request_routes.ts
+++ b/packages/gypsumwall-entry/src/request_routes.ts
@@ -101,20 +101,20 @@
   checked: CheckedCall,
 ): Promise<fastify.FastifyReply> {
   // An entry that has just started has no slots of its own yet.
-  if (!context.hasSlots()) {
-    const handed = await handOver(context, req, res, checked);
-    if (handed !== undefined) return handed;
-  }
+  let handed = context.hasSlots()
+    ? forwardCall.NOT_TAKEN
+    : await handOver(context, req, res, checked);
+  if (handed.type === 'answered') return handed.reply;
   const routed = toRouted(req, req.params.operation, checked);
   const answer = await context.router.route(routed);
   if (answer.isErr) {
     const {error} = answer;
-    const noUpstream =
+    const lacksUpstream =
       error.type === 'not_run' && error.reason === 'no_upstream';
-    const handed = noUpstream
-      ? await handOver(context, req, res, checked)
-      : undefined;
-    return handed ?? problem.send(res, problem.ofOutcome(error));
+    if (lacksUpstream && handed.type === 'not_taken' && context.hasSlots()) {
+      handed = await handOver(context, req, res, checked);
+    }
+    return forwardCall.sendAfter(handed, res, problem.ofOutcome(error));
   }
   const {contentType, contentLength, body} = answer.value;
   void res
@@ -135,8 +135,8 @@
   req: fastify.FastifyRequest,
   res: fastify.FastifyReply,
   checked: CheckedCall,
-): Promise<fastify.FastifyReply | undefined> {
-  if (!forwardCall.mayForward(context, req)) return undefined;
+): Promise<forwardCall.Handed> {
+  if (!forwardCall.mayForward(context, req)) return forwardCall.NOT_TAKEN;
   const own = forwardCall.peersOfDomain(context, context.failureDomain);
   return forwardCall.forwardCall(context, req, res, {
     peers: [...own, ...otherDomains(context)],
@@ -166,7 +166,11 @@
   // Nothing is appended before the intent, so handing it over is safe.
   if (!context.hasSlots()) {
     const handed = await handOver(context, req, res, checked);
-    if (handed !== undefined) return handed;
+    if (handed.type === 'answered') return handed.reply;
+    // The peer may have run it, and its key with it: only it may tell.
+    if (handed.type === 'in_doubt') {
+      return problem.send(res, problem.unknownOutcome(handed.detail));
+    }
   }
   if (key === undefined) throw new Error('checked before: the key is there');
   const answer = await context.runOnce({...routed, key});
@@ -196,5 +200,5 @@
 ): Promise<fastify.FastifyReply> {
   const handed = await handOver(context, req, res, checked);
   const refusal = problem.notRun('leaving', 'this entry is leaving', 1_000);
-  return handed ?? problem.send(res, refusal);
+  return forwardCall.sendAfter(handed, res, refusal);
 }
