Keep sound jobs whose tasks fail on one bad worker

Cause: failures of several tasks of a job added up, so a job with six tasks on one bad worker was given up; a success of another task let a failing one go back there; and on a domain's only worker a failed task waited for good.

--- a/packages/gypsumwall-bench/src/virtual_cell.ts
+++ b/packages/gypsumwall-bench/src/virtual_cell.ts
@@ -206,8 +206,10 @@
 
   function dropGivenUp(): void {
     for (const {jobId} of placer.takeGivenUp()) {
-      measures.jobsGivenUp += 1;
-      jobs.get(jobId)!.givenUp = true;
+      const job = jobs.get(jobId)!;
+      // Its other tasks may still run, fail and have it given up again.
+      if (!job.givenUp) measures.jobsGivenUp += 1;
+      job.givenUp = true;
     }
   }
 
--- a/packages/gypsumwall-placement/src/__tests__/create_placer.test.ts
+++ b/packages/gypsumwall-placement/src/__tests__/create_placer.test.ts
@@ -212,6 +212,46 @@
     assert.equal(policy.takeGivenUp().length, 0);
   });
 
+  nodeTest.it('keeps a sound job whose tasks fail on one bad worker', () => {
+    // Eight tasks of a job start at once on a worker that fails them all. The
+    // job is kept off that worker and runs on the other one.
+    const policy = placerWith(2, specs.room(8));
+    const bad = specs.worker(0).id;
+    const many = specs.spec({shape: {kind: 'batch', tasks: 16}});
+    const job = specs.queued('a.1', many);
+    policy.enqueue(job);
+    let done = 0;
+    for (let now = 0; now < 10; now += 1) {
+      for (const {taskId, workerId} of decide(policy, now)) {
+        const {index} = types.ids.splitTaskId(taskId);
+        if (workerId !== bad) {
+          done += 1;
+          policy.release(taskId, {type: 'done', ranMs: 1});
+          continue;
+        }
+        policy.release(taskId, {type: 'failed', message: 'no disk'});
+        policy.enqueue({...job, waiting: [index]});
+      }
+    }
+    assert.deepEqual(policy.takeGivenUp(), []);
+    assert.equal(done, 16);
+  });
+
+  nodeTest.it('gives up a task that always fails on the only worker', () => {
+    const policy = placerWith(1);
+    const job = specs.queued('a.1');
+    let runs = 0;
+    for (let now = 0; now < 20; now += 1) {
+      policy.enqueue(job);
+      for (const each of decide(policy, now)) {
+        runs += 1;
+        policy.release(each.taskId, {type: 'failed', message: 'exit 3'});
+      }
+      if (policy.takeGivenUp().length > 0) break;
+    }
+    assert.equal(runs, 6);
+  });
+
   nodeTest.it(
     'drops a wave of 10,000 cancelled jobs and places the rest',
     () => {
--- a/packages/gypsumwall-placement/src/job_failures.ts
+++ b/packages/gypsumwall-placement/src/job_failures.ts
@@ -8,8 +8,12 @@
 
 /** Give up after failures on this many distinct workers. */
 const DISTINCT_WORKERS = 3;
-/** Give up after this many failures even where there are fewer workers. */
-const FAILURES_ANYWHERE = 6;
+/**
+ * Give up when one task fails this often, even where there are fewer workers.
+ * Failures of several tasks don't add up: a job of many tasks may have six of
+ * them on one bad worker at once.
+ */
+const FAILURES_OF_ONE_TASK = 6;
 /** Only failing jobs are remembered; the oldest is forgotten beyond this. */
 const MAX_JOBS = 10_000;
 const MAX_TASKS_PER_JOB = 100;
@@ -25,7 +29,7 @@
   ): string | undefined;
   noteSuccess(jobId: types.ids.JobId, index: number): void;
   forget(jobId: types.ids.JobId): void;
-  /** Workers on which the job failed since its last success. */
+  /** Workers on which tasks failed that haven't succeeded since. */
   workersToAvoid(
     jobId: types.ids.JobId,
   ): ReadonlySet<types.ids.WorkerId> | undefined;
@@ -37,6 +41,11 @@
 }
 
 interface FailingJob extends Failures {
+  /**
+   * Where its failing tasks failed. A success of another task doesn't clear
+   * it: the task would go back to the worker that fails it.
+   */
+  readonly avoid: Set<types.ids.WorkerId>;
   readonly tasks: Map<number, Failures>;
 }
 
@@ -48,7 +57,12 @@
     const known = jobs.get(jobId);
     if (known !== undefined) return known;
     if (jobs.size >= MAX_JOBS) dropFirst(jobs);
-    const made = {count: 0, workers: new Set<never>(), tasks: new Map()};
+    const made = {
+      count: 0,
+      workers: new Set<never>(),
+      avoid: new Set<never>(),
+      tasks: new Map(),
+    };
     jobs.set(jobId, made);
     return made;
   }
@@ -70,8 +84,11 @@
         failures.count += 1;
         failures.workers.add(workerId);
       }
-      const worst = isHopeless(task) ? task : job;
-      if (!isHopeless(worst)) return undefined;
+      job.avoid.add(workerId);
+      const taskIsHopeless =
+        onManyWorkers(task) || task.count >= FAILURES_OF_ONE_TASK;
+      const worst = taskIsHopeless ? task : job;
+      if (!taskIsHopeless && !onManyWorkers(job)) return undefined;
       const what = worst === task ? `task ${index}` : 'the job';
       const where = [...worst.workers].join(', ');
       return `${what} failed ${worst.count} times without a success, on ${where}; the last: ${message}`;
@@ -82,21 +99,22 @@
       job.tasks.delete(index);
       job.count = 0;
       job.workers.clear();
+      job.avoid.clear();
+      for (const task of job.tasks.values()) {
+        for (const workerId of task.workers) job.avoid.add(workerId);
+      }
       if (job.tasks.size === 0) jobs.delete(jobId);
     },
     forget: (jobId) => void jobs.delete(jobId),
     workersToAvoid(jobId) {
-      const workers = jobs.get(jobId)?.workers;
-      return workers === undefined || workers.size === 0 ? undefined : workers;
+      const avoid = jobs.get(jobId)?.avoid;
+      return avoid === undefined || avoid.size === 0 ? undefined : avoid;
     },
   };
 }
 
-function isHopeless(failures: Failures): boolean {
-  return (
-    failures.workers.size >= DISTINCT_WORKERS ||
-    failures.count >= FAILURES_ANYWHERE
-  );
+function onManyWorkers(failures: Failures): boolean {
+  return failures.workers.size >= DISTINCT_WORKERS;
 }
 
 function dropFirst<Key>(map: Map<Key, unknown>): void {
--- a/packages/gypsumwall-placement/src/placement_round.ts
+++ b/packages/gypsumwall-placement/src/placement_round.ts
@@ -192,7 +192,7 @@
   const worker = parts.pick({
     need: size,
     packing: job.team.packing,
-    avoid: parts.failures.workersToAvoid(jobId),
+    avoid: workersToAvoid(parts, jobId),
     racks: isService ? (parts.spread.racksOf(jobId) ?? NO_RACKS) : undefined,
     extra: () => parts.reservations.usableBy(job, now + estimate.pessimisticMs),
   });
@@ -202,6 +202,18 @@
   return placement;
 }
 
+/** Where a job has failed on every worker there is, it may try again. */
+function workersToAvoid(
+  parts: RoundParts,
+  jobId: types.ids.JobId,
+): ReadonlySet<types.ids.WorkerId> | undefined {
+  const avoid = parts.failures.workersToAvoid(jobId);
+  if (avoid === undefined) return undefined;
+  const {list} = parts.books;
+  const elsewhere = list.some((each) => each.open && !avoid.has(each.id));
+  return elsewhere ? avoid : undefined;
+}
+
 const NO_RACKS: ReadonlyMap<types.ids.RackId, number> = new Map();
 
 function fitsQuota(
