--- a/packages/gypsumwall-entry/src/worker_session.ts
+++ b/packages/gypsumwall-entry/src/worker_session.ts
@@ -6,36 +6,23 @@
 import type * as platform from '@gypsumwall/platform';
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
+import * as startOrder from './start_order.js';
+import * as workerAttachment from './worker_attachment.js';
 import * as workerClock from './worker_clock.js';
 
 type MonotonicMs = types.clock.MonotonicMs;
 
-/** One run of a task at this worker. */
-export interface Attempt {
-  readonly taskId: types.ids.TaskId;
-  readonly attempt: types.ids.AttemptId;
-}
-
-/** A start that the scheduler decided. */
-export interface StartOrder extends Attempt {
-  readonly size: types.resources.Resources;
-  readonly work: types.job.Work;
-  readonly leaseMs: number;
-  /** Trace context of the submission. */
-  readonly traceparent?: string;
-}
-
 /** What the session tells the scheduler. */
 export interface SessionEvents {
   /** Attached; the answer tells all that runs or has ended there. */
   attached(answer: platform.worker.Attached): void;
-  started(order: StartOrder): void;
+  started(order: startOrder.StartOrder): void;
   /** Proved that the attempt does not run and never will. */
-  notStarted(order: StartOrder, message: string): void;
+  notStarted(order: startOrder.StartOrder, message: string): void;
   /** Ended; acknowledge it with `acknowledge` once that is safe. */
   ended(task: platform.worker.FinishedTask): void;
   /** A stop that was asked for is confirmed. */
-  stopped(attempt: Attempt): void;
+  stopped(attempt: startOrder.Attempt): void;
   usage(usage: readonly platform.worker.TaskUsage[]): void;
   /** No answer for a while; takes no new work until `attached` again. */
   silent(): void;
@@ -71,8 +58,8 @@
 /** A session with one worker. */
 export interface WorkerSession {
   run(signal: AbortSignal): Promise<void>;
-  start(order: StartOrder): void;
-  stop(attempt: Attempt): void;
+  start(order: startOrder.StartOrder): void;
+  stop(attempt: startOrder.Attempt): void;
   acknowledge(attempt: types.ids.AttemptId): void;
   throttle(attempt: types.ids.AttemptId, cpuMillis: number): void;
   checkpoint(attempt: types.ids.AttemptId): void;
@@ -82,28 +69,21 @@
 /** Starts sent in one call. */
 const MAX_STARTS = 256;
 
-interface Attachment {
-  readonly call: platform.worker.HolderCall;
-  clock: workerClock.WorkerClock;
-  /** Highest lease end sent, answered or not, on the worker's clock. */
-  longestLease: platform.worker.WorkerMs;
-}
-
 /** Makes a session that does nothing before `run`. */
 export function createWorkerSession(
   options: WorkerSessionOptions,
 ): WorkerSession {
   const {worker, clock, events, epoch, workerId} = options;
   const logger = options.logger.with({worker: workerId});
-  const starts: StartOrder[] = [];
-  const stops: Attempt[] = [];
+  const starts: startOrder.StartOrder[] = [];
+  const stops: startOrder.Attempt[] = [];
   const acknowledged = new Set<types.ids.AttemptId>();
   const controls: Array<
     (call: platform.worker.HolderCall) => Promise<unknown>
   > = [];
   /** Starts whose answer was lost. */
-  const inDoubt = new Map<types.ids.AttemptId, StartOrder>();
-  let attachment: Attachment | undefined;
+  const inDoubt = new Map<types.ids.AttemptId, startOrder.StartOrder>();
+  let attachment: workerAttachment.WorkerAttachment | undefined;
   let everAttached = false;
   let reachable = false;
   let wake = new AbortController();
@@ -122,18 +102,16 @@
       logger.debug('attach_failed', {reason: describe(answer.error)});
       return false;
     }
-    const {incarnation, now, running, finished} = answer.value;
+    const {incarnation, running, finished} = answer.value;
     const restarted =
       attachment !== undefined && attachment.call.incarnation !== incarnation;
     if (restarted) giveUp();
-    const leases = running
-      .filter((task) => options.runsOnce(task.taskId))
-      .map((task) => task.leaseUntil);
-    attachment = {
-      call: {epoch, incarnation},
-      clock: {workerTime: now, arrivedAt: clock.monotonic()},
-      longestLease: Math.max(now, ...leases) as platform.worker.WorkerMs,
-    };
+    attachment = workerAttachment.fromAnswer(
+      answer.value,
+      epoch,
+      clock.monotonic(),
+      options.runsOnce,
+    );
     reachable = true;
     everAttached = true;
     events.attached(answer.value);
@@ -142,7 +120,9 @@
     return true;
   }
 
-  async function sendStops(held: Attachment): Promise<boolean> {
+  async function sendStops(
+    held: workerAttachment.WorkerAttachment,
+  ): Promise<boolean> {
     const asked = stops.splice(0);
     if (asked.length === 0) return true;
     const answer = await worker.stop(held.call, asked);
@@ -159,7 +139,9 @@
   }
 
   /** Starts wait here until they are sent; a lapsed claim sends none. */
-  async function sendStarts(held: Attachment): Promise<boolean> {
+  async function sendStarts(
+    held: workerAttachment.WorkerAttachment,
+  ): Promise<boolean> {
     const orders = starts.splice(0, MAX_STARTS);
     if (orders.length === 0) return true;
     const deadline = options.claimDeadline();
@@ -168,9 +150,12 @@
       orders.forEach((order) => events.notStarted(order, 'claim lapsed'));
       return true;
     }
-    const tasks = orders.map((order) => toStartTask(held, order, now));
+    const tasks = orders.map((order) =>
+      startOrder.toStartTask(held, order, now),
+    );
     for (const task of tasks) {
-      if (options.runsOnce(task.taskId)) noteLease(held, task.leaseUntil);
+      if (options.runsOnce(task.taskId))
+        workerAttachment.noteLease(held, task.leaseUntil);
     }
     const startBy = workerClock.toWorkerTime(held.clock, deadline);
     const spans = orders.map((order) =>
@@ -188,7 +173,7 @@
     }
     orders.forEach((order, index) => {
       const said = answer.value[index];
-      const fault = startFault(said);
+      const fault = startOrder.startFault(said);
       spans[index]?.end(fault);
       const outcome = fault === undefined ? 'started' : 'refused';
       options.metrics.count('taskStarts', {outcome});
@@ -198,30 +183,8 @@
     return true;
   }
 
-  function toStartTask(
-    held: Attachment,
-    order: StartOrder,
-    now: MonotonicMs,
-  ): platform.worker.StartTask {
-    const leaseEnds = types.clock.after(now, order.leaseMs);
-    return {
-      taskId: order.taskId,
-      attempt: order.attempt,
-      size: order.size,
-      work: order.work,
-      leaseUntil: workerClock.toWorkerTime(held.clock, leaseEnds),
-    };
-  }
-
-  function noteLease(
-    held: Attachment,
-    leaseUntil: platform.worker.WorkerMs,
-  ): void {
-    if (leaseUntil > held.longestLease) held.longestLease = leaseUntil;
-  }
-
   function startFailed(
-    orders: readonly StartOrder[],
+    orders: readonly startOrder.StartOrder[],
     err: types.stepError.StepError,
   ): boolean {
     logger.warn('start_failed', {tasks: orders.length, reason: describe(err)});
@@ -237,7 +200,9 @@
     return false;
   }
 
-  async function heartbeat(held: Attachment): Promise<boolean> {
+  async function heartbeat(
+    held: workerAttachment.WorkerAttachment,
+  ): Promise<boolean> {
     const deadline = options.claimDeadline();
     const now = clock.monotonic();
     if (deadline === undefined || deadline <= now) return true;
@@ -245,7 +210,7 @@
       held.clock,
       types.clock.after(now, options.leaseMs),
     );
-    noteLease(held, leaseUntil);
+    workerAttachment.noteLease(held, leaseUntil);
     const acks = [...acknowledged];
     const answer = await worker.heartbeat(held.call, leaseUntil, acks);
     if (answer.isErr) {
@@ -290,11 +255,8 @@
       events.silent();
     }
     if (attachment === undefined) return;
-    const over = workerClock.surelyPassedAt(
-      attachment.clock,
-      attachment.longestLease,
-    );
-    if (clock.monotonic() < types.clock.after(over, options.graceMs)) return;
+    const over = workerAttachment.leasesOverAt(attachment, options.graceMs);
+    if (clock.monotonic() < over) return;
     logger.warn('leases_lapsed', {epoch});
     giveUp();
   }
@@ -377,17 +339,3 @@
     },
   };
 }
-
-/** Why a start was refused; undefined when the task started. */
-function startFault(
-  said: platform.worker.StartAnswer | undefined,
-): string | undefined {
-  switch (said?.type) {
-    case undefined:
-      return 'the worker gave no answer for it';
-    case 'started':
-      return undefined;
-    case 'refused':
-      return said.message;
-  }
-}
