Take only a connection never made as proof that a peer ran nothing

A peer's answer that can't be read, or a refusal without a reason, gets the same connect codes at the client as a request that the peer couldn't read. Both were told as not_run, so a call handed on that had run could have been sent to the next peer, or a caller told that nothing ran. Now only an error before the connection proves it.

--- a/packages/gypsumwall-membership/src/domain_view_keeper.ts
+++ b/packages/gypsumwall-membership/src/domain_view_keeper.ts
@@ -94,6 +94,14 @@
     }
     const known = tracked.get(address);
     if (known !== undefined) return known;
+    // Neither a peer nor the list can end this process by a bad address.
+    if (!URL.canParse(address)) {
+      logger.warn('peer_address_invalid', {
+        address,
+        expected: 'http://ip:port',
+      });
+      return undefined;
+    }
     const link = peerLink.createPeerLink({
       address,
       failureDomain: domain,
--- a/packages/gypsumwall-membership/src/peer_client.ts
+++ b/packages/gypsumwall-membership/src/peer_client.ts
@@ -165,20 +165,27 @@
   if (platform.httpCall.codeOf(thrown.cause) !== '') {
     return platform.httpCall.transportError({step, peer}, thrown.cause);
   }
+  // Nothing else proves that the call had no effect: an answer that can't be
+  // read gets the same codes here as a request that the peer couldn't read,
+  // and a caller told `not_run` would send again what has run.
   const {message} = thrown;
-  switch (thrown.code) {
+  return {kind: kindOf(thrown.code), step, peer, effect: 'unknown', message};
+}
+
+function kindOf(code: connect.Code): types.stepError.StepErrorKind {
+  switch (code) {
     case connect.Code.DeadlineExceeded:
-      return {kind: 'timeout', step, peer, effect: 'unknown', message};
+      return 'timeout';
+    case connect.Code.InvalidArgument:
+    case connect.Code.OutOfRange:
+    case connect.Code.DataLoss:
+      return 'truncated';
     case connect.Code.Canceled:
     case connect.Code.Aborted:
     case connect.Code.Unavailable:
     case connect.Code.Internal:
     case connect.Code.Unknown:
-    case connect.Code.DataLoss:
-      return {kind: 'closed', step, peer, effect: 'unknown', message};
-    case connect.Code.InvalidArgument:
-    case connect.Code.OutOfRange:
-      return {kind: 'invalid', step, peer, effect: 'not_run', message};
+      return 'closed';
     case connect.Code.NotFound:
     case connect.Code.AlreadyExists:
     case connect.Code.PermissionDenied:
@@ -186,6 +193,6 @@
     case connect.Code.ResourceExhausted:
     case connect.Code.FailedPrecondition:
     case connect.Code.Unimplemented:
-      return {kind: 'refused', step, peer, effect: 'not_run', message};
+      return 'refused';
   }
 }
