Count a done task as known only once its end was acknowledged

The rule done_once of before was wrong: a holder that was never told of an end (its worker froze) may run the task again once the lease is over; the platform gives it no other way.

--- a/packages/gypsumwall-testing/src/history_event.ts
+++ b/packages/gypsumwall-testing/src/history_event.ts
@@ -72,6 +72,20 @@
       readonly used: types.resources.Resources;
       readonly ranMs: number;
     }
+  /** The worker put the end into an answer, which may have been lost. */
+  | {
+      readonly type: 'end_told';
+      readonly workerId: string;
+      readonly taskId: string;
+      readonly attempt: string;
+    }
+  /** A holder acknowledged the end, so one of the answers had arrived. */
+  | {
+      readonly type: 'end_acknowledged';
+      readonly workerId: string;
+      readonly taskId: string;
+      readonly attempt: string;
+    }
   | {
       readonly type: 'worker_refused';
       readonly workerId: string;
--- a/packages/gypsumwall-testing/src/worker_model.ts
+++ b/packages/gypsumwall-testing/src/worker_model.ts
@@ -161,6 +161,17 @@
   const findRunning = (attempt: string): workerTask.WorkerTask | undefined =>
     [...running.values()].find((run) => run.task.attempt === attempt);
 
+  const recordEnd = (
+    type: 'end_told' | 'end_acknowledged',
+    {taskId, attempt}: Attempt,
+  ): void => {
+    recorded.record({type, workerId: id, taskId, attempt});
+  };
+  const tellEnds = (): platform.worker.FinishedTask[] => {
+    const ends = [...finished.values()];
+    for (const end of ends) recordEnd('end_told', end);
+    return ends;
+  };
   const runningTasks = (): platform.worker.RunningTask[] =>
     [...running.values()].map((run) => {
       const {taskId, attempt, size} = run.task;
@@ -186,7 +197,7 @@
         now: now(),
         capacity: options.capacity,
         running: runningTasks(),
-        finished: [...finished.values()],
+        finished: tellEnds(),
       };
     },
     start: (call, startBy, tasks) => {
@@ -198,13 +209,15 @@
       check(call);
       const known = new Set(acknowledged);
       for (const [key, task] of finished) {
-        if (known.has(task.attempt)) finished.delete(key);
+        if (!known.has(task.attempt)) continue;
+        finished.delete(key);
+        recordEnd('end_acknowledged', task);
       }
       for (const run of running.values()) run.renew(toMachineMs(leaseUntil));
       return {
         now: now(),
         running: runningTasks(),
-        finished: [...finished.values()],
+        finished: tellEnds(),
         usage: usage(),
       };
     },
