Ask for the instance list by its tag, so that an unchanged one is not sent

Cause: every entry fetched and parsed the whole list twice a second, some megabytes at 31,000 workers. A platform without tags answers as before.

--- a/packages/gypsumwall-membership/src/domain_view_keeper.ts
+++ b/packages/gypsumwall-membership/src/domain_view_keeper.ts
@@ -62,6 +62,7 @@
   const tracked = new Map<string, TrackedPeer>();
   const loops = new Set<Promise<void>>();
   let listed: readonly platform.instanceList.ListedInstance[] = [];
+  let lastInstances: readonly platform.instanceList.ListedInstance[] = [];
   let corrected: readonly platform.instanceList.ListedInstance[] = [];
   let listFetchedAt: types.clock.MonotonicMs | undefined;
   let selfListedAt: types.clock.MonotonicMs | undefined;
@@ -164,7 +165,10 @@
     const own = instances.filter(
       (instance) => instance.failureDomain === failureDomain,
     );
-    const changed = JSON.stringify(own) !== JSON.stringify(listed);
+    const changed =
+      instances !== lastInstances &&
+      JSON.stringify(own) !== JSON.stringify(listed);
+    lastInstances = instances;
     listed = own;
     corrected = corrections.correct(own);
     listFetchedAt = clock.monotonic();
--- a/packages/gypsumwall-platform/src/http_call.ts
+++ b/packages/gypsumwall-platform/src/http_call.ts
@@ -76,8 +76,9 @@
   return (text === '' ? undefined : JSON.parse(text)) as Value;
 }
 
-function refusal(
-  call: JsonCall,
+/** Reads a refusal in the wire form of docs/PLATFORM.md. */
+export function refusal(
+  call: Pick<JsonCall, 'step' | 'peer'>,
   status: number,
   text: string,
 ): types.stepError.StepError {
--- a/packages/gypsumwall-testing/src/__tests__/contract.test.ts
+++ b/packages/gypsumwall-testing/src/__tests__/contract.test.ts
@@ -117,6 +117,23 @@
   });
 });
 
+nodeTest.test('an unchanged list is not sent again', async (test) => {
+  const {standIn, url} = await startPlatform(test);
+  const list = platform.httpInstanceList.createHttpInstanceList({
+    url,
+    timeoutMs: TIMEOUT_MS,
+  });
+  const entry = {kind: 'entry', id: 'e1', failureDomain: 'bkk-a'};
+  const live = {...entry, address: 'http://127.0.0.1:1', state: 'live'};
+  await control(standIn, 'instances', {instances: [live]});
+  const first = unwrap(await list.fetch());
+  assert.equal(first[0]?.state, 'live');
+  assert.equal(unwrap(await list.fetch()), first);
+  const leaving = {...live, state: 'leaving'};
+  await control(standIn, 'instances', {instances: [leaving]});
+  assert.equal(unwrap(await list.fetch())[0]?.state, 'leaving');
+});
+
 nodeTest.test('the list lags and maps addresses for a view', async (test) => {
   const {standIn, url} = await startPlatform(test);
   const fetch = (listUrl: string) =>
--- a/packages/gypsumwall-testing/src/platform_stand_in.ts
+++ b/packages/gypsumwall-testing/src/platform_stand_in.ts
@@ -1,4 +1,5 @@
 /** The platform's log and instance list, on one port. */
+import * as crypto from 'node:crypto';
 import * as timers from 'node:timers/promises';
 import type * as fastify from 'fastify';
 import * as zod from 'zod';
@@ -174,8 +175,10 @@
     return seen?.instances ?? [];
   };
 
-  server.get('/v1/instances', () => ({instances: listed()}));
-  server.get('/views/:view/v1/instances', (req) => {
+  server.get('/v1/instances', (req, reply) =>
+    sendTagged(req, reply, {instances: listed()}),
+  );
+  server.get('/views/:view/v1/instances', (req, reply) => {
     const {view} = zod.object({view: zod.string()}).parse(req.params);
     const addresses = views.get(view) ?? {};
     // An instance whose path is not laid yet must not be seen by its own
@@ -184,7 +187,7 @@
       const address = addresses[String(instance.id)];
       return address === undefined ? [] : [{...instance, address}];
     });
-    return {instances};
+    return sendTagged(req, reply, {instances});
   });
 
   server.post('/control/instances', (req) => {
@@ -212,3 +215,17 @@
 export interface InstancesBody {
   readonly instances: readonly platform.instanceList.ListedInstance[];
 }
+
+/** Answers with a tag, or only that the body is the one of that tag. */
+function sendTagged(
+  req: fastify.FastifyRequest,
+  reply: fastify.FastifyReply,
+  body: object,
+): fastify.FastifyReply {
+  const text = JSON.stringify(body);
+  const digest = crypto.createHash('sha256').update(text).digest('hex');
+  const etag = `"${digest}"`;
+  void reply.header('etag', etag);
+  if (req.headers['if-none-match'] === etag) return reply.status(304).send();
+  return reply.type('application/json').send(text);
+}
