--- a/packages/gypsumwall-entry/src/create_entry.ts
+++ b/packages/gypsumwall-entry/src/create_entry.ts
@@ -56,6 +56,11 @@
 /** A log unheard for this long is not known to its end. */
 const CAUGHT_UP_MS = 2_500;
 const PEER_TIMEOUT_MS = 2_000;
+/** A busy holder's ends of tasks: 20 appends a second, however many. */
+const DOMAIN_GAP_MS = 50;
+/** A caller waits for each of these. */
+const REQUESTS_GAP_MS = 10;
+const CONFIG_GAP_MS = 10;
 const CONFIG_STREAM = 'config';
 const REQUESTS_STREAM = 'requests';
 
@@ -88,12 +93,14 @@
   const streamOf = (
     stream: string,
     fold: records.streamFold.StreamFold,
+    minGapMs: number,
   ): entryStream.EntryStream =>
     entryStream.createEntryStream({
       stream,
       self,
       log: outside.log,
       fold,
+      minGapMs,
       clock,
       logger,
       signal,
@@ -101,7 +108,7 @@
 
   // Settings tree.
   const config = records.configFold.createConfigFold(() => onConfig());
-  const configStream = streamOf(CONFIG_STREAM, config);
+  const configStream = streamOf(CONFIG_STREAM, config, CONFIG_GAP_MS);
   const identities = authenticate.createAuthenticate(
     config,
     cfg.rootOperatorTokenHash,
@@ -109,7 +116,7 @@
 
   // Requests that may not be repeated.
   const requests = records.requestFold.createRequestFold(clock);
-  const requestStream = streamOf(REQUESTS_STREAM, requests);
+  const requestStream = streamOf(REQUESTS_STREAM, requests, REQUESTS_GAP_MS);
 
   // Peers. The server listens first, since its address is part of the view.
   const forwardMark = forwarder.createForwardMark();
@@ -124,6 +131,7 @@
         answerWitness: (ask) => claim.answerWitness(ask),
       },
       ownState,
+      leavingInstances: () => viewKeeper.listedLeaving(),
       onHeartbeat: (req) => viewKeeper.noteHeartbeat(req),
       forward: (req) => peerForwarding.serveForwarded(app, forwardMark, req),
       readState: (req) =>
@@ -166,6 +174,7 @@
   const domainStream = streamOf(
     `domain.${failureDomain}`,
     domainFold.createDomainFold(jobs, claim),
+    DOMAIN_GAP_MS,
   );
   const holder = domainHolder.createDomainHolder({
     claim: () => claim.state(),
@@ -189,7 +198,7 @@
       makeWorker: (listed) => outside.makeWorker(listed),
       tracer,
       metrics,
-      append: async (record) => (await appendDomain(record)).isOk,
+      append: appendAndApply,
     },
   });
 
@@ -309,6 +318,21 @@
     return domainStream.appender.append(body, deadline);
   }
 
+  /**
+   * Appends, and waits until the record is applied here. The log's answer can
+   * come before the record is read back: a task's end would then be released
+   * while the job's state still lacks its result, and the task would be
+   * started a second time.
+   */
+  async function appendAndApply(
+    record: records.domainRecords.DomainRecord,
+  ): Promise<boolean> {
+    const appended = await appendDomain(record);
+    if (appended.isErr) return false;
+    const deadline = types.clock.after(clock.monotonic(), APPEND_MS);
+    return domainStream.follower.waitFor(appended.value.offset, deadline);
+  }
+
   function isCurrent(stream: entryStream.EntryStream): boolean {
     const last = stream.follower.lastAnswerAt();
     if (!stream.follower.caughtUp() || last === undefined) return false;
--- a/packages/gypsumwall-testing/src/__tests__/trace.test.ts
+++ b/packages/gypsumwall-testing/src/__tests__/trace.test.ts
@@ -1,150 +1,122 @@
 import * as assert from 'node:assert/strict';
-import * as crypto from 'node:crypto';
+import * as timers from 'node:timers/promises';
 import * as nodeTest from 'node:test';
 import * as undici from 'undici';
-import * as entry from '@gypsumwall/entry';
-import * as settings from '@gypsumwall/settings';
-import * as telemetry from '@gypsumwall/telemetry';
-import * as types from '@gypsumwall/types';
-import * as domainHarness from '../__fixtures__/domain_harness.js';
-import * as platformStandIn from '../platform_stand_in.js';
-import * as standInConfig from '../stand_in_config.js';
-import * as upstreamsStandIn from '../upstreams_stand_in.js';
+import * as exampleCell from '../example_cell.js';
+import * as formatTrace from '../format_trace.js';
+import * as launchCell from '../launch_cell.js';
+import * as traceCollector from '../trace_collector.js';
 
-const ROOT = 'root-token';
-const TEAM_TOKEN = 'desk-token';
-const sha256 = (text: string) =>
-  crypto.createHash('sha256').update(text).digest('hex');
+const CALLER_SPAN = 'b7ad6b7169203331';
+const REQUEST_TRACE = '0af7651916cd43dd8448eb211c80319c';
+const JOB_TRACE = '1af7651916cd43dd8448eb211c80319d';
+const DEADLINE_MS = 30_000;
 
-const TREE = {
-  cell: {name: 'skyroute', failureDomains: ['bkk-a', 'bkk-b']},
-  'teams/desk': {
-    tokenHashes: [sha256(TEAM_TOKEN)],
-    quota: {cpuMillis: 1_000, memoryMb: 1_000, accelerators: 0},
-    operations: {'airspace-check': {}},
-  },
+const example = exampleCell.readExampleCell('skyroute');
+const tokens = example.tokens.teams;
+
+/** Two entries of one failure domain, so that one isn't the holder. */
+const SMALL_SITE = {
+  ...example.site,
+  failureDomains: [{name: 'bkk-a', entries: 2, upstreams: 1, racks: 1}],
+  workersPerRack: 1,
 };
 
-nodeTest.test('one trace follows a request through all its hops', async (t) => {
-  // The pilot's question reaches an entry whose domain has no upstream; an
-  // entry of the other domain has it answered. An operator sees one trace:
-  // caller, entry, peer entry, upstream, each span below the one before.
-  const recorder = telemetry.spanRecorder.createSpanRecorder();
-  const standIn = await platformStandIn.createPlatformStandIn(
-    standInConfig.platformConfigSchema.parse({kind: 'platform'}),
-  );
-  t.after(() => standIn.close());
-  const upstreams = await upstreamsStandIn.createUpstreamsStandIn({
-    kind: 'upstreams',
-    upstreams: [{id: 'bkk-b-u1', slots: 8, connections: 64}],
-  });
-  t.after(() => upstreams.close());
-  const startEntry = async (id: string, failureDomain: string) => {
-    const url = standIn.control;
-    const made = await entry.entry.createEntry({
-      settings: settings.entrySettings.entrySettingsSchema.parse({
-        id,
-        failureDomain,
-        logUrl: url,
-        listUrl: url,
-        rootOperatorTokenHash: sha256(ROOT),
-        logLevel: 'silent',
-        listPollMs: 20,
-        listLagMs: 50,
-      }),
-      clock: types.clock.createSystemClock(),
-      random: types.random.createRandom(1),
-      logger: telemetry.logger.createLogger('silent'),
-      tracer: telemetry.tracing.createTracer({instance: id, recorder}),
-    });
-    t.after(() => made.close());
-    return made;
-  };
-  const near = await startEntry('near', 'bkk-a');
-  const far = await startEntry('far', 'bkk-b');
-  const listed = [
-    {kind: 'entry', id: 'near', failureDomain: 'bkk-a', at: near.peerAddress},
-    {kind: 'entry', id: 'far', failureDomain: 'bkk-b', at: far.peerAddress},
-    {
-      kind: 'upstream',
-      id: 'bkk-b-u1',
-      failureDomain: 'bkk-b',
-      at: upstreams.addresses['bkk-b-u1'],
-      slots: 8,
-      connections: 64,
-    },
-  ].map(({at, ...rest}) => ({...rest, address: at, state: 'live'}));
-  await undici.request(`${standIn.control}/control/instances`, {
+const JOB = {
+  shape: {kind: 'batch', tasks: 1},
+  jobClass: 'route-optimisation',
+  urgency: 'normal',
+  size: {cpuMillis: 500, memoryMb: 256, accelerators: 0},
+  estimateMs: 100,
+  work: {command: 'optimise', args: {label: 'traced', runMs: 50}},
+};
+
+/** Sends a call as a caller whose own span has the given trace. */
+async function send(url: string, token: string, traceId: string, body: object) {
+  const res = await undici.request(url, {
     method: 'POST',
-    headers: {'content-type': 'application/json'},
-    body: JSON.stringify({instances: listed}),
+    headers: {
+      authorization: `Bearer ${token}`,
+      traceparent: `00-${traceId}-${CALLER_SPAN}-01`,
+    },
+    body: JSON.stringify(body),
   });
-  await publishTree(near.address);
+  const text = await res.body.text();
+  assert.ok(res.statusCode < 300, text);
+}
 
-  let status = 0;
-  const ask = async () => {
-    const res = await undici.request(
-      `${near.address}/v1/requests/airspace-check`,
-      {
-        method: 'POST',
-        headers: {authorization: `Bearer ${TEAM_TOKEN}`},
-        body: '{"workMs":1}',
-      },
-    );
-    await res.body.dump();
-    status = res.statusCode;
-  };
-  const patience = performance.now() + 30_000;
-  while (status !== 200 && performance.now() < patience) await ask();
-  assert.equal(status, 200);
+/** Waits until the trace has spans of all these names. */
+async function waitForSpans(
+  collector: traceCollector.TraceCollector,
+  traceId: string,
+  names: readonly string[],
+): Promise<readonly traceCollector.CollectedSpan[]> {
+  const deadline = performance.now() + DEADLINE_MS;
+  for (;;) {
+    const spans = collector.traces().get(traceId) ?? [];
+    const seen = new Set(spans.map((span) => span.name));
+    if (names.every((name) => seen.has(name))) return spans;
+    assert.ok(performance.now() < deadline, `only ${[...seen].join(', ')}`);
+    await timers.setTimeout(50);
+  }
+}
 
-  const spans = () => recorder.spans();
-  const answered = () =>
-    spans().find((span) => span.name === 'upstream.execute');
-  const hops = () => {
-    const found = [];
-    let at = answered();
-    while (at !== undefined) {
-      found.push(at);
-      const parent: string | undefined = at.parentSpanId;
-      at = spans().find((span) => span.spanId === parent);
-    }
-    return found;
+/** Names from a span up to the caller's, the caller's left out. */
+function pathUp(
+  spans: readonly traceCollector.CollectedSpan[],
+  from: string,
+): string[] {
+  const names: string[] = [];
+  let span = spans.find((one) => one.name === from);
+  while (span !== undefined) {
+    names.push(span.name);
+    const parent: string | undefined = span.parentSpanId;
+    if (parent === CALLER_SPAN) return names;
+    span = spans.find((one) => one.spanId === parent);
+  }
+  return [...names, 'lost'];
+}
+
+nodeTest.test('a trace follows a call through all its hops', async () => {
+  const collector = await traceCollector.startTraceCollector();
+  const entrySettings = {
+    ...SMALL_SITE.entrySettings,
+    tracesUrl: collector.url,
   };
-  await domainHarness.until('all spans ended', () => hops().length === 4);
-  assert.deepEqual(
-    hops().map(({name, attributes}) => [
-      name,
-      attributes['service.instance.id'],
-    ]),
-    [
-      ['upstream.execute', 'far'],
-      ['entry.call', 'far'],
-      ['peer.forward', 'near'],
-      ['entry.call', 'near'],
-    ],
-  );
-  assert.equal(new Set(hops().map((span) => span.traceId)).size, 1);
-});
+  const cell = await launchCell.launchCell({
+    ...example,
+    site: {...SMALL_SITE, entrySettings},
+    entryCommand: exampleCell.ENTRY_COMMAND,
+    relayed: false,
+    seed: 1,
+  });
+  try {
+    const entries = cell.entries();
+    const token = tokens['airspace-desk'] ?? '';
+    const requestUrl = `${entries[0]?.address}/v1/requests/airspace-check`;
+    await send(requestUrl, token, REQUEST_TRACE, {workMs: 1});
+    const hops = ['entry.call', 'upstream.execute'];
+    const request = await waitForSpans(collector, REQUEST_TRACE, hops);
+    assert.deepEqual(pathUp(request, 'upstream.execute'), hops.reverse());
 
-/** Publishes the whole tree; a new entry refuses while it reads the log. */
-async function publishTree(address: string): Promise<void> {
-  for (const [path, value] of Object.entries(TREE)) {
-    let status = 0;
-    const patience = performance.now() + 10_000;
-    while (status !== 200 && performance.now() < patience) {
-      const res = await undici.request(`${address}/v1/settings/${path}`, {
-        method: 'PUT',
-        headers: {
-          authorization: `Bearer ${ROOT}`,
-          'content-type': 'application/json',
-          'if-match': '-1',
-        },
-        body: JSON.stringify(value),
-      });
-      await res.body.dump();
-      status = res.statusCode;
+    // One of the two isn't the holder and hands the job on to its peer.
+    for (const {address} of entries) {
+      const jobToken = tokens['route-optimisation'] ?? '';
+      await send(`${address}/v1/jobs`, jobToken, JOB_TRACE, JOB);
     }
-    assert.equal(status, 200, path);
+    const job = await waitForSpans(collector, JOB_TRACE, [
+      'peer.forward',
+      'worker.start',
+    ]);
+    assert.deepEqual(pathUp(job, 'peer.forward'), [
+      'peer.forward',
+      'entry.call',
+    ]);
+    const started = pathUp(job, 'worker.start');
+    assert.ok(!started.includes('lost'), formatTrace.formatTrace(job));
+    assert.doesNotMatch(formatTrace.formatTrace(job), new RegExp(token));
+  } finally {
+    await cell.close();
+    await collector.close();
   }
-}
+});
--- a/packages/gypsumwall-testing/src/trace_collector.ts
+++ b/packages/gypsumwall-testing/src/trace_collector.ts
@@ -1,133 +1,105 @@
 /**
- * A collector of traces for a trial on one machine: takes what the entries
- * export (OTLP over HTTP, as JSON) and prints one trace as a tree.
+ * Stands in for a collector of traces (OTLP over HTTP, JSON form) and keeps
+ * the spans that entries export.
  */
-import type * as fastify from 'fastify';
 import * as zod from 'zod';
 import * as standInServer from './stand_in_server.js';
 
-const attribute = zod.object({
-  key: zod.string(),
-  value: zod.record(zod.string(), zod.unknown()),
-});
-
-const exportBody = zod.object({
-  resourceSpans: zod.array(
-    zod.object({
-      scopeSpans: zod.array(
-        zod.object({
-          spans: zod.array(
-            zod.object({
-              traceId: zod.string(),
-              spanId: zod.string(),
-              parentSpanId: zod.string().optional(),
-              name: zod.string(),
-              startTimeUnixNano: zod.coerce.bigint(),
-              endTimeUnixNano: zod.coerce.bigint(),
-              attributes: zod.array(attribute).default([]),
-            }),
-          ),
-        }),
-      ),
-    }),
-  ),
-});
-
-/** A span as an entry exported it. */
+/** One exported span. */
 export interface CollectedSpan {
+  readonly name: string;
   readonly traceId: string;
   readonly spanId: string;
+  /** Absent for the first span of a trace. */
   readonly parentSpanId?: string;
-  readonly name: string;
+  /** On the exporter's wall clock, in milliseconds since the Unix epoch. */
   readonly startMs: number;
-  readonly endMs: number;
+  readonly durationMs: number;
   readonly attributes: Readonly<Record<string, string>>;
+  /** Present if the step failed. */
+  readonly error?: string;
 }
 
-/** The collector. */
+/** A running collector. */
 export interface TraceCollector {
-  /** To be given to entries as `tracesUrl`. */
+  /** For the setting `tracesUrl` of an entry. */
   readonly url: string;
-  spans(): readonly CollectedSpan[];
+  /** All spans so far, by their trace. */
+  traces(): ReadonlyMap<string, readonly CollectedSpan[]>;
   close(): Promise<void>;
 }
 
-const TRACES_PATH = '/v1/traces';
-const NANOS_A_MS = 1e6;
+const PATH = '/v1/traces';
+const NANOS_PER_MS = 1e6;
+
+const spanSchema = zod.object({
+  name: zod.string(),
+  traceId: zod.string(),
+  spanId: zod.string(),
+  parentSpanId: zod.string().optional(),
+  startTimeUnixNano: zod.string(),
+  endTimeUnixNano: zod.string(),
+  attributes: zod
+    .array(
+      zod.object({
+        key: zod.string(),
+        value: zod.record(zod.string(), zod.unknown()),
+      }),
+    )
+    .default([]),
+  status: zod.object({message: zod.string().optional()}).default({}),
+});
 
-/** Starts the collector on a port of the kernel's choice. */
-export async function createTraceCollector(): Promise<TraceCollector> {
-  const spans: CollectedSpan[] = [];
+const exportSchema = zod.object({
+  resourceSpans: zod.array(
+    zod.object({
+      scopeSpans: zod.array(zod.object({spans: zod.array(spanSchema)})),
+    }),
+  ),
+});
+
+/** Starts a collector on a port that the kernel gives. */
+export async function startTraceCollector(): Promise<TraceCollector> {
+  const traces = new Map<string, CollectedSpan[]>();
   const server = standInServer.createServer();
-  server.post(TRACES_PATH, (req: fastify.FastifyRequest) => {
-    spans.push(...readExport(req.body));
+  server.post(PATH, (req) => {
+    for (const span of readSpans(req.body)) {
+      traces.set(span.traceId, [...(traces.get(span.traceId) ?? []), span]);
+    }
     return {};
   });
-  const address = await standInServer.listen(server);
+  const address = await server.listen({port: 0, host: '127.0.0.1'});
   return {
-    url: `${address}${TRACES_PATH}`,
-    spans: () => spans,
+    url: `${address}${PATH}`,
+    traces: () => traces,
     close: () => server.close(),
   };
 }
 
-function readExport(body: unknown): CollectedSpan[] {
-  return exportBody
+function readSpans(body: unknown): CollectedSpan[] {
+  return exportSchema
     .parse(body)
-    .resourceSpans.flatMap(({scopeSpans}) => scopeSpans)
+    .resourceSpans.flatMap((resource) => resource.scopeSpans)
     .flatMap((scope) => scope.spans)
-    .map((span) => ({
-      traceId: span.traceId,
-      spanId: span.spanId,
-      parentSpanId: span.parentSpanId === '' ? undefined : span.parentSpanId,
-      name: span.name,
-      startMs: Number(span.startTimeUnixNano) / NANOS_A_MS,
-      endMs: Number(span.endTimeUnixNano) / NANOS_A_MS,
-      attributes: Object.fromEntries(
-        span.attributes.map(({key, value}) => [
-          key,
-          String(Object.values(value)[0]),
-        ]),
-      ),
-    }));
+    .map(collectedSpan);
 }
 
-/** The trace with the most hops; undefined when nothing was collected. */
-export function longestTrace(
-  spans: readonly CollectedSpan[],
-): readonly CollectedSpan[] | undefined {
-  const traces = new Map<string, CollectedSpan[]>();
-  for (const span of spans) {
-    const trace = traces.get(span.traceId) ?? [];
-    trace.push(span);
-    traces.set(span.traceId, trace);
-  }
-  return [...traces.values()].sort(
-    (left, right) => right.length - left.length,
-  )[0];
-}
-
-/** A trace as indented lines, each with its moment and length in ms. */
-export function formatTrace(trace: readonly CollectedSpan[]): string {
-  const ids = new Set(trace.map((span) => span.spanId));
-  const start = Math.min(...trace.map((span) => span.startMs));
-  const lines: string[] = [];
-  const add = (span: CollectedSpan, depth: number) => {
-    const {['service.instance.id']: instance, ...rest} = span.attributes;
-    const fields = Object.entries(rest).map(
-      ([key, value]) => `${key}=${value}`,
-    );
-    const at = (span.startMs - start).toFixed(1).padStart(7);
-    const took = (span.endMs - span.startMs).toFixed(1).padStart(7);
-    const name = `${'  '.repeat(depth)}${span.name}`;
-    lines.push([at, took, name, instance ?? '', ...fields].join(' '));
-    trace
-      .filter((child) => child.parentSpanId === span.spanId)
-      .sort((left, right) => left.startMs - right.startMs)
-      .forEach((child) => add(child, depth + 1));
+function collectedSpan(span: zod.infer<typeof spanSchema>): CollectedSpan {
+  const startMs = Number(span.startTimeUnixNano) / NANOS_PER_MS;
+  const endMs = Number(span.endTimeUnixNano) / NANOS_PER_MS;
+  return {
+    name: span.name,
+    traceId: span.traceId,
+    spanId: span.spanId,
+    parentSpanId: span.parentSpanId,
+    startMs,
+    durationMs: endMs - startMs,
+    attributes: Object.fromEntries(
+      span.attributes.map(({key, value}) => [
+        key,
+        String(Object.values(value)[0]),
+      ]),
+    ),
+    error: span.status.message,
   };
-  trace
-    .filter(({parentSpanId}) => !ids.has(parentSpanId ?? ''))
-    .forEach((root) => add(root, 0));
-  return ['  at ms took ms span, entry, attributes', ...lines].join('\n');
 }
