--- a/packages/gypsumwall-entry/src/create_entry.ts
+++ b/packages/gypsumwall-entry/src/create_entry.ts
@@ -25,6 +25,7 @@
 import * as peerForwarding from './peer_forwarding.js';
 import * as readState from './read_state.js';
 import * as recoveryGate from './recovery_gate.js';
+import * as routerFeed from './router_feed.js';
 import * as settingsService from './settings_service.js';
 
 /** What an entry is made of; the same code runs on another clock or seed. */
@@ -81,7 +82,6 @@
   const closing = new AbortController();
   const {signal} = closing;
   let leaving = false;
-  let ownSlots = 0;
 
   const outside = entryClients.createEntryClients({
     settings: cfg,
@@ -214,6 +214,12 @@
       outside.makeUpstream(listed, connections),
   });
 
+  const feed = routerFeed.createRouterFeed({
+    router,
+    failureDomain,
+    address: peerServer.address,
+  });
+
   const context: entryContext.EntryContext = {
     self,
     settings: cfg,
@@ -265,10 +271,10 @@
         config,
         streams: streams(),
         view: viewKeeper.current(),
-        ownSlots,
+        ownSlots: feed.ownSlots(),
       }),
     isLeaving: () => leaving,
-    hasSlots: () => ownSlots > 0,
+    hasSlots: () => feed.ownSlots() > 0,
     startDrain: () => void stop.drain(),
   };
   const app = httpServer.createHttpServer(context);
@@ -284,14 +290,7 @@
 
   function onConfig(): void {
     identities.forget();
-    for (const [id, policy] of config.teams()) {
-      router.setTeam({
-        id: types.ids.brand<types.ids.TeamId>(id),
-        weight: policy.weight,
-        maxQueuedRequests: policy.maxQueuedRequests,
-        retryBudget: policy.retryBudget,
-      });
-    }
+    feed.onTeams(config.teams());
     holder.onTeams();
   }
 
@@ -300,14 +299,8 @@
       view.workers.map((worker) => worker.id),
       clock.monotonic(),
     );
-    router.setView({
-      upstreams: view.upstreams,
-      entries: sharingEntries(view, failureDomain, peerServer.address),
-    });
+    feed.onView(view);
     holder.onView(view);
-    ownSlots = router
-      .status()
-      .upstreams.reduce((sum, upstream) => sum + upstream.share, 0);
   }
 
   async function appendDomain(
@@ -385,20 +378,3 @@
     close: () => stop.close(),
   };
 }
-
-/**
- * The entries that share the domain's upstreams, by the addresses on the
- * list. Ids of processes are learned one by one: entries that call the same
- * one by different names would divide the slots differently. One that the
- * list does not show takes no share, since others stop counting it.
- */
-function sharingEntries(
-  view: membership.domainView.DomainView,
-  failureDomain: types.ids.FailureDomain,
-  own: string,
-): string[] {
-  const others = view.peers
-    .filter((peer) => peer.failureDomain === failureDomain)
-    .map((peer) => peer.address);
-  return view.selfListed === true ? [own, ...others] : others;
-}
