Let a job's key name its home, so that one key is one job through any entry

Weighed: one stream of keys for all domains (one more append a job), asking all domains first (fails when one is cut off), the key naming the home (chosen).

--- a/packages/gypsumwall-entry/src/job_routes.ts
+++ b/packages/gypsumwall-entry/src/job_routes.ts
@@ -3,6 +3,7 @@
 import type * as result from 'true-myth/result';
 import * as types from '@gypsumwall/types';
 import * as callContext from './call_context.js';
+import * as chooseHome from './choose_home.js';
 import type * as entryContext from './entry_context.js';
 import * as forwardCall from './forward_call.js';
 import * as jobRequest from './job_request.js';
@@ -11,6 +12,7 @@
 /** Time a job call gets when its caller says nothing. */
 const DEFAULT_TIMEOUT_MS = 5_000;
 const LIST_LIMIT = 1_000;
+const COME_BACK_MS = 2_000;
 
 interface JobParams {
   readonly jobId: string;
@@ -70,6 +72,13 @@
   const givenKey = callContext.readKey(req);
   if (givenKey.isErr) return problem.send(res, givenKey.error);
   const key = givenKey.value ?? callContext.newKey();
+  const home =
+    givenKey.value === undefined
+      ? context.failureDomain
+      : homeOfKey(context, team, key);
+  if (home !== context.failureDomain) {
+    return submitAtHome(context, req, res, deadline, home);
+  }
   // The holder keeps the domain's books, so it can refuse early. A submission
   // is idempotent by its key: should the holder not answer, this entry may
   // append the job itself without a risk of taking it twice.
@@ -96,6 +105,33 @@
   }
 }
 
+function homeOfKey(
+  context: entryContext.EntryContext,
+  team: types.ids.TeamId,
+  key: types.ids.IdempotencyKey,
+): types.ids.FailureDomain {
+  const domains = context.config.cell()?.failureDomains ?? [];
+  return chooseHome.chooseHome(team, key, domains) ?? context.failureDomain;
+}
+
+/** Only the home of a key may accept it: another one would be a second job. */
+async function submitAtHome(
+  context: entryContext.EntryContext,
+  req: fastify.FastifyRequest,
+  res: fastify.FastifyReply,
+  deadline: types.clock.MonotonicMs,
+  home: types.ids.FailureDomain,
+): Promise<fastify.FastifyReply> {
+  const handed = forwardCall.mayForward(context, req)
+    ? await forwardCall.forwardCall(context, req, res, {
+        peers: forwardCall.peersOfDomain(context, home),
+        deadline,
+        idempotent: true,
+      })
+    : forwardCall.NOT_TAKEN;
+  return forwardCall.sendAfter(handed, res, unreachable(home));
+}
+
 /** Hands a submission to the domain's holder, unless it is this entry. */
 async function handToHolder(
   context: entryContext.EntryContext,
@@ -157,9 +193,12 @@
 }
 
 function homeUnreachable(jobId: types.ids.JobId): problem.Problem {
-  const home = types.ids.homeOfJob(jobId);
+  return unreachable(types.ids.homeOfJob(jobId));
+}
+
+function unreachable(home: types.ids.FailureDomain): problem.Problem {
   const detail = `no entry of failure domain "${home}" can be reached now`;
-  return problem.notRun('not_ready', detail, 2_000);
+  return problem.notRun('not_ready', detail, COME_BACK_MS);
 }
 
 async function view(
