Accept a keyed job whose home is out of reach, straight into its stream

The id of a keyed job follows from its key now, so an entry that can't read the home's stream back still tells the right id. The launcher publishes the domains that a site has; scenarios choose keys at home in the domain that they name.

--- a/packages/gypsumwall-bench/src/control_records.ts
+++ b/packages/gypsumwall-bench/src/control_records.ts
@@ -67,7 +67,11 @@
     clock,
     logger: telemetry.logger.createLogger('silent'),
     minGapMs: gapMs,
-    follower: {waitFor: () => Promise.resolve(true), restores: () => 0},
+    follower: {
+      waitFor: () => Promise.resolve(true),
+      restores: () => 0,
+      lastAnswerAt: () => clock.monotonic(),
+    },
     signal: new AbortController().signal,
   });
   const body = records.envelope.encodeRecord(endRecord(0, 0));
--- a/packages/gypsumwall-entry/src/choose_home.ts
+++ b/packages/gypsumwall-entry/src/choose_home.ts
@@ -27,6 +27,25 @@
     : types.ids.brand<types.ids.FailureDomain>(first);
 }
 
+/** Hexadecimal digits of a job's suffix: enough that no two keys meet. */
+const SUFFIX_LENGTH = 24;
+
+/**
+ * The suffix of the id of the job that a key stands for. All repetitions get
+ * one id, so that a record may be appended by an entry that can't read its
+ * stream back: whichever record comes first, the id that was told is right.
+ */
+export function suffixOfKey(
+  team: types.ids.TeamId,
+  key: types.ids.IdempotencyKey,
+): string {
+  return crypto
+    .createHash('sha256')
+    .update(JSON.stringify([team, key]))
+    .digest('hex')
+    .slice(0, SUFFIX_LENGTH);
+}
+
 function rankOf(
   team: types.ids.TeamId,
   key: types.ids.IdempotencyKey,
--- a/packages/gypsumwall-entry/src/create_entry.ts
+++ b/packages/gypsumwall-entry/src/create_entry.ts
@@ -172,7 +172,7 @@
     onChange: (state) => holder.onClaim(state),
   });
   const domainStream = streamOf(
-    `domain.${failureDomain}`,
+    records.domainRecords.streamOf(failureDomain),
     domainFold.createDomainFold(jobs, claim),
     DOMAIN_GAP_MS,
   );
@@ -244,7 +244,8 @@
       follower: domainStream.follower,
       appender: domainStream.appender,
       scheduler: () => holder.current(),
-      newSuffix: () => crypto.randomBytes(8).toString('hex'),
+      log: outside.log,
+      self,
     }),
     runOnce: onceRequest.createOnceRequest({
       self,
--- a/packages/gypsumwall-entry/src/index.ts
+++ b/packages/gypsumwall-entry/src/index.ts
@@ -4,3 +4,4 @@
 export * as problem from './problem.js';
 export * as recoveryGate from './recovery_gate.js';
 export * as schedulerOptions from './scheduler_options.js';
+export * as chooseHome from './choose_home.js';
--- a/packages/gypsumwall-entry/src/job_routes.ts
+++ b/packages/gypsumwall-entry/src/job_routes.ts
@@ -77,7 +77,12 @@
       ? context.failureDomain
       : homeOfKey(context, team, key);
   if (home !== context.failureDomain) {
-    return submitAtHome(context, req, res, deadline, home);
+    return submitAtHome(context, req, res, {
+      home,
+      key,
+      spec: spec.value,
+      deadline,
+    });
   }
   // The holder keeps the domain's books, so it can refuse early. A submission
   // is idempotent by its key: should the holder not answer, this entry may
@@ -114,14 +119,22 @@
   return chooseHome.chooseHome(team, key, domains) ?? context.failureDomain;
 }
 
-/** Only the home of a key may accept it: another one would be a second job. */
+/**
+ * Only the home of a key may accept it: another one would be a second job.
+ * With no entry of the home in reach, the record goes straight to its stream.
+ */
 async function submitAtHome(
   context: entryContext.EntryContext,
   req: fastify.FastifyRequest,
   res: fastify.FastifyReply,
-  deadline: types.clock.MonotonicMs,
-  home: types.ids.FailureDomain,
+  job: {
+    readonly home: types.ids.FailureDomain;
+    readonly key: types.ids.IdempotencyKey;
+    readonly spec: types.job.JobSpec;
+    readonly deadline: types.clock.MonotonicMs;
+  },
 ): Promise<fastify.FastifyReply> {
+  const {home, key, spec, deadline} = job;
   const handed = forwardCall.mayForward(context, req)
     ? await forwardCall.forwardCall(context, req, res, {
         peers: forwardCall.peersOfDomain(context, home),
@@ -129,7 +142,17 @@
         idempotent: true,
       })
     : forwardCall.NOT_TAKEN;
-  return forwardCall.sendAfter(handed, res, unreachable(home));
+  if (handed.type === 'answered') return handed.reply;
+  const accepted = await context.jobs.submitElsewhere(
+    home,
+    spec,
+    key,
+    callContext.headerOf(req, 'traceparent'),
+  );
+  if (accepted.isErr) {
+    return forwardCall.sendAfter(handed, res, accepted.error);
+  }
+  return res.status(202).send({jobId: accepted.value});
 }
 
 /** Hands a submission to the domain's holder, unless it is this entry. */
--- a/packages/gypsumwall-entry/src/job_service.ts
+++ b/packages/gypsumwall-entry/src/job_service.ts
@@ -3,9 +3,12 @@
  * domain. A job is accepted once its record stands in the log; any entry of
  * the domain can do that, the domain's holder then places it.
  */
+import * as crypto from 'node:crypto';
 import * as result from 'true-myth/result';
+import type * as platform from '@gypsumwall/platform';
 import * as records from '@gypsumwall/records';
 import * as types from '@gypsumwall/types';
+import * as chooseHome from './choose_home.js';
 import type * as domainScheduler from './domain_scheduler.js';
 import * as problem from './problem.js';
 
@@ -18,7 +21,9 @@
   readonly appender: records.logAppender.LogAppender;
   /** The scheduler, while this entry holds the domain. */
   readonly scheduler: () => domainScheduler.DomainScheduler | undefined;
-  readonly newSuffix: () => string;
+  /** For jobs whose home is another failure domain. */
+  readonly log: platform.platformLog.PlatformLog;
+  readonly self: types.ids.EntryId;
 }
 
 type Answer<Value> = Promise<result.Result<Value, problem.Problem>>;
@@ -31,6 +36,17 @@
     deadline: types.clock.MonotonicMs,
     traceparent?: string,
   ): Answer<types.ids.JobId>;
+  /**
+   * Appends the job to the stream of its home, no entry of which can be
+   * reached. What the home knows of the key is not seen from here: a key that
+   * stands for another job already keeps to that one.
+   */
+  submitElsewhere(
+    home: types.ids.FailureDomain,
+    spec: types.job.JobSpec,
+    key: types.ids.IdempotencyKey,
+    traceparent?: string,
+  ): Answer<types.ids.JobId>;
   view(
     team: types.ids.TeamId,
     jobId: types.ids.JobId,
@@ -79,7 +95,7 @@
       }
       const jobId = types.ids.makeJobId(
         options.failureDomain,
-        options.newSuffix(),
+        chooseHome.suffixOfKey(spec.team, key),
       );
       const appended = await append(
         {
@@ -99,6 +115,31 @@
       }
       return sameJob(accepted, spec);
     },
+    submitElsewhere: async (home, spec, key, traceparent) => {
+      const outage = appender.outage();
+      if (outage !== undefined) return result.err(logDown(outage.retryAfterMs));
+      const suffix = chooseHome.suffixOfKey(spec.team, key);
+      const jobId = types.ids.makeJobId(home, suffix);
+      const appended = await options.log.append({
+        stream: records.domainRecords.streamOf(home),
+        // A producer of its own: in one count, two appends under way at once
+        // could pass each other, and the earlier one would be void.
+        producer: `${options.self}-${crypto.randomUUID()}`,
+        sequence: 0,
+        bodies: [
+          records.envelope.encodeRecord({
+            type: 'job_accepted',
+            jobId,
+            key,
+            spec,
+            acceptedAt: clock.wall(),
+            traceparent,
+          }),
+        ],
+      });
+      if (appended.isErr) return result.err(ofStepError(appended.error));
+      return result.ok(jobId);
+    },
     view: (team, jobId) => {
       const job = jobs.job(jobId);
       // Another team's job is as good as none: not even its being is told.
--- a/packages/gypsumwall-records/src/domain_records.ts
+++ b/packages/gypsumwall-records/src/domain_records.ts
@@ -80,3 +80,8 @@
       readonly attempt: types.ids.AttemptId;
       readonly end: types.job.TaskEnd;
     };
+
+/** Name of a failure domain's stream. */
+export function streamOf(failureDomain: types.ids.FailureDomain): string {
+  return `domain.${failureDomain}`;
+}
--- a/packages/gypsumwall-records/src/log_appender.ts
+++ b/packages/gypsumwall-records/src/log_appender.ts
@@ -25,7 +25,7 @@
   readonly logger: telemetry.logger.Logger;
   readonly follower: Pick<
     streamFollower.StreamFollower,
-    'waitFor' | 'restores'
+    'waitFor' | 'restores' | 'lastAnswerAt'
   >;
   /**
    * Least time between the beginnings of two appends. The log takes some
@@ -60,6 +60,9 @@
 
 const MAX_BATCH = 512;
 const RESOLVE_RETRY_MS = 300;
+/** Longer than a long poll of the follower and a slow answer to it. */
+const SILENCE_MS = 4_000;
+const COME_BACK_MS = 1_000;
 /** How often the wait for the follower looks whether the process is closing. */
 const FOLLOW_MS = 1_000;
 
@@ -105,6 +108,16 @@
     );
   }
 
+  /**
+   * The log has answered no read for long. An append would wait for its
+   * deadline and then be `unknown`; refused before, it is surely `not_run`.
+   */
+  function isSilent(): boolean {
+    const last = options.follower.lastAnswerAt();
+    if (last === undefined) return true;
+    return clock.monotonic() > types.clock.after(last, SILENCE_MS);
+  }
+
   async function sendAll(): Promise<void> {
     if (sending) return;
     sending = true;
@@ -232,6 +245,7 @@
       // Kept only until the batch it belongs to is settled.
       if (sending) observed.set(record.sequence, record.offset);
     },
-    outage: () => (inDoubt ? {retryAfterMs: RESOLVE_RETRY_MS * 2} : undefined),
+    outage: () =>
+      inDoubt || isSilent() ? {retryAfterMs: COME_BACK_MS} : undefined,
   };
 }
--- a/packages/gypsumwall-testing/src/launch_cell.ts
+++ b/packages/gypsumwall-testing/src/launch_cell.ts
@@ -199,11 +199,14 @@
 }
 
 async function publishTree(cell: Cell): Promise<void> {
-  const {tree, tokens} = cell.options;
+  const {tree, tokens, site: where} = cell.options;
+  // A site may be smaller than its example: a domain without entries would
+  // be the home of jobs that never run.
+  const failureDomains = where.failureDomains.map(({name}) => name);
   const publisher = cell.entries()[0]?.client;
   if (publisher === undefined) throw new Error('the site has no entry');
   const subtrees: Array<[string, unknown]> = [
-    ['cell', tree.cell],
+    ['cell', {...tree.cell, failureDomains}],
     ...Object.entries(tree.teams).map(([team, value]): [string, unknown] => {
       return [`teams/${team}`, value];
     }),
--- a/packages/gypsumwall-testing/src/scenario/call_steps.ts
+++ b/packages/gypsumwall-testing/src/scenario/call_steps.ts
@@ -1,5 +1,7 @@
 /** Steps of callers and operators. */
 import * as timers from 'node:timers/promises';
+import * as entry from '@gypsumwall/entry';
+import * as types from '@gypsumwall/types';
 import type * as scenarioSchema from './scenario_schema.js';
 import * as scenarioState from './scenario_state.js';
 
@@ -66,7 +68,7 @@
   const token = scenarioState.tokenOf(state, team);
   const args = {runMs, neverRuns, label: name};
   await scenarioState.runMaybeInBackground(state, step.background, async () => {
-    const key = step.key ?? `key-of-${name}`;
+    const key = step.key ?? keyAtHome(state, client.entryId, team, name);
     const work = {command: 'scenario', args};
     const spec = {shape, jobClass: name, urgency, size, estimateMs, work};
     const told = await untilRun(step, (callId) =>
@@ -81,6 +83,28 @@
   });
 }
 
+/**
+ * A key whose home is the failure domain of the entry that the step names:
+ * a scenario means the holder, the workers and the cuts of that domain.
+ */
+function keyAtHome(
+  state: State,
+  entryId: string,
+  team: string,
+  name: string,
+): string {
+  const {failureDomain} = state.cell.entry(entryId).entry;
+  const domains = state.cell.options.site.failureDomains.map((one) => one.name);
+  for (let n = 1; ; n += 1) {
+    const key = types.ids.brand<types.ids.IdempotencyKey>(
+      `key-${n}-of-${name}`,
+    );
+    const owner = types.ids.brand<types.ids.TeamId>(team);
+    const home = entry.chooseHome.chooseHome(owner, key, domains);
+    if (home === failureDomain) return key;
+  }
+}
+
 /** Cancels a job. */
 export async function cancel(
   state: State,
