--- a/packages/gypsumwall-entry/src/status_routes.ts
+++ b/packages/gypsumwall-entry/src/status_routes.ts
@@ -48,7 +48,7 @@
     leaving: context.isLeaving(),
     notReadyBecause: context.isReady() ?? null,
     list: {ageMs: age(view.listFetchedAt), peers: view.peers},
-    claim: context.claim(),
+    claim: claimStatus(context),
     streams: {
       config: stream(context.configFollower),
       domain: stream(context.domainFollower),
@@ -58,3 +58,12 @@
     router: context.router.status(),
   };
 }
+
+/** The claim; a deadline on this process's clock says nothing to a reader. */
+function claimStatus(context: entryContext.EntryContext): object {
+  const claim = context.claim();
+  if (claim.type !== 'held') return claim;
+  const {deadline, ...rest} = claim;
+  const leftMs = Math.round(deadline - context.clock.monotonic());
+  return {...rest, leftMs};
+}
--- a/packages/gypsumwall-records/src/__tests__/config_fold.test.ts
+++ b/packages/gypsumwall-records/src/__tests__/config_fold.test.ts
@@ -60,3 +60,14 @@
   fold.apply(3, publish(1, 4), NOW);
   assert.deepEqual(fold.verdict(3), {type: 'in_force'});
 });
+
+nodeTest.test('a subtree of a newer version is kept for others', () => {
+  // An operator's setting is not lost when an old entry writes the snapshot.
+  // A newer release set a key that this one does not know; its snapshot is
+  // restored here and written again.
+  const newer = {revision: 4, value: {...team(2), keyOfLater: true}};
+  const fold = configFold.createConfigFold();
+  fold.restore(JSON.stringify([['teams/web', newer]]), NOW);
+  assert.equal(fold.team('web'), undefined);
+  assert.deepEqual(JSON.parse(fold.snapshot()), [['teams/web', newer]]);
+});
--- a/packages/gypsumwall-records/src/config_fold.ts
+++ b/packages/gypsumwall-records/src/config_fold.ts
@@ -49,9 +49,12 @@
   let cell: settings.cellTree.CellPolicy | undefined;
 
   function install(path: string, subtree: Subtree): void {
+    // Kept also where this version can't read it: a snapshot written by it
+    // must not drop what a newer version has set. The policy that was in
+    // force here stays in force.
+    subtrees.set(path, subtree);
     const checked = settings.checkSubtree.checkSubtree(path, subtree.value);
     if (checked.isErr) return;
-    subtrees.set(path, subtree);
     const found = checked.value;
     switch (found.type) {
       case 'cell':
