--- a/packages/gypsumwall-entry/src/call_context.ts
+++ b/packages/gypsumwall-entry/src/call_context.ts
@@ -4,6 +4,7 @@
 import * as result from 'true-myth/result';
 import * as types from '@gypsumwall/types';
 import type * as authenticate from './authenticate.js';
+import type * as entryContext from './entry_context.js';
 import * as problem from './problem.js';
 
 /** Longest time a call may ask for. */
@@ -74,12 +75,17 @@
   );
 }
 
+type Operator = Extract<authenticate.Identity, {type: 'operator'}>;
+
 /** The team that calls, or the refusal. */
-export function requireTeam(
-  identity: authenticate.Identity | undefined,
+export function teamOf(
+  context: entryContext.EntryContext,
+  req: fastify.FastifyRequest,
 ): result.Result<types.ids.TeamId, problem.Problem> {
-  if (identity === undefined) return result.err(unauthenticated());
-  switch (identity.type) {
+  const identity = context.authenticate(req.headers.authorization);
+  switch (identity?.type) {
+    case undefined:
+      return result.err(unauthenticated());
     case 'team':
       return result.ok(identity.team);
     case 'operator':
@@ -93,14 +99,14 @@
 }
 
 /** The operator that calls, or the refusal. */
-export function requireOperator(
-  identity: authenticate.Identity | undefined,
-): result.Result<
-  Extract<authenticate.Identity, {type: 'operator'}>,
-  problem.Problem
-> {
-  if (identity === undefined) return result.err(unauthenticated());
-  switch (identity.type) {
+export function operatorOf(
+  context: entryContext.EntryContext,
+  req: fastify.FastifyRequest,
+): result.Result<Operator, problem.Problem> {
+  const identity = context.authenticate(req.headers.authorization);
+  switch (identity?.type) {
+    case undefined:
+      return result.err(unauthenticated());
     case 'operator':
       return result.ok(identity);
     case 'team':
@@ -117,3 +123,13 @@
       'stands in the settings tree',
   );
 }
+
+/** The body as JSON; undefined where it is none. */
+export function readJson(req: fastify.FastifyRequest): unknown {
+  if (!Buffer.isBuffer(req.body)) return req.body;
+  try {
+    return JSON.parse(req.body.toString('utf8')) as unknown;
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/gypsumwall-entry/src/job_routes.ts
+++ b/packages/gypsumwall-entry/src/job_routes.ts
@@ -46,9 +46,8 @@
   },
   problem.Problem
 > {
-  const identity = context.authenticate(req.headers.authorization);
   return callContext
-    .requireTeam(identity)
+    .teamOf(context, req)
     .andThen((team) =>
       callContext
         .readDeadline(req, DEFAULT_TIMEOUT_MS, context.clock)
@@ -64,7 +63,7 @@
   const checked = check(context, req);
   if (checked.isErr) return problem.send(res, checked.error);
   const {team, deadline} = checked.value;
-  const body = parseBody(req);
+  const body = callContext.readJson(req);
   const spec = jobRequest.checkJobRequest(body, team);
   if (spec.isErr) {
     return problem.send(res, problem.notRun('invalid', spec.error));
@@ -101,15 +100,6 @@
   return res.status(202).send({jobId: accepted.value});
 }
 
-function parseBody(req: fastify.FastifyRequest): unknown {
-  if (!Buffer.isBuffer(req.body)) return req.body;
-  try {
-    return JSON.parse(req.body.toString('utf8')) as unknown;
-  } catch {
-    return undefined;
-  }
-}
-
 function homeOfKey(
   context: entryContext.EntryContext,
   team: types.ids.TeamId,
--- a/packages/gypsumwall-entry/src/job_service.ts
+++ b/packages/gypsumwall-entry/src/job_service.ts
@@ -10,6 +10,7 @@
 import * as types from '@gypsumwall/types';
 import * as chooseHome from './choose_home.js';
 import type * as domainScheduler from './domain_scheduler.js';
+import * as logProblem from './log_problem.js';
 import * as problem from './problem.js';
 
 /** What the service needs. */
@@ -68,12 +69,14 @@
     deadline: types.clock.MonotonicMs,
   ): Answer<number> {
     const outage = appender.outage();
-    if (outage !== undefined) return result.err(logDown(outage.retryAfterMs));
+    if (outage !== undefined)
+      return result.err(logProblem.logDown(outage.retryAfterMs));
     const appended = await appender.append(
       records.envelope.encodeRecord(record),
       deadline,
     );
-    if (appended.isErr) return result.err(ofStepError(appended.error));
+    if (appended.isErr)
+      return result.err(logProblem.ofStepError(appended.error));
     const {offset} = appended.value;
     if (!(await follower.waitFor(offset, deadline))) {
       return result.err(
@@ -117,7 +120,8 @@
     },
     submitElsewhere: async (home, spec, key, traceparent) => {
       const outage = appender.outage();
-      if (outage !== undefined) return result.err(logDown(outage.retryAfterMs));
+      if (outage !== undefined)
+        return result.err(logProblem.logDown(outage.retryAfterMs));
       const suffix = chooseHome.suffixOfKey(spec.team, key);
       const jobId = types.ids.makeJobId(home, suffix);
       const appended = await options.log.append({
@@ -137,7 +141,8 @@
           }),
         ],
       });
-      if (appended.isErr) return result.err(ofStepError(appended.error));
+      if (appended.isErr)
+        return result.err(logProblem.ofStepError(appended.error));
       return result.ok(jobId);
     },
     view: (team, jobId) => {
@@ -180,22 +185,6 @@
   );
 }
 
-/** The log can't be reached: final at once, with when to come back. */
-export function logDown(retryAfterMs: number): problem.Problem {
-  return problem.notRun(
-    'log_unavailable',
-    'the platform log does not answer',
-    retryAfterMs,
-  );
-}
-
-/** The problem that tells a failed append. */
-export function ofStepError(err: types.stepError.StepError): problem.Problem {
-  const detail = types.stepError.describeError(err);
-  if (err.effect === 'unknown') return problem.unknownOutcome(detail);
-  return problem.notRun('log_unavailable', detail, err.retryAfterMs);
-}
-
 function viewOf(
   job: records.jobFold.JobState,
   scheduler: domainScheduler.DomainScheduler | undefined,
--- a/packages/gypsumwall-entry/src/once_request.ts
+++ b/packages/gypsumwall-entry/src/once_request.ts
@@ -10,7 +10,7 @@
 import type * as routing from '@gypsumwall/routing';
 import * as types from '@gypsumwall/types';
 import * as authenticate from './authenticate.js';
-import * as jobService from './job_service.js';
+import * as logProblem from './log_problem.js';
 import * as problem from './problem.js';
 import * as wholeAnswer from './whole_answer.js';
 
@@ -68,7 +68,7 @@
   ): Promise<result.Result<number, problem.Problem>> {
     const outage = appender.outage();
     if (outage !== undefined) {
-      return result.err(jobService.logDown(outage.retryAfterMs));
+      return result.err(logProblem.logDown(outage.retryAfterMs));
     }
     const spanMs = Math.max(0, req.deadline - clock.monotonic());
     const appended = await appendRecord(
--- a/packages/gypsumwall-entry/src/request_routes.ts
+++ b/packages/gypsumwall-entry/src/request_routes.ts
@@ -44,8 +44,7 @@
   req: fastify.FastifyRequest,
   operation: string,
 ): CheckedCall | problem.Problem {
-  const identity = context.authenticate(req.headers.authorization);
-  const team = callContext.requireTeam(identity);
+  const team = callContext.teamOf(context, req);
   if (team.isErr) return team.error;
   const policy = context.config.team(team.value)?.operations[operation];
   if (policy === undefined) {
--- a/packages/gypsumwall-entry/src/settings_routes.ts
+++ b/packages/gypsumwall-entry/src/settings_routes.ts
@@ -20,9 +20,7 @@
   context: entryContext.EntryContext,
 ): void {
   app.get('/v1/settings', async (req, res) => {
-    const operator = callContext.requireOperator(
-      context.authenticate(req.headers.authorization),
-    );
+    const operator = callContext.operatorOf(context, req);
     if (operator.isErr) return problem.send(res, operator.error);
     const subtrees = context.config.paths().map((path) => ({
       path,
@@ -43,9 +41,7 @@
   req: SettingsCall,
   res: fastify.FastifyReply,
 ): Promise<fastify.FastifyReply> {
-  const operator = callContext.requireOperator(
-    context.authenticate(req.headers.authorization),
-  );
+  const operator = callContext.operatorOf(context, req);
   if (operator.isErr) return problem.send(res, operator.error);
   const path = req.params['*'];
   const subtree = context.config.subtree(path);
@@ -63,9 +59,7 @@
   req: SettingsCall,
   res: fastify.FastifyReply,
 ): Promise<fastify.FastifyReply> {
-  const operator = callContext.requireOperator(
-    context.authenticate(req.headers.authorization),
-  );
+  const operator = callContext.operatorOf(context, req);
   if (operator.isErr) return problem.send(res, operator.error);
   const path = req.params['*'];
   if (!authenticate.mayPublish(operator.value, path)) {
@@ -81,7 +75,7 @@
       `on, or ${records.configFold.NO_REVISION} for a new subtree`;
     return problem.send(res, problem.notRun('invalid', detail));
   }
-  const value = parseJson(req);
+  const value = callContext.readJson(req);
   const deadline = callContext.readDeadline(
     req,
     DEFAULT_TIMEOUT_MS,
@@ -101,12 +95,3 @@
   const base = Number(text);
   return text !== undefined && Number.isInteger(base) ? base : undefined;
 }
-
-function parseJson(req: fastify.FastifyRequest): unknown {
-  if (!Buffer.isBuffer(req.body)) return req.body;
-  try {
-    return JSON.parse(req.body.toString('utf8')) as unknown;
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/gypsumwall-entry/src/settings_service.ts
+++ b/packages/gypsumwall-entry/src/settings_service.ts
@@ -3,7 +3,7 @@
 import * as records from '@gypsumwall/records';
 import * as settings from '@gypsumwall/settings';
 import type * as types from '@gypsumwall/types';
-import * as jobService from './job_service.js';
+import * as logProblem from './log_problem.js';
 import * as problem from './problem.js';
 
 /** What the service needs. */
@@ -52,12 +52,12 @@
       if (foreseen !== undefined) return result.err(foreseen);
       const outage = appender.outage();
       if (outage !== undefined) {
-        return result.err(jobService.logDown(outage.retryAfterMs));
+        return result.err(logProblem.logDown(outage.retryAfterMs));
       }
       const body = records.envelope.encodeRecord({type: 'publish', ...req});
       const appended = await appender.append(body, deadline);
       if (appended.isErr) {
-        return result.err(jobService.ofStepError(appended.error));
+        return result.err(logProblem.ofStepError(appended.error));
       }
       const {offset} = appended.value;
       const seen = await follower.waitFor(offset, deadline);
--- a/packages/gypsumwall-entry/src/status_routes.ts
+++ b/packages/gypsumwall-entry/src/status_routes.ts
@@ -16,16 +16,12 @@
     return problem.send(res, problem.notRun('not_ready', reason, 1_000));
   });
   app.get('/v1/status', (req, res) => {
-    const operator = callContext.requireOperator(
-      context.authenticate(req.headers.authorization),
-    );
+    const operator = callContext.operatorOf(context, req);
     if (operator.isErr) return problem.send(res, operator.error);
     return res.send(status(context));
   });
   app.post('/v1/drain', (req, res) => {
-    const operator = callContext.requireOperator(
-      context.authenticate(req.headers.authorization),
-    );
+    const operator = callContext.operatorOf(context, req);
     if (operator.isErr) return problem.send(res, operator.error);
     context.startDrain();
     return res.status(202).send({draining: true});
