Bound the memory of kept answers

Cause: the answer of each request that may not be repeated was kept with its key, 100,000 keys, however large. Answers over 64 KiB aren't recorded, and the oldest beyond 32 MiB go while their keys stay. Test: six large answers.

--- a/packages/gypsumwall-entry/src/once_request.ts
+++ b/packages/gypsumwall-entry/src/once_request.ts
@@ -34,6 +34,8 @@
 /** Added to the window, so that an outcome on its way still counts. */
 const WINDOW_SLACK_MS = 5_000;
 const COME_BACK_MS = 1_000;
+/** Bytes of the largest answer that is kept for a repeated call. */
+const LARGEST_KEPT_ANSWER = 64 * 1024;
 
 type Answer = Promise<result.Result<wholeAnswer.WholeAnswer, problem.Problem>>;
 
@@ -174,7 +176,7 @@
         key: req.key,
         requestId: req.requestId,
         outcome,
-        ...(answer === undefined
+        ...(answer === undefined || answer.body.length > LARGEST_KEPT_ANSWER
           ? {}
           : {
               answer: Buffer.from(answer.body).toString('base64'),
@@ -188,6 +190,10 @@
   return runOnce;
 }
 
+const ANSWER_NOT_KEPT =
+  'the request has run once, as its key asks; its answer was too large, or ' +
+  'is too old, to be kept';
+
 function toldOutcome(
   known: records.requestFold.KeyState | undefined,
 ): result.Result<wholeAnswer.WholeAnswer, problem.Problem> {
@@ -201,10 +207,12 @@
   }
   switch (told.outcome.type) {
     case 'done':
-      return result.ok({
-        contentType: told.contentType ?? 'application/octet-stream',
-        body: Buffer.from(told.answer ?? '', 'base64'),
-      });
+      return told.answer === undefined
+        ? result.err(problem.unknownOutcome(ANSWER_NOT_KEPT))
+        : result.ok({
+            contentType: told.contentType ?? 'application/octet-stream',
+            body: Buffer.from(told.answer, 'base64'),
+          });
     case 'not_run':
     case 'unknown':
       return result.err(problem.ofOutcome(told.outcome));
--- a/packages/gypsumwall-records/src/__tests__/request_fold.test.ts
+++ b/packages/gypsumwall-records/src/__tests__/request_fold.test.ts
@@ -83,3 +83,24 @@
   assert.equal(restored.key(team, key)?.offset, 3);
   assert.equal(restored.key(team, key)?.outcome?.outcome.type, 'done');
 });
+
+nodeTest.test('old answers go before their keys do', () => {
+  // Large answers must not fill the entry's memory, and dropping one must not
+  // let its request run a second time.
+  const fold = requestFold.createRequestFold(clock);
+  const answer = 'x'.repeat(requestFold.KEPT_ANSWER_CHARS / 4);
+  const keyOf = (n: number) =>
+    types.ids.brand<types.ids.IdempotencyKey>(`large-${n}`);
+  for (let n = 0; n < 6; n += 1) {
+    const id = `request-${n}`;
+    fold.apply(2 * n, {...intent(id), key: keyOf(n)}, NOW);
+    const done = {...outcome(id, {type: 'done'}), key: keyOf(n), answer};
+    fold.apply(2 * n + 1, done, NOW);
+  }
+  const kept = [0, 1, 2, 3, 4, 5].map(
+    (n) => fold.key(team, keyOf(n))?.outcome?.answer !== undefined,
+  );
+  assert.deepEqual(kept, [false, false, true, true, true, true]);
+  fold.apply(20, {...intent('again'), key: keyOf(0)}, NOW);
+  assert.equal(fold.key(team, keyOf(0))?.offset, 0);
+});
--- a/packages/gypsumwall-records/src/request_fold.ts
+++ b/packages/gypsumwall-records/src/request_fold.ts
@@ -37,11 +37,19 @@
 
 /** Keys kept; the oldest go first. Stated to callers in docs/API.md. */
 export const KEPT_KEYS = 100_000;
+/**
+ * Characters of answers kept in all, for callers who ask again. Beyond it the
+ * oldest answers go, while their keys stay: what has run is never run again.
+ */
+export const KEPT_ANSWER_CHARS = 32 * 1024 * 1024;
 
 /** Makes a fold without keys. */
 export function createRequestFold(clock: types.clock.Clock): RequestFold {
   const keys = new Map<string, KeyState>();
   const waiters = new Map<string, Set<() => void>>();
+  /** Keys whose answer is kept, in the order of the log. */
+  const answered = new Set<KeyState>();
+  let answerChars = 0;
 
   function applyIntent(
     offset: number,
@@ -61,7 +69,28 @@
 
   function forgetOldest(): void {
     const oldest = keys.keys().next();
-    if (oldest.done !== true) keys.delete(oldest.value);
+    if (oldest.done === true) return;
+    const state = keys.get(oldest.value);
+    if (state !== undefined) dropAnswer(state);
+    keys.delete(oldest.value);
+  }
+
+  function keepAnswer(state: KeyState): void {
+    const chars = state.outcome?.answer?.length ?? 0;
+    if (chars === 0) return;
+    answered.add(state);
+    answerChars += chars;
+    for (const oldest of answered) {
+      if (answerChars <= KEPT_ANSWER_CHARS) return;
+      dropAnswer(oldest);
+    }
+  }
+
+  function dropAnswer(state: KeyState): void {
+    if (!answered.delete(state) || state.outcome === undefined) return;
+    const {answer = '', ...rest} = state.outcome;
+    answerChars -= answer.length;
+    state.outcome = rest;
   }
 
   function applyOutcome(record: OutcomeRecord): void {
@@ -71,6 +100,7 @@
     if (known?.intent.requestId !== record.requestId) return;
     if (known.outcome !== undefined) return;
     known.outcome = record;
+    keepAnswer(known);
     waiters.get(name)?.forEach((wake) => wake());
   }
 
@@ -102,10 +132,14 @@
       ),
     restore: (text, readAt) => {
       keys.clear();
+      answered.clear();
+      answerChars = 0;
       for (const saved of JSON.parse(text) as SavedKey[]) {
         const {intent} = saved;
         const windowEnds = types.clock.after(readAt, intent.windowMs);
-        keys.set(keyName(intent.team, intent.key), {...saved, windowEnds});
+        const state = {...saved, windowEnds};
+        keys.set(keyName(intent.team, intent.key), state);
+        keepAnswer(state);
       }
       waiters.forEach((set) => set.forEach((wake) => wake()));
     },
