Tell the outcome of a keyed request before a slow log has its record

Cause: the answer waited for its own record, up to 10 s with the log down. The record is now waited for 200 ms; a lost one reads as unknown to a repeated call.

--- a/packages/gypsumwall-entry/src/once_request.ts
+++ b/packages/gypsumwall-entry/src/once_request.ts
@@ -31,6 +31,8 @@
 
 /** Time kept back to record the outcome, in milliseconds. */
 const RECORD_MS = 10_000;
+/** Time that a caller's answer waits for the record of its outcome. */
+const RECORD_PATIENCE_MS = 200;
 /** Added to the window, so that an outcome on its way still counts. */
 const WINDOW_SLACK_MS = 5_000;
 const COME_BACK_MS = 1_000;
@@ -163,13 +165,19 @@
     return appender.append(records.envelope.encodeRecord(record), deadline);
   }
 
+  /**
+   * Records how the run ended. Usually that takes milliseconds and is waited
+   * for, so that a repeated call finds it. A log that is slow or down must not
+   * hold back the caller's answer: the record is then left to itself, and
+   * should it be lost, a repeated call is told `unknown`, which is true.
+   */
   async function appendOutcome(
     req: KeyedRequest,
     outcome: types.outcome.Outcome,
     answer?: wholeAnswer.WholeAnswer,
   ): Promise<void> {
     const deadline = types.clock.after(clock.monotonic(), RECORD_MS);
-    await appendRecord(
+    const recorded = appendRecord(
       {
         type: 'outcome',
         team: req.team,
@@ -185,6 +193,10 @@
       },
       deadline,
     );
+    const patience = new AbortController();
+    const until = types.clock.after(clock.monotonic(), RECORD_PATIENCE_MS);
+    await Promise.race([recorded, clock.sleepUntil(until, patience.signal)]);
+    patience.abort();
   }
 
   return runOnce;
