--- a/packages/gypsumwall-entry/src/domain_scheduler.ts
+++ b/packages/gypsumwall-entry/src/domain_scheduler.ts
@@ -31,6 +31,8 @@
   setTeam(team: placement.placer.PlacerTeam): void;
   onJob(change: records.jobFold.JobChange): void;
   running(jobId: types.ids.JobId): number;
+  /** Runs of its tasks that failed while this entry has held the domain. */
+  failures(jobId: types.ids.JobId): number;
   explain(jobId: types.ids.JobId): string;
   admit(spec: types.job.JobSpec): placement.placer.PlacementRefusal | undefined;
   status(): SchedulerStatus;
@@ -311,6 +313,7 @@
     setTeam: (team) => placer.setTeam(team),
     onJob,
     running: (jobId) => tasks.of(jobId).length,
+    failures: (jobId) => books.failures(jobId),
     explain: (jobId) => placer.explain(jobId),
     admit: (spec) => placer.admit(spec, clock.wall()),
     status: () => ({
--- a/packages/gypsumwall-entry/src/job_service.ts
+++ b/packages/gypsumwall-entry/src/job_service.ts
@@ -198,7 +198,7 @@
     kind: job.spec.shape.kind,
     tasks: types.job.taskCount(job.spec.shape),
     finished: job.results.size,
-    failed: 0,
+    failed: scheduler?.failures(job.jobId) ?? 0,
     running,
     message: messageOf(job, scheduler),
     results: closedWell
--- a/packages/gypsumwall-entry/src/task_books.ts
+++ b/packages/gypsumwall-entry/src/task_books.ts
@@ -32,6 +32,8 @@
   ): taskTable.ActiveTask;
   /** Gives a task's room back; it waits again if its job still wants it. */
   release(task: taskTable.ActiveTask, report: placement.placer.RunReport): void;
+  /** Runs of a job's tasks that failed in this epoch. */
+  failures(jobId: types.ids.JobId): number;
   /** Jobs from before the epoch that are held back. */
   gatedJobs(): number;
   /** Lets them go. */
@@ -48,6 +50,7 @@
     (taskId) => types.ids.splitTaskId(taskId).jobId,
   );
   const gated = new Set<JobState>(jobs.openJobs());
+  const failures = new Map<types.ids.JobId, number>();
 
   function jobOf(taskId: types.ids.TaskId): JobState | undefined {
     return jobs.job(types.ids.splitTaskId(taskId).jobId);
@@ -86,6 +89,9 @@
     tasks.remove(task);
     placer.release(task.taskId, report);
     const job = jobOf(task.taskId);
+    if (report.type === 'failed' && job?.phase.type === 'open') {
+      failures.set(job.jobId, (failures.get(job.jobId) ?? 0) + 1);
+    }
     if (job !== undefined && !gated.has(job) && isWanted(task.taskId)) {
       enqueue(job, [types.ids.splitTaskId(task.taskId).index]);
     }
@@ -102,6 +108,7 @@
     closeJob: (job) => {
       placer.cancel(job.jobId);
       gated.delete(job);
+      failures.delete(job.jobId);
     },
     hold: ({taskId, attempt, size}, workerId, job, startedAt) => {
       const held: taskTable.ActiveTask = {
@@ -116,6 +123,7 @@
       placer.adopt({taskId, spec: job.spec, workerId, size});
       return held;
     },
+    failures: (jobId) => failures.get(jobId) ?? 0,
     gatedJobs: () => gated.size,
     openGate: () => {
       const waiting = [...gated].filter((job) => job.phase.type === 'open');
--- a/packages/gypsumwall-types/src/job.ts
+++ b/packages/gypsumwall-types/src/job.ts
@@ -62,6 +62,7 @@
   readonly kind: JobShape['kind'];
   readonly tasks: number;
   readonly finished: number;
+  /** Failed runs of an open job, as its domain's holder has seen them. */
   readonly failed: number;
   readonly running: number;
   /** Why it waits or failed, for a person. */
