--- a/packages/gypsumwall-records/src/__tests__/stream_follower.test.ts
+++ b/packages/gypsumwall-records/src/__tests__/stream_follower.test.ts
@@ -95,3 +95,23 @@
   assert.deepEqual(late.fold.taken, ['a', 'b', 'c']);
   assert.equal(late.follower.caughtUp(), true);
 });
+
+nodeTest.test(
+  'a snapshot that comes late covers only what it holds',
+  async (t) => {
+    // A new entry must be able to start. A snapshot of the first record hangs
+    // on its way, two more records come, it arrives, and retention drops the
+    // first two: a reader that starts now finds no state, so one is due.
+    const log = memoryLog.createMemoryLog();
+    const reader = openStream.openStream(t, log);
+    const first = await reader.append('a');
+    assert.ok(first.isOk && (await reader.seen(first.value.offset)));
+    const bodies = snapshotText.toBodies(reader.follower.snapshot());
+    await reader.append('b');
+    await log.append({stream: 's', producer: 'w', sequence: 0, bodies});
+    log.dropBelow(2);
+    const last = await reader.append('c');
+    assert.ok(last.isOk && (await reader.seen(last.value.offset)));
+    assert.equal(reader.follower.isRebuildable(), false);
+  },
+);
--- a/packages/gypsumwall-records/src/stream_follower.ts
+++ b/packages/gypsumwall-records/src/stream_follower.ts
@@ -78,8 +78,8 @@
   let sinceSnapshot = 0;
   /** Oldest record that the log still has, as of its last answer. */
   let oldest = 0;
-  /** First record of the newest snapshot; records before it are not needed. */
-  let snapshotAt: number | undefined;
+  /** Records below this offset are covered by a snapshot in the stream. */
+  let covered = 0;
   let restores = 0;
   let lastAnswer: types.clock.MonotonicMs | undefined;
   /**
@@ -88,6 +88,14 @@
    */
   let awaitingSnapshot: AwaitingSnapshot | undefined;
 
+  /** What counts is how far it goes: an old snapshot may arrive late. */
+  function noteCovered(
+    part: Extract<envelope.Envelope, {readonly type: 'snapshot'}>,
+  ): void {
+    const isWhole = part.part === part.parts - 1;
+    if (isWhole) covered = Math.max(covered, part.nextOffset);
+  }
+
   function applyRecord(record: platform.platformLog.LogRecord): void {
     const read = envelope.decode(record.body);
     switch (read.type) {
@@ -110,7 +118,7 @@
     }
     if (read.envelope.type === 'snapshot') {
       sinceSnapshot = 0;
-      if (read.envelope.part === 0) snapshotAt = record.offset;
+      noteCovered(read.envelope);
       return;
     }
     if (!counts.take(record.producer, record.sequence)) {
@@ -157,7 +165,7 @@
   ): void {
     const read = envelope.decode(record.body);
     if (read.type === 'known' && read.envelope.type === 'snapshot') {
-      if (read.envelope.part === 0) snapshotAt = record.offset;
+      noteCovered(read.envelope);
       const found = waiting.collector.add(record.producer, read.envelope);
       if (found !== undefined && found.nextOffset >= waiting.firstOffset) {
         resume(waiting, found);
@@ -260,7 +268,7 @@
     lastAnswerAt: () => lastAnswer,
     restores: () => restores,
     recordsSinceSnapshot: () => sinceSnapshot,
-    isRebuildable: () => oldest === 0 || (snapshotAt ?? -1) >= oldest,
+    isRebuildable: () => covered >= oldest,
     wantsAbove,
     snapshot: () => ({
       nextOffset: next,
