--- a/packages/gypsumwall-entry/src/create_entry.ts
+++ b/packages/gypsumwall-entry/src/create_entry.ts
@@ -15,18 +15,16 @@
 import type * as entryContext from './entry_context.js';
 import * as entryLoops from './entry_loops.js';
 import * as entryReadiness from './entry_readiness.js';
+import * as entryServices from './entry_services.js';
 import * as entryStop from './entry_stop.js';
 import * as entryStream from './entry_stream.js';
 import * as entryTelemetry from './entry_telemetry.js';
 import * as forwarder from './forwarder.js';
 import * as httpServer from './http_server.js';
-import * as jobService from './job_service.js';
-import * as onceRequest from './once_request.js';
 import * as peerForwarding from './peer_forwarding.js';
 import * as readState from './read_state.js';
 import * as recoveryGate from './recovery_gate.js';
 import * as routerFeed from './router_feed.js';
-import * as settingsService from './settings_service.js';
 
 /** What an entry is made of; the same code runs on another clock or seed. */
 export interface EntryOptions {
@@ -237,29 +235,20 @@
     claim: () => claim.state(),
     scheduler: () => holder.current(),
     router,
-    jobs: jobService.createJobService({
+    ...entryServices.createEntryServices({
+      self,
       failureDomain,
       clock,
-      jobs,
-      follower: domainStream.follower,
-      appender: domainStream.appender,
-      scheduler: () => holder.current(),
       log: outside.log,
-      self,
-    }),
-    runOnce: onceRequest.createOnceRequest({
-      self,
-      clock,
+      config,
+      configStream,
       requests,
-      follower: requestStream.follower,
-      appender: requestStream.appender,
+      requestStream,
+      jobs,
+      domainStream,
+      holder,
       router,
     }),
-    settingsService: settingsService.createSettingsService({
-      config,
-      follower: configStream.follower,
-      appender: configStream.appender,
-    }),
     sendToPeer: peerForwarding.createSendToPeer({
       clients,
       clock,
