--- a/packages/gypsumwall-entry/src/create_entry.ts
+++ b/packages/gypsumwall-entry/src/create_entry.ts
@@ -1,6 +1,5 @@
 /** Puts the parts of an entry together and runs them. */
 import * as crypto from 'node:crypto';
-import * as result from 'true-myth/result';
 import * as membership from '@gypsumwall/membership';
 import * as placement from '@gypsumwall/placement';
 import * as records from '@gypsumwall/records';
@@ -51,9 +50,6 @@
   close(): Promise<void>;
 }
 
-const APPEND_MS = 10_000;
-/** A log unheard for this long is not known to its end. */
-const CAUGHT_UP_MS = 2_500;
 const PEER_TIMEOUT_MS = 2_000;
 /** A busy holder's ends of tasks: 20 appends a second, however many. */
 const DOMAIN_GAP_MS = 50;
@@ -163,8 +159,8 @@
     logger,
     ttlMs: cfg.claimTtlMs,
     listLagMs: cfg.listLagMs,
-    appendRecord: (record) => appendDomain(record),
-    caughtUp: () => isCurrent(domainStream),
+    appendRecord: (record) => domainStream.append(record),
+    caughtUp: () => domainStream.isCurrent(),
     view: () => viewKeeper.current(),
     peers: membership.claimCalls.createClaimCalls(clients),
     onChange: (state) => holder.onClaim(state),
@@ -196,7 +192,7 @@
       makeWorker: (listed) => outside.makeWorker(listed),
       tracer,
       metrics,
-      append: appendAndApply,
+      append: (record) => domainStream.appendAndApply(record),
     },
   });
 
@@ -293,35 +289,6 @@
     holder.onView(view);
   }
 
-  async function appendDomain(
-    record: records.domainRecords.DomainRecord,
-  ): Promise<result.Result<{offset: number}, types.stepError.StepError>> {
-    const body = records.envelope.encodeRecord(record);
-    const deadline = types.clock.after(clock.monotonic(), APPEND_MS);
-    return domainStream.appender.append(body, deadline);
-  }
-
-  /**
-   * Appends, and waits until the record is applied here. The log's answer can
-   * come before the record is read back: a task's end would then be released
-   * while the job's state still lacks its result, and the task would be
-   * started a second time.
-   */
-  async function appendAndApply(
-    record: records.domainRecords.DomainRecord,
-  ): Promise<boolean> {
-    const appended = await appendDomain(record);
-    if (appended.isErr) return false;
-    const deadline = types.clock.after(clock.monotonic(), APPEND_MS);
-    return domainStream.follower.waitFor(appended.value.offset, deadline);
-  }
-
-  function isCurrent(stream: entryStream.EntryStream): boolean {
-    const last = stream.follower.lastAnswerAt();
-    if (!stream.follower.caughtUp() || last === undefined) return false;
-    return clock.monotonic() < types.clock.after(last, CAUGHT_UP_MS);
-  }
-
   function streams(): readonly entryStream.EntryStream[] {
     return [configStream, domainStream, requestStream];
   }
--- a/packages/gypsumwall-entry/src/entry_stream.ts
+++ b/packages/gypsumwall-entry/src/entry_stream.ts
@@ -1,8 +1,9 @@
 /** One stream of the log as an entry uses it: read, appended to, restored. */
+import type * as result from 'true-myth/result';
 import type * as platform from '@gypsumwall/platform';
 import * as records from '@gypsumwall/records';
 import type * as telemetry from '@gypsumwall/telemetry';
-import type * as types from '@gypsumwall/types';
+import * as types from '@gypsumwall/types';
 
 /** What a stream needs. */
 export interface EntryStreamOptions {
@@ -22,8 +23,25 @@
   readonly name: string;
   readonly follower: records.streamFollower.StreamFollower;
   readonly appender: records.logAppender.LogAppender;
+  /** Appends a record, for a caller that has no deadline of its own. */
+  append(
+    record: object,
+  ): Promise<result.Result<{offset: number}, types.stepError.StepError>>;
+  /**
+   * Appends, and waits until the record is applied here. The log's answer can
+   * come before the record is read back: a task's end would then be released
+   * while the job's state still lacks its result, and the task would be
+   * started a second time.
+   */
+  appendAndApply(record: object): Promise<boolean>;
+  /** Whether the stream has lately been read up to its end. */
+  isCurrent(): boolean;
 }
 
+const APPEND_MS = 10_000;
+/** A log unheard for this long is not known to its end. */
+const CURRENT_MS = 2_500;
+
 /** Makes reader and writer; the reader is started by its `run`. */
 export function createEntryStream(options: EntryStreamOptions): EntryStream {
   const {stream, log, clock, logger, signal} = options;
@@ -46,5 +64,24 @@
     minGapMs: options.minGapMs,
     signal,
   });
-  return {name: stream, follower, appender};
+
+  const inAppendTime = () => types.clock.after(clock.monotonic(), APPEND_MS);
+  const append: EntryStream['append'] = (record) =>
+    appender.append(records.envelope.encodeRecord(record), inAppendTime());
+  return {
+    name: stream,
+    follower,
+    appender,
+    append,
+    appendAndApply: async (record) => {
+      const appended = await append(record);
+      if (appended.isErr) return false;
+      return follower.waitFor(appended.value.offset, inAppendTime());
+    },
+    isCurrent: () => {
+      const last = follower.lastAnswerAt();
+      if (!follower.caughtUp() || last === undefined) return false;
+      return clock.monotonic() < types.clock.after(last, CURRENT_MS);
+    },
+  };
 }
