--- a/packages/gypsumwall-settings/src/check_entry_settings.ts
+++ b/packages/gypsumwall-settings/src/check_entry_settings.ts
@@ -87,6 +87,12 @@
     shorter: 'listPollMs',
     symptom: 'the list would count as too old between two polls',
   },
+  {
+    longer: 'drainTimeoutMs',
+    times: 2,
+    shorter: 'drainNoticeMs',
+    symptom: 'a planned stop would cut off calls that came during the notice',
+  },
 ];
 
 function contradictions(
