--- a/packages/gypsumwall-entry/src/job_routes.ts
+++ b/packages/gypsumwall-entry/src/job_routes.ts
@@ -94,6 +94,14 @@
     deadline,
     callContext.headerOf(req, 'traceparent'),
   );
+  return sendAccepted(handed, res, accepted);
+}
+
+function sendAccepted(
+  handed: forwardCall.Handed,
+  res: fastify.FastifyReply,
+  accepted: result.Result<types.ids.JobId, problem.Problem>,
+): fastify.FastifyReply {
   if (accepted.isErr) {
     return forwardCall.sendAfter(handed, res, accepted.error);
   }
@@ -139,10 +147,7 @@
     key,
     callContext.headerOf(req, 'traceparent'),
   );
-  if (accepted.isErr) {
-    return forwardCall.sendAfter(handed, res, accepted.error);
-  }
-  return res.status(202).send({jobId: accepted.value});
+  return sendAccepted(handed, res, accepted);
 }
 
 /** Hands a submission to the domain's holder, unless it is this entry. */
