--- /dev/null
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -0,0 +1,384 @@
+/**
+ * One entry of a cell: follows the logs, serves callers, and holds the cell
+ * when nobody else does.
+ */
+import * as result from 'true-myth/result';
+import type * as scheduling from '@gypsumwall/scheduling';
+import type * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import * as cellHolder from './cell_holder.js';
+import * as cellStates from './cell_state.js';
+import * as claimView from './claim_view.js';
+import * as frontDesk from './front_desk.js';
+import * as jobTables from './job_table.js';
+import * as logFollower from './log_follower.js';
+import * as peerDirectory from './peer_directory.js';
+import type * as ports from './ports.js';
+import * as storeRecords from './store_records.js';
+import * as takeOver from './take_over.js';
+
+/** How often it is looked whether the cell may be taken; milliseconds. */
+const ELECTION_TICK_MS = 50;
+/** Entries try to take the cell this far apart, by chance; milliseconds. */
+const ELECTION_SPREAD_MS = 120;
+/** Time given to the append of a claim; milliseconds. */
+const CLAIM_TIMEOUT_MS = 600;
+/** A reader that waits for no single record reads this seldom; milliseconds. */
+const FOLLOW_PAUSE_MS = 25;
+/** A change of the configuration is in force this much later at most. */
+const CONFIG_PAUSE_MS = 50;
+/** How often jobs that are over are looked for; milliseconds. */
+const TIDY_MS = 5_000;
+/** How long an entry waits before it registers again; milliseconds. */
+const REGISTER_RETRY_MS = 300;
+
+/** What an entry is made with. */
+export interface CellEntryOptions {
+  readonly self: {
+    /** This process; a restarted one has another. */
+    readonly entryId: types.ids.EntryId;
+    /** The instance it runs on. */
+    readonly instance: string;
+    readonly domain: types.ids.FailureDomain;
+    readonly peerAddress: string;
+  };
+  readonly logs: {
+    readonly jobs: ports.KeyedLog;
+    readonly cell: ports.KeyedLog;
+    readonly config: ports.KeyedLog;
+    readonly workers: ports.KeyedLog;
+  };
+  /** Reads a record of the configuration's log; undefined: of other use. */
+  readonly decodeConfig: (
+    key: string,
+    value: string,
+  ) => result.Result<ports.CellConfig | undefined, string>;
+  readonly decodeWorker: cellHolder.CellHolderOptions['decodeWorker'];
+  readonly connect: cellHolder.CellHolderOptions['connect'];
+  readonly adviser: ports.Adviser;
+  readonly leaseMs: number;
+  /** How long the state of a job that is over can be asked for. */
+  readonly keepOverMs: number;
+  readonly clock: types.clock.Clock;
+  readonly random: types.random.Random;
+  readonly logger: telemetry.logger.Logger;
+}
+
+/** One entry. */
+export interface CellEntry {
+  readonly desk: frontDesk.FrontDesk;
+  /** The newest configuration; undefined before the first. */
+  config(): ports.CellConfig | undefined;
+  /** Whether callers can be served. */
+  isReady(): boolean;
+  start(): void;
+  /** Hands over what it holds; callers are served on. */
+  leave(): Promise<void>;
+  stop(): void;
+  status(): EntryStatus;
+}
+
+/** For gauges and people. */
+export interface EntryStatus {
+  readonly holdsCell: boolean;
+  readonly configVersion: number | undefined;
+  readonly storeReachable: boolean;
+  readonly scheduler: scheduling.scheduler.SchedulerCounts | undefined;
+}
+
+/** Creates an entry that does nothing before it is started. */
+export function createCellEntry(options: CellEntryOptions): CellEntry {
+  const {self, logs, clock, logger} = options;
+  const stopping = new AbortController();
+  const state = cellStates.createCellState();
+  const peers = peerDirectory.createPeerDirectory(self.instance, clock);
+  let config: ports.CellConfig | undefined;
+  let holder: cellHolder.CellHolder | undefined;
+  let leaving = false;
+  let lastRecordAt = clock.monotonic();
+
+  const jobs = jobTables.createJobTable({
+    onAdded: (job) => holder?.jobAdded(job),
+    onCancelled: (id) => holder?.jobCancelled(id),
+  });
+  const configFollower = logFollower.createLogFollower({
+    log: logs.config,
+    clock,
+    logger,
+    onRecords: (records) => records.forEach(applyConfig),
+    pauseMs: () => CONFIG_PAUSE_MS,
+  });
+  const jobsFollower = logFollower.createLogFollower({
+    log: logs.jobs,
+    clock,
+    logger,
+    onRecords: (records) => records.forEach(applyJobRecord),
+    pauseMs: () => (holder === undefined ? FOLLOW_PAUSE_MS : 0),
+  });
+  const cellFollower = logFollower.createLogFollower({
+    log: logs.cell,
+    clock,
+    logger,
+    onRecords: applyCellRecords,
+    pauseMs: () => FOLLOW_PAUSE_MS,
+  });
+  const desk = frontDesk.createFrontDesk({
+    jobsLog: logs.jobs,
+    jobs,
+    follower: jobsFollower,
+    clock,
+    logger,
+    couldEverFit,
+  });
+
+  function applyConfig(record: ports.KeyedRecord): void {
+    const decoded = options.decodeConfig(record.key, record.value);
+    if (result.isErr(decoded)) {
+      logger.error('config_unreadable', {
+        key: record.key,
+        offset: record.offset,
+        error: decoded.error,
+      });
+      return;
+    }
+    const next = decoded.value;
+    // A late read must never bring an older version back.
+    if (next === undefined || next.version <= (config?.version ?? -1)) return;
+    config = next;
+    logger.info('config_applied', {
+      version: next.version,
+      queues: next.queues.length,
+    });
+    holder?.policiesChanged();
+  }
+
+  function decodeRecord(
+    record: ports.KeyedRecord,
+  ): storeRecords.StoreRecord | undefined {
+    const decoded = storeRecords.decode(record.key, record.value);
+    if (result.isOk(decoded)) return decoded.value;
+    logger.warn('record_unreadable', {
+      key: record.key,
+      offset: record.offset,
+      error: decoded.error,
+    });
+    return undefined;
+  }
+
+  function applyJobRecord(raw: ports.KeyedRecord): void {
+    const record = decodeRecord(raw);
+    if (record === undefined) return;
+    if (record.kind === 'entry') peers.apply(record.instance, record.entry);
+    else jobs.apply(record, clock.monotonic());
+  }
+
+  function applyCellRecords(records: readonly ports.KeyedRecord[]): void {
+    lastRecordAt = clock.monotonic();
+    for (const raw of records) {
+      const record = decodeRecord(raw);
+      if (record === undefined) continue;
+      state.apply(record, raw.offset);
+      jobs.apply(record, lastRecordAt);
+      if (record.kind === 'claim') claimRead();
+    }
+  }
+
+  function claimRead(): void {
+    const claim = state.claim();
+    if (claim === undefined) return;
+    logger.info('claim_read', {...claim});
+    if (holder !== undefined && holder.claim.offset !== claim.offset) {
+      holder.stop();
+      holder = undefined;
+    }
+    const mine = claim.holder === self.entryId && claim.state === 'held';
+    if (mine && holder === undefined && !leaving) becomeHolder(claim);
+  }
+
+  function becomeHolder(claim: claimView.CellClaim): void {
+    const created = cellHolder.createCellHolder({
+      claim,
+      cellLog: logs.cell,
+      workerLog: logs.workers,
+      decodeWorker: options.decodeWorker,
+      connect: options.connect,
+      advisers: () => peers.advisers().set(self.instance, options.adviser),
+      jobs,
+      state,
+      catchUpJobs: () => jobsFollower.catchUp(),
+      policyOf,
+      leaseMs: options.leaseMs,
+      clock,
+      logger,
+      onDeposed: () => {
+        if (holder === created) holder = undefined;
+      },
+    });
+    holder = created;
+    void created.start();
+  }
+
+  function policyOf(
+    queue: string,
+  ): scheduling.jobRequest.QueuePolicy | undefined {
+    return config?.queues.find((route) => route.policy.queue === queue)?.policy;
+  }
+
+  /** Judged by the workers seen so far; with none seen nothing is refused. */
+  function couldEverFit(
+    pool: string,
+    step: scheduling.jobRequest.StepRequest,
+  ): boolean {
+    let seen = false;
+    for (const {info} of state.usedWorkers.values()) {
+      if (info.pool !== pool) continue;
+      seen = true;
+      if (types.resources.fits(step.size, info.capacity)) return true;
+    }
+    return !seen;
+  }
+
+  async function sleep(spanMs: number): Promise<void> {
+    const until = types.clock.after(clock.monotonic(), spanMs);
+    await clock.sleepUntil(until, stopping.signal);
+  }
+
+  function vacancy(): takeOver.Vacancy | undefined {
+    if (holder !== undefined) return undefined;
+    return takeOver.vacancyOf({
+      claim: state.claim(),
+      self,
+      lastRecordAt,
+      reachableSince: cellFollower.reachableSince(),
+      leaving,
+      now: clock.monotonic(),
+    });
+  }
+
+  async function runElections(): Promise<void> {
+    while (!stopping.signal.aborted) {
+      await sleep(ELECTION_TICK_MS);
+      if (vacancy() === undefined) continue;
+      await sleep(options.random.next() * ELECTION_SPREAD_MS);
+      const reason = vacancy();
+      if (reason !== undefined) await claimCell(reason);
+    }
+  }
+
+  async function claimCell(reason: takeOver.Vacancy): Promise<void> {
+    const position = cellFollower.position();
+    if (position === undefined) return;
+    const before = state.claim();
+    const claim: storeRecords.ClaimRecord = {
+      holder: self.entryId,
+      instance: self.instance,
+      generation: before === undefined ? 0 : before.generation + 1,
+      state: 'held',
+    };
+    const answer = await logs.cell.append(
+      [storeRecords.encode({kind: 'claim', claim})],
+      {
+        onlyAt: position,
+        fence: {epoch: position + 1, sequence: 0},
+        timeoutMs: CLAIM_TIMEOUT_MS,
+      },
+    );
+    logger.info('claim_sent', {
+      reason,
+      at: position,
+      outcome: result.isOk(answer)
+        ? answer.value.type
+        : types.stepError.describeError(answer.error),
+    });
+    // Whether it stands is read from the log, also if the answer was lost.
+    await cellFollower.catchUp();
+  }
+
+  async function register(): Promise<void> {
+    const {entryId, domain, peerAddress: address} = self;
+    const entry = {entryId, domain, address};
+    const record = storeRecords.encode({
+      kind: 'entry',
+      instance: self.instance,
+      entry,
+    });
+    while (!stopping.signal.aborted) {
+      const answer = await logs.jobs.append([record], {
+        timeoutMs: CLAIM_TIMEOUT_MS,
+      });
+      if (result.isOk(answer)) return;
+      logger.warn('register_failed', {
+        error: types.stepError.describeError(answer.error),
+      });
+      await sleep(REGISTER_RETRY_MS);
+    }
+  }
+
+  /** Drops jobs from the store that are over for longer than is asked. */
+  async function runTidying(): Promise<void> {
+    while (!stopping.signal.aborted) {
+      await sleep(TIDY_MS);
+      if (holder === undefined) continue;
+      const before = types.clock.after(clock.monotonic(), -options.keepOverMs);
+      const ids = jobs.overBefore(before);
+      if (ids.length === 0) continue;
+      await dropJobs(ids, holder);
+    }
+  }
+
+  async function dropJobs(
+    ids: readonly types.ids.JobId[],
+    by: cellHolder.CellHolder,
+  ): Promise<void> {
+    const records = ids.flatMap((jobId): storeRecords.StoreRecord[] => [
+      {kind: 'job', jobId, job: undefined},
+      {kind: 'cancel', jobId, dropped: true},
+    ]);
+    const answer = await logs.jobs.append(records.map(storeRecords.encode), {
+      timeoutMs: CLAIM_TIMEOUT_MS,
+    });
+    // Progress goes last: without it the job would look as if never begun.
+    if (result.isOk(answer)) await by.dropProgress(ids);
+    logger.info('jobs_dropped', {
+      jobs: ids.length,
+      outcome: result.isOk(answer)
+        ? 'dropped'
+        : types.stepError.describeError(answer.error),
+    });
+  }
+
+  return {
+    desk,
+    config: () => config,
+    isReady: () =>
+      !leaving && config !== undefined && jobsFollower.position() !== undefined,
+    start() {
+      void configFollower.run();
+      void jobsFollower.run();
+      void cellFollower.run();
+      void register();
+      void runElections();
+      void runTidying();
+    },
+    async leave() {
+      leaving = true;
+      const held = holder;
+      await held?.handOver();
+      if (holder === held) holder = undefined;
+    },
+    stop() {
+      stopping.abort();
+      holder?.stop();
+      configFollower.stop();
+      jobsFollower.stop();
+      cellFollower.stop();
+      peers.close();
+    },
+    status: () => ({
+      holdsCell: holder !== undefined,
+      configVersion: config?.version,
+      storeReachable: jobsFollower.reachableSince() !== undefined,
+      scheduler: holder?.counts(),
+    }),
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-cell/src/cell_state.ts
@@ -0,0 +1,39 @@
+/**
+ * What the cell's log says beside the progress of jobs: who holds the cell,
+ * and which workers may hold runs of it.
+ */
+import type * as types from '@gypsumwall/types';
+import * as claimView from './claim_view.js';
+import type * as storeRecords from './store_records.js';
+
+/** The state of a cell. */
+export interface CellState {
+  claim(): claimView.CellClaim | undefined;
+  readonly usedWorkers: ReadonlyMap<
+    types.ids.WorkerId,
+    storeRecords.UsedWorkerRecord
+  >;
+  apply(record: storeRecords.StoreRecord, offset: number): void;
+}
+
+/** Creates the state of a cell that nobody has held yet. */
+export function createCellState(): CellState {
+  let claim: claimView.CellClaim | undefined;
+  const usedWorkers = new Map<
+    types.ids.WorkerId,
+    storeRecords.UsedWorkerRecord
+  >();
+  return {
+    claim: () => claim,
+    usedWorkers,
+    apply(record, offset) {
+      if (record.kind === 'claim') {
+        claim = claimView.foldClaim(claim, record.claim, offset);
+      }
+      if (record.kind !== 'used_worker') return;
+      const {workerId, worker} = record;
+      if (worker === undefined) usedWorkers.delete(workerId);
+      else usedWorkers.set(workerId, worker);
+    },
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-cell/src/cell_writer.ts
@@ -0,0 +1,157 @@
+/**
+ * The holder's appends to the cell's log: one batch at a time, fenced by the
+ * claim's epoch and numbered, so that a batch whose answer was lost is sent
+ * again and still stands once.
+ */
+import * as result from 'true-myth/result';
+import type * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import type * as ports from './ports.js';
+import * as storeRecords from './store_records.js';
+import * as takeOver from './take_over.js';
+
+/** First time given to an append, doubled with each try; milliseconds. */
+const FIRST_TIMEOUT_MS = 300;
+const LONGEST_TIMEOUT_MS = 2_400;
+/** Pause after a refused append; milliseconds. */
+const RETRY_PAUSE_MS = 60;
+/** A batch stays well below what the store takes in one call. */
+const MOST_RECORDS_IN_BATCH = 500;
+
+/** What a writer is made with. */
+export interface CellWriterOptions {
+  readonly log: ports.KeyedLog;
+  readonly epoch: number;
+  readonly clock: types.clock.Clock;
+  readonly logger: telemetry.logger.Logger;
+  /** A higher epoch was seen: this process doesn't hold the cell any more. */
+  readonly onFenced: () => void;
+}
+
+/** Writes for the holder. */
+export interface CellWriter {
+  /** Resolves once the records stand in the log. */
+  write(records: readonly storeRecords.StoreRecord[]): Promise<void>;
+  /** Sending time of the last append that was confirmed. */
+  confirmedAt(): types.clock.MonotonicMs;
+  /** Appends until it is stopped or fenced. */
+  run(): Promise<void>;
+  stop(): void;
+}
+
+interface Pending {
+  readonly records: readonly storeRecords.StoreRecord[];
+  readonly resolve: () => void;
+}
+
+/** Creates the writer of a claim that was just read in the log. */
+export function createCellWriter(options: CellWriterOptions): CellWriter {
+  const {log, clock, logger} = options;
+  const stopping = new AbortController();
+  let waiting: Pending[] = [];
+  let wake = () => {};
+  // The claim itself was sequence 0 of its epoch.
+  let sequence = 1;
+  let confirmedAt = clock.monotonic();
+
+  async function append(
+    records: readonly storeRecords.StoreRecord[],
+  ): Promise<void> {
+    const entries = records.map(storeRecords.encode);
+    let timeoutMs = FIRST_TIMEOUT_MS;
+    while (!stopping.signal.aborted) {
+      const sentAt = clock.monotonic();
+      const fence = {epoch: options.epoch, sequence};
+      const answer = await log.append(entries, {fence, timeoutMs});
+      if (result.isOk(answer)) {
+        if (!settled(answer.value)) return;
+        confirmedAt = sentAt;
+        sequence++;
+        return;
+      }
+      logger.debug('cell_append_failed', {
+        sequence,
+        error: types.stepError.describeError(answer.error),
+      });
+      timeoutMs = Math.min(LONGEST_TIMEOUT_MS, timeoutMs * 2);
+      await pause(RETRY_PAUSE_MS);
+    }
+  }
+
+  /** Whether the batch stands in the log. */
+  function settled(outcome: ports.AppendOutcome): boolean {
+    switch (outcome.type) {
+      case 'appended':
+        return true;
+      case 'out_of_sequence':
+        // The batch arrived before, longer ago than the store remembers.
+        if (outcome.expected === sequence + 1) return true;
+        logger.error('cell_sequence_lost', {
+          sequence,
+          expected: outcome.expected,
+        });
+        stop();
+        options.onFenced();
+        return false;
+      case 'moved':
+      case 'fenced':
+        stop();
+        options.onFenced();
+        return false;
+    }
+  }
+
+  async function pause(spanMs: number): Promise<void> {
+    const until = types.clock.after(clock.monotonic(), spanMs);
+    await clock.sleepUntil(until, stopping.signal);
+  }
+
+  /** Waits for something to write, a heartbeat's span at most. */
+  async function waitForWork(): Promise<void> {
+    if (waiting.length > 0) return;
+    const woken = new AbortController();
+    wake = () => woken.abort();
+    const until = types.clock.after(clock.monotonic(), takeOver.HEARTBEAT_MS);
+    await clock.sleepUntil(until, woken.signal);
+  }
+
+  function takeBatch(): Pending[] {
+    let records = 0;
+    let count = 0;
+    while (count < waiting.length && records < MOST_RECORDS_IN_BATCH) {
+      records += waiting[count++]!.records.length;
+    }
+    return waiting.splice(0, count);
+  }
+
+  function stop(): void {
+    stopping.abort();
+    wake();
+  }
+
+  return {
+    write(records) {
+      return new Promise((resolve) => {
+        waiting.push({records, resolve});
+        wake();
+      });
+    },
+    confirmedAt: () => confirmedAt,
+    async run() {
+      while (!stopping.signal.aborted) {
+        await waitForWork();
+        if (stopping.signal.aborted) break;
+        const batch = takeBatch();
+        const records = batch.flatMap((pending) => pending.records);
+        await append(
+          records.length > 0 ? records : [{kind: 'heartbeat' as const}],
+        );
+        if (stopping.signal.aborted) break;
+        for (const pending of batch) pending.resolve();
+      }
+      // What is left was never stored, and its callers must not go on.
+      waiting = [];
+    },
+    stop,
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-cell/src/front_desk.ts
@@ -0,0 +1,166 @@
+/**
+ * What an entry does for callers: takes jobs, cancels them, and tells how they
+ * stand. A job is accepted once its record stands in the log; nobody else has
+ * to agree, so any entry that reaches the store can accept.
+ */
+import type * as telemetry from '@gypsumwall/telemetry';
+import * as scheduling from '@gypsumwall/scheduling';
+import * as types from '@gypsumwall/types';
+import * as batchAppender from './batch_appender.js';
+import type * as jobTable from './job_table.js';
+import type * as logFollower from './log_follower.js';
+import type * as ports from './ports.js';
+import * as storeRecords from './store_records.js';
+
+/** Time given to one append; fifty times what is usual; milliseconds. */
+const APPEND_TIMEOUT_MS = 400;
+/** Tries of an append within a caller's patience. */
+const MOST_TRIES = 3;
+/** Pause after a refused append; milliseconds. */
+const RETRY_PAUSE_MS = 40;
+/** When a caller should come back while the store is away; milliseconds. */
+const STORE_RETRY_AFTER_MS = 1_000;
+
+/** What became of a call. */
+export type DeskAnswer<Value> =
+  | {readonly type: 'ok'; readonly value: Value}
+  /** Nothing was done, and nothing will be. */
+  | {readonly type: 'not_run'; readonly retryAfterMs: number}
+  /** It may have been done; the caller should ask again. */
+  | {readonly type: 'unknown'}
+  | {readonly type: 'absent'}
+  | {readonly type: 'invalid'; readonly message: string};
+
+/** Serves callers. */
+export interface FrontDesk {
+  submit(
+    id: types.ids.JobId,
+    policy: scheduling.jobRequest.QueuePolicy,
+    request: scheduling.jobRequest.JobRequest,
+  ): Promise<DeskAnswer<undefined>>;
+  cancel(id: types.ids.JobId, queue: string): Promise<DeskAnswer<undefined>>;
+  phaseOf(
+    id: types.ids.JobId,
+    queue: string,
+  ): Promise<DeskAnswer<scheduling.jobProgress.JobPhase>>;
+  pendingIn(queue: string): number;
+}
+
+/** What a desk is made with. */
+export interface FrontDeskOptions {
+  readonly jobsLog: ports.KeyedLog;
+  readonly jobs: jobTable.JobTable;
+  readonly follower: logFollower.LogFollower;
+  readonly clock: types.clock.Clock;
+  readonly logger: telemetry.logger.Logger;
+  /** Whether any worker could ever run a task of this size. */
+  readonly couldEverFit: (
+    pool: string,
+    step: scheduling.jobRequest.StepRequest,
+  ) => boolean;
+}
+
+/** Creates the desk of one entry. */
+export function createFrontDesk(options: FrontDeskOptions): FrontDesk {
+  const {jobs, follower, clock, logger} = options;
+  const appender = batchAppender.createBatchAppender(
+    options.jobsLog,
+    APPEND_TIMEOUT_MS,
+  );
+
+  /** Appends with retries: every record here may be repeated. */
+  async function store(
+    record: storeRecords.StoreRecord,
+  ): Promise<'stored' | 'not_run' | 'unknown'> {
+    const entry = storeRecords.encode(record);
+    let mayStand = false;
+    for (let nth = 1; nth <= MOST_TRIES; nth++) {
+      const err = await appender.append(entry);
+      if (err === undefined) return 'stored';
+      if (err.effect === 'unknown') mayStand = true;
+      logger.debug('append_failed', {
+        key: entry.key,
+        try: nth,
+        error: types.stepError.describeError(err),
+      });
+      const until = types.clock.after(clock.monotonic(), RETRY_PAUSE_MS);
+      await clock.sleepUntil(until);
+    }
+    return mayStand ? 'unknown' : 'not_run';
+  }
+
+  async function storeAndAnswer(
+    event: string,
+    record: storeRecords.StoreRecord & {readonly jobId: types.ids.JobId},
+  ): Promise<DeskAnswer<undefined>> {
+    const startedAt = clock.monotonic();
+    const outcome = await store(record);
+    logger.info(event, {
+      job: record.jobId,
+      outcome,
+      tookMs: Math.round(clock.monotonic() - startedAt),
+    });
+    switch (outcome) {
+      case 'stored':
+        return {type: 'ok', value: undefined};
+      case 'not_run':
+        return {type: 'not_run', retryAfterMs: STORE_RETRY_AFTER_MS};
+      case 'unknown':
+        return {type: 'unknown'};
+    }
+  }
+
+  /** The job, looked for at the end of the log if it isn't known here. */
+  async function find(
+    id: types.ids.JobId,
+    queue: string,
+  ): Promise<DeskAnswer<jobTable.JobEntry>> {
+    const known = jobs.get(id);
+    if (known !== undefined) {
+      if (known.queue !== queue) return {type: 'absent'};
+      return {type: 'ok', value: known};
+    }
+    const current = await follower.catchUp();
+    const found = jobs.get(id);
+    if (found !== undefined) return {type: 'ok', value: found};
+    if (current) return {type: 'absent'};
+    return {type: 'not_run', retryAfterMs: STORE_RETRY_AFTER_MS};
+  }
+
+  return {
+    async submit(id, policy, request) {
+      if (jobs.get(id) !== undefined) return {type: 'ok', value: undefined};
+      const fault = scheduling.jobRequest.faultOf(request);
+      if (fault !== undefined) return {type: 'invalid', message: fault};
+      const tooLarge = request.steps.findIndex(
+        (step) => !options.couldEverFit(policy.pool, step),
+      );
+      if (tooLarge >= 0) {
+        const message = `step ${tooLarge}: no worker has room for its size`;
+        return {type: 'invalid', message};
+      }
+      if (follower.reachableSince() === undefined) {
+        logger.info('job_refused', {job: id, reason: 'the store is away'});
+        return {type: 'not_run', retryAfterMs: STORE_RETRY_AFTER_MS};
+      }
+      const job = {request, policy, acceptedAt: clock.wall()};
+      return storeAndAnswer('job_submitted', {kind: 'job', jobId: id, job});
+    },
+    async cancel(id, queue) {
+      const found = await find(id, queue);
+      if (found.type !== 'ok') return found;
+      const {phase} = found.value.progress;
+      if (scheduling.jobProgress.isOver(phase)) {
+        return {type: 'ok', value: undefined};
+      }
+      const record = {kind: 'cancel', jobId: id, dropped: false} as const;
+      return storeAndAnswer('job_cancel_asked', record);
+    },
+    async phaseOf(id, queue) {
+      const found = await find(id, queue);
+      if (found.type !== 'ok') return found;
+      return {type: 'ok', value: found.value.progress.phase};
+    },
+    pendingIn: (queue) => jobs.pendingIn(queue),
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-cell/src/job_table.ts
@@ -0,0 +1,142 @@
+/**
+ * What every entry knows of the cell's jobs, folded from the logs, so that any
+ * of them answers for any job without asking another. All entries that have
+ * read the same records know the same.
+ */
+import * as scheduling from '@gypsumwall/scheduling';
+import * as types from '@gypsumwall/types';
+import type * as storeRecords from './store_records.js';
+
+/** One job. */
+export interface JobEntry {
+  readonly id: types.ids.JobId;
+  readonly queue: string;
+  /** Absent once the job is over. */
+  record: storeRecords.JobRecord | undefined;
+  progress: scheduling.jobProgress.JobProgress;
+  /** When it was seen to be over. */
+  overAt?: types.clock.MonotonicMs;
+}
+
+/** The jobs of a cell. */
+export interface JobTable {
+  get(id: types.ids.JobId): JobEntry | undefined;
+  all(): Iterable<JobEntry>;
+  /** Jobs of a queue of which no task has started. */
+  pendingIn(queue: string): number;
+  /** Folds a record; false if it is none about jobs. */
+  apply(
+    record: storeRecords.StoreRecord,
+    now: types.clock.MonotonicMs,
+  ): boolean;
+  /** Jobs that were over before the given moment. */
+  overBefore(moment: types.clock.MonotonicMs): types.ids.JobId[];
+}
+
+/** Hears of what changes in a table. */
+export interface JobTableListener {
+  onAdded(job: JobEntry): void;
+  onCancelled(id: types.ids.JobId): void;
+}
+
+/** Creates an empty table. */
+export function createJobTable(listener: JobTableListener): JobTable {
+  const jobs = new Map<types.ids.JobId, JobEntry>();
+  // Two logs are followed side by side, and a repeat of a job moves its record
+  // to a later offset: a cancellation or progress may be read before the job.
+  const cancelled = new Set<types.ids.JobId>();
+  const early = new Map<types.ids.JobId, scheduling.jobProgress.JobProgress>();
+
+  function settle(job: JobEntry, now: types.clock.MonotonicMs): void {
+    const over = scheduling.jobProgress.isOver(job.progress.phase);
+    if (!over && cancelled.has(job.id)) {
+      job.progress = {...job.progress, phase: 'cancelled'};
+    }
+    const {phase} = job.progress;
+    if (!scheduling.jobProgress.isOver(phase)) return;
+    job.overAt ??= now;
+    job.record = undefined;
+  }
+
+  function addJob(
+    id: types.ids.JobId,
+    record: storeRecords.JobRecord,
+    now: types.clock.MonotonicMs,
+  ): void {
+    // The first record of an id is the job; a repeat changes nothing.
+    if (jobs.has(id)) return;
+    const job: JobEntry = {
+      id,
+      queue: record.policy.queue,
+      record,
+      progress: early.get(id) ?? scheduling.jobProgress.NO_PROGRESS,
+    };
+    early.delete(id);
+    jobs.set(id, job);
+    settle(job, now);
+    if (job.overAt === undefined) listener.onAdded(job);
+  }
+
+  function applyProgress(
+    id: types.ids.JobId,
+    progress: scheduling.jobProgress.JobProgress | undefined,
+    now: types.clock.MonotonicMs,
+  ): void {
+    const job = jobs.get(id);
+    if (progress === undefined) early.delete(id);
+    else if (job === undefined) early.set(id, progress);
+    else {
+      job.progress = progress;
+      settle(job, now);
+    }
+  }
+
+  function applyCancel(
+    id: types.ids.JobId,
+    now: types.clock.MonotonicMs,
+  ): void {
+    cancelled.add(id);
+    const job = jobs.get(id);
+    if (job !== undefined) settle(job, now);
+    listener.onCancelled(id);
+  }
+
+  return {
+    get: (id) => jobs.get(id),
+    all: () => jobs.values(),
+    pendingIn(queue) {
+      let count = 0;
+      for (const job of jobs.values()) {
+        if (job.queue === queue && job.progress.phase === 'queued') count++;
+      }
+      return count;
+    },
+    apply(record, now) {
+      switch (record.kind) {
+        case 'job':
+          if (record.job === undefined) jobs.delete(record.jobId);
+          else addJob(record.jobId, record.job, now);
+          return true;
+        case 'cancel':
+          if (record.dropped) cancelled.delete(record.jobId);
+          else applyCancel(record.jobId, now);
+          return true;
+        case 'progress':
+          applyProgress(record.jobId, record.progress, now);
+          return true;
+        case 'entry':
+        case 'claim':
+        case 'heartbeat':
+        case 'used_worker':
+          return false;
+      }
+    },
+    overBefore(moment) {
+      const ids: types.ids.JobId[] = [];
+      for (const job of jobs.values()) {
+        if (job.overAt !== undefined && job.overAt < moment) ids.push(job.id);
+      }
+      return ids;
+    },
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-cell/src/log_follower.ts
@@ -0,0 +1,138 @@
+/**
+ * Follows a keyed log: first the newest record of each key, then each record
+ * as it comes. Records are handed on once and in the order of their offsets.
+ */
+import * as result from 'true-myth/result';
+import type * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import type * as ports from './ports.js';
+
+/** How long a read waits for a record at the store; milliseconds. */
+const READ_WAIT_MS = 1_000;
+/** Pause after a failed call, doubled up to the longest; milliseconds. */
+const FIRST_PAUSE_MS = 50;
+const LONGEST_PAUSE_MS = 400;
+
+/** What a follower is made with. */
+export interface FollowerOptions {
+  readonly log: ports.KeyedLog;
+  readonly clock: types.clock.Clock;
+  readonly logger: telemetry.logger.Logger;
+  /** Gets records in order; `reloaded` when older ones may be missing. */
+  readonly onRecords: (
+    records: readonly ports.KeyedRecord[],
+    reloaded: boolean,
+  ) => void;
+  /**
+   * Pause between reads, in milliseconds: what comes meanwhile is read at
+   * once, which saves calls where nobody waits for a single record.
+   */
+  readonly pauseMs: () => number;
+}
+
+/** Follows one log. */
+export interface LogFollower {
+  /** Runs until it is stopped. */
+  run(): Promise<void>;
+  stop(): void;
+  /** Offset of the next record; undefined before the first load. */
+  position(): number | undefined;
+  /** Reads to the end that the log has now; false if that failed. */
+  catchUp(): Promise<boolean>;
+  /** Since when each call has been answered; undefined while one isn't. */
+  reachableSince(): types.clock.MonotonicMs | undefined;
+}
+
+/** Creates a follower; nothing is read before `run`. */
+export function createLogFollower(options: FollowerOptions): LogFollower {
+  const {log, clock, logger} = options;
+  const stopping = new AbortController();
+  let position: number | undefined;
+  let reachableSince: types.clock.MonotonicMs | undefined;
+  let failing = false;
+
+  function answered(): void {
+    reachableSince ??= clock.monotonic();
+    if (!failing) return;
+    failing = false;
+    logger.info('dependency_regained', {dependency: `log ${log.name}`});
+  }
+
+  function failed(err: types.stepError.StepError): void {
+    reachableSince = undefined;
+    if (failing) return;
+    failing = true;
+    logger.warn('dependency_lost', {
+      dependency: `log ${log.name}`,
+      error: types.stepError.describeError(err),
+    });
+  }
+
+  /** Applies what is new; two reads may overlap. */
+  function apply(records: readonly ports.KeyedRecord[]): void {
+    const from = position ?? 0;
+    const fresh = records.filter((record) => record.offset >= from);
+    if (fresh.length === 0) return;
+    position = fresh[fresh.length - 1]!.offset + 1;
+    options.onRecords(fresh, false);
+  }
+
+  async function load(): Promise<boolean> {
+    const found: ports.KeyedRecord[] = [];
+    let after: string | undefined;
+    let end: number | undefined;
+    do {
+      const page = await log.newest(after);
+      if (result.isErr(page)) {
+        failed(page.error);
+        return false;
+      }
+      answered();
+      found.push(...page.value.records);
+      // Pages are no snapshot: go on from where the first one was made.
+      end ??= page.value.endOffset;
+      after = page.value.nextAfter;
+    } while (after !== undefined);
+    found.sort((a, b) => a.offset - b.offset);
+    position = end;
+    options.onRecords(found, true);
+    logger.info('log_loaded', {log: log.name, records: found.length, end});
+    return true;
+  }
+
+  async function readOnce(waitMs: number): Promise<boolean> {
+    if (position === undefined) return load();
+    const read = await log.read(position, waitMs);
+    if (result.isErr(read)) {
+      failed(read.error);
+      return false;
+    }
+    answered();
+    switch (read.value.type) {
+      case 'records':
+        apply(read.value.records);
+        return true;
+      case 'compacted':
+        logger.warn('log_compacted', {log: log.name, position});
+        return load();
+    }
+  }
+
+  return {
+    async run() {
+      let pauseMs = FIRST_PAUSE_MS;
+      while (!stopping.signal.aborted) {
+        const ok = await readOnce(READ_WAIT_MS);
+        const spanMs = ok ? options.pauseMs() : pauseMs;
+        pauseMs = ok ? FIRST_PAUSE_MS : Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
+        if (spanMs === 0) continue;
+        const until = types.clock.after(clock.monotonic(), spanMs);
+        await clock.sleepUntil(until, stopping.signal);
+      }
+    },
+    stop: () => stopping.abort(),
+    position: () => position,
+    catchUp: () => readOnce(0),
+    reachableSince: () => reachableSince,
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-cell/src/peer_protocol.ts
@@ -0,0 +1,54 @@
+/**
+ * The calls between entries: JSON over HTTP on kept connections. An entry asks
+ * the adviser on the holder's behalf; that is some forty calls a second, at
+ * which a Connect call costs five times the processor time.
+ */
+import * as result from 'true-myth/result';
+import * as types from '@gypsumwall/types';
+import * as httpClient from './http_client.js';
+import type * as ports from './ports.js';
+
+/** Path of a question to the adviser. */
+export const ADVISE_PATH = '/advise';
+
+/** A question to be put to the adviser. */
+export interface AdviseReq {
+  readonly stepRunId: string;
+  readonly workers: readonly types.ids.WorkerId[];
+  readonly timeoutMs: number;
+}
+
+/** Its answer: pairs of worker and approval. */
+export interface AdviseRes {
+  readonly approved: readonly (readonly [types.ids.WorkerId, string])[];
+}
+
+/** On top of the time that the peer itself waits; milliseconds. */
+const HOP_MS = 200;
+
+/** The adviser as reached through a peer. */
+export function createPeerAdviser(
+  client: httpClient.HttpClient,
+): ports.Adviser {
+  return {
+    async ask(stepRunId, workers, timeoutMs) {
+      const req: AdviseReq = {stepRunId, workers, timeoutMs};
+      const answer = await client.call({
+        step: 'peer.advise',
+        method: 'POST',
+        path: ADVISE_PATH,
+        body: JSON.stringify(req),
+        timeoutMs: timeoutMs + HOP_MS,
+      });
+      if (result.isErr(answer)) return result.err(answer.error);
+      const {status, body} = answer.value;
+      if (status !== 200) {
+        return result.err(
+          httpClient.refusalError('peer.advise', client.address, answer.value),
+        );
+      }
+      const res = JSON.parse(body.toString()) as AdviseRes;
+      return result.ok(new Map(res.approved));
+    },
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-cell/src/queue_table.ts
@@ -0,0 +1,25 @@
+/** Finds the queue that a caller means by host and path. */
+import type * as ports from './ports.js';
+
+/** A queue and what is left of the path after its prefix. */
+export interface QueueMatch {
+  readonly route: ports.QueueRoute;
+  readonly rest: string;
+}
+
+/** The queue with the longest prefix of the path, or undefined. */
+export function findQueue(
+  queues: readonly ports.QueueRoute[],
+  host: string,
+  path: string,
+): QueueMatch | undefined {
+  let best: ports.QueueRoute | undefined;
+  for (const route of queues) {
+    if (route.host !== host || !path.startsWith(route.pathPrefix)) continue;
+    const longer =
+      best === undefined || route.pathPrefix.length > best.pathPrefix.length;
+    if (longer) best = route;
+  }
+  if (best === undefined) return undefined;
+  return {route: best, rest: path.slice(best.pathPrefix.length)};
+}
--- /dev/null
+++ b/packages/gypsumwall-cell/src/store_records.ts
@@ -0,0 +1,171 @@
+/**
+ * The records that a cell keeps in the store, as JSON under a key with a
+ * letter for the kind. A record that can't be read, such as one of a newer
+ * version, is kept and logged by whoever meets it.
+ */
+import * as result from 'true-myth/result';
+import type * as scheduling from '@gypsumwall/scheduling';
+import * as types from '@gypsumwall/types';
+
+/** A job as it was accepted; the first of an id is the job. */
+export interface JobRecord {
+  readonly request: scheduling.jobRequest.JobRequest;
+  readonly policy: scheduling.jobRequest.QueuePolicy;
+  readonly acceptedAt: types.clock.WallMs;
+}
+
+/** An entry that takes part, and where its peers reach it. */
+export interface EntryRecord {
+  readonly entryId: types.ids.EntryId;
+  readonly address: string;
+  readonly domain: types.ids.FailureDomain;
+}
+
+/** A claim on the cell, or its release. Its offset orders the claims. */
+export interface ClaimRecord {
+  readonly holder: types.ids.EntryId;
+  /** Name of the holder's instance; outlives its process. */
+  readonly instance: string;
+  /** Rises by one with each claim. */
+  readonly generation: number;
+  readonly state: 'held' | 'released';
+}
+
+/** A worker that may hold runs of the cell. */
+export interface UsedWorkerRecord {
+  readonly info: scheduling.workerBook.WorkerInfo;
+}
+
+/** Any record of a cell. */
+export type StoreRecord =
+  | {
+      readonly kind: 'job';
+      readonly jobId: types.ids.JobId;
+      readonly job: JobRecord | undefined;
+    }
+  | {
+      readonly kind: 'cancel';
+      readonly jobId: types.ids.JobId;
+      readonly dropped: boolean;
+    }
+  | {
+      readonly kind: 'progress';
+      readonly jobId: types.ids.JobId;
+      readonly progress: scheduling.jobProgress.JobProgress | undefined;
+    }
+  | {
+      readonly kind: 'entry';
+      readonly instance: string;
+      readonly entry: EntryRecord | undefined;
+    }
+  | {readonly kind: 'claim'; readonly claim: ClaimRecord}
+  /** Only shows that the holder lives. */
+  | {readonly kind: 'heartbeat'}
+  | {
+      readonly kind: 'used_worker';
+      readonly workerId: types.ids.WorkerId;
+      readonly worker: UsedWorkerRecord | undefined;
+    };
+
+/** Version of the forms below; readers keep what is newer as it is. */
+const VERSION = 1;
+
+const LETTERS = {
+  job: 'j',
+  cancel: 'c',
+  progress: 's',
+  entry: 'e',
+  claim: 'claim',
+  heartbeat: 'beat',
+  used_worker: 'w',
+} as const;
+
+/** A record in the form of the store. */
+export function encode(record: StoreRecord): {key: string; value: string} {
+  switch (record.kind) {
+    case 'job':
+      return {key: LETTERS.job + record.jobId, value: pack(record.job)};
+    case 'cancel': {
+      const value = record.dropped ? '' : pack({});
+      return {key: LETTERS.cancel + record.jobId, value};
+    }
+    case 'progress': {
+      const value = pack(record.progress);
+      return {key: LETTERS.progress + record.jobId, value};
+    }
+    case 'entry':
+      return {key: LETTERS.entry + record.instance, value: pack(record.entry)};
+    case 'claim':
+      return {key: LETTERS.claim, value: pack(record.claim)};
+    case 'heartbeat':
+      return {key: LETTERS.heartbeat, value: pack({})};
+    case 'used_worker': {
+      const value = pack(record.worker);
+      return {key: LETTERS.used_worker + record.workerId, value};
+    }
+  }
+}
+
+function pack(body: object | undefined): string {
+  return body === undefined ? '' : JSON.stringify({v: VERSION, ...body});
+}
+
+/** Reads a record; the error says in words what is wrong with it. */
+export function decode(
+  key: string,
+  value: string,
+): result.Result<StoreRecord, string> {
+  try {
+    return result.ok(decodeKnown(key, value));
+  } catch (thrown) {
+    return result.err(types.stepError.messageOf(thrown));
+  }
+}
+
+function decodeKnown(key: string, value: string): StoreRecord {
+  const body = unpack(value);
+  if (key === LETTERS.heartbeat) return {kind: 'heartbeat'};
+  if (key === LETTERS.claim) {
+    if (body === undefined) throw new Error('a claim without a value');
+    return {kind: 'claim', claim: body as unknown as ClaimRecord};
+  }
+  const id = key.slice(1);
+  switch (key[0]) {
+    case LETTERS.job:
+      return {kind: 'job', jobId: types.ids.brand(id), job: cast(body)};
+    case LETTERS.cancel: {
+      const jobId = types.ids.brand<types.ids.JobId>(id);
+      return {kind: 'cancel', jobId, dropped: body === undefined};
+    }
+    case LETTERS.progress:
+      return {
+        kind: 'progress',
+        jobId: types.ids.brand(id),
+        progress: cast(body),
+      };
+    case LETTERS.entry:
+      return {kind: 'entry', instance: id, entry: cast(body)};
+    case LETTERS.used_worker:
+      return {
+        kind: 'used_worker',
+        workerId: types.ids.brand(id),
+        worker: cast(body),
+      };
+    default:
+      throw new Error(`the key's kind isn't known`);
+  }
+}
+
+function unpack(value: string): {readonly v: number} | undefined {
+  if (value === '') return undefined;
+  const body = JSON.parse(value) as {v?: unknown} | null;
+  if (body?.v !== VERSION) {
+    throw new Error(`version = ${String(body?.v)}: this program reads 1`);
+  }
+  return body as {v: number};
+}
+
+/** Only this program writes these records, so their shape isn't checked. */
+function cast<Body>(body: object | undefined): Body | undefined {
+  return body as Body | undefined;
+}
--- /dev/null
+++ b/packages/gypsumwall-cell/src/suspension_watch.ts
@@ -0,0 +1,33 @@
+/**
+ * Notices that the instance was suspended. The monotonic clock doesn't count
+ * that time while the time of day does, so a holder that wakes up would take
+ * its last confirmation for fresh and act beside its successor. A step of the
+ * time of day looks the same and costs one confirmation.
+ */
+import type * as types from '@gypsumwall/types';
+
+/** A larger difference than this between two checks is no drift; ms. */
+const TOLERANCE_MS = 250;
+
+/** Watches one process. */
+export interface SuspensionWatch {
+  /** When the last suspension was noticed; 0 if there was none. */
+  lastNoticedAt(): types.clock.MonotonicMs;
+}
+
+/** Creates a watch; each question is also a check. */
+export function createSuspensionWatch(
+  clock: types.clock.Clock,
+): SuspensionWatch {
+  let difference = clock.wall() - clock.monotonic();
+  let noticedAt = 0 as types.clock.MonotonicMs;
+  return {
+    lastNoticedAt() {
+      const now = clock.monotonic();
+      const current = clock.wall() - now;
+      if (Math.abs(current - difference) > TOLERANCE_MS) noticedAt = now;
+      difference = current;
+      return noticedAt;
+    },
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-cell/src/take_over.ts
@@ -0,0 +1,54 @@
+/**
+ * When an entry may take the cell over. The holder appends something several
+ * times in the span below; an entry that reads the log without interruption
+ * and finds nothing for so long takes the holder as dead. If it isn't, its
+ * next append is refused by the store, and the workers refuse its orders.
+ */
+import * as types from '@gypsumwall/types';
+import type * as claimView from './claim_view.js';
+
+/** The holder's longest pause between two appends; milliseconds. */
+export const HEARTBEAT_MS = 400;
+/**
+ * Silence after which a holder is taken as dead: three heartbeats and what a
+ * slow append takes. Shorter spans were passed by sound holders at a store
+ * that lost a third of its answers; milliseconds.
+ */
+export const SILENCE_MS = 1_500;
+/**
+ * How long after its last confirmed append a holder takes up new jobs. It
+ * must be well below the silence, since then a job that was accepted after a
+ * takeover is never started by the old holder; milliseconds.
+ */
+export const FRESH_MS = 1_000;
+
+/** What the decision looks at. */
+export interface TakeOverView {
+  readonly claim: claimView.CellClaim | undefined;
+  readonly self: {
+    readonly entryId: types.ids.EntryId;
+    readonly instance: string;
+  };
+  /** When a record of the cell's log was last read. */
+  readonly lastRecordAt: types.clock.MonotonicMs;
+  /** Since when the log answers without fail; undefined: it doesn't. */
+  readonly reachableSince: types.clock.MonotonicMs | undefined;
+  readonly leaving: boolean;
+  readonly now: types.clock.MonotonicMs;
+}
+
+/** Why the cell may be taken. */
+export type Vacancy = 'never_held' | 'released' | 'own_predecessor' | 'silent';
+
+/** Why the cell may be taken over now; undefined if it may not. */
+export function vacancyOf(view: TakeOverView): Vacancy | undefined {
+  const {claim, self} = view;
+  if (view.leaving || view.reachableSince === undefined) return undefined;
+  if (claim === undefined) return 'never_held';
+  if (claim.state === 'released') return 'released';
+  if (claim.holder === self.entryId) return undefined;
+  // An instance runs one process: the one that claimed has ended.
+  if (claim.instance === self.instance) return 'own_predecessor';
+  const quietSince = Math.max(view.lastRecordAt, view.reachableSince);
+  return view.now - quietSince > SILENCE_MS ? 'silent' : undefined;
+}
--- /dev/null
+++ b/packages/gypsumwall-cell/src/worker_roster.ts
@@ -0,0 +1,204 @@
+/**
+ * The holder's sessions: one for each stay of a worker that is listed or may
+ * still hold runs. A worker is recorded as used before anything is sent to it.
+ */
+import * as result from 'true-myth/result';
+import type * as scheduling from '@gypsumwall/scheduling';
+import type * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import type * as ports from './ports.js';
+import type * as storeRecords from './store_records.js';
+import type * as workerSession from './worker_session.js';
+
+/**
+ * A worker that leaves is emptied this long before: a stop takes up to 400 ms,
+ * and its saved progress has to be fetched; milliseconds.
+ */
+const EVACUATE_BEFORE_MS = 1_000;
+/**
+ * A worker that drops off the list while it answers is used on for so long:
+ * after an outage of the store all entries may be missing, and come back
+ * within two seconds; milliseconds.
+ */
+const UNLISTED_GRACE_MS = 2_500;
+
+/** What a roster is made with. */
+export interface RosterOptions {
+  readonly clock: types.clock.Clock;
+  readonly logger: telemetry.logger.Logger;
+  readonly scheduler: scheduling.scheduler.Scheduler;
+  readonly decode: (
+    key: string,
+    value: string,
+  ) => result.Result<ports.ListedWorker, string>;
+  readonly openSession: (
+    worker: scheduling.workerBook.WorkerInfo,
+  ) => workerSession.WorkerSession;
+  readonly write: (
+    records: readonly storeRecords.StoreRecord[],
+  ) => Promise<void>;
+  readonly onChange: () => void;
+}
+
+/** The workers of a holder. */
+export interface WorkerRoster {
+  /** Folds records of the platform's list. */
+  applyList(records: readonly ports.KeyedRecord[], reloaded: boolean): void;
+  /** Opens sessions to workers that an earlier holder used. */
+  inherit(workers: Iterable<storeRecords.UsedWorkerRecord>): void;
+  session(id: types.ids.WorkerId): workerSession.WorkerSession | undefined;
+  /** The stay is over. */
+  gone(id: types.ids.WorkerId): void;
+  /** The lease of a worker out of reach has passed. */
+  leasePassed(id: types.ids.WorkerId): void;
+  tick(now: types.clock.MonotonicMs): void;
+  /** All leases of earlier holders have passed: forgets who never answered. */
+  forgetSilent(): void;
+  reachableShare(): number;
+  close(): void;
+}
+
+interface Entry {
+  session: workerSession.WorkerSession;
+  info: scheduling.workerBook.WorkerInfo;
+  listed: boolean;
+  /** When a worker that dropped off the list is used no more. */
+  unusedAt?: types.clock.MonotonicMs;
+  evacuateAt?: types.clock.MonotonicMs;
+}
+
+/** Creates an empty roster. */
+export function createWorkerRoster(options: RosterOptions): WorkerRoster {
+  const {clock, logger, scheduler} = options;
+  const entries = new Map<types.ids.WorkerId, Entry>();
+  let closed = false;
+
+  function open(
+    info: scheduling.workerBook.WorkerInfo,
+    listed: boolean,
+    recorded: boolean,
+  ): Entry {
+    const session = options.openSession(info);
+    const entry: Entry = {info, listed, session};
+    entries.set(info.id, entry);
+    logger.info('worker_found', {
+      worker: info.id,
+      listed,
+      domain: info.domain,
+      cpuMillis: info.capacity.cpuMillis,
+    });
+    void recordAndRun(entry, recorded);
+    return entry;
+  }
+
+  async function recordAndRun(entry: Entry, recorded: boolean): Promise<void> {
+    const {info} = entry;
+    if (!recorded) {
+      const worker = {info};
+      await options.write([{kind: 'used_worker', workerId: info.id, worker}]);
+    }
+    if (!closed && entries.get(info.id) === entry) await entry.session.run();
+  }
+
+  function put(listed: ports.ListedWorker): void {
+    const {info, leavesInMs} = listed;
+    const entry = entries.get(info.id) ?? open(info, true, false);
+    if (info.draining && !entry.info.draining) {
+      logger.info('worker_draining', {worker: info.id, leavesInMs});
+      const spanMs = Math.max(0, (leavesInMs ?? 0) - EVACUATE_BEFORE_MS);
+      entry.evacuateAt = types.clock.after(clock.monotonic(), spanMs);
+    }
+    entry.info = info;
+    entry.listed = true;
+    entry.unusedAt = undefined;
+    scheduler.putWorker(info);
+  }
+
+  function unlist(id: types.ids.WorkerId): void {
+    const entry = entries.get(id);
+    if (entry === undefined || !entry.listed) return;
+    entry.listed = false;
+    logger.info('worker_unlisted', {worker: id});
+    entry.unusedAt = types.clock.after(clock.monotonic(), UNLISTED_GRACE_MS);
+  }
+
+  function forget(id: types.ids.WorkerId, reason: string): void {
+    const entry = entries.get(id);
+    if (entry === undefined) return;
+    logger.info('worker_gone', {worker: id, reason});
+    entries.delete(id);
+    entry.session.close();
+    scheduler.workerGone(id, clock.monotonic());
+    void options.write([
+      {kind: 'used_worker', workerId: id, worker: undefined},
+    ]);
+    options.onChange();
+  }
+
+  return {
+    applyList(records, reloaded) {
+      if (reloaded) {
+        const named = new Set(records.map((record) => record.key));
+        for (const id of entries.keys()) if (!named.has(id)) unlist(id);
+      }
+      for (const {key, value} of records) {
+        if (value === '') {
+          unlist(types.ids.brand(key));
+          continue;
+        }
+        const decoded = options.decode(key, value);
+        if (result.isOk(decoded)) put(decoded.value);
+        else logger.warn('worker_unreadable', {key, error: decoded.error});
+      }
+      options.onChange();
+    },
+    inherit(workers) {
+      for (const {info} of workers) {
+        if (entries.has(info.id)) continue;
+        scheduler.putWorker({...info, draining: true});
+        open(info, false, true);
+      }
+    },
+    session: (id) => entries.get(id)?.session,
+    gone: (id) => forget(id, 'another stay answers there'),
+    leasePassed(id) {
+      const entry = entries.get(id);
+      if (entry === undefined) return;
+      if (!entry.listed) {
+        forget(id, 'off the list, and its lease has passed');
+        return;
+      }
+      scheduler.leasePassed(id, clock.monotonic());
+      options.onChange();
+    },
+    tick(now) {
+      for (const [id, entry] of entries) {
+        if (entry.unusedAt !== undefined && now >= entry.unusedAt) {
+          entry.unusedAt = undefined;
+          scheduler.putWorker({...entry.info, draining: true});
+        }
+        if (entry.evacuateAt === undefined || now < entry.evacuateAt) continue;
+        entry.evacuateAt = undefined;
+        logger.info('worker_evacuated', {worker: id});
+        scheduler.evacuate(id);
+        options.onChange();
+      }
+    },
+    forgetSilent() {
+      for (const [id, entry] of entries) {
+        if (entry.listed || entry.session.isReachable()) continue;
+        forget(id, 'it never answered, and every lease has passed');
+      }
+    },
+    reachableShare() {
+      const listed = [...entries.values()].filter((entry) => entry.listed);
+      if (listed.length === 0) return 1;
+      const reachable = listed.filter((entry) => entry.session.isReachable());
+      return reachable.length / listed.length;
+    },
+    close() {
+      closed = true;
+      for (const entry of entries.values()) entry.session.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-cell/src/worker_session.ts
@@ -0,0 +1,248 @@
+/**
+ * The holder's task for one stay of a worker: it looks at the worker again and
+ * again, renews its lease, hands on what it reports, and sends the orders.
+ */
+import * as result from 'true-myth/result';
+import type * as scheduling from '@gypsumwall/scheduling';
+import type * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import type * as ports from './ports.js';
+import * as workerClocks from './worker_clock.js';
+
+/** How long a worker may wait with its report if nothing ends; milliseconds. */
+const LOOK_WAIT_MS = 700;
+/** Time for an answer beside the wait; twenty times what is usual. */
+const ANSWER_TIMEOUT_MS = 500;
+/** Pause after a look without an answer; milliseconds. */
+const RETRY_PAUSE_MS = 150;
+/**
+ * Pause while ends can't be stored: the worker then answers at once with the
+ * same ends, and would be asked without pause; milliseconds.
+ */
+const UNSTORED_PAUSE_MS = 200;
+/** A worker lists this many ends in one answer at most. */
+const MOST_ENDS_LISTED = 500;
+
+/** What a session is made with. */
+export interface SessionOptions {
+  readonly worker: scheduling.workerBook.WorkerInfo;
+  readonly link: ports.WorkerLink;
+  readonly token: number;
+  /** Length of a lease on the worker's clock, in milliseconds. */
+  readonly leaseMs: number;
+  readonly clock: types.clock.Clock;
+  readonly logger: telemetry.logger.Logger;
+  readonly scheduler: scheduling.scheduler.Scheduler;
+  /** Whether leases may be renewed, see the holder. */
+  readonly mayRenew: () => boolean;
+  /** Something to decide about has changed. */
+  readonly onChange: () => void;
+  /** Resolves when all that was reported so far is stored. */
+  readonly stored: () => Promise<void>;
+  /** The worker has answered under our token for the first time. */
+  readonly onFirstReport: () => void;
+  readonly onFenced: () => void;
+  readonly onGone: () => void;
+  /** The lease passed while the worker didn't answer. */
+  readonly onLeasePassed: () => void;
+}
+
+/** The task of one worker. */
+export interface WorkerSession {
+  readonly workerId: types.ids.WorkerId;
+  run(): Promise<void>;
+  start(order: scheduling.scheduler.StartOrder): Promise<void>;
+  stopRun(run: scheduling.activeJob.Run): Promise<void>;
+  /** Whether the worker has answered lately. */
+  isReachable(): boolean;
+  close(): void;
+}
+
+/** Creates a session; `run` starts it. */
+export function createWorkerSession(options: SessionOptions): WorkerSession {
+  const {worker, link, token, clock, logger, scheduler} = options;
+  const closing = new AbortController();
+  const workerClock = workerClocks.createWorkerClock();
+  let reachable = false;
+  let reported = false;
+  let lastSequence = 0;
+  let acknowledged = 0;
+  let storing = false;
+
+  function setReachable(now: boolean, reason: string): void {
+    if (reachable === now) return;
+    reachable = now;
+    scheduler.setUsable(worker.id, now);
+    const event = now ? 'dependency_regained' : 'dependency_lost';
+    logger.info(event, {dependency: 'worker', worker: worker.id, reason});
+    options.onChange();
+  }
+
+  function nextLease(): number | undefined {
+    const now = workerClock.read(clock.monotonic());
+    if (now === undefined || !options.mayRenew()) return undefined;
+    const until = Math.floor(now + options.leaseMs);
+    workerClock.noteLease(until);
+    return until;
+  }
+
+  async function look(): Promise<void> {
+    const askedAt = clock.monotonic();
+    // The first look must come back at once: it brings the clock.
+    const waitMs = reported && !storing ? LOOK_WAIT_MS : 0;
+    const answer = await link.look({
+      token,
+      acknowledged,
+      leaseUntil: nextLease(),
+      waitMs,
+      timeoutMs: waitMs + ANSWER_TIMEOUT_MS,
+    });
+    if (closing.signal.aborted) return;
+    if (result.isErr(answer)) {
+      await lookFailed(answer.error);
+      return;
+    }
+    switch (answer.value.type) {
+      case 'report':
+        await applyReport(answer.value, askedAt);
+        return;
+      case 'fenced':
+        options.onFenced();
+        await pause(RETRY_PAUSE_MS);
+        return;
+      case 'gone':
+        close();
+        options.onGone();
+        return;
+    }
+  }
+
+  async function lookFailed(err: types.stepError.StepError): Promise<void> {
+    setReachable(false, types.stepError.describeError(err));
+    if (reported && workerClock.leasePassed(clock.monotonic())) {
+      options.onLeasePassed();
+    }
+    await pause(RETRY_PAUSE_MS);
+  }
+
+  async function applyReport(
+    report: Extract<ports.LookAnswer, {type: 'report'}>,
+    askedAt: types.clock.MonotonicMs,
+  ): Promise<void> {
+    const now = clock.monotonic();
+    workerClock.note(report.clockMs, now);
+    const ends = report.ends.filter((end) => end.sequence > lastSequence);
+    for (const end of ends) lastSequence = Math.max(lastSequence, end.sequence);
+    const complete = !report.moreEnds && report.ends.length < MOST_ENDS_LISTED;
+    const {running} = report;
+    scheduler.report(
+      {workerId: worker.id, askedAt, running, ends, complete},
+      now,
+    );
+    if (!reported) {
+      reported = true;
+      options.onFirstReport();
+    }
+    setReachable(true, 'answered');
+    options.onChange();
+    if (ends.length > 0 || storing) await acknowledge();
+  }
+
+  /** Ends are stored before they are acknowledged: then they are forgotten. */
+  async function acknowledge(): Promise<void> {
+    const upTo = lastSequence;
+    storing = true;
+    const done = options.stored().then(() => {
+      acknowledged = Math.max(acknowledged, upTo);
+      storing = acknowledged < lastSequence;
+    });
+    await Promise.race([done, pause(UNSTORED_PAUSE_MS)]);
+  }
+
+  async function pause(spanMs: number): Promise<void> {
+    const until = types.clock.after(clock.monotonic(), spanMs);
+    await clock.sleepUntil(until, closing.signal);
+  }
+
+  function startOutcome(
+    answer: result.Result<ports.OrderAnswer, types.stepError.StepError>,
+  ): scheduling.scheduler.StartOutcome {
+    if (result.isErr(answer)) {
+      if (answer.error.effect === 'unknown') return {type: 'unknown'};
+      setReachable(false, types.stepError.describeError(answer.error));
+      return {type: 'refused', reason: 'other'};
+    }
+    switch (answer.value.type) {
+      case 'accepted':
+        return {type: 'started'};
+      case 'refused':
+        return answer.value;
+      case 'fenced':
+        options.onFenced();
+        return {type: 'refused', reason: 'other'};
+      case 'gone':
+        return {type: 'refused', reason: 'other'};
+    }
+  }
+
+  function close(): void {
+    closing.abort();
+    link.close();
+  }
+
+  return {
+    workerId: worker.id,
+    async run() {
+      while (!closing.signal.aborted) await look();
+    },
+    async start(order) {
+      const {run, payload, checkpoint, ticket} = order;
+      const leaseUntil = nextLease();
+      if (leaseUntil === undefined) {
+        const refused = {type: 'refused', reason: 'other'} as const;
+        scheduler.startAnswered(run, refused, clock.monotonic());
+        return;
+      }
+      const answer = await link.start({
+        taskId: run.taskId,
+        attempt: run.attempt,
+        payload,
+        checkpoint,
+        ticket,
+        token,
+        leaseUntil,
+        timeoutMs: ANSWER_TIMEOUT_MS,
+      });
+      if (closing.signal.aborted) return;
+      const outcome = startOutcome(answer);
+      scheduler.startAnswered(run, outcome, clock.monotonic());
+      logger.info('start_answered', {
+        task: run.taskId,
+        attempt: run.attempt,
+        worker: worker.id,
+        outcome: outcome.type === 'refused' ? outcome.reason : outcome.type,
+        error: result.isErr(answer)
+          ? types.stepError.describeError(answer.error)
+          : undefined,
+      });
+      options.onChange();
+    },
+    async stopRun(run) {
+      while (!closing.signal.aborted) {
+        const {taskId, attempt} = run;
+        const timeoutMs = ANSWER_TIMEOUT_MS;
+        const answer = await link.stop({taskId, attempt, token, timeoutMs});
+        if (result.isOk(answer)) {
+          if (answer.value.type === 'accepted') {
+            scheduler.stopAnswered(run, clock.monotonic());
+            return;
+          }
+          if (answer.value.type !== 'refused') return;
+        }
+        await pause(RETRY_PAUSE_MS);
+      }
+    },
+    isReachable: () => reachable,
+    close,
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -0,0 +1,179 @@
+/**
+ * The jobs that a scheduler works on: plain records of their occurrences,
+ * steps and runs, and the few questions that are asked of them everywhere.
+ */
+import * as types from '@gypsumwall/types';
+import type * as jobProgress from './job_progress.js';
+import * as jobRequest from './job_request.js';
+import * as taskId from './task_id.js';
+import * as workOrder from './work_order.js';
+
+/** Where a run stands between its order and its end. */
+export type RunPhase =
+  /** The order is on its way. */
+  | 'starting'
+  | 'running'
+  /**
+   * To be stopped: nobody wants it any more, or its order wasn't answered and
+   * it may come up at any time. It keeps its room until its end is known.
+   */
+  | 'stopping';
+
+/** One run of a task on a worker. */
+export interface Run {
+  readonly taskId: types.ids.TaskId;
+  readonly attempt: number;
+  readonly workerId: types.ids.WorkerId;
+  /** Whose task it is; absent for a run that nothing here asked for. */
+  readonly owner?: {readonly stepRun: StepRun; readonly index: number};
+  /** What is booked for it on the worker, and under which step. */
+  readonly size: types.resources.Resources;
+  readonly stepRunId: string;
+  phase: RunPhase;
+  /**
+   * When the worker had answered the start or the stop. A report asked for
+   * later that doesn't name the run proves that it isn't there and never will
+   * be. Absent before; a late order may still bring it up.
+   */
+  confirmedAt?: types.clock.MonotonicMs;
+  /** Progress as last reported, 0 to 100. */
+  percent: number;
+  percentChangedAt: types.clock.MonotonicMs;
+}
+
+/** One step of one occurrence. */
+export interface StepRun {
+  /** As `taskId.stepRunId` makes it. */
+  readonly id: string;
+  readonly job: ActiveJob;
+  readonly occurrence: Occurrence;
+  readonly number: number;
+  readonly request: jobRequest.StepRequest;
+  /** `closed` until the steps before it are done. */
+  state: 'closed' | 'open' | 'done';
+  /** Indexes that have neither run nor end; a gang's are all or none. */
+  waiting: number[];
+  readonly runs: Set<Run>;
+  readonly done: Set<number>;
+  /** Attempts that failed, by index; a gang's under 0. */
+  readonly failures: Map<number, Set<number>>;
+  /** Highest attempt used, by index; a gang's under 0. */
+  readonly attempts: Map<number, number>;
+  /** Saved progress to go on from, by index; a gang's under 0. */
+  readonly saved: Map<number, string>;
+  advice: Advice;
+}
+
+/** What an adviser has said of a step. */
+export interface Advice {
+  /** Approval by worker. */
+  tickets: ReadonlyMap<types.ids.WorkerId, string>;
+  validUntil: types.clock.MonotonicMs;
+  asking: boolean;
+}
+
+/** One time that a job's steps run. */
+export interface Occurrence {
+  readonly number: number;
+  /** From when its objective counts: acceptance, or its time in a schedule. */
+  readonly countsFrom: types.clock.MonotonicMs;
+  readonly steps: StepRun[];
+}
+
+/** A job with work left. */
+export interface ActiveJob {
+  readonly id: types.ids.JobId;
+  readonly request: jobRequest.JobRequest;
+  policy: jobRequest.QueuePolicy;
+  readonly arrival: number;
+  readonly acceptedAt: types.clock.MonotonicMs;
+  /** Known before this scheduler took over: it may have runs anywhere. */
+  readonly inherited: boolean;
+  phase: jobProgress.JobPhase;
+  /** Whether the store knows that tasks may have been handed out. */
+  begun: 'no' | 'recording' | 'yes';
+  readonly open: Map<number, Occurrence>;
+  readonly finished: Set<number>;
+}
+
+/** Key under which a gang's counts are kept. */
+export const GANG_KEY = 0;
+
+/** Where a step keeps the counts of one of its tasks. */
+export function countKey(stepRun: StepRun, index: number): number {
+  return stepRun.request.gang ? GANG_KEY : index;
+}
+
+/** Makes an occurrence with all its steps closed. */
+export function createOccurrence(
+  job: ActiveJob,
+  number: number,
+  countsFrom: types.clock.MonotonicMs,
+): Occurrence {
+  const occurrence: Occurrence = {number, countsFrom, steps: []};
+  job.request.steps.forEach((request, step) => {
+    occurrence.steps.push({
+      id: taskId.stepRunId(job.id, number, step),
+      job,
+      occurrence,
+      number: step,
+      request,
+      state: 'closed',
+      waiting: [],
+      runs: new Set(),
+      done: new Set(),
+      failures: new Map(),
+      attempts: new Map(),
+      saved: new Map(),
+      advice: {
+        tickets: new Map(),
+        validUntil: 0 as types.clock.MonotonicMs,
+        asking: false,
+      },
+    });
+  });
+  return occurrence;
+}
+
+/** The step's place in the order of work. */
+export function claimantOf(stepRun: StepRun): workOrder.Claimant {
+  const {job, occurrence} = stepRun;
+  const chain = jobRequest.chainMs(job.request);
+  const objective = chain * job.policy.slackFactor + job.policy.targetMs;
+  const lateUntil = objective * workOrder.LATE_FACTOR;
+  return {
+    priority: job.policy.priority,
+    dueAt: types.clock.after(occurrence.countsFrom, objective),
+    worthlessAt: types.clock.after(occurrence.countsFrom, lateUntil),
+    remainingMs: remainingMs(stepRun),
+    arrival: job.arrival,
+  };
+}
+
+/** Expected length of the chain from this step on, in milliseconds. */
+function remainingMs(stepRun: StepRun): number {
+  const steps = stepRun.job.request.steps;
+  const chain = steps
+    .slice(stepRun.number + 1)
+    .filter((later) => later.after.length > 0)
+    .reduce((sum, later) => sum + later.expectedMs, 0);
+  return chain + stepRun.request.expectedMs;
+}
+
+/** The job's progress in the form that is stored. */
+export function progressOf(job: ActiveJob): jobProgress.JobProgress {
+  const occurrences: Record<string, jobProgress.StepProgress[]> = {};
+  for (const [number, occurrence] of job.open) {
+    occurrences[number] = occurrence.steps.map(stepProgressOf);
+  }
+  return {phase: job.phase, occurrences, finished: [...job.finished]};
+}
+
+function stepProgressOf(stepRun: StepRun): jobProgress.StepProgress {
+  const failures: Record<string, number[]> = {};
+  for (const [index, attempts] of stepRun.failures) {
+    failures[index] = [...attempts];
+  }
+  const done = stepRun.state === 'done' ? 'all' : [...stepRun.done];
+  return {done, failures};
+}
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/advice_lanes.ts
@@ -0,0 +1,47 @@
+/**
+ * Spreads calls to the adviser over the entries. The adviser handles one call
+ * at a time for each calling instance and a call takes up to 0.8 s, so calls
+ * of one entry alone take longer than there is time: at 1.2 large calls, 4.6
+ * middle and 34 small ones a second they add up to 1.8 s of calls a second.
+ * Large calls keep to the first half of the entries, so that a small call of
+ * an urgent job never waits behind one on all of them.
+ */
+
+/** Calls above this many milliseconds are large. */
+const LARGE_CALL_MS = 250;
+/** More work than this on each lane only ages in line; milliseconds. */
+const LONGEST_LINE_MS = 1_500;
+
+/** The entries that may call the adviser, and what each has in line. */
+export interface AdviceLanes<Entry extends string> {
+  /** Takes the shortest line; undefined if all are long enough. */
+  take(entries: readonly Entry[], callMs: number): Entry | undefined;
+  finish(entry: Entry, callMs: number): void;
+}
+
+/** Creates lanes with nothing in line. */
+export function createAdviceLanes<Entry extends string>(): AdviceLanes<Entry> {
+  const inLineMs = new Map<Entry, number>();
+  const lineOf = (entry: Entry) => inLineMs.get(entry) ?? 0;
+
+  return {
+    take(entries, callMs) {
+      const ordered = [...entries].sort();
+      const large = callMs > LARGE_CALL_MS;
+      const open = large
+        ? ordered.slice(0, Math.ceil(ordered.length / 2))
+        : ordered;
+      let best: Entry | undefined;
+      for (const entry of open) {
+        if (best === undefined || lineOf(entry) < lineOf(best)) best = entry;
+      }
+      if (best === undefined || lineOf(best) > LONGEST_LINE_MS)
+        return undefined;
+      inLineMs.set(best, lineOf(best) + callMs);
+      return best;
+    },
+    finish(entry, callMs) {
+      inLineMs.set(entry, Math.max(0, lineOf(entry) - callMs));
+    },
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/choose_worker.ts
@@ -0,0 +1,103 @@
+/** Chooses the worker for one task among those that may run it. */
+import * as types from '@gypsumwall/types';
+import type * as activeJob from './active_job.js';
+import type * as workerBook from './worker_book.js';
+import type * as workerHealth from './worker_health.js';
+
+/** What a choice looks at beside the books. */
+export interface ChoiceContext {
+  readonly book: workerBook.WorkerBook;
+  readonly health: workerHealth.WorkerHealth;
+  readonly now: types.clock.MonotonicMs;
+}
+
+/** Whether a step's tasks may run on a worker at all, room left aside. */
+export function mayRunOn(
+  stepRun: activeJob.StepRun,
+  worker: workerBook.BookedWorker,
+): boolean {
+  const {info} = worker;
+  const {request} = stepRun;
+  if (info.pool !== stepRun.job.policy.pool) return false;
+  const label = request.requiredLabel;
+  return label === undefined || info.labels.includes(label);
+}
+
+/** What a task takes from a worker's books. */
+export function bookedSize(
+  stepRun: activeJob.StepRun,
+): types.resources.Resources {
+  const {size, usesSpareCpu} = stepRun.request;
+  return usesSpareCpu ? {...size, cpuMillis: 0} : size;
+}
+
+/** The workers that a task of the step may be started on now, room aside. */
+export function candidates(
+  stepRun: activeJob.StepRun,
+  context: ChoiceContext,
+): workerBook.BookedWorker[] {
+  const found: workerBook.BookedWorker[] = [];
+  const advised = stepRun.job.policy.advice !== undefined;
+  const tickets = stepRun.advice.tickets;
+  for (const worker of context.book.workers.values()) {
+    if (!worker.usable || worker.info.draining) continue;
+    if (advised && !tickets.has(worker.info.id)) continue;
+    if (!mayRunOn(stepRun, worker)) continue;
+    const trust = context.health.trustOf(worker.info.id, context.now);
+    if (trust === 'avoided') continue;
+    found.push(worker);
+  }
+  return found;
+}
+
+/** How many more tasks of the step the worker may take. */
+export function roomFor(
+  stepRun: activeJob.StepRun,
+  worker: workerBook.BookedWorker,
+): number {
+  const most = stepRun.request.maxPerWorker ?? Infinity;
+  return most - (worker.perStep.get(stepRun.id) ?? 0);
+}
+
+/**
+ * The best of the given workers with room for a task: sound before doubtful,
+ * near the data before far, then the one that the task fills most, which
+ * keeps other workers whole for large tasks.
+ */
+export function chooseWorker(
+  stepRun: activeJob.StepRun,
+  among: readonly workerBook.BookedWorker[],
+  context: ChoiceContext,
+): workerBook.BookedWorker | undefined {
+  const size = bookedSize(stepRun);
+  let best: workerBook.BookedWorker | undefined;
+  let bestCost = Infinity;
+  for (const worker of among) {
+    if (!types.resources.fits(size, worker.free)) continue;
+    if (roomFor(stepRun, worker) < 1) continue;
+    const cost = costOf(stepRun, worker, context);
+    if (cost >= bestCost) continue;
+    best = worker;
+    bestCost = cost;
+  }
+  return best;
+}
+
+/** Larger than any difference in free processors, in thousandths of a core. */
+const DOUBTFUL_COST = 1e9;
+const FAR_COST = 1e8;
+
+function costOf(
+  stepRun: activeJob.StepRun,
+  worker: workerBook.BookedWorker,
+  context: ChoiceContext,
+): number {
+  const {preferredRack} = stepRun.request;
+  const far = preferredRack !== undefined && preferredRack !== worker.info.rack;
+  const trust = context.health.trustOf(worker.info.id, context.now);
+  return (
+    (trust === 'doubtful' ? DOUBTFUL_COST : 0) +
+    (far ? FAR_COST : 0) +
+    worker.free.cpuMillis
+  );
+}
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/gang_fit.ts
@@ -0,0 +1,67 @@
+/**
+ * Finds workers for all tasks of a gang at once, in one rack where its tasks
+ * run slower when they are spread.
+ */
+import type * as types from '@gypsumwall/types';
+import type * as workerBook from './worker_book.js';
+
+/** A worker that may run the tasks, and how many it has room for. */
+export interface GangRoom {
+  readonly worker: workerBook.BookedWorker;
+  readonly tasks: number;
+}
+
+/** How many tasks of a size fit into some room. */
+export function tasksThatFit(
+  size: types.resources.Resources,
+  room: types.resources.Resources,
+): number {
+  return Math.min(
+    share(room.cpuMillis, size.cpuMillis),
+    share(room.memoryMb, size.memoryMb),
+    share(room.accelerators, size.accelerators),
+  );
+}
+
+function share(room: number, need: number): number {
+  if (need === 0) return room < 0 ? 0 : Infinity;
+  return Math.max(0, Math.floor(room / need));
+}
+
+/**
+ * One worker for each task, or undefined while there is no room for all.
+ * Workers that take the most tasks come first, so that a gang sits on few
+ * workers and leaves the others whole.
+ */
+export function fitGang(
+  rooms: readonly GangRoom[],
+  taskCount: number,
+  sameRack: boolean,
+): workerBook.BookedWorker[] | undefined {
+  if (!sameRack) return fill(rooms, taskCount);
+  const racks = new Map<string, GangRoom[]>();
+  for (const room of rooms) {
+    const rack = room.worker.info.rack;
+    racks.set(rack, [...(racks.get(rack) ?? []), room]);
+  }
+  for (const inRack of racks.values()) {
+    const workers = fill(inRack, taskCount);
+    if (workers !== undefined) return workers;
+  }
+  return fill(rooms, taskCount);
+}
+
+function fill(
+  rooms: readonly GangRoom[],
+  taskCount: number,
+): workerBook.BookedWorker[] | undefined {
+  const total = rooms.reduce((sum, room) => sum + room.tasks, 0);
+  if (total < taskCount) return undefined;
+  const workers: workerBook.BookedWorker[] = [];
+  const largestFirst = [...rooms].sort((a, b) => b.tasks - a.tasks);
+  for (const room of largestFirst) {
+    const count = Math.min(room.tasks, taskCount - workers.length);
+    for (let nth = 0; nth < count; nth++) workers.push(room.worker);
+  }
+  return workers;
+}
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/index.ts
@@ -0,0 +1,9 @@
+export * as activeJob from './active_job.js';
+export * as adviceLanes from './advice_lanes.js';
+export * as jobProgress from './job_progress.js';
+export * as jobRequest from './job_request.js';
+export * as jobSteps from './job_steps.js';
+export * as scheduler from './scheduler.js';
+export * as taskId from './task_id.js';
+export * as workerBook from './worker_book.js';
+export * as workOrder from './work_order.js';
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/run_table.ts
@@ -0,0 +1,53 @@
+/** Every run that may be on a worker, by its id and by worker. */
+import type * as types from '@gypsumwall/types';
+import type * as activeJob from './active_job.js';
+import type * as workerBook from './worker_book.js';
+
+/** The runs of a cell. Room is booked by whoever adds, and given back here. */
+export interface RunTable {
+  add(run: activeJob.Run): void;
+  find(
+    taskId: types.ids.TaskId,
+    attempt: number,
+    worker: types.ids.WorkerId,
+  ): activeJob.Run | undefined;
+  ofWorker(worker: types.ids.WorkerId): ReadonlySet<activeJob.Run>;
+  /** Forgets a run and gives its room back. */
+  remove(run: activeJob.Run): void;
+  has(run: activeJob.Run): boolean;
+  size(): number;
+}
+
+const NO_RUNS: ReadonlySet<activeJob.Run> = new Set();
+
+/** Creates an empty table over the given books. */
+export function createRunTable(book: workerBook.WorkerBook): RunTable {
+  const byKey = new Map<string, activeJob.Run>();
+  const byWorker = new Map<types.ids.WorkerId, Set<activeJob.Run>>();
+  const keyOf = (taskId: string, attempt: number, worker: string) =>
+    `${taskId}#${attempt}@${worker}`;
+  const keyOfRun = (run: activeJob.Run) =>
+    keyOf(run.taskId, run.attempt, run.workerId);
+
+  return {
+    add(run) {
+      byKey.set(keyOfRun(run), run);
+      const runs = byWorker.get(run.workerId) ?? new Set<activeJob.Run>();
+      byWorker.set(run.workerId, runs.add(run));
+      run.owner?.stepRun.runs.add(run);
+    },
+    find: (taskId, attempt, worker) =>
+      byKey.get(keyOf(taskId, attempt, worker)),
+    ofWorker: (worker) => byWorker.get(worker) ?? NO_RUNS,
+    remove(run) {
+      if (!byKey.delete(keyOfRun(run))) return;
+      const runs = byWorker.get(run.workerId);
+      runs?.delete(run);
+      if (runs?.size === 0) byWorker.delete(run.workerId);
+      run.owner?.stepRun.runs.delete(run);
+      book.release(run.workerId, run.stepRunId, run.size);
+    },
+    has: (run) => byKey.get(keyOfRun(run)) === run,
+    size: () => byKey.size,
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/stall_watch.ts
@@ -0,0 +1,40 @@
+/**
+ * Finds workers on which everything stands still while they answer. Progress
+ * is reported in whole percent, so a sound task of 16 s shows one at least
+ * every 160 ms; a task that goes on from saved progress or waits for its gang
+ * shows none for a second.
+ */
+import type * as types from '@gypsumwall/types';
+import type * as activeJob from './active_job.js';
+
+/** No sound task was seen without progress for this long; milliseconds. */
+export const STALLED_AFTER_MS = 2_000;
+
+/** What stands still on one worker. */
+export interface Stall {
+  readonly runs: activeJob.Run[];
+  /**
+   * Whether the worker is to blame. Members of a gang stand still all
+   * together, wherever the one at fault is, so they accuse nobody.
+   */
+  readonly blamesWorker: boolean;
+}
+
+/** The stalled runs of a worker, if nothing on it moves; else undefined. */
+export function findStall(
+  runs: ReadonlySet<activeJob.Run>,
+  now: types.clock.MonotonicMs,
+): Stall | undefined {
+  const stalled: activeJob.Run[] = [];
+  for (const run of runs) {
+    if (run.owner?.stepRun.request.longRunning === true) continue;
+    if (run.phase !== 'running') continue;
+    if (now - run.percentChangedAt < STALLED_AFTER_MS) return undefined;
+    stalled.push(run);
+  }
+  if (stalled.length === 0) return undefined;
+  const blamesWorker = stalled.some(
+    (run) => run.owner?.stepRun.request.gang === false,
+  );
+  return {runs: stalled, blamesWorker};
+}
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/work_order.ts
@@ -0,0 +1,54 @@
+/**
+ * The order in which steps get room. Work that can still be on time goes
+ * before work that is late, and late work before work so late that its caller
+ * has no use for it; within each, by the queue's priority and then by the
+ * latest moment at which it must start.
+ */
+import type * as types from '@gypsumwall/types';
+
+/** What the order looks at. */
+export interface Claimant {
+  readonly priority: number;
+  /** When the job should be done. */
+  readonly dueAt: types.clock.MonotonicMs;
+  /** When its caller has no use for it any more. */
+  readonly worthlessAt: types.clock.MonotonicMs;
+  /** Expected length of the work that is left, in milliseconds. */
+  readonly remainingMs: number;
+  /** Rises with each job; settles ties first come, first served. */
+  readonly arrival: number;
+}
+
+/**
+ * A late job keeps some worth up to this many times its objective; this is
+ * how the users value it.
+ */
+export const LATE_FACTOR = 3;
+
+/** 0 may be on time, 1 is late, 2 is of no more use. */
+export function lateness(
+  claimant: Claimant,
+  now: types.clock.MonotonicMs,
+): 0 | 1 | 2 {
+  const endsAt = now + claimant.remainingMs;
+  if (endsAt <= claimant.dueAt) return 0;
+  return endsAt <= claimant.worthlessAt ? 1 : 2;
+}
+
+/** Compares two claimants: negative when the left one goes first. */
+export function compare(
+  left: Claimant,
+  right: Claimant,
+  now: types.clock.MonotonicMs,
+): number {
+  return (
+    lateness(left, now) - lateness(right, now) ||
+    left.priority - right.priority ||
+    latestStart(left) - latestStart(right) ||
+    left.arrival - right.arrival
+  );
+}
+
+function latestStart(claimant: Claimant): number {
+  return claimant.dueAt - claimant.remainingMs;
+}
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/worker_book.ts
@@ -0,0 +1,96 @@
+/**
+ * What each worker of a cell has and what is booked on it. Room is booked when
+ * a start is decided and given back only when the worker has told the end of
+ * the run, or the run can't go on any more. So the sum of what a worker was
+ * told never passes its capacity, also where the worker checks nothing.
+ */
+import type * as types from '@gypsumwall/types';
+
+/** A worker as the platform's list shows it. */
+export interface WorkerInfo {
+  /** One stay of a worker process. */
+  readonly id: types.ids.WorkerId;
+  readonly address: string;
+  readonly domain: types.ids.FailureDomain;
+  readonly pool: string;
+  readonly capacity: types.resources.Resources;
+  readonly labels: readonly string[];
+  readonly rack: types.ids.RackId;
+  /** Told to leave: nothing new may start on it. */
+  readonly draining: boolean;
+}
+
+/** A worker and what is booked on it. */
+export interface BookedWorker {
+  info: WorkerInfo;
+  /** Room left; negative where another scheduler had started more. */
+  free: types.resources.Resources;
+  /** Whether it has answered under our fencing token, and lately. */
+  usable: boolean;
+  /** Tasks of each step that are booked here, by step run id. */
+  readonly perStep: Map<string, number>;
+}
+
+/** The workers of a cell. */
+export interface WorkerBook {
+  readonly workers: ReadonlyMap<types.ids.WorkerId, BookedWorker>;
+  /** Adds a worker or takes over what the list says of it now. */
+  put(info: WorkerInfo): BookedWorker;
+  remove(id: types.ids.WorkerId): void;
+  book(
+    id: types.ids.WorkerId,
+    stepRun: string,
+    size: types.resources.Resources,
+  ): void;
+  release(
+    id: types.ids.WorkerId,
+    stepRun: string,
+    size: types.resources.Resources,
+  ): void;
+}
+
+/** Creates an empty book. */
+export function createWorkerBook(): WorkerBook {
+  const workers = new Map<types.ids.WorkerId, BookedWorker>();
+
+  function move(
+    id: types.ids.WorkerId,
+    stepRun: string,
+    size: types.resources.Resources,
+    sign: 1 | -1,
+  ): void {
+    const worker = workers.get(id);
+    // A worker that left took its bookings with it.
+    if (worker === undefined) return;
+    worker.free = {
+      cpuMillis: worker.free.cpuMillis - sign * size.cpuMillis,
+      memoryMb: worker.free.memoryMb - sign * size.memoryMb,
+      accelerators: worker.free.accelerators - sign * size.accelerators,
+    };
+    const count = (worker.perStep.get(stepRun) ?? 0) + sign;
+    if (count > 0) worker.perStep.set(stepRun, count);
+    else worker.perStep.delete(stepRun);
+  }
+
+  return {
+    workers,
+    put(info) {
+      const known = workers.get(info.id);
+      if (known !== undefined) {
+        known.info = info;
+        return known;
+      }
+      const worker: BookedWorker = {
+        info,
+        free: info.capacity,
+        usable: false,
+        perStep: new Map(),
+      };
+      workers.set(info.id, worker);
+      return worker;
+    },
+    remove: (id) => void workers.delete(id),
+    book: (id, stepRun, size) => move(id, stepRun, size, 1),
+    release: (id, stepRun, size) => move(id, stepRun, size, -1),
+  };
+}
--- a/scripts/package_arrows.mjs
+++ b/scripts/package_arrows.mjs
@@ -11,6 +11,8 @@
   records: ['types', 'settings', 'telemetry', 'platform'],
   membership: ['types', 'telemetry', 'platform', 'records', 'protocol'],
   placement: ['types'],
+  scheduling: ['types'],
+  cell: ['types', 'telemetry', 'scheduling'],
   routing: ['types', 'telemetry', 'platform'],
   entry: [
     'types',
