Record a job's workers before they are used; keep runs of steps not yet opened

Cause of two runs of one task after a takeover: a run of a step whose predecessors' ends were not heard yet was taken for unwanted, and the step opened while its stop was on the way.

--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -27,6 +27,13 @@
  * and a lease more for workers that it can't reach; milliseconds.
  */
 const RENEW_UNCONFIRMED_MS = 12_000;
+/** An unconfirmed holder looks at its majority from then on; milliseconds. */
+const MAJORITY_CHECK_MS = 1_500;
+/**
+ * By then a holder that lost its majority knows: the check above, and a look
+ * of 1.2 s that must fail first; milliseconds.
+ */
+const MAJORITY_LOST_MS = 3_000;
 /** A worker's clock may be 2% slow; with that and a margin a lease has passed. */
 const SLOW_CLOCK_FACTOR = 1.05;
 /** Pause between two passes, so that what comes together is decided together. */
@@ -94,6 +101,7 @@
   const lanes = scheduling.adviceLanes.createAdviceLanes<string>();
   const scheduler = scheduling.scheduler.createScheduler({
     attemptBase: claim.generation * ATTEMPTS_PER_GENERATION,
+    isAccounted: (worker) => gate.isAccounted(worker),
     onEvent: (event) => logger.info(event.type, {...event, type: undefined}),
   });
   const writer = cellWriter.createCellWriter({
@@ -112,15 +120,19 @@
     write: (records) => writer.write(records),
     onChange: kick,
   });
-  const oldLeasesPassedAt = types.clock.after(
-    claimedAt,
-    RENEW_UNCONFIRMED_MS + options.leaseMs * SLOW_CLOCK_FACTOR,
-  );
   const gate = takeoverGate.createTakeoverGate(
     [...options.state.usedWorkers.keys()],
-    oldLeasesPassedAt,
+    {
+      latestAt: types.clock.after(
+        claimedAt,
+        RENEW_UNCONFIRMED_MS + options.leaseMs * SLOW_CLOCK_FACTOR,
+      ),
+      afterMajorityMs: MAJORITY_LOST_MS + options.leaseMs * SLOW_CLOCK_FACTOR,
+    },
     () => {
-      scheduler.openGate();
+      scheduler.workerAccounted();
+      if (gate.unaccounted() > 0) return;
+      roster.forgetSilent();
       logger.info('takeover_complete', {
         tookMs: Math.round(clock.monotonic() - claimedAt),
       });
@@ -159,20 +171,26 @@
       clock,
       logger,
       scheduler,
-      mayRenew: () =>
-        clock.monotonic() - writer.confirmedAt() < RENEW_UNCONFIRMED_MS,
+      mayRenew,
       onChange: kick,
       stored: flush,
-      onFirstReport: () => gate.account(worker.id),
+      onFirstReport: () => gate.account(worker.id, clock.monotonic()),
       onFenced: depose,
       onGone: () => {
-        gate.account(worker.id);
         roster.gone(worker.id);
+        gate.account(worker.id, clock.monotonic());
       },
       onLeasePassed: () => roster.leasePassed(worker.id),
     });
   }
 
+  /** See the gate of a takeover for what rests on this. */
+  function mayRenew(): boolean {
+    const unconfirmedMs = clock.monotonic() - writer.confirmedAt();
+    if (unconfirmedMs > RENEW_UNCONFIRMED_MS) return false;
+    return unconfirmedMs < MAJORITY_CHECK_MS || roster.reachableShare() > 0.5;
+  }
+
   /** Stores what has changed; resolves when all before stands too. */
   function flush(): Promise<void> {
     const dirty = scheduler.takeDirty();
@@ -200,8 +218,16 @@
   function pass(): void {
     passPlanned = false;
     if (!deciding || stopping.signal.aborted) return;
+    sendStops();
+    // A start takes a lease along, so nothing can start without.
+    if (!mayRenew()) return;
     const decisions = scheduler.decide(clock.monotonic(), clock.wall());
     void flush();
+    for (const order of decisions.starts) void startRun(order);
+    for (const wish of decisions.advice) void askAdviser(wish);
+  }
+
+  function sendStops(): void {
     for (const run of scheduler.takeStops()) {
       logger.info('stop_decided', {
         task: run.taskId,
@@ -210,8 +236,6 @@
       });
       void roster.session(run.workerId)?.stopRun(run);
     }
-    for (const order of decisions.starts) void startRun(order);
-    for (const wish of decisions.advice) void askAdviser(wish);
   }
 
   async function startRun(
@@ -307,7 +331,6 @@
     takeUpConfirmed();
     gate.tick(now);
     roster.tick(now);
-    if (now >= oldLeasesPassedAt) roster.forgetSilent();
     kick();
   }
 
@@ -331,6 +354,7 @@
       }
       if (stopping.signal.aborted) return;
       for (const job of jobs.all()) takeUp(job, true);
+      scheduler.workerAccounted();
       deciding = true;
       roster.inherit(options.state.usedWorkers.values());
       void workerFollower.run();
--- a/packages/gypsumwall-cell/src/takeover_gate.ts
+++ b/packages/gypsumwall-cell/src/takeover_gate.ts
@@ -1,47 +1,59 @@
 /**
- * Holds back jobs that an earlier holder had begun until every worker that it
- * used is accounted for: it has answered under the new fencing token, so that
- * it lists all it runs and refuses the old holder; or its stay is over; or
- * every lease that the old holder may have given has passed. Otherwise a task
- * that runs on a worker out of reach would be started a second time.
+ * Tells which workers of earlier holders are accounted for: a worker has
+ * answered under the new fencing token, so that it lists all it runs and
+ * refuses the old holder; or its stay is over; or every lease that the old
+ * holder may have given has passed. Until then its tasks may be running, and
+ * starting them elsewhere would run them twice.
+ *
+ * A holder whose appends aren't confirmed renews leases only while more than
+ * half of the workers answer it, and for a bounded time. Once more than half
+ * of them answer to the new holder, the old one meets one that refuses it. So
+ * leases have passed one span after whichever of the two comes first.
  */
 import type * as types from '@gypsumwall/types';
 
-/** The gate of one takeover. */
+/** When leases of an old holder have surely passed. */
+export interface LeaseBounds {
+  /** However many workers have answered. */
+  readonly latestAt: types.clock.MonotonicMs;
+  /** After more than half have answered; milliseconds. */
+  readonly afterMajorityMs: number;
+}
+
+/** The workers of one takeover. */
 export interface TakeoverGate {
-  account(worker: types.ids.WorkerId): void;
+  account(worker: types.ids.WorkerId, now: types.clock.MonotonicMs): void;
+  isAccounted(worker: types.ids.WorkerId): boolean;
   /** Accounts for all once old leases have surely passed. */
   tick(now: types.clock.MonotonicMs): void;
-  isOpen(): boolean;
   unaccounted(): number;
 }
 
-/** Creates a gate; `onOpen` is called once, perhaps at once. */
+/** Creates a gate; `onAccounted` hears of every step, perhaps at once. */
 export function createTakeoverGate(
-  workers: Iterable<types.ids.WorkerId>,
-  leasesPassedAt: types.clock.MonotonicMs,
-  onOpen: () => void,
+  workers: readonly types.ids.WorkerId[],
+  bounds: LeaseBounds,
+  onAccounted: () => void,
 ): TakeoverGate {
   const missing = new Set(workers);
-  let open = false;
-
-  function check(): void {
-    if (open || missing.size > 0) return;
-    open = true;
-    onOpen();
-  }
-  check();
+  const total = missing.size;
+  let majorityAt: types.clock.MonotonicMs | undefined;
 
   return {
-    account(worker) {
-      missing.delete(worker);
-      check();
+    account(worker, now) {
+      if (!missing.delete(worker)) return;
+      if (total - missing.size > total / 2) majorityAt ??= now;
+      onAccounted();
     },
+    isAccounted: (worker) => !missing.has(worker),
     tick(now) {
-      if (now >= leasesPassedAt) missing.clear();
-      check();
+      if (missing.size === 0) return;
+      const soon =
+        majorityAt !== undefined && now - majorityAt > bounds.afterMajorityMs;
+      if (!soon && now < bounds.latestAt) return;
+      missing.clear();
+      onAccounted();
     },
-    isOpen: () => open,
     unaccounted: () => missing.size,
   };
 }
--- a/packages/gypsumwall-scheduling/src/active_job.ts
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -87,11 +87,18 @@
   policy: jobRequest.QueuePolicy;
   readonly arrival: number;
   readonly acceptedAt: types.clock.MonotonicMs;
-  /** Known before this scheduler took over: it may have runs anywhere. */
-  readonly inherited: boolean;
+  /**
+   * An earlier scheduler may have runs of it on workers that aren't accounted
+   * for; nothing of it starts until they are.
+   */
+  heldBack: boolean;
   phase: jobProgress.JobPhase;
-  /** Whether the store knows that tasks may have been handed out. */
-  begun: 'no' | 'recording' | 'yes';
+  /**
+   * Workers that its tasks may be on, as the store knows them. A task starts
+   * only on a worker that is recorded, so that a successor knows which jobs
+   * have to wait for a worker out of reach.
+   */
+  readonly workers: Map<types.ids.WorkerId, 'recording' | 'recorded'>;
   readonly open: Map<number, Occurrence>;
   readonly finished: Set<number>;
 }
@@ -166,7 +173,8 @@
   for (const [number, occurrence] of job.open) {
     occurrences[number] = occurrence.steps.map(stepProgressOf);
   }
-  return {phase: job.phase, occurrences, finished: [...job.finished]};
+  const workers = [...job.workers.keys()];
+  return {phase: job.phase, workers, occurrences, finished: [...job.finished]};
 }
 
 function stepProgressOf(stepRun: StepRun): jobProgress.StepProgress {
--- a/packages/gypsumwall-scheduling/src/job_progress.ts
+++ b/packages/gypsumwall-scheduling/src/job_progress.ts
@@ -4,6 +4,8 @@
  * read back from the workers.
  */
 
+import type * as types from '@gypsumwall/types';
+
 /** What a job has come to. */
 export type JobPhase =
   /** Accepted; no task has been handed to a worker. */
@@ -29,6 +31,8 @@
 /** Progress of a job; occurrences by number. */
 export interface JobProgress {
   readonly phase: JobPhase;
+  /** Workers that its tasks may have been handed to. */
+  readonly workers: readonly types.ids.WorkerId[];
   readonly occurrences: Readonly<Record<string, readonly StepProgress[]>>;
   /** Numbers of occurrences that are done as a whole. */
   readonly finished: readonly number[];
@@ -37,6 +41,7 @@
 /** The progress of a job of which nothing has started. */
 export const NO_PROGRESS: JobProgress = {
   phase: 'queued',
+  workers: [],
   occurrences: {},
   finished: [],
 };
--- a/packages/gypsumwall-scheduling/src/job_steps.ts
+++ b/packages/gypsumwall-scheduling/src/job_steps.ts
@@ -28,17 +28,19 @@
   readonly policy: jobRequest.QueuePolicy;
   readonly arrival: number;
   readonly acceptedAt: types.clock.MonotonicMs;
+  /** Whether an earlier scheduler may have runs of it. */
   readonly inherited: boolean;
   readonly progress: jobProgress.JobProgress;
 }
 
 /** Makes the record of a job from what was stored of it. */
 export function createJob(start: JobStart): activeJob.ActiveJob {
-  const {progress, ...rest} = start;
+  const {progress, inherited, ...rest} = start;
   const job: activeJob.ActiveJob = {
     ...rest,
     phase: progress.phase,
-    begun: progress.phase === 'queued' ? 'no' : 'yes',
+    heldBack: inherited && progress.workers.length > 0,
+    workers: new Map(progress.workers.map((id) => [id, 'recorded'])),
     open: new Map(),
     finished: new Set(progress.finished),
   };
@@ -112,11 +114,16 @@
   }
 }
 
+/** Indexes without end or run; a gang waits for the last of its runs. */
 function openIndexes(stepRun: activeJob.StepRun): number[] {
+  const {gang, taskCount} = stepRun.request;
+  if (gang && stepRun.runs.size > 0) return [];
+  const running = new Set<number | undefined>();
+  for (const run of stepRun.runs) running.add(run.owner?.index);
   const indexes: number[] = [];
-  // Taken from the end: the last index comes first.
-  for (let index = stepRun.request.taskCount - 1; index >= 0; index--) {
-    if (!stepRun.done.has(index)) indexes.push(index);
+  // Taken from the end: the first index goes first.
+  for (let index = taskCount - 1; index >= 0; index--) {
+    if (!stepRun.done.has(index) && !running.has(index)) indexes.push(index);
   }
   return indexes;
 }
--- a/packages/gypsumwall-scheduling/src/placement_pass.ts
+++ b/packages/gypsumwall-scheduling/src/placement_pass.ts
@@ -21,8 +21,11 @@
   readonly placed: Placement[];
   /** Steps that need the adviser's word first, most urgent first. */
   readonly unadvised: activeJob.StepRun[];
-  /** Jobs that would have got room but aren't recorded as begun. */
-  readonly toBegin: Set<activeJob.ActiveJob>;
+  /**
+   * Placements that would have been made on workers that aren't recorded for
+   * their jobs yet.
+   */
+  readonly unrecorded: Placement[];
 }
 
 /** Approvals that end sooner than this are not used: the start takes time. */
@@ -42,27 +45,42 @@
   waiting: Iterable<activeJob.StepRun>,
   context: chooseWorker.ChoiceContext,
 ): PassResult {
-  const result: PassResult = {placed: [], unadvised: [], toBegin: new Set()};
-  const heldBack: Placement[] = [];
+  const result: PassResult = {placed: [], unadvised: [], unrecorded: []};
   for (const stepRun of inOrder(waiting, context.now)) {
     if (needsAdvice(stepRun, context.now)) {
       result.unadvised.push(stepRun);
       continue;
     }
-    const placed = placeStep(stepRun, context);
-    if (placed.length === 0) continue;
-    if (stepRun.job.begun === 'yes') {
-      result.placed.push(...placed);
-      continue;
-    }
-    // Its room stays booked in this pass, so that nobody after it takes it.
-    heldBack.push(...placed);
-    result.toBegin.add(stepRun.job);
+    const placements = placeStep(stepRun, context);
+    const ready = readyOf(stepRun, placements);
+    result.placed.push(...ready);
+    // What isn't ready keeps its room in this pass, so that nobody after it
+    // takes it.
+    if (ready.length === placements.length) continue;
+    const early = new Set(ready);
+    result.unrecorded.push(...placements.filter((one) => !early.has(one)));
   }
-  for (const placement of heldBack) takeBack(placement, context.book);
+  for (const placement of result.unrecorded) takeBack(placement, context.book);
   return result;
 }
 
+/** Those on recorded workers; of a gang all or none. */
+function readyOf(
+  stepRun: activeJob.StepRun,
+  placements: Placement[],
+): Placement[] {
+  const recorded = placements.filter((one) => isRecorded(stepRun, one.worker));
+  const whole = recorded.length === placements.length;
+  return stepRun.request.gang && !whole ? [] : recorded;
+}
+
+function isRecorded(
+  stepRun: activeJob.StepRun,
+  worker: workerBook.BookedWorker,
+): boolean {
+  return stepRun.job.workers.get(worker.info.id) === 'recorded';
+}
+
 function inOrder(
   waiting: Iterable<activeJob.StepRun>,
   now: types.clock.MonotonicMs,
@@ -80,9 +98,12 @@
   context: chooseWorker.ChoiceContext,
 ): Placement[] {
   const among = chooseWorker.candidates(stepRun, context);
-  return stepRun.request.gang
-    ? placeGang(stepRun, among, context)
-    : placeTasks(stepRun, among, context);
+  // Recorded workers first: what starts there needs no word from the store.
+  const recorded = among.filter((worker) => isRecorded(stepRun, worker));
+  const place = stepRun.request.gang ? placeGang : placeTasks;
+  const first = recorded.length > 0 ? place(stepRun, recorded, context) : [];
+  if (stepRun.waiting.length === 0) return first;
+  return [...first, ...place(stepRun, among, context)];
 }
 
 function placeTasks(
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -109,8 +109,8 @@
   setUsable(id: types.ids.WorkerId, usable: boolean): void;
   /** Stops all that runs on a worker that is about to leave. */
   evacuate(id: types.ids.WorkerId): void;
-  /** Every worker is accounted for: inherited jobs may start again. */
-  openGate(): void;
+  /** A worker was accounted for: jobs that were held back may go on. */
+  workerAccounted(): void;
   decide(now: types.clock.MonotonicMs, wall: types.clock.WallMs): Decisions;
   startAnswered(
     run: activeJob.Run,
@@ -144,6 +144,11 @@
 export interface SchedulerOptions {
   /** Attempts of this scheduler are numbered above it. */
   readonly attemptBase: number;
+  /**
+   * Whether it is known what runs on a worker that an earlier scheduler used:
+   * it has answered since, or can't run anything any more.
+   */
+  readonly isAccounted: (worker: types.ids.WorkerId) => boolean;
   /** Told of each decision that touches a task, for the log. */
   readonly onEvent: (event: SchedulerEvent) => void;
 }
@@ -184,7 +189,6 @@
   const dirty = new Set<activeJob.ActiveJob>();
   let stops: activeJob.Run[] = [];
   let arrivals = 0;
-  let gateOpen = false;
 
   function stop(run: activeJob.Run): void {
     if (run.phase === 'stopping') return;
@@ -422,11 +426,16 @@
     attempt: number,
   ): boolean {
     const {stepRun, index} = owner;
-    if (stepRun.state !== 'open') return false;
-    if (stepRun.request.gang) {
-      return [...stepRun.runs].every((run) => run.attempt === attempt);
+    // It was started once the steps before it were done, whose ends may not
+    // have been heard here yet.
+    if (stepRun.state === 'done' || stepRun.done.has(index)) return false;
+    const {gang} = stepRun.request;
+    for (const run of stepRun.runs) {
+      if (gang ? run.attempt !== attempt : run.owner?.index === index) {
+        return false;
+      }
     }
-    return stepRun.waiting.includes(index);
+    return true;
   }
 
   function takeOutOfLine(stepRun: activeJob.StepRun, index: number): void {
@@ -544,9 +553,28 @@
   }
 
   function* startable(): Iterable<activeJob.StepRun> {
-    for (const stepRun of waiting) {
-      const {inherited, begun} = stepRun.job;
-      if (gateOpen || !inherited || begun !== 'yes') yield stepRun;
+    for (const stepRun of waiting) if (!stepRun.job.heldBack) yield stepRun;
+  }
+
+  /** A gang that was found in part has lost members with their workers. */
+  function breakPartialGangs(job: activeJob.ActiveJob): void {
+    for (const occurrence of job.open.values()) {
+      for (const stepRun of occurrence.steps) {
+        const {gang, taskCount} = stepRun.request;
+        const found = stepRun.runs.size;
+        if (gang && found > 0 && found < taskCount) breakGang(stepRun);
+      }
+    }
+  }
+
+  /** Has the workers recorded that tasks are about to be handed to. */
+  function recordWorkers(placements: readonly placementPass.Placement[]): void {
+    for (const {stepRun, worker} of placements) {
+      const {job} = stepRun;
+      if (job.workers.has(worker.info.id)) continue;
+      job.workers.set(worker.info.id, 'recording');
+      job.phase = 'running';
+      dirty.add(job);
     }
   }
 
@@ -584,18 +612,12 @@
     evacuate(id) {
       for (const run of runs.ofWorker(id)) stop(run);
     },
-    openGate() {
-      gateOpen = true;
-      // A gang that was found in part had lost members with their worker.
+    workerAccounted() {
       for (const job of jobs.values()) {
-        for (const occurrence of job.open.values()) {
-          for (const stepRun of occurrence.steps) {
-            const {gang, taskCount} = stepRun.request;
-            const partial =
-              stepRun.runs.size > 0 && stepRun.runs.size < taskCount;
-            if (gang && partial) breakGang(stepRun);
-          }
-        }
+        if (!job.heldBack) continue;
+        if (![...job.workers.keys()].every(options.isAccounted)) continue;
+        job.heldBack = false;
+        breakPartialGangs(job);
       }
     },
     decide(now, wall) {
@@ -607,12 +629,7 @@
       }
       const context = {book, health, now};
       const pass = placementPass.runPass(startable(), context);
-      for (const job of pass.toBegin) {
-        if (job.begun !== 'no') continue;
-        job.begun = 'recording';
-        job.phase = 'running';
-        dirty.add(job);
-      }
+      recordWorkers(pass.unrecorded);
       numberAttempts(pass.placed);
       const starts = pass.placed.map((placed) => startOrder(placed, now));
       for (const {stepRun} of pass.placed) noteWaiting(stepRun);
@@ -685,9 +702,9 @@
       return taken;
     },
     stored(stored) {
-      for (const {jobId} of stored) {
+      for (const {jobId, progress} of stored) {
         const job = jobs.get(jobId);
-        if (job?.begun === 'recording') job.begun = 'yes';
+        for (const id of progress.workers) job?.workers.set(id, 'recorded');
       }
     },
     counts: () => ({
