--- /dev/null
+++ b/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
@@ -0,0 +1,149 @@
+/** Entries over one store in memory, with workers in memory. */
+import * as result from 'true-myth/result';
+import type * as scheduling from '@gypsumwall/scheduling';
+import * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import * as cellEntry from '../cell_entry.js';
+import type * as ports from '../ports.js';
+import * as fakeLogs from './fake_log.js';
+import * as fakeWorkers from './fake_worker.js';
+
+/** A policy without an adviser. */
+export const POLICY: scheduling.jobRequest.QueuePolicy = {
+  queue: 'plans',
+  pool: 'pool',
+  priority: 0,
+  maxFailures: 3,
+  slackFactor: 2,
+  targetMs: 1_000,
+};
+
+/** A request of one step of small tasks. */
+export function request(taskCount: number): scheduling.jobRequest.JobRequest {
+  return {
+    payload: 'plan',
+    steps: [
+      {
+        taskCount,
+        size: {cpuMillis: 1_000, memoryMb: 1, accelerators: 0},
+        expectedMs: 1_000,
+        after: [],
+        savesProgress: false,
+        gang: false,
+        sameRack: false,
+        speculative: false,
+        longRunning: false,
+        usesSpareCpu: false,
+      },
+    ],
+  };
+}
+
+/** The logs of a store, shared by all its entries. */
+export interface FakeStore {
+  readonly jobs: fakeLogs.FakeLog;
+  readonly cell: fakeLogs.FakeLog;
+  readonly config: fakeLogs.FakeLog;
+  readonly workers: fakeLogs.FakeLog;
+}
+
+/** Entries, their store and the workers. */
+export interface CellWorld {
+  readonly store: FakeStore;
+  addWorker(name: string, cores: number): Promise<fakeWorkers.FakeWorker>;
+  /** Starts an entry; `view` may give it logs of its own troubles. */
+  addEntry(instance: string, view?: FakeStore): cellEntry.CellEntry;
+  stop(): void;
+}
+
+/** Creates a world with nothing in it. */
+export function createCellWorld(leaseMs = 1_000): CellWorld {
+  const store: FakeStore = {
+    jobs: fakeLogs.createFakeLog('jobs'),
+    cell: fakeLogs.createFakeLog('cell'),
+    config: fakeLogs.createFakeLog('config'),
+    workers: fakeLogs.createFakeLog('workers'),
+  };
+  const workers = new Map<string, fakeWorkers.FakeWorker>();
+  const entries: cellEntry.CellEntry[] = [];
+  let processes = 0;
+
+  return {
+    store,
+    async addWorker(name, cores) {
+      const worker = fakeWorkers.createFakeWorker(name, cores);
+      workers.set(name, worker);
+      const value = JSON.stringify(worker.info);
+      await store.workers.append([{key: name, value}], {timeoutMs: 1});
+      return worker;
+    },
+    addEntry(instance, view = store) {
+      const entry = cellEntry.createCellEntry({
+        self: {
+          entryId: types.ids.brand(`${instance}.${++processes}`),
+          instance,
+          domain: types.ids.brand('d1'),
+          peerAddress: '127.0.0.1:1',
+        },
+        logs: view,
+        decodeConfig: () => result.ok(undefined),
+        decodeWorker: (_key, value) =>
+          result.ok({
+            info: JSON.parse(value) as scheduling.workerBook.WorkerInfo,
+          }),
+        connect: (info) => workers.get(info.id)!.connect(),
+        adviser: {ask: () => Promise.resolve(result.ok(new Map()))},
+        leaseMs,
+        keepOverMs: 60_000,
+        clock: types.clock.createSystemClock(),
+        random: types.random.createRandom(processes),
+        logger: telemetry.logger.createLogger('silent'),
+      });
+      entries.push(entry);
+      entry.start();
+      return entry;
+    },
+    stop() {
+      for (const entry of entries) entry.stop();
+    },
+  };
+}
+
+/** A log whose calls can be troubled for one entry alone. */
+export function viewOf(log: fakeLogs.FakeLog): fakeLogs.FakeLog {
+  const view = fakeLogs.createFakeLog(log.name);
+  const troubled = async <Value>(
+    call: () => ports.Answer<Value>,
+    own: () => ports.Answer<Value>,
+  ) => (view.trouble === 'down' ? own() : call());
+  const {append, read, newest} = view;
+  view.append = (entries, options) =>
+    troubled(
+      () => log.append(entries, options),
+      () => append(entries, options),
+    );
+  view.read = (from, waitMs) =>
+    troubled(
+      () => log.read(from, waitMs),
+      () => read(from, waitMs),
+    );
+  view.newest = (after) =>
+    troubled(
+      () => log.newest(after),
+      () => newest(after),
+    );
+  return view;
+}
+
+/** Waits until the condition holds; fails after the time. */
+export async function until(
+  condition: () => boolean,
+  what: string,
+  timeoutMs = 5_000,
+): Promise<void> {
+  const end = performance.now() + timeoutMs;
+  while (!condition()) {
+    if (performance.now() > end) throw new Error(`not in time: ${what}`);
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+}
--- /dev/null
+++ b/packages/gypsumwall-cell/src/__tests__/cell_entry.test.ts
@@ -0,0 +1,217 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as types from '@gypsumwall/types';
+import * as worlds from '../__fixtures__/cell_world.js';
+import type * as fakeWorkers from '../__fixtures__/fake_worker.js';
+import type * as cellEntry from '../cell_entry.js';
+
+const {test} = nodeTest;
+const id = (text: string) => types.ids.brand<types.ids.JobId>(text);
+
+async function submitted(
+  entry: cellEntry.CellEntry,
+  name: string,
+  taskCount = 1,
+): Promise<void> {
+  await worlds.until(() => entry.status().storeReachable, 'the store');
+  const answer = await entry.desk.submit(
+    id(name),
+    worlds.POLICY,
+    worlds.request(taskCount),
+  );
+  assert.equal(answer.type, 'ok');
+}
+
+async function phase(
+  entry: cellEntry.CellEntry,
+  name: string,
+): Promise<string> {
+  const answer = await entry.desk.phaseOf(id(name), worlds.POLICY.queue);
+  return answer.type === 'ok' ? answer.value : answer.type;
+}
+
+/** Waits until the entry tells the phase: entries read the log with a lag. */
+async function becomes(
+  entry: cellEntry.CellEntry,
+  name: string,
+  expected: string,
+): Promise<void> {
+  const end = performance.now() + 2_000;
+  let told = '';
+  while (told !== expected) {
+    assert.ok(performance.now() < end, `${name} is ${told}`);
+    told = await phase(entry, name);
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+}
+
+function runsOf(worker: fakeWorkers.FakeWorker): string[] {
+  return [...worker.running.keys()];
+}
+
+test('a job taken by one entry runs, and any entry tells of it', async () => {
+  const world = worlds.createCellWorld();
+  try {
+    const worker = await world.addWorker('w1', 4);
+    const entries = ['a', 'b'].map((name) => world.addEntry(name));
+    await submitted(entries[1]!, 'job', 2);
+    await worlds.until(() => worker.running.size === 2, 'both tasks');
+    for (const task of runsOf(worker)) worker.end(task, 'done');
+    await worlds.until(
+      () => entries.every((entry) => entry.desk.pendingIn('plans') === 0),
+      'no job waits',
+    );
+    for (const entry of entries) await becomes(entry, 'job', 'completed');
+    assert.equal(await phase(entries[0]!, 'other'), 'absent');
+  } finally {
+    world.stop();
+  }
+});
+
+// The caller's task must not run twice. Its holder dies while the task runs;
+// the next entry takes the cell over, finds the run and waits for its end.
+test('a run goes on when its holder dies, and is not started again', async () => {
+  const world = worlds.createCellWorld(4_000);
+  try {
+    const worker = await world.addWorker('w1', 4);
+    const first = world.addEntry('a');
+    await submitted(first, 'job');
+    await worlds.until(() => worker.running.size === 1, 'the task');
+    const second = world.addEntry('b');
+    first.stop();
+    await worlds.until(() => second.status().holdsCell, 'a takeover');
+    await new Promise((resolve) => setTimeout(resolve, 300));
+    assert.equal(worker.started.length, 1);
+    worker.end(runsOf(worker)[0]!, 'done');
+    await worlds.until(
+      () => second.status().scheduler?.jobs === 0,
+      'the job is over',
+    );
+    await becomes(second, 'job', 'completed');
+  } finally {
+    world.stop();
+  }
+});
+
+// A holder is cut off from the store but reaches the workers, and another
+// takes over. The old one's orders are refused, and it gives up.
+test('a holder that the store turns away is replaced and gives up', async () => {
+  const world = worlds.createCellWorld(4_000);
+  try {
+    const worker = await world.addWorker('w1', 1);
+    const {jobs, cell, config, workers} = world.store;
+    const view = {
+      jobs: worlds.viewOf(jobs),
+      cell: worlds.viewOf(cell),
+      config,
+      workers,
+    };
+    const first = world.addEntry('a', view);
+    await submitted(first, 'job');
+    await worlds.until(() => worker.running.size === 1, 'the task');
+    const second = world.addEntry('b');
+    view.jobs.trouble = 'down';
+    view.cell.trouble = 'down';
+    await worlds.until(() => second.status().holdsCell, 'a takeover');
+    await worlds.until(() => !first.status().holdsCell, 'the old one ends');
+    await submitted(second, 'next');
+    worker.end(runsOf(worker)[0]!, 'done');
+    await worlds.until(() => worker.started.length === 2, 'the next task');
+    assert.ok(worker.started[1]!.token > worker.started[0]!.token);
+  } finally {
+    world.stop();
+  }
+});
+
+test('an entry that leaves hands the cell over at once', async () => {
+  const world = worlds.createCellWorld();
+  try {
+    const first = world.addEntry('a');
+    await worlds.until(() => first.status().holdsCell, 'the first claim');
+    const second = world.addEntry('b');
+    await worlds.until(() => second.status().storeReachable, 'the store');
+    const startedAt = performance.now();
+    await first.leave();
+    await worlds.until(() => second.status().holdsCell, 'the hand-over');
+    assert.ok(performance.now() - startedAt < 1_000);
+  } finally {
+    world.stop();
+  }
+});
+
+// A worker carries an order out and its answer is lost. The task is stopped
+// there before it starts anywhere else, so at no time do two runs exist.
+test('a start without an answer is settled before the next', async () => {
+  const world = worlds.createCellWorld();
+  try {
+    const mute = await world.addWorker('w1', 1);
+    mute.mute = true;
+    const entry = world.addEntry('a');
+    await submitted(entry, 'job');
+    await worlds.until(() => mute.started.length === 1, 'the unheard start');
+    mute.mute = false;
+    await worlds.until(() => mute.started.length === 2, 'the next attempt');
+    assert.deepEqual(
+      mute.started.map((run) => run.attempt),
+      [1, 2],
+    );
+    assert.equal(mute.running.size, 1);
+  } finally {
+    world.stop();
+  }
+});
+
+// A worker is cut off with a task. The task starts elsewhere only after the
+// worker's lease has surely passed, though others have room all the while.
+test('a task on a worker out of reach waits for the lease', async () => {
+  const world = worlds.createCellWorld(800);
+  try {
+    const cut = await world.addWorker('w1', 1);
+    const entry = world.addEntry('a');
+    await submitted(entry, 'job');
+    await worlds.until(() => cut.running.size === 1, 'the task');
+    cut.cut = true;
+    const cutAt = performance.now();
+    const other = await world.addWorker('w2', 1);
+    await worlds.until(() => other.started.length === 1, 'the second run');
+    assert.ok(performance.now() - cutAt > 700, 'before the lease had passed');
+  } finally {
+    world.stop();
+  }
+});
+
+test('a cancelled job is stopped, and every entry tells so', async () => {
+  const world = worlds.createCellWorld();
+  try {
+    const worker = await world.addWorker('w1', 4);
+    const entries = ['a', 'b'].map((name) => world.addEntry(name));
+    await submitted(entries[0]!, 'job');
+    await worlds.until(() => worker.running.size === 1, 'the task');
+    const answer = await entries[1]!.desk.cancel(id('job'), 'plans');
+    assert.equal(answer.type, 'ok');
+    await worlds.until(() => worker.running.size === 0, 'the stop');
+    await becomes(entries[1]!, 'job', 'cancelled');
+  } finally {
+    world.stop();
+  }
+});
+
+test('a job is refused at once while the store is away', async () => {
+  const world = worlds.createCellWorld();
+  try {
+    const entry = world.addEntry('a');
+    await worlds.until(() => entry.status().storeReachable, 'the store');
+    world.store.jobs.trouble = 'down';
+    await worlds.until(() => !entry.status().storeReachable, 'the outage');
+    const startedAt = performance.now();
+    const answer = await entry.desk.submit(
+      id('job'),
+      worlds.POLICY,
+      worlds.request(1),
+    );
+    assert.equal(answer.type, 'not_run');
+    assert.ok(performance.now() - startedAt < 50);
+  } finally {
+    world.stop();
+  }
+});
--- /dev/null
+++ b/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
@@ -0,0 +1,258 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as result from 'true-myth/result';
+import * as scheduling from '@gypsumwall/scheduling';
+import * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import * as worlds from '../__fixtures__/cell_world.js';
+import * as fakeLogs from '../__fixtures__/fake_log.js';
+import * as cellWriter from '../cell_writer.js';
+import type * as claimView from '../claim_view.js';
+import * as jobTable from '../job_table.js';
+import * as logFollower from '../log_follower.js';
+import type * as ports from '../ports.js';
+import * as queueTable from '../queue_table.js';
+import * as storeRecords from '../store_records.js';
+import * as suspensionWatch from '../suspension_watch.js';
+import * as takeOver from '../take_over.js';
+import * as takeoverGate from '../takeover_gate.js';
+import * as workerClock from '../worker_clock.js';
+
+const {test} = nodeTest;
+const at = (ms: number) => ms as types.clock.MonotonicMs;
+const job = (text: string) => types.ids.brand<types.ids.JobId>(text);
+const worker = (text: string) => types.ids.brand<types.ids.WorkerId>(text);
+const logger = telemetry.logger.createLogger('silent');
+const clock = types.clock.createSystemClock();
+
+// The answer to an append is lost after it took effect. Appended again without
+// a number, the batch would stand twice.
+test('a batch whose answer was lost stands once', async () => {
+  const log = fakeLogs.createFakeLog();
+  const writer = cellWriter.createCellWriter({
+    log,
+    epoch: 1,
+    clock,
+    logger,
+    onFenced: () => assert.fail('fenced'),
+  });
+  await log.append([], {fence: {epoch: 1, sequence: 0}, timeoutMs: 1});
+  void writer.run();
+  log.trouble = 'answer_lost';
+  const written = writer.write([{kind: 'heartbeat'}]);
+  await worlds.until(() => log.appends >= 2, 'a first try');
+  log.trouble = 'none';
+  await written;
+  writer.stop();
+  assert.equal(log.records.length, 1);
+});
+
+test('a writer with an older epoch gives up', async () => {
+  const log = fakeLogs.createFakeLog();
+  let fenced = false;
+  const writer = cellWriter.createCellWriter({
+    log,
+    epoch: 1,
+    clock,
+    logger,
+    onFenced: () => (fenced = true),
+  });
+  await log.append([], {fence: {epoch: 2, sequence: 0}, timeoutMs: 1});
+  void writer.run();
+  void writer.write([{kind: 'heartbeat'}]);
+  await worlds.until(() => fenced, 'the refusal');
+  assert.equal(log.records.length, 0);
+});
+
+test('records that were compacted away are loaded anew, each key once', async () => {
+  const log = fakeLogs.createFakeLog();
+  const seen: string[] = [];
+  const append = (key: string, value: string) =>
+    log.append([{key, value}], {timeoutMs: 1});
+  await append('a', '1');
+  const follower = logFollower.createLogFollower({
+    log,
+    clock,
+    logger,
+    onRecords: (records) =>
+      records.forEach((record) => seen.push(record.key + record.value)),
+    pauseMs: () => 1,
+  });
+  await follower.catchUp();
+  await append('a', '2');
+  await append('b', '1');
+  await append('a', '3');
+  log.compact();
+  await follower.catchUp();
+  assert.deepEqual(seen, ['a1', 'b1', 'a3']);
+  await append('c', '1');
+  await Promise.all([follower.catchUp(), follower.catchUp()]);
+  assert.deepEqual(seen, ['a1', 'b1', 'a3', 'c1']);
+});
+
+function view(
+  fields: Partial<takeOver.TakeOverView> = {},
+): takeOver.TakeOverView {
+  const claim: claimView.CellClaim = {
+    holder: types.ids.brand('a.1'),
+    instance: 'a',
+    generation: 0,
+    state: 'held',
+    offset: 7,
+  };
+  return {
+    claim,
+    self: {entryId: types.ids.brand('b.1'), instance: 'b'},
+    lastRecordAt: at(0),
+    reachableSince: at(0),
+    leaving: false,
+    now: at(takeOver.SILENCE_MS + 1),
+    ...fields,
+  };
+}
+
+test('a silent holder is replaced', () => {
+  assert.equal(takeOver.vacancyOf(view()), 'silent');
+  const early = view({now: at(takeOver.SILENCE_MS - 1)});
+  assert.equal(takeOver.vacancyOf(early), undefined);
+});
+
+// An entry that couldn't read the log has heard nothing either, and would take
+// the cell from a sound holder as soon as it reads again.
+test('silence counts only while the log is read', () => {
+  const now = at(60_000);
+  const justBack = view({now, reachableSince: at(59_000)});
+  assert.equal(takeOver.vacancyOf(justBack), undefined);
+  const away = view({now, reachableSince: undefined});
+  assert.equal(takeOver.vacancyOf(away), undefined);
+});
+
+test('a restarted holder replaces its predecessor at once', () => {
+  const self = {
+    entryId: types.ids.brand<types.ids.EntryId>('a.2'),
+    instance: 'a',
+  };
+  const restarted = view({self, now: at(1)});
+  assert.equal(takeOver.vacancyOf(restarted), 'own_predecessor');
+});
+
+test('workers are accounted for one by one, or when all leases have passed', () => {
+  let steps = 0;
+  const gate = takeoverGate.createTakeoverGate(
+    [worker('a'), worker('b'), worker('c')],
+    {latestAt: at(20_000), afterMajorityMs: 5_000},
+    () => steps++,
+  );
+  gate.account(worker('a'), at(100));
+  assert.ok(gate.isAccounted(worker('a')));
+  assert.ok(!gate.isAccounted(worker('b')));
+  gate.tick(at(19_999));
+  assert.equal(gate.unaccounted(), 2, 'no majority: the latest bound holds');
+  gate.account(worker('b'), at(19_999));
+  gate.tick(at(20_001));
+  assert.equal(gate.unaccounted(), 0);
+  assert.equal(steps, 3);
+});
+
+test('with a majority accounted for, leases have passed sooner', () => {
+  const gate = takeoverGate.createTakeoverGate(
+    [worker('a'), worker('b'), worker('c')],
+    {latestAt: at(20_000), afterMajorityMs: 5_000},
+    () => {},
+  );
+  gate.account(worker('a'), at(100));
+  gate.account(worker('b'), at(200));
+  gate.tick(at(5_200));
+  assert.equal(gate.unaccounted(), 1);
+  gate.tick(at(5_201));
+  assert.equal(gate.unaccounted(), 0);
+});
+
+// A worker's clock is 2% slow. A lease of 1,000 ms on it passes up to 1,020 ms
+// later on ours; a task that starts elsewhere before runs twice.
+test('a lease has passed only when the slowest clock says so', () => {
+  const times = workerClock.createWorkerClock();
+  times.note(10_000, at(0));
+  times.noteLease(11_000);
+  assert.equal(times.leasePassed(at(1_020)), false);
+  assert.equal(times.leasePassed(at(1_200)), true);
+  assert.ok(times.read(at(1_000))! <= 10_980, 'a lower bound');
+});
+
+// The instance is suspended for seconds. The monotonic clock doesn't show it,
+// the time of day does.
+test('a suspension is noticed', () => {
+  let wall = 50_000;
+  let monotonic = 1_000;
+  const watch = suspensionWatch.createSuspensionWatch({
+    monotonic: () => at(monotonic),
+    wall: () => wall as types.clock.WallMs,
+    sleepUntil: () => Promise.resolve(),
+  });
+  monotonic += 500;
+  wall += 510;
+  assert.equal(watch.lastNoticedAt(), 0);
+  monotonic += 10;
+  wall += 4_000;
+  assert.equal(watch.lastNoticedAt(), 1_510);
+  monotonic += 10;
+  wall += 10;
+  assert.equal(watch.lastNoticedAt(), 1_510);
+});
+
+function table(): jobTable.JobTable {
+  return jobTable.createJobTable({onAdded: () => {}, onCancelled: () => {}});
+}
+
+function accepted(name: string): storeRecords.StoreRecord {
+  const record = {
+    request: worlds.request(1),
+    policy: worlds.POLICY,
+    acceptedAt: 1 as types.clock.WallMs,
+  };
+  return {kind: 'job', jobId: job(name), job: record};
+}
+
+test('the first record of an id is the job, and a repeat changes nothing', () => {
+  const jobs = table();
+  jobs.apply(accepted('a'), at(0));
+  const progress = {
+    ...scheduling.jobProgress.NO_PROGRESS,
+    phase: 'completed' as const,
+  };
+  jobs.apply({kind: 'progress', jobId: job('a'), progress}, at(1));
+  jobs.apply(accepted('a'), at(2));
+  assert.equal(jobs.get(job('a'))?.progress.phase, 'completed');
+  assert.equal(jobs.pendingIn('plans'), 0);
+});
+
+test('a cancellation that is read before its job holds', () => {
+  const jobs = table();
+  jobs.apply({kind: 'cancel', jobId: job('a'), dropped: false}, at(0));
+  jobs.apply(accepted('a'), at(1));
+  assert.equal(jobs.get(job('a'))?.progress.phase, 'cancelled');
+});
+
+test('records come back as they were written; newer ones are told apart', () => {
+  const record = accepted('a');
+  const {key, value} = storeRecords.encode(record);
+  const decoded = storeRecords.decode(key, value);
+  assert.ok(result.isOk(decoded));
+  assert.equal(decoded.value.kind, 'job');
+  const newer = storeRecords.decode(key, '{"v":2}');
+  assert.ok(result.isErr(newer));
+  assert.match(newer.error, /version = 2/);
+});
+
+test('the longest prefix names the queue', () => {
+  const route = (pathPrefix: string): ports.QueueRoute => ({
+    host: 'h',
+    pathPrefix,
+    policy: {...worlds.POLICY, queue: pathPrefix},
+  });
+  const queues = [route('/a/'), route('/a/b/')];
+  const found = queueTable.findQueue(queues, 'h', '/a/b/1');
+  assert.deepEqual([found?.route.pathPrefix, found?.rest], ['/a/b/', '1']);
+  assert.equal(queueTable.findQueue(queues, 'h', '/c'), undefined);
+  assert.equal(queueTable.findQueue(queues, 'other', '/a/'), undefined);
+});
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -185,7 +185,8 @@
 
   function claimRead(): void {
     const claim = state.claim();
-    if (claim === undefined) return;
+    // A read may be answered after the stop; nothing would end the holder.
+    if (claim === undefined || stopping.signal.aborted) return;
     logger.info('claim_read', {...claim});
     if (holder !== undefined && holder.claim.offset !== claim.offset) {
       holder.stop();
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -261,7 +261,7 @@
     const adviser = lane === undefined ? undefined : advisers.get(lane);
     if (lane === undefined || adviser === undefined) {
       const never = 0 as types.clock.MonotonicMs;
-      scheduler.adviceAnswered(stepRun, undefined, never);
+      scheduler.adviceAnswered(wish, undefined, never);
       return;
     }
     const askedAt = clock.monotonic();
@@ -271,7 +271,7 @@
     const now = clock.monotonic();
     const validMs = stepRun.job.policy.advice?.validMs ?? 0;
     scheduler.adviceAnswered(
-      stepRun,
+      wish,
       result.isOk(answer) ? answer.value : undefined,
       types.clock.after(now, validMs - ADVICE_TRANSIT_MS),
     );
--- a/packages/gypsumwall-cell/src/worker_roster.ts
+++ b/packages/gypsumwall-cell/src/worker_roster.ts
@@ -186,7 +186,7 @@
     },
     forgetSilent() {
       for (const [id, entry] of entries) {
-        if (entry.listed || entry.session.isReachable()) continue;
+        if (entry.listed || entry.session.hasReported()) continue;
         forget(id, 'it never answered, and every lease has passed');
       }
     },
--- a/packages/gypsumwall-cell/src/worker_session.ts
+++ b/packages/gypsumwall-cell/src/worker_session.ts
@@ -55,6 +55,8 @@
   stopRun(run: scheduling.activeJob.Run): Promise<void>;
   /** Whether the worker has answered lately. */
   isReachable(): boolean;
+  /** Whether it has ever answered in this session. */
+  hasReported(): boolean;
   close(): void;
 }
 
@@ -90,10 +92,13 @@
     const askedAt = clock.monotonic();
     // The first look must come back at once: it brings the clock.
     const waitMs = reported && !storing ? LOOK_WAIT_MS : 0;
+    // A worker out of reach gets no new lease: a look that seems lost may
+    // arrive late, so its lease would never surely pass.
+    const leaseUntil = reachable ? nextLease() : undefined;
     const answer = await link.look({
       token,
       acknowledged,
-      leaseUntil: nextLease(),
+      leaseUntil,
       waitMs,
       timeoutMs: waitMs + ANSWER_TIMEOUT_MS,
     });
@@ -139,11 +144,11 @@
       {workerId: worker.id, askedAt, running, ends, complete},
       now,
     );
+    setReachable(true, 'answered');
     if (!reported) {
       reported = true;
       options.onFirstReport();
     }
-    setReachable(true, 'answered');
     options.onChange();
     if (ends.length > 0 || storing) await acknowledge();
   }
@@ -243,6 +248,7 @@
       }
     },
     isReachable: () => reachable,
+    hasReported: () => reported,
     close,
   };
 }
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/__fixtures__/scheduler_world.ts
@@ -0,0 +1,168 @@
+/** A scheduler with workers that answer as they are told, on a time of its own. */
+import * as types from '@gypsumwall/types';
+import type * as activeJob from '../active_job.js';
+import * as jobProgress from '../job_progress.js';
+import type * as jobRequest from '../job_request.js';
+import type * as jobSteps from '../job_steps.js';
+import * as schedulers from '../scheduler.js';
+
+/** A step of one small task, unless told otherwise. */
+export function step(
+  fields: Partial<jobRequest.StepRequest> = {},
+): jobRequest.StepRequest {
+  return {
+    taskCount: 1,
+    size: {cpuMillis: 1_000, memoryMb: 100, accelerators: 0},
+    expectedMs: 1_000,
+    after: [],
+    savesProgress: false,
+    gang: false,
+    sameRack: false,
+    speculative: false,
+    longRunning: false,
+    usesSpareCpu: false,
+    ...fields,
+  };
+}
+
+/** A policy without an adviser. */
+export const POLICY: jobRequest.QueuePolicy = {
+  queue: 'plans',
+  pool: 'pool',
+  priority: 1,
+  maxFailures: 3,
+  slackFactor: 2,
+  targetMs: 1_000,
+};
+
+/** What a job is submitted with beside its steps. */
+export interface Submission {
+  readonly policy?: Partial<jobRequest.QueuePolicy>;
+  readonly progress?: jobProgress.JobProgress;
+  readonly inherited?: boolean;
+}
+
+/** A scheduler and its surroundings. */
+export interface SchedulerWorld {
+  readonly scheduler: schedulers.Scheduler;
+  readonly events: schedulers.SchedulerEvent[];
+  /** Workers of an earlier scheduler that aren't accounted for. */
+  readonly unaccounted: Set<types.ids.WorkerId>;
+  now: types.clock.MonotonicMs;
+  addWorker(name: string, cores: number, rack?: string): types.ids.WorkerId;
+  submit(
+    name: string,
+    steps: jobRequest.StepRequest[],
+    submission?: Submission,
+  ): types.ids.JobId;
+  /** Decides, with the store confirming at once; starts aren't answered. */
+  decide(): schedulers.StartOrder[];
+  /** Decides and answers every start. */
+  startAll(): activeJob.Run[];
+  end(run: activeJob.Run, how: jobSteps.RunEnd): void;
+  /** Hands in a report that lists exactly these runs. */
+  report(worker: types.ids.WorkerId, rows: schedulers.RunningRow[]): void;
+}
+
+/** Creates a world at time 1,000,000 ms. */
+export function createSchedulerWorld(): SchedulerWorld {
+  const events: schedulers.SchedulerEvent[] = [];
+  const unaccounted = new Set<types.ids.WorkerId>();
+  const scheduler = schedulers.createScheduler({
+    attemptBase: 0,
+    isAccounted: (worker) => !unaccounted.has(worker),
+    onEvent: (event) => events.push(event),
+  });
+  const wall = 0 as types.clock.WallMs;
+  let sequence = 0;
+
+  function store(): void {
+    scheduler.stored(scheduler.takeDirty());
+  }
+
+  const world: SchedulerWorld = {
+    scheduler,
+    events,
+    unaccounted,
+    now: 1_000_000 as types.clock.MonotonicMs,
+    addWorker(name, cores, rack = 'r1') {
+      const id = types.ids.brand<types.ids.WorkerId>(name);
+      scheduler.putWorker({
+        id,
+        address: `${name}:1`,
+        domain: types.ids.brand('d1'),
+        pool: POLICY.pool,
+        capacity: {
+          cpuMillis: cores * 1_000,
+          memoryMb: 100_000,
+          accelerators: 0,
+        },
+        labels: [],
+        rack: types.ids.brand(rack),
+        draining: false,
+      });
+      scheduler.setUsable(id, true);
+      return id;
+    },
+    submit(name, steps, submission = {}) {
+      const id = types.ids.brand<types.ids.JobId>(name);
+      scheduler.addJob(
+        {
+          id,
+          request: {payload: name, steps},
+          policy: {...POLICY, ...submission.policy},
+          acceptedAt: world.now,
+          inherited: submission.inherited ?? false,
+          progress: submission.progress ?? jobProgress.NO_PROGRESS,
+        },
+        world.now,
+        wall,
+      );
+      return id;
+    },
+    decide() {
+      const first = scheduler.decide(world.now, wall).starts;
+      store();
+      return [...first, ...scheduler.decide(world.now, wall).starts];
+    },
+    startAll() {
+      const orders = world.decide();
+      for (const {run} of orders) {
+        scheduler.startAnswered(run, {type: 'started'}, world.now);
+      }
+      world.now = types.clock.after(world.now, 1);
+      return orders.map((order) => order.run);
+    },
+    end(run, how) {
+      const {taskId, attempt, workerId} = run;
+      const row = {sequence: ++sequence, taskId, attempt, how, checkpoint: ''};
+      scheduler.report(
+        {
+          workerId,
+          askedAt: world.now,
+          running: [],
+          ends: [row],
+          complete: false,
+        },
+        world.now,
+      );
+      store();
+    },
+    report(workerId, running) {
+      scheduler.report(
+        {workerId, askedAt: world.now, running, ends: [], complete: true},
+        world.now,
+      );
+    },
+  };
+  return world;
+}
+
+/** How a worker lists a run. */
+export function row(
+  taskId: string,
+  attempt: number,
+  percent = 10,
+): schedulers.RunningRow {
+  return {taskId: types.ids.brand(taskId), attempt, checkpoint: '', percent};
+}
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/__tests__/decisions.test.ts
@@ -0,0 +1,89 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as types from '@gypsumwall/types';
+import * as adviceLanes from '../advice_lanes.js';
+import * as gangFit from '../gang_fit.js';
+import * as taskId from '../task_id.js';
+import type * as workerBook from '../worker_book.js';
+import * as workOrder from '../work_order.js';
+
+const {test} = nodeTest;
+const at = (ms: number) => ms as types.clock.MonotonicMs;
+
+function claimant(
+  fields: Partial<workOrder.Claimant> = {},
+): workOrder.Claimant {
+  return {
+    priority: 1,
+    dueAt: at(10_000),
+    worthlessAt: at(30_000),
+    remainingMs: 1_000,
+    arrival: 0,
+    ...fields,
+  };
+}
+
+// Load: at 1.8 times the usual arrivals for 4 s not all can be on time.
+test('work that can be on time goes before work that is late', () => {
+  const late = claimant({priority: 0, dueAt: at(500)});
+  const onTime = claimant({priority: 2});
+  assert.ok(workOrder.compare(onTime, late, at(0)) < 0);
+});
+
+test('late work goes before work that is of no more use', () => {
+  const useless = claimant({priority: 0, dueAt: at(1), worthlessAt: at(2)});
+  const late = claimant({priority: 2, dueAt: at(1)});
+  assert.ok(workOrder.compare(late, useless, at(100)) < 0);
+});
+
+test('within a priority the latest start decides', () => {
+  const short = claimant({dueAt: at(10_000), remainingMs: 100, arrival: 0});
+  const long = claimant({dueAt: at(10_000), remainingMs: 9_000, arrival: 1});
+  assert.ok(workOrder.compare(long, short, at(0)) < 0);
+});
+
+function gangRoom(name: string, rack: string, tasks: number): gangFit.GangRoom {
+  const info = {id: name, rack} as unknown as workerBook.WorkerInfo;
+  return {worker: {info} as workerBook.BookedWorker, tasks};
+}
+
+test('a gang that suffers from distance goes into one rack if one has room', () => {
+  const rooms = [
+    gangRoom('a', 'r1', 3),
+    gangRoom('b', 'r2', 2),
+    gangRoom('c', 'r2', 2),
+  ];
+  const racks = (count: number) =>
+    gangFit.fitGang(rooms, count, true)?.map((one) => one.info.rack);
+  assert.deepEqual(racks(4), ['r2', 'r2', 'r2', 'r2']);
+  assert.equal(racks(7)?.length, 7);
+  assert.equal(racks(8), undefined);
+});
+
+// Load: 1.2 calls a second of 0.74 s, 4.6 of 0.12 s and 34 of 0.01 s, more
+// than one instance's adviser lane has time for.
+test('a small call never waits behind large ones on all lanes', () => {
+  const lanes = adviceLanes.createAdviceLanes<string>();
+  const entries = ['a', 'b', 'c', 'd'];
+  const large = [1, 2, 3].map(() => lanes.take(entries, 740));
+  assert.deepEqual(large, ['a', 'b', 'a']);
+  assert.equal(lanes.take(entries, 10), 'c');
+  assert.equal(lanes.take(entries, 10), 'd');
+});
+
+test('a lane that is long enough takes no more', () => {
+  const lanes = adviceLanes.createAdviceLanes<string>();
+  assert.equal(lanes.take(['a'], 1_600), 'a');
+  assert.equal(lanes.take(['a'], 1_600), undefined);
+  lanes.finish('a', 1_600);
+  assert.equal(lanes.take(['a'], 1_600), 'a');
+});
+
+test('a task id is taken apart as it was put together', () => {
+  const job = types.ids.brand<types.ids.JobId>('5c0e');
+  const id = taskId.taskId(taskId.stepRunId(job, 2, 1), 17);
+  const place = {jobId: job, occurrence: 2, step: 1, index: 17};
+  assert.deepEqual(taskId.placeOf(id), place);
+  assert.equal(taskId.placeOf('5c0e.1.x.2'), undefined);
+  assert.equal(taskId.placeOf('5c0e.1'), undefined);
+});
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/__tests__/scheduler.test.ts
@@ -0,0 +1,283 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as types from '@gypsumwall/types';
+import * as worlds from '../__fixtures__/scheduler_world.js';
+import type * as jobProgress from '../job_progress.js';
+
+const {test} = nodeTest;
+const RUNNING: jobProgress.JobProgress = {
+  phase: 'running',
+  workers: [],
+  occurrences: {},
+  finished: [],
+};
+
+test('tasks never take more than a worker has', () => {
+  const world = worlds.createSchedulerWorld();
+  world.addWorker('w1', 3);
+  world.submit('job', [worlds.step({taskCount: 10})]);
+  const runs = world.startAll();
+  assert.equal(runs.length, 3);
+  world.end(runs[0]!, 'done');
+  assert.equal(world.startAll().length, 1);
+});
+
+test('nothing starts on a worker before the store knows of it', () => {
+  const world = worlds.createSchedulerWorld();
+  world.addWorker('w1', 3);
+  world.submit('job', [worlds.step()]);
+  const wall = 0 as types.clock.WallMs;
+  assert.deepEqual(world.scheduler.decide(world.now, wall).starts, []);
+  const dirty = world.scheduler.takeDirty();
+  assert.deepEqual(dirty[0]?.progress.workers, ['w1']);
+  assert.deepEqual(world.scheduler.decide(world.now, wall).starts, []);
+  world.scheduler.stored(dirty);
+  assert.equal(world.scheduler.decide(world.now, wall).starts.length, 1);
+});
+
+test('a step starts when all tasks of the steps before it are done', () => {
+  const world = worlds.createSchedulerWorld();
+  world.addWorker('w1', 8);
+  const job = world.submit('job', [
+    worlds.step({taskCount: 2}),
+    worlds.step({after: [0]}),
+  ]);
+  const runs = world.startAll();
+  world.end(runs[0]!, 'done');
+  assert.equal(world.startAll().length, 0);
+  world.end(runs[1]!, 'done');
+  const [last] = world.startAll();
+  assert.equal(last?.taskId, 'job.0.1.0');
+  world.end(last!, 'done');
+  assert.equal(world.scheduler.hasJob(job), false);
+  const over = world.events.find((event) => event.type === 'job_over');
+  assert.deepEqual(over, {type: 'job_over', job, phase: 'completed'});
+});
+
+// The caller's job runs one task twice at the same time. The start isn't
+// answered, the task is started elsewhere, and the first order comes up late.
+// Only an answered stop, and a report asked for after it, free the task.
+test('an unanswered start keeps its task and room until it is settled', () => {
+  const world = worlds.createSchedulerWorld();
+  const w1 = world.addWorker('w1', 1);
+  world.submit('job', [worlds.step()]);
+  const [order] = world.decide();
+  world.scheduler.startAnswered(order!.run, {type: 'unknown'}, world.now);
+  world.addWorker('w2', 1);
+  assert.deepEqual(world.scheduler.takeStops(), [order!.run]);
+  world.report(w1, []);
+  assert.equal(world.decide().length, 0, 'a report alone proves nothing');
+  world.scheduler.stopAnswered(order!.run, world.now);
+  world.now = types.clock.after(world.now, 1);
+  world.report(w1, []);
+  const [again] = world.decide();
+  assert.equal(again?.run.attempt, 2);
+});
+
+test('a task that was done in spite of its stop is done', () => {
+  const world = worlds.createSchedulerWorld();
+  world.addWorker('w1', 1);
+  const job = world.submit('job', [worlds.step()]);
+  const [order] = world.decide();
+  world.scheduler.startAnswered(order!.run, {type: 'unknown'}, world.now);
+  world.scheduler.stopAnswered(order!.run, world.now);
+  world.end(order!.run, 'done');
+  assert.equal(world.scheduler.hasJob(job), false);
+});
+
+// The caller reads `failed` for a job that could be done. A worker repeats an
+// end until it is acknowledged; a new holder hears it again and counts it
+// twice. Attempts are named, so a repeat counts once.
+test('a failure that is repeated counts once', () => {
+  const world = worlds.createSchedulerWorld();
+  const w1 = world.addWorker('w1', 1);
+  const job = world.submit('job', [worlds.step()], {policy: {maxFailures: 2}});
+  const [run] = world.startAll();
+  world.end(run!, 'failed');
+  const [second] = world.startAll();
+  world.scheduler.report(
+    {
+      workerId: w1,
+      askedAt: world.now,
+      running: [worlds.row(second!.taskId, second!.attempt)],
+      ends: [
+        {
+          sequence: 1,
+          taskId: run!.taskId,
+          attempt: run!.attempt,
+          how: 'failed',
+          checkpoint: '',
+        },
+      ],
+      complete: false,
+    },
+    world.now,
+  );
+  assert.equal(world.scheduler.hasJob(job), true);
+  world.end(second!, 'failed');
+  assert.equal(world.scheduler.hasJob(job), false);
+});
+
+test('a gang starts as a whole, under one attempt, or not at all', () => {
+  const world = worlds.createSchedulerWorld();
+  world.addWorker('w1', 2);
+  world.submit('job', [worlds.step({taskCount: 3, gang: true})]);
+  assert.equal(world.startAll().length, 0);
+  world.addWorker('w2', 1);
+  const runs = world.startAll();
+  assert.deepEqual(
+    runs.map((run) => run.attempt),
+    [1, 1, 1],
+  );
+});
+
+test('a gang that loses a member is stopped and starts anew as a whole', () => {
+  const world = worlds.createSchedulerWorld();
+  world.addWorker('w1', 4);
+  world.submit('job', [worlds.step({taskCount: 3, gang: true})]);
+  const runs = world.startAll();
+  world.end(runs[0]!, 'lapsed');
+  assert.equal(world.scheduler.takeStops().length, 2);
+  assert.equal(world.startAll().length, 0);
+  world.end(runs[1]!, 'stopped');
+  world.end(runs[2]!, 'stopped');
+  assert.deepEqual(
+    world.startAll().map((run) => run.attempt),
+    [2, 2, 2],
+  );
+});
+
+// A task of the second step runs twice after a takeover. The new holder finds
+// it running while it hasn't heard yet that the first step's last task is
+// done. It must keep the run, and not start the task again once it hears.
+test('a run of a step that is not open yet is kept', () => {
+  const world = worlds.createSchedulerWorld();
+  const w1 = world.addWorker('w1', 4);
+  const w2 = world.addWorker('w2', 4);
+  const steps = [worlds.step(), worlds.step({taskCount: 2, after: [0]})];
+  const progress = {...RUNNING, workers: [w1, w2]};
+  world.submit('job', steps, {inherited: true, progress});
+  world.report(w2, [worlds.row('job.0.1.0', 1), worlds.row('job.0.1.1', 1)]);
+  assert.deepEqual(world.scheduler.takeStops(), []);
+  world.scheduler.report(
+    {
+      workerId: w1,
+      askedAt: world.now,
+      running: [],
+      ends: [
+        {
+          sequence: 1,
+          taskId: types.ids.brand('job.0.0.0'),
+          attempt: 1,
+          how: 'done',
+          checkpoint: '',
+        },
+      ],
+      complete: true,
+    },
+    world.now,
+  );
+  assert.deepEqual(world.startAll(), []);
+});
+
+// A job stands still for 20 s after a takeover though workers have room. One
+// worker is out of reach; only jobs that may have tasks on it have to wait.
+test('a job waits only for workers that it was recorded with', () => {
+  const world = worlds.createSchedulerWorld();
+  const cut = types.ids.brand<types.ids.WorkerId>('cut');
+  const w1 = world.addWorker('w1', 4);
+  world.unaccounted.add(cut);
+  const on = (worker: types.ids.WorkerId) => ({
+    inherited: true,
+    progress: {...RUNNING, workers: [worker]},
+  });
+  world.submit('elsewhere', [worlds.step()], on(w1));
+  world.submit('perhaps', [worlds.step()], on(cut));
+  world.submit('waiting', [worlds.step()], {inherited: true});
+  world.scheduler.workerAccounted();
+  const started = () => world.startAll().map((run) => run.taskId);
+  assert.deepEqual(started().sort(), ['elsewhere.0.0.0', 'waiting.0.0.0']);
+  world.unaccounted.clear();
+  world.scheduler.workerAccounted();
+  assert.deepEqual(started(), ['perhaps.0.0.0']);
+});
+
+test('a run that nobody wants is stopped and keeps its room until its end', () => {
+  const world = worlds.createSchedulerWorld();
+  const w1 = world.addWorker('w1', 1);
+  world.report(w1, [worlds.row('unknown.0.0.0', 1)]);
+  const [stray] = world.scheduler.takeStops();
+  assert.equal(stray?.taskId, 'unknown.0.0.0');
+  world.submit('job', [worlds.step()]);
+  assert.equal(world.startAll().length, 0);
+  world.end(stray!, 'stopped');
+  assert.equal(world.startAll().length, 1);
+});
+
+test('a cancelled job is stopped at once and starts nothing more', () => {
+  const world = worlds.createSchedulerWorld();
+  world.addWorker('w1', 1);
+  const job = world.submit('job', [worlds.step({taskCount: 2})]);
+  const [run] = world.startAll();
+  world.scheduler.cancelJob(job);
+  assert.deepEqual(world.scheduler.takeStops(), [run]);
+  world.end(run!, 'stopped');
+  assert.equal(world.startAll().length, 0);
+});
+
+// A gang waits for ever. Its adviser was asked right after a takeover, when
+// few workers had answered, and later calls named only those it had approved.
+test('workers that come later are named to the adviser too', () => {
+  const world = worlds.createSchedulerWorld();
+  const w1 = world.addWorker('w1', 1);
+  const advice = {callMs: 10, perWorkerMs: 1, validMs: 1_000};
+  const gang = worlds.step({taskCount: 2, gang: true});
+  world.submit('job', [gang], {policy: {advice}});
+  const wall = 0 as types.clock.WallMs;
+  const [wish] = world.scheduler.decide(world.now, wall).advice;
+  assert.deepEqual(wish?.workers, [w1]);
+  const w2 = world.addWorker('w2', 1);
+  const w3 = world.addWorker('w3', 1);
+  const until = types.clock.after(world.now, advice.validMs);
+  world.scheduler.adviceAnswered(wish!, new Map(), until);
+  world.now = types.clock.after(until, 1);
+  const [next] = world.scheduler.decide(world.now, wall).advice;
+  assert.deepEqual(next?.workers, [w2, w3]);
+});
+
+test('a start goes only to approved workers, with their tickets', () => {
+  const world = worlds.createSchedulerWorld();
+  world.addWorker('w1', 1);
+  const w2 = world.addWorker('w2', 1);
+  const advice = {callMs: 10, perWorkerMs: 1, validMs: 1_000};
+  world.submit('job', [worlds.step({taskCount: 2})], {policy: {advice}});
+  const wall = 0 as types.clock.WallMs;
+  const [wish] = world.scheduler.decide(world.now, wall).advice;
+  const until = types.clock.after(world.now, advice.validMs);
+  world.scheduler.adviceAnswered(wish!, new Map([[w2, 'ticket']]), until);
+  const orders = world.decide();
+  assert.deepEqual(
+    orders.map((order) => [order.run.workerId, order.ticket]),
+    [['w2', 'ticket']],
+  );
+});
+
+// Tasks on one worker stand still for seconds while it answers every call.
+// Its tasks are stopped, go elsewhere, and the worker is left alone.
+test('a worker on which nothing moves loses its tasks', () => {
+  const world = worlds.createSchedulerWorld();
+  const w1 = world.addWorker('w1', 2);
+  world.submit('job', [worlds.step({taskCount: 2})]);
+  const runs = world.startAll();
+  const rows = runs.map((run) => worlds.row(run.taskId, run.attempt, 0));
+  world.now = types.clock.after(world.now, 1_900);
+  world.report(w1, rows);
+  assert.deepEqual(world.scheduler.takeStops(), []);
+  world.now = types.clock.after(world.now, 200);
+  world.report(w1, rows);
+  assert.equal(world.scheduler.takeStops().length, 2);
+  for (const run of runs) world.end(run, 'stopped');
+  assert.equal(world.startAll().length, 0);
+  world.addWorker('w2', 2);
+  assert.equal(world.startAll().length, 2);
+});
--- a/packages/gypsumwall-scheduling/src/active_job.ts
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -70,6 +70,8 @@
   tickets: ReadonlyMap<types.ids.WorkerId, string>;
   validUntil: types.clock.MonotonicMs;
   asking: boolean;
+  /** Workers that were named and not approved; that doesn't change. */
+  readonly refused: Set<types.ids.WorkerId>;
 }
 
 /** One time that a job's steps run. */
@@ -136,6 +138,7 @@
         tickets: new Map(),
         validUntil: 0 as types.clock.MonotonicMs,
         asking: false,
+        refused: new Set(),
       },
     });
   });
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -120,7 +120,7 @@
   stopAnswered(run: activeJob.Run, now: types.clock.MonotonicMs): void;
   report(report: WorkerReport, now: types.clock.MonotonicMs): void;
   adviceAnswered(
-    stepRun: activeJob.StepRun,
+    wish: AdviceWish,
     approved: ReadonlyMap<types.ids.WorkerId, string> | undefined,
     validUntil: types.clock.MonotonicMs,
   ): void;
@@ -539,14 +539,18 @@
     return {stepRun, workers: named, callMs};
   }
 
-  /** An approval doesn't change, so later calls name only those approved. */
+  /**
+   * A refusal doesn't change, so later calls leave those workers out. Workers
+   * that weren't named yet are: after a takeover the first call may know few,
+   * and a gang that fits on none of them would wait for ever.
+   */
   function workersToName(stepRun: activeJob.StepRun): types.ids.WorkerId[] {
-    const approved = stepRun.advice.tickets;
+    const {refused} = stepRun.advice;
     const named: types.ids.WorkerId[] = [];
     for (const worker of book.workers.values()) {
       if (!worker.usable || worker.info.draining) continue;
       if (!chooseWorker.mayRunOn(stepRun, worker)) continue;
-      if (approved.size > 0 && !approved.has(worker.info.id)) continue;
+      if (refused.has(worker.info.id)) continue;
       named.push(worker.info.id);
     }
     return named;
@@ -682,11 +686,13 @@
       if (report.complete) findVanished(report);
       handleStall(report.workerId, now);
     },
-    adviceAnswered(stepRun, approved, validUntil) {
-      stepRun.advice.asking = false;
+    adviceAnswered({stepRun, workers}, approved, validUntil) {
+      const {advice} = stepRun;
+      advice.asking = false;
       if (approved === undefined) return;
-      stepRun.advice.tickets = approved;
-      stepRun.advice.validUntil = validUntil;
+      advice.tickets = approved;
+      advice.validUntil = validUntil;
+      for (const id of workers) if (!approved.has(id)) advice.refused.add(id);
     },
     takeStops() {
       const taken = stops;
