--- a/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
@@ -121,7 +121,8 @@
 // the cell from a sound holder as soon as it reads again.
 test('silence counts only while the log is read', () => {
   const now = at(60_000);
-  const justBack = view({now, reachableSince: at(59_000)});
+  const since = at(now - takeOver.SILENCE_MS + 1);
+  const justBack = view({now, reachableSince: since});
   assert.equal(takeOver.vacancyOf(justBack), undefined);
   const away = view({now, reachableSince: undefined});
   assert.equal(takeOver.vacancyOf(away), undefined);
@@ -220,12 +221,32 @@
     ...scheduling.jobProgress.NO_PROGRESS,
     phase: 'completed' as const,
   };
-  jobs.apply({kind: 'progress', jobId: job('a'), progress}, at(1));
+  const jobId = job('a');
+  jobs.apply({kind: 'progress', jobId, queue: 'plans', progress}, at(1));
   jobs.apply(accepted('a'), at(2));
   assert.equal(jobs.get(job('a'))?.progress.phase, 'completed');
   assert.equal(jobs.pendingIn('plans'), 0);
 });
 
+// An entry starts anew after a job is over. Its request has been dropped from
+// the store to keep loads short, and callers still ask for it.
+test('a job that is over is known without its request', () => {
+  const jobs = table();
+  const jobId = job('a');
+  const progress = {
+    ...scheduling.jobProgress.NO_PROGRESS,
+    phase: 'failed' as const,
+  };
+  jobs.apply({kind: 'progress', jobId, queue: 'plans', progress}, at(0));
+  jobs.apply({kind: 'job', jobId, job: undefined}, at(0));
+  assert.equal(jobs.get(jobId)?.progress.phase, 'failed');
+  assert.equal(jobs.get(jobId)?.queue, 'plans');
+  jobs.apply(accepted('a'), at(1));
+  assert.equal(jobs.get(jobId)?.progress.phase, 'failed');
+  jobs.apply({kind: 'progress', jobId, progress: undefined, queue: ''}, at(2));
+  assert.equal(jobs.get(jobId), undefined);
+});
+
 test('a cancellation that is read before its job holds', () => {
   const jobs = table();
   jobs.apply({kind: 'cancel', jobId: job('a'), dropped: false}, at(0));
--- a/packages/gypsumwall-cell/src/batch_appender.ts
+++ b/packages/gypsumwall-cell/src/batch_appender.ts
@@ -2,8 +2,6 @@
  * Group commit for one log: what comes while an append is on its way goes
  * with the next one, so that a busy entry makes few calls and none waits long.
  */
-import * as result from 'true-myth/result';
-import type * as types from '@gypsumwall/types';
 import type * as ports from './ports.js';
 
 /** The most records in one call. */
@@ -12,19 +10,19 @@
  * Appends on their way at a time. One would make a caller wait behind an
  * append whose answer was lost.
  */
-const MOST_APPENDS = 3;
+const MOST_APPENDS = 6;
 
 /** Appends single records. */
 export interface BatchAppender {
   /** Resolves with the fate of the call that carried the record. */
-  append(
-    entry: ports.KeyedEntry,
-  ): Promise<types.stepError.StepError | undefined>;
+  append(entry: ports.KeyedEntry): ports.Answer<ports.AppendOutcome>;
 }
 
 interface Waiting {
   readonly entry: ports.KeyedEntry;
-  readonly resolve: (err: types.stepError.StepError | undefined) => void;
+  readonly resolve: (
+    answer: Awaited<ports.Answer<ports.AppendOutcome>>,
+  ) => void;
 }
 
 /** Creates an appender; `timeoutMs` bounds each call. */
@@ -40,8 +38,7 @@
     const entries = batch.map((one) => one.entry);
     const answer = await log.append(entries, {timeoutMs});
     onTheirWay--;
-    const err = result.isErr(answer) ? answer.error : undefined;
-    for (const one of batch) one.resolve(err);
+    for (const one of batch) one.resolve(answer);
     pump();
   }
 
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -23,12 +23,20 @@
 const ELECTION_SPREAD_MS = 120;
 /** Time given to the append of a claim; milliseconds. */
 const CLAIM_TIMEOUT_MS = 600;
-/** A reader that waits for no single record reads this seldom; milliseconds. */
-const FOLLOW_PAUSE_MS = 25;
+/**
+ * A reader that waits for no single record reads this seldom. Each read is
+ * paid for, and callers hear of an end half of this later; milliseconds.
+ */
+const FOLLOW_PAUSE_MS = 100;
 /** A change of the configuration is in force this much later at most. */
-const CONFIG_PAUSE_MS = 50;
-/** How often jobs that are over are looked for; milliseconds. */
-const TIDY_MS = 5_000;
+const CONFIG_PAUSE_MS = 100;
+/** The holder reads new jobs almost at once; milliseconds. */
+const HOLDER_PAUSE_MS = 6;
+/**
+ * How often requests of jobs that are over are dropped from the store: an
+ * entry that starts loads what is left, at a millisecond a job; milliseconds.
+ */
+const TIDY_MS = 1_000;
 /** How long an entry waits before it registers again; milliseconds. */
 const REGISTER_RETRY_MS = 300;
 
@@ -113,7 +121,7 @@
     clock,
     logger,
     onRecords: (records) => records.forEach(applyJobRecord),
-    pauseMs: () => (holder === undefined ? FOLLOW_PAUSE_MS : 0),
+    pauseMs: () => (holder === undefined ? FOLLOW_PAUSE_MS : HOLDER_PAUSE_MS),
   });
   const cellFollower = logFollower.createLogFollower({
     log: logs.cell,
@@ -315,18 +323,23 @@
     }
   }
 
-  /** Drops jobs from the store that are over for longer than is asked. */
+  /** Drops from the store what nobody will ask for. */
   async function runTidying(): Promise<void> {
     while (!stopping.signal.aborted) {
       await sleep(TIDY_MS);
       if (holder === undefined) continue;
       const before = types.clock.after(clock.monotonic(), -options.keepOverMs);
-      const ids = jobs.overBefore(before);
-      if (ids.length === 0) continue;
-      await dropJobs(ids, holder);
+      await dropRequests(holder.takeEnded());
+      await dropJobs(jobs.overBefore(before), holder);
     }
   }
 
+  async function dropRequests(ids: types.ids.JobId[]): Promise<void> {
+    await appendToJobs(
+      ids.map((jobId) => ({kind: 'job', jobId, job: undefined})),
+    );
+  }
+
   async function dropJobs(
     ids: readonly types.ids.JobId[],
     by: cellHolder.CellHolder,
@@ -335,17 +348,24 @@
       {kind: 'job', jobId, job: undefined},
       {kind: 'cancel', jobId, dropped: true},
     ]);
+    // Progress goes last: without it the job would look as if never begun.
+    if (await appendToJobs(records)) await by.dropProgress(ids);
+  }
+
+  /** True if there was something and it stands. */
+  async function appendToJobs(
+    records: readonly storeRecords.StoreRecord[],
+  ): Promise<boolean> {
+    if (records.length === 0) return false;
     const answer = await logs.jobs.append(records.map(storeRecords.encode), {
       timeoutMs: CLAIM_TIMEOUT_MS,
     });
-    // Progress goes last: without it the job would look as if never begun.
-    if (result.isOk(answer)) await by.dropProgress(ids);
-    logger.info('jobs_dropped', {
-      jobs: ids.length,
-      outcome: result.isOk(answer)
-        ? 'dropped'
-        : types.stepError.describeError(answer.error),
+    if (result.isOk(answer)) return true;
+    logger.warn('tidying_failed', {
+      records: records.length,
+      error: types.stepError.describeError(answer.error),
     });
+    return false;
   }
 
   return {
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -83,6 +83,8 @@
   jobAdded(job: jobTable.JobEntry): void;
   jobCancelled(id: types.ids.JobId): void;
   policiesChanged(): void;
+  /** Jobs whose end is stored, handed over once. */
+  takeEnded(): types.ids.JobId[];
   /** Drops jobs from the cell's log that are over for long. */
   dropProgress(ids: readonly types.ids.JobId[]): Promise<void>;
   /** Lets another entry take the cell at once, and ends. */
@@ -147,6 +149,8 @@
   });
   /** Jobs read while this process couldn't be sure to hold the cell. */
   let unconfirmed: {job: jobTable.JobEntry; at: types.clock.MonotonicMs}[] = [];
+  /** Jobs whose end is stored and whose requests aren't needed any more. */
+  let over: types.ids.JobId[] = [];
   let lastWrite: Promise<void> = Promise.resolve();
   let ordersOnTheirWay = 0;
   let passPlanned = false;
@@ -195,15 +199,15 @@
   function flush(): Promise<void> {
     const dirty = scheduler.takeDirty();
     if (dirty.length === 0) return lastWrite;
-    const records = dirty.map(
-      ({jobId, progress}): storeRecords.StoreRecord => ({
-        kind: 'progress',
-        jobId,
-        progress,
-      }),
-    );
+    const records = dirty.map((job): storeRecords.StoreRecord => ({
+      kind: 'progress',
+      ...job,
+    }));
     lastWrite = writer.write(records).then(() => {
       scheduler.stored(dirty);
+      for (const {jobId, progress} of dirty) {
+        if (scheduling.jobProgress.isOver(progress.phase)) over.push(jobId);
+      }
       kick();
     });
     return lastWrite;
@@ -381,9 +385,19 @@
       scheduler.updatePolicies(options.policyOf);
       kick();
     },
+    takeEnded() {
+      const taken = over;
+      over = [];
+      return taken;
+    },
     dropProgress: (ids) =>
       writer.write(
-        ids.map((jobId) => ({kind: 'progress', jobId, progress: undefined})),
+        ids.map((jobId) => ({
+          kind: 'progress',
+          jobId,
+          queue: '',
+          progress: undefined,
+        })),
       ),
     async handOver() {
       deciding = false;
--- a/packages/gypsumwall-cell/src/cell_writer.ts
+++ b/packages/gypsumwall-cell/src/cell_writer.ts
@@ -6,15 +6,20 @@
 import * as result from 'true-myth/result';
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
+import * as hedge from './hedge.js';
 import type * as ports from './ports.js';
 import * as storeRecords from './store_records.js';
 import * as takeOver from './take_over.js';
 
-/** First time given to an append, doubled with each try; milliseconds. */
-const FIRST_TIMEOUT_MS = 300;
-const LONGEST_TIMEOUT_MS = 2_400;
-/** Pause after a refused append; milliseconds. */
-const RETRY_PAUSE_MS = 60;
+/** Time given to one call; many are on their way at once, see hedging. */
+const CALL_TIMEOUT_MS = 2_000;
+/** An append is tried this long before it is reported and tried anew. */
+const ROUND_MS = 4_000;
+/**
+ * Pause between batches, so that the ends of some milliseconds share a call:
+ * at 250 events a second it makes 60 calls a second of 200; milliseconds.
+ */
+const BATCH_PAUSE_MS = 10;
 /** A batch stays well below what the store takes in one call. */
 const MOST_RECORDS_IN_BATCH = 500;
 
@@ -39,6 +44,12 @@
   stop(): void;
 }
 
+interface AppendAnswer {
+  readonly outcome: ports.AppendOutcome;
+  /** When the call that was answered had been sent. */
+  readonly askedAt: types.clock.MonotonicMs;
+}
+
 interface Pending {
   readonly records: readonly storeRecords.StoreRecord[];
   readonly resolve: () => void;
@@ -58,26 +69,38 @@
     records: readonly storeRecords.StoreRecord[],
   ): Promise<void> {
     const entries = records.map(storeRecords.encode);
-    let timeoutMs = FIRST_TIMEOUT_MS;
+    const fence = {epoch: options.epoch, sequence};
     while (!stopping.signal.aborted) {
-      const sentAt = clock.monotonic();
-      const fence = {epoch: options.epoch, sequence};
-      const answer = await log.append(entries, {fence, timeoutMs});
+      const answer = await hedge.hedged({
+        clock,
+        signal: stopping.signal,
+        until: types.clock.after(clock.monotonic(), ROUND_MS),
+        call: () => appendOnce(entries, fence),
+      });
       if (result.isOk(answer)) {
-        if (!settled(answer.value)) return;
-        confirmedAt = sentAt;
+        const {outcome, askedAt} = answer.value;
+        if (!settled(outcome)) return;
+        confirmedAt = askedAt;
         sequence++;
         return;
       }
-      logger.debug('cell_append_failed', {
+      logger.warn('cell_append_failed', {
         sequence,
         error: types.stepError.describeError(answer.error),
       });
-      timeoutMs = Math.min(LONGEST_TIMEOUT_MS, timeoutMs * 2);
-      await pause(RETRY_PAUSE_MS);
     }
   }
 
+  async function appendOnce(
+    entries: readonly ports.KeyedEntry[],
+    fence: {readonly epoch: number; readonly sequence: number},
+  ): ports.Answer<AppendAnswer> {
+    const askedAt = clock.monotonic();
+    const timeoutMs = CALL_TIMEOUT_MS;
+    const answer = await log.append(entries, {fence, timeoutMs});
+    return result.map((outcome) => ({outcome, askedAt}), answer);
+  }
+
   /** Whether the batch stands in the log. */
   function settled(outcome: ports.AppendOutcome): boolean {
     switch (outcome.type) {
@@ -148,6 +171,7 @@
         );
         if (stopping.signal.aborted) break;
         for (const pending of batch) pending.resolve();
+        await pause(BATCH_PAUSE_MS);
       }
       // What is left was never stored, and its callers must not go on.
       waiting = [];
--- a/packages/gypsumwall-cell/src/front_desk.ts
+++ b/packages/gypsumwall-cell/src/front_desk.ts
@@ -3,21 +3,21 @@
  * stand. A job is accepted once its record stands in the log; nobody else has
  * to agree, so any entry that reaches the store can accept.
  */
+import * as result from 'true-myth/result';
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
 import * as batchAppender from './batch_appender.js';
+import * as hedge from './hedge.js';
 import type * as jobTable from './job_table.js';
 import type * as logFollower from './log_follower.js';
 import type * as ports from './ports.js';
 import * as storeRecords from './store_records.js';
 
-/** Time given to one append; fifty times what is usual; milliseconds. */
-const APPEND_TIMEOUT_MS = 400;
-/** Tries of an append within a caller's patience. */
-const MOST_TRIES = 3;
-/** Pause after a refused append; milliseconds. */
-const RETRY_PAUSE_MS = 40;
+/** Time given to one call; others are sent meanwhile, see hedging. */
+const APPEND_TIMEOUT_MS = 1_500;
+/** How long an append is tried: callers wait 3 s; milliseconds. */
+const APPEND_PATIENCE_MS = 1_200;
 /** When a caller should come back while the store is away; milliseconds. */
 const STORE_RETRY_AFTER_MS = 1_000;
 
@@ -68,25 +68,22 @@
     APPEND_TIMEOUT_MS,
   );
 
-  /** Appends with retries: every record here may be repeated. */
+  /** Appends, several times if need be: every record here may be repeated. */
   async function store(
     record: storeRecords.StoreRecord,
   ): Promise<'stored' | 'not_run' | 'unknown'> {
     const entry = storeRecords.encode(record);
-    let mayStand = false;
-    for (let nth = 1; nth <= MOST_TRIES; nth++) {
-      const err = await appender.append(entry);
-      if (err === undefined) return 'stored';
-      if (err.effect === 'unknown') mayStand = true;
-      logger.debug('append_failed', {
-        key: entry.key,
-        try: nth,
-        error: types.stepError.describeError(err),
-      });
-      const until = types.clock.after(clock.monotonic(), RETRY_PAUSE_MS);
-      await clock.sleepUntil(until);
-    }
-    return mayStand ? 'unknown' : 'not_run';
+    const answer = await hedge.hedged({
+      clock,
+      until: types.clock.after(clock.monotonic(), APPEND_PATIENCE_MS),
+      call: () => appender.append(entry),
+    });
+    if (result.isOk(answer)) return 'stored';
+    logger.info('append_failed', {
+      key: entry.key,
+      error: types.stepError.describeError(answer.error),
+    });
+    return answer.error.effect === 'unknown' ? 'unknown' : 'not_run';
   }
 
   async function storeAndAnswer(
--- a/packages/gypsumwall-cell/src/job_table.ts
+++ b/packages/gypsumwall-cell/src/job_table.ts
@@ -79,15 +79,23 @@
 
   function applyProgress(
     id: types.ids.JobId,
+    queue: string,
     progress: scheduling.jobProgress.JobProgress | undefined,
     now: types.clock.MonotonicMs,
   ): void {
+    if (progress === undefined) {
+      early.delete(id);
+      jobs.delete(id);
+      return;
+    }
     const job = jobs.get(id);
-    if (progress === undefined) early.delete(id);
-    else if (job === undefined) early.set(id, progress);
-    else {
+    if (job !== undefined) {
       job.progress = progress;
       settle(job, now);
+    } else if (scheduling.jobProgress.isOver(progress.phase)) {
+      jobs.set(id, {id, queue, record: undefined, progress, overAt: now});
+    } else {
+      early.set(id, progress);
     }
   }
 
@@ -114,15 +122,15 @@
     apply(record, now) {
       switch (record.kind) {
         case 'job':
-          if (record.job === undefined) jobs.delete(record.jobId);
-          else addJob(record.jobId, record.job, now);
+          // A request is dropped when its job is over; the job is still known.
+          if (record.job !== undefined) addJob(record.jobId, record.job, now);
           return true;
         case 'cancel':
           if (record.dropped) cancelled.delete(record.jobId);
           else applyCancel(record.jobId, now);
           return true;
         case 'progress':
-          applyProgress(record.jobId, record.progress, now);
+          applyProgress(record.jobId, record.queue, record.progress, now);
           return true;
         case 'entry':
         case 'claim':
--- a/packages/gypsumwall-cell/src/log_follower.ts
+++ b/packages/gypsumwall-cell/src/log_follower.ts
@@ -50,6 +50,7 @@
   let position: number | undefined;
   let reachableSince: types.clock.MonotonicMs | undefined;
   let failing = false;
+  let loading: Promise<boolean> | undefined;
 
   function answered(): void {
     reachableSince ??= clock.monotonic();
@@ -77,7 +78,13 @@
     options.onRecords(fresh, false);
   }
 
-  async function load(): Promise<boolean> {
+  /** One load at a time: a large log takes a while, and a second as long. */
+  function load(): Promise<boolean> {
+    loading ??= loadOnce().finally(() => (loading = undefined));
+    return loading;
+  }
+
+  async function loadOnce(): Promise<boolean> {
     const found: ports.KeyedRecord[] = [];
     let after: string | undefined;
     let end: number | undefined;
--- a/packages/gypsumwall-cell/src/store_records.ts
+++ b/packages/gypsumwall-cell/src/store_records.ts
@@ -51,6 +51,8 @@
   | {
       readonly kind: 'progress';
       readonly jobId: types.ids.JobId;
+      /** Known from here once the job's request has been dropped. */
+      readonly queue: string;
       readonly progress: scheduling.jobProgress.JobProgress | undefined;
     }
   | {
@@ -90,7 +92,8 @@
       return {key: LETTERS.cancel + record.jobId, value};
     }
     case 'progress': {
-      const value = pack(record.progress);
+      const {queue, progress} = record;
+      const value = pack(progress && {queue, progress});
       return {key: LETTERS.progress + record.jobId, value};
     }
     case 'entry':
@@ -138,11 +141,7 @@
       return {kind: 'cancel', jobId, dropped: body === undefined};
     }
     case LETTERS.progress:
-      return {
-        kind: 'progress',
-        jobId: types.ids.brand(id),
-        progress: cast(body),
-      };
+      return decodeProgress(types.ids.brand(id), cast<ProgressBody>(body));
     case LETTERS.entry:
       return {kind: 'entry', instance: id, entry: cast(body)};
     case LETTERS.used_worker:
@@ -156,6 +155,19 @@
   }
 }
 
+interface ProgressBody {
+  readonly queue: string;
+  readonly progress: scheduling.jobProgress.JobProgress;
+}
+
+function decodeProgress(
+  jobId: types.ids.JobId,
+  body: ProgressBody | undefined,
+): StoreRecord {
+  const queue = body?.queue ?? '';
+  return {kind: 'progress', jobId, queue, progress: body?.progress};
+}
+
 function unpack(value: string): {readonly v: number} | undefined {
   if (value === '') return undefined;
   const body = JSON.parse(value) as {v?: unknown} | null;
--- a/packages/gypsumwall-cell/src/take_over.ts
+++ b/packages/gypsumwall-cell/src/take_over.ts
@@ -8,19 +8,20 @@
 import type * as claimView from './claim_view.js';
 
 /** The holder's longest pause between two appends; milliseconds. */
-export const HEARTBEAT_MS = 400;
+export const HEARTBEAT_MS = 200;
 /**
- * Silence after which a holder is taken as dead: three heartbeats and what a
- * slow append takes. Shorter spans were passed by sound holders at a store
- * that lost a third of its answers; milliseconds.
+ * Silence after which a holder is taken as dead: at a store that is sixty
+ * times slower than usual a sound holder's records were read 600 ms apart. A
+ * shorter one takes the cell from sound holders, a longer one lets every job
+ * that comes meanwhile be late; milliseconds.
  */
-export const SILENCE_MS = 1_500;
+export const SILENCE_MS = 900;
 /**
  * How long after its last confirmed append a holder takes up new jobs. It
  * must be well below the silence, since then a job that was accepted after a
  * takeover is never started by the old holder; milliseconds.
  */
-export const FRESH_MS = 1_000;
+export const FRESH_MS = 600;
 
 /** What the decision looks at. */
 export interface TakeOverView {
--- a/packages/gypsumwall-cell/src/worker_session.ts
+++ b/packages/gypsumwall-cell/src/worker_session.ts
@@ -11,8 +11,14 @@
 
 /** How long a worker may wait with its report if nothing ends; milliseconds. */
 const LOOK_WAIT_MS = 700;
-/** Time for an answer beside the wait; twenty times what is usual. */
+/** Time for an answer beside the wait; a hundred times what is usual. */
 const ANSWER_TIMEOUT_MS = 500;
+/**
+ * Time for the answer to an order, thirty times what is usual. An order
+ * without one is settled by a stop and a look, and its task starts elsewhere;
+ * urgent tasks have some 500 ms to spare for all of it; milliseconds.
+ */
+const ORDER_TIMEOUT_MS = 250;
 /** Pause after a look without an answer; milliseconds. */
 const RETRY_PAUSE_MS = 150;
 /**
@@ -68,6 +74,7 @@
   let reachable = false;
   let reported = false;
   let lastSequence = 0;
+  let lastAskedAt = 0 as types.clock.MonotonicMs;
   let acknowledged = 0;
   let storing = false;
 
@@ -88,6 +95,25 @@
     return until;
   }
 
+  /**
+   * Looks once more, beside the look that waits for the next end: a run that
+   * never came up has no end, and its task would wait for the other look.
+   */
+  async function settle(run: scheduling.activeJob.Run): Promise<void> {
+    await pause(1);
+    const askedAt = clock.monotonic();
+    const answer = await link.look({
+      token,
+      acknowledged,
+      waitMs: 0,
+      timeoutMs: ORDER_TIMEOUT_MS,
+    });
+    if (closing.signal.aborted || result.isErr(answer)) return;
+    if (answer.value.type !== 'report') return;
+    logger.debug('run_settled', {task: run.taskId, attempt: run.attempt});
+    await applyReport(answer.value, askedAt);
+  }
+
   async function look(): Promise<void> {
     const askedAt = clock.monotonic();
     // The first look must come back at once: it brings the clock.
@@ -134,6 +160,9 @@
     report: Extract<ports.LookAnswer, {type: 'report'}>,
     askedAt: types.clock.MonotonicMs,
   ): Promise<void> {
+    // Answers may overtake each other. What this one told is told again.
+    if (askedAt < lastAskedAt) return;
+    lastAskedAt = askedAt;
     const now = clock.monotonic();
     workerClock.note(report.clockMs, now);
     const ends = report.ends.filter((end) => end.sequence > lastSequence);
@@ -216,7 +245,7 @@
         ticket,
         token,
         leaseUntil,
-        timeoutMs: ANSWER_TIMEOUT_MS,
+        timeoutMs: ORDER_TIMEOUT_MS,
       });
       if (closing.signal.aborted) return;
       const outcome = startOutcome(answer);
@@ -235,11 +264,12 @@
     async stopRun(run) {
       while (!closing.signal.aborted) {
         const {taskId, attempt} = run;
-        const timeoutMs = ANSWER_TIMEOUT_MS;
+        const timeoutMs = ORDER_TIMEOUT_MS;
         const answer = await link.stop({taskId, attempt, token, timeoutMs});
         if (result.isOk(answer)) {
           if (answer.value.type === 'accepted') {
             scheduler.stopAnswered(run, clock.monotonic());
+            await settle(run);
             return;
           }
           if (answer.value.type !== 'refused') return;
--- a/packages/gypsumwall-scheduling/src/active_job.ts
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -3,7 +3,7 @@
  * steps and runs, and the few questions that are asked of them everywhere.
  */
 import * as types from '@gypsumwall/types';
-import type * as jobProgress from './job_progress.js';
+import * as jobProgress from './job_progress.js';
 import * as jobRequest from './job_request.js';
 import * as taskId from './task_id.js';
 import * as workOrder from './work_order.js';
@@ -170,14 +170,16 @@
   return chain + stepRun.request.expectedMs;
 }
 
-/** The job's progress in the form that is stored. */
+/** The job's progress in the form that is stored; short once it is over. */
 export function progressOf(job: ActiveJob): jobProgress.JobProgress {
+  const {phase} = job;
+  if (jobProgress.isOver(phase)) return {...jobProgress.NO_PROGRESS, phase};
   const occurrences: Record<string, jobProgress.StepProgress[]> = {};
   for (const [number, occurrence] of job.open) {
     occurrences[number] = occurrence.steps.map(stepProgressOf);
   }
   const workers = [...job.workers.keys()];
-  return {phase: job.phase, workers, occurrences, finished: [...job.finished]};
+  return {phase, workers, occurrences, finished: [...job.finished]};
 }
 
 function stepProgressOf(stepRun: StepRun): jobProgress.StepProgress {
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -83,6 +83,7 @@
 /** A job whose progress has to be stored. */
 export interface DirtyJob {
   readonly jobId: types.ids.JobId;
+  readonly queue: string;
   readonly progress: jobProgress.JobProgress;
 }
 
@@ -702,6 +703,7 @@
     takeDirty() {
       const taken = [...dirty].map((job) => ({
         jobId: job.id,
+        queue: job.policy.queue,
         progress: activeJob.progressOf(job),
       }));
       dirty.clear();
