--- a/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
@@ -77,6 +77,7 @@
     onRecords: (records) =>
       records.forEach((record) => seen.push(record.key + record.value)),
     pauseMs: () => 1,
+    readWaitMs: 10,
   });
   await follower.catchUp();
   await append('a', '2');
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -14,6 +14,7 @@
 import * as logFollower from './log_follower.js';
 import * as peerDirectory from './peer_directory.js';
 import type * as ports from './ports.js';
+import * as relayingDesk from './relaying_desk.js';
 import * as storeRecords from './store_records.js';
 import * as takeOver from './take_over.js';
 
@@ -28,6 +29,12 @@
  * paid for, and callers hear of an end half of this later; milliseconds.
  */
 const FOLLOW_PAUSE_MS = 100;
+/** A store that went silent is noticed this much later; milliseconds. */
+const FOLLOW_WAIT_MS = 250;
+/** The configuration changes seldom; milliseconds. */
+const CONFIG_WAIT_MS = 1_000;
+/** An entry without store or peers takes itself out after so long; ms. */
+const UNREADY_AFTER_MS = 400;
 /** A change of the configuration is in force this much later at most. */
 const CONFIG_PAUSE_MS = 100;
 /** The holder reads new jobs almost at once; milliseconds. */
@@ -74,7 +81,10 @@
 
 /** One entry. */
 export interface CellEntry {
+  /** For callers. */
   readonly desk: frontDesk.FrontDesk;
+  /** For peers: hands nothing on. */
+  readonly ownDesk: frontDesk.FrontDesk;
   /** The newest configuration; undefined before the first. */
   config(): ports.CellConfig | undefined;
   /** Whether callers can be served. */
@@ -104,6 +114,7 @@
   let holder: cellHolder.CellHolder | undefined;
   let leaving = false;
   let lastRecordAt = clock.monotonic();
+  let reachableAt = clock.monotonic();
 
   const jobs = jobTables.createJobTable({
     onAdded: (job) => holder?.jobAdded(job),
@@ -115,6 +126,7 @@
     logger,
     onRecords: (records) => records.forEach(applyConfig),
     pauseMs: () => CONFIG_PAUSE_MS,
+    readWaitMs: CONFIG_WAIT_MS,
   });
   const jobsFollower = logFollower.createLogFollower({
     log: logs.jobs,
@@ -122,6 +134,7 @@
     logger,
     onRecords: (records) => records.forEach(applyJobRecord),
     pauseMs: () => (holder === undefined ? FOLLOW_PAUSE_MS : HOLDER_PAUSE_MS),
+    readWaitMs: FOLLOW_WAIT_MS,
   });
   const cellFollower = logFollower.createLogFollower({
     log: logs.cell,
@@ -129,8 +142,9 @@
     logger,
     onRecords: applyCellRecords,
     pauseMs: () => FOLLOW_PAUSE_MS,
+    readWaitMs: FOLLOW_WAIT_MS,
   });
-  const desk = frontDesk.createFrontDesk({
+  const ownDesk = frontDesk.createFrontDesk({
     jobsLog: logs.jobs,
     jobs,
     follower: jobsFollower,
@@ -138,6 +152,17 @@
     logger,
     couldEverFit,
   });
+  const desk = relayingDesk.createRelayingDesk({
+    own: ownDesk,
+    peers,
+    clock,
+    logger,
+    storeReachable: () => jobsFollower.reachableSince() !== undefined,
+    holder: () => {
+      const instance = state.claim()?.instance;
+      return instance === self.instance ? undefined : instance;
+    },
+  });
 
   function applyConfig(record: ports.KeyedRecord): void {
     const decoded = options.decodeConfig(record.key, record.value);
@@ -247,6 +272,18 @@
     return !seen;
   }
 
+  /**
+   * An entry that can't take jobs leaves new callers to others: with the store
+   * away for all of them, all are out, and the balancer uses all.
+   */
+  function isReady(): boolean {
+    if (leaving || config === undefined) return false;
+    if (jobsFollower.position() === undefined) return false;
+    const now = clock.monotonic();
+    if (jobsFollower.reachableSince() !== undefined) reachableAt = now;
+    return now - reachableAt < UNREADY_AFTER_MS || desk.relayedLately();
+  }
+
   async function sleep(spanMs: number): Promise<void> {
     const until = types.clock.after(clock.monotonic(), spanMs);
     await clock.sleepUntil(until, stopping.signal);
@@ -370,9 +407,9 @@
 
   return {
     desk,
+    ownDesk,
     config: () => config,
-    isReady: () =>
-      !leaving && config !== undefined && jobsFollower.position() !== undefined,
+    isReady,
     start() {
       void configFollower.run();
       void jobsFollower.run();
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -42,6 +42,7 @@
 const TICK_MS = 100;
 /** The list of workers changes seldom; a span between reads; milliseconds. */
 const LIST_PAUSE_MS = 200;
+const LIST_WAIT_MS = 1_000;
 /** Attempts below this were numbered by earlier holders. */
 const ATTEMPTS_PER_GENERATION = 1_000;
 /** Time given to the adviser beside its own; milliseconds. */
@@ -146,6 +147,7 @@
     logger,
     onRecords: (records, reloaded) => roster.applyList(records, reloaded),
     pauseMs: () => LIST_PAUSE_MS,
+    readWaitMs: LIST_WAIT_MS,
   });
   /** Jobs read while this process couldn't be sure to hold the cell. */
   let unconfirmed: {job: jobTable.JobEntry; at: types.clock.MonotonicMs}[] = [];
--- a/packages/gypsumwall-cell/src/cell_writer.ts
+++ b/packages/gypsumwall-cell/src/cell_writer.ts
@@ -59,6 +59,7 @@
 export function createCellWriter(options: CellWriterOptions): CellWriter {
   const {log, clock, logger} = options;
   const stopping = new AbortController();
+  const hedger = hedge.createHedger(clock);
   let waiting: Pending[] = [];
   let wake = () => {};
   // The claim itself was sequence 0 of its epoch.
@@ -71,8 +72,7 @@
     const entries = records.map(storeRecords.encode);
     const fence = {epoch: options.epoch, sequence};
     while (!stopping.signal.aborted) {
-      const answer = await hedge.hedged({
-        clock,
+      const answer = await hedger.hedged({
         signal: stopping.signal,
         until: types.clock.after(clock.monotonic(), ROUND_MS),
         call: () => appendOnce(entries, fence),
--- a/packages/gypsumwall-cell/src/front_desk.ts
+++ b/packages/gypsumwall-cell/src/front_desk.ts
@@ -8,16 +8,13 @@
 import * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
 import * as batchAppender from './batch_appender.js';
-import * as hedge from './hedge.js';
 import type * as jobTable from './job_table.js';
 import type * as logFollower from './log_follower.js';
 import type * as ports from './ports.js';
 import * as storeRecords from './store_records.js';
 
-/** Time given to one call; others are sent meanwhile, see hedging. */
-const APPEND_TIMEOUT_MS = 1_500;
 /** How long an append is tried: callers wait 3 s; milliseconds. */
-const APPEND_PATIENCE_MS = 1_200;
+const APPEND_PATIENCE_MS = 1_500;
 /** When a caller should come back while the store is away; milliseconds. */
 const STORE_RETRY_AFTER_MS = 1_000;
 
@@ -44,6 +41,8 @@
     queue: string,
   ): Promise<DeskAnswer<scheduling.jobProgress.JobPhase>>;
   pendingIn(queue: string): number;
+  /** What appends to the store took lately, in milliseconds. */
+  storeLatencyMs(): number;
 }
 
 /** What a desk is made with. */
@@ -63,21 +62,15 @@
 /** Creates the desk of one entry. */
 export function createFrontDesk(options: FrontDeskOptions): FrontDesk {
   const {jobs, follower, clock, logger} = options;
-  const appender = batchAppender.createBatchAppender(
-    options.jobsLog,
-    APPEND_TIMEOUT_MS,
-  );
+  const appender = batchAppender.createBatchAppender(options.jobsLog, clock);
 
   /** Appends, several times if need be: every record here may be repeated. */
   async function store(
     record: storeRecords.StoreRecord,
   ): Promise<'stored' | 'not_run' | 'unknown'> {
     const entry = storeRecords.encode(record);
-    const answer = await hedge.hedged({
-      clock,
-      until: types.clock.after(clock.monotonic(), APPEND_PATIENCE_MS),
-      call: () => appender.append(entry),
-    });
+    const until = types.clock.after(clock.monotonic(), APPEND_PATIENCE_MS);
+    const answer = await appender.append(entry, until);
     if (result.isOk(answer)) return 'stored';
     logger.info('append_failed', {
       key: entry.key,
@@ -159,5 +152,6 @@
       return {type: 'ok', value: found.value.progress.phase};
     },
     pendingIn: (queue) => jobs.pendingIn(queue),
+    storeLatencyMs: () => appender.latencyMs(),
   };
 }
--- a/packages/gypsumwall-cell/src/hedge.ts
+++ b/packages/gypsumwall-cell/src/hedge.ts
@@ -1,97 +1,156 @@
 /**
  * Sends an idempotent call again while the first is still open, and takes
  * whichever answer comes first. At a store that loses a third of its answers
- * a caller waits one hedging delay and not a whole timeout; at a store that is
- * sixty times slower than usual the first call still gets the time it needs.
+ * a caller waits one delay and not a whole timeout. The delays follow what
+ * answers take: a store that is sixty times slower than usual handles the
+ * calls of a log one by one, and calls sent in vain would hold up the rest.
  */
 import * as result from 'true-myth/result';
 import * as types from '@gypsumwall/types';
 import type * as ports from './ports.js';
 
-/**
- * When the second and later calls are sent, in milliseconds after the one
- * before. The first is twenty times a usual answer; the last repeats.
- */
+/** Delays before the second and later calls; the last one repeats; ms. */
 const DELAYS_MS = [120, 200, 400, 800];
+/** A delay is at least so many times what answers took lately. */
+const DELAY_PER_LATENCY = 3;
+/** Weight of the newest answer in what answers take. */
+const NEWEST_WEIGHT = 0.5;
+/** What an answer took is forgotten after so long; milliseconds. */
+const FORGET_AFTER_MS = 2_000;
 /** Pause after an answer that refuses the call; milliseconds. */
 const REFUSED_PAUSE_MS = 40;
 
-/** How a hedged call is made. */
+/** How one call is hedged. */
 export interface HedgeOptions<Value> {
-  readonly clock: types.clock.Clock;
   readonly call: () => ports.Answer<Value>;
   /** The last moment at which another call is sent. */
   readonly until: types.clock.MonotonicMs;
   readonly signal?: AbortSignal;
 }
 
-/**
- * The first answer, or the last error once time is up or the signal aborts.
- * If any call may have had an effect, the error says so.
- */
-export async function hedged<Value>(
-  options: HedgeOptions<Value>,
-): ports.Answer<Value> {
-  const {clock} = options;
-  const answered = new AbortController();
-  options.signal?.addEventListener('abort', () => answered.abort());
-  let answer: Value | undefined;
+/** Hedges the calls to one log. */
+export interface Hedger {
+  /**
+   * The first answer, or the last error once time is up or the signal aborts.
+   * If any call may have had an effect, the error says so.
+   */
+  hedged<Value>(options: HedgeOptions<Value>): ports.Answer<Value>;
+  /** What answers took lately, in milliseconds; 0 if there were none. */
+  latencyMs(): number;
+}
+
+/** Creates a hedger that has seen no answer yet. */
+export function createHedger(clock: types.clock.Clock): Hedger {
+  let latency = 0;
+  let notedAt = clock.monotonic();
+
+  function latencyMs(): number {
+    if (clock.monotonic() - notedAt > FORGET_AFTER_MS) latency = 0;
+    return latency;
+  }
+
+  function note(tookMs: number): void {
+    const before = latencyMs();
+    latency = before + (tookMs - before) * NEWEST_WEIGHT;
+    notedAt = clock.monotonic();
+  }
+
+  async function timed<Value>(
+    call: () => ports.Answer<Value>,
+  ): Promise<Awaited<ports.Answer<Value>>> {
+    const sentAt = clock.monotonic();
+    const answer = await call();
+    if (result.isOk(answer)) note(clock.monotonic() - sentAt);
+    return answer;
+  }
+
+  return {
+    latencyMs,
+    async hedged({call, until, signal}) {
+      const race = createRace(() => timed(call));
+      signal?.addEventListener('abort', () => race.giveUp());
+      for (let nth = 0; ; nth++) {
+        race.send();
+        const usualMs = DELAYS_MS[Math.min(nth, DELAYS_MS.length - 1)]!;
+        const delayMs = Math.max(usualMs, latencyMs() * DELAY_PER_LATENCY);
+        const nextAt = types.clock.after(clock.monotonic(), delayMs);
+        await clock.sleepUntil(earlier(nextAt, until), race.change());
+        if (race.isOver() || clock.monotonic() >= until) break;
+        if (race.open() > 0) continue;
+        const pausedAt = types.clock.after(clock.monotonic(), REFUSED_PAUSE_MS);
+        await clock.sleepUntil(pausedAt, signal);
+      }
+      return race.outcome();
+    },
+  };
+}
+
+function earlier(
+  left: types.clock.MonotonicMs,
+  right: types.clock.MonotonicMs,
+): types.clock.MonotonicMs {
+  return left < right ? left : right;
+}
+
+interface Race<Value> {
+  send(): void;
+  /** Aborts at the next answer of any call. */
+  change(): AbortSignal;
+  open(): number;
+  isOver(): boolean;
+  giveUp(): void;
+  outcome(): Awaited<ports.Answer<Value>>;
+}
+
+function createRace<Value>(call: () => ports.Answer<Value>): Race<Value> {
+  let answer: {readonly value: Value} | undefined;
   let lastError: types.stepError.StepError | undefined;
   let open = 0;
-  let refusals = 0;
-  let settled = false;
-  let wake = new AbortController();
+  let over = false;
+  let changed = new AbortController();
 
-  async function send(): Promise<void> {
-    open++;
-    const got = await options.call();
+  async function run(): Promise<void> {
+    const got = await call();
     open--;
     if (result.isOk(got)) {
-      answer ??= got.value;
-      settled = true;
-      answered.abort();
+      answer ??= {value: got.value};
+      over = true;
     } else {
       const worse = lastError?.effect === 'unknown';
       lastError = worse ? {...got.error, effect: 'unknown'} : got.error;
-      refusals++;
     }
-    wake.abort();
+    changed.abort();
   }
 
-  for (let nth = 0; !answered.signal.aborted; nth++) {
-    void send();
-    const delayMs = DELAYS_MS[Math.min(nth, DELAYS_MS.length - 1)]!;
-    const nextAt = types.clock.after(clock.monotonic(), delayMs);
-    const before = refusals;
-    wake = new AbortController();
-    await clock.sleepUntil(nextAt, wake.signal);
-    if (settled || answered.signal.aborted) break;
-    if (refusals > before) {
-      const pausedAt = types.clock.after(clock.monotonic(), REFUSED_PAUSE_MS);
-      await clock.sleepUntil(pausedAt, answered.signal);
-    }
-    if (clock.monotonic() >= options.until) break;
-  }
-  while (!settled && open > 0 && options.signal?.aborted !== true) {
-    wake = new AbortController();
-    await clock.sleepUntil(options.until, wake.signal);
-    if (clock.monotonic() >= options.until) break;
-  }
-  if (settled) return result.ok(answer as Value);
-  return result.err(lastErrorOf(lastError, open > 0));
-}
-
-/** A call that is still open may have had an effect. */
-function lastErrorOf(
-  err: types.stepError.StepError | undefined,
-  open: boolean,
-): types.stepError.StepError {
-  const known = err ?? {
-    kind: 'timeout',
-    step: 'hedged call',
-    peer: '',
-    effect: 'unknown',
-    message: 'no answer in time',
+  return {
+    send() {
+      open++;
+      void run();
+    },
+    change() {
+      changed = new AbortController();
+      if (over) changed.abort();
+      return changed.signal;
+    },
+    open: () => open,
+    isOver: () => over,
+    giveUp() {
+      over = true;
+      changed.abort();
+    },
+    outcome() {
+      if (answer !== undefined) return result.ok(answer.value);
+      const err = lastError ?? NO_ANSWER;
+      // A call that is still open may take effect yet.
+      return result.err(open > 0 ? {...err, effect: 'unknown'} : err);
+    },
   };
-  return open ? {...known, effect: 'unknown'} : known;
 }
+
+const NO_ANSWER: types.stepError.StepError = {
+  kind: 'timeout',
+  step: 'hedged call',
+  peer: '',
+  effect: 'unknown',
+  message: 'no answer in time',
+};
--- a/packages/gypsumwall-cell/src/log_follower.ts
+++ b/packages/gypsumwall-cell/src/log_follower.ts
@@ -7,8 +7,6 @@
 import * as types from '@gypsumwall/types';
 import type * as ports from './ports.js';
 
-/** How long a read waits for a record at the store; milliseconds. */
-const READ_WAIT_MS = 1_000;
 /** Pause after a failed call, doubled up to the longest; milliseconds. */
 const FIRST_PAUSE_MS = 50;
 const LONGEST_PAUSE_MS = 400;
@@ -28,6 +26,11 @@
    * once, which saves calls where nobody waits for a single record.
    */
   readonly pauseMs: () => number;
+  /**
+   * How long a read waits at the store for a record, in milliseconds. A store
+   * that went silent is noticed that much later.
+   */
+  readonly readWaitMs: number;
 }
 
 /** Follows one log. */
@@ -129,7 +132,7 @@
     async run() {
       let pauseMs = FIRST_PAUSE_MS;
       while (!stopping.signal.aborted) {
-        const ok = await readOnce(READ_WAIT_MS);
+        const ok = await readOnce(options.readWaitMs);
         const spanMs = ok ? options.pauseMs() : pauseMs;
         pauseMs = ok ? FIRST_PAUSE_MS : Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
         if (spanMs === 0) continue;
--- a/packages/gypsumwall-cell/src/peer_directory.ts
+++ b/packages/gypsumwall-cell/src/peer_directory.ts
@@ -12,9 +12,18 @@
 
 /** How long a peer that didn't answer is passed over; milliseconds. */
 const PASS_OVER_MS = 2_000;
+/** Time for one peer's answer, and for all of them; milliseconds. */
+const RELAY_TIMEOUT_MS = 1_200;
+const RELAY_PATIENCE_MS = 1_800;
 /** Connections to one peer: calls wait on each other at the adviser anyway. */
 const CONNECTIONS = 8;
 
+/** What handing a call on came to. */
+export type RelayOutcome =
+  | {readonly type: 'answered'; readonly res: peerProtocol.RelayRes}
+  /** Nobody answered for certain; a peer may have done it all the same. */
+  | {readonly type: 'unanswered'; readonly mayStand: boolean};
+
 interface Peer {
   readonly record: storeRecords.EntryRecord;
   readonly client: httpClient.HttpClient;
@@ -28,6 +37,14 @@
   apply(instance: string, record: storeRecords.EntryRecord | undefined): void;
   /** Peers that may be asked now, by instance. */
   advisers(): Map<string, ports.Adviser>;
+  /**
+   * Hands a caller's call to a peer, the preferred one first, until one
+   * answers for certain.
+   */
+  relay(
+    req: peerProtocol.RelayReq,
+    preferred: string | undefined,
+  ): Promise<RelayOutcome>;
   close(): void;
 }
 
@@ -48,10 +65,7 @@
       adviser: {
         async ask(stepRunId, workers, timeoutMs) {
           const answer = await direct.ask(stepRunId, workers, timeoutMs);
-          if (result.isErr(answer)) {
-            const now = clock.monotonic();
-            peer.passedOverUntil = types.clock.after(now, PASS_OVER_MS);
-          }
+          if (result.isErr(answer)) passOver(peer);
           return answer;
         },
       },
@@ -59,7 +73,39 @@
     return peer;
   }
 
+  function passOver(peer: Peer): void {
+    const until = types.clock.after(clock.monotonic(), PASS_OVER_MS);
+    peer.passedOverUntil = until;
+  }
+
+  function usable(preferred: string | undefined): Peer[] {
+    const now = clock.monotonic();
+    const first = preferred === undefined ? undefined : peers.get(preferred);
+    const others = [...peers.values()].filter((peer) => peer !== first);
+    const ordered = first === undefined ? others : [first, ...others];
+    return ordered.filter((peer) => peer.passedOverUntil <= now);
+  }
+
   return {
+    async relay(req, preferred) {
+      const until = types.clock.after(clock.monotonic(), RELAY_PATIENCE_MS);
+      let mayStand = false;
+      for (const peer of usable(preferred)) {
+        const leftMs = until - clock.monotonic();
+        if (leftMs <= 0) break;
+        const timeoutMs = Math.min(RELAY_TIMEOUT_MS, leftMs);
+        const answer = await peerProtocol.relay(peer.client, req, timeoutMs);
+        if (result.isErr(answer)) {
+          passOver(peer);
+          if (answer.error.effect === 'unknown') mayStand = true;
+        } else if (isCertain(answer.value)) {
+          return {type: 'answered', res: answer.value};
+        } else if (answer.value.type === 'unknown') {
+          mayStand = true;
+        }
+      }
+      return {type: 'unanswered', mayStand};
+    },
     apply(instance, record) {
       if (instance === self) return;
       peers.get(instance)?.client.close();
@@ -79,3 +125,16 @@
     },
   };
 }
+
+/** Whether another peer could do no better. */
+function isCertain(res: peerProtocol.RelayRes): boolean {
+  switch (res.type) {
+    case 'ok':
+    case 'absent':
+    case 'invalid':
+      return true;
+    case 'not_run':
+    case 'unknown':
+      return false;
+  }
+}
--- a/packages/gypsumwall-cell/src/peer_protocol.ts
+++ b/packages/gypsumwall-cell/src/peer_protocol.ts
@@ -4,7 +4,9 @@
  * which a Connect call costs five times the processor time.
  */
 import * as result from 'true-myth/result';
+import type * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
+import type * as frontDesk from './front_desk.js';
 import * as httpClient from './http_client.js';
 import type * as ports from './ports.js';
 
@@ -52,3 +54,50 @@
     },
   };
 }
+
+/** Path of a caller's call that a peer is to answer. */
+export const RELAY_PATH = '/relay';
+
+/** A caller's call, handed on by an entry that the store turns away. */
+export type RelayReq =
+  | {
+      readonly type: 'submit';
+      readonly id: types.ids.JobId;
+      readonly policy: scheduling.jobRequest.QueuePolicy;
+      readonly request: scheduling.jobRequest.JobRequest;
+    }
+  | {
+      readonly type: 'cancel';
+      readonly id: types.ids.JobId;
+      readonly queue: string;
+    }
+  | {
+      readonly type: 'phase';
+      readonly id: types.ids.JobId;
+      readonly queue: string;
+    };
+
+/** The answer of the peer's desk. */
+export type RelayRes = frontDesk.DeskAnswer<unknown>;
+
+/** Hands a call to a peer; every such call may be repeated. */
+export async function relay(
+  client: httpClient.HttpClient,
+  req: RelayReq,
+  timeoutMs: number,
+): ports.Answer<RelayRes> {
+  const answer = await client.call({
+    step: `peer.relay ${req.type}`,
+    method: 'POST',
+    path: RELAY_PATH,
+    body: JSON.stringify(req),
+    timeoutMs,
+  });
+  if (result.isErr(answer)) return result.err(answer.error);
+  if (answer.value.status !== 200) {
+    return result.err(
+      httpClient.refusalError('peer.relay', client.address, answer.value),
+    );
+  }
+  return result.ok(JSON.parse(answer.value.body.toString()) as RelayRes);
+}
--- a/packages/gypsumwall-cell/src/peer_server.ts
+++ b/packages/gypsumwall-cell/src/peer_server.ts
@@ -3,12 +3,14 @@
 import * as result from 'true-myth/result';
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
+import type * as frontDesk from './front_desk.js';
 import * as peerProtocol from './peer_protocol.js';
 import type * as ports from './ports.js';
 
 /** Creates the server; it listens when it is told to. */
 export function createPeerServer(
   adviser: ports.Adviser,
+  desk: frontDesk.FrontDesk,
   logger: telemetry.logger.Logger,
 ): fastify.FastifyInstance {
   const server = fastify.fastify({logger: false});
@@ -26,5 +28,24 @@
       return res.send(body);
     },
   );
+  server.post<{Body: peerProtocol.RelayReq}>(
+    peerProtocol.RELAY_PATH,
+    async (req, res) => res.send(await answerRelayed(desk, req.body)),
+  );
   return server;
 }
+
+/** Answers from this entry's own desk, which hands nothing on. */
+function answerRelayed(
+  desk: frontDesk.FrontDesk,
+  req: peerProtocol.RelayReq,
+): Promise<peerProtocol.RelayRes> {
+  switch (req.type) {
+    case 'submit':
+      return desk.submit(req.id, req.policy, req.request);
+    case 'cancel':
+      return desk.cancel(req.id, req.queue);
+    case 'phase':
+      return desk.phaseOf(req.id, req.queue);
+  }
+}
--- /dev/null
+++ b/packages/gypsumwall-cell/src/relaying_desk.ts
@@ -0,0 +1,112 @@
+/**
+ * The desk that callers meet: answers from this entry's own desk while it
+ * reaches the store, and hands calls to a peer while the store turns this
+ * entry away or is slow. A slow store appends one batch at a time, so calls of
+ * all entries go through the holder then and share its batches.
+ */
+import type * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import type * as frontDesk from './front_desk.js';
+import type * as peerDirectory from './peer_directory.js';
+import type * as peerProtocol from './peer_protocol.js';
+
+/** Appends that take longer than this go through the holder; milliseconds. */
+const SLOW_STORE_MS = 60;
+/** How long an entry counts as served by its peers; milliseconds. */
+const RELAYED_LATELY_MS = 1_500;
+
+/** What a relaying desk is made with. */
+export interface RelayingDeskOptions {
+  readonly own: frontDesk.FrontDesk;
+  readonly peers: peerDirectory.PeerDirectory;
+  readonly clock: types.clock.Clock;
+  readonly logger: telemetry.logger.Logger;
+  readonly storeReachable: () => boolean;
+  /** Instance that holds the cell; undefined if it is this one or none. */
+  readonly holder: () => string | undefined;
+}
+
+/** A desk with a way round the store. */
+export interface RelayingDesk extends frontDesk.FrontDesk {
+  /** Whether peers have answered for this entry lately. */
+  relayedLately(): boolean;
+}
+
+/** Creates the desk. */
+export function createRelayingDesk(options: RelayingDeskOptions): RelayingDesk {
+  const {own, peers, clock, logger} = options;
+  let relayedAt: types.clock.MonotonicMs | undefined;
+
+  async function relay(
+    req: peerProtocol.RelayReq,
+  ): Promise<peerDirectory.RelayOutcome> {
+    const outcome = await peers.relay(req, options.holder());
+    logger.info('call_relayed', {
+      job: req.id,
+      call: req.type,
+      outcome: outcome.type === 'answered' ? outcome.res.type : outcome.type,
+      mayStand: outcome.type === 'unanswered' ? outcome.mayStand : undefined,
+    });
+    if (outcome.type === 'answered') relayedAt = clock.monotonic();
+    return outcome;
+  }
+
+  /** The own desk's answer, or a peer's where that is better. */
+  async function answer<Value>(
+    req: peerProtocol.RelayReq,
+    ask: () => Promise<frontDesk.DeskAnswer<Value>>,
+  ): Promise<frontDesk.DeskAnswer<Value>> {
+    const slow = own.storeLatencyMs() > SLOW_STORE_MS;
+    const relayFirst =
+      !options.storeReachable() || (slow && options.holder() !== undefined);
+    if (relayFirst) {
+      const relayed = await relay(req);
+      if (relayed.type === 'answered') return answerOf(relayed.res);
+      return withDoubt(await ask(), relayed.mayStand);
+    }
+    const direct = await ask();
+    if (direct.type !== 'not_run' && direct.type !== 'unknown') return direct;
+    // The store may have turned away this entry alone.
+    const relayed = await relay(req);
+    if (relayed.type === 'answered') return answerOf(relayed.res);
+    return withDoubt(direct, relayed.mayStand);
+  }
+
+  return {
+    submit: (id, policy, request) =>
+      answer({type: 'submit', id, policy, request}, () =>
+        own.submit(id, policy, request),
+      ),
+    cancel: (id, queue) =>
+      answer({type: 'cancel', id, queue}, () => own.cancel(id, queue)),
+    async phaseOf(id, queue) {
+      if (options.storeReachable()) return own.phaseOf(id, queue);
+      const relayed = await relay({type: 'phase', id, queue});
+      if (relayed.type === 'answered') return answerOf(relayed.res);
+      return own.phaseOf(id, queue);
+    },
+    pendingIn: (queue) => own.pendingIn(queue),
+    storeLatencyMs: () => own.storeLatencyMs(),
+    relayedLately: () =>
+      relayedAt !== undefined &&
+      clock.monotonic() - relayedAt < RELAYED_LATELY_MS,
+  };
+}
+
+/** A peer's answer to the same call has the same type of value. */
+function answerOf<Value>(
+  res: peerProtocol.RelayRes,
+): frontDesk.DeskAnswer<Value> {
+  return res as frontDesk.DeskAnswer<Value>;
+}
+
+/**
+ * A peer that got the call and didn't answer may have done it: the caller
+ * would be told that nothing ran of a job that runs.
+ */
+function withDoubt<Value>(
+  direct: frontDesk.DeskAnswer<Value>,
+  mayStand: boolean,
+): frontDesk.DeskAnswer<Value> {
+  return direct.type === 'not_run' && mayStand ? {type: 'unknown'} : direct;
+}
