--- a/packages/gypsumwall-cell/src/batch_appender.ts
+++ b/packages/gypsumwall-cell/src/batch_appender.ts
@@ -1,6 +1,8 @@
 /**
  * Group commit for one log: what comes while an append is on its way goes
- * with the next one, so that a busy entry makes few calls and none waits long.
+ * with the next one. One batch at a time: the store handles the appends of a
+ * log one by one, and when it is sixty times slower than usual, a few more of
+ * each entry make a line of seconds, at which it refuses them all.
  */
 import * as types from '@gypsumwall/types';
 import * as hedge from './hedge.js';
@@ -8,11 +10,6 @@
 
 /** The most records in one call. */
 const MOST_RECORDS = 200;
-/**
- * A batch that takes this long, or twice what is usual, isn't waited for: its
- * answer may be lost; milliseconds.
- */
-const LOST_AFTER_MS = 30;
 /** Time given to one call; others are sent meanwhile, see hedging. */
 const CALL_TIMEOUT_MS = 2_000;
 
@@ -23,7 +20,7 @@
     entry: ports.KeyedEntry,
     until: types.clock.MonotonicMs,
   ): ports.Answer<ports.AppendOutcome>;
-  /** What appends took lately, in milliseconds. */
+  /** What appends took lately, or the open one until now; milliseconds. */
   latencyMs(): number;
 }
 
@@ -42,56 +39,43 @@
 ): BatchAppender {
   const hedger = hedge.createHedger(clock);
   let waiting: Waiting[] = [];
-  const sentAt = new Set<types.clock.MonotonicMs>();
+  let sentAt: types.clock.MonotonicMs | undefined;
   let pumpPlanned = false;
 
   async function send(batch: readonly Waiting[]): Promise<void> {
-    const at = clock.monotonic();
-    sentAt.add(at);
+    sentAt = clock.monotonic();
     const entries = batch.map((one) => one.entry);
     const until = Math.max(...batch.map((one) => one.until));
     const answer = await hedger.hedged({
       until: until as types.clock.MonotonicMs,
       call: () => log.append(entries, {timeoutMs: CALL_TIMEOUT_MS}),
     });
-    sentAt.delete(at);
+    sentAt = undefined;
     for (const one of batch) one.resolve(answer);
     pump();
   }
 
-  function mustWait(): boolean {
-    const spanMs = Math.max(LOST_AFTER_MS, hedger.latencyMs() * 2);
-    const newest = Math.max(0, ...sentAt);
-    return newest > 0 && clock.monotonic() - newest < spanMs;
-  }
-
   function pump(): void {
     pumpPlanned = false;
-    if (waiting.length === 0) return;
-    if (mustWait()) {
-      plan(LOST_AFTER_MS);
-      return;
-    }
+    if (waiting.length === 0 || sentAt !== undefined) return;
     const batch = waiting.slice(0, MOST_RECORDS);
     waiting = waiting.slice(MOST_RECORDS);
     void send(batch);
   }
 
-  function plan(inMs: number): void {
-    if (pumpPlanned) return;
-    pumpPlanned = true;
-    setTimeout(pump, inMs);
-  }
-
   return {
     append(entry, until) {
       return new Promise((resolve) => {
         waiting.push({entry, until, resolve});
+        if (pumpPlanned) return;
+        pumpPlanned = true;
         // What the same turn of the event loop brings goes along.
-        if (!mustWait()) plan(0);
-        else plan(LOST_AFTER_MS);
+        setImmediate(pump);
       });
     },
-    latencyMs: () => hedger.latencyMs(),
+    latencyMs() {
+      const openMs = sentAt === undefined ? 0 : clock.monotonic() - sentAt;
+      return Math.max(openMs, hedger.latencyMs());
+    },
   };
 }
--- a/packages/gypsumwall-cell/src/hedge.ts
+++ b/packages/gypsumwall-cell/src/hedge.ts
@@ -9,8 +9,12 @@
 import * as types from '@gypsumwall/types';
 import type * as ports from './ports.js';
 
-/** Delays before the second and later calls; the last one repeats; ms. */
-const DELAYS_MS = [120, 200, 400, 800];
+/**
+ * Delays before the second and later calls; the last one repeats. The first
+ * is just above an answer of a store that is sixty times slower than usual;
+ * three lost answers in a row are made up for within 700 ms; milliseconds.
+ */
+const DELAYS_MS = [270, 200, 200, 400, 800];
 /** A delay is at least so many times what answers took lately. */
 const DELAY_PER_LATENCY = 3;
 /** Weight of the newest answer in what answers take. */
--- a/packages/gypsumwall-cell/src/peer_directory.ts
+++ b/packages/gypsumwall-cell/src/peer_directory.ts
@@ -12,12 +12,20 @@
 
 /** How long a peer that didn't answer is passed over; milliseconds. */
 const PASS_OVER_MS = 2_000;
-/** Time for one peer's answer, and for all of them; milliseconds. */
-const RELAY_TIMEOUT_MS = 1_200;
-const RELAY_PATIENCE_MS = 1_800;
 /** Connections to one peer: calls wait on each other at the adviser anyway. */
 const CONNECTIONS = 8;
 
+/** How a call is handed on. */
+export interface RelayPatience {
+  /** Instance to be asked first. */
+  readonly preferred: string | undefined;
+  /** Whether only that one is asked. */
+  readonly onlyPreferred: boolean;
+  /** Time for one peer's answer, and for all of them; milliseconds. */
+  readonly eachMs: number;
+  readonly allMs: number;
+}
+
 /** What handing a call on came to. */
 export type RelayOutcome =
   | {readonly type: 'answered'; readonly res: peerProtocol.RelayRes}
@@ -37,13 +45,10 @@
   apply(instance: string, record: storeRecords.EntryRecord | undefined): void;
   /** Peers that may be asked now, by instance. */
   advisers(): Map<string, ports.Adviser>;
-  /**
-   * Hands a caller's call to a peer, the preferred one first, until one
-   * answers for certain.
-   */
+  /** Hands a caller's call to peers until one answers for certain. */
   relay(
     req: peerProtocol.RelayReq,
-    preferred: string | undefined,
+    patience: RelayPatience,
   ): Promise<RelayOutcome>;
   close(): void;
 }
@@ -78,22 +83,24 @@
     peer.passedOverUntil = until;
   }
 
-  function usable(preferred: string | undefined): Peer[] {
+  function usable({preferred, onlyPreferred}: RelayPatience): Peer[] {
     const now = clock.monotonic();
     const first = preferred === undefined ? undefined : peers.get(preferred);
-    const others = [...peers.values()].filter((peer) => peer !== first);
+    const others = onlyPreferred
+      ? []
+      : [...peers.values()].filter((peer) => peer !== first);
     const ordered = first === undefined ? others : [first, ...others];
     return ordered.filter((peer) => peer.passedOverUntil <= now);
   }
 
   return {
-    async relay(req, preferred) {
-      const until = types.clock.after(clock.monotonic(), RELAY_PATIENCE_MS);
+    async relay(req, patience) {
+      const until = types.clock.after(clock.monotonic(), patience.allMs);
       let mayStand = false;
-      for (const peer of usable(preferred)) {
+      for (const peer of usable(patience)) {
         const leftMs = until - clock.monotonic();
         if (leftMs <= 0) break;
-        const timeoutMs = Math.min(RELAY_TIMEOUT_MS, leftMs);
+        const timeoutMs = Math.min(patience.eachMs, leftMs);
         const answer = await peerProtocol.relay(peer.client, req, timeoutMs);
         if (result.isErr(answer)) {
           passOver(peer);
--- a/packages/gypsumwall-cell/src/relaying_desk.ts
+++ b/packages/gypsumwall-cell/src/relaying_desk.ts
@@ -12,6 +12,13 @@
 
 /** Appends that take longer than this go through the holder; milliseconds. */
 const SLOW_STORE_MS = 60;
+/** A slow store takes two of its appends for a call; milliseconds. */
+const SLOW_RELAY_MS = 1_400;
+/** A sound peer answers in 20 ms; callers must not be held; milliseconds. */
+const EACH_RELAY_MS = 300;
+const ALL_RELAYS_MS = 500;
+/** After a call that no peer could answer none is handed on; milliseconds. */
+const HOPELESS_MS = 400;
 /** How long an entry counts as served by its peers; milliseconds. */
 const RELAYED_LATELY_MS = 1_500;
 
@@ -36,38 +43,72 @@
 export function createRelayingDesk(options: RelayingDeskOptions): RelayingDesk {
   const {own, peers, clock, logger} = options;
   let relayedAt: types.clock.MonotonicMs | undefined;
+  let hopelessUntil = 0 as types.clock.MonotonicMs;
 
   async function relay(
     req: peerProtocol.RelayReq,
+    patience: peerDirectory.RelayPatience,
   ): Promise<peerDirectory.RelayOutcome> {
-    const outcome = await peers.relay(req, options.holder());
+    const outcome = await peers.relay(req, patience);
+    const answered = outcome.type === 'answered';
     logger.info('call_relayed', {
       job: req.id,
       call: req.type,
-      outcome: outcome.type === 'answered' ? outcome.res.type : outcome.type,
-      mayStand: outcome.type === 'unanswered' ? outcome.mayStand : undefined,
+      outcome: answered ? outcome.res.type : outcome.type,
+      mayStand: answered ? undefined : outcome.mayStand,
     });
-    if (outcome.type === 'answered') relayedAt = clock.monotonic();
+    if (answered) relayedAt = clock.monotonic();
+    else hopelessUntil = types.clock.after(clock.monotonic(), HOPELESS_MS);
     return outcome;
   }
 
+  /** Tries any peer, unless none could answer just now. */
+  function relayToAny(
+    req: peerProtocol.RelayReq,
+  ): Promise<peerDirectory.RelayOutcome> {
+    if (clock.monotonic() < hopelessUntil) {
+      return Promise.resolve({type: 'unanswered', mayStand: false});
+    }
+    return relay(req, {
+      preferred: options.holder(),
+      onlyPreferred: false,
+      eachMs: EACH_RELAY_MS,
+      allMs: ALL_RELAYS_MS,
+    });
+  }
+
+  /** Through the holder, whose batches are shared. */
+  function relayToHolder(
+    req: peerProtocol.RelayReq,
+  ): Promise<peerDirectory.RelayOutcome> {
+    return relay(req, {
+      preferred: options.holder(),
+      onlyPreferred: true,
+      eachMs: SLOW_RELAY_MS,
+      allMs: SLOW_RELAY_MS,
+    });
+  }
+
   /** The own desk's answer, or a peer's where that is better. */
   async function answer<Value>(
     req: peerProtocol.RelayReq,
     ask: () => Promise<frontDesk.DeskAnswer<Value>>,
   ): Promise<frontDesk.DeskAnswer<Value>> {
-    const slow = own.storeLatencyMs() > SLOW_STORE_MS;
-    const relayFirst =
-      !options.storeReachable() || (slow && options.holder() !== undefined);
-    if (relayFirst) {
-      const relayed = await relay(req);
+    if (!options.storeReachable()) {
+      const relayed = await relayToAny(req);
       if (relayed.type === 'answered') return answerOf(relayed.res);
       return withDoubt(await ask(), relayed.mayStand);
     }
+    const slow = own.storeLatencyMs() > SLOW_STORE_MS;
+    if (slow && options.holder() !== undefined) {
+      const relayed = await relayToHolder(req);
+      if (relayed.type === 'answered') return answerOf(relayed.res);
+      return relayed.mayStand ? {type: 'unknown'} : ask();
+    }
     const direct = await ask();
     if (direct.type !== 'not_run' && direct.type !== 'unknown') return direct;
     // The store may have turned away this entry alone.
-    const relayed = await relay(req);
+    const relayed = await relayToAny(req);
     if (relayed.type === 'answered') return answerOf(relayed.res);
     return withDoubt(direct, relayed.mayStand);
   }
@@ -81,7 +122,7 @@
       answer({type: 'cancel', id, queue}, () => own.cancel(id, queue)),
     async phaseOf(id, queue) {
       if (options.storeReachable()) return own.phaseOf(id, queue);
-      const relayed = await relay({type: 'phase', id, queue});
+      const relayed = await relayToAny({type: 'phase', id, queue});
       if (relayed.type === 'answered') return answerOf(relayed.res);
       return own.phaseOf(id, queue);
     },
