--- a/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
@@ -12,6 +12,7 @@
 import * as logFollower from '../log_follower.js';
 import type * as ports from '../ports.js';
 import * as queueTable from '../queue_table.js';
+import * as storePulse from '../store_pulse.js';
 import * as storeRecords from '../store_records.js';
 import * as suspensionWatch from '../suspension_watch.js';
 import * as takeOver from '../take_over.js';
@@ -32,6 +33,7 @@
   const writer = cellWriter.createCellWriter({
     log,
     epoch: 1,
+    pulse: storePulse.createStorePulse(),
     clock,
     logger,
     onFenced: () => assert.fail('fenced'),
@@ -53,6 +55,7 @@
   const writer = cellWriter.createCellWriter({
     log,
     epoch: 1,
+    pulse: storePulse.createStorePulse(),
     clock,
     logger,
     onFenced: () => (fenced = true),
@@ -74,6 +77,7 @@
     log,
     clock,
     logger,
+    pulse: storePulse.createStorePulse(),
     onRecords: (records) =>
       records.forEach((record) => seen.push(record.key + record.value)),
     pauseMs: () => 1,
--- a/packages/gypsumwall-cell/src/batch_appender.ts
+++ b/packages/gypsumwall-cell/src/batch_appender.ts
@@ -7,6 +7,7 @@
 import * as types from '@gypsumwall/types';
 import * as hedge from './hedge.js';
 import type * as ports from './ports.js';
+import type * as storePulse from './store_pulse.js';
 
 /** The most records in one call. */
 const MOST_RECORDS = 200;
@@ -36,8 +37,9 @@
 export function createBatchAppender(
   log: ports.KeyedLog,
   clock: types.clock.Clock,
+  pulse: storePulse.StorePulse,
 ): BatchAppender {
-  const hedger = hedge.createHedger(clock);
+  const hedger = hedge.createHedger(clock, pulse);
   let waiting: Waiting[] = [];
   let sentAt: types.clock.MonotonicMs | undefined;
   let pumpPlanned = false;
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -15,6 +15,7 @@
 import * as peerDirectory from './peer_directory.js';
 import type * as ports from './ports.js';
 import * as relayingDesk from './relaying_desk.js';
+import * as storePulse from './store_pulse.js';
 import * as storeRecords from './store_records.js';
 import * as takeOver from './take_over.js';
 
@@ -28,7 +29,7 @@
  * A reader that waits for no single record reads this seldom. Each read is
  * paid for, and callers hear of an end half of this later; milliseconds.
  */
-const FOLLOW_PAUSE_MS = 100;
+const FOLLOW_PAUSE_MS = 120;
 /** A store that went silent is noticed this much later; milliseconds. */
 const FOLLOW_WAIT_MS = 250;
 /** The configuration changes seldom; milliseconds. */
@@ -109,6 +110,7 @@
   const {self, logs, clock, logger} = options;
   const stopping = new AbortController();
   const state = cellStates.createCellState();
+  const pulse = storePulse.createStorePulse();
   const peers = peerDirectory.createPeerDirectory(self.instance, clock);
   let config: ports.CellConfig | undefined;
   let holder: cellHolder.CellHolder | undefined;
@@ -124,6 +126,7 @@
     log: logs.config,
     clock,
     logger,
+    pulse,
     onRecords: (records) => records.forEach(applyConfig),
     pauseMs: () => CONFIG_PAUSE_MS,
     readWaitMs: CONFIG_WAIT_MS,
@@ -132,6 +135,7 @@
     log: logs.jobs,
     clock,
     logger,
+    pulse,
     onRecords: (records) => records.forEach(applyJobRecord),
     pauseMs: () => (holder === undefined ? FOLLOW_PAUSE_MS : HOLDER_PAUSE_MS),
     readWaitMs: FOLLOW_WAIT_MS,
@@ -140,6 +144,7 @@
     log: logs.cell,
     clock,
     logger,
+    pulse,
     onRecords: applyCellRecords,
     pauseMs: () => FOLLOW_PAUSE_MS,
     readWaitMs: FOLLOW_WAIT_MS,
@@ -148,6 +153,7 @@
     jobsLog: logs.jobs,
     jobs,
     follower: jobsFollower,
+    pulse,
     clock,
     logger,
     couldEverFit,
@@ -242,6 +248,7 @@
       catchUpJobs: () => jobsFollower.catchUp(),
       policyOf,
       leaseMs: options.leaseMs,
+      pulse,
       clock,
       logger,
       onDeposed: () => {
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -13,6 +13,7 @@
 import type * as jobTable from './job_table.js';
 import * as logFollower from './log_follower.js';
 import type * as ports from './ports.js';
+import type * as storePulse from './store_pulse.js';
 import type * as storeRecords from './store_records.js';
 import * as suspensionWatch from './suspension_watch.js';
 import * as takeOver from './take_over.js';
@@ -71,6 +72,7 @@
     queue: string,
   ) => scheduling.jobRequest.QueuePolicy | undefined;
   readonly leaseMs: number;
+  readonly pulse: storePulse.StorePulse;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
   readonly onDeposed: () => void;
@@ -110,6 +112,7 @@
   const writer = cellWriter.createCellWriter({
     log: options.cellLog,
     epoch: token,
+    pulse: options.pulse,
     clock,
     logger,
     onFenced: depose,
@@ -145,6 +148,7 @@
     log: options.workerLog,
     clock,
     logger,
+    pulse: options.pulse,
     onRecords: (records, reloaded) => roster.applyList(records, reloaded),
     pauseMs: () => LIST_PAUSE_MS,
     readWaitMs: LIST_WAIT_MS,
--- a/packages/gypsumwall-cell/src/cell_writer.ts
+++ b/packages/gypsumwall-cell/src/cell_writer.ts
@@ -8,6 +8,7 @@
 import * as types from '@gypsumwall/types';
 import * as hedge from './hedge.js';
 import type * as ports from './ports.js';
+import type * as storePulse from './store_pulse.js';
 import * as storeRecords from './store_records.js';
 import * as takeOver from './take_over.js';
 
@@ -27,6 +28,7 @@
 export interface CellWriterOptions {
   readonly log: ports.KeyedLog;
   readonly epoch: number;
+  readonly pulse: storePulse.StorePulse;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
   /** A higher epoch was seen: this process doesn't hold the cell any more. */
@@ -59,7 +61,7 @@
 export function createCellWriter(options: CellWriterOptions): CellWriter {
   const {log, clock, logger} = options;
   const stopping = new AbortController();
-  const hedger = hedge.createHedger(clock);
+  const hedger = hedge.createHedger(clock, options.pulse);
   let waiting: Pending[] = [];
   let wake = () => {};
   // The claim itself was sequence 0 of its epoch.
--- a/packages/gypsumwall-cell/src/front_desk.ts
+++ b/packages/gypsumwall-cell/src/front_desk.ts
@@ -11,10 +11,11 @@
 import type * as jobTable from './job_table.js';
 import type * as logFollower from './log_follower.js';
 import type * as ports from './ports.js';
+import type * as storePulse from './store_pulse.js';
 import * as storeRecords from './store_records.js';
 
 /** How long an append is tried: callers wait 3 s; milliseconds. */
-const APPEND_PATIENCE_MS = 1_500;
+const APPEND_PATIENCE_MS = 2_400;
 /** When a caller should come back while the store is away; milliseconds. */
 const STORE_RETRY_AFTER_MS = 1_000;
 
@@ -50,6 +51,7 @@
   readonly jobsLog: ports.KeyedLog;
   readonly jobs: jobTable.JobTable;
   readonly follower: logFollower.LogFollower;
+  readonly pulse: storePulse.StorePulse;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
   /** Whether any worker could ever run a task of this size. */
@@ -62,7 +64,11 @@
 /** Creates the desk of one entry. */
 export function createFrontDesk(options: FrontDeskOptions): FrontDesk {
   const {jobs, follower, clock, logger} = options;
-  const appender = batchAppender.createBatchAppender(options.jobsLog, clock);
+  const appender = batchAppender.createBatchAppender(
+    options.jobsLog,
+    clock,
+    options.pulse,
+  );
 
   /** Appends, several times if need be: every record here may be repeated. */
   async function store(
--- a/packages/gypsumwall-cell/src/hedge.ts
+++ b/packages/gypsumwall-cell/src/hedge.ts
@@ -1,22 +1,21 @@
 /**
  * Sends an idempotent call again while the first is still open, and takes
  * whichever answer comes first. At a store that loses a third of its answers
- * a caller waits one delay and not a whole timeout. The delays follow what
- * answers take: a store that is sixty times slower than usual handles the
- * calls of a log one by one, and calls sent in vain would hold up the rest.
+ * a caller waits a fraction of a second and not a whole timeout. At a store
+ * that is slow nothing is sent again: it handles the calls of a log one by
+ * one, and calls sent in vain made a line at which it refused them all.
  */
 import * as result from 'true-myth/result';
 import * as types from '@gypsumwall/types';
 import type * as ports from './ports.js';
+import type * as storePulse from './store_pulse.js';
 
-/**
- * Delays before the second and later calls; the last one repeats. The first
- * is just above an answer of a store that is sixty times slower than usual;
- * three lost answers in a row are made up for within 700 ms; milliseconds.
- */
-const DELAYS_MS = [270, 200, 200, 400, 800];
-/** A delay is at least so many times what answers took lately. */
-const DELAY_PER_LATENCY = 3;
+/** No call is sent again sooner; a usual answer takes 10 ms; milliseconds. */
+const SOONEST_MS = 120;
+/** How often it is looked whether the store is sound; milliseconds. */
+const CHECK_MS = 30;
+/** Then a call is sent again in any case; milliseconds. */
+const LATEST_MS = 1_200;
 /** Weight of the newest answer in what answers take. */
 const NEWEST_WEIGHT = 0.5;
 /** What an answer took is forgotten after so long; milliseconds. */
@@ -44,7 +43,10 @@
 }
 
 /** Creates a hedger that has seen no answer yet. */
-export function createHedger(clock: types.clock.Clock): Hedger {
+export function createHedger(
+  clock: types.clock.Clock,
+  pulse: storePulse.StorePulse,
+): Hedger {
   let latency = 0;
   let notedAt = clock.monotonic();
 
@@ -68,17 +70,32 @@
     return answer;
   }
 
+  /** Waits for an answer, or for a reason to think that it is lost. */
+  async function waitForDoubt(
+    race: Race<unknown>,
+    sentAt: types.clock.MonotonicMs,
+    until: types.clock.MonotonicMs,
+  ): Promise<void> {
+    const latest = earlier(types.clock.after(sentAt, LATEST_MS), until);
+    let checkAt = earlier(types.clock.after(sentAt, SOONEST_MS), until);
+    for (;;) {
+      const change = race.change();
+      await clock.sleepUntil(checkAt, change);
+      if (change.aborted || clock.monotonic() >= latest) return;
+      if (pulse.quickSince(sentAt)) return;
+      checkAt = earlier(types.clock.after(clock.monotonic(), CHECK_MS), until);
+    }
+  }
+
   return {
     latencyMs,
     async hedged({call, until, signal}) {
       const race = createRace(() => timed(call));
       signal?.addEventListener('abort', () => race.giveUp());
-      for (let nth = 0; ; nth++) {
+      for (;;) {
+        const sentAt = clock.monotonic();
         race.send();
-        const usualMs = DELAYS_MS[Math.min(nth, DELAYS_MS.length - 1)]!;
-        const delayMs = Math.max(usualMs, latencyMs() * DELAY_PER_LATENCY);
-        const nextAt = types.clock.after(clock.monotonic(), delayMs);
-        await clock.sleepUntil(earlier(nextAt, until), race.change());
+        await waitForDoubt(race, sentAt, until);
         if (race.isOver() || clock.monotonic() >= until) break;
         if (race.open() > 0) continue;
         const pausedAt = types.clock.after(clock.monotonic(), REFUSED_PAUSE_MS);
--- a/packages/gypsumwall-cell/src/log_follower.ts
+++ b/packages/gypsumwall-cell/src/log_follower.ts
@@ -6,6 +6,7 @@
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import type * as ports from './ports.js';
+import type * as storePulse from './store_pulse.js';
 
 /** Pause after a failed call, doubled up to the longest; milliseconds. */
 const FIRST_PAUSE_MS = 50;
@@ -16,6 +17,7 @@
   readonly log: ports.KeyedLog;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
+  readonly pulse: storePulse.StorePulse;
   /** Gets records in order; `reloaded` when older ones may be missing. */
   readonly onRecords: (
     records: readonly ports.KeyedRecord[],
@@ -112,12 +114,14 @@
 
   async function readOnce(waitMs: number): Promise<boolean> {
     if (position === undefined) return load();
+    const sentAt = clock.monotonic();
     const read = await log.read(position, waitMs);
     if (result.isErr(read)) {
       failed(read.error);
       return false;
     }
     answered();
+    options.pulse.noteRead(sentAt, clock.monotonic());
     switch (read.value.type) {
       case 'records':
         apply(read.value.records);
--- a/packages/gypsumwall-cell/src/relaying_desk.ts
+++ b/packages/gypsumwall-cell/src/relaying_desk.ts
@@ -13,7 +13,7 @@
 /** Appends that take longer than this go through the holder; milliseconds. */
 const SLOW_STORE_MS = 60;
 /** A slow store takes two of its appends for a call; milliseconds. */
-const SLOW_RELAY_MS = 1_400;
+const SLOW_RELAY_MS = 2_500;
 /** A sound peer answers in 20 ms; callers must not be held; milliseconds. */
 const EACH_RELAY_MS = 300;
 const ALL_RELAYS_MS = 500;
--- /dev/null
+++ b/packages/gypsumwall-cell/src/store_pulse.ts
@@ -0,0 +1,31 @@
+/**
+ * Tells a slow store from one that loses answers: at the first, reads are slow
+ * as well; at the second, a read that was sent after an append comes back at
+ * once while the append's answer doesn't.
+ */
+import type * as types from '@gypsumwall/types';
+
+/** A read below this is quick; a usual one takes 5 ms; milliseconds. */
+const QUICK_MS = 100;
+
+/** What the reads of one entry say of the store. */
+export interface StorePulse {
+  noteRead(
+    sentAt: types.clock.MonotonicMs,
+    answeredAt: types.clock.MonotonicMs,
+  ): void;
+  /** Whether a read that was sent after the moment came back at once. */
+  quickSince(moment: types.clock.MonotonicMs): boolean;
+}
+
+/** Creates a pulse that has felt nothing yet. */
+export function createStorePulse(): StorePulse {
+  let lastQuickSentAt = 0;
+  return {
+    noteRead(sentAt, answeredAt) {
+      if (answeredAt - sentAt > QUICK_MS) return;
+      lastQuickSentAt = Math.max(lastQuickSentAt, sentAt);
+    },
+    quickSince: (moment) => lastQuickSentAt > moment,
+  };
+}
