--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -59,9 +59,17 @@
 });
 
 export default tseslint.config(
-  {ignores: ['**/lib/**', '**/dist/**', '**/*_pb.ts', '**/node_modules/**']},
   {
-    files: ['packages/*/src/**/*.ts'],
+    ignores: [
+      '**/lib/**',
+      '**/dist/**',
+      'target/**',
+      '**/*_pb.ts',
+      '**/node_modules/**',
+    ],
+  },
+  {
+    files: ['packages/*/src/**/*.ts', 'platform/**/*.ts'],
     extends: [...tseslint.configs.recommendedTypeChecked],
     languageOptions: {
       parserOptions: {
@@ -109,6 +117,12 @@
     files: CLASS_FILES,
     rules: {'no-restricted-syntax': ['error', ...BARRED_SYNTAX]},
   },
+  {
+    files: ['platform/**/*.ts'],
+    rules: {
+      'no-restricted-syntax': ['error', ...BARRED_SYNTAX, BARRED_CLASSES],
+    },
+  },
   {
     files: ['scripts/**/*.mjs'],
     rules: {'no-restricted-syntax': ['error', ...BARRED_SYNTAX]},
--- a/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
@@ -4,7 +4,6 @@
 import * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import * as cellEntry from '../cell_entry.js';
-import type * as ports from '../ports.js';
 import * as fakeLogs from './fake_log.js';
 import * as fakeWorkers from './fake_worker.js';
 
@@ -110,28 +109,14 @@
 }
 
 /** A log whose calls can be troubled for one entry alone. */
-export function viewOf(log: fakeLogs.FakeLog): fakeLogs.FakeLog {
-  const view = fakeLogs.createFakeLog(log.name);
-  const troubled = async <Value>(
-    call: () => ports.Answer<Value>,
-    own: () => ports.Answer<Value>,
-  ) => (view.trouble === 'down' ? own() : call());
-  const {append, read, newest} = view;
-  view.append = (entries, options) =>
-    troubled(
-      () => log.append(entries, options),
-      () => append(entries, options),
-    );
-  view.read = (from, waitMs) =>
-    troubled(
-      () => log.read(from, waitMs),
-      () => read(from, waitMs),
-    );
-  view.newest = (after) =>
-    troubled(
-      () => log.newest(after),
-      () => newest(after),
-    );
+export function viewOf(shared: fakeLogs.FakeLog): fakeLogs.FakeLog {
+  const view = fakeLogs.createFakeLog(shared.name);
+  const down = fakeLogs.createFakeLog(shared.name);
+  down.trouble = 'down';
+  const log = () => (view.trouble === 'down' ? down : shared);
+  view.append = (entries, options) => log().append(entries, options);
+  view.read = (from, waitMs) => log().read(from, waitMs);
+  view.newest = (after) => log().newest(after);
   return view;
 }
 
--- a/packages/gypsumwall-cell/src/store_records.ts
+++ b/packages/gypsumwall-cell/src/store_records.ts
@@ -133,7 +133,8 @@
     return {kind: 'claim', claim: body as unknown as ClaimRecord};
   }
   const id = key.slice(1);
-  switch (key[0]) {
+  const letter = key.slice(0, 1);
+  switch (letter) {
     case LETTERS.job:
       return {kind: 'job', jobId: types.ids.brand(id), job: cast(body)};
     case LETTERS.cancel: {
--- a/packages/gypsumwall-cell/src/worker_session.ts
+++ b/packages/gypsumwall-cell/src/worker_session.ts
@@ -237,6 +237,7 @@
         scheduler.startAnswered(run, refused, clock.monotonic());
         return;
       }
+      const sentAt = clock.monotonic();
       const answer = await link.start({
         taskId: run.taskId,
         attempt: run.attempt,
@@ -255,6 +256,7 @@
         attempt: run.attempt,
         worker: worker.id,
         outcome: outcome.type === 'refused' ? outcome.reason : outcome.type,
+        tookMs: Math.round(clock.monotonic() - sentAt),
         error: result.isErr(answer)
           ? types.stepError.describeError(answer.error)
           : undefined,
--- a/packages/gypsumwall-scheduling/src/__tests__/scheduler.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/scheduler.test.ts
@@ -48,7 +48,7 @@
   world.end(runs[1]!, 'done');
   const [last] = world.startAll();
   assert.equal(last?.taskId, 'job.0.1.0');
-  world.end(last!, 'done');
+  world.end(last, 'done');
   assert.equal(world.scheduler.hasJob(job), false);
   const over = world.events.find((event) => event.type === 'job_over');
   assert.deepEqual(over, {type: 'job_over', job, phase: 'completed'});
@@ -210,7 +210,7 @@
   assert.equal(stray?.taskId, 'unknown.0.0.0');
   world.submit('job', [worlds.step()]);
   assert.equal(world.startAll().length, 0);
-  world.end(stray!, 'stopped');
+  world.end(stray, 'stopped');
   assert.equal(world.startAll().length, 1);
 });
 
@@ -239,7 +239,7 @@
   const w2 = world.addWorker('w2', 1);
   const w3 = world.addWorker('w3', 1);
   const until = types.clock.after(world.now, advice.validMs);
-  world.scheduler.adviceAnswered(wish!, new Map(), until);
+  world.scheduler.adviceAnswered(wish, new Map(), until);
   world.now = types.clock.after(until, 1);
   const [next] = world.scheduler.decide(world.now, wall).advice;
   assert.deepEqual(next?.workers, [w2, w3]);
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -668,12 +668,7 @@
             how: 'refused',
             reason: outcome.reason,
           });
-          if (outcome.reason === 'unhealthy') {
-            health.noteStalled(run.workerId, now);
-          }
-          if (outcome.reason === 'bad_ticket' && run.owner !== undefined) {
-            run.owner.stepRun.advice.validUntil = 0 as types.clock.MonotonicMs;
-          }
+          learnFromRefusal(run, outcome.reason, now);
           dropRun(run);
           return;
       }
--- /dev/null
+++ b/packages/gypsumwall-telemetry/src/__tests__/bounded_lines.test.ts
@@ -0,0 +1,57 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as boundedLines from '../bounded_lines.js';
+import * as logger from '../logger.js';
+import * as textMetrics from '../text_metrics.js';
+
+const {test} = nodeTest;
+
+function stream() {
+  const written: string[] = [];
+  return {
+    written,
+    writableNeedDrain: false,
+    write(text: string) {
+      written.push(text);
+      return true;
+    },
+  };
+}
+
+test('lines above the limit are left out, and the log says how many', () => {
+  const target = stream();
+  const sink = boundedLines.createBoundedLines(target, 30);
+  for (let nth = 0; nth < 5; nth++) sink.write(`line ${nth}`);
+  sink.flush();
+  assert.equal(sink.dropped(), 2);
+  assert.match(target.written.join(''), /line 2\n.*dropped total=2/);
+});
+
+// Whoever reads the log stops reading. Waiting for it would stop the process.
+test('a stream that is full loses lines and holds nobody up', () => {
+  const target = stream();
+  target.writableNeedDrain = true;
+  const sink = boundedLines.createBoundedLines(target, 30);
+  sink.write('lost');
+  sink.flush();
+  target.writableNeedDrain = false;
+  sink.write('kept');
+  sink.flush();
+  assert.deepEqual(target.written, [
+    'kept\nlevel=warn event=log_lines_dropped total=1\n',
+  ]);
+});
+
+test('events are counted by name and outcome, and their times kept', () => {
+  const metrics = textMetrics.createTextMetrics();
+  const counted = metrics.counting(logger.createLogger('silent'));
+  counted.info('job_submitted', {outcome: 'stored', tookMs: 12});
+  counted.with({a: 1}).info('job_submitted', {outcome: 'stored', tookMs: 14});
+  const text = metrics.render({jobs: 3});
+  assert.match(
+    text,
+    /events_total\{event="job_submitted",outcome="stored"\} 2/,
+  );
+  assert.match(text, /latency_ms_count\{event="job_submitted"\} 2/);
+  assert.match(text, /gypsumwall_jobs 3\n/);
+});
--- a/packages/gypsumwall-telemetry/src/logger.ts
+++ b/packages/gypsumwall-telemetry/src/logger.ts
@@ -23,12 +23,16 @@
   with(fields: LogFields): Logger;
 }
 
-/** Makes the logger of a process; lines go to standard error. */
-export function createLogger(level: LogLevel, base: LogFields = {}): Logger {
+/** Makes a logger; lines go to standard error unless a sink is given. */
+export function createLogger(
+  level: LogLevel,
+  base: LogFields = {},
+  write: (line: string) => void = (line) => {
+    process.stderr.write(`${line}\n`);
+  },
+): Logger {
   const sink = loglevel.default.getLogger(`gypsumwall-${level}`);
-  sink.methodFactory = () => (line: unknown) => {
-    process.stderr.write(`${String(line)}\n`);
-  };
+  sink.methodFactory = () => (line: unknown) => write(String(line));
   sink.setLevel(level, false);
   return bind(sink, base);
 }
--- /dev/null
+++ b/packages/gypsumwall-telemetry/src/text_metrics.ts
@@ -0,0 +1,97 @@
+/**
+ * Counters and latency histograms of one process, rendered as text for
+ * whoever asks. They are fed by the log: every event is counted by its name
+ * and outcome, also where its line is dropped, and every event that says how
+ * long it took goes into a histogram.
+ */
+import * as hdr from 'hdr-histogram-js';
+import type * as logger from './logger.js';
+
+/** Metrics of a process. */
+export interface TextMetrics {
+  /** A logger that counts what goes through it. */
+  counting(target: logger.Logger): logger.Logger;
+  /** In the exposition format of Prometheus; gauges are given by the caller. */
+  render(gauges: Readonly<Record<string, number>>): string;
+}
+
+/** Longest latency that is told apart; milliseconds. */
+const LONGEST_MS = 120_000;
+const QUANTILES = [0.5, 0.95, 0.99];
+const PREFIX = 'gypsumwall';
+
+/** Creates empty metrics. */
+export function createTextMetrics(): TextMetrics {
+  const counters = new Map<string, number>();
+  const histograms = new Map<string, hdr.Histogram>();
+
+  function note(event: string, fields: logger.LogFields = {}): void {
+    const outcome = String(fields.outcome ?? '').slice(0, 40);
+    const key = `event="${event}",outcome="${outcome.replace(/["\\\n]/g, '_')}"`;
+    counters.set(key, (counters.get(key) ?? 0) + 1);
+    if (typeof fields.tookMs === 'number') observe(event, fields.tookMs);
+  }
+
+  function observe(event: string, ms: number): void {
+    let histogram = histograms.get(event);
+    if (histogram === undefined) {
+      histogram = hdr.build({
+        bitBucketSize: 32,
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: LONGEST_MS,
+        numberOfSignificantValueDigits: 2,
+      });
+      histograms.set(event, histogram);
+    }
+    histogram.recordValue(Math.min(LONGEST_MS, Math.max(0, Math.round(ms))));
+  }
+
+  function counting(target: logger.Logger): logger.Logger {
+    return {
+      debug: (event, fields) => {
+        note(event, fields);
+        target.debug(event, fields);
+      },
+      info: (event, fields) => {
+        note(event, fields);
+        target.info(event, fields);
+      },
+      warn: (event, fields) => {
+        note(event, fields);
+        target.warn(event, fields);
+      },
+      error: (event, fields) => {
+        note(event, fields);
+        target.error(event, fields);
+      },
+      with: (fields) => counting(target.with(fields)),
+    };
+  }
+
+  function latencyLines(event: string, histogram: hdr.Histogram): string[] {
+    const name = `${PREFIX}_latency_ms`;
+    const lines = QUANTILES.map((quantile) => {
+      const value = histogram.getValueAtPercentile(quantile * 100);
+      return `${name}{event="${event}",quantile="${quantile}"} ${value}`;
+    });
+    lines.push(`${name}_count{event="${event}"} ${histogram.totalCount}`);
+    return lines;
+  }
+
+  return {
+    counting,
+    render(gauges) {
+      const lines: string[] = [];
+      for (const [key, count] of counters) {
+        lines.push(`${PREFIX}_events_total{${key}} ${count}`);
+      }
+      for (const [event, histogram] of histograms) {
+        lines.push(...latencyLines(event, histogram));
+      }
+      for (const [name, value] of Object.entries(gauges)) {
+        lines.push(`${PREFIX}_${name} ${value}`);
+      }
+      return lines.join('\n') + '\n';
+    },
+  };
+}
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -61,5 +61,10 @@
       files.push(path.join('packages', name, 'lib', compiled));
     }
   }
+  for (const file of fs.readdirSync('platform/__tests__').sort()) {
+    if (!file.endsWith('.test.ts')) continue;
+    const compiled = file.replace(/\.ts$/, '.js');
+    files.push(path.join('platform', 'lib', '__tests__', compiled));
+  }
   return files;
 }
--- a/scripts/write_project_references.mjs
+++ b/scripts/write_project_references.mjs
@@ -21,8 +21,10 @@
 }
 const root = {
   files: [],
-  references: names.map((name) => ({
-    path: `packages/${arrows.folderOf(name)}`,
-  })),
+  references: [
+    ...names.map((name) => ({path: `packages/${arrows.folderOf(name)}`})),
+    // The adapter to the users' platform writes its own references.
+    {path: 'platform'},
+  ],
 };
 fs.writeFileSync('tsconfig.json', JSON.stringify(root, null, 2) + '\n');
