--- a/packages/gypsumwall-cell/src/__fixtures__/fake_worker.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/fake_worker.ts
@@ -34,7 +34,7 @@
   const startedAt = performance.now();
   const running = new Map<string, FakeRun>();
   const started: FakeRun[] = [];
-  let ends: scheduling.scheduler.EndRow[] = [];
+  let ends: scheduling.schedulerTypes.EndRow[] = [];
   let sequence = 0;
   let highestToken = 0;
   let leaseUntil = 0;
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -102,7 +102,7 @@
   readonly holdsCell: boolean;
   readonly configVersion: number | undefined;
   readonly storeReachable: boolean;
-  readonly scheduler: scheduling.scheduler.SchedulerCounts | undefined;
+  readonly scheduler: scheduling.schedulerTypes.SchedulerCounts | undefined;
 }
 
 /** Creates an entry that does nothing before it is started. */
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -93,7 +93,7 @@
   /** Lets another entry take the cell at once, and ends. */
   handOver(): Promise<void>;
   stop(): void;
-  counts(): scheduling.scheduler.SchedulerCounts;
+  counts(): scheduling.schedulerTypes.SchedulerCounts;
 }
 
 /** Creates the holder of a claim that was just read. */
@@ -249,7 +249,7 @@
   }
 
   async function startRun(
-    order: scheduling.scheduler.StartOrder,
+    order: scheduling.schedulerTypes.StartOrder,
   ): Promise<void> {
     const session = roster.session(order.run.workerId);
     if (session === undefined) {
@@ -263,7 +263,7 @@
   }
 
   async function askAdviser(
-    wish: scheduling.scheduler.AdviceWish,
+    wish: scheduling.schedulerTypes.AdviceWish,
   ): Promise<void> {
     const {stepRun, workers, callMs} = wish;
     const advisers = options.advisers();
--- a/packages/gypsumwall-cell/src/ports.ts
+++ b/packages/gypsumwall-cell/src/ports.ts
@@ -88,7 +88,7 @@
   | {readonly type: 'accepted'; readonly clockMs: number}
   | {
       readonly type: 'refused';
-      readonly reason: scheduling.scheduler.RefusalReason;
+      readonly reason: scheduling.schedulerTypes.RefusalReason;
     }
   /** It has seen a higher fencing token. */
   | {readonly type: 'fenced'}
@@ -100,8 +100,8 @@
   | {
       readonly type: 'report';
       readonly clockMs: number;
-      readonly running: readonly scheduling.scheduler.RunningRow[];
-      readonly ends: readonly scheduling.scheduler.EndRow[];
+      readonly running: readonly scheduling.schedulerTypes.RunningRow[];
+      readonly ends: readonly scheduling.schedulerTypes.EndRow[];
       /** Whether there may be more ends than were listed. */
       readonly moreEnds: boolean;
     }
--- a/packages/gypsumwall-cell/src/worker_roster.ts
+++ b/packages/gypsumwall-cell/src/worker_roster.ts
@@ -26,7 +26,7 @@
 export interface RosterOptions {
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
-  readonly scheduler: scheduling.scheduler.Scheduler;
+  readonly scheduler: scheduling.schedulerTypes.Scheduler;
   readonly decode: (
     key: string,
     value: string,
--- a/packages/gypsumwall-cell/src/worker_session.ts
+++ b/packages/gypsumwall-cell/src/worker_session.ts
@@ -38,7 +38,7 @@
   readonly leaseMs: number;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
-  readonly scheduler: scheduling.scheduler.Scheduler;
+  readonly scheduler: scheduling.schedulerTypes.Scheduler;
   /** Whether leases may be renewed, see the holder. */
   readonly mayRenew: () => boolean;
   /** Something to decide about has changed. */
@@ -57,7 +57,7 @@
 export interface WorkerSession {
   readonly workerId: types.ids.WorkerId;
   run(): Promise<void>;
-  start(order: scheduling.scheduler.StartOrder): Promise<void>;
+  start(order: scheduling.schedulerTypes.StartOrder): Promise<void>;
   stopRun(run: scheduling.activeJob.Run): Promise<void>;
   /** Whether the worker has answered lately. */
   isReachable(): boolean;
@@ -200,7 +200,7 @@
 
   function startOutcome(
     answer: result.Result<ports.OrderAnswer, types.stepError.StepError>,
-  ): scheduling.scheduler.StartOutcome {
+  ): scheduling.schedulerTypes.StartOutcome {
     if (result.isErr(answer)) {
       if (answer.error.effect === 'unknown') return {type: 'unknown'};
       setReachable(false, types.stepError.describeError(answer.error));
--- a/packages/gypsumwall-scheduling/src/__fixtures__/scheduler_world.ts
+++ b/packages/gypsumwall-scheduling/src/__fixtures__/scheduler_world.ts
@@ -5,6 +5,7 @@
 import type * as jobRequest from '../job_request.js';
 import type * as jobSteps from '../job_steps.js';
 import * as schedulers from '../scheduler.js';
+import type * as schedulerTypes from '../scheduler_types.js';
 
 /** A step of one small task, unless told otherwise. */
 export function step(
@@ -44,8 +45,8 @@
 
 /** A scheduler and its surroundings. */
 export interface SchedulerWorld {
-  readonly scheduler: schedulers.Scheduler;
-  readonly events: schedulers.SchedulerEvent[];
+  readonly scheduler: schedulerTypes.Scheduler;
+  readonly events: schedulerTypes.SchedulerEvent[];
   /** Workers of an earlier scheduler that aren't accounted for. */
   readonly unaccounted: Set<types.ids.WorkerId>;
   now: types.clock.MonotonicMs;
@@ -56,17 +57,17 @@
     submission?: Submission,
   ): types.ids.JobId;
   /** Decides, with the store confirming at once; starts aren't answered. */
-  decide(): schedulers.StartOrder[];
+  decide(): schedulerTypes.StartOrder[];
   /** Decides and answers every start. */
   startAll(): activeJob.Run[];
   end(run: activeJob.Run, how: jobSteps.RunEnd): void;
   /** Hands in a report that lists exactly these runs. */
-  report(worker: types.ids.WorkerId, rows: schedulers.RunningRow[]): void;
+  report(worker: types.ids.WorkerId, rows: schedulerTypes.RunningRow[]): void;
 }
 
 /** Creates a world at time 1,000,000 ms. */
 export function createSchedulerWorld(): SchedulerWorld {
-  const events: schedulers.SchedulerEvent[] = [];
+  const events: schedulerTypes.SchedulerEvent[] = [];
   const unaccounted = new Set<types.ids.WorkerId>();
   const scheduler = schedulers.createScheduler({
     attemptBase: 0,
@@ -163,6 +164,6 @@
   taskId: string,
   attempt: number,
   percent = 10,
-): schedulers.RunningRow {
+): schedulerTypes.RunningRow {
   return {taskId: types.ids.brand(taskId), attempt, checkpoint: '', percent};
 }
--- a/packages/gypsumwall-scheduling/src/index.ts
+++ b/packages/gypsumwall-scheduling/src/index.ts
@@ -4,6 +4,7 @@
 export * as jobRequest from './job_request.js';
 export * as jobSteps from './job_steps.js';
 export * as scheduler from './scheduler.js';
+export * as schedulerTypes from './scheduler_types.js';
 export * as taskId from './task_id.js';
 export * as workerBook from './worker_book.js';
 export * as workOrder from './work_order.js';
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/job_book.ts
@@ -0,0 +1,180 @@
+/**
+ * The jobs of a scheduler, the steps that wait, the runs to be stopped and the
+ * jobs to be stored: every change of a job goes through here, so that none of
+ * these lists misses it.
+ */
+import * as types from '@gypsumwall/types';
+import type * as activeJob from './active_job.js';
+import * as jobProgress from './job_progress.js';
+import * as jobSteps from './job_steps.js';
+import type * as runTable from './run_table.js';
+import type * as schedulerTypes from './scheduler_types.js';
+import * as taskIds from './task_id.js';
+import type * as workerHealth from './worker_health.js';
+
+/** A task, as its step and index. */
+export interface TaskOwner {
+  readonly stepRun: activeJob.StepRun;
+  readonly index: number;
+}
+
+/** What a job book works on. */
+export interface JobBookParts {
+  readonly runs: runTable.RunTable;
+  readonly health: workerHealth.WorkerHealth;
+  readonly onEvent: (event: schedulerTypes.SchedulerEvent) => void;
+}
+
+/** Jobs and what is to be done about them. */
+export interface JobBook {
+  readonly jobs: ReadonlyMap<types.ids.JobId, activeJob.ActiveJob>;
+  /** Steps with tasks that wait. */
+  readonly waiting: ReadonlySet<activeJob.StepRun>;
+  /** Jobs whose steps or occurrences may have come due. */
+  readonly scheduled: Set<activeJob.ActiveJob>;
+  /** Jobs whose progress has to be stored. */
+  readonly dirty: Set<activeJob.ActiveJob>;
+  add(job: activeJob.ActiveJob): void;
+  /** Opens what is due. */
+  moveOn(
+    job: activeJob.ActiveJob,
+    now: types.clock.MonotonicMs,
+    wall: types.clock.WallMs,
+  ): void;
+  /** Ends a job: what still runs of it is stopped. */
+  finishJob(
+    job: activeJob.ActiveJob,
+    phase: 'completed' | 'failed' | 'cancelled',
+  ): void;
+  /** Has a run stopped; it keeps its room until its end is known. */
+  stop(run: activeJob.Run): void;
+  /** Puts a task back into line, with its gang if it has one. */
+  requeue(stepRun: activeJob.StepRun, index: number): void;
+  dropRun(run: activeJob.Run): void;
+  /** Notes whether the step has tasks that wait. */
+  noteWaiting(stepRun: activeJob.StepRun): void;
+  /** A task, or its gang, runs already. */
+  takeOutOfLine(stepRun: activeJob.StepRun, index: number): void;
+  breakPartialGangs(job: activeJob.ActiveJob): void;
+  /** The task of a job that isn't over, if its step is known. */
+  stepRunOf(taskId: types.ids.TaskId): TaskOwner | undefined;
+  /** Runs to be stopped, handed over once. */
+  takeStops(): activeJob.Run[];
+}
+
+/** Creates an empty book. */
+export function createJobBook(parts: JobBookParts): JobBook {
+  const jobs = new Map<types.ids.JobId, activeJob.ActiveJob>();
+  const waiting = new Set<activeJob.StepRun>();
+  const scheduled = new Set<activeJob.ActiveJob>();
+  const dirty = new Set<activeJob.ActiveJob>();
+  let stops: activeJob.Run[] = [];
+
+  function stop(run: activeJob.Run): void {
+    if (run.phase === 'stopping') return;
+    run.phase = 'stopping';
+    run.confirmedAt = undefined;
+    stops.push(run);
+  }
+
+  function noteWaiting(stepRun: activeJob.StepRun): void {
+    const over = jobProgress.isOver(stepRun.job.phase);
+    if (stepRun.waiting.length > 0 && !over) waiting.add(stepRun);
+    else waiting.delete(stepRun);
+  }
+
+  function moveOn(
+    job: activeJob.ActiveJob,
+    now: types.clock.MonotonicMs,
+    wall: types.clock.WallMs,
+  ): void {
+    for (const opened of jobSteps.openDue(job, now, wall)) noteWaiting(opened);
+  }
+
+  function finishJob(
+    job: activeJob.ActiveJob,
+    phase: 'completed' | 'failed' | 'cancelled',
+  ): void {
+    job.phase = phase;
+    dirty.add(job);
+    jobs.delete(job.id);
+    scheduled.delete(job);
+    parts.health.forgetJob(job.id);
+    for (const occurrence of job.open.values()) {
+      for (const stepRun of occurrence.steps) {
+        waiting.delete(stepRun);
+        for (const run of stepRun.runs) stop(run);
+      }
+    }
+    parts.onEvent({type: 'job_over', job: job.id, phase});
+  }
+
+  /** Breaks a gang up: without one member the others can't work. */
+  function breakGang(stepRun: activeJob.StepRun): void {
+    for (const run of stepRun.runs) stop(run);
+  }
+
+  /** A gang that was found in part has lost members with their workers. */
+  function breakPartialGangs(job: activeJob.ActiveJob): void {
+    for (const occurrence of job.open.values()) {
+      for (const stepRun of occurrence.steps) {
+        const {gang, taskCount} = stepRun.request;
+        const found = stepRun.runs.size;
+        if (gang && found > 0 && found < taskCount) breakGang(stepRun);
+      }
+    }
+  }
+
+  function requeue(stepRun: activeJob.StepRun, index: number): void {
+    if (stepRun.request.gang && stepRun.state === 'open') breakGang(stepRun);
+    jobSteps.requeue(stepRun, index);
+    noteWaiting(stepRun);
+  }
+
+  /** A run is over without a word on how: its task waits again. */
+  function dropRun(run: activeJob.Run): void {
+    parts.runs.remove(run);
+    if (run.owner !== undefined) requeue(run.owner.stepRun, run.owner.index);
+  }
+
+  function stepRunOf(taskId: types.ids.TaskId): TaskOwner | undefined {
+    const place = taskIds.placeOf(taskId);
+    if (place === undefined) return undefined;
+    const occurrence = jobs.get(place.jobId)?.open.get(place.occurrence);
+    const stepRun = occurrence?.steps[place.step];
+    if (stepRun === undefined) return undefined;
+    return {stepRun, index: place.index};
+  }
+
+  function takeOutOfLine(stepRun: activeJob.StepRun, index: number): void {
+    stepRun.waiting = stepRun.request.gang
+      ? []
+      : stepRun.waiting.filter((waitingIndex) => waitingIndex !== index);
+    noteWaiting(stepRun);
+  }
+
+  return {
+    jobs,
+    waiting,
+    scheduled,
+    dirty,
+    add(job) {
+      jobs.set(job.id, job);
+      scheduled.add(job);
+    },
+    moveOn,
+    finishJob,
+    stop,
+    requeue,
+    dropRun,
+    noteWaiting,
+    takeOutOfLine,
+    breakPartialGangs,
+    stepRunOf,
+    takeStops() {
+      const taken = stops;
+      stops = [];
+      return taken;
+    },
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/report_reader.ts
@@ -0,0 +1,244 @@
+/**
+ * Reads what a worker tells of itself into the books: ends, progress, runs
+ * that an earlier scheduler started, and runs that aren't there any more.
+ */
+import * as types from '@gypsumwall/types';
+import * as activeJob from './active_job.js';
+import * as chooseWorker from './choose_worker.js';
+import type * as jobBooks from './job_book.js';
+import * as jobProgress from './job_progress.js';
+import * as jobSteps from './job_steps.js';
+import type * as runTable from './run_table.js';
+import type * as schedulerTypes from './scheduler_types.js';
+import * as stallWatch from './stall_watch.js';
+import type * as workerBook from './worker_book.js';
+import type * as workerHealth from './worker_health.js';
+
+/** What a reader works on. */
+export interface ReportReaderParts {
+  readonly book: workerBook.WorkerBook;
+  readonly runs: runTable.RunTable;
+  readonly health: workerHealth.WorkerHealth;
+  readonly jobBook: jobBooks.JobBook;
+  readonly onEvent: (event: schedulerTypes.SchedulerEvent) => void;
+}
+
+/** Reads reports. */
+export type ReportReader = (
+  report: schedulerTypes.WorkerReport,
+  now: types.clock.MonotonicMs,
+) => void;
+
+/** Creates the reader of a scheduler. */
+export function createReportReader(parts: ReportReaderParts): ReportReader {
+  const {book, runs, health, jobBook} = parts;
+
+  function applyEnd(
+    workerId: types.ids.WorkerId,
+    row: schedulerTypes.EndRow,
+    now: types.clock.MonotonicMs,
+  ): void {
+    const run = runs.find(row.taskId, row.attempt, workerId);
+    if (run !== undefined) runs.remove(run);
+    parts.onEvent({
+      type: 'run_ended',
+      run: row.taskId,
+      attempt: row.attempt,
+      worker: workerId,
+      how: row.how,
+    });
+    const owner = run?.owner ?? jobBook.stepRunOf(row.taskId);
+    if (owner === undefined) return;
+    const {stepRun, index} = owner;
+    keepCheckpoint(stepRun, index, row.checkpoint);
+    switch (row.how) {
+      case 'done':
+        applyDone(stepRun, index, workerId);
+        return;
+      case 'failed':
+        applyFailed(stepRun, index, row.attempt, workerId, now);
+        return;
+      case 'stopped':
+      case 'lapsed':
+      case 'broken':
+      case 'alone':
+        if (run !== undefined) jobBook.requeue(stepRun, index);
+        return;
+    }
+  }
+
+  function applyDone(
+    stepRun: activeJob.StepRun,
+    index: number,
+    workerId: types.ids.WorkerId,
+  ): void {
+    const {job} = stepRun;
+    health.noteDone(workerId, job.id);
+    if (stepRun.request.longRunning) {
+      jobBook.requeue(stepRun, index);
+      return;
+    }
+    if (stepRun.state === 'done' || stepRun.done.has(index)) return;
+    jobSteps.markDone(stepRun, index);
+    jobBook.noteWaiting(stepRun);
+    for (const run of stepRun.runs) {
+      // Members of a gang end together by themselves; copies don't.
+      if (!stepRun.request.gang && run.owner?.index === index)
+        jobBook.stop(run);
+    }
+    jobBook.dirty.add(job);
+    if (job.phase === 'completed') jobBook.finishJob(job, 'completed');
+    else jobBook.scheduled.add(job);
+  }
+
+  function applyFailed(
+    stepRun: activeJob.StepRun,
+    index: number,
+    attempt: number,
+    workerId: types.ids.WorkerId,
+    now: types.clock.MonotonicMs,
+  ): void {
+    const {job} = stepRun;
+    health.noteFailed(workerId, job.id, now);
+    if (stepRun.state === 'done' || jobProgress.isOver(job.phase)) return;
+    const spent = jobSteps.countFailure(stepRun, index, attempt);
+    jobBook.dirty.add(job);
+    if (spent) jobBook.finishJob(job, 'failed');
+    else jobBook.requeue(stepRun, index);
+  }
+
+  function keepCheckpoint(
+    stepRun: activeJob.StepRun,
+    index: number,
+    checkpoint: string,
+  ): void {
+    if (checkpoint === '') return;
+    stepRun.saved.set(activeJob.countKey(stepRun, index), checkpoint);
+  }
+
+  function applyRow(
+    workerId: types.ids.WorkerId,
+    row: schedulerTypes.RunningRow,
+    now: types.clock.MonotonicMs,
+  ): void {
+    const run = runs.find(row.taskId, row.attempt, workerId);
+    if (run === undefined) {
+      adopt(workerId, row, now);
+      return;
+    }
+    if (run.percent !== row.percent) {
+      run.percent = row.percent;
+      run.percentChangedAt = now;
+    }
+    if (run.owner !== undefined) {
+      keepCheckpoint(run.owner.stepRun, run.owner.index, row.checkpoint);
+    }
+  }
+
+  /**
+   * Takes over a run that an earlier scheduler started. What is no task of
+   * ours any more is stopped, and takes room until its end is told.
+   */
+  function adopt(
+    workerId: types.ids.WorkerId,
+    row: schedulerTypes.RunningRow,
+    now: types.clock.MonotonicMs,
+  ): void {
+    const owner = jobBook.stepRunOf(row.taskId);
+    const wanted = owner !== undefined && isWanted(owner, row.attempt);
+    const worker = book.workers.get(workerId);
+    const size =
+      owner === undefined
+        ? (worker?.info.capacity ?? types.resources.NO_RESOURCES)
+        : chooseWorker.bookedSize(owner.stepRun);
+    const stepRunId = owner?.stepRun.id ?? 'stray';
+    const run: activeJob.Run = {
+      taskId: row.taskId,
+      attempt: row.attempt,
+      workerId,
+      owner,
+      size,
+      stepRunId,
+      phase: 'running',
+      confirmedAt: now,
+      percent: row.percent,
+      percentChangedAt: now,
+    };
+    runs.add(run);
+    book.book(workerId, stepRunId, size);
+    if (owner === undefined) {
+      jobBook.stop(run);
+      return;
+    }
+    noteAttempt(owner.stepRun, owner.index, row.attempt);
+    keepCheckpoint(owner.stepRun, owner.index, row.checkpoint);
+    if (wanted) jobBook.takeOutOfLine(owner.stepRun, owner.index);
+    else jobBook.stop(run);
+  }
+
+  function isWanted(owner: jobBooks.TaskOwner, attempt: number): boolean {
+    const {stepRun, index} = owner;
+    // It was started once the steps before it were done, whose ends may not
+    // have been heard here yet.
+    if (stepRun.state === 'done' || stepRun.done.has(index)) return false;
+    const {gang} = stepRun.request;
+    for (const run of stepRun.runs) {
+      if (gang ? run.attempt !== attempt : run.owner?.index === index) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  function noteAttempt(
+    stepRun: activeJob.StepRun,
+    index: number,
+    attempt: number,
+  ): void {
+    const key = activeJob.countKey(stepRun, index);
+    const highest = stepRun.attempts.get(key) ?? 0;
+    stepRun.attempts.set(key, Math.max(highest, attempt));
+  }
+
+  function findVanished(report: schedulerTypes.WorkerReport): void {
+    const listed = new Set(
+      report.running.map((row) => `${row.taskId}#${row.attempt}`),
+    );
+    for (const run of [...runs.ofWorker(report.workerId)]) {
+      if (listed.has(`${run.taskId}#${run.attempt}`)) continue;
+      const confirmed = run.confirmedAt;
+      if (confirmed === undefined || confirmed >= report.askedAt) continue;
+      parts.onEvent({
+        type: 'run_ended',
+        run: run.taskId,
+        attempt: run.attempt,
+        worker: run.workerId,
+        how: 'vanished',
+      });
+      jobBook.dropRun(run);
+    }
+  }
+
+  function handleStall(
+    workerId: types.ids.WorkerId,
+    now: types.clock.MonotonicMs,
+  ): void {
+    const stall = stallWatch.findStall(runs.ofWorker(workerId), now);
+    if (stall === undefined) return;
+    parts.onEvent({
+      type: 'worker_stalled',
+      worker: workerId,
+      runs: stall.runs.length,
+      blamed: stall.blamesWorker,
+    });
+    if (stall.blamesWorker) health.noteStalled(workerId, now);
+    for (const run of stall.runs) jobBook.stop(run);
+  }
+
+  return (report, now) => {
+    for (const end of report.ends) applyEnd(report.workerId, end, now);
+    for (const row of report.running) applyRow(report.workerId, row, now);
+    if (report.complete) findVanished(report);
+    handleStall(report.workerId, now);
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -0,0 +1,167 @@
+/** What a scheduler is told, what it decides, and what it tells the log. */
+import type * as types from '@gypsumwall/types';
+import type * as activeJob from './active_job.js';
+import type * as jobProgress from './job_progress.js';
+import type * as jobRequest from './job_request.js';
+import type * as jobSteps from './job_steps.js';
+import type * as workerBook from './worker_book.js';
+
+/** A start to be sent to a worker. */
+export interface StartOrder {
+  readonly run: activeJob.Run;
+  readonly payload: string;
+  readonly checkpoint?: string;
+  readonly ticket?: string;
+}
+
+/** A question to the adviser. */
+export interface AdviceWish {
+  readonly stepRun: activeJob.StepRun;
+  readonly workers: types.ids.WorkerId[];
+  /** How long the adviser will take, in milliseconds. */
+  readonly callMs: number;
+}
+
+/** What is to be done now. */
+export interface Decisions {
+  readonly starts: StartOrder[];
+  readonly advice: AdviceWish[];
+}
+
+/** How a start order was answered. */
+export type StartOutcome =
+  | {readonly type: 'started'}
+  /** Surely never runs. */
+  | {readonly type: 'refused'; readonly reason: RefusalReason}
+  /** May run, now or later. */
+  | {readonly type: 'unknown'};
+
+/** Why a worker refused a start. */
+export type RefusalReason =
+  'bad_ticket' | 'superseded' | 'no_room' | 'unhealthy' | 'other';
+
+/** A run as a worker lists it. */
+export interface RunningRow {
+  readonly taskId: types.ids.TaskId;
+  readonly attempt: number;
+  /** Saved progress; empty if there is none. */
+  readonly checkpoint: string;
+  readonly percent: number;
+}
+
+/** An end as a worker lists it. */
+export interface EndRow {
+  /** Rises by one with each end of the worker's stay. */
+  readonly sequence: number;
+  readonly taskId: types.ids.TaskId;
+  readonly attempt: number;
+  readonly how: jobSteps.RunEnd;
+  readonly checkpoint: string;
+}
+
+/** What a worker told of itself. */
+export interface WorkerReport {
+  readonly workerId: types.ids.WorkerId;
+  readonly askedAt: types.clock.MonotonicMs;
+  readonly running: readonly RunningRow[];
+  /** Ends that weren't handed in before. */
+  readonly ends: readonly EndRow[];
+  /** Whether `running` and the ends heard so far are all there is. */
+  readonly complete: boolean;
+}
+
+/** A job whose progress has to be stored. */
+export interface DirtyJob {
+  readonly jobId: types.ids.JobId;
+  readonly queue: string;
+  readonly progress: jobProgress.JobProgress;
+}
+
+/** The scheduler of one cell. */
+export interface Scheduler {
+  readonly book: workerBook.WorkerBook;
+  /** Takes a job up; its runs are looked for in reports from then on. */
+  addJob(
+    start: Omit<jobSteps.JobStart, 'arrival'>,
+    now: types.clock.MonotonicMs,
+    wall: types.clock.WallMs,
+  ): void;
+  hasJob(id: types.ids.JobId): boolean;
+  /** Takes over what the operator has set for queues since. */
+  updatePolicies(
+    policyOf: (queue: string) => jobRequest.QueuePolicy | undefined,
+  ): void;
+  cancelJob(id: types.ids.JobId): void;
+  putWorker(info: workerBook.WorkerInfo): void;
+  /** Its stay is surely over: nothing runs there any more. */
+  workerGone(id: types.ids.WorkerId, now: types.clock.MonotonicMs): void;
+  /** Its lease has surely passed; it may come back, with nothing running. */
+  leasePassed(id: types.ids.WorkerId, now: types.clock.MonotonicMs): void;
+  setUsable(id: types.ids.WorkerId, usable: boolean): void;
+  /** Stops all that runs on a worker that is about to leave. */
+  evacuate(id: types.ids.WorkerId): void;
+  /** A worker was accounted for: jobs that were held back may go on. */
+  workerAccounted(): void;
+  decide(now: types.clock.MonotonicMs, wall: types.clock.WallMs): Decisions;
+  startAnswered(
+    run: activeJob.Run,
+    outcome: StartOutcome,
+    now: types.clock.MonotonicMs,
+  ): void;
+  stopAnswered(run: activeJob.Run, now: types.clock.MonotonicMs): void;
+  report(report: WorkerReport, now: types.clock.MonotonicMs): void;
+  adviceAnswered(
+    wish: AdviceWish,
+    approved: ReadonlyMap<types.ids.WorkerId, string> | undefined,
+    validUntil: types.clock.MonotonicMs,
+  ): void;
+  /** Runs to stop, handed over once. */
+  takeStops(): activeJob.Run[];
+  /** Jobs to store, handed over once. */
+  takeDirty(): DirtyJob[];
+  /** The jobs' progress stands in the store. */
+  stored(jobs: readonly DirtyJob[]): void;
+  counts(): SchedulerCounts;
+}
+
+/** For gauges. */
+export interface SchedulerCounts {
+  readonly jobs: number;
+  readonly runs: number;
+  readonly waitingSteps: number;
+}
+
+/** What a scheduler is made with. */
+export interface SchedulerOptions {
+  /** Attempts of this scheduler are numbered above it. */
+  readonly attemptBase: number;
+  /**
+   * Whether it is known what runs on a worker that an earlier scheduler used:
+   * it has answered since, or can't run anything any more.
+   */
+  readonly isAccounted: (worker: types.ids.WorkerId) => boolean;
+  /** Told of each decision that touches a task, for the log. */
+  readonly onEvent: (event: SchedulerEvent) => void;
+}
+
+/** A decision or a change of belief. */
+export type SchedulerEvent =
+  | {
+      readonly type: 'run_ended';
+      readonly run: types.ids.TaskId;
+      readonly attempt: number;
+      readonly worker: types.ids.WorkerId;
+      readonly how: jobSteps.RunEnd | 'vanished' | 'refused';
+      readonly reason?: RefusalReason;
+    }
+  | {
+      readonly type: 'job_over';
+      readonly job: types.ids.JobId;
+      readonly phase: jobProgress.JobPhase;
+    }
+  | {
+      readonly type: 'worker_stalled';
+      readonly worker: types.ids.WorkerId;
+      readonly runs: number;
+      readonly blamed: boolean;
+    };
