--- a/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
@@ -4,6 +4,7 @@
 import * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import * as cellEntry from '../cell_entry.js';
+import type * as cellEntryTypes from '../cell_entry_types.js';
 import * as fakeLogs from './fake_log.js';
 import * as fakeWorkers from './fake_worker.js';
 
@@ -51,7 +52,7 @@
   readonly store: FakeStore;
   addWorker(name: string, cores: number): Promise<fakeWorkers.FakeWorker>;
   /** Starts an entry; `view` may give it logs of its own troubles. */
-  addEntry(instance: string, view?: FakeStore): cellEntry.CellEntry;
+  addEntry(instance: string, view?: FakeStore): cellEntryTypes.CellEntry;
   stop(): void;
 }
 
@@ -64,7 +65,7 @@
     workers: fakeLogs.createFakeLog('workers'),
   };
   const workers = new Map<string, fakeWorkers.FakeWorker>();
-  const entries: cellEntry.CellEntry[] = [];
+  const entries: cellEntryTypes.CellEntry[] = [];
   let processes = 0;
 
   return {
--- a/packages/gypsumwall-cell/src/__tests__/cell_entry.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/cell_entry.test.ts
@@ -3,13 +3,13 @@
 import * as types from '@gypsumwall/types';
 import * as worlds from '../__fixtures__/cell_world.js';
 import type * as fakeWorkers from '../__fixtures__/fake_worker.js';
-import type * as cellEntry from '../cell_entry.js';
+import type * as cellEntryTypes from '../cell_entry_types.js';
 
 const {test} = nodeTest;
 const id = (text: string) => types.ids.brand<types.ids.JobId>(text);
 
 async function submitted(
-  entry: cellEntry.CellEntry,
+  entry: cellEntryTypes.CellEntry,
   name: string,
   taskCount = 1,
 ): Promise<void> {
@@ -23,7 +23,7 @@
 }
 
 async function phase(
-  entry: cellEntry.CellEntry,
+  entry: cellEntryTypes.CellEntry,
   name: string,
 ): Promise<string> {
   const answer = await entry.desk.phaseOf(id(name), worlds.POLICY.queue);
@@ -32,7 +32,7 @@
 
 /** Waits until the entry tells the phase: entries read the log with a lag. */
 async function becomes(
-  entry: cellEntry.CellEntry,
+  entry: cellEntryTypes.CellEntry,
   name: string,
   expected: string,
 ): Promise<void> {
--- /dev/null
+++ b/packages/gypsumwall-cell/src/__tests__/relaying_desk.test.ts
@@ -0,0 +1,86 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import * as worlds from '../__fixtures__/cell_world.js';
+import type * as frontDesk from '../front_desk.js';
+import type * as peerDirectory from '../peer_directory.js';
+import * as relayingDesks from '../relaying_desk.js';
+
+const {test} = nodeTest;
+const id = types.ids.brand<types.ids.JobId>('job');
+
+interface Situation {
+  readonly own: frontDesk.DeskAnswer<undefined>;
+  readonly relayed: peerDirectory.RelayOutcome;
+  readonly reachable: boolean;
+  readonly latencyMs?: number;
+}
+
+async function submit(
+  situation: Situation,
+): Promise<{readonly type: string; readonly asked: string[]}> {
+  const asked: string[] = [];
+  const own: frontDesk.FrontDesk = {
+    submit: () => {
+      asked.push('own');
+      return Promise.resolve(situation.own);
+    },
+    cancel: () => Promise.resolve(situation.own),
+    phaseOf: () => Promise.resolve({type: 'absent'}),
+    pendingIn: () => 0,
+    storeLatencyMs: () => situation.latencyMs ?? 5,
+  };
+  const peers: peerDirectory.PeerDirectory = {
+    apply: () => {},
+    advisers: () => new Map(),
+    close: () => {},
+    relay: (_req, patience) => {
+      asked.push(patience.onlyPreferred ? 'holder' : 'any peer');
+      return Promise.resolve(situation.relayed);
+    },
+  };
+  const desk = relayingDesks.createRelayingDesk({
+    own,
+    peers,
+    clock: types.clock.createSystemClock(),
+    logger: telemetry.logger.createLogger('silent'),
+    storeReachable: () => situation.reachable,
+    holder: () => 'other',
+  });
+  const {type} = await desk.submit(id, worlds.POLICY, worlds.request(1));
+  return {type, asked};
+}
+
+const REFUSED = {type: 'not_run', retryAfterMs: 1_000} as const;
+const OK = {type: 'ok', value: undefined} as const;
+const PEER_OK = {type: 'answered', res: OK} as const;
+
+test('a call is answered by a peer while the store turns this entry away', async () => {
+  const answer = await submit({
+    own: REFUSED,
+    relayed: PEER_OK,
+    reachable: false,
+  });
+  assert.deepEqual(answer, {type: 'ok', asked: ['any peer']});
+});
+
+// The caller is told that nothing ran, and the job runs. A peer had got the
+// call and its answer was lost; then the own desk refused.
+test('a call that a peer may have done is not told as refused', async () => {
+  const relayed = {type: 'unanswered', mayStand: true} as const;
+  const answer = await submit({own: REFUSED, relayed, reachable: false});
+  assert.equal(answer.type, 'unknown');
+  const sure = {type: 'unanswered', mayStand: false} as const;
+  const refused = await submit({own: REFUSED, relayed: sure, reachable: false});
+  assert.equal(refused.type, 'not_run');
+});
+
+// Load: a store ninety times slower than usual takes 0.7 s for an append and
+// handles those of a log one by one; seven entries made a line of 2.5 s.
+test("calls share the holder's appends while the store is slow", async () => {
+  const slow = {own: OK, relayed: PEER_OK, reachable: true, latencyMs: 700};
+  assert.deepEqual(await submit(slow), {type: 'ok', asked: ['holder']});
+  const quick = {own: OK, relayed: PEER_OK, reachable: true};
+  assert.deepEqual(await submit(quick), {type: 'ok', asked: ['own']});
+});
--- a/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
@@ -8,6 +8,8 @@
 import * as fakeLogs from '../__fixtures__/fake_log.js';
 import * as cellWriter from '../cell_writer.js';
 import type * as claimView from '../claim_view.js';
+import * as freshJobs from '../fresh_jobs.js';
+import * as hedge from '../hedge.js';
 import * as jobTable from '../job_table.js';
 import * as logFollower from '../log_follower.js';
 import type * as ports from '../ports.js';
@@ -206,6 +208,60 @@
   assert.equal(watch.lastNoticedAt(), 1_510);
 });
 
+// An old holder is cut off from the store's appends and still reads. It must
+// not start a job that its successor starts as well.
+test('a job read in doubt waits for a later confirmation', () => {
+  let now = 10_000;
+  let confirmed = 9_900;
+  const taken: string[] = [];
+  const jobs = freshJobs.createFreshJobs({
+    clock: {
+      monotonic: () => at(now),
+      wall: () => now as types.clock.WallMs,
+      sleepUntil: () => Promise.resolve(),
+    },
+    confirmedAt: () => at(confirmed),
+    takeUp: (entry) => taken.push(entry.id),
+  });
+  const entry = (name: string) => ({id: job(name)}) as jobTable.JobEntry;
+  jobs.add(entry('sure'));
+  now += takeOver.FRESH_MS;
+  jobs.add(entry('doubt'));
+  jobs.tick();
+  assert.deepEqual(taken, ['sure']);
+  confirmed = now + 1;
+  jobs.tick();
+  assert.deepEqual(taken, ['sure', 'doubt']);
+});
+
+// At a store that loses a third of its answers a call is sent again soon; at
+// one that is slow it isn't, since that made a line at which it refused all.
+test('a call is sent again only while reads come back quickly', async () => {
+  for (const [quick, expected] of [
+    [true, 2],
+    [false, 1],
+  ] as const) {
+    const pulse = storePulse.createStorePulse();
+    const hedger = hedge.createHedger(clock, pulse);
+    let calls = 0;
+    const call = () => {
+      calls++;
+      const tookMs = calls === 1 ? 300 : 1;
+      setTimeout(() => {
+        const now = clock.monotonic();
+        if (quick) pulse.noteRead(now, types.clock.after(now, 5));
+      }, 20);
+      return new Promise<result.Result<string, types.stepError.StepError>>(
+        (resolve) => setTimeout(() => resolve(result.ok('done')), tookMs),
+      );
+    };
+    const until = types.clock.after(clock.monotonic(), 2_000);
+    const answer = await hedger.hedged({call, until});
+    assert.ok(result.isOk(answer));
+    assert.equal(calls, expected);
+  }
+});
+
 function table(): jobTable.JobTable {
   return jobTable.createJobTable({onAdded: () => {}, onCancelled: () => {}});
 }
--- /dev/null
+++ b/packages/gypsumwall-cell/src/advice_caller.ts
@@ -0,0 +1,69 @@
+/** Has the adviser asked, by whichever entry has the shortest line. */
+import * as result from 'true-myth/result';
+import * as scheduling from '@gypsumwall/scheduling';
+import type * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import type * as ports from './ports.js';
+
+/** Time given to the adviser beside its own; milliseconds. */
+const ADVICE_SLACK_MS = 1_500;
+/** An approval's age when it arrives through a peer, at most; milliseconds. */
+const ADVICE_TRANSIT_MS = 40;
+/** What a caller works on. */
+export interface AdviceCallerParts {
+  readonly scheduler: scheduling.schedulerTypes.Scheduler;
+  /** Entries that may ask the adviser now, the own one among them. */
+  readonly advisers: () => ReadonlyMap<string, ports.Adviser>;
+  readonly clock: types.clock.Clock;
+  readonly logger: telemetry.logger.Logger;
+  readonly onAnswer: () => void;
+}
+
+/** Asks for one wish of the scheduler and tells it the answer. */
+export type AdviceCaller = (
+  wish: scheduling.schedulerTypes.AdviceWish,
+) => Promise<void>;
+
+/** Creates the caller of a holder. */
+export function createAdviceCaller(parts: AdviceCallerParts): AdviceCaller {
+  const {scheduler, clock, logger} = parts;
+  const lanes = scheduling.adviceLanes.createAdviceLanes<string>();
+
+  async function askAdviser(
+    wish: scheduling.schedulerTypes.AdviceWish,
+  ): Promise<void> {
+    const {stepRun, workers, callMs} = wish;
+    const advisers = parts.advisers();
+    const lane = lanes.take([...advisers.keys()], callMs);
+    const adviser = lane === undefined ? undefined : advisers.get(lane);
+    if (lane === undefined || adviser === undefined) {
+      const never = 0 as types.clock.MonotonicMs;
+      scheduler.adviceAnswered(wish, undefined, never);
+      return;
+    }
+    const askedAt = clock.monotonic();
+    const timeoutMs = callMs * 2 + ADVICE_SLACK_MS;
+    const answer = await adviser.ask(stepRun.id, workers, timeoutMs);
+    lanes.finish(lane, callMs);
+    const now = clock.monotonic();
+    const validMs = stepRun.job.policy.advice?.validMs ?? 0;
+    scheduler.adviceAnswered(
+      wish,
+      result.isOk(answer) ? answer.value : undefined,
+      types.clock.after(now, validMs - ADVICE_TRANSIT_MS),
+    );
+    logger.info('advice_answered', {
+      step: stepRun.id,
+      by: lane,
+      named: workers.length,
+      approved: result.isOk(answer) ? answer.value.size : undefined,
+      tookMs: Math.round(now - askedAt),
+      error: result.isErr(answer)
+        ? types.stepError.describeError(answer.error)
+        : undefined,
+    });
+    parts.onAnswer();
+  }
+
+  return askAdviser;
+}
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -4,11 +4,13 @@
  */
 import * as result from 'true-myth/result';
 import type * as scheduling from '@gypsumwall/scheduling';
-import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
+import type * as cellEntryTypes from './cell_entry_types.js';
 import * as cellHolder from './cell_holder.js';
+import type * as cellHolderTypes from './cell_holder_types.js';
 import * as cellStates from './cell_state.js';
 import * as claimView from './claim_view.js';
+import * as election from './election.js';
 import * as frontDesk from './front_desk.js';
 import * as jobTables from './job_table.js';
 import * as logFollower from './log_follower.js';
@@ -17,14 +19,8 @@
 import * as relayingDesk from './relaying_desk.js';
 import * as storePulse from './store_pulse.js';
 import * as storeRecords from './store_records.js';
-import * as takeOver from './take_over.js';
+import * as tidying from './tidying.js';
 
-/** How often it is looked whether the cell may be taken; milliseconds. */
-const ELECTION_TICK_MS = 50;
-/** Entries try to take the cell this far apart, by chance; milliseconds. */
-const ELECTION_SPREAD_MS = 120;
-/** Time given to the append of a claim; milliseconds. */
-const CLAIM_TIMEOUT_MS = 600;
 /**
  * A reader that waits for no single record reads this seldom. Each read is
  * paid for, and callers hear of an end half of this later; milliseconds.
@@ -40,80 +36,22 @@
 const CONFIG_PAUSE_MS = 100;
 /** The holder reads new jobs almost at once; milliseconds. */
 const HOLDER_PAUSE_MS = 6;
-/**
- * How often requests of jobs that are over are dropped from the store: an
- * entry that starts loads what is left, at a millisecond a job; milliseconds.
- */
-const TIDY_MS = 1_000;
+/** Time given to the append of an entry's own record; milliseconds. */
+const REGISTER_TIMEOUT_MS = 600;
 /** How long an entry waits before it registers again; milliseconds. */
 const REGISTER_RETRY_MS = 300;
 
-/** What an entry is made with. */
-export interface CellEntryOptions {
-  readonly self: {
-    /** This process; a restarted one has another. */
-    readonly entryId: types.ids.EntryId;
-    /** The instance it runs on. */
-    readonly instance: string;
-    readonly domain: types.ids.FailureDomain;
-    readonly peerAddress: string;
-  };
-  readonly logs: {
-    readonly jobs: ports.KeyedLog;
-    readonly cell: ports.KeyedLog;
-    readonly config: ports.KeyedLog;
-    readonly workers: ports.KeyedLog;
-  };
-  /** Reads a record of the configuration's log; undefined: of other use. */
-  readonly decodeConfig: (
-    key: string,
-    value: string,
-  ) => result.Result<ports.CellConfig | undefined, string>;
-  readonly decodeWorker: cellHolder.CellHolderOptions['decodeWorker'];
-  readonly connect: cellHolder.CellHolderOptions['connect'];
-  readonly adviser: ports.Adviser;
-  readonly leaseMs: number;
-  /** How long the state of a job that is over can be asked for. */
-  readonly keepOverMs: number;
-  readonly clock: types.clock.Clock;
-  readonly random: types.random.Random;
-  readonly logger: telemetry.logger.Logger;
-}
-
-/** One entry. */
-export interface CellEntry {
-  /** For callers. */
-  readonly desk: frontDesk.FrontDesk;
-  /** For peers: hands nothing on. */
-  readonly ownDesk: frontDesk.FrontDesk;
-  /** The newest configuration; undefined before the first. */
-  config(): ports.CellConfig | undefined;
-  /** Whether callers can be served. */
-  isReady(): boolean;
-  start(): void;
-  /** Hands over what it holds; callers are served on. */
-  leave(): Promise<void>;
-  stop(): void;
-  status(): EntryStatus;
-}
-
-/** For gauges and people. */
-export interface EntryStatus {
-  readonly holdsCell: boolean;
-  readonly configVersion: number | undefined;
-  readonly storeReachable: boolean;
-  readonly scheduler: scheduling.schedulerTypes.SchedulerCounts | undefined;
-}
-
 /** Creates an entry that does nothing before it is started. */
-export function createCellEntry(options: CellEntryOptions): CellEntry {
+export function createCellEntry(
+  options: cellEntryTypes.CellEntryOptions,
+): cellEntryTypes.CellEntry {
   const {self, logs, clock, logger} = options;
   const stopping = new AbortController();
   const state = cellStates.createCellState();
   const pulse = storePulse.createStorePulse();
   const peers = peerDirectory.createPeerDirectory(self.instance, clock);
   let config: ports.CellConfig | undefined;
-  let holder: cellHolder.CellHolder | undefined;
+  let holder: cellHolderTypes.CellHolder | undefined;
   let leaving = false;
   let lastRecordAt = clock.monotonic();
   let reachableAt = clock.monotonic();
@@ -296,57 +234,6 @@
     await clock.sleepUntil(until, stopping.signal);
   }
 
-  function vacancy(): takeOver.Vacancy | undefined {
-    if (holder !== undefined) return undefined;
-    return takeOver.vacancyOf({
-      claim: state.claim(),
-      self,
-      lastRecordAt,
-      reachableSince: cellFollower.reachableSince(),
-      leaving,
-      now: clock.monotonic(),
-    });
-  }
-
-  async function runElections(): Promise<void> {
-    while (!stopping.signal.aborted) {
-      await sleep(ELECTION_TICK_MS);
-      if (vacancy() === undefined) continue;
-      await sleep(options.random.next() * ELECTION_SPREAD_MS);
-      const reason = vacancy();
-      if (reason !== undefined) await claimCell(reason);
-    }
-  }
-
-  async function claimCell(reason: takeOver.Vacancy): Promise<void> {
-    const position = cellFollower.position();
-    if (position === undefined) return;
-    const before = state.claim();
-    const claim: storeRecords.ClaimRecord = {
-      holder: self.entryId,
-      instance: self.instance,
-      generation: before === undefined ? 0 : before.generation + 1,
-      state: 'held',
-    };
-    const answer = await logs.cell.append(
-      [storeRecords.encode({kind: 'claim', claim})],
-      {
-        onlyAt: position,
-        fence: {epoch: position + 1, sequence: 0},
-        timeoutMs: CLAIM_TIMEOUT_MS,
-      },
-    );
-    logger.info('claim_sent', {
-      reason,
-      at: position,
-      outcome: result.isOk(answer)
-        ? answer.value.type
-        : types.stepError.describeError(answer.error),
-    });
-    // Whether it stands is read from the log, also if the answer was lost.
-    await cellFollower.catchUp();
-  }
-
   async function register(): Promise<void> {
     const {entryId, domain, peerAddress: address} = self;
     const entry = {entryId, domain, address};
@@ -357,7 +244,7 @@
     });
     while (!stopping.signal.aborted) {
       const answer = await logs.jobs.append([record], {
-        timeoutMs: CLAIM_TIMEOUT_MS,
+        timeoutMs: REGISTER_TIMEOUT_MS,
       });
       if (result.isOk(answer)) return;
       logger.warn('register_failed', {
@@ -367,51 +254,6 @@
     }
   }
 
-  /** Drops from the store what nobody will ask for. */
-  async function runTidying(): Promise<void> {
-    while (!stopping.signal.aborted) {
-      await sleep(TIDY_MS);
-      if (holder === undefined) continue;
-      const before = types.clock.after(clock.monotonic(), -options.keepOverMs);
-      await dropRequests(holder.takeEnded());
-      await dropJobs(jobs.overBefore(before), holder);
-    }
-  }
-
-  async function dropRequests(ids: types.ids.JobId[]): Promise<void> {
-    await appendToJobs(
-      ids.map((jobId) => ({kind: 'job', jobId, job: undefined})),
-    );
-  }
-
-  async function dropJobs(
-    ids: readonly types.ids.JobId[],
-    by: cellHolder.CellHolder,
-  ): Promise<void> {
-    const records = ids.flatMap((jobId): storeRecords.StoreRecord[] => [
-      {kind: 'job', jobId, job: undefined},
-      {kind: 'cancel', jobId, dropped: true},
-    ]);
-    // Progress goes last: without it the job would look as if never begun.
-    if (await appendToJobs(records)) await by.dropProgress(ids);
-  }
-
-  /** True if there was something and it stands. */
-  async function appendToJobs(
-    records: readonly storeRecords.StoreRecord[],
-  ): Promise<boolean> {
-    if (records.length === 0) return false;
-    const answer = await logs.jobs.append(records.map(storeRecords.encode), {
-      timeoutMs: CLAIM_TIMEOUT_MS,
-    });
-    if (result.isOk(answer)) return true;
-    logger.warn('tidying_failed', {
-      records: records.length,
-      error: types.stepError.describeError(answer.error),
-    });
-    return false;
-  }
-
   return {
     desk,
     ownDesk,
@@ -422,8 +264,27 @@
       void jobsFollower.run();
       void cellFollower.run();
       void register();
-      void runElections();
-      void runTidying();
+      void election.runElections(
+        {
+          self,
+          cellLog: logs.cell,
+          follower: cellFollower,
+          claim: () => state.claim(),
+          lastRecordAt: () => lastRecordAt,
+          isHolder: () => holder !== undefined,
+          isLeaving: () => leaving,
+          clock,
+          random: options.random,
+          logger,
+        },
+        stopping.signal,
+      );
+      const {keepOverMs} = options;
+      const held = () => holder;
+      void tidying.runTidying(
+        {jobsLog: logs.jobs, jobs, holder: held, keepOverMs, clock, logger},
+        stopping.signal,
+      );
     },
     async leave() {
       leaving = true;
--- /dev/null
+++ b/packages/gypsumwall-cell/src/cell_entry_types.ts
@@ -0,0 +1,65 @@
+/** What an entry is made with, and what it offers to its process. */
+import type * as result from 'true-myth/result';
+import type * as scheduling from '@gypsumwall/scheduling';
+import type * as telemetry from '@gypsumwall/telemetry';
+import type * as types from '@gypsumwall/types';
+import type * as cellHolderTypes from './cell_holder_types.js';
+import type * as frontDesk from './front_desk.js';
+import type * as ports from './ports.js';
+
+/** What an entry is made with. */
+export interface CellEntryOptions {
+  readonly self: {
+    /** This process; a restarted one has another. */
+    readonly entryId: types.ids.EntryId;
+    /** The instance it runs on. */
+    readonly instance: string;
+    readonly domain: types.ids.FailureDomain;
+    readonly peerAddress: string;
+  };
+  readonly logs: {
+    readonly jobs: ports.KeyedLog;
+    readonly cell: ports.KeyedLog;
+    readonly config: ports.KeyedLog;
+    readonly workers: ports.KeyedLog;
+  };
+  /** Reads a record of the configuration's log; undefined: of other use. */
+  readonly decodeConfig: (
+    key: string,
+    value: string,
+  ) => result.Result<ports.CellConfig | undefined, string>;
+  readonly decodeWorker: cellHolderTypes.CellHolderOptions['decodeWorker'];
+  readonly connect: cellHolderTypes.CellHolderOptions['connect'];
+  readonly adviser: ports.Adviser;
+  readonly leaseMs: number;
+  /** How long the state of a job that is over can be asked for. */
+  readonly keepOverMs: number;
+  readonly clock: types.clock.Clock;
+  readonly random: types.random.Random;
+  readonly logger: telemetry.logger.Logger;
+}
+
+/** One entry. */
+export interface CellEntry {
+  /** For callers. */
+  readonly desk: frontDesk.FrontDesk;
+  /** For peers: hands nothing on. */
+  readonly ownDesk: frontDesk.FrontDesk;
+  /** The newest configuration; undefined before the first. */
+  config(): ports.CellConfig | undefined;
+  /** Whether callers can be served. */
+  isReady(): boolean;
+  start(): void;
+  /** Hands over what it holds; callers are served on. */
+  leave(): Promise<void>;
+  stop(): void;
+  status(): EntryStatus;
+}
+
+/** For gauges and people. */
+export interface EntryStatus {
+  readonly holdsCell: boolean;
+  readonly configVersion: number | undefined;
+  readonly storeReachable: boolean;
+  readonly scheduler: scheduling.schedulerTypes.SchedulerCounts | undefined;
+}
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -3,20 +3,16 @@
  * process's. It ends when a newer claim is read, when the store or a worker
  * refuses its epoch, or when it hands the cell over.
  */
-import * as result from 'true-myth/result';
 import * as scheduling from '@gypsumwall/scheduling';
-import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
-import type * as cellState from './cell_state.js';
+import * as adviceCaller from './advice_caller.js';
+import type * as cellHolderTypes from './cell_holder_types.js';
 import * as cellWriter from './cell_writer.js';
 import * as claimView from './claim_view.js';
+import * as freshness from './fresh_jobs.js';
 import type * as jobTable from './job_table.js';
 import * as logFollower from './log_follower.js';
-import type * as ports from './ports.js';
-import type * as storePulse from './store_pulse.js';
 import type * as storeRecords from './store_records.js';
-import * as suspensionWatch from './suspension_watch.js';
-import * as takeOver from './take_over.js';
 import * as takeoverGate from './takeover_gate.js';
 import * as workerRoster from './worker_roster.js';
 import * as workerSession from './worker_session.js';
@@ -46,64 +42,17 @@
 const LIST_WAIT_MS = 1_000;
 /** Attempts below this were numbered by earlier holders. */
 const ATTEMPTS_PER_GENERATION = 1_000;
-/** Time given to the adviser beside its own; milliseconds. */
-const ADVICE_SLACK_MS = 1_500;
-/** An approval's age when it arrives through a peer, at most; milliseconds. */
-const ADVICE_TRANSIT_MS = 40;
 /** How long a hand-over waits for orders on their way; milliseconds. */
 const HAND_OVER_WAIT_MS = 400;
 
-/** What a holder is made with. */
-export interface CellHolderOptions {
-  readonly claim: claimView.CellClaim;
-  readonly cellLog: ports.KeyedLog;
-  readonly workerLog: ports.KeyedLog;
-  readonly decodeWorker: workerRoster.RosterOptions['decode'];
-  readonly connect: (
-    worker: scheduling.workerBook.WorkerInfo,
-  ) => ports.WorkerLink;
-  /** Entries that may ask the adviser now, this one among them. */
-  readonly advisers: () => ReadonlyMap<string, ports.Adviser>;
-  readonly jobs: jobTable.JobTable;
-  readonly state: cellState.CellState;
-  /** Reads the jobs' log to its end. */
-  readonly catchUpJobs: () => Promise<boolean>;
-  readonly policyOf: (
-    queue: string,
-  ) => scheduling.jobRequest.QueuePolicy | undefined;
-  readonly leaseMs: number;
-  readonly pulse: storePulse.StorePulse;
-  readonly clock: types.clock.Clock;
-  readonly logger: telemetry.logger.Logger;
-  readonly onDeposed: () => void;
-}
-
-/** A cell's holder. */
-export interface CellHolder {
-  readonly claim: claimView.CellClaim;
-  /** Takes inherited work over; resolves once it decides. */
-  start(): Promise<void>;
-  jobAdded(job: jobTable.JobEntry): void;
-  jobCancelled(id: types.ids.JobId): void;
-  policiesChanged(): void;
-  /** Jobs whose end is stored, handed over once. */
-  takeEnded(): types.ids.JobId[];
-  /** Drops jobs from the cell's log that are over for long. */
-  dropProgress(ids: readonly types.ids.JobId[]): Promise<void>;
-  /** Lets another entry take the cell at once, and ends. */
-  handOver(): Promise<void>;
-  stop(): void;
-  counts(): scheduling.schedulerTypes.SchedulerCounts;
-}
-
 /** Creates the holder of a claim that was just read. */
-export function createCellHolder(options: CellHolderOptions): CellHolder {
+export function createCellHolder(
+  options: cellHolderTypes.CellHolderOptions,
+): cellHolderTypes.CellHolder {
   const {claim, clock, logger, jobs} = options;
   const token = claimView.tokenOf(claim);
   const claimedAt = clock.monotonic();
   const stopping = new AbortController();
-  const suspension = suspensionWatch.createSuspensionWatch(clock);
-  const lanes = scheduling.adviceLanes.createAdviceLanes<string>();
   const scheduler = scheduling.scheduler.createScheduler({
     attemptBase: claim.generation * ATTEMPTS_PER_GENERATION,
     isAccounted: (worker) => gate.isAccounted(worker),
@@ -153,8 +102,18 @@
     pauseMs: () => LIST_PAUSE_MS,
     readWaitMs: LIST_WAIT_MS,
   });
-  /** Jobs read while this process couldn't be sure to hold the cell. */
-  let unconfirmed: {job: jobTable.JobEntry; at: types.clock.MonotonicMs}[] = [];
+  const askAdviser = adviceCaller.createAdviceCaller({
+    scheduler,
+    advisers: options.advisers,
+    clock,
+    logger,
+    onAnswer: kick,
+  });
+  const freshJobs = freshness.createFreshJobs({
+    clock,
+    confirmedAt: () => writer.confirmedAt(),
+    takeUp: (job) => takeUp(job, false),
+  });
   /** Jobs whose end is stored and whose requests aren't needed any more. */
   let over: types.ids.JobId[] = [];
   let lastWrite: Promise<void> = Promise.resolve();
@@ -262,54 +221,6 @@
     ordersOnTheirWay--;
   }
 
-  async function askAdviser(
-    wish: scheduling.schedulerTypes.AdviceWish,
-  ): Promise<void> {
-    const {stepRun, workers, callMs} = wish;
-    const advisers = options.advisers();
-    const lane = lanes.take([...advisers.keys()], callMs);
-    const adviser = lane === undefined ? undefined : advisers.get(lane);
-    if (lane === undefined || adviser === undefined) {
-      const never = 0 as types.clock.MonotonicMs;
-      scheduler.adviceAnswered(wish, undefined, never);
-      return;
-    }
-    const askedAt = clock.monotonic();
-    const timeoutMs = callMs * 2 + ADVICE_SLACK_MS;
-    const answer = await adviser.ask(stepRun.id, workers, timeoutMs);
-    lanes.finish(lane, callMs);
-    const now = clock.monotonic();
-    const validMs = stepRun.job.policy.advice?.validMs ?? 0;
-    scheduler.adviceAnswered(
-      wish,
-      result.isOk(answer) ? answer.value : undefined,
-      types.clock.after(now, validMs - ADVICE_TRANSIT_MS),
-    );
-    logger.info('advice_answered', {
-      step: stepRun.id,
-      by: lane,
-      named: workers.length,
-      approved: result.isOk(answer) ? answer.value.size : undefined,
-      tookMs: Math.round(now - askedAt),
-      error: result.isErr(answer)
-        ? types.stepError.describeError(answer.error)
-        : undefined,
-    });
-    kick();
-  }
-
-  /**
-   * Whether a job read now may be taken up. Without this an old holder that
-   * still reads the log would start jobs beside its successor, which looks for
-   * runs only of jobs that were there at the takeover.
-   */
-  function isFresh(since: types.clock.MonotonicMs): boolean {
-    const confirmedAt = writer.confirmedAt();
-    if (confirmedAt <= suspension.lastNoticedAt()) return false;
-    if (confirmedAt >= since) return true;
-    return since - confirmedAt < takeOver.FRESH_MS;
-  }
-
   function takeUp(job: jobTable.JobEntry, inherited: boolean): void {
     const {record} = job;
     if (record === undefined || scheduler.hasJob(job.id)) return;
@@ -327,18 +238,9 @@
     );
   }
 
-  function takeUpConfirmed(): void {
-    const late = unconfirmed;
-    unconfirmed = [];
-    for (const entry of late) {
-      if (isFresh(entry.at)) takeUp(entry.job, false);
-      else unconfirmed.push(entry);
-    }
-  }
-
   function tick(): void {
     const now = clock.monotonic();
-    takeUpConfirmed();
+    freshJobs.tick();
     gate.tick(now);
     roster.tick(now);
     kick();
@@ -378,9 +280,7 @@
     },
     jobAdded(job) {
       if (!deciding) return;
-      const at = clock.monotonic();
-      if (isFresh(at)) takeUp(job, false);
-      else unconfirmed.push({job, at});
+      freshJobs.add(job);
       kick();
     },
     jobCancelled(id) {
--- /dev/null
+++ b/packages/gypsumwall-cell/src/election.ts
@@ -0,0 +1,100 @@
+/**
+ * Tries to take the cell whenever it may be taken. The claim is appended only
+ * where the log ends, so one of several entries that try gets it.
+ */
+import * as result from 'true-myth/result';
+import type * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import type * as claimView from './claim_view.js';
+import type * as logFollower from './log_follower.js';
+import type * as ports from './ports.js';
+import * as storeRecords from './store_records.js';
+import * as takeOver from './take_over.js';
+
+/** How often it is looked whether the cell may be taken; milliseconds. */
+const ELECTION_TICK_MS = 50;
+/** Entries try to take the cell this far apart, by chance; milliseconds. */
+const ELECTION_SPREAD_MS = 120;
+/** Time given to the append of a claim; milliseconds. */
+const CLAIM_TIMEOUT_MS = 600;
+
+/** What an election looks at. */
+export interface ElectionParts {
+  readonly self: takeOver.TakeOverView['self'];
+  readonly cellLog: ports.KeyedLog;
+  readonly follower: logFollower.LogFollower;
+  readonly claim: () => claimView.CellClaim | undefined;
+  /** When a record of the cell's log was last read. */
+  readonly lastRecordAt: () => types.clock.MonotonicMs;
+  readonly isHolder: () => boolean;
+  readonly isLeaving: () => boolean;
+  readonly clock: types.clock.Clock;
+  readonly random: types.random.Random;
+  readonly logger: telemetry.logger.Logger;
+}
+
+/** Takes part in elections until the signal aborts. */
+export async function runElections(
+  parts: ElectionParts,
+  signal: AbortSignal,
+): Promise<void> {
+  const {self, follower, clock, logger} = parts;
+
+  async function sleep(spanMs: number): Promise<void> {
+    const until = types.clock.after(clock.monotonic(), spanMs);
+    await clock.sleepUntil(until, signal);
+  }
+
+  function vacancy(): takeOver.Vacancy | undefined {
+    if (parts.isHolder()) return undefined;
+    return takeOver.vacancyOf({
+      claim: parts.claim(),
+      self,
+      lastRecordAt: parts.lastRecordAt(),
+      reachableSince: follower.reachableSince(),
+      leaving: parts.isLeaving(),
+      now: clock.monotonic(),
+    });
+  }
+
+  async function run(): Promise<void> {
+    while (!signal.aborted) {
+      await sleep(ELECTION_TICK_MS);
+      if (vacancy() === undefined) continue;
+      await sleep(parts.random.next() * ELECTION_SPREAD_MS);
+      const reason = vacancy();
+      if (reason !== undefined) await claimCell(reason);
+    }
+  }
+
+  async function claimCell(reason: takeOver.Vacancy): Promise<void> {
+    const position = follower.position();
+    if (position === undefined) return;
+    const before = parts.claim();
+    const claim: storeRecords.ClaimRecord = {
+      holder: self.entryId,
+      instance: self.instance,
+      generation: before === undefined ? 0 : before.generation + 1,
+      state: 'held',
+    };
+    const answer = await parts.cellLog.append(
+      [storeRecords.encode({kind: 'claim', claim})],
+      {
+        onlyAt: position,
+        fence: {epoch: position + 1, sequence: 0},
+        timeoutMs: CLAIM_TIMEOUT_MS,
+      },
+    );
+    logger.info('claim_sent', {
+      reason,
+      at: position,
+      outcome: result.isOk(answer)
+        ? answer.value.type
+        : types.stepError.describeError(answer.error),
+    });
+    // Whether it stands is read from the log, also if the answer was lost.
+    await follower.catchUp();
+  }
+
+  await run();
+}
--- /dev/null
+++ b/packages/gypsumwall-cell/src/fresh_jobs.ts
@@ -0,0 +1,56 @@
+/**
+ * Takes up jobs that a holder reads only while it surely holds the cell.
+ * Without this an old holder that still reads the log would start jobs beside
+ * its successor, which looks for runs only of jobs that were there at the
+ * takeover. A job that comes in doubt waits for an append that was sent after
+ * it was read and is confirmed.
+ */
+import * as types from '@gypsumwall/types';
+import type * as jobTable from './job_table.js';
+import * as suspensionWatch from './suspension_watch.js';
+import * as takeOver from './take_over.js';
+
+/** What decides whether a job is taken up. */
+export interface FreshJobsParts {
+  readonly clock: types.clock.Clock;
+  /** Sending time of the holder's last append that was confirmed. */
+  readonly confirmedAt: () => types.clock.MonotonicMs;
+  readonly takeUp: (job: jobTable.JobEntry) => void;
+}
+
+/** Jobs that were read and may have to wait. */
+export interface FreshJobs {
+  add(job: jobTable.JobEntry): void;
+  /** Takes up what was in doubt and isn't any more. */
+  tick(): void;
+}
+
+/** Creates an empty list. */
+export function createFreshJobs(parts: FreshJobsParts): FreshJobs {
+  const {clock} = parts;
+  const suspension = suspensionWatch.createSuspensionWatch(clock);
+  let inDoubt: {job: jobTable.JobEntry; at: types.clock.MonotonicMs}[] = [];
+
+  function isSure(readAt: types.clock.MonotonicMs): boolean {
+    const confirmedAt = parts.confirmedAt();
+    if (confirmedAt <= suspension.lastNoticedAt()) return false;
+    if (confirmedAt >= readAt) return true;
+    return readAt - confirmedAt < takeOver.FRESH_MS;
+  }
+
+  return {
+    add(job) {
+      const at = clock.monotonic();
+      if (isSure(at)) parts.takeUp(job);
+      else inDoubt.push({job, at});
+    },
+    tick() {
+      const before = inDoubt;
+      inDoubt = [];
+      for (const entry of before) {
+        if (isSure(entry.at)) parts.takeUp(entry.job);
+        else inDoubt.push(entry);
+      }
+    },
+  };
+}
--- a/packages/gypsumwall-cell/src/index.ts
+++ b/packages/gypsumwall-cell/src/index.ts
@@ -1,4 +1,5 @@
 export * as cellEntry from './cell_entry.js';
+export * as cellEntryTypes from './cell_entry_types.js';
 export * as frontDesk from './front_desk.js';
 export * as httpClient from './http_client.js';
 export * as peerServer from './peer_server.js';
