Try a failed task on another worker first

Cause, from the log of a failed job: workers recorded for the job were tried before all others, so a task ran three of its four attempts on the worker that had failed it. The test fails without the change.

--- a/packages/gypsumwall-scheduling/src/__tests__/scheduler.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/scheduler.test.ts
@@ -214,6 +214,19 @@
   assert.equal(world.startAll().length, 1);
 });
 
+// A job that could be done is told as failed. One worker fails all it starts,
+// and each further try of the task goes there because it is recorded already.
+test('a task that failed is tried on another worker that has room', () => {
+  const world = worlds.createSchedulerWorld();
+  world.addWorker('w1', 1);
+  world.submit('job', [worlds.step()]);
+  const [first] = world.startAll();
+  world.addWorker('w2', 8);
+  world.end(first!, 'failed');
+  const [second] = world.startAll();
+  assert.equal(second?.workerId, 'w2');
+});
+
 test('a cancelled job is stopped at once and starts nothing more', () => {
   const world = worlds.createSchedulerWorld();
   world.addWorker('w1', 1);
--- a/packages/gypsumwall-scheduling/src/active_job.ts
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -101,6 +101,8 @@
    * have to wait for a worker out of reach.
    */
   readonly workers: Map<types.ids.WorkerId, 'recording' | 'recorded'>;
+  /** Workers on which a task of it has failed: tried again elsewhere first. */
+  readonly failedOn: Set<types.ids.WorkerId>;
   readonly open: Map<number, Occurrence>;
   readonly finished: Set<number>;
 }
--- a/packages/gypsumwall-scheduling/src/choose_worker.ts
+++ b/packages/gypsumwall-scheduling/src/choose_worker.ts
@@ -59,6 +59,21 @@
   return most - (worker.perStep.get(stepRun.id) ?? 0);
 }
 
+/**
+ * Whether nothing speaks against a worker for this step. A task that failed is
+ * tried elsewhere first: on a worker that fails all it starts, every further
+ * try would use up one of the few that a job has.
+ */
+export function isTrusted(
+  stepRun: activeJob.StepRun,
+  worker: workerBook.BookedWorker,
+  context: ChoiceContext,
+): boolean {
+  const {id} = worker.info;
+  if (stepRun.job.failedOn.has(id)) return false;
+  return context.health.trustOf(id, context.now) === 'sound';
+}
+
 /**
  * The best of the given workers with room for a task: sound before doubtful,
  * near the data before far, then the one that the task fills most, which
@@ -94,10 +109,8 @@
 ): number {
   const {preferredRack} = stepRun.request;
   const far = preferredRack !== undefined && preferredRack !== worker.info.rack;
-  const trust = context.health.trustOf(worker.info.id, context.now);
+  const trusted = isTrusted(stepRun, worker, context);
   return (
-    (trust === 'doubtful' ? DOUBTFUL_COST : 0) +
-    (far ? FAR_COST : 0) +
-    worker.free.cpuMillis
+    (trusted ? 0 : DOUBTFUL_COST) + (far ? FAR_COST : 0) + worker.free.cpuMillis
   );
 }
--- a/packages/gypsumwall-scheduling/src/job_steps.ts
+++ b/packages/gypsumwall-scheduling/src/job_steps.ts
@@ -41,6 +41,7 @@
     phase: progress.phase,
     heldBack: inherited && progress.workers.length > 0,
     workers: new Map(progress.workers.map((id) => [id, 'recorded'])),
+    failedOn: new Set(),
     open: new Map(),
     finished: new Set(progress.finished),
   };
--- a/packages/gypsumwall-scheduling/src/placement_pass.ts
+++ b/packages/gypsumwall-scheduling/src/placement_pass.ts
@@ -99,7 +99,11 @@
 ): Placement[] {
   const among = chooseWorker.candidates(stepRun, context);
   // Recorded workers first: what starts there needs no word from the store.
-  const recorded = among.filter((worker) => isRecorded(stepRun, worker));
+  const recorded = among.filter(
+    (worker) =>
+      isRecorded(stepRun, worker) &&
+      chooseWorker.isTrusted(stepRun, worker, context),
+  );
   const place = stepRun.request.gang ? placeGang : placeTasks;
   const first = recorded.length > 0 ? place(stepRun, recorded, context) : [];
   if (stepRun.waiting.length === 0) return first;
@@ -133,13 +137,12 @@
       chooseWorker.roomFor(stepRun, worker),
     ),
   }));
-  const sound = rooms.filter(
-    ({worker}) =>
-      context.health.trustOf(worker.info.id, context.now) === 'sound',
+  const trusted = rooms.filter(({worker}) =>
+    chooseWorker.isTrusted(stepRun, worker, context),
   );
   const {taskCount, sameRack} = stepRun.request;
   const workers =
-    gangFit.fitGang(sound, taskCount, sameRack) ??
+    gangFit.fitGang(trusted, taskCount, sameRack) ??
     gangFit.fitGang(rooms, taskCount, sameRack);
   if (workers === undefined) return [];
   const indexes = stepRun.waiting;
--- a/packages/gypsumwall-scheduling/src/report_reader.ts
+++ b/packages/gypsumwall-scheduling/src/report_reader.ts
@@ -100,6 +100,7 @@
   ): void {
     const {job} = stepRun;
     health.noteFailed(workerId, job.id, now);
+    job.failedOn.add(workerId);
     if (stepRun.state === 'done' || jobProgress.isOver(job.phase)) return;
     const spent = jobSteps.countFailure(stepRun, index, attempt);
     jobBook.dirty.add(job);
