Name workers with room to the adviser, in calls side by side, and renew tickets

Cause: on the grown deployments (246 workers) each call to the adviser named the first 100 workers of the books, so every step was sent to the same hundred while the others stood idle, and a waiting gang had no ticket for 1.4 s of every 3.4 s.

The cell goes to the strongest instance that is there: holding 246 workers takes more than a third of a core, which is all that small instances have.

--- a/packages/gypsumwall-bench/src/bench_modules.ts
+++ b/packages/gypsumwall-bench/src/bench_modules.ts
@@ -5,6 +5,7 @@
 import * as memoryBench from './memory_bench.js';
 import * as policyBench from './policy_bench.js';
 import * as routingBench from './routing_bench.js';
+import * as stepBench from './step_bench.js';
 
 export const BENCH_MODULES: readonly benchModule.BenchModule[] = [
   policyBench.POLICY_BENCH,
@@ -12,4 +13,5 @@
   memoryBench.MEMORY_BENCH,
   routingBench.ROUTING_BENCH,
   controlBench.CONTROL_BENCH,
+  stepBench.STEP_BENCH,
 ];
--- /dev/null
+++ b/packages/gypsumwall-bench/src/step_bench.ts
@@ -0,0 +1,63 @@
+/** Processor time of the scheduler of step jobs, by workers and load. */
+import type * as benchModule from './bench_module.js';
+import * as statistics from './statistics.js';
+import * as stepCell from './step_cell.js';
+import * as stepLoad from './step_load.js';
+
+/** The load is made for this many workers and grows with them. */
+const PEAK_WORKERS = 246;
+const SECONDS = 30;
+/** As in the cells that the load was taken from. */
+const WORKERS_PER_ENTRY = 8;
+
+/** The bench. */
+export const STEP_BENCH: benchModule.BenchModule = {
+  name: 'step-jobs',
+  run: (options) => Promise.resolve(runAll(options)),
+};
+
+function runAll(options: benchModule.BenchOptions): benchModule.BenchReport {
+  const seeds = options.quick ? options.seeds.slice(0, 1) : options.seeds;
+  const kinds = stepLoad.PEAK_KINDS.map((kind) => kind.name);
+  const rows = [33, 82, PEAK_WORKERS].map((workers) => {
+    const runs = seeds.map((seed) =>
+      stepCell.runStepCell({
+        workers,
+        entries: Math.ceil(workers / WORKERS_PER_ENTRY),
+        seconds: SECONDS,
+        seed,
+        load: workers / PEAK_WORKERS,
+      }),
+    );
+    const over = (pick: (run: stepCell.StepCellResult) => number) =>
+      statistics.spread(runs.map(pick));
+    return [
+      workers,
+      over((run) => run.starts / run.seconds),
+      over((run) => (run.schedulerMs * 1_000) / run.starts),
+      over((run) => run.schedulerMs / run.seconds / 1_000),
+      over((run) => run.longestPassMs),
+      ...kinds.map((kind) => over((run) => run.onTime.get(kind) ?? 0)),
+    ];
+  });
+  return {
+    notes: [
+      `${SECONDS} s on a virtual clock, seeds ${seeds.join(', ')}; the load grows with the workers; processor time is that of the scheduler alone, without calls`,
+    ],
+    tables: [
+      {
+        title: 'Scheduler of step jobs',
+        columns: [
+          'workers',
+          'starts/s',
+          'us a start',
+          'cores',
+          'longest pass ms',
+          ...kinds.map((kind) => `${kind} on time`),
+        ],
+        rows,
+      },
+    ],
+    plots: [],
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-bench/src/step_cell.ts
@@ -0,0 +1,265 @@
+/**
+ * A cell on a time of its own: the scheduler of step jobs as its holder drives
+ * it, with workers, adviser and store that answer after their usual times.
+ * What the scheduler itself takes is measured on the processor's clock.
+ */
+import * as scheduling from '@gypsumwall/scheduling';
+import * as types from '@gypsumwall/types';
+import * as cellMeasures from './cell_measures.js';
+import * as stepLoad from './step_load.js';
+
+/** Round trip of an append, and of an order; milliseconds. */
+const STORE_MS = 16;
+const ORDER_MS = 3;
+/** Pause before a pass, as the holder makes it; milliseconds. */
+const PASS_GAP_MS = 3;
+const WORKERS_PER_RACK = 20;
+const CAPACITY = {cpuMillis: 16_000, memoryMb: 32_768, accelerators: 0};
+const LONGEST_WAIT_MS = 1e6;
+
+/** What a run of a cell came to. */
+export interface StepCellResult {
+  readonly starts: number;
+  readonly seconds: number;
+  /** Processor time in the scheduler, in milliseconds. */
+  readonly schedulerMs: number;
+  readonly passes: number;
+  /** Longest pass, in milliseconds of the processor. */
+  readonly longestPassMs: number;
+  /** Milliseconds from acceptance to the end of a job, by kind. */
+  readonly tookMs: ReadonlyMap<string, ReturnType<typeof histogram>>;
+  /** Share of the jobs that ended within their objective, by kind. */
+  readonly onTime: ReadonlyMap<string, number>;
+}
+
+interface JobNote {
+  readonly kind: stepLoad.JobKind;
+  readonly at: types.clock.MonotonicMs;
+  readonly objectiveMs: number;
+}
+
+/** Runs a cell of so many workers for so many seconds. */
+export function runStepCell(options: {
+  readonly workers: number;
+  /** Entries that may ask the adviser. */
+  readonly entries: number;
+  readonly seconds: number;
+  readonly seed: number;
+  /** Factor on the rates of the load. */
+  readonly load: number;
+}): StepCellResult {
+  const random = types.random.createRandom(options.seed);
+  const events: {at: number; run: () => void}[] = [];
+  const notes = new Map<string, JobNote>();
+  const tookMs = new Map<string, ReturnType<typeof histogram>>();
+  const onTime = new Map<string, {met: number; all: number}>();
+  const running = new Map<string, Set<scheduling.activeJob.Run>>();
+  const sequences = new Map<string, number>();
+  const lanes = scheduling.adviceLanes.createAdviceLanes<string>();
+  const entries = Array.from({length: options.entries}, (_, nth) => `e${nth}`);
+  const lineEnds = new Map<string, number>();
+  let now = 1_000 as types.clock.MonotonicMs;
+  let schedulerMs = 0;
+  let longestPassMs = 0;
+  let passes = 0;
+  let starts = 0;
+  let passPlanned = false;
+  let jobs = 0;
+
+  const scheduler = scheduling.scheduler.createScheduler({
+    attemptBase: 0,
+    isAccounted: () => true,
+    onEvent(event) {
+      if (event.type === 'job_over') noteOver(event.job);
+    },
+  });
+
+  function noteOver(id: string): void {
+    const note = notes.get(id);
+    if (note === undefined) return;
+    const span = now - note.at;
+    const taken = tookMs.get(note.kind.name) ?? histogram();
+    taken.recordValue(Math.max(1, Math.round(span)));
+    tookMs.set(note.kind.name, taken);
+    const counts = onTime.get(note.kind.name) ?? {met: 0, all: 0};
+    counts.all++;
+    if (span <= note.objectiveMs) counts.met++;
+    onTime.set(note.kind.name, counts);
+  }
+
+  function timed<Value>(work: () => Value): Value {
+    const from = performance.now();
+    const value = work();
+    schedulerMs += performance.now() - from;
+    return value;
+  }
+
+  function later(spanMs: number, run: () => void): void {
+    const at = now + spanMs;
+    let low = 0;
+    let high = events.length;
+    // Latest first, so that the next one is taken off the end.
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if (events[middle]!.at > at) low = middle + 1;
+      else high = middle;
+    }
+    events.splice(low, 0, {at, run});
+  }
+
+  function kick(): void {
+    if (passPlanned) return;
+    passPlanned = true;
+    later(PASS_GAP_MS, pass);
+  }
+
+  function pass(): void {
+    passPlanned = false;
+    passes++;
+    const from = performance.now();
+    const decisions = scheduler.decide(
+      now,
+      now as unknown as types.clock.WallMs,
+    );
+    const tookPassMs = performance.now() - from;
+    schedulerMs += tookPassMs;
+    longestPassMs = Math.max(longestPassMs, tookPassMs);
+    store();
+    for (const order of decisions.starts) startRun(order);
+    for (const wish of decisions.advice) advise(wish);
+  }
+
+  function store(): void {
+    const dirty = timed(() => scheduler.takeDirty());
+    if (dirty.length === 0) return;
+    later(STORE_MS, () => {
+      timed(() => scheduler.stored(dirty));
+      kick();
+    });
+  }
+
+  function startRun(order: scheduling.schedulerTypes.StartOrder): void {
+    const {run} = order;
+    starts++;
+    later(ORDER_MS, () => {
+      const runs = running.get(run.workerId) ?? new Set();
+      running.set(run.workerId, runs.add(run));
+      timed(() => scheduler.startAnswered(run, {type: 'started'}, now));
+    });
+    const expected = run.owner!.stepRun.request.expectedMs;
+    later(ORDER_MS + expected, () => end(run));
+  }
+
+  function end(run: scheduling.activeJob.Run): void {
+    const runs = running.get(run.workerId);
+    if (runs?.delete(run) !== true) return;
+    const sequence = (sequences.get(run.workerId) ?? 0) + 1;
+    sequences.set(run.workerId, sequence);
+    const {taskId, attempt, workerId} = run;
+    const report: scheduling.schedulerTypes.WorkerReport = {
+      workerId,
+      askedAt: now,
+      running: [...runs].map((one) => ({
+        taskId: one.taskId,
+        attempt: one.attempt,
+        checkpoint: '',
+        percent: Math.floor(random.next() * 100),
+      })),
+      ends: [{sequence, taskId, attempt, how: 'done', checkpoint: ''}],
+      complete: true,
+    };
+    timed(() => scheduler.report(report, now));
+    store();
+    kick();
+  }
+
+  function advise(wish: scheduling.schedulerTypes.AdviceWish): void {
+    const lane = lanes.take(entries, wish.callMs, wish.needed);
+    if (lane === undefined) {
+      scheduler.adviceAnswered(wish, undefined, now);
+      return;
+    }
+    // The adviser handles the calls of one entry one at a time.
+    const doneAt = Math.max(now, lineEnds.get(lane) ?? 0) + wish.callMs;
+    lineEnds.set(lane, doneAt);
+    later(doneAt - now, () => {
+      lanes.finish(lane, wish.callMs);
+      const queue = wish.stepRun.job.policy.queue;
+      const share =
+        stepLoad.PEAK_KINDS.find((kind) => kind.policy.queue === queue)
+          ?.approvedShare ?? 1;
+      const approved = new Map<types.ids.WorkerId, string>();
+      for (const id of wish.workers) {
+        if (random.next() < share) approved.set(id, 'ticket');
+      }
+      const validMs = wish.stepRun.job.policy.advice?.validMs ?? 0;
+      const validUntil = types.clock.after(now, validMs);
+      timed(() => scheduler.adviceAnswered(wish, approved, validUntil));
+      kick();
+    });
+  }
+
+  function arrive(kind: stepLoad.JobKind): void {
+    const id = types.ids.brand<types.ids.JobId>(`job${++jobs}`);
+    const request = stepLoad.drawRequest(kind, random);
+    const {policy} = kind;
+    const chainMs = scheduling.jobRequest.chainMs(request);
+    const objectiveMs = chainMs * policy.slackFactor + policy.targetMs;
+    notes.set(id, {kind, at: now, objectiveMs});
+    const progress = scheduling.jobProgress.NO_PROGRESS;
+    const wall = now as unknown as types.clock.WallMs;
+    timed(() =>
+      scheduler.addJob(
+        {id, request, policy, acceptedAt: now, inherited: false, progress},
+        now,
+        wall,
+      ),
+    );
+    kick();
+    planArrival(kind);
+  }
+
+  function planArrival(kind: stepLoad.JobKind): void {
+    const meanGapMs = 1_000 / (kind.rate * options.load);
+    later(-Math.log(1 - random.next()) * meanGapMs, () => arrive(kind));
+  }
+
+  for (let number = 0; number < options.workers; number++) {
+    const id = types.ids.brand<types.ids.WorkerId>(`worker-${number}`);
+    scheduler.putWorker({
+      id,
+      address: '',
+      domain: types.ids.brand(`domain-${number % 4}`),
+      pool: stepLoad.POOL,
+      capacity: CAPACITY,
+      labels: [],
+      rack: types.ids.brand(`rack-${Math.floor(number / WORKERS_PER_RACK)}`),
+      draining: false,
+    });
+    scheduler.setUsable(id, true);
+  }
+  for (const kind of stepLoad.PEAK_KINDS) planArrival(kind);
+  const endAt = now + options.seconds * 1_000;
+  for (;;) {
+    const next = events.pop();
+    if (next === undefined || next.at > endAt) break;
+    now = next.at as types.clock.MonotonicMs;
+    next.run();
+  }
+  const shares = [...onTime].map(
+    ([name, {met, all}]) => [name, met / all] as const,
+  );
+  return {
+    starts,
+    seconds: options.seconds,
+    schedulerMs,
+    passes,
+    longestPassMs,
+    tookMs,
+    onTime: new Map(shares),
+  };
+}
+
+function histogram() {
+  return cellMeasures.buildHistogram(LONGEST_WAIT_MS);
+}
--- /dev/null
+++ b/packages/gypsumwall-bench/src/step_load.ts
@@ -0,0 +1,148 @@
+/**
+ * The load of a cell whose workers are shared by three kinds of jobs: few wide
+ * ones with large tasks, some wide ones with small tasks, and many urgent ones
+ * of two or three tasks. The figures are those of a planning service at its
+ * peak, as its operators gave them: rates, widths, sizes and the time their
+ * adviser takes; a rack and a worker are as theirs.
+ */
+import type * as scheduling from '@gypsumwall/scheduling';
+import type * as types from '@gypsumwall/types';
+import * as draw from './draw.js';
+
+/** One kind of jobs. */
+export interface JobKind {
+  readonly name: string;
+  /** Jobs a second. */
+  readonly rate: number;
+  readonly policy: scheduling.jobRequest.QueuePolicy;
+  readonly meanSteps: number;
+  readonly mostSteps: number;
+  readonly meanTasks: number;
+  readonly mostTasks: number;
+  readonly cpuMillis: number;
+  readonly memoryMb: number;
+  /** Mean time of a task on a worker of usual speed, in milliseconds. */
+  readonly workMs: number;
+  /** Share of the steps whose tasks run all together. */
+  readonly gangShare: number;
+  /** Share of the workers that the adviser approves. */
+  readonly approvedShare: number;
+}
+
+/** The pool that all of them run in. */
+export const POOL = 'pool';
+
+const COMMON = {pool: POOL, maxFailures: 4} as const;
+
+/** The kinds at the peak of a cell of 246 workers. */
+export const PEAK_KINDS: readonly JobKind[] = [
+  {
+    name: 'wide-large',
+    rate: 3.3,
+    policy: {
+      ...COMMON,
+      queue: 'wide-large',
+      priority: 1,
+      slackFactor: 2.2,
+      targetMs: 1_000,
+      advice: {callMs: 572, perWorkerMs: 8.06, validMs: 2_000},
+    },
+    meanSteps: 1.2,
+    mostSteps: 3,
+    meanTasks: 20,
+    mostTasks: 120,
+    cpuMillis: 4_500,
+    memoryMb: 8_100,
+    workMs: 5_000,
+    gangShare: 1,
+    approvedShare: 0.35,
+  },
+  {
+    name: 'wide-small',
+    rate: 8.6,
+    policy: {
+      ...COMMON,
+      queue: 'wide-small',
+      priority: 2,
+      slackFactor: 4,
+      targetMs: 3_000,
+      advice: {callMs: 104, perWorkerMs: 1.43, validMs: 2_000},
+    },
+    meanSteps: 1.5,
+    mostSteps: 4,
+    meanTasks: 25,
+    mostTasks: 150,
+    cpuMillis: 1_700,
+    memoryMb: 2_500,
+    workMs: 2_200,
+    gangShare: 0,
+    approvedShare: 0.45,
+  },
+  {
+    name: 'urgent',
+    rate: 62,
+    policy: {
+      ...COMMON,
+      queue: 'urgent',
+      priority: 0,
+      slackFactor: 1.5,
+      targetMs: 250,
+      advice: {callMs: 14.3, perWorkerMs: 0.21, validMs: 2_000},
+    },
+    meanSteps: 1,
+    mostSteps: 1,
+    meanTasks: 3.2,
+    mostTasks: 19,
+    cpuMillis: 2_500,
+    memoryMb: 4_600,
+    workMs: 1_000,
+    gangShare: 0.3,
+    approvedShare: 0.7,
+  },
+];
+
+/** Draws a job of a kind. */
+export function drawRequest(
+  kind: JobKind,
+  random: types.random.Random,
+): scheduling.jobRequest.JobRequest {
+  const count = bounded(random, kind.meanSteps, 0.4, kind.mostSteps);
+  const steps: scheduling.jobRequest.StepRequest[] = [];
+  for (let number = 0; number < count; number++) {
+    steps.push(drawStep(kind, random, number));
+  }
+  return {payload: kind.name, steps};
+}
+
+function drawStep(
+  kind: JobKind,
+  random: types.random.Random,
+  number: number,
+): scheduling.jobRequest.StepRequest {
+  return {
+    taskCount: bounded(random, kind.meanTasks, 0.8, kind.mostTasks),
+    size: {
+      cpuMillis: Math.ceil(kind.cpuMillis * draw.jitter(random)),
+      memoryMb: Math.ceil(kind.memoryMb * draw.jitter(random)),
+      accelerators: 0,
+    },
+    expectedMs: kind.workMs * draw.logNormalMean(random, 1, 0.5),
+    after: number === 0 ? [] : [number - 1],
+    savesProgress: false,
+    gang: random.next() < kind.gangShare,
+    sameRack: false,
+    speculative: false,
+    longRunning: false,
+    usesSpareCpu: false,
+  };
+}
+
+function bounded(
+  random: types.random.Random,
+  mean: number,
+  sigma: number,
+  most: number,
+): number {
+  const drawn = Math.round(draw.logNormalMean(random, mean, sigma));
+  return Math.min(most, Math.max(1, drawn));
+}
--- a/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
@@ -52,7 +52,11 @@
   readonly store: FakeStore;
   addWorker(name: string, cores: number): Promise<fakeWorkers.FakeWorker>;
   /** Starts an entry; `view` may give it logs of its own troubles. */
-  addEntry(instance: string, view?: FakeStore): cellEntryTypes.CellEntry;
+  addEntry(
+    instance: string,
+    view?: FakeStore,
+    cores?: number,
+  ): cellEntryTypes.CellEntry;
   stop(): void;
 }
 
@@ -77,13 +81,14 @@
       await store.workers.append([{key: name, value}], {timeoutMs: 1});
       return worker;
     },
-    addEntry(instance, view = store) {
+    addEntry(instance, view = store, cores = 1) {
       const entry = cellEntry.createCellEntry({
         self: {
           entryId: types.ids.brand(`${instance}.${++processes}`),
           instance,
           domain: types.ids.brand('d1'),
           peerAddress: '127.0.0.1:1',
+          cores,
         },
         logs: view,
         decodeConfig: () => result.ok(undefined),
--- a/packages/gypsumwall-cell/src/__tests__/cell_entry.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/cell_entry.test.ts
@@ -242,3 +242,35 @@
     world.stop();
   }
 });
+
+// Every start of a busy cell comes late. A small instance took the cell before
+// a large one had tried, and its processor is too slow for all the calls.
+test('the strongest entry takes the cell, though others came before', async () => {
+  const world = worlds.createCellWorld();
+  try {
+    const small = ['a', 'b', 'c'].map((name) =>
+      world.addEntry(name, undefined, 0.3),
+    );
+    const large = world.addEntry('d', undefined, 1.4);
+    await worlds.until(
+      () => [...small, large].some((entry) => entry.status().holdsCell),
+      'a holder',
+    );
+    assert.ok(large.status().holdsCell);
+  } finally {
+    world.stop();
+  }
+});
+
+test('a small entry takes the cell when the strongest is gone', async () => {
+  const world = worlds.createCellWorld();
+  try {
+    const large = world.addEntry('a', undefined, 1.4);
+    const small = world.addEntry('b', undefined, 0.3);
+    await worlds.until(() => large.status().holdsCell, 'the first holder');
+    large.stop();
+    await worlds.until(() => small.status().holdsCell, 'the successor');
+  } finally {
+    world.stop();
+  }
+});
--- a/packages/gypsumwall-cell/src/__tests__/relaying_desk.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/relaying_desk.test.ts
@@ -33,6 +33,7 @@
   };
   const peers: peerDirectory.PeerDirectory = {
     apply: () => {},
+    mostCores: () => 0,
     advisers: () => new Map(),
     close: () => {},
     relay: (_req, patience) => {
--- a/packages/gypsumwall-cell/src/advice_caller.ts
+++ b/packages/gypsumwall-cell/src/advice_caller.ts
@@ -32,9 +32,9 @@
   async function askAdviser(
     wish: scheduling.schedulerTypes.AdviceWish,
   ): Promise<void> {
-    const {stepRun, workers, callMs} = wish;
+    const {stepRun, workers, callMs, needed} = wish;
     const advisers = parts.advisers();
-    const lane = lanes.take([...advisers.keys()], callMs);
+    const lane = lanes.take([...advisers.keys()], callMs, needed);
     const adviser = lane === undefined ? undefined : advisers.get(lane);
     if (lane === undefined || adviser === undefined) {
       const never = 0 as types.clock.MonotonicMs;
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -229,14 +229,19 @@
     return now - reachableAt < UNREADY_AFTER_MS || desk.relayedLately();
   }
 
+  function isOutranked(): boolean {
+    const peersKnown = jobsFollower.position() !== undefined;
+    return !peersKnown || peers.mostCores() > self.cores;
+  }
+
   async function sleep(spanMs: number): Promise<void> {
     const until = types.clock.after(clock.monotonic(), spanMs);
     await clock.sleepUntil(until, stopping.signal);
   }
 
   async function register(): Promise<void> {
-    const {entryId, domain, peerAddress: address} = self;
-    const entry = {entryId, domain, address};
+    const {entryId, domain, peerAddress: address, cores} = self;
+    const entry = {entryId, domain, address, cores};
     const record = storeRecords.encode({
       kind: 'entry',
       instance: self.instance,
@@ -273,6 +278,7 @@
           lastRecordAt: () => lastRecordAt,
           isHolder: () => holder !== undefined,
           isLeaving: () => leaving,
+          isOutranked,
           clock,
           random: options.random,
           logger,
--- a/packages/gypsumwall-cell/src/cell_entry_types.ts
+++ b/packages/gypsumwall-cell/src/cell_entry_types.ts
@@ -16,6 +16,8 @@
     readonly instance: string;
     readonly domain: types.ids.FailureDomain;
     readonly peerAddress: string;
+    /** Processor of the instance, in cores. */
+    readonly cores: number;
   };
   readonly logs: {
     readonly jobs: ports.KeyedLog;
--- a/packages/gypsumwall-cell/src/election.ts
+++ b/packages/gypsumwall-cell/src/election.ts
@@ -15,6 +15,19 @@
 const ELECTION_TICK_MS = 50;
 /** Entries try to take the cell this far apart, by chance; milliseconds. */
 const ELECTION_SPREAD_MS = 120;
+/**
+ * An entry leaves the cell to stronger ones for so long. Holding a cell of 246
+ * workers takes 0.5 to 0.7 of a core; on an instance of a third of a core all
+ * starts waited in line. Twice the spread, so that each of the stronger ones
+ * has tried; if all of them are gone, a takeover is that much later;
+ * milliseconds.
+ */
+const STRONGER_FIRST_MS = 240;
+/**
+ * At a cell's very first start nobody has read who else takes part; entries
+ * register within this time; milliseconds.
+ */
+const FIRST_CLAIM_AFTER_MS = 400;
 /** Time given to the append of a claim; milliseconds. */
 const CLAIM_TIMEOUT_MS = 600;
 
@@ -28,6 +41,8 @@
   readonly lastRecordAt: () => types.clock.MonotonicMs;
   readonly isHolder: () => boolean;
   readonly isLeaving: () => boolean;
+  /** Whether a peer has more processor, or the peers aren't known yet. */
+  readonly isOutranked: () => boolean;
   readonly clock: types.clock.Clock;
   readonly random: types.random.Random;
   readonly logger: telemetry.logger.Logger;
@@ -62,6 +77,8 @@
       await sleep(ELECTION_TICK_MS);
       if (vacancy() === undefined) continue;
       await sleep(parts.random.next() * ELECTION_SPREAD_MS);
+      if (vacancy() === 'never_held') await sleep(FIRST_CLAIM_AFTER_MS);
+      if (parts.isOutranked()) await sleep(STRONGER_FIRST_MS);
       const reason = vacancy();
       if (reason !== undefined) await claimCell(reason);
     }
--- a/packages/gypsumwall-cell/src/peer_directory.ts
+++ b/packages/gypsumwall-cell/src/peer_directory.ts
@@ -50,6 +50,8 @@
     req: peerProtocol.RelayReq,
     patience: RelayPatience,
   ): Promise<RelayOutcome>;
+  /** Cores of the strongest peer that isn't passed over; 0 without peers. */
+  mostCores(): number;
   close(): void;
 }
 
@@ -127,6 +129,13 @@
       }
       return found;
     },
+    mostCores() {
+      const now = clock.monotonic();
+      const cores = [...peers.values()]
+        .filter((peer) => peer.passedOverUntil <= now)
+        .map((peer) => peer.record.cores ?? 0);
+      return Math.max(0, ...cores);
+    },
     close() {
       for (const peer of peers.values()) peer.client.close();
     },
--- a/packages/gypsumwall-cell/src/store_records.ts
+++ b/packages/gypsumwall-cell/src/store_records.ts
@@ -19,6 +19,8 @@
   readonly entryId: types.ids.EntryId;
   readonly address: string;
   readonly domain: types.ids.FailureDomain;
+  /** Processor of the instance, in cores; absent in older records. */
+  readonly cores?: number;
 }
 
 /** A claim on the cell, or its release. Its offset orders the claims. */
--- a/packages/gypsumwall-scheduling/src/__tests__/decisions.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/decisions.test.ts
@@ -65,18 +65,25 @@
 test('a small call never waits behind large ones on all lanes', () => {
   const lanes = adviceLanes.createAdviceLanes<string>();
   const entries = ['a', 'b', 'c', 'd'];
-  const large = [1, 2, 3].map(() => lanes.take(entries, 740));
+  const large = [1, 2, 3].map(() => lanes.take(entries, 740, true));
   assert.deepEqual(large, ['a', 'b', 'a']);
-  assert.equal(lanes.take(entries, 10), 'c');
-  assert.equal(lanes.take(entries, 10), 'd');
+  assert.equal(lanes.take(entries, 10, true), 'c');
+  assert.equal(lanes.take(entries, 10, true), 'd');
 });
 
 test('a lane that is long enough takes no more', () => {
   const lanes = adviceLanes.createAdviceLanes<string>();
-  assert.equal(lanes.take(['a'], 1_600), 'a');
-  assert.equal(lanes.take(['a'], 1_600), undefined);
+  assert.equal(lanes.take(['a'], 1_600, true), 'a');
+  assert.equal(lanes.take(['a'], 1_600, true), undefined);
   lanes.finish('a', 1_600);
-  assert.equal(lanes.take(['a'], 1_600), 'a');
+  assert.equal(lanes.take(['a'], 1_600, true), 'a');
+});
+
+test('a call that can wait goes only where nothing is in line', () => {
+  const lanes = adviceLanes.createAdviceLanes<string>();
+  assert.equal(lanes.take(['a'], 100, false), 'a');
+  assert.equal(lanes.take(['a'], 100, false), undefined);
+  assert.equal(lanes.take(['a'], 100, true), 'a');
 });
 
 test('a task id is taken apart as it was put together', () => {
--- a/packages/gypsumwall-scheduling/src/active_job.ts
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -5,6 +5,7 @@
 import * as types from '@gypsumwall/types';
 import * as jobProgress from './job_progress.js';
 import * as jobRequest from './job_request.js';
+import * as stepAdvice from './step_advice.js';
 import * as taskId from './task_id.js';
 import * as workOrder from './work_order.js';
 
@@ -61,17 +62,7 @@
   readonly attempts: Map<number, number>;
   /** Saved progress to go on from, by index; a gang's under 0. */
   readonly saved: Map<number, string>;
-  advice: Advice;
-}
-
-/** What an adviser has said of a step. */
-export interface Advice {
-  /** Approval by worker. */
-  tickets: ReadonlyMap<types.ids.WorkerId, string>;
-  validUntil: types.clock.MonotonicMs;
-  asking: boolean;
-  /** Workers that were named and not approved; that doesn't change. */
-  readonly refused: Set<types.ids.WorkerId>;
+  readonly advice: stepAdvice.StepAdvice;
 }
 
 /** One time that a job's steps run. */
@@ -136,12 +127,7 @@
       failures: new Map(),
       attempts: new Map(),
       saved: new Map(),
-      advice: {
-        tickets: new Map(),
-        validUntil: 0 as types.clock.MonotonicMs,
-        asking: false,
-        refused: new Set(),
-      },
+      advice: stepAdvice.createStepAdvice(),
     });
   });
   return occurrence;
--- a/packages/gypsumwall-scheduling/src/advice_lanes.ts
+++ b/packages/gypsumwall-scheduling/src/advice_lanes.ts
@@ -14,8 +14,15 @@
 
 /** The entries that may call the adviser, and what each has in line. */
 export interface AdviceLanes<Entry extends string> {
-  /** Takes the shortest line; undefined if all are long enough. */
-  take(entries: readonly Entry[], callMs: number): Entry | undefined;
+  /**
+   * Takes the shortest line; undefined if all are long enough, or if there is
+   * any and the call can do without.
+   */
+  take(
+    entries: readonly Entry[],
+    callMs: number,
+    needed: boolean,
+  ): Entry | undefined;
   finish(entry: Entry, callMs: number): void;
 }
 
@@ -25,7 +32,7 @@
   const lineOf = (entry: Entry) => inLineMs.get(entry) ?? 0;
 
   return {
-    take(entries, callMs) {
+    take(entries, callMs, needed) {
       const ordered = [...entries].sort();
       const large = callMs > LARGE_CALL_MS;
       const open = large
@@ -35,8 +42,8 @@
       for (const entry of open) {
         if (best === undefined || lineOf(entry) < lineOf(best)) best = entry;
       }
-      if (best === undefined || lineOf(best) > LONGEST_LINE_MS)
-        return undefined;
+      const longest = needed ? LONGEST_LINE_MS : 0;
+      if (best === undefined || lineOf(best) > longest) return undefined;
       inLineMs.set(best, lineOf(best) + callMs);
       return best;
     },
--- a/packages/gypsumwall-scheduling/src/choose_worker.ts
+++ b/packages/gypsumwall-scheduling/src/choose_worker.ts
@@ -1,6 +1,7 @@
 /** Chooses the worker for one task among those that may run it. */
 import * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
+import * as stepAdvice from './step_advice.js';
 import type * as workerBook from './worker_book.js';
 import type * as workerHealth from './worker_health.js';
 
@@ -31,17 +32,20 @@
   return usesSpareCpu ? {...size, cpuMillis: 0} : size;
 }
 
-/** The workers that a task of the step may be started on now, room aside. */
+/**
+ * The workers that have room for a task of the step and may run it now. Room
+ * is looked at first: in a full cell that leaves few workers, and the other
+ * questions cost more.
+ */
 export function candidates(
   stepRun: activeJob.StepRun,
   context: ChoiceContext,
 ): workerBook.BookedWorker[] {
+  const size = bookedSize(stepRun);
   const found: workerBook.BookedWorker[] = [];
-  const advised = stepRun.job.policy.advice !== undefined;
-  const tickets = stepRun.advice.tickets;
-  for (const worker of context.book.workers.values()) {
+  for (const worker of approvedWorkers(stepRun, context)) {
+    if (!types.resources.fits(size, worker.free)) continue;
     if (!worker.usable || worker.info.draining) continue;
-    if (advised && !tickets.has(worker.info.id)) continue;
     if (!mayRunOn(stepRun, worker)) continue;
     const trust = context.health.trustOf(worker.info.id, context.now);
     if (trust === 'avoided') continue;
@@ -50,6 +54,21 @@
   return found;
 }
 
+function* approvedWorkers(
+  {advice, job}: activeJob.StepRun,
+  {book, now}: ChoiceContext,
+): Iterable<workerBook.BookedWorker> {
+  if (job.policy.advice === undefined) {
+    yield* book.workers.values();
+    return;
+  }
+  for (const id of advice.approvals.keys()) {
+    const worker = book.workers.get(id);
+    if (worker === undefined) continue;
+    if (stepAdvice.ticketFor(advice, id, now) !== undefined) yield worker;
+  }
+}
+
 /** How many more tasks of the step the worker may take. */
 export function roomFor(
   stepRun: activeJob.StepRun,
--- a/packages/gypsumwall-scheduling/src/placement_pass.ts
+++ b/packages/gypsumwall-scheduling/src/placement_pass.ts
@@ -19,7 +19,10 @@
 /** What a pass came to. */
 export interface PassResult {
   readonly placed: Placement[];
-  /** Steps that need the adviser's word first, most urgent first. */
+  /**
+   * Steps that could start more tasks if the adviser approved more workers,
+   * most urgent first.
+   */
   readonly unadvised: activeJob.StepRun[];
   /**
    * Placements that would have been made on workers that aren't recorded for
@@ -28,18 +31,6 @@
   readonly unrecorded: Placement[];
 }
 
-/** Approvals that end sooner than this are not used: the start takes time. */
-const TICKET_MARGIN_MS = 60;
-
-/** Whether the step's adviser has to be asked before anything may start. */
-export function needsAdvice(
-  stepRun: activeJob.StepRun,
-  now: types.clock.MonotonicMs,
-): boolean {
-  if (stepRun.job.policy.advice === undefined) return false;
-  return stepRun.advice.validUntil < now + TICKET_MARGIN_MS;
-}
-
 /** Does a pass over steps that wait and whose jobs may start. */
 export function runPass(
   waiting: Iterable<activeJob.StepRun>,
@@ -47,11 +38,9 @@
 ): PassResult {
   const result: PassResult = {placed: [], unadvised: [], unrecorded: []};
   for (const stepRun of inOrder(waiting, context.now)) {
-    if (needsAdvice(stepRun, context.now)) {
-      result.unadvised.push(stepRun);
-      continue;
-    }
     const placements = placeStep(stepRun, context);
+    const advised = stepRun.job.policy.advice !== undefined;
+    if (advised && stepRun.waiting.length > 0) result.unadvised.push(stepRun);
     const ready = readyOf(stepRun, placements);
     result.placed.push(...ready);
     // What isn't ready keeps its room in this pass, so that nobody after it
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -5,19 +5,24 @@
  */
 import * as types from '@gypsumwall/types';
 import * as activeJob from './active_job.js';
+import * as adviceNames from './advice_names.js';
 import * as chooseWorker from './choose_worker.js';
 import * as jobBooks from './job_book.js';
 import * as jobSteps from './job_steps.js';
 import * as placementPass from './placement_pass.js';
 import * as reportReader from './report_reader.js';
 import * as runTable from './run_table.js';
+import * as stepAdvice from './step_advice.js';
 import type * as schedulerTypes from './scheduler_types.js';
 import * as taskIds from './task_id.js';
 import * as workerBook from './worker_book.js';
 import * as workerHealth from './worker_health.js';
 
-/** The adviser takes no more names than this in one call. */
-const MOST_WORKERS_ADVISED = 100;
+/**
+ * How often it is looked whether a step that waits needs more advice: a look
+ * goes over all workers, which at 246 of them takes 50 us; milliseconds.
+ */
+const ADVICE_LOOK_MS = 80;
 
 /** Creates a scheduler that knows of nothing yet. */
 export function createScheduler(
@@ -47,7 +52,7 @@
     switch (reason) {
       case 'bad_ticket':
         if (run.owner === undefined) return;
-        run.owner.stepRun.advice.validUntil = 0 as types.clock.MonotonicMs;
+        run.owner.stepRun.advice.approvals.delete(run.workerId);
         return;
       case 'no_room':
       case 'unhealthy':
@@ -82,7 +87,7 @@
       run,
       payload: stepRun.job.request.payload,
       checkpoint: stepRun.saved.get(key),
-      ticket: stepRun.advice.tickets.get(worker.info.id),
+      ticket: stepAdvice.ticketFor(stepRun.advice, worker.info.id, now),
     };
   }
 
@@ -99,33 +104,24 @@
     }
   }
 
-  function adviceWish(
+  /** The calls to be made for a step that waits, often none. */
+  function adviceWishes(
     stepRun: activeJob.StepRun,
-  ): schedulerTypes.AdviceWish | undefined {
+    now: types.clock.MonotonicMs,
+  ): schedulerTypes.AdviceWish[] {
     const policy = stepRun.job.policy.advice;
-    if (policy === undefined || stepRun.advice.asking) return undefined;
-    const named = workersToName(stepRun).slice(0, MOST_WORKERS_ADVISED);
-    if (named.length === 0) return undefined;
-    stepRun.advice.asking = true;
-    const callMs = policy.callMs + policy.perWorkerMs * named.length;
-    return {stepRun, workers: named, callMs};
-  }
-
-  /**
-   * A refusal doesn't change, so later calls leave those workers out. Workers
-   * that weren't named yet are: after a takeover the first call may know few,
-   * and a gang that fits on none of them would wait for ever.
-   */
-  function workersToName(stepRun: activeJob.StepRun): types.ids.WorkerId[] {
-    const {refused} = stepRun.advice;
-    const named: types.ids.WorkerId[] = [];
-    for (const worker of book.workers.values()) {
-      if (!worker.usable || worker.info.draining) continue;
-      if (!chooseWorker.mayRunOn(stepRun, worker)) continue;
-      if (refused.has(worker.info.id)) continue;
-      named.push(worker.info.id);
-    }
-    return named;
+    const {advice} = stepRun;
+    if (policy === undefined || now < advice.nextLookAt) return [];
+    advice.nextLookAt = types.clock.after(now, ADVICE_LOOK_MS);
+    const workers = book.workers.values();
+    const calls = adviceNames.callsFor(stepRun, policy, workers, now);
+    return calls.map((named) => {
+      const first = advice.openCalls === 0;
+      const needed = first && !stepAdvice.hasTicket(advice, now);
+      stepAdvice.noteAsked(advice, named);
+      const callMs = policy.callMs + policy.perWorkerMs * named.length;
+      return {stepRun, workers: named, callMs, needed};
+    });
   }
 
   function* startable(): Iterable<activeJob.StepRun> {
@@ -197,11 +193,9 @@
       numberAttempts(pass.placed);
       const starts = pass.placed.map((placed) => startOrder(placed, now));
       for (const {stepRun} of pass.placed) jobBook.noteWaiting(stepRun);
-      const advice: schedulerTypes.AdviceWish[] = [];
-      for (const stepRun of pass.unadvised) {
-        const wish = adviceWish(stepRun);
-        if (wish !== undefined) advice.push(wish);
-      }
+      const advice = pass.unadvised.flatMap((stepRun) =>
+        adviceWishes(stepRun, now),
+      );
       return {starts, advice};
     },
     startAnswered(run, outcome, now) {
@@ -237,12 +231,7 @@
     },
     report: readReport,
     adviceAnswered({stepRun, workers}, approved, validUntil) {
-      const {advice} = stepRun;
-      advice.asking = false;
-      if (approved === undefined) return;
-      advice.tickets = approved;
-      advice.validUntil = validUntil;
-      for (const id of workers) if (!approved.has(id)) advice.refused.add(id);
+      stepAdvice.noteAnswer(stepRun.advice, workers, approved, validUntil);
     },
     takeStops: () => jobBook.takeStops(),
     takeDirty() {
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -20,6 +20,8 @@
   readonly workers: types.ids.WorkerId[];
   /** How long the adviser will take, in milliseconds. */
   readonly callMs: number;
+  /** Whether nothing of the step can start before the answer. */
+  readonly needed: boolean;
 }
 
 /** What is to be done now. */
--- a/scripts/package_arrows.mjs
+++ b/scripts/package_arrows.mjs
@@ -47,6 +47,7 @@
     'records',
     'membership',
     'placement',
+    'scheduling',
     'routing',
     'entry',
   ],
