--- a/packages/gypsumwall-scheduling/src/__tests__/scheduler.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/scheduler.test.ts
@@ -35,6 +35,23 @@
   assert.equal(world.scheduler.decide(world.now, wall).starts.length, 1);
 });
 
+// Callers are told that two jobs wait while seven do. The workers of a job are
+// recorded before its tasks start, and the room on them is gone by the time
+// the record stands; the job then counts as begun for as long as it waits.
+test('a job counts as waiting until a task has been handed to a worker', () => {
+  const world = worlds.createSchedulerWorld();
+  world.addWorker('w1', 1);
+  world.submit('job', [worlds.step()]);
+  world.scheduler.decide(world.now, 0 as types.clock.WallMs);
+  const [recorded] = world.scheduler.takeDirty();
+  assert.deepEqual(recorded?.progress.workers, ['w1']);
+  assert.equal(recorded.progress.phase, 'queued');
+  world.scheduler.stored([recorded]);
+  world.scheduler.decide(world.now, 0 as types.clock.WallMs);
+  const [begun] = world.scheduler.takeDirty();
+  assert.equal(begun?.progress.phase, 'running');
+});
+
 test('a step starts when all tasks of the steps before it are done', () => {
   const world = worlds.createSchedulerWorld();
   world.addWorker('w1', 8);
--- a/packages/gypsumwall-scheduling/src/job_book.ts
+++ b/packages/gypsumwall-scheduling/src/job_book.ts
@@ -46,6 +46,12 @@
     job: activeJob.ActiveJob,
     phase: 'completed' | 'failed' | 'cancelled',
   ): void;
+  /**
+   * A task has been handed to a worker. Until then a job counts as waiting for
+   * its callers, however long ago its workers were recorded: in a full cell
+   * that is seconds.
+   */
+  noteBegun(job: activeJob.ActiveJob): void;
   /** Has a run stopped; it keeps its room until its end is known. */
   stop(run: activeJob.Run): void;
   /** Puts a task back into line, with its gang if it has one. */
@@ -163,6 +169,11 @@
       scheduled.add(job);
     },
     moveOn,
+    noteBegun(job) {
+      if (job.phase !== 'queued') return;
+      job.phase = 'running';
+      dirty.add(job);
+    },
     finishJob,
     stop,
     requeue,
--- a/packages/gypsumwall-scheduling/src/report_reader.ts
+++ b/packages/gypsumwall-scheduling/src/report_reader.ts
@@ -171,6 +171,7 @@
       jobBook.stop(run);
       return;
     }
+    jobBook.noteBegun(owner.stepRun.job);
     noteAttempt(owner.stepRun, owner.index, row.attempt);
     keepCheckpoint(owner.stepRun, owner.index, row.checkpoint);
     if (wanted) jobBook.takeOutOfLine(owner.stepRun, owner.index);
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -83,6 +83,7 @@
       percentChangedAt: now,
     };
     runs.add(run);
+    jobBook.noteBegun(stepRun.job);
     return {
       run,
       payload: stepRun.job.request.payload,
@@ -134,7 +135,6 @@
       const {job} = stepRun;
       if (job.workers.has(worker.info.id)) continue;
       job.workers.set(worker.info.id, 'recording');
-      job.phase = 'running';
       dirty.add(job);
     }
   }
