Keep room for gangs that wait, and bound what passes take

Excluded: missing advice, the log shows answers throughout, renewed.

Large calls may use 0.6 of the entries, was half.

--- a/packages/gypsumwall-bench/src/step_cell.ts
+++ b/packages/gypsumwall-bench/src/step_cell.ts
@@ -11,6 +11,8 @@
 /** Round trip of an append, and of an order; milliseconds. */
 const STORE_MS = 16;
 const ORDER_MS = 3;
+/** What a worker takes to stop a task; milliseconds. */
+const STOP_MS = 150;
 /** Pause before a pass, as the holder makes it; milliseconds. */
 const PASS_GAP_MS = 3;
 const WORKERS_PER_RACK = 20;
@@ -146,11 +148,20 @@
       running.set(run.workerId, runs.add(run));
       timed(() => scheduler.startAnswered(run, {type: 'started'}, now));
     });
-    const expected = run.owner!.stepRun.request.expectedMs;
-    later(ORDER_MS + expected, () => end(run));
+    const {request, job} = run.owner!.stepRun;
+    const fails = random.next() < kindOf(job.policy.queue).failingShare;
+    const spanMs = request.expectedMs * (fails ? random.next() : 1);
+    later(ORDER_MS + spanMs, () => end(run, fails ? 'failed' : 'done'));
   }
 
-  function end(run: scheduling.activeJob.Run): void {
+  function kindOf(queue: string): stepLoad.JobKind {
+    return stepLoad.PEAK_KINDS.find((kind) => kind.policy.queue === queue)!;
+  }
+
+  function end(
+    run: scheduling.activeJob.Run,
+    how: scheduling.jobSteps.RunEnd,
+  ): void {
     const runs = running.get(run.workerId);
     if (runs?.delete(run) !== true) return;
     const sequence = (sequences.get(run.workerId) ?? 0) + 1;
@@ -165,10 +176,16 @@
         checkpoint: '',
         percent: Math.floor(random.next() * 100),
       })),
-      ends: [{sequence, taskId, attempt, how: 'done', checkpoint: ''}],
+      ends: [{sequence, taskId, attempt, how, checkpoint: ''}],
       complete: true,
     };
     timed(() => scheduler.report(report, now));
+    for (const stopped of scheduler.takeStops()) {
+      later(STOP_MS, () => {
+        scheduler.stopAnswered(stopped, now);
+        end(stopped, 'stopped');
+      });
+    }
     store();
     kick();
   }
@@ -184,10 +201,7 @@
     lineEnds.set(lane, doneAt);
     later(doneAt - now, () => {
       lanes.finish(lane, wish.callMs);
-      const queue = wish.stepRun.job.policy.queue;
-      const share =
-        stepLoad.PEAK_KINDS.find((kind) => kind.policy.queue === queue)
-          ?.approvedShare ?? 1;
+      const share = kindOf(wish.stepRun.job.policy.queue).approvedShare;
       const approved = new Map<types.ids.WorkerId, string>();
       for (const id of wish.workers) {
         if (random.next() < share) approved.set(id, 'ticket');
@@ -220,7 +234,11 @@
   }
 
   function planArrival(kind: stepLoad.JobKind): void {
-    const meanGapMs = 1_000 / (kind.rate * options.load);
+    const burst = stepLoad.BURSTS.find(
+      (one) => one.kind === kind.name && now >= one.fromMs && now < one.toMs,
+    );
+    const rate = kind.rate * options.load * (burst?.factor ?? 1);
+    const meanGapMs = 1_000 / rate;
     later(-Math.log(1 - random.next()) * meanGapMs, () => arrive(kind));
   }
 
--- a/packages/gypsumwall-bench/src/step_load.ts
+++ b/packages/gypsumwall-bench/src/step_load.ts
@@ -27,6 +27,8 @@
   readonly gangShare: number;
   /** Share of the workers that the adviser approves. */
   readonly approvedShare: number;
+  /** Share of the runs that fail at some point, through nobody's fault. */
+  readonly failingShare: number;
 }
 
 /** The pool that all of them run in. */
@@ -34,6 +36,20 @@
 
 const COMMON = {pool: POOL, maxFailures: 4} as const;
 
+/** A few seconds in which a kind comes more often. */
+export interface Burst {
+  readonly kind: string;
+  readonly factor: number;
+  readonly fromMs: number;
+  readonly toMs: number;
+}
+
+/** Bursts as the operators see them. */
+export const BURSTS: readonly Burst[] = [
+  {kind: 'urgent', factor: 2.1, fromMs: 7_000, toMs: 11_000},
+  {kind: 'wide-large', factor: 1.6, fromMs: 20_000, toMs: 24_000},
+];
+
 /** The kinds at the peak of a cell of 246 workers. */
 export const PEAK_KINDS: readonly JobKind[] = [
   {
@@ -56,6 +72,7 @@
     workMs: 5_000,
     gangShare: 1,
     approvedShare: 0.35,
+    failingShare: 0.05,
   },
   {
     name: 'wide-small',
@@ -77,6 +94,7 @@
     workMs: 2_200,
     gangShare: 0,
     approvedShare: 0.45,
+    failingShare: 0.005,
   },
   {
     name: 'urgent',
@@ -98,6 +116,7 @@
     workMs: 1_000,
     gangShare: 0.3,
     approvedShare: 0.7,
+    failingShare: 0.02,
   },
 ];
 
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -35,6 +35,12 @@
 const SLOW_CLOCK_FACTOR = 1.05;
 /** Pause between two passes, so that what comes together is decided together. */
 const PASS_GAP_MS = 3;
+/**
+ * A pass over a long line of work takes milliseconds. The pause after it is
+ * this many times as long, so that deciding takes a fifth of the processor at
+ * most and the rest is left for the calls.
+ */
+const PASS_GAP_FACTOR = 4;
 /** How often time alone may change a decision; milliseconds. */
 const TICK_MS = 100;
 /** The list of workers changes seldom; a span between reads; milliseconds. */
@@ -119,6 +125,7 @@
   let lastWrite: Promise<void> = Promise.resolve();
   let ordersOnTheirWay = 0;
   let passPlanned = false;
+  let lastPassMs = 0;
   let deciding = false;
   let tickTimer: NodeJS.Timeout | undefined;
 
@@ -181,7 +188,7 @@
   function kick(): void {
     if (passPlanned || !deciding) return;
     passPlanned = true;
-    setTimeout(pass, PASS_GAP_MS);
+    setTimeout(pass, Math.max(PASS_GAP_MS, lastPassMs * PASS_GAP_FACTOR));
   }
 
   function pass(): void {
@@ -190,7 +197,9 @@
     sendStops();
     // A start takes a lease along, so nothing can start without.
     if (!mayRenew()) return;
-    const decisions = scheduler.decide(clock.monotonic(), clock.wall());
+    const startedAt = clock.monotonic();
+    const decisions = scheduler.decide(startedAt, clock.wall());
+    lastPassMs = clock.monotonic() - startedAt;
     void flush();
     for (const order of decisions.starts) void startRun(order);
     for (const wish of decisions.advice) void askAdviser(wish);
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/__tests__/gang_hold.test.ts
@@ -0,0 +1,60 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as worlds from '../__fixtures__/scheduler_world.js';
+
+const {test} = nodeTest;
+const LATE_START = {slackFactor: 50};
+
+function fill(world: worlds.SchedulerWorld, tasks: number) {
+  world.submit('running', [worlds.step({taskCount: tasks})], {
+    policy: LATE_START,
+  });
+  return world.startAll();
+}
+
+// Load: a full cell of small tasks with more of them in line, and a gang that
+// outranks them. The gang's caller waits until all the small work has ended:
+// each core that is freed goes to the next small task, and the gang never sees
+// two at once.
+test('small tasks leave the room that a gang of higher rank waits for', () => {
+  const world = worlds.createSchedulerWorld();
+  for (let nth = 0; nth < 8; nth++) world.addWorker(`w${nth}`, 2);
+  const runs = fill(world, 16);
+  world.submit('gang', [worlds.step({taskCount: 2, gang: true})]);
+  world.submit('small', [worlds.step({taskCount: 20})], {policy: LATE_START});
+  world.startAll();
+  const onFirst = runs.filter((run) => run.workerId === runs[0]!.workerId);
+  const other = runs.find((run) => run.workerId !== runs[0]!.workerId)!;
+  world.end(onFirst[0]!, 'done');
+  assert.deepEqual(world.startAll(), [], 'its room is kept');
+  world.end(other, 'done');
+  const started = world.startAll();
+  assert.deepEqual(
+    started.map((run) => run.taskId.split('.')[0]),
+    ['gang', 'gang'],
+  );
+});
+
+test('no room is kept for a gang that could not get all of it', () => {
+  const world = worlds.createSchedulerWorld();
+  for (let nth = 0; nth < 8; nth++) world.addWorker(`w${nth}`, 2);
+  const runs = fill(world, 16);
+  world.submit('gang', [worlds.step({taskCount: 16, gang: true})]);
+  world.submit('small', [worlds.step({taskCount: 20})], {policy: LATE_START});
+  world.startAll();
+  world.end(runs[0]!, 'done');
+  const [next] = world.startAll();
+  assert.equal(next?.taskId.split('.')[0], 'small');
+});
+
+test('more urgent work starts on workers that are held', () => {
+  const world = worlds.createSchedulerWorld();
+  for (let nth = 0; nth < 8; nth++) world.addWorker(`w${nth}`, 2);
+  const runs = fill(world, 16);
+  world.submit('gang', [worlds.step({taskCount: 2, gang: true})]);
+  world.submit('urgent', [worlds.step()], {policy: {priority: 0}});
+  world.startAll();
+  world.end(runs[0]!, 'done');
+  const [next] = world.startAll();
+  assert.equal(next?.taskId.split('.')[0], 'urgent');
+});
--- a/packages/gypsumwall-scheduling/src/__tests__/scheduler.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/scheduler.test.ts
@@ -38,16 +38,24 @@
 // Callers are told that two jobs wait while seven do. The workers of a job are
 // recorded before its tasks start, and the room on them is gone by the time
 // the record stands; the job then counts as begun for as long as it waits.
-test('a job counts as waiting until a task has been handed to a worker', () => {
+test('a job counts as waiting until a worker has taken a task', () => {
   const world = worlds.createSchedulerWorld();
-  world.addWorker('w1', 1);
+  const w1 = world.addWorker('w1', 1);
   world.submit('job', [worlds.step()]);
   world.scheduler.decide(world.now, 0 as types.clock.WallMs);
   const [recorded] = world.scheduler.takeDirty();
   assert.deepEqual(recorded?.progress.workers, ['w1']);
   assert.equal(recorded.progress.phase, 'queued');
   world.scheduler.stored([recorded]);
-  world.scheduler.decide(world.now, 0 as types.clock.WallMs);
+  const [lost] = world.decide();
+  const unknown = {type: 'unknown'} as const;
+  world.scheduler.startAnswered(lost!.run, unknown, world.now);
+  assert.deepEqual(world.scheduler.takeDirty(), []);
+  world.scheduler.stopAnswered(lost!.run, world.now);
+  world.now = types.clock.after(world.now, 1);
+  world.report(w1, []);
+  const [order] = world.decide();
+  world.scheduler.startAnswered(order!.run, {type: 'started'}, world.now);
   const [begun] = world.scheduler.takeDirty();
   assert.equal(begun?.progress.phase, 'running');
 });
--- a/packages/gypsumwall-scheduling/src/advice_lanes.ts
+++ b/packages/gypsumwall-scheduling/src/advice_lanes.ts
@@ -3,12 +3,17 @@
  * at a time for each calling instance and a call takes up to 0.8 s, so calls
  * of one entry alone take longer than there is time: at 1.2 large calls, 4.6
  * middle and 34 small ones a second they add up to 1.8 s of calls a second.
- * Large calls keep to the first half of the entries, so that a small call of
+ * Large calls keep to the first three fifths of the entries, so that a small call of
  * an urgent job never waits behind one on all of them.
  */
 
 /** Calls above this many milliseconds are large. */
 const LARGE_CALL_MS = 250;
+/**
+ * Share of the entries that large calls keep to. With half, 246 workers' wide
+ * gangs had all their lanes in use while the others were idle most of the time.
+ */
+const LARGE_SHARE = 0.6;
 /** More work than this on each lane only ages in line; milliseconds. */
 const LONGEST_LINE_MS = 1_500;
 
@@ -36,7 +41,10 @@
       const ordered = [...entries].sort();
       const large = callMs > LARGE_CALL_MS;
       const open = large
-        ? ordered.slice(0, Math.ceil(ordered.length / 2))
+        ? ordered.slice(
+            0,
+            Math.max(1, Math.round(ordered.length * LARGE_SHARE)),
+          )
         : ordered;
       let best: Entry | undefined;
       for (const entry of open) {
--- a/packages/gypsumwall-scheduling/src/choose_worker.ts
+++ b/packages/gypsumwall-scheduling/src/choose_worker.ts
@@ -10,6 +10,8 @@
   readonly book: workerBook.WorkerBook;
   readonly health: workerHealth.WorkerHealth;
   readonly now: types.clock.MonotonicMs;
+  /** Whether a worker's room is kept for work of higher rank. */
+  readonly isHeld?: (worker: types.ids.WorkerId) => boolean;
 }
 
 /** Whether a step's tasks may run on a worker at all, room left aside. */
@@ -42,21 +44,36 @@
   context: ChoiceContext,
 ): workerBook.BookedWorker[] {
   const size = bookedSize(stepRun);
+  const {advice, job} = stepRun;
+  const advised = job.policy.advice !== undefined;
   const found: workerBook.BookedWorker[] = [];
   for (const worker of approvedWorkers(stepRun, context)) {
+    const {id} = worker.info;
     if (!types.resources.fits(size, worker.free)) continue;
-    if (!worker.usable || worker.info.draining) continue;
-    if (!mayRunOn(stepRun, worker)) continue;
-    const trust = context.health.trustOf(worker.info.id, context.now);
-    if (trust === 'avoided') continue;
-    found.push(worker);
+    if (context.isHeld?.(id) === true) continue;
+    const ticket = advised && stepAdvice.ticketFor(advice, id, context.now);
+    if (advised && ticket === undefined) continue;
+    if (isOpen(stepRun, worker, context)) found.push(worker);
   }
   return found;
 }
 
+/** The workers that may run the step once they have room. */
+export function mayEverRun(
+  stepRun: activeJob.StepRun,
+  context: ChoiceContext,
+): workerBook.BookedWorker[] {
+  const found: workerBook.BookedWorker[] = [];
+  for (const worker of approvedWorkers(stepRun, context)) {
+    if (isOpen(stepRun, worker, context)) found.push(worker);
+  }
+  return found;
+}
+
+/** Approved by the adviser, where there is one; tickets may have ended. */
 function* approvedWorkers(
   {advice, job}: activeJob.StepRun,
-  {book, now}: ChoiceContext,
+  {book}: ChoiceContext,
 ): Iterable<workerBook.BookedWorker> {
   if (job.policy.advice === undefined) {
     yield* book.workers.values();
@@ -64,11 +81,20 @@
   }
   for (const id of advice.approvals.keys()) {
     const worker = book.workers.get(id);
-    if (worker === undefined) continue;
-    if (stepAdvice.ticketFor(advice, id, now) !== undefined) yield worker;
+    if (worker !== undefined) yield worker;
   }
 }
 
+function isOpen(
+  stepRun: activeJob.StepRun,
+  worker: workerBook.BookedWorker,
+  {health, now}: ChoiceContext,
+): boolean {
+  if (!worker.usable || worker.info.draining) return false;
+  if (!mayRunOn(stepRun, worker)) return false;
+  return health.trustOf(worker.info.id, now) !== 'avoided';
+}
+
 /** How many more tasks of the step the worker may take. */
 export function roomFor(
   stepRun: activeJob.StepRun,
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/gang_hold.ts
@@ -0,0 +1,69 @@
+/**
+ * Keeps room for gangs that wait. A gang needs all its room at one moment;
+ * small tasks need little and take each bit that is freed, so in a full cell a
+ * wide gang would wait until the small work has ended. The workers that are
+ * nearest to having the gang's room take nothing of lower rank meanwhile, and
+ * empty within the length of a small task.
+ */
+import type * as types from '@gypsumwall/types';
+import type * as activeJob from './active_job.js';
+import * as chooseWorker from './choose_worker.js';
+import * as gangFit from './gang_fit.js';
+import type * as workerBook from './worker_book.js';
+
+/**
+ * Never hold more than this share of the workers: what they could run
+ * meanwhile is lost.
+ */
+const MOST_HELD_SHARE = 0.25;
+/** Looking for a gang's room takes a while, and there is little to hold. */
+const MOST_LOOKS = 4;
+/** More urgent work may still start on held workers; room for that. */
+const SPARE_FACTOR = 1.25;
+
+/** The room that one pass keeps. */
+export interface GangHold {
+  isHeld(worker: types.ids.WorkerId): boolean;
+  /** Holds workers for a gang that found no room now. */
+  holdFor(stepRun: activeJob.StepRun): void;
+}
+
+/** Creates the holds of one pass, with nothing held. */
+export function createGangHold(context: chooseWorker.ChoiceContext): GangHold {
+  const held = new Set<types.ids.WorkerId>();
+  const most = context.book.workers.size * MOST_HELD_SHARE;
+  let looks = 0;
+
+  return {
+    isHeld: (worker) => held.has(worker),
+    holdFor(stepRun) {
+      if (looks++ >= MOST_LOOKS) return;
+      const size = chooseWorker.bookedSize(stepRun);
+      let missing = stepRun.request.taskCount * SPARE_FACTOR;
+      const chosen: types.ids.WorkerId[] = [];
+      for (const worker of nearestFirst(stepRun, context)) {
+        if (missing <= 0) break;
+        const {id, capacity} = worker.info;
+        if (held.has(id)) continue;
+        chosen.push(id);
+        missing -= Math.min(
+          gangFit.tasksThatFit(size, capacity),
+          stepRun.request.maxPerWorker ?? Infinity,
+        );
+      }
+      // Part of the room would be held in vain.
+      if (missing > 0 || held.size + chosen.length > most) return;
+      for (const id of chosen) held.add(id);
+    },
+  };
+}
+
+/** Workers that may run the step, those with the most free room first. */
+function nearestFirst(
+  stepRun: activeJob.StepRun,
+  context: chooseWorker.ChoiceContext,
+): workerBook.BookedWorker[] {
+  return chooseWorker
+    .mayEverRun(stepRun, context)
+    .sort((a, b) => b.free.cpuMillis - a.free.cpuMillis);
+}
--- a/packages/gypsumwall-scheduling/src/job_book.ts
+++ b/packages/gypsumwall-scheduling/src/job_book.ts
@@ -47,9 +47,9 @@
     phase: 'completed' | 'failed' | 'cancelled',
   ): void;
   /**
-   * A task has been handed to a worker. Until then a job counts as waiting for
-   * its callers, however long ago its workers were recorded: in a full cell
-   * that is seconds.
+   * A worker has taken a task. Until then a job counts as waiting for its
+   * callers, however long ago its workers were recorded or orders were sent:
+   * in a full cell, or at workers that answer no orders, that is seconds.
    */
   noteBegun(job: activeJob.ActiveJob): void;
   /** Has a run stopped; it keeps its room until its end is known. */
--- a/packages/gypsumwall-scheduling/src/placement_pass.ts
+++ b/packages/gypsumwall-scheduling/src/placement_pass.ts
@@ -6,6 +6,7 @@
 import * as activeJob from './active_job.js';
 import * as chooseWorker from './choose_worker.js';
 import * as gangFit from './gang_fit.js';
+import * as gangHold from './gang_hold.js';
 import type * as workerBook from './worker_book.js';
 import * as workOrder from './work_order.js';
 
@@ -37,8 +38,11 @@
   context: chooseWorker.ChoiceContext,
 ): PassResult {
   const result: PassResult = {placed: [], unadvised: [], unrecorded: []};
+  const hold = gangHold.createGangHold(context);
+  const choice = {...context, isHeld: hold.isHeld};
   for (const stepRun of inOrder(waiting, context.now)) {
-    const placements = placeStep(stepRun, context);
+    const placements = placeStep(stepRun, choice);
+    if (isWaitingGang(stepRun)) hold.holdFor(stepRun);
     const advised = stepRun.job.policy.advice !== undefined;
     if (advised && stepRun.waiting.length > 0) result.unadvised.push(stepRun);
     const ready = readyOf(stepRun, placements);
@@ -53,6 +57,10 @@
   return result;
 }
 
+function isWaitingGang({request, waiting}: activeJob.StepRun): boolean {
+  return request.gang && waiting.length > 0;
+}
+
 /** Those on recorded workers; of a gang all or none. */
 function readyOf(
   stepRun: activeJob.StepRun,
@@ -119,17 +127,18 @@
   context: chooseWorker.ChoiceContext,
 ): Placement[] {
   const size = chooseWorker.bookedSize(stepRun);
-  const rooms = among.map((worker) => ({
-    worker,
-    tasks: Math.min(
-      gangFit.tasksThatFit(size, worker.free),
-      chooseWorker.roomFor(stepRun, worker),
-    ),
-  }));
+  const {taskCount, sameRack} = stepRun.request;
+  let total = 0;
+  const rooms = among.map((worker) => {
+    const fitting = gangFit.tasksThatFit(size, worker.free);
+    const tasks = Math.min(fitting, chooseWorker.roomFor(stepRun, worker));
+    total += tasks;
+    return {worker, tasks};
+  });
+  if (total < taskCount) return [];
   const trusted = rooms.filter(({worker}) =>
     chooseWorker.isTrusted(stepRun, worker, context),
   );
-  const {taskCount, sameRack} = stepRun.request;
   const workers =
     gangFit.fitGang(trusted, taskCount, sameRack) ??
     gangFit.fitGang(rooms, taskCount, sameRack);
--- a/packages/gypsumwall-scheduling/src/report_reader.ts
+++ b/packages/gypsumwall-scheduling/src/report_reader.ts
@@ -50,6 +50,7 @@
     const owner = run?.owner ?? jobBook.stepRunOf(row.taskId);
     if (owner === undefined) return;
     const {stepRun, index} = owner;
+    jobBook.noteBegun(stepRun.job);
     keepCheckpoint(stepRun, index, row.checkpoint);
     switch (row.how) {
       case 'done':
@@ -132,6 +133,7 @@
       run.percentChangedAt = now;
     }
     if (run.owner !== undefined) {
+      jobBook.noteBegun(run.owner.stepRun.job);
       keepCheckpoint(run.owner.stepRun, run.owner.index, row.checkpoint);
     }
   }
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -83,7 +83,6 @@
       percentChangedAt: now,
     };
     runs.add(run);
-    jobBook.noteBegun(stepRun.job);
     return {
       run,
       payload: stepRun.job.request.payload,
@@ -207,6 +206,7 @@
             run.confirmedAt = now;
             run.percentChangedAt = now;
           }
+          if (run.owner !== undefined) jobBook.noteBegun(run.owner.stepRun.job);
           return;
         case 'unknown':
           // Only an answered stop tells whether it runs or ever will.
