--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -234,10 +234,8 @@
     return !peersKnown || peers.mostCores() > self.cores;
   }
 
-  async function sleep(spanMs: number): Promise<void> {
-    const until = types.clock.after(clock.monotonic(), spanMs);
-    await clock.sleepUntil(until, stopping.signal);
-  }
+  const pause = (spanMs: number) =>
+    types.clock.pause(clock, spanMs, stopping.signal);
 
   async function register(): Promise<void> {
     const {entryId, domain, peerAddress: address, cores} = self;
@@ -255,7 +253,7 @@
       logger.warn('register_failed', {
         error: types.stepError.describeError(answer.error),
       });
-      await sleep(REGISTER_RETRY_MS);
+      await pause(REGISTER_RETRY_MS);
     }
   }
 
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -50,6 +50,8 @@
 const ATTEMPTS_PER_GENERATION = 1_000;
 /** How long a hand-over waits for orders on their way; milliseconds. */
 const HAND_OVER_WAIT_MS = 400;
+/** How often it looks meanwhile whether they are answered; milliseconds. */
+const ORDERS_LOOK_MS = 10;
 
 /** Creates the holder of a claim that was just read. */
 export function createCellHolder(
@@ -270,8 +272,7 @@
       void writer.run();
       // Everything that was accepted before the claim has to be known.
       while (!stopping.signal.aborted && !(await options.catchUpJobs())) {
-        const until = types.clock.after(clock.monotonic(), TICK_MS);
-        await clock.sleepUntil(until, stopping.signal);
+        await types.clock.pause(clock, TICK_MS, stopping.signal);
       }
       if (stopping.signal.aborted) return;
       for (const job of jobs.all()) takeUp(job, true);
@@ -318,7 +319,7 @@
       deciding = false;
       const until = types.clock.after(clock.monotonic(), HAND_OVER_WAIT_MS);
       while (ordersOnTheirWay > 0 && clock.monotonic() < until) {
-        await clock.sleepUntil(types.clock.after(clock.monotonic(), 10));
+        await types.clock.pause(clock, ORDERS_LOOK_MS);
       }
       const released: storeRecords.ClaimRecord = {
         holder: claim.holder,
@@ -331,9 +332,7 @@
           flush(),
           writer.write([{kind: 'claim', claim: released}]),
         ]),
-        clock.sleepUntil(
-          types.clock.after(clock.monotonic(), HAND_OVER_WAIT_MS),
-        ),
+        types.clock.pause(clock, HAND_OVER_WAIT_MS),
       ]);
       stop();
     },
--- a/packages/gypsumwall-cell/src/cell_writer.ts
+++ b/packages/gypsumwall-cell/src/cell_writer.ts
@@ -126,10 +126,8 @@
     }
   }
 
-  async function pause(spanMs: number): Promise<void> {
-    const until = types.clock.after(clock.monotonic(), spanMs);
-    await clock.sleepUntil(until, stopping.signal);
-  }
+  const pause = (spanMs: number) =>
+    types.clock.pause(clock, spanMs, stopping.signal);
 
   /** Waits for something to write, a heartbeat's span at most. */
   async function waitForWork(): Promise<void> {
--- a/packages/gypsumwall-cell/src/election.ts
+++ b/packages/gypsumwall-cell/src/election.ts
@@ -55,10 +55,7 @@
 ): Promise<void> {
   const {self, follower, clock, logger} = parts;
 
-  async function sleep(spanMs: number): Promise<void> {
-    const until = types.clock.after(clock.monotonic(), spanMs);
-    await clock.sleepUntil(until, signal);
-  }
+  const pause = (spanMs: number) => types.clock.pause(clock, spanMs, signal);
 
   function vacancy(): takeOver.Vacancy | undefined {
     if (parts.isHolder()) return undefined;
@@ -74,11 +71,11 @@
 
   async function run(): Promise<void> {
     while (!signal.aborted) {
-      await sleep(ELECTION_TICK_MS);
+      await pause(ELECTION_TICK_MS);
       if (vacancy() === undefined) continue;
-      await sleep(parts.random.next() * ELECTION_SPREAD_MS);
-      if (vacancy() === 'never_held') await sleep(FIRST_CLAIM_AFTER_MS);
-      if (parts.isOutranked()) await sleep(STRONGER_FIRST_MS);
+      await pause(parts.random.next() * ELECTION_SPREAD_MS);
+      if (vacancy() === 'never_held') await pause(FIRST_CLAIM_AFTER_MS);
+      if (parts.isOutranked()) await pause(STRONGER_FIRST_MS);
       const reason = vacancy();
       if (reason !== undefined) await claimCell(reason);
     }
--- a/packages/gypsumwall-cell/src/hedge.ts
+++ b/packages/gypsumwall-cell/src/hedge.ts
@@ -98,8 +98,7 @@
         await waitForDoubt(race, sentAt, until);
         if (race.isOver() || clock.monotonic() >= until) break;
         if (race.open() > 0) continue;
-        const pausedAt = types.clock.after(clock.monotonic(), REFUSED_PAUSE_MS);
-        await clock.sleepUntil(pausedAt, signal);
+        await types.clock.pause(clock, REFUSED_PAUSE_MS, signal);
       }
       return race.outcome();
     },
--- a/packages/gypsumwall-cell/src/log_follower.ts
+++ b/packages/gypsumwall-cell/src/log_follower.ts
@@ -140,8 +140,7 @@
         const spanMs = ok ? options.pauseMs() : pauseMs;
         pauseMs = ok ? FIRST_PAUSE_MS : Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
         if (spanMs === 0) continue;
-        const until = types.clock.after(clock.monotonic(), spanMs);
-        await clock.sleepUntil(until, stopping.signal);
+        await types.clock.pause(clock, spanMs, stopping.signal);
       }
     },
     stop: () => stopping.abort(),
--- a/packages/gypsumwall-cell/src/tidying.ts
+++ b/packages/gypsumwall-cell/src/tidying.ts
@@ -37,14 +37,9 @@
 ): Promise<void> {
   const {jobs, clock, logger} = parts;
 
-  async function sleep(): Promise<void> {
-    const until = types.clock.after(clock.monotonic(), TIDY_MS);
-    await clock.sleepUntil(until, signal);
-  }
-
   async function run(): Promise<void> {
     while (!signal.aborted) {
-      await sleep();
+      await types.clock.pause(clock, TIDY_MS, signal);
       const holder = parts.holder();
       if (holder === undefined) continue;
       const before = types.clock.after(clock.monotonic(), -parts.keepOverMs);
--- a/packages/gypsumwall-cell/src/worker_session.ts
+++ b/packages/gypsumwall-cell/src/worker_session.ts
@@ -26,8 +26,6 @@
  * same ends, and would be asked without pause; milliseconds.
  */
 const UNSTORED_PAUSE_MS = 200;
-/** A worker lists this many ends in one answer at most. */
-const MOST_ENDS_LISTED = 500;
 
 /** What a session is made with. */
 export interface SessionOptions {
@@ -167,7 +165,7 @@
     workerClock.note(report.clockMs, now);
     const ends = report.ends.filter((end) => end.sequence > lastSequence);
     for (const end of ends) lastSequence = Math.max(lastSequence, end.sequence);
-    const complete = !report.moreEnds && report.ends.length < MOST_ENDS_LISTED;
+    const complete = !report.moreEnds;
     const {running} = report;
     scheduler.report(
       {workerId: worker.id, askedAt, running, ends, complete},
@@ -193,10 +191,8 @@
     await Promise.race([done, pause(UNSTORED_PAUSE_MS)]);
   }
 
-  async function pause(spanMs: number): Promise<void> {
-    const until = types.clock.after(clock.monotonic(), spanMs);
-    await clock.sleepUntil(until, closing.signal);
-  }
+  const pause = (spanMs: number) =>
+    types.clock.pause(clock, spanMs, closing.signal);
 
   function startOutcome(
     answer: result.Result<ports.OrderAnswer, types.stepError.StepError>,
--- a/packages/gypsumwall-placement/src/books.ts
+++ b/packages/gypsumwall-placement/src/books.ts
@@ -5,76 +5,36 @@
  * capacity, whatever the worker reports and however late.
  */
 import * as types from '@gypsumwall/types';
+import type * as bookRecords from './book_records.js';
 import * as mutableResources from './mutable_resources.js';
 import type * as placer from './placer.js';
 import * as teamBooks from './team_books.js';
 
-/** A worker and what is booked on it. */
-export interface WorkerRecord {
-  readonly id: types.ids.WorkerId;
-  rack: types.ids.RackId;
-  capacity: types.resources.Resources;
-  /** False until added, and after it was closed. */
-  open: boolean;
-  /** Kept out by quarantine, but for one probe at a time. */
-  quarantined: boolean;
-  /** Sum of the sizes that tasks were told. */
-  readonly held: mutableResources.MutableResources;
-  /** Processors in use as reported; a silent task counts what it holds. */
-  usedCpuMillis: number;
-  /** Sum over tasks of the larger of memory held and memory reported. */
-  claimedMemoryMb: number;
-  /** Kept for jobs that wait for room, on top of what is held. */
-  readonly reserved: mutableResources.MutableResources;
-  /**
-   * What may be placed here: capacity less what is held and reserved. Below
-   * zero while a reservation waits for tasks to end.
-   */
-  readonly room: mutableResources.MutableResources;
-  readonly tasks: Set<HeldRecord>;
-  /** Where it is in the list of workers. */
-  position: number;
-}
-
-/** A task that holds room. */
-export interface HeldRecord {
-  readonly taskId: types.ids.TaskId;
-  readonly spec: types.job.JobSpec;
-  readonly worker: WorkerRecord;
-  readonly size: types.resources.Resources;
-  /** When it should be done; a guess, for draining workers. */
-  readonly endsAt: number;
-  usedCpuMillis: number;
-  usedMemoryMb: number;
-  reports: number;
-  /** Usage before it was throttled; 0 when it isn't. */
-  throttledFromMillis: number;
-  /** When its checkpoint was last asked for; 0 when it wasn't. */
-  checkpointAskedAt: number;
-}
-
 /** All books of one domain. */
 export interface Books {
-  readonly workers: ReadonlyMap<types.ids.WorkerId, WorkerRecord>;
+  readonly workers: ReadonlyMap<types.ids.WorkerId, bookRecords.WorkerRecord>;
   /** The same workers, for sampling. */
-  readonly list: readonly WorkerRecord[];
+  readonly list: readonly bookRecords.WorkerRecord[];
   /** The most of each kind that any one worker has. */
   readonly largest: types.resources.Resources;
-  readonly held: ReadonlyMap<types.ids.TaskId, HeldRecord>;
+  readonly held: ReadonlyMap<types.ids.TaskId, bookRecords.HeldRecord>;
   readonly teams: teamBooks.TeamBooks;
   /** Capacity of all open workers. */
   readonly total: types.resources.Resources;
   /** Room on all open workers. */
   readonly free: types.resources.Resources;
-  setWorker(worker: placer.PlacerWorker): WorkerRecord;
-  setOpen(worker: WorkerRecord, open: boolean): void;
-  removeWorker(id: types.ids.WorkerId): WorkerRecord | undefined;
-  book(task: placer.HeldTask, endsAt: number): HeldRecord;
-  unbook(taskId: types.ids.TaskId): HeldRecord | undefined;
-  noteUsage(task: HeldRecord, used: types.resources.Resources): void;
+  setWorker(worker: placer.PlacerWorker): bookRecords.WorkerRecord;
+  setOpen(worker: bookRecords.WorkerRecord, open: boolean): void;
+  removeWorker(id: types.ids.WorkerId): bookRecords.WorkerRecord | undefined;
+  book(task: placer.HeldTask, endsAt: number): bookRecords.HeldRecord;
+  unbook(taskId: types.ids.TaskId): bookRecords.HeldRecord | undefined;
+  noteUsage(
+    task: bookRecords.HeldRecord,
+    used: types.resources.Resources,
+  ): void;
   /** Keeps room (or with -1 gives it back) on top of what is held. */
   reserve(
-    worker: WorkerRecord,
+    worker: bookRecords.WorkerRecord,
     amount: types.resources.Resources,
     sign: 1 | -1,
   ): void;
@@ -85,21 +45,21 @@
  * and whether it grew.
  */
 export function createBooks(
-  onRoom: (worker: WorkerRecord, grew: boolean) => void,
+  onRoom: (worker: bookRecords.WorkerRecord, grew: boolean) => void,
 ): Books {
-  const workers = new Map<types.ids.WorkerId, WorkerRecord>();
-  const list: WorkerRecord[] = [];
+  const workers = new Map<types.ids.WorkerId, bookRecords.WorkerRecord>();
+  const list: bookRecords.WorkerRecord[] = [];
   const largest = mutableResources.mutable(types.resources.NO_RESOURCES);
-  const held = new Map<types.ids.TaskId, HeldRecord>();
+  const held = new Map<types.ids.TaskId, bookRecords.HeldRecord>();
   const total = mutableResources.mutable(types.resources.NO_RESOURCES);
   const free = mutableResources.mutable(types.resources.NO_RESOURCES);
   const teams = teamBooks.createTeamBooks(total);
 
   /** A worker that tasks were adopted on before it was added. */
-  function worker(id: types.ids.WorkerId): WorkerRecord {
+  function worker(id: types.ids.WorkerId): bookRecords.WorkerRecord {
     const known = workers.get(id);
     if (known !== undefined) return known;
-    const made: WorkerRecord = {
+    const made: bookRecords.WorkerRecord = {
       id,
       rack: types.ids.brand(''),
       capacity: types.resources.NO_RESOURCES,
@@ -127,14 +87,14 @@
     );
   }
 
-  function dropFromList(record: WorkerRecord): void {
+  function dropFromList(record: bookRecords.WorkerRecord): void {
     const last = list.pop();
     if (last === undefined || last === record) return;
     list[record.position] = last;
     last.position = record.position;
   }
 
-  function refreshRoom(record: WorkerRecord): void {
+  function refreshRoom(record: bookRecords.WorkerRecord): void {
     const {capacity, room, reserved} = record;
     const cpuTaken = Math.max(record.held.cpuMillis, record.usedCpuMillis);
     const cpuMillis = capacity.cpuMillis - cpuTaken - reserved.cpuMillis;
@@ -155,7 +115,7 @@
     if (workers.get(record.id) === record) onRoom(record, grew);
   }
 
-  function setOpen(record: WorkerRecord, open: boolean): void {
+  function setOpen(record: bookRecords.WorkerRecord, open: boolean): void {
     if (record.open === open) return;
     record.open = open;
     mutableResources.moveBy(total, record.capacity, open ? 1 : -1);
@@ -163,7 +123,9 @@
     onRoom(record, open);
   }
 
-  function unbook(taskId: types.ids.TaskId): HeldRecord | undefined {
+  function unbook(
+    taskId: types.ids.TaskId,
+  ): bookRecords.HeldRecord | undefined {
     const task = held.get(taskId);
     if (task === undefined) return undefined;
     held.delete(taskId);
@@ -210,7 +172,7 @@
     book(task, endsAt) {
       unbook(task.taskId);
       const record = worker(task.workerId);
-      const made: HeldRecord = {
+      const made: bookRecords.HeldRecord = {
         taskId: task.taskId,
         spec: task.spec,
         worker: record,
@@ -252,7 +214,7 @@
 /** Whether a size fits a worker when what is reserved there is used too. */
 export function fitsReserved(
   need: types.resources.Resources,
-  worker: WorkerRecord,
+  worker: bookRecords.WorkerRecord,
 ): boolean {
   const {room, reserved} = worker;
   return (
--- a/packages/gypsumwall-placement/src/create_placer.ts
+++ b/packages/gypsumwall-placement/src/create_placer.ts
@@ -5,6 +5,7 @@
  */
 import * as types from '@gypsumwall/types';
 import * as admission from './admission.js';
+import type * as bookRecords from './book_records.js';
 import * as books from './books.js';
 import * as explainWait from './explain_wait.js';
 import * as jobFailures from './job_failures.js';
@@ -45,7 +46,7 @@
   const failures = jobFailures.createJobFailures();
   const spread = rackSpread.createRackSpread();
   /** Workers with more room than at the last round. */
-  const grown = new Set<books.WorkerRecord>();
+  const grown = new Set<bookRecords.WorkerRecord>();
   let givenUp = new Map<types.ids.JobId, string>();
   let undoing = false;
   let lastNow = 0;
@@ -83,16 +84,16 @@
     takeOut: (jobId, at) => waiting.takeOut(jobId, at),
   };
 
-  function isUsable(worker: books.WorkerRecord): boolean {
+  function isUsable(worker: bookRecords.WorkerRecord): boolean {
     return worker.open && !worker.quarantined;
   }
 
-  function onRoom(worker: books.WorkerRecord, grew: boolean): void {
+  function onRoom(worker: bookRecords.WorkerRecord, grew: boolean): void {
     index.update(worker, isUsable(worker));
     if (grew && !undoing) grown.add(worker);
   }
 
-  function onUsable(worker: books.WorkerRecord): void {
+  function onUsable(worker: bookRecords.WorkerRecord): void {
     onRoom(worker, isUsable(worker));
   }
 
@@ -113,7 +114,9 @@
     quietly(() => placements.forEach((each) => unhold(each.taskId)));
   }
 
-  function unhold(taskId: types.ids.TaskId): books.HeldRecord | undefined {
+  function unhold(
+    taskId: types.ids.TaskId,
+  ): bookRecords.HeldRecord | undefined {
     const task = domainBooks.unbook(taskId);
     if (task !== undefined) spread.note(task, -1);
     return task;
@@ -127,7 +130,7 @@
     waiting.drop(job);
   }
 
-  function noteFailed(task: books.HeldRecord, message: string): void {
+  function noteFailed(task: bookRecords.HeldRecord, message: string): void {
     const {jobId, index: at} = types.ids.splitTaskId(task.taskId);
     const {worker} = task;
     const reason = failures.noteFailure(jobId, at, worker.id, message);
@@ -145,7 +148,10 @@
     givenUp.set(jobId, reason);
   }
 
-  function noteEnd(task: books.HeldRecord, report: placer.RunReport): void {
+  function noteEnd(
+    task: bookRecords.HeldRecord,
+    report: placer.RunReport,
+  ): void {
     const {jobId, index: at} = types.ids.splitTaskId(task.taskId);
     switch (report.type) {
       case 'done':
@@ -254,7 +260,7 @@
  * On a worker whose processors are all in use a task uses less than it would.
  * Learning from that would book less and less and fill workers ever more.
  */
-function isSqueezed(task: books.HeldRecord): boolean {
+function isSqueezed(task: bookRecords.HeldRecord): boolean {
   const {usedCpuMillis, capacity} = task.worker;
   return (
     task.throttledFromMillis > 0 ||
--- a/packages/gypsumwall-placement/src/drain_times.ts
+++ b/packages/gypsumwall-placement/src/drain_times.ts
@@ -1,6 +1,6 @@
 /** When running tasks will have given back enough room for waiting ones. */
 import type * as types from '@gypsumwall/types';
-import type * as books from './books.js';
+import type * as bookRecords from './book_records.js';
 import * as roomForecast from './room_forecast.js';
 
 /** How long a checkpoint takes to give room back, as far as plans go. */
@@ -9,9 +9,9 @@
 /** Where and when there will be room for all of a job's tasks. */
 export interface FutureRoom {
   /** Tasks by worker. */
-  readonly slots: ReadonlyMap<books.WorkerRecord, number>;
+  readonly slots: ReadonlyMap<bookRecords.WorkerRecord, number>;
   /** Tasks to checkpoint, without which it would take longer. */
-  readonly victims: readonly books.HeldRecord[];
+  readonly victims: readonly bookRecords.HeldRecord[];
   readonly readyAt: number;
 }
 
@@ -21,13 +21,13 @@
   readonly count: number;
   readonly now: number;
   /** Tasks that may be checkpointed for it. */
-  readonly mayMove: (task: books.HeldRecord) => boolean;
+  readonly mayMove: (task: bookRecords.HeldRecord) => boolean;
 }
 
 interface Slot {
-  readonly worker: books.WorkerRecord;
+  readonly worker: bookRecords.WorkerRecord;
   readonly at: number;
-  readonly victims: readonly books.HeldRecord[];
+  readonly victims: readonly bookRecords.HeldRecord[];
 }
 
 /**
@@ -36,7 +36,7 @@
  * have reserved stays theirs.
  */
 export function soonestRoom(
-  workers: readonly books.WorkerRecord[],
+  workers: readonly bookRecords.WorkerRecord[],
   search: RoomSearch,
 ): FutureRoom | undefined {
   const {count, now} = search;
@@ -44,8 +44,8 @@
   for (const worker of workers) all.push(...slotsOn(worker, search));
   if (all.length < count) return undefined;
   all.sort((left, right) => left.at - right.at);
-  const slots = new Map<books.WorkerRecord, number>();
-  const victims: books.HeldRecord[] = [];
+  const slots = new Map<bookRecords.WorkerRecord, number>();
+  const victims: bookRecords.HeldRecord[] = [];
   for (const slot of all.slice(0, count)) {
     slots.set(slot.worker, (slots.get(slot.worker) ?? 0) + 1);
     victims.push(...slot.victims);
@@ -54,18 +54,18 @@
 }
 
 interface Ending {
-  readonly task: books.HeldRecord;
+  readonly task: bookRecords.HeldRecord;
   readonly at: number;
   readonly moved: boolean;
 }
 
 /** The moments at which one more task fits on a worker. */
-function slotsOn(worker: books.WorkerRecord, search: RoomSearch): Slot[] {
+function slotsOn(worker: bookRecords.WorkerRecord, search: RoomSearch): Slot[] {
   const {size, count, now} = search;
   const endings = endingsOn(worker, search);
   const forecast = roomForecast.createRoomForecast(worker);
   const slots: Slot[] = [];
-  let victims: books.HeldRecord[] = [];
+  let victims: bookRecords.HeldRecord[] = [];
   let at = now;
   let next = 0;
   while (slots.length < count) {
@@ -87,7 +87,10 @@
 }
 
 /** Tasks by when they end or could be checkpointed, the soonest first. */
-function endingsOn(worker: books.WorkerRecord, search: RoomSearch): Ending[] {
+function endingsOn(
+  worker: bookRecords.WorkerRecord,
+  search: RoomSearch,
+): Ending[] {
   const movedAt = search.now + CHECKPOINT_TAKES_MS;
   const endings: Ending[] = [];
   for (const task of worker.tasks) {
--- a/packages/gypsumwall-placement/src/job_queue.ts
+++ b/packages/gypsumwall-placement/src/job_queue.ts
@@ -7,7 +7,7 @@
  */
 import * as types from '@gypsumwall/types';
 import * as binaryHeap from './binary_heap.js';
-import type * as books from './books.js';
+import type * as bookRecords from './book_records.js';
 import type * as indexRanges from './index_ranges.js';
 import type * as teamBooks from './team_books.js';
 
@@ -79,7 +79,7 @@
     state: GroupState,
   ): void;
   /** Lets groups be tried again that may fit where room grew. */
-  unblock(grown: ReadonlySet<books.WorkerRecord>, now: number): void;
+  unblock(grown: ReadonlySet<bookRecords.WorkerRecord>, now: number): void;
   unblockTeam(team: teamBooks.TeamRecord): void;
   /** First jobs of groups that found no room. */
   blockedHeads(): JobRecord[];
@@ -335,7 +335,7 @@
 
 function fitsAny(
   floor: types.resources.Resources,
-  grown: ReadonlySet<books.WorkerRecord>,
+  grown: ReadonlySet<bookRecords.WorkerRecord>,
 ): boolean {
   for (const worker of grown) {
     if (types.resources.fits(floor, worker.room)) return true;
--- a/packages/gypsumwall-placement/src/movable.ts
+++ b/packages/gypsumwall-placement/src/movable.ts
@@ -1,6 +1,6 @@
 /** Which running tasks may be checkpointed so that others can run. */
 import type * as types from '@gypsumwall/types';
-import type * as books from './books.js';
+import type * as bookRecords from './book_records.js';
 import type * as placer from './placer.js';
 
 /** A checkpoint that had no effect by then is asked for again. */
@@ -17,7 +17,7 @@
  * Only batch work without a deadline is moved: a gang would lose all its
  * tasks, a service its replica, and a deadline its slack.
  */
-export function isMovable(task: books.HeldRecord, now: number): boolean {
+export function isMovable(task: bookRecords.HeldRecord, now: number): boolean {
   return (
     task.spec.shape.kind === 'batch' &&
     task.spec.deadline === undefined &&
@@ -27,7 +27,10 @@
 }
 
 /** A checkpoint was asked for and may still come about. */
-export function isBeingMoved(task: books.HeldRecord, now: number): boolean {
+export function isBeingMoved(
+  task: bookRecords.HeldRecord,
+  now: number,
+): boolean {
   return (
     task.checkpointAskedAt > 0 &&
     task.checkpointAskedAt + CHECKPOINT_EXPECTED_MS > now
@@ -35,13 +38,13 @@
 }
 
 /** How urgent a running task is. */
-export function rankOf(task: books.HeldRecord): number {
+export function rankOf(task: bookRecords.HeldRecord): number {
   return URGENCY_RANK[task.spec.urgency];
 }
 
 /** Notes and returns the checkpoint of a task. */
 export function askCheckpoint(
-  task: books.HeldRecord,
+  task: bookRecords.HeldRecord,
   now: number,
 ): placer.Relief {
   task.checkpointAskedAt = now;
--- a/packages/gypsumwall-placement/src/pick_worker.ts
+++ b/packages/gypsumwall-placement/src/pick_worker.ts
@@ -5,6 +5,7 @@
  * moves both the place where the search starts and the score.
  */
 import type * as types from '@gypsumwall/types';
+import type * as bookRecords from './book_records.js';
 import * as books from './books.js';
 import type * as workerIndex from './worker_index.js';
 
@@ -28,28 +29,28 @@
   /** Replicas by rack, for services. */
   readonly racks?: ReadonlyMap<types.ids.RackId, number>;
   /** Workers whose reserved room may be used when there is no other. */
-  readonly extra?: () => Iterable<books.WorkerRecord>;
+  readonly extra?: () => Iterable<bookRecords.WorkerRecord>;
 }
 
 /** Picks a worker; undefined when none has room. */
-export type WorkerPicker = (pick: Pick) => books.WorkerRecord | undefined;
+export type WorkerPicker = (pick: Pick) => bookRecords.WorkerRecord | undefined;
 
 /** Creates a picker over an index. */
 export function createWorkerPicker(
   index: workerIndex.WorkerIndex,
   random: types.random.Random,
 ): WorkerPicker {
-  function candidates(pick: Pick): books.WorkerRecord[] {
+  function candidates(pick: Pick): bookRecords.WorkerRecord[] {
     const {need, avoid} = pick;
     const skip =
       avoid === undefined
         ? undefined
-        : (worker: books.WorkerRecord) => avoid.has(worker.id);
+        : (worker: bookRecords.WorkerRecord) => avoid.has(worker.id);
     if (pick.racks === undefined) {
       const from = (1 - pick.packing) * random.next();
       return index.find({need, from, limit: CANDIDATES, skip});
     }
-    const found: books.WorkerRecord[] = [];
+    const found: bookRecords.WorkerRecord[] = [];
     const offset = random.next();
     for (let start = 0; start < SPREAD_STARTS; start += 1) {
       const from = ((start + offset) / SPREAD_STARTS) % 1;
@@ -59,8 +60,8 @@
     return found;
   }
 
-  function extras(pick: Pick): books.WorkerRecord[] {
-    const found: books.WorkerRecord[] = [];
+  function extras(pick: Pick): bookRecords.WorkerRecord[] {
+    const found: bookRecords.WorkerRecord[] = [];
     for (const worker of pick.extra?.() ?? []) {
       if (!worker.open || worker.quarantined) continue;
       if (pick.avoid?.has(worker.id) === true) continue;
@@ -77,9 +78,9 @@
 
 function best(
   pick: Pick,
-  found: readonly books.WorkerRecord[],
-): books.WorkerRecord | undefined {
-  let chosen: books.WorkerRecord | undefined;
+  found: readonly bookRecords.WorkerRecord[],
+): bookRecords.WorkerRecord | undefined {
+  let chosen: bookRecords.WorkerRecord | undefined;
   let lowest = Infinity;
   for (const worker of found) {
     const score = scoreOf(pick, worker);
@@ -91,7 +92,7 @@
 }
 
 /** Lower is better. */
-function scoreOf(pick: Pick, worker: books.WorkerRecord): number {
+function scoreOf(pick: Pick, worker: bookRecords.WorkerRecord): number {
   const {room, capacity} = worker;
   const {need, packing} = pick;
   const cpuLeft = (room.cpuMillis - need.cpuMillis) / capacity.cpuMillis;
--- a/packages/gypsumwall-placement/src/quarantine.ts
+++ b/packages/gypsumwall-placement/src/quarantine.ts
@@ -5,7 +5,7 @@
  * success between, so a job that is itself broken condemns no worker.
  */
 import type * as types from '@gypsumwall/types';
-import type * as books from './books.js';
+import type * as bookRecords from './book_records.js';
 
 /** Failures of this many distinct jobs, with no success between. */
 const DISTINCT_JOBS = 3;
@@ -20,16 +20,16 @@
 /** Watches how runs end on each worker. */
 export interface Quarantine {
   noteFailure(
-    worker: books.WorkerRecord,
+    worker: bookRecords.WorkerRecord,
     jobId: types.ids.JobId,
     now: number,
   ): void;
-  noteSuccess(worker: books.WorkerRecord): void;
-  forget(worker: books.WorkerRecord): void;
+  noteSuccess(worker: bookRecords.WorkerRecord): void;
+  forget(worker: bookRecords.WorkerRecord): void;
   /** Lets workers whose time has come take one probe. */
   tick(now: number): void;
   /** A quarantined worker holds its one probe. */
-  noteProbeStarted(worker: books.WorkerRecord): void;
+  noteProbeStarted(worker: bookRecords.WorkerRecord): void;
 }
 
 interface Suspect {
@@ -45,13 +45,13 @@
  * worker whose `quarantined` mark changed.
  */
 export function createQuarantine(
-  workers: ReadonlyMap<types.ids.WorkerId, books.WorkerRecord>,
-  onChange: (worker: books.WorkerRecord) => void,
+  workers: ReadonlyMap<types.ids.WorkerId, bookRecords.WorkerRecord>,
+  onChange: (worker: bookRecords.WorkerRecord) => void,
 ): Quarantine {
-  const suspects = new Map<books.WorkerRecord, Suspect>();
+  const suspects = new Map<bookRecords.WorkerRecord, Suspect>();
   let quarantined = 0;
 
-  function mark(worker: books.WorkerRecord, out: boolean): void {
+  function mark(worker: bookRecords.WorkerRecord, out: boolean): void {
     if (worker.quarantined === out) return;
     worker.quarantined = out;
     onChange(worker);
@@ -63,7 +63,7 @@
   }
 
   function keepOut(
-    worker: books.WorkerRecord,
+    worker: bookRecords.WorkerRecord,
     suspect: Suspect,
     now: number,
   ): void {
@@ -78,7 +78,7 @@
     mark(worker, true);
   }
 
-  function forget(worker: books.WorkerRecord): void {
+  function forget(worker: bookRecords.WorkerRecord): void {
     const suspect = suspects.get(worker);
     if (suspect === undefined) return;
     if (isIn(suspect)) quarantined -= 1;
--- a/packages/gypsumwall-placement/src/rack_spread.ts
+++ b/packages/gypsumwall-placement/src/rack_spread.ts
@@ -1,10 +1,10 @@
 /** Counts the replicas of each service by rack. */
 import * as types from '@gypsumwall/types';
-import type * as books from './books.js';
+import type * as bookRecords from './book_records.js';
 
 /** Replicas by rack. */
 export interface RackSpread {
-  note(task: books.HeldRecord, sign: 1 | -1): void;
+  note(task: bookRecords.HeldRecord, sign: 1 | -1): void;
   racksOf(
     jobId: types.ids.JobId,
   ): ReadonlyMap<types.ids.RackId, number> | undefined;
--- a/packages/gypsumwall-placement/src/relief.ts
+++ b/packages/gypsumwall-placement/src/relief.ts
@@ -4,7 +4,7 @@
  * where reported memory does or where due work finds no room anywhere.
  */
 import type * as types from '@gypsumwall/types';
-import type * as books from './books.js';
+import type * as bookRecords from './book_records.js';
 import type * as jobQueue from './job_queue.js';
 import * as movable from './movable.js';
 import type * as placer from './placer.js';
@@ -28,8 +28,8 @@
 /** Watches workers and due work. */
 export interface ReliefWatch {
   /** A worker's usage or tasks changed. */
-  noteWorker(worker: books.WorkerRecord): void;
-  forget(worker: books.WorkerRecord): void;
+  noteWorker(worker: bookRecords.WorkerRecord): void;
+  forget(worker: bookRecords.WorkerRecord): void;
   /** `due`: first jobs of due groups that found no room. */
   decide(
     now: number,
@@ -39,18 +39,18 @@
 
 /** What relief needs to know. */
 export interface ReliefOptions {
-  readonly list: readonly books.WorkerRecord[];
+  readonly list: readonly bookRecords.WorkerRecord[];
   readonly random: types.random.Random;
   sizeOf(job: jobQueue.JobRecord): types.resources.Resources;
 }
 
 /** Creates the watch of a domain. */
 export function createReliefWatch(options: ReliefOptions): ReliefWatch {
-  const overCpu = new Set<books.WorkerRecord>();
-  const overMemory = new Set<books.WorkerRecord>();
-  const throttled = new Set<books.WorkerRecord>();
+  const overCpu = new Set<bookRecords.WorkerRecord>();
+  const overMemory = new Set<bookRecords.WorkerRecord>();
+  const throttled = new Set<bookRecords.WorkerRecord>();
   /** Those of them whose usage or tasks changed. */
-  const changed = new Set<books.WorkerRecord>();
+  const changed = new Set<bookRecords.WorkerRecord>();
 
   function makeRoom(
     job: jobQueue.JobRecord,
@@ -77,11 +77,11 @@
     job: jobQueue.JobRecord,
     size: types.resources.Resources,
     now: number,
-  ): books.HeldRecord[] | undefined {
+  ): bookRecords.HeldRecord[] | undefined {
     const {list, random} = options;
     if (list.length === 0) return undefined;
     const start = random.integer(0, list.length - 1);
-    let best: books.HeldRecord[] | undefined;
+    let best: bookRecords.HeldRecord[] | undefined;
     let bestCost = Infinity;
     for (let step = 0; step < Math.min(SAMPLES, list.length); step += 1) {
       const worker = list[(start + step) % list.length]!;
@@ -97,7 +97,7 @@
   }
 
   function relieveCpu(
-    worker: books.WorkerRecord,
+    worker: bookRecords.WorkerRecord,
     reliefs: placer.Relief[],
   ): void {
     let excess = worker.usedCpuMillis - worker.capacity.cpuMillis;
@@ -115,7 +115,7 @@
   }
 
   function relieveMemory(
-    worker: books.WorkerRecord,
+    worker: bookRecords.WorkerRecord,
     now: number,
     reliefs: placer.Relief[],
   ): void {
@@ -132,7 +132,7 @@
   }
 
   function liftThrottles(
-    worker: books.WorkerRecord,
+    worker: bookRecords.WorkerRecord,
     reliefs: placer.Relief[],
   ): void {
     let wanted = worker.usedCpuMillis;
@@ -182,14 +182,14 @@
 }
 
 function victimsOn(
-  worker: books.WorkerRecord,
+  worker: bookRecords.WorkerRecord,
   job: jobQueue.JobRecord,
   size: types.resources.Resources,
   now: number,
-): books.HeldRecord[] | undefined {
+): bookRecords.HeldRecord[] | undefined {
   const forecast = roomForecast.createRoomForecast(worker);
-  const victims: books.HeldRecord[] = [];
-  const candidates: books.HeldRecord[] = [];
+  const victims: bookRecords.HeldRecord[] = [];
+  const candidates: bookRecords.HeldRecord[] = [];
   for (const task of worker.tasks) {
     // Room that an earlier round asked for is meant for another task.
     if (movable.isBeingMoved(task, now)) return undefined;
@@ -213,10 +213,10 @@
 }
 
 /** Each task moved costs one, a normal one as much as three overnight. */
-function costOf(victims: readonly books.HeldRecord[]): number {
+function costOf(victims: readonly bookRecords.HeldRecord[]): number {
   return victims.reduce((sum, task) => sum + 1 + movable.rankOf(task) * 2, 0);
 }
 
-function overSize(task: books.HeldRecord): number {
+function overSize(task: bookRecords.HeldRecord): number {
   return task.usedCpuMillis - task.size.cpuMillis;
 }
--- a/packages/gypsumwall-placement/src/reservations.ts
+++ b/packages/gypsumwall-placement/src/reservations.ts
@@ -9,8 +9,8 @@
  * reserved. A deadline ends a reservation whose workers don't drain.
  */
 import * as types from '@gypsumwall/types';
+import type * as bookRecords from './book_records.js';
 import * as drainTimes from './drain_times.js';
-import type * as books from './books.js';
 import type * as jobQueue from './job_queue.js';
 import * as movable from './movable.js';
 import type * as placer from './placer.js';
@@ -53,7 +53,7 @@
   readonly job: jobQueue.JobRecord;
   readonly size: types.resources.Resources;
   /** Tasks by worker. */
-  readonly slots: ReadonlyMap<books.WorkerRecord, number>;
+  readonly slots: ReadonlyMap<bookRecords.WorkerRecord, number>;
   /** When its workers should have drained. */
   readonly readyAt: number;
   readonly deadline: number;
@@ -77,7 +77,7 @@
   resume(job: jobQueue.JobRecord): void;
   /** The job was placed or went away. */
   end(job: jobQueue.JobRecord): void;
-  dropWorker(worker: books.WorkerRecord): void;
+  dropWorker(worker: bookRecords.WorkerRecord): void;
   /**
    * Workers whose reserved room the job may use: those kept for less urgent
    * work, and those it would leave before they are needed.
@@ -85,17 +85,17 @@
   usableBy(
     job: jobQueue.JobRecord,
     doneAt: number,
-  ): Iterable<books.WorkerRecord>;
+  ): Iterable<bookRecords.WorkerRecord>;
 }
 
 /** What reservations need to know. */
 export interface ReservationsOptions {
-  readonly list: readonly books.WorkerRecord[];
+  readonly list: readonly bookRecords.WorkerRecord[];
   readonly largest: types.resources.Resources;
   readonly random: types.random.Random;
   sizeOf(job: jobQueue.JobRecord): types.resources.Resources;
   reserve(
-    worker: books.WorkerRecord,
+    worker: bookRecords.WorkerRecord,
     amount: types.resources.Resources,
     sign: 1 | -1,
   ): void;
@@ -181,13 +181,13 @@
     );
   }
 
-  function sampleWorkers(count: number): books.WorkerRecord[] {
+  function sampleWorkers(count: number): bookRecords.WorkerRecord[] {
     const {list, random} = options;
-    const usable = (worker: books.WorkerRecord) =>
+    const usable = (worker: bookRecords.WorkerRecord) =>
       worker.open && !worker.quarantined;
     if (list.length <= count) return list.filter(usable);
     const start = random.integer(0, list.length - 1);
-    const found: books.WorkerRecord[] = [];
+    const found: bookRecords.WorkerRecord[] = [];
     for (let step = 0; step < count; step += 1) {
       const worker = list[(start + step) % list.length]!;
       if (usable(worker)) found.push(worker);
@@ -248,7 +248,7 @@
       }
     },
     usableBy(job, doneAt) {
-      const found: books.WorkerRecord[] = [];
+      const found: bookRecords.WorkerRecord[] = [];
       for (const reservation of current.values()) {
         const mayUse =
           job.tier < reservation.job.tier || doneAt <= reservation.readyAt;
@@ -272,7 +272,7 @@
 /** Whether a running task may be checkpointed for the job's sake. */
 function mayMove(
   job: jobQueue.JobRecord,
-  task: books.HeldRecord,
+  task: bookRecords.HeldRecord,
   now: number,
 ): boolean {
   if (!movable.isMovable(task, now)) return false;
--- a/packages/gypsumwall-placement/src/room_forecast.ts
+++ b/packages/gypsumwall-placement/src/room_forecast.ts
@@ -5,19 +5,21 @@
  * books. A plan that overlooks this comes up short by a little everywhere.
  */
 import type * as types from '@gypsumwall/types';
-import type * as books from './books.js';
+import type * as bookRecords from './book_records.js';
 
 /** Room as it would be. */
 export interface RoomForecast {
   /** As if the task had ended. */
-  without(task: books.HeldRecord): void;
+  without(task: bookRecords.HeldRecord): void;
   /** As if a task of that size had started. */
   withOne(size: types.resources.Resources): void;
   fits(size: types.resources.Resources): boolean;
 }
 
 /** Starts from the room that the worker has now. */
-export function createRoomForecast(worker: books.WorkerRecord): RoomForecast {
+export function createRoomForecast(
+  worker: bookRecords.WorkerRecord,
+): RoomForecast {
   const {capacity, reserved} = worker;
   let heldCpu = worker.held.cpuMillis;
   let usedCpu = worker.usedCpuMillis;
--- a/packages/gypsumwall-placement/src/team_books.ts
+++ b/packages/gypsumwall-placement/src/team_books.ts
@@ -1,6 +1,6 @@
 /** What each team may do and what it holds. */
 import * as types from '@gypsumwall/types';
-import type * as books from './books.js';
+import type * as bookRecords from './book_records.js';
 import * as mutableResources from './mutable_resources.js';
 import type * as placer from './placer.js';
 
@@ -32,7 +32,7 @@
   team(id: types.ids.TeamId): TeamRecord;
   setTeam(team: placer.PlacerTeam): void;
   /** Books a task for its team, or with -1 takes it out again. */
-  move(task: books.HeldRecord, sign: 1 | -1): void;
+  move(task: bookRecords.HeldRecord, sign: 1 | -1): void;
   /**
    * The largest share of the domain that a team holds of any resource, for
    * work of the given urgencies.
--- a/packages/gypsumwall-placement/src/worker_index.ts
+++ b/packages/gypsumwall-placement/src/worker_index.ts
@@ -5,7 +5,7 @@
  * accelerators are in a tree of their own, so that plain tasks fill them last.
  */
 import type * as types from '@gypsumwall/types';
-import type * as books from './books.js';
+import type * as bookRecords from './book_records.js';
 
 /**
  * Nodes one search may visit. Room of different kinds may lie on different
@@ -22,23 +22,23 @@
   readonly from: number;
   /** Stop after so many fitting workers. */
   readonly limit: number;
-  readonly skip?: (worker: books.WorkerRecord) => boolean;
+  readonly skip?: (worker: bookRecords.WorkerRecord) => boolean;
 }
 
 /** The open workers by room. */
 export interface WorkerIndex {
   /** Adds a worker or takes in its new room; `usable` false hides it. */
-  update(worker: books.WorkerRecord, usable: boolean): void;
-  remove(worker: books.WorkerRecord): void;
+  update(worker: bookRecords.WorkerRecord, usable: boolean): void;
+  remove(worker: bookRecords.WorkerRecord): void;
   /** Fitting workers, in slot order from the start and around. */
-  find(search: Search): books.WorkerRecord[];
+  find(search: Search): bookRecords.WorkerRecord[];
 }
 
 /** Creates an empty index. */
 export function createWorkerIndex(): WorkerIndex {
   const plain = createRoomTree();
   const accelerated = createRoomTree();
-  const treeOf = (worker: books.WorkerRecord) =>
+  const treeOf = (worker: bookRecords.WorkerRecord) =>
     worker.capacity.accelerators > 0 ? accelerated : plain;
 
   return {
@@ -69,8 +69,8 @@
   /** Least room of processors and memory, against a fixed reference worker. */
   let balance = new Float64Array(slots * 2).fill(-1);
   let reference: types.resources.Resources | undefined;
-  const slotOf = new Map<books.WorkerRecord, number>();
-  const workerAt: Array<books.WorkerRecord | undefined> = [];
+  const slotOf = new Map<bookRecords.WorkerRecord, number>();
+  const workerAt: Array<bookRecords.WorkerRecord | undefined> = [];
   const freeSlots: number[] = [];
   let visits = 0;
 
@@ -97,7 +97,7 @@
 
   function setLeaf(
     slot: number,
-    worker: books.WorkerRecord,
+    worker: bookRecords.WorkerRecord,
     usable: boolean,
   ): void {
     let node = slots + slot;
@@ -115,7 +115,7 @@
     }
   }
 
-  function takeSlot(worker: books.WorkerRecord): number {
+  function takeSlot(worker: bookRecords.WorkerRecord): number {
     const slot = freeSlots.pop() ?? workerAt.length;
     if (slot >= slots) grow();
     slotOf.set(worker, slot);
@@ -132,7 +132,7 @@
     nodeHigh: number,
     low: number,
     high: number,
-    found: books.WorkerRecord[],
+    found: bookRecords.WorkerRecord[],
   ): void {
     if (nodeHigh <= low || nodeLow >= high) return;
     if (found.length >= search.limit || visits >= VISITS_PER_SEARCH) return;
@@ -155,12 +155,12 @@
   }
 
   return {
-    update(worker: books.WorkerRecord, usable: boolean): void {
+    update(worker: bookRecords.WorkerRecord, usable: boolean): void {
       reference ??= worker.capacity.cpuMillis > 0 ? worker.capacity : undefined;
       const slot = slotOf.get(worker) ?? takeSlot(worker);
       setLeaf(slot, worker, usable);
     },
-    remove(worker: books.WorkerRecord): void {
+    remove(worker: bookRecords.WorkerRecord): void {
       const slot = slotOf.get(worker);
       if (slot === undefined) return;
       setLeaf(slot, worker, false);
@@ -168,8 +168,8 @@
       workerAt[slot] = undefined;
       freeSlots.push(slot);
     },
-    find(search: Search): books.WorkerRecord[] {
-      const found: books.WorkerRecord[] = [];
+    find(search: Search): bookRecords.WorkerRecord[] {
+      const found: bookRecords.WorkerRecord[] = [];
       const start = Math.floor(search.from * workerAt.length);
       const needBalance = balanceOf(search.need);
       visits = 0;
--- a/packages/gypsumwall-routing/src/attempt.ts
+++ b/packages/gypsumwall-routing/src/attempt.ts
@@ -12,7 +12,7 @@
 import type * as router from './router.js';
 import type * as serviceTimes from './service_times.js';
 import type * as upstreamHealth from './upstream_health.js';
-import type * as upstreamTable from './upstream_table.js';
+import type * as upstreamSlots from './upstream_slots.js';
 
 /** The parts that an attempt goes through. */
 export interface AttemptOptions {
@@ -21,11 +21,11 @@
   readonly times: serviceTimes.ServiceTimes;
   readonly requestBoundMs: number;
   /** Called once, when the slot may be used again. */
-  readonly release: (slots: upstreamTable.UpstreamSlots) => void;
+  readonly release: (slots: upstreamSlots.UpstreamSlots) => void;
   /** Called when an answer that was promised has come to its end. */
   readonly answerEnded: (req: router.RoutedRequest, tookMs: number) => void;
   /** Called when something spoke against the upstream. */
-  readonly onFault: (slots: upstreamTable.UpstreamSlots) => void;
+  readonly onFault: (slots: upstreamSlots.UpstreamSlots) => void;
 }
 
 type Sent = result.Result<
@@ -43,7 +43,7 @@
 /** Sends one request to one upstream. */
 export type Attempt = (
   req: router.RoutedRequest,
-  slots: upstreamTable.UpstreamSlots,
+  slots: upstreamSlots.UpstreamSlots,
   budget: retryBudget.RetryBudget,
 ) => Promise<AttemptEnd>;
 
@@ -62,7 +62,7 @@
   const {clock, times} = options;
 
   const blame = (
-    slots: upstreamTable.UpstreamSlots,
+    slots: upstreamSlots.UpstreamSlots,
     fault: upstreamHealth.UpstreamFault,
   ) => {
     slots.health.failed(fault, clock.monotonic());
@@ -75,7 +75,7 @@
    * work for as long again as it has been.
    */
   const releaseAfterLinger = (
-    slots: upstreamTable.UpstreamSlots,
+    slots: upstreamSlots.UpstreamSlots,
     startedAt: types.clock.MonotonicMs,
     latest: types.clock.MonotonicMs,
   ) => {
--- a/packages/gypsumwall-routing/src/choose_upstream.ts
+++ b/packages/gypsumwall-routing/src/choose_upstream.ts
@@ -2,18 +2,18 @@
 import type * as types from '@gypsumwall/types';
 import type * as freeList from './free_list.js';
 import type * as router from './router.js';
-import type * as upstreamTable from './upstream_table.js';
+import type * as upstreamSlots from './upstream_slots.js';
 
 /** What a choice is made from. */
 export interface Choice {
   readonly free: freeList.FreeList;
   /** Upstreams that were suspect when last looked at. */
-  readonly suspects: ReadonlySet<upstreamTable.UpstreamSlots>;
+  readonly suspects: ReadonlySet<upstreamSlots.UpstreamSlots>;
   /** How many upstreams this entry has a share of. */
   readonly shared: number;
   readonly req: router.RoutedRequest;
   /** Upstreams that failed this request; taken only if no other is free. */
-  readonly avoid: ReadonlySet<upstreamTable.UpstreamSlots>;
+  readonly avoid: ReadonlySet<upstreamSlots.UpstreamSlots>;
   readonly now: types.clock.MonotonicMs;
   readonly random: types.random.Random;
 }
@@ -21,7 +21,7 @@
 /** Undefined when no slot may be used now. */
 export type ChooseUpstream = (
   choice: Choice,
-) => upstreamTable.UpstreamSlots | undefined;
+) => upstreamSlots.UpstreamSlots | undefined;
 
 /** How many are drawn; docs/design/003-routing.md has the figures. */
 const DRAWN = 16;
@@ -47,7 +47,7 @@
 /** The naive way: any upstream with a free slot, whatever its state. */
 export function chooseAtRandom(
   choice: Choice,
-): upstreamTable.UpstreamSlots | undefined {
+): upstreamSlots.UpstreamSlots | undefined {
   const {free, random} = choice;
   if (free.size === 0) return undefined;
   return free.at(random.integer(0, free.size - 1));
@@ -56,11 +56,11 @@
 function leastLoaded(
   choice: Choice,
   drawn: number,
-): upstreamTable.UpstreamSlots | undefined {
+): upstreamSlots.UpstreamSlots | undefined {
   const {free, random} = choice;
   if (free.size === 0) return undefined;
   const first = random.integer(0, free.size - 1);
-  let best: upstreamTable.UpstreamSlots | undefined;
+  let best: upstreamSlots.UpstreamSlots | undefined;
   for (let step = 0; step < free.size; step += 1) {
     if (step >= drawn && best !== undefined) return best;
     const slots = free.at((first + step) % free.size);
@@ -75,20 +75,20 @@
  * A probe may end unknown, so it is no work for a request that may not be
  * repeated or that has failed once already.
  */
-function dueProbe(choice: Choice): upstreamTable.UpstreamSlots | undefined {
+function dueProbe(choice: Choice): upstreamSlots.UpstreamSlots | undefined {
   if (!choice.req.idempotent || choice.avoid.size > 0) return undefined;
   return anyOf(choice.suspects, (slots) => isProbe(choice, slots));
 }
 
 /** A probe whose failure most likely proves that nothing ran. */
-function safeProbe(choice: Choice): upstreamTable.UpstreamSlots | undefined {
+function safeProbe(choice: Choice): upstreamSlots.UpstreamSlots | undefined {
   return anyOf(
     choice.suspects,
     (slots) => isProbe(choice, slots) && slots.health.probeIsSafe(),
   );
 }
 
-function lastResort(choice: Choice): upstreamTable.UpstreamSlots | undefined {
+function lastResort(choice: Choice): upstreamSlots.UpstreamSlots | undefined {
   if (2 * choice.suspects.size < choice.shared) return undefined;
   return anyOf(
     choice.suspects,
@@ -97,27 +97,27 @@
 }
 
 function anyOf(
-  some: ReadonlySet<upstreamTable.UpstreamSlots>,
-  isGood: (slots: upstreamTable.UpstreamSlots) => boolean,
-): upstreamTable.UpstreamSlots | undefined {
+  some: ReadonlySet<upstreamSlots.UpstreamSlots>,
+  isGood: (slots: upstreamSlots.UpstreamSlots) => boolean,
+): upstreamSlots.UpstreamSlots | undefined {
   for (const slots of some) {
     if (isGood(slots)) return slots;
   }
   return undefined;
 }
 
-function isProbe(choice: Choice, slots: upstreamTable.UpstreamSlots): boolean {
+function isProbe(choice: Choice, slots: upstreamSlots.UpstreamSlots): boolean {
   return isFree(slots) && slots.health.mode(choice.now) === 'probe';
 }
 
-function isOpen(choice: Choice, slots: upstreamTable.UpstreamSlots): boolean {
+function isOpen(choice: Choice, slots: upstreamSlots.UpstreamSlots): boolean {
   return slots.health.mode(choice.now) === 'open';
 }
 
-function isFree(slots: upstreamTable.UpstreamSlots): boolean {
+function isFree(slots: upstreamSlots.UpstreamSlots): boolean {
   return slots.inFlight < slots.share;
 }
 
-function loadOf(slots: upstreamTable.UpstreamSlots): number {
+function loadOf(slots: upstreamSlots.UpstreamSlots): number {
   return slots.inFlight / slots.share;
 }
--- a/packages/gypsumwall-routing/src/create_baseline_router.ts
+++ b/packages/gypsumwall-routing/src/create_baseline_router.ts
@@ -10,6 +10,7 @@
 import * as routeFailure from './route_failure.js';
 import type * as router from './router.js';
 import * as routerOptions from './router_options.js';
+import type * as upstreamSlots from './upstream_slots.js';
 import * as upstreamTable from './upstream_table.js';
 
 type Routed = result.Result<
@@ -19,12 +20,12 @@
 
 interface Waiting {
   readonly req: router.RoutedRequest;
-  readonly grant: (slots: upstreamTable.UpstreamSlots) => void;
+  readonly grant: (slots: upstreamSlots.UpstreamSlots) => void;
 }
 
 /** Tries after the first one, whatever became of the one before. */
 const MAX_RETRIES = 3;
-const NONE: ReadonlySet<upstreamTable.UpstreamSlots> = new Set();
+const NONE: ReadonlySet<upstreamSlots.UpstreamSlots> = new Set();
 
 /** Makes a baseline router; not for production use. */
 export function createBaselineRouter(
@@ -49,7 +50,7 @@
   };
 
   const attempt = async (req: router.RoutedRequest): Promise<Routed> => {
-    const slots = await new Promise<upstreamTable.UpstreamSlots>((resolve) => {
+    const slots = await new Promise<upstreamSlots.UpstreamSlots>((resolve) => {
       waiting.add({req, grant: resolve});
       pump();
     });
--- a/packages/gypsumwall-routing/src/create_router.ts
+++ b/packages/gypsumwall-routing/src/create_router.ts
@@ -18,6 +18,7 @@
 import * as routerOptions from './router_options.js';
 import * as serviceTimes from './service_times.js';
 import * as slotWait from './slot_wait.js';
+import type * as upstreamSlots from './upstream_slots.js';
 import * as upstreamTable from './upstream_table.js';
 
 type Routed = result.Result<
@@ -76,9 +77,9 @@
     active -= 1;
     if (active === 0) idleWaiters.splice(0).forEach((wake) => wake());
   };
-  const probesAwaited = new WeakMap<upstreamTable.UpstreamSlots, number>();
+  const probesAwaited = new WeakMap<upstreamSlots.UpstreamSlots, number>();
   /** Those who wait learn of a probe that falls due without any other event. */
-  const pumpAtProbe = async (one: upstreamTable.UpstreamSlots) => {
+  const pumpAtProbe = async (one: upstreamSlots.UpstreamSlots) => {
     const at = one.health.probeAt();
     if (at === undefined || probesAwaited.get(one) === at) return;
     probesAwaited.set(one, at);
@@ -110,7 +111,7 @@
 
   const tryUntilFinal = async (req: router.RoutedRequest): Promise<Routed> => {
     const budget = budgetOf(req.team);
-    const failed = new Set<upstreamTable.UpstreamSlots>();
+    const failed = new Set<upstreamSlots.UpstreamSlots>();
     let mayHaveRun: string | undefined;
     for (;;) {
       const waited = await slots.wait(req, failed);
--- a/packages/gypsumwall-routing/src/free_list.ts
+++ b/packages/gypsumwall-routing/src/free_list.ts
@@ -2,28 +2,28 @@
  * The upstreams that have a free slot, in no order, so that a few can be
  * drawn at random without a look at all of them.
  */
-import type * as upstreamTable from './upstream_table.js';
+import type * as upstreamSlots from './upstream_slots.js';
 
 /** An indexed set. */
 export interface FreeList {
   readonly size: number;
   /** From 0 up to the size; the order changes with every change. */
-  at(index: number): upstreamTable.UpstreamSlots | undefined;
+  at(index: number): upstreamSlots.UpstreamSlots | undefined;
   /** Takes it in or out, by whether it has a free slot now. */
-  refresh(slots: upstreamTable.UpstreamSlots): void;
+  refresh(slots: upstreamSlots.UpstreamSlots): void;
 }
 
 /** Makes an empty list. */
 export function createFreeList(): FreeList {
-  const list: upstreamTable.UpstreamSlots[] = [];
-  const indexOf = new Map<upstreamTable.UpstreamSlots, number>();
+  const list: upstreamSlots.UpstreamSlots[] = [];
+  const indexOf = new Map<upstreamSlots.UpstreamSlots, number>();
 
-  const add = (slots: upstreamTable.UpstreamSlots) => {
+  const add = (slots: upstreamSlots.UpstreamSlots) => {
     indexOf.set(slots, list.length);
     list.push(slots);
   };
   /** The last one takes the place that comes free. */
-  const remove = (slots: upstreamTable.UpstreamSlots, index: number) => {
+  const remove = (slots: upstreamSlots.UpstreamSlots, index: number) => {
     indexOf.delete(slots);
     const last = list.pop();
     if (last === undefined || last === slots) return;
--- a/packages/gypsumwall-routing/src/queued_request.ts
+++ b/packages/gypsumwall-routing/src/queued_request.ts
@@ -1,11 +1,11 @@
 /** One request that waits for a slot. */
 import type * as types from '@gypsumwall/types';
 import type * as router from './router.js';
-import type * as upstreamTable from './upstream_table.js';
+import type * as upstreamSlots from './upstream_slots.js';
 
 /** What becomes of the wait. */
 export type WaitEnd =
-  | {readonly type: 'slot'; readonly slots: upstreamTable.UpstreamSlots}
+  | {readonly type: 'slot'; readonly slots: upstreamSlots.UpstreamSlots}
   | {readonly type: 'refused'; readonly failure: router.RouteFailure};
 
 /** What is known of a request when it begins to wait. */
@@ -18,7 +18,7 @@
   /** From then on it would most likely miss its deadline. */
   readonly latestStart: types.clock.MonotonicMs;
   /** Upstreams that failed it before. */
-  readonly avoid: ReadonlySet<upstreamTable.UpstreamSlots>;
+  readonly avoid: ReadonlySet<upstreamSlots.UpstreamSlots>;
 }
 
 /** A request in the queue. */
--- a/packages/gypsumwall-routing/src/slot_wait.ts
+++ b/packages/gypsumwall-routing/src/slot_wait.ts
@@ -8,6 +8,7 @@
 import type * as router from './router.js';
 import type * as routerOptions from './router_options.js';
 import type * as serviceTimes from './service_times.js';
+import type * as upstreamSlots from './upstream_slots.js';
 import type * as upstreamTable from './upstream_table.js';
 
 /** The parts that a wait goes through. */
@@ -26,7 +27,7 @@
   /** `avoid` holds the upstreams that failed it; empty on its first try. */
   wait(
     req: router.RoutedRequest,
-    avoid: ReadonlySet<upstreamTable.UpstreamSlots>,
+    avoid: ReadonlySet<upstreamSlots.UpstreamSlots>,
   ): Promise<queuedRequest.WaitEnd>;
   /** Gives free slots to those who wait; to be called when one came free. */
   pump(): void;
--- a/packages/gypsumwall-routing/src/upstream_table.ts
+++ b/packages/gypsumwall-routing/src/upstream_table.ts
@@ -10,20 +10,7 @@
 import type * as routerOptions from './router_options.js';
 import * as slotShares from './slot_shares.js';
 import * as upstreamHealth from './upstream_health.js';
-
-/** One upstream as this entry uses it. */
-export interface UpstreamSlots {
-  readonly id: types.ids.UpstreamId;
-  readonly address: string;
-  readonly client: platform.upstream.Upstream;
-  readonly health: upstreamHealth.UpstreamHealth;
-  /** Slots this entry may use; 0 when the upstream is leaving. */
-  share: number;
-  connections: number;
-  inFlight: number;
-  leaving: boolean;
-  listed: boolean;
-}
+import type * as upstreamSlots from './upstream_slots.js';
 
 /** All upstreams of the failure domain. */
 export interface UpstreamTable {
@@ -34,12 +21,12 @@
    */
   take(
     req: router.RoutedRequest,
-    avoid: ReadonlySet<UpstreamSlots>,
-  ): UpstreamSlots | undefined;
+    avoid: ReadonlySet<upstreamSlots.UpstreamSlots>,
+  ): upstreamSlots.UpstreamSlots | undefined;
   /** Gives a slot back and forgets an upstream that is gone. */
-  release(slots: UpstreamSlots): void;
+  release(slots: upstreamSlots.UpstreamSlots): void;
   /** To be called after a fault of the upstream. */
-  noteFault(slots: UpstreamSlots): void;
+  noteFault(slots: upstreamSlots.UpstreamSlots): void;
   /** Slots of this entry at upstreams that can be relied on. */
   reliableSlots(): number;
   /** Whether this entry has any share at all. */
@@ -60,13 +47,13 @@
     listLagMs: options.listLagMs,
     requestBoundMs,
   });
-  const table = new Map<string, UpstreamSlots>();
+  const table = new Map<string, upstreamSlots.UpstreamSlots>();
   const free = freeList.createFreeList();
-  const suspects = new Set<UpstreamSlots>();
+  const suspects = new Set<upstreamSlots.UpstreamSlots>();
   let shared = 0;
   let sharedSlots = 0;
 
-  const forgetIfGone = (slots: UpstreamSlots) => {
+  const forgetIfGone = (slots: upstreamSlots.UpstreamSlots) => {
     if (slots.listed || slots.inFlight > 0) return;
     // It may be listed anew under its old id, as another object.
     if (table.get(slots.id) === slots) table.delete(slots.id);
@@ -88,7 +75,7 @@
     slots.connections = connections;
     slots.client.setConnections(connections);
   };
-  const markUnlisted = (slots: UpstreamSlots) => {
+  const markUnlisted = (slots: upstreamSlots.UpstreamSlots) => {
     slots.listed = false;
     slots.leaving = true;
     slots.share = 0;
@@ -155,7 +142,7 @@
 function makeSlots(
   options: routerOptions.RouterOptions,
   listed: platform.instanceList.ListedUpstream,
-): UpstreamSlots {
+): upstreamSlots.UpstreamSlots {
   return {
     id: listed.id,
     address: listed.address,
@@ -170,7 +157,7 @@
 }
 
 function statusOf(
-  slots: UpstreamSlots,
+  slots: upstreamSlots.UpstreamSlots,
   clock: types.clock.Clock,
 ): router.RouterStatus['upstreams'][number] {
   const {id, share, inFlight} = slots;
--- a/packages/gypsumwall-scheduling/src/placement_pass.ts
+++ b/packages/gypsumwall-scheduling/src/placement_pass.ts
@@ -39,7 +39,8 @@
 ): PassResult {
   const result: PassResult = {placed: [], unadvised: [], unrecorded: []};
   const hold = gangHold.createGangHold(context);
-  const choice = {...context, isHeld: hold.isHeld};
+  const isHeld = (id: types.ids.WorkerId) => hold.isHeld(id);
+  const choice = {...context, isHeld};
   for (const stepRun of inOrder(waiting, context.now)) {
     const placements = placeStep(stepRun, choice);
     if (isWaitingGang(stepRun)) hold.holdFor(stepRun);
--- a/packages/gypsumwall-types/src/clock.ts
+++ b/packages/gypsumwall-types/src/clock.ts
@@ -27,6 +27,15 @@
   return (from + spanMs) as Moment;
 }
 
+/** Waits for a span from now, or less when the signal aborts. */
+export function pause(
+  clock: Clock,
+  spanMs: number,
+  signal?: AbortSignal,
+): Promise<void> {
+  return clock.sleepUntil(after(clock.monotonic(), spanMs), signal);
+}
+
 /** The real clock of this process. */
 export function createSystemClock(): Clock {
   return {
