Ask the adviser round entries that are lost

Excluded: the takeover itself, workers answered at once.

A lost holder is passed over from the moment its successor is read, a peer that stays away is tried ever less often, and a call is given twice what its line takes and 300 ms more.

--- a/packages/gypsumwall-cell/src/__tests__/relaying_desk.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/relaying_desk.test.ts
@@ -34,6 +34,7 @@
   const peers: peerDirectory.PeerDirectory = {
     apply: () => {},
     mostCores: () => 0,
+    noteLost: () => {},
     advisers: () => new Map(),
     close: () => {},
     relay: (_req, patience) => {
--- a/packages/gypsumwall-cell/src/advice_caller.ts
+++ b/packages/gypsumwall-cell/src/advice_caller.ts
@@ -5,8 +5,14 @@
 import * as types from '@gypsumwall/types';
 import type * as ports from './ports.js';
 
-/** Time given to the adviser beside its own; milliseconds. */
-const ADVICE_SLACK_MS = 1_500;
+/**
+ * A call is given this many times what it and those before it in line take,
+ * and the slack more. An urgent job has some 500 ms to spare: with a slack of
+ * 1.5 s, all that came in the first second after the loss of an entry asked
+ * through it and started 1.7 s late; milliseconds.
+ */
+const PATIENCE_FACTOR = 2;
+const ADVICE_SLACK_MS = 300;
 /** An approval's age when it arrives through a peer, at most; milliseconds. */
 const ADVICE_TRANSIT_MS = 40;
 /** What a caller works on. */
@@ -42,7 +48,7 @@
       return;
     }
     const askedAt = clock.monotonic();
-    const timeoutMs = callMs * 2 + ADVICE_SLACK_MS;
+    const timeoutMs = lanes.lineMs(lane) * PATIENCE_FACTOR + ADVICE_SLACK_MS;
     const answer = await adviser.ask(stepRun.id, workers, timeoutMs);
     lanes.finish(lane, callMs);
     const now = clock.monotonic();
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -154,12 +154,22 @@
     for (const raw of records) {
       const record = decodeRecord(raw);
       if (record === undefined) continue;
+      const before = state.claim();
       state.apply(record, raw.offset);
       jobs.apply(record, lastRecordAt);
-      if (record.kind === 'claim') claimRead();
+      if (record.kind !== 'claim') continue;
+      noteLostHolder(before);
+      claimRead();
     }
   }
 
+  /** A holder that another has replaced is no way to the adviser either. */
+  function noteLostHolder(before: claimView.CellClaim | undefined): void {
+    if (before === undefined) return;
+    if (before.instance === state.claim()?.instance) return;
+    peers.noteLost(before.instance);
+  }
+
   function claimRead(): void {
     const claim = state.claim();
     // A read may be answered after the stop; nothing would end the holder.
--- a/packages/gypsumwall-cell/src/peer_directory.ts
+++ b/packages/gypsumwall-cell/src/peer_directory.ts
@@ -10,8 +10,13 @@
 import type * as ports from './ports.js';
 import type * as storeRecords from './store_records.js';
 
-/** How long a peer that didn't answer is passed over; milliseconds. */
-const PASS_OVER_MS = 2_000;
+/**
+ * How long a peer that didn't answer is passed over, doubled each time up to
+ * the longest: each try of a peer that is gone for good costs a job the wait
+ * for an answer. One that starts anew registers and is tried at once; ms.
+ */
+const FIRST_PASS_OVER_MS = 2_000;
+const LONGEST_PASS_OVER_MS = 30_000;
 /** Connections to one peer: calls wait on each other at the adviser anyway. */
 const CONNECTIONS = 8;
 
@@ -37,6 +42,7 @@
   readonly client: httpClient.HttpClient;
   readonly adviser: ports.Adviser;
   passedOverUntil: types.clock.MonotonicMs;
+  nextPassOverMs: number;
 }
 
 /** The peers of one entry. */
@@ -50,6 +56,8 @@
     req: peerProtocol.RelayReq,
     patience: RelayPatience,
   ): Promise<RelayOutcome>;
+  /** A peer was found to be lost by other means than a call. */
+  noteLost(instance: string): void;
   /** Cores of the strongest peer that isn't passed over; 0 without peers. */
   mostCores(): number;
   close(): void;
@@ -69,10 +77,11 @@
       record,
       client,
       passedOverUntil: clock.monotonic(),
+      nextPassOverMs: FIRST_PASS_OVER_MS,
       adviser: {
         async ask(stepRunId, workers, timeoutMs) {
           const answer = await direct.ask(stepRunId, workers, timeoutMs);
-          if (result.isErr(answer)) passOver(peer);
+          noteAnswer(peer, answer);
           return answer;
         },
       },
@@ -80,9 +89,22 @@
     return peer;
   }
 
+  /** A refusal by the adviser behind a peer is an answer of the peer. */
+  function noteAnswer(
+    peer: Peer,
+    answer: result.Result<unknown, types.stepError.StepError>,
+  ): void {
+    if (result.isOk(answer)) peer.nextPassOverMs = FIRST_PASS_OVER_MS;
+    else if (answer.error.kind !== 'refused') passOver(peer);
+  }
+
   function passOver(peer: Peer): void {
-    const until = types.clock.after(clock.monotonic(), PASS_OVER_MS);
-    peer.passedOverUntil = until;
+    const now = clock.monotonic();
+    // Calls that were open together fail together, and count once.
+    if (peer.passedOverUntil > now) return;
+    peer.passedOverUntil = types.clock.after(now, peer.nextPassOverMs);
+    const doubled = peer.nextPassOverMs * 2;
+    peer.nextPassOverMs = Math.min(LONGEST_PASS_OVER_MS, doubled);
   }
 
   function usable({preferred, onlyPreferred}: RelayPatience): Peer[] {
@@ -104,8 +126,8 @@
         if (leftMs <= 0) break;
         const timeoutMs = Math.min(patience.eachMs, leftMs);
         const answer = await peerProtocol.relay(peer.client, req, timeoutMs);
+        noteAnswer(peer, answer);
         if (result.isErr(answer)) {
-          passOver(peer);
           if (answer.error.effect === 'unknown') mayStand = true;
         } else if (isCertain(answer.value)) {
           return {type: 'answered', res: answer.value};
@@ -129,6 +151,10 @@
       }
       return found;
     },
+    noteLost(instance) {
+      const peer = peers.get(instance);
+      if (peer !== undefined) passOver(peer);
+    },
     mostCores() {
       const now = clock.monotonic();
       const cores = [...peers.values()]
--- a/packages/gypsumwall-scheduling/src/advice_lanes.ts
+++ b/packages/gypsumwall-scheduling/src/advice_lanes.ts
@@ -36,6 +36,8 @@
     needed: boolean,
   ): Entry | undefined;
   finish(entry: Entry, callMs: number): void;
+  /** Milliseconds of calls that an entry has in line. */
+  lineMs(entry: Entry): number;
 }
 
 /** Creates lanes with nothing in line. */
@@ -68,6 +70,7 @@
       inLineMs.set(best, lineOf(best) + callMs);
       return best;
     },
+    lineMs: lineOf,
     finish(entry, callMs) {
       inLineMs.set(entry, Math.max(0, lineOf(entry) - callMs));
     },
