--- a/packages/gypsumwall-cell/src/election.ts
+++ b/packages/gypsumwall-cell/src/election.ts
@@ -16,11 +16,11 @@
 /** Entries try to take the cell this far apart, by chance; milliseconds. */
 const ELECTION_SPREAD_MS = 120;
 /**
- * An entry leaves the cell to stronger ones for so long. Holding a cell of 246
- * workers takes 0.5 to 0.7 of a core; on an instance of a third of a core all
- * starts waited in line. Twice the spread, so that each of the stronger ones
- * has tried; if all of them are gone, a takeover is that much later;
- * milliseconds.
+ * An entry leaves the cell to stronger ones for so long. The holder of 246
+ * workers took 0.39 of a core on the mean of a quiet day, and the small
+ * instances there have 0.32: the calls would wait in line. Twice the spread,
+ * so that each of the stronger ones has tried; if all of them are gone, a
+ * takeover is that much later; milliseconds.
  */
 const STRONGER_FIRST_MS = 240;
 /**
--- a/packages/gypsumwall-scheduling/src/advice_lanes.ts
+++ b/packages/gypsumwall-scheduling/src/advice_lanes.ts
@@ -3,15 +3,16 @@
  * at a time for each calling instance and a call takes up to 0.8 s, so calls
  * of one entry alone take longer than there is time: at 1.2 large calls, 4.6
  * middle and 34 small ones a second they add up to 1.8 s of calls a second.
- * Large calls keep to the first three fifths of the entries, so that a small call of
- * an urgent job never waits behind one on all of them.
+ * Large calls keep to the first three fifths of the entries, so that a small
+ * call of an urgent job never waits behind one on all of them.
  */
 
 /** Calls above this many milliseconds are large. */
 const LARGE_CALL_MS = 250;
 /**
- * Share of the entries that large calls keep to. With half, 246 workers' wide
- * gangs had all their lanes in use while the others were idle most of the time.
+ * Share of the entries that large calls keep to. Of 246 workers' wide gangs
+ * 0.953 are on time with it and 0.866 with half; urgent jobs the same (virtual
+ * cell, five seeds).
  */
 const LARGE_SHARE = 0.6;
 /**
