--- a/scripts/known_red.mjs
+++ b/scripts/known_red.mjs
@@ -1,10 +1,13 @@
 /**
  * Tests that fail for a real fault that is not mended yet. KNOWN-RED.txt has
- * one on a line: `test name | cause | issue`; at most three.
+ * one on a line: `test name | cause | issue`; at most three. A fault that only
+ * a play of the users' days shows has `command: ...` in place of the name; it
+ * is printed, and nothing runs it here.
  */
 import * as fs from 'node:fs';
 
 const MOST_LINES = 3;
+const COMMAND = 'command: ';
 
 /** Names, causes and issues in the file; none where there is no file. */
 export function readKnownRed(file) {
@@ -33,7 +36,9 @@
     faults.push(`KNOWN-RED.txt: ${known.length} tests, at most ${MOST_LINES}`);
   }
   for (const {name, cause, issue} of known) {
-    if (failed.includes(name)) {
+    if (name.startsWith(COMMAND)) {
+      console.log(`known red, not run here: ${name} (${cause}; ${issue})`);
+    } else if (failed.includes(name)) {
       console.log(`known red: ${name} (${cause}; ${issue})`);
     } else if (passed.has(name)) {
       faults.push(`KNOWN-RED.txt: "${name}" passes; take it out`);
