Leave callers of a cut-off failure domain to the others

Cause: entries that the store turns away hand calls to peers. Two entries of a domain that is cut off answer each other's questions about jobs; each took that for a way to the store, said it was ready, and the balancer kept all callers of the domain there.

--- a/packages/gypsumwall-cell/src/__tests__/relaying_desk.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/relaying_desk.test.ts
@@ -17,10 +17,7 @@
   readonly latencyMs?: number;
 }
 
-async function submit(
-  situation: Situation,
-): Promise<{readonly type: string; readonly asked: string[]}> {
-  const asked: string[] = [];
+function createDesk(situation: Situation, asked: string[] = []) {
   const own: frontDesk.FrontDesk = {
     submit: () => {
       asked.push('own');
@@ -42,7 +39,7 @@
       return Promise.resolve(situation.relayed);
     },
   };
-  const desk = relayingDesks.createRelayingDesk({
+  return relayingDesks.createRelayingDesk({
     own,
     peers,
     clock: types.clock.createSystemClock(),
@@ -50,6 +47,13 @@
     storeReachable: () => situation.reachable,
     holder: () => 'other',
   });
+}
+
+async function submit(
+  situation: Situation,
+): Promise<{readonly type: string; readonly asked: string[]}> {
+  const asked: string[] = [];
+  const desk = createDesk(situation, asked);
   const {type} = await desk.submit(id, worlds.POLICY, worlds.request(1));
   return {type, asked};
 }
@@ -86,3 +90,16 @@
   const quick = {own: OK, relayed: PEER_OK, reachable: true};
   assert.deepEqual(await submit(quick), {type: 'ok', asked: ['own']});
 });
+
+// For as long as a failure domain is cut off, all its callers are refused,
+// though every other domain could serve them. Its entries answer each other's
+// questions about jobs, took that for a way to the store, told the balancer
+// that they were ready, and so kept their callers.
+test('only what a peer stored shows a way to the store', async () => {
+  const situation = {own: REFUSED, relayed: PEER_OK, reachable: false};
+  const desk = createDesk(situation);
+  await desk.phaseOf(id, 'plans');
+  assert.equal(desk.relayedLately(), false, 'after a question');
+  await desk.submit(id, worlds.POLICY, worlds.request(1));
+  assert.equal(desk.relayedLately(), true, 'after a job was stored');
+});
--- a/packages/gypsumwall-cell/src/relaying_desk.ts
+++ b/packages/gypsumwall-cell/src/relaying_desk.ts
@@ -35,7 +35,7 @@
 
 /** A desk with a way round the store. */
 export interface RelayingDesk extends frontDesk.FrontDesk {
-  /** Whether peers have answered for this entry lately. */
+  /** Whether peers have stored something for this entry lately. */
   relayedLately(): boolean;
 }
 
@@ -57,8 +57,11 @@
       outcome: answered ? outcome.res.type : outcome.type,
       mayStand: answered ? undefined : outcome.mayStand,
     });
-    if (answered) relayedAt = clock.monotonic();
-    else hopelessUntil = types.clock.after(clock.monotonic(), HOPELESS_MS);
+    if (answered && showsWayToStore(req, outcome.res)) {
+      relayedAt = clock.monotonic();
+    }
+    if (!answered)
+      hopelessUntil = types.clock.after(clock.monotonic(), HOPELESS_MS);
     return outcome;
   }
 
@@ -134,6 +137,25 @@
   };
 }
 
+/**
+ * Whether the peer must have reached the store. Entries of a failure domain
+ * that is cut off know each other's jobs and answer questions about them; one
+ * that took such an answer for a way to the store stayed ready, and all its
+ * callers were refused for as long as the cut lasted.
+ */
+function showsWayToStore(
+  req: peerProtocol.RelayReq,
+  res: peerProtocol.RelayRes,
+): boolean {
+  switch (req.type) {
+    case 'submit':
+    case 'cancel':
+      return res.type === 'ok';
+    case 'phase':
+      return false;
+  }
+}
+
 /** A peer's answer to the same call has the same type of value. */
 function answerOf<Value>(
   res: peerProtocol.RelayRes,
