Pass over workers that another program wrote badly to the list

Cause: an entry of the list without an address, or with one of another type, was taken for a worker; opening its connection threw and ended the process.

--- /dev/null
+++ b/packages/gypsumwall-cell/src/__tests__/foreign_workers.test.ts
@@ -0,0 +1,64 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as result from 'true-myth/result';
+import type * as scheduling from '@gypsumwall/scheduling';
+import * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import * as fakeWorkers from '../__fixtures__/fake_worker.js';
+import type * as ports from '../ports.js';
+import type * as workerSession from '../worker_session.js';
+import * as workerRosters from '../worker_roster.js';
+
+const {test} = nodeTest;
+
+function createRoster() {
+  const opened: string[] = [];
+  const warned: string[] = [];
+  const roster = workerRosters.createWorkerRoster({
+    clock: types.clock.createSystemClock(),
+    logger: telemetry.logger.createLogger('warn', {}, (line) =>
+      warned.push(line),
+    ),
+    scheduler: {
+      putWorker: () => {},
+    } as unknown as scheduling.schedulerTypes.Scheduler,
+    decode: (_key, value): result.Result<ports.ListedWorker, string> =>
+      value === 'bad'
+        ? result.err('addr = 7: give host:port')
+        : result.ok({
+            info: JSON.parse(value) as scheduling.workerBook.WorkerInfo,
+          }),
+    isUsedPool: (pool) => pool === 'pool',
+    openSession: (info) => {
+      opened.push(info.id);
+      const session: Partial<workerSession.WorkerSession> = {
+        run: () => Promise.resolve(),
+      };
+      return session as workerSession.WorkerSession;
+    },
+    write: () => Promise.resolve(),
+    onChange: () => {},
+  });
+  return {roster, opened, warned};
+}
+
+const listed = (name: string, pool: string) => {
+  const {info} = fakeWorkers.createFakeWorker(name, 1);
+  return {key: name, value: JSON.stringify({...info, pool}), offset: 0};
+};
+
+// Another program writes to the list of workers. Its entries name none to be
+// called, the sound ones beside them hold, and the log tells each fault once,
+// though the entry is written anew every second.
+test('bad and foreign entries are passed over, and told once', () => {
+  const {roster, opened, warned} = createRoster();
+  for (let beat = 0; beat < 3; beat++) {
+    const bad = {key: 'x', value: 'bad', offset: beat};
+    const records = [bad, listed('other', 'theirs'), listed('w1', 'pool')];
+    roster.applyList(records, false);
+  }
+  assert.deepEqual(opened, ['w1']);
+  assert.equal(warned.length, 2);
+  assert.match(warned[0]!, /addr = 7/);
+  assert.match(warned[1]!, /pool = theirs/);
+});
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -190,6 +190,7 @@
       cellLog: logs.cell,
       workerLog: logs.workers,
       decodeWorker: options.decodeWorker,
+      isUsedPool,
       connect: options.connect,
       advisers: () => peers.advisers().set(self.instance, options.adviser),
       jobs,
@@ -214,6 +215,12 @@
     return config?.queues.find((route) => route.policy.queue === queue)?.policy;
   }
 
+  /** Before the first configuration, any pool may be. */
+  function isUsedPool(pool: string): boolean {
+    if (config === undefined) return true;
+    return config.queues.some((route) => route.policy.pool === pool);
+  }
+
   /** Judged by the workers seen so far; with none seen nothing is refused. */
   function couldEverFit(
     pool: string,
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -79,6 +79,7 @@
     logger,
     scheduler,
     decode: options.decodeWorker,
+    isUsedPool: options.isUsedPool,
     openSession,
     write: (records) => writer.write(records),
     onChange: kick,
--- a/packages/gypsumwall-cell/src/cell_holder_types.ts
+++ b/packages/gypsumwall-cell/src/cell_holder_types.ts
@@ -15,6 +15,7 @@
   readonly cellLog: ports.KeyedLog;
   readonly workerLog: ports.KeyedLog;
   readonly decodeWorker: workerRoster.RosterOptions['decode'];
+  readonly isUsedPool: workerRoster.RosterOptions['isUsedPool'];
   readonly connect: (
     worker: scheduling.workerBook.WorkerInfo,
   ) => ports.WorkerLink;
--- a/packages/gypsumwall-cell/src/worker_roster.ts
+++ b/packages/gypsumwall-cell/src/worker_roster.ts
@@ -22,6 +22,9 @@
  */
 const UNLISTED_GRACE_MS = 2_500;
 
+/** Faults remembered, so that each is told once; then told anew. */
+const MOST_UNREADABLE = 1_000;
+
 /** What a roster is made with. */
 export interface RosterOptions {
   readonly clock: types.clock.Clock;
@@ -31,6 +34,11 @@
     key: string,
     value: string,
   ) => result.Result<ports.ListedWorker, string>;
+  /**
+   * Whether any queue's tasks run in the pool. Workers of others aren't called:
+   * their entries may be another program's, and their addresses anyone's.
+   */
+  readonly isUsedPool: (pool: string) => boolean;
   readonly openSession: (
     worker: scheduling.workerBook.WorkerInfo,
   ) => workerSession.WorkerSession;
@@ -71,6 +79,8 @@
 export function createWorkerRoster(options: RosterOptions): WorkerRoster {
   const {clock, logger, scheduler} = options;
   const entries = new Map<types.ids.WorkerId, Entry>();
+  /** What was wrong with entries that couldn't be read, by key. */
+  const unreadable = new Map<string, string>();
   let closed = false;
 
   function open(
@@ -102,6 +112,10 @@
 
   function put(listed: ports.ListedWorker): void {
     const {info, leavesInMs} = listed;
+    if (!entries.has(info.id) && !options.isUsedPool(info.pool)) {
+      noteUnreadable(info.id, `pool = ${info.pool}: no queue runs there`);
+      return;
+    }
     const entry = entries.get(info.id) ?? open(info, true, false);
     if (info.draining && !entry.info.draining) {
       logger.info('worker_draining', {worker: info.id, leavesInMs});
@@ -122,6 +136,17 @@
     entry.unusedAt = types.clock.after(clock.monotonic(), UNLISTED_GRACE_MS);
   }
 
+  /**
+   * Whoever writes a bad entry may write it every second: the log tells each
+   * fault once.
+   */
+  function noteUnreadable(key: string, error: string): void {
+    if (unreadable.get(key) === error) return;
+    if (unreadable.size >= MOST_UNREADABLE) unreadable.clear();
+    unreadable.set(key, error);
+    logger.warn('worker_unreadable', {key, error});
+  }
+
   function forget(id: types.ids.WorkerId, reason: string): void {
     const entry = entries.get(id);
     if (entry === undefined) return;
@@ -147,8 +172,12 @@
           continue;
         }
         const decoded = options.decode(key, value);
-        if (result.isOk(decoded)) put(decoded.value);
-        else logger.warn('worker_unreadable', {key, error: decoded.error});
+        if (result.isOk(decoded)) {
+          put(decoded.value);
+          continue;
+        }
+        noteUnreadable(key, decoded.error);
+        unlist(types.ids.brand(key));
       }
       options.onChange();
     },
