Keep a job in one failure domain, and its record free of workers that left

Causes: (a) a cut of one of three domains hit nearly every job in flight, since the tasks of a job were spread over all three. (b) A job's record names the workers its tasks may be on, and never lost one.

Changes: a job's tasks go to the domain that had the most room when it began, while there is room; tasks that last don't. When the last run of a job on a draining worker is over, the worker is taken off the job's record.

--- a/packages/gypsumwall-scheduling/src/active_job.ts
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -101,6 +101,8 @@
   readonly workers: Map<types.ids.WorkerId, 'recording' | 'recorded'>;
   /** Workers on which a task of it has failed: tried again elsewhere first. */
   readonly failedOn: Set<types.ids.WorkerId>;
+  /** The failure domain that its tasks keep to while it has room. */
+  home?: types.ids.FailureDomain;
   readonly open: Map<number, Occurrence>;
   readonly finished: Set<number>;
 }
--- a/packages/gypsumwall-scheduling/src/choose_worker.ts
+++ b/packages/gypsumwall-scheduling/src/choose_worker.ts
@@ -1,6 +1,7 @@
 /** Chooses the worker for one task among those that may run it. */
 import * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
+import * as homeDomain from './home_domain.js';
 import * as stepAdvice from './step_advice.js';
 import type * as workerBook from './worker_book.js';
 import type * as workerHealth from './worker_health.js';
@@ -121,8 +122,9 @@
 
 /**
  * The best of the given workers with room for a task: sound before doubtful,
- * near the data before far, then the one that the task fills most, which
- * keeps other workers whole for large tasks.
+ * near the data before far, in the job's failure domain before others, then
+ * the one that the task fills most, which keeps other workers whole for large
+ * tasks.
  */
 export function chooseWorker(
   stepRun: activeJob.StepRun,
@@ -146,6 +148,7 @@
 /** Larger than any difference in free processors, in thousandths of a core. */
 const DOUBTFUL_COST = 1e9;
 const FAR_COST = 1e8;
+const AWAY_COST = 1e7;
 
 function costOf(
   stepRun: activeJob.StepRun,
@@ -156,6 +159,9 @@
   const far = preferredRack !== undefined && preferredRack !== worker.info.rack;
   const trusted = isTrusted(stepRun, worker, context);
   return (
-    (trusted ? 0 : DOUBTFUL_COST) + (far ? FAR_COST : 0) + worker.free.cpuMillis
+    (trusted ? 0 : DOUBTFUL_COST) +
+    (far ? FAR_COST : 0) +
+    (homeDomain.isAway(stepRun, worker) ? AWAY_COST : 0) +
+    worker.free.cpuMillis
   );
 }
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/home_domain.ts
@@ -0,0 +1,41 @@
+/**
+ * Keeps the tasks of a job within one failure domain while there is room.
+ *
+ * Pattern: a failure domain is cut off for some seconds, and jobs of several
+ * tasks that need all of them. With tasks spread over three domains nearly
+ * every job in flight has one in the domain that is cut off, and waits for its
+ * return; kept in one domain, a third of them has.
+ */
+import type * as types from '@gypsumwall/types';
+import type * as activeJob from './active_job.js';
+import type * as workerBook from './worker_book.js';
+
+/** Gives a job that has none the domain with the most free room. */
+export function settle(
+  {job, request}: activeJob.StepRun,
+  among: readonly workerBook.BookedWorker[],
+): void {
+  if (job.home !== undefined || request.longRunning) return;
+  const free = new Map<types.ids.FailureDomain, number>();
+  for (const worker of among) {
+    const {domain} = worker.info;
+    const before = free.get(domain) ?? 0;
+    free.set(domain, before + worker.free.cpuMillis);
+  }
+  let most = -1;
+  for (const [domain, cpuMillis] of free) {
+    if (cpuMillis <= most) continue;
+    job.home = domain;
+    most = cpuMillis;
+  }
+}
+
+/** Whether a worker lies outside the domain that the job keeps to. */
+export function isAway(
+  {job, request}: activeJob.StepRun,
+  worker: workerBook.BookedWorker,
+): boolean {
+  // Tasks that last are of use one by one.
+  if (job.home === undefined || request.longRunning) return false;
+  return worker.info.domain !== job.home;
+}
--- a/packages/gypsumwall-scheduling/src/job_book.ts
+++ b/packages/gypsumwall-scheduling/src/job_book.ts
@@ -22,6 +22,8 @@
 export interface JobBookParts {
   readonly runs: runTable.RunTable;
   readonly health: workerHealth.WorkerHealth;
+  /** Whether a worker drains or is gone for good. */
+  readonly isLeaving: (worker: types.ids.WorkerId) => boolean;
   readonly onEvent: (event: schedulerTypes.SchedulerEvent) => void;
 }
 
@@ -57,6 +59,14 @@
   /** Puts a task back into line, with its gang if it has one. */
   requeue(stepRun: activeJob.StepRun, index: number): void;
   dropRun(run: activeJob.Run): void;
+  /**
+   * A run is over. A worker that is about to leave and has none of the job's
+   * runs any more is taken off the job's record. A successor holds a job back
+   * until each recorded worker is accounted for, and one that has left answers
+   * nobody: tasks that were moved off in good time stood still for 35 s.
+   * Nothing starts on a leaving worker, so it isn't put on the record again.
+   */
+  noteLeft(run: activeJob.Run): void;
   /**
    * Puts a second run of a task into line beside one that may take long, where
    * its caller allows copies; false if there may be none. The first that is
@@ -150,8 +160,19 @@
   }
 
   /** A run is over without a word on how: its task waits again. */
+  function noteLeft({owner, workerId}: activeJob.Run): void {
+    const job = owner?.stepRun.job;
+    if (job === undefined || jobProgress.isOver(job.phase)) return;
+    if (!parts.isLeaving(workerId)) return;
+    for (const run of parts.runs.ofWorker(workerId)) {
+      if (run.owner?.stepRun.job === job) return;
+    }
+    if (job.workers.delete(workerId)) dirty.add(job);
+  }
+
   function dropRun(run: activeJob.Run): void {
     parts.runs.remove(run);
+    noteLeft(run);
     if (run.owner !== undefined) requeue(run.owner.stepRun, run.owner.index);
   }
 
@@ -208,6 +229,7 @@
     stop,
     requeue,
     dropRun,
+    noteLeft,
     startCopy,
     noteWaiting,
     takeOutOfLine,
--- a/packages/gypsumwall-scheduling/src/placement_pass.ts
+++ b/packages/gypsumwall-scheduling/src/placement_pass.ts
@@ -7,6 +7,7 @@
 import * as chooseWorker from './choose_worker.js';
 import * as gangFit from './gang_fit.js';
 import * as gangHold from './gang_hold.js';
+import * as homeDomain from './home_domain.js';
 import type * as workerBook from './worker_book.js';
 import * as workOrder from './work_order.js';
 
@@ -96,10 +97,12 @@
   context: chooseWorker.ChoiceContext,
 ): Placement[] {
   const among = chooseWorker.candidates(stepRun, context);
+  homeDomain.settle(stepRun, among);
   // Recorded workers first: what starts there needs no word from the store.
   const recorded = among.filter(
     (worker) =>
       isRecorded(stepRun, worker) &&
+      !homeDomain.isAway(stepRun, worker) &&
       chooseWorker.isTrusted(stepRun, worker, context),
   );
   const place = stepRun.request.gang ? placeGang : placeTasks;
@@ -140,7 +143,11 @@
   const trusted = rooms.filter(({worker}) =>
     chooseWorker.isTrusted(stepRun, worker, context),
   );
+  const atHome = trusted.filter(
+    ({worker}) => !homeDomain.isAway(stepRun, worker),
+  );
   const workers =
+    gangFit.fitGang(atHome, taskCount, sameRack) ??
     gangFit.fitGang(trusted, taskCount, sameRack) ??
     gangFit.fitGang(rooms, taskCount, sameRack);
   if (workers === undefined) return [];
--- a/packages/gypsumwall-scheduling/src/report_reader.ts
+++ b/packages/gypsumwall-scheduling/src/report_reader.ts
@@ -40,7 +40,10 @@
     now: types.clock.MonotonicMs,
   ): void {
     const run = runs.find(row.taskId, row.attempt, workerId);
-    if (run !== undefined) runs.remove(run);
+    if (run !== undefined) {
+      runs.remove(run);
+      jobBook.noteLeft(run);
+    }
     parts.onEvent({
       type: 'run_ended',
       run: row.taskId,
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -32,7 +32,12 @@
   const book = workerBook.createWorkerBook();
   const runs = runTable.createRunTable(book);
   const health = workerHealth.createWorkerHealth(() => book.workers.size);
-  const jobBook = jobBooks.createJobBook({runs, health, onEvent});
+  const jobBook = jobBooks.createJobBook({
+    runs,
+    health,
+    isLeaving: (id) => book.workers.get(id)?.info.draining ?? true,
+    onEvent,
+  });
   const {jobs, waiting, scheduled, dirty} = jobBook;
   const readReport = reportReader.createReportReader({
     book,
@@ -158,8 +163,8 @@
     },
     putWorker: (info) => void book.put(info),
     workerGone(id) {
-      for (const run of [...runs.ofWorker(id)]) jobBook.dropRun(run);
       book.remove(id);
+      for (const run of [...runs.ofWorker(id)]) jobBook.dropRun(run);
       health.forgetWorker(id);
     },
     leasePassed(id) {
@@ -252,7 +257,10 @@
     stored(stored) {
       for (const {jobId, progress} of stored) {
         const job = jobs.get(jobId);
-        for (const id of progress.workers) job?.workers.set(id, 'recorded');
+        for (const id of progress.workers) {
+          // One that was taken off the record since must not come back on it.
+          if (job?.workers.has(id) === true) job.workers.set(id, 'recorded');
+        }
       }
     },
     counts: () => ({
