Send nothing more to a worker that left an order unanswered

Cause: the looks tell of a cut up to 1.2 s later. Until then each new job got tasks on workers of the failure domain that was cut off, and each such task is held for as long as its lease, since it may be running.

Copies are started only when a look has failed.

--- /dev/null
+++ b/packages/gypsumwall-cell/src/__tests__/worker_session.test.ts
@@ -0,0 +1,70 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as scheduling from '@gypsumwall/scheduling';
+import * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import * as worlds from '../__fixtures__/cell_world.js';
+import * as fakeWorkers from '../__fixtures__/fake_worker.js';
+import * as workerSessions from '../worker_session.js';
+
+const {test} = nodeTest;
+
+function openSession(worker: fakeWorkers.FakeWorker) {
+  const clock = types.clock.createSystemClock();
+  const scheduler = scheduling.scheduler.createScheduler({
+    attemptBase: 0,
+    isAccounted: () => true,
+    onEvent: () => {},
+  });
+  scheduler.putWorker(worker.info);
+  const session = workerSessions.createWorkerSession({
+    worker: worker.info,
+    link: worker.connect(),
+    token: 1,
+    leaseMs: 10_000,
+    clock,
+    logger: telemetry.logger.createLogger('silent'),
+    scheduler,
+    mayRenew: () => true,
+    onChange: () => {},
+    stored: () => Promise.resolve(),
+    onFirstReport: () => {},
+    onFenced: () => {},
+    onGone: () => {},
+    onLeasePassed: () => {},
+  });
+  const isUsable = () => scheduler.book.workers.get(worker.info.id)!.usable;
+  const orderOf = (name: string): scheduling.schedulerTypes.StartOrder => ({
+    payload: 'plan',
+    run: {
+      taskId: types.ids.brand(name),
+      attempt: 1,
+      workerId: worker.info.id,
+      size: types.resources.NO_RESOURCES,
+      stepRunId: 'job.0.0',
+      phase: 'starting',
+      resumed: false,
+      percent: 0,
+      percentChangedAt: clock.monotonic(),
+    },
+  });
+  return {session, isUsable, orderOf};
+}
+
+// A failure domain is cut off. Until the looks had told so, for up to 1.2 s,
+// each new job got tasks on its workers; each such task is held for as long as
+// the lease lasts, since it may be running.
+test('a worker that leaves an order unanswered gets no more for now', async () => {
+  const worker = fakeWorkers.createFakeWorker('w1', 4);
+  const {session, isUsable, orderOf} = openSession(worker);
+  void session.run();
+  try {
+    await worlds.until(isUsable, 'it answers');
+    worker.mute = true;
+    await session.start(orderOf('job.0.0.0'));
+    assert.equal(isUsable(), false);
+    await worlds.until(isUsable, 'a look is answered', 1_000);
+  } finally {
+    session.close();
+  }
+});
--- a/packages/gypsumwall-cell/src/worker_session.ts
+++ b/packages/gypsumwall-cell/src/worker_session.ts
@@ -148,6 +148,7 @@
 
   async function lookFailed(err: types.stepError.StepError): Promise<void> {
     setReachable(false, types.stepError.describeError(err));
+    scheduler.outOfReach(worker.id);
     if (reported && workerClock.leasePassed(clock.monotonic())) {
       options.onLeasePassed();
     }
@@ -198,8 +199,11 @@
     answer: result.Result<ports.OrderAnswer, types.stepError.StepError>,
   ): scheduling.schedulerTypes.StartOutcome {
     if (result.isErr(answer)) {
-      if (answer.error.effect === 'unknown') return {type: 'unknown'};
+      // Until the stop that follows is answered, or a look, nothing more is
+      // sent there: a task sent into a cut is held for as long as its lease,
+      // and the looks tell of a cut up to 1.2 s later.
       setReachable(false, types.stepError.describeError(answer.error));
+      if (answer.error.effect === 'unknown') return {type: 'unknown'};
       return {type: 'refused', reason: 'other'};
     }
     switch (answer.value.type) {
--- a/packages/gypsumwall-scheduling/src/__tests__/slow_workers.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/slow_workers.test.ts
@@ -82,6 +82,7 @@
   for (const speculative of [true, false]) {
     const {world, w1} = openWorld({speculative}, 50);
     world.scheduler.setUsable(w1, false);
+    world.scheduler.outOfReach(w1);
     assert.equal(world.startAll().length, speculative ? 1 : 0);
   }
 });
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -172,9 +172,9 @@
     },
     setUsable(id, usable) {
       const worker = book.workers.get(id);
-      if (worker === undefined || worker.usable === usable) return;
-      worker.usable = usable;
-      if (usable) return;
+      if (worker !== undefined) worker.usable = usable;
+    },
+    outOfReach(id) {
       for (const run of runs.ofWorker(id)) jobBook.startCopy(run);
     },
     evacuate(id) {
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -99,7 +99,10 @@
   workerGone(id: types.ids.WorkerId, now: types.clock.MonotonicMs): void;
   /** Its lease has surely passed; it may come back, with nothing running. */
   leasePassed(id: types.ids.WorkerId, now: types.clock.MonotonicMs): void;
+  /** Whether new tasks may be placed there. */
   setUsable(id: types.ids.WorkerId, usable: boolean): void;
+  /** It doesn't answer: what may be copied is started elsewhere as well. */
+  outOfReach(id: types.ids.WorkerId): void;
   /** Stops all that runs on a worker that is about to leave. */
   evacuate(id: types.ids.WorkerId): void;
   /** A worker was accounted for: jobs that were held back may go on. */
