Replace a holder that answers no peer after 0.45 s of silence

Change: once the cell's log is silent for 380 ms, entries ask the holder itself; two questions without an answer make it count as lost. A slow store makes a sound holder silent too, but it answers. The claim is decided by the log as before.

--- /dev/null
+++ b/packages/gypsumwall-cell/src/__tests__/holder_probe.test.ts
@@ -0,0 +1,54 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as types from '@gypsumwall/types';
+import * as holderProbes from '../holder_probe.js';
+
+const {test} = nodeTest;
+
+async function probeFor(
+  silentMs: number,
+  lives: boolean,
+): Promise<{readonly lost: boolean; readonly asked: number}> {
+  const clock = types.clock.createSystemClock();
+  const stopping = new AbortController();
+  const silentSince = types.clock.after(clock.monotonic(), -silentMs);
+  let asked = 0;
+  const probe = holderProbes.createHolderProbe({
+    holder: () => 'holder',
+    silentSince: () => silentSince,
+    ping: () => {
+      asked++;
+      return Promise.resolve(lives);
+    },
+    clock,
+  });
+  void probe.run(stopping.signal);
+  const end = types.clock.after(clock.monotonic(), 250);
+  while (!probe.isLost() && clock.monotonic() < end) {
+    await types.clock.pause(clock, 5);
+  }
+  stopping.abort();
+  return {lost: probe.isLost(), asked};
+}
+
+// Load: 13 jobs a second, and the holder loses power just as the store is back
+// from an outage. Jobs that are taken meanwhile wait for its successor; with
+// silence alone that is 1.1 s, and urgent jobs have half of it to spare.
+test('a silent holder that answers no peer is lost', async () => {
+  const {lost} = await probeFor(500, false);
+  assert.equal(lost, true);
+});
+
+// A slow store makes a sound holder silent as well; its peers must not depose
+// it for that.
+test('a silent holder that answers its peers is not lost', async () => {
+  const {lost, asked} = await probeFor(500, true);
+  assert.equal(lost, false);
+  assert.ok(asked > 0);
+});
+
+test('a holder that writes is left in peace', async () => {
+  const {lost, asked} = await probeFor(0, false);
+  assert.equal(lost, false);
+  assert.equal(asked, 0);
+});
--- a/packages/gypsumwall-cell/src/__tests__/relaying_desk.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/relaying_desk.test.ts
@@ -32,6 +32,7 @@
     apply: () => {},
     mostCores: () => 0,
     noteLost: () => {},
+    ping: () => Promise.resolve(true),
     advisers: () => new Map(),
     close: () => {},
     relay: (_req, patience) => {
--- a/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
@@ -112,6 +112,7 @@
     self: {entryId: types.ids.brand('b.1'), instance: 'b'},
     lastRecordAt: at(0),
     reachableSince: at(0),
+    holderLost: false,
     leaving: false,
     now: at(takeOver.SILENCE_MS + 1),
     ...fields,
@@ -124,6 +125,13 @@
   assert.equal(takeOver.vacancyOf(early), undefined);
 });
 
+test('a holder that answers nobody is replaced before silence alone counts', () => {
+  const early = view({holderLost: true, now: at(500)});
+  assert.equal(takeOver.vacancyOf(early), 'lost');
+  const away = view({holderLost: true, reachableSince: undefined});
+  assert.equal(takeOver.vacancyOf(away), undefined, 'the log is not read');
+});
+
 // An entry that couldn't read the log has heard nothing either, and would take
 // the cell from a sound holder as soon as it reads again.
 test('silence counts only while the log is read', () => {
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -12,6 +12,7 @@
 import * as claimView from './claim_view.js';
 import * as election from './election.js';
 import * as frontDesk from './front_desk.js';
+import * as holderProbes from './holder_probe.js';
 import * as jobTables from './job_table.js';
 import * as logFollower from './log_follower.js';
 import * as peerDirectory from './peer_directory.js';
@@ -97,18 +98,30 @@
     logger,
     couldEverFit,
   });
+  const holderProbe = holderProbes.createHolderProbe({
+    holder: () => holderElsewhere(),
+    silentSince: () => {
+      const reachableSince = cellFollower.reachableSince();
+      if (reachableSince === undefined) return undefined;
+      return later(lastRecordAt, reachableSince);
+    },
+    ping: (instance, timeoutMs) => peers.ping(instance, timeoutMs),
+    clock,
+  });
   const desk = relayingDesk.createRelayingDesk({
     own: ownDesk,
     peers,
     clock,
     logger,
     storeReachable: () => jobsFollower.reachableSince() !== undefined,
-    holder: () => {
-      const instance = state.claim()?.instance;
-      return instance === self.instance ? undefined : instance;
-    },
+    holder: () => holderElsewhere(),
   });
 
+  function holderElsewhere(): string | undefined {
+    const instance = state.claim()?.instance;
+    return instance === self.instance ? undefined : instance;
+  }
+
   function applyConfig(record: ports.KeyedRecord): void {
     const decoded = options.decodeConfig(record.key, record.value);
     if (result.isErr(decoded)) {
@@ -289,6 +302,7 @@
         stopping.signal,
       );
       void register();
+      void holderProbe.run(stopping.signal);
       void election.runElections(
         {
           self,
@@ -296,6 +310,7 @@
           follower: cellFollower,
           claim: () => state.claim(),
           lastRecordAt: () => lastRecordAt,
+          isHolderLost: () => holderProbe.isLost(),
           isHolder: () => holder !== undefined,
           isLeaving: () => leaving,
           isOutranked,
@@ -334,3 +349,10 @@
     }),
   };
 }
+
+function later(
+  left: types.clock.MonotonicMs,
+  right: types.clock.MonotonicMs,
+): types.clock.MonotonicMs {
+  return left > right ? left : right;
+}
--- a/packages/gypsumwall-cell/src/election.ts
+++ b/packages/gypsumwall-cell/src/election.ts
@@ -39,6 +39,8 @@
   readonly claim: () => claimView.CellClaim | undefined;
   /** When a record of the cell's log was last read. */
   readonly lastRecordAt: () => types.clock.MonotonicMs;
+  /** See the probe of the holder. */
+  readonly isHolderLost: () => boolean;
   readonly isHolder: () => boolean;
   readonly isLeaving: () => boolean;
   /** Whether a peer has more processor, or the peers aren't known yet. */
@@ -64,6 +66,7 @@
       self,
       lastRecordAt: parts.lastRecordAt(),
       reachableSince: follower.reachableSince(),
+      holderLost: parts.isHolderLost(),
       leaving: parts.isLeaving(),
       now: clock.monotonic(),
     });
--- /dev/null
+++ b/packages/gypsumwall-cell/src/holder_probe.ts
@@ -0,0 +1,64 @@
+/**
+ * Asks the cell's holder directly whether it lives, once its log is silent for
+ * longer than it should be. Silence alone has to last 0.9 s before it counts,
+ * since a store that is sixty times slower than usual looks the same; with a
+ * holder that doesn't answer its peers either, half of that is enough. It
+ * decides nothing by itself: a claim stands only at the end of the log.
+ */
+import * as types from '@gypsumwall/types';
+
+/** The holder writes every 200 ms; two of its records are missing by then. */
+const ASK_AFTER_MS = 380;
+/** Between two questions; milliseconds. */
+const PAUSE_MS = 50;
+/** A sound peer answers within 10 ms; milliseconds. */
+const ANSWER_TIMEOUT_MS = 120;
+/** Questions in a row without an answer: one may be lost on its way. */
+const UNANSWERED_TO_COUNT = 2;
+
+/** What a probe looks at. */
+export interface HolderProbeParts {
+  /** The instance that holds the cell; undefined if it is this one or none. */
+  readonly holder: () => string | undefined;
+  /** Since when the log is silent while it could be read. */
+  readonly silentSince: () => types.clock.MonotonicMs | undefined;
+  readonly ping: (instance: string, timeoutMs: number) => Promise<boolean>;
+  readonly clock: types.clock.Clock;
+}
+
+/** Watches the holder. */
+export interface HolderProbe {
+  run(signal: AbortSignal): Promise<void>;
+  /** Whether the holder is silent in the log and answers no questions. */
+  isLost(): boolean;
+}
+
+/** Creates a probe that has asked nothing yet. */
+export function createHolderProbe(parts: HolderProbeParts): HolderProbe {
+  const {clock} = parts;
+  let unanswered = 0;
+
+  function suspect(): string | undefined {
+    const since = parts.silentSince();
+    if (since === undefined) return undefined;
+    return clock.monotonic() - since < ASK_AFTER_MS
+      ? undefined
+      : parts.holder();
+  }
+
+  return {
+    async run(signal) {
+      while (!signal.aborted) {
+        await types.clock.pause(clock, PAUSE_MS, signal);
+        const instance = suspect();
+        if (instance === undefined) {
+          unanswered = 0;
+          continue;
+        }
+        const lives = await parts.ping(instance, ANSWER_TIMEOUT_MS);
+        unanswered = lives ? 0 : unanswered + 1;
+      }
+    },
+    isLost: () => unanswered >= UNANSWERED_TO_COUNT,
+  };
+}
--- a/packages/gypsumwall-cell/src/peer_directory.ts
+++ b/packages/gypsumwall-cell/src/peer_directory.ts
@@ -56,6 +56,8 @@
     req: peerProtocol.RelayReq,
     patience: RelayPatience,
   ): Promise<RelayOutcome>;
+  /** Whether a peer answers in time; one that isn't known is left in peace. */
+  ping(instance: string, timeoutMs: number): Promise<boolean>;
   /** A peer was found to be lost by other means than a call. */
   noteLost(instance: string): void;
   /** Cores of the strongest peer that isn't passed over; 0 without peers. */
@@ -151,6 +153,11 @@
       }
       return found;
     },
+    ping(instance, timeoutMs) {
+      const peer = peers.get(instance);
+      if (peer === undefined) return Promise.resolve(true);
+      return peerProtocol.ping(peer.client, timeoutMs);
+    },
     noteLost(instance) {
       const peer = peers.get(instance);
       if (peer !== undefined) passOver(peer);
--- a/packages/gypsumwall-cell/src/peer_protocol.ts
+++ b/packages/gypsumwall-cell/src/peer_protocol.ts
@@ -55,6 +55,23 @@
   };
 }
 
+/** Path of the question whether the entry lives. */
+export const PING_PATH = '/ping';
+
+/** Whether the peer answers in time, whatever it says. */
+export async function ping(
+  client: httpClient.HttpClient,
+  timeoutMs: number,
+): Promise<boolean> {
+  const answer = await client.call({
+    step: 'peer.ping',
+    method: 'GET',
+    path: PING_PATH,
+    timeoutMs,
+  });
+  return result.isOk(answer);
+}
+
 /** Path of a caller's call that a peer is to answer. */
 export const RELAY_PATH = '/relay';
 
--- a/packages/gypsumwall-cell/src/peer_server.ts
+++ b/packages/gypsumwall-cell/src/peer_server.ts
@@ -28,6 +28,7 @@
       return res.send(body);
     },
   );
+  server.get(peerProtocol.PING_PATH, async (_req, res) => res.send({}));
   server.post<{Body: peerProtocol.RelayReq}>(
     peerProtocol.RELAY_PATH,
     async (req, res) => res.send(await answerRelayed(desk, req.body)),
--- a/packages/gypsumwall-cell/src/take_over.ts
+++ b/packages/gypsumwall-cell/src/take_over.ts
@@ -34,12 +34,15 @@
   readonly lastRecordAt: types.clock.MonotonicMs;
   /** Since when the log answers without fail; undefined: it doesn't. */
   readonly reachableSince: types.clock.MonotonicMs | undefined;
+  /** Whether the holder is silent and doesn't answer its peers either. */
+  readonly holderLost: boolean;
   readonly leaving: boolean;
   readonly now: types.clock.MonotonicMs;
 }
 
 /** Why the cell may be taken. */
-export type Vacancy = 'never_held' | 'released' | 'own_predecessor' | 'silent';
+export type Vacancy =
+  'never_held' | 'released' | 'own_predecessor' | 'lost' | 'silent';
 
 /** Why the cell may be taken over now; undefined if it may not. */
 export function vacancyOf(view: TakeOverView): Vacancy | undefined {
@@ -50,6 +53,7 @@
   if (claim.holder === self.entryId) return undefined;
   // An instance runs one process: the one that claimed has ended.
   if (claim.instance === self.instance) return 'own_predecessor';
+  if (view.holderLost) return 'lost';
   const quietSince = Math.max(view.lastRecordAt, view.reachableSince);
   return view.now - quietSince > SILENCE_MS ? 'silent' : undefined;
 }
