Read to the end of a log when catching up, and probe it with short reads

Cause: catching up made one read of up to 512 KB and took that part for the whole log. An entry that was further behind answered 410 for jobs that had been accepted, and a new holder began without some of the jobs before it.

Changes: a read tells where the log ends, and catching up goes on to there; a follower that is behind makes no pause. Only a return from an outage wakes those that wait, and ends reads that were sent into it.

--- a/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
@@ -122,6 +122,7 @@
   const log = () => (view.trouble === 'down' ? down : shared);
   view.append = (entries, options) => log().append(entries, options);
   view.read = (from, waitMs) => log().read(from, waitMs);
+  view.probe = (from) => log().probe(from);
   view.newest = (after) => log().newest(after);
   return view;
 }
--- a/packages/gypsumwall-cell/src/__fixtures__/fake_log.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/fake_log.ts
@@ -25,6 +25,8 @@
   /** All records, by offset. */
   readonly records: ports.KeyedRecord[];
   appends: number;
+  /** The most records that one read brings. */
+  mostInRead: number;
   /** Forgets all but the newest record of each key. */
   compact(): void;
 }
@@ -83,6 +85,7 @@
     trouble: 'none',
     records,
     appends: 0,
+    mostInRead: Infinity,
     compact: () => void (firstOffset = records.length),
     async append(entries, {onlyAt, fence, timeoutMs}) {
       await Promise.resolve();
@@ -117,7 +120,15 @@
         return failure('read', 'not_run');
       }
       if (from < firstOffset) return result.ok({type: 'compacted'});
-      return result.ok({type: 'records', records: records.slice(from)});
+      return result.ok({
+        type: 'records',
+        records: records.slice(from, from + log.mostInRead),
+        endOffset: records.length,
+      });
+    },
+    async probe(from) {
+      const answer = await log.read(from, 0);
+      return result.map(() => undefined, answer);
     },
     async newest() {
       await Promise.resolve();
--- a/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
@@ -69,6 +69,29 @@
   assert.equal(log.records.length, 0);
 });
 
+// The caller is told that there is no such job, of one that was accepted two
+// seconds before. The entry was further behind than one read brings, and took
+// that part for the whole log; a new holder would have missed jobs the same way.
+test('an entry that is far behind reads to the end of the log', async () => {
+  const log = fakeLogs.createFakeLog();
+  const seen: string[] = [];
+  const follower = logFollower.createLogFollower({
+    log,
+    clock,
+    logger,
+    pulse: storePulse.createStorePulse(),
+    onRecords: (records) => records.forEach((record) => seen.push(record.key)),
+    pauseMs: () => 1,
+    readWaitMs: 10,
+  });
+  await follower.catchUp();
+  const keys = ['a', 'b', 'c', 'd', 'e'];
+  for (const key of keys) await log.append([{key, value: '1'}], {timeoutMs: 1});
+  log.mostInRead = 2;
+  assert.equal(await follower.catchUp(), true);
+  assert.deepEqual(seen, keys);
+});
+
 test('records that were compacted away are loaded anew, each key once', async () => {
   const log = fakeLogs.createFakeLog();
   const seen: string[] = [];
--- a/packages/gypsumwall-cell/src/log_follower.ts
+++ b/packages/gypsumwall-cell/src/log_follower.ts
@@ -53,18 +53,28 @@
   const {log, clock, logger} = options;
   const stopping = new AbortController();
   let position: number | undefined;
+  /** Where the log ended at the newest read. */
+  let end = 0;
   let reachableSince: types.clock.MonotonicMs | undefined;
   let failing = false;
+  /** Sending time of the newest call that was answered. */
+  let newestAnsweredAt = 0;
   let loading: Promise<boolean> | undefined;
 
-  function answered(): void {
+  function answered(sentAt: types.clock.MonotonicMs): void {
+    newestAnsweredAt = Math.max(newestAnsweredAt, sentAt);
     reachableSince ??= clock.monotonic();
     if (!failing) return;
     failing = false;
     logger.info('dependency_regained', {dependency: `log ${log.name}`});
   }
 
-  function failed(err: types.stepError.StepError): void {
+  function failed(
+    err: types.stepError.StepError,
+    sentAt: types.clock.MonotonicMs,
+  ): void {
+    // A call into the silence may end long after a later one was answered.
+    if (sentAt < newestAnsweredAt) return;
     reachableSince = undefined;
     if (failing) return;
     failing = true;
@@ -92,23 +102,29 @@
   async function loadOnce(): Promise<boolean> {
     const found: ports.KeyedRecord[] = [];
     let after: string | undefined;
-    let end: number | undefined;
+    let loadedTo: number | undefined;
     do {
+      const sentAt = clock.monotonic();
       const page = await log.newest(after);
       if (result.isErr(page)) {
-        failed(page.error);
+        failed(page.error, sentAt);
         return false;
       }
-      answered();
+      answered(sentAt);
       found.push(...page.value.records);
       // Pages are no snapshot: go on from where the first one was made.
-      end ??= page.value.endOffset;
+      loadedTo ??= page.value.endOffset;
       after = page.value.nextAfter;
     } while (after !== undefined);
     found.sort((a, b) => a.offset - b.offset);
-    position = end;
+    position = loadedTo;
+    end = Math.max(end, loadedTo);
     options.onRecords(found, true);
-    logger.info('log_loaded', {log: log.name, records: found.length, end});
+    logger.info('log_loaded', {
+      log: log.name,
+      records: found.length,
+      end: loadedTo,
+    });
     return true;
   }
 
@@ -117,13 +133,14 @@
     const sentAt = clock.monotonic();
     const read = await log.read(position, waitMs);
     if (result.isErr(read)) {
-      failed(read.error);
+      failed(read.error, sentAt);
       return false;
     }
-    answered();
+    answered(sentAt);
     options.pulse.noteRead(sentAt, clock.monotonic());
     switch (read.value.type) {
       case 'records':
+        end = read.value.endOffset;
         apply(read.value.records);
         return true;
       case 'compacted':
@@ -132,34 +149,71 @@
     }
   }
 
+  const isBehind = () => position !== undefined && position < end;
+
   /**
-   * Waits after a failed call, or until another read of this entry is
-   * answered: then the store is back.
+   * Reads until the log's end as it was at the first read. One read brings a
+   * bounded part: an entry that was further behind took a job that it hadn't
+   * read yet for one that doesn't exist, and told its caller so.
    */
-  function pauseForReturn(spanMs: number): Promise<void> {
-    const until = types.clock.after(clock.monotonic(), spanMs);
-    return clock.sleepUntil(until, options.pulse.nextAnswer());
+  async function catchUp(): Promise<boolean> {
+    if (!(await readOnce(0))) return false;
+    const goal = end;
+    while (position !== undefined && position < goal) {
+      const before = position;
+      if (stopping.signal.aborted || !(await readOnce(0))) return false;
+      if (position === before) return false;
+    }
+    return true;
+  }
+
+  /**
+   * Reads once, and pauses if that failed. Both end with the store's return:
+   * a read that was sent into the silence is answered by nobody.
+   */
+  async function readAway(failurePauseMs: number): Promise<boolean> {
+    const returned = options.pulse.nextReturn();
+    if (await unlessAborted(readOnce(0), returned)) return true;
+    const until = types.clock.after(clock.monotonic(), failurePauseMs);
+    await clock.sleepUntil(until, returned);
+    return false;
   }
 
   return {
     async run() {
       let failurePauseMs = FIRST_PAUSE_MS;
       while (!stopping.signal.aborted) {
-        // A read that waits would notice the return only with its end.
         const away = reachableSince === undefined;
-        if (await readOnce(away ? 0 : options.readWaitMs)) {
+        const ok = await (away
+          ? readAway(failurePauseMs)
+          : readOnce(options.readWaitMs));
+        if (ok) {
           failurePauseMs = FIRST_PAUSE_MS;
-          const spanMs = options.pauseMs();
+          const spanMs = isBehind() ? 0 : options.pauseMs();
           await types.clock.pause(clock, spanMs, stopping.signal);
         } else {
-          await pauseForReturn(failurePauseMs);
           failurePauseMs = Math.min(LONGEST_PAUSE_MS, failurePauseMs * 2);
         }
       }
     },
     stop: () => stopping.abort(),
     position: () => position,
-    catchUp: () => readOnce(0),
+    catchUp,
     reachableSince: () => reachableSince,
   };
 }
+
+/** What the work comes to; false if the signal aborts before. */
+function unlessAborted(
+  work: Promise<boolean>,
+  signal: AbortSignal,
+): Promise<boolean> {
+  return new Promise((resolve) => {
+    const giveUp = () => resolve(false);
+    signal.addEventListener('abort', giveUp, {once: true});
+    void work.then((ok) => {
+      signal.removeEventListener('abort', giveUp);
+      resolve(ok);
+    });
+  });
+}
--- a/packages/gypsumwall-cell/src/ports.ts
+++ b/packages/gypsumwall-cell/src/ports.ts
@@ -43,7 +43,13 @@
 
 /** What a read found. */
 export type ReadOutcome =
-  | {readonly type: 'records'; readonly records: readonly KeyedRecord[]}
+  | {
+      readonly type: 'records';
+      /** From the offset asked for; one read may bring only a part. */
+      readonly records: readonly KeyedRecord[];
+      /** Where the log ended when it was read. */
+      readonly endOffset: number;
+    }
   /** The records from there on are gone; the newest of each key remain. */
   | {readonly type: 'compacted'};
 
@@ -67,6 +73,8 @@
   /** Answers as soon as there is a record, or with none after `waitMs`. */
   read(from: number, waitMs: number): Answer<ReadOutcome>;
   newest(after: string | undefined): Answer<NewestPage>;
+  /** Whether the log answers at all: a read that brings next to nothing. */
+  probe(from: number): Answer<void>;
 }
 
 /** A start as a worker gets it. */
--- a/packages/gypsumwall-cell/src/store_probe.ts
+++ b/packages/gypsumwall-cell/src/store_probe.ts
@@ -17,6 +17,14 @@
  */
 const LOOK_PAUSE_MS = 100;
 
+/**
+ * Without an answer for so long the store was away, and its next answer is its
+ * return. A slow one answers short reads all the while though long ones are
+ * given up: whoever failed then must not try again at each answer, since that
+ * makes it slower still; milliseconds.
+ */
+const AWAY_MS = 400;
+
 /** What a probe works on. */
 export interface StoreProbeParts {
   readonly log: ports.KeyedLog;
@@ -30,15 +38,22 @@
   {log, follower, pulse, clock}: StoreProbeParts,
   signal: AbortSignal,
 ): Promise<void> {
+  let answeredAt = clock.monotonic();
+
   async function look(from: number): Promise<void> {
     const sentAt = clock.monotonic();
-    const answer = await log.read(from, 0);
-    if (result.isOk(answer)) pulse.noteRead(sentAt, clock.monotonic());
+    const answer = await log.probe(from);
+    if (result.isErr(answer)) return;
+    const now = clock.monotonic();
+    pulse.noteRead(sentAt, now);
+    if (now - answeredAt >= AWAY_MS) pulse.noteReturn();
+    answeredAt = now;
   }
 
   while (!signal.aborted) {
     await types.clock.pause(clock, LOOK_PAUSE_MS, signal);
     const away = follower.reachableSince() === undefined;
+    if (!away) answeredAt = clock.monotonic();
     const position = follower.position();
     if (!away || position === undefined || signal.aborted) continue;
     void look(position);
--- a/packages/gypsumwall-cell/src/store_pulse.ts
+++ b/packages/gypsumwall-cell/src/store_pulse.ts
@@ -17,8 +17,10 @@
   ): void;
   /** Whether a read that was sent after the moment came back at once. */
   quickSince(moment: types.clock.MonotonicMs): boolean;
-  /** Aborts when the next read is answered. */
-  nextAnswer(): AbortSignal;
+  /** The store has come back from an outage. */
+  noteReturn(): void;
+  /** Aborts at the store's next return. */
+  nextReturn(): AbortSignal;
 }
 
 /** Creates a pulse that has felt nothing yet. */
@@ -27,13 +29,15 @@
   let waiting: AbortController | undefined;
   return {
     noteRead(sentAt, answeredAt) {
-      waiting?.abort();
-      waiting = undefined;
       if (answeredAt - sentAt > QUICK_MS) return;
       lastQuickSentAt = Math.max(lastQuickSentAt, sentAt);
     },
     quickSince: (moment) => lastQuickSentAt > moment,
-    nextAnswer() {
+    noteReturn() {
+      waiting?.abort();
+      waiting = undefined;
+    },
+    nextReturn() {
       waiting ??= new AbortController();
       return waiting.signal;
     },
