--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -10,7 +10,9 @@
 import type * as cellHolderTypes from './cell_holder_types.js';
 import * as cellStates from './cell_state.js';
 import * as claimView from './claim_view.js';
+import * as configKeeper from './config_keeper.js';
 import * as election from './election.js';
+import * as entryRegistration from './entry_registration.js';
 import * as frontDesk from './front_desk.js';
 import * as holderProbes from './holder_probe.js';
 import * as jobTables from './job_table.js';
@@ -38,10 +40,6 @@
 const CONFIG_PAUSE_MS = 100;
 /** The holder reads new jobs almost at once; milliseconds. */
 const HOLDER_PAUSE_MS = 6;
-/** Time given to the append of an entry's own record; milliseconds. */
-const REGISTER_TIMEOUT_MS = 600;
-/** How long an entry waits before it registers again; milliseconds. */
-const REGISTER_RETRY_MS = 300;
 
 /** Creates an entry that does nothing before it is started. */
 export function createCellEntry(
@@ -52,12 +50,16 @@
   const state = cellStates.createCellState();
   const pulse = storePulse.createStorePulse();
   const peers = peerDirectory.createPeerDirectory(self.instance, clock);
-  let config: ports.CellConfig | undefined;
   let holder: cellHolderTypes.CellHolder | undefined;
   let leaving = false;
   let lastRecordAt = clock.monotonic();
   let reachableAt = clock.monotonic();
 
+  const configs = configKeeper.createConfigKeeper({
+    decode: options.decodeConfig,
+    logger,
+    onChanged: () => holder?.policiesChanged(),
+  });
   const jobs = jobTables.createJobTable({
     onAdded: (job) => holder?.jobAdded(job),
     onCancelled: (id) => holder?.jobCancelled(id),
@@ -67,7 +69,7 @@
     clock,
     logger,
     pulse,
-    onRecords: (records) => records.forEach(applyConfig),
+    onRecords: (records) => records.forEach((record) => configs.apply(record)),
     pauseMs: () => CONFIG_PAUSE_MS,
     readWaitMs: CONFIG_WAIT_MS,
   });
@@ -122,27 +124,6 @@
     return instance === self.instance ? undefined : instance;
   }
 
-  function applyConfig(record: ports.KeyedRecord): void {
-    const decoded = options.decodeConfig(record.key, record.value);
-    if (result.isErr(decoded)) {
-      logger.error('config_unreadable', {
-        key: record.key,
-        offset: record.offset,
-        error: decoded.error,
-      });
-      return;
-    }
-    const next = decoded.value;
-    // A late read must never bring an older version back.
-    if (next === undefined || next.version <= (config?.version ?? -1)) return;
-    config = next;
-    logger.info('config_applied', {
-      version: next.version,
-      queues: next.queues.length,
-    });
-    holder?.policiesChanged();
-  }
-
   function decodeRecord(
     record: ports.KeyedRecord,
   ): storeRecords.StoreRecord | undefined {
@@ -203,13 +184,13 @@
       cellLog: logs.cell,
       workerLog: logs.workers,
       decodeWorker: options.decodeWorker,
-      isUsedPool,
+      isUsedPool: (pool) => configs.isUsedPool(pool),
       connect: options.connect,
       advisers: () => peers.advisers().set(self.instance, options.adviser),
       jobs,
       state,
       catchUpJobs: () => jobsFollower.catchUp(),
-      policyOf,
+      policyOf: (queue) => configs.policyOf(queue),
       leaseMs: options.leaseMs,
       pulse,
       clock,
@@ -222,18 +203,6 @@
     void created.start();
   }
 
-  function policyOf(
-    queue: string,
-  ): scheduling.jobRequest.QueuePolicy | undefined {
-    return config?.queues.find((route) => route.policy.queue === queue)?.policy;
-  }
-
-  /** Before the first configuration, any pool may be. */
-  function isUsedPool(pool: string): boolean {
-    if (config === undefined) return true;
-    return config.queues.some((route) => route.policy.pool === pool);
-  }
-
   /** Judged by the workers seen so far; with none seen nothing is refused. */
   function couldEverFit(
     pool: string,
@@ -253,7 +222,7 @@
    * away for all of them, all are out, and the balancer uses all.
    */
   function isReady(): boolean {
-    if (leaving || config === undefined) return false;
+    if (leaving || configs.config() === undefined) return false;
     if (jobsFollower.position() === undefined) return false;
     const now = clock.monotonic();
     if (jobsFollower.reachableSince() !== undefined) reachableAt = now;
@@ -265,33 +234,10 @@
     return !peersKnown || peers.mostCores() > self.cores;
   }
 
-  const pause = (spanMs: number) =>
-    types.clock.pause(clock, spanMs, stopping.signal);
-
-  async function register(): Promise<void> {
-    const {entryId, domain, peerAddress: address, cores} = self;
-    const entry = {entryId, domain, address, cores};
-    const record = storeRecords.encode({
-      kind: 'entry',
-      instance: self.instance,
-      entry,
-    });
-    while (!stopping.signal.aborted) {
-      const answer = await logs.jobs.append([record], {
-        timeoutMs: REGISTER_TIMEOUT_MS,
-      });
-      if (result.isOk(answer)) return;
-      logger.warn('register_failed', {
-        error: types.stepError.describeError(answer.error),
-      });
-      await pause(REGISTER_RETRY_MS);
-    }
-  }
-
   return {
     desk,
     ownDesk,
-    config: () => config,
+    config: () => configs.config(),
     isReady,
     start() {
       void configFollower.run();
@@ -301,7 +247,10 @@
         {log: logs.jobs, follower: jobsFollower, pulse, clock},
         stopping.signal,
       );
-      void register();
+      void entryRegistration.registerEntry(
+        {self, jobsLog: logs.jobs, clock, logger},
+        stopping.signal,
+      );
       void holderProbe.run(stopping.signal);
       void election.runElections(
         {
@@ -343,7 +292,7 @@
     },
     status: () => ({
       holdsCell: holder !== undefined,
-      configVersion: config?.version,
+      configVersion: configs.config()?.version,
       storeReachable: jobsFollower.reachableSince() !== undefined,
       scheduler: holder?.counts(),
     }),
--- a/packages/gypsumwall-cell/src/cell_entry_types.ts
+++ b/packages/gypsumwall-cell/src/cell_entry_types.ts
@@ -1,9 +1,9 @@
 /** What an entry is made with, and what it offers to its process. */
-import type * as result from 'true-myth/result';
 import type * as scheduling from '@gypsumwall/scheduling';
 import type * as telemetry from '@gypsumwall/telemetry';
 import type * as types from '@gypsumwall/types';
 import type * as cellHolderTypes from './cell_holder_types.js';
+import type * as configKeeper from './config_keeper.js';
 import type * as frontDesk from './front_desk.js';
 import type * as ports from './ports.js';
 
@@ -25,11 +25,7 @@
     readonly config: ports.KeyedLog;
     readonly workers: ports.KeyedLog;
   };
-  /** Reads a record of the configuration's log; undefined: of other use. */
-  readonly decodeConfig: (
-    key: string,
-    value: string,
-  ) => result.Result<ports.CellConfig | undefined, string>;
+  readonly decodeConfig: configKeeper.ConfigKeeperOptions['decode'];
   readonly decodeWorker: cellHolderTypes.CellHolderOptions['decodeWorker'];
   readonly connect: cellHolderTypes.CellHolderOptions['connect'];
   readonly adviser: ports.Adviser;
