--- a/packages/gypsumwall-scheduling/src/report_reader.ts
+++ b/packages/gypsumwall-scheduling/src/report_reader.ts
@@ -8,21 +8,11 @@
 import type * as jobBooks from './job_book.js';
 import * as jobProgress from './job_progress.js';
 import * as jobSteps from './job_steps.js';
-import * as paceWatch from './pace_watch.js';
-import type * as runTable from './run_table.js';
 import type * as schedulerTypes from './scheduler_types.js';
-import * as stallWatch from './stall_watch.js';
-import type * as workerBook from './worker_book.js';
-import type * as workerHealth from './worker_health.js';
+import * as workerWatch from './worker_watch.js';
 
 /** What a reader works on. */
-export interface ReportReaderParts {
-  readonly book: workerBook.WorkerBook;
-  readonly runs: runTable.RunTable;
-  readonly health: workerHealth.WorkerHealth;
-  readonly jobBook: jobBooks.JobBook;
-  readonly onEvent: (event: schedulerTypes.SchedulerEvent) => void;
-}
+export type ReportReaderParts = workerWatch.WorkerWatchParts;
 
 /** Reads reports. */
 export type ReportReader = (
@@ -33,6 +23,7 @@
 /** Creates the reader of a scheduler. */
 export function createReportReader(parts: ReportReaderParts): ReportReader {
   const {book, runs, health, jobBook} = parts;
+  const watchWorker = workerWatch.createWorkerWatch(parts);
 
   function applyEnd(
     workerId: types.ids.WorkerId,
@@ -235,63 +226,10 @@
     }
   }
 
-  function handleStall(
-    workerId: types.ids.WorkerId,
-    now: types.clock.MonotonicMs,
-  ): void {
-    const stall = stallWatch.findStall(runs.ofWorker(workerId), now);
-    if (stall === undefined) return;
-    parts.onEvent({
-      type: 'worker_stalled',
-      worker: workerId,
-      runs: stall.runs.length,
-      blamed: stall.blamesWorker,
-    });
-    if (stall.blamesWorker) health.noteStalled(workerId, now);
-    for (const run of stall.runs) jobBook.stop(run);
-  }
-
-  /**
-   * Gives a slow worker nothing more for a while, and takes from it what would
-   * be done sooner elsewhere.
-   */
-  function handleSlowness(
-    workerId: types.ids.WorkerId,
-    now: types.clock.MonotonicMs,
-  ): void {
-    const slow = paceWatch.findSlowness(runs.ofWorker(workerId), now);
-    if (slow === undefined) return;
-    parts.onEvent({
-      type: 'worker_slow',
-      worker: workerId,
-      runs: slow.runs.length,
-      worthMoving: slow.worthMoving.length,
-    });
-    health.noteStalled(workerId, now);
-    for (const run of slow.worthMoving) {
-      if (!hasRoomElsewhere(run, now)) continue;
-      if (!jobBook.startCopy(run)) jobBook.stop(run);
-    }
-  }
-
-  function hasRoomElsewhere(
-    {owner, size, workerId}: activeJob.Run,
-    now: types.clock.MonotonicMs,
-  ): boolean {
-    if (owner === undefined) return false;
-    return chooseWorker
-      .mayEverRun(owner.stepRun, {book, health, now})
-      .some(
-        ({info, free}) =>
-          info.id !== workerId && types.resources.fits(size, free),
-      );
-  }
-
   return (report, now) => {
     for (const end of report.ends) applyEnd(report.workerId, end, now);
     for (const row of report.running) applyRow(report.workerId, row, now);
     if (report.complete) findVanished(report);
-    handleStall(report.workerId, now);
-    handleSlowness(report.workerId, now);
+    watchWorker(report.workerId, now);
   };
 }
