Take back the finding of slow workers by the pace of their tasks

Cause: it compares progress with the caller's estimate.

Kept: copies of tasks whose worker is out of reach, where callers allow them. What could work: pace against the other tasks of the same step, which share the estimate's error; not tried.

--- a/packages/gypsumwall-scheduling/src/active_job.ts
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -31,8 +31,6 @@
   readonly size: types.resources.Resources;
   readonly stepRunId: string;
   phase: RunPhase;
-  /** Whether it goes on from saved progress. */
-  readonly resumed: boolean;
   /**
    * When the worker had answered the start or the stop. A report asked for
    * later that doesn't name the run proves that it isn't there and never will
@@ -42,11 +40,6 @@
   /** Progress as last reported, 0 to 100. */
   percent: number;
   percentChangedAt: types.clock.MonotonicMs;
-  /** From where its pace is measured; absent until it is known to run. */
-  paceFrom?: {
-    readonly at: types.clock.MonotonicMs;
-    readonly percent: number;
-  };
 }
 
 /** One step of one occurrence. */
--- a/packages/gypsumwall-scheduling/src/report_reader.ts
+++ b/packages/gypsumwall-scheduling/src/report_reader.ts
@@ -123,9 +123,6 @@
       adopt(workerId, row, now);
       return;
     }
-    if (run.phase === 'running') {
-      run.paceFrom ??= {at: now, percent: row.percent};
-    }
     if (run.percent !== row.percent) {
       run.percent = row.percent;
       run.percentChangedAt = now;
@@ -161,11 +158,9 @@
       size,
       stepRunId,
       phase: 'running',
-      resumed: true,
       confirmedAt: now,
       percent: row.percent,
       percentChangedAt: now,
-      paceFrom: {at: now, percent: row.percent},
     };
     runs.add(run);
     book.book(workerId, stepRunId, size);
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -84,7 +84,6 @@
       size: chooseWorker.bookedSize(stepRun),
       stepRunId: stepRun.id,
       phase: 'starting',
-      resumed: stepRun.saved.has(key),
       percent: 0,
       percentChangedAt: now,
     };
@@ -214,8 +213,6 @@
             run.phase = 'running';
             run.confirmedAt = now;
             run.percentChangedAt = now;
-            // One that goes on from saved progress begins above 0.
-            if (!run.resumed) run.paceFrom = {at: now, percent: 0};
           }
           if (run.owner !== undefined) jobBook.noteBegun(run.owner.stepRun.job);
           return;
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -167,14 +167,6 @@
       /** How long it should have taken from its acceptance. */
       readonly objectiveMs: number;
     }
-  | {
-      /** All that runs there is far behind what was expected of it. */
-      readonly type: 'worker_slow';
-      readonly worker: types.ids.WorkerId;
-      readonly runs: number;
-      /** Those that would be done sooner elsewhere, if there is room. */
-      readonly worthMoving: number;
-    }
   | {
       readonly type: 'worker_stalled';
       readonly worker: types.ids.WorkerId;
