--- a/packages/gypsumwall-cell/src/__tests__/relaying_desk.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/relaying_desk.test.ts
@@ -13,6 +13,8 @@
 interface Situation {
   readonly own: frontDesk.DeskAnswer<undefined>;
   readonly relayed: peerDirectory.RelayOutcome;
+  /** What the holder alone comes to, if that is something else. */
+  readonly byHolder?: peerDirectory.RelayOutcome;
   readonly reachable: boolean;
   readonly latencyMs?: number | 'unknown';
 }
@@ -40,7 +42,8 @@
     close: () => {},
     relay: (_req, patience) => {
       asked.push(patience.onlyPreferred ? 'holder' : 'any peer');
-      return Promise.resolve(situation.relayed);
+      const byHolder = patience.onlyPreferred ? situation.byHolder : undefined;
+      return Promise.resolve(byHolder ?? situation.relayed);
     },
   };
   return relayingDesks.createRelayingDesk({
@@ -119,7 +122,12 @@
   const lost = {type: 'unanswered', mayStand: true, slow: false} as const;
   const alone = await submit({...unknown, own: OK, relayed: lost});
   assert.deepEqual(alone, {type: 'ok', asked: ['holder', 'own']});
-  const doubt = await submit({...unknown, own: REFUSED, relayed: lost});
+  const doubt = await submit({
+    ...unknown,
+    own: REFUSED,
+    byHolder: lost,
+    relayed: {...lost, mayStand: false},
+  });
   assert.equal(doubt.type, 'unknown', 'the holder may have stored it');
 });
 
--- /dev/null
+++ b/packages/gypsumwall-cell/src/__tests__/slow_peers.test.ts
@@ -0,0 +1,52 @@
+import * as assert from 'node:assert/strict';
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as nodeTest from 'node:test';
+import * as types from '@gypsumwall/types';
+import * as peerDirectories from '../peer_directory.js';
+import * as peerProtocol from '../peer_protocol.js';
+
+const {test} = nodeTest;
+
+/** A peer that takes calls, never answers them, and may answer a ping. */
+async function openPeer(answersPing: boolean) {
+  const server = http.createServer((req, res) => {
+    if (answersPing && req.url === peerProtocol.PING_PATH) res.end('{}');
+  });
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as net.AddressInfo;
+  const clock = types.clock.createSystemClock();
+  const peers = peerDirectories.createPeerDirectory('self', clock);
+  peers.apply('peer', {
+    entryId: types.ids.brand('peer.1'),
+    domain: types.ids.brand('d1'),
+    address: `127.0.0.1:${port}`,
+    cores: 1,
+  });
+  const close = () => {
+    peers.close();
+    server.closeAllConnections();
+    server.close();
+  };
+  return {peers, close};
+}
+
+// Load: 45 entries and a slow store. The holder took a call and waited for its
+// append; for that it was passed over, got no calls any more, and its peers
+// appended one by one, which made the line at the store longer.
+test('a peer that answers a ping is slow, and not passed over', async () => {
+  for (const answersPing of [true, false]) {
+    const {peers, close} = await openPeer(answersPing);
+    const outcome = await peers.relay(
+      {type: 'cancel', id: types.ids.brand('job'), queue: 'plans'},
+      {preferred: 'peer', onlyPreferred: true, eachMs: 50, allMs: 50},
+    );
+    assert.deepEqual(outcome, {
+      type: 'unanswered',
+      mayStand: true,
+      slow: answersPing,
+    });
+    assert.equal(peers.advisers().size, answersPing ? 1 : 0);
+    close();
+  }
+});
--- a/packages/gypsumwall-cell/src/__tests__/store_away.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/store_away.test.ts
@@ -26,11 +26,14 @@
 // first job 0.8 s after the store was back.
 test('a store that was silent is used again within 0.3 s', async () => {
   const {world, entry} = await openWorld();
-  trouble(world, 'silent');
-  await worlds.until(() => !entry.status().storeReachable, 'it is noticed');
-  await new Promise((resolve) => setTimeout(resolve, 1_000));
-  trouble(world, 'none');
-  await worlds.until(() => entry.status().storeReachable, 'it is back', 300);
+  // Of lengths that end at each point between two tries of a read by itself.
+  for (const silentMs of [1_000, 1_225, 1_450, 1_675]) {
+    trouble(world, 'silent');
+    await worlds.until(() => !entry.status().storeReachable, 'it is noticed');
+    await new Promise((resolve) => setTimeout(resolve, silentMs));
+    trouble(world, 'none');
+    await worlds.until(() => entry.status().storeReachable, 'it is back', 300);
+  }
   const before = world.store.cell.records.length;
   const answer = await entry.desk.submit(
     job('a'),
--- a/packages/gypsumwall-scheduling/src/__tests__/home_domain.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/home_domain.test.ts
@@ -59,12 +59,9 @@
   assert.equal(world.startAll().length, 10);
 });
 
-// Each task of a service is of use by itself: a cut must not take all of them.
+// Each task of a service is of use by itself: a cut must not take most of them.
 test('tasks that last are not drawn together', () => {
-  const {world} = openWorld();
-  world.submit('job', [
-    worlds.step({taskCount: 6, longRunning: true, maxPerWorker: 1}),
-  ]);
-  const workers = world.startAll().map((run) => run.workerId);
-  assert.equal(new Set(workers).size, 6);
+  const {world, domainsOf} = openWorld();
+  world.submit('job', [worlds.step({taskCount: 6, longRunning: true})]);
+  assert.equal(domainsOf().size, 3);
 });
