Say how old the copy is that an answer came from

An answer on waiting jobs now has its line (pending_told, with its age), a copy that was older than a second says when it is complete again (log_caught_up), and the metrics address shows its age (copy_age_ms). Nothing decides by it.

--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -97,6 +97,7 @@
     jobs,
     follower: jobsFollower,
     pulse,
+    copyAgeMs,
     clock,
     logger,
     couldEverFit,
@@ -125,6 +126,15 @@
     return instance === self.instance ? undefined : instance;
   }
 
+  /** Jobs are accepted in one log, and begun and ended in the other. */
+  function copyAgeMs(): number {
+    const completeUntil = Math.min(
+      jobsFollower.completeUntil() ?? -Infinity,
+      cellFollower.completeUntil() ?? -Infinity,
+    );
+    return clock.monotonic() - completeUntil;
+  }
+
   function decodeRecord(
     record: ports.KeyedRecord,
   ): storeRecords.StoreRecord | undefined {
@@ -295,6 +305,7 @@
       holdsCell: holder !== undefined,
       configVersion: configs.config()?.version,
       storeReachable: jobsFollower.reachableSince() !== undefined,
+      copyAgeMs: copyAgeMs(),
       scheduler: holder?.counts(),
     }),
   };
--- a/packages/gypsumwall-cell/src/cell_entry_types.ts
+++ b/packages/gypsumwall-cell/src/cell_entry_types.ts
@@ -59,5 +59,7 @@
   readonly holdsCell: boolean;
   readonly configVersion: number | undefined;
   readonly storeReachable: boolean;
+  /** How old what it knows of the jobs is at most; infinite before that. */
+  readonly copyAgeMs: number;
   readonly scheduler: scheduling.schedulerTypes.SchedulerCounts | undefined;
 }
--- a/packages/gypsumwall-cell/src/front_desk.ts
+++ b/packages/gypsumwall-cell/src/front_desk.ts
@@ -52,6 +52,8 @@
   readonly jobs: jobTable.JobTable;
   readonly follower: logFollower.LogFollower;
   readonly pulse: storePulse.StorePulse;
+  /** How old what this entry knows of the jobs is at most, in milliseconds. */
+  readonly copyAgeMs: () => number;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
   /** Whether any worker could ever run a task of this size. */
@@ -158,7 +160,12 @@
       if (found.type !== 'ok') return found;
       return {type: 'ok', value: found.value.progress.phase};
     },
-    pendingIn: (queue) => jobs.pendingIn(queue),
+    pendingIn(queue) {
+      const pending = jobs.pendingIn(queue);
+      const ageMs = Math.round(options.copyAgeMs());
+      logger.info('pending_told', {queue, pending, ageMs});
+      return pending;
+    },
     storeLatencyMs: () => appender.latencyMs(),
   };
 }
--- a/packages/gypsumwall-cell/src/log_follower.ts
+++ b/packages/gypsumwall-cell/src/log_follower.ts
@@ -11,6 +11,11 @@
 /** Pause after a failed call, doubled up to the longest; milliseconds. */
 const FIRST_PAUSE_MS = 50;
 const LONGEST_PAUSE_MS = 400;
+/**
+ * A copy that was older than this tells in the log when it is up to date
+ * again. A sound one is read several times a second; milliseconds.
+ */
+const OLD_COPY_MS = 1_000;
 
 /** What a follower is made with. */
 export interface FollowerOptions {
@@ -46,6 +51,11 @@
   catchUp(): Promise<boolean>;
   /** Since when each call has been answered; undefined while one isn't. */
   reachableSince(): types.clock.MonotonicMs | undefined;
+  /**
+   * Every record that stood in the log by this moment has been handed on;
+   * undefined before the first load.
+   */
+  completeUntil(): types.clock.MonotonicMs | undefined;
 }
 
 /** Creates a follower; nothing is read before `run`. */
@@ -60,6 +70,24 @@
   /** Sending time of the newest call that was answered. */
   let newestAnsweredAt = 0;
   let loading: Promise<boolean> | undefined;
+  let completeUntil: types.clock.MonotonicMs | undefined;
+
+  /** A call that was sent then found the log to end there. */
+  function noteComplete(
+    sentAt: types.clock.MonotonicMs,
+    endOffset: number,
+  ): void {
+    if (position === undefined || position < endOffset) return;
+    if (sentAt <= (completeUntil ?? 0)) return;
+    const ageMs = sentAt - (completeUntil ?? sentAt);
+    completeUntil = sentAt;
+    if (ageMs <= OLD_COPY_MS) return;
+    logger.info('log_caught_up', {
+      log: log.name,
+      position,
+      ageMs: Math.round(ageMs),
+    });
+  }
 
   function answered(sentAt: types.clock.MonotonicMs): void {
     newestAnsweredAt = Math.max(newestAnsweredAt, sentAt);
@@ -103,6 +131,7 @@
     const found: ports.KeyedRecord[] = [];
     let after: string | undefined;
     let loadedTo: number | undefined;
+    const startedAt = clock.monotonic();
     do {
       const sentAt = clock.monotonic();
       const page = await log.newest(after);
@@ -120,6 +149,7 @@
     position = loadedTo;
     end = Math.max(end, loadedTo);
     options.onRecords(found, true);
+    noteComplete(startedAt, loadedTo);
     logger.info('log_loaded', {
       log: log.name,
       records: found.length,
@@ -142,6 +172,7 @@
       case 'records':
         end = read.value.endOffset;
         apply(read.value.records);
+        noteComplete(sentAt, read.value.endOffset);
         return true;
       case 'compacted':
         logger.warn('log_compacted', {log: log.name, position});
@@ -200,6 +231,7 @@
     position: () => position,
     catchUp,
     reachableSince: () => reachableSince,
+    completeUntil: () => completeUntil,
   };
 }
 
