--- a/packages/gypsumwall-cell/src/log_follower.ts
+++ b/packages/gypsumwall-cell/src/log_follower.ts
@@ -13,9 +13,10 @@
 const LONGEST_PAUSE_MS = 400;
 /**
  * A copy that was older than this tells in the log when it is up to date
- * again. A sound one is read several times a second; milliseconds.
+ * again. Sound ones are up to 0.4 s old, the configuration's up to 1.2 s, as
+ * each read waits for news; milliseconds.
  */
-const OLD_COPY_MS = 1_000;
+const OLD_COPY_MS = 2_000;
 
 /** What a follower is made with. */
 export interface FollowerOptions {
