--- a/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
@@ -129,12 +129,12 @@
 
 /** Waits until the condition holds; fails after the time. */
 export async function until(
-  condition: () => boolean,
+  condition: () => boolean | Promise<boolean>,
   what: string,
   timeoutMs = 5_000,
 ): Promise<void> {
   const end = performance.now() + timeoutMs;
-  while (!condition()) {
+  while (!(await condition())) {
     if (performance.now() > end) throw new Error(`not in time: ${what}`);
     await new Promise((resolve) => setTimeout(resolve, 5));
   }
--- a/packages/gypsumwall-cell/src/__tests__/cell_entry.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/cell_entry.test.ts
@@ -30,6 +30,14 @@
   return answer.type === 'ok' ? answer.value : answer.type;
 }
 
+/** How many jobs wait, or how the question was refused. */
+async function pending(
+  entry: cellEntryTypes.CellEntry,
+): Promise<number | string> {
+  const answer = await entry.desk.pendingIn(worlds.POLICY.queue);
+  return answer.type === 'ok' ? answer.value : answer.type;
+}
+
 /** Waits until the entry tells the phase: entries read the log with a lag. */
 async function becomes(
   entry: cellEntryTypes.CellEntry,
@@ -57,10 +65,12 @@
     await submitted(entries[1]!, 'job', 2);
     await worlds.until(() => worker.running.size === 2, 'both tasks');
     for (const task of runsOf(worker)) worker.end(task, 'done');
-    await worlds.until(
-      () => entries.every((entry) => entry.desk.pendingIn('plans') === 0),
-      'no job waits',
-    );
+    for (const entry of entries) {
+      await worlds.until(
+        async () => (await pending(entry)) === 0,
+        'no job waits',
+      );
+    }
     for (const entry of entries) await becomes(entry, 'job', 'completed');
     assert.equal(await phase(entries[0]!, 'other'), 'absent');
   } finally {
--- a/packages/gypsumwall-cell/src/__tests__/relaying_desk.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/relaying_desk.test.ts
@@ -27,7 +27,7 @@
     },
     cancel: () => Promise.resolve(situation.own),
     phaseOf: () => Promise.resolve({type: 'absent'}),
-    pendingIn: () => 0,
+    pendingIn: () => Promise.resolve({type: 'ok', value: 0}),
     storeLatencyMs: () =>
       situation.latencyMs === 'unknown'
         ? undefined
--- a/packages/gypsumwall-cell/src/front_desk.ts
+++ b/packages/gypsumwall-cell/src/front_desk.ts
@@ -41,7 +41,8 @@
     id: types.ids.JobId,
     queue: string,
   ): Promise<DeskAnswer<scheduling.jobProgress.JobPhase>>;
-  pendingIn(queue: string): number;
+  /** Jobs of a queue of which no task has started. */
+  pendingIn(queue: string): Promise<DeskAnswer<number>>;
   /** What appends took lately, in milliseconds; undefined: there were none. */
   storeLatencyMs(): number | undefined;
 }
@@ -164,7 +165,7 @@
       const pending = jobs.pendingIn(queue);
       const ageMs = Math.round(options.copyAgeMs());
       logger.info('pending_told', {queue, pending, ageMs});
-      return pending;
+      return Promise.resolve({type: 'ok', value: pending});
     },
     storeLatencyMs: () => appender.latencyMs(),
   };
