Answer questions from a copy of the logs only while it is current

What callers saw: 4 jobs were said to wait while 20 had waited for five seconds; and jobs that were done were said to run, for up to seven seconds after the store answered the entry again.

Cause: an entry answers questions from its own copy of the logs and took it for current whenever the store answered it at all. One that the store has turned away lacks what the others accept, until it has read all of that.

Now an entry knows up to when its copy is complete (the newest call that found it at the log's end, and none before a suspension). Past 1.5 s it asks peers for the number and for states of jobs; with no current peer the number is refused with when to come back. Why it holds: the age is measured from the sending of a call whose answer left nothing unread, so what the store acknowledged before is in the copy.

--- a/packages/gypsumwall-cell/src/__tests__/relaying_desk.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/relaying_desk.test.ts
@@ -16,6 +16,8 @@
   /** What the holder alone comes to, if that is something else. */
   readonly byHolder?: peerDirectory.RelayOutcome;
   readonly reachable: boolean;
+  /** Whether the own copy of the logs is current. */
+  readonly current?: boolean;
   readonly latencyMs?: number | 'unknown';
 }
 
@@ -27,7 +29,11 @@
     },
     cancel: () => Promise.resolve(situation.own),
     phaseOf: () => Promise.resolve({type: 'absent'}),
-    pendingIn: () => Promise.resolve({type: 'ok', value: 0}),
+    pendingIn: () =>
+      Promise.resolve(
+        situation.current === false ? REFUSED : {type: 'ok', value: 4},
+      ),
+    isCurrent: () => situation.current ?? true,
     storeLatencyMs: () =>
       situation.latencyMs === 'unknown'
         ? undefined
@@ -89,6 +95,30 @@
   assert.equal(refused.type, 'not_run');
 });
 
+// The job is done, and its caller hears for six seconds that it runs; another
+// hears that 4 jobs wait where 20 do. The store answers their entry again, which
+// is still reading what it missed; its peers know.
+test('questions go to a peer while the own copy is old', async () => {
+  const relayed = {type: 'answered', res: {type: 'ok', value: 20}} as const;
+  const situation = {own: OK, relayed, reachable: true};
+  const asked: string[] = [];
+  const old = createDesk({...situation, current: false}, asked);
+  assert.deepEqual(await old.pendingIn('plans'), relayed.res);
+  assert.deepEqual(await old.phaseOf(id, 'plans'), relayed.res);
+  assert.deepEqual(asked, ['any peer', 'any peer']);
+  const current = createDesk(situation, asked);
+  assert.deepEqual(await current.pendingIn('plans'), {type: 'ok', value: 4});
+  assert.equal((await current.phaseOf(id, 'plans')).type, 'absent');
+  assert.equal(asked.length, 2, 'no peer was asked');
+});
+
+test('no number is told where neither the entry nor a peer is current', async () => {
+  const relayed = {type: 'unanswered', mayStand: false, slow: false} as const;
+  const situation = {own: OK, relayed, reachable: true, current: false};
+  const answer = await createDesk(situation).pendingIn('plans');
+  assert.equal(answer.type, 'not_run');
+});
+
 // Load: a store ninety times slower than usual takes 0.7 s for an append and
 // handles those of a log one by one; seven entries made a line of 2.5 s.
 test("calls share the holder's appends while the store is slow", async () => {
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -23,6 +23,7 @@
 import * as storeProbe from './store_probe.js';
 import * as storePulse from './store_pulse.js';
 import * as storeRecords from './store_records.js';
+import * as suspensionWatch from './suspension_watch.js';
 import * as takeOver from './take_over.js';
 import * as tidying from './tidying.js';
 
@@ -51,6 +52,7 @@
   const state = cellStates.createCellState();
   const pulse = storePulse.createStorePulse();
   const peers = peerDirectory.createPeerDirectory(self.instance, clock);
+  const suspension = suspensionWatch.createSuspensionWatch(clock);
   let holder: cellHolderTypes.CellHolder | undefined;
   let leaving = false;
   let lastRecordAt = clock.monotonic();
@@ -126,12 +128,17 @@
     return instance === self.instance ? undefined : instance;
   }
 
-  /** Jobs are accepted in one log, and begun and ended in the other. */
+  /**
+   * Jobs are accepted in one log, and begun and ended in the other. What was
+   * read before a suspension is as old as that lasted, which the clock doesn't
+   * tell.
+   */
   function copyAgeMs(): number {
     const completeUntil = Math.min(
       jobsFollower.completeUntil() ?? -Infinity,
       cellFollower.completeUntil() ?? -Infinity,
     );
+    if (completeUntil <= suspension.lastNoticedAt()) return Infinity;
     return clock.monotonic() - completeUntil;
   }
 
--- a/packages/gypsumwall-cell/src/cell_entry_types.ts
+++ b/packages/gypsumwall-cell/src/cell_entry_types.ts
@@ -59,7 +59,7 @@
   readonly holdsCell: boolean;
   readonly configVersion: number | undefined;
   readonly storeReachable: boolean;
-  /** How old what it knows of the jobs is at most; infinite before that. */
+  /** How old its copy of the logs is at most; infinite if nothing is sure. */
   readonly copyAgeMs: number;
   readonly scheduler: scheduling.schedulerTypes.SchedulerCounts | undefined;
 }
--- a/packages/gypsumwall-cell/src/front_desk.ts
+++ b/packages/gypsumwall-cell/src/front_desk.ts
@@ -18,6 +18,13 @@
 const APPEND_PATIENCE_MS = 2_400;
 /** When a caller should come back while the store is away; milliseconds. */
 const STORE_RETRY_AFTER_MS = 1_000;
+/**
+ * An older copy of the logs is not counted in, and peers are asked for the
+ * state of jobs. Callers are promised a number that is 2 s old at most, which
+ * leaves half a second for the answer; a store that is sixty times slower than
+ * usual lets copies grow 1.1 s old, worked out; milliseconds.
+ */
+const CURRENT_COPY_MS = 1_500;
 
 /** What became of a call. */
 export type DeskAnswer<Value> =
@@ -41,8 +48,15 @@
     id: types.ids.JobId,
     queue: string,
   ): Promise<DeskAnswer<scheduling.jobProgress.JobPhase>>;
-  /** Jobs of a queue of which no task has started. */
+  /**
+   * Jobs of a queue of which no task has started. An entry that the store has
+   * turned away lacks what the others accept, until it has read all of that:
+   * 4 were told where 20 had waited for 5 s. It must not take its own copy for
+   * an answer then.
+   */
   pendingIn(queue: string): Promise<DeskAnswer<number>>;
+  /** Whether this entry knows what the store had a moment ago. */
+  isCurrent(): boolean;
   /** What appends took lately, in milliseconds; undefined: there were none. */
   storeLatencyMs(): number | undefined;
 }
@@ -53,7 +67,7 @@
   readonly jobs: jobTable.JobTable;
   readonly follower: logFollower.LogFollower;
   readonly pulse: storePulse.StorePulse;
-  /** How old what this entry knows of the jobs is at most, in milliseconds. */
+  /** How old this entry's copy of the logs is at most, in milliseconds. */
   readonly copyAgeMs: () => number;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
@@ -127,6 +141,8 @@
     return {type: 'not_run', retryAfterMs: STORE_RETRY_AFTER_MS};
   }
 
+  const isCurrent = () => options.copyAgeMs() <= CURRENT_COPY_MS;
+
   return {
     async submit(id, policy, request) {
       if (jobs.get(id) !== undefined) return {type: 'ok', value: undefined};
@@ -162,11 +178,17 @@
       return {type: 'ok', value: found.value.progress.phase};
     },
     pendingIn(queue) {
-      const pending = jobs.pendingIn(queue);
+      const pending = isCurrent() ? jobs.pendingIn(queue) : undefined;
+      const outcome = pending === undefined ? 'not_run' : 'ok';
       const ageMs = Math.round(options.copyAgeMs());
-      logger.info('pending_told', {queue, pending, ageMs});
-      return Promise.resolve({type: 'ok', value: pending});
+      logger.info('pending_asked', {queue, pending, ageMs, outcome});
+      return Promise.resolve(
+        pending === undefined
+          ? {type: 'not_run', retryAfterMs: STORE_RETRY_AFTER_MS}
+          : {type: 'ok', value: pending},
+      );
     },
+    isCurrent,
     storeLatencyMs: () => appender.latencyMs(),
   };
 }
--- a/packages/gypsumwall-cell/src/peer_protocol.ts
+++ b/packages/gypsumwall-cell/src/peer_protocol.ts
@@ -75,7 +75,10 @@
 /** Path of a caller's call that a peer is to answer. */
 export const RELAY_PATH = '/relay';
 
-/** A caller's call, handed on by an entry that the store turns away. */
+/**
+ * A caller's call, handed on by an entry that the store turns away or that is
+ * behind in its logs.
+ */
 export type RelayReq =
   | {
       readonly type: 'submit';
@@ -92,7 +95,8 @@
       readonly type: 'phase';
       readonly id: types.ids.JobId;
       readonly queue: string;
-    };
+    }
+  | {readonly type: 'pending'; readonly queue: string};
 
 /** The answer of the peer's desk. */
 export type RelayRes = frontDesk.DeskAnswer<unknown>;
--- a/packages/gypsumwall-cell/src/peer_server.ts
+++ b/packages/gypsumwall-cell/src/peer_server.ts
@@ -48,5 +48,7 @@
       return desk.cancel(req.id, req.queue);
     case 'phase':
       return desk.phaseOf(req.id, req.queue);
+    case 'pending':
+      return desk.pendingIn(req.queue);
   }
 }
--- a/packages/gypsumwall-cell/src/relaying_desk.ts
+++ b/packages/gypsumwall-cell/src/relaying_desk.ts
@@ -1,7 +1,8 @@
 /**
  * The desk that callers meet: answers from this entry's own desk while it
  * reaches the store, and hands calls to a peer while the store turns this
- * entry away or is slow. A slow store appends one batch at a time, so calls of
+ * entry away or is slow. So it does with questions until it has read what it
+ * missed. A slow store appends one batch at a time, so calls of
  * all entries go through the holder then and share its batches.
  */
 import type * as telemetry from '@gypsumwall/telemetry';
@@ -61,7 +62,7 @@
     const outcome = await peers.relay(req, patience);
     const answered = outcome.type === 'answered';
     logger.info('call_relayed', {
-      job: req.id,
+      job: req.type === 'pending' ? undefined : req.id,
       call: req.type,
       outcome: answered ? outcome.res.type : outcome.type,
       mayStand: answered ? undefined : outcome.mayStand,
@@ -151,12 +152,20 @@
     cancel: (id, queue) =>
       answer({type: 'cancel', id, queue}, () => own.cancel(id, queue)),
     async phaseOf(id, queue) {
-      if (options.storeReachable()) return own.phaseOf(id, queue);
+      if (options.storeReachable() && own.isCurrent()) {
+        return own.phaseOf(id, queue);
+      }
       const relayed = await relayToAny({type: 'phase', id, queue});
       if (relayed.type === 'answered') return answerOf(relayed.res);
       return own.phaseOf(id, queue);
     },
-    pendingIn: (queue) => own.pendingIn(queue),
+    async pendingIn(queue) {
+      const direct = await own.pendingIn(queue);
+      if (direct.type === 'ok') return direct;
+      const relayed = await relayToAny({type: 'pending', queue});
+      return relayed.type === 'answered' ? answerOf(relayed.res) : direct;
+    },
+    isCurrent: () => own.isCurrent(),
     storeLatencyMs: () => own.storeLatencyMs(),
     relayedLately: () =>
       relayedAt !== undefined &&
@@ -179,6 +188,7 @@
     case 'cancel':
       return res.type === 'ok';
     case 'phase':
+    case 'pending':
       return false;
   }
 }
