Wait for a read as long as it arrives

Cause: a read had 0.5 s for its whole answer, whatever its length and the link.

Excluded: shorter reads alone; the size that fits depends on the link.

Why it holds: the time runs until the answer begins, and then between its pieces. A store that is silent is noticed as soon as before; one that stops in the middle half a second after its last piece.

--- a/packages/gypsumwall-cell/src/http_client.ts
+++ b/packages/gypsumwall-cell/src/http_client.ts
@@ -17,7 +17,14 @@
   readonly path: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: string | Buffer;
+  /** For the whole answer, or until it begins where `pieceTimeoutMs` is set. */
   readonly timeoutMs: number;
+  /**
+   * The longest pause between two pieces of an answer. For long ones: a link
+   * may need longer for them than an answer is waited for, and one that still
+   * arrives shows that the other end lives.
+   */
+  readonly pieceTimeoutMs?: number;
 }
 
 /** An answer, whatever its status. */
@@ -66,9 +73,15 @@
       };
       // The connection goes with the call: its late answer must not be taken
       // for the next one's.
-      const timer = setTimeout(() => {
-        req.destroy(new Error(`no answer in ${call.timeoutMs} ms`));
-      }, call.timeoutMs);
+      let timer: NodeJS.Timeout;
+      const giveUpAfter = (spanMs: number) => {
+        clearTimeout(timer);
+        timer = setTimeout(() => {
+          req.destroy(new Error(`no answer in ${spanMs} ms`));
+        }, spanMs);
+      };
+      const {pieceTimeoutMs} = call;
+      giveUpAfter(call.timeoutMs);
       req.on('socket', (socket) => {
         if (!socket.connecting) sent = true;
         else socket.once('connect', () => (sent = true));
@@ -76,7 +89,10 @@
       req.on('error', fail);
       req.on('response', (res) => {
         const chunks: Buffer[] = [];
-        res.on('data', (chunk: Buffer) => chunks.push(chunk));
+        res.on('data', (chunk: Buffer) => {
+          chunks.push(chunk);
+          if (pieceTimeoutMs !== undefined) giveUpAfter(pieceTimeoutMs);
+        });
         res.on('error', fail);
         res.on('aborted', () => fail(new Error('the answer broke off')));
         res.on('end', () => {
