--- a/packages/gypsumwall-cell/src/__tests__/log_follower.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/log_follower.test.ts
@@ -76,6 +76,38 @@
   assert.ok(sent <= 2 * seen, `${sent} records for ${seen}`);
 });
 
+// The caller is told that there is no such job, four seconds after it was
+// accepted. The entry had started anew and was still loading a large log over a
+// thin link; the question shared that load, which had begun before the job was
+// stored, and took it for the whole log.
+test('a load that began before a question is not enough for it', async () => {
+  const log = fakeLogs.createFakeLog();
+  await log.append([{key: 'a', value: '1'}], {timeoutMs: 1});
+  const newest = log.newest.bind(log);
+  log.newest = async (after) => {
+    const page = await newest(after);
+    await new Promise((resolve) => setTimeout(resolve, 30));
+    return page;
+  };
+  const seen: string[] = [];
+  const follower = logFollower.createLogFollower({
+    log,
+    clock,
+    logger,
+    pulse: storePulse.createStorePulse(),
+    onRecords: (records) => records.forEach((record) => seen.push(record.key)),
+    pauseMs: () => 1_000,
+    readWaitMs: 10,
+  });
+  void follower.run();
+  await new Promise((resolve) => setTimeout(resolve, 5));
+  await log.append([{key: 'job', value: '1'}], {timeoutMs: 1});
+  const current = await follower.catchUp();
+  follower.stop();
+  assert.equal(current, true);
+  assert.deepEqual(seen, ['a', 'job']);
+});
+
 test('records that were compacted away are loaded anew, each key once', async () => {
   const log = fakeLogs.createFakeLog();
   const seen: string[] = [];
