Let no question share a load that began before it

An entry that had started anew was loading the log of jobs over a link of 2 Mbit/s. A question shared that load, as it should, but took it for a reading that began after the question.

Why it holds: catching up goes on until a call that was sent after the question has told where the log ends, and everything up to there is read.

--- a/packages/gypsumwall-cell/src/log_follower.ts
+++ b/packages/gypsumwall-cell/src/log_follower.ts
@@ -59,6 +59,13 @@
   completeUntil(): types.clock.MonotonicMs | undefined;
 }
 
+/** What a read or a load that was answered has found. */
+interface Found {
+  readonly sentAt: types.clock.MonotonicMs;
+  /** Where the log ended; a load's first page tells. */
+  readonly endOffset: number;
+}
+
 /** Creates a follower; nothing is read before `run`. */
 export function createLogFollower(options: FollowerOptions): LogFollower {
   const {log, clock, logger} = options;
@@ -70,17 +77,14 @@
   let failing = false;
   /** Sending time of the newest call that was answered. */
   let newestAnsweredAt = 0;
-  let loading: Promise<boolean> | undefined;
+  let loading: Promise<Found | undefined> | undefined;
   let completeUntil: types.clock.MonotonicMs | undefined;
   /** The reading to the log's end that is on its way, and the one after it. */
   let reading: Promise<boolean> | undefined;
   let queued: Promise<boolean> | undefined;
 
-  /** A call that was sent then found the log to end there. */
-  function noteComplete(
-    sentAt: types.clock.MonotonicMs,
-    endOffset: number,
-  ): void {
+  /** To be called once what was found has been applied. */
+  function noteComplete({sentAt, endOffset}: Found): void {
     if (position === undefined || position < endOffset) return;
     if (sentAt <= (completeUntil ?? 0)) return;
     const ageMs = sentAt - (completeUntil ?? sentAt);
@@ -126,13 +130,13 @@
   }
 
   /** One load at a time: a large log takes a while, and a second as long. */
-  function load(): Promise<boolean> {
+  function load(): Promise<Found | undefined> {
     loading ??= loadOnce().finally(() => (loading = undefined));
     return loading;
   }
 
-  async function loadOnce(): Promise<boolean> {
-    const found: ports.KeyedRecord[] = [];
+  async function loadOnce(): Promise<Found | undefined> {
+    const records: ports.KeyedRecord[] = [];
     let after: string | undefined;
     let loadedTo: number | undefined;
     const startedAt = clock.monotonic();
@@ -141,43 +145,47 @@
       const page = await log.newest(after);
       if (result.isErr(page)) {
         failed(page.error, sentAt);
-        return false;
+        return undefined;
       }
       answered(sentAt);
-      found.push(...page.value.records);
+      records.push(...page.value.records);
       // Pages are no snapshot: go on from where the first one was made.
       loadedTo ??= page.value.endOffset;
       after = page.value.nextAfter;
     } while (after !== undefined);
-    found.sort((a, b) => a.offset - b.offset);
+    records.sort((a, b) => a.offset - b.offset);
     position = loadedTo;
     end = Math.max(end, loadedTo);
-    options.onRecords(found, true);
-    noteComplete(startedAt, loadedTo);
+    options.onRecords(records, true);
+    const found = {sentAt: startedAt, endOffset: loadedTo};
+    noteComplete(found);
     logger.info('log_loaded', {
       log: log.name,
-      records: found.length,
+      records: records.length,
       end: loadedTo,
     });
-    return true;
+    return found;
   }
 
-  async function readOnce(waitMs: number): Promise<boolean> {
+  /** Undefined if it failed. */
+  async function readOnce(waitMs: number): Promise<Found | undefined> {
     if (position === undefined) return load();
     const sentAt = clock.monotonic();
     const read = await log.read(position, waitMs);
     if (result.isErr(read)) {
       failed(read.error, sentAt);
-      return false;
+      return undefined;
     }
     answered(sentAt);
     options.pulse.noteRead(sentAt, clock.monotonic());
     switch (read.value.type) {
-      case 'records':
-        end = read.value.endOffset;
+      case 'records': {
+        const found = {sentAt, endOffset: read.value.endOffset};
+        end = Math.max(end, found.endOffset);
         apply(read.value.records);
-        noteComplete(sentAt, read.value.endOffset);
-        return true;
+        noteComplete(found);
+        return found;
+      }
       case 'compacted':
         logger.warn('log_compacted', {log: log.name, position});
         return load();
@@ -187,19 +195,22 @@
   const isBehind = () => position !== undefined && position < end;
 
   /**
-   * Reads until the log's end as it was at the first read. One read brings a
-   * bounded part: an entry that was further behind took a job that it hadn't
-   * read yet for one that doesn't exist, and told its caller so.
+   * Reads to where a call that is sent from now on finds the log to end. One
+   * read brings a bounded part, and a load that is shared may have begun long
+   * before: an entry that took either for the whole log told its callers that
+   * jobs don't exist which had been accepted, seconds before.
    */
   async function readToEnd(): Promise<boolean> {
-    if (!(await readOnce(0))) return false;
-    const goal = end;
-    while (position !== undefined && position < goal) {
+    const askedAt = clock.monotonic();
+    let goal: number | undefined;
+    while (goal === undefined || (position ?? 0) < goal) {
       const before = position;
-      if (stopping.signal.aborted || !(await readOnce(0))) return false;
-      if (position === before) return false;
+      const found = stopping.signal.aborted ? undefined : await readOnce(0);
+      if (found === undefined) return false;
+      if (found.sentAt >= askedAt) goal ??= found.endOffset;
+      if (goal !== undefined && position === before) break;
     }
-    return true;
+    return (position ?? 0) >= goal;
   }
 
   /**
@@ -232,9 +243,10 @@
     return false;
   }
 
-  function readNext(failurePauseMs: number): Promise<boolean> {
+  async function readNext(failurePauseMs: number): Promise<boolean> {
     if (reachableSince === undefined) return readAway(failurePauseMs);
-    return isBehind() ? catchUp() : readOnce(options.readWaitMs);
+    if (isBehind()) return catchUp();
+    return (await readOnce(options.readWaitMs)) !== undefined;
   }
 
   return {
@@ -259,17 +271,17 @@
   };
 }
 
-/** What the work comes to; false if the signal aborts before. */
+/** Whether the work came to something before the signal aborted. */
 function unlessAborted(
-  work: Promise<boolean>,
+  work: Promise<unknown>,
   signal: AbortSignal,
 ): Promise<boolean> {
   return new Promise((resolve) => {
     const giveUp = () => resolve(false);
     signal.addEventListener('abort', giveUp, {once: true});
-    void work.then((ok) => {
+    void work.then((found) => {
       signal.removeEventListener('abort', giveUp);
-      resolve(ok);
+      resolve(found !== undefined);
     });
   });
 }
