--- a/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
@@ -84,6 +84,7 @@
     lastRecordAt: at(0),
     reachableSince: at(0),
     holderLost: false,
+    takeovers: [],
     leaving: false,
     now: at(takeOver.SILENCE_MS + 1),
     ...fields,
@@ -103,6 +104,25 @@
   assert.equal(takeOver.vacancyOf(away), undefined, 'the log is not read');
 });
 
+// Nobody's job is ever started: 73 holders in 45 s. Taking over 160 workers keeps
+// a small instance too busy to write or to answer its peers for a second; the
+// next one takes over from it after half of that, and is as busy.
+test('holders that are busy taking over are not replaced for ever', () => {
+  const busyMs = 1_000;
+  const takeovers: types.clock.MonotonicMs[] = [];
+  let lastRecordAt = at(0);
+  for (let now = at(0); now < 60_000; now = at(now + 10)) {
+    const heldFor = now - (takeovers.at(-1) ?? -Infinity);
+    if (takeovers.length > 0 && heldFor > busyMs) lastRecordAt = now;
+    const holderLost = now - lastRecordAt > 450;
+    const held = {lastRecordAt, reachableSince: at(0), takeovers, now};
+    if (takeOver.vacancyOf(view({...held, holderLost})) === undefined) continue;
+    takeovers.push(now);
+    lastRecordAt = now;
+  }
+  assert.ok(takeovers.length <= 6, `${takeovers.length} takeovers`);
+});
+
 // An entry that couldn't read the log has heard nothing either, and would take
 // the cell from a sound holder as soon as it reads again.
 test('silence counts only while the log is read', () => {
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -55,6 +55,7 @@
   const suspension = suspensionWatch.createSuspensionWatch(clock);
   let holder: cellHolderTypes.CellHolder | undefined;
   let leaving = false;
+  let takeovers: types.clock.MonotonicMs[] = [];
   let lastRecordAt = clock.monotonic();
   let reachableAt = clock.monotonic();
 
@@ -181,6 +182,13 @@
     if (before === undefined) return;
     if (before.instance === state.claim()?.instance) return;
     peers.noteLost(before.instance);
+    if (before.state === 'held') noteTakeover();
+  }
+
+  function noteTakeover(): void {
+    const now = clock.monotonic();
+    takeovers = takeovers.filter((at) => now - at < takeOver.STORM_WINDOW_MS);
+    takeovers.push(now);
   }
 
   function claimRead(): void {
@@ -278,6 +286,7 @@
           claim: () => state.claim(),
           lastRecordAt: () => lastRecordAt,
           isHolderLost: () => holderProbe.isLost(),
+          takeovers: () => takeovers,
           isHolder: () => holder !== undefined,
           isLeaving: () => leaving,
           isOutranked,
--- a/packages/gypsumwall-cell/src/election.ts
+++ b/packages/gypsumwall-cell/src/election.ts
@@ -41,6 +41,7 @@
   readonly lastRecordAt: () => types.clock.MonotonicMs;
   /** See the probe of the holder. */
   readonly isHolderLost: () => boolean;
+  readonly takeovers: () => readonly types.clock.MonotonicMs[];
   readonly isHolder: () => boolean;
   readonly isLeaving: () => boolean;
   /** Whether a peer has more processor, or the peers aren't known yet. */
@@ -67,6 +68,7 @@
       lastRecordAt: parts.lastRecordAt(),
       reachableSince: follower.reachableSince(),
       holderLost: parts.isHolderLost(),
+      takeovers: parts.takeovers(),
       leaving: parts.isLeaving(),
       now: clock.monotonic(),
     });
--- a/packages/gypsumwall-cell/src/take_over.ts
+++ b/packages/gypsumwall-cell/src/take_over.ts
@@ -23,6 +23,12 @@
  */
 export const FRESH_MS = 600;
 
+/**
+ * Holders that are lost one after the other within this time may not be lost:
+ * taking over may be more than an instance bears; milliseconds.
+ */
+export const STORM_WINDOW_MS = 30_000;
+
 /** What the decision looks at. */
 export interface TakeOverView {
   readonly claim: claimView.CellClaim | undefined;
@@ -36,6 +42,8 @@
   readonly reachableSince: types.clock.MonotonicMs | undefined;
   /** Whether the holder is silent and doesn't answer its peers either. */
   readonly holderLost: boolean;
+  /** When holders were replaced that hadn't handed the cell over; ascending. */
+  readonly takeovers: readonly types.clock.MonotonicMs[];
   readonly leaving: boolean;
   readonly now: types.clock.MonotonicMs;
 }
