--- /dev/null
+++ b/packages/gypsumwall-cell/src/__tests__/http_client.test.ts
@@ -0,0 +1,78 @@
+import * as assert from 'node:assert/strict';
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as nodeTest from 'node:test';
+import * as workerThreads from 'node:worker_threads';
+import * as result from 'true-myth/result';
+import * as httpClient from '../http_client.js';
+
+const {test} = nodeTest;
+
+/** Serves from a thread of its own, since the test blocks this one. */
+const SERVER = `
+  const http = require('node:http');
+  const {parentPort} = require('node:worker_threads');
+  const server = http.createServer((req, res) => res.end('done'));
+  server.listen(0, '127.0.0.1', () => parentPort.postMessage(server.address().port));
+`;
+
+async function withServer(use: (port: number) => Promise<void>): Promise<void> {
+  const server = new workerThreads.Worker(SERVER, {eval: true});
+  try {
+    const port = await new Promise<number>((resolve) =>
+      server.once('message', resolve),
+    );
+    await use(port);
+  } finally {
+    await server.terminate();
+  }
+}
+
+function block(spanMs: number): void {
+  const end = performance.now() + spanMs;
+  while (performance.now() < end);
+}
+
+// A gang is stopped and started again elsewhere though all its workers took it
+// at once. The process that sent the starts was busy for longer than an answer
+// is waited for; the answers lay there, and their time was up before anybody
+// looked at them.
+test('an answer that lies there is read before its call is given up', async () => {
+  await withServer(async (port) => {
+    const client = httpClient.createHttpClient(`127.0.0.1:${port}`, 1);
+    const call = {
+      step: 'test',
+      method: 'GET',
+      path: '/',
+      timeoutMs: 100,
+    } as const;
+    await client.call(call);
+    const answer = client.call(call);
+    // After these a turn of the loop begins, with the timers that are due.
+    await new Promise((resolve) => setImmediate(resolve));
+    block(200);
+    const {isOk} = await answer;
+    client.close();
+    assert.ok(isOk);
+  });
+});
+
+test('a call without an answer is given up in its time', async () => {
+  const server = http.createServer(() => {});
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as net.AddressInfo;
+  const client = httpClient.createHttpClient(`127.0.0.1:${port}`, 1);
+  const startedAt = performance.now();
+  const answer = await client.call({
+    step: 'test',
+    method: 'GET',
+    path: '/',
+    timeoutMs: 50,
+  });
+  client.close();
+  server.closeAllConnections();
+  server.close();
+  assert.ok(result.isErr(answer));
+  assert.equal(answer.error.kind, 'timeout');
+  assert.ok(performance.now() - startedAt < 1_000);
+});
