Read what has arrived before a call is given up

What callers saw: on instances with little processor tasks were stopped and started again elsewhere, though their workers had taken them at once.

Cause: after a turn of the event loop that took longer than an answer is waited for, the timers run before the sockets are read. The call was given up with its answer in the buffer: a start counted as unknown and was stopped, a look as lost.

Excluded: slow workers and links: the answers took 0.66 to 0.71 s by a clock that was read late, where 0.25 s are given.

Why it holds: once its time is up, a call is given up only after the sockets have been read once, and not if its answer was among that. One that isn't answered is given up in the same turn of the loop.

--- a/packages/gypsumwall-cell/src/http_client.ts
+++ b/packages/gypsumwall-cell/src/http_client.ts
@@ -67,36 +67,32 @@
         headers: headersOf(call),
       });
       let sent = false;
-      const fail = (err: Error) => {
-        clearTimeout(timer);
-        reject(Object.assign(err, {sent}));
-      };
       // The connection goes with the call: its late answer must not be taken
       // for the next one's.
-      let timer: NodeJS.Timeout;
-      const giveUpAfter = (spanMs: number) => {
-        clearTimeout(timer);
-        timer = setTimeout(() => {
-          req.destroy(new Error(`no answer in ${spanMs} ms`));
-        }, spanMs);
+      const timer = createAnswerTimer((spanMs) =>
+        req.destroy(new Error(`no answer in ${spanMs} ms`)),
+      );
+      timer.restart(call.timeoutMs);
+      const fail = (err: Error) => {
+        timer.stop();
+        reject(Object.assign(err, {sent}));
       };
-      const {pieceTimeoutMs} = call;
-      giveUpAfter(call.timeoutMs);
       req.on('socket', (socket) => {
         if (!socket.connecting) sent = true;
         else socket.once('connect', () => (sent = true));
       });
       req.on('error', fail);
+      const {pieceTimeoutMs} = call;
       req.on('response', (res) => {
         const chunks: Buffer[] = [];
         res.on('data', (chunk: Buffer) => {
           chunks.push(chunk);
-          if (pieceTimeoutMs !== undefined) giveUpAfter(pieceTimeoutMs);
+          if (pieceTimeoutMs !== undefined) timer.restart(pieceTimeoutMs);
         });
         res.on('error', fail);
         res.on('aborted', () => fail(new Error('the answer broke off')));
         res.on('end', () => {
-          clearTimeout(timer);
+          timer.stop();
           const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
           resolve({status: res.statusCode ?? 0, body});
         });
@@ -118,6 +114,39 @@
   };
 }
 
+interface AnswerTimer {
+  /** Begins a span, in milliseconds, that ends the one before. */
+  restart(spanMs: number): void;
+  stop(): void;
+}
+
+/**
+ * Calls once a span is up and all that has arrived until then is read. A
+ * process that was busy for longer finds its timers due before it reads: it
+ * took sound workers for lost, and stopped tasks that they had just started.
+ */
+function createAnswerTimer(onTimeout: (spanMs: number) => void): AnswerTimer {
+  let timer: NodeJS.Timeout | undefined;
+
+  function stop(): void {
+    clearTimeout(timer);
+    timer = undefined;
+  }
+
+  return {
+    restart(spanMs) {
+      stop();
+      const current = setTimeout(() => {
+        setImmediate(() => {
+          if (timer === current) onTimeout(spanMs);
+        });
+      }, spanMs);
+      timer = current;
+    },
+    stop,
+  };
+}
+
 function headersOf(call: HttpCall): http.OutgoingHttpHeaders {
   if (call.body === undefined) return {...call.headers};
   const length = Buffer.byteLength(call.body);
