--- a/packages/gypsumwall-scheduling/src/__tests__/scheduler.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/scheduler.test.ts
@@ -287,6 +287,60 @@
   );
 });
 
+// Every third job of tasks that work together was stopped just before its end and
+// began anew, on days without any trouble. Its members on fast workers had done
+// their part and waited at 100 for those on slow ones, 25% against 80% of the
+// usual speed; two seconds of that looked like a worker that hangs.
+test('members that wait for the slowest of their gang do not stand still', () => {
+  const world = worlds.createSchedulerWorld();
+  const fast = world.addWorker('fast', 1);
+  const slow = world.addWorker('slow', 1);
+  world.submit('gang', [worlds.step({gang: true, taskCount: 2})]);
+  const runs = world.startAll();
+  const report = (worker: types.ids.WorkerId, percent: number) => {
+    const rows = runs.filter((run) => run.workerId === worker);
+    world.report(
+      worker,
+      rows.map((run) => worlds.row(run.taskId, run.attempt, percent)),
+    );
+  };
+  report(fast, 100);
+  for (let percent = 60; percent <= 95; percent += 5) {
+    world.now = types.clock.after(world.now, 500);
+    report(fast, 100);
+    report(slow, percent);
+  }
+  assert.deepEqual(world.scheduler.takeStops(), []);
+});
+
+// The rest of the gang waits for a member whose worker hangs all it runs: it has
+// to be found by that member.
+test('a gang whose slowest member stands still is stopped as a whole', () => {
+  const world = worlds.createSchedulerWorld();
+  const fast = world.addWorker('fast', 1);
+  const hanging = world.addWorker('hanging', 1);
+  world.submit('gang', [worlds.step({gang: true, taskCount: 2})]);
+  const runs = world.startAll();
+  for (let seconds = 0; seconds < 4; seconds++) {
+    for (const [worker, percent] of [
+      [fast, 100],
+      [hanging, 40],
+    ] as const) {
+      const rows = runs.filter((run) => run.workerId === worker);
+      world.report(
+        worker,
+        rows.map((run) => worlds.row(run.taskId, run.attempt, percent)),
+      );
+    }
+    world.now = types.clock.after(world.now, 1_000);
+  }
+  const stopped = world.scheduler.takeStops();
+  for (const run of stopped) world.end(run, 'stopped');
+  stopped.push(...world.scheduler.takeStops());
+  const workers = stopped.map((run) => run.workerId);
+  assert.deepEqual(new Set(workers), new Set([fast, hanging]));
+});
+
 // Tasks on one worker stand still for seconds while it answers every call.
 // Its tasks are stopped, go elsewhere, and the worker is left alone.
 test('a worker on which nothing moves loses its tasks', () => {
--- a/packages/gypsumwall-scheduling/src/report_reader.ts
+++ b/packages/gypsumwall-scheduling/src/report_reader.ts
@@ -239,6 +239,8 @@
       type: 'worker_stalled',
       worker: workerId,
       runs: stall.runs.length,
+      percent: stall.runs[0]?.percent ?? 0,
+      step: stall.runs[0]?.stepRunId ?? '',
       blamed: stall.blamesWorker,
     });
     if (stall.blamesWorker) health.noteStalled(workerId, now);
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -171,5 +171,8 @@
       readonly type: 'worker_stalled';
       readonly worker: types.ids.WorkerId;
       readonly runs: number;
+      /** Progress at which the first of them stands still, 0 to 100. */
+      readonly percent: number;
+      readonly step: string;
       readonly blamed: boolean;
     };
