Take gang members that wait at 100 percent for no stall

Cause: members of a gang end together. One on a worker of 1.25 times the usual speed has done its part long before one at 0.8, and waits at 100 percent, for two seconds and more of a long gang. The watch for workers on which nothing moves took that for hanging and stopped the gang.

Why it holds: a member at 100 is passed over; a gang that really hangs is found by a member that stands still before 100, and stopped as before.

--- a/packages/gypsumwall-scheduling/src/stall_watch.ts
+++ b/packages/gypsumwall-scheduling/src/stall_watch.ts
@@ -9,6 +9,8 @@
 
 /** No sound task was seen without progress for this long; milliseconds. */
 export const STALLED_AFTER_MS = 2_000;
+/** Progress of a task that has done all its work. */
+const DONE_PERCENT = 100;
 
 /** What stands still on one worker. */
 export interface Stall {
@@ -20,6 +22,17 @@
   readonly blamesWorker: boolean;
 }
 
+/**
+ * A member of a gang that has done its part waits for the others at 100, for
+ * seconds where its worker is faster than theirs: that says nothing about
+ * either. Taken for hanging, every third gang of a quiet day was stopped just
+ * before its end and began anew. One that really hangs is found by the members
+ * that stand still before 100.
+ */
+function waitsForGang({owner, percent}: activeJob.Run): boolean {
+  return owner?.stepRun.request.gang === true && percent >= DONE_PERCENT;
+}
+
 /** The stalled runs of a worker, if nothing on it moves; else undefined. */
 export function findStall(
   runs: ReadonlySet<activeJob.Run>,
@@ -28,7 +41,7 @@
   const stalled: activeJob.Run[] = [];
   for (const run of runs) {
     if (run.owner?.stepRun.request.longRunning === true) continue;
-    if (run.phase !== 'running') continue;
+    if (run.phase !== 'running' || waitsForGang(run)) continue;
     if (now - run.percentChangedAt < STALLED_AFTER_MS) return undefined;
     stalled.push(run);
   }
