--- a/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
@@ -56,6 +56,7 @@
     instance: string,
     view?: FakeStore,
     cores?: number,
+    clock?: types.clock.Clock,
   ): cellEntryTypes.CellEntry;
   stop(): void;
 }
@@ -81,7 +82,12 @@
       await store.workers.append([{key: name, value}], {timeoutMs: 1});
       return worker;
     },
-    addEntry(instance, view = store, cores = 1) {
+    addEntry(
+      instance,
+      view = store,
+      cores = 1,
+      clock = types.clock.createSystemClock(),
+    ) {
       const entry = cellEntry.createCellEntry({
         self: {
           entryId: types.ids.brand(`${instance}.${++processes}`),
@@ -100,7 +106,7 @@
         adviser: {ask: () => Promise.resolve(result.ok(new Map()))},
         leaseMs,
         keepOverMs: 60_000,
-        clock: types.clock.createSystemClock(),
+        clock,
         random: types.random.createRandom(processes),
         logger: telemetry.logger.createLogger('silent'),
       });
--- /dev/null
+++ b/packages/gypsumwall-cell/src/__tests__/copy_age.test.ts
@@ -0,0 +1,192 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as result from 'true-myth/result';
+import * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import * as worlds from '../__fixtures__/cell_world.js';
+import * as fakeLogs from '../__fixtures__/fake_log.js';
+import type * as cellEntryTypes from '../cell_entry_types.js';
+import * as logFollower from '../log_follower.js';
+import * as peerServers from '../peer_server.js';
+import type * as ports from '../ports.js';
+import * as storePulse from '../store_pulse.js';
+
+const {test} = nodeTest;
+/** The oldest copy that callers may be answered from; milliseconds. */
+const OLDEST_MS = 2_000;
+/** Longer than any suspension that may pass unnoticed; milliseconds. */
+const SUSPENDED_MS = 10_000;
+
+const pause = (spanMs: number) =>
+  new Promise((resolve) => setTimeout(resolve, spanMs));
+
+async function pending(
+  entry: cellEntryTypes.CellEntry,
+): Promise<number | string> {
+  const answer = await entry.desk.pendingIn(worlds.POLICY.queue);
+  return answer.type === 'ok' ? answer.value : answer.type;
+}
+
+function createFollower(
+  log: ports.KeyedLog,
+  onRecords: (records: readonly ports.KeyedRecord[]) => void = () => {},
+): logFollower.LogFollower {
+  return logFollower.createLogFollower({
+    log,
+    clock: types.clock.createSystemClock(),
+    logger: telemetry.logger.createLogger('silent'),
+    pulse: storePulse.createStorePulse(),
+    onRecords,
+    pauseMs: () => 1,
+    readWaitMs: 1,
+  });
+}
+
+// The caller is told a number in which jobs wait that run: the store turns the
+// entry away from the log that tells what was begun, and from no other.
+test('a copy is as old as the older of its two logs', async () => {
+  const world = worlds.createCellWorld();
+  try {
+    world.addEntry('a');
+    const view = {...world.store, cell: worlds.viewOf(world.store.cell)};
+    const entry = world.addEntry('b', view);
+    await worlds.until(async () => (await pending(entry)) === 0, 'current');
+    view.cell.trouble = 'down';
+    await pause(OLDEST_MS);
+    assert.ok(entry.status().storeReachable, 'the jobs are read');
+    assert.equal(await pending(entry), 'not_run');
+  } finally {
+    world.stop();
+  }
+});
+
+// The same of an entry that has just started and hasn't loaded that log yet.
+test('a copy without one of its logs is not current', async () => {
+  const world = worlds.createCellWorld();
+  try {
+    const view = {...world.store, cell: worlds.viewOf(world.store.cell)};
+    view.cell.trouble = 'down';
+    const entry = world.addEntry('b', view);
+    await worlds.until(() => entry.status().storeReachable, 'the store');
+    await pause(100);
+    assert.equal(await pending(entry), 'not_run');
+  } finally {
+    world.stop();
+  }
+});
+
+// The caller is told how many waited before the instance was suspended: the
+// clock that ages are measured with stood still meanwhile.
+test('a copy of before a suspension is not current', async () => {
+  const system = types.clock.createSystemClock();
+  let suspendedMs = 0;
+  const clock = {
+    ...system,
+    wall: () => types.clock.after(system.wall(), suspendedMs),
+  };
+  const world = worlds.createCellWorld();
+  try {
+    const view = {...world.store, jobs: worlds.viewOf(world.store.jobs)};
+    const entry = world.addEntry('a', view, 1, clock);
+    await worlds.until(async () => (await pending(entry)) === 0, 'current');
+    view.jobs.trouble = 'down';
+    suspendedMs = SUSPENDED_MS;
+    assert.equal(await pending(entry), 'not_run');
+    view.jobs.trouble = 'none';
+    await worlds.until(async () => (await pending(entry)) === 0, 'once read');
+  } finally {
+    world.stop();
+  }
+});
+
+// The caller is told a number that lacks a job which was accepted while the
+// answer of a read was on its way, for as long as that took.
+test('a copy is as old as the sending of the read', async () => {
+  const log = fakeLogs.createFakeLog();
+  const follower = createFollower(log);
+  await follower.catchUp();
+  const read = log.read.bind(log);
+  log.read = async (from, waitMs) => {
+    const answer = await read(from, waitMs);
+    await pause(30);
+    return answer;
+  };
+  const reading = follower.catchUp();
+  await pause(10);
+  const acceptedAt = performance.now();
+  await log.append([{key: 'job', value: '1'}], {timeoutMs: 1});
+  await reading;
+  assert.ok((follower.completeUntil() ?? Infinity) < acceptedAt);
+});
+
+// The caller is told that there is no such job, though it was accepted before
+// the question: the reading that the question shared had found the end before.
+test('a question shares no reading that began before it', async () => {
+  const log = fakeLogs.createFakeLog();
+  const seen: string[] = [];
+  const follower = createFollower(log, (records) => {
+    for (const {key} of records) seen.push(key);
+  });
+  await follower.catchUp();
+  const read = log.read.bind(log);
+  log.read = async (from, waitMs) => {
+    const answer = await read(from, waitMs);
+    await pause(30);
+    return answer;
+  };
+  const before = follower.catchUp();
+  await pause(10);
+  await log.append([{key: 'job', value: '1'}], {timeoutMs: 1});
+  assert.equal(await follower.catchUp(), true);
+  assert.deepEqual(seen, ['job']);
+  await before;
+});
+
+// The caller is told 410, or 200 without a number, by way of a peer.
+test('a peer answers how many wait, or refuses', async () => {
+  const world = worlds.createCellWorld();
+  const view = {...world.store, cell: worlds.viewOf(world.store.cell)};
+  const entry = world.addEntry('a', view);
+  const server = peerServers.createPeerServer(
+    {ask: () => Promise.reject(new Error('nobody asks'))},
+    entry.ownDesk,
+    telemetry.logger.createLogger('silent'),
+  );
+  const ask = async () => {
+    const payload = {type: 'pending', queue: worlds.POLICY.queue};
+    const res = await server.inject({method: 'POST', url: '/relay', payload});
+    return res.json<{readonly type: string; readonly value?: number}>();
+  };
+  try {
+    await worlds.until(async () => (await pending(entry)) === 0, 'current');
+    assert.deepEqual(await ask(), {type: 'ok', value: 0});
+    view.cell.trouble = 'down';
+    await pause(OLDEST_MS);
+    assert.equal((await ask()).type, 'not_run');
+  } finally {
+    await server.close();
+    world.stop();
+  }
+});
+
+// A job is unknown for good at an entry that was loading when it was accepted:
+// its page had been read, and the log is read on from a later one.
+test('a load of several pages goes on from the first', async () => {
+  const log = fakeLogs.createFakeLog();
+  await log.append([{key: 'b', value: '1'}], {timeoutMs: 1});
+  log.newest = async (after) => {
+    const endOffset = log.records.length;
+    if (after !== undefined) {
+      return result.ok({records: log.records.slice(0, 1), endOffset});
+    }
+    await log.append([{key: 'a', value: '1'}], {timeoutMs: 1});
+    return result.ok({records: [], endOffset, nextAfter: 'a'});
+  };
+  const seen: string[] = [];
+  const follower = createFollower(log, (records) => {
+    for (const {key} of records) seen.push(key);
+  });
+  await follower.catchUp();
+  await follower.catchUp();
+  assert.deepEqual(seen, ['b', 'a']);
+});
