Show that a late word of dropped records loses records

Found by a reviewer who hadn't seen the work. A job that is done is told to run for good: two loads follow from two reads of one position, and the second sets the position back.

--- /dev/null
+++ b/packages/gypsumwall-cell/src/__tests__/log_order.test.ts
@@ -0,0 +1,129 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as result from 'true-myth/result';
+import * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import * as fakeLogs from '../__fixtures__/fake_log.js';
+import * as logFollower from '../log_follower.js';
+import type * as ports from '../ports.js';
+import * as storePulse from '../store_pulse.js';
+
+const {test} = nodeTest;
+
+/** Wait of the reads of a running follower, told apart by it; milliseconds. */
+const RUN_WAIT_MS = 10;
+
+function createFollower(
+  log: ports.KeyedLog,
+  onRecords: (records: readonly ports.KeyedRecord[]) => void,
+): logFollower.LogFollower {
+  return logFollower.createLogFollower({
+    log,
+    clock: types.clock.createSystemClock(),
+    logger: telemetry.logger.createLogger('silent'),
+    pulse: storePulse.createStorePulse(),
+    onRecords,
+    pauseMs: () => 1,
+    readWaitMs: RUN_WAIT_MS,
+  });
+}
+
+interface Gate {
+  readonly passed: Promise<void>;
+  open(): void;
+}
+
+function createGate(): Gate {
+  let open = () => {};
+  const passed = new Promise<void>((resolve) => (open = resolve));
+  return {passed, open: () => open()};
+}
+
+const pause = (spanMs: number) =>
+  new Promise((resolve) => setTimeout(resolve, spanMs));
+
+/** Keeps all records; those before `first` can't be read one by one. */
+function createPagedLog() {
+  const records: ports.KeyedRecord[] = [];
+  const newestOfKeys = () => {
+    const newest = new Map<string, ports.KeyedRecord>();
+    for (const record of records) newest.set(record.key, record);
+    return [...newest.values()].sort((a, b) => (a.key < b.key ? -1 : 1));
+  };
+  return {
+    first: 0,
+    add(key: string, value: string) {
+      records.push({key, value, offset: records.length});
+    },
+    /** One record at a time. */
+    read(from: number): ports.ReadOutcome {
+      if (from < this.first) return {type: 'compacted'};
+      const part = records.slice(from, from + 1);
+      return {type: 'records', records: part, endOffset: records.length};
+    },
+    /** One key a page. */
+    page(after: string | undefined): ports.NewestPage {
+      const left = newestOfKeys().filter(({key}) => key > (after ?? ''));
+      return {
+        records: left.slice(0, 1),
+        endOffset: records.length,
+        nextAfter: left.length > 1 ? left[0]!.key : undefined,
+      };
+    },
+  };
+}
+
+test('a late word of dropped records brings no old record back', async () => {
+  const stored = createPagedLog();
+  const [lateWord, heldPage, heldRead] = [1, 2, 3].map(createGate);
+  let loads = 0;
+  let held = false;
+  const log: ports.KeyedLog = {
+    ...fakeLogs.createFakeLog(),
+    async newest(after) {
+      if (after === undefined) loads++;
+      const page = stored.page(after);
+      await pause(1);
+      if (after === 'a' && loads === 3) {
+        held = true;
+        await heldPage!.passed;
+      }
+      return result.ok(page);
+    },
+    async read(from, waitMs) {
+      await pause(1);
+      if (waitMs === RUN_WAIT_MS) await lateWord!.passed;
+      const answer = stored.read(from);
+      if (held && from === 4) await heldRead!.passed;
+      return result.ok(answer);
+    },
+  };
+  const known = new Map<string, string>();
+  const follower = createFollower(log, (records) => {
+    for (const {key, value} of records) known.set(key, value);
+  });
+  stored.add('a', '1');
+  stored.add('k', 'runs');
+  void follower.run();
+  await pause(20);
+  assert.equal(follower.position(), 2);
+  stored.add('x', '1');
+  stored.first = 3;
+  await follower.catchUp();
+  assert.equal(follower.position(), 3);
+  lateWord!.open();
+  // Time for a second load, if there is to be one.
+  await pause(50);
+  stored.add('k', 'done');
+  stored.add('z', '1');
+  const caughtUp = follower.catchUp();
+  while ((follower.position() ?? 0) < 4) await pause(1);
+  heldPage!.open();
+  await pause(20);
+  heldRead!.open();
+  assert.equal(await caughtUp, true);
+  await pause(50);
+  follower.stop();
+  assert.ok(follower.completeUntil() !== undefined);
+  assert.equal(known.get('k'), 'done');
+});
