Load a log anew only for the position that is lost

What callers saw: nothing yet; a job that is done could be told to run for good, and an old claim could stop a sound holder.

Cause: two reads of one position find that the records there were dropped. The second answer came after the load that the first had brought, and was taken for one about the present position: it brought another load, which set the position back while a read from the later one was on its way.

Why it holds: such a word counts only while the position is the one that was asked for; else the log is read from where it stands.

--- a/packages/gypsumwall-cell/src/log_follower.ts
+++ b/packages/gypsumwall-cell/src/log_follower.ts
@@ -171,7 +171,8 @@
   async function readOnce(waitMs: number): Promise<Found | undefined> {
     if (position === undefined) return load();
     const sentAt = clock.monotonic();
-    const read = await log.read(position, waitMs);
+    const from = position;
+    const read = await log.read(from, waitMs);
     if (result.isErr(read)) {
       failed(read.error, sentAt);
       return undefined;
@@ -187,6 +188,10 @@
         return found;
       }
       case 'compacted':
+        // A word that comes after another read's load is about a position of
+        // before it. A load for it would put back what was read since, and a
+        // read that is on its way from there would pass over what lies between.
+        if (position !== from) return readOnce(waitMs);
         logger.warn('log_compacted', {log: log.name, position});
         return load();
     }
