Show that one bad answer of the store is shared for good

From one answer on that can't be read, some questions about jobs get 500 for as long as the entry lives.

Fails on the code as it is.

--- a/packages/gypsumwall-cell/src/__tests__/log_order.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/log_order.test.ts
@@ -127,3 +127,25 @@
   assert.ok(follower.completeUntil() !== undefined);
   assert.equal(known.get('k'), 'done');
 });
+
+test('a reading that broke off is not shared for good', async () => {
+  const log = fakeLogs.createFakeLog();
+  const follower = createFollower(log, () => {});
+  await follower.catchUp();
+  const read = log.read.bind(log);
+  log.read = async () => {
+    await pause(1);
+    throw new Error('the answer can not be read');
+  };
+  const broken = [follower.catchUp(), follower.catchUp()];
+  await Promise.allSettled(broken);
+  log.read = read;
+  const later = await Promise.allSettled([
+    follower.catchUp(),
+    follower.catchUp(),
+  ]);
+  assert.deepEqual(
+    later.map(({status}) => status),
+    ['fulfilled', 'fulfilled'],
+  );
+});
