Read on after a reading that threw

What callers saw: nothing yet; from one answer of the store on that can't be read, 500 for some questions, for good.

Cause: who comes during a reading waits for the one after it. If the one on its way threw, that promise was never taken back, and was handed to all who came later.

Why it holds: the next reading begins however the one before has ended.

--- a/packages/gypsumwall-cell/src/log_follower.ts
+++ b/packages/gypsumwall-cell/src/log_follower.ts
@@ -229,10 +229,12 @@
       reading = readToEnd().finally(() => (reading = undefined));
       return reading;
     }
-    queued ??= reading.then(() => {
-      queued = undefined;
-      return catchUp();
-    });
+    queued ??= reading
+      .catch(() => false)
+      .then(() => {
+        queued = undefined;
+        return catchUp();
+      });
     return queued;
   }
 
