Take an answer that can't be read for a failed call

What callers saw: nothing yet; an answer of the store, the adviser, a worker or a peer that is cut short, garbled or of another version ended the process of each entry that met it, since reading it threw in a task that nobody waits for.

--- a/packages/gypsumwall-cell/src/http_client.ts
+++ b/packages/gypsumwall-cell/src/http_client.ts
@@ -179,6 +179,32 @@
   });
 }
 
+/**
+ * Reads an answer. One that was cut short or garbled, or is of another version,
+ * is a failed call: it says nothing of what was done. Thrown where it is read,
+ * it ended the process of every entry that met one.
+ */
+export function decodeAnswer<Value>(
+  step: string,
+  peer: string,
+  answer: HttpAnswer,
+  decode: (body: Buffer) => Value,
+): result.Result<Value, types.stepError.StepError> {
+  try {
+    return result.ok(decode(answer.body));
+  } catch (thrown) {
+    return result.err(
+      types.stepError.stepError({
+        kind: 'invalid',
+        step,
+        peer,
+        effect: 'unknown',
+        message: `an answer of ${answer.body.length} bytes: ${types.stepError.messageOf(thrown)}`,
+      }),
+    );
+  }
+}
+
 /** The error of an answer whose status says that nothing was done. */
 export function refusalError(
   step: string,
--- a/packages/gypsumwall-cell/src/peer_protocol.ts
+++ b/packages/gypsumwall-cell/src/peer_protocol.ts
@@ -43,14 +43,17 @@
         timeoutMs: timeoutMs + HOP_MS,
       });
       if (result.isErr(answer)) return result.err(answer.error);
-      const {status, body} = answer.value;
-      if (status !== 200) {
+      if (answer.value.status !== 200) {
         return result.err(
           httpClient.refusalError('peer.advise', client.address, answer.value),
         );
       }
-      const res = JSON.parse(body.toString()) as AdviseRes;
-      return result.ok(new Map(res.approved));
+      return httpClient.decodeAnswer(
+        'peer.advise',
+        client.address,
+        answer.value,
+        (body) => new Map((JSON.parse(body.toString()) as AdviseRes).approved),
+      );
     },
   };
 }
@@ -120,5 +123,10 @@
       httpClient.refusalError('peer.relay', client.address, answer.value),
     );
   }
-  return result.ok(JSON.parse(answer.value.body.toString()) as RelayRes);
+  return httpClient.decodeAnswer(
+    `peer.relay ${req.type}`,
+    client.address,
+    answer.value,
+    (body) => JSON.parse(body.toString()) as RelayRes,
+  );
 }
