--- a/packages/gypsumwall-cell/src/__tests__/log_order.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/log_order.test.ts
@@ -149,3 +149,26 @@
     ['fulfilled', 'fulfilled'],
   );
 });
+
+test('a copy that lacks records does not count as complete', async () => {
+  const log = fakeLogs.createFakeLog();
+  const seen: string[] = [];
+  const follower = createFollower(log, (records) => {
+    for (const {key} of records) {
+      if (key === 'bad' && !seen.includes(key)) {
+        seen.push(key);
+        throw new Error('a record that is none');
+      }
+      seen.push(key);
+    }
+  });
+  await follower.catchUp();
+  for (const key of ['bad', 'job']) {
+    await log.append([{key, value: '1'}], {timeoutMs: 1});
+  }
+  await assert.rejects(follower.catchUp());
+  const acknowledgedAt = performance.now();
+  await follower.catchUp();
+  const complete = (follower.completeUntil() ?? 0) >= acknowledgedAt;
+  assert.ok(!complete || seen.includes('job'), 'the job was never handed on');
+});
