--- a/packages/gypsumwall-cell/src/__tests__/log_order.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/log_order.test.ts
@@ -181,3 +181,21 @@
   const complete = (follower.completeUntil() ?? 0) >= acknowledgedAt;
   assert.ok(!complete || seen.includes('job'), 'the job was never handed on');
 });
+
+// The store is asked without a pause, by every entry: the next record is larger
+// than the largest read, so each answer says that the log goes on, and brings
+// nothing.
+test('a log that goes on and brings nothing is not read without pause', async () => {
+  const log = fakeLogs.createFakeLog();
+  let reads = 0;
+  log.read = async (from) => {
+    reads++;
+    await pause(1);
+    return result.ok({type: 'records', records: [], endOffset: from + 1});
+  };
+  const follower = createFollower(log, () => {});
+  void follower.run();
+  await pause(500);
+  follower.stop();
+  assert.ok(reads < 20, `${reads} reads in half a second`);
+});
