Pause after a reading that brought nothing

What callers saw: nothing yet; each entry would have asked the store without a pause for a record that no read brings.

--- a/packages/gypsumwall-cell/src/log_follower.ts
+++ b/packages/gypsumwall-cell/src/log_follower.ts
@@ -265,9 +265,13 @@
           failurePauseMs = FIRST_PAUSE_MS;
           const spanMs = isBehind() ? 0 : options.pauseMs();
           await types.clock.pause(clock, spanMs, stopping.signal);
-        } else {
-          failurePauseMs = Math.min(LONGEST_PAUSE_MS, failurePauseMs * 2);
+          continue;
         }
+        // Reading while the store is away has paused already.
+        if (reachableSince !== undefined) {
+          await types.clock.pause(clock, failurePauseMs, stopping.signal);
+        }
+        failurePauseMs = Math.min(LONGEST_PAUSE_MS, failurePauseMs * 2);
       }
     },
     stop: () => stopping.abort(),
