--- /dev/null
+++ b/packages/gypsumwall-cell/src/__tests__/age_of_answers.test.ts
@@ -0,0 +1,80 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as types from '@gypsumwall/types';
+import * as worlds from '../__fixtures__/cell_world.js';
+import type * as cellEntryTypes from '../cell_entry_types.js';
+
+const {test} = nodeTest;
+const id = (text: string) => types.ids.brand<types.ids.JobId>(text);
+const {queue} = worlds.POLICY;
+/** Longer than a copy counts as current; milliseconds. */
+const OLD_MS = 1_700;
+const pause = (spanMs: number) =>
+  new Promise((resolve) => setTimeout(resolve, spanMs));
+
+async function submit(
+  entry: cellEntryTypes.CellEntry,
+  name: string,
+): Promise<void> {
+  await worlds.until(() => entry.status().storeReachable, 'the store');
+  const answer = await entry.desk.submit(
+    id(name),
+    worlds.POLICY,
+    worlds.request(1),
+  );
+  assert.equal(answer.type, 'ok');
+}
+
+async function phase(
+  desk: cellEntryTypes.CellEntry['ownDesk'],
+  name: string,
+): Promise<string> {
+  const answer = await desk.phaseOf(id(name), queue);
+  return answer.type === 'ok' ? answer.value : answer.type;
+}
+
+/** An entry of its own troubles beside one that holds the cell. */
+function createWorld() {
+  const world = worlds.createCellWorld();
+  const {jobs, cell} = world.store;
+  const view = {
+    ...world.store,
+    jobs: worlds.viewOf(jobs),
+    cell: worlds.viewOf(cell),
+  };
+  return {world, view, first: world.addEntry('a')};
+}
+
+// The caller is told for good that its job is too large (400), while a worker
+// that has room for it takes such jobs. The entry judges by its copy of the
+// cell's log, which is as old as the store has turned it away.
+test('no job is too large by an old copy', async () => {
+  const {world, view, first} = createWorld();
+  try {
+    const small = await world.addWorker('small', 1);
+    const second = world.addEntry('b', view);
+    await submit(first, 'job');
+    await worlds.until(() => small.running.size === 1, 'the small one works');
+    await worlds.until(
+      async () => (await phase(second.ownDesk, 'job')) === 'running',
+      'both know',
+    );
+    view.cell.trouble = 'down';
+    const large = await world.addWorker('large', 8);
+    const {steps, ...rest} = worlds.request(1);
+    const size = {...steps[0]!.size, cpuMillis: 4_000};
+    const request = {...rest, steps: [{...steps[0]!, size}]};
+    await worlds.until(
+      async () =>
+        (await first.desk.submit(id('one'), worlds.POLICY, request)).type ===
+        'ok',
+      'the other entry takes such a job',
+    );
+    await worlds.until(() => large.running.size === 1, 'it runs');
+    await pause(OLD_MS);
+    const answer = await second.desk.submit(id('two'), worlds.POLICY, request);
+    assert.notEqual(answer.type, 'invalid');
+  } finally {
+    world.stop();
+  }
+});
