Judge a job's size only while the workers are known

What callers saw: nothing yet; 400, which is for good, for a job that has room on workers that came while the store turned its entry away.

Why it holds: sizes are judged only by a current copy. A job that is too large for all workers and comes meanwhile waits, as one does whose workers left.

--- a/packages/gypsumwall-cell/src/front_desk.ts
+++ b/packages/gypsumwall-cell/src/front_desk.ts
@@ -143,15 +143,26 @@
 
   const isCurrent = () => options.copyAgeMs() <= CURRENT_COPY_MS;
 
+  /**
+   * The first step that no worker has room for. An old copy doesn't know the
+   * workers that have come since, and a refusal of this kind is for good.
+   */
+  function tooLargeStep(
+    pool: string,
+    {steps}: scheduling.jobRequest.JobRequest,
+  ): number | undefined {
+    if (!isCurrent()) return undefined;
+    const step = steps.findIndex((one) => !options.couldEverFit(pool, one));
+    return step < 0 ? undefined : step;
+  }
+
   return {
     async submit(id, policy, request) {
       if (jobs.get(id) !== undefined) return {type: 'ok', value: undefined};
       const fault = scheduling.jobRequest.faultOf(request);
       if (fault !== undefined) return {type: 'invalid', message: fault};
-      const tooLarge = request.steps.findIndex(
-        (step) => !options.couldEverFit(policy.pool, step),
-      );
-      if (tooLarge >= 0) {
+      const tooLarge = tooLargeStep(policy.pool, request);
+      if (tooLarge !== undefined) {
         const message = `step ${tooLarge}: no worker has room for its size`;
         return {type: 'invalid', message};
       }
