Show 410 for a job that is done, from one log of two

The entry has just started and hasn't loaded the cell's log; the store refuses it there.

Fails on the code as it is.

--- a/packages/gypsumwall-cell/src/__tests__/age_of_answers.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/age_of_answers.test.ts
@@ -3,6 +3,7 @@
 import * as types from '@gypsumwall/types';
 import * as worlds from '../__fixtures__/cell_world.js';
 import type * as cellEntryTypes from '../cell_entry_types.js';
+import * as storeRecords from '../store_records.js';
 
 const {test} = nodeTest;
 const id = (text: string) => types.ids.brand<types.ids.JobId>(text);
@@ -45,6 +46,37 @@
   return {world, view, first: world.addEntry('a')};
 }
 
+// The caller is told 410 of a job that was accepted and is done. Its request
+// has been dropped from one log, and the other, which still knows it, hasn't
+// been loaded yet: the entry has just started, and its peers don't answer.
+test('a job is not told as absent before both logs are read', async () => {
+  const {world, view, first} = createWorld();
+  try {
+    const worker = await world.addWorker('w1', 4);
+    await submit(first, 'job');
+    await worlds.until(() => worker.running.size === 1, 'the task');
+    worker.end([...worker.running.keys()][0]!, 'done');
+    const dropped = storeRecords.encode({
+      kind: 'job',
+      jobId: id('job'),
+      job: undefined,
+    });
+    await worlds.until(
+      () =>
+        world.store.jobs.records.some(
+          ({key, value}) => key === dropped.key && value === dropped.value,
+        ),
+      'its request is dropped',
+    );
+    view.cell.trouble = 'down';
+    const second = world.addEntry('b', view);
+    await worlds.until(() => second.status().storeReachable, 'the store');
+    assert.notEqual(await phase(second.desk, 'job'), 'absent');
+  } finally {
+    world.stop();
+  }
+});
+
 // The caller is told for good that its job is too large (400), while a worker
 // that has room for it takes such jobs. The entry judges by its copy of the
 // cell's log, which is as old as the store has turned it away.
