Look for a job in both logs before it is told as absent

What callers saw: nothing yet; 410 for a job that is done, from an entry that had just started and read one of the two logs that tell of jobs.

Why it holds: a job is told as absent only once both logs have been read to where they ended after the question; else the caller is told when to come back. A job that is found later is held against its queue as well, like one that was known.

--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -105,6 +105,7 @@
     follower: jobsFollower,
     pulse,
     copyAgeMs,
+    catchUp: catchUpOnJobs,
     clock,
     logger,
     couldEverFit,
@@ -147,6 +148,11 @@
     return clock.monotonic() - completeUntil;
   }
 
+  async function catchUpOnJobs(): Promise<boolean> {
+    const read = [jobsFollower.catchUp(), cellFollower.catchUp()];
+    return (await Promise.all(read)).every((ok) => ok);
+  }
+
   function applyJobRecord(record: storeRecords.StoreRecord): void {
     if (record.kind === 'entry') peers.apply(record.instance, record.entry);
     else jobs.apply(record, clock.monotonic());
--- a/packages/gypsumwall-cell/src/front_desk.ts
+++ b/packages/gypsumwall-cell/src/front_desk.ts
@@ -69,6 +69,8 @@
   readonly pulse: storePulse.StorePulse;
   /** How old this entry's copy of the logs is at most, in milliseconds. */
   readonly copyAgeMs: () => number;
+  /** Reads all logs that tell of jobs to their ends; false if that failed. */
+  readonly catchUp: () => Promise<boolean>;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
   /** Whether any worker could ever run a task of this size. */
@@ -124,21 +126,30 @@
     }
   }
 
-  /** The job, looked for at the end of the log if it isn't known here. */
+  /**
+   * Looks for a job at the ends of all logs that tell of jobs. The request of
+   * one that is over is dropped from one of them, and only the other knows it:
+   * an entry that had just started told 410 of jobs that were done.
+   */
+  async function findInLogs(
+    id: types.ids.JobId,
+  ): Promise<jobTable.JobEntry | 'not_read' | undefined> {
+    const current = await options.catchUp();
+    return jobs.get(id) ?? (current ? undefined : 'not_read');
+  }
+
+  /** The job, looked for in the logs if it isn't known here. */
   async function find(
     id: types.ids.JobId,
     queue: string,
   ): Promise<DeskAnswer<jobTable.JobEntry>> {
-    const known = jobs.get(id);
-    if (known !== undefined) {
-      if (known.queue !== queue) return {type: 'absent'};
-      return {type: 'ok', value: known};
+    const known = jobs.get(id) ?? (await findInLogs(id));
+    if (known === 'not_read') {
+      return {type: 'not_run', retryAfterMs: STORE_RETRY_AFTER_MS};
     }
-    const current = await follower.catchUp();
-    const found = jobs.get(id);
-    if (found !== undefined) return {type: 'ok', value: found};
-    if (current) return {type: 'absent'};
-    return {type: 'not_run', retryAfterMs: STORE_RETRY_AFTER_MS};
+    return known?.queue === queue
+      ? {type: 'ok', value: known}
+      : {type: 'absent'};
   }
 
   const isCurrent = () => options.copyAgeMs() <= CURRENT_COPY_MS;
