--- a/packages/gypsumwall-cell/src/__tests__/age_of_answers.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/age_of_answers.test.ts
@@ -10,6 +10,9 @@
 const {queue} = worlds.POLICY;
 /** Longer than a copy counts as current; milliseconds. */
 const OLD_MS = 1_700;
+/** How long callers wait for an answer; milliseconds. */
+const CALLERS_WAIT_MS = 3_000;
+
 const pause = (spanMs: number) =>
   new Promise((resolve) => setTimeout(resolve, spanMs));
 
@@ -110,3 +113,33 @@
     world.stop();
   }
 });
+
+// The caller's cancel gets no answer in its time, nor does its second try. The
+// job was accepted elsewhere while the store turned this entry away, which now
+// reads for seconds what it missed; peers know the job and aren't asked.
+test('a cancel is answered in time by an entry that is far behind', async () => {
+  const {world, view, first} = createWorld();
+  try {
+    const second = world.addEntry('b', view);
+    await submit(second, 'early');
+    view.jobs.trouble = 'down';
+    for (let number = 0; number < 60; number++) {
+      await submit(first, `late${number}`);
+    }
+    const read = view.jobs.read.bind(view.jobs);
+    view.jobs.read = async (from, waitMs) => {
+      const answer = await read(from, waitMs);
+      await pause(100);
+      return answer;
+    };
+    world.store.jobs.mostInRead = 1;
+    view.jobs.trouble = 'none';
+    await worlds.until(() => second.status().storeReachable, 'the store');
+    const startedAt = performance.now();
+    await second.desk.cancel(id('late59'), queue);
+    const tookMs = performance.now() - startedAt;
+    assert.ok(tookMs < CALLERS_WAIT_MS, `answered after ${tookMs} ms`);
+  } finally {
+    world.stop();
+  }
+});
