Look for a job in the logs for 0.8 s at most

What callers saw: a cancel or a question about a job that their entry hadn't read yet got no answer within their 3 s, after the store had turned the entry away.

Cause: whoever asked waited until all that was missed had been read, and for the reading after that.

Why it holds: after 0.8 s the entry says that it can't tell, and such a call goes to its peers, which know the job.

--- a/packages/gypsumwall-cell/src/front_desk.ts
+++ b/packages/gypsumwall-cell/src/front_desk.ts
@@ -18,6 +18,12 @@
 const APPEND_PATIENCE_MS = 2_400;
 /** When a caller should come back while the store is away; milliseconds. */
 const STORE_RETRY_AFTER_MS = 1_000;
+/**
+ * How long a job is looked for in the logs: callers wait 3 s, and peers are
+ * asked after that. An entry that is behind reads for up to 6 s, seen on a link
+ * of 10 Mbit/s; milliseconds.
+ */
+const FIND_PATIENCE_MS = 800;
 /**
  * An older copy of the logs is not counted in, and peers are asked for the
  * state of jobs. Callers are promised a number that is 2 s old at most, which
@@ -126,6 +132,11 @@
     }
   }
 
+  async function outOfPatience(): Promise<false> {
+    await types.clock.pause(clock, FIND_PATIENCE_MS);
+    return false;
+  }
+
   /**
    * Looks for a job at the ends of all logs that tell of jobs. The request of
    * one that is over is dropped from one of them, and only the other knows it:
@@ -134,7 +145,7 @@
   async function findInLogs(
     id: types.ids.JobId,
   ): Promise<jobTable.JobEntry | 'not_read' | undefined> {
-    const current = await options.catchUp();
+    const current = await Promise.race([options.catchUp(), outOfPatience()]);
     return jobs.get(id) ?? (current ? undefined : 'not_read');
   }
 
