--- /dev/null
+++ b/packages/gypsumwall-cell/src/__tests__/relayed_questions.test.ts
@@ -0,0 +1,54 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import * as worlds from '../__fixtures__/cell_world.js';
+import type * as frontDesk from '../front_desk.js';
+import * as peerDirectory from '../peer_directory.js';
+import type * as peerProtocol from '../peer_protocol.js';
+import * as relayingDesk from '../relaying_desk.js';
+
+const {test} = nodeTest;
+const id = types.ids.brand<types.ids.JobId>('job');
+const {queue} = worlds.POLICY;
+const REFUSED = {type: 'not_run', retryAfterMs: 1_000} as const;
+const UNANSWERED = {type: 'unanswered', mayStand: false, slow: false} as const;
+/** A desk that refuses all by itself. */
+function createDesk(
+  reachable: boolean,
+  relay: (req: peerProtocol.RelayReq) => peerDirectory.RelayOutcome,
+): relayingDesk.RelayingDesk {
+  const own: frontDesk.FrontDesk = {
+    submit: () => Promise.resolve(REFUSED),
+    cancel: () => Promise.resolve(REFUSED),
+    phaseOf: () => Promise.resolve(REFUSED),
+    pendingIn: () => Promise.resolve(REFUSED),
+    isCurrent: () => reachable,
+    storeLatencyMs: () => 5,
+  };
+  const clock = types.clock.createSystemClock();
+  return relayingDesk.createRelayingDesk({
+    own,
+    peers: {
+      ...peerDirectory.createPeerDirectory('self', clock),
+      relay: (req) => Promise.resolve(relay(req)),
+    },
+    clock,
+    logger: telemetry.logger.createLogger('silent'),
+    storeReachable: () => reachable,
+    holder: () => 'other',
+  });
+}
+
+// A job is refused that a peer would have taken. Just before, another caller
+// asked how many wait, which no peer could tell, as their copies of the logs
+// were old too; they reach the store all the same.
+test('a question that no peer can answer keeps no job from them', async () => {
+  const taken = {type: 'ok', value: undefined} as const;
+  const desk = createDesk(false, (req) =>
+    req.type === 'submit' ? {type: 'answered', res: taken} : UNANSWERED,
+  );
+  assert.equal((await desk.pendingIn(queue)).type, 'not_run');
+  const answer = await desk.submit(id, worlds.POLICY, worlds.request(1));
+  assert.equal(answer.type, 'ok');
+});
