Give up on peers for each type of call by itself

What callers saw: nothing yet; for 0.4 s after a question that no peer could answer jobs were refused that a peer would have taken.

Why it holds: the while is kept for each type of call.

--- a/packages/gypsumwall-cell/src/relaying_desk.ts
+++ b/packages/gypsumwall-cell/src/relaying_desk.ts
@@ -20,7 +20,11 @@
 /** A sound peer answers in 20 ms; callers must not be held; milliseconds. */
 const EACH_RELAY_MS = 300;
 const ALL_RELAYS_MS = 500;
-/** After a call that no peer could answer none is handed on; milliseconds. */
+/**
+ * After a call that no peer could answer none of its type is handed on. Each
+ * type by itself: a peer whose copy of the logs is old can't tell how many jobs
+ * wait, and takes one all the same; milliseconds.
+ */
 const HOPELESS_MS = 400;
 /** How long an entry counts as served by its peers; milliseconds. */
 const RELAYED_LATELY_MS = 1_500;
@@ -53,7 +57,10 @@
 export function createRelayingDesk(options: RelayingDeskOptions): RelayingDesk {
   const {own, peers, clock, logger} = options;
   let relayedAt: types.clock.MonotonicMs | undefined;
-  let hopelessUntil = 0 as types.clock.MonotonicMs;
+  const hopelessUntil = new Map<
+    peerProtocol.RelayReq['type'],
+    types.clock.MonotonicMs
+  >();
 
   async function relay(
     req: peerProtocol.RelayReq,
@@ -77,7 +84,9 @@
   async function relayToAny(
     req: peerProtocol.RelayReq,
   ): Promise<peerDirectory.RelayOutcome> {
-    if (clock.monotonic() < hopelessUntil) return NOT_RELAYED;
+    if (clock.monotonic() < (hopelessUntil.get(req.type) ?? 0)) {
+      return NOT_RELAYED;
+    }
     const outcome = await relay(req, {
       preferred: options.holder(),
       onlyPreferred: false,
@@ -85,7 +94,8 @@
       allMs: ALL_RELAYS_MS,
     });
     if (outcome.type === 'unanswered') {
-      hopelessUntil = types.clock.after(clock.monotonic(), HOPELESS_MS);
+      const until = types.clock.after(clock.monotonic(), HOPELESS_MS);
+      hopelessUntil.set(req.type, until);
     }
     return outcome;
   }
