--- a/packages/gypsumwall-cell/src/__tests__/relayed_questions.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/relayed_questions.test.ts
@@ -52,3 +52,11 @@
   const answer = await desk.submit(id, worlds.POLICY, worlds.request(1));
   assert.equal(answer.type, 'ok');
 });
+
+// The caller is told to come back, while any peer knows the job. One read of
+// the log failed, at an entry whose copy is current but lacks the newest job.
+test('a state that this entry can not tell is asked of a peer', async () => {
+  const known = {type: 'ok', value: 'queued'} as const;
+  const desk = createDesk(true, () => ({type: 'answered', res: known}));
+  assert.deepEqual(await desk.phaseOf(id, queue), known);
+});
