Ask a peer for a state that can't be told here

What callers saw: nothing yet; 503 for the state of a job that had just been taken elsewhere, where one read of the log had failed.

Why it holds: whatever the own desk can't tell goes to a peer, as other calls do.

--- a/packages/gypsumwall-cell/src/relaying_desk.ts
+++ b/packages/gypsumwall-cell/src/relaying_desk.ts
@@ -163,7 +163,8 @@
       answer({type: 'cancel', id, queue}, () => own.cancel(id, queue)),
     async phaseOf(id, queue) {
       if (options.storeReachable() && own.isCurrent()) {
-        return own.phaseOf(id, queue);
+        const direct = await own.phaseOf(id, queue);
+        if (direct.type !== 'not_run') return direct;
       }
       const relayed = await relayToAny({type: 'phase', id, queue});
       if (relayed.type === 'answered') return answerOf(relayed.res);
