--- a/packages/gypsumwall-cell/src/__tests__/relayed_questions.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/relayed_questions.test.ts
@@ -1,5 +1,7 @@
 import * as assert from 'node:assert/strict';
+import type * as net from 'node:net';
 import * as nodeTest from 'node:test';
+import * as fastify from 'fastify';
 import * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import * as worlds from '../__fixtures__/cell_world.js';
@@ -13,6 +15,13 @@
 const {queue} = worlds.POLICY;
 const REFUSED = {type: 'not_run', retryAfterMs: 1_000} as const;
 const UNANSWERED = {type: 'unanswered', mayStand: false, slow: false} as const;
+const PATIENCE = {
+  preferred: undefined,
+  onlyPreferred: false,
+  eachMs: 300,
+  allMs: 500,
+};
+
 /** A desk that refuses all by itself. */
 function createDesk(
   reachable: boolean,
@@ -60,3 +69,29 @@
   const desk = createDesk(true, () => ({type: 'answered', res: known}));
   assert.deepEqual(await desk.phaseOf(id, queue), known);
 });
+
+// The caller gets 500 while the entries are replaced one by one. The peer that
+// is asked is of a version that doesn't know the question, and its answer is
+// empty, as the peer server of that version leaves it.
+test('a peer that does not know the question is passed by', async () => {
+  const server = fastify.fastify();
+  server.post('/relay', async (_req, res) => res.send(undefined));
+  await server.listen({host: '127.0.0.1', port: 0});
+  const {port} = server.server.address() as net.AddressInfo;
+  const peers = peerDirectory.createPeerDirectory(
+    'self',
+    types.clock.createSystemClock(),
+  );
+  try {
+    peers.apply('old', {
+      entryId: types.ids.brand('old.1'),
+      domain: types.ids.brand('d1'),
+      address: `127.0.0.1:${port}`,
+    });
+    const outcome = await peers.relay({type: 'pending', queue}, PATIENCE);
+    assert.equal(outcome.type, 'unanswered');
+  } finally {
+    peers.close();
+    await server.close();
+  }
+});
