--- a/packages/gypsumwall-cell/src/__tests__/age_of_answers.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/age_of_answers.test.ts
@@ -1,8 +1,10 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
+import * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import * as worlds from '../__fixtures__/cell_world.js';
 import type * as cellEntryTypes from '../cell_entry_types.js';
+import * as peerServers from '../peer_server.js';
 import * as storeRecords from '../store_records.js';
 
 const {test} = nodeTest;
@@ -80,6 +82,41 @@
   }
 });
 
+// The job is done, and its caller hears that it runs. Its entry can't tell and
+// asks a peer; that one has been turned away as well, and its word, from a copy
+// as old, is taken for certain, so that no other is asked.
+test('a peer with an old copy does not answer for a state', async () => {
+  const {world, view, first} = createWorld();
+  const second = world.addEntry('b', view);
+  const server = peerServers.createPeerServer(
+    {ask: () => Promise.reject(new Error('nobody asks'))},
+    second.ownDesk,
+    telemetry.logger.createLogger('silent'),
+  );
+  try {
+    const worker = await world.addWorker('w1', 4);
+    await submit(first, 'job');
+    await worlds.until(
+      async () => (await phase(second.ownDesk, 'job')) === 'running',
+      'it runs',
+    );
+    view.jobs.trouble = 'down';
+    view.cell.trouble = 'down';
+    worker.end([...worker.running.keys()][0]!, 'done');
+    await worlds.until(
+      async () => (await phase(first.ownDesk, 'job')) === 'completed',
+      'it is done',
+    );
+    await pause(OLD_MS);
+    const payload = {type: 'phase', id: 'job', queue};
+    const res = await server.inject({method: 'POST', url: '/relay', payload});
+    assert.notDeepEqual(res.json(), {type: 'ok', value: 'running'});
+  } finally {
+    await server.close();
+    world.stop();
+  }
+});
+
 // The caller is told for good that its job is too large (400), while a worker
 // that has room for it takes such jobs. The entry judges by its copy of the
 // cell's log, which is as old as the store has turned it away.
