Let peers answer for states only from current copies

What callers saw: nothing yet; a job that is done was said to run, by way of a peer that the store had turned away as well.

Cause: an entry that can't tell asks a peer, whose word counted however old its copy of the logs was.

Why it holds: a peer answers from a current copy, or for a job that is over, which stays so; else the next one is asked. An entry tells the same of jobs that are over without asking anybody.

--- a/packages/gypsumwall-cell/src/__tests__/relayed_questions.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/relayed_questions.test.ts
@@ -31,6 +31,7 @@
     submit: () => Promise.resolve(REFUSED),
     cancel: () => Promise.resolve(REFUSED),
     phaseOf: () => Promise.resolve(REFUSED),
+    finalPhaseOf: () => Promise.resolve(REFUSED),
     pendingIn: () => Promise.resolve(REFUSED),
     isCurrent: () => reachable,
     storeLatencyMs: () => 5,
--- a/packages/gypsumwall-cell/src/__tests__/relaying_desk.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/relaying_desk.test.ts
@@ -29,6 +29,7 @@
     },
     cancel: () => Promise.resolve(situation.own),
     phaseOf: () => Promise.resolve({type: 'absent'}),
+    finalPhaseOf: () => Promise.resolve(REFUSED),
     pendingIn: () =>
       Promise.resolve(
         situation.current === false ? REFUSED : {type: 'ok', value: 4},
--- a/packages/gypsumwall-cell/src/front_desk.ts
+++ b/packages/gypsumwall-cell/src/front_desk.ts
@@ -54,6 +54,14 @@
     id: types.ids.JobId,
     queue: string,
   ): Promise<DeskAnswer<scheduling.jobProgress.JobPhase>>;
+  /**
+   * What became of a job that is over, which no copy is too old for; else a
+   * refusal.
+   */
+  finalPhaseOf(
+    id: types.ids.JobId,
+    queue: string,
+  ): Promise<DeskAnswer<scheduling.jobProgress.JobPhase>>;
   /**
    * Jobs of a queue of which no task has started. An entry that the store has
    * turned away lacks what the others accept, until it has read all of that:
@@ -210,6 +218,17 @@
       if (found.type !== 'ok') return found;
       return {type: 'ok', value: found.value.progress.phase};
     },
+    finalPhaseOf(id, queue) {
+      const job = jobs.get(id);
+      const phase = job?.queue === queue ? job.progress.phase : undefined;
+      const isFinal =
+        phase !== undefined && scheduling.jobProgress.isOver(phase);
+      return Promise.resolve(
+        isFinal
+          ? {type: 'ok', value: phase}
+          : {type: 'not_run', retryAfterMs: STORE_RETRY_AFTER_MS},
+      );
+    },
     pendingIn(queue) {
       const pending = isCurrent() ? jobs.pendingIn(queue) : undefined;
       const outcome = pending === undefined ? 'not_run' : 'ok';
--- a/packages/gypsumwall-cell/src/peer_server.ts
+++ b/packages/gypsumwall-cell/src/peer_server.ts
@@ -47,7 +47,9 @@
     case 'cancel':
       return desk.cancel(req.id, req.queue);
     case 'phase':
-      return desk.phaseOf(req.id, req.queue);
+      return desk.isCurrent()
+        ? desk.phaseOf(req.id, req.queue)
+        : desk.finalPhaseOf(req.id, req.queue);
     case 'pending':
       return desk.pendingIn(req.queue);
   }
--- a/packages/gypsumwall-cell/src/relaying_desk.ts
+++ b/packages/gypsumwall-cell/src/relaying_desk.ts
@@ -166,6 +166,8 @@
         const direct = await own.phaseOf(id, queue);
         if (direct.type !== 'not_run') return direct;
       }
+      const over = await own.finalPhaseOf(id, queue);
+      if (over.type === 'ok') return over;
       const relayed = await relayToAny({type: 'phase', id, queue});
       if (relayed.type === 'answered') return answerOf(relayed.res);
       return own.phaseOf(id, queue);
@@ -176,6 +178,7 @@
       const relayed = await relayToAny({type: 'pending', queue});
       return relayed.type === 'answered' ? answerOf(relayed.res) : direct;
     },
+    finalPhaseOf: (id, queue) => own.finalPhaseOf(id, queue),
     isCurrent: () => own.isCurrent(),
     storeLatencyMs: () => own.storeLatencyMs(),
     relayedLately: () =>
