--- a/packages/gypsumwall-cell/src/__tests__/age_of_answers.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/age_of_answers.test.ts
@@ -4,6 +4,7 @@
 import * as types from '@gypsumwall/types';
 import * as worlds from '../__fixtures__/cell_world.js';
 import type * as cellEntryTypes from '../cell_entry_types.js';
+import * as jobTables from '../job_table.js';
 import * as peerServers from '../peer_server.js';
 import * as storeRecords from '../store_records.js';
 
@@ -117,6 +118,27 @@
   }
 });
 
+// A job that is long over waits for good at an entry that loaded the jobs' log
+// just before its last records were dropped, and the cell's log just after: a
+// dropped request is no word on the job. As holder it would run the job again.
+test('a job whose request is dropped does not wait', () => {
+  const jobs = jobTables.createJobTable({
+    onAdded: () => {},
+    onCancelled: () => {},
+  });
+  const now = 0 as types.clock.MonotonicMs;
+  const jobId = id('job');
+  const job = {
+    request: worlds.request(1),
+    policy: worlds.POLICY,
+    acceptedAt: 0 as types.clock.WallMs,
+  };
+  jobs.apply({kind: 'progress', jobId, queue, progress: undefined}, now);
+  jobs.apply({kind: 'job', jobId, job}, now);
+  jobs.apply({kind: 'job', jobId, job: undefined}, now);
+  assert.equal(jobs.pendingIn(queue), 0);
+});
+
 // The caller is told for good that its job is too large (400), while a worker
 // that has room for it takes such jobs. The entry judges by its copy of the
 // cell's log, which is as old as the store has turned it away.
