Take a job whose request is dropped for over

What callers saw: nothing yet; a job that is long over was counted as waiting for good, and a holder would have run it again, at an entry that loaded the log of requests just before its last records were dropped and the cell's just after.

Cause: a dropped request changed nothing of a job whose end wasn't known.

Why it holds: a request is dropped only after its job's end was stored, so a job without one is over. It isn't counted nor taken up, its state is looked for in both logs, and it is forgotten like others that are over.

--- a/packages/gypsumwall-cell/src/front_desk.ts
+++ b/packages/gypsumwall-cell/src/front_desk.ts
@@ -140,6 +140,15 @@
     }
   }
 
+  /** A job without a request is over; it is known once its end is. */
+  function knownJob(id: types.ids.JobId): jobTable.JobEntry | undefined {
+    const job = jobs.get(id);
+    if (job?.record !== undefined) return job;
+    const over =
+      job !== undefined && scheduling.jobProgress.isOver(job.progress.phase);
+    return over ? job : undefined;
+  }
+
   async function outOfPatience(): Promise<false> {
     await types.clock.pause(clock, FIND_PATIENCE_MS);
     return false;
@@ -154,7 +163,7 @@
     id: types.ids.JobId,
   ): Promise<jobTable.JobEntry | 'not_read' | undefined> {
     const current = await Promise.race([options.catchUp(), outOfPatience()]);
-    return jobs.get(id) ?? (current ? undefined : 'not_read');
+    return knownJob(id) ?? (current ? undefined : 'not_read');
   }
 
   /** The job, looked for in the logs if it isn't known here. */
@@ -162,7 +171,7 @@
     id: types.ids.JobId,
     queue: string,
   ): Promise<DeskAnswer<jobTable.JobEntry>> {
-    const known = jobs.get(id) ?? (await findInLogs(id));
+    const known = knownJob(id) ?? (await findInLogs(id));
     if (known === 'not_read') {
       return {type: 'not_run', retryAfterMs: STORE_RETRY_AFTER_MS};
     }
--- a/packages/gypsumwall-cell/src/job_table.ts
+++ b/packages/gypsumwall-cell/src/job_table.ts
@@ -11,7 +11,10 @@
 export interface JobEntry {
   readonly id: types.ids.JobId;
   readonly queue: string;
-  /** Absent once the job is over. */
+  /**
+   * Absent once the job is over, and once it was dropped from the store, which
+   * happens only after that: its end may not have been read yet.
+   */
   record: storeRecords.JobRecord | undefined;
   progress: scheduling.jobProgress.JobProgress;
   /** When it was seen to be over. */
@@ -39,6 +42,10 @@
   onCancelled(id: types.ids.JobId): void;
 }
 
+function isWaiting({record, progress}: JobEntry): boolean {
+  return record !== undefined && progress.phase === 'queued';
+}
+
 /** Creates an empty table. */
 export function createJobTable(listener: JobTableListener): JobTable {
   const jobs = new Map<types.ids.JobId, JobEntry>();
@@ -77,6 +84,17 @@
     if (job.overAt === undefined) listener.onAdded(job);
   }
 
+  /** What its end came to is told by the other log, if it is still kept. */
+  function dropRequest(
+    id: types.ids.JobId,
+    now: types.clock.MonotonicMs,
+  ): void {
+    const job = jobs.get(id);
+    if (job === undefined) return;
+    job.record = undefined;
+    job.overAt ??= now;
+  }
+
   function applyProgress(
     id: types.ids.JobId,
     queue: string,
@@ -115,15 +133,15 @@
     pendingIn(queue) {
       let count = 0;
       for (const job of jobs.values()) {
-        if (job.queue === queue && job.progress.phase === 'queued') count++;
+        if (job.queue === queue && isWaiting(job)) count++;
       }
       return count;
     },
     apply(record, now) {
       switch (record.kind) {
         case 'job':
-          // A request is dropped when its job is over; the job is still known.
           if (record.job !== undefined) addJob(record.jobId, record.job, now);
+          else dropRequest(record.jobId, now);
           return true;
         case 'cancel':
           if (record.dropped) cancelled.delete(record.jobId);
