Show that what a load doesn't name stays known

For an entry that was away for longer than the store keeps records and jobs.

Fails on the code as it is.

--- a/packages/gypsumwall-cell/src/__tests__/age_of_answers.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/age_of_answers.test.ts
@@ -40,6 +40,13 @@
   return answer.type === 'ok' ? answer.value : answer.type;
 }
 
+async function pending(
+  entry: cellEntryTypes.CellEntry,
+): Promise<number | string> {
+  const answer = await entry.desk.pendingIn(queue);
+  return answer.type === 'ok' ? answer.value : answer.type;
+}
+
 /** An entry of its own troubles beside one that holds the cell. */
 function createWorld() {
   const world = worlds.createCellWorld();
@@ -118,6 +125,44 @@
   }
 });
 
+// The caller is told for good that a job waits which was cancelled and is
+// forgotten. The entry was away until the store had dropped the records
+// between; the load names what there is, and what isn't named stays.
+test('what a load does not name any more is forgotten', async () => {
+  const {world, view, first} = createWorld();
+  try {
+    const second = world.addEntry('b', view);
+    await submit(first, 'job');
+    await worlds.until(async () => (await pending(second)) === 1, 'it waits');
+    view.jobs.trouble = 'down';
+    view.cell.trouble = 'down';
+    await first.desk.cancel(id('job'), queue);
+    await worlds.until(async () => (await pending(first)) === 0, 'cancelled');
+    // As tidying does once the job's state needn't be kept any more.
+    const jobId = id('job');
+    await world.store.jobs.append(
+      [
+        storeRecords.encode({kind: 'job', jobId, job: undefined}),
+        storeRecords.encode({kind: 'cancel', jobId, dropped: true}),
+      ],
+      {timeoutMs: 1},
+    );
+    const dropped = {kind: 'progress', jobId, queue, progress: undefined};
+    await world.store.cell.append(
+      [storeRecords.encode(dropped as storeRecords.StoreRecord)],
+      {timeoutMs: 1},
+    );
+    world.store.jobs.compact();
+    world.store.cell.compact();
+    view.jobs.trouble = 'none';
+    view.cell.trouble = 'none';
+    await worlds.until(() => second.status().copyAgeMs < OLD_MS, 'current');
+    assert.equal(await pending(second), 0);
+  } finally {
+    world.stop();
+  }
+});
+
 // A job that is long over waits for good at an entry that loaded the jobs' log
 // just before its last records were dropped, and the cell's log just after: a
 // dropped request is no word on the job. As holder it would run the job again.
