--- a/packages/gypsumwall-cell/src/__tests__/age_of_answers.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/age_of_answers.test.ts
@@ -246,3 +246,30 @@
     world.stop();
   }
 });
+
+// The cell's holder is sound, and yet another entry claims the cell again and
+// again: a read of the log that arrives for longer than a holder may be silent
+// looks like silence, and such reads are waited for.
+test('an entry whose read still arrives takes no holder for silent', async () => {
+  const {world, view, first} = createWorld();
+  try {
+    await worlds.until(() => first.status().holdsCell, 'the cell is held');
+    const read = view.cell.read.bind(view.cell);
+    let claims = 0;
+    const append = view.cell.append.bind(view.cell);
+    view.cell.append = (entries, options) => {
+      claims++;
+      return append(entries, options);
+    };
+    view.cell.read = async (from, waitMs) => {
+      const answer = await read(from, waitMs);
+      await pause(1_200);
+      return answer;
+    };
+    world.addEntry('b', view);
+    await pause(4_000);
+    assert.equal(claims, 0);
+  } finally {
+    world.stop();
+  }
+});
