Read the log to its end before the cell is claimed

What callers saw: nothing; entries on slow links sent claims that the store refused.

Cause: silence counts from the last record that was read to now, also while a read is on its way that brings the next ones.

Excluded: counting silence only as far as the log is known to be read (tried): it finds a lost holder up to 0.3 s later.

Why it holds: before a claim the log is read to its end once more, some 5 ms as a rule, and the claim is sent only if the holder is silent still.

--- a/packages/gypsumwall-cell/src/election.ts
+++ b/packages/gypsumwall-cell/src/election.ts
@@ -81,6 +81,10 @@
       await pause(parts.random.next() * ELECTION_SPREAD_MS);
       if (vacancy() === 'never_held') await pause(FIRST_CLAIM_AFTER_MS);
       if (parts.isOutranked()) await pause(STRONGER_FIRST_MS);
+      // What is on its way may bring the holder's next record: a read that
+      // takes long to arrive looks like silence, and each claim for that was a
+      // write in vain.
+      if (vacancy() === undefined || !(await follower.catchUp())) continue;
       const reason = vacancy();
       if (reason !== undefined) await claimCell(reason);
     }
