--- /dev/null
+++ b/packages/gypsumwall-cell/src/__tests__/tidying.test.ts
@@ -0,0 +1,60 @@
+import * as nodeTest from 'node:test';
+import * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import * as worlds from '../__fixtures__/cell_world.js';
+import * as fakeLogs from '../__fixtures__/fake_log.js';
+import type * as cellHolderTypes from '../cell_holder_types.js';
+import type * as jobTable from '../job_table.js';
+import * as tidying from '../tidying.js';
+
+const {test} = nodeTest;
+function idsOf(count: number): types.ids.JobId[] {
+  return Array.from({length: count}, (_none, number) =>
+    types.ids.brand<types.ids.JobId>(`job${number}`),
+  );
+}
+
+/** Tidies the ends that a holder hands over once. */
+function startTidying(
+  jobsLog: fakeLogs.FakeLog,
+  ended: types.ids.JobId[],
+): AbortController {
+  const stopping = new AbortController();
+  let left = ended;
+  const holder = {
+    takeEnded: () => {
+      const taken = left;
+      left = [];
+      return taken;
+    },
+    dropProgress: () => Promise.resolve(),
+  } as unknown as cellHolderTypes.CellHolder;
+  void tidying.runTidying(
+    {
+      jobsLog,
+      jobs: {overBefore: () => []} as unknown as jobTable.JobTable,
+      holder: () => holder,
+      keepOverMs: 1_000,
+      clock: types.clock.createSystemClock(),
+      logger: telemetry.logger.createLogger('silent'),
+    },
+    stopping.signal,
+  );
+  return stopping;
+}
+
+// Entries that start load the requests of jobs that are long over, and take
+// that much longer until they answer. The store was away for the one moment at
+// which these were to be dropped, and nobody tries again.
+test('requests that were not dropped are dropped later', async () => {
+  const log = fakeLogs.createFakeLog();
+  log.trouble = 'down';
+  const stopping = startTidying(log, idsOf(2));
+  await worlds.until(() => log.appends === 1, 'a first try');
+  log.trouble = 'none';
+  try {
+    await worlds.until(() => log.records.length === 2, 'dropped', 2_500);
+  } finally {
+    stopping.abort();
+  }
+});
