Drop requests at the next time if the store is away

What callers saw: nothing; an entry that starts loads requests of jobs that are long over, if the store was away at the one moment at which they were to be dropped.

Why it holds: they stay on the list until an append that drops them stands. A holder that is replaced leaves the rest, as before: the job's last drop names its request again.

--- a/packages/gypsumwall-cell/src/tidying.ts
+++ b/packages/gypsumwall-cell/src/tidying.ts
@@ -37,21 +37,30 @@
 ): Promise<void> {
   const {jobs, clock, logger} = parts;
 
+  /** Jobs whose requests aren't dropped yet. */
+  let ended: types.ids.JobId[] = [];
+
   async function run(): Promise<void> {
     while (!signal.aborted) {
       await types.clock.pause(clock, TIDY_MS, signal);
       const holder = parts.holder();
       if (holder === undefined) continue;
       const before = types.clock.after(clock.monotonic(), -parts.keepOverMs);
-      await dropRequests(holder.takeEnded());
+      ended.push(...holder.takeEnded());
+      await dropRequests();
       await dropJobs(jobs.overBefore(before), holder);
     }
   }
 
-  async function dropRequests(ids: types.ids.JobId[]): Promise<void> {
-    await appendToJobs(
-      ids.map((jobId) => ({kind: 'job', jobId, job: undefined})),
-    );
+  /** What the store doesn't take is tried again. */
+  async function dropRequests(): Promise<void> {
+    const ids = ended;
+    const records = ids.map((jobId): storeRecords.StoreRecord => ({
+      kind: 'job',
+      jobId,
+      job: undefined,
+    }));
+    if (await appendToJobs(records)) ended = ended.slice(ids.length);
   }
 
   async function dropJobs(
