cell: show that all dropped requests go into one append

At the end of a rush all that has ended goes into one append, which has the same 0.6 s whatever its length, or is larger than the store takes; what isn't dropped is loaded by every entry that starts.

--- a/packages/gypsumwall-cell/src/__tests__/tidying.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/tidying.test.ts
@@ -1,3 +1,4 @@
+import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
@@ -8,6 +9,9 @@
 import * as tidying from '../tidying.js';
 
 const {test} = nodeTest;
+/** Well below what one append carries in its timeout on the slowest link. */
+const MOST_IN_APPEND = 1_000;
+
 function idsOf(count: number): types.ids.JobId[] {
   return Array.from({length: count}, (_none, number) =>
     types.ids.brand<types.ids.JobId>(`job${number}`),
@@ -58,3 +62,21 @@
     stopping.abort();
   }
 });
+
+// Guards against one append that grows with a rush until it never fits its time.
+test('many requests are dropped in several appends', async () => {
+  const log = fakeLogs.createFakeLog();
+  const append = log.append.bind(log);
+  let largest = 0;
+  log.append = (entries, options) => {
+    largest = Math.max(largest, entries.length);
+    return append(entries, options);
+  };
+  const stopping = startTidying(log, idsOf(5_000));
+  try {
+    await worlds.until(() => log.records.length === 5_000, 'dropped');
+    assert.ok(largest <= MOST_IN_APPEND, `${largest} records at once`);
+  } finally {
+    stopping.abort();
+  }
+});
