cell: drop records of finished jobs in appends of at most 500

What callers saw: nothing; after a rush the append that drops all that has ended could not arrive within its 0.6 s on a slow link, or was larger than the store takes, and was repeated whole every second; entries that start load the rest.

The change: requests are dropped in chunks, each by itself; jobs whose state nobody can ask for any more are dropped 250 a round. One append of a 15-character key each is then about 20 KB, 11 ms on 14 Mbit/s.

--- a/packages/gypsumwall-cell/src/tidying.ts
+++ b/packages/gypsumwall-cell/src/tidying.ts
@@ -18,6 +18,9 @@
 /** Time given to an append; milliseconds. */
 const APPEND_TIMEOUT_MS = 600;
 
+/** Records of one append, so that a rush can't outgrow its timeout. */
+const MAX_APPEND_RECORDS = 500;
+
 /** What tidying works on. */
 export interface TidyingParts {
   readonly jobsLog: ports.KeyedLog;
@@ -48,19 +51,24 @@
       const before = types.clock.after(clock.monotonic(), -parts.keepOverMs);
       ended.push(...holder.takeEnded());
       await dropRequests();
-      await dropJobs(jobs.overBefore(before), holder);
+      // The rest stays in the table and is dropped in the next rounds.
+      const over = jobs.overBefore(before).slice(0, MAX_APPEND_RECORDS / 2);
+      await dropJobs(over, holder);
     }
   }
 
   /** What the store doesn't take is tried again. */
   async function dropRequests(): Promise<void> {
-    const ids = ended;
-    const records = ids.map((jobId): storeRecords.StoreRecord => ({
-      kind: 'job',
-      jobId,
-      job: undefined,
-    }));
-    if (await appendToJobs(records)) ended = ended.slice(ids.length);
+    while (ended.length > 0 && !signal.aborted) {
+      const ids = ended.slice(0, MAX_APPEND_RECORDS);
+      const records = ids.map((jobId): storeRecords.StoreRecord => ({
+        kind: 'job',
+        jobId,
+        job: undefined,
+      }));
+      if (!(await appendToJobs(records))) return;
+      ended = ended.slice(ids.length);
+    }
   }
 
   async function dropJobs(
