cell: let two standbys a failure domain follow the holder closely

The change: two entries of each failure domain, the strongest, stand by; they follow the holder as before and claim a free cell first. All others read each log twice a second and look four times a second; they claim a free cell 0.6 s later than the standbys. A question about a job that isn't over reads the log of states first if the copy is older than 0.1 s, so that callers hear of an end no later than before. An append without an answer for 0.15 s has the log read, so that a store that is away is noticed although the log is read seldom.

--- a/packages/gypsumwall-cell/src/__tests__/holder_probe.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/holder_probe.test.ts
@@ -20,6 +20,7 @@
       asked++;
       return Promise.resolve(lives);
     },
+    isStandby: () => true,
     clock,
   });
   void probe.run(stopping.signal);
--- a/packages/gypsumwall-cell/src/__tests__/relaying_desk.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/relaying_desk.test.ts
@@ -43,6 +43,7 @@
   const peers: peerDirectory.PeerDirectory = {
     apply: () => {},
     mostCores: () => 0,
+    standbyCandidates: () => [],
     noteLost: () => {},
     ping: () => Promise.resolve(true),
     advisers: () => new Map(),
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -19,6 +19,7 @@
 import * as peerDirectory from './peer_directory.js';
 import type * as ports from './ports.js';
 import * as relayingDesk from './relaying_desk.js';
+import * as standbyChoice from './standby_choice.js';
 import * as storeProbe from './store_probe.js';
 import * as storePulse from './store_pulse.js';
 import * as storeRecords from './store_records.js';
@@ -28,10 +29,16 @@
 import * as tidying from './tidying.js';
 
 /**
- * A reader that waits for no single record reads this seldom. Each read is
- * paid for, and callers hear of an end half of this later; milliseconds.
+ * A standby reads the holder's log this often, so that it notices a silent
+ * holder in time; milliseconds.
  */
-const FOLLOW_PAUSE_MS = 120;
+const STANDBY_PAUSE_MS = 120;
+/**
+ * Everybody else reads this seldom, and what a caller asks for is read at
+ * once. A copy stays well below the age up to which it may be counted in;
+ * milliseconds.
+ */
+const OBSERVER_PAUSE_MS = 500;
 /** A store that went silent is noticed this much later; milliseconds. */
 const FOLLOW_WAIT_MS = 250;
 /** The configuration changes seldom; milliseconds. */
@@ -89,7 +96,7 @@
       }
       takeRecords.takeRecords(records, logger, applyJobRecord);
     },
-    pauseMs: () => (holder === undefined ? FOLLOW_PAUSE_MS : HOLDER_PAUSE_MS),
+    pauseMs: () => (holder === undefined ? OBSERVER_PAUSE_MS : HOLDER_PAUSE_MS),
     readWaitMs: FOLLOW_WAIT_MS,
   });
   const cellFollower = logFollower.createLogFollower({
@@ -103,7 +110,7 @@
       if (reloaded) keepNamed(records);
       takeRecords.takeRecords(records, logger, applyCellRecord);
     },
-    pauseMs: () => FOLLOW_PAUSE_MS,
+    pauseMs: () => (isStandby() ? STANDBY_PAUSE_MS : OBSERVER_PAUSE_MS),
     readWaitMs: FOLLOW_WAIT_MS,
   });
   const ownDesk = frontDesk.createFrontDesk({
@@ -113,6 +120,7 @@
     pulse,
     copyAgeMs,
     catchUp: catchUpOnJobs,
+    refreshStates,
     clock,
     logger,
     couldEverFit,
@@ -125,6 +133,7 @@
         reachableSince: cellFollower.reachableSince(),
       }),
     ping: (instance, timeoutMs) => peers.ping(instance, timeoutMs),
+    isStandby,
     clock,
   });
   const desk = relayingDesk.createRelayingDesk({
@@ -165,6 +174,11 @@
     state.keepUsedWorkers(storeRecords.idsOf('used_worker', records));
   }
 
+  async function refreshStates(): Promise<boolean> {
+    const ageMs = clock.monotonic() - (cellFollower.completeUntil() ?? 0);
+    return ageMs <= frontDesk.FRESH_STATE_MS || cellFollower.catchUp();
+  }
+
   async function catchUpOnJobs(): Promise<boolean> {
     const read = [jobsFollower.catchUp(), cellFollower.catchUp()];
     return (await Promise.all(read)).every((ok) => ok);
@@ -265,6 +279,12 @@
     return now - reachableAt < UNREADY_AFTER_MS || desk.relayedLately();
   }
 
+  /** Nobody is before the peers are known. */
+  function isStandby(): boolean {
+    if (jobsFollower.position() === undefined) return false;
+    return standbyChoice.isStandby(self, peers.standbyCandidates());
+  }
+
   function isOutranked(): boolean {
     const peersKnown = jobsFollower.position() !== undefined;
     return !peersKnown || peers.mostCores() > self.cores;
@@ -300,6 +320,7 @@
           isHolder: () => holder !== undefined,
           isLeaving: () => leaving,
           isOutranked,
+          isStandby,
           clock,
           random: options.random,
           logger,
--- a/packages/gypsumwall-cell/src/election.ts
+++ b/packages/gypsumwall-cell/src/election.ts
@@ -13,6 +13,13 @@
 
 /** How often it is looked whether the cell may be taken; milliseconds. */
 const ELECTION_TICK_MS = 50;
+/** The same for entries that don't stand by; milliseconds. */
+const OBSERVER_TICK_MS = 250;
+/**
+ * Entries that don't stand by leave the cell to those that do for so long:
+ * these claim it within 0.36 s of finding it free; milliseconds.
+ */
+const STANDBYS_FIRST_MS = 600;
 /** Entries try to take the cell this far apart, by chance; milliseconds. */
 const ELECTION_SPREAD_MS = 120;
 /**
@@ -44,6 +51,8 @@
   readonly takeovers: () => readonly types.clock.MonotonicMs[];
   readonly isHolder: () => boolean;
   readonly isLeaving: () => boolean;
+  /** See the choice of standbys. */
+  readonly isStandby: () => boolean;
   /** Whether a peer has more processor, or the peers aren't known yet. */
   readonly isOutranked: () => boolean;
   readonly clock: types.clock.Clock;
@@ -76,8 +85,12 @@
 
   async function run(): Promise<void> {
     while (!signal.aborted) {
-      await pause(ELECTION_TICK_MS);
-      if (vacancy() === undefined) continue;
+      await pause(parts.isStandby() ? ELECTION_TICK_MS : OBSERVER_TICK_MS);
+      const found = vacancy();
+      if (found === undefined) continue;
+      if (found !== 'own_predecessor' && !parts.isStandby()) {
+        await pause(STANDBYS_FIRST_MS);
+      }
       await pause(parts.random.next() * ELECTION_SPREAD_MS);
       if (vacancy() === 'never_held') await pause(FIRST_CLAIM_AFTER_MS);
       if (parts.isOutranked()) await pause(STRONGER_FIRST_MS);
--- a/packages/gypsumwall-cell/src/front_desk.ts
+++ b/packages/gypsumwall-cell/src/front_desk.ts
@@ -32,6 +32,20 @@
  */
 const CURRENT_COPY_MS = 1_500;
 
+/**
+ * A copy that is younger tells the state of a job that isn't over as it is; an
+ * older one is brought up to date first. Callers learn of an end that much
+ * later at most; milliseconds.
+ */
+export const FRESH_STATE_MS = 100;
+/** How long a question about a state waits for that; milliseconds. */
+const REFRESH_PATIENCE_MS = 300;
+/**
+ * An append without an answer for so long has the log read, so that a store
+ * that is away is noticed; a usual one takes 10 ms; milliseconds.
+ */
+const SUSPECT_STORE_MS = 150;
+
 /** What became of a call. */
 export type DeskAnswer<Value> =
   | {readonly type: 'ok'; readonly value: Value}
@@ -85,6 +99,8 @@
   readonly copyAgeMs: () => number;
   /** Reads all logs that tell of jobs to their ends; false if that failed. */
   readonly catchUp: () => Promise<boolean>;
+  /** Reads the log of states to its end, unless that was done just now. */
+  readonly refreshStates: () => Promise<boolean>;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
   /** Whether any worker could ever run a task of this size. */
@@ -110,7 +126,9 @@
   ): Promise<'stored' | 'not_run' | 'unknown'> {
     const entry = storeRecords.encode(record);
     const until = types.clock.after(clock.monotonic(), APPEND_PATIENCE_MS);
-    const answer = await appender.append(entry, until);
+    const appended = appender.append(entry, until);
+    void readIfOverdue(appended);
+    const answer = await appended;
     if (result.isOk(answer)) return 'stored';
     logger.info('append_failed', {
       key: entry.key,
@@ -119,6 +137,14 @@
     return answer.error.effect === 'unknown' ? 'unknown' : 'not_run';
   }
 
+  /** Finds out whether the store is away; the log is read seldom otherwise. */
+  async function readIfOverdue(appended: Promise<unknown>): Promise<void> {
+    const answered = new AbortController();
+    void appended.then(() => answered.abort());
+    await types.clock.pause(clock, SUSPECT_STORE_MS, answered.signal);
+    if (!answered.signal.aborted) await follower.catchUp();
+  }
+
   async function storeAndAnswer(
     event: string,
     record: storeRecords.StoreRecord & {readonly jobId: types.ids.JobId},
@@ -149,11 +175,22 @@
     return over ? job : undefined;
   }
 
-  async function outOfPatience(): Promise<false> {
-    await types.clock.pause(clock, FIND_PATIENCE_MS);
+  async function outOfPatience(patienceMs: number): Promise<false> {
+    await types.clock.pause(clock, patienceMs);
     return false;
   }
 
+  /** The state as the log has it now, or as it was known if that can't be read. */
+  async function freshPhase(
+    job: jobTable.JobEntry,
+  ): Promise<scheduling.jobProgress.JobPhase> {
+    if (!scheduling.jobProgress.isOver(job.progress.phase)) {
+      const patience = outOfPatience(REFRESH_PATIENCE_MS);
+      await Promise.race([options.refreshStates(), patience]);
+    }
+    return job.progress.phase;
+  }
+
   /**
    * Looks for a job at the ends of all logs that tell of jobs. The request of
    * one that is over is dropped from one of them, and only the other knows it:
@@ -162,7 +199,10 @@
   async function findInLogs(
     id: types.ids.JobId,
   ): Promise<jobTable.JobEntry | 'not_read' | undefined> {
-    const current = await Promise.race([options.catchUp(), outOfPatience()]);
+    const current = await Promise.race([
+      options.catchUp(),
+      outOfPatience(FIND_PATIENCE_MS),
+    ]);
     return knownJob(id) ?? (current ? undefined : 'not_read');
   }
 
@@ -225,7 +265,7 @@
     async phaseOf(id, queue) {
       const found = await find(id, queue);
       if (found.type !== 'ok') return found;
-      return {type: 'ok', value: found.value.progress.phase};
+      return {type: 'ok', value: await freshPhase(found.value)};
     },
     finalPhaseOf(id, queue) {
       const job = jobs.get(id);
--- a/packages/gypsumwall-cell/src/holder_probe.ts
+++ b/packages/gypsumwall-cell/src/holder_probe.ts
@@ -10,6 +10,8 @@
 
 /** Between two questions; milliseconds. */
 const PAUSE_MS = 50;
+/** Between two looks whether this entry stands by; milliseconds. */
+const OBSERVER_PAUSE_MS = 500;
 /** A sound peer answers within 10 ms; milliseconds. */
 const ANSWER_TIMEOUT_MS = 120;
 /** Questions in a row without an answer: one may be lost on its way. */
@@ -22,6 +24,8 @@
   /** Since when the log is silent while it could be read. */
   readonly silentSince: () => types.clock.MonotonicMs | undefined;
   readonly ping: (instance: string, timeoutMs: number) => Promise<boolean>;
+  /** Only entries that stand by ask: all at once would overload a slow holder. */
+  readonly isStandby: () => boolean;
   readonly clock: types.clock.Clock;
 }
 
@@ -48,8 +52,9 @@
   return {
     async run(signal) {
       while (!signal.aborted) {
-        await types.clock.pause(clock, PAUSE_MS, signal);
-        const instance = suspect();
+        const pauseMs = parts.isStandby() ? PAUSE_MS : OBSERVER_PAUSE_MS;
+        await types.clock.pause(clock, pauseMs, signal);
+        const instance = parts.isStandby() ? suspect() : undefined;
         if (instance === undefined) {
           unanswered = 0;
           continue;
--- a/packages/gypsumwall-cell/src/peer_directory.ts
+++ b/packages/gypsumwall-cell/src/peer_directory.ts
@@ -8,6 +8,7 @@
 import * as httpClient from './http_client.js';
 import * as peerProtocol from './peer_protocol.js';
 import type * as ports from './ports.js';
+import type * as standbyChoice from './standby_choice.js';
 import type * as storeRecords from './store_records.js';
 
 /**
@@ -69,6 +70,8 @@
   noteLost(instance: string): void;
   /** Cores of the strongest peer that isn't passed over; 0 without peers. */
   mostCores(): number;
+  /** Peers that may stand by for the cell: those that aren't passed over. */
+  standbyCandidates(): Iterable<standbyChoice.StandbyCandidate>;
   close(): void;
 }
 
@@ -197,6 +200,13 @@
         .map((peer) => peer.record.cores ?? 0);
       return Math.max(0, ...cores);
     },
+    *standbyCandidates() {
+      const now = clock.monotonic();
+      for (const [instance, {record, passedOverUntil}] of peers) {
+        if (passedOverUntil > now) continue;
+        yield {instance, domain: record.domain, cores: record.cores ?? 0};
+      }
+    },
     close() {
       for (const peer of peers.values()) peer.client.close();
     },
--- a/packages/gypsumwall-cell/src/store_probe.ts
+++ b/packages/gypsumwall-cell/src/store_probe.ts
@@ -16,6 +16,8 @@
  * second an outage costs no more reads than an ordinary second; milliseconds.
  */
 const LOOK_PAUSE_MS = 100;
+/** How often it is checked whether the store is away; milliseconds. */
+const CHECK_PAUSE_MS = 250;
 
 /**
  * Without an answer for so long the store was away, and its next answer is its
@@ -50,9 +52,11 @@
     answeredAt = now;
   }
 
+  let away = false;
   while (!signal.aborted) {
-    await types.clock.pause(clock, LOOK_PAUSE_MS, signal);
-    const away = follower.reachableSince() === undefined;
+    const pauseMs = away ? LOOK_PAUSE_MS : CHECK_PAUSE_MS;
+    await types.clock.pause(clock, pauseMs, signal);
+    away = follower.reachableSince() === undefined;
     if (!away) answeredAt = clock.monotonic();
     const position = follower.position();
     if (!away || position === undefined || signal.aborted) continue;
