scheduler: try a waiting step again only when something has changed for it

Cause: a cycle tried every waiting step with every approved worker and named workers to the adviser for each of them. With the backlog of a takeover a cycle took tens to hundreds of milliseconds of the holder's processor, four times which was waited before the next one; answers lay unread meanwhile, tickets of 2.5 s ended before they were used and were asked for again, so the backlog stayed.

The change: a step is tried again when its own tasks, approvals or recorded workers have changed, or when a worker that it may use has more room; at most 100 steps a cycle; the order of before is sorted again; workers are named to the adviser only while an entry can take the call. Rooms kept for gangs count as freed when the gang goes, or falls behind others with time: both were found by the property test that compares with trying everything.

--- a/packages/gypsumwall-bench/src/step_cell.ts
+++ b/packages/gypsumwall-bench/src/step_cell.ts
@@ -18,6 +18,8 @@
 const WORKERS_PER_RACK = 20;
 const CAPACITY = {cpuMillis: 16_000, memoryMb: 32_768, accelerators: 0};
 const LONGEST_WAIT_MS = 1e6;
+/** Virtual time at which a run starts; milliseconds. */
+const START_MS = 1_000;
 
 /** What a run of a cell came to. */
 export interface StepCellResult {
@@ -40,6 +42,16 @@
   readonly objectiveMs: number;
 }
 
+/** Jobs that were accepted while nobody held the cell. */
+export interface Backlog {
+  /** When the holder takes over, in milliseconds from the start. */
+  readonly atMs: number;
+  /** For how long jobs had come by then, in milliseconds. */
+  readonly spanMs: number;
+  /** Figures count only jobs accepted from here on, in milliseconds. */
+  readonly countFromMs: number;
+}
+
 /** Runs a cell of so many workers for so many seconds. */
 export function runStepCell(options: {
   readonly workers: number;
@@ -49,6 +61,8 @@
   readonly seed: number;
   /** Factor on the rates of the load. */
   readonly load: number;
+  /** Work that waits when a holder takes over, if any. */
+  readonly backlog?: Backlog;
 }): StepCellResult {
   const random = types.random.createRandom(options.seed);
   const events: {at: number; run: () => void}[] = [];
@@ -60,7 +74,7 @@
   const lanes = scheduling.adviceLanes.createAdviceLanes<string>();
   const entries = Array.from({length: options.entries}, (_, nth) => `e${nth}`);
   const lineEnds = new Map<string, number>();
-  let now = 1_000 as types.clock.MonotonicMs;
+  let now = START_MS as types.clock.MonotonicMs;
   let schedulerMs = 0;
   let longestPassMs = 0;
   let passes = 0;
@@ -79,14 +93,26 @@
   function noteOver(id: string): void {
     const note = notes.get(id);
     if (note === undefined) return;
+    notes.delete(id);
+    if (note.at - START_MS < (options.backlog?.countFromMs ?? 0)) return;
     const span = now - note.at;
     const taken = tookMs.get(note.kind.name) ?? histogram();
     taken.recordValue(Math.max(1, Math.round(span)));
     tookMs.set(note.kind.name, taken);
-    const counts = onTime.get(note.kind.name) ?? {met: 0, all: 0};
+    count(note, span <= note.objectiveMs);
+  }
+
+  function count({kind}: JobNote, met: boolean): void {
+    const counts = onTime.get(kind.name) ?? {met: 0, all: 0};
     counts.all++;
-    if (span <= note.objectiveMs) counts.met++;
-    onTime.set(note.kind.name, counts);
+    if (met) counts.met++;
+    onTime.set(kind.name, counts);
+  }
+
+  /** A job that is late by the end of the run never was on time. */
+  function noteUnfinished(note: JobNote): void {
+    if (note.at - START_MS < (options.backlog?.countFromMs ?? 0)) return;
+    if (now - note.at > note.objectiveMs) count(note, false);
   }
 
   function timed<Value>(work: () => Value): Value {
@@ -122,6 +148,7 @@
     const decisions = scheduler.decide(
       now,
       now as unknown as types.clock.WallMs,
+      lanes.capacity(entries),
     );
     const tookPassMs = performance.now() - from;
     schedulerMs += tookPassMs;
@@ -214,23 +241,40 @@
   }
 
   function arrive(kind: stepLoad.JobKind): void {
+    accept(kind, now);
+    planArrival(kind);
+  }
+
+  function accept(
+    kind: stepLoad.JobKind,
+    acceptedAt: types.clock.MonotonicMs,
+  ): void {
     const id = types.ids.brand<types.ids.JobId>(`job${++jobs}`);
     const request = stepLoad.drawRequest(kind, random);
     const {policy} = kind;
     const chainMs = scheduling.jobRequest.chainMs(request);
     const objectiveMs = chainMs * policy.slackFactor + policy.targetMs;
-    notes.set(id, {kind, at: now, objectiveMs});
+    notes.set(id, {kind, at: acceptedAt, objectiveMs});
     const progress = scheduling.jobProgress.NO_PROGRESS;
     const wall = now as unknown as types.clock.WallMs;
     timed(() =>
       scheduler.addJob(
-        {id, request, policy, acceptedAt: now, inherited: false, progress},
+        {id, request, policy, acceptedAt, inherited: false, progress},
         now,
         wall,
       ),
     );
     kick();
-    planArrival(kind);
+  }
+
+  /** All jobs of a span without a holder, at once. */
+  function inherit({spanMs}: Backlog): void {
+    for (const kind of stepLoad.PEAK_KINDS) {
+      const count = Math.round((kind.rate * options.load * spanMs) / 1_000);
+      for (let nth = 0; nth < count; nth++) {
+        accept(kind, types.clock.after(now, -random.next() * spanMs));
+      }
+    }
   }
 
   function planArrival(kind: stepLoad.JobKind): void {
@@ -257,6 +301,8 @@
     scheduler.setUsable(id, true);
   }
   for (const kind of stepLoad.PEAK_KINDS) planArrival(kind);
+  const {backlog} = options;
+  if (backlog !== undefined) later(backlog.atMs, () => inherit(backlog));
   const endAt = now + options.seconds * 1_000;
   for (;;) {
     const next = events.pop();
@@ -264,6 +310,7 @@
     now = next.at as types.clock.MonotonicMs;
     next.run();
   }
+  for (const note of notes.values()) noteUnfinished(note);
   const shares = [...onTime].map(
     ([name, {met, all}]) => [name, met / all] as const,
   );
--- a/packages/gypsumwall-cell/src/__tests__/lost_peers.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/lost_peers.test.ts
@@ -94,7 +94,7 @@
     logger: telemetry.logger.createLogger('silent'),
     onAnswer: () => {},
   });
-  await caller({
+  await caller.ask({
     stepRun: {
       id: 'job.0.0',
       advice: {
--- a/packages/gypsumwall-cell/src/advice_caller.ts
+++ b/packages/gypsumwall-cell/src/advice_caller.ts
@@ -25,17 +25,20 @@
   readonly onAnswer: () => void;
 }
 
-/** Asks for one wish of the scheduler and tells it the answer. */
-export type AdviceCaller = (
-  wish: scheduling.schedulerTypes.AdviceWish,
-) => Promise<void>;
+/** The calls to the adviser. */
+export interface AdviceCaller {
+  /** Asks for one wish of the scheduler and tells it the answer. */
+  ask(wish: scheduling.schedulerTypes.AdviceWish): Promise<void>;
+  /** How many calls can be made now. */
+  capacity(): scheduling.adviceLanes.AdviceCapacity;
+}
 
 /** Creates the caller of a holder. */
 export function createAdviceCaller(parts: AdviceCallerParts): AdviceCaller {
   const {scheduler, clock, logger} = parts;
   const lanes = scheduling.adviceLanes.createAdviceLanes<string>();
 
-  async function askAdviser(
+  async function ask(
     wish: scheduling.schedulerTypes.AdviceWish,
   ): Promise<void> {
     const {stepRun, workers, callMs, needed} = wish;
@@ -71,5 +74,8 @@
     parts.onAnswer();
   }
 
-  return askAdviser;
+  return {
+    ask,
+    capacity: () => lanes.capacity([...parts.advisers().keys()]),
+  };
 }
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -111,7 +111,7 @@
     pauseMs: () => LIST_PAUSE_MS,
     readWaitMs: LIST_WAIT_MS,
   });
-  const askAdviser = adviceCaller.createAdviceCaller({
+  const adviceCalls = adviceCaller.createAdviceCaller({
     scheduler,
     advisers: options.advisers,
     clock,
@@ -201,11 +201,15 @@
     // A start takes a lease along, so nothing can start without.
     if (!mayRenew()) return;
     const startedAt = clock.monotonic();
-    const decisions = scheduler.decide(startedAt, clock.wall());
+    const decisions = scheduler.decide(
+      startedAt,
+      clock.wall(),
+      adviceCalls.capacity(),
+    );
     lastPassMs = clock.monotonic() - startedAt;
     void flush();
     for (const order of decisions.starts) void startRun(order);
-    for (const wish of decisions.advice) void askAdviser(wish);
+    for (const wish of decisions.advice) void adviceCalls.ask(wish);
   }
 
   function sendStops(): void {
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/__tests__/scheduling_cycle.test.ts
@@ -0,0 +1,186 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as types from '@gypsumwall/types';
+import * as fc from 'fast-check';
+import * as worlds from '../__fixtures__/scheduler_world.js';
+import type * as activeJob from '../active_job.js';
+
+const {test} = nodeTest;
+const WALL = 0 as types.clock.WallMs;
+/** Waiting steps of a holder that takes over after some seconds without one. */
+const BACKLOG = 600;
+
+/** Counts how often a step is tried: without advice each try lists workers. */
+function countTries(world: worlds.SchedulerWorld): () => number {
+  const {workers} = world.scheduler.book;
+  const values = workers.values.bind(workers);
+  let tries = 0;
+  Object.assign(workers, {
+    values: () => {
+      tries++;
+      return values();
+    },
+  });
+  return () => {
+    const counted = tries;
+    tries = 0;
+    return counted;
+  };
+}
+
+/** A full cell with a backlog whose steps have all been tried. */
+function createBackloggedWorld() {
+  const world = worlds.createSchedulerWorld();
+  for (let nth = 0; nth < 20; nth++) world.addWorker(`w${nth}`, 4);
+  for (let nth = 0; nth < 80; nth++) world.submit(`run${nth}`, [worlds.step()]);
+  const runs = world.startAll();
+  assert.equal(runs.length, 80);
+  for (let nth = 0; nth < BACKLOG; nth++) {
+    world.submit(`wait${nth}`, [worlds.step()]);
+  }
+  const tries = countTries(world);
+  return {world, runs, tries};
+}
+
+// Guards against a holder that is kept from its calls by one long cycle.
+test('a cycle tries a bounded number of steps', () => {
+  const {world, tries} = createBackloggedWorld();
+  for (let tried = 0; tried < BACKLOG;) {
+    world.scheduler.decide(world.now, WALL);
+    const counted = tries();
+    assert.ok(counted > 0 && counted <= 100, `${counted} steps tried`);
+    tried += counted;
+  }
+});
+
+// Guards against cycles whose cost grows with all that waits.
+test('a step without room is tried again only when room is freed', () => {
+  const {world, runs, tries} = createBackloggedWorld();
+  for (let nth = 0; nth < BACKLOG / 100; nth++) {
+    world.scheduler.decide(world.now, WALL);
+  }
+  tries();
+  assert.deepEqual(world.scheduler.decide(world.now, WALL).starts, []);
+  assert.equal(tries(), 0);
+  world.end(runs[0]!, 'done');
+  assert.equal(world.decide().length, 1);
+  assert.ok(tries() <= 4);
+});
+
+type Action =
+  | {type: 'submit'; tasks: number; cores: number; gang: boolean}
+  | {type: 'end'; pick: number; how: 'done' | 'failed'}
+  | {type: 'usable'; worker: number; usable: boolean}
+  | {type: 'replace'; worker: number}
+  | {type: 'cancel'; pick: number}
+  | {type: 'wait'; spanMs: number};
+
+const WORKERS = 4;
+const nat = fc.nat({max: 1_000});
+const arbitraryAction: fc.Arbitrary<Action> = fc.oneof(
+  fc.record({
+    type: fc.constant('submit' as const),
+    tasks: fc.integer({min: 1, max: 6}),
+    cores: fc.integer({min: 1, max: 4}),
+    gang: fc.boolean(),
+  }),
+  fc.record({
+    type: fc.constant('end' as const),
+    pick: nat,
+    how: fc.constantFrom('done' as const, 'failed' as const),
+  }),
+  fc.record({
+    type: fc.constant('usable' as const),
+    worker: fc.nat({max: WORKERS - 1}),
+    usable: fc.boolean(),
+  }),
+  fc.record({
+    type: fc.constant('replace' as const),
+    worker: fc.nat({max: WORKERS - 1}),
+  }),
+  fc.record({type: fc.constant('cancel' as const), pick: nat}),
+  fc.record({
+    type: fc.constant('wait' as const),
+    spanMs: fc.integer({min: 1, max: 4_000}),
+  }),
+);
+
+/** Decides until nothing more starts, and answers each start. */
+function settle(
+  world: worlds.SchedulerWorld,
+  running: activeJob.Run[],
+): number {
+  let started = 0;
+  for (let quiet = 0; quiet < 2;) {
+    const runs = world.startAll();
+    running.push(...runs);
+    started += runs.length;
+    quiet = runs.length === 0 ? quiet + 1 : 0;
+  }
+  return started;
+}
+
+// Guards against a step that has room and is never tried again.
+test('no step that could start is left waiting', () => {
+  fc.assert(
+    fc.property(
+      fc.array(arbitraryAction, {maxLength: 60, size: 'max'}),
+      (actions) => {
+        const world = worlds.createSchedulerWorld();
+        const workers = Array.from({length: WORKERS}, (_none, nth) =>
+          world.addWorker(`w${nth}`, 4, `r${nth % 2}`),
+        );
+        const jobs: types.ids.JobId[] = [];
+        let running: activeJob.Run[] = [];
+        let lives = WORKERS;
+        for (const action of actions) {
+          switch (action.type) {
+            case 'submit': {
+              const {tasks: taskCount, cores, gang} = action;
+              const size = {
+                cpuMillis: cores * 1_000,
+                memoryMb: 100,
+                accelerators: 0,
+              };
+              const steps = [worlds.step({taskCount, size, gang})];
+              jobs.push(world.submit(`job${jobs.length}`, steps));
+              break;
+            }
+            case 'end': {
+              const run = running[action.pick % Math.max(1, running.length)];
+              if (run === undefined) break;
+              running = running.filter((one) => one !== run);
+              const stopped = run.phase === 'stopping';
+              world.end(run, stopped ? 'stopped' : action.how);
+              break;
+            }
+            case 'usable':
+              world.scheduler.setUsable(workers[action.worker]!, action.usable);
+              break;
+            case 'replace': {
+              // Another life of the worker: all that ran there is gone.
+              const gone = workers[action.worker]!;
+              running = running.filter((run) => run.workerId !== gone);
+              world.scheduler.workerGone(gone, world.now);
+              workers[action.worker] = world.addWorker(`w${++lives}`, 4);
+              break;
+            }
+            case 'cancel': {
+              const id = jobs[action.pick % Math.max(1, jobs.length)];
+              if (id !== undefined) world.scheduler.cancelJob(id);
+              break;
+            }
+            case 'wait':
+              world.now = types.clock.after(world.now, action.spanMs);
+              break;
+          }
+          settle(world, running);
+          // Has every waiting step tried, whatever has changed.
+          world.scheduler.updatePolicies(() => undefined);
+          assert.equal(settle(world, running), 0);
+        }
+      },
+    ),
+    {numRuns: 1_500},
+  );
+});
--- a/packages/gypsumwall-scheduling/src/active_job.ts
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -63,6 +63,14 @@
   /** Saved progress to go on from, by index; a gang's under 0. */
   readonly saved: Map<number, string>;
   readonly advice: stepAdvice.StepAdvice;
+  /** Its place in the order of work at the last cycle. */
+  rank?: workOrder.RankedClaimant;
+  /**
+   * Whether something of its own has changed since it was last tried: tasks,
+   * approvals, recorded workers. Otherwise it is tried again only once a worker
+   * that it may use has more room.
+   */
+  changed: boolean;
 }
 
 /** One time that a job's steps run. */
@@ -130,6 +138,7 @@
       attempts: new Map(),
       saved: new Map(),
       advice: stepAdvice.createStepAdvice(),
+      changed: true,
     });
   });
   return occurrence;
@@ -164,6 +173,25 @@
   return chain + stepRun.request.expectedMs;
 }
 
+/** Has all steps of a job tried again. */
+export function noteChanged(job: ActiveJob): void {
+  for (const {steps} of job.open.values()) {
+    for (const stepRun of steps) stepRun.changed = true;
+  }
+}
+
+/** Takes over what the operator has set for the job's queue since. */
+export function setPolicy(
+  job: ActiveJob,
+  policy: jobRequest.QueuePolicy,
+): void {
+  job.policy = policy;
+  noteChanged(job);
+  for (const {steps} of job.open.values()) {
+    for (const stepRun of steps) stepRun.rank = undefined;
+  }
+}
+
 /** The job's progress in the form that is stored; short once it is over. */
 export function progressOf(job: ActiveJob): jobProgress.JobProgress {
   const {phase} = job;
--- a/packages/gypsumwall-scheduling/src/advice_lanes.ts
+++ b/packages/gypsumwall-scheduling/src/advice_lanes.ts
@@ -25,6 +25,14 @@
 /** More work than this on each lane only ages in line; milliseconds. */
 const LONGEST_LINE_MS = 1_500;
 
+/** How many calls can be made now. */
+export interface AdviceCapacity {
+  /** Calls without whose answer nothing of their step can start. */
+  readonly needed: number;
+  /** Calls that can wait. */
+  readonly spare: number;
+}
+
 /** The entries that may call the adviser, and what each has in line. */
 export interface AdviceLanes<Entry extends string> {
   /**
@@ -37,6 +45,8 @@
     needed: boolean,
   ): Entry | undefined;
   finish(entry: Entry, callMs: number): void;
+  /** How many calls the entries would take now. */
+  capacity(entries: readonly Entry[]): AdviceCapacity;
   /** Milliseconds of calls that an entry has in line. */
   lineMs(entry: Entry): number;
 }
@@ -72,6 +82,12 @@
       return best;
     },
     lineMs: lineOf,
+    capacity(entries) {
+      const open = entries.filter((entry) => lineOf(entry) <= LONGEST_LINE_MS);
+      const kept = Math.floor(entries.length * KEPT_EMPTY_SHARE);
+      const spare = Math.max(0, emptyLanes(entries) - kept);
+      return {needed: open.length, spare};
+    },
     finish(entry, callMs) {
       inLineMs.set(entry, Math.max(0, lineOf(entry) - callMs));
     },
--- a/packages/gypsumwall-scheduling/src/gang_hold.ts
+++ b/packages/gypsumwall-scheduling/src/gang_hold.ts
@@ -30,18 +30,21 @@
 /** The room that one pass keeps. */
 export interface GangHold {
   isHeld(worker: types.ids.WorkerId): boolean;
+  /** Workers whose room is kept, and the gang that it is kept for. */
+  readonly held: ReadonlyMap<types.ids.WorkerId, activeJob.StepRun>;
   /** Holds workers for a gang that found no room now. */
   holdFor(stepRun: activeJob.StepRun): void;
 }
 
 /** Creates the holds of one pass, with nothing held. */
 export function createGangHold(context: chooseWorker.ChoiceContext): GangHold {
-  const held = new Set<types.ids.WorkerId>();
+  const held = new Map<types.ids.WorkerId, activeJob.StepRun>();
   const most = context.book.workers.size * MOST_HELD_SHARE;
   let looks = 0;
 
   return {
     isHeld: (worker) => held.has(worker),
+    held,
     holdFor(stepRun) {
       if (looks++ >= MOST_LOOKS) return;
       const size = chooseWorker.bookedSize(stepRun);
@@ -59,7 +62,7 @@
       }
       // Part of the room would be held in vain.
       if (missing > 0 || held.size + chosen.length > most) return;
-      for (const id of chosen) held.add(id);
+      for (const id of chosen) held.set(id, stepRun);
     },
   };
 }
--- a/packages/gypsumwall-scheduling/src/job_book.ts
+++ b/packages/gypsumwall-scheduling/src/job_book.ts
@@ -101,6 +101,7 @@
 
   function noteWaiting(stepRun: activeJob.StepRun): void {
     const over = jobProgress.isOver(stepRun.job.phase);
+    stepRun.changed = true;
     if (stepRun.waiting.length > 0 && !over) waiting.add(stepRun);
     else waiting.delete(stepRun);
   }
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -5,16 +5,18 @@
  */
 import * as types from '@gypsumwall/types';
 import * as activeJob from './active_job.js';
+import type * as adviceLanes from './advice_lanes.js';
 import * as adviceNames from './advice_names.js';
 import * as chooseWorker from './choose_worker.js';
 import * as jobBooks from './job_book.js';
 import * as jobSteps from './job_steps.js';
-import * as placementPass from './placement_pass.js';
 import * as reportReader from './report_reader.js';
 import * as runTable from './run_table.js';
+import * as schedulingCycle from './scheduling_cycle.js';
 import * as stepAdvice from './step_advice.js';
 import type * as schedulerTypes from './scheduler_types.js';
 import * as taskIds from './task_id.js';
+import * as waitingOrder from './waiting_order.js';
 import * as workerBook from './worker_book.js';
 import * as workerHealth from './worker_health.js';
 
@@ -24,6 +26,12 @@
  */
 const ADVICE_LOOK_MS = 80;
 
+/** Where nothing limits the calls to the adviser. */
+const UNLIMITED_ADVICE: adviceLanes.AdviceCapacity = {
+  needed: Infinity,
+  spare: Infinity,
+};
+
 /** Creates a scheduler that knows of nothing yet. */
 export function createScheduler(
   options: schedulerTypes.SchedulerOptions,
@@ -46,7 +54,9 @@
     jobBook,
     onEvent,
   });
+  const order = waitingOrder.createWaitingOrder();
   let arrivals = 0;
+  let held: schedulingCycle.CycleResult['held'] = new Map();
 
   /** Without this the same order would go to the same worker at once. */
   function learnFromRefusal(
@@ -71,7 +81,7 @@
   }
 
   function startOrder(
-    placement: placementPass.Placement,
+    placement: schedulingCycle.Placement,
     now: types.clock.MonotonicMs,
   ): schedulerTypes.StartOrder {
     const {stepRun, index, worker} = placement;
@@ -97,7 +107,7 @@
   }
 
   /** Numbers the attempts: one for each task, one for a gang as a whole. */
-  function numberAttempts(placed: readonly placementPass.Placement[]): void {
+  function numberAttempts(placed: readonly schedulingCycle.Placement[]): void {
     const gangs = new Set<activeJob.StepRun>();
     for (const {stepRun, index} of placed) {
       if (stepRun.request.gang && gangs.has(stepRun)) continue;
@@ -121,20 +131,59 @@
     const workers = book.workers.values();
     const calls = adviceNames.callsFor(stepRun, policy, workers, now);
     return calls.map((named) => {
-      const first = advice.openCalls === 0;
-      const needed = first && !stepAdvice.hasTicket(advice, now);
+      const needed = needsAdvice(stepRun, now);
       stepAdvice.noteAsked(advice, named);
       const callMs = policy.callMs + policy.perWorkerMs * named.length;
       return {stepRun, workers: named, callMs, needed};
     });
   }
 
-  function* startable(): Iterable<activeJob.StepRun> {
-    for (const stepRun of waiting) if (!stepRun.job.heldBack) yield stepRun;
+  function runCycle(now: types.clock.MonotonicMs): schedulingCycle.CycleResult {
+    const {steps, gangFellBehind} = order.sorted(waiting, now);
+    if (gangFellBehind) for (const id of held.keys()) book.noteFreed(id);
+    for (const id of health.takeRestored(now)) book.noteFreed(id);
+    const context = {book, health, now, freed: book.takeFreed()};
+    const startable = steps.filter((stepRun) => !stepRun.job.heldBack);
+    const cycle = schedulingCycle.runCycle(startable, context);
+    for (const [id, gang] of held) {
+      if (cycle.held.get(id) !== gang) book.noteFreed(id);
+    }
+    held = cycle.held;
+    return cycle;
+  }
+
+  /** Calls for the most urgent steps, while there are entries to make them. */
+  function takeWishes(
+    unadvised: readonly activeJob.StepRun[],
+    now: types.clock.MonotonicMs,
+    capacity: adviceLanes.AdviceCapacity,
+  ): schedulerTypes.AdviceWish[] {
+    const wishes: schedulerTypes.AdviceWish[] = [];
+    let {needed, spare} = capacity;
+    for (const stepRun of unadvised) {
+      if (needed <= 0) break;
+      if (spare <= 0 && !needsAdvice(stepRun, now)) continue;
+      for (const wish of adviceWishes(stepRun, now)) {
+        if (wish.needed) needed--;
+        else spare--;
+        wishes.push(wish);
+      }
+    }
+    return wishes;
+  }
+
+  /** Whether nothing of a step can start before it has an answer. */
+  function needsAdvice(
+    {advice}: activeJob.StepRun,
+    now: types.clock.MonotonicMs,
+  ): boolean {
+    return advice.openCalls === 0 && !stepAdvice.hasTicket(advice, now);
   }
 
   /** Has the workers recorded that tasks are about to be handed to. */
-  function recordWorkers(placements: readonly placementPass.Placement[]): void {
+  function recordWorkers(
+    placements: readonly schedulingCycle.Placement[],
+  ): void {
     for (const {stepRun, worker} of placements) {
       const {job} = stepRun;
       if (job.workers.has(worker.info.id)) continue;
@@ -153,7 +202,7 @@
     hasJob: (id) => jobs.has(id),
     updatePolicies(policyOf) {
       for (const job of jobs.values()) {
-        job.policy = policyOf(job.policy.queue) ?? job.policy;
+        activeJob.setPolicy(job, policyOf(job.policy.queue) ?? job.policy);
       }
     },
     cancelJob(id) {
@@ -169,10 +218,7 @@
     leasePassed(id) {
       for (const run of [...runs.ofWorker(id)]) jobBook.dropRun(run);
     },
-    setUsable(id, usable) {
-      const worker = book.workers.get(id);
-      if (worker !== undefined) worker.usable = usable;
-    },
+    setUsable: (id, usable) => book.setUsable(id, usable),
     outOfReach(id) {
       for (const run of runs.ofWorker(id)) jobBook.startCopy(run);
     },
@@ -184,25 +230,23 @@
         if (!job.heldBack) continue;
         if (![...job.workers.keys()].every(options.isAccounted)) continue;
         job.heldBack = false;
+        activeJob.noteChanged(job);
         jobBook.breakPartialGangs(job);
       }
     },
-    decide(now, wall) {
+    decide(now, wall, capacity = UNLIMITED_ADVICE) {
       for (const job of scheduled) {
         jobBook.moveOn(job, now, wall);
         const total = job.request.schedule?.occurrences ?? 1;
         // Only jobs with times to come are looked at again.
         if (job.finished.size + job.open.size >= total) scheduled.delete(job);
       }
-      const context = {book, health, now};
-      const pass = placementPass.runPass(startable(), context);
-      recordWorkers(pass.unrecorded);
-      numberAttempts(pass.placed);
-      const starts = pass.placed.map((placed) => startOrder(placed, now));
-      for (const {stepRun} of pass.placed) jobBook.noteWaiting(stepRun);
-      const advice = pass.unadvised.flatMap((stepRun) =>
-        adviceWishes(stepRun, now),
-      );
+      const cycle = runCycle(now);
+      recordWorkers(cycle.unrecorded);
+      numberAttempts(cycle.placed);
+      const starts = cycle.placed.map((placed) => startOrder(placed, now));
+      for (const {stepRun} of cycle.placed) jobBook.noteWaiting(stepRun);
+      const advice = takeWishes(cycle.unadvised, now, capacity);
       return {starts, advice};
     },
     startAnswered(run, outcome, now) {
@@ -239,6 +283,7 @@
     },
     report: readReport,
     adviceAnswered({stepRun, workers}, approved, validUntil) {
+      if (approved !== undefined) stepRun.changed = true;
       stepAdvice.noteAnswer(stepRun.advice, workers, approved, validUntil);
     },
     takeStops: () => jobBook.takeStops(),
@@ -254,6 +299,7 @@
     stored(stored) {
       for (const {jobId, progress} of stored) {
         const job = jobs.get(jobId);
+        if (job !== undefined) activeJob.noteChanged(job);
         for (const id of progress.workers) {
           // One that was taken off the record since must not come back on it.
           if (job?.workers.has(id) === true) job.workers.set(id, 'recorded');
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -1,6 +1,7 @@
 /** What a scheduler is told, what it decides, and what it tells the log. */
 import type * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
+import type * as adviceLanes from './advice_lanes.js';
 import type * as jobProgress from './job_progress.js';
 import type * as jobRequest from './job_request.js';
 import type * as jobSteps from './job_steps.js';
@@ -107,7 +108,12 @@
   evacuate(id: types.ids.WorkerId): void;
   /** A worker was accounted for: jobs that were held back may go on. */
   workerAccounted(): void;
-  decide(now: types.clock.MonotonicMs, wall: types.clock.WallMs): Decisions;
+  /** Without a capacity nothing limits the calls to the adviser. */
+  decide(
+    now: types.clock.MonotonicMs,
+    wall: types.clock.WallMs,
+    capacity?: adviceLanes.AdviceCapacity,
+  ): Decisions;
   startAnswered(
     run: activeJob.Run,
     outcome: StartOutcome,
--- a/packages/gypsumwall-scheduling/src/placement_pass.ts
+++ b/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
@@ -1,15 +1,19 @@
 /**
- * One pass over the waiting steps in the order of work: books room for what
+ * One cycle over the waiting steps in the order of work: books room for what
  * fits, says whose approval must be asked, and which jobs are about to begin.
+ *
+ * A step that found no room is tried again only when something of its own has
+ * changed or a worker that it may use has more room. So a cycle costs what has
+ * changed and not what waits: a holder that takes over a backlog tries each of
+ * its steps once.
  */
 import * as types from '@gypsumwall/types';
-import * as activeJob from './active_job.js';
+import type * as activeJob from './active_job.js';
 import * as chooseWorker from './choose_worker.js';
 import * as gangFit from './gang_fit.js';
 import * as gangHold from './gang_hold.js';
 import * as homeDomain from './home_domain.js';
 import type * as workerBook from './worker_book.js';
-import * as workOrder from './work_order.js';
 
 /** A task and the worker it gets. */
 export interface Placement {
@@ -18,8 +22,20 @@
   readonly worker: workerBook.BookedWorker;
 }
 
-/** What a pass came to. */
-export interface PassResult {
+/**
+ * Steps tried in one cycle at most; the others are left for the next one, so
+ * that calls and timers get their turn in between.
+ */
+const MAX_TRIED_STEPS = 100;
+
+/** What a cycle looks at. */
+export interface CycleContext extends chooseWorker.ChoiceContext {
+  /** Workers that can take more than at the last cycle. */
+  readonly freed: ReadonlySet<types.ids.WorkerId>;
+}
+
+/** What a cycle came to. */
+export interface CycleResult {
   readonly placed: Placement[];
   /**
    * Steps that could start more tasks if the adviser approved more workers,
@@ -31,26 +47,34 @@
    * their jobs yet.
    */
   readonly unrecorded: Placement[];
+  /** Workers whose room is kept, and the gang that it is kept for. */
+  readonly held: ReadonlyMap<types.ids.WorkerId, activeJob.StepRun>;
 }
 
-/** Does a pass over steps that wait and whose jobs may start. */
-export function runPass(
-  waiting: Iterable<activeJob.StepRun>,
-  context: chooseWorker.ChoiceContext,
-): PassResult {
-  const result: PassResult = {placed: [], unadvised: [], unrecorded: []};
+/** Runs a cycle over steps that wait and may start, most urgent first. */
+export function runCycle(
+  ordered: Iterable<activeJob.StepRun>,
+  context: CycleContext,
+): CycleResult {
   const hold = gangHold.createGangHold(context);
+  const {held} = hold;
+  const result: CycleResult = {placed: [], unadvised: [], unrecorded: [], held};
   const isHeld = (id: types.ids.WorkerId) => hold.isHeld(id);
   const choice = {...context, isHeld};
-  for (const stepRun of inOrder(waiting, context.now)) {
-    const placements = placeStep(stepRun, choice);
+  let tried = 0;
+  for (const stepRun of ordered) {
+    const due = stepRun.changed || hasNewRoom(stepRun, context);
+    stepRun.changed = due && tried >= MAX_TRIED_STEPS;
+    const tries = due && !stepRun.changed;
+    const placements = tries ? placeStep(stepRun, choice) : [];
+    if (tries) tried++;
     if (isWaitingGang(stepRun)) hold.holdFor(stepRun);
     const advised = stepRun.job.policy.advice !== undefined;
     if (advised && stepRun.waiting.length > 0) result.unadvised.push(stepRun);
     const ready = readyOf(stepRun, placements);
     result.placed.push(...ready);
-    // What isn't ready keeps its room in this pass, so that nobody after it
-    // takes it.
+    // Uncommitted placements keep their room until the end of the cycle, so
+    // that no later step takes it.
     if (ready.length === placements.length) continue;
     const early = new Set(ready);
     result.unrecorded.push(...placements.filter((one) => !early.has(one)));
@@ -59,6 +83,24 @@
   return result;
 }
 
+/** Whether a worker that the step may use has got more room. */
+function hasNewRoom(
+  stepRun: activeJob.StepRun,
+  {freed, book}: CycleContext,
+): boolean {
+  const {advice, job} = stepRun;
+  const advised = job.policy.advice !== undefined;
+  const size = chooseWorker.bookedSize(stepRun);
+  for (const id of freed) {
+    if (advised && !advice.approvals.has(id)) continue;
+    const worker = book.workers.get(id);
+    if (worker !== undefined && types.resources.fits(size, worker.free)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 function isWaitingGang({request, waiting}: activeJob.StepRun): boolean {
   return request.gang && waiting.length > 0;
 }
@@ -80,18 +122,6 @@
   return stepRun.job.workers.get(worker.info.id) === 'recorded';
 }
 
-function inOrder(
-  waiting: Iterable<activeJob.StepRun>,
-  now: types.clock.MonotonicMs,
-): activeJob.StepRun[] {
-  const rows = [...waiting].map((stepRun) => ({
-    stepRun,
-    claimant: activeJob.claimantOf(stepRun),
-  }));
-  rows.sort((a, b) => workOrder.compare(a.claimant, b.claimant, now));
-  return rows.map((row) => row.stepRun);
-}
-
 function placeStep(
   stepRun: activeJob.StepRun,
   context: chooseWorker.ChoiceContext,
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/waiting_order.ts
@@ -0,0 +1,62 @@
+/**
+ * Keeps the waiting steps in the order in which they get room. From one cycle
+ * to the next few of them change places, so sorting the order of before again
+ * takes time that grows with their number alone.
+ */
+import type * as types from '@gypsumwall/types';
+import * as activeJob from './active_job.js';
+import * as workOrder from './work_order.js';
+
+/** The waiting steps in their order. */
+export interface SortedSteps {
+  /** Most urgent first. */
+  readonly steps: readonly activeJob.StepRun[];
+  /**
+   * Whether a gang has fallen behind others with time: room that is kept for
+   * it can be used by steps that go before it now.
+   */
+  readonly gangFellBehind: boolean;
+}
+
+/** The order of the waiting steps. */
+export interface WaitingOrder {
+  sorted(
+    waiting: ReadonlySet<activeJob.StepRun>,
+    now: types.clock.MonotonicMs,
+  ): SortedSteps;
+}
+
+/** Creates an order without steps. */
+export function createWaitingOrder(): WaitingOrder {
+  let known: ReadonlySet<activeJob.StepRun> = new Set();
+  let steps: activeJob.StepRun[] = [];
+
+  return {
+    sorted(waiting, now) {
+      const kept = steps.filter((stepRun) => waiting.has(stepRun));
+      for (const stepRun of waiting)
+        if (!known.has(stepRun)) kept.push(stepRun);
+      let gangFellBehind = false;
+      const rows = kept.map((stepRun) => {
+        const before = stepRun.rank;
+        const rank = rankOf(stepRun, now);
+        const moved = before !== undefined && before.lateness !== rank.lateness;
+        if (moved && stepRun.request.gang) gangFellBehind = true;
+        stepRun.rank = rank;
+        return {...rank, stepRun};
+      });
+      rows.sort(workOrder.compareRanked);
+      steps = rows.map((row) => row.stepRun);
+      known = new Set(steps);
+      return {steps, gangFellBehind};
+    },
+  };
+}
+
+function rankOf(
+  stepRun: activeJob.StepRun,
+  now: types.clock.MonotonicMs,
+): workOrder.RankedClaimant {
+  const claimant = stepRun.rank?.claimant ?? activeJob.claimantOf(stepRun);
+  return {claimant, lateness: workOrder.lateness(claimant, now)};
+}
--- a/packages/gypsumwall-scheduling/src/work_order.ts
+++ b/packages/gypsumwall-scheduling/src/work_order.ts
@@ -35,17 +35,36 @@
   return endsAt <= claimant.worthlessAt ? 1 : 2;
 }
 
+/** A claimant and how late it is now. */
+export interface RankedClaimant {
+  readonly claimant: Claimant;
+  readonly lateness: 0 | 1 | 2;
+}
+
 /** Compares two claimants: negative when the left one goes first. */
+export function compareRanked(
+  left: RankedClaimant,
+  right: RankedClaimant,
+): number {
+  const {claimant: a} = left;
+  const {claimant: b} = right;
+  return (
+    left.lateness - right.lateness ||
+    a.priority - b.priority ||
+    latestStart(a) - latestStart(b) ||
+    a.arrival - b.arrival
+  );
+}
+
+/** Compares two claimants as they stand now. */
 export function compare(
   left: Claimant,
   right: Claimant,
   now: types.clock.MonotonicMs,
 ): number {
-  return (
-    lateness(left, now) - lateness(right, now) ||
-    left.priority - right.priority ||
-    latestStart(left) - latestStart(right) ||
-    left.arrival - right.arrival
+  return compareRanked(
+    {claimant: left, lateness: lateness(left, now)},
+    {claimant: right, lateness: lateness(right, now)},
   );
 }
 
--- a/packages/gypsumwall-scheduling/src/worker_book.ts
+++ b/packages/gypsumwall-scheduling/src/worker_book.ts
@@ -47,11 +47,18 @@
     stepRun: string,
     size: types.resources.Resources,
   ): void;
+  /** Whether new tasks may be placed there. */
+  setUsable(id: types.ids.WorkerId, usable: boolean): void;
+  /** A worker can take work that it couldn't take before. */
+  noteFreed(id: types.ids.WorkerId): void;
+  /** Workers that were freed since the last call. */
+  takeFreed(): ReadonlySet<types.ids.WorkerId>;
 }
 
 /** Creates an empty book. */
 export function createWorkerBook(): WorkerBook {
   const workers = new Map<types.ids.WorkerId, BookedWorker>();
+  let freed = new Set<types.ids.WorkerId>();
 
   function move(
     id: types.ids.WorkerId,
@@ -75,6 +82,7 @@
   return {
     workers,
     put(info) {
+      freed.add(info.id);
       const known = workers.get(info.id);
       if (known !== undefined) {
         known.info = info;
@@ -91,6 +99,20 @@
     },
     remove: (id) => void workers.delete(id),
     book: (id, stepRun, size) => move(id, stepRun, size, 1),
-    release: (id, stepRun, size) => move(id, stepRun, size, -1),
+    release(id, stepRun, size) {
+      move(id, stepRun, size, -1);
+      freed.add(id);
+    },
+    setUsable(id, usable) {
+      const worker = workers.get(id);
+      if (worker !== undefined) worker.usable = usable;
+      freed.add(id);
+    },
+    noteFreed: (id) => void freed.add(id),
+    takeFreed() {
+      const taken = freed;
+      freed = new Set();
+      return taken;
+    },
   };
 }
--- a/packages/gypsumwall-scheduling/src/worker_health.ts
+++ b/packages/gypsumwall-scheduling/src/worker_health.ts
@@ -42,6 +42,8 @@
   /** All that runs there stands still. */
   noteStalled(worker: types.ids.WorkerId, now: types.clock.MonotonicMs): void;
   trustOf(worker: types.ids.WorkerId, now: types.clock.MonotonicMs): Trust;
+  /** Workers whose time out of use has ended since the last call. */
+  takeRestored(now: types.clock.MonotonicMs): types.ids.WorkerId[];
   forgetWorker(worker: types.ids.WorkerId): void;
   forgetJob(job: types.ids.JobId): void;
 }
@@ -50,6 +52,7 @@
 export function createWorkerHealth(workerCount: () => number): WorkerHealth {
   const marks = new Map<types.ids.WorkerId, Mark>();
   const failedOn = new Map<types.ids.JobId, Set<types.ids.WorkerId>>();
+  const outOfUse = new Set<types.ids.WorkerId>();
 
   function markOf(worker: types.ids.WorkerId): Mark {
     let mark = marks.get(worker);
@@ -64,10 +67,15 @@
     return mark;
   }
 
-  function avoid(mark: Mark, now: types.clock.MonotonicMs): void {
+  function avoid(
+    worker: types.ids.WorkerId,
+    now: types.clock.MonotonicMs,
+  ): void {
+    const mark = markOf(worker);
     const avoided = [...marks.values()].filter((one) => one.avoidedUntil > now);
     const most = Math.max(1, workerCount() * MOST_AVOIDED_SHARE);
     if (avoided.length >= most || mark.avoidedUntil > now) return;
+    outOfUse.add(worker);
     mark.avoidedUntil = types.clock.after(now, mark.nextAvoidanceMs);
     mark.nextAvoidanceMs = Math.min(
       LONGEST_AVOIDANCE_MS,
@@ -97,9 +105,9 @@
       }
       const mark = markOf(worker);
       mark.failedJobs.add(job);
-      if (mark.failedJobs.size >= DISTINCT_JOBS_TO_AVOID) avoid(mark, now);
+      if (mark.failedJobs.size >= DISTINCT_JOBS_TO_AVOID) avoid(worker, now);
     },
-    noteStalled: (worker, now) => avoid(markOf(worker), now),
+    noteStalled: (worker, now) => avoid(worker, now),
     trustOf(worker, now) {
       const mark = marks.get(worker);
       if (mark === undefined) return 'sound';
@@ -107,7 +115,17 @@
       const relapse = mark.nextAvoidanceMs > FIRST_AVOIDANCE_MS;
       return mark.failedJobs.size > 0 || relapse ? 'doubtful' : 'sound';
     },
-    forgetWorker: (worker) => void marks.delete(worker),
+    takeRestored(now) {
+      const restored = [...outOfUse].filter(
+        (worker) => (marks.get(worker)?.avoidedUntil ?? 0) <= now,
+      );
+      for (const worker of restored) outOfUse.delete(worker);
+      return restored;
+    },
+    forgetWorker(worker) {
+      marks.delete(worker);
+      outOfUse.delete(worker);
+    },
     forgetJob: (job) => void failedOn.delete(job),
   };
 }
