platform: start from compiled code, without what an entry doesn't use

The change: the deployed script is built with its compiled code beside it (vm.Script's cached data; made with the flags of the deploy file, as V8 takes it for the same flags only). The servers load no schema compilers, since bodies are checked where their fields are known. Histograms come without the package's writers, formatters and compression.

--- a/packages/gypsumwall-cell/src/peer_server.ts
+++ b/packages/gypsumwall-cell/src/peer_server.ts
@@ -1,9 +1,10 @@
 /** Answers the calls of other entries. */
-import * as fastify from 'fastify';
+import type * as fastify from 'fastify';
 import * as result from 'true-myth/result';
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import type * as frontDesk from './front_desk.js';
+import * as httpServer from './http_server.js';
 import * as peerProtocol from './peer_protocol.js';
 import type * as ports from './ports.js';
 
@@ -13,7 +14,7 @@
   desk: frontDesk.FrontDesk,
   logger: telemetry.logger.Logger,
 ): fastify.FastifyInstance {
-  const server = fastify.fastify({logger: false});
+  const server = httpServer.createHttpServer();
   server.post<{Body: peerProtocol.AdviseReq}>(
     peerProtocol.ADVISE_PATH,
     async (req, res) => {
--- a/packages/gypsumwall-telemetry/src/text_metrics.ts
+++ b/packages/gypsumwall-telemetry/src/text_metrics.ts
@@ -4,7 +4,9 @@
  * and outcome, also where its line is dropped, and every event that says how
  * long it took goes into a histogram.
  */
-import * as hdr from 'hdr-histogram-js';
+import type * as hdr from 'hdr-histogram-js';
+// The package's index loads log writers, formatters and compression as well.
+import * as histogramFactory from 'hdr-histogram-js/dist/JsHistogramFactory.js';
 import type * as logger from './logger.js';
 
 /** Metrics of a process. */
@@ -15,6 +17,9 @@
   render(gauges: Readonly<Record<string, number>>): string;
 }
 
+const Histogram = histogramFactory.constructorFromBucketSize(32);
+const LOWEST_MS = 1;
+const SIGNIFICANT_DIGITS = 2;
 /** Longest latency that is told apart; milliseconds. */
 const LONGEST_MS = 120_000;
 const QUANTILES = [0.5, 0.95, 0.99];
@@ -35,12 +40,7 @@
   function observe(event: string, ms: number): void {
     let histogram = histograms.get(event);
     if (histogram === undefined) {
-      histogram = hdr.build({
-        bitBucketSize: 32,
-        lowestDiscernibleValue: 1,
-        highestTrackableValue: LONGEST_MS,
-        numberOfSignificantValueDigits: 2,
-      });
+      histogram = new Histogram(LOWEST_MS, LONGEST_MS, SIGNIFICANT_DIGITS);
       histograms.set(event, histogram);
     }
     histogram.recordValue(Math.min(LONGEST_MS, Math.max(0, Math.round(ms))));
--- a/scripts/build_deploy.mjs
+++ b/scripts/build_deploy.mjs
@@ -1,17 +1,33 @@
 /**
- * Makes target/gypsumwall.mjs, the entry for the users' platform: one script
- * with its libraries in it, so that a start reads one file. Run without tsc.
+ * Makes target/gypsumwall.cjs, which starts the entry for the users' platform:
+ * target/entry.cjs is one script with its libraries in it, and
+ * target/entry.cjs.cache its compiled code, so that a start neither looks for
+ * files nor compiles them. Run without tsc.
  */
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs';
 import * as esbuild from 'esbuild';
 
+/** Compiled code fits only a process with the same flags. */
+function readNodeFlags() {
+  const deployFile = fs.readFileSync('deploy/system.toml', 'utf8');
+  const run = /^run = "node (.*) target\/gypsumwall\.cjs"$/m.exec(deployFile);
+  if (run === null)
+    throw new Error('deploy/system.toml: no line run = "node …"');
+  return run[1].split(' ');
+}
+
 await esbuild.build({
-  entryPoints: {gypsumwall: 'platform/main.ts'},
+  entryPoints: {entry: 'platform/main.ts'},
   outdir: 'target',
-  outExtension: {'.js': '.mjs'},
+  outExtension: {'.js': '.cjs'},
   bundle: true,
   platform: 'node',
   target: 'node20',
-  format: 'esm',
+  format: 'cjs',
+  // Names stay, so that stacks can be read.
+  minifySyntax: true,
+  minifyWhitespace: true,
   // Packages are built from their sources; their exports name compiled files.
   alias: {
     '@gypsumwall/types': './packages/gypsumwall-types/src/index.ts',
@@ -19,9 +35,11 @@
     '@gypsumwall/scheduling': './packages/gypsumwall-scheduling/src/index.ts',
     '@gypsumwall/cell': './packages/gypsumwall-cell/src/index.ts',
   },
-  // CommonJS libraries in the bundle ask for these.
-  banner: {
-    js: "import {createRequire} from 'node:module'; const require = createRequire(import.meta.url);",
-  },
   logLevel: 'warning',
 });
+fs.copyFileSync('scripts/start_cached.cjs', 'target/gypsumwall.cjs');
+childProcess.execFileSync(
+  process.execPath,
+  [...readNodeFlags(), 'target/gypsumwall.cjs', '--write-code-cache'],
+  {stdio: ['ignore', 'inherit', 'inherit']},
+);
