scheduler: let calls to the adviser wait at the holder and not in its lines

What callers saw: wide gangs began late, the more the fuller the cell; an urgent call could stand behind 1.5 s of calls of late jobs.

Cause: a call was handed to an entry with up to 1.5 s of calls in line. The adviser handles a line in its order, however late its jobs are by then, and tickets that come late end before they are used.

The change: an entry gets a call while it has at most 0.1 s in line; the holder keeps the others and picks the most urgent step when an entry is free.

--- a/packages/gypsumwall-scheduling/src/__tests__/advice_names.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/advice_names.test.ts
@@ -81,3 +81,20 @@
   world.end(run!, 'done');
   assert.equal(world.decide().length, 2, 'the old tickets are used meanwhile');
 });
+
+// Guards against free entries that ask for late jobs while urgent ones wait.
+test('the most urgent step asks first when few calls can be made', () => {
+  const world = worlds.createSchedulerWorld();
+  world.addWorker('w', 4);
+  const policyOf = (priority: number) => ({policy: {advice: ADVICE, priority}});
+  world.submit('batch', [worlds.step()], policyOf(2));
+  world.submit('urgent', [worlds.step()], policyOf(0));
+  world.submit('normal', [worlds.step()], policyOf(1));
+  const ask = (needed: number) =>
+    world.scheduler
+      .decide(world.now, WALL, {needed, spare: 0})
+      .advice.map((wish) => wish.stepRun.job.id);
+  assert.deepEqual(ask(0), []);
+  assert.deepEqual(ask(1), ['urgent']);
+  assert.deepEqual(ask(2), ['normal', 'batch']);
+});
--- a/packages/gypsumwall-scheduling/src/advice_lanes.ts
+++ b/packages/gypsumwall-scheduling/src/advice_lanes.ts
@@ -22,8 +22,12 @@
  * for 0.982 (virtual cell, five seeds), where gangs seldom wait for long.
  */
 const KEPT_EMPTY_SHARE = 0.25;
-/** More work than this on each lane only ages in line; milliseconds. */
-const LONGEST_LINE_MS = 1_500;
+/**
+ * Calls beyond this wait at the holder, which picks the most urgent one once an
+ * entry is free. In line at the adviser they would be handled in the order in
+ * which they came, however late their jobs are by then; milliseconds.
+ */
+const LONGEST_LINE_MS = 100;
 
 /** How many calls can be made now. */
 export interface AdviceCapacity {
