--- a/packages/gypsumwall-cell/src/__tests__/tidying.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/tidying.test.ts
@@ -38,7 +38,7 @@
       jobsLog,
       jobs: {overBefore: () => []} as unknown as jobTable.JobTable,
       holder: () => holder,
-      keepOverMs: 1_000,
+      keepOverMs: () => 1_000,
       clock: types.clock.createSystemClock(),
       logger: telemetry.logger.createLogger('silent'),
     },
--- a/packages/gypsumwall-cell/src/cell_entry_types.ts
+++ b/packages/gypsumwall-cell/src/cell_entry_types.ts
@@ -31,7 +31,7 @@
   readonly adviser: ports.Adviser;
   readonly leaseMs: number;
   /** How long the state of a job that is over can be asked for. */
-  readonly keepOverMs: number;
+  readonly keepOverMs: () => number;
   readonly clock: types.clock.Clock;
   readonly random: types.random.Random;
   readonly logger: telemetry.logger.Logger;
--- a/packages/gypsumwall-cell/src/tidying.ts
+++ b/packages/gypsumwall-cell/src/tidying.ts
@@ -28,7 +28,7 @@
   /** This process's hold on the cell, if it has one. */
   readonly holder: () => cellHolderTypes.CellHolder | undefined;
   /** How long the state of a job that is over can be asked for. */
-  readonly keepOverMs: number;
+  readonly keepOverMs: () => number;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
 }
@@ -48,7 +48,7 @@
       await types.clock.pause(clock, TIDY_MS, signal);
       const holder = parts.holder();
       if (holder === undefined) continue;
-      const before = types.clock.after(clock.monotonic(), -parts.keepOverMs);
+      const before = types.clock.after(clock.monotonic(), -parts.keepOverMs());
       ended.push(...holder.takeEnded());
       await dropRequests();
       // The rest stays in the table and is dropped in the next rounds.
