cell: let many stops of one worker wait without a warning of a leak

Seen on standard error in plays: MaxListenersExceededWarning, 11 abort listeners. Cause: no leak; each stop that a worker leaves unanswered pauses on the session's signal by itself, and a worker with more than ten of them is usual when it is cut off. The listeners go with the pauses. Shown by the test, red before.

--- a/packages/gypsumwall-cell/src/__tests__/worker_session.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/worker_session.test.ts
@@ -67,3 +67,28 @@
     session.close();
   }
 });
+
+// Guards against a warning of a leak that hides a real one: each stop of a
+// worker that doesn't answer waits by itself.
+test('many stops of one worker warn of no leak', async () => {
+  const worker = fakeWorkers.createFakeWorker('w1', 4);
+  const {session, isUsable, orderOf} = openSession(worker);
+  const warnings: Error[] = [];
+  const note = (warning: Error) => warnings.push(warning);
+  process.on('warning', note);
+  void session.run();
+  try {
+    await worlds.until(isUsable, 'it answers');
+    worker.mute = true;
+    const stops = Array.from({length: 20}, (_none, nth) =>
+      session.stopRun(orderOf(`job.0.0.${nth}`).run),
+    );
+    await new Promise((resolve) => setTimeout(resolve, 600));
+    session.close();
+    await Promise.all(stops);
+    assert.deepEqual(warnings, []);
+  } finally {
+    session.close();
+    process.off('warning', note);
+  }
+});
--- a/packages/gypsumwall-cell/src/worker_session.ts
+++ b/packages/gypsumwall-cell/src/worker_session.ts
@@ -2,6 +2,7 @@
  * The holder's task for one stay of a worker: it looks at the worker again and
  * again, renews its lease, hands on what it reports, and sends the orders.
  */
+import * as events from 'node:events';
 import * as result from 'true-myth/result';
 import type * as scheduling from '@gypsumwall/scheduling';
 import type * as telemetry from '@gypsumwall/telemetry';
@@ -69,6 +70,8 @@
 export function createWorkerSession(options: SessionOptions): WorkerSession {
   const {worker, link, token, clock, logger, scheduler} = options;
   const closing = new AbortController();
+  // Each stop on its way waits on the signal by itself.
+  events.EventEmitter.setMaxListeners(0, closing.signal);
   const workerClock = workerClocks.createWorkerClock();
   let reachable = false;
   let reported = false;
