--- a/packages/gypsumwall-cell/src/__tests__/copy_age.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/copy_age.test.ts
@@ -9,7 +9,7 @@
 import * as logFollower from '../log_follower.js';
 import * as peerServers from '../peer_server.js';
 import type * as ports from '../ports.js';
-import * as storePulse from '../store_pulse.js';
+import * as storeHealth from '../store_health.js';
 
 const {test} = nodeTest;
 /** The oldest copy that callers may be answered from; milliseconds. */
@@ -35,7 +35,7 @@
     log,
     clock: types.clock.createSystemClock(),
     logger: telemetry.logger.createLogger('silent'),
-    pulse: storePulse.createStorePulse(),
+    pulse: storeHealth.createStoreHealth(),
     onRecords,
     pauseMs: () => 1,
     readWaitMs: 1,
--- a/packages/gypsumwall-cell/src/__tests__/log_follower.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/log_follower.test.ts
@@ -5,7 +5,7 @@
 import * as types from '@gypsumwall/types';
 import * as fakeLogs from '../__fixtures__/fake_log.js';
 import * as logFollower from '../log_follower.js';
-import * as storePulse from '../store_pulse.js';
+import * as storeHealth from '../store_health.js';
 
 const {test} = nodeTest;
 const logger = telemetry.logger.createLogger('silent');
@@ -21,7 +21,7 @@
     log,
     clock,
     logger,
-    pulse: storePulse.createStorePulse(),
+    pulse: storeHealth.createStoreHealth(),
     onRecords: (records) => records.forEach((record) => seen.push(record.key)),
     pauseMs: () => 1,
     readWaitMs: 10,
@@ -55,7 +55,7 @@
     log,
     clock,
     logger,
-    pulse: storePulse.createStorePulse(),
+    pulse: storeHealth.createStoreHealth(),
     onRecords: (records) => void (seen += records.length),
     pauseMs: () => 1,
     readWaitMs: 10,
@@ -94,7 +94,7 @@
     log,
     clock,
     logger,
-    pulse: storePulse.createStorePulse(),
+    pulse: storeHealth.createStoreHealth(),
     onRecords: (records) => records.forEach((record) => seen.push(record.key)),
     pauseMs: () => 1_000,
     readWaitMs: 10,
@@ -118,7 +118,7 @@
     log,
     clock,
     logger,
-    pulse: storePulse.createStorePulse(),
+    pulse: storeHealth.createStoreHealth(),
     onRecords: (records) =>
       records.forEach((record) => seen.push(record.key + record.value)),
     pauseMs: () => 1,
--- a/packages/gypsumwall-cell/src/__tests__/log_order.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/log_order.test.ts
@@ -6,7 +6,7 @@
 import * as fakeLogs from '../__fixtures__/fake_log.js';
 import * as logFollower from '../log_follower.js';
 import type * as ports from '../ports.js';
-import * as storePulse from '../store_pulse.js';
+import * as storeHealth from '../store_health.js';
 
 const {test} = nodeTest;
 
@@ -21,7 +21,7 @@
     log,
     clock: types.clock.createSystemClock(),
     logger: telemetry.logger.createLogger('silent'),
-    pulse: storePulse.createStorePulse(),
+    pulse: storeHealth.createStoreHealth(),
     onRecords,
     pauseMs: () => 1,
     readWaitMs: RUN_WAIT_MS,
--- a/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
@@ -13,7 +13,7 @@
 import * as jobTable from '../job_table.js';
 import type * as ports from '../ports.js';
 import * as queueTable from '../queue_table.js';
-import * as storePulse from '../store_pulse.js';
+import * as storeHealth from '../store_health.js';
 import * as storeRecords from '../store_records.js';
 import * as suspensionWatch from '../suspension_watch.js';
 import * as takeOver from '../take_over.js';
@@ -34,7 +34,7 @@
   const writer = cellWriter.createCellWriter({
     log,
     epoch: 1,
-    pulse: storePulse.createStorePulse(),
+    pulse: storeHealth.createStoreHealth(),
     clock,
     logger,
     onFenced: () => assert.fail('fenced'),
@@ -56,7 +56,7 @@
   const writer = cellWriter.createCellWriter({
     log,
     epoch: 1,
-    pulse: storePulse.createStorePulse(),
+    pulse: storeHealth.createStoreHealth(),
     clock,
     logger,
     onFenced: () => (fenced = true),
@@ -240,7 +240,7 @@
     [true, 2],
     [false, 1],
   ] as const) {
-    const pulse = storePulse.createStorePulse();
+    const pulse = storeHealth.createStoreHealth();
     const hedger = hedge.createHedger(clock, pulse);
     let calls = 0;
     const call = () => {
--- a/packages/gypsumwall-cell/src/batch_appender.ts
+++ b/packages/gypsumwall-cell/src/batch_appender.ts
@@ -7,7 +7,7 @@
 import * as types from '@gypsumwall/types';
 import * as hedge from './hedge.js';
 import type * as ports from './ports.js';
-import type * as storePulse from './store_pulse.js';
+import type * as storeHealth from './store_health.js';
 
 /** The most records in one call. */
 const MOST_RECORDS = 200;
@@ -44,7 +44,7 @@
 export function createBatchAppender(
   log: ports.KeyedLog,
   clock: types.clock.Clock,
-  pulse: storePulse.StorePulse,
+  pulse: storeHealth.StoreHealth,
   isStoreAway: () => boolean,
 ): BatchAppender {
   const hedger = hedge.createHedger(clock, pulse);
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -21,7 +21,7 @@
 import * as relayingDesk from './relaying_desk.js';
 import * as standbyChoice from './standby_choice.js';
 import * as storeProbe from './store_probe.js';
-import * as storePulse from './store_pulse.js';
+import * as storeHealth from './store_health.js';
 import * as storeRecords from './store_records.js';
 import * as suspensionWatch from './suspension_watch.js';
 import * as takeOver from './take_over.js';
@@ -57,7 +57,7 @@
   const {self, logs, clock, logger} = options;
   const stopping = new AbortController();
   const state = cellStates.createCellState();
-  const pulse = storePulse.createStorePulse();
+  const pulse = storeHealth.createStoreHealth();
   const peers = peerDirectory.createPeerDirectory(self.instance, clock);
   const suspension = suspensionWatch.createSuspensionWatch(clock);
   let holder: cellHolderTypes.CellHolder | undefined;
--- a/packages/gypsumwall-cell/src/cell_holder_types.ts
+++ b/packages/gypsumwall-cell/src/cell_holder_types.ts
@@ -6,7 +6,7 @@
 import type * as claimView from './claim_view.js';
 import type * as jobTable from './job_table.js';
 import type * as ports from './ports.js';
-import type * as storePulse from './store_pulse.js';
+import type * as storeHealth from './store_health.js';
 import type * as workerRoster from './worker_roster.js';
 
 /** What a holder is made with. */
@@ -29,7 +29,7 @@
     queue: string,
   ) => scheduling.jobRequest.QueuePolicy | undefined;
   readonly leaseMs: number;
-  readonly pulse: storePulse.StorePulse;
+  readonly pulse: storeHealth.StoreHealth;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
   readonly onDeposed: () => void;
--- a/packages/gypsumwall-cell/src/cell_writer.ts
+++ b/packages/gypsumwall-cell/src/cell_writer.ts
@@ -8,7 +8,7 @@
 import * as types from '@gypsumwall/types';
 import * as hedge from './hedge.js';
 import type * as ports from './ports.js';
-import type * as storePulse from './store_pulse.js';
+import type * as storeHealth from './store_health.js';
 import * as storeRecords from './store_records.js';
 import * as takeOver from './take_over.js';
 
@@ -28,7 +28,7 @@
 export interface CellWriterOptions {
   readonly log: ports.KeyedLog;
   readonly epoch: number;
-  readonly pulse: storePulse.StorePulse;
+  readonly pulse: storeHealth.StoreHealth;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
   /** A higher epoch was seen: this process doesn't hold the cell any more. */
--- a/packages/gypsumwall-cell/src/front_desk.ts
+++ b/packages/gypsumwall-cell/src/front_desk.ts
@@ -11,7 +11,7 @@
 import type * as jobTable from './job_table.js';
 import type * as logFollower from './log_follower.js';
 import type * as ports from './ports.js';
-import type * as storePulse from './store_pulse.js';
+import type * as storeHealth from './store_health.js';
 import * as storeRecords from './store_records.js';
 
 /** How long an append is tried: callers wait 3 s; milliseconds. */
@@ -94,7 +94,7 @@
   readonly jobsLog: ports.KeyedLog;
   readonly jobs: jobTable.JobTable;
   readonly follower: logFollower.LogFollower;
-  readonly pulse: storePulse.StorePulse;
+  readonly pulse: storeHealth.StoreHealth;
   /** How old this entry's copy of the logs is at most, in milliseconds. */
   readonly copyAgeMs: () => number;
   /** Reads all logs that tell of jobs to their ends; false if that failed. */
--- a/packages/gypsumwall-cell/src/hedge.ts
+++ b/packages/gypsumwall-cell/src/hedge.ts
@@ -8,7 +8,7 @@
 import * as result from 'true-myth/result';
 import * as types from '@gypsumwall/types';
 import type * as ports from './ports.js';
-import type * as storePulse from './store_pulse.js';
+import type * as storeHealth from './store_health.js';
 
 /** No call is sent again sooner; a usual answer takes 10 ms; milliseconds. */
 const SOONEST_MS = 120;
@@ -50,7 +50,7 @@
 /** Creates a hedger that has seen no answer yet. */
 export function createHedger(
   clock: types.clock.Clock,
-  pulse: storePulse.StorePulse,
+  pulse: storeHealth.StoreHealth,
 ): Hedger {
   let latency: number | undefined;
   let notedAt = clock.monotonic();
--- a/packages/gypsumwall-cell/src/log_follower.ts
+++ b/packages/gypsumwall-cell/src/log_follower.ts
@@ -6,7 +6,7 @@
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import type * as ports from './ports.js';
-import type * as storePulse from './store_pulse.js';
+import type * as storeHealth from './store_health.js';
 
 /** Pause after a failed call, doubled up to the longest; milliseconds. */
 const FIRST_PAUSE_MS = 50;
@@ -23,7 +23,7 @@
   readonly log: ports.KeyedLog;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
-  readonly pulse: storePulse.StorePulse;
+  readonly pulse: storeHealth.StoreHealth;
   /** Gets records in order; `reloaded` when older ones may be missing. */
   readonly onRecords: (
     records: readonly ports.KeyedRecord[],
--- a/packages/gypsumwall-cell/src/store_pulse.ts
+++ b/packages/gypsumwall-cell/src/store_health.ts
@@ -10,7 +10,7 @@
 const QUICK_MS = 100;
 
 /** What the reads of one entry say of the store. */
-export interface StorePulse {
+export interface StoreHealth {
   noteRead(
     sentAt: types.clock.MonotonicMs,
     answeredAt: types.clock.MonotonicMs,
@@ -24,7 +24,7 @@
 }
 
 /** Creates a pulse that has felt nothing yet. */
-export function createStorePulse(): StorePulse {
+export function createStoreHealth(): StoreHealth {
   let lastQuickSentAt = 0;
   let waiting: AbortController | undefined;
   return {
--- a/packages/gypsumwall-cell/src/store_probe.ts
+++ b/packages/gypsumwall-cell/src/store_probe.ts
@@ -8,7 +8,7 @@
 import * as types from '@gypsumwall/types';
 import type * as logFollower from './log_follower.js';
 import type * as ports from './ports.js';
-import type * as storePulse from './store_pulse.js';
+import type * as storeHealth from './store_health.js';
 
 /**
  * Pause between two looks. With callers that try again within a second, each
@@ -31,7 +31,7 @@
 export interface StoreProbeParts {
   readonly log: ports.KeyedLog;
   readonly follower: logFollower.LogFollower;
-  readonly pulse: storePulse.StorePulse;
+  readonly pulse: storeHealth.StoreHealth;
   readonly clock: types.clock.Clock;
 }
 
