--- a/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
@@ -15,7 +15,7 @@
 import * as queueTable from '../queue_table.js';
 import * as storeHealth from '../store_health.js';
 import * as storeRecords from '../store_records.js';
-import * as suspensionWatch from '../suspension_watch.js';
+import * as pauseDetector from '../pause_detector.js';
 import * as takeOver from '../take_over.js';
 import * as takeoverGate from '../takeover_gate.js';
 import * as workerClock from '../worker_clock.js';
@@ -191,7 +191,7 @@
 test('a suspension is noticed', () => {
   let wall = 50_000;
   let monotonic = 1_000;
-  const watch = suspensionWatch.createSuspensionWatch({
+  const watch = pauseDetector.createPauseDetector({
     monotonic: () => at(monotonic),
     wall: () => wall as types.clock.WallMs,
     sleepUntil: () => Promise.resolve(),
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -23,7 +23,7 @@
 import * as storeProbe from './store_probe.js';
 import * as storeHealth from './store_health.js';
 import * as storeRecords from './store_records.js';
-import * as suspensionWatch from './suspension_watch.js';
+import * as pauseDetector from './pause_detector.js';
 import * as takeOver from './take_over.js';
 import * as takeRecords from './take_records.js';
 import * as tidying from './tidying.js';
@@ -59,7 +59,7 @@
   const state = cellStates.createCellState();
   const pulse = storeHealth.createStoreHealth();
   const peers = peerDirectory.createPeerDirectory(self.instance, clock);
-  const suspension = suspensionWatch.createSuspensionWatch(clock);
+  const suspension = pauseDetector.createPauseDetector(clock);
   let holder: cellHolderTypes.CellHolder | undefined;
   let leaving = false;
   let takeovers: types.clock.MonotonicMs[] = [];
--- a/packages/gypsumwall-cell/src/fresh_jobs.ts
+++ b/packages/gypsumwall-cell/src/fresh_jobs.ts
@@ -7,7 +7,7 @@
  */
 import * as types from '@gypsumwall/types';
 import type * as jobTable from './job_table.js';
-import * as suspensionWatch from './suspension_watch.js';
+import * as pauseDetector from './pause_detector.js';
 import * as takeOver from './take_over.js';
 
 /** What decides whether a job is taken up. */
@@ -28,7 +28,7 @@
 /** Creates an empty list. */
 export function createFreshJobs(parts: FreshJobsParts): FreshJobs {
   const {clock} = parts;
-  const suspension = suspensionWatch.createSuspensionWatch(clock);
+  const suspension = pauseDetector.createPauseDetector(clock);
   let inDoubt: {job: jobTable.JobEntry; at: types.clock.MonotonicMs}[] = [];
 
   function isSure(readAt: types.clock.MonotonicMs): boolean {
--- a/packages/gypsumwall-cell/src/suspension_watch.ts
+++ b/packages/gypsumwall-cell/src/pause_detector.ts
@@ -10,15 +10,13 @@
 const TOLERANCE_MS = 250;
 
 /** Watches one process. */
-export interface SuspensionWatch {
+export interface PauseDetector {
   /** When the last suspension was noticed; 0 if there was none. */
   lastNoticedAt(): types.clock.MonotonicMs;
 }
 
 /** Creates a watch; each question is also a check. */
-export function createSuspensionWatch(
-  clock: types.clock.Clock,
-): SuspensionWatch {
+export function createPauseDetector(clock: types.clock.Clock): PauseDetector {
   let difference = clock.wall() - clock.monotonic();
   let noticedAt = 0 as types.clock.MonotonicMs;
   return {
