--- a/packages/gypsumwall-scheduling/src/report_reader.ts
+++ b/packages/gypsumwall-scheduling/src/report_reader.ts
@@ -10,7 +10,7 @@
 import * as jobSteps from './job_steps.js';
 import type * as runTable from './run_table.js';
 import type * as schedulerTypes from './scheduler_types.js';
-import * as stallWatch from './stall_watch.js';
+import * as stallDetector from './stall_detector.js';
 import type * as workerBook from './worker_book.js';
 import type * as workerHealth from './worker_health.js';
 
@@ -233,7 +233,7 @@
     workerId: types.ids.WorkerId,
     now: types.clock.MonotonicMs,
   ): void {
-    const stall = stallWatch.findStall(runs.ofWorker(workerId), now);
+    const stall = stallDetector.findStall(runs.ofWorker(workerId), now);
     if (stall === undefined) return;
     parts.onEvent({
       type: 'worker_stalled',
