--- a/packages/gypsumwall-cell/src/__tests__/take_records.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/apply_records.test.ts
@@ -1,7 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as telemetry from '@gypsumwall/telemetry';
-import * as takeRecords from '../take_records.js';
+import * as applyRecords from '../apply_records.js';
 
 const {test} = nodeTest;
 
@@ -19,7 +19,7 @@
   const logger = telemetry.logger.createLogger('warn', {}, (line) =>
     told.push(line),
   );
-  takeRecords.takeRecords(records, logger, (record) => {
+  applyRecords.applyRecords(records, logger, (record) => {
     if (record.kind === 'job') throw new Error('a job without a request');
     taken.push(record.kind);
   });
--- a/packages/gypsumwall-cell/src/take_records.ts
+++ b/packages/gypsumwall-cell/src/apply_records.ts
@@ -10,7 +10,7 @@
 import * as storeRecords from './store_records.js';
 
 /** Hands each record on that can be decoded; the log tells of the others. */
-export function takeRecords(
+export function applyRecords(
   records: readonly ports.KeyedRecord[],
   logger: telemetry.logger.Logger,
   take: (record: storeRecords.StoreRecord, offset: number) => void,
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -25,7 +25,7 @@
 import * as storeRecords from './store_records.js';
 import * as pauseDetector from './pause_detector.js';
 import * as takeOver from './take_over.js';
-import * as takeRecords from './take_records.js';
+import * as applyRecords from './apply_records.js';
 import * as tidying from './tidying.js';
 
 /**
@@ -94,7 +94,7 @@
         const named = storeRecords.idsOf<types.ids.JobId>('job', records);
         jobs.keepRequests(named, clock.monotonic());
       }
-      takeRecords.takeRecords(records, logger, applyJobRecord);
+      applyRecords.applyRecords(records, logger, applyJobRecord);
     },
     pauseMs: () => (holder === undefined ? OBSERVER_PAUSE_MS : HOLDER_PAUSE_MS),
     readWaitMs: FOLLOW_WAIT_MS,
@@ -108,7 +108,7 @@
       // One that can't be read shows that the holder lives all the same.
       lastRecordAt = clock.monotonic();
       if (reloaded) keepNamed(records);
-      takeRecords.takeRecords(records, logger, applyCellRecord);
+      applyRecords.applyRecords(records, logger, applyCellRecord);
     },
     pauseMs: () => (isStandby() ? STANDBY_PAUSE_MS : OBSERVER_PAUSE_MS),
     readWaitMs: FOLLOW_WAIT_MS,
