--- a/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
@@ -8,7 +8,7 @@
 import * as fakeLogs from '../__fixtures__/fake_log.js';
 import * as cellWriter from '../cell_writer.js';
 import type * as claimView from '../claim_view.js';
-import * as freshJobs from '../fresh_jobs.js';
+import * as recentSubmissions from '../recent_submissions.js';
 import * as hedge from '../hedge.js';
 import * as jobTable from '../job_table.js';
 import type * as ports from '../ports.js';
@@ -213,7 +213,7 @@
   let now = 10_000;
   let confirmed = 9_900;
   const taken: string[] = [];
-  const jobs = freshJobs.createFreshJobs({
+  const jobs = recentSubmissions.createRecentSubmissions({
     clock: {
       monotonic: () => at(now),
       wall: () => now as types.clock.WallMs,
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -9,7 +9,7 @@
 import type * as cellHolderTypes from './cell_holder_types.js';
 import * as cellWriter from './cell_writer.js';
 import * as claimView from './claim_view.js';
-import * as freshness from './fresh_jobs.js';
+import * as freshness from './recent_submissions.js';
 import type * as jobTable from './job_table.js';
 import * as logFollower from './log_follower.js';
 import type * as storeRecords from './store_records.js';
@@ -118,7 +118,7 @@
     logger,
     onAnswer: kick,
   });
-  const freshJobs = freshness.createFreshJobs({
+  const recentSubmissions = freshness.createRecentSubmissions({
     clock,
     confirmedAt: () => writer.confirmedAt(),
     takeUp: (job) => takeUp(job, false),
@@ -256,7 +256,7 @@
 
   function tick(): void {
     const now = clock.monotonic();
-    freshJobs.tick();
+    recentSubmissions.tick();
     gate.tick(now);
     roster.tick(now);
     kick();
@@ -295,7 +295,7 @@
     },
     jobAdded(job) {
       if (!deciding) return;
-      freshJobs.add(job);
+      recentSubmissions.add(job);
       kick();
     },
     jobCancelled(id) {
--- a/packages/gypsumwall-cell/src/fresh_jobs.ts
+++ b/packages/gypsumwall-cell/src/recent_submissions.ts
@@ -11,7 +11,7 @@
 import * as takeOver from './take_over.js';
 
 /** What decides whether a job is taken up. */
-export interface FreshJobsParts {
+export interface RecentSubmissionsParts {
   readonly clock: types.clock.Clock;
   /** Sending time of the holder's last append that was confirmed. */
   readonly confirmedAt: () => types.clock.MonotonicMs;
@@ -19,14 +19,16 @@
 }
 
 /** Jobs that were read and may have to wait. */
-export interface FreshJobs {
+export interface RecentSubmissions {
   add(job: jobTable.JobEntry): void;
   /** Takes up what was in doubt and isn't any more. */
   tick(): void;
 }
 
 /** Creates an empty list. */
-export function createFreshJobs(parts: FreshJobsParts): FreshJobs {
+export function createRecentSubmissions(
+  parts: RecentSubmissionsParts,
+): RecentSubmissions {
   const {clock} = parts;
   const suspension = pauseDetector.createPauseDetector(clock);
   let inDoubt: {job: jobTable.JobEntry; at: types.clock.MonotonicMs}[] = [];
