--- a/packages/gypsumwall-cell/src/look_again.ts
+++ b/packages/gypsumwall-cell/src/poll_retry.ts
@@ -23,7 +23,7 @@
 }
 
 /** The first answer of the look and, if it is overdue, of a second one. */
-export async function lookAgain(
+export async function pollRetry(
   link: ports.WorkerLink,
   call: ports.LookCall,
   clock: types.clock.Clock,
--- a/packages/gypsumwall-cell/src/worker_session.ts
+++ b/packages/gypsumwall-cell/src/worker_session.ts
@@ -7,7 +7,7 @@
 import type * as scheduling from '@gypsumwall/scheduling';
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
-import * as lookAgain from './look_again.js';
+import * as pollRetry from './poll_retry.js';
 import type * as ports from './ports.js';
 import * as workerClocks from './worker_clock.js';
 
@@ -124,7 +124,7 @@
     // arrive late, so its lease would never surely pass.
     const leaseUntil = reachable ? nextLease() : undefined;
     const timeoutMs = waitMs + ANSWER_TIMEOUT_MS;
-    const {answer, askedAt} = await lookAgain.lookAgain(
+    const {answer, askedAt} = await pollRetry.pollRetry(
       link,
       {token, acknowledged, leaseUntil, waitMs, timeoutMs},
       clock,
