--- a/packages/gypsumwall-cell/src/__tests__/age_of_answers.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/age_of_answers.test.ts
@@ -138,7 +138,7 @@
     view.cell.trouble = 'down';
     await first.desk.cancel(id('job'), queue);
     await worlds.until(async () => (await pending(first)) === 0, 'cancelled');
-    // As tidying does once the job's state needn't be kept any more.
+    // As retention does once the job's state needn't be kept any more.
     const jobId = id('job');
     await world.store.jobs.append(
       [
--- a/packages/gypsumwall-cell/src/__tests__/tidying.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/retention.test.ts
@@ -6,7 +6,7 @@
 import * as fakeLogs from '../__fixtures__/fake_log.js';
 import type * as cellHolderTypes from '../cell_holder_types.js';
 import type * as jobTable from '../job_table.js';
-import * as tidying from '../tidying.js';
+import * as retention from '../retention.js';
 
 const {test} = nodeTest;
 /** Well below what one append carries in its timeout on the slowest link. */
@@ -19,7 +19,7 @@
 }
 
 /** Tidies the ends that a holder hands over once. */
-function startTidying(
+function startRetention(
   jobsLog: fakeLogs.FakeLog,
   ended: types.ids.JobId[],
 ): AbortController {
@@ -33,7 +33,7 @@
     },
     dropProgress: () => Promise.resolve(),
   } as unknown as cellHolderTypes.CellHolder;
-  void tidying.runTidying(
+  void retention.runRetention(
     {
       jobsLog,
       jobs: {overBefore: () => []} as unknown as jobTable.JobTable,
@@ -53,7 +53,7 @@
 test('requests that were not dropped are dropped later', async () => {
   const log = fakeLogs.createFakeLog();
   log.trouble = 'down';
-  const stopping = startTidying(log, idsOf(2));
+  const stopping = startRetention(log, idsOf(2));
   await worlds.until(() => log.appends === 1, 'a first try');
   log.trouble = 'none';
   try {
@@ -72,7 +72,7 @@
     largest = Math.max(largest, entries.length);
     return append(entries, options);
   };
-  const stopping = startTidying(log, idsOf(5_000));
+  const stopping = startRetention(log, idsOf(5_000));
   try {
     await worlds.until(() => log.records.length === 5_000, 'dropped');
     assert.ok(largest <= MOST_IN_APPEND, `${largest} records at once`);
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -26,7 +26,7 @@
 import * as pauseDetector from './pause_detector.js';
 import * as takeOver from './take_over.js';
 import * as applyRecords from './apply_records.js';
-import * as tidying from './tidying.js';
+import * as retention from './retention.js';
 
 /**
  * A standby reads the holder's log this often, so that it notices a silent
@@ -329,7 +329,7 @@
       );
       const {keepOverMs} = options;
       const held = () => holder;
-      void tidying.runTidying(
+      void retention.runRetention(
         {jobsLog: logs.jobs, jobs, holder: held, keepOverMs, clock, logger},
         stopping.signal,
       );
--- a/packages/gypsumwall-cell/src/tidying.ts
+++ b/packages/gypsumwall-cell/src/retention.ts
@@ -21,8 +21,8 @@
 /** Records of one append, so that a rush can't outgrow its timeout. */
 const MAX_APPEND_RECORDS = 500;
 
-/** What tidying works on. */
-export interface TidyingParts {
+/** What retention works on. */
+export interface RetentionParts {
   readonly jobsLog: ports.KeyedLog;
   readonly jobs: jobTable.JobTable;
   /** This process's hold on the cell, if it has one. */
@@ -34,8 +34,8 @@
 }
 
 /** Tidies until the signal aborts. */
-export async function runTidying(
-  parts: TidyingParts,
+export async function runRetention(
+  parts: RetentionParts,
   signal: AbortSignal,
 ): Promise<void> {
   const {jobs, clock, logger} = parts;
@@ -95,7 +95,7 @@
       },
     );
     if (result.isOk(answer)) return true;
-    logger.warn('tidying_failed', {
+    logger.warn('retention_failed', {
       records: records.length,
       error: types.stepError.describeError(answer.error),
     });
