--- a/packages/gypsumwall-scheduling/src/__tests__/decisions.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/decisions.test.ts
@@ -5,14 +5,12 @@
 import * as gangFit from '../gang_fit.js';
 import * as taskId from '../task_id.js';
 import type * as workerBook from '../worker_book.js';
-import * as workOrder from '../work_order.js';
+import * as jobOrder from '../job_order.js';
 
 const {test} = nodeTest;
 const at = (ms: number) => ms as types.clock.MonotonicMs;
 
-function claimant(
-  fields: Partial<workOrder.Claimant> = {},
-): workOrder.Claimant {
+function claimant(fields: Partial<jobOrder.Claimant> = {}): jobOrder.Claimant {
   return {
     priority: 1,
     dueAt: at(10_000),
@@ -27,19 +25,19 @@
 test('work that can be on time goes before work that is late', () => {
   const late = claimant({priority: 0, dueAt: at(500)});
   const onTime = claimant({priority: 2});
-  assert.ok(workOrder.compare(onTime, late, at(0)) < 0);
+  assert.ok(jobOrder.compare(onTime, late, at(0)) < 0);
 });
 
 test('late work goes before work that is of no more use', () => {
   const useless = claimant({priority: 0, dueAt: at(1), worthlessAt: at(2)});
   const late = claimant({priority: 2, dueAt: at(1)});
-  assert.ok(workOrder.compare(late, useless, at(100)) < 0);
+  assert.ok(jobOrder.compare(late, useless, at(100)) < 0);
 });
 
 test('within a priority the latest start decides', () => {
   const short = claimant({dueAt: at(10_000), remainingMs: 100, arrival: 0});
   const long = claimant({dueAt: at(10_000), remainingMs: 9_000, arrival: 1});
-  assert.ok(workOrder.compare(long, short, at(0)) < 0);
+  assert.ok(jobOrder.compare(long, short, at(0)) < 0);
 });
 
 function gangRoom(name: string, rack: string, tasks: number): gangFit.GangRoom {
--- a/packages/gypsumwall-scheduling/src/active_job.ts
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -7,7 +7,7 @@
 import * as jobRequest from './job_request.js';
 import * as stepAdvice from './step_advice.js';
 import * as taskId from './task_id.js';
-import * as workOrder from './work_order.js';
+import * as jobOrder from './job_order.js';
 
 /** Where a run stands between its order and its end. */
 export type RunPhase =
@@ -64,7 +64,7 @@
   readonly saved: Map<number, string>;
   readonly advice: stepAdvice.StepAdvice;
   /** Its place in the order of work at the last cycle. */
-  rank?: workOrder.RankedClaimant;
+  rank?: jobOrder.RankedClaimant;
   /**
    * Whether something of its own has changed since it was last tried: tasks,
    * approvals, recorded workers. Otherwise it is tried again only once a worker
@@ -150,10 +150,10 @@
 }
 
 /** The step's place in the order of work. */
-export function claimantOf(stepRun: StepRun): workOrder.Claimant {
+export function claimantOf(stepRun: StepRun): jobOrder.Claimant {
   const {job, occurrence} = stepRun;
   const objective = objectiveMs(job);
-  const lateUntil = objective * workOrder.LATE_FACTOR;
+  const lateUntil = objective * jobOrder.LATE_FACTOR;
   return {
     priority: job.policy.priority,
     dueAt: types.clock.after(occurrence.countsFrom, objective),
--- a/packages/gypsumwall-scheduling/src/index.ts
+++ b/packages/gypsumwall-scheduling/src/index.ts
@@ -7,4 +7,4 @@
 export * as schedulerTypes from './scheduler_types.js';
 export * as taskId from './task_id.js';
 export * as workerBook from './worker_book.js';
-export * as workOrder from './work_order.js';
+export * as jobOrder from './job_order.js';
--- a/packages/gypsumwall-scheduling/src/waiting_order.ts
+++ b/packages/gypsumwall-scheduling/src/waiting_order.ts
@@ -5,7 +5,7 @@
  */
 import type * as types from '@gypsumwall/types';
 import * as activeJob from './active_job.js';
-import * as workOrder from './work_order.js';
+import * as jobOrder from './job_order.js';
 
 /** The waiting steps in their order. */
 export interface SortedSteps {
@@ -45,7 +45,7 @@
         stepRun.rank = rank;
         return {...rank, stepRun};
       });
-      rows.sort(workOrder.compareRanked);
+      rows.sort(jobOrder.compareRanked);
       steps = rows.map((row) => row.stepRun);
       known = new Set(steps);
       return {steps, gangFellBehind};
@@ -56,7 +56,7 @@
 function rankOf(
   stepRun: activeJob.StepRun,
   now: types.clock.MonotonicMs,
-): workOrder.RankedClaimant {
+): jobOrder.RankedClaimant {
   const claimant = stepRun.rank?.claimant ?? activeJob.claimantOf(stepRun);
-  return {claimant, lateness: workOrder.lateness(claimant, now)};
+  return {claimant, lateness: jobOrder.lateness(claimant, now)};
 }
