--- a/packages/gypsumwall-scheduling/src/gang_hold.ts
+++ b/packages/gypsumwall-scheduling/src/gang_reservation.ts
@@ -28,7 +28,7 @@
 const SPARE_FACTOR = 1.25;
 
 /** The room that one pass keeps. */
-export interface GangHold {
+export interface GangReservation {
   isHeld(worker: types.ids.WorkerId): boolean;
   /** Workers whose room is kept, and the gang that it is kept for. */
   readonly held: ReadonlyMap<types.ids.WorkerId, activeJob.StepRun>;
@@ -37,7 +37,9 @@
 }
 
 /** Creates the holds of one pass, with nothing held. */
-export function createGangHold(context: chooseWorker.ChoiceContext): GangHold {
+export function createGangReservation(
+  context: chooseWorker.ChoiceContext,
+): GangReservation {
   const held = new Map<types.ids.WorkerId, activeJob.StepRun>();
   const most = context.book.workers.size * MOST_HELD_SHARE;
   let looks = 0;
--- a/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
+++ b/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
@@ -11,7 +11,7 @@
 import type * as activeJob from './active_job.js';
 import * as chooseWorker from './choose_worker.js';
 import * as gangFit from './gang_fit.js';
-import * as gangHold from './gang_hold.js';
+import * as gangReservation from './gang_reservation.js';
 import * as homeDomain from './home_domain.js';
 import type * as workerBook from './worker_book.js';
 
@@ -56,7 +56,7 @@
   ordered: Iterable<activeJob.StepRun>,
   context: CycleContext,
 ): CycleResult {
-  const hold = gangHold.createGangHold(context);
+  const hold = gangReservation.createGangReservation(context);
   const {held} = hold;
   const result: CycleResult = {placed: [], unadvised: [], unrecorded: [], held};
   const isHeld = (id: types.ids.WorkerId) => hold.isHeld(id);
