--- a/packages/gypsumwall-scheduling/src/choose_worker.ts
+++ b/packages/gypsumwall-scheduling/src/choose_worker.ts
@@ -1,7 +1,7 @@
 /** Chooses the worker for one task among those that may run it. */
 import * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
-import * as homeDomain from './home_domain.js';
+import * as domainAffinity from './domain_affinity.js';
 import * as stepAdvice from './step_advice.js';
 import type * as workerBook from './worker_book.js';
 import type * as workerHealth from './worker_health.js';
@@ -161,7 +161,7 @@
   return (
     (trusted ? 0 : DOUBTFUL_COST) +
     (far ? FAR_COST : 0) +
-    (homeDomain.isAway(stepRun, worker) ? AWAY_COST : 0) +
+    (domainAffinity.isAway(stepRun, worker) ? AWAY_COST : 0) +
     worker.free.cpuMillis
   );
 }
--- a/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
+++ b/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
@@ -12,7 +12,7 @@
 import * as chooseWorker from './choose_worker.js';
 import * as gangFit from './gang_fit.js';
 import * as gangReservation from './gang_reservation.js';
-import * as homeDomain from './home_domain.js';
+import * as domainAffinity from './domain_affinity.js';
 import type * as workerBook from './worker_book.js';
 
 /** A task and the worker it gets. */
@@ -127,12 +127,12 @@
   context: chooseWorker.ChoiceContext,
 ): Placement[] {
   const among = chooseWorker.candidates(stepRun, context);
-  homeDomain.settle(stepRun, among);
+  domainAffinity.settle(stepRun, among);
   // Recorded workers first: what starts there needs no word from the store.
   const recorded = among.filter(
     (worker) =>
       isRecorded(stepRun, worker) &&
-      !homeDomain.isAway(stepRun, worker) &&
+      !domainAffinity.isAway(stepRun, worker) &&
       chooseWorker.isTrusted(stepRun, worker, context),
   );
   const place = stepRun.request.gang ? placeGang : placeTasks;
@@ -174,7 +174,7 @@
     chooseWorker.isTrusted(stepRun, worker, context),
   );
   const atHome = trusted.filter(
-    ({worker}) => !homeDomain.isAway(stepRun, worker),
+    ({worker}) => !domainAffinity.isAway(stepRun, worker),
   );
   const workers =
     gangFit.fitGang(atHome, taskCount, sameRack) ??
