--- a/packages/gypsumwall-bench/src/step_cell.ts
+++ b/packages/gypsumwall-bench/src/step_cell.ts
@@ -71,7 +71,7 @@
   const onTime = new Map<string, {met: number; all: number}>();
   const running = new Map<string, Set<scheduling.activeJob.Run>>();
   const sequences = new Map<string, number>();
-  const lanes = scheduling.adviceLanes.createAdviceLanes<string>();
+  const lanes = scheduling.advisorPool.createAdvisorPool<string>();
   const entries = Array.from({length: options.entries}, (_, nth) => `e${nth}`);
   const lineEnds = new Map<string, number>();
   let now = START_MS as types.clock.MonotonicMs;
--- a/packages/gypsumwall-cell/src/advice_caller.ts
+++ b/packages/gypsumwall-cell/src/advice_caller.ts
@@ -30,13 +30,13 @@
   /** Asks for one wish of the scheduler and tells it the answer. */
   ask(wish: scheduling.schedulerTypes.AdviceWish): Promise<void>;
   /** How many calls can be made now. */
-  capacity(): scheduling.adviceLanes.AdviceCapacity;
+  capacity(): scheduling.advisorPool.AdviceCapacity;
 }
 
 /** Creates the caller of a holder. */
 export function createAdviceCaller(parts: AdviceCallerParts): AdviceCaller {
   const {scheduler, clock, logger} = parts;
-  const lanes = scheduling.adviceLanes.createAdviceLanes<string>();
+  const lanes = scheduling.advisorPool.createAdvisorPool<string>();
 
   async function ask(
     wish: scheduling.schedulerTypes.AdviceWish,
--- a/packages/gypsumwall-scheduling/src/advice_lanes.ts
+++ b/packages/gypsumwall-scheduling/src/advisor_pool.ts
@@ -38,7 +38,7 @@
 }
 
 /** The entries that may call the adviser, and what each has in line. */
-export interface AdviceLanes<Entry extends string> {
+export interface AdvisorPool<Entry extends string> {
   /**
    * Takes the shortest line; undefined if all are long enough. A call that can
    * wait takes an empty lane while enough others are.
@@ -56,7 +56,7 @@
 }
 
 /** Creates lanes with nothing in line. */
-export function createAdviceLanes<Entry extends string>(): AdviceLanes<Entry> {
+export function createAdvisorPool<Entry extends string>(): AdvisorPool<Entry> {
   const inLineMs = new Map<Entry, number>();
   const lineOf = (entry: Entry) => inLineMs.get(entry) ?? 0;
 
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -5,7 +5,7 @@
  */
 import * as types from '@gypsumwall/types';
 import * as activeJob from './active_job.js';
-import type * as adviceLanes from './advice_lanes.js';
+import type * as advisorPool from './advisor_pool.js';
 import * as adviceNames from './advice_names.js';
 import * as chooseWorker from './choose_worker.js';
 import * as jobBooks from './job_book.js';
@@ -27,7 +27,7 @@
 const ADVICE_LOOK_MS = 80;
 
 /** Where nothing limits the calls to the adviser. */
-const UNLIMITED_ADVICE: adviceLanes.AdviceCapacity = {
+const UNLIMITED_ADVICE: advisorPool.AdviceCapacity = {
   needed: Infinity,
   spare: Infinity,
 };
@@ -156,7 +156,7 @@
   function takeWishes(
     unadvised: readonly activeJob.StepRun[],
     now: types.clock.MonotonicMs,
-    capacity: adviceLanes.AdviceCapacity,
+    capacity: advisorPool.AdviceCapacity,
   ): schedulerTypes.AdviceWish[] {
     const wishes: schedulerTypes.AdviceWish[] = [];
     let {needed, spare} = capacity;
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -1,7 +1,7 @@
 /** What a scheduler is told, what it decides, and what it tells the log. */
 import type * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
-import type * as adviceLanes from './advice_lanes.js';
+import type * as advisorPool from './advisor_pool.js';
 import type * as jobProgress from './job_progress.js';
 import type * as jobRequest from './job_request.js';
 import type * as jobSteps from './job_steps.js';
@@ -112,7 +112,7 @@
   decide(
     now: types.clock.MonotonicMs,
     wall: types.clock.WallMs,
-    capacity?: adviceLanes.AdviceCapacity,
+    capacity?: advisorPool.AdviceCapacity,
   ): Decisions;
   startAnswered(
     run: activeJob.Run,
