--- a/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
@@ -100,7 +100,7 @@
         decodeConfig: () => result.ok(undefined),
         decodeWorker: (_key, value) =>
           result.ok({
-            info: JSON.parse(value) as scheduling.workerBook.WorkerInfo,
+            info: JSON.parse(value) as scheduling.workerRegistry.WorkerInfo,
           }),
         connect: (info) => workers.get(info.id)!.connect(),
         adviser: {ask: () => Promise.resolve(result.ok(new Map()))},
--- a/packages/gypsumwall-cell/src/__fixtures__/fake_worker.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/fake_worker.ts
@@ -16,7 +16,7 @@
 
 /** A worker that can be cut off. */
 export interface FakeWorker {
-  readonly info: scheduling.workerBook.WorkerInfo;
+  readonly info: scheduling.workerRegistry.WorkerInfo;
   /** Connections; each holder has its own. */
   connect(): ports.WorkerLink;
   /** No call gets through or is answered. */
--- a/packages/gypsumwall-cell/src/__tests__/foreign_workers.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/foreign_workers.test.ts
@@ -26,7 +26,7 @@
       value === 'bad'
         ? result.err('addr = 7: give host:port')
         : result.ok({
-            info: JSON.parse(value) as scheduling.workerBook.WorkerInfo,
+            info: JSON.parse(value) as scheduling.workerRegistry.WorkerInfo,
           }),
     isUsedPool: (pool) => pool === 'pool',
     openSession: (info) => {
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -140,7 +140,7 @@
   }
 
   function openSession(
-    worker: scheduling.workerBook.WorkerInfo,
+    worker: scheduling.workerRegistry.WorkerInfo,
   ): workerSession.WorkerSession {
     return workerSession.createWorkerSession({
       worker,
--- a/packages/gypsumwall-cell/src/cell_holder_types.ts
+++ b/packages/gypsumwall-cell/src/cell_holder_types.ts
@@ -17,7 +17,7 @@
   readonly decodeWorker: workerRoster.RosterOptions['decode'];
   readonly isUsedPool: workerRoster.RosterOptions['isUsedPool'];
   readonly connect: (
-    worker: scheduling.workerBook.WorkerInfo,
+    worker: scheduling.workerRegistry.WorkerInfo,
   ) => ports.WorkerLink;
   /** Entries that may ask the adviser now, this one among them. */
   readonly advisers: () => ReadonlyMap<string, ports.Adviser>;
--- a/packages/gypsumwall-cell/src/ports.ts
+++ b/packages/gypsumwall-cell/src/ports.ts
@@ -152,7 +152,7 @@
 
 /** A worker as the platform's list has it. */
 export interface ListedWorker {
-  readonly info: scheduling.workerBook.WorkerInfo;
+  readonly info: scheduling.workerRegistry.WorkerInfo;
   /** Least time until a draining worker leaves, from then; milliseconds. */
   readonly leavesInMs?: number;
 }
--- a/packages/gypsumwall-cell/src/store_records.ts
+++ b/packages/gypsumwall-cell/src/store_records.ts
@@ -35,7 +35,7 @@
 
 /** A worker that may hold runs of the cell. */
 export interface UsedWorkerRecord {
-  readonly info: scheduling.workerBook.WorkerInfo;
+  readonly info: scheduling.workerRegistry.WorkerInfo;
 }
 
 /** Any record of a cell. */
--- a/packages/gypsumwall-cell/src/worker_roster.ts
+++ b/packages/gypsumwall-cell/src/worker_roster.ts
@@ -40,7 +40,7 @@
    */
   readonly isUsedPool: (pool: string) => boolean;
   readonly openSession: (
-    worker: scheduling.workerBook.WorkerInfo,
+    worker: scheduling.workerRegistry.WorkerInfo,
   ) => workerSession.WorkerSession;
   readonly write: (
     records: readonly storeRecords.StoreRecord[],
@@ -68,7 +68,7 @@
 
 interface Entry {
   session: workerSession.WorkerSession;
-  info: scheduling.workerBook.WorkerInfo;
+  info: scheduling.workerRegistry.WorkerInfo;
   listed: boolean;
   /** When a worker that dropped off the list is used no more. */
   unusedAt?: types.clock.MonotonicMs;
@@ -84,7 +84,7 @@
   let closed = false;
 
   function open(
-    info: scheduling.workerBook.WorkerInfo,
+    info: scheduling.workerRegistry.WorkerInfo,
     listed: boolean,
     recorded: boolean,
   ): Entry {
--- a/packages/gypsumwall-cell/src/worker_session.ts
+++ b/packages/gypsumwall-cell/src/worker_session.ts
@@ -31,7 +31,7 @@
 
 /** What a session is made with. */
 export interface SessionOptions {
-  readonly worker: scheduling.workerBook.WorkerInfo;
+  readonly worker: scheduling.workerRegistry.WorkerInfo;
   readonly link: ports.WorkerLink;
   readonly token: number;
   /** Length of a lease on the worker's clock, in milliseconds. */
--- a/packages/gypsumwall-scheduling/src/__tests__/decisions.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/decisions.test.ts
@@ -4,7 +4,7 @@
 import * as advisorPool from '../advisor_pool.js';
 import * as gangFit from '../gang_fit.js';
 import * as taskId from '../task_id.js';
-import type * as workerBook from '../worker_book.js';
+import type * as workerRegistry from '../worker_registry.js';
 import * as jobOrder from '../job_order.js';
 
 const {test} = nodeTest;
@@ -41,8 +41,8 @@
 });
 
 function gangRoom(name: string, rack: string, tasks: number): gangFit.GangRoom {
-  const info = {id: name, rack} as unknown as workerBook.WorkerInfo;
-  return {worker: {info} as workerBook.BookedWorker, tasks};
+  const info = {id: name, rack} as unknown as workerRegistry.WorkerInfo;
+  return {worker: {info} as workerRegistry.BookedWorker, tasks};
 }
 
 test('a gang that suffers from distance goes into one rack if one has room', () => {
--- a/packages/gypsumwall-scheduling/src/advice_names.ts
+++ b/packages/gypsumwall-scheduling/src/advice_names.ts
@@ -15,7 +15,7 @@
 import * as chooseWorker from './choose_worker.js';
 import * as gangFit from './gang_fit.js';
 import type * as jobRequest from './job_request.js';
-import type * as workerBook from './worker_book.js';
+import type * as workerRegistry from './worker_registry.js';
 
 /** The adviser takes no more names than this in one call. */
 const MOST_NAMED = 100;
@@ -37,7 +37,7 @@
 export function callsFor(
   stepRun: activeJob.StepRun,
   policy: jobRequest.AdvicePolicy,
-  workers: Iterable<workerBook.BookedWorker>,
+  workers: Iterable<workerRegistry.BookedWorker>,
   now: types.clock.MonotonicMs,
 ): types.ids.WorkerId[][] {
   const callsLeft = MOST_OPEN_CALLS - stepRun.advice.openCalls;
@@ -62,7 +62,7 @@
 function namesFor(
   stepRun: activeJob.StepRun,
   policy: jobRequest.AdvicePolicy,
-  workers: Iterable<workerBook.BookedWorker>,
+  workers: Iterable<workerRegistry.BookedWorker>,
   now: types.clock.MonotonicMs,
 ): types.ids.WorkerId[] {
   const renewalMs = policy.callMs + policy.perWorkerMs * FEWEST_NAMED;
@@ -110,7 +110,7 @@
 
 function rowsOf(
   stepRun: activeJob.StepRun,
-  workers: Iterable<workerBook.BookedWorker>,
+  workers: Iterable<workerRegistry.BookedWorker>,
 ): Row[] {
   const size = chooseWorker.bookedSize(stepRun);
   const rows: Row[] = [];
--- a/packages/gypsumwall-scheduling/src/choose_worker.ts
+++ b/packages/gypsumwall-scheduling/src/choose_worker.ts
@@ -3,12 +3,12 @@
 import type * as activeJob from './active_job.js';
 import * as domainAffinity from './domain_affinity.js';
 import * as stepAdvice from './step_advice.js';
-import type * as workerBook from './worker_book.js';
+import type * as workerRegistry from './worker_registry.js';
 import type * as workerHealth from './worker_health.js';
 
 /** What a choice looks at beside the books. */
 export interface ChoiceContext {
-  readonly book: workerBook.WorkerBook;
+  readonly book: workerRegistry.WorkerRegistry;
   readonly health: workerHealth.WorkerHealth;
   readonly now: types.clock.MonotonicMs;
   /** Whether a worker's room is kept for work of higher rank. */
@@ -18,7 +18,7 @@
 /** Whether a step's tasks may run on a worker at all, room left aside. */
 export function mayRunOn(
   stepRun: activeJob.StepRun,
-  worker: workerBook.BookedWorker,
+  worker: workerRegistry.BookedWorker,
 ): boolean {
   const {info} = worker;
   const {request} = stepRun;
@@ -43,11 +43,11 @@
 export function candidates(
   stepRun: activeJob.StepRun,
   context: ChoiceContext,
-): workerBook.BookedWorker[] {
+): workerRegistry.BookedWorker[] {
   const size = bookedSize(stepRun);
   const {advice, job} = stepRun;
   const advised = job.policy.advice !== undefined;
-  const found: workerBook.BookedWorker[] = [];
+  const found: workerRegistry.BookedWorker[] = [];
   for (const worker of approvedWorkers(stepRun, context)) {
     const {id} = worker.info;
     if (!types.resources.fits(size, worker.free)) continue;
@@ -63,8 +63,8 @@
 export function mayEverRun(
   stepRun: activeJob.StepRun,
   context: ChoiceContext,
-): workerBook.BookedWorker[] {
-  const found: workerBook.BookedWorker[] = [];
+): workerRegistry.BookedWorker[] {
+  const found: workerRegistry.BookedWorker[] = [];
   for (const worker of approvedWorkers(stepRun, context)) {
     if (isOpen(stepRun, worker, context)) found.push(worker);
   }
@@ -75,7 +75,7 @@
 function* approvedWorkers(
   {advice, job}: activeJob.StepRun,
   {book}: ChoiceContext,
-): Iterable<workerBook.BookedWorker> {
+): Iterable<workerRegistry.BookedWorker> {
   if (job.policy.advice === undefined) {
     yield* book.workers.values();
     return;
@@ -88,7 +88,7 @@
 
 function isOpen(
   stepRun: activeJob.StepRun,
-  worker: workerBook.BookedWorker,
+  worker: workerRegistry.BookedWorker,
   {health, now}: ChoiceContext,
 ): boolean {
   if (!worker.usable || worker.info.draining) return false;
@@ -99,7 +99,7 @@
 /** How many more tasks of the step the worker may take. */
 export function roomFor(
   stepRun: activeJob.StepRun,
-  worker: workerBook.BookedWorker,
+  worker: workerRegistry.BookedWorker,
 ): number {
   const most = stepRun.request.maxPerWorker ?? Infinity;
   return most - (worker.perStep.get(stepRun.id) ?? 0);
@@ -112,7 +112,7 @@
  */
 export function isTrusted(
   stepRun: activeJob.StepRun,
-  worker: workerBook.BookedWorker,
+  worker: workerRegistry.BookedWorker,
   context: ChoiceContext,
 ): boolean {
   const {id} = worker.info;
@@ -128,11 +128,11 @@
  */
 export function chooseWorker(
   stepRun: activeJob.StepRun,
-  among: readonly workerBook.BookedWorker[],
+  among: readonly workerRegistry.BookedWorker[],
   context: ChoiceContext,
-): workerBook.BookedWorker | undefined {
+): workerRegistry.BookedWorker | undefined {
   const size = bookedSize(stepRun);
-  let best: workerBook.BookedWorker | undefined;
+  let best: workerRegistry.BookedWorker | undefined;
   let bestCost = Infinity;
   for (const worker of among) {
     if (!types.resources.fits(size, worker.free)) continue;
@@ -152,7 +152,7 @@
 
 function costOf(
   stepRun: activeJob.StepRun,
-  worker: workerBook.BookedWorker,
+  worker: workerRegistry.BookedWorker,
   context: ChoiceContext,
 ): number {
   const {preferredRack} = stepRun.request;
--- a/packages/gypsumwall-scheduling/src/domain_affinity.ts
+++ b/packages/gypsumwall-scheduling/src/domain_affinity.ts
@@ -10,12 +10,12 @@
  */
 import type * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
-import type * as workerBook from './worker_book.js';
+import type * as workerRegistry from './worker_registry.js';
 
 /** Gives a job that has none the domain with the most free room. */
 export function settle(
   {job, request}: activeJob.StepRun,
-  among: readonly workerBook.BookedWorker[],
+  among: readonly workerRegistry.BookedWorker[],
 ): void {
   if (job.home !== undefined || request.longRunning) return;
   const free = new Map<types.ids.FailureDomain, number>();
@@ -35,7 +35,7 @@
 /** Whether a worker lies outside the domain that the job keeps to. */
 export function isAway(
   {job, request}: activeJob.StepRun,
-  worker: workerBook.BookedWorker,
+  worker: workerRegistry.BookedWorker,
 ): boolean {
   // Tasks that last are of use one by one.
   if (job.home === undefined || request.longRunning) return false;
--- a/packages/gypsumwall-scheduling/src/gang_fit.ts
+++ b/packages/gypsumwall-scheduling/src/gang_fit.ts
@@ -3,11 +3,11 @@
  * run slower when they are spread.
  */
 import type * as types from '@gypsumwall/types';
-import type * as workerBook from './worker_book.js';
+import type * as workerRegistry from './worker_registry.js';
 
 /** A worker that may run the tasks, and how many it has room for. */
 export interface GangRoom {
-  readonly worker: workerBook.BookedWorker;
+  readonly worker: workerRegistry.BookedWorker;
   readonly tasks: number;
 }
 
@@ -37,7 +37,7 @@
   rooms: readonly GangRoom[],
   taskCount: number,
   sameRack: boolean,
-): workerBook.BookedWorker[] | undefined {
+): workerRegistry.BookedWorker[] | undefined {
   if (!sameRack) return fill(rooms, taskCount);
   const racks = new Map<string, GangRoom[]>();
   for (const room of rooms) {
@@ -54,10 +54,10 @@
 function fill(
   rooms: readonly GangRoom[],
   taskCount: number,
-): workerBook.BookedWorker[] | undefined {
+): workerRegistry.BookedWorker[] | undefined {
   const total = rooms.reduce((sum, room) => sum + room.tasks, 0);
   if (total < taskCount) return undefined;
-  const workers: workerBook.BookedWorker[] = [];
+  const workers: workerRegistry.BookedWorker[] = [];
   const largestFirst = [...rooms].sort((a, b) => b.tasks - a.tasks);
   for (const room of largestFirst) {
     const count = Math.min(room.tasks, taskCount - workers.length);
--- a/packages/gypsumwall-scheduling/src/gang_reservation.ts
+++ b/packages/gypsumwall-scheduling/src/gang_reservation.ts
@@ -15,7 +15,7 @@
 import type * as activeJob from './active_job.js';
 import * as chooseWorker from './choose_worker.js';
 import * as gangFit from './gang_fit.js';
-import type * as workerBook from './worker_book.js';
+import type * as workerRegistry from './worker_registry.js';
 
 /**
  * Never hold more than this share of the workers: what they could run
@@ -73,7 +73,7 @@
 function nearestFirst(
   stepRun: activeJob.StepRun,
   context: chooseWorker.ChoiceContext,
-): workerBook.BookedWorker[] {
+): workerRegistry.BookedWorker[] {
   return chooseWorker
     .mayEverRun(stepRun, context)
     .sort((a, b) => b.free.cpuMillis - a.free.cpuMillis);
--- a/packages/gypsumwall-scheduling/src/report_reader.ts
+++ b/packages/gypsumwall-scheduling/src/report_reader.ts
@@ -11,12 +11,12 @@
 import type * as runTable from './run_table.js';
 import type * as schedulerTypes from './scheduler_types.js';
 import * as stallDetector from './stall_detector.js';
-import type * as workerBook from './worker_book.js';
+import type * as workerRegistry from './worker_registry.js';
 import type * as workerHealth from './worker_health.js';
 
 /** What a reader works on. */
 export interface ReportReaderParts {
-  readonly book: workerBook.WorkerBook;
+  readonly book: workerRegistry.WorkerRegistry;
   readonly runs: runTable.RunTable;
   readonly health: workerHealth.WorkerHealth;
   readonly jobBook: jobBooks.JobBook;
--- a/packages/gypsumwall-scheduling/src/run_table.ts
+++ b/packages/gypsumwall-scheduling/src/run_table.ts
@@ -1,7 +1,7 @@
 /** Every run that may be on a worker, by its id and by worker. */
 import type * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
-import type * as workerBook from './worker_book.js';
+import type * as workerRegistry from './worker_registry.js';
 
 /** The runs of a cell. Room is booked by whoever adds, and given back here. */
 export interface RunTable {
@@ -21,7 +21,7 @@
 const NO_RUNS: ReadonlySet<activeJob.Run> = new Set();
 
 /** Creates an empty table over the given books. */
-export function createRunTable(book: workerBook.WorkerBook): RunTable {
+export function createRunTable(book: workerRegistry.WorkerRegistry): RunTable {
   const byKey = new Map<string, activeJob.Run>();
   const byWorker = new Map<types.ids.WorkerId, Set<activeJob.Run>>();
   const keyOf = (taskId: string, attempt: number, worker: string) =>
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -17,7 +17,7 @@
 import type * as schedulerTypes from './scheduler_types.js';
 import * as taskIds from './task_id.js';
 import * as waitingOrder from './waiting_order.js';
-import * as workerBook from './worker_book.js';
+import * as workerRegistry from './worker_registry.js';
 import * as workerHealth from './worker_health.js';
 
 /**
@@ -37,7 +37,7 @@
   options: schedulerTypes.SchedulerOptions,
 ): schedulerTypes.Scheduler {
   const {onEvent} = options;
-  const book = workerBook.createWorkerBook();
+  const book = workerRegistry.createWorkerRegistry();
   const runs = runTable.createRunTable(book);
   const health = workerHealth.createWorkerHealth(() => book.workers.size);
   const jobBook = jobBooks.createJobBook({
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -5,7 +5,7 @@
 import type * as jobProgress from './job_progress.js';
 import type * as jobRequest from './job_request.js';
 import type * as jobSteps from './job_steps.js';
-import type * as workerBook from './worker_book.js';
+import type * as workerRegistry from './worker_registry.js';
 
 /** A start to be sent to a worker. */
 export interface StartOrder {
@@ -82,7 +82,7 @@
 
 /** The scheduler of one cell. */
 export interface Scheduler {
-  readonly book: workerBook.WorkerBook;
+  readonly book: workerRegistry.WorkerRegistry;
   /** Takes a job up; its runs are looked for in reports from then on. */
   addJob(
     start: Omit<jobSteps.JobStart, 'arrival'>,
@@ -95,7 +95,7 @@
     policyOf: (queue: string) => jobRequest.QueuePolicy | undefined,
   ): void;
   cancelJob(id: types.ids.JobId): void;
-  putWorker(info: workerBook.WorkerInfo): void;
+  putWorker(info: workerRegistry.WorkerInfo): void;
   /** Its stay is surely over: nothing runs there any more. */
   workerGone(id: types.ids.WorkerId, now: types.clock.MonotonicMs): void;
   /** Its lease has surely passed; it may come back, with nothing running. */
--- a/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
+++ b/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
@@ -13,13 +13,13 @@
 import * as gangFit from './gang_fit.js';
 import * as gangReservation from './gang_reservation.js';
 import * as domainAffinity from './domain_affinity.js';
-import type * as workerBook from './worker_book.js';
+import type * as workerRegistry from './worker_registry.js';
 
 /** A task and the worker it gets. */
 export interface Placement {
   readonly stepRun: activeJob.StepRun;
   readonly index: number;
-  readonly worker: workerBook.BookedWorker;
+  readonly worker: workerRegistry.BookedWorker;
 }
 
 /**
@@ -117,7 +117,7 @@
 
 function isRecorded(
   stepRun: activeJob.StepRun,
-  worker: workerBook.BookedWorker,
+  worker: workerRegistry.BookedWorker,
 ): boolean {
   return stepRun.job.workers.get(worker.info.id) === 'recorded';
 }
@@ -143,7 +143,7 @@
 
 function placeTasks(
   stepRun: activeJob.StepRun,
-  among: readonly workerBook.BookedWorker[],
+  among: readonly workerRegistry.BookedWorker[],
   context: chooseWorker.ChoiceContext,
 ): Placement[] {
   const placed: Placement[] = [];
@@ -157,7 +157,7 @@
 
 function placeGang(
   stepRun: activeJob.StepRun,
-  among: readonly workerBook.BookedWorker[],
+  among: readonly workerRegistry.BookedWorker[],
   context: chooseWorker.ChoiceContext,
 ): Placement[] {
   const size = chooseWorker.bookedSize(stepRun);
@@ -191,14 +191,17 @@
 function take(
   stepRun: activeJob.StepRun,
   index: number,
-  worker: workerBook.BookedWorker,
-  book: workerBook.WorkerBook,
+  worker: workerRegistry.BookedWorker,
+  book: workerRegistry.WorkerRegistry,
 ): Placement {
   book.book(worker.info.id, stepRun.id, chooseWorker.bookedSize(stepRun));
   return {stepRun, index, worker};
 }
 
-function takeBack(placement: Placement, book: workerBook.WorkerBook): void {
+function takeBack(
+  placement: Placement,
+  book: workerRegistry.WorkerRegistry,
+): void {
   const {stepRun, index, worker} = placement;
   book.release(worker.info.id, stepRun.id, chooseWorker.bookedSize(stepRun));
   stepRun.waiting.push(index);
--- a/packages/gypsumwall-scheduling/src/worker_book.ts
+++ b/packages/gypsumwall-scheduling/src/worker_registry.ts
@@ -32,7 +32,7 @@
 }
 
 /** The workers of a cell. */
-export interface WorkerBook {
+export interface WorkerRegistry {
   readonly workers: ReadonlyMap<types.ids.WorkerId, BookedWorker>;
   /** Adds a worker or takes over what the list says of it now. */
   put(info: WorkerInfo): BookedWorker;
@@ -56,7 +56,7 @@
 }
 
 /** Creates an empty book. */
-export function createWorkerBook(): WorkerBook {
+export function createWorkerRegistry(): WorkerRegistry {
   const workers = new Map<types.ids.WorkerId, BookedWorker>();
   let freed = new Set<types.ids.WorkerId>();
 
