--- a/packages/gypsumwall-scheduling/src/job_book.ts
+++ b/packages/gypsumwall-scheduling/src/job_registry.ts
@@ -19,7 +19,7 @@
 }
 
 /** What a job book works on. */
-export interface JobBookParts {
+export interface JobRegistryParts {
   readonly runs: runTable.RunTable;
   readonly health: workerHealth.WorkerHealth;
   /** Whether a worker drains or is gone for good. */
@@ -28,7 +28,7 @@
 }
 
 /** Jobs and what is to be done about them. */
-export interface JobBook {
+export interface JobRegistry {
   readonly jobs: ReadonlyMap<types.ids.JobId, activeJob.ActiveJob>;
   /** Steps with tasks that wait. */
   readonly waiting: ReadonlySet<activeJob.StepRun>;
@@ -85,7 +85,7 @@
 }
 
 /** Creates an empty book. */
-export function createJobBook(parts: JobBookParts): JobBook {
+export function createJobRegistry(parts: JobRegistryParts): JobRegistry {
   const jobs = new Map<types.ids.JobId, activeJob.ActiveJob>();
   const waiting = new Set<activeJob.StepRun>();
   const scheduled = new Set<activeJob.ActiveJob>();
--- a/packages/gypsumwall-scheduling/src/report_reader.ts
+++ b/packages/gypsumwall-scheduling/src/report_reader.ts
@@ -5,7 +5,7 @@
 import * as types from '@gypsumwall/types';
 import * as activeJob from './active_job.js';
 import * as chooseWorker from './choose_worker.js';
-import type * as jobBooks from './job_book.js';
+import type * as jobRegistrys from './job_registry.js';
 import * as jobProgress from './job_progress.js';
 import * as jobSteps from './job_steps.js';
 import type * as runTable from './run_table.js';
@@ -19,7 +19,7 @@
   readonly book: workerRegistry.WorkerRegistry;
   readonly runs: runTable.RunTable;
   readonly health: workerHealth.WorkerHealth;
-  readonly jobBook: jobBooks.JobBook;
+  readonly jobRegistry: jobRegistrys.JobRegistry;
   readonly onEvent: (event: schedulerTypes.SchedulerEvent) => void;
 }
 
@@ -31,7 +31,7 @@
 
 /** Creates the reader of a scheduler. */
 export function createReportReader(parts: ReportReaderParts): ReportReader {
-  const {book, runs, health, jobBook} = parts;
+  const {book, runs, health, jobRegistry} = parts;
 
   function applyEnd(
     workerId: types.ids.WorkerId,
@@ -41,7 +41,7 @@
     const run = runs.find(row.taskId, row.attempt, workerId);
     if (run !== undefined) {
       runs.remove(run);
-      jobBook.noteLeft(run);
+      jobRegistry.noteLeft(run);
     }
     parts.onEvent({
       type: 'run_ended',
@@ -50,10 +50,10 @@
       worker: workerId,
       how: row.how,
     });
-    const owner = run?.owner ?? jobBook.stepRunOf(row.taskId);
+    const owner = run?.owner ?? jobRegistry.stepRunOf(row.taskId);
     if (owner === undefined) return;
     const {stepRun, index} = owner;
-    jobBook.noteBegun(stepRun.job);
+    jobRegistry.noteBegun(stepRun.job);
     keepCheckpoint(stepRun, index, row.checkpoint);
     switch (row.how) {
       case 'done':
@@ -66,7 +66,7 @@
       case 'lapsed':
       case 'broken':
       case 'alone':
-        if (run !== undefined) jobBook.requeue(stepRun, index);
+        if (run !== undefined) jobRegistry.requeue(stepRun, index);
         return;
     }
   }
@@ -79,20 +79,20 @@
     const {job} = stepRun;
     health.noteDone(workerId, job.id);
     if (stepRun.request.longRunning) {
-      jobBook.requeue(stepRun, index);
+      jobRegistry.requeue(stepRun, index);
       return;
     }
     if (stepRun.state === 'done' || stepRun.done.has(index)) return;
     jobSteps.markDone(stepRun, index);
-    jobBook.noteWaiting(stepRun);
+    jobRegistry.noteWaiting(stepRun);
     for (const run of stepRun.runs) {
       // Members of a gang end together by themselves; copies don't.
       if (!stepRun.request.gang && run.owner?.index === index)
-        jobBook.stop(run);
+        jobRegistry.stop(run);
     }
-    jobBook.dirty.add(job);
-    if (job.phase === 'completed') jobBook.finishJob(job, 'completed');
-    else jobBook.scheduled.add(job);
+    jobRegistry.dirty.add(job);
+    if (job.phase === 'completed') jobRegistry.finishJob(job, 'completed');
+    else jobRegistry.scheduled.add(job);
   }
 
   function applyFailed(
@@ -107,9 +107,9 @@
     job.failedOn.add(workerId);
     if (stepRun.state === 'done' || jobProgress.isOver(job.phase)) return;
     const spent = jobSteps.countFailure(stepRun, index, attempt);
-    jobBook.dirty.add(job);
-    if (spent) jobBook.finishJob(job, 'failed');
-    else jobBook.requeue(stepRun, index);
+    jobRegistry.dirty.add(job);
+    if (spent) jobRegistry.finishJob(job, 'failed');
+    else jobRegistry.requeue(stepRun, index);
   }
 
   function keepCheckpoint(
@@ -136,7 +136,7 @@
       run.percentChangedAt = now;
     }
     if (run.owner !== undefined) {
-      jobBook.noteBegun(run.owner.stepRun.job);
+      jobRegistry.noteBegun(run.owner.stepRun.job);
       keepCheckpoint(run.owner.stepRun, run.owner.index, row.checkpoint);
     }
   }
@@ -150,7 +150,7 @@
     row: schedulerTypes.RunningRow,
     now: types.clock.MonotonicMs,
   ): void {
-    const owner = jobBook.stepRunOf(row.taskId);
+    const owner = jobRegistry.stepRunOf(row.taskId);
     const wanted = owner !== undefined && isWanted(owner, row.attempt);
     const worker = book.workers.get(workerId);
     const size =
@@ -173,14 +173,14 @@
     runs.add(run);
     book.book(workerId, stepRunId, size);
     if (owner === undefined) {
-      jobBook.stop(run);
+      jobRegistry.stop(run);
       return;
     }
-    jobBook.noteBegun(owner.stepRun.job);
+    jobRegistry.noteBegun(owner.stepRun.job);
     noteAttempt(owner.stepRun, owner.index, row.attempt);
     keepCheckpoint(owner.stepRun, owner.index, row.checkpoint);
-    if (wanted) jobBook.takeOutOfLine(owner.stepRun, owner.index);
-    else jobBook.stop(run);
+    if (wanted) jobRegistry.takeOutOfLine(owner.stepRun, owner.index);
+    else jobRegistry.stop(run);
   }
 
   /**
@@ -188,7 +188,7 @@
    * is no reason against it: the steps before it were done when it started,
    * and their last ends may not have been heard here yet.
    */
-  function isWanted(owner: jobBooks.TaskOwner, attempt: number): boolean {
+  function isWanted(owner: jobRegistrys.TaskOwner, attempt: number): boolean {
     const {stepRun, index} = owner;
     if (stepRun.state === 'done' || stepRun.done.has(index)) return false;
     const {gang} = stepRun.request;
@@ -225,7 +225,7 @@
         worker: run.workerId,
         how: 'vanished',
       });
-      jobBook.dropRun(run);
+      jobRegistry.dropRun(run);
     }
   }
 
@@ -244,7 +244,7 @@
       blamed: stall.blamesWorker,
     });
     if (stall.blamesWorker) health.noteStalled(workerId, now);
-    for (const run of stall.runs) jobBook.stop(run);
+    for (const run of stall.runs) jobRegistry.stop(run);
   }
 
   return (report, now) => {
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -8,7 +8,7 @@
 import type * as advisorPool from './advisor_pool.js';
 import * as adviceNames from './advice_names.js';
 import * as chooseWorker from './choose_worker.js';
-import * as jobBooks from './job_book.js';
+import * as jobRegistrys from './job_registry.js';
 import * as jobSteps from './job_steps.js';
 import * as reportReader from './report_reader.js';
 import * as runTable from './run_table.js';
@@ -40,18 +40,18 @@
   const book = workerRegistry.createWorkerRegistry();
   const runs = runTable.createRunTable(book);
   const health = workerHealth.createWorkerHealth(() => book.workers.size);
-  const jobBook = jobBooks.createJobBook({
+  const jobRegistry = jobRegistrys.createJobRegistry({
     runs,
     health,
     isLeaving: (id) => book.workers.get(id)?.info.draining ?? true,
     onEvent,
   });
-  const {jobs, waiting, scheduled, dirty} = jobBook;
+  const {jobs, waiting, scheduled, dirty} = jobRegistry;
   const readReport = reportReader.createReportReader({
     book,
     runs,
     health,
-    jobBook,
+    jobRegistry,
     onEvent,
   });
   const order = waitingOrder.createWaitingOrder();
@@ -196,8 +196,8 @@
     book,
     addJob(start, now, wall) {
       const job = jobSteps.createJob({...start, arrival: arrivals++});
-      jobBook.add(job);
-      jobBook.moveOn(job, now, wall);
+      jobRegistry.add(job);
+      jobRegistry.moveOn(job, now, wall);
     },
     hasJob: (id) => jobs.has(id),
     updatePolicies(policyOf) {
@@ -207,23 +207,23 @@
     },
     cancelJob(id) {
       const job = jobs.get(id);
-      if (job !== undefined) jobBook.finishJob(job, 'cancelled');
+      if (job !== undefined) jobRegistry.finishJob(job, 'cancelled');
     },
     putWorker: (info) => void book.put(info),
     workerGone(id) {
       book.remove(id);
-      for (const run of [...runs.ofWorker(id)]) jobBook.dropRun(run);
+      for (const run of [...runs.ofWorker(id)]) jobRegistry.dropRun(run);
       health.forgetWorker(id);
     },
     leasePassed(id) {
-      for (const run of [...runs.ofWorker(id)]) jobBook.dropRun(run);
+      for (const run of [...runs.ofWorker(id)]) jobRegistry.dropRun(run);
     },
     setUsable: (id, usable) => book.setUsable(id, usable),
     outOfReach(id) {
-      for (const run of runs.ofWorker(id)) jobBook.startCopy(run);
+      for (const run of runs.ofWorker(id)) jobRegistry.startCopy(run);
     },
     evacuate(id) {
-      for (const run of runs.ofWorker(id)) jobBook.stop(run);
+      for (const run of runs.ofWorker(id)) jobRegistry.stop(run);
     },
     workerAccounted() {
       for (const job of jobs.values()) {
@@ -231,12 +231,12 @@
         if (![...job.workers.keys()].every(options.isAccounted)) continue;
         job.heldBack = false;
         activeJob.noteChanged(job);
-        jobBook.breakPartialGangs(job);
+        jobRegistry.breakPartialGangs(job);
       }
     },
     decide(now, wall, capacity = UNLIMITED_ADVICE) {
       for (const job of scheduled) {
-        jobBook.moveOn(job, now, wall);
+        jobRegistry.moveOn(job, now, wall);
         const total = job.request.schedule?.occurrences ?? 1;
         // Only jobs with times to come are looked at again.
         if (job.finished.size + job.open.size >= total) scheduled.delete(job);
@@ -245,7 +245,7 @@
       recordWorkers(cycle.unrecorded);
       numberAttempts(cycle.placed);
       const starts = cycle.placed.map((placed) => startOrder(placed, now));
-      for (const {stepRun} of cycle.placed) jobBook.noteWaiting(stepRun);
+      for (const {stepRun} of cycle.placed) jobRegistry.noteWaiting(stepRun);
       const advice = takeWishes(cycle.unadvised, now, capacity);
       return {starts, advice};
     },
@@ -258,11 +258,12 @@
             run.confirmedAt = now;
             run.percentChangedAt = now;
           }
-          if (run.owner !== undefined) jobBook.noteBegun(run.owner.stepRun.job);
+          if (run.owner !== undefined)
+            jobRegistry.noteBegun(run.owner.stepRun.job);
           return;
         case 'unknown':
           // Only an answered stop tells whether it runs or ever will.
-          jobBook.stop(run);
+          jobRegistry.stop(run);
           return;
         case 'refused':
           options.onEvent({
@@ -274,7 +275,7 @@
             reason: outcome.reason,
           });
           learnFromRefusal(run, outcome.reason, now);
-          jobBook.dropRun(run);
+          jobRegistry.dropRun(run);
           return;
       }
     },
@@ -286,7 +287,7 @@
       if (approved !== undefined) stepRun.changed = true;
       stepAdvice.noteAnswer(stepRun.advice, workers, approved, validUntil);
     },
-    takeStops: () => jobBook.takeStops(),
+    takeStops: () => jobRegistry.takeStops(),
     takeDirty() {
       const taken = [...dirty].map((job) => ({
         jobId: job.id,
