--- a/packages/gypsumwall-cell/src/__tests__/relaying_desk.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
@@ -5,7 +5,7 @@
 import * as worlds from '../__fixtures__/cell_world.js';
 import type * as frontDesk from '../front_desk.js';
 import type * as peerDirectory from '../peer_directory.js';
-import * as relayingDesks from '../relaying_desk.js';
+import * as forwardingJobServices from '../forwarding_job_service.js';
 
 const {test} = nodeTest;
 const id = types.ids.brand<types.ids.JobId>('job');
@@ -54,7 +54,7 @@
       return Promise.resolve(byHolder ?? situation.relayed);
     },
   };
-  return relayingDesks.createRelayingDesk({
+  return forwardingJobServices.createForwardingJobService({
     own,
     peers,
     clock: types.clock.createSystemClock(),
--- a/packages/gypsumwall-cell/src/__tests__/relayed_questions.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/relayed_questions.test.ts
@@ -8,7 +8,7 @@
 import type * as frontDesk from '../front_desk.js';
 import * as peerDirectory from '../peer_directory.js';
 import type * as peerProtocol from '../peer_protocol.js';
-import * as relayingDesk from '../relaying_desk.js';
+import * as forwardingJobService from '../forwarding_job_service.js';
 
 const {test} = nodeTest;
 const id = types.ids.brand<types.ids.JobId>('job');
@@ -26,7 +26,7 @@
 function createDesk(
   reachable: boolean,
   relay: (req: peerProtocol.RelayReq) => peerDirectory.RelayOutcome,
-): relayingDesk.RelayingDesk {
+): forwardingJobService.ForwardingJobService {
   const own: frontDesk.FrontDesk = {
     submit: () => Promise.resolve(REFUSED),
     cancel: () => Promise.resolve(REFUSED),
@@ -37,7 +37,7 @@
     storeLatencyMs: () => 5,
   };
   const clock = types.clock.createSystemClock();
-  return relayingDesk.createRelayingDesk({
+  return forwardingJobService.createForwardingJobService({
     own,
     peers: {
       ...peerDirectory.createPeerDirectory('self', clock),
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -18,7 +18,7 @@
 import * as logFollower from './log_follower.js';
 import * as peerDirectory from './peer_directory.js';
 import type * as ports from './ports.js';
-import * as relayingDesk from './relaying_desk.js';
+import * as forwardingJobService from './forwarding_job_service.js';
 import * as standbyChoice from './standby_choice.js';
 import * as storeProbe from './store_probe.js';
 import * as storeHealth from './store_health.js';
@@ -136,7 +136,7 @@
     isStandby,
     clock,
   });
-  const desk = relayingDesk.createRelayingDesk({
+  const desk = forwardingJobService.createForwardingJobService({
     own: ownDesk,
     peers,
     clock,
--- a/packages/gypsumwall-cell/src/relaying_desk.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -37,7 +37,7 @@
 } as const;
 
 /** What a relaying desk is made with. */
-export interface RelayingDeskOptions {
+export interface ForwardingJobServiceOptions {
   readonly own: frontDesk.FrontDesk;
   readonly peers: peerDirectory.PeerDirectory;
   readonly clock: types.clock.Clock;
@@ -48,13 +48,15 @@
 }
 
 /** A desk with a way round the store. */
-export interface RelayingDesk extends frontDesk.FrontDesk {
+export interface ForwardingJobService extends frontDesk.FrontDesk {
   /** Whether peers have stored something for this entry lately. */
   relayedLately(): boolean;
 }
 
 /** Creates the desk. */
-export function createRelayingDesk(options: RelayingDeskOptions): RelayingDesk {
+export function createForwardingJobService(
+  options: ForwardingJobServiceOptions,
+): ForwardingJobService {
   const {own, peers, clock, logger} = options;
   let relayedAt: types.clock.MonotonicMs | undefined;
   const hopelessUntil = new Map<
