--- a/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
@@ -3,7 +3,7 @@
 import * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import * as worlds from '../__fixtures__/cell_world.js';
-import type * as frontDesk from '../front_desk.js';
+import type * as jobService from '../job_service.js';
 import type * as peerDirectory from '../peer_directory.js';
 import * as forwardingJobServices from '../forwarding_job_service.js';
 
@@ -11,7 +11,7 @@
 const id = types.ids.brand<types.ids.JobId>('job');
 
 interface Situation {
-  readonly own: frontDesk.DeskAnswer<undefined>;
+  readonly own: jobService.DeskAnswer<undefined>;
   readonly relayed: peerDirectory.RelayOutcome;
   /** What the holder alone comes to, if that is something else. */
   readonly byHolder?: peerDirectory.RelayOutcome;
@@ -22,7 +22,7 @@
 }
 
 function createDesk(situation: Situation, asked: string[] = []) {
-  const own: frontDesk.FrontDesk = {
+  const own: jobService.JobService = {
     submit: () => {
       asked.push('own');
       return Promise.resolve(situation.own);
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -12,7 +12,7 @@
 import * as configKeeper from './config_keeper.js';
 import * as election from './election.js';
 import * as entryRegistration from './entry_registration.js';
-import * as frontDesk from './front_desk.js';
+import * as jobService from './job_service.js';
 import * as holderProbes from './holder_probe.js';
 import * as jobTables from './job_table.js';
 import * as logFollower from './log_follower.js';
@@ -113,7 +113,7 @@
     pauseMs: () => (isStandby() ? STANDBY_PAUSE_MS : OBSERVER_PAUSE_MS),
     readWaitMs: FOLLOW_WAIT_MS,
   });
-  const ownDesk = frontDesk.createFrontDesk({
+  const ownDesk = jobService.createJobService({
     jobsLog: logs.jobs,
     jobs,
     follower: jobsFollower,
@@ -176,7 +176,7 @@
 
   async function refreshStates(): Promise<boolean> {
     const ageMs = clock.monotonic() - (cellFollower.completeUntil() ?? 0);
-    return ageMs <= frontDesk.FRESH_STATE_MS || cellFollower.catchUp();
+    return ageMs <= jobService.FRESH_STATE_MS || cellFollower.catchUp();
   }
 
   async function catchUpOnJobs(): Promise<boolean> {
--- a/packages/gypsumwall-cell/src/cell_entry_types.ts
+++ b/packages/gypsumwall-cell/src/cell_entry_types.ts
@@ -4,7 +4,7 @@
 import type * as types from '@gypsumwall/types';
 import type * as cellHolderTypes from './cell_holder_types.js';
 import type * as configKeeper from './config_keeper.js';
-import type * as frontDesk from './front_desk.js';
+import type * as jobService from './job_service.js';
 import type * as ports from './ports.js';
 
 /** What an entry is made with. */
@@ -40,9 +40,9 @@
 /** One entry. */
 export interface CellEntry {
   /** For callers. */
-  readonly desk: frontDesk.FrontDesk;
+  readonly desk: jobService.JobService;
   /** For peers: hands nothing on. */
-  readonly ownDesk: frontDesk.FrontDesk;
+  readonly ownDesk: jobService.JobService;
   /** The newest configuration; undefined before the first. */
   config(): ports.CellConfig | undefined;
   /** Whether callers can be served. */
--- a/packages/gypsumwall-cell/src/forwarding_job_service.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -7,7 +7,7 @@
  */
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
-import type * as frontDesk from './front_desk.js';
+import type * as jobService from './job_service.js';
 import type * as peerDirectory from './peer_directory.js';
 import type * as peerProtocol from './peer_protocol.js';
 
@@ -38,7 +38,7 @@
 
 /** What a relaying desk is made with. */
 export interface ForwardingJobServiceOptions {
-  readonly own: frontDesk.FrontDesk;
+  readonly own: jobService.JobService;
   readonly peers: peerDirectory.PeerDirectory;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
@@ -48,7 +48,7 @@
 }
 
 /** A desk with a way round the store. */
-export interface ForwardingJobService extends frontDesk.FrontDesk {
+export interface ForwardingJobService extends jobService.JobService {
   /** Whether peers have stored something for this entry lately. */
   relayedLately(): boolean;
 }
@@ -117,8 +117,8 @@
   async function askSlowHolder<Value>(
     req: peerProtocol.RelayReq,
     withinMs: number,
-    ask: () => Promise<frontDesk.DeskAnswer<Value>>,
-  ): Promise<frontDesk.DeskAnswer<Value>> {
+    ask: () => Promise<jobService.DeskAnswer<Value>>,
+  ): Promise<jobService.DeskAnswer<Value>> {
     const relayed = await relayToHolder(req, withinMs);
     if (relayed.type === 'answered') return answerOf(relayed.res);
     return relayed.mayStand ? {type: 'unknown'} : ask();
@@ -127,8 +127,8 @@
   /** The own desk's answer, or a peer's where that is better. */
   async function answer<Value>(
     req: peerProtocol.RelayReq,
-    ask: () => Promise<frontDesk.DeskAnswer<Value>>,
-  ): Promise<frontDesk.DeskAnswer<Value>> {
+    ask: () => Promise<jobService.DeskAnswer<Value>>,
+  ): Promise<jobService.DeskAnswer<Value>> {
     if (!options.storeReachable()) {
       const relayed = await relayToAny(req);
       if (relayed.type === 'answered') return answerOf(relayed.res);
@@ -212,8 +212,8 @@
 /** A peer's answer to the same call has the same type of value. */
 function answerOf<Value>(
   res: peerProtocol.RelayRes,
-): frontDesk.DeskAnswer<Value> {
-  return res as frontDesk.DeskAnswer<Value>;
+): jobService.DeskAnswer<Value> {
+  return res as jobService.DeskAnswer<Value>;
 }
 
 /**
@@ -221,8 +221,8 @@
  * would be told that nothing ran of a job that runs.
  */
 function withDoubt<Value>(
-  direct: frontDesk.DeskAnswer<Value>,
+  direct: jobService.DeskAnswer<Value>,
   mayStand: boolean,
-): frontDesk.DeskAnswer<Value> {
+): jobService.DeskAnswer<Value> {
   return direct.type === 'not_run' && mayStand ? {type: 'unknown'} : direct;
 }
--- a/packages/gypsumwall-cell/src/index.ts
+++ b/packages/gypsumwall-cell/src/index.ts
@@ -1,6 +1,6 @@
 export * as cellEntry from './cell_entry.js';
 export * as cellEntryTypes from './cell_entry_types.js';
-export * as frontDesk from './front_desk.js';
+export * as jobService from './job_service.js';
 export * as httpClient from './http_client.js';
 export * as httpServer from './http_server.js';
 export * as peerServer from './peer_server.js';
--- a/packages/gypsumwall-cell/src/front_desk.ts
+++ b/packages/gypsumwall-cell/src/job_service.ts
@@ -57,7 +57,7 @@
   | {readonly type: 'invalid'; readonly message: string};
 
 /** Serves callers. */
-export interface FrontDesk {
+export interface JobService {
   submit(
     id: types.ids.JobId,
     policy: scheduling.jobRequest.QueuePolicy,
@@ -90,7 +90,7 @@
 }
 
 /** What a desk is made with. */
-export interface FrontDeskOptions {
+export interface JobServiceOptions {
   readonly jobsLog: ports.KeyedLog;
   readonly jobs: jobTable.JobTable;
   readonly follower: logFollower.LogFollower;
@@ -111,7 +111,7 @@
 }
 
 /** Creates the desk of one entry. */
-export function createFrontDesk(options: FrontDeskOptions): FrontDesk {
+export function createJobService(options: JobServiceOptions): JobService {
   const {jobs, follower, clock, logger} = options;
   const appender = batchAppender.createBatchAppender(
     options.jobsLog,
--- a/packages/gypsumwall-cell/src/peer_protocol.ts
+++ b/packages/gypsumwall-cell/src/peer_protocol.ts
@@ -6,7 +6,7 @@
 import * as result from 'true-myth/result';
 import type * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
-import type * as frontDesk from './front_desk.js';
+import type * as jobService from './job_service.js';
 import * as httpClient from './http_client.js';
 import type * as ports from './ports.js';
 
@@ -102,7 +102,7 @@
   | {readonly type: 'pending'; readonly queue: string};
 
 /** The answer of the peer's desk. */
-export type RelayRes = frontDesk.DeskAnswer<unknown>;
+export type RelayRes = jobService.DeskAnswer<unknown>;
 
 /** Hands a call to a peer; every such call may be repeated. */
 export async function relay(
--- a/packages/gypsumwall-cell/src/peer_server.ts
+++ b/packages/gypsumwall-cell/src/peer_server.ts
@@ -3,7 +3,7 @@
 import * as result from 'true-myth/result';
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
-import type * as frontDesk from './front_desk.js';
+import type * as jobService from './job_service.js';
 import * as httpServer from './http_server.js';
 import * as peerProtocol from './peer_protocol.js';
 import type * as ports from './ports.js';
@@ -11,7 +11,7 @@
 /** Creates the server; it listens when it is told to. */
 export function createPeerServer(
   adviser: ports.Adviser,
-  desk: frontDesk.FrontDesk,
+  desk: jobService.JobService,
   logger: telemetry.logger.Logger,
 ): fastify.FastifyInstance {
   const server = httpServer.createHttpServer();
@@ -39,7 +39,7 @@
 
 /** Answers from this entry's own desk, which hands nothing on. */
 function answerRelayed(
-  desk: frontDesk.FrontDesk,
+  desk: jobService.JobService,
   req: peerProtocol.RelayReq,
 ): Promise<peerProtocol.RelayRes> {
   switch (req.type) {
