cell: hand on what a slow store refuses instead of trying again and again

What callers saw: at a store that turns slow, entries that append by themselves held their callers for 2.4 s, told 504, and kept the holder's shared appends out.

Cause: an append that the store refused was sent again every 40 ms by each entry, 2,000 times in 5 s where the store takes four a second.

The change: a refusal ends the entry's own try. The call goes to the holder, whose appends are shared, first for 0.3 s and, if the holder lives, for 2 s more; to any peer if it doesn't. For a second after a refusal calls go to the holder at once. A caller whose call was at the holder for over 0.8 s in vain is told when to come back, and the entry doesn't begin anew.

--- /dev/null
+++ b/packages/gypsumwall-cell/src/__tests__/slow_store.test.ts
@@ -0,0 +1,149 @@
+/**
+ * Load: a store that turns slow: it takes 0.24 s for an append where 4 ms are
+ * usual, handles those of a log one by one and refuses what would wait for over
+ * 2 s; and 60 entries that each have two jobs a second to append.
+ */
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as result from 'true-myth/result';
+import * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import * as worlds from '../__fixtures__/cell_world.js';
+import * as fakeLogs from '../__fixtures__/fake_log.js';
+import * as forwardingJobServices from '../forwarding_job_service.js';
+import * as jobServices from '../job_service.js';
+import * as jobTables from '../job_table.js';
+import type * as logFollower from '../log_follower.js';
+import type * as peerDirectory from '../peer_directory.js';
+import type * as ports from '../ports.js';
+import * as storeHealths from '../store_health.js';
+
+const {test} = nodeTest;
+const ENTRIES = 60;
+const ROUNDS = 12;
+const ROUND_MS = 500;
+const USUAL_APPEND_MS = 4;
+const SLOW_APPEND_MS = 240;
+/** The store turns slow after so many rounds. */
+const SLOW_FROM = 2;
+/** From here on the line of the first slow second has been worked off. */
+const SETTLED_FROM = 8;
+const LONGEST_LINE_MS = 2_000;
+const CALLER_PATIENCE_MS = 3_000;
+const clock = types.clock.createSystemClock();
+const logger = telemetry.logger.createLogger('silent');
+
+const pause = (spanMs: number) =>
+  new Promise<void>((resolve) => setTimeout(resolve, spanMs));
+
+/** A log in front of which appends stand in line; counts those refused. */
+function createSlowLog() {
+  const log = fakeLogs.createFakeLog('jobs');
+  const append = log.append.bind(log);
+  let appendMs = USUAL_APPEND_MS;
+  let freeAt = 0;
+  let refused = 0;
+  log.append = async (entries, options) => {
+    const now = performance.now();
+    freeAt = Math.max(freeAt, now);
+    if (freeAt - now > LONGEST_LINE_MS) {
+      refused++;
+      await pause(appendMs / 10);
+      return result.err<ports.AppendOutcome, types.stepError.StepError>({
+        kind: 'refused',
+        step: 'append',
+        peer: 'store',
+        effect: 'not_run',
+        message: 'too many wait',
+      });
+    }
+    freeAt += appendMs;
+    await pause(freeAt - now);
+    return append(entries, options);
+  };
+  const turnSlow = () => (appendMs = SLOW_APPEND_MS);
+  return {log, turnSlow, refused: () => refused};
+}
+
+function createOwnService(log: ports.KeyedLog, isHolder: boolean) {
+  const follower = {
+    reachableSince: () => clock.monotonic(),
+    catchUp: () => Promise.resolve(true),
+  } as unknown as logFollower.LogFollower;
+  return jobServices.createJobService({
+    jobsLog: log,
+    jobs: jobTables.createJobTable({onAdded: () => {}, onCancelled: () => {}}),
+    follower,
+    pulse: storeHealths.createStoreHealth(),
+    copyAgeMs: () => Infinity,
+    catchUp: () => Promise.resolve(true),
+    refreshStates: () => Promise.resolve(true),
+    mayHandOn: () => !isHolder,
+    clock,
+    logger,
+    couldEverFit: () => true,
+  });
+}
+
+/** Peers of which only the holder is there, and slow. */
+function peersWith(holder: jobServices.JobService) {
+  const relay: peerDirectory.PeerDirectory['relay'] = async (req, patience) => {
+    if (req.type !== 'submit') throw new Error(`unexpected: ${req.type}`);
+    const answer = holder.submit(req.id, req.policy, req.request);
+    const late = pause(patience.eachMs).then(() => undefined);
+    const res = await Promise.race([answer, late]);
+    if (res === undefined) {
+      return {type: 'unanswered', mayStand: true, slow: true};
+    }
+    return res.type === 'ok'
+      ? {type: 'answered', res}
+      : {type: 'unanswered', mayStand: res.type === 'unknown', slow: false};
+  };
+  return {relay} as unknown as peerDirectory.PeerDirectory;
+}
+
+// Guards against entries that keep a slow store from the holder's shared
+// appends by trying their own again and again.
+test('jobs of many entries are stored at a slow store', async () => {
+  const {log, turnSlow, refused} = createSlowLog();
+  const holder = createOwnService(log, true);
+  // Entries that know no holder append by themselves, and go on doing so.
+  let holderIsKnown = false;
+  const services = Array.from({length: ENTRIES}, () =>
+    forwardingJobServices.createForwardingJobService({
+      own: createOwnService(log, false),
+      peers: peersWith(holder),
+      clock,
+      logger,
+      storeReachable: () => true,
+      holder: () => (holderIsKnown ? 'holder' : undefined),
+    }),
+  );
+  let stored = 0;
+  let held = 0;
+  async function submit(
+    service: jobServices.JobService,
+    round: number,
+    nth: number,
+  ) {
+    const id = types.ids.brand<types.ids.JobId>(`job${round}.${nth}`);
+    const startedAt = performance.now();
+    const res = await service.submit(id, worlds.POLICY, worlds.request(1));
+    if (res.type === 'ok' && round >= SETTLED_FROM) stored++;
+    if (performance.now() - startedAt >= CALLER_PATIENCE_MS) held++;
+  }
+  const calls: Promise<void>[] = [];
+  for (let round = 0; round < ROUNDS; round++) {
+    if (round === SLOW_FROM) turnSlow();
+    holderIsKnown = round > 0;
+    for (const [nth, service] of services.entries()) {
+      calls.push(submit(service, round, nth));
+      await pause(ROUND_MS / ENTRIES);
+    }
+  }
+  await Promise.all(calls);
+  const settled = ENTRIES * (ROUNDS - SETTLED_FROM);
+  assert.ok(stored >= settled * 0.9, `${stored} of ${settled} stored`);
+  assert.equal(held, 0, 'nobody is held until the deadline');
+  assert.ok(refused() <= 2 * ENTRIES, `${refused()} appends refused`);
+});
--- a/packages/gypsumwall-cell/src/batch_appender.ts
+++ b/packages/gypsumwall-cell/src/batch_appender.ts
@@ -4,7 +4,8 @@
  * log one by one, and when it is sixty times slower than usual, a few more of
  * each entry make a line of seconds, at which it refuses them all.
  */
-import * as types from '@gypsumwall/types';
+import * as result from 'true-myth/result';
+import type * as types from '@gypsumwall/types';
 import * as hedge from './hedge.js';
 import type * as ports from './ports.js';
 import type * as storeHealth from './store_health.js';
@@ -13,6 +14,18 @@
 const MOST_RECORDS = 200;
 /** Time given to one call; others are sent meanwhile, see hedging. */
 const CALL_TIMEOUT_MS = 2_000;
+/** How long a refusal counts as the store's pace; milliseconds. */
+const REFUSED_LATELY_MS = 1_000;
+
+/** What an appender is made with. */
+export interface BatchAppenderParts {
+  readonly log: ports.KeyedLog;
+  readonly clock: types.clock.Clock;
+  readonly storeHealth: storeHealth.StoreHealth;
+  readonly isStoreAway: () => boolean;
+  /** Whether another entry may append what the store refuses here. */
+  readonly mayHandOn: () => boolean;
+}
 
 /** Appends single records. */
 export interface BatchAppender {
@@ -23,7 +36,7 @@
   ): ports.Answer<ports.AppendOutcome>;
   /**
    * What appends took lately, or the open one until now, in milliseconds;
-   * undefined if there was none lately.
+   * undefined if there was none lately, infinite if one was refused.
    */
   latencyMs(): number | undefined;
 }
@@ -41,13 +54,10 @@
  * that was sent before is given up with its effect unknown: its caller has 3 s
  * for five tries, and was held for 2.4 s of them.
  */
-export function createBatchAppender(
-  log: ports.KeyedLog,
-  clock: types.clock.Clock,
-  pulse: storeHealth.StoreHealth,
-  isStoreAway: () => boolean,
-): BatchAppender {
-  const hedger = hedge.createHedger(clock, pulse);
+export function createBatchAppender(parts: BatchAppenderParts): BatchAppender {
+  const {log, clock} = parts;
+  const hedger = hedge.createHedger(clock, parts.storeHealth);
+  let refusedAt = -Infinity;
   let waiting: Waiting[] = [];
   let sentAt: types.clock.MonotonicMs | undefined;
   let pumpPlanned = false;
@@ -59,9 +69,13 @@
     const answer = await hedger.hedged({
       until: until as types.clock.MonotonicMs,
       call: () => log.append(entries, {timeoutMs: CALL_TIMEOUT_MS}),
-      isHopeless: isStoreAway,
+      isHopeless: parts.isStoreAway,
+      endsOnRefusal: parts.mayHandOn,
     });
     sentAt = undefined;
+    if (result.isErr(answer) && answer.error.effect === 'not_run') {
+      refusedAt = clock.monotonic();
+    }
     for (const one of batch) one.resolve(answer);
     pump();
   }
@@ -85,6 +99,7 @@
       });
     },
     latencyMs() {
+      if (clock.monotonic() - refusedAt < REFUSED_LATELY_MS) return Infinity;
       const lately = hedger.latencyMs();
       if (sentAt === undefined) return lately;
       return Math.max(clock.monotonic() - sentAt, lately ?? 0);
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -121,6 +121,7 @@
     copyAgeMs,
     catchUp: catchUpOnJobs,
     refreshStates,
+    mayHandOn: () => holderElsewhere() !== undefined,
     clock,
     logger,
     couldEverFit,
--- a/packages/gypsumwall-cell/src/forwarding_job_service.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -17,6 +17,13 @@
 const SLOW_RELAY_MS = 2_500;
 /** The same, after a first try that was given up. */
 const REST_OF_SLOW_RELAY_MS = 2_000;
+/**
+ * After so long at the holder a call isn't sent by this entry as well: its
+ * caller would wait until its deadline; milliseconds.
+ */
+const LATEST_DIRECT_MS = 800;
+/** When a caller that was refused after that should come back; milliseconds. */
+const RETRY_AFTER_MS = 1_000;
 /** A sound peer answers in 20 ms; callers must not be held; milliseconds. */
 const EACH_RELAY_MS = 300;
 const ALL_RELAYS_MS = 500;
@@ -119,9 +126,31 @@
     withinMs: number,
     ask: () => Promise<jobService.DeskAnswer<Value>>,
   ): Promise<jobService.DeskAnswer<Value>> {
+    const askedAt = clock.monotonic();
     const relayed = await relayToHolder(req, withinMs);
     if (relayed.type === 'answered') return answerOf(relayed.res);
-    return relayed.mayStand ? {type: 'unknown'} : ask();
+    if (relayed.mayStand) return {type: 'unknown'};
+    if (clock.monotonic() - askedAt < LATEST_DIRECT_MS) return ask();
+    return {type: 'not_run', retryAfterMs: RETRY_AFTER_MS};
+  }
+
+  /**
+   * What the store refused here: through the holder, which may be served or
+   * whose batches have their turn, and through any peer if the holder is lost.
+   */
+  async function handOn<Value>(
+    req: peerProtocol.RelayReq,
+    refused: jobService.DeskAnswer<Value>,
+  ): Promise<jobService.DeskAnswer<Value>> {
+    const viaHolder = await relayToHolder(req, EACH_RELAY_MS);
+    if (viaHolder.type === 'answered') return answerOf(viaHolder.res);
+    if (viaHolder.slow) {
+      const answerRefused = () => Promise.resolve(refused);
+      return askSlowHolder(req, REST_OF_SLOW_RELAY_MS, answerRefused);
+    }
+    const relayed = await relayToAny(req);
+    if (relayed.type === 'answered') return answerOf(relayed.res);
+    return withDoubt(refused, relayed.mayStand || viaHolder.mayStand);
   }
 
   /** The own desk's answer, or a peer's where that is better. */
@@ -150,6 +179,9 @@
     if (viaHolder.slow) return askSlowHolder(req, REST_OF_SLOW_RELAY_MS, ask);
     const direct = await ask();
     if (direct.type !== 'not_run' && direct.type !== 'unknown') return direct;
+    if (direct.type === 'not_run' && latencyMs !== undefined) {
+      return handOn(req, direct);
+    }
     // The store may have turned away this entry alone.
     const relayed = await relayToAny(req);
     if (relayed.type === 'answered') return answerOf(relayed.res);
--- a/packages/gypsumwall-cell/src/hedge.ts
+++ b/packages/gypsumwall-cell/src/hedge.ts
@@ -33,6 +33,11 @@
    * with an answer later. Not asked before a usual answer is overdue.
    */
   readonly isHopeless?: () => boolean;
+  /**
+   * Whether a refusal is the outcome, and not tried again: another way is
+   * open, and tries of all entries keep an overloaded store from its work.
+   */
+  readonly endsOnRefusal?: () => boolean;
   readonly signal?: AbortSignal;
 }
 
@@ -94,7 +99,7 @@
 
   return {
     latencyMs,
-    async hedged({call, until, isHopeless, signal}) {
+    async hedged({call, until, isHopeless, endsOnRefusal, signal}) {
       const race = createRace(() => timed(call));
       const giveUp = () => race.giveUp();
       signal?.addEventListener('abort', giveUp);
@@ -105,6 +110,7 @@
         if (race.isOver() || clock.monotonic() >= until) break;
         if (isHopeless?.() === true) break;
         if (race.open() > 0) continue;
+        if (race.isRefused() && endsOnRefusal?.() === true) break;
         await types.clock.pause(clock, REFUSED_PAUSE_MS, signal);
       }
       signal?.removeEventListener('abort', giveUp);
@@ -126,6 +132,8 @@
   change(): AbortSignal;
   open(): number;
   isOver(): boolean;
+  /** Whether every call that was answered did nothing. */
+  isRefused(): boolean;
   giveUp(): void;
   outcome(): Awaited<ports.Answer<Value>>;
 }
@@ -162,6 +170,7 @@
     },
     open: () => open,
     isOver: () => over,
+    isRefused: () => lastError?.effect === 'not_run',
     giveUp() {
       over = true;
       changed.abort();
--- a/packages/gypsumwall-cell/src/job_service.ts
+++ b/packages/gypsumwall-cell/src/job_service.ts
@@ -99,6 +99,8 @@
   readonly copyAgeMs: () => number;
   /** Reads all logs that tell of jobs to their ends; false if that failed. */
   readonly catchUp: () => Promise<boolean>;
+  /** Whether another entry may append what the store refuses here. */
+  readonly mayHandOn: () => boolean;
   /** Reads the log of states to its end, unless that was done just now. */
   readonly refreshStates: () => Promise<boolean>;
   readonly clock: types.clock.Clock;
@@ -113,12 +115,13 @@
 /** Creates the desk of one entry. */
 export function createJobService(options: JobServiceOptions): JobService {
   const {jobs, follower, clock, logger} = options;
-  const appender = batchAppender.createBatchAppender(
-    options.jobsLog,
+  const appender = batchAppender.createBatchAppender({
+    log: options.jobsLog,
     clock,
-    options.pulse,
-    () => follower.reachableSince() === undefined,
-  );
+    storeHealth: options.pulse,
+    isStoreAway: () => follower.reachableSince() === undefined,
+    mayHandOn: options.mayHandOn,
+  });
 
   /** Appends, several times if need be: every record here may be repeated. */
   async function store(
