types: share the virtual clock; cell: drive the slow store test with it

The test failed once in a run beside others on a busy machine: it measured with the machine's clock. It runs on the virtual clock now, with bounds as before.

--- a/packages/gypsumwall-bench/src/routing_run.ts
+++ b/packages/gypsumwall-bench/src/routing_run.ts
@@ -5,7 +5,6 @@
 import * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import * as fakeUpstreams from './routing_fake_upstreams.js';
-import * as virtualClock from './routing_virtual_clock.js';
 import * as workload from './routing_workload.js';
 
 /** A router to be measured. */
@@ -75,7 +74,7 @@
 /** Runs routers through one workload. */
 export async function runOnce(options: RunOptions): Promise<RunFigures> {
   const {cell, spanMs} = options;
-  const clock = virtualClock.createVirtualClock();
+  const clock = types.virtualClock.createVirtualClock();
   const random = types.random.createRandom(options.seed);
   const startMs = 2 * LAG_MS + BOUND_MS + LAG_MS;
   const endMs = startMs + spanMs;
--- a/packages/gypsumwall-bench/src/routing_slopes.ts
+++ b/packages/gypsumwall-bench/src/routing_slopes.ts
@@ -7,7 +7,6 @@
 import * as types from '@gypsumwall/types';
 import type * as benchModule from './bench_module.js';
 import * as routingRun from './routing_run.js';
-import * as virtualClock from './routing_virtual_clock.js';
 import * as workload from './routing_workload.js';
 
 const UPSTREAM_COUNTS = [30, 100, 300, 1_000];
@@ -93,7 +92,7 @@
 }
 
 async function viewMicros(upstreams: number): Promise<number> {
-  const clock = virtualClock.createVirtualClock();
+  const clock = types.virtualClock.createVirtualClock();
   const listed = routingRun.listAll({entries: 6, upstreams, slots: 8});
   const router = makeOne(clock, () => ({
     execute: () => new Promise(() => undefined),
@@ -113,7 +112,7 @@
 }
 
 async function bytesPerUpstream(upstreams: number): Promise<number> {
-  const clock = virtualClock.createVirtualClock();
+  const clock = types.virtualClock.createVirtualClock();
   const listed = routingRun.listAll({entries: 1, upstreams, slots: 8});
   const before = heldBytes();
   const router = makeOne(clock, (one, connections) =>
@@ -131,7 +130,7 @@
 }
 
 async function bytesPerQueued(waiting: number): Promise<number> {
-  const clock = virtualClock.createVirtualClock();
+  const clock = types.virtualClock.createVirtualClock();
   const listed = routingRun.listAll({entries: 1, upstreams: 1, slots: 1});
   const router = makeOne(clock, () => ({
     execute: () => new Promise(() => undefined),
--- a/packages/gypsumwall-cell/src/__tests__/slow_store.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/slow_store.test.ts
@@ -30,21 +30,20 @@
 const SETTLED_FROM = 8;
 const LONGEST_LINE_MS = 2_000;
 const CALLER_PATIENCE_MS = 3_000;
-const clock = types.clock.createSystemClock();
+const clock = types.virtualClock.createVirtualClock();
 const logger = telemetry.logger.createLogger('silent');
 
-const pause = (spanMs: number) =>
-  new Promise<void>((resolve) => setTimeout(resolve, spanMs));
+const pause = (spanMs: number) => types.clock.pause(clock, spanMs);
 
 /** A log in front of which appends stand in line; counts those refused. */
 function createSlowLog() {
   const log = fakeLogs.createFakeLog('jobs');
   const append = log.append.bind(log);
   let appendMs = USUAL_APPEND_MS;
-  let freeAt = 0;
+  let freeAt: number = clock.monotonic();
   let refused = 0;
   log.append = async (entries, options) => {
-    const now = performance.now();
+    const now = clock.monotonic();
     freeAt = Math.max(freeAt, now);
     if (freeAt - now > LONGEST_LINE_MS) {
       refused++;
@@ -127,21 +126,26 @@
     nth: number,
   ) {
     const id = types.ids.brand<types.ids.JobId>(`job${round}.${nth}`);
-    const startedAt = performance.now();
+    const startedAt = clock.monotonic();
     const res = await service.submit(id, worlds.POLICY, worlds.request(1));
     if (res.type === 'ok' && round >= SETTLED_FROM) stored++;
-    if (performance.now() - startedAt >= CALLER_PATIENCE_MS) held++;
+    if (clock.monotonic() - startedAt >= CALLER_PATIENCE_MS) held++;
   }
-  const calls: Promise<void>[] = [];
-  for (let round = 0; round < ROUNDS; round++) {
-    if (round === SLOW_FROM) turnSlow();
-    holderIsKnown = round > 0;
-    for (const [nth, service] of services.entries()) {
-      calls.push(submit(service, round, nth));
-      await pause(ROUND_MS / ENTRIES);
+  async function submitAll(): Promise<void> {
+    const calls: Promise<void>[] = [];
+    for (let round = 0; round < ROUNDS; round++) {
+      if (round === SLOW_FROM) turnSlow();
+      holderIsKnown = round > 0;
+      for (const [nth, service] of services.entries()) {
+        calls.push(submit(service, round, nth));
+        await pause(ROUND_MS / ENTRIES);
+      }
     }
+    await Promise.all(calls);
   }
-  await Promise.all(calls);
+  const submitted = submitAll();
+  await clock.runUntil(ROUNDS * ROUND_MS + 2 * CALLER_PATIENCE_MS);
+  await submitted;
   const settled = ENTRIES * (ROUNDS - SETTLED_FROM);
   assert.ok(stored >= settled * 0.9, `${stored} of ${settled} stored`);
   assert.equal(held, 0, 'nobody is held until the deadline');
--- a/packages/gypsumwall-types/src/index.ts
+++ b/packages/gypsumwall-types/src/index.ts
@@ -5,3 +5,4 @@
 export * as random from './random.js';
 export * as resources from './resources.js';
 export * as stepError from './step_error.js';
+export * as virtualClock from './virtual_clock.js';
--- a/packages/gypsumwall-bench/src/routing_virtual_clock.ts
+++ b/packages/gypsumwall-types/src/virtual_clock.ts
@@ -1,9 +1,9 @@
 /** A clock on which a run takes as long as its processor time, no longer. */
 import * as timers from 'node:timers/promises';
-import type * as types from '@gypsumwall/types';
+import type * as clock from './clock.js';
 
 /** A clock that jumps to the next moment for which anything waits. */
-export interface VirtualClock extends types.clock.Clock {
+export interface VirtualClock extends clock.Clock {
   /** Runs until the moment, or until nothing waits. */
   runUntil(end: number): Promise<void>;
 }
@@ -40,8 +40,8 @@
     });
 
   return {
-    monotonic: () => now as types.clock.MonotonicMs,
-    wall: () => now as types.clock.WallMs,
+    monotonic: () => now as clock.MonotonicMs,
+    wall: () => now as clock.WallMs,
     sleepUntil,
     runUntil: async (end) => {
       // Everything that follows from the last moment happens before the next.
