--- a/packages/gypsumwall-cell/src/job_service.ts
+++ b/packages/gypsumwall-cell/src/job_service.ts
@@ -37,7 +37,7 @@
  * older one is brought up to date first. Callers learn of an end that much
  * later at most; milliseconds.
  */
-export const FRESH_STATE_MS = 100;
+export const FRESH_STATE_MS = 20;
 /** How long a question about a state waits for that; milliseconds. */
 const REFRESH_PATIENCE_MS = 300;
 /**
