cell: don't send what a full line refuses from peer to peer

Each refused call went on to other entries for half a second, which each tried an append of their own; so the line stayed full, and callers came back. The shape of a metastable failure: work in line makes more work.

The change: an entry whose append is refused reads the log. A store that turns it away refuses that as well, and any peer may do better; else only the holder is asked, whose appends are shared, and the caller is told when to come back.

Shown by the test of whom a refused call goes to; both cases fail without the change.

--- a/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
@@ -16,15 +16,19 @@
   /** What the holder alone comes to, if that is something else. */
   readonly byHolder?: peerDirectory.RelayOutcome;
   readonly reachable: boolean;
+  /** Whether the store is found to turn the entry away at its own append. */
+  readonly turnsAway?: boolean;
   /** Whether the own copy of the logs is current. */
   readonly current?: boolean;
   readonly latencyMs?: number | 'unknown';
 }
 
 function createDesk(situation: Situation, asked: string[] = []) {
+  let {reachable} = situation;
   const own: jobService.JobService = {
     submit: () => {
       asked.push('own');
+      if (situation.turnsAway === true) reachable = false;
       return Promise.resolve(situation.own);
     },
     cancel: () => Promise.resolve(situation.own),
@@ -59,7 +63,7 @@
     peers,
     clock: types.clock.createSystemClock(),
     logger: telemetry.logger.createLogger('silent'),
-    storeReachable: () => situation.reachable,
+    storeReachable: () => reachable,
     holder: () => 'other',
   });
 }
@@ -171,3 +175,34 @@
   const answer = await submit({...unknown, own: OK, relayed: slow});
   assert.deepEqual(answer, {type: 'unknown', asked: ['holder', 'holder']});
 });
+
+// Guards against calls that go from peer to peer while too many appends are in
+// line: each peer adds one, and the line stays full after the store is sound.
+test('what a full line refuses goes to the holder alone', async () => {
+  const refused = {type: 'unanswered', mayStand: false, slow: false} as const;
+  const answer = await submit({
+    own: REFUSED,
+    relayed: refused,
+    reachable: true,
+  });
+  assert.deepEqual(answer, {type: 'not_run', asked: ['own', 'holder']});
+  const byHolder = await submit({
+    own: REFUSED,
+    relayed: refused,
+    byHolder: PEER_OK,
+    reachable: true,
+  });
+  assert.deepEqual(byHolder, {type: 'ok', asked: ['own', 'holder']});
+});
+
+// Guards against callers who are refused though any peer could serve them.
+test('what the store turns away goes to any peer', async () => {
+  const answer = await submit({
+    own: REFUSED,
+    relayed: PEER_OK,
+    byHolder: {type: 'unanswered', mayStand: false, slow: false},
+    reachable: true,
+    turnsAway: true,
+  });
+  assert.deepEqual(answer, {type: 'ok', asked: ['own', 'holder', 'any peer']});
+});
--- a/packages/gypsumwall-cell/src/forwarding_job_service.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -136,7 +136,9 @@
 
   /**
    * What the store refused here: through the holder, which may be served or
-   * whose batches have their turn, and through any peer if the holder is lost.
+   * whose batches have their turn. Any peer is asked only where the store has
+   * turned this entry away: with too many appends in line, calls that go from
+   * peer to peer are refused at each and keep the line full.
    */
   async function handOn<Value>(
     req: peerProtocol.RelayReq,
@@ -148,6 +150,9 @@
       const answerRefused = () => Promise.resolve(refused);
       return askSlowHolder(req, REST_OF_SLOW_RELAY_MS, answerRefused);
     }
+    if (options.storeReachable()) {
+      return withDoubt(refused, viaHolder.mayStand);
+    }
     const relayed = await relayToAny(req);
     if (relayed.type === 'answered') return answerOf(relayed.res);
     return withDoubt(refused, relayed.mayStand || viaHolder.mayStand);
@@ -179,10 +184,10 @@
     if (viaHolder.slow) return askSlowHolder(req, REST_OF_SLOW_RELAY_MS, ask);
     const direct = await ask();
     if (direct.type !== 'not_run' && direct.type !== 'unknown') return direct;
-    if (direct.type === 'not_run' && latencyMs !== undefined) {
-      return handOn(req, direct);
+    if (direct.type === 'not_run') {
+      const handedOn = await handOn<Value>(req, direct);
+      return withDoubt(handedOn, viaHolder.mayStand);
     }
-    // The store may have turned away this entry alone.
     const relayed = await relayToAny(req);
     if (relayed.type === 'answered') return answerOf(relayed.res);
     return withDoubt(direct, relayed.mayStand || viaHolder.mayStand);
--- a/packages/gypsumwall-cell/src/job_service.ts
+++ b/packages/gypsumwall-cell/src/job_service.ts
@@ -137,7 +137,19 @@
       key: entry.key,
       error: types.stepError.describeError(answer.error),
     });
-    return answer.error.effect === 'unknown' ? 'unknown' : 'not_run';
+    if (answer.error.effect === 'unknown') return 'unknown';
+    await findOutWhoIsRefused();
+    return 'not_run';
+  }
+
+  /**
+   * A store that turns this entry away refuses reads as well; one whose log has
+   * too many appends in line doesn't. Only in the first case can a peer do
+   * better, and in the second its appends would make the line longer.
+   */
+  async function findOutWhoIsRefused(): Promise<void> {
+    const patience = outOfPatience(REFRESH_PATIENCE_MS);
+    await Promise.race([follower.catchUp(), patience]);
   }
 
   /** Finds out whether the store is away; the log is read seldom otherwise. */
