cell: read the holder's log five times a second at entries that don't stand by

Suspected: with a pause of 0.5 s some 20 KB have come when a caller asks, which a link of 14 Mbit/s carries in 11 ms and an instance of 0.324 of a core decodes in about as long (worked out); before, they had been read by then.

The change: a pause of 0.2 s for the log of states; that of jobs stays at 0.5 s.

--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -34,11 +34,16 @@
  */
 const STANDBY_PAUSE_MS = 120;
 /**
- * Everybody else reads this seldom, and what a caller asks for is read at
- * once. A copy stays well below the age up to which it may be counted in;
- * milliseconds.
+ * Everybody else reads it this seldom, and at once when a caller asks. What has
+ * come since the last read must be short: on a slow link the caller waits for
+ * all of it; milliseconds.
  */
-const OBSERVER_PAUSE_MS = 500;
+const OBSERVER_PAUSE_MS = 200;
+/**
+ * Only the holder is in a hurry to read the log of jobs. A copy stays well
+ * below the age up to which it may be counted in; milliseconds.
+ */
+const JOBS_PAUSE_MS = 500;
 /** A store that went silent is noticed this much later; milliseconds. */
 const FOLLOW_WAIT_MS = 250;
 /** The configuration changes seldom; milliseconds. */
@@ -96,7 +101,7 @@
       }
       applyRecords.applyRecords(records, logger, applyJobRecord);
     },
-    pauseMs: () => (holder === undefined ? OBSERVER_PAUSE_MS : HOLDER_PAUSE_MS),
+    pauseMs: () => (holder === undefined ? JOBS_PAUSE_MS : HOLDER_PAUSE_MS),
     readWaitMs: FOLLOW_WAIT_MS,
   });
   const cellFollower = logFollower.createLogFollower({
