--- a/packages/gypsumwall-testing/src/__tests__/contract.test.ts
+++ b/packages/gypsumwall-testing/src/__tests__/contract.test.ts
@@ -219,7 +219,7 @@
   nodeTest.test('runs a task and repeats its end', async (test) => {
     const {client, call, at, attached} = await startWorker(test);
     assert.deepEqual(attached.capacity, CAPACITY);
-    const task = makeTask('7.1', at(9_000), 20);
+    const task = makeTask('7.1', at(9_000), 500);
     const start = () => client.start(call, at(1_000), [task]);
     assert.deepEqual(unwrap(await start()), [{type: 'started'}]);
     assert.deepEqual(unwrap(await start()), [{type: 'started'}]);
