scheduling: log what keeps a waiting step off the workers

Neither of the two accounts of work that was accepted and not run again can be told from the other by the logs: no line says why a step that waits doesn't start. step_waits counts the workers by what stands against each (room, approval, ticket, record, reservation, trust), with the step's place in the order and the calls to the adviser that are left; gang_breaks names a gang that can't start again before its last members have ended. At most four lines in half a second. No decision changes.

--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/__tests__/wait_reporter.test.ts
@@ -0,0 +1,63 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as types from '@gypsumwall/types';
+import * as worlds from '../__fixtures__/scheduler_world.js';
+import type * as schedulerTypes from '../scheduler_types.js';
+
+const {test} = nodeTest;
+
+type WaitEvent = Extract<schedulerTypes.SchedulerEvent, {type: 'step_waits'}>;
+
+function waitsOf(world: worlds.SchedulerWorld): WaitEvent[] {
+  return world.events.filter(
+    (event): event is WaitEvent => event.type === 'step_waits',
+  );
+}
+
+function pass(world: worlds.SchedulerWorld, spanMs: number): void {
+  const until = types.clock.after(world.now, spanMs);
+  while (world.now < until) {
+    world.startAll();
+    world.now = types.clock.after(world.now, 100);
+  }
+}
+
+// Guards against a step that stands still while no log line says why.
+test('a step that waits is logged with what keeps it off each worker', () => {
+  const world = worlds.createSchedulerWorld();
+  world.addWorker('small', 1);
+  const away = world.addWorker('away', 8);
+  world.scheduler.setUsable(away, false);
+  world.submit('wide', [
+    worlds.step({size: {cpuMillis: 4_000, memoryMb: 1, accelerators: 0}}),
+  ]);
+  pass(world, 900);
+  assert.deepEqual(waitsOf(world), []);
+  pass(world, 5_000);
+  const waits = waitsOf(world);
+  assert.ok(waits.length >= 2 && waits.length <= 3, `${waits.length} lines`);
+  assert.equal(waits[0]!.step, 'wide.0.0');
+  assert.equal(waits[0]!.workers, 'no_room:1,unusable:1');
+  assert.ok(waits[0]!.waitedMs >= 1_000);
+});
+
+// Guards against a log that grows with all that waits.
+test('reports of waiting steps are bounded', () => {
+  const world = worlds.createSchedulerWorld();
+  for (let nth = 0; nth < 500; nth++) world.submit(`j${nth}`, [worlds.step()]);
+  pass(world, 10_000);
+  assert.ok(waitsOf(world).length <= 80);
+});
+
+// Guards against a gang that is held up by one member without a word of it.
+test('a gang whose members have not all ended is logged', () => {
+  const world = worlds.createSchedulerWorld();
+  world.addWorker('one', 1);
+  world.addWorker('two', 1);
+  world.submit('gang', [worlds.step({taskCount: 2, gang: true})]);
+  const runs = world.startAll();
+  world.end(runs[0]!, 'broken');
+  pass(world, 3_000);
+  const broken = world.events.filter(({type}) => type === 'gang_breaks');
+  assert.equal(broken.length, 1);
+});
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -17,6 +17,7 @@
 import type * as schedulerTypes from './scheduler_types.js';
 import * as taskIds from './task_id.js';
 import * as waitingOrder from './waiting_order.js';
+import * as waitReporter from './wait_reporter.js';
 import * as workerRegistry from './worker_registry.js';
 import * as workerHealth from './worker_health.js';
 
@@ -55,6 +56,7 @@
     onEvent,
   });
   const order = waitingOrder.createWaitingOrder();
+  const waits = waitReporter.createWaitReporter(onEvent);
   let arrivals = 0;
   let held: schedulingCycle.CycleResult['held'] = new Map();
 
@@ -138,7 +140,10 @@
     });
   }
 
-  function runCycle(now: types.clock.MonotonicMs): schedulingCycle.CycleResult {
+  function runCycle(
+    now: types.clock.MonotonicMs,
+    callsLeft: number,
+  ): schedulingCycle.CycleResult {
     const {steps, gangFellBehind} = order.sorted(waiting, now);
     if (gangFellBehind) for (const id of held.keys()) book.noteFreed(id);
     for (const id of health.takeRestored(now)) book.noteFreed(id);
@@ -149,6 +154,10 @@
       if (cycle.held.get(id) !== gang) book.noteFreed(id);
     }
     held = cycle.held;
+    for (const {stepRun} of cycle.placed) waits.notePlaced(stepRun);
+    const isHeld = (id: types.ids.WorkerId) => held.has(id);
+    const waitingSteps = {ordered: steps, jobs: jobs.values()};
+    waits.sweep(waitingSteps, {book, health, now, isHeld, callsLeft});
     return cycle;
   }
 
@@ -241,7 +250,7 @@
         // Only jobs with times to come are looked at again.
         if (job.finished.size + job.open.size >= total) scheduled.delete(job);
       }
-      const cycle = runCycle(now);
+      const cycle = runCycle(now, capacity.needed);
       recordWorkers(cycle.unrecorded);
       numberAttempts(cycle.placed);
       const starts = cycle.placed.map((placed) => startOrder(placed, now));
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -173,6 +173,36 @@
       /** How long it should have taken from its acceptance. */
       readonly objectiveMs: number;
     }
+  | {
+      /** Nothing of a step has started for a while; bounded in number. */
+      readonly type: 'step_waits';
+      readonly step: string;
+      readonly queue: string;
+      readonly tasks: number;
+      readonly ofTasks: number;
+      readonly waitedMs: number;
+      /** Place in the order of work, from 0. */
+      readonly rank: number;
+      /** Whether workers of an earlier scheduler aren't accounted for. */
+      readonly heldBack: boolean;
+      readonly openCalls: number;
+      /** Calls to the adviser that could be made before this cycle. */
+      readonly callsLeft: number;
+      /** Workers by what keeps the step off them, as `reason:count`. */
+      readonly workers: string;
+    }
+  | {
+      /** A gang can't start again: members of its last attempt haven't ended. */
+      readonly type: 'gang_breaks';
+      readonly step: string;
+      readonly ofTasks: number;
+      readonly runs: number;
+      /** Of these, how many orders or stops are without an answer. */
+      readonly unconfirmed: number;
+      /** Worker of one of them. */
+      readonly worker?: types.ids.WorkerId;
+      readonly waitedMs: number;
+    }
   | {
       readonly type: 'worker_stalled';
       readonly worker: types.ids.WorkerId;
