--- a/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
@@ -7,6 +7,7 @@
 import type * as cellEntryTypes from '../cell_entry_types.js';
 import * as fakeLogs from './fake_log.js';
 import * as fakeWorkers from './fake_worker.js';
+import type * as ports from '../ports.js';
 
 /** A policy without an adviser. */
 export const POLICY: scheduling.jobRequest.QueuePolicy = {
@@ -51,6 +52,8 @@
 export interface CellWorld {
   readonly store: FakeStore;
   addWorker(name: string, cores: number): Promise<fakeWorkers.FakeWorker>;
+  /** Lists a worker as one that leaves in so many milliseconds. */
+  drain(worker: fakeWorkers.FakeWorker, leavesInMs: number): Promise<void>;
   /** Starts an entry; `view` may give it logs of its own troubles. */
   addEntry(
     instance: string,
@@ -82,6 +85,10 @@
       await store.workers.append([{key: name, value}], {timeoutMs: 1});
       return worker;
     },
+    async drain({info}, leavesInMs) {
+      const value = JSON.stringify({...info, draining: true, leavesInMs});
+      await store.workers.append([{key: info.id, value}], {timeoutMs: 1});
+    },
     addEntry(
       instance,
       view = store,
@@ -98,10 +105,7 @@
         },
         logs: view,
         decodeConfig: () => result.ok(undefined),
-        decodeWorker: (_key, value) =>
-          result.ok({
-            info: JSON.parse(value) as scheduling.workerRegistry.WorkerInfo,
-          }),
+        decodeWorker: (_key, value) => result.ok(decodeWorker(value)),
         connect: (info) => workers.get(info.id)!.connect(),
         adviser: {ask: () => Promise.resolve(result.ok(new Map()))},
         leaseMs,
@@ -120,6 +124,13 @@
   };
 }
 
+function decodeWorker(value: string): ports.ListedWorker {
+  const {leavesInMs, ...info} = JSON.parse(
+    value,
+  ) as scheduling.workerRegistry.WorkerInfo & {leavesInMs?: number};
+  return {info, leavesInMs};
+}
+
 /** A log whose calls can be troubled for one entry alone. */
 export function viewOf(shared: fakeLogs.FakeLog): fakeLogs.FakeLog {
   const view = fakeLogs.createFakeLog(shared.name);
--- a/packages/gypsumwall-cell/src/__fixtures__/fake_worker.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/fake_worker.ts
@@ -25,6 +25,8 @@
   mute: boolean;
   /** So many looks that wait for an end are lost. */
   looksToLose: number;
+  /** How long a stop takes; milliseconds. */
+  stopMs: number;
   readonly running: Map<string, FakeRun>;
   /** Every start that was carried out. */
   readonly started: FakeRun[];
@@ -77,6 +79,14 @@
     for (const wake of woken) wake();
   }
 
+  function stopRun(key: string): void {
+    if (worker.stopMs === 0) {
+      endRun(key, 'stopped');
+      return;
+    }
+    setTimeout(() => endRun(key, 'stopped'), worker.stopMs).unref();
+  }
+
   function expire(): void {
     if (leaseUntil === 0 || clockMs() < leaseUntil) return;
     for (const key of [...running.keys()]) endRun(key, 'lapsed');
@@ -110,6 +120,7 @@
     cut: false,
     mute: false,
     looksToLose: 0,
+    stopMs: 0,
     running,
     started,
     end: endRun,
@@ -125,7 +136,7 @@
         if (worker.cut) return unanswered(call.timeoutMs);
         if (fenced(call.token)) return result.ok({type: 'fenced'});
         const run = running.get(call.taskId);
-        if (run?.attempt === call.attempt) endRun(call.taskId, 'stopped');
+        if (run?.attempt === call.attempt) stopRun(call.taskId);
         return result.ok({type: 'accepted', clockMs: clockMs()});
       },
       async look(call) {
--- /dev/null
+++ b/packages/gypsumwall-cell/src/__tests__/leaving_worker.test.ts
@@ -0,0 +1,51 @@
+/**
+ * Load: tasks that last, on a worker that leaves at the very moment that it has
+ * announced, and whose stops take 900 ms. The list is read 200 ms late.
+ */
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as types from '@gypsumwall/types';
+import * as worlds from '../__fixtures__/cell_world.js';
+
+const {test} = nodeTest;
+const STOP_MS = 900;
+const ANNOUNCED_MS = 2_000;
+const LIST_LAG_MS = 200;
+const LEASE_MS = 4_000;
+const TASKS = 4;
+/** An order or a look may be lost once. */
+const RETRY_MS = 500;
+
+function lastingRequest() {
+  const request = worlds.request(TASKS);
+  const steps = request.steps.map((step) => ({...step, longRunning: true}));
+  return {...request, steps};
+}
+
+// Guards against lasting tasks that stand still for a lease, since the worker
+// left before their stops were carried out and nobody heard of their ends.
+test('a worker that leaves is emptied while its ends can be heard', async () => {
+  const world = worlds.createCellWorld(LEASE_MS);
+  try {
+    const leaving = await world.addWorker('w1', TASKS);
+    const entry = world.addEntry('a');
+    await worlds.until(() => entry.status().storeReachable, 'the store');
+    const jobId = types.ids.brand<types.ids.JobId>('job');
+    await entry.desk.submit(jobId, worlds.POLICY, lastingRequest());
+    await worlds.until(() => leaving.running.size === TASKS, 'all tasks');
+    const other = await world.addWorker('w2', TASKS);
+    leaving.stopMs = STOP_MS;
+    await world.drain(leaving, ANNOUNCED_MS);
+    setTimeout(() => (leaving.cut = true), ANNOUNCED_MS - LIST_LAG_MS);
+    const leftAt = performance.now() + ANNOUNCED_MS - LIST_LAG_MS;
+    await worlds.until(
+      () => other.running.size === TASKS,
+      'all tasks on the other worker',
+      2 * LEASE_MS,
+    );
+    const lateMs = performance.now() - leftAt;
+    assert.ok(lateMs < RETRY_MS, `${Math.round(lateMs)} ms after it left`);
+  } finally {
+    world.stop();
+  }
+});
