cell: empty a worker that leaves in time for its stops

Cause: the stops of a worker that leaves began a fixed 1,000 ms before the announced moment, which fits a deployment whose stops take 400 ms. Where they take 900 ms, and the list is read some 200 ms late, the worker leaves before its last stops are carried out; nobody hears of these ends, and their tasks wait until the worker's lease of 10 s has passed. The class: a constant fitted to one deployment where the platform names the bound.

Excluded: a late list alone (the other task of the same worker was stopped 56 ms before it left), a missing report (the platform shows the run as gone, not as stopped).

--- a/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
@@ -109,6 +109,7 @@
         connect: (info) => workers.get(info.id)!.connect(),
         adviser: {ask: () => Promise.resolve(result.ok(new Map()))},
         leaseMs,
+        longestStopMs: 900,
         keepOverMs: () => 60_000,
         clock,
         random: types.random.createRandom(processes),
--- a/packages/gypsumwall-cell/src/__tests__/foreign_workers.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/foreign_workers.test.ts
@@ -37,6 +37,7 @@
       return session as workerSession.WorkerSession;
     },
     write: () => Promise.resolve(),
+    longestStopMs: 400,
     onChange: () => {},
   });
   return {roster, opened, warned};
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -248,6 +248,7 @@
       catchUpJobs: () => jobsFollower.catchUp(),
       policyOf: (queue) => configs.policyOf(queue),
       leaseMs: options.leaseMs,
+      longestStopMs: options.longestStopMs,
       pulse,
       clock,
       logger,
--- a/packages/gypsumwall-cell/src/cell_entry_types.ts
+++ b/packages/gypsumwall-cell/src/cell_entry_types.ts
@@ -30,6 +30,8 @@
   readonly connect: cellHolderTypes.CellHolderOptions['connect'];
   readonly adviser: ports.Adviser;
   readonly leaseMs: number;
+  /** The longest that a worker takes to stop a task; milliseconds. */
+  readonly longestStopMs: number;
   /** How long the state of a job that is over can be asked for. */
   readonly keepOverMs: () => number;
   readonly clock: types.clock.Clock;
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -80,6 +80,7 @@
     scheduler,
     decode: options.decodeWorker,
     isUsedPool: options.isUsedPool,
+    longestStopMs: options.longestStopMs,
     openSession,
     write: (records) => writer.write(records),
     onChange: kick,
--- a/packages/gypsumwall-cell/src/cell_holder_types.ts
+++ b/packages/gypsumwall-cell/src/cell_holder_types.ts
@@ -29,6 +29,8 @@
     queue: string,
   ) => scheduling.jobRequest.QueuePolicy | undefined;
   readonly leaseMs: number;
+  /** The longest that a worker takes to stop a task; milliseconds. */
+  readonly longestStopMs: number;
   readonly pulse: storeHealth.StoreHealth;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
--- a/packages/gypsumwall-cell/src/worker_roster.ts
+++ b/packages/gypsumwall-cell/src/worker_roster.ts
@@ -11,10 +11,11 @@
 import type * as workerSession from './worker_session.js';
 
 /**
- * A worker that leaves is emptied this long before: a stop takes up to 400 ms,
- * and its saved progress has to be fetched; milliseconds.
+ * Time beside the stops themselves to empty a worker that leaves: the list is
+ * read late, an order may have to be sent twice, and the ends have to be heard.
+ * Whoever misses them waits for the lease to pass; milliseconds.
  */
-const EVACUATE_BEFORE_MS = 1_000;
+const EVACUATION_SLACK_MS = 1_000;
 /**
  * A worker that drops off the list while it answers is used on for so long:
  * after an outage of the store all entries may be missing, and come back
@@ -39,6 +40,8 @@
    * their entries may be another program's, and their addresses anyone's.
    */
   readonly isUsedPool: (pool: string) => boolean;
+  /** The longest that a worker takes to stop a task; milliseconds. */
+  readonly longestStopMs: number;
   readonly openSession: (
     worker: scheduling.workerRegistry.WorkerInfo,
   ) => workerSession.WorkerSession;
@@ -119,7 +122,8 @@
     const entry = entries.get(info.id) ?? open(info, true, false);
     if (info.draining && !entry.info.draining) {
       logger.info('worker_draining', {worker: info.id, leavesInMs});
-      const spanMs = Math.max(0, (leavesInMs ?? 0) - EVACUATE_BEFORE_MS);
+      const neededMs = options.longestStopMs + EVACUATION_SLACK_MS;
+      const spanMs = Math.max(0, (leavesInMs ?? 0) - neededMs);
       entry.evacuateAt = types.clock.after(clock.monotonic(), spanMs);
     }
     entry.info = info;
