cell: let leases end sooner where tasks last, on workers that leave, and on idle ones

Callers saw a lasting task stand still for a whole lease after its worker was lost: 10 s on the worker's clock, and the start after it, where it may be away for six seconds and three more. Where a worker is lost for good, or leaves before its ends are heard, nothing else tells that its tasks can't run any more.

The length of a lease was one for all, the longest that workers grant. What a successor waits for stays the longest lease. Excluded: counting a refused connection as the end of a worker, since cuts may answer with resets.

--- a/packages/gypsumwall-cell/src/__tests__/worker_session.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/worker_session.test.ts
@@ -21,7 +21,7 @@
     worker: worker.info,
     link: worker.connect(),
     token: 1,
-    leaseMs: 10_000,
+    leaseMs: () => 10_000,
     clock,
     logger: telemetry.logger.createLogger('silent'),
     scheduler,
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -11,6 +11,7 @@
 import * as claimView from './claim_view.js';
 import * as freshness from './recent_submissions.js';
 import type * as jobTable from './job_table.js';
+import * as leaseLength from './lease_length.js';
 import * as logFollower from './log_follower.js';
 import type * as storeRecords from './store_records.js';
 import * as takeoverGate from './takeover_gate.js';
@@ -147,7 +148,7 @@
       worker,
       link: options.connect(worker),
       token,
-      leaseMs: options.leaseMs,
+      leaseMs: () => leaseMsOn(worker.id),
       clock,
       logger,
       scheduler,
@@ -164,6 +165,14 @@
     });
   }
 
+  function leaseMsOn(id: types.ids.WorkerId): number {
+    return leaseLength.leaseLength({
+      longestMs: options.leaseMs,
+      runsLasting: scheduler.runsLasting(id),
+      isLeaving: scheduler.book.workers.get(id)?.info.draining ?? false,
+    });
+  }
+
   /** See the gate of a takeover for what rests on this. */
   function mayRenew(): boolean {
     const unconfirmedMs = clock.monotonic() - writer.confirmedAt();
--- a/packages/gypsumwall-cell/src/worker_session.ts
+++ b/packages/gypsumwall-cell/src/worker_session.ts
@@ -34,8 +34,8 @@
   readonly worker: scheduling.workerRegistry.WorkerInfo;
   readonly link: ports.WorkerLink;
   readonly token: number;
-  /** Length of a lease on the worker's clock, in milliseconds. */
-  readonly leaseMs: number;
+  /** Length of the next lease on the worker's clock, in milliseconds. */
+  readonly leaseMs: () => number;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
   readonly scheduler: scheduling.schedulerTypes.Scheduler;
@@ -92,7 +92,7 @@
   function nextLease(): number | undefined {
     const now = workerClock.read(clock.monotonic());
     if (now === undefined || !options.mayRenew()) return undefined;
-    const until = Math.floor(now + options.leaseMs);
+    const until = Math.floor(now + options.leaseMs());
     workerClock.noteLease(until);
     return until;
   }
@@ -122,7 +122,10 @@
     const waitMs = reachable && !storing ? LOOK_WAIT_MS : 0;
     // A worker out of reach gets no new lease: a look that seems lost may
     // arrive late, so its lease would never surely pass.
-    const leaseUntil = reachable ? nextLease() : undefined;
+    // Nor does an idle one: a long lease without need would outlast a task that
+    // starts there later.
+    const needsLease = reachable && !scheduler.isIdle(worker.id);
+    const leaseUntil = needsLease ? nextLease() : undefined;
     const timeoutMs = waitMs + ANSWER_TIMEOUT_MS;
     const {answer, askedAt} = await pollRetry.pollRetry(
       link,
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -231,6 +231,13 @@
     outOfReach(id) {
       for (const run of runs.ofWorker(id)) jobRegistry.startCopy(run);
     },
+    isIdle: (id) => runs.ofWorker(id).size === 0,
+    runsLasting(id) {
+      for (const {owner} of runs.ofWorker(id)) {
+        if (owner?.stepRun.request.longRunning === true) return true;
+      }
+      return false;
+    },
     evacuate(id) {
       for (const run of runs.ofWorker(id)) jobRegistry.stop(run);
     },
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -104,6 +104,10 @@
   setUsable(id: types.ids.WorkerId, usable: boolean): void;
   /** It doesn't answer: what may be copied is started elsewhere as well. */
   outOfReach(id: types.ids.WorkerId): void;
+  /** Whether nothing runs or may run on a worker. */
+  isIdle(id: types.ids.WorkerId): boolean;
+  /** Whether any task that lasts runs or may run on a worker. */
+  runsLasting(id: types.ids.WorkerId): boolean;
   /** Stops all that runs on a worker that is about to leave. */
   evacuate(id: types.ids.WorkerId): void;
   /** A worker was accounted for: jobs that were held back may go on. */
