scheduling: rank lasting work as on time

Its step kept the due time of its job, which is long past, so it ranked behind everything that was on time or only late, for room and for calls to the adviser.

Work that lasts until it is cancelled is of use whenever it runs; it now counts as on time, and its old due time puts it first within its priority.

--- a/packages/gypsumwall-scheduling/src/__tests__/decisions.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/decisions.test.ts
@@ -16,6 +16,7 @@
     dueAt: at(10_000),
     worthlessAt: at(30_000),
     remainingMs: 1_000,
+    lasting: false,
     arrival: 0,
     ...fields,
   };
--- a/packages/gypsumwall-scheduling/src/active_job.ts
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -159,6 +159,7 @@
     dueAt: types.clock.after(occurrence.countsFrom, objective),
     worthlessAt: types.clock.after(occurrence.countsFrom, lateUntil),
     remainingMs: remainingMs(stepRun),
+    lasting: stepRun.request.longRunning,
     arrival: job.arrival,
   };
 }
--- a/packages/gypsumwall-scheduling/src/job_order.ts
+++ b/packages/gypsumwall-scheduling/src/job_order.ts
@@ -15,6 +15,11 @@
   readonly worthlessAt: types.clock.MonotonicMs;
   /** Expected length of the work that is left, in milliseconds. */
   readonly remainingMs: number;
+  /**
+   * Whether the work lasts until it is cancelled. It is of use whenever it
+   * runs, so it is never late.
+   */
+  readonly lasting: boolean;
   /** Rises with each job; settles ties first come, first served. */
   readonly arrival: number;
 }
@@ -30,6 +35,7 @@
   claimant: Claimant,
   now: types.clock.MonotonicMs,
 ): 0 | 1 | 2 {
+  if (claimant.lasting) return 0;
   const endsAt = now + claimant.remainingMs;
   if (endsAt <= claimant.dueAt) return 0;
   return endsAt <= claimant.worthlessAt ? 1 : 2;
