cell: take a worker that announced it and dropped off the list as left

The list drops a worker that has left, and one that was silent for three heartbeats, which may be cut off and run on; nothing told the two apart. The follower knows by when each record was not there yet, so an entry's age is bounded: a worker that had announced that it leaves, and whose entry was younger than 0.8 of the three heartbeats when it was removed, has left. Its tasks start elsewhere at once, and it counts as accounted for. After a load of the list, or where the heartbeat isn't told, nothing is concluded.

Tests: 'tasks of a worker that has left run again without waiting for its lease' fails without the conclusion, 'a worker that was silent before it was dropped may still run tasks' fails without the bound on the age.

--- a/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
@@ -19,6 +19,9 @@
   targetMs: 1_000,
 };
 
+/** Silence after which the list drops a worker; milliseconds. */
+const LIST_EXPIRY_MS = 3_000;
+
 /** A request of one step of small tasks. */
 export function request(taskCount: number): scheduling.jobRequest.JobRequest {
   return {
@@ -54,6 +57,8 @@
   addWorker(name: string, cores: number): Promise<fakeWorkers.FakeWorker>;
   /** Lists a worker as one that leaves in so many milliseconds. */
   drain(worker: fakeWorkers.FakeWorker, leavesInMs: number): Promise<void>;
+  /** Takes a worker off the list. */
+  unlist(worker: fakeWorkers.FakeWorker): Promise<void>;
   /** Starts an entry; `view` may give it logs of its own troubles. */
   addEntry(
     instance: string,
@@ -89,6 +94,9 @@
       const value = JSON.stringify({...info, draining: true, leavesInMs});
       await store.workers.append([{key: info.id, value}], {timeoutMs: 1});
     },
+    async unlist({info}) {
+      await store.workers.append([{key: info.id, value: ''}], {timeoutMs: 1});
+    },
     addEntry(
       instance,
       view = store,
@@ -110,6 +118,7 @@
         adviser: {ask: () => Promise.resolve(result.ok(new Map()))},
         leaseMs,
         longestStopMs: 900,
+        listExpiryMs: LIST_EXPIRY_MS,
         keepOverMs: () => 60_000,
         clock,
         random: types.random.createRandom(processes),
--- a/packages/gypsumwall-cell/src/__tests__/foreign_workers.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/foreign_workers.test.ts
@@ -38,6 +38,8 @@
     },
     write: () => Promise.resolve(),
     longestStopMs: 400,
+    listExpiryMs: undefined,
+    onLeft: () => {},
     onChange: () => {},
   });
   return {roster, opened, warned};
--- a/packages/gypsumwall-cell/src/__tests__/leaving_worker.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/leaving_worker.test.ts
@@ -49,3 +49,49 @@
     world.stop();
   }
 });
+
+// Guards against tasks that wait for a lease though the list tells that their
+// worker has left, where its stops were lost.
+test('tasks of a worker that has left run again without waiting for its lease', async () => {
+  const world = worlds.createCellWorld(LEASE_MS);
+  try {
+    const leaving = await world.addWorker('w1', TASKS);
+    const entry = world.addEntry('a');
+    await worlds.until(() => entry.status().storeReachable, 'the store');
+    const jobId = types.ids.brand<types.ids.JobId>('job');
+    await entry.desk.submit(jobId, worlds.POLICY, worlds.request(TASKS));
+    await worlds.until(() => leaving.running.size === TASKS, 'all tasks');
+    const other = await world.addWorker('w2', TASKS);
+    await world.drain(leaving, 2 * LEASE_MS);
+    await new Promise((resolve) => setTimeout(resolve, 700));
+    leaving.cut = true;
+    await world.unlist(leaving);
+    const isBack = () => other.running.size === TASKS;
+    await worlds.until(isBack, 'all tasks on the other worker', RETRY_MS);
+  } finally {
+    world.stop();
+  }
+});
+
+// Guards against two runs of a task at once: the list drops a worker that it
+// doesn't hear of as well, and its tasks may run on.
+test('a worker that was silent before it was dropped may still run tasks', async () => {
+  const world = worlds.createCellWorld(LEASE_MS);
+  try {
+    const cutOff = await world.addWorker('w1', TASKS);
+    const entry = world.addEntry('a');
+    await worlds.until(() => entry.status().storeReachable, 'the store');
+    const jobId = types.ids.brand<types.ids.JobId>('job');
+    await entry.desk.submit(jobId, worlds.POLICY, worlds.request(TASKS));
+    await worlds.until(() => cutOff.running.size === TASKS, 'all tasks');
+    const other = await world.addWorker('w2', TASKS);
+    await world.drain(cutOff, 4 * LEASE_MS);
+    await new Promise((resolve) => setTimeout(resolve, 2_800));
+    cutOff.cut = true;
+    await world.unlist(cutOff);
+    await new Promise((resolve) => setTimeout(resolve, 1_000));
+    assert.equal(other.started.length, 0);
+  } finally {
+    world.stop();
+  }
+});
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -249,6 +249,7 @@
       policyOf: (queue) => configs.policyOf(queue),
       leaseMs: options.leaseMs,
       longestStopMs: options.longestStopMs,
+      listExpiryMs: options.listExpiryMs,
       pulse,
       clock,
       logger,
--- a/packages/gypsumwall-cell/src/cell_entry_types.ts
+++ b/packages/gypsumwall-cell/src/cell_entry_types.ts
@@ -32,6 +32,8 @@
   readonly leaseMs: number;
   /** The longest that a worker takes to stop a task; milliseconds. */
   readonly longestStopMs: number;
+  /** Silence after which the list drops a worker; milliseconds, if known. */
+  readonly listExpiryMs: number | undefined;
   /** How long the state of a job that is over can be asked for. */
   readonly keepOverMs: () => number;
   readonly clock: types.clock.Clock;
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -82,6 +82,8 @@
     decode: options.decodeWorker,
     isUsedPool: options.isUsedPool,
     longestStopMs: options.longestStopMs,
+    listExpiryMs: options.listExpiryMs,
+    onLeft: (id) => gate.account(id, clock.monotonic()),
     openSession,
     write: (records) => writer.write(records),
     onChange: kick,
@@ -109,7 +111,9 @@
     clock,
     logger,
     pulse: options.pulse,
-    onRecords: (records, reloaded) => roster.applyList(records, reloaded),
+    onRecords: (records, reloaded) =>
+      // What is read now wasn't there when the log was last read to its end.
+      roster.applyList(records, reloaded, workerFollower.completeUntil()),
     pauseMs: () => LIST_PAUSE_MS,
     readWaitMs: LIST_WAIT_MS,
   });
--- a/packages/gypsumwall-cell/src/cell_holder_types.ts
+++ b/packages/gypsumwall-cell/src/cell_holder_types.ts
@@ -31,6 +31,8 @@
   readonly leaseMs: number;
   /** The longest that a worker takes to stop a task; milliseconds. */
   readonly longestStopMs: number;
+  /** Silence after which the list drops a worker; milliseconds, if known. */
+  readonly listExpiryMs: number | undefined;
   readonly pulse: storeHealth.StoreHealth;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
--- a/packages/gypsumwall-cell/src/worker_roster.ts
+++ b/packages/gypsumwall-cell/src/worker_roster.ts
@@ -23,6 +23,12 @@
  */
 const UNLISTED_GRACE_MS = 2_500;
 
+/**
+ * A removal counts as the worker's own while its last entry can't be older than
+ * this share of the time after which a silent one is removed.
+ */
+const EXPIRY_MARGIN = 0.8;
+
 /** Faults remembered, so that each is told once; then told anew. */
 const MOST_UNREADABLE = 1_000;
 
@@ -42,6 +48,13 @@
   readonly isUsedPool: (pool: string) => boolean;
   /** The longest that a worker takes to stop a task; milliseconds. */
   readonly longestStopMs: number;
+  /**
+   * The list removes a worker when it has left, or when it was silent for this
+   * long; milliseconds. Undefined where the platform doesn't tell.
+   */
+  readonly listExpiryMs: number | undefined;
+  /** A worker that had announced it has left: nothing runs there any more. */
+  readonly onLeft: (worker: types.ids.WorkerId) => void;
   readonly openSession: (
     worker: scheduling.workerRegistry.WorkerInfo,
   ) => workerSession.WorkerSession;
@@ -53,8 +66,15 @@
 
 /** The workers of a holder. */
 export interface WorkerRoster {
-  /** Folds records of the platform's list. */
-  applyList(records: readonly ports.KeyedRecord[], reloaded: boolean): void;
+  /**
+   * Folds records of the platform's list, all written later than the time that
+   * is given; undefined if that isn't known.
+   */
+  applyList(
+    records: readonly ports.KeyedRecord[],
+    reloaded: boolean,
+    writtenAfter?: types.clock.MonotonicMs,
+  ): void;
   /** Opens sessions to workers that an earlier holder used. */
   inherit(workers: Iterable<storeRecords.UsedWorkerRecord>): void;
   session(id: types.ids.WorkerId): workerSession.WorkerSession | undefined;
@@ -73,6 +93,8 @@
   session: workerSession.WorkerSession;
   info: scheduling.workerRegistry.WorkerInfo;
   listed: boolean;
+  /** Its newest entry in the list is younger than this. */
+  writtenAfter?: types.clock.MonotonicMs;
   /** When a worker that dropped off the list is used no more. */
   unusedAt?: types.clock.MonotonicMs;
   evacuateAt?: types.clock.MonotonicMs;
@@ -113,7 +135,10 @@
     if (!closed && entries.get(info.id) === entry) await entry.session.run();
   }
 
-  function put(listed: ports.ListedWorker): void {
+  function put(
+    listed: ports.ListedWorker,
+    writtenAfter?: types.clock.MonotonicMs,
+  ): void {
     const {info, leavesInMs} = listed;
     if (!entries.has(info.id) && !options.isUsedPool(info.pool)) {
       noteUnreadable(info.id, `pool = ${info.pool}: no queue runs there`);
@@ -127,6 +152,7 @@
       entry.evacuateAt = types.clock.after(clock.monotonic(), spanMs);
     }
     entry.info = info;
+    entry.writtenAfter = writtenAfter;
     entry.listed = true;
     entry.unusedAt = undefined;
     scheduler.putWorker(info);
@@ -140,6 +166,30 @@
     entry.unusedAt = types.clock.after(clock.monotonic(), UNLISTED_GRACE_MS);
   }
 
+  /**
+   * The list drops a worker that has left, and one that is silent for so long,
+   * which may be cut off and run on. One that announced that it leaves and
+   * wrote its entry more lately than that can't have been dropped for silence.
+   */
+  function hasLeft(id: types.ids.WorkerId): boolean {
+    const entry = entries.get(id);
+    const {listExpiryMs} = options;
+    if (entry?.writtenAfter === undefined || listExpiryMs === undefined) {
+      return false;
+    }
+    const silentMs = clock.monotonic() - entry.writtenAfter;
+    return entry.info.draining && silentMs < listExpiryMs * EXPIRY_MARGIN;
+  }
+
+  function removed(id: types.ids.WorkerId): void {
+    if (!hasLeft(id)) {
+      unlist(id);
+      return;
+    }
+    forget(id, 'left as announced');
+    options.onLeft(id);
+  }
+
   /**
    * Whoever writes a bad entry may write it every second: the log tells each
    * fault once.
@@ -165,19 +215,19 @@
   }
 
   return {
-    applyList(records, reloaded) {
+    applyList(records, reloaded, writtenAfter) {
       if (reloaded) {
         const named = new Set(records.map((record) => record.key));
         for (const id of entries.keys()) if (!named.has(id)) unlist(id);
       }
       for (const {key, value} of records) {
         if (value === '') {
-          unlist(types.ids.brand(key));
+          removed(types.ids.brand(key));
           continue;
         }
         const decoded = options.decode(key, value);
         if (result.isOk(decoded)) {
-          put(decoded.value);
+          put(decoded.value, reloaded ? undefined : writtenAfter);
           continue;
         }
         noteUnreadable(key, decoded.error);
