scheduling: ask the adviser first about steps that have room

Cause: every waiting step renewed its tickets of 2.5 s, room or not, most urgent first. Four entries make the large calls of 0.5 s there, so that about 19 steps took all of them, and those behind never got one. The number of calls that could be made also counted entries that take no large calls. The class: a scarce resource given away by rank to claimants that can't use it.

Calls whose answer lets a task or a whole gang start now go first, by rank; steps without room ask ahead only with calls to spare. Room on workers that are avoided or reserved for another gang doesn't count.

Excluded: missed wake-ups for these steps (they were tried: their tickets were over). Test 'a step with room is asked about before more urgent ones without' fails before.

--- a/packages/gypsumwall-scheduling/src/__tests__/advice_names.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/advice_names.test.ts
@@ -92,9 +92,37 @@
   world.submit('normal', [worlds.step()], policyOf(1));
   const ask = (needed: number) =>
     world.scheduler
-      .decide(world.now, WALL, {needed, spare: 0})
+      .decide(world.now, WALL, {needed, large: needed, spare: 0})
       .advice.map((wish) => wish.stepRun.job.id);
   assert.deepEqual(ask(0), []);
   assert.deepEqual(ask(1), ['urgent']);
   assert.deepEqual(ask(2), ['normal', 'batch']);
 });
+
+// Guards against an adviser whose calls are all spent on steps without room:
+// those ask again whenever their tickets end, and others never get their turn.
+test('a step with room is asked about before more urgent ones without', () => {
+  const world = worlds.createSchedulerWorld();
+  const small = world.addWorker('small', 1);
+  world.addWorker('large', 8);
+  world.submit('filler', [
+    worlds.step({size: {cpuMillis: 8_000, memoryMb: 1, accelerators: 0}}),
+  ]);
+  assert.equal(world.startAll().length, 1);
+  const wide = worlds.step({
+    size: {cpuMillis: 4_000, memoryMb: 1, accelerators: 0},
+  });
+  for (let nth = 0; nth < 20; nth++) {
+    world.submit(`wide${nth}`, [wide], {policy: {advice: ADVICE, priority: 0}});
+  }
+  world.submit('narrow', [worlds.step()], {
+    policy: {advice: ADVICE, priority: 2},
+  });
+  const {advice} = world.scheduler.decide(world.now, WALL, {
+    needed: 3,
+    large: 3,
+    spare: 0,
+  });
+  const narrow = advice.find(({stepRun}) => stepRun.job.id === 'narrow');
+  assert.ok(narrow?.workers.includes(small));
+});
--- a/packages/gypsumwall-scheduling/src/__tests__/decisions.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/decisions.test.ts
@@ -81,10 +81,18 @@
 // Guards against urgent calls that stand in line behind long ones.
 test('a call waits at the holder until a lane is nearly free', () => {
   const lanes = advisorPool.createAdvisorPool<string>();
-  assert.deepEqual(lanes.capacity(['a', 'b']), {needed: 2, spare: 2});
+  assert.deepEqual(lanes.capacity(['a', 'b']), {
+    needed: 2,
+    large: 1,
+    spare: 2,
+  });
   assert.equal(lanes.take(['a'], 740, true), 'a');
   assert.equal(lanes.take(['a'], 10, true), undefined);
-  assert.deepEqual(lanes.capacity(['a', 'b']), {needed: 1, spare: 1});
+  assert.deepEqual(lanes.capacity(['a', 'b']), {
+    needed: 1,
+    large: 0,
+    spare: 1,
+  });
   lanes.finish('a', 740);
   assert.equal(lanes.take(['a'], 10, true), 'a');
 });
--- a/packages/gypsumwall-scheduling/src/advice_names.ts
+++ b/packages/gypsumwall-scheduling/src/advice_names.ts
@@ -15,6 +15,7 @@
 import * as chooseWorker from './choose_worker.js';
 import * as gangFit from './gang_fit.js';
 import type * as jobRequest from './job_request.js';
+import * as stepAdvice from './step_advice.js';
 import type * as workerRegistry from './worker_registry.js';
 
 /** The adviser takes no more names than this in one call. */
@@ -33,24 +34,68 @@
 /** Room that is free now may be taken when the answer comes. */
 const SPARE_FACTOR = 2;
 
-/** The names of each call to be made now, most useful first; often none. */
+/** The calls of a step. */
+export interface AdviceCalls {
+  /** The names of each call to be made now, most useful first; often none. */
+  readonly named: types.ids.WorkerId[][];
+  /**
+   * Whether nothing of the step can start on the tickets it has, while there is
+   * room on workers that may be approved.
+   */
+  readonly needed: boolean;
+}
+
+const NO_CALLS: AdviceCalls = {named: [], needed: false};
+
+/** What the names are chosen by. */
+export interface NamesContext {
+  readonly book: workerRegistry.WorkerRegistry;
+  readonly now: types.clock.MonotonicMs;
+  /** Whether the step could start on a worker, approval and room aside. */
+  readonly mayUse: (
+    stepRun: activeJob.StepRun,
+    worker: types.ids.WorkerId,
+  ) => boolean;
+}
+
+/** The calls to be made now for a step that waits. */
 export function callsFor(
   stepRun: activeJob.StepRun,
-  policy: jobRequest.AdvicePolicy,
-  workers: Iterable<workerRegistry.BookedWorker>,
-  now: types.clock.MonotonicMs,
-): types.ids.WorkerId[][] {
+  context: NamesContext,
+): AdviceCalls {
+  const policy = stepRun.job.policy.advice;
+  if (policy === undefined) return NO_CALLS;
   const callsLeft = MOST_OPEN_CALLS - stepRun.advice.openCalls;
-  if (callsLeft <= 0) return [];
-  const names = namesFor(stepRun, policy, workers, now);
-  if (names.length === 0) return [];
+  if (callsLeft <= 0) return NO_CALLS;
+  const rows = rowsOf(stepRun, context);
+  const names = namesFor(stepRun, policy, rows, context.now);
+  if (names.length === 0) return NO_CALLS;
   const calls = Math.min(callsLeft, Math.ceil(names.length / SPLIT_ABOVE));
   const perCall = Math.min(MOST_NAMED, Math.ceil(names.length / calls));
   const split: types.ids.WorkerId[][] = [];
   for (let call = 0; call < calls; call++) {
     split.push(names.slice(call * perCall, (call + 1) * perCall));
   }
-  return split.filter((one) => one.length > 0);
+  return {
+    named: split.filter((one) => one.length > 0),
+    needed: isNeeded(stepRun, rows, context.now),
+  };
+}
+
+function isNeeded(
+  {advice, request}: activeJob.StepRun,
+  rows: readonly Row[],
+  now: types.clock.MonotonicMs,
+): boolean {
+  if (advice.openCalls > 0) return false;
+  const fewest = request.gang ? request.taskCount : 1;
+  let ready = 0;
+  let all = 0;
+  for (const {id, tasks} of rows) {
+    all += tasks;
+    if (stepAdvice.ticketFor(advice, id, now) !== undefined) ready += tasks;
+  }
+  return ready < fewest && all >= fewest;
 }
 
 /**
@@ -62,7 +107,7 @@
 function namesFor(
   stepRun: activeJob.StepRun,
   policy: jobRequest.AdvicePolicy,
-  workers: Iterable<workerRegistry.BookedWorker>,
+  known: readonly Row[],
   now: types.clock.MonotonicMs,
 ): types.ids.WorkerId[] {
   const renewalMs = policy.callMs + policy.perWorkerMs * FEWEST_NAMED;
@@ -71,7 +116,7 @@
   const wanted = stepRun.waiting.length * SPARE_FACTOR;
   const rows: Row[] = [];
   let covered = 0;
-  for (const row of rowsOf(stepRun, workers)) {
+  for (const row of known) {
     const approval = approvals.get(row.id);
     if (asked.has(row.id)) covered += row.tasks * APPROVED_SHARE;
     else if (approval === undefined) rows.push(row);
@@ -110,21 +155,22 @@
 
 function rowsOf(
   stepRun: activeJob.StepRun,
-  workers: Iterable<workerRegistry.BookedWorker>,
+  {book, mayUse}: NamesContext,
 ): Row[] {
   const size = chooseWorker.bookedSize(stepRun);
   const rows: Row[] = [];
-  for (const worker of workers) {
+  for (const worker of book.workers.values()) {
     const {id} = worker.info;
     if (!worker.usable || worker.info.draining) continue;
     // A refusal doesn't change.
     if (stepRun.advice.refused.has(id)) continue;
     if (!chooseWorker.mayRunOn(stepRun, worker)) continue;
-    const tasks = Math.min(
+    const fitting = Math.min(
       gangFit.tasksThatFit(size, worker.free),
       chooseWorker.roomFor(stepRun, worker),
       stepRun.waiting.length,
     );
+    const tasks = mayUse(stepRun, id) ? Math.max(0, fitting) : 0;
     rows.push({id, approved: false, tasks, free: worker.free.cpuMillis});
   }
   return rows;
--- a/packages/gypsumwall-scheduling/src/advisor_pool.ts
+++ b/packages/gypsumwall-scheduling/src/advisor_pool.ts
@@ -33,10 +33,17 @@
 export interface AdviceCapacity {
   /** Calls without whose answer nothing of their step can start. */
   readonly needed: number;
+  /** Large calls among them. */
+  readonly large: number;
   /** Calls that can wait. */
   readonly spare: number;
 }
 
+/** Whether a call that takes so long keeps to its share of the entries. */
+export function isLarge(callMs: number): boolean {
+  return callMs > LARGE_CALL_MS;
+}
+
 /** The entries that may call the adviser, and what each has in line. */
 export interface AdvisorPool<Entry extends string> {
   /**
@@ -63,16 +70,18 @@
   const emptyLanes = (entries: readonly Entry[]) =>
     entries.filter((entry) => lineOf(entry) === 0).length;
 
+  /** The entries that large calls keep to. */
+  function forLarge(entries: readonly Entry[]): Entry[] {
+    const count = Math.max(1, Math.round(entries.length * LARGE_SHARE));
+    return [...entries].sort().slice(0, count);
+  }
+
+  const isOpen = (entry: Entry) => lineOf(entry) <= LONGEST_LINE_MS;
+
   return {
     take(entries, callMs, needed) {
       const ordered = [...entries].sort();
-      const large = callMs > LARGE_CALL_MS;
-      const open = large
-        ? ordered.slice(
-            0,
-            Math.max(1, Math.round(ordered.length * LARGE_SHARE)),
-          )
-        : ordered;
+      const open = isLarge(callMs) ? forLarge(entries) : ordered;
       let best: Entry | undefined;
       for (const entry of open) {
         if (best === undefined || lineOf(entry) < lineOf(best)) best = entry;
@@ -87,10 +96,12 @@
     },
     lineMs: lineOf,
     capacity(entries) {
-      const open = entries.filter((entry) => lineOf(entry) <= LONGEST_LINE_MS);
       const kept = Math.floor(entries.length * KEPT_EMPTY_SHARE);
-      const spare = Math.max(0, emptyLanes(entries) - kept);
-      return {needed: open.length, spare};
+      return {
+        needed: entries.filter(isOpen).length,
+        large: forLarge(entries).filter(isOpen).length,
+        spare: Math.max(0, emptyLanes(entries) - kept),
+      };
     },
     finish(entry, callMs) {
       inLineMs.set(entry, Math.max(0, lineOf(entry) - callMs));
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -6,7 +6,7 @@
 import * as types from '@gypsumwall/types';
 import * as activeJob from './active_job.js';
 import type * as advisorPool from './advisor_pool.js';
-import * as adviceNames from './advice_names.js';
+import * as adviceWishes from './advice_wishes.js';
 import * as chooseWorker from './choose_worker.js';
 import * as jobRegistrys from './job_registry.js';
 import * as jobSteps from './job_steps.js';
@@ -21,15 +21,10 @@
 import * as workerRegistry from './worker_registry.js';
 import * as workerHealth from './worker_health.js';
 
-/**
- * How often it is looked whether a step that waits needs more advice: a look
- * goes over all workers, which at 246 of them takes 50 us; milliseconds.
- */
-const ADVICE_LOOK_MS = 80;
-
 /** Where nothing limits the calls to the adviser. */
 const UNLIMITED_ADVICE: advisorPool.AdviceCapacity = {
   needed: Infinity,
+  large: Infinity,
   spare: Infinity,
 };
 
@@ -121,25 +116,6 @@
     }
   }
 
-  /** The calls to be made for a step that waits, often none. */
-  function adviceWishes(
-    stepRun: activeJob.StepRun,
-    now: types.clock.MonotonicMs,
-  ): schedulerTypes.AdviceWish[] {
-    const policy = stepRun.job.policy.advice;
-    const {advice} = stepRun;
-    if (policy === undefined || now < advice.nextLookAt) return [];
-    advice.nextLookAt = types.clock.after(now, ADVICE_LOOK_MS);
-    const workers = book.workers.values();
-    const calls = adviceNames.callsFor(stepRun, policy, workers, now);
-    return calls.map((named) => {
-      const needed = needsAdvice(stepRun, now);
-      stepAdvice.noteAsked(advice, named);
-      const callMs = policy.callMs + policy.perWorkerMs * named.length;
-      return {stepRun, workers: named, callMs, needed};
-    });
-  }
-
   function runCycle(
     now: types.clock.MonotonicMs,
     callsLeft: number,
@@ -167,26 +143,15 @@
     now: types.clock.MonotonicMs,
     capacity: advisorPool.AdviceCapacity,
   ): schedulerTypes.AdviceWish[] {
-    const wishes: schedulerTypes.AdviceWish[] = [];
-    let {needed, spare} = capacity;
-    for (const stepRun of unadvised) {
-      if (needed <= 0) break;
-      if (spare <= 0 && !needsAdvice(stepRun, now)) continue;
-      for (const wish of adviceWishes(stepRun, now)) {
-        if (wish.needed) needed--;
-        else spare--;
-        wishes.push(wish);
-      }
-    }
-    return wishes;
-  }
-
-  /** Whether nothing of a step can start before it has an answer. */
-  function needsAdvice(
-    {advice}: activeJob.StepRun,
-    now: types.clock.MonotonicMs,
-  ): boolean {
-    return advice.openCalls === 0 && !stepAdvice.hasTicket(advice, now);
+    return adviceWishes.takeWishes(unadvised, capacity, {
+      book,
+      now,
+      mayUse(stepRun, id) {
+        const gang = held.get(id);
+        if (gang !== undefined && gang !== stepRun) return false;
+        return health.trustOf(id, now) !== 'avoided';
+      },
+    });
   }
 
   /** Has the workers recorded that tasks are about to be handed to. */
--- a/packages/gypsumwall-scheduling/src/step_advice.ts
+++ b/packages/gypsumwall-scheduling/src/step_advice.ts
@@ -48,17 +48,6 @@
   return now < usableUntil ? approval.ticket : undefined;
 }
 
-/** Whether a start could be made on any worker now, room aside. */
-export function hasTicket(
-  advice: StepAdvice,
-  now: types.clock.MonotonicMs,
-): boolean {
-  for (const worker of advice.approvals.keys()) {
-    if (ticketFor(advice, worker, now) !== undefined) return true;
-  }
-  return false;
-}
-
 /** Notes that a call which names these workers is on its way. */
 export function noteAsked(
   advice: StepAdvice,
