scheduler: keep a gang when an earlier attempt ends late

Callers see a gang stopped and started anew though all its members run.

Cause: any end of a task of a gang breaks the gang up. Two ends come late and say nothing about the members that run: a failure that is heard after the lease of its worker has passed, when the next attempt has begun; and the end of a run that was found beside the gang and that nobody wanted, for instance from an answer that was under way when the attempt before ended.

The end of the latest attempt breaks it up as before. Attempts of a gang are numbered as a whole and rise, so the number tells the two apart.

Excluded: dropping late failures altogether, since each failed attempt has to be counted once.

--- a/packages/gypsumwall-scheduling/src/job_registry.ts
+++ b/packages/gypsumwall-scheduling/src/job_registry.ts
@@ -56,8 +56,11 @@
   noteBegun(job: activeJob.ActiveJob): void;
   /** Has a run stopped; it keeps its room until its end is known. */
   stop(run: activeJob.Run): void;
-  /** Puts a task back into line, with its gang if it has one. */
-  requeue(stepRun: activeJob.StepRun, index: number): void;
+  /**
+   * Puts a task whose attempt has ended back into line, with its gang if it has
+   * one.
+   */
+  requeue(stepRun: activeJob.StepRun, index: number, attempt: number): void;
   dropRun(run: activeJob.Run): void;
   /**
    * A run is over. A worker that is about to leave and has none of the job's
@@ -154,8 +157,24 @@
     }
   }
 
-  function requeue(stepRun: activeJob.StepRun, index: number): void {
-    if (stepRun.request.gang && stepRun.state === 'open') breakGang(stepRun);
+  /** Whether the end of an attempt leaves a gang without a member. */
+  function losesMember(stepRun: activeJob.StepRun, attempt: number): boolean {
+    const {request, state, attempts, job, runs} = stepRun;
+    if (!request.gang || state !== 'open') return false;
+    const latest = attempts.get(activeJob.GANG_KEY) ?? 0;
+    if (attempt >= latest) return true;
+    // Members of the latest attempt may not all have been found yet.
+    if (job.heldBack) return false;
+    const members = [...runs].filter((run) => run.phase !== 'stopping');
+    return members.length < request.taskCount;
+  }
+
+  function requeue(
+    stepRun: activeJob.StepRun,
+    index: number,
+    attempt: number,
+  ): void {
+    if (losesMember(stepRun, attempt)) breakGang(stepRun);
     jobSteps.requeue(stepRun, index);
     noteWaiting(stepRun);
   }
@@ -172,9 +191,10 @@
 
   /** A run is over without a word on how: its task waits again. */
   function dropRun(run: activeJob.Run): void {
+    const {owner, attempt} = run;
     parts.runs.remove(run);
     noteLeft(run);
-    if (run.owner !== undefined) requeue(run.owner.stepRun, run.owner.index);
+    if (owner !== undefined) requeue(owner.stepRun, owner.index, attempt);
   }
 
   function startCopy({phase, owner}: activeJob.Run): void {
--- a/packages/gypsumwall-scheduling/src/report_reader.ts
+++ b/packages/gypsumwall-scheduling/src/report_reader.ts
@@ -57,7 +57,7 @@
     keepCheckpoint(stepRun, index, row.checkpoint);
     switch (row.how) {
       case 'done':
-        applyDone(stepRun, index, workerId);
+        applyDone(stepRun, index, row.attempt, workerId);
         return;
       case 'failed':
         applyFailed(stepRun, index, row.attempt, workerId, now);
@@ -66,7 +66,9 @@
       case 'lapsed':
       case 'broken':
       case 'alone':
-        if (run !== undefined) jobRegistry.requeue(stepRun, index);
+        if (run !== undefined) {
+          jobRegistry.requeue(stepRun, index, row.attempt);
+        }
         return;
     }
   }
@@ -74,12 +76,13 @@
   function applyDone(
     stepRun: activeJob.StepRun,
     index: number,
+    attempt: number,
     workerId: types.ids.WorkerId,
   ): void {
     const {job} = stepRun;
     health.noteDone(workerId, job.id);
     if (stepRun.request.longRunning) {
-      jobRegistry.requeue(stepRun, index);
+      jobRegistry.requeue(stepRun, index, attempt);
       return;
     }
     if (stepRun.state === 'done' || stepRun.done.has(index)) return;
@@ -109,7 +112,7 @@
     const spent = jobSteps.countFailure(stepRun, index, attempt);
     jobRegistry.dirty.add(job);
     if (spent) jobRegistry.finishJob(job, 'failed');
-    else jobRegistry.requeue(stepRun, index);
+    else jobRegistry.requeue(stepRun, index, attempt);
   }
 
   function keepCheckpoint(
