scheduler: break up a gang whose step is not open yet

Callers see a gang of which one member runs on alone and that never ends, until a worker gives it up.

Cause: a successor keeps a gang that it finds running although the steps before it aren't done in its books. When a member ends meanwhile, the gang wasn't broken up, since only gangs of open steps were. When the step opens, the gang counts as running, because it waits for the last of its runs.

Change: a gang is broken up unless its step is done. Only the members of a gang that is done end by themselves.

Test: fails before (no stop is sent) and passes now; the other tests of the package pass.

--- a/packages/gypsumwall-scheduling/src/__tests__/left_waiting.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/left_waiting.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as worlds from '../__fixtures__/scheduler_world.js';
+import * as jobProgress from '../job_progress.js';
 
 const {test} = nodeTest;
 
@@ -51,3 +52,26 @@
   world.end(unwanted, 'stopped');
   assert.deepEqual(world.scheduler.takeStops(), []);
 });
+
+// Guards against part of a gang that runs on alone: its step was not open yet
+// where the scheduler took it over, and one of its members ended.
+test('a gang found before its step is open is stopped without a member', () => {
+  const world = worlds.createSchedulerWorld();
+  const [w1, w2, w3] = ['w1', 'w2', 'w3'].map((name) =>
+    world.addWorker(name, 1),
+  );
+  const gang = worlds.step({taskCount: 2, gang: true, after: [0]});
+  const progress = {...jobProgress.NO_PROGRESS, phase: 'running'} as const;
+  world.submit('job', [worlds.step(), gang], {inherited: true, progress});
+  world.report(w2!, [worlds.row('job.0.1.0', 1)]);
+  world.report(w3!, [worlds.row('job.0.1.1', 1)]);
+  world.report(w1!, []);
+  world.scheduler.leasePassed(w3!, world.now);
+  const [member] = world.scheduler.takeStops();
+  assert.equal(member?.taskId, 'job.0.1.0');
+  // The end of the first step is lost, so its task runs again.
+  const [first] = world.startAll();
+  world.end(first!, 'done');
+  world.end(member, 'stopped');
+  assert.equal(world.startAll().length, 2);
+});
--- a/packages/gypsumwall-scheduling/src/job_registry.ts
+++ b/packages/gypsumwall-scheduling/src/job_registry.ts
@@ -160,7 +160,8 @@
   /** Whether the end of an attempt leaves a gang without a member. */
   function losesMember(stepRun: activeJob.StepRun, attempt: number): boolean {
     const {request, state, attempts, job, runs} = stepRun;
-    if (!request.gang || state !== 'open') return false;
+    // Members of one that is done end by themselves.
+    if (!request.gang || state === 'done') return false;
     const latest = attempts.get(activeJob.GANG_KEY) ?? 0;
     if (attempt >= latest) return true;
     // Members of the latest attempt may not all have been found yet.
