scheduler: give steps that are left out their turn in a cycle

Callers see small work that never starts beside free room while 30 or more urgent steps wait.

Cause: a cycle tries 30 steps at most, the most urgent first. A step is due whenever a worker with room for one of its tasks was freed, so wide gangs that don't fit, and steps whose tickets have ended, are due at nearly every cycle of a busy cell. 30 of them use all tries of each cycle, and nothing behind them is ever tried.

Change: up to 10 of the 30 tries go to the steps that have been left out for longest. With nothing left out the most urgent get all 30 as before. Steps are still tried in the order of work, and a cycle costs as much at most.

Excluded: a more exact test of what is due; gangs would still be due with room for one task.

Test: 40 gangs of two tasks, room for one, a task that ends before each of 25 cycles: the small task never started before and starts now. The other tests of the package pass, the bound on tries among them.

--- a/packages/gypsumwall-scheduling/src/__tests__/left_waiting.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/left_waiting.test.ts
@@ -1,9 +1,17 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
+import * as types from '@gypsumwall/types';
 import * as worlds from '../__fixtures__/scheduler_world.js';
 import * as jobProgress from '../job_progress.js';
 
 const {test} = nodeTest;
+const WALL = 0 as types.clock.WallMs;
+const LATE_START = {slackFactor: 50};
+const cores = (count: number) => ({
+  cpuMillis: count * 1_000,
+  memoryMb: 100,
+  accelerators: 0,
+});
 
 // Guards against a gang that is stopped for a member of an earlier attempt.
 test('a late failure of an earlier attempt leaves the gang running', () => {
@@ -75,3 +83,32 @@
   world.end(member, 'stopped');
   assert.equal(world.startAll().length, 2);
 });
+
+// Guards against small work that never starts behind wide gangs that wait.
+test('a step gets its try while steps before it are tried in vain', () => {
+  const world = worlds.createSchedulerWorld();
+  const capacity = 64;
+  const ending = 25;
+  world.addWorker('w1', capacity);
+  world.submit('long', [worlds.step({size: cores(capacity - ending)})]);
+  world.submit('short', [worlds.step({taskCount: ending})]);
+  const [long, ...short] = world.startAll();
+  assert.equal(short.length, ending);
+  world.end(long!, 'done');
+  // One task of these fits at any time, two don't.
+  const gang = worlds.step({taskCount: 2, size: cores(33), gang: true});
+  for (let nth = 0; nth < 40; nth++) world.submit(`gang${nth}`, [gang]);
+  do world.startAll();
+  while (world.scheduler.decide(world.now, WALL).starts.length > 0);
+  world.submit('small', [worlds.step()], {policy: LATE_START});
+  const started: string[] = [];
+  for (const run of short) {
+    // Room is freed before each cycle.
+    world.end(run, 'done');
+    world.now = types.clock.after(world.now, 5);
+    const {starts} = world.scheduler.decide(world.now, WALL);
+    started.push(...starts.map((start) => start.run.taskId));
+    world.scheduler.stored(world.scheduler.takeDirty());
+  }
+  assert.deepEqual(started, ['small.0.0.0']);
+});
--- a/packages/gypsumwall-scheduling/src/active_job.ts
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -71,6 +71,8 @@
    * that it may use has more room.
    */
   changed: boolean;
+  /** Since when it was to be tried and had no turn. */
+  leftOutSince?: types.clock.MonotonicMs;
 }
 
 /** One time that a job's steps run. */
--- a/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
+++ b/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
@@ -27,6 +27,12 @@
  * that calls and timers get their turn in between.
  */
 const MAX_TRIED_STEPS = 30;
+/**
+ * Of these, how many go to steps that had no turn for longest. Without them,
+ * more urgent steps that are tried in vain at each cycle would keep all others
+ * from ever being tried.
+ */
+const MAX_LEFT_OUT_STEPS = 10;
 
 /** What a cycle looks at. */
 export interface CycleContext extends chooseWorker.ChoiceContext {
@@ -53,7 +59,7 @@
 
 /** Runs a cycle over steps that wait and may start, most urgent first. */
 export function runCycle(
-  ordered: Iterable<activeJob.StepRun>,
+  ordered: readonly activeJob.StepRun[],
   context: CycleContext,
 ): CycleResult {
   const hold = gangReservation.createGangReservation(context);
@@ -61,13 +67,15 @@
   const result: CycleResult = {placed: [], unadvised: [], unrecorded: [], held};
   const isHeld = (id: types.ids.WorkerId) => hold.isHeld(id);
   const choice = {...context, isHeld};
-  let tried = 0;
+  const leftOut = longestLeftOut(ordered);
+  let turns = MAX_TRIED_STEPS - leftOut.size;
   for (const stepRun of ordered) {
     const due = stepRun.changed || hasNewRoom(stepRun, context);
-    stepRun.changed = due && tried >= MAX_TRIED_STEPS;
-    const tries = due && !stepRun.changed;
+    const tries = due && (leftOut.has(stepRun) || turns-- > 0);
+    stepRun.changed = due && !tries;
+    if (!stepRun.changed) stepRun.leftOutSince = undefined;
+    else stepRun.leftOutSince ??= context.now;
     const placements = tries ? placeStep(stepRun, choice) : [];
-    if (tries) tried++;
     if (isWaitingGang(stepRun)) hold.holdFor(stepRun);
     const advised = stepRun.job.policy.advice !== undefined;
     if (advised && stepRun.waiting.length > 0) result.unadvised.push(stepRun);
@@ -83,6 +91,15 @@
   return result;
 }
 
+/** The steps that had no turn for longest; most urgent first among equals. */
+function longestLeftOut(
+  ordered: readonly activeJob.StepRun[],
+): ReadonlySet<activeJob.StepRun> {
+  const leftOut = ordered.filter((one) => one.leftOutSince !== undefined);
+  leftOut.sort((a, b) => a.leftOutSince! - b.leftOutSince!);
+  return new Set(leftOut.slice(0, MAX_LEFT_OUT_STEPS));
+}
+
 /** Whether a worker that the step may use has got more room. */
 function hasNewRoom(
   stepRun: activeJob.StepRun,
