scheduler: stop a run again that is still there long after its stop

Callers see a gang that is neither running nor started again although room is free.

Cause: a stop is sent until the worker accepts it, and then never again. A run that comes up or goes on after it all the same, for instance since its start order arrived late, is listed by its worker in each report. It counts as being stopped, so a gang waits for it and its room stays booked.

Change: where a report still lists a run 4 s after its stop was accepted, the stop is sent again. Stops are idempotent, and a stop that isn't answered isn't doubled.

Test: the member's stop was sent once in 9 s before and is sent again now, after which the gang starts. The other tests of the package pass.

--- a/packages/gypsumwall-scheduling/src/__tests__/left_waiting.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/left_waiting.test.ts
@@ -112,3 +112,35 @@
   }
   assert.deepEqual(started, ['small.0.0.0']);
 });
+
+// Guards against a gang that never starts again since one of its members runs
+// on after its stop was accepted.
+test('a run that is still there long after its stop is stopped again', () => {
+  const world = worlds.createSchedulerWorld();
+  const w1 = world.addWorker('w1', 1);
+  world.addWorker('w2', 1);
+  world.submit('job', [worlds.step({taskCount: 2, gang: true})]);
+  const runs = world.startAll();
+  const member = runs.find((run) => run.workerId === w1)!;
+  world.end(
+    runs.find((run) => run.workerId !== w1)!,
+    'lapsed',
+  );
+  assert.deepEqual(world.scheduler.takeStops(), [member]);
+  world.scheduler.stopAnswered(member, world.now);
+  const report = (spanMs: number) => {
+    world.now = types.clock.after(world.now, spanMs);
+    world.report(w1, [worlds.row(member.taskId, member.attempt)]);
+  };
+  // A worker takes a while to save progress.
+  report(900);
+  assert.deepEqual(world.scheduler.takeStops(), []);
+  report(4_000);
+  assert.deepEqual(world.scheduler.takeStops(), [member]);
+  report(4_000);
+  assert.deepEqual(world.scheduler.takeStops(), [], 'one at a time');
+  world.scheduler.stopAnswered(member, world.now);
+  world.now = types.clock.after(world.now, 1);
+  world.report(w1, []);
+  assert.equal(world.startAll().length, 2);
+});
--- a/packages/gypsumwall-scheduling/src/job_registry.ts
+++ b/packages/gypsumwall-scheduling/src/job_registry.ts
@@ -56,6 +56,8 @@
   noteBegun(job: activeJob.ActiveJob): void;
   /** Has a run stopped; it keeps its room until its end is known. */
   stop(run: activeJob.Run): void;
+  /** Has a run stopped whose stop was answered and that is still there. */
+  stopAgain(run: activeJob.Run): void;
   /**
    * Puts a task whose attempt has ended back into line, with its gang if it has
    * one.
@@ -102,6 +104,11 @@
     stops.push(run);
   }
 
+  function stopAgain(run: activeJob.Run): void {
+    run.confirmedAt = undefined;
+    stops.push(run);
+  }
+
   function noteWaiting(stepRun: activeJob.StepRun): void {
     const over = jobProgress.isOver(stepRun.job.phase);
     stepRun.changed = true;
@@ -246,6 +253,7 @@
     },
     finishJob,
     stop,
+    stopAgain,
     requeue,
     dropRun,
     noteLeft,
--- a/packages/gypsumwall-scheduling/src/report_reader.ts
+++ b/packages/gypsumwall-scheduling/src/report_reader.ts
@@ -14,6 +14,13 @@
 import type * as workerRegistry from './worker_registry.js';
 import type * as workerHealth from './worker_health.js';
 
+/**
+ * A worker that accepted a stop has ended the run by then, its saved progress
+ * included. Without another stop a member of a gang that runs on would keep its
+ * gang from ever starting again.
+ */
+const STOP_AGAIN_AFTER_MS = 4_000;
+
 /** What a reader works on. */
 export interface ReportReaderParts {
   readonly book: workerRegistry.WorkerRegistry;
@@ -134,6 +141,7 @@
       adopt(workerId, row, now);
       return;
     }
+    if (isStopOverdue(run, now)) jobRegistry.stopAgain(run);
     if (run.percent !== row.percent) {
       run.percent = row.percent;
       run.percentChangedAt = now;
@@ -144,6 +152,14 @@
     }
   }
 
+  function isStopOverdue(
+    {phase, confirmedAt}: activeJob.Run,
+    now: types.clock.MonotonicMs,
+  ): boolean {
+    if (phase !== 'stopping' || confirmedAt === undefined) return false;
+    return now - confirmedAt > STOP_AGAIN_AFTER_MS;
+  }
+
   /**
    * Takes over a run that an earlier scheduler started. What is no task of
    * ours any more is stopped, and takes room until its end is told.
