scheduler: try uncommitted placements again at the next cycle

Callers see work start late beside free room while more than 30 steps wait.

Cause: a step that is placed on a worker which isn't recorded for its job gives the room back at the end of the cycle and is placed again once the record stands. In a backlog it had to wait for its turn again, and meanwhile the next step was placed on the same room and gave it back, which has all that wait tried again.

Change: such a step counts as left out, so that it is among the first of those that get a turn in the next cycle.

--- a/packages/gypsumwall-scheduling/src/active_job.ts
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -71,7 +71,10 @@
    * that it may use has more room.
    */
   changed: boolean;
-  /** Since when it was to be tried and had no turn. */
+  /**
+   * Since when it was to be tried and had no turn, or was placed where its job
+   * isn't recorded yet.
+   */
   leftOutSince?: types.clock.MonotonicMs;
 }
 
--- a/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
+++ b/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
@@ -73,14 +73,16 @@
     const due = stepRun.changed || hasNewRoom(stepRun, context);
     const tries = due && (leftOut.has(stepRun) || turns-- > 0);
     stepRun.changed = due && !tries;
-    if (!stepRun.changed) stepRun.leftOutSince = undefined;
-    else stepRun.leftOutSince ??= context.now;
     const placements = tries ? placeStep(stepRun, choice) : [];
     if (isWaitingGang(stepRun)) hold.holdFor(stepRun);
     const advised = stepRun.job.policy.advice !== undefined;
     if (advised && stepRun.waiting.length > 0) result.unadvised.push(stepRun);
     const ready = readyOf(stepRun, placements);
     result.placed.push(...ready);
+    // Uncommitted placements are made anew at the next cycle.
+    if (stepRun.changed || ready.length < placements.length) {
+      stepRun.leftOutSince ??= context.now;
+    } else stepRun.leftOutSince = undefined;
     // Uncommitted placements keep their room until the end of the cycle, so
     // that no later step takes it.
     if (ready.length === placements.length) continue;
