scheduler: count room reserved for a less urgent gang as usable

Callers of an urgent advised queue see work that waits though it may take the room that is reserved for a gang.

Cause: the choice of calls to the adviser took all reserved room for lost, except for the gang's own. A step that outranks the gang may start there; it counted as without room and got only calls that were to spare.

Change: reserved room is out of use only for steps that the gang outranks, as in the cycle itself.

Tests: the urgent step got no call before and gets one now. Beside it a test that approvals of reserved workers don't keep a step from asking about others; it fails before and passes since. The other tests of the package pass.

--- a/packages/gypsumwall-scheduling/src/__tests__/left_waiting.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/left_waiting.test.ts
@@ -144,3 +144,57 @@
   world.report(w1, []);
   assert.equal(world.startAll().length, 2);
 });
+
+// Guards against an advised step that asks about no other worker for as long
+// as the room on those approved for it is reserved for a gang.
+test('approvals of reserved workers do not keep a step from asking', () => {
+  const world = worlds.createSchedulerWorld();
+  const large = ['w0', 'w1', 'w2'].map((name) => world.addWorker(name, 16));
+  world.submit('running', [worlds.step({taskCount: 3, maxPerWorker: 1})]);
+  assert.equal(world.startAll().length, 3);
+  for (let nth = 3; nth < 40; nth++) world.addWorker(`w${nth}`, 4);
+  const gang = worlds.step({taskCount: 2, size: cores(16), gang: true});
+  world.submit('gang', [gang], {policy: {priority: 0}});
+  const advice = {callMs: 10, perWorkerMs: 1, validMs: 1_000};
+  world.submit('advised', [worlds.step()], {policy: {advice}});
+  // Neither of the large ones can be used.
+  const approved = new Set([...large.slice(0, 2), 'w39']);
+  const started: string[] = [];
+  const until = types.clock.after(world.now, 3_000);
+  while (world.now < until) {
+    const {starts, advice: wishes} = world.scheduler.decide(world.now, WALL);
+    started.push(...starts.map(({run}) => run.workerId));
+    for (const wish of wishes) {
+      const named = wish.workers.filter((id) => approved.has(id));
+      world.scheduler.adviceAnswered(
+        wish,
+        new Map(named.map((id) => [id, 'ticket'])),
+        types.clock.after(world.now, advice.validMs),
+      );
+    }
+    world.scheduler.stored(world.scheduler.takeDirty());
+    world.now = types.clock.after(world.now, 20);
+  }
+  assert.deepEqual(started, ['w39']);
+});
+
+// Guards against an urgent step that isn't asked about since the room that it
+// may take is reserved for a gang of lower rank.
+test('room reserved for a less urgent gang counts for an advised step', () => {
+  const world = worlds.createSchedulerWorld();
+  for (let nth = 0; nth < 8; nth++) world.addWorker(`w${nth}`, 2);
+  world.submit('running', [worlds.step({taskCount: 16})], {policy: LATE_START});
+  const runs = world.startAll();
+  world.submit('gang', [worlds.step({taskCount: 2, gang: true})]);
+  world.startAll();
+  world.end(runs[0]!, 'done');
+  world.startAll();
+  const advice = {callMs: 10, perWorkerMs: 1, validMs: 1_000};
+  world.submit('urgent', [worlds.step()], {policy: {priority: 0, advice}});
+  const capacity = {needed: 1, large: 1, spare: 0};
+  const {advice: wishes} = world.scheduler.decide(world.now, WALL, capacity);
+  assert.deepEqual(
+    wishes.map((wish) => [wish.stepRun.id, wish.needed]),
+    [['urgent.0.0', true]],
+  );
+});
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -8,6 +8,7 @@
 import type * as advisorPool from './advisor_pool.js';
 import * as adviceWishes from './advice_wishes.js';
 import * as chooseWorker from './choose_worker.js';
+import * as jobOrder from './job_order.js';
 import * as jobRegistrys from './job_registry.js';
 import * as jobSteps from './job_steps.js';
 import * as reportReader from './report_reader.js';
@@ -147,13 +148,22 @@
       book,
       now,
       mayUse(stepRun, id) {
+        if (health.trustOf(id, now) === 'avoided') return false;
         const gang = held.get(id);
-        if (gang !== undefined && gang !== stepRun) return false;
-        return health.trustOf(id, now) !== 'avoided';
+        return gang === undefined || !goesBefore(gang, stepRun);
       },
     });
   }
 
+  /** Whether a step outranked another at the last cycle. */
+  function goesBefore(
+    {rank}: activeJob.StepRun,
+    other: activeJob.StepRun,
+  ): boolean {
+    if (rank === undefined || other.rank === undefined) return false;
+    return jobOrder.compareRanked(rank, other.rank) < 0;
+  }
+
   /** Has the workers recorded that tasks are about to be handed to. */
   function recordWorkers(
     placements: readonly schedulingCycle.Placement[],
