--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -178,6 +178,7 @@
 
   return {
     book,
+    jobs,
     addJob(start, now, wall) {
       const job = jobSteps.createJob({...start, arrival: arrivals++});
       jobRegistry.add(job);
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -83,6 +83,8 @@
 /** The scheduler of one cell. */
 export interface Scheduler {
   readonly book: workerRegistry.WorkerRegistry;
+  /** Its jobs with work left. */
+  readonly jobs: ReadonlyMap<types.ids.JobId, activeJob.ActiveJob>;
   /** Takes a job up; its runs are looked for in reports from then on. */
   addJob(
     start: Omit<jobSteps.JobStart, 'arrival'>,
