--- a/packages/gypsumwall-bench/src/bench_modules.ts
+++ b/packages/gypsumwall-bench/src/bench_modules.ts
@@ -5,6 +5,7 @@
 import * as memoryBench from './memory_bench.js';
 import * as policyBench from './policy_bench.js';
 import * as routingBench from './routing_bench.js';
+import * as spreadBench from './spread_bench.js';
 import * as stepBench from './step_bench.js';
 
 export const BENCH_MODULES: readonly benchModule.BenchModule[] = [
@@ -14,4 +15,5 @@
   routingBench.ROUTING_BENCH,
   controlBench.CONTROL_BENCH,
   stepBench.STEP_BENCH,
+  ...spreadBench.SPREAD_BENCHES,
 ];
--- /dev/null
+++ b/packages/gypsumwall-bench/src/spread_bench.ts
@@ -0,0 +1,143 @@
+/** Ways of spreading the scheduling over entries, by size of the cell. */
+import type * as benchModule from './bench_module.js';
+import * as spreadCell from './spread_cell.js';
+import * as statistics from './statistics.js';
+import * as stepLoad from './step_load.js';
+
+/** The load is made for this many workers and grows with them. */
+const PEAK_WORKERS = 246;
+const SECONDS = 30;
+const QUICK_SECONDS = 10;
+const SIZES = [33, 250, 400, 1_000];
+const ONE_DECIDER = {helpers: false, coordinator: false};
+
+const WAYS: readonly spreadCell.SpreadWay[] = [
+  {...ONE_DECIDER, name: 'one holder'},
+  {...ONE_DECIDER, name: 'one holder, helpers', helpers: true},
+  {...ONE_DECIDER, name: 'shards <= 64', shardSize: 64},
+  {...ONE_DECIDER, name: 'shards <= 128', shardSize: 128},
+  {...ONE_DECIDER, name: 'shards <= 256', shardSize: 256},
+  {
+    name: 'shards <= 256, helpers',
+    shardSize: 256,
+    helpers: true,
+    coordinator: false,
+  },
+  {
+    name: 'shards <= 64, coordinator',
+    shardSize: 64,
+    helpers: false,
+    coordinator: true,
+  },
+];
+
+/** One bench for each size, so that they can run side by side. */
+export const SPREAD_BENCHES: readonly benchModule.BenchModule[] = SIZES.map(
+  (workers) => ({
+    name: `spread-${workers}`,
+    run: (options) => Promise.resolve(runSize(workers, options)),
+  }),
+);
+
+function runSize(
+  workers: number,
+  options: benchModule.BenchOptions,
+): benchModule.BenchReport {
+  const seeds = options.quick ? options.seeds.slice(0, 1) : options.seeds;
+  const seconds = options.quick ? QUICK_SECONDS : SECONDS;
+  warmUp();
+  const rows = waysFor(workers).map((way) => {
+    const runs = seeds.map((seed) =>
+      spreadCell.runSpreadCell({
+        way,
+        workers,
+        seconds,
+        seed,
+        load: workers / PEAK_WORKERS,
+      }),
+    );
+    return {way, runs};
+  });
+  return {
+    notes: [
+      `${workers} workers, ${seconds} s on a virtual clock, seeds ${seeds.join(', ')}; a process is one thread: deciding takes what it took here, a call 0.25 ms, an item of a batch 0.02 ms`,
+    ],
+    tables: [
+      buildTable('What the cell did', QUALITY, rows),
+      buildTable('What it took', COST, rows),
+    ],
+    plots: [],
+  };
+}
+
+/** Measured times are those of compiled code. */
+function warmUp(): void {
+  for (const way of WAYS) {
+    const workers = 250;
+    const load = workers / PEAK_WORKERS;
+    spreadCell.runSpreadCell({way, workers, seconds: 3, seed: 1, load});
+  }
+}
+
+/** Ways that differ at this size. */
+function waysFor(workers: number): spreadCell.SpreadWay[] {
+  const seen = new Set<string>();
+  return WAYS.filter((way) => {
+    const shards = spreadCell.countShards(way, workers);
+    const key = `${shards} ${way.helpers} ${way.coordinator}`;
+    return seen.has(key) ? false : seen.add(key);
+  });
+}
+
+type Column = readonly [
+  name: string,
+  pick: (run: spreadCell.SpreadResult) => number,
+];
+
+const QUALITY: readonly Column[] = [
+  ['starts/s', (run) => run.starts / run.seconds],
+  ...stepLoad.PEAK_KINDS.map(({name}): Column => [
+    `${name} on time`,
+    (run) => run.onTime.get(name) ?? 0,
+  ]),
+  ['gangs begun whole', (run) => run.gangsBegun],
+  ['gangs begun in part', (run) => run.gangsPartial],
+  ['free, nothing fits', (run) => run.unfitShare],
+  ['free, a task would fit', (run) => run.unusedShare],
+];
+
+const COST: readonly Column[] = [
+  ['deciding us a start', (run) => (run.decidingMs * 1_000) / run.starts],
+  ['cores, busiest decider', (run) => Math.max(...run.deciderCores)],
+  ['cores, mean decider', (run) => mean(run.deciderCores)],
+  ['cores, busiest helper', (run) => Math.max(0, ...run.helperCores)],
+  ['adviser calls a job', (run) => run.adviserCalls / run.jobs],
+  ['moves a job', (run) => run.moves / run.jobs],
+  ['refused reservations', (run) => run.conflicts],
+  ['overbooked workers', (run) => run.overbooked],
+];
+
+interface WayRuns {
+  readonly way: spreadCell.SpreadWay;
+  readonly runs: readonly spreadCell.SpreadResult[];
+}
+
+function buildTable(
+  title: string,
+  columns: readonly Column[],
+  rows: readonly WayRuns[],
+): benchModule.BenchTable {
+  return {
+    title,
+    columns: ['way', 'shards', ...columns.map(([name]) => name)],
+    rows: rows.map(({way, runs}) => [
+      way.name,
+      runs[0]?.shards ?? 0,
+      ...columns.map(([, pick]) => statistics.spread(runs.map(pick))),
+    ]),
+  };
+}
+
+function mean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
--- /dev/null
+++ b/packages/gypsumwall-bench/src/spread_cell.ts
@@ -0,0 +1,274 @@
+/**
+ * A cell on a time of its own whose scheduling is spread over processes: one
+ * decider or shards of it, each with or without helpers that make its calls,
+ * and with or without a coordinator for wide gangs. Load, workers and adviser
+ * are those of the cell with one holder.
+ */
+import * as scheduling from '@gypsumwall/scheduling';
+import * as types from '@gypsumwall/types';
+import * as gangCoordinator from './gang_coordinator.js';
+import * as jobMoves from './job_moves.js';
+import * as runEnds from './run_ends.js';
+import * as shardRooms from './shard_rooms.js';
+import * as spreadLoad from './spread_load.js';
+import * as spreadMeasures from './spread_measures.js';
+import * as stepLoad from './step_load.js';
+import * as virtualDecider from './virtual_decider.js';
+import * as virtualProcess from './virtual_process.js';
+import * as virtualTimeline from './virtual_timeline.js';
+import * as workerCalls from './worker_calls.js';
+
+const START_MS = 1_000;
+const DOMAINS = 4;
+const WORKERS_PER_RACK = 20;
+const WORKERS_PER_ENTRY = 8;
+const WORKERS_PER_HELPER = 64;
+const CAPACITY = {cpuMillis: 16_000, memoryMb: 32_768, accelerators: 0};
+/** A gang that needs more than this share of a shard's processors is wide. */
+const WIDE_SHARE = 0.05;
+/** Share of the entries that a coordinator may call the adviser by. */
+const COORDINATOR_ENTRIES = 0.4;
+const ATTEMPTS_PER_DECIDER = 1_000;
+
+/** A way of spreading. */
+export interface SpreadWay {
+  readonly name: string;
+  /** Workers of a shard at most; absent: one decider for all of them. */
+  readonly shardSize?: number;
+  /** Whether helpers make the calls to workers. */
+  readonly helpers: boolean;
+  /** Whether one coordinator decides on wide gangs. */
+  readonly coordinator: boolean;
+}
+
+/** What a run came to. */
+export interface SpreadResult extends spreadMeasures.SpreadCounts {
+  readonly seconds: number;
+  readonly shards: number;
+  /** Processor time that deciding took, all deciders together. */
+  readonly decidingMs: number;
+  /** Share of a core that each decider took, calls included. */
+  readonly deciderCores: readonly number[];
+  /** The same for each helper. */
+  readonly helperCores: readonly number[];
+  readonly adviserCalls: number;
+  readonly moves: number;
+  readonly conflicts: number;
+}
+
+/** What a run is made of. */
+export interface SpreadOptions {
+  readonly way: SpreadWay;
+  readonly workers: number;
+  readonly seconds: number;
+  readonly seed: number;
+  /** Factor on the rates of the load. */
+  readonly load: number;
+}
+
+/** How many shards a way makes of so many workers. */
+export function countShards(way: SpreadWay, workers: number): number {
+  if (way.shardSize === undefined) return 1;
+  return DOMAINS * Math.ceil(workers / DOMAINS / way.shardSize);
+}
+
+/** Runs a cell. */
+export function runSpreadCell(options: SpreadOptions): SpreadResult {
+  const {way, workers, seconds} = options;
+  const timeline = virtualTimeline.createVirtualTimeline(START_MS);
+  const endMs = START_MS + seconds * 1_000;
+  const draws = types.random.createRandom(options.seed + 1);
+  const drawEnd = runEnds.createDrawEnd(draws);
+  const adviser = runEnds.createAdviser(draws);
+  const infos = createWorkerInfos(workers);
+  const count = countShards(way, workers);
+  const shardOfWorker = new Map(
+    infos.map((info, nth) => [info.id, nth % count]),
+  );
+  const shardOf = (id: types.ids.WorkerId) => shardOfWorker.get(id)!;
+  const entries = Array.from(
+    {length: Math.ceil(workers / WORKERS_PER_ENTRY)},
+    (_, nth) => `e${nth}`,
+  );
+  const coordinated = way.coordinator
+    ? entries.splice(0, Math.ceil(entries.length * COORDINATOR_ENTRIES))
+    : [];
+  const measures = spreadMeasures.createSpreadMeasures({
+    timeline,
+    endMs,
+    ofWorkers: () => shards,
+    ofJobs: () => deciders,
+  });
+  const createProcess = () => virtualProcess.createVirtualProcess(timeline);
+  const helpers = infos.map(createProcess).slice(0, countHelpers());
+  const shardCalls: workerCalls.WorkerCalls[] = [];
+  const shards = Array.from({length: count}, (_, nth) => createShard(nth));
+  const coordinator = gangCoordinator.createGangCoordinator({
+    timeline,
+    shards,
+    shardOf,
+    decider: () => wideDecider!,
+  });
+  const wideDecider = way.coordinator ? createWideDecider() : undefined;
+  const deciders =
+    wideDecider === undefined ? shards : [...shards, wideDecider];
+
+  function countHelpers(): number {
+    return way.helpers ? Math.ceil(workers / WORKERS_PER_HELPER) : 0;
+  }
+
+  function createShard(nth: number): virtualDecider.VirtualDecider {
+    const process = createProcess();
+    const calls = way.helpers
+      ? workerCalls.createHelpedCalls(
+          timeline,
+          process,
+          (id) => helpers[Number(id.split('-')[1]) % helpers.length]!,
+        )
+      : workerCalls.createDirectCalls(timeline, process);
+    shardCalls.push(calls);
+    const decider = virtualDecider.createVirtualDecider({
+      timeline,
+      process,
+      entries: entries.filter((_, entry) => entry % count === nth),
+      attemptBase: nth * ATTEMPTS_PER_DECIDER,
+      drawEnd,
+      adviser,
+      callsFor: () => calls,
+      onStarts: (starts) => measures.noteStarts(starts),
+      onJobOver: (id) => measures.noteOver(id),
+    });
+    for (const info of infos) {
+      if (shardOf(info.id) === nth) addWorker(decider, info);
+    }
+    return decider;
+  }
+
+  /** Its orders and reports go through the shards of the workers. */
+  function createWideDecider(): virtualDecider.VirtualDecider {
+    const process = createProcess();
+    const relayed = shardCalls.map((calls) =>
+      workerCalls.createRelayedCalls(timeline, process, calls),
+    );
+    const decider = virtualDecider.createVirtualDecider({
+      timeline,
+      process,
+      entries: coordinated,
+      attemptBase: count * ATTEMPTS_PER_DECIDER,
+      drawEnd,
+      adviser,
+      callsFor: (id) => relayed[shardOf(id)]!,
+      launch: (starts) => coordinator.launch(starts),
+      onStarts: (starts) => measures.noteStarts(starts),
+      onRunOver: (run) => coordinator.runOver(run),
+      onJobOver: (id) => measures.noteOver(id),
+    });
+    for (const info of infos) addWorker(decider, info);
+    return decider;
+  }
+
+  const rooms = shardRooms.createShardRooms(
+    timeline,
+    count > 1 || way.coordinator ? shards : [],
+    (nth) => {
+      if (way.coordinator) coordinator.roomTold(rooms.roomOf(nth));
+    },
+  );
+  const moves =
+    count > 1 ? jobMoves.startJobMoves({timeline, shards, rooms}) : () => 0;
+
+  function deciderOf(
+    id: types.ids.JobId,
+    request: scheduling.jobRequest.JobRequest,
+  ): virtualDecider.VirtualDecider {
+    const home = shards[hash(id) % count]!;
+    const gang = request.steps.find((step) => isWide(step));
+    if (gang === undefined || count === 1) return home;
+    return wideDecider ?? roomiest(gang);
+  }
+
+  function isWide(step: scheduling.jobRequest.StepRequest): boolean {
+    const needed = step.taskCount * step.size.cpuMillis;
+    const ofShard = (workers / count) * CAPACITY.cpuMillis;
+    return step.gang && needed > ofShard * WIDE_SHARE;
+  }
+
+  function roomiest(
+    gang: scheduling.jobRequest.StepRequest,
+  ): virtualDecider.VirtualDecider {
+    let best = 0;
+    let mostSlots = -1;
+    for (let nth = 0; nth < count; nth++) {
+      const slots = shardRooms.likelySlots(rooms.roomOf(nth), gang);
+      if (slots <= mostSlots) continue;
+      best = nth;
+      mostSlots = slots;
+    }
+    return shards[best]!;
+  }
+
+  spreadLoad.startLoad({
+    timeline,
+    random: types.random.createRandom(options.seed),
+    load: options.load,
+    accept(id, kind, request) {
+      const {policy} = kind;
+      const chainMs = scheduling.jobRequest.chainMs(request);
+      const objectiveMs = chainMs * policy.slackFactor + policy.targetMs;
+      measures.noteAccepted(id, kind, request, objectiveMs);
+      const acceptedAt = timeline.now();
+      const progress = scheduling.jobProgress.NO_PROGRESS;
+      const start = {id, request, policy, acceptedAt, progress};
+      deciderOf(id, request).accept(start);
+    },
+  });
+  timeline.runUntil(endMs);
+
+  const coresOf = (process: virtualProcess.VirtualProcess) =>
+    process.busyMs() / seconds / 1_000;
+  const sum = (values: readonly number[]) =>
+    values.reduce((total, value) => total + value, 0);
+  return {
+    ...measures.counts(),
+    seconds,
+    shards: count,
+    decidingMs: sum(deciders.map(({process}) => process.measuredMs())),
+    deciderCores: deciders.map(({process}) => coresOf(process)),
+    helperCores: helpers.map(coresOf),
+    adviserCalls: sum(deciders.map((decider) => decider.adviserCalls())),
+    moves: moves(),
+    conflicts: coordinator.conflicts(),
+  };
+}
+
+function addWorker(
+  {scheduler}: virtualDecider.VirtualDecider,
+  info: scheduling.workerRegistry.WorkerInfo,
+): void {
+  scheduler.putWorker(info);
+  scheduler.setUsable(info.id, true);
+}
+
+function createWorkerInfos(
+  count: number,
+): scheduling.workerRegistry.WorkerInfo[] {
+  return Array.from({length: count}, (_, nth) => ({
+    id: types.ids.brand(`worker-${nth}`),
+    address: '',
+    domain: types.ids.brand(`domain-${nth % DOMAINS}`),
+    pool: stepLoad.POOL,
+    capacity: CAPACITY,
+    labels: [],
+    rack: types.ids.brand(`rack-${Math.floor(nth / WORKERS_PER_RACK)}`),
+    draining: false,
+  }));
+}
+
+/** FNV-1a. */
+function hash(text: string): number {
+  let value = 0x811c9dc5;
+  for (const char of text) {
+    value = Math.imul(value ^ char.charCodeAt(0), 0x01000193) >>> 0;
+  }
+  return value;
+}
--- /dev/null
+++ b/packages/gypsumwall-bench/src/spread_load.ts
@@ -0,0 +1,42 @@
+/** Jobs as they come to a cell: the same ones however it is scheduled. */
+import type * as scheduling from '@gypsumwall/scheduling';
+import * as types from '@gypsumwall/types';
+import * as stepLoad from './step_load.js';
+import type * as virtualTimeline from './virtual_timeline.js';
+
+/** What a load is made of. */
+export interface SpreadLoadParts {
+  readonly timeline: virtualTimeline.VirtualTimeline;
+  readonly random: types.random.Random;
+  /** Factor on the rates. */
+  readonly load: number;
+  readonly accept: (
+    id: types.ids.JobId,
+    kind: stepLoad.JobKind,
+    request: scheduling.jobRequest.JobRequest,
+  ) => void;
+}
+
+/** Lets jobs come from now on. */
+export function startLoad(parts: SpreadLoadParts): void {
+  const {timeline, random} = parts;
+  let jobs = 0;
+
+  function arrive(kind: stepLoad.JobKind): void {
+    const id = types.ids.brand<types.ids.JobId>(`job${++jobs}`);
+    parts.accept(id, kind, stepLoad.drawRequest(kind, random));
+    plan(kind);
+  }
+
+  function plan(kind: stepLoad.JobKind): void {
+    const now = timeline.now();
+    const burst = stepLoad.BURSTS.find(
+      (one) => one.kind === kind.name && now >= one.fromMs && now < one.toMs,
+    );
+    const rate = kind.rate * parts.load * (burst?.factor ?? 1);
+    const gapMs = (-Math.log(1 - random.next()) * 1_000) / rate;
+    timeline.later(gapMs, () => arrive(kind));
+  }
+
+  for (const kind of stepLoad.PEAK_KINDS) plan(kind);
+}
--- /dev/null
+++ b/packages/gypsumwall-bench/src/spread_measures.ts
@@ -0,0 +1,171 @@
+/** What a run of a cell with several deciders came to. */
+import type * as scheduling from '@gypsumwall/scheduling';
+import * as types from '@gypsumwall/types';
+import type * as stepLoad from './step_load.js';
+import type * as virtualDecider from './virtual_decider.js';
+import type * as virtualTimeline from './virtual_timeline.js';
+
+/**
+ * How often the free room is looked at, after the cell has filled. Only tasks
+ * count that waited at the look before as well; milliseconds.
+ */
+const SAMPLE_MS = 500;
+const FIRST_SAMPLE_MS = 6_000;
+/** Gangs accepted later than so long before the end aren't counted. */
+const GANG_MARGIN_MS = 5_000;
+
+/** Counts by the end of a run. */
+export interface SpreadCounts {
+  readonly jobs: number;
+  readonly starts: number;
+  /** Share of the jobs that ended within their objective, by kind. */
+  readonly onTime: ReadonlyMap<string, number>;
+  /** Share of the jobs with gangs whose first gang began, all members at once. */
+  readonly gangsBegun: number;
+  /** Gangs of which only some members were started at once. */
+  readonly gangsPartial: number;
+  /** Share of the capacity that is free where no waiting task fits. */
+  readonly unfitShare: number;
+  /** Share of the capacity that is free though a waiting task would fit. */
+  readonly unusedShare: number;
+  /** Looks at a worker with more booked than it has. */
+  readonly overbooked: number;
+}
+
+/** Takes the measures of one run. */
+export interface SpreadMeasures {
+  noteAccepted(
+    id: types.ids.JobId,
+    kind: stepLoad.JobKind,
+    request: scheduling.jobRequest.JobRequest,
+    objectiveMs: number,
+  ): void;
+  noteStarts(starts: readonly scheduling.schedulerTypes.StartOrder[]): void;
+  noteOver(id: types.ids.JobId): void;
+  counts(): SpreadCounts;
+}
+
+interface JobNote {
+  readonly kind: stepLoad.JobKind;
+  readonly at: types.clock.MonotonicMs;
+  readonly objectiveMs: number;
+}
+
+/** Creates measures; the deciders of workers and of jobs are looked at. */
+export function createSpreadMeasures(parts: {
+  readonly timeline: virtualTimeline.VirtualTimeline;
+  readonly endMs: number;
+  readonly ofWorkers: () => readonly virtualDecider.VirtualDecider[];
+  readonly ofJobs: () => readonly virtualDecider.VirtualDecider[];
+}): SpreadMeasures {
+  const {timeline} = parts;
+  const notes = new Map<types.ids.JobId, JobNote>();
+  const onTime = new Map<string, {met: number; all: number}>();
+  const gangJobs = new Map<types.ids.JobId, boolean>();
+  let before = new Set<scheduling.activeJob.StepRun>();
+  const samples = {unfit: 0, unused: 0, capacity: 0, overbooked: 0};
+  let jobs = 0;
+  let starts = 0;
+  let gangsPartial = 0;
+
+  function count({kind}: JobNote, met: boolean): void {
+    const counts = onTime.get(kind.name) ?? {met: 0, all: 0};
+    counts.all++;
+    if (met) counts.met++;
+    onTime.set(kind.name, counts);
+  }
+
+  function sample(): void {
+    const waiting = waitingSteps(parts.ofJobs());
+    const sizes = smallestSizes(waiting.filter((step) => before.has(step)));
+    before = new Set(waiting);
+    for (const {scheduler} of parts.ofWorkers()) {
+      for (const {info, free} of scheduler.book.workers.values()) {
+        samples.capacity += info.capacity.cpuMillis;
+        if (free.cpuMillis < 0 || free.memoryMb < 0) samples.overbooked++;
+        if (sizes.length === 0 || free.cpuMillis <= 0) continue;
+        const fits = sizes.some((size) => types.resources.fits(size, free));
+        samples[fits ? 'unused' : 'unfit'] += free.cpuMillis;
+      }
+    }
+    timeline.later(SAMPLE_MS, sample);
+  }
+
+  function noteGang(
+    stepRun: scheduling.activeJob.StepRun,
+    members: number,
+  ): void {
+    if (members < stepRun.request.taskCount) gangsPartial++;
+    else if (gangJobs.has(stepRun.job.id)) gangJobs.set(stepRun.job.id, true);
+  }
+
+  timeline.later(FIRST_SAMPLE_MS, sample);
+  return {
+    noteAccepted(id, kind, request, objectiveMs) {
+      jobs++;
+      const at = timeline.now();
+      notes.set(id, {kind, at, objectiveMs});
+      const gang = request.steps.some((step) => step.gang);
+      if (gang && at < parts.endMs - GANG_MARGIN_MS) gangJobs.set(id, false);
+    },
+    noteStarts(orders) {
+      starts += orders.length;
+      const gangs = new Map<scheduling.activeJob.StepRun, number>();
+      for (const {run} of orders) {
+        const {stepRun} = run.owner!;
+        if (!stepRun.request.gang) continue;
+        gangs.set(stepRun, (gangs.get(stepRun) ?? 0) + 1);
+      }
+      for (const [stepRun, members] of gangs) noteGang(stepRun, members);
+    },
+    noteOver(id) {
+      const note = notes.get(id);
+      if (note === undefined) return;
+      notes.delete(id);
+      count(note, timeline.now() - note.at <= note.objectiveMs);
+    },
+    counts() {
+      // A job that is late by the end of the run never was on time.
+      for (const note of notes.values()) {
+        if (timeline.now() - note.at > note.objectiveMs) count(note, false);
+      }
+      const shares = [...onTime].map(
+        ([name, {met, all}]) => [name, met / all] as const,
+      );
+      const begun = [...gangJobs.values()].filter(Boolean).length;
+      return {
+        jobs,
+        starts,
+        onTime: new Map(shares),
+        gangsBegun: begun / gangJobs.size,
+        gangsPartial,
+        unfitShare: samples.unfit / samples.capacity,
+        unusedShare: samples.unused / samples.capacity,
+        overbooked: samples.overbooked,
+      };
+    },
+  };
+}
+
+function waitingSteps(
+  deciders: readonly virtualDecider.VirtualDecider[],
+): scheduling.activeJob.StepRun[] {
+  return deciders
+    .flatMap(({jobs}) => [...jobs.values()])
+    .flatMap((job) => [...job.open.values()])
+    .flatMap(({steps}) => steps)
+    .filter(({waiting}) => waiting.length > 0);
+}
+
+/** Sizes of tasks, without those that a smaller one stands for. */
+function smallestSizes(
+  steps: readonly scheduling.activeJob.StepRun[],
+): types.resources.Resources[] {
+  const smallest: types.resources.Resources[] = [];
+  for (const {request} of steps) {
+    const {size} = request;
+    if (smallest.some((one) => types.resources.fits(one, size))) continue;
+    smallest.push(size);
+  }
+  return smallest;
+}
--- /dev/null
+++ b/packages/gypsumwall-bench/src/virtual_process.ts
@@ -0,0 +1,63 @@
+/**
+ * A process with one thread on a virtual timeline. Calls take a set time of
+ * it, decisions what they took on the real processor; the rest waits in line.
+ */
+import type * as virtualTimeline from './virtual_timeline.js';
+
+/** One process. */
+export interface VirtualProcess {
+  /** Does some work after a set time of the thread, in its turn. */
+  handle(costMs: number, work: () => void): void;
+  /** Work whose real time the thread is busy for; that time. */
+  measure(work: () => void): number;
+  /** Milliseconds that the thread was busy for. */
+  busyMs(): number;
+  /** Of these, those that were measured. */
+  measuredMs(): number;
+}
+
+/** Creates an idle process. */
+export function createVirtualProcess(
+  timeline: virtualTimeline.VirtualTimeline,
+): VirtualProcess {
+  let queue: {costMs: number; work: () => void}[] = [];
+  let head = 0;
+  let running = false;
+  let pendingMs = 0;
+  let busyMs = 0;
+  let measuredMs = 0;
+
+  function next(): void {
+    const item = queue[head++];
+    running = item !== undefined;
+    if (item === undefined) {
+      queue = [];
+      head = 0;
+      return;
+    }
+    busyMs += item.costMs;
+    timeline.later(item.costMs, () => {
+      pendingMs = 0;
+      item.work();
+      timeline.later(pendingMs, next);
+    });
+  }
+
+  return {
+    handle(costMs, work) {
+      queue.push({costMs, work});
+      if (!running) next();
+    },
+    measure(work) {
+      const from = performance.now();
+      work();
+      const tookMs = performance.now() - from;
+      pendingMs += tookMs;
+      busyMs += tookMs;
+      measuredMs += tookMs;
+      return tookMs;
+    },
+    busyMs: () => busyMs,
+    measuredMs: () => measuredMs,
+  };
+}
