--- a/packages/gypsumwall-bench/src/__tests__/spread_cell.test.ts
+++ b/packages/gypsumwall-bench/src/__tests__/spread_cell.test.ts
@@ -44,3 +44,11 @@
   assert.ok(result.moves > 0);
   assert.equal(result.overbooked, 0);
 });
+
+// Guards against gangs placed by an old copy of the workers' rooms.
+test('a coordinator in a full cell has no room booked twice', () => {
+  const result = run({...ONE, shardSize: 16, coordinator: true}, 1.2);
+  assert.ok(result.conflicts > 0);
+  assert.equal(result.overbooked, 0);
+  assert.equal(result.gangsPartial, 0);
+});
--- /dev/null
+++ b/packages/gypsumwall-cell/src/__fixtures__/worker_move_model.ts
@@ -0,0 +1,417 @@
+/**
+ * A model of one worker that moves between two shards: two logs, four entries
+ * that claim shards, calls that are late, lost or overtake each other. The
+ * protocol's rules are those of docs/design/007; a fault leaves one out.
+ */
+
+/** Ticks a holder acts for without an append that was taken. */
+const UNCONFIRMED = 2;
+/** Ticks a lease is given for. */
+const LEASE = 3;
+/** After a claim, every lease of earlier holders has passed by then. */
+const WAITED_OUT = UNCONFIRMED + LEASE;
+/** More claims would leave no holder the time for anything. */
+const MOST_CLAIMS = 4;
+/** Above every epoch of one log. */
+const EPOCHS = 1_000_000;
+
+/** A rule that is left out. */
+export type Fault =
+  | 'none'
+  | 'lease_not_waited_out'
+  | 'passed_lease_not_confirmed'
+  | 'open_orders_move'
+  | 'silence_means_refused'
+  | 'renewal_before_answer'
+  | 'look_without_fence'
+  | 'release_without_epoch';
+
+/** Whether the worker refuses tokens lower than one it has seen. */
+export interface ModelOptions {
+  readonly fenced: boolean;
+  readonly fault: Fault;
+}
+
+export const ENTRY_OPERATIONS = [
+  'claim',
+  'confirm',
+  'order',
+  'renew',
+  'look',
+  'stop',
+  'settle',
+  'release',
+  'adopt',
+] as const;
+
+export const OTHER_OPERATIONS = [
+  'tick',
+  'deliver',
+  'deliver_unanswered',
+  'lose',
+  'answer',
+  'end_run',
+] as const;
+
+type EntryOperation = (typeof ENTRY_OPERATIONS)[number];
+type OtherOperation = (typeof OTHER_OPERATIONS)[number];
+
+/** A pick that chooses the newest call or answer. */
+export const NEWEST = -1;
+
+/** One thing that happens; `pick` chooses an entry, call or answer. */
+export interface Operation {
+  readonly name: EntryOperation | OtherOperation;
+  readonly pick: number;
+}
+
+type Shard = 0 | 1;
+
+type LogRecord =
+  | {readonly kind: 'claim'; readonly entry: number}
+  | {readonly kind: 'release' | 'adopt'; readonly generation: number};
+
+interface Call {
+  readonly kind: 'start' | 'renew' | 'look' | 'stop';
+  readonly from: Holder;
+  readonly token: number;
+  readonly attempt: number;
+  readonly leaseUntil: number;
+}
+
+interface Answer {
+  readonly call: Call;
+  readonly taken: boolean;
+  /** What ran when the call was answered. */
+  readonly running: readonly number[];
+}
+
+interface Holder {
+  readonly shard: Shard;
+  readonly epoch: number;
+  readonly claimedAt: number;
+  confirmedAt: number;
+  /** Moves of the worker, where it belongs to the holder's shard. */
+  generation: number | undefined;
+  /** It is known what earlier holders left on the worker. */
+  accounted: boolean;
+  /** An attempt that may run, and until when at the latest. */
+  open?: {readonly attempt: number};
+  leaseUntil: number;
+}
+
+/** A run of the model. */
+export interface WorkerMoveModel {
+  apply(operation: Operation): void;
+  /** What rule is broken, if any. */
+  broken(): string | undefined;
+  /** Attempts that ran, by the shard that ordered them. */
+  startsOf(shard: Shard): number;
+}
+
+/** Creates a model: the worker belongs to shard 0, nobody holds a claim. */
+export function createWorkerMoveModel({
+  fenced,
+  fault,
+}: ModelOptions): WorkerMoveModel {
+  const logs: LogRecord[][] = [[{kind: 'adopt', generation: 0}], []];
+  /** Entries 0 and 1 claim shard 0, the others shard 1. */
+  const holders: (Holder | undefined)[] = [
+    undefined,
+    undefined,
+    undefined,
+    undefined,
+  ];
+  const calls: Call[] = [];
+  const answers: Answer[] = [];
+  /** The token that each attempt was ordered under. */
+  const attempts: number[] = [];
+  /** Attempts that a holder has taken for over: their tasks may run again. */
+  const over = new Set<number>();
+  const starts = [0, 0];
+  const worker = {
+    token: 0,
+    leaseUntil: 0,
+    running: new Set<number>(),
+    stopped: new Set<number>(),
+  };
+  let now = 0;
+  let claims = 0;
+
+  const newestEpoch = (shard: Shard) =>
+    logs[shard]!.findLastIndex((record) => record.kind === 'claim');
+  const isNewest = ({shard, epoch}: Holder) => newestEpoch(shard) === epoch;
+
+  /** Moves of the worker if it belongs to the shard. */
+  function generationAt(shard: Shard): number | undefined {
+    const last = logs[shard]!.findLast((record) => record.kind !== 'claim');
+    return last?.kind === 'adopt' ? last.generation : undefined;
+  }
+
+  /** Tokens of one shard rise with its epochs, over shards with the moves. */
+  function tokenOf({generation, epoch}: Holder): number {
+    return generation! * EPOCHS + epoch + 1;
+  }
+
+  const mayAct = (holder: Holder) => now - holder.confirmedAt < UNCONFIRMED;
+  const owns = (holder: Holder) => holder.generation !== undefined;
+
+  function claim(entry: number): void {
+    const shard: Shard = entry < 2 ? 0 : 1;
+    if (claims >= MOST_CLAIMS) return;
+    if (holders[entry] !== undefined && isNewest(holders[entry])) return;
+    claims++;
+    const isFirst = newestEpoch(shard) < 0;
+    const epoch = logs[shard]!.push({kind: 'claim', entry}) - 1;
+    holders[entry] = {
+      shard,
+      epoch,
+      claimedAt: now,
+      confirmedAt: now,
+      generation: generationAt(shard),
+      accounted: isFirst || fault === 'lease_not_waited_out',
+      leaseUntil: 0,
+    };
+  }
+
+  /** An append under the holder's epoch; the log refuses an older one. */
+  function append(entry: number, record: LogRecord | undefined): boolean {
+    const holder = holders[entry]!;
+    if (!isNewest(holder)) {
+      const blind =
+        record?.kind === 'release' && fault === 'release_without_epoch';
+      if (blind) logs[holder.shard]!.push(record);
+      holders[entry] = undefined;
+      return false;
+    }
+    if (record !== undefined) logs[holder.shard]!.push(record);
+    holder.confirmedAt = now;
+    return true;
+  }
+
+  function order(holder: Holder): void {
+    if (!mayAct(holder) || !owns(holder)) return;
+    if (!holder.accounted || holder.open !== undefined) return;
+    const attempt = attempts.push(tokenOf(holder)) - 1;
+    holder.open = {attempt};
+    send(holder, 'start', attempt, lease(holder));
+  }
+
+  function renew(holder: Holder): void {
+    if (!mayAct(holder) || !owns(holder)) return;
+    // A renewal keeps all runs alive, also those of an earlier holder.
+    if (!holder.accounted && fault !== 'renewal_before_answer') return;
+    send(holder, 'renew', -1, lease(holder));
+  }
+
+  function lease(holder: Holder): number {
+    holder.leaseUntil = Math.max(holder.leaseUntil, now + LEASE);
+    return now + LEASE;
+  }
+
+  function send(
+    from: Holder,
+    kind: Call['kind'],
+    attempt = -1,
+    leaseUntil = 0,
+  ): void {
+    calls.push({kind, from, token: tokenOf(from), attempt, leaseUntil});
+  }
+
+  function stop(holder: Holder): void {
+    if (owns(holder) && holder.open !== undefined) {
+      send(holder, 'stop', holder.open.attempt);
+    }
+  }
+
+  /**
+   * What time alone settles, once an append was taken after it: before that a
+   * successor may have renewed the lease.
+   */
+  function settle(holder: Holder): void {
+    if (!owns(holder)) return;
+    const unconfirmed = fault === 'passed_lease_not_confirmed';
+    const until = unconfirmed ? now : holder.confirmedAt;
+    if (!holder.accounted) {
+      if (until - holder.claimedAt < WAITED_OUT) return;
+      holder.accounted = true;
+      takeForOver(holder, []);
+      return;
+    }
+    if (holder.open === undefined) return;
+    const passed = until >= holder.leaseUntil;
+    if (passed || fault === 'silence_means_refused') close(holder);
+  }
+
+  function close(holder: Holder): void {
+    over.add(holder.open!.attempt);
+    holder.open = undefined;
+  }
+
+  /** All attempts of earlier holders are over but those that are listed. */
+  function takeForOver(holder: Holder, listed: readonly number[]): void {
+    attempts.forEach((token, attempt) => {
+      const earlier = token < tokenOf(holder);
+      if (earlier && !listed.includes(attempt)) over.add(attempt);
+    });
+  }
+
+  function release(entry: number): void {
+    const holder = holders[entry]!;
+    if (!owns(holder) || !holder.accounted) return;
+    if (holder.open !== undefined && fault !== 'open_orders_move') return;
+    const generation = holder.generation!;
+    if (append(entry, {kind: 'release', generation})) {
+      holder.generation = undefined;
+      holder.open = undefined;
+    }
+  }
+
+  function adopt(entry: number): void {
+    const holder = holders[entry]!;
+    if (owns(holder)) return;
+    const other: Shard = holder.shard === 0 ? 1 : 0;
+    const last = logs[other]!.findLast((record) => record.kind !== 'claim');
+    if (last?.kind !== 'release') return;
+    const generation = last.generation + 1;
+    const own = logs[holder.shard]!.findLast((one) => one.kind !== 'claim');
+    if (own?.kind === 'adopt' && own.generation >= generation) return;
+    if (own?.kind === 'release' && own.generation >= generation) return;
+    if (!append(entry, {kind: 'adopt', generation})) return;
+    holder.generation = generation;
+    // The release says that nothing of the other shard can run any more.
+    holder.accounted = true;
+    holder.leaseUntil = 0;
+    takeForOver(holder, []);
+  }
+
+  function deliver(call: Call, answered: boolean): void {
+    const taken = receive(call);
+    if (answered) answers.push({call, taken, running: [...worker.running]});
+  }
+
+  function receive(call: Call): boolean {
+    if (fenced && call.token < worker.token) return false;
+    if (fenced) worker.token = call.token;
+    switch (call.kind) {
+      case 'start':
+        if (now >= call.leaseUntil) return false;
+        if (worker.stopped.has(call.attempt)) return false;
+        worker.leaseUntil = Math.max(worker.leaseUntil, call.leaseUntil);
+        worker.running.add(call.attempt);
+        starts[call.from.shard]!++;
+        return true;
+      case 'renew':
+        worker.leaseUntil = Math.max(worker.leaseUntil, call.leaseUntil);
+        return true;
+      case 'stop':
+        worker.stopped.add(call.attempt);
+        worker.running.delete(call.attempt);
+        return true;
+      case 'look':
+        return true;
+    }
+  }
+
+  function take({call, taken, running}: Answer): void {
+    const holder = call.from;
+    if (!holders.includes(holder) || !owns(holder)) return;
+    if (call.token !== tokenOf(holder)) return;
+    if (!taken) {
+      if (call.kind === 'start' && holder.open?.attempt === call.attempt) {
+        close(holder);
+      }
+      return;
+    }
+    if (call.kind === 'stop' && holder.open?.attempt === call.attempt) {
+      close(holder);
+    }
+    if (call.kind === 'look' && !holder.accounted) account(holder, running);
+  }
+
+  /** Without a fence a late order of an earlier holder may still come. */
+  function account(holder: Holder, running: readonly number[]): void {
+    if (!fenced && fault !== 'look_without_fence') return;
+    holder.accounted = true;
+    takeForOver(holder, running);
+    const [attempt] = running;
+    if (attempt === undefined) return;
+    holder.open = {attempt};
+    holder.leaseUntil = Math.max(holder.leaseUntil, now + WAITED_OUT);
+  }
+
+  function tick(): void {
+    now++;
+    if (now >= worker.leaseUntil) worker.running.clear();
+  }
+
+  const entryOperations: Record<
+    EntryOperation,
+    (holder: Holder, entry: number) => void
+  > = {
+    claim: (_, entry) => claim(entry),
+    confirm: (_, entry) => void append(entry, undefined),
+    order,
+    renew,
+    look(holder) {
+      if (owns(holder)) send(holder, 'look');
+    },
+    stop,
+    settle,
+    release: (_, entry) => release(entry),
+    adopt: (_, entry) => adopt(entry),
+  };
+
+  const otherOperations: Record<OtherOperation, (pick: number) => void> = {
+    tick,
+    deliver(pick) {
+      const call = pickFrom(calls, pick);
+      if (call !== undefined) deliver(call, true);
+    },
+    deliver_unanswered(pick) {
+      const call = pickFrom(calls, pick);
+      if (call !== undefined) deliver(call, false);
+    },
+    lose: (pick) => void pickFrom(calls, pick),
+    answer(pick) {
+      const answer = pickFrom(answers, pick);
+      if (answer !== undefined) take(answer);
+    },
+    end_run() {
+      for (const attempt of worker.running) worker.stopped.add(attempt);
+      worker.running.clear();
+    },
+  };
+
+  function applyToEntry(name: EntryOperation, entry: number): void {
+    const holder = holders[entry];
+    if (holder !== undefined) entryOperations[name](holder, entry);
+    else if (name === 'claim') claim(entry);
+  }
+
+  function pickFrom<Value>(list: Value[], pick: number): Value | undefined {
+    return list.splice(pick % Math.max(1, list.length), 1)[0];
+  }
+
+  return {
+    apply({name, pick}) {
+      if (isEntryOperation(name)) applyToEntry(name, pick % holders.length);
+      else otherOperations[name](pick);
+    },
+    broken() {
+      if (worker.running.size > 1) return 'two attempts share the room of one';
+      for (const attempt of worker.running) {
+        if (over.has(attempt)) return 'an attempt runs that counts as over';
+      }
+      return undefined;
+    },
+    startsOf: (shard) => starts[shard]!,
+  };
+}
+
+/** Whether an operation is one of an entry; `pick` is the entry then. */
+export function isEntryOperation(
+  name: Operation['name'],
+): name is EntryOperation {
+  return (ENTRY_OPERATIONS as readonly string[]).includes(name);
+}
