cell: take a lease for passed only while the cell was surely held

What callers could see: a task that runs on two workers at once.

Cause: a holder that was replaced and hasn't heard of it takes the lease of a worker out of its reach for passed by its own clock, and starts the task again on another worker. Its successor, which reaches the worker, has renewed the lease and kept the run.

A lease now counts as passed only if it had by the last append that was confirmed: until then there was no successor, so nobody else can have renewed it.

--- a/packages/gypsumwall-cell/src/__tests__/worker_session.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/worker_session.test.ts
@@ -26,6 +26,7 @@
     logger: telemetry.logger.createLogger('silent'),
     scheduler,
     mayRenew: () => true,
+    confirmedAt: () => clock.monotonic(),
     onChange: () => {},
     stored: () => Promise.resolve(),
     onFirstReport: () => {},
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -157,6 +157,7 @@
       logger,
       scheduler,
       mayRenew,
+      confirmedAt: () => writer.confirmedAt(),
       onChange: kick,
       stored: flush,
       onFirstReport: () => gate.account(worker.id, clock.monotonic()),
--- a/packages/gypsumwall-cell/src/worker_session.ts
+++ b/packages/gypsumwall-cell/src/worker_session.ts
@@ -41,6 +41,8 @@
   readonly scheduler: scheduling.schedulerTypes.Scheduler;
   /** Whether leases may be renewed, see the holder. */
   readonly mayRenew: () => boolean;
+  /** When this process surely held the cell for the last time. */
+  readonly confirmedAt: () => types.clock.MonotonicMs;
   /** Something to decide about has changed. */
   readonly onChange: () => void;
   /** Resolves when all that was reported so far is stored. */
@@ -155,7 +157,8 @@
   async function lookFailed(err: types.stepError.StepError): Promise<void> {
     setReachable(false, types.stepError.describeError(err));
     scheduler.outOfReach(worker.id);
-    if (reported && workerClock.leasePassed(clock.monotonic())) {
+    // A successor may have renewed a lease that passes after that.
+    if (reported && workerClock.leasePassed(options.confirmedAt())) {
       options.onLeasePassed();
     }
     await pause(RETRY_PAUSE_MS);
