--- a/packages/gypsumwall-testing/src/child.ts
+++ b/packages/gypsumwall-testing/src/child.ts
@@ -1,6 +1,7 @@
 /**
- * Child processes of a test. Each prints a line of JSON when it is ready;
- * none outlives the process that started it.
+ * Child processes of a test. Each prints a line of JSON when it is ready,
+ * unless its standard output is a log; none outlives the process that started
+ * it.
  */
 import * as childProcess from 'node:child_process';
 import * as fs from 'node:fs';
@@ -17,7 +18,10 @@
 export interface Child {
   readonly name: string;
   readonly pid: number;
-  /** Its first line on standard output; fails if it ends before. */
+  /**
+   * Its first line on standard output; fails if it ends before. Where the
+   * output goes to the log, it never resolves: ask the program itself.
+   */
   readonly ready: Promise<unknown>;
   readonly exited: Promise<ChildExit>;
   running(): boolean;
@@ -30,6 +34,10 @@
   readonly args: readonly string[];
   /** Where its standard error goes. */
   readonly logFile: string;
+  /** By default a line of JSON tells that the child is ready. */
+  readonly output?: 'ready_line' | 'log_file';
+  /** All of its environment; by default that of this process. */
+  readonly env?: Readonly<Record<string, string>>;
 }
 
 const children = new Set<childProcess.ChildProcess>();
@@ -51,8 +59,10 @@
 export function startChild(options: ChildOptions): Child {
   cleanUpAtExit();
   const log = fs.openSync(options.logFile, 'a');
+  const output = options.output === 'log_file' ? log : 'pipe';
   const child = childProcess.spawn(process.execPath, options.args, {
-    stdio: ['pipe', 'pipe', log],
+    stdio: ['pipe', output, log],
+    env: options.env,
   });
   fs.closeSync(log);
   children.add(child);
--- a/packages/gypsumwall-testing/src/jsonc_file.ts
+++ b/packages/gypsumwall-testing/src/jsonc_file.ts
@@ -40,7 +40,8 @@
   const lines = parsed.error.issues.map((issue) => {
     const line = lineAt(text, offsetOf(root, issue.path));
     const where = issue.path.join('.') || 'the file';
-    return `${file}:${line}: ${where}: ${remedyOf(issue)}`;
+    const value = valueAt(root, issue.path);
+    return `${file}:${line}: ${where}: ${remedyOf(issue)}${value}`;
   });
   return result.err(lines.join('\n'));
 }
@@ -62,6 +63,14 @@
   return issue.message;
 }
 
+/** The value that was found, in words; empty for one that is missing or long. */
+function valueAt(root: jsoncParser.Node, path: readonly PropertyKey[]): string {
+  const part = [...path] as jsoncParser.JSONPath;
+  const node = jsoncParser.findNodeAtLocation(root, part);
+  if (node === undefined || node.children !== undefined) return '';
+  return `; it is ${JSON.stringify(node.value)}`;
+}
+
 /** Where the path's node starts; its nearest ancestor if it is missing. */
 function offsetOf(
   root: jsoncParser.Node,
