--- a/scripts/build_deploy.mjs
+++ b/scripts/build_deploy.mjs
@@ -2,12 +2,15 @@
  * Makes target/gypsumwall.cjs, which starts the entry for the users' platform:
  * target/entry.cjs is one script with its libraries in it, and
  * target/entry.cjs.cache its compiled code, so that a start neither looks for
- * files nor compiles them. Run without tsc.
+ * files nor compiles them. Run without tsc. An argument names another folder
+ * than target/, for tests that run beside each other.
  */
 import * as childProcess from 'node:child_process';
 import * as fs from 'node:fs';
 import * as esbuild from 'esbuild';
 
+const folder = process.argv[2] ?? 'target';
+
 /** Compiled code fits only a process with the same flags. */
 function readNodeFlags() {
   const deployFile = fs.readFileSync('deploy/system.toml', 'utf8');
@@ -19,7 +22,7 @@
 
 await esbuild.build({
   entryPoints: {entry: 'platform/main.ts'},
-  outdir: 'target',
+  outdir: folder,
   outExtension: {'.js': '.cjs'},
   bundle: true,
   platform: 'node',
@@ -37,9 +40,9 @@
   },
   logLevel: 'warning',
 });
-fs.copyFileSync('scripts/start_cached.cjs', 'target/gypsumwall.cjs');
+fs.copyFileSync('scripts/start_cached.cjs', `${folder}/gypsumwall.cjs`);
 childProcess.execFileSync(
   process.execPath,
-  [...readNodeFlags(), 'target/gypsumwall.cjs', '--write-code-cache'],
+  [...readNodeFlags(), `${folder}/gypsumwall.cjs`, '--write-code-cache'],
   {stdio: ['ignore', 'inherit', 'inherit']},
 );
