--- /dev/null
+++ b/packages/gypsumwall-emulator/src/judge/order_rules.ts
@@ -0,0 +1,42 @@
+/** Rules on the order of a job's steps. */
+import type * as history from '../model/history.js';
+import type * as jobCatalog from '../model/job_catalog.js';
+import type * as finding from './finding.js';
+import * as taskRuns from './task_runs.js';
+
+/** Starts of tasks whose step waits for others that weren't done. */
+export function findEarlyStarts(
+  events: readonly history.HistoryEvent[],
+  runs: taskRuns.TaskRuns,
+): finding.Finding[] {
+  const jobs = new Map(
+    events.flatMap((event) =>
+      event.type === 'job_sent' ? [[event.job.jobId, event.job] as const] : [],
+    ),
+  );
+  return events.flatMap((event) => {
+    if (event.type !== 'run_started') return [];
+    const [jobId = '', , step = ''] = event.taskId.split('.');
+    const missing = tasksBefore(jobs.get(jobId), Number(step)).find(
+      (taskId) => !taskRuns.isDoneBy(runs.get(taskId) ?? [], event.at),
+    );
+    if (missing === undefined) return [];
+    const detail = `${event.taskId} began before ${missing} was done`;
+    return [{promise: 'steps keep their order', detail}];
+  });
+}
+
+/** Tasks of the steps that a step waits for. */
+function tasksBefore(
+  job: jobCatalog.JobSpec | undefined,
+  step: number,
+): string[] {
+  const after = job?.steps[step]?.after ?? [];
+  return after.flatMap((earlier) => {
+    const taskCount = job?.steps[earlier]?.taskCount ?? 0;
+    return Array.from(
+      {length: taskCount},
+      (_, index) => `${job?.jobId}.0.${earlier}.${index}`,
+    );
+  });
+}
--- /dev/null
+++ b/packages/gypsumwall-emulator/src/judge/run_rules.ts
@@ -0,0 +1,52 @@
+/** Rules on single runs. */
+import type * as history from '../model/history.js';
+import type * as finding from './finding.js';
+import type * as taskRuns from './task_runs.js';
+
+/** Two runs at a time, or a start after an end `done` that was noted. */
+export function findDoubleRuns(runs: taskRuns.TaskRuns): finding.Finding[] {
+  return [...runs.values()].flatMap((ofTask) =>
+    ofTask.flatMap((run, nth) =>
+      ofTask.slice(0, nth).flatMap((earlier) => compare(earlier, run)),
+    ),
+  );
+}
+
+function compare(
+  earlier: taskRuns.TaskRun,
+  run: taskRuns.TaskRun,
+): finding.Finding[] {
+  const promise = 'no task runs twice at a time';
+  const names = `${run.taskId}: attempt ${run.attempt} on ${run.workerId}`;
+  if (earlier.endedAt > run.startedAt) {
+    const detail = `${names} began beside attempt ${earlier.attempt} on ${earlier.workerId}`;
+    return [{promise, detail}];
+  }
+  if (earlier.how !== 'done' || earlier.notedAt === Infinity) return [];
+  const detail = `${names} began after attempt ${earlier.attempt} was done`;
+  return [{promise, detail}];
+}
+
+/** Starts of what nobody sent, or that a worker has no room for. */
+export function findUnasked(
+  events: readonly history.HistoryEvent[],
+): finding.Finding[] {
+  const promise = 'nothing runs that was not asked for';
+  const refused = new Set(
+    events.flatMap((event) =>
+      event.type === 'job_told' && event.told === 'refused'
+        ? [event.jobId]
+        : [],
+    ),
+  );
+  return events.flatMap((event) => {
+    if (event.type === 'start_unasked') {
+      const detail = `${event.taskId} on ${event.workerId}: ${event.reason}`;
+      return [{promise, detail}];
+    }
+    if (event.type !== 'run_started') return [];
+    const jobId = event.taskId.split('.', 1)[0] ?? '';
+    if (!refused.has(jobId)) return [];
+    return [{promise, detail: `${event.taskId}: its job was refused`}];
+  });
+}
--- /dev/null
+++ b/packages/gypsumwall-emulator/src/model/__tests__/adviser.test.ts
@@ -0,0 +1,70 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as types from '@gypsumwall/types';
+import * as advisers from '../adviser.js';
+
+const {test} = nodeTest;
+const POLICY = {callMs: 100, perWorkerMs: 10, validMs: 2_000};
+const WORKERS = Array.from({length: 40}, (_, nth) => `w${nth}`);
+
+function makeAdviser(refusedShare = 0) {
+  const clock = types.virtualClock.createVirtualClock();
+  const adviser = advisers.createAdviser({
+    clock,
+    seed: 1,
+    refusedShare,
+    policies: new Map([['plans', POLICY]]),
+    queueOf: () => 'plans',
+  });
+  return {clock, adviser};
+}
+
+test('calls of one caller wait for each other, those of others do not', async () => {
+  const {clock, adviser} = makeAdviser();
+  const ended: string[] = [];
+  const ask = async (caller: string) => {
+    await adviser.ask(caller, 'job.0.0', ['w1']);
+    ended.push(`${caller} ${clock.monotonic()}`);
+  };
+  const all = Promise.all([ask('a'), ask('a'), ask('b')]);
+  await clock.runUntil(1_000);
+  await all;
+  assert.deepEqual(ended.sort(), ['a 110', 'a 220', 'b 110']);
+});
+
+test('a caller with 32 calls waiting is throttled', async () => {
+  const {clock, adviser} = makeAdviser();
+  const calls = Array.from({length: 33}, () => adviser.ask('a', 's', []));
+  await clock.runUntil(10_000);
+  const answers = await Promise.all(calls);
+  const counted = answers.filter((answer) => answer.type === 'throttled');
+  assert.equal(counted.length, 1);
+});
+
+test('refusals of a step stay, and another step has others', async () => {
+  const {clock, adviser} = makeAdviser(0.5);
+  const approvedFor = async (step: string) => {
+    const asked = adviser.ask('a', step, WORKERS);
+    await clock.runUntil(clock.monotonic() + 1_000);
+    const answer = await asked;
+    assert.ok(answer.type === 'approved');
+    return answer.tickets.map(([workerId]) => workerId);
+  };
+  const first = await approvedFor('job.0.0');
+  assert.ok(first.length > 0 && first.length < WORKERS.length);
+  assert.deepEqual(await approvedFor('job.0.0'), first);
+  assert.notDeepEqual(await approvedFor('job.0.1'), first);
+});
+
+test('a ticket is good for its step and worker, and ends', async () => {
+  const {clock, adviser} = makeAdviser();
+  const asked = adviser.ask('a', 's', ['w1']);
+  await clock.runUntil(200);
+  const answer = await asked;
+  assert.ok(answer.type === 'approved');
+  const ticket = answer.tickets[0]?.[1] ?? '';
+  assert.equal(adviser.accepts(ticket, 's', 'w1'), true);
+  assert.equal(adviser.accepts(ticket, 's', 'w2'), false);
+  await clock.runUntil(110 + POLICY.validMs);
+  assert.equal(adviser.accepts(ticket, 's', 'w1'), false);
+});
--- /dev/null
+++ b/packages/gypsumwall-emulator/src/model/__tests__/store.test.ts
@@ -0,0 +1,96 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as types from '@gypsumwall/types';
+import * as stores from '../store.js';
+
+const {test} = nodeTest;
+const APPEND = {topic: 'jobs', entries: [{key: 'a', value: 'x'}]};
+const LONG_MS = 100_000;
+
+function makeStore(options: Partial<stores.StoreOptions> = {}) {
+  const clock = types.virtualClock.createVirtualClock();
+  const store = stores.createStore({
+    clock,
+    random: types.random.createRandom(1),
+    writesPerS: 1_000,
+    readsPerS: 1_000,
+    appendMs: 4,
+    keepMs: LONG_MS,
+    ...options,
+  });
+  return {clock, store};
+}
+
+async function typesOf(
+  clock: types.virtualClock.VirtualClock,
+  calls: readonly Promise<{readonly type: string}>[],
+): Promise<string[]> {
+  const answers = Promise.all(calls);
+  await clock.runUntil(LONG_MS);
+  return (await answers).map((answer) => answer.type);
+}
+
+test('calls over the rate are throttled, for all callers together', async () => {
+  const {clock, store} = makeStore({writesPerS: 2});
+  const calls = ['a', 'b', 'c'].map((caller) => store.append(caller, APPEND));
+  assert.deepEqual(await typesOf(clock, calls), [
+    'answer',
+    'answer',
+    'throttled',
+  ]);
+});
+
+test('a log with over two seconds of appends waiting refuses more', async () => {
+  const {clock, store} = makeStore({appendMs: 1_000});
+  const calls = [1, 2, 3, 4].map(() => store.append('a', APPEND));
+  assert.deepEqual(await typesOf(clock, calls), [
+    'answer',
+    'answer',
+    'answer',
+    'unavailable',
+  ]);
+});
+
+test('a fault of one caller leaves the others alone', async () => {
+  const {clock, store} = makeStore();
+  store.setFault('a', {type: 'unavailable'});
+  const calls = ['a', 'b'].map((caller) => store.append(caller, APPEND));
+  assert.deepEqual(await typesOf(clock, calls), ['unavailable', 'answer']);
+});
+
+test('a lost answer belongs to an append that was done, now or later', async () => {
+  for (const [lostShare, lateShare] of [
+    [1, 0],
+    [0, 1],
+  ] as const) {
+    const {clock, store} = makeStore();
+    const latestMs = 3_000;
+    store.setFault('all', {type: 'lossy', lostShare, lateShare, latestMs});
+    const calls = [store.append('a', APPEND)];
+    assert.deepEqual(await typesOf(clock, calls), ['lost']);
+    assert.equal(store.log('jobs').endOffset(), 1);
+  }
+});
+
+test('the system may not write where the platform does', async () => {
+  const {clock, store} = makeStore();
+  const topic = stores.WORKERS_TOPIC;
+  const calls = [store.append('a', {...APPEND, topic})];
+  assert.deepEqual(await typesOf(clock, calls), ['forbidden']);
+});
+
+test('a read waits for the next record', async () => {
+  const {clock, store} = makeStore();
+  const reading = store.read('a', {
+    topic: 'jobs',
+    from: 0,
+    mostBytes: 1_000,
+    waitMs: 5_000,
+  });
+  const calls = [store.append('b', APPEND)];
+  await clock.runUntil(10);
+  const answer = await reading;
+  assert.ok(answer.type === 'answer' && answer.value.type === 'records');
+  assert.equal(answer.value.records.length, 1);
+  assert.equal((await Promise.all(calls)).length, 1);
+});
--- /dev/null
+++ b/packages/gypsumwall-emulator/src/model/__tests__/worker.test.ts
@@ -0,0 +1,191 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as types from '@gypsumwall/types';
+import * as checkpoints from '../checkpoints.js';
+import * as gangs from '../gangs.js';
+import * as histories from '../history.js';
+import * as jobCatalogs from '../job_catalog.js';
+import * as workers from '../worker.js';
+import type * as workerOrders from '../worker_orders.js';
+
+const {test} = nodeTest;
+const LEASE_MS = 4_000;
+const DURATIONS = {
+  startupMs: 50,
+  restoreMs: 250,
+  checkpointMs: 500,
+  stopMs: 900,
+  gangTimeoutMs: 3_000,
+};
+const STEP: jobCatalogs.StepSpec = {
+  taskCount: 2,
+  size: {cpuMillis: 1_000, memoryMb: 100, accelerators: 0},
+  workMs: 1_000,
+  after: [],
+  gang: false,
+  lasting: false,
+  savesProgress: false,
+};
+const CAPACITY = {cpuMillis: 1_500, memoryMb: 1_000, accelerators: 0};
+const OPTIONS = {
+  capacity: CAPACITY,
+  refusesExcess: true,
+  clockRate: 0.98,
+  failShare: 0,
+  lastingFailsMs: undefined,
+};
+
+function makeWorld(step: Partial<jobCatalogs.StepSpec> = {}) {
+  const clock = types.virtualClock.createVirtualClock();
+  const random = types.random.createRandom(1);
+  const history = histories.createHistory(clock);
+  const catalog = jobCatalogs.createJobCatalog();
+  const steps = [{...STEP, ...step}];
+  catalog.add({jobId: 'job', queue: 'q', payload: 'p', steps});
+  const around: workers.WorkerSurroundings = {
+    clock,
+    random,
+    history,
+    catalog,
+    adviser: undefined,
+    gangs: gangs.createGangs(),
+    checkpoints: checkpoints.createCheckpoints(random),
+    durations: DURATIONS,
+    longestLeaseMs: LEASE_MS,
+  };
+  const addWorker = (id: string) =>
+    workers.createWorker(around, {...OPTIONS, id});
+  const ends = () =>
+    history
+      .events()
+      .flatMap((event) =>
+        event.type === 'run_ended'
+          ? [`${event.taskId} ${event.how} ${Math.round(event.at)}`]
+          : [],
+      );
+  return {clock, history, addWorker, ends};
+}
+
+function start(
+  worker: workers.Worker,
+  index: number,
+  changes: Partial<workerOrders.StartOrder> = {},
+): workerOrders.OrderAnswer {
+  return worker.start({
+    taskId: `job.0.0.${index}`,
+    attempt: 1,
+    payload: 'p',
+    leaseUntil: worker.clockMs() + LEASE_MS,
+    token: 1,
+    checkpoint: '',
+    ticket: undefined,
+    ...changes,
+  });
+}
+
+const reasonOf = (answer: workerOrders.OrderAnswer) =>
+  answer.type === 'refused' ? answer.reason : answer.type;
+
+test('a task runs to its end, which is listed until it is noted', async () => {
+  const {clock, addWorker, ends} = makeWorld();
+  const worker = addWorker('w');
+  assert.equal(start(worker, 0).type, 'accepted');
+  await clock.runUntil(2_000);
+  assert.deepEqual(ends(), ['job.0.0.0 done 1050']);
+  const call = {token: 1, leaseUntil: undefined, waitMs: 0};
+  const first = await worker.hold({...call, acknowledged: 0});
+  assert.ok(first.type === 'report' && first.ends.length === 1);
+  const second = await worker.hold({...call, acknowledged: 1});
+  assert.ok(second.type === 'report' && second.ends.length === 0);
+});
+
+test('orders are refused for the reasons of the protocol', async () => {
+  const {clock, addWorker} = makeWorld();
+  const worker = addWorker('w');
+  assert.equal(reasonOf(start(worker, 0, {token: 2})), 'accepted');
+  assert.equal(reasonOf(start(worker, 1, {token: 1})), 'fence');
+  assert.equal(reasonOf(start(worker, 1, {token: 2})), 'room');
+  const other = addWorker('other');
+  assert.equal(reasonOf(start(other, 1, {leaseUntil: undefined})), 'late');
+  other.stop({taskId: 'job.0.0.1', attempt: 1, token: 1});
+  assert.equal(reasonOf(start(other, 1)), 'old');
+  assert.equal(reasonOf(start(other, 1, {attempt: 2})), 'accepted');
+  await clock.runUntil(2_000);
+  assert.equal(reasonOf(start(worker, 0, {token: 2})), 'old');
+});
+
+test('a lease ends everything, later on a slow clock', async () => {
+  const {clock, addWorker, ends} = makeWorld({workMs: 60_000});
+  start(addWorker('w'), 0);
+  await clock.runUntil(10_000);
+  assert.deepEqual(ends(), [`job.0.0.0 lapsed ${Math.round(4_000 / 0.98)}`]);
+});
+
+test('a stop takes its time, saves, and another run resumes', async () => {
+  const {clock, addWorker, ends} = makeWorld({
+    workMs: 2_000,
+    savesProgress: true,
+  });
+  const worker = addWorker('w');
+  start(worker, 0);
+  await clock.runUntil(1_000);
+  worker.stop({taskId: 'job.0.0.0', attempt: 1, token: 1});
+  await clock.runUntil(1_950);
+  const shown = await worker.hold({
+    token: 1,
+    acknowledged: 0,
+    leaseUntil: undefined,
+    waitMs: 0,
+  });
+  assert.ok(shown.type === 'report');
+  const checkpoint = shown.ends[0]?.checkpoint ?? '';
+  assert.notEqual(checkpoint, '');
+  start(worker, 0, {attempt: 2, checkpoint});
+  await clock.runUntil(4_000);
+  const [stopped, done] = ends();
+  assert.equal(stopped, 'job.0.0.0 stopped 1900');
+  assert.match(done ?? '', /^job\.0\.0\.0 done 2[34]\d\d$/);
+});
+
+test('a gang works once it is whole and ends together', async () => {
+  const {clock, addWorker, ends} = makeWorld({gang: true});
+  const [left, right] = [addWorker('left'), addWorker('right')];
+  start(left, 0);
+  await clock.runUntil(1_000);
+  start(right, 1);
+  await clock.runUntil(3_000);
+  assert.deepEqual(ends(), ['job.0.0.0 done 2050', 'job.0.0.1 done 2050']);
+});
+
+test('a member of a gang that stays alone ends so', async () => {
+  const {clock, addWorker, ends} = makeWorld({gang: true});
+  start(addWorker('w'), 0);
+  await clock.runUntil(3_500);
+  assert.deepEqual(ends(), ['job.0.0.0 alone 3050']);
+});
+
+test('the end of one member breaks the gang', async () => {
+  const {clock, addWorker, ends} = makeWorld({gang: true, workMs: 9_000});
+  const [left, right] = [addWorker('left'), addWorker('right')];
+  start(left, 0);
+  start(right, 1);
+  await clock.runUntil(500);
+  left.stop({taskId: 'job.0.0.0', attempt: 1, token: 1});
+  await clock.runUntil(2_000);
+  assert.deepEqual(ends().sort(), [
+    'job.0.0.0 stopped 1400',
+    'job.0.0.1 broken 1400',
+  ]);
+});
+
+test('starts that nobody asked for are recorded', () => {
+  const {history, addWorker} = makeWorld();
+  const worker = addWorker('w');
+  assert.equal(start(worker, 7).type, 'invalid');
+  start(worker, 0, {payload: 'another'});
+  start(worker, 1, {checkpoint: 'of another'});
+  const reasons = history
+    .events()
+    .flatMap((event) => (event.type === 'start_unasked' ? [event.reason] : []));
+  assert.deepEqual(reasons, ['no caller sent the task', 'another payload']);
+});
--- /dev/null
+++ b/packages/gypsumwall-emulator/src/model/__tests__/worker_machine.test.ts
@@ -0,0 +1,75 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as types from '@gypsumwall/types';
+import * as emulatorConfig from '../../config/emulator_config.js';
+import * as platformModel from '../platform_model.js';
+import * as stores from '../store.js';
+
+const {test} = nodeTest;
+const HEARTBEAT_MS = 1_000;
+const DRAIN_MS = 2_000;
+const RESTART_MS = 6_000;
+const CONFIG = `{
+  "zones": ["z"],
+  "pools": [
+    {
+      "name": "p",
+      "workersPerZone": 1,
+      "capacity": {"cpuMillis": 4000, "memoryMb": 4096},
+    },
+  ],
+  "queues": [{"name": "q", "host": "q.example", "pathPrefix": "/q/", "pool": "p"}],
+  "workers": {
+    "heartbeatMs": ${HEARTBEAT_MS},
+    "drainMs": ${DRAIN_MS},
+    "restartMs": ${RESTART_MS},
+  },
+}`;
+
+function makeMachine() {
+  const parsed = emulatorConfig.parseEmulatorConfig('test.jsonc', CONFIG);
+  assert.ok(parsed.isOk);
+  const config = parsed.value;
+  const clock = types.virtualClock.createVirtualClock();
+  const model = platformModel.createPlatformModel({
+    clock,
+    config,
+    forms: {
+      config: String,
+      listing: ({draining, leavesInMs}) =>
+        JSON.stringify([draining, leavesInMs]),
+    },
+  });
+  const [place] = platformModel.listMachines(config);
+  assert.ok(place !== undefined);
+  const machine = model.addMachine(place, '127.0.0.1:1');
+  const list = model.store.log(stores.WORKERS_TOPIC);
+  const listed = () =>
+    list.newest('').records.map(({key, value}) => `${key} ${value}`);
+  return {clock, model, machine, listed};
+}
+
+test('a worker leaves at the moment that it announced', async () => {
+  const {clock, machine, listed} = makeMachine();
+  assert.deepEqual(listed(), ['p-z-0-1 [false,null]']);
+  const left = machine.leave();
+  assert.deepEqual(listed(), [`p-z-0-1 [true,${DRAIN_MS}]`]);
+  await clock.runUntil(DRAIN_MS - 1);
+  assert.notEqual(machine.worker(), undefined);
+  await clock.runUntil(DRAIN_MS);
+  await left;
+  assert.equal(machine.worker(), undefined);
+  assert.deepEqual(listed(), []);
+});
+
+test('a crashed worker stays listed for three heartbeats and comes back as another', async () => {
+  const {clock, machine, listed} = makeMachine();
+  const crashed = machine.crash();
+  await clock.runUntil(2 * HEARTBEAT_MS);
+  assert.deepEqual(listed(), ['p-z-0-1 [false,null]']);
+  await clock.runUntil(5 * HEARTBEAT_MS);
+  assert.deepEqual(listed(), []);
+  await clock.runUntil(RESTART_MS);
+  await crashed;
+  assert.deepEqual(listed(), ['p-z-0-2 [false,null]']);
+});
--- /dev/null
+++ b/packages/gypsumwall-emulator/src/model/caller.ts
@@ -0,0 +1,121 @@
+/** Callers: they hand jobs in, ask for their state and cancel, with retries. */
+import * as types from '@gypsumwall/types';
+import type * as balancer from './balancer.js';
+import type * as history from './history.js';
+import type * as jobCatalog from './job_catalog.js';
+
+/** What one entry answered to one call. */
+export type CallAnswer =
+  | {readonly type: 'ok'; readonly state: history.JobState | undefined}
+  /** Nothing was done. */
+  | {readonly type: 'refused'}
+  /** There is no such job or queue. */
+  | {readonly type: 'absent'}
+  /** No answer, or one that says nothing about the effect. */
+  | {readonly type: 'unknown'};
+
+/** What can be asked of a job. */
+export type CallKind = 'submit' | 'state' | 'cancel';
+
+/** Sends one call to one entry. */
+export type SendCall = (
+  entry: string,
+  kind: CallKind,
+  job: jobCatalog.JobSpec,
+  timeoutMs: number,
+) => Promise<CallAnswer>;
+
+/** The callers of a platform. */
+export interface Callers {
+  submit(job: jobCatalog.JobSpec): Promise<'accepted' | 'refused' | 'unknown'>;
+  /** Undefined if no entry told. */
+  stateOf(job: jobCatalog.JobSpec): Promise<history.JobState | undefined>;
+  /** Whether an entry acknowledged it. */
+  cancel(job: jobCatalog.JobSpec): Promise<boolean>;
+}
+
+/** What the callers are made with. */
+export interface CallersOptions {
+  readonly clock: types.clock.Clock;
+  readonly random: types.random.Random;
+  readonly history: history.History;
+  readonly catalog: jobCatalog.JobCatalog;
+  readonly balancer: balancer.Balancer;
+  readonly send: SendCall;
+  /** A call is given up after so long, with all its attempts. */
+  readonly patienceMs: number;
+  readonly attempts: number;
+  readonly retryPauseMs: number;
+}
+
+const CALLERS = 1_000;
+
+/** Creates the callers. */
+export function createCallers(options: CallersOptions): Callers {
+  const {clock, random, history: seen} = options;
+
+  /** Answers of the attempts, until one settles the call. */
+  async function attempt(
+    kind: CallKind,
+    job: jobCatalog.JobSpec,
+  ): Promise<readonly CallAnswer[]> {
+    const caller = random.integer(0, CALLERS);
+    const until = types.clock.after(clock.monotonic(), options.patienceMs);
+    const answers: CallAnswer[] = [];
+    for (let nth = 0; nth < options.attempts; nth++) {
+      const timeoutMs = until - clock.monotonic();
+      if (timeoutMs <= 0) break;
+      const entry = options.balancer.pick(caller, nth);
+      const answer = await options.send(entry, kind, job, timeoutMs);
+      answers.push(answer);
+      if (answer.type === 'ok' || answer.type === 'absent') break;
+      await types.clock.pause(clock, options.retryPauseMs);
+    }
+    return answers;
+  }
+
+  async function submit(
+    job: jobCatalog.JobSpec,
+  ): Promise<'accepted' | 'refused' | 'unknown'> {
+    options.catalog.add(job);
+    seen.record({type: 'job_sent', job});
+    const answers = await attempt('submit', job);
+    const told = toldOf(answers);
+    seen.record({type: 'job_told', jobId: job.jobId, told});
+    return told;
+  }
+
+  return {
+    submit,
+    async stateOf(job) {
+      const {jobId} = job;
+      const last = (await attempt('state', job)).at(-1);
+      const state = last?.type === 'absent' ? 'absent' : stateIn(last);
+      if (state !== undefined) seen.record({type: 'state_shown', jobId, state});
+      return state;
+    },
+    async cancel(job) {
+      const {jobId} = job;
+      seen.record({type: 'cancel_sent', jobId});
+      const last = (await attempt('cancel', job)).at(-1);
+      const isDone = last?.type === 'ok' || last?.type === 'absent';
+      if (isDone) seen.record({type: 'cancel_acknowledged', jobId});
+      return isDone;
+    },
+  };
+}
+
+function stateIn(answer: CallAnswer | undefined): history.JobState | undefined {
+  return answer?.type === 'ok' ? answer.state : undefined;
+}
+
+/** A job that every attempt was refused never runs. */
+function toldOf(
+  answers: readonly CallAnswer[],
+): 'accepted' | 'refused' | 'unknown' {
+  if (answers.some((answer) => answer.type === 'ok')) return 'accepted';
+  const isRefused = answers.every(
+    (answer) => answer.type === 'refused' || answer.type === 'absent',
+  );
+  return isRefused ? 'refused' : 'unknown';
+}
--- /dev/null
+++ b/packages/gypsumwall-emulator/src/model/gangs.ts
@@ -0,0 +1,86 @@
+/** Members of gangs that are present, on whatever workers. */
+import type * as history from './history.js';
+
+/** A member, as its gang sees it. */
+export interface GangMember {
+  /** All members of the run are present. */
+  onComplete(): void;
+  /** The run ends for every member at once. */
+  onEnd(how: 'done' | 'broken'): void;
+}
+
+/** One member's place in its gang. */
+export interface GangPlace {
+  isComplete(): boolean;
+  /** This member has done its share; the last one ends the run for all. */
+  finish(): void;
+  /** This member ended otherwise; the others end with it. */
+  leave(): void;
+}
+
+/** All gangs of a platform. */
+export interface Gangs {
+  join(
+    stepRunId: string,
+    attempt: number,
+    size: number,
+    member: GangMember,
+  ): GangPlace;
+}
+
+interface Gang {
+  readonly members: Set<GangMember>;
+  readonly finished: Set<GangMember>;
+  complete: boolean;
+}
+
+/** Creates the table. */
+export function createGangs(): Gangs {
+  const gangs = new Map<string, Gang>();
+
+  function gangOf(key: string): Gang {
+    const known = gangs.get(key);
+    if (known !== undefined) return known;
+    const made = {
+      members: new Set<GangMember>(),
+      finished: new Set<GangMember>(),
+      complete: false,
+    };
+    gangs.set(key, made);
+    return made;
+  }
+
+  function endAll(
+    key: string,
+    gang: Gang,
+    how: Extract<history.RunEnd, 'done' | 'broken'>,
+  ): void {
+    gangs.delete(key);
+    const members = [...gang.members];
+    gang.members.clear();
+    for (const member of members) member.onEnd(how);
+  }
+
+  return {
+    join(stepRunId, attempt, size, member) {
+      const key = `${stepRunId} ${attempt}`;
+      const gang = gangOf(key);
+      gang.members.add(member);
+      if (gang.members.size === size) {
+        gang.complete = true;
+        for (const one of gang.members) one.onComplete();
+      }
+      return {
+        isComplete: () => gang.complete,
+        finish() {
+          gang.finished.add(member);
+          if (gang.finished.size === size) endAll(key, gang, 'done');
+        },
+        leave() {
+          if (!gang.members.delete(member)) return;
+          if (gang.complete) endAll(key, gang, 'broken');
+        },
+      };
+    },
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-emulator/src/model/history.ts
@@ -0,0 +1,90 @@
+/** What callers and workers saw, in order: the only input of the judge. */
+import type * as types from '@gypsumwall/types';
+import type * as jobCatalog from './job_catalog.js';
+
+/** How a run ended at its worker. */
+export type RunEnd =
+  | 'done'
+  | 'failed'
+  | 'stopped'
+  /** The worker's lease expired. */
+  | 'lapsed'
+  /** Another member of its gang ended. */
+  | 'broken'
+  /** The other members of its gang didn't arrive in time. */
+  | 'alone';
+
+/** A job's state as an entry shows it. */
+export type JobState =
+  'queued' | 'running' | 'completed' | 'failed' | 'cancelled' | 'absent';
+
+/** One run of one task. */
+export interface RunId {
+  readonly taskId: string;
+  readonly attempt: number;
+}
+
+/** Something that was seen. */
+export type Seen =
+  | {readonly type: 'job_sent'; readonly job: jobCatalog.JobSpec}
+  | {
+      readonly type: 'job_told';
+      readonly jobId: string;
+      /** `refused` if every attempt was rejected. */
+      readonly told: 'accepted' | 'refused' | 'unknown';
+    }
+  | {
+      readonly type: 'state_shown';
+      readonly jobId: string;
+      readonly state: JobState;
+    }
+  | {
+      readonly type: 'cancel_sent' | 'cancel_acknowledged';
+      readonly jobId: string;
+    }
+  | {
+      readonly type: 'worker_up';
+      readonly workerId: string;
+      readonly capacity: types.resources.Resources;
+    }
+  | {
+      readonly type: 'worker_draining' | 'worker_left' | 'worker_crashed';
+      readonly workerId: string;
+    }
+  | (RunId & {readonly type: 'run_started'; readonly workerId: string})
+  | (RunId & {readonly type: 'run_at_work'; readonly workerId: string})
+  | (RunId & {
+      readonly type: 'run_ended';
+      readonly workerId: string;
+      readonly how: RunEnd;
+    })
+  | (RunId & {
+      readonly type: 'end_acknowledged';
+      readonly workerId: string;
+      readonly how: RunEnd;
+    })
+  | (RunId & {
+      readonly type: 'start_unasked';
+      readonly workerId: string;
+      readonly reason: string;
+    })
+  | {readonly type: 'disruption'; readonly what: string}
+  | {readonly type: 'history_closed'};
+
+/** Something that was seen, and when. */
+export type HistoryEvent = Seen & {readonly at: types.clock.MonotonicMs};
+
+/** Collects events. */
+export interface History {
+  record(seen: Seen): void;
+  events(): readonly HistoryEvent[];
+}
+
+/** Creates an empty history. */
+export function createHistory(clock: types.clock.Clock): History {
+  const events: HistoryEvent[] = [];
+  return {
+    record: (seen) => void events.push({...seen, at: clock.monotonic()}),
+    events: () => events,
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-emulator/src/model/keyed_log.ts
@@ -0,0 +1,209 @@
+/**
+ * One log of the store: records numbered from 0, each with a key. Appends may
+ * depend on the end of the log, or on a producer's epoch and sequence.
+ */
+import type * as types from '@gypsumwall/types';
+
+/** A record's content; an empty value drops the key. */
+export interface KeyedEntry {
+  readonly key: string;
+  readonly value: string;
+}
+
+/** A record. */
+export interface KeyedRecord extends KeyedEntry {
+  readonly offset: number;
+}
+
+/** Numbers the appends of a producer; a lower epoch is shut out. */
+export interface Fence {
+  readonly producer: string;
+  readonly epoch: number;
+  readonly sequence: number;
+}
+
+/** On what an append depends. */
+export interface AppendConditions {
+  /** The log must end there. */
+  readonly onlyAt?: number;
+  readonly fence?: Fence;
+}
+
+/** What became of an append. */
+export type AppendOutcome =
+  | {
+      readonly type: 'appended';
+      readonly firstOffset: number;
+      readonly endOffset: number;
+    }
+  | {readonly type: 'moved'; readonly endOffset: number}
+  | {readonly type: 'fenced'}
+  | {readonly type: 'out_of_sequence'; readonly expected: number};
+
+/** A read from an offset. */
+export type ReadOutcome =
+  | {
+      readonly type: 'records';
+      readonly records: readonly KeyedRecord[];
+      readonly firstOffset: number;
+      readonly endOffset: number;
+    }
+  | {readonly type: 'compacted'; readonly firstOffset: number};
+
+/** The newest records of some keys, in the order of the keys. */
+export interface NewestPage {
+  readonly records: readonly KeyedRecord[];
+  readonly hasMore: boolean;
+  readonly endOffset: number;
+}
+
+/** A log. */
+export interface KeyedLog {
+  append(
+    entries: readonly KeyedEntry[],
+    conditions: AppendConditions,
+  ): AppendOutcome;
+  read(from: number, mostBytes: number): ReadOutcome;
+  newest(after: string): NewestPage;
+  endOffset(): number;
+  /** Resolves once the log ends beyond the offset, or at the deadline. */
+  waitBeyond(offset: number, deadline: types.clock.MonotonicMs): Promise<void>;
+  /** Forgets all records but the newest of each key. */
+  compact(): void;
+}
+
+/** A log's surroundings. */
+export interface KeyedLogOptions {
+  readonly clock: types.clock.Clock;
+  /** Records are kept for so long, in milliseconds. */
+  readonly keepMs: number;
+}
+
+interface Producer {
+  readonly epoch: number;
+  readonly nextSequence: number;
+  /** The last appends, the newest last. */
+  readonly answers: readonly {sequence: number; outcome: AppendOutcome}[];
+}
+
+/** So many appends of a producer can be repeated. */
+const REPEATABLE_APPENDS = 5;
+const PAGE_RECORDS = 500;
+const PAGE_BYTES = 1_000_000;
+/** Lengths of a record and its key. */
+const RECORD_HEAD_BYTES = 5;
+
+/** Creates an empty log. */
+export function createKeyedLog(options: KeyedLogOptions): KeyedLog {
+  const {clock, keepMs} = options;
+  let records: (KeyedRecord & {at: types.clock.MonotonicMs})[] = [];
+  let firstOffset = 0;
+  const newestOf = new Map<string, KeyedRecord>();
+  const producers = new Map<string, Producer>();
+  const waiters = new Set<AbortController>();
+
+  const endOffset = () => firstOffset + records.length;
+
+  function dropBefore(offset: number): void {
+    if (offset <= firstOffset) return;
+    records = records.slice(offset - firstOffset);
+    firstOffset = offset;
+  }
+
+  function expire(): void {
+    const oldest = clock.monotonic() - keepMs;
+    const live = records.findIndex((record) => record.at >= oldest);
+    dropBefore(live < 0 ? endOffset() : firstOffset + live);
+  }
+
+  function add(entries: readonly KeyedEntry[]): AppendOutcome {
+    const from = endOffset();
+    const at = clock.monotonic();
+    for (const entry of entries) {
+      const record = {...entry, offset: endOffset()};
+      records.push({...record, at});
+      if (entry.value === '') newestOf.delete(entry.key);
+      else newestOf.set(entry.key, record);
+    }
+    for (const waiter of waiters) waiter.abort();
+    return {type: 'appended', firstOffset: from, endOffset: endOffset()};
+  }
+
+  /** The answer that the producer's state gives; undefined lets it pass. */
+  function fenceOutcome({
+    producer,
+    epoch,
+    sequence,
+  }: Fence): AppendOutcome | undefined {
+    const known = producers.get(producer);
+    if (known === undefined || epoch > known.epoch) return undefined;
+    if (epoch < known.epoch) return {type: 'fenced'};
+    const repeated = known.answers.find((one) => one.sequence === sequence);
+    if (repeated !== undefined) return repeated.outcome;
+    if (sequence === known.nextSequence) return undefined;
+    return {type: 'out_of_sequence', expected: known.nextSequence};
+  }
+
+  function noteAppend(fence: Fence, outcome: AppendOutcome): void {
+    const {producer, epoch, sequence} = fence;
+    const known = producers.get(producer);
+    const earlier = known?.epoch === epoch ? known.answers : [];
+    producers.set(producer, {
+      epoch,
+      nextSequence: sequence + 1,
+      answers: [...earlier, {sequence, outcome}].slice(-REPEATABLE_APPENDS),
+    });
+  }
+
+  return {
+    endOffset,
+    append(entries, {onlyAt, fence}) {
+      const answer = fence === undefined ? undefined : fenceOutcome(fence);
+      if (answer !== undefined) return answer;
+      if (onlyAt !== undefined && onlyAt !== endOffset()) {
+        return {type: 'moved', endOffset: endOffset()};
+      }
+      const outcome = add(entries);
+      if (fence !== undefined) noteAppend(fence, outcome);
+      return outcome;
+    },
+    read(from, mostBytes) {
+      expire();
+      if (from < firstOffset) return {type: 'compacted', firstOffset};
+      const found = takeUpTo(records.slice(from - firstOffset), mostBytes);
+      const end = endOffset();
+      return {type: 'records', records: found, firstOffset, endOffset: end};
+    },
+    newest(after) {
+      const later = [...newestOf.values()]
+        .filter((record) => record.key > after)
+        .sort((left, right) => (left.key < right.key ? -1 : 1));
+      const page = takeUpTo(later.slice(0, PAGE_RECORDS), PAGE_BYTES);
+      const hasMore = page.length < later.length;
+      return {records: page, hasMore, endOffset: endOffset()};
+    },
+    async waitBeyond(offset, deadline) {
+      while (endOffset() <= offset && clock.monotonic() < deadline) {
+        const waiter = new AbortController();
+        waiters.add(waiter);
+        await clock.sleepUntil(deadline, waiter.signal);
+        waiters.delete(waiter);
+      }
+    },
+    compact: () => dropBefore(endOffset()),
+  };
+}
+
+/** The first records within the limit. */
+function takeUpTo<Found extends KeyedRecord>(
+  records: readonly Found[],
+  mostBytes: number,
+): Found[] {
+  let left = mostBytes;
+  const end = records.findIndex(({key, value}) => {
+    left -=
+      RECORD_HEAD_BYTES + Buffer.byteLength(key) + Buffer.byteLength(value);
+    return left < 0;
+  });
+  return records.slice(0, end < 0 ? records.length : end);
+}
--- /dev/null
+++ b/packages/gypsumwall-emulator/src/model/platform_model.ts
@@ -0,0 +1,179 @@
+/**
+ * The users' platform as one model on a clock that is handed in: its store,
+ * workers, adviser and operator. Whoever drives it carries the calls.
+ */
+import * as types from '@gypsumwall/types';
+import type * as emulatorConfig from '../config/emulator_config.js';
+import * as advisers from './adviser.js';
+import * as checkpoints from './checkpoints.js';
+import * as gangs from './gangs.js';
+import * as histories from './history.js';
+import * as jobCatalogs from './job_catalog.js';
+import type * as keyedLog from './keyed_log.js';
+import * as operators from './operator.js';
+import * as stores from './store.js';
+import type * as worker from './worker.js';
+import * as workerLists from './worker_list.js';
+import * as workerMachine from './worker_machine.js';
+
+/** Faults that a test of the judge plants in the platform itself. */
+export interface PlantedFaults {
+  /** Such records are acknowledged and not kept. */
+  readonly drops?: (topic: string, entry: keyedLog.KeyedEntry) => boolean;
+  /** Such ends are never listed. */
+  readonly hidesEnd?: (taskId: string) => boolean;
+}
+
+/** Forms of the records that the platform itself writes. */
+export interface RecordForms {
+  readonly config: (
+    version: number,
+    config: operators.OperatorConfig,
+  ) => string;
+  readonly listing: (listing: workerLists.WorkerListing) => string;
+}
+
+/** What the model is made with. */
+export interface PlatformModelOptions {
+  readonly clock: types.clock.Clock;
+  readonly config: emulatorConfig.EmulatorConfig;
+  readonly forms: RecordForms;
+  readonly planted?: PlantedFaults | undefined;
+}
+
+/** The model. */
+export interface PlatformModel {
+  readonly history: histories.History;
+  readonly catalog: jobCatalogs.JobCatalog;
+  readonly store: stores.Store;
+  /** Absent where no queue needs advice. */
+  readonly adviser: advisers.Adviser | undefined;
+  readonly random: types.random.Random;
+  readonly machines: readonly workerMachine.WorkerMachine[];
+  /** Puts the configuration of the queues in force. */
+  publish(): number;
+  /** Adds a worker that is reached at the address. */
+  addMachine(place: MachinePlace, address: string): workerMachine.WorkerMachine;
+  stop(): void;
+}
+
+/** A machine that the configuration describes. */
+export interface MachinePlace {
+  readonly name: string;
+  readonly zone: string;
+  readonly rack: string;
+  readonly pool: emulatorConfig.EmulatorConfig['pools'][number];
+}
+
+/** All machines that the configuration describes. */
+export function listMachines(
+  config: emulatorConfig.EmulatorConfig,
+): MachinePlace[] {
+  return config.pools.flatMap((pool) =>
+    config.zones.flatMap((zone) =>
+      Array.from({length: pool.workersPerZone}, (_, nth) => ({
+        name: `${pool.name}-${zone}-${nth}`,
+        zone,
+        rack: `${zone}-${Math.floor(nth / pool.workersPerRack)}`,
+        pool,
+      })),
+    ),
+  );
+}
+
+/** Creates a platform without workers. */
+export function createPlatformModel(
+  options: PlatformModelOptions,
+): PlatformModel {
+  const {clock, config, forms, planted} = options;
+  const random = types.random.createRandom(config.seed);
+  const history = histories.createHistory(clock);
+  const catalog = jobCatalogs.createJobCatalog();
+  const drops = planted?.drops;
+  const store = stores.createStore({clock, random, ...config.store, drops});
+  const operator = operators.createOperator(
+    store.log(stores.OPERATOR_TOPIC),
+    forms.config,
+  );
+  const list = workerLists.createWorkerList({
+    clock,
+    log: store.log(stores.WORKERS_TOPIC),
+    heartbeatMs: config.workers.heartbeatMs,
+    encode: forms.listing,
+  });
+  const adviser = createAdviser(options, catalog);
+  const machines: workerMachine.WorkerMachine[] = [];
+  const around: worker.WorkerSurroundings = {
+    clock,
+    random,
+    history,
+    catalog,
+    adviser,
+    gangs: gangs.createGangs(),
+    checkpoints: checkpoints.createCheckpoints(random),
+    durations: config.workers,
+    longestLeaseMs: config.workers.longestLeaseMs,
+    hidesEnd: planted?.hidesEnd,
+  };
+
+  function clockRate(): number {
+    const {slowestClock} = config.workers;
+    return slowestClock + random.next() * (1 - slowestClock);
+  }
+
+  return {
+    history,
+    catalog,
+    store,
+    adviser,
+    random,
+    machines,
+    publish: () => operator.publish(config),
+    addMachine({name, zone, rack, pool}, address) {
+      const {heartbeatMs, drainMs, restartMs} = config.workers;
+      const machine = workerMachine.createWorkerMachine(around, list, {
+        name,
+        zone,
+        rack,
+        address,
+        heartbeatMs,
+        drainMs,
+        restartMs,
+        pool: pool.name,
+        kind: pool.kind,
+        worker: {
+          capacity: pool.capacity,
+          refusesExcess: pool.refusesExcess,
+          clockRate: clockRate(),
+          failShare: pool.failShare,
+          lastingFailsMs: pool.lastingFailsMs,
+        },
+      });
+      machines.push(machine);
+      return machine;
+    },
+    stop() {
+      list.stop();
+      for (const machine of machines) machine.stop();
+    },
+  };
+}
+
+function createAdviser(
+  {clock, config}: PlatformModelOptions,
+  catalog: jobCatalogs.JobCatalog,
+): advisers.Adviser | undefined {
+  const policies = new Map(
+    config.queues.flatMap(({name, advice}) =>
+      advice === undefined ? [] : [[name, advice] as const],
+    ),
+  );
+  if (policies.size === 0) return undefined;
+  return advisers.createAdviser({
+    clock,
+    seed: config.seed,
+    refusedShare: config.adviserRefusedShare,
+    policies,
+    queueOf: (stepRunId) => catalog.findTask(`${stepRunId}.0`)?.job.queue,
+  });
+}
--- /dev/null
+++ b/packages/gypsumwall-emulator/src/model/store.ts
@@ -0,0 +1,214 @@
+/**
+ * The platform's store: its logs, how long calls take, how many are allowed,
+ * and what becomes of them under faults.
+ */
+import * as types from '@gypsumwall/types';
+import * as keyedLog from './keyed_log.js';
+import * as rateLimit from './rate_limit.js';
+
+/** The logs that the platform itself writes. */
+export const OPERATOR_TOPIC = 'operator';
+export const WORKERS_TOPIC = 'workers';
+
+/** What happens to a caller's calls. */
+export type StoreFault =
+  | {readonly type: 'none'}
+  /** Refused, nothing is done. */
+  | {readonly type: 'unavailable'}
+  | {readonly type: 'throttled'}
+  /** Nothing is done and nothing is answered. */
+  | {readonly type: 'silent'}
+  | {readonly type: 'slow'; readonly addedMs: number}
+  | {
+      readonly type: 'lossy';
+      /** Share of calls that are done and not answered. */
+      readonly lostShare: number;
+      /** Share of calls that are not answered and done later. */
+      readonly lateShare: number;
+      readonly latestMs: number;
+    };
+
+/** How a call is answered. */
+export type Delivery<Value> =
+  | {readonly type: 'answer'; readonly value: Value}
+  | {readonly type: 'unavailable'}
+  | {readonly type: 'throttled'}
+  /** The caller may not write there. */
+  | {readonly type: 'forbidden'}
+  /** No answer, ever: the connection is broken off. */
+  | {readonly type: 'lost'};
+
+/** An append by the system. */
+export interface AppendCall extends keyedLog.AppendConditions {
+  readonly topic: string;
+  readonly entries: readonly keyedLog.KeyedEntry[];
+}
+
+/** A read by the system. */
+export interface ReadCall {
+  readonly topic: string;
+  readonly from: number;
+  readonly mostBytes: number;
+  readonly waitMs: number;
+}
+
+/** The store; `caller` is the machine that calls. */
+export interface Store {
+  append(
+    caller: string,
+    call: AppendCall,
+  ): Promise<Delivery<keyedLog.AppendOutcome>>;
+  read(caller: string, call: ReadCall): Promise<Delivery<keyedLog.ReadOutcome>>;
+  newest(
+    caller: string,
+    topic: string,
+    after: string,
+  ): Promise<Delivery<keyedLog.NewestPage>>;
+  /** For the platform's own records; takes no time. */
+  log(topic: string): keyedLog.KeyedLog;
+  /** Applies to one caller, or to `all`. */
+  setFault(caller: string, fault: StoreFault): void;
+  /** Forgets the history of every log. */
+  compact(): void;
+  /** Calls that were taken or refused, by kind. */
+  calls(): {readonly reads: number; readonly writes: number};
+}
+
+/** What a store is made with. */
+export interface StoreOptions {
+  readonly clock: types.clock.Clock;
+  readonly random: types.random.Random;
+  readonly writesPerS: number;
+  readonly readsPerS: number;
+  /** Duration of one append; a log takes them one at a time. */
+  readonly appendMs: number;
+  readonly keepMs: number;
+  /**
+   * Planted, for tests of the judge: acknowledges such records without
+   * keeping them.
+   */
+  readonly drops?: (topic: string, entry: keyedLog.KeyedEntry) => boolean;
+}
+
+/** A log with more than this waiting refuses appends. */
+const LONGEST_LINE_MS = 2_000;
+const ALL = 'all';
+const NO_FAULT: StoreFault = {type: 'none'};
+
+/** Creates an empty store. */
+export function createStore(options: StoreOptions): Store {
+  const {clock, random} = options;
+  const logs = new Map<string, keyedLog.KeyedLog>();
+  const faults = new Map<string, StoreFault>();
+  const busyUntil = new Map<string, types.clock.MonotonicMs>();
+  const writes = rateLimit.createRateLimit(clock, options.writesPerS);
+  const reads = rateLimit.createRateLimit(clock, options.readsPerS);
+  const counts = {reads: 0, writes: 0};
+
+  function log(topic: string): keyedLog.KeyedLog {
+    const known = logs.get(topic);
+    if (known !== undefined) return known;
+    const made = keyedLog.createKeyedLog({clock, keepMs: options.keepMs});
+    logs.set(topic, made);
+    return made;
+  }
+
+  const faultOf = (caller: string): StoreFault =>
+    faults.get(caller) ?? faults.get(ALL) ?? NO_FAULT;
+
+  /** Lets the call pass, or says how it ends without being done. */
+  async function admit(
+    caller: string,
+    limit: rateLimit.RateLimit,
+  ): Promise<Exclude<Delivery<never>, {type: 'answer'}> | undefined> {
+    const fault = faultOf(caller);
+    switch (fault.type) {
+      case 'unavailable':
+      case 'throttled':
+        return {type: fault.type};
+      case 'silent':
+        return {type: 'lost'};
+      case 'slow':
+        await types.clock.pause(clock, fault.addedMs);
+        break;
+      case 'none':
+      case 'lossy':
+        break;
+    }
+    return limit.take() ? undefined : {type: 'throttled'};
+  }
+
+  /** Runs the call now, or later and unanswered. */
+  async function deliver<Value>(
+    caller: string,
+    run: () => Value,
+  ): Promise<Delivery<Value>> {
+    const fault = faultOf(caller);
+    if (fault.type !== 'lossy') return {type: 'answer', value: run()};
+    const draw = random.next();
+    if (draw < fault.lateShare) {
+      await types.clock.pause(clock, random.integer(0, fault.latestMs));
+      run();
+      return {type: 'lost'};
+    }
+    const value = run();
+    return draw < fault.lateShare + fault.lostShare
+      ? {type: 'lost'}
+      : {type: 'answer', value};
+  }
+
+  /** Waits for the log's turn; false if too many wait already. */
+  async function takeTurn(topic: string): Promise<boolean> {
+    const now = clock.monotonic();
+    const start = Math.max(now, busyUntil.get(topic) ?? now);
+    if (start - now > LONGEST_LINE_MS) return false;
+    const end = types.clock.after(
+      start as types.clock.MonotonicMs,
+      options.appendMs,
+    );
+    busyUntil.set(topic, end);
+    await clock.sleepUntil(end);
+    return true;
+  }
+
+  function appendNow(call: AppendCall): keyedLog.AppendOutcome {
+    const {drops} = options;
+    const kept = call.entries.filter(
+      (entry) => drops?.(call.topic, entry) !== true,
+    );
+    return log(call.topic).append(kept, call);
+  }
+
+  return {
+    log,
+    calls: () => ({...counts}),
+    setFault: (caller, fault) => void faults.set(caller, fault),
+    compact() {
+      for (const one of logs.values()) one.compact();
+    },
+    async append(caller, call) {
+      counts.writes += 1;
+      const refused = await admit(caller, writes);
+      if (refused !== undefined) return refused;
+      if (call.topic === OPERATOR_TOPIC || call.topic === WORKERS_TOPIC) {
+        return {type: 'forbidden'};
+      }
+      if (!(await takeTurn(call.topic))) return {type: 'unavailable'};
+      return deliver(caller, () => appendNow(call));
+    },
+    async read(caller, {topic, from, mostBytes, waitMs}) {
+      counts.reads += 1;
+      const refused = await admit(caller, reads);
+      if (refused !== undefined) return refused;
+      const until = types.clock.after(clock.monotonic(), waitMs);
+      await log(topic).waitBeyond(from, until);
+      return deliver(caller, () => log(topic).read(from, mostBytes));
+    },
+    async newest(caller, topic, after) {
+      counts.reads += 1;
+      const refused = await admit(caller, reads);
+      if (refused !== undefined) return refused;
+      return deliver(caller, () => log(topic).newest(after));
+    },
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-emulator/src/model/worker_ends.ts
@@ -0,0 +1,38 @@
+/** Ends that a worker lists until they are acknowledged. */
+import type * as history from './history.js';
+
+/** A listed end. */
+export interface ListedEnd extends history.RunId {
+  /** From 1 in each life of a worker, rising. */
+  readonly sequence: number;
+  readonly how: history.RunEnd;
+  readonly checkpoint: string;
+}
+
+/** The ends of one life of a worker. */
+export interface WorkerEnds {
+  add(end: Omit<ListedEnd, 'sequence'>): void;
+  /** Forgets the ends up to the sequence and returns them. */
+  acknowledge(upTo: number): readonly ListedEnd[];
+  list(): readonly ListedEnd[];
+}
+
+const MOST_LISTED = 500;
+
+/** Creates an empty list. */
+export function createWorkerEnds(): WorkerEnds {
+  let ends: ListedEnd[] = [];
+  let sequence = 0;
+  return {
+    add(end) {
+      sequence += 1;
+      ends.push({...end, sequence});
+    },
+    acknowledge(upTo) {
+      const known = ends.filter((end) => end.sequence <= upTo);
+      ends = ends.slice(known.length);
+      return known;
+    },
+    list: () => ends.slice(0, MOST_LISTED),
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-emulator/src/model/worker_list.ts
@@ -0,0 +1,74 @@
+/** The platform's list of workers, kept in its store. */
+import * as types from '@gypsumwall/types';
+import type * as keyedLog from './keyed_log.js';
+
+/** What a worker tells of itself. */
+export interface WorkerListing {
+  readonly id: string;
+  readonly pool: string;
+  /** `host:port`. */
+  readonly address: string;
+  readonly zone: string;
+  readonly rack: string;
+  readonly kind: string;
+  readonly capacity: types.resources.Resources;
+  readonly draining: boolean;
+  /** The least time until a draining worker leaves; milliseconds. */
+  readonly leavesInMs: number | undefined;
+  /** Its own clock. */
+  readonly clockMs: number;
+  /** Number of the heartbeat. */
+  readonly sequence: number;
+}
+
+/** The list. */
+export interface WorkerList {
+  put(listing: WorkerListing): void;
+  remove(workerId: string): void;
+  stop(): void;
+}
+
+/** What the list is made with. */
+export interface WorkerListOptions {
+  readonly clock: types.clock.Clock;
+  readonly log: keyedLog.KeyedLog;
+  readonly heartbeatMs: number;
+  /** The form in which entries stand in the store. */
+  readonly encode: (listing: WorkerListing) => string;
+}
+
+/** An entry is removed after so many heartbeats of silence. */
+const SILENT_HEARTBEATS = 3;
+
+/** Creates an empty list. */
+export function createWorkerList(options: WorkerListOptions): WorkerList {
+  const {clock, log} = options;
+  const expiresAt = new Map<string, types.clock.MonotonicMs>();
+  const stopped = new AbortController();
+
+  function remove(key: string): void {
+    if (expiresAt.delete(key)) log.append([{key, value: ''}], {});
+  }
+
+  async function expire(): Promise<void> {
+    while (!stopped.signal.aborted) {
+      await types.clock.pause(clock, options.heartbeatMs, stopped.signal);
+      for (const [workerId, at] of [...expiresAt]) {
+        if (at <= clock.monotonic()) remove(workerId);
+      }
+    }
+  }
+
+  void expire();
+  return {
+    remove,
+    stop: () => stopped.abort(),
+    put(listing) {
+      const spanMs = options.heartbeatMs * SILENT_HEARTBEATS;
+      const until = types.clock.after(clock.monotonic(), spanMs);
+      expiresAt.set(listing.id, until);
+      const value = options.encode(listing);
+      log.append([{key: listing.id, value}], {});
+    },
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-emulator/src/rig/deploy_file.ts
@@ -0,0 +1,37 @@
+/** How the platform runs the entry, as the deploy file tells it. */
+import * as fs from 'node:fs';
+import * as path from 'node:path';
+
+/** The entry's role. */
+export interface DeployedRole {
+  /** Arguments of Node. */
+  readonly args: readonly string[];
+  readonly metricsPort: number;
+  readonly metricsPath: string;
+}
+
+const RUN = /^run = "node (.+)"$/m;
+const METRICS = /^metrics = "(\d+)\/(.+)"$/m;
+
+const TARGET = 'target/';
+
+/**
+ * Reads the file; throws on one that doesn't tell. The program may have been
+ * built into another folder than the one that the file names.
+ */
+export function readDeployFile(file: string, builtInto?: string): DeployedRole {
+  const text = fs.readFileSync(file, 'utf8');
+  const [, run] = RUN.exec(text) ?? [];
+  const [, port, metricsPath] = METRICS.exec(text) ?? [];
+  if (run === undefined || port === undefined || metricsPath === undefined) {
+    throw new Error(`${file}: needs lines run = "node …" and metrics = "…"`);
+  }
+  const args = run
+    .split(' ')
+    .map((arg) =>
+      builtInto !== undefined && arg.startsWith(TARGET)
+        ? path.join(builtInto, arg.slice(TARGET.length))
+        : arg,
+    );
+  return {args, metricsPort: Number(port), metricsPath};
+}
--- /dev/null
+++ b/packages/gypsumwall-emulator/src/rig/emulated_cell.ts
@@ -0,0 +1,176 @@
+/**
+ * The platform over HTTP on loopback, with the deployed entries as processes.
+ */
+import * as crypto from 'node:crypto';
+import * as fs from 'node:fs';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as types from '@gypsumwall/types';
+import type * as emulatorConfig from '../config/emulator_config.js';
+import * as balancers from '../model/balancer.js';
+import * as callers from '../model/caller.js';
+import * as platformModels from '../model/platform_model.js';
+import * as adviserServer from '../wire/adviser_server.js';
+import * as configRecord from '../wire/config_record.js';
+import * as entryClients from '../wire/entry_client.js';
+import type * as httpServer from '../wire/http_server.js';
+import * as listingRecord from '../wire/listing_record.js';
+import * as storeServer from '../wire/store_server.js';
+import * as workerServer from '../wire/worker_server.js';
+import * as deployFile from './deploy_file.js';
+import * as entryMachine from './entry_machine.js';
+
+/** A platform that runs, with its entries. */
+export interface EmulatedCell {
+  readonly clock: types.clock.Clock;
+  readonly model: platformModels.PlatformModel;
+  readonly callers: callers.Callers;
+  readonly entries: readonly entryMachine.EntryMachine[];
+  /** Resolves once every entry is in rotation; rejects at the deadline. */
+  untilReady(deadline: types.clock.MonotonicMs): Promise<void>;
+  /** The entry that places work now; undefined if none says so. */
+  findHolder(): Promise<entryMachine.EntryMachine | undefined>;
+  /** Settings and logs of the entries. */
+  readonly folder: string;
+  close(keepsFolder: boolean): Promise<void>;
+}
+
+/** What to run. */
+export interface EmulatedCellOptions {
+  readonly config: emulatorConfig.EmulatorConfig;
+  /** From the repository's root. */
+  readonly deployFile: string;
+  /** Where the program was built, if not where the deploy file says. */
+  readonly builtInto?: string | undefined;
+  readonly planted?: platformModels.PlantedFaults | undefined;
+}
+
+const POLL_MS = 50;
+const HOLDER_GAUGE = 'holds_cell';
+
+/** Starts everything; entries may not be ready yet. */
+export async function startEmulatedCell(
+  options: EmulatedCellOptions,
+): Promise<EmulatedCell> {
+  const {config} = options;
+  const clock = types.clock.createSystemClock();
+  const model = platformModels.createPlatformModel({
+    clock,
+    config,
+    planted: options.planted,
+    forms: {
+      config: configRecord.encodeConfig,
+      listing: listingRecord.encodeListing,
+    },
+  });
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'gypsumwall-'));
+  const servers: httpServer.WireServer[] = [];
+  model.publish();
+  await startWorkers();
+  const entries = await createEntries();
+  const client = entryClients.createEntryClient({
+    queues: config.queues,
+    entries: new Map(entries.map((entry) => [entry.name, entry.addresses])),
+  });
+  const balancer = balancers.startBalancer({
+    clock,
+    entries: entries.map((entry) => entry.name),
+    asksReady: (entry) => client.isReady(entry),
+  });
+  for (const entry of entries) entry.start();
+
+  async function startWorkers(): Promise<void> {
+    for (const place of platformModels.listMachines(config)) {
+      const server = await workerServer.startWorkerServer({
+        clock,
+        random: model.random,
+      });
+      servers.push(server);
+      server.serve(model.addMachine(place, server.address));
+    }
+  }
+
+  async function createEntries(): Promise<entryMachine.EntryMachine[]> {
+    const role = deployFile.readDeployFile(
+      options.deployFile,
+      options.builtInto,
+    );
+    const random = types.random.createRandom(crypto.randomInt(2 ** 31));
+    const made: entryMachine.EntryMachine[] = [];
+    for (const zone of config.zones) {
+      const name = `entry-${zone}`;
+      const {restartMs, ...durations} = config.entries;
+      made.push(
+        await entryMachine.createEntryMachine({
+          clock,
+          random,
+          role,
+          folder,
+          restartMs,
+          settings: {
+            ...config.workers,
+            ...durations,
+            name,
+            zone,
+            storeAddress: await serveStore(name),
+            adviserAddress: await serveAdviser(name),
+          },
+        }),
+      );
+    }
+    return made;
+  }
+
+  async function serveStore(caller: string): Promise<string> {
+    const server = await storeServer.startStoreServer(model.store, caller);
+    servers.push(server);
+    return server.address;
+  }
+
+  async function serveAdviser(caller: string): Promise<string | undefined> {
+    if (model.adviser === undefined) return undefined;
+    const served = model.adviser;
+    const server = await adviserServer.startAdviserServer(served, caller);
+    servers.push(server);
+    return server.address;
+  }
+
+  return {
+    clock,
+    model,
+    entries,
+    folder,
+    callers: callers.createCallers({
+      clock,
+      balancer,
+      random: model.random,
+      history: model.history,
+      catalog: model.catalog,
+      send: client.send,
+      ...config.callers,
+    }),
+    async untilReady(deadline) {
+      while (balancer.ready().length < entries.length) {
+        if (clock.monotonic() >= deadline) {
+          const ready = balancer.ready().join(', ') || 'none';
+          throw new Error(`entries in rotation: ${ready}; logs in ${folder}`);
+        }
+        await types.clock.pause(clock, POLL_MS);
+      }
+    },
+    async findHolder() {
+      const holds = await Promise.all(
+        entries.map((entry) => client.gauge(entry.name, HOLDER_GAUGE)),
+      );
+      return entries.find((_, nth) => holds[nth] === 1);
+    },
+    async close(keepsFolder) {
+      balancer.stop();
+      await Promise.all(entries.map((entry) => entry.stop()));
+      model.stop();
+      await client.close();
+      await Promise.all(servers.map((server) => server.close()));
+      if (!keepsFolder) fs.rmSync(folder, {recursive: true});
+    },
+  };
+}
--- /dev/null
+++ b/packages/gypsumwall-emulator/src/rig/loopback.ts
@@ -0,0 +1,41 @@
+/** Addresses on loopback that no other process uses. */
+import * as net from 'node:net';
+import type * as types from '@gypsumwall/types';
+
+const LOWEST_BYTE = 1;
+const HIGHEST_BYTE = 254;
+const TRIES = 50;
+
+/** An address where the port is free. */
+export async function findFreeIp(
+  random: types.random.Random,
+  port: number,
+): Promise<string> {
+  for (let nth = 0; nth < TRIES; nth++) {
+    const bytes = Array.from({length: 3}, () =>
+      random.integer(LOWEST_BYTE, HIGHEST_BYTE),
+    );
+    const ip = ['127', ...bytes].join('.');
+    if ((await tryPort(ip, port)) !== undefined) return ip;
+  }
+  throw new Error(`port ${port}: no free address on loopback`);
+}
+
+/** A port from the kernel, free a moment ago. */
+export async function findFreePort(ip: string): Promise<number> {
+  const port = await tryPort(ip, 0);
+  if (port === undefined) throw new Error(`${ip}: no free port`);
+  return port;
+}
+
+/** The port that could be listened on; undefined if it is taken. */
+function tryPort(ip: string, wanted: number): Promise<number | undefined> {
+  return new Promise((resolve) => {
+    const server = net.createServer();
+    server.once('error', () => resolve(undefined));
+    server.listen(wanted, ip, () => {
+      const {port} = server.address() as net.AddressInfo;
+      server.close(() => resolve(port));
+    });
+  });
+}
--- /dev/null
+++ b/packages/gypsumwall-emulator/src/wire/adviser_server.ts
@@ -0,0 +1,30 @@
+/** The adviser's call. Each machine has an address of its own to call. */
+import * as zod from 'zod';
+import type * as adviser from '../model/adviser.js';
+import * as httpServer from './http_server.js';
+
+const adviseBody = zod.object({
+  phase: zod.string(),
+  workers: zod.array(zod.string()),
+});
+
+/** Serves the adviser to one machine. */
+export async function startAdviserServer(
+  served: adviser.Adviser,
+  caller: string,
+): Promise<httpServer.WireServer> {
+  const server = httpServer.createServer();
+  server.post('/v1/advise', async (req, res) => {
+    const {phase, workers} = httpServer.readBody(req, adviseBody);
+    const answer = await served.ask(caller, phase, workers);
+    switch (answer.type) {
+      case 'approved':
+        return res.send({approved: answer.tickets, validMs: answer.validMs});
+      case 'throttled':
+        return res.code(429).send({});
+      case 'invalid':
+        return res.code(400).send({message: answer.message});
+    }
+  });
+  return httpServer.listen(server);
+}
--- /dev/null
+++ b/packages/gypsumwall-emulator/src/wire/listing_record.ts
@@ -0,0 +1,27 @@
+/** A worker's entry as it stands in the store. */
+import type * as workerList from '../model/worker_list.js';
+
+const SLOTS = 8;
+
+/** Writes an entry. */
+export function encodeListing(listing: workerList.WorkerListing): string {
+  const {capacity} = listing;
+  return JSON.stringify({
+    service: listing.pool,
+    addr: listing.address,
+    zone: listing.zone,
+    version: 'v1',
+    slots: SLOTS,
+    state: listing.draining ? 'draining' : 'ready',
+    coldRemainingMs: 0,
+    remainingMs: listing.leavesInMs,
+    capacity: {
+      cpu: capacity.cpuMillis,
+      memMb: capacity.memoryMb,
+      gpu: capacity.accelerators,
+    },
+    labels: [listing.kind, listing.rack],
+    clockMs: listing.clockMs,
+    seq: listing.sequence,
+  });
+}
--- /dev/null
+++ b/packages/gypsumwall-emulator/src/wire/store_server.ts
@@ -0,0 +1,142 @@
+/** The store's calls. Each machine has an address of its own to call. */
+import type * as fastify from 'fastify';
+import * as zod from 'zod';
+import type * as keyedLog from '../model/keyed_log.js';
+import * as store from '../model/store.js';
+import * as httpServer from './http_server.js';
+import * as recordCodec from './record_codec.js';
+
+/** Only logs that keep the newest record of each key are served. */
+const KEYED = 'keyed.';
+const PLATFORM_TOPICS: Readonly<Record<string, string>> = {
+  [`${KEYED}op`]: store.OPERATOR_TOPIC,
+  [`${KEYED}servers`]: store.WORKERS_TOPIC,
+};
+
+const topicSchema = zod
+  .string()
+  .startsWith(KEYED)
+  .transform((name) => PLATFORM_TOPICS[name] ?? name);
+const whole = zod.coerce.number().int().min(0);
+const place = {topic: topicSchema, part: zod.literal('0')};
+
+const appendQuery = zod.object({
+  ...place,
+  at: whole.optional(),
+  producer: zod.string().optional(),
+  epoch: whole.optional(),
+  seq: whole.optional(),
+});
+const readQuery = zod.object({
+  ...place,
+  from: whole,
+  maxKb: whole.default(1_024),
+  waitMs: whole.max(30_000).default(0),
+});
+const newestQuery = zod.object({
+  ...place,
+  after: zod.string().default(''),
+});
+
+const KB = 1_024;
+
+/** Serves the store to one machine. */
+export async function startStoreServer(
+  served: store.Store,
+  caller: string,
+): Promise<httpServer.WireServer> {
+  const server = httpServer.createServer();
+  server.post('/v1/log-append', async (req, res) => {
+    const query = appendQuery.parse(req.query);
+    const body = (req.body as Buffer | undefined) ?? Buffer.alloc(0);
+    const delivery = await served.append(caller, {
+      topic: query.topic,
+      entries: recordCodec.decodeEntries(body),
+      onlyAt: query.at,
+      fence: fenceOf(query),
+    });
+    return answer(res, delivery, (outcome) => sendAppended(res, outcome));
+  });
+  server.get('/v1/log-read', async (req, res) => {
+    const {topic, from, maxKb, waitMs} = readQuery.parse(req.query);
+    const mostBytes = maxKb * KB;
+    const call = {topic, from, mostBytes, waitMs};
+    const delivery = await served.read(caller, call);
+    return answer(res, delivery, (outcome) => sendRead(res, outcome));
+  });
+  server.get('/v1/log-newest', async (req, res) => {
+    const {topic, after} = newestQuery.parse(req.query);
+    const delivery = await served.newest(caller, topic, after);
+    return answer(res, delivery, (page) => res.send(newestBody(page)));
+  });
+  return httpServer.listen(server);
+}
+
+function fenceOf({
+  producer,
+  epoch,
+  seq,
+}: zod.infer<typeof appendQuery>): keyedLog.Fence | undefined {
+  if (producer === undefined) return undefined;
+  return {producer, epoch: epoch ?? 0, sequence: seq ?? 0};
+}
+
+function answer<Value>(
+  res: fastify.FastifyReply,
+  delivery: store.Delivery<Value>,
+  send: (value: Value) => fastify.FastifyReply,
+): fastify.FastifyReply {
+  switch (delivery.type) {
+    case 'answer':
+      return send(delivery.value);
+    case 'unavailable':
+      return res.code(503).send({});
+    case 'throttled':
+      return res.code(429).send({});
+    case 'forbidden':
+      return res.code(403).send({});
+    case 'lost':
+      return httpServer.leaveUnanswered(res);
+  }
+}
+
+function sendAppended(
+  res: fastify.FastifyReply,
+  outcome: keyedLog.AppendOutcome,
+): fastify.FastifyReply {
+  switch (outcome.type) {
+    case 'appended': {
+      const {firstOffset: offset, endOffset} = outcome;
+      return res.send({offset, endOffset});
+    }
+    case 'moved':
+      return res.code(412).send({endOffset: outcome.endOffset});
+    case 'fenced':
+      return res.code(409).send({reason: 'fenced'});
+    case 'out_of_sequence':
+      return res.code(409).send({reason: 'seq', expected: outcome.expected});
+  }
+}
+
+function sendRead(
+  res: fastify.FastifyReply,
+  outcome: keyedLog.ReadOutcome,
+): fastify.FastifyReply {
+  switch (outcome.type) {
+    case 'records':
+      return res
+        .type('application/octet-stream')
+        .send(recordCodec.encodeRead(outcome));
+    case 'compacted':
+      return res.code(410).send({startOffset: outcome.firstOffset});
+  }
+}
+
+function newestBody({records, hasMore, endOffset}: keyedLog.NewestPage) {
+  const items = records.map(({key, value, offset}) => ({
+    key,
+    value: Buffer.from(value).toString('base64'),
+    offset,
+  }));
+  return {items, hasMore, endOffset};
+}
--- a/scripts/package_arrows.mjs
+++ b/scripts/package_arrows.mjs
@@ -38,6 +38,7 @@
     'routing',
     'entry',
   ],
+  emulator: ['types', 'testing'],
   bench: [
     'types',
     'settings',
