emulator: add demo:platform, which plays the deployed entry

Three deployed entries as processes, mixed jobs, a worker that leaves as announced while it runs lasting tasks, the holder killed. Exit code 1 if a promise was broken.

--- /dev/null
+++ b/packages/gypsumwall-emulator/src/bin/demo_platform.ts
@@ -0,0 +1,68 @@
+/**
+ * `npm run demo:platform [-- --config FILE] [--seed N] [--keep-logs]
+ * [--program FOLDER]`: three deployed entries on the emulated platform under
+ * mixed work; a worker leaves and the holder is killed. Ends with 1 if a
+ * promise was broken. `--program` names the folder of another build.
+ */
+import * as path from 'node:path';
+import * as url from 'node:url';
+import * as util from 'node:util';
+import * as emulatorConfig from '../config/emulator_config.js';
+import * as demoReport from '../demo/demo_report.js';
+import * as runDemo from '../demo/run_demo.js';
+
+/** The package, as seen from the compiled file. */
+const PACKAGE = url.fileURLToPath(new URL('../../', import.meta.url));
+const DEMO_CONFIG = path.join(PACKAGE, 'examples/demo.jsonc');
+const DEPLOY_FILE = 'deploy/system.toml';
+const SPANS: runDemo.DemoSpans = {
+  shortJobEveryMs: 100,
+  gangEveryMs: 5_000,
+  beforeLeavingMs: 4_000,
+  beforeKillMs: 4_000,
+  afterKillMs: 12_000,
+  settleMs: 15_000,
+};
+
+const {values} = util.parseArgs({
+  options: {
+    config: {type: 'string', default: DEMO_CONFIG},
+    seed: {type: 'string'},
+    'keep-logs': {type: 'boolean'},
+    program: {type: 'string'},
+  },
+});
+
+function say(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+async function play(): Promise<number> {
+  const read = emulatorConfig.readEmulatorConfig(values.config);
+  const seed = values.seed === undefined ? read.seed : Number(values.seed);
+  if (!Number.isInteger(seed)) {
+    throw new Error(`--seed = ${values.seed}: give a whole number`);
+  }
+  const startedAt = performance.now();
+  const stamped = (line: string) => {
+    const seconds = ((performance.now() - startedAt) / 1_000).toFixed(1);
+    say(`${seconds.padStart(5)} s  ${line}`);
+  };
+  const result = await runDemo.runDemo({
+    config: {...read, seed},
+    deployFile: DEPLOY_FILE,
+    builtInto: values.program,
+    spans: SPANS,
+    keepsLogs: values['keep-logs'],
+    say: stamped,
+  });
+  say(`\n${demoReport.formatReport(result)}`);
+  return result.findings.length === 0 ? 0 : 1;
+}
+
+try {
+  process.exitCode = await play();
+} catch (thrown) {
+  process.stderr.write(`the demo broke off: ${String(thrown)}\n`);
+  process.exitCode = 1;
+}
--- /dev/null
+++ b/packages/gypsumwall-emulator/src/demo/demo_report.ts
@@ -0,0 +1,126 @@
+/** What the demo prints: what callers saw, and which promises held. */
+import * as hdr from 'hdr-histogram-js';
+import * as finding from '../judge/finding.js';
+import * as taskRuns from '../judge/task_runs.js';
+import type * as history from '../model/history.js';
+import * as mixedJobs from './mixed_jobs.js';
+import type * as runDemo from './run_demo.js';
+
+interface Row {
+  readonly kind: mixedJobs.JobKind;
+  sent: number;
+  accepted: number;
+  refused: number;
+  unknown: number;
+  completed: number;
+  /** From sending a job to the start of its first task; milliseconds. */
+  readonly starts: hdr.Histogram;
+}
+
+const COLUMN = 10;
+const MOST_DETAILS = 5;
+
+/** Writes the report. */
+export function formatReport(result: runDemo.DemoResult): string {
+  const rows = collectRows(result);
+  const {reads, writes} = result.storeCalls;
+  const lines = [
+    line(
+      'kind',
+      ...['sent', 'accepted', 'refused', 'unknown', 'completed'],
+      ...['start p50', 'start p95', 'start max'],
+    ),
+    ...rows.map(formatRow),
+    '',
+    `ends of runs: ${countEnds(result.events)}`,
+    `calls to the store: ${reads} reads, ${writes} writes`,
+    '',
+    ...finding.PROMISES.map((promise) => verdict(promise, result.findings)),
+  ];
+  return lines.join('\n');
+}
+
+function collectRows(result: runDemo.DemoResult): Row[] {
+  const rows = new Map(mixedJobs.KINDS.map((kind) => [kind, emptyRow(kind)]));
+  const rowOf = (jobId: string) =>
+    rows.get(result.kindOf(jobId) ?? 'short') ?? emptyRow('short');
+  const completed = new Set<string>();
+  for (const event of result.events) {
+    if (event.type === 'job_sent') rowOf(event.job.jobId).sent += 1;
+    else if (event.type === 'job_told') rowOf(event.jobId)[event.told] += 1;
+    else if (event.type === 'state_shown' && event.state === 'completed') {
+      completed.add(event.jobId);
+    }
+  }
+  for (const jobId of completed) rowOf(jobId).completed += 1;
+  for (const [jobId, waitedMs] of startWaits(result.events)) {
+    rowOf(jobId).starts.recordValue(Math.max(1, Math.round(waitedMs)));
+  }
+  return [...rows.values()];
+}
+
+function emptyRow(kind: mixedJobs.JobKind): Row {
+  const none = {sent: 0, accepted: 0, refused: 0, unknown: 0, completed: 0};
+  return {kind, ...none, starts: hdr.build()};
+}
+
+function startWaits(
+  events: readonly history.HistoryEvent[],
+): Map<string, number> {
+  const sentAt = new Map<string, number>();
+  const waits = new Map<string, number>();
+  for (const event of events) {
+    if (event.type === 'job_sent') sentAt.set(event.job.jobId, event.at);
+    if (event.type !== 'run_started') continue;
+    const jobId = event.taskId.split('.', 1)[0] ?? '';
+    const sent = sentAt.get(jobId);
+    if (sent !== undefined && !waits.has(jobId)) {
+      waits.set(jobId, event.at - sent);
+    }
+  }
+  return waits;
+}
+
+function formatRow(row: Row): string {
+  const {starts} = row;
+  const at = (percentile: number) =>
+    starts.totalCount === 0
+      ? '-'
+      : `${starts.getValueAtPercentile(percentile)} ms`;
+  const counts = [
+    row.sent,
+    row.accepted,
+    row.refused,
+    row.unknown,
+    // A lasting job has no end of its own.
+    row.kind === 'lasting' ? '-' : row.completed,
+  ];
+  return line(row.kind, ...counts, at(50), at(95), at(100));
+}
+
+function line(first: string, ...rest: readonly (string | number)[]): string {
+  const cells = rest.map((cell) => String(cell).padStart(COLUMN));
+  return first.padEnd(COLUMN) + cells.join(' ');
+}
+
+function countEnds(events: readonly history.HistoryEvent[]): string {
+  const counts = new Map<string, number>();
+  for (const run of [...taskRuns.collectTaskRuns(events).values()].flat()) {
+    counts.set(run.how, (counts.get(run.how) ?? 0) + 1);
+  }
+  return [...counts].map(([how, count]) => `${count} ${how}`).join(', ');
+}
+
+function verdict(
+  promise: finding.PromiseName,
+  findings: readonly finding.Finding[],
+): string {
+  const broken = findings.filter((one) => one.promise === promise);
+  if (broken.length === 0) return `held    ${promise}`;
+  const details = broken
+    .slice(0, MOST_DETAILS)
+    .map(({detail}) => `          ${detail}`);
+  const more = broken.length - details.length;
+  if (more > 0) details.push(`          and ${more} more`);
+  return [`BROKEN  ${promise}`, ...details].join('\n');
+}
--- /dev/null
+++ b/packages/gypsumwall-emulator/src/demo/mixed_jobs.ts
@@ -0,0 +1,91 @@
+/** The demo's jobs. */
+import * as types from '@gypsumwall/types';
+import type * as jobCatalog from '../model/job_catalog.js';
+
+/** What kind of work a job is. */
+export type JobKind = 'short' | 'gang' | 'lasting';
+
+/** All kinds, in the order of a report. */
+export const KINDS: readonly JobKind[] = ['short', 'gang', 'lasting'];
+
+/** Makes jobs with ids from a seed. */
+export interface MixedJobs {
+  make(kind: JobKind): jobCatalog.JobSpec;
+  kindOf(jobId: string): JobKind | undefined;
+}
+
+const ID_DIGITS = 16;
+const HEX = 15;
+const PLAIN = {
+  after: [],
+  gang: false,
+  lasting: false,
+  savesProgress: false,
+} satisfies Partial<jobCatalog.StepSpec>;
+
+const QUEUES: Readonly<Record<JobKind, string>> = {
+  short: 'checks',
+  gang: 'plans',
+  lasting: 'services',
+};
+
+/** Number of tasks of a lasting job. */
+export const LASTING_TASKS = 4;
+
+const STEPS: Readonly<Record<JobKind, readonly jobCatalog.StepSpec[]>> = {
+  short: [
+    {...PLAIN, taskCount: 2, size: size(1_000, 512), workMs: 300},
+    {...PLAIN, taskCount: 1, size: size(500, 256), workMs: 150, after: [0]},
+  ],
+  gang: [
+    {
+      ...PLAIN,
+      taskCount: 12,
+      // Two workers have room for all of it beside other work: the adviser may
+      // refuse most of the others.
+      size: size(1_500, 2_048),
+      workMs: 2_500,
+      gang: true,
+      savesProgress: true,
+    },
+  ],
+  lasting: [
+    {
+      ...PLAIN,
+      taskCount: LASTING_TASKS,
+      size: size(2_000, 1_024),
+      workMs: 0,
+      lasting: true,
+    },
+  ],
+};
+
+function size(cpuMillis: number, memoryMb: number): types.resources.Resources {
+  return {cpuMillis, memoryMb, accelerators: 0};
+}
+
+/** Starts a series of jobs of each kind. */
+export function createMixedJobs(seed: number): MixedJobs {
+  const kinds = new Map<string, JobKind>();
+  // The nth job of a kind has the same id whenever those of others are made.
+  const randoms = {
+    short: types.random.createRandom(KINDS.length * seed),
+    gang: types.random.createRandom(KINDS.length * seed + 1),
+    lasting: types.random.createRandom(KINDS.length * seed + 2),
+  };
+
+  function drawId(random: types.random.Random): string {
+    const digit = () => random.integer(0, HEX).toString(16);
+    return Array.from({length: ID_DIGITS}, digit).join('');
+  }
+
+  return {
+    kindOf: (jobId) => kinds.get(jobId),
+    make(kind) {
+      const jobId = drawId(randoms[kind]);
+      kinds.set(jobId, kind);
+      const payload = `${kind} ${jobId}`;
+      return {jobId, queue: QUEUES[kind], payload, steps: STEPS[kind]};
+    },
+  };
+}
