cell: wait for the longer lease of an earlier holder

Cause: a session takes the lease of its worker for passed by the leases that it sent itself. A worker never shortens one, and an earlier holder may have given the longest. Before its first renewal a successor counted no lease at all; since leases got shorter on some workers the gap was seconds long.

With the first answer that lists runs, the longest lease from the worker's clock on is taken for given. Later ones of an earlier holder are refused, as the worker has seen the higher token.

--- /dev/null
+++ b/packages/gypsumwall-cell/src/__tests__/earlier_leases.test.ts
@@ -0,0 +1,42 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as types from '@gypsumwall/types';
+import * as worlds from '../__fixtures__/cell_world.js';
+
+const {test} = nodeTest;
+const JOB_ID = types.ids.brand<types.ids.JobId>('job');
+const FAR_OFF_MS = 60_000;
+const rest = (spanMs: number) =>
+  new Promise((resolve) => setTimeout(resolve, spanMs));
+
+// Guards against two runs of a task at once: a lease never shortens, so the
+// longer one of an earlier holder outlasts the shorter one of its successor.
+test("a successor waits for an earlier holder's longer lease on a worker", async () => {
+  const leaseMs = 8_000;
+  const world = worlds.createCellWorld(leaseMs);
+  try {
+    const leaving = await world.addWorker('w1', 1);
+    // No stop is carried out before it is cut off.
+    leaving.stopMs = FAR_OFF_MS;
+    const first = world.addEntry('a');
+    await worlds.until(() => first.status().storeReachable, 'the store');
+    await first.desk.submit(JOB_ID, worlds.POLICY, worlds.request(1));
+    await worlds.until(() => leaving.running.size === 1, 'the task');
+    const other = await world.addWorker('w2', 1);
+    await rest(500);
+    // The worker's lease is renewed at each look, so it runs until then.
+    const leaseUntil = performance.now() + leaseMs - 500;
+    first.stop();
+    await world.drain(leaving, FAR_OFF_MS);
+    const second = world.addEntry('b');
+    await worlds.until(() => second.status().holdsCell, 'the successor');
+    await rest(500);
+    leaving.cut = true;
+    while (performance.now() < leaseUntil) {
+      assert.equal(other.started.length, 0, 'started beside the first run');
+      await rest(50);
+    }
+  } finally {
+    world.stop();
+  }
+});
--- a/packages/gypsumwall-cell/src/__tests__/worker_session.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/worker_session.test.ts
@@ -22,6 +22,7 @@
     link: worker.connect(),
     token: 1,
     leaseMs: () => 10_000,
+    longestLeaseMs: 10_000,
     clock,
     logger: telemetry.logger.createLogger('silent'),
     scheduler,
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -153,6 +153,7 @@
       link: options.connect(worker),
       token,
       leaseMs: () => leaseMsOn(worker.id),
+      longestLeaseMs: options.leaseMs,
       clock,
       logger,
       scheduler,
--- a/packages/gypsumwall-cell/src/worker_session.ts
+++ b/packages/gypsumwall-cell/src/worker_session.ts
@@ -39,6 +39,8 @@
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
   readonly scheduler: scheduling.schedulerTypes.Scheduler;
+  /** The longest lease that a worker grants, in milliseconds. */
+  readonly longestLeaseMs: number;
   /** Whether leases may be renewed, see the holder. */
   readonly mayRenew: () => boolean;
   /** When this process surely held the cell for the last time. */
@@ -173,6 +175,11 @@
     lastAskedAt = askedAt;
     const now = clock.monotonic();
     workerClock.note(report.clockMs, now);
+    // An earlier holder may have given a longer lease than this one does, and
+    // none after this answer, since the worker refuses its token by now.
+    if (!reported && report.running.length > 0) {
+      workerClock.noteLease(report.clockMs + options.longestLeaseMs);
+    }
     const ends = report.ends.filter((end) => end.sequence > lastSequence);
     for (const end of ends) lastSequence = Math.max(lastSequence, end.sequence);
     const complete = !report.moreEnds;
