scheduling: judge the size of a call by its names as well

A small call of a step with room waited beside free entries behind looks at steps whose calls are large by the workers they name: only the base time of a call was looked at before its step was passed over.

--- a/packages/gypsumwall-scheduling/src/advice_names.ts
+++ b/packages/gypsumwall-scheduling/src/advice_names.ts
@@ -24,7 +24,7 @@
  * The fewest names of a call, if there are as many workers: the objective of a
  * job counts the time of a call with this many, so fewer gain nothing.
  */
-const FEWEST_NAMED = 30;
+export const FEWEST_NAMED = 30;
 /** Calls on one step that are open at once. */
 const MOST_OPEN_CALLS = 3;
 /** Names of a call from which on another one beside it is quicker. */
--- a/packages/gypsumwall-scheduling/src/advice_wishes.ts
+++ b/packages/gypsumwall-scheduling/src/advice_wishes.ts
@@ -82,7 +82,9 @@
 ): boolean {
   const policy = job.policy.advice;
   if (policy === undefined || now < advice.nextLookAt) return false;
-  return large > 0 || !advisorPool.isLarge(policy.callMs);
+  const fewestMs =
+    policy.callMs + policy.perWorkerMs * adviceNames.FEWEST_NAMED;
+  return large > 0 || !advisorPool.isLarge(fewestMs);
 }
 
 function callMsOf(
