cell: count a suspension in the age of a worker's entry

What callers could see: a task that runs on two workers at once; found in review, no play showed it. A worker that announced that it leaves and was then dropped from the list for silence counted as left, if the holder had been suspended meanwhile: the monotonic clock doesn't count that, so the entry seemed younger than it was.

The age is now the greater of what both clocks tell; a wall clock that was set forward only makes it older.

--- a/packages/gypsumwall-cell/src/__tests__/earlier_leases.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/earlier_leases.test.ts
@@ -40,3 +40,33 @@
     world.stop();
   }
 });
+
+// Guards against two runs of a task at once: the clock doesn't count a
+// suspension, so an entry seems younger than the silence for which it is dropped.
+test('a removal read after a suspension does not count as having left', async () => {
+  const world = worlds.createCellWorld(4_000);
+  const base = types.clock.createSystemClock();
+  let suspendedMs = 0;
+  const clock: types.clock.Clock = {
+    ...base,
+    wall: () => (base.wall() + suspendedMs) as types.clock.WallMs,
+  };
+  try {
+    const cutOff = await world.addWorker('w1', 1);
+    const entry = world.addEntry('a', world.store, 1, clock);
+    await worlds.until(() => entry.status().storeReachable, 'the store');
+    await entry.desk.submit(JOB_ID, worlds.POLICY, worlds.request(1));
+    await worlds.until(() => cutOff.running.size === 1, 'the task');
+    const other = await world.addWorker('w2', 1);
+    await world.drain(cutOff, FAR_OFF_MS);
+    await rest(700);
+    // Three seconds pass that the monotonic clock doesn't count.
+    cutOff.cut = true;
+    suspendedMs = 3_000;
+    await world.unlist(cutOff);
+    await rest(1_000);
+    assert.equal(other.started.length, 0, 'started beside the first run');
+  } finally {
+    world.stop();
+  }
+});
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -113,7 +113,11 @@
     pulse: options.pulse,
     onRecords: (records, reloaded) =>
       // What is read now wasn't there when the log was last read to its end.
-      roster.applyList(records, reloaded, workerFollower.completeUntil()),
+      roster.applyList(
+        records,
+        reloaded,
+        workerFollower.completeUntilReading(),
+      ),
     pauseMs: () => LIST_PAUSE_MS,
     readWaitMs: LIST_WAIT_MS,
   });
--- a/packages/gypsumwall-cell/src/log_follower.ts
+++ b/packages/gypsumwall-cell/src/log_follower.ts
@@ -57,11 +57,20 @@
    * undefined before the first load.
    */
   completeUntil(): types.clock.MonotonicMs | undefined;
+  /** The same moment on both clocks: the monotonic one may be suspended. */
+  completeUntilReading(): ClockReading | undefined;
+}
+
+/** A moment on both clocks. */
+export interface ClockReading {
+  readonly at: types.clock.MonotonicMs;
+  readonly wall: types.clock.WallMs;
 }
 
 /** What a read or a load that was answered has found. */
 interface Found {
   readonly sentAt: types.clock.MonotonicMs;
+  readonly sentWall: types.clock.WallMs;
   /** Where the log ended; a load's first page tells. */
   readonly endOffset: number;
 }
@@ -79,16 +88,18 @@
   let newestAnsweredAt = 0;
   let loading: Promise<Found | undefined> | undefined;
   let completeUntil: types.clock.MonotonicMs | undefined;
+  let completeWall: types.clock.WallMs | undefined;
   /** The reading to the log's end that is on its way, and the one after it. */
   let reading: Promise<boolean> | undefined;
   let queued: Promise<boolean> | undefined;
 
   /** To be called once what was found has been applied. */
-  function noteComplete({sentAt, endOffset}: Found): void {
+  function noteComplete({sentAt, sentWall, endOffset}: Found): void {
     if (position === undefined || position < endOffset) return;
     if (sentAt <= (completeUntil ?? 0)) return;
     const ageMs = sentAt - (completeUntil ?? sentAt);
     completeUntil = sentAt;
+    completeWall = sentWall;
     if (ageMs <= OLD_COPY_MS) return;
     logger.info('log_caught_up', {
       log: log.name,
@@ -140,6 +151,7 @@
     let after: string | undefined;
     let loadedTo: number | undefined;
     const startedAt = clock.monotonic();
+    const sentWall = clock.wall();
     do {
       const sentAt = clock.monotonic();
       const page = await log.newest(after);
@@ -157,7 +169,7 @@
     options.onRecords(records, true);
     position = loadedTo;
     end = Math.max(end, loadedTo);
-    const found = {sentAt: startedAt, endOffset: loadedTo};
+    const found = {sentAt: startedAt, sentWall, endOffset: loadedTo};
     noteComplete(found);
     logger.info('log_loaded', {
       log: log.name,
@@ -171,6 +183,7 @@
   async function readOnce(waitMs: number): Promise<Found | undefined> {
     if (position === undefined) return load();
     const sentAt = clock.monotonic();
+    const sentWall = clock.wall();
     const from = position;
     const read = await log.read(from, waitMs);
     if (result.isErr(read)) {
@@ -181,7 +194,8 @@
     options.pulse.noteRead(sentAt, clock.monotonic());
     switch (read.value.type) {
       case 'records': {
-        const found = {sentAt, endOffset: read.value.endOffset};
+        const {endOffset} = read.value;
+        const found = {sentAt, sentWall, endOffset};
         end = Math.max(end, found.endOffset);
         apply(read.value.records);
         noteComplete(found);
@@ -279,6 +293,10 @@
     catchUp,
     reachableSince: () => reachableSince,
     completeUntil: () => completeUntil,
+    completeUntilReading: () =>
+      completeUntil === undefined || completeWall === undefined
+        ? undefined
+        : {at: completeUntil, wall: completeWall},
   };
 }
 
--- a/packages/gypsumwall-cell/src/worker_roster.ts
+++ b/packages/gypsumwall-cell/src/worker_roster.ts
@@ -6,6 +6,7 @@
 import type * as scheduling from '@gypsumwall/scheduling';
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
+import type * as logFollower from './log_follower.js';
 import type * as ports from './ports.js';
 import type * as storeRecords from './store_records.js';
 import type * as workerSession from './worker_session.js';
@@ -73,7 +74,7 @@
   applyList(
     records: readonly ports.KeyedRecord[],
     reloaded: boolean,
-    writtenAfter?: types.clock.MonotonicMs,
+    writtenAfter?: logFollower.ClockReading,
   ): void;
   /** Opens sessions to workers that an earlier holder used. */
   inherit(workers: Iterable<storeRecords.UsedWorkerRecord>): void;
@@ -94,7 +95,7 @@
   info: scheduling.workerRegistry.WorkerInfo;
   listed: boolean;
   /** Its newest entry in the list is younger than this. */
-  writtenAfter?: types.clock.MonotonicMs;
+  writtenAfter?: logFollower.ClockReading;
   /** When a worker that dropped off the list is used no more. */
   unusedAt?: types.clock.MonotonicMs;
   evacuateAt?: types.clock.MonotonicMs;
@@ -137,7 +138,7 @@
 
   function put(
     listed: ports.ListedWorker,
-    writtenAfter?: types.clock.MonotonicMs,
+    writtenAfter?: logFollower.ClockReading,
   ): void {
     const {info, leavesInMs} = listed;
     if (!entries.has(info.id) && !options.isUsedPool(info.pool)) {
@@ -177,7 +178,9 @@
     if (entry?.writtenAfter === undefined || listExpiryMs === undefined) {
       return false;
     }
-    const silentMs = clock.monotonic() - entry.writtenAfter;
+    const {at, wall} = entry.writtenAfter;
+    // The monotonic clock doesn't count a suspension of this process.
+    const silentMs = Math.max(clock.monotonic() - at, clock.wall() - wall);
     return entry.info.draining && silentMs < listExpiryMs * EXPIRY_MARGIN;
   }
 
