cell: stop runs that are found after their worker's evacuation

Callers see work that stays on a worker until it leaves, and runs again only once its lease has passed or the list tells that it has left.

Cause: a worker that leaves is evacuated once. A new holder evacuates it as soon as it reads the list, and hears of its runs only when the worker answers.

Change: from its evacuation on the runs of a worker that leaves are stopped at each tick. A worker that doesn't leave after all isn't evacuated any more.

--- a/packages/gypsumwall-cell/src/worker_roster.ts
+++ b/packages/gypsumwall-cell/src/worker_roster.ts
@@ -98,7 +98,9 @@
   writtenAfter?: logFollower.ClockReading;
   /** When a worker that dropped off the list is used no more. */
   unusedAt?: types.clock.MonotonicMs;
+  /** From when on all that runs there is stopped. */
   evacuateAt?: types.clock.MonotonicMs;
+  evacuating: boolean;
 }
 
 /** Creates an empty roster. */
@@ -115,7 +117,7 @@
     recorded: boolean,
   ): Entry {
     const session = options.openSession(info);
-    const entry: Entry = {info, listed, session};
+    const entry: Entry = {info, listed, session, evacuating: false};
     entries.set(info.id, entry);
     logger.info('worker_found', {
       worker: info.id,
@@ -152,6 +154,10 @@
       const spanMs = Math.max(0, (leavesInMs ?? 0) - neededMs);
       entry.evacuateAt = types.clock.after(clock.monotonic(), spanMs);
     }
+    if (!info.draining) {
+      entry.evacuateAt = undefined;
+      entry.evacuating = false;
+    }
     entry.info = info;
     entry.writtenAfter = writtenAfter;
     entry.listed = true;
@@ -264,8 +270,9 @@
           scheduler.putWorker({...entry.info, draining: true});
         }
         if (entry.evacuateAt === undefined || now < entry.evacuateAt) continue;
-        entry.evacuateAt = undefined;
-        logger.info('worker_evacuated', {worker: id});
+        if (!entry.evacuating) logger.info('worker_evacuated', {worker: id});
+        entry.evacuating = true;
+        // Runs of an earlier holder may be found there at any time.
         scheduler.evacuate(id);
         options.onChange();
       }
