--- a/packages/gypsumwall-scheduling/src/__tests__/left_waiting.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/left_waiting.test.ts
@@ -80,10 +80,35 @@
   // The end of the first step is lost, so its task runs again.
   const [first] = world.startAll();
   world.end(first!, 'done');
+  assert.deepEqual(world.startAll(), [], 'one member has not ended');
   world.end(member, 'stopped');
   assert.equal(world.startAll().length, 2);
 });
 
+// Guards against part of a gang that runs on alone, where runs of two attempts
+// were found.
+test('a gang of an earlier attempt is stopped without a member', () => {
+  const world = worlds.createSchedulerWorld();
+  const [w1, w2, w3] = ['w1', 'w2', 'w3'].map((name) =>
+    world.addWorker(name, 1),
+  );
+  const progress = {...jobProgress.NO_PROGRESS, phase: 'running'} as const;
+  const gang = worlds.step({taskCount: 3, gang: true});
+  world.submit('job', [gang], {inherited: true, progress});
+  world.report(w1!, [worlds.row('job.0.0.0', 1)]);
+  world.report(w2!, [worlds.row('job.0.0.1', 1)]);
+  world.report(w3!, [worlds.row('job.0.0.2', 2)]);
+  const [unwanted] = world.scheduler.takeStops();
+  assert.equal(unwanted?.workerId, w3);
+  world.scheduler.leasePassed(w1!, world.now);
+  const [member] = world.scheduler.takeStops();
+  assert.equal(member?.workerId, w2);
+  world.end(unwanted!, 'stopped');
+  assert.deepEqual(world.startAll(), [], 'one member has not ended');
+  world.end(member!, 'stopped');
+  assert.equal(world.startAll().length, 3);
+});
+
 // Guards against small work that never starts behind wide gangs that wait.
 test('a step gets its try while steps before it are tried in vain', () => {
   const world = worlds.createSchedulerWorld();
