cell: count the age of an announcement from when it was written

Callers could see lasting tasks stand still for a lease after a takeover; found in review. A successor that reads that a worker leaves in 6 s counted them from its reading, though the entry was seconds old, so the worker left before it was emptied. The age of the entry is taken off: known for one that was read as it came, and as much as the list keeps silent workers for one that was loaded.

--- a/packages/gypsumwall-cell/src/__tests__/earlier_leases.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/earlier_leases.test.ts
@@ -70,3 +70,31 @@
     world.stop();
   }
 });
+
+// Guards against lasting tasks that stand still for a lease: a successor that
+// reads an old announcement counts its time from when it was read.
+test('a successor empties a leaving worker before its announced moment', async () => {
+  const announcedMs = 6_000;
+  const world = worlds.createCellWorld(4_000);
+  try {
+    const leaving = await world.addWorker('w1', 1);
+    const first = world.addEntry('a');
+    await worlds.until(() => first.status().storeReachable, 'the store');
+    const request = worlds.request(1);
+    const steps = request.steps.map((step) => ({...step, longRunning: true}));
+    await first.desk.submit(JOB_ID, worlds.POLICY, {...request, steps});
+    await worlds.until(() => leaving.running.size === 1, 'the task');
+    const other = await world.addWorker('w2', 1);
+    await rest(500);
+    await world.drain(leaving, announcedMs);
+    const leavesAt = performance.now() + announcedMs;
+    await rest(2_000);
+    first.stop();
+    world.addEntry('b');
+    const isBack = () => other.running.size === 1;
+    const leftMs = leavesAt - performance.now();
+    await worlds.until(isBack, 'it runs elsewhere before w1 leaves', leftMs);
+  } finally {
+    world.stop();
+  }
+});
--- a/packages/gypsumwall-cell/src/worker_roster.ts
+++ b/packages/gypsumwall-cell/src/worker_roster.ts
@@ -151,7 +151,8 @@
     if (info.draining && !entry.info.draining) {
       logger.info('worker_draining', {worker: info.id, leavesInMs});
       const neededMs = options.longestStopMs + EVACUATION_SLACK_MS;
-      const spanMs = Math.max(0, (leavesInMs ?? 0) - neededMs);
+      const leftMs = (leavesInMs ?? 0) - entryAgeMs(writtenAfter);
+      const spanMs = Math.max(0, leftMs - neededMs);
       entry.evacuateAt = types.clock.after(clock.monotonic(), spanMs);
     }
     if (!info.draining) {
@@ -173,6 +174,12 @@
     entry.unusedAt = types.clock.after(clock.monotonic(), UNLISTED_GRACE_MS);
   }
 
+  /** How old an entry may be; one that was loaded, as old as the list keeps. */
+  function entryAgeMs(writtenAfter?: logFollower.ClockReading): number {
+    if (writtenAfter === undefined) return options.listExpiryMs ?? 0;
+    return clock.monotonic() - writtenAfter.at;
+  }
+
   /**
    * The list drops a worker that has left, and one that is silent for so long,
    * which may be cut off and run on. One that announced that it leaves and
