cell: add the failing test of a worker and its holder lost together

A lasting task stands still for over 9 s where its worker is lost for good together with the holder: the successor waits until every lease that the holder before may have given has passed, 13.5 s after more than half of the workers have answered. Shorter leases for all would not be enough (3 s and 1.05 leases) above the cuts that work rides out today; the class of each worker's lease isn't known to a successor.

--- a/packages/gypsumwall-cell/src/__tests__/earlier_leases.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/earlier_leases.test.ts
@@ -71,6 +71,35 @@
   }
 });
 
+// Guards against lasting tasks that stand still for far longer than they may
+// where their worker and the holder are lost together.
+test('a lasting task runs again soon after its worker and the holder are lost', async () => {
+  const boundMs = 9_000;
+  const world = worlds.createCellWorld(10_000);
+  try {
+    const lost = await world.addWorker('w1', 1);
+    const first = world.addEntry('a');
+    await worlds.until(() => first.status().storeReachable, 'the store');
+    const request = worlds.request(1);
+    const steps = request.steps.map((step) => ({...step, longRunning: true}));
+    await first.desk.submit(JOB_ID, worlds.POLICY, {...request, steps});
+    await worlds.until(() => lost.running.size === 1, 'the task');
+    const others = [
+      await world.addWorker('w2', 1),
+      await world.addWorker('w3', 1),
+    ];
+    await rest(1_000);
+    world.addEntry('b');
+    await rest(500);
+    lost.cut = true;
+    first.stop();
+    const isBack = () => others.some(({running}) => running.size === 1);
+    await worlds.until(isBack, 'it runs elsewhere', boundMs);
+  } finally {
+    world.stop();
+  }
+});
+
 // Guards against lasting tasks that stand still for a lease: a successor that
 // reads an old announcement counts its time from when it was read.
 test('a successor empties a leaving worker before its announced moment', async () => {
