--- a/packages/gypsumwall-cell/src/store_probe.ts
+++ b/packages/gypsumwall-cell/src/store_probe.ts
@@ -48,7 +48,7 @@
     if (result.isErr(answer)) return;
     const now = clock.monotonic();
     pulse.noteRead(sentAt, now);
-    if (now - answeredAt >= AWAY_MS) pulse.noteReturn();
+    if (now - answeredAt >= AWAY_MS) pulse.noteReturn(now);
     answeredAt = now;
   }
 
