cell: take the cell only with the jobs read

Cause: an entry without the jobs doesn't stand by, but after the time that is left to the standbys it took the cell.

The change: an entry takes no cell before it has read the jobs once. A cell whose entries have all been restarted waits for the first that has read them, which could not be served sooner either.

--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -327,6 +327,7 @@
           takeovers: () => takeovers,
           isHolder: () => holder !== undefined,
           isLeaving: () => leaving,
+          hasJobs: () => jobsFollower.position() !== undefined,
           isOutranked,
           isStandby,
           clock,
--- a/packages/gypsumwall-cell/src/election.ts
+++ b/packages/gypsumwall-cell/src/election.ts
@@ -51,6 +51,11 @@
   readonly takeovers: () => readonly types.clock.MonotonicMs[];
   readonly isHolder: () => boolean;
   readonly isLeaving: () => boolean;
+  /**
+   * Whether the cell's jobs have been read. A holder without them can start
+   * nothing, and keeps those that could from the cell.
+   */
+  readonly hasJobs: () => boolean;
   /** See the choice of standbys. */
   readonly isStandby: () => boolean;
   /** Whether a peer has more processor, or the peers aren't known yet. */
@@ -70,7 +75,7 @@
   const pause = (spanMs: number) => types.clock.pause(clock, spanMs, signal);
 
   function vacancy(): takeOver.Vacancy | undefined {
-    if (parts.isHolder()) return undefined;
+    if (parts.isHolder() || !parts.hasJobs()) return undefined;
     return takeOver.vacancyOf({
       claim: parts.claim(),
       self,
