--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -67,6 +67,7 @@
   const suspension = pauseDetector.createPauseDetector(clock);
   let holder: cellHolderTypes.CellHolder | undefined;
   let leaving = false;
+  let registered = false;
   let takeovers: types.clock.MonotonicMs[] = [];
   let lastRecordAt = clock.monotonic();
   let reachableAt = clock.monotonic();
@@ -191,10 +192,18 @@
   }
 
   function applyJobRecord(record: storeRecords.StoreRecord): void {
-    if (record.kind === 'entry') peers.apply(record.instance, record.entry);
+    if (record.kind === 'entry') applyEntryRecord(record);
     else jobs.apply(record, clock.monotonic());
   }
 
+  function applyEntryRecord({
+    instance,
+    entry,
+  }: storeRecords.StoreRecord & {readonly kind: 'entry'}): void {
+    if (entry?.entryId === self.entryId) registered = true;
+    peers.apply(instance, entry);
+  }
+
   function applyCellRecord(
     record: storeRecords.StoreRecord,
     offset: number,
@@ -312,7 +321,13 @@
         stopping.signal,
       );
       void entryRegistration.registerEntry(
-        {self, jobsLog: logs.jobs, clock, logger},
+        {
+          self,
+          jobsLog: logs.jobs,
+          isRegistered: () => registered,
+          clock,
+          logger,
+        },
         stopping.signal,
       );
       void holderProbe.run(stopping.signal);
