--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -34,20 +34,19 @@
  */
 const STANDBY_PAUSE_MS = 120;
 /**
- * Everybody else reads it this seldom, and at once when a caller asks. What has
- * come since the last read must be short: on a slow link the caller waits for
- * all of it; milliseconds.
+ * Everybody else reads both logs this seldom, at the same moments, so that one
+ * wake-up serves both; and at once when a caller asks. A copy stays well below
+ * the age up to which it may be counted in; milliseconds.
  */
-const OBSERVER_PAUSE_MS = 200;
+const OBSERVER_PERIOD_MS = 500;
+const SHORTEST_PAUSE_MS = 50;
 /**
- * Only the holder is in a hurry to read the log of jobs. A copy stays well
- * below the age up to which it may be counted in; milliseconds.
+ * How long the holder's and the standbys' reads wait for a record. A store that
+ * went silent is noticed this much later; milliseconds.
  */
-const JOBS_PAUSE_MS = 500;
-/** A store that went silent is noticed this much later; milliseconds. */
 const FOLLOW_WAIT_MS = 250;
 /** The configuration changes seldom; milliseconds. */
-const CONFIG_WAIT_MS = 1_000;
+const CONFIG_WAIT_MS = 2_000;
 /** An entry without store or peers takes itself out after so long; ms. */
 const UNREADY_AFTER_MS = 400;
 /** A change of the configuration is in force this much later at most. */
@@ -102,8 +101,10 @@
       }
       applyRecords.applyRecords(records, logger, applyJobRecord);
     },
-    pauseMs: () => (holder === undefined ? JOBS_PAUSE_MS : HOLDER_PAUSE_MS),
-    readWaitMs: FOLLOW_WAIT_MS,
+    pauseMs: () => (holder === undefined ? untilNextPeriod() : HOLDER_PAUSE_MS),
+    get readWaitMs() {
+      return holder === undefined ? 0 : FOLLOW_WAIT_MS;
+    },
   });
   const cellFollower = logFollower.createLogFollower({
     log: logs.cell,
@@ -116,8 +117,10 @@
       if (reloaded) keepNamed(records);
       applyRecords.applyRecords(records, logger, applyCellRecord);
     },
-    pauseMs: () => (isStandby() ? STANDBY_PAUSE_MS : OBSERVER_PAUSE_MS),
-    readWaitMs: FOLLOW_WAIT_MS,
+    pauseMs: () => (isStandby() ? STANDBY_PAUSE_MS : untilNextPeriod()),
+    get readWaitMs() {
+      return isStandby() ? FOLLOW_WAIT_MS : 0;
+    },
   });
   const ownDesk = jobService.createJobService({
     jobsLog: logs.jobs,
@@ -152,6 +155,13 @@
     holder: holderElsewhere,
   });
 
+  function untilNextPeriod(): number {
+    const leftMs =
+      OBSERVER_PERIOD_MS - (clock.monotonic() % OBSERVER_PERIOD_MS);
+    // A timer may fire just before its moment.
+    return leftMs < SHORTEST_PAUSE_MS ? leftMs + OBSERVER_PERIOD_MS : leftMs;
+  }
+
   function holderElsewhere(): string | undefined {
     const instance = state.claim()?.instance;
     return instance === self.instance ? undefined : instance;
--- a/packages/gypsumwall-cell/src/election.ts
+++ b/packages/gypsumwall-cell/src/election.ts
@@ -14,7 +14,7 @@
 /** How often it is looked whether the cell may be taken; milliseconds. */
 const ELECTION_TICK_MS = 50;
 /** The same for entries that don't stand by; milliseconds. */
-const OBSERVER_TICK_MS = 250;
+const OBSERVER_TICK_MS = 500;
 /**
  * Entries that don't stand by leave the cell to those that do for so long:
  * these claim it within 0.36 s of finding it free; milliseconds.
