cell: keep one batch at a time past its callers' deadlines

Since callers are answered at their own deadlines, a batch was given up at the last of these, with its call still in the store's line, and the next batch was sent to stand behind it.

Shown by a test that fails without the change.

--- a/packages/gypsumwall-cell/src/__tests__/batch_appender.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/batch_appender.test.ts
@@ -15,15 +15,16 @@
 
 const {test} = nodeTest;
 const APPEND_MS = 800;
+const LINE_MS = 2_000;
 
 /** A log that takes long for each append. */
-function createLongLog(clock: types.clock.Clock) {
+function createLongLog(clock: types.clock.Clock, appendMs = APPEND_MS) {
   const log = fakeLogs.createFakeLog('jobs');
   const append = log.append.bind(log);
   const sent: string[][] = [];
   log.append = async (entries, options) => {
     sent.push(entries.map(({key}) => key));
-    await types.clock.pause(clock, APPEND_MS);
+    await types.clock.pause(clock, appendMs);
     return append(entries, options);
   };
   return {log, sent};
@@ -71,6 +72,32 @@
   assert.ok(!keys.includes('late') && !keys.includes('hopeless'));
 });
 
+// Guards against a line of appends whose callers have all been answered.
+test('a batch waits for the one before it, whatever its deadline', async () => {
+  const clock = types.virtualClock.createVirtualClock();
+  const {log, sent} = createLongLog(clock, LINE_MS);
+  const appender = batchAppenders.createBatchAppender({
+    log,
+    clock,
+    storeHealth: storeHealths.createStoreHealth(),
+    isStoreAway: () => false,
+    mayHandOn: () => false,
+  });
+  const append = (key: string, withinMs: number) =>
+    appender.append(
+      {key, value: 'x'},
+      types.clock.after(clock.monotonic(), withinMs),
+    );
+  const first = append('first', 500);
+  await clock.runUntil(700);
+  assert.equal(describe(await first), 'unknown');
+  void append('second', 3_000);
+  await clock.runUntil(1_100);
+  assert.deepEqual(sent.flat(), ['first']);
+  await clock.runUntil(5_000);
+  assert.equal(sent.flat().at(-1), 'second');
+});
+
 // Guards against a longer line by those who wait in it: a caller that is given
 // no answer asks again with the same id.
 test('a repeat shares the append of the call before it', async () => {
--- a/packages/gypsumwall-cell/src/batch_appender.ts
+++ b/packages/gypsumwall-cell/src/batch_appender.ts
@@ -14,6 +14,12 @@
 const MOST_RECORDS = 200;
 /** Time given to one call; others are sent meanwhile, see hedging. */
 const CALL_TIMEOUT_MS = 2_000;
+/**
+ * How long a batch is tried, also when all in it are past their deadlines: a
+ * call that is given up stays in the store's line, and the next batch would
+ * stand behind it; milliseconds.
+ */
+const BATCH_SPAN_MS = 2_400;
 /** How long a refusal counts as the store's pace; milliseconds. */
 const REFUSED_LATELY_MS = 1_000;
 
@@ -105,9 +111,8 @@
     sent = batch;
     if (expiry === undefined) void watchDeadlines();
     const entries = batch.map((one) => one.entry);
-    const until = Math.max(...batch.map((one) => one.until));
     const answer = await hedger.hedged({
-      until: until as types.clock.MonotonicMs,
+      until: types.clock.after(sentAt, BATCH_SPAN_MS),
       call: () => log.append(entries, {timeoutMs: CALL_TIMEOUT_MS}),
       isHopeless: parts.isStoreAway,
       endsOnRefusal: parts.mayHandOn,
