--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -45,8 +45,11 @@
  * went silent is noticed this much later; milliseconds.
  */
 const FOLLOW_WAIT_MS = 250;
-/** The configuration changes seldom; milliseconds. */
-const CONFIG_WAIT_MS = 2_000;
+/**
+ * The configuration changes seldom. Below the age from which on a copy counts
+ * as old; milliseconds.
+ */
+const CONFIG_WAIT_MS = 1_500;
 /** An entry without store or peers takes itself out after so long; ms. */
 const UNREADY_AFTER_MS = 400;
 /** A change of the configuration is in force this much later at most. */
