cell: take back the changes for a slow store

Takes back (appends that back off, answers within half the deadline, entries at rest that wake seldom).

--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -34,22 +34,20 @@
  */
 const STANDBY_PAUSE_MS = 120;
 /**
- * Everybody else reads both logs this seldom, at the same moments, so that one
- * wake-up serves both; and at once when a caller asks. A copy stays well below
- * the age up to which it may be counted in; milliseconds.
+ * Everybody else reads it this seldom, and at once when a caller asks. What has
+ * come since the last read must be short: on a slow link the caller waits for
+ * all of it; milliseconds.
  */
-const OBSERVER_PERIOD_MS = 500;
-const SHORTEST_PAUSE_MS = 50;
+const OBSERVER_PAUSE_MS = 200;
 /**
- * How long the holder's and the standbys' reads wait for a record. A store that
- * went silent is noticed this much later; milliseconds.
+ * Only the holder is in a hurry to read the log of jobs. A copy stays well
+ * below the age up to which it may be counted in; milliseconds.
  */
+const JOBS_PAUSE_MS = 500;
+/** A store that went silent is noticed this much later; milliseconds. */
 const FOLLOW_WAIT_MS = 250;
-/**
- * The configuration changes seldom. Below the age from which on a copy counts
- * as old; milliseconds.
- */
-const CONFIG_WAIT_MS = 1_500;
+/** The configuration changes seldom; milliseconds. */
+const CONFIG_WAIT_MS = 1_000;
 /** An entry without store or peers takes itself out after so long; ms. */
 const UNREADY_AFTER_MS = 400;
 /** A change of the configuration is in force this much later at most. */
@@ -69,7 +67,6 @@
   const suspension = pauseDetector.createPauseDetector(clock);
   let holder: cellHolderTypes.CellHolder | undefined;
   let leaving = false;
-  let registered = false;
   let takeovers: types.clock.MonotonicMs[] = [];
   let lastRecordAt = clock.monotonic();
   let reachableAt = clock.monotonic();
@@ -104,10 +101,8 @@
       }
       applyRecords.applyRecords(records, logger, applyJobRecord);
     },
-    pauseMs: () => (holder === undefined ? untilNextPeriod() : HOLDER_PAUSE_MS),
-    get readWaitMs() {
-      return holder === undefined ? 0 : FOLLOW_WAIT_MS;
-    },
+    pauseMs: () => (holder === undefined ? JOBS_PAUSE_MS : HOLDER_PAUSE_MS),
+    readWaitMs: FOLLOW_WAIT_MS,
   });
   const cellFollower = logFollower.createLogFollower({
     log: logs.cell,
@@ -120,10 +115,8 @@
       if (reloaded) keepNamed(records);
       applyRecords.applyRecords(records, logger, applyCellRecord);
     },
-    pauseMs: () => (isStandby() ? STANDBY_PAUSE_MS : untilNextPeriod()),
-    get readWaitMs() {
-      return isStandby() ? FOLLOW_WAIT_MS : 0;
-    },
+    pauseMs: () => (isStandby() ? STANDBY_PAUSE_MS : OBSERVER_PAUSE_MS),
+    readWaitMs: FOLLOW_WAIT_MS,
   });
   const ownDesk = jobService.createJobService({
     jobsLog: logs.jobs,
@@ -158,13 +151,6 @@
     holder: holderElsewhere,
   });
 
-  function untilNextPeriod(): number {
-    const leftMs =
-      OBSERVER_PERIOD_MS - (clock.monotonic() % OBSERVER_PERIOD_MS);
-    // A timer may fire just before its moment.
-    return leftMs < SHORTEST_PAUSE_MS ? leftMs + OBSERVER_PERIOD_MS : leftMs;
-  }
-
   function holderElsewhere(): string | undefined {
     const instance = state.claim()?.instance;
     return instance === self.instance ? undefined : instance;
@@ -205,18 +191,10 @@
   }
 
   function applyJobRecord(record: storeRecords.StoreRecord): void {
-    if (record.kind === 'entry') applyEntryRecord(record);
+    if (record.kind === 'entry') peers.apply(record.instance, record.entry);
     else jobs.apply(record, clock.monotonic());
   }
 
-  function applyEntryRecord({
-    instance,
-    entry,
-  }: storeRecords.StoreRecord & {readonly kind: 'entry'}): void {
-    if (entry?.entryId === self.entryId) registered = true;
-    peers.apply(instance, entry);
-  }
-
   function applyCellRecord(
     record: storeRecords.StoreRecord,
     offset: number,
@@ -334,13 +312,7 @@
         stopping.signal,
       );
       void entryRegistration.registerEntry(
-        {
-          self,
-          jobsLog: logs.jobs,
-          isRegistered: () => registered,
-          clock,
-          logger,
-        },
+        {self, jobsLog: logs.jobs, clock, logger},
         stopping.signal,
       );
       void holderProbe.run(stopping.signal);
@@ -355,7 +327,6 @@
           takeovers: () => takeovers,
           isHolder: () => holder !== undefined,
           isLeaving: () => leaving,
-          hasJobs: () => jobsFollower.position() !== undefined,
           isOutranked,
           isStandby,
           clock,
--- a/packages/gypsumwall-cell/src/election.ts
+++ b/packages/gypsumwall-cell/src/election.ts
@@ -14,7 +14,7 @@
 /** How often it is looked whether the cell may be taken; milliseconds. */
 const ELECTION_TICK_MS = 50;
 /** The same for entries that don't stand by; milliseconds. */
-const OBSERVER_TICK_MS = 500;
+const OBSERVER_TICK_MS = 250;
 /**
  * Entries that don't stand by leave the cell to those that do for so long:
  * these claim it within 0.36 s of finding it free; milliseconds.
@@ -51,11 +51,6 @@
   readonly takeovers: () => readonly types.clock.MonotonicMs[];
   readonly isHolder: () => boolean;
   readonly isLeaving: () => boolean;
-  /**
-   * Whether the cell's jobs have been read. A holder without them can start
-   * nothing, and keeps those that could from the cell.
-   */
-  readonly hasJobs: () => boolean;
   /** See the choice of standbys. */
   readonly isStandby: () => boolean;
   /** Whether a peer has more processor, or the peers aren't known yet. */
@@ -75,7 +70,7 @@
   const pause = (spanMs: number) => types.clock.pause(clock, spanMs, signal);
 
   function vacancy(): takeOver.Vacancy | undefined {
-    if (parts.isHolder() || !parts.hasJobs()) return undefined;
+    if (parts.isHolder()) return undefined;
     return takeOver.vacancyOf({
       claim: parts.claim(),
       self,
--- a/packages/gypsumwall-cell/src/entry_registration.ts
+++ b/packages/gypsumwall-cell/src/entry_registration.ts
@@ -6,47 +6,34 @@
 import type * as ports from './ports.js';
 import * as storeRecords from './store_records.js';
 
-/**
- * Time given to the append of an entry's own record. An append that is given
- * up stays in the store's line, so it is waited for as long as that may be;
- * milliseconds.
- */
-const REGISTER_TIMEOUT_MS = 2_400;
-/**
- * How long an entry waits before it registers again, doubled each time up to
- * the longest: entries that start together would keep a slow log from those
- * that serve; milliseconds.
- */
-const FIRST_RETRY_MS = 300;
-const LONGEST_RETRY_MS = 2_400;
+/** Time given to the append of an entry's own record; milliseconds. */
+const REGISTER_TIMEOUT_MS = 600;
+/** How long an entry waits before it registers again; milliseconds. */
+const REGISTER_RETRY_MS = 300;
 
 /** What registering works on. */
 export interface RegistrationParts {
   readonly self: cellEntryTypes.CellEntryOptions['self'];
   readonly jobsLog: ports.KeyedLog;
-  /** Whether the record of this process has been read in the log. */
-  readonly isRegistered: () => boolean;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
 }
 
 /** Tries until the record stands or the signal aborts. */
 export async function registerEntry(
-  {self, jobsLog, isRegistered, clock, logger}: RegistrationParts,
+  {self, jobsLog, clock, logger}: RegistrationParts,
   signal: AbortSignal,
 ): Promise<void> {
   const {instance, entryId, domain, peerAddress: address, cores} = self;
   const entry = {entryId, domain, address, cores};
   const record = storeRecords.encode({kind: 'entry', instance, entry});
-  let retryMs = FIRST_RETRY_MS;
-  while (!signal.aborted && !isRegistered()) {
+  while (!signal.aborted) {
     const timeoutMs = REGISTER_TIMEOUT_MS;
     const answer = await jobsLog.append([record], {timeoutMs});
     if (result.isOk(answer)) return;
     logger.warn('register_failed', {
       error: types.stepError.describeError(answer.error),
     });
-    await types.clock.pause(clock, retryMs, signal);
-    retryMs = Math.min(LONGEST_RETRY_MS, 2 * retryMs);
+    await types.clock.pause(clock, REGISTER_RETRY_MS, signal);
   }
 }
--- a/packages/gypsumwall-cell/src/forwarding_job_service.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -22,8 +22,6 @@
  * caller would wait until its deadline; milliseconds.
  */
 const LATEST_DIRECT_MS = 800;
-/** What an answer takes from the holder to the caller; milliseconds. */
-const ANSWER_MARGIN_MS = 30;
 /** When a caller that was refused after that should come back; milliseconds. */
 const RETRY_AFTER_MS = 1_000;
 /** A sound peer answers in 20 ms; callers must not be held; milliseconds. */
@@ -39,28 +37,12 @@
 const RELAYED_LATELY_MS = 1_500;
 
 /** Nobody was asked. */
-const NOT_RELAYED: peerDirectory.RelayOutcome = {
+const NOT_RELAYED = {
   type: 'unanswered',
   mayStand: false,
   slow: false,
-};
-
-/** The holder's append was refused, as too many are in line. */
-const OVERLOADED = {
-  type: 'not_run',
-  retryAfterMs: RETRY_AFTER_MS,
-  overloaded: true,
 } as const;
 
-/** A call that stores something. */
-interface Call<Value> {
-  readonly req: peerProtocol.RelayReq;
-  /** When its caller is answered at the latest. */
-  readonly until: types.clock.MonotonicMs;
-  /** Asks the own service, which answers within the time. */
-  readonly ask: (leftMs: number) => Promise<jobService.DeskAnswer<Value>>;
-}
-
 /** What a relaying desk is made with. */
 export interface ForwardingJobServiceOptions {
   readonly own: jobService.JobService;
@@ -89,9 +71,6 @@
     types.clock.MonotonicMs
   >();
 
-  const deadlineIn = (withinMs = SLOW_RELAY_MS) =>
-    types.clock.after(clock.monotonic(), withinMs);
-
   async function relay(
     req: peerProtocol.RelayReq,
     patience: peerDirectory.RelayPatience,
@@ -132,32 +111,25 @@
 
   /** Through the holder, whose batches are shared; not if this is the holder. */
   async function relayToHolder(
-    {req, until}: Call<unknown>,
+    req: peerProtocol.RelayReq,
     withinMs: number,
   ): Promise<peerDirectory.RelayOutcome> {
     const preferred = options.holder();
-    const leftMs = until - clock.monotonic();
-    if (preferred === undefined || leftMs <= ANSWER_MARGIN_MS) {
-      return NOT_RELAYED;
-    }
-    const eachMs = Math.min(withinMs, leftMs);
-    const patience = {eachMs, allMs: eachMs};
-    const timed = {...req, withinMs: leftMs - ANSWER_MARGIN_MS};
-    return relay(timed, {preferred, onlyPreferred: true, ...patience});
+    if (preferred === undefined) return NOT_RELAYED;
+    const patience = {eachMs: withinMs, allMs: withinMs};
+    return relay(req, {preferred, onlyPreferred: true, ...patience});
   }
 
   /** The holder's answer, however long its store takes. */
   async function askSlowHolder<Value>(
-    call: Call<Value>,
+    req: peerProtocol.RelayReq,
     withinMs: number,
     ask: () => Promise<jobService.DeskAnswer<Value>>,
   ): Promise<jobService.DeskAnswer<Value>> {
     const askedAt = clock.monotonic();
-    const relayed = await relayToHolder(call, withinMs);
+    const relayed = await relayToHolder(req, withinMs);
     if (relayed.type === 'answered') return answerOf(relayed.res);
     if (relayed.mayStand) return {type: 'unknown'};
-    // Appended here as well, it would keep the holder's batch from the line.
-    if (relayed.overloaded) return OVERLOADED;
     if (clock.monotonic() - askedAt < LATEST_DIRECT_MS) return ask();
     return {type: 'not_run', retryAfterMs: RETRY_AFTER_MS};
   }
@@ -169,29 +141,28 @@
    * peer to peer are refused at each and keep the line full.
    */
   async function handOn<Value>(
-    call: Call<Value>,
+    req: peerProtocol.RelayReq,
     refused: jobService.DeskAnswer<Value>,
   ): Promise<jobService.DeskAnswer<Value>> {
-    const viaHolder = await relayToHolder(call, EACH_RELAY_MS);
+    const viaHolder = await relayToHolder(req, EACH_RELAY_MS);
     if (viaHolder.type === 'answered') return answerOf(viaHolder.res);
     if (viaHolder.slow) {
       const answerRefused = () => Promise.resolve(refused);
-      return askSlowHolder(call, REST_OF_SLOW_RELAY_MS, answerRefused);
+      return askSlowHolder(req, REST_OF_SLOW_RELAY_MS, answerRefused);
     }
     if (options.storeReachable()) {
       return withDoubt(refused, viaHolder.mayStand);
     }
-    const relayed = await relayToAny(call.req);
+    const relayed = await relayToAny(req);
     if (relayed.type === 'answered') return answerOf(relayed.res);
     return withDoubt(refused, relayed.mayStand || viaHolder.mayStand);
   }
 
   /** The own desk's answer, or a peer's where that is better. */
   async function answer<Value>(
-    call: Call<Value>,
+    req: peerProtocol.RelayReq,
+    ask: () => Promise<jobService.DeskAnswer<Value>>,
   ): Promise<jobService.DeskAnswer<Value>> {
-    const {req} = call;
-    const ask = () => call.ask(call.until - clock.monotonic());
     if (!options.storeReachable()) {
       const relayed = await relayToAny(req);
       if (relayed.type === 'answered') return answerOf(relayed.res);
@@ -199,7 +170,7 @@
     }
     const latencyMs = own.storeLatencyMs();
     if (latencyMs !== undefined && latencyMs > SLOW_STORE_MS) {
-      return askSlowHolder(call, SLOW_RELAY_MS, ask);
+      return askSlowHolder(req, SLOW_RELAY_MS, ask);
     }
     // Without an append of its own lately an entry doesn't know the store's
     // pace, and the holder, which appends all the time, does. Of 45 entries
@@ -207,15 +178,14 @@
     // at which the store refused all for 6 s, and 234 jobs of 360 were lost.
     const viaHolder =
       latencyMs === undefined
-        ? await relayToHolder(call, EACH_RELAY_MS)
+        ? await relayToHolder(req, EACH_RELAY_MS)
         : NOT_RELAYED;
     if (viaHolder.type === 'answered') return answerOf(viaHolder.res);
-    if (viaHolder.slow) return askSlowHolder(call, REST_OF_SLOW_RELAY_MS, ask);
-    if (viaHolder.overloaded) return withDoubt(OVERLOADED, viaHolder.mayStand);
+    if (viaHolder.slow) return askSlowHolder(req, REST_OF_SLOW_RELAY_MS, ask);
     const direct = await ask();
     if (direct.type !== 'not_run' && direct.type !== 'unknown') return direct;
     if (direct.type === 'not_run') {
-      const handedOn = await handOn(call, direct);
+      const handedOn = await handOn<Value>(req, direct);
       return withDoubt(handedOn, viaHolder.mayStand);
     }
     const relayed = await relayToAny(req);
@@ -224,18 +194,12 @@
   }
 
   return {
-    submit: (id, policy, request, withinMs) =>
-      answer({
-        req: {type: 'submit', id, policy, request},
-        until: deadlineIn(withinMs),
-        ask: (leftMs) => own.submit(id, policy, request, leftMs),
-      }),
-    cancel: (id, queue, withinMs) =>
-      answer({
-        req: {type: 'cancel', id, queue},
-        until: deadlineIn(withinMs),
-        ask: (leftMs) => own.cancel(id, queue, leftMs),
-      }),
+    submit: (id, policy, request) =>
+      answer({type: 'submit', id, policy, request}, () =>
+        own.submit(id, policy, request),
+      ),
+    cancel: (id, queue) =>
+      answer({type: 'cancel', id, queue}, () => own.cancel(id, queue)),
     async phaseOf(id, queue) {
       if (options.storeReachable() && own.isCurrent()) {
         const direct = await own.phaseOf(id, queue);
--- a/packages/gypsumwall-cell/src/hedge.ts
+++ b/packages/gypsumwall-cell/src/hedge.ts
@@ -4,11 +4,6 @@
  * a caller waits a fraction of a second and not a whole timeout. At a store
  * that is slow nothing is sent again: it handles the calls of a log one by
  * one, and calls sent in vain made a line at which it refused them all.
- *
- * Reads don't stand in the line of appends, so quick reads alone don't show
- * that an append's answer is lost. The time until a call is sent again follows
- * what answers took, and doubles with each call sent again until an answer
- * comes (like the retransmission timeout of TCP, RFC 6298).
  */
 import * as result from 'true-myth/result';
 import * as types from '@gypsumwall/types';
@@ -17,16 +12,10 @@
 
 /** No call is sent again sooner; a usual answer takes 10 ms; milliseconds. */
 const SOONEST_MS = 120;
-/** A call counts as overdue after so many times what answers took lately. */
-const OVERDUE_FACTOR = 2;
-/** Each call that is sent again makes the next one wait so many times longer. */
-const BACKOFF_FACTOR = 2;
 /** How often it is looked whether the store is sound; milliseconds. */
 const CHECK_MS = 30;
-/** Then a call is sent again without a quick read, too; milliseconds. */
+/** Then a call is sent again in any case; milliseconds. */
 const LATEST_MS = 1_200;
-/** The longest wait until a call is sent again; milliseconds. */
-const LONGEST_WAIT_MS = 2_400;
 /** Weight of the newest answer in what answers take. */
 const NEWEST_WEIGHT = 0.5;
 /** What an answer took says little after so long; milliseconds. */
@@ -70,7 +59,6 @@
 ): Hedger {
   let latency: number | undefined;
   let notedAt = clock.monotonic();
-  let resendAfterMs = SOONEST_MS;
 
   function latencyMs(): number | undefined {
     if (clock.monotonic() - notedAt > FORGET_AFTER_MS) latency = undefined;
@@ -81,13 +69,6 @@
     const before = latencyMs() ?? 0;
     latency = before + (tookMs - before) * NEWEST_WEIGHT;
     notedAt = clock.monotonic();
-    const overdueMs = OVERDUE_FACTOR * latency;
-    resendAfterMs = Math.min(LONGEST_WAIT_MS, Math.max(SOONEST_MS, overdueMs));
-  }
-
-  function backOff(): void {
-    const longer = BACKOFF_FACTOR * resendAfterMs;
-    resendAfterMs = Math.min(LONGEST_WAIT_MS, longer);
   }
 
   async function timed<Value>(
@@ -105,22 +86,13 @@
     sentAt: types.clock.MonotonicMs,
     {until, isHopeless}: Pick<HedgeOptions<unknown>, 'until' | 'isHopeless'>,
   ): Promise<void> {
-    const overdueAt = types.clock.after(sentAt, resendAfterMs);
-    const latestMs = Math.max(LATEST_MS, resendAfterMs);
-    const latest = earlier(types.clock.after(sentAt, latestMs), until);
+    const latest = earlier(types.clock.after(sentAt, LATEST_MS), until);
     let checkAt = earlier(types.clock.after(sentAt, SOONEST_MS), until);
     for (;;) {
       const change = race.change();
       await clock.sleepUntil(checkAt, change);
-      const now = clock.monotonic();
-      if (change.aborted || now >= latest) return;
-      if (isHopeless?.() === true) return;
-      if (pulse.returnedSince(sentAt)) {
-        // What was sent into the silence is lost, and was in no line.
-        resendAfterMs = SOONEST_MS;
-        return;
-      }
-      if (now >= overdueAt && pulse.quickSince(sentAt)) return;
+      if (change.aborted || clock.monotonic() >= latest) return;
+      if (pulse.quickSince(sentAt) || isHopeless?.() === true) return;
       checkAt = earlier(types.clock.after(clock.monotonic(), CHECK_MS), until);
     }
   }
@@ -137,10 +109,7 @@
         await waitForDoubt(race, sentAt, {until, isHopeless});
         if (race.isOver() || clock.monotonic() >= until) break;
         if (isHopeless?.() === true) break;
-        if (race.open() > 0) {
-          backOff();
-          continue;
-        }
+        if (race.open() > 0) continue;
         if (race.isRefused() && endsOnRefusal?.() === true) break;
         await types.clock.pause(clock, REFUSED_PAUSE_MS, signal);
       }
--- a/packages/gypsumwall-cell/src/holder_probe.ts
+++ b/packages/gypsumwall-cell/src/holder_probe.ts
@@ -11,7 +11,7 @@
 /** Between two questions; milliseconds. */
 const PAUSE_MS = 50;
 /** Between two looks whether this entry stands by; milliseconds. */
-const OBSERVER_PAUSE_MS = 1_000;
+const OBSERVER_PAUSE_MS = 500;
 /** A sound peer answers within 10 ms; milliseconds. */
 const ANSWER_TIMEOUT_MS = 120;
 /** Questions in a row without an answer: one may be lost on its way. */
--- a/packages/gypsumwall-cell/src/job_service.ts
+++ b/packages/gypsumwall-cell/src/job_service.ts
@@ -14,7 +14,7 @@
 import type * as storeHealth from './store_health.js';
 import * as storeRecords from './store_records.js';
 
-/** How long an append is tried where the call names no time; milliseconds. */
+/** How long an append is tried: callers wait 3 s; milliseconds. */
 const APPEND_PATIENCE_MS = 2_400;
 /** When a caller should come back while the store is away; milliseconds. */
 const STORE_RETRY_AFTER_MS = 1_000;
@@ -50,12 +50,7 @@
 export type DeskAnswer<Value> =
   | {readonly type: 'ok'; readonly value: Value}
   /** Nothing was done, and nothing will be. */
-  | {
-      readonly type: 'not_run';
-      readonly retryAfterMs: number;
-      /** The store has too many appends in line; others fare no better. */
-      readonly overloaded?: boolean;
-    }
+  | {readonly type: 'not_run'; readonly retryAfterMs: number}
   /** It may have been done; the caller should ask again. */
   | {readonly type: 'unknown'}
   | {readonly type: 'absent'}
@@ -67,14 +62,8 @@
     id: types.ids.JobId,
     policy: scheduling.jobRequest.QueuePolicy,
     request: scheduling.jobRequest.JobRequest,
-    /** Answers by then, in milliseconds; with what is known then. */
-    withinMs?: number,
-  ): Promise<DeskAnswer<undefined>>;
-  cancel(
-    id: types.ids.JobId,
-    queue: string,
-    withinMs?: number,
   ): Promise<DeskAnswer<undefined>>;
+  cancel(id: types.ids.JobId, queue: string): Promise<DeskAnswer<undefined>>;
   phaseOf(
     id: types.ids.JobId,
     queue: string,
@@ -134,16 +123,12 @@
     mayHandOn: options.mayHandOn,
   });
 
-  /** Appends on their way, by kind and job. */
-  const storing = new Map<string, ReturnType<typeof store>>();
-
   /** Appends, several times if need be: every record here may be repeated. */
   async function store(
     record: storeRecords.StoreRecord,
-    withinMs: number,
   ): Promise<'stored' | 'not_run' | 'unknown'> {
     const entry = storeRecords.encode(record);
-    const until = types.clock.after(clock.monotonic(), withinMs);
+    const until = types.clock.after(clock.monotonic(), APPEND_PATIENCE_MS);
     const appended = appender.append(entry, until);
     void readIfOverdue(appended);
     const answer = await appended;
@@ -153,28 +138,10 @@
       error: types.stepError.describeError(answer.error),
     });
     if (answer.error.effect === 'unknown') return 'unknown';
-    if (answer.error.kind === 'refused') await findOutWhoIsRefused();
+    await findOutWhoIsRefused();
     return 'not_run';
   }
 
-  /**
-   * A repeat shares the append of the call before it. Callers that were given
-   * up on ask again, and an append for each makes the line of a slow store
-   * longer.
-   */
-  function storeOnce(
-    record: storeRecords.StoreRecord & {readonly jobId: types.ids.JobId},
-    withinMs: number,
-  ): ReturnType<typeof store> {
-    const key = `${record.kind} ${record.jobId}`;
-    const open = storing.get(key);
-    if (open !== undefined) return open;
-    const stored = store(record, withinMs);
-    storing.set(key, stored);
-    void stored.finally(() => storing.delete(key));
-    return stored;
-  }
-
   /**
    * A store that turns this entry away refuses reads as well; one whose log has
    * too many appends in line doesn't. Only in the first case can a peer do
@@ -196,10 +163,9 @@
   async function storeAndAnswer(
     event: string,
     record: storeRecords.StoreRecord & {readonly jobId: types.ids.JobId},
-    withinMs = APPEND_PATIENCE_MS,
   ): Promise<DeskAnswer<undefined>> {
     const startedAt = clock.monotonic();
-    const outcome = await storeOnce(record, withinMs);
+    const outcome = await store(record);
     logger.info(event, {
       job: record.jobId,
       outcome,
@@ -209,11 +175,7 @@
       case 'stored':
         return {type: 'ok', value: undefined};
       case 'not_run':
-        return {
-          type: 'not_run',
-          retryAfterMs: Math.max(STORE_RETRY_AFTER_MS, appender.waitMs()),
-          overloaded: follower.reachableSince() !== undefined,
-        };
+        return {type: 'not_run', retryAfterMs: STORE_RETRY_AFTER_MS};
       case 'unknown':
         return {type: 'unknown'};
     }
@@ -289,7 +251,7 @@
   }
 
   return {
-    async submit(id, policy, request, withinMs) {
+    async submit(id, policy, request) {
       if (jobs.get(id) !== undefined) return {type: 'ok', value: undefined};
       const fault = scheduling.jobRequest.faultOf(request);
       if (fault !== undefined) return {type: 'invalid', message: fault};
@@ -303,10 +265,9 @@
         return {type: 'not_run', retryAfterMs: STORE_RETRY_AFTER_MS};
       }
       const job = {request, policy, acceptedAt: clock.wall()};
-      const record = {kind: 'job', jobId: id, job} as const;
-      return storeAndAnswer('job_submitted', record, withinMs);
+      return storeAndAnswer('job_submitted', {kind: 'job', jobId: id, job});
     },
-    async cancel(id, queue, withinMs) {
+    async cancel(id, queue) {
       const found = await find(id, queue);
       if (found.type !== 'ok') return found;
       const {phase} = found.value.progress;
@@ -314,7 +275,7 @@
         return {type: 'ok', value: undefined};
       }
       const record = {kind: 'cancel', jobId: id, dropped: false} as const;
-      return storeAndAnswer('job_cancel_asked', record, withinMs);
+      return storeAndAnswer('job_cancel_asked', record);
     },
     async phaseOf(id, queue) {
       const found = await find(id, queue);
--- a/packages/gypsumwall-cell/src/log_follower.ts
+++ b/packages/gypsumwall-cell/src/log_follower.ts
@@ -36,7 +36,7 @@
   readonly pauseMs: () => number;
   /**
    * How long a read waits at the store for a record, in milliseconds. A store
-   * that went silent is noticed that much later. Taken for each read anew.
+   * that went silent is noticed that much later.
    */
   readonly readWaitMs: number;
 }
@@ -52,8 +52,6 @@
   catchUp(): Promise<boolean>;
   /** Since when each call has been answered; undefined while one isn't. */
   reachableSince(): types.clock.MonotonicMs | undefined;
-  /** Aborts at the next call that isn't answered while calls were. */
-  nextLoss(): AbortSignal;
   /**
    * Every record that stood in the log by this moment has been handed on;
    * undefined before the first load.
@@ -86,7 +84,6 @@
   let end = 0;
   let reachableSince: types.clock.MonotonicMs | undefined;
   let failing = false;
-  let nextLoss = new AbortController();
   /** Sending time of the newest call that was answered. */
   let newestAnsweredAt = 0;
   let loading: Promise<Found | undefined> | undefined;
@@ -126,8 +123,6 @@
     // A call into the silence may end long after a later one was answered.
     if (sentAt < newestAnsweredAt) return;
     reachableSince = undefined;
-    nextLoss.abort();
-    nextLoss = new AbortController();
     if (failing) return;
     failing = true;
     logger.warn('dependency_lost', {
@@ -297,7 +292,6 @@
     position: () => position,
     catchUp,
     reachableSince: () => reachableSince,
-    nextLoss: () => nextLoss.signal,
     completeUntil: () => completeUntil,
     completeUntilReading: () =>
       completeUntil === undefined || completeWall === undefined
--- a/packages/gypsumwall-cell/src/peer_directory.ts
+++ b/packages/gypsumwall-cell/src/peer_directory.ts
@@ -43,8 +43,6 @@
       readonly mayStand: boolean;
       /** Whether a peer got the call, lives, and needs longer for it. */
       readonly slow: boolean;
-      /** A peer refused it, as the store has too many appends in line. */
-      readonly overloaded?: boolean;
     };
 
 interface Peer {
@@ -153,7 +151,6 @@
       const until = types.clock.after(clock.monotonic(), patience.allMs);
       let mayStand = false;
       let slow = false;
-      let overloaded = false;
       for (const peer of usable(patience)) {
         const leftMs = until - clock.monotonic();
         if (leftMs <= 0) break;
@@ -169,14 +166,9 @@
           return {type: 'answered', res: answer.value};
         } else if (answer.value.type === 'unknown') {
           mayStand = true;
-        } else if (answer.value.type === 'not_run') {
-          overloaded ||= answer.value.overloaded === true;
         }
-        // The same line is at its end for every peer.
-        if (overloaded) break;
       }
-      const outcome = {type: 'unanswered', mayStand, slow} as const;
-      return overloaded ? {...outcome, overloaded} : outcome;
+      return {type: 'unanswered', mayStand, slow};
     },
     apply(instance, record) {
       if (instance === self) return;
--- a/packages/gypsumwall-cell/src/peer_protocol.ts
+++ b/packages/gypsumwall-cell/src/peer_protocol.ts
@@ -88,14 +88,11 @@
       readonly id: types.ids.JobId;
       readonly policy: scheduling.jobRequest.QueuePolicy;
       readonly request: scheduling.jobRequest.JobRequest;
-      /** How long the caller is made to wait; absent at older entries. */
-      readonly withinMs?: number;
     }
   | {
       readonly type: 'cancel';
       readonly id: types.ids.JobId;
       readonly queue: string;
-      readonly withinMs?: number;
     }
   | {
       readonly type: 'phase';
--- a/packages/gypsumwall-cell/src/peer_server.ts
+++ b/packages/gypsumwall-cell/src/peer_server.ts
@@ -44,9 +44,9 @@
 ): Promise<peerProtocol.RelayRes> {
   switch (req.type) {
     case 'submit':
-      return desk.submit(req.id, req.policy, req.request, req.withinMs);
+      return desk.submit(req.id, req.policy, req.request);
     case 'cancel':
-      return desk.cancel(req.id, req.queue, req.withinMs);
+      return desk.cancel(req.id, req.queue);
     case 'phase':
       return desk.isCurrent()
         ? desk.phaseOf(req.id, req.queue)
--- a/packages/gypsumwall-cell/src/retention.ts
+++ b/packages/gypsumwall-cell/src/retention.ts
@@ -15,16 +15,8 @@
  * loads what is left, at a millisecond a job; milliseconds.
  */
 const TIDY_MS = 1_000;
-/**
- * The longest pause after appends that failed, each of which doubles it. Nobody
- * waits for them, and callers' appends stand in the same line; milliseconds.
- */
-const LONGEST_PAUSE_MS = 8_000;
-/**
- * Time given to an append. One that is given up stays in the store's line, so
- * it is waited for as long as that may be; milliseconds.
- */
-const APPEND_TIMEOUT_MS = 2_400;
+/** Time given to an append; milliseconds. */
+const APPEND_TIMEOUT_MS = 600;
 
 /** Records of one append, so that a rush can't outgrow its timeout. */
 const MAX_APPEND_RECORDS = 500;
@@ -50,11 +42,10 @@
 
   /** Jobs whose requests aren't dropped yet. */
   let ended: types.ids.JobId[] = [];
-  let pauseMs = TIDY_MS;
 
   async function run(): Promise<void> {
     while (!signal.aborted) {
-      await types.clock.pause(clock, pauseMs, signal);
+      await types.clock.pause(clock, TIDY_MS, signal);
       const holder = parts.holder();
       if (holder === undefined) continue;
       const before = types.clock.after(clock.monotonic(), -parts.keepOverMs());
@@ -103,11 +94,7 @@
         timeoutMs: APPEND_TIMEOUT_MS,
       },
     );
-    if (result.isOk(answer)) {
-      pauseMs = TIDY_MS;
-      return true;
-    }
-    pauseMs = Math.min(LONGEST_PAUSE_MS, 2 * pauseMs);
+    if (result.isOk(answer)) return true;
     logger.warn('retention_failed', {
       records: records.length,
       error: types.stepError.describeError(answer.error),
--- a/packages/gypsumwall-cell/src/store_health.ts
+++ b/packages/gypsumwall-cell/src/store_health.ts
@@ -18,9 +18,7 @@
   /** Whether a read that was sent after the moment came back at once. */
   quickSince(moment: types.clock.MonotonicMs): boolean;
   /** The store has come back from an outage. */
-  noteReturn(now: types.clock.MonotonicMs): void;
-  /** Whether the store came back from an outage after the moment. */
-  returnedSince(moment: types.clock.MonotonicMs): boolean;
+  noteReturn(): void;
   /** Aborts at the store's next return. */
   nextReturn(): AbortSignal;
 }
@@ -28,7 +26,6 @@
 /** Creates a pulse that has felt nothing yet. */
 export function createStoreHealth(): StoreHealth {
   let lastQuickSentAt = 0;
-  let lastReturnAt = 0;
   let waiting: AbortController | undefined;
   return {
     noteRead(sentAt, answeredAt) {
@@ -36,12 +33,10 @@
       lastQuickSentAt = Math.max(lastQuickSentAt, sentAt);
     },
     quickSince: (moment) => lastQuickSentAt > moment,
-    noteReturn(now) {
-      lastReturnAt = now;
+    noteReturn() {
       waiting?.abort();
       waiting = undefined;
     },
-    returnedSince: (moment) => lastReturnAt > moment,
     nextReturn() {
       waiting ??= new AbortController();
       return waiting.signal;
--- a/packages/gypsumwall-cell/src/store_probe.ts
+++ b/packages/gypsumwall-cell/src/store_probe.ts
@@ -16,11 +16,8 @@
  * second an outage costs no more reads than an ordinary second; milliseconds.
  */
 const LOOK_PAUSE_MS = 100;
-/**
- * How often it is checked whether the store is away, beside the calls that
- * aren't answered: each wake-up of an entry at rest costs it; milliseconds.
- */
-const CHECK_PAUSE_MS = 2_000;
+/** How often it is checked whether the store is away; milliseconds. */
+const CHECK_PAUSE_MS = 250;
 
 /**
  * Without an answer for so long the store was away, and its next answer is its
@@ -51,18 +48,14 @@
     if (result.isErr(answer)) return;
     const now = clock.monotonic();
     pulse.noteRead(sentAt, now);
-    if (now - answeredAt >= AWAY_MS) pulse.noteReturn(now);
+    if (now - answeredAt >= AWAY_MS) pulse.noteReturn();
     answeredAt = now;
   }
 
   let away = false;
   while (!signal.aborted) {
-    if (away) {
-      await types.clock.pause(clock, LOOK_PAUSE_MS, signal);
-    } else {
-      await types.clock.pause(clock, CHECK_PAUSE_MS, follower.nextLoss());
-      answeredAt = clock.monotonic();
-    }
+    const pauseMs = away ? LOOK_PAUSE_MS : CHECK_PAUSE_MS;
+    await types.clock.pause(clock, pauseMs, signal);
     away = follower.reachableSince() === undefined;
     if (!away) answeredAt = clock.monotonic();
     const position = follower.position();
--- a/scripts/build_deploy.mjs
+++ b/scripts/build_deploy.mjs
@@ -20,17 +20,6 @@
   return run[1].split(' ');
 }
 
-/** Loading http2 takes a tenth of the processor time of a start. */
-function leaveOutHttp2(build) {
-  build.onResolve({filter: /^(node:)?http2$/}, ({path}) => ({
-    path,
-    namespace: 'left-out',
-  }));
-  build.onLoad({filter: /.*/, namespace: 'left-out'}, () => ({
-    contents: 'module.exports = {};',
-  }));
-}
-
 await esbuild.build({
   entryPoints: {entry: 'platform/main.ts'},
   outdir: folder,
@@ -49,8 +38,6 @@
     '@gypsumwall/scheduling': './packages/gypsumwall-scheduling/src/index.ts',
     '@gypsumwall/cell': './packages/gypsumwall-cell/src/index.ts',
   },
-  // fastify loads it though it serves HTTP/1.1 only.
-  plugins: [{name: 'leave-out-http2', setup: leaveOutHttp2}],
   logLevel: 'warning',
 });
 fs.copyFileSync('scripts/start_cached.cjs', `${folder}/gypsumwall.cjs`);
