--- a/packages/gypsumwall-cell/src/__tests__/leaving_worker.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/leaving_worker.test.ts
@@ -1,6 +1,6 @@
 /**
- * Load: tasks that last, on a worker that leaves at the very moment that it has
- * announced, and whose stops take 900 ms. The list is read 200 ms late.
+ * Load: tasks on a worker that leaves at the very moment that it has announced,
+ * and whose stops take 900 ms. The list is read 200 ms late.
  */
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
@@ -16,33 +16,36 @@
 /** Well below what a lease that has to pass would take. */
 const SOON_MS = LEASE_MS / 2;
 
-function lastingRequest() {
+const rest = (spanMs: number) =>
+  new Promise((resolve) => setTimeout(resolve, spanMs));
+
+/** A job whose tasks all run on one worker, and a second, idle worker. */
+async function createBusyWorld(longRunning: boolean, leaseMs = LEASE_MS) {
+  const world = worlds.createCellWorld(leaseMs);
+  const leaving = await world.addWorker('w1', TASKS);
+  const entry = world.addEntry('a');
+  await worlds.until(() => entry.status().storeReachable, 'the store');
+  const jobId = types.ids.brand<types.ids.JobId>('job');
   const request = worlds.request(TASKS);
-  const steps = request.steps.map((step) => ({...step, longRunning: true}));
-  return {...request, steps};
+  const steps = request.steps.map((step) => ({...step, longRunning}));
+  await entry.desk.submit(jobId, worlds.POLICY, {...request, steps});
+  await worlds.until(() => leaving.running.size === TASKS, 'all tasks');
+  const other = await world.addWorker('w2', TASKS);
+  const isBack = () => other.running.size === TASKS;
+  return {world, entry, leaving, other, isBack};
 }
 
 // Guards against lasting tasks that stand still for a lease, since the worker
 // left before their stops were carried out and nobody heard of their ends.
 test('a worker that leaves is emptied while its ends can be heard', async () => {
-  const world = worlds.createCellWorld(LEASE_MS);
+  const {world, leaving, isBack} = await createBusyWorld(true);
   try {
-    const leaving = await world.addWorker('w1', TASKS);
-    const entry = world.addEntry('a');
-    await worlds.until(() => entry.status().storeReachable, 'the store');
-    const jobId = types.ids.brand<types.ids.JobId>('job');
-    await entry.desk.submit(jobId, worlds.POLICY, lastingRequest());
-    await worlds.until(() => leaving.running.size === TASKS, 'all tasks');
-    const other = await world.addWorker('w2', TASKS);
     leaving.stopMs = STOP_MS;
     await world.drain(leaving, ANNOUNCED_MS);
-    setTimeout(() => (leaving.cut = true), ANNOUNCED_MS - LIST_LAG_MS);
-    const leftAt = performance.now() + ANNOUNCED_MS - LIST_LAG_MS;
-    await worlds.until(
-      () => other.running.size === TASKS,
-      'all tasks on the other worker',
-      2 * LEASE_MS,
-    );
+    const leavesInMs = ANNOUNCED_MS - LIST_LAG_MS;
+    setTimeout(() => (leaving.cut = true), leavesInMs);
+    const leftAt = performance.now() + leavesInMs;
+    await worlds.until(isBack, 'all tasks on the other worker', 2 * LEASE_MS);
     const lateMs = performance.now() - leftAt;
     assert.ok(lateMs < SOON_MS, `${Math.round(lateMs)} ms after it left`);
   } finally {
@@ -53,20 +56,12 @@
 // Guards against tasks that wait for a lease though the list tells that their
 // worker has left, where its stops were lost.
 test('tasks of a worker that has left run again without waiting for its lease', async () => {
-  const world = worlds.createCellWorld(LEASE_MS);
+  const {world, leaving, isBack} = await createBusyWorld(false);
   try {
-    const leaving = await world.addWorker('w1', TASKS);
-    const entry = world.addEntry('a');
-    await worlds.until(() => entry.status().storeReachable, 'the store');
-    const jobId = types.ids.brand<types.ids.JobId>('job');
-    await entry.desk.submit(jobId, worlds.POLICY, worlds.request(TASKS));
-    await worlds.until(() => leaving.running.size === TASKS, 'all tasks');
-    const other = await world.addWorker('w2', TASKS);
     await world.drain(leaving, 2 * LEASE_MS);
-    await new Promise((resolve) => setTimeout(resolve, 700));
+    await rest(700);
     leaving.cut = true;
     await world.unlist(leaving);
-    const isBack = () => other.running.size === TASKS;
     await worlds.until(isBack, 'all tasks on the other worker', SOON_MS);
   } finally {
     world.stop();
@@ -76,20 +71,13 @@
 // Guards against two runs of a task at once: the list drops a worker that it
 // doesn't hear of as well, and its tasks may run on.
 test('a worker that was silent before it was dropped may still run tasks', async () => {
-  const world = worlds.createCellWorld(LEASE_MS);
+  const {world, leaving, other} = await createBusyWorld(false);
   try {
-    const cutOff = await world.addWorker('w1', TASKS);
-    const entry = world.addEntry('a');
-    await worlds.until(() => entry.status().storeReachable, 'the store');
-    const jobId = types.ids.brand<types.ids.JobId>('job');
-    await entry.desk.submit(jobId, worlds.POLICY, worlds.request(TASKS));
-    await worlds.until(() => cutOff.running.size === TASKS, 'all tasks');
-    const other = await world.addWorker('w2', TASKS);
-    await world.drain(cutOff, 4 * LEASE_MS);
-    await new Promise((resolve) => setTimeout(resolve, 2_800));
-    cutOff.cut = true;
-    await world.unlist(cutOff);
-    await new Promise((resolve) => setTimeout(resolve, 1_000));
+    await world.drain(leaving, 4 * LEASE_MS);
+    await rest(2_800);
+    leaving.cut = true;
+    await world.unlist(leaving);
+    await rest(1_000);
     assert.equal(other.started.length, 0);
   } finally {
     world.stop();
@@ -99,26 +87,19 @@
 // Guards against jobs that a successor holds back for a worker that has left.
 test('a successor does not wait for a worker that has left', async () => {
   const longLeaseMs = 4 * LEASE_MS;
-  const world = worlds.createCellWorld(longLeaseMs);
+  const busy = await createBusyWorld(false, longLeaseMs);
+  const {world, entry, leaving, other, isBack} = busy;
   try {
-    const leaving = await world.addWorker('w1', 1);
-    const first = world.addEntry('a');
-    await worlds.until(() => first.status().storeReachable, 'the store');
-    const jobId = types.ids.brand<types.ids.JobId>('job');
-    await first.desk.submit(jobId, worlds.POLICY, worlds.request(1));
-    await worlds.until(() => leaving.running.size === 1, 'the task');
-    first.stop();
+    entry.stop();
     leaving.cut = true;
-    const other = await world.addWorker('w2', 1);
-    const second = world.addEntry('b');
-    await worlds.until(() => second.status().holdsCell, 'the successor');
-    await new Promise((resolve) => setTimeout(resolve, 500));
+    const successor = world.addEntry('b');
+    await worlds.until(() => successor.status().holdsCell, 'the successor');
+    await rest(500);
     assert.equal(other.started.length, 0);
     await world.drain(leaving, longLeaseMs);
-    await new Promise((resolve) => setTimeout(resolve, 500));
+    await rest(500);
     await world.unlist(leaving);
-    const isBack = () => other.running.size === 1;
-    await worlds.until(isBack, 'it runs elsewhere', SOON_MS);
+    await worlds.until(isBack, 'all tasks on the other worker', SOON_MS);
   } finally {
     world.stop();
   }
