--- a/packages/gypsumwall-scheduling/src/advice_wishes.ts
+++ b/packages/gypsumwall-scheduling/src/advice_wishes.ts
@@ -14,10 +14,10 @@
 import * as stepAdvice from './step_advice.js';
 import type * as workerRegistry from './worker_registry.js';
 
-/** Least span between two looks at one step; milliseconds. */
-const LOOK_PAUSE_MS = 80;
-/** A look goes over all workers, so that a cycle has time for a few. */
-const MOST_LOOKS_IN_CYCLE = 20;
+/** Least span between two considered at one step; milliseconds. */
+const RECHECK_PAUSE_MS = 80;
+/** Considering a step goes over all workers: a cycle has time for a few. */
+const MAX_CONSIDERED_STEPS = 20;
 
 interface Wanted {
   readonly stepRun: activeJob.StepRun;
@@ -36,7 +36,7 @@
   const canWait: Wanted[] = [];
   let roomy: workerRegistry.BookedWorker[] | undefined;
   let {needed, large, spare} = capacity;
-  let looks = 0;
+  let considered = 0;
 
   function take({stepRun, named}: Wanted, isNeeded: boolean): void {
     const callMs = callMsOf(stepRun, named);
@@ -49,8 +49,8 @@
     wishes.push({stepRun, workers: named, callMs, needed: isNeeded});
   }
 
-  function look(stepRun: activeJob.StepRun): void {
-    looks++;
+  function consider(stepRun: activeJob.StepRun): void {
+    considered++;
     const calls = adviceNames.callsFor(stepRun, context);
     calls.named.forEach((named, nth) => {
       const isNeeded = calls.needed && nth === 0;
@@ -60,16 +60,16 @@
   }
 
   for (const stepRun of steps) {
-    if (needed <= 0 || looks >= MOST_LOOKS_IN_CYCLE) break;
+    if (needed <= 0 || considered >= MAX_CONSIDERED_STEPS) break;
     if (!isDue(stepRun, large, now)) continue;
-    stepRun.advice.nextLookAt = types.clock.after(now, LOOK_PAUSE_MS);
+    stepRun.advice.nextLookAt = types.clock.after(now, RECHECK_PAUSE_MS);
     roomy ??= roomyWorkers(context);
-    if (hasRoom(stepRun, roomy, context)) look(stepRun);
+    if (hasRoom(stepRun, roomy, context)) consider(stepRun);
     else withoutRoom.push(stepRun);
   }
   for (const stepRun of withoutRoom) {
-    if (spare <= 0 || looks >= MOST_LOOKS_IN_CYCLE) break;
-    look(stepRun);
+    if (spare <= 0 || considered >= MAX_CONSIDERED_STEPS) break;
+    consider(stepRun);
   }
   for (const wanted of canWait) take(wanted, false);
   return wishes;
--- a/packages/gypsumwall-scheduling/src/wait_reporter.ts
+++ b/packages/gypsumwall-scheduling/src/wait_reporter.ts
@@ -12,17 +12,17 @@
 const REPORT_AFTER_MS = 1_000;
 /** Least span between two reports of one step. */
 const REPEAT_AFTER_MS = 2_000;
-/** Pause between two looks over the waiting steps. */
+/** Pause between two sweeps over the waiting steps. */
 const SWEEP_PAUSE_MS = 500;
 const MOST_REPORTS_IN_SWEEP = 4;
 
-/** What a sweep looks at. */
+/** What a sweep takes into account. */
 export interface WaitContext extends chooseWorker.ChoiceContext {
   /** Calls that the adviser's callers could take before this cycle's. */
   readonly callsLeft: number;
 }
 
-/** The steps that a sweep looks over. */
+/** The steps that a sweep goes over. */
 export interface WaitingSteps {
   /** With tasks that wait, most urgent first. */
   readonly ordered: readonly activeJob.StepRun[];
@@ -34,7 +34,7 @@
 export interface WaitReporter {
   /** Something of the step starts: its wait begins anew. */
   notePlaced(stepRun: activeJob.StepRun): void;
-  /** Looks over the steps if it is time. */
+  /** Sweeps over the steps if it is time. */
   sweep(steps: WaitingSteps, context: WaitContext): void;
 }
 
