--- a/packages/gypsumwall-bench/src/gang_coordinator.ts
+++ b/packages/gypsumwall-bench/src/gang_coordinator.ts
@@ -109,13 +109,13 @@
   ): shardCapacities.FreeCapacity[] | undefined {
     const reserved: StartOrder[] = [];
     for (const start of starts) {
-      const {workerId, stepRunId, size} = start.attempt;
+      const {workerId, size} = start.attempt;
       const free = registryOf(workerId).workers.get(workerId)?.free;
       if (free === undefined || !types.resources.fits(size, free)) {
         for (const {attempt} of reserved) releaseAttempt(attempt);
         return starts.map((start) => readFreeCapacity(start.attempt.workerId));
       }
-      registryOf(workerId).reserve(workerId, stepRunId, size);
+      registryOf(workerId).reserve(workerId, start.attempt);
       reserved.push(start);
     }
     return undefined;
@@ -140,11 +140,7 @@
   }
 
   function releaseAttempt(attempt: scheduling.activeJob.Attempt): void {
-    registryOf(attempt.workerId).release(
-      attempt.workerId,
-      attempt.stepRunId,
-      attempt.size,
-    );
+    registryOf(attempt.workerId).release(attempt.workerId, attempt);
     shards[shardOf(attempt.workerId)]!.requestCycle();
   }
 
@@ -178,8 +174,8 @@
       accelerators: 0,
     };
     if (current.cpuMillis === previous.cpuMillis) return;
-    registry.reserve(id, OTHERS_STEP, current);
-    registry.release(id, OTHERS_STEP, previous);
+    registry.reserve(id, {stepRunId: OTHERS_STEP, size: current});
+    registry.release(id, {stepRunId: OTHERS_STEP, size: previous});
     othersUsage.set(id, current);
   }
 
--- a/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
@@ -339,6 +339,7 @@
   const route = (pathPrefix: string): ports.QueueRoute => ({
     host: 'h',
     pathPrefix,
+    isPublic: false,
     policy: {...worlds.POLICY, queue: pathPrefix},
   });
   const queues = [route('/a/'), route('/a/b/')];
--- a/packages/gypsumwall-cell/src/__tests__/slow_store.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/slow_store.test.ts
@@ -81,6 +81,8 @@
     clock,
     logger,
     couldEverFit: () => true,
+    fitsQuota: () => true,
+    isOutdated: () => false,
   });
 }
 
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -2,6 +2,7 @@
  * One entry of a cell. It follows the logs, serves callers, and becomes the
  * cell's holder when no other entry is.
  */
+import type * as organisations from '@gypsumwall/organisations';
 import type * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
 import type * as cellEntryTypes from './cell_entry_types.js';
@@ -57,6 +58,11 @@
  * ready after this time; milliseconds.
  */
 const UNREADY_AFTER_MS = 400;
+/**
+ * Maximum age of a configuration by which an unknown key or queue is refused
+ * for good; milliseconds. A read of the log waits for a change for 1 s.
+ */
+const MAX_CONFIG_AGE_MS = 1_500;
 /** Maximum delay until a configuration change takes effect; milliseconds. */
 const CONFIG_PAUSE_MS = 100;
 /**
@@ -84,7 +90,7 @@
   const configs = configKeeper.createConfigKeeper({
     decode: options.decodeConfig,
     logger,
-    onChanged: () => holder?.onPoliciesChanged(),
+    onChanged: () => holder?.onConfigChanged(),
   });
   const jobs = jobTables.createJobTable({
     onAdded: (job) => holder?.onJobAdded(job),
@@ -140,6 +146,8 @@
     clock,
     logger,
     couldEverFit,
+    fitsQuota,
+    isOutdated: (caller) => configs.keys.isOutdated(caller),
   });
   const holderProbe = holderProbes.createHolderProbe({
     holder: remoteHolder,
@@ -266,6 +274,7 @@
       state,
       catchUpJobs: () => jobsFollower.catchUp(),
       policyOf: (queue) => configs.policyOf(queue),
+      organisations: () => configs.organisations(),
       leaseMs: options.leaseMs,
       longestStopMs: options.longestStopMs,
       listExpiryMs: options.listExpiryMs,
@@ -297,6 +306,16 @@
     return !isPoolKnown;
   }
 
+  /** A step that isn't a gang runs in waves, so one of its tasks must fit. */
+  function fitsQuota(
+    {organisation}: organisations.keyDirectory.Caller,
+    {gang, taskCount, size}: scheduling.jobRequest.StepRequest,
+  ): boolean {
+    const quota = configs.config()?.organisations?.get(organisation)?.quota;
+    if (quota === undefined) return true;
+    return types.resources.tasksThatFit(size, quota) >= (gang ? taskCount : 1);
+  }
+
   /**
    * An entry that can't accept jobs reports that it isn't ready, so that the
    * balancer sends new callers to others. If no entry reaches the store, none
@@ -310,6 +329,17 @@
     return now - reachableAt < UNREADY_AFTER_MS || service.hasRelayedRecently();
   }
 
+  /**
+   * Whether the configuration was read recently. Otherwise a newer version may
+   * contain a key or queue that is unknown here.
+   */
+  function isConfigCurrent(): boolean {
+    const completeUntil = configFollower.completeUntil();
+    if (completeUntil === undefined) return false;
+    if (completeUntil <= detector.lastDetectedAt()) return false;
+    return clock.monotonic() - completeUntil <= MAX_CONFIG_AGE_MS;
+  }
+
   /** No entry is a standby before it knows its peers. */
   function isStandby(): boolean {
     if (jobsFollower.position() === undefined) return false;
@@ -325,6 +355,8 @@
     jobService: service,
     localJobService: localService,
     config: () => configs.config(),
+    findCaller: (key) => configs.keys.find(key),
+    isConfigCurrent,
     isReady,
     start() {
       void configFollower.run();
--- a/packages/gypsumwall-cell/src/cell_entry_types.ts
+++ b/packages/gypsumwall-cell/src/cell_entry_types.ts
@@ -1,4 +1,5 @@
 /** Options and interface of an entry. */
+import type * as organisations from '@gypsumwall/organisations';
 import type * as scheduling from '@gypsumwall/scheduling';
 import type * as telemetry from '@gypsumwall/telemetry';
 import type * as types from '@gypsumwall/types';
@@ -52,6 +53,13 @@
   readonly localJobService: jobService.JobService;
   /** The newest configuration; undefined until one has been read. */
   config(): ports.CellConfig | undefined;
+  /** Identifies a caller by its API key; undefined if the key is unknown. */
+  findCaller(key: string): organisations.keyDirectory.Caller | undefined;
+  /**
+   * Whether the configuration was read recently, so that a key or queue that it
+   * does not contain does not exist.
+   */
+  isConfigCurrent(): boolean;
   /** Whether callers can be served. */
   isReady(): boolean;
   start(): void;
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -89,6 +89,7 @@
   const scheduler = scheduling.scheduler.createScheduler({
     attemptBase: claim.generation * ATTEMPTS_PER_GENERATION,
     isReconciled: (worker) => barrier.isAccounted(worker),
+    organisationOf: (id) => jobs.get(id)?.organisation,
     onEvent: (event) => logger.info(event.type, {...event, type: undefined}),
   });
   const writer = cellWriter.createCellWriter({
@@ -230,6 +231,7 @@
     if (dirty.length === 0) return lastWrite;
     const records = dirty.map((job): storeRecords.StoreRecord => ({
       kind: 'progress',
+      organisation: jobs.get(job.jobId)?.organisation,
       ...job,
     }));
     lastWrite = writer.write(records).then(() => {
@@ -303,15 +305,21 @@
     const ageMs = inherited ? Math.max(0, wall - record.acceptedAt) : 0;
     const policy = options.policyOf(record.policy.queue) ?? record.policy;
     const acceptedAt = types.clock.after(now, -ageMs);
-    const {request} = record;
-    const {progress} = job;
+    const {request, organisation} = record;
+    const {id, progress} = job;
     scheduler.addJob(
-      {id: job.id, request, policy, acceptedAt, inherited, progress},
+      {id, organisation, request, policy, acceptedAt, inherited, progress},
       now,
       wall,
     );
   }
 
+  function applyOrganisations(): void {
+    const organisations = options.organisations();
+    if (organisations !== undefined)
+      scheduler.updateOrganisations(organisations);
+  }
+
   function tick(): void {
     const now = clock.monotonic();
     submissions.tick();
@@ -338,6 +346,7 @@
         await types.clock.sleepFor(clock, TICK_MS, stopping.signal);
       }
       if (stopping.signal.aborted) return;
+      applyOrganisations();
       for (const job of jobs.all()) admitJob(job, true);
       scheduler.onWorkerReconciled();
       isScheduling = true;
@@ -360,8 +369,9 @@
       scheduler.cancelJob(id);
       requestCycle();
     },
-    onPoliciesChanged() {
+    onConfigChanged() {
       scheduler.updatePolicies(options.policyOf);
+      applyOrganisations();
       requestCycle();
     },
     takeEndedJobs() {
--- a/packages/gypsumwall-cell/src/cell_holder_types.ts
+++ b/packages/gypsumwall-cell/src/cell_holder_types.ts
@@ -1,4 +1,5 @@
 /** Options and interface of a cell's holder. */
+import type * as organisations from '@gypsumwall/organisations';
 import type * as scheduling from '@gypsumwall/scheduling';
 import type * as telemetry from '@gypsumwall/telemetry';
 import type * as types from '@gypsumwall/types';
@@ -28,6 +29,12 @@
   readonly policyOf: (
     queue: string,
   ) => scheduling.jobRequest.QueuePolicy | undefined;
+  /**
+   * The organisations of the configuration, empty if it has none; undefined
+   * until it has been read.
+   */
+  readonly organisations: () =>
+    organisations.organisation.Organisations | undefined;
   readonly leaseMs: number;
   /** Maximum time that a worker takes to stop a task; milliseconds. */
   readonly longestStopMs: number;
@@ -51,7 +58,7 @@
   start(): Promise<void>;
   onJobAdded(job: jobTable.JobEntry): void;
   onJobCancelled(id: types.ids.JobId): void;
-  onPoliciesChanged(): void;
+  onConfigChanged(): void;
   /** Returns jobs whose end has been stored since the last call. */
   takeEndedJobs(): types.ids.JobId[];
   /** Drops the progress of jobs from the cell's log after their retention. */
--- a/packages/gypsumwall-cell/src/config_keeper.ts
+++ b/packages/gypsumwall-cell/src/config_keeper.ts
@@ -1,5 +1,6 @@
 /** Keeps the operator's newest configuration that an entry has read. */
 import * as result from 'true-myth/result';
+import * as organisations from '@gypsumwall/organisations';
 import type * as scheduling from '@gypsumwall/scheduling';
 import type * as telemetry from '@gypsumwall/telemetry';
 import type * as ports from './ports.js';
@@ -25,6 +26,10 @@
   apply(record: ports.KeyedRecord): void;
   /** Undefined until a configuration has been read. */
   config(): ports.CellConfig | undefined;
+  /** Empty if the configuration has none; undefined until it has been read. */
+  organisations(): organisations.organisation.Organisations | undefined;
+  /** Identifies callers by the keys of the configuration. */
+  readonly keys: organisations.keyDirectory.KeyDirectory;
   /** The policy of a queue; undefined if there is no such queue. */
   policyOf(queue: string): scheduling.jobRequest.QueuePolicy | undefined;
   /**
@@ -37,6 +42,7 @@
 /** Creates a keeper without a configuration. */
 export function createConfigKeeper(options: ConfigKeeperOptions): ConfigKeeper {
   const {logger} = options;
+  const keys = organisations.keyDirectory.createKeyDirectory();
   let config: ports.CellConfig | undefined;
 
   return {
@@ -51,13 +57,17 @@
       // A delayed read must never restore an older version.
       if (next === undefined || next.version <= (config?.version ?? -1)) return;
       config = next;
+      keys.apply(next.version, next.organisations ?? new Map());
       logger.info('config_applied', {
         version: next.version,
         queues: next.queues.length,
+        organisations: next.organisations?.size,
       });
       options.onChanged();
     },
     config: () => config,
+    organisations: () => config && (config.organisations ?? new Map()),
+    keys,
     policyOf: (queue) =>
       config?.queues.find((route) => route.policy.queue === queue)?.policy,
     isUsedPool: (pool) =>
--- a/packages/gypsumwall-cell/src/forwarding_job_service.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -214,22 +214,24 @@
   }
 
   return {
-    submit: (id, policy, request) =>
-      serve({type: 'submit', id, policy, request}, () =>
-        localService.submit(id, policy, request),
+    submit: (id, policy, request, caller) =>
+      serve({type: 'submit', id, caller, policy, request}, () =>
+        localService.submit(id, policy, request, caller),
       ),
-    cancel: (id, queue) =>
-      serve({type: 'cancel', id, queue}, () => localService.cancel(id, queue)),
-    async phaseOf(id, queue) {
+    cancel: (id, queue, caller) =>
+      serve({type: 'cancel', id, caller, queue}, () =>
+        localService.cancel(id, queue, caller),
+      ),
+    async phaseOf(id, queue, caller) {
       if (options.storeReachable() && localService.isCurrent()) {
-        const direct = await localService.phaseOf(id, queue);
+        const direct = await localService.phaseOf(id, queue, caller);
         if (direct.type !== 'not_run') return direct;
       }
-      const final = await localService.finalPhaseOf(id, queue);
+      const final = await localService.finalPhaseOf(id, queue, caller);
       if (final.type === 'ok') return final;
-      const relayed = await relayToAny({type: 'phase', id, queue});
+      const relayed = await relayToAny({type: 'phase', id, caller, queue});
       if (relayed.type === 'answered') return answerOf(relayed.res);
-      return localService.phaseOf(id, queue);
+      return localService.phaseOf(id, queue, caller);
     },
     async pendingIn(queue) {
       const direct = await localService.pendingIn(queue);
@@ -237,7 +239,8 @@
       const relayed = await relayToAny({type: 'pending', queue});
       return relayed.type === 'answered' ? answerOf(relayed.res) : direct;
     },
-    finalPhaseOf: (id, queue) => localService.finalPhaseOf(id, queue),
+    finalPhaseOf: (id, queue, caller) =>
+      localService.finalPhaseOf(id, queue, caller),
     isCurrent: () => localService.isCurrent(),
     storeLatencyMs: () => localService.storeLatencyMs(),
     hasRelayedRecently: () =>
--- a/packages/gypsumwall-cell/src/job_service.ts
+++ b/packages/gypsumwall-cell/src/job_service.ts
@@ -5,6 +5,7 @@
  * jobs.
  */
 import * as result from 'true-myth/result';
+import type * as organisations from '@gypsumwall/organisations';
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
@@ -57,22 +58,33 @@
   /** The call may have taken effect; the caller should repeat it. */
   | {readonly type: 'unknown'}
   | {readonly type: 'absent'}
+  /**
+   * The call had no effect: the keys of the caller's organisation have changed
+   * since it was identified.
+   */
+  | {readonly type: 'outdated_caller'}
   | {readonly type: 'invalid'; readonly message: string};
 
-/** Serves callers. */
+/**
+ * Serves callers. A caller is absent where calls need no key. The jobs of other
+ * organisations are absent for a caller.
+ */
 export interface JobService {
   submit(
     id: types.ids.JobId,
     policy: scheduling.jobRequest.QueuePolicy,
     request: scheduling.jobRequest.JobRequest,
+    caller?: organisations.keyDirectory.Caller,
   ): Promise<JobServiceAnswer<undefined>>;
   cancel(
     id: types.ids.JobId,
     queue: string,
+    caller?: organisations.keyDirectory.Caller,
   ): Promise<JobServiceAnswer<undefined>>;
   phaseOf(
     id: types.ids.JobId,
     queue: string,
+    caller?: organisations.keyDirectory.Caller,
   ): Promise<JobServiceAnswer<scheduling.jobProgress.JobPhase>>;
   /**
    * The phase of a finished job, for which no replica is too old; otherwise a
@@ -81,6 +93,7 @@
   finalPhaseOf(
     id: types.ids.JobId,
     queue: string,
+    caller?: organisations.keyDirectory.Caller,
   ): Promise<JobServiceAnswer<scheduling.jobProgress.JobPhase>>;
   /**
    * Number of jobs of a queue none of whose tasks has started. An entry that
@@ -121,6 +134,13 @@
     pool: string,
     step: scheduling.jobRequest.StepRequest,
   ) => boolean;
+  /** Whether the quota of the caller's organisation could ever fit a step. */
+  readonly fitsQuota: (
+    caller: organisations.keyDirectory.Caller,
+    step: scheduling.jobRequest.StepRequest,
+  ) => boolean;
+  /** Whether the keys of the caller's organisation may have changed since. */
+  readonly isOutdated: (caller: organisations.keyDirectory.Caller) => boolean;
 }
 
 /** Creates the job service of one entry. */
@@ -246,16 +266,18 @@
     return knownJob(id) ?? (isCaughtUp ? undefined : 'not_read');
   }
 
-  /** The job, searched for in the logs if it isn't known here. */
+  /** The caller's job, searched for in the logs if it isn't known here. */
   async function find(
     id: types.ids.JobId,
     queue: string,
+    caller: organisations.keyDirectory.Caller | undefined,
   ): Promise<JobServiceAnswer<jobTable.JobEntry>> {
+    if (isOutdated(caller)) return {type: 'outdated_caller'};
     const known = knownJob(id) ?? (await findInLogs(id));
     if (known === 'not_read') {
       return {type: 'not_run', retryAfterMs: STORE_RETRY_AFTER_MS};
     }
-    return known?.queue === queue
+    return known?.queue === queue && isOwn(known, caller)
       ? {type: 'ok', value: known}
       : {type: 'absent'};
   }
@@ -276,16 +298,40 @@
     return step < 0 ? undefined : step;
   }
 
+  const isOutdated = (caller: organisations.keyDirectory.Caller | undefined) =>
+    caller !== undefined && options.isOutdated(caller);
+
+  /** Returns why a job can never run, or undefined. */
+  function describeObstacle(
+    policy: scheduling.jobRequest.QueuePolicy,
+    request: scheduling.jobRequest.JobRequest,
+    caller: organisations.keyDirectory.Caller | undefined,
+  ): string | undefined {
+    const fault = scheduling.jobRequest.describeFault(request);
+    if (fault !== undefined) return fault;
+    const oversized = findOversizedStep(policy.pool, request);
+    if (oversized !== undefined) {
+      return `step ${oversized}: its tasks are too large for every worker`;
+    }
+    if (caller === undefined) return undefined;
+    const overQuota = request.steps.findIndex(
+      (step) => !options.fitsQuota(caller, step),
+    );
+    if (overQuota < 0) return undefined;
+    return `step ${overQuota}: the tasks that run together exceed the quota of ${caller.organisation}: use fewer or smaller ones`;
+  }
+
   return {
-    async submit(id, policy, request) {
-      if (jobs.get(id) !== undefined) return {type: 'ok', value: undefined};
-      const fault = scheduling.jobRequest.describeFault(request);
-      if (fault !== undefined) return {type: 'invalid', message: fault};
-      const oversized = findOversizedStep(policy.pool, request);
-      if (oversized !== undefined) {
-        const message = `step ${oversized}: its tasks are too large for every worker`;
-        return {type: 'invalid', message};
+    async submit(id, policy, request, caller) {
+      if (isOutdated(caller)) return {type: 'outdated_caller'};
+      const known = jobs.get(id);
+      if (known !== undefined) {
+        return isOwn(known, caller)
+          ? {type: 'ok', value: undefined}
+          : {type: 'invalid', message: 'the job id is in use: choose another'};
       }
+      const message = describeObstacle(policy, request, caller);
+      if (message !== undefined) return {type: 'invalid', message};
       if (follower.reachableSince() === undefined) {
         logger.info('job_refused', {
           job: id,
@@ -293,11 +339,12 @@
         });
         return {type: 'not_run', retryAfterMs: STORE_RETRY_AFTER_MS};
       }
-      const job = {request, policy, acceptedAt: clock.wall()};
+      const organisation = caller?.organisation;
+      const job = {request, policy, acceptedAt: clock.wall(), organisation};
       return storeAndAnswer('job_submitted', {kind: 'job', jobId: id, job});
     },
-    async cancel(id, queue) {
-      const found = await find(id, queue);
+    async cancel(id, queue, caller) {
+      const found = await find(id, queue, caller);
       if (found.type !== 'ok') return found;
       const {phase} = found.value.progress;
       if (scheduling.jobProgress.isOver(phase)) {
@@ -306,14 +353,16 @@
       const record = {kind: 'cancel', jobId: id, dropped: false} as const;
       return storeAndAnswer('job_cancel_asked', record);
     },
-    async phaseOf(id, queue) {
-      const found = await find(id, queue);
+    async phaseOf(id, queue, caller) {
+      const found = await find(id, queue, caller);
       if (found.type !== 'ok') return found;
       return {type: 'ok', value: await refreshPhase(found.value)};
     },
-    finalPhaseOf(id, queue) {
+    finalPhaseOf(id, queue, caller) {
+      if (isOutdated(caller)) return Promise.resolve({type: 'outdated_caller'});
       const job = jobs.get(id);
-      const phase = job?.queue === queue ? job.progress.phase : undefined;
+      const isFound = job?.queue === queue && isOwn(job, caller);
+      const phase = isFound ? job.progress.phase : undefined;
       const isFinal =
         phase !== undefined && scheduling.jobProgress.isOver(phase);
       return Promise.resolve(
@@ -337,3 +386,12 @@
     storeLatencyMs: () => appender.latencyMs(),
   };
 }
+
+/** Whether a job belongs to the caller's organisation, or to none. */
+function isOwn(
+  {organisation}: jobTable.JobEntry,
+  caller: organisations.keyDirectory.Caller | undefined,
+): boolean {
+  if (organisation === undefined || caller === undefined) return true;
+  return organisation === caller.organisation;
+}
--- a/packages/gypsumwall-cell/src/job_table.ts
+++ b/packages/gypsumwall-cell/src/job_table.ts
@@ -11,6 +11,8 @@
 export interface JobEntry {
   readonly id: types.ids.JobId;
   readonly queue: string;
+  /** Undefined if the job belongs to none. */
+  readonly organisation: types.ids.OrganisationId | undefined;
   /**
    * Undefined once the job is known to be finished, or once the request was
    * dropped from the store. The latter happens only to finished jobs, but this
@@ -93,6 +95,7 @@
     const job: JobEntry = {
       id,
       queue: record.policy.queue,
+      organisation: record.organisation,
       record,
       progress: earlyProgress.get(id) ?? scheduling.jobProgress.NO_PROGRESS,
     };
@@ -117,11 +120,10 @@
   }
 
   function applyProgress(
-    id: types.ids.JobId,
-    queue: string,
-    progress: scheduling.jobProgress.JobProgress | undefined,
+    record: Extract<storeRecords.StoreRecord, {kind: 'progress'}>,
     now: types.clock.MonotonicMs,
   ): void {
+    const {jobId: id, queue, organisation, progress} = record;
     if (progress === undefined) {
       earlyProgress.delete(id);
       jobs.delete(id);
@@ -132,7 +134,8 @@
       job.progress = progress;
       finishIfOver(job, now);
     } else if (scheduling.jobProgress.isOver(progress.phase)) {
-      jobs.set(id, {id, queue, record: undefined, progress, endedAt: now});
+      const over = {record: undefined, progress, endedAt: now};
+      jobs.set(id, {id, queue, organisation, ...over});
     } else {
       earlyProgress.set(id, progress);
     }
@@ -169,7 +172,7 @@
           else applyCancel(record.jobId, now);
           return true;
         case 'progress':
-          applyProgress(record.jobId, record.queue, record.progress, now);
+          applyProgress(record, now);
           return true;
         case 'entry':
         case 'claim':
--- a/packages/gypsumwall-cell/src/peer_directory.ts
+++ b/packages/gypsumwall-cell/src/peer_directory.ts
@@ -226,6 +226,7 @@
     case 'ok':
     case 'absent':
     case 'invalid':
+    case 'outdated_caller':
       return true;
     case 'not_run':
     case 'unknown':
--- a/packages/gypsumwall-cell/src/peer_protocol.ts
+++ b/packages/gypsumwall-cell/src/peer_protocol.ts
@@ -4,6 +4,7 @@
  * that rate a Connect call would cost five times the processor time.
  */
 import * as result from 'true-myth/result';
+import type * as organisations from '@gypsumwall/organisations';
 import type * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
 import type * as jobService from './job_service.js';
@@ -86,17 +87,21 @@
   | {
       readonly type: 'submit';
       readonly id: types.ids.JobId;
+      /** Absent if callers need no key, and in calls of older entries. */
+      readonly caller?: organisations.keyDirectory.Caller;
       readonly policy: scheduling.jobRequest.QueuePolicy;
       readonly request: scheduling.jobRequest.JobRequest;
     }
   | {
       readonly type: 'cancel';
       readonly id: types.ids.JobId;
+      readonly caller?: organisations.keyDirectory.Caller;
       readonly queue: string;
     }
   | {
       readonly type: 'phase';
       readonly id: types.ids.JobId;
+      readonly caller?: organisations.keyDirectory.Caller;
       readonly queue: string;
     }
   | {readonly type: 'pending'; readonly queue: string};
--- a/packages/gypsumwall-cell/src/peer_server.ts
+++ b/packages/gypsumwall-cell/src/peer_server.ts
@@ -44,13 +44,13 @@
 ): Promise<peerProtocol.RelayRes> {
   switch (req.type) {
     case 'submit':
-      return service.submit(req.id, req.policy, req.request);
+      return service.submit(req.id, req.policy, req.request, req.caller);
     case 'cancel':
-      return service.cancel(req.id, req.queue);
+      return service.cancel(req.id, req.queue, req.caller);
     case 'phase':
       return service.isCurrent()
-        ? service.phaseOf(req.id, req.queue)
-        : service.finalPhaseOf(req.id, req.queue);
+        ? service.phaseOf(req.id, req.queue, req.caller)
+        : service.finalPhaseOf(req.id, req.queue, req.caller);
     case 'pending':
       return service.pendingIn(req.queue);
   }
--- a/packages/gypsumwall-cell/src/ports.ts
+++ b/packages/gypsumwall-cell/src/ports.ts
@@ -4,6 +4,7 @@
  * failed call says whether the call may have taken effect.
  */
 import type * as result from 'true-myth/result';
+import type * as organisations from '@gypsumwall/organisations';
 import type * as scheduling from '@gypsumwall/scheduling';
 import type * as types from '@gypsumwall/types';
 
@@ -180,6 +181,8 @@
 export interface QueueRoute {
   readonly host: string;
   readonly pathPrefix: string;
+  /** Whether callers need no key. */
+  readonly isPublic: boolean;
   readonly policy: scheduling.jobRequest.QueuePolicy;
 }
 
@@ -187,6 +190,8 @@
 export interface CellConfig {
   readonly version: number;
   readonly queues: readonly QueueRoute[];
+  /** Undefined if callers need no keys and no quotas apply. */
+  readonly organisations: organisations.organisation.Organisations | undefined;
   readonly maxBodyBytes: number;
   readonly idleTimeoutMs: number;
 }
--- a/packages/gypsumwall-cell/src/store_records.ts
+++ b/packages/gypsumwall-cell/src/store_records.ts
@@ -12,6 +12,11 @@
   readonly request: scheduling.jobRequest.JobRequest;
   readonly policy: scheduling.jobRequest.QueuePolicy;
   readonly acceptedAt: types.clock.WallMs;
+  /**
+   * Organisation that submitted the job; absent if callers needed no keys, and
+   * in older records.
+   */
+  readonly organisation?: types.ids.OrganisationId;
 }
 
 /** An entry of the cell, and the address at which its peers reach it. */
@@ -60,6 +65,10 @@
        * The only source of the queue once the job's request has been dropped.
        */
       readonly queue: string;
+      /**
+       * The only source of the organisation once the request has been dropped.
+       */
+      readonly organisation?: types.ids.OrganisationId;
       readonly progress: scheduling.jobProgress.JobProgress | undefined;
     }
   | {
@@ -99,8 +108,8 @@
       return {key: KEY_PREFIXES.cancel + record.jobId, value};
     }
     case 'progress': {
-      const {queue, progress} = record;
-      const value = pack(progress && {queue, progress});
+      const {queue, organisation, progress} = record;
+      const value = pack(progress && {queue, organisation, progress});
       return {key: KEY_PREFIXES.progress + record.jobId, value};
     }
     case 'entry':
@@ -182,6 +191,7 @@
 
 interface ProgressBody {
   readonly queue: string;
+  readonly organisation?: types.ids.OrganisationId;
   readonly progress: scheduling.jobProgress.JobProgress;
 }
 
@@ -189,8 +199,8 @@
   jobId: types.ids.JobId,
   body: ProgressBody | undefined,
 ): StoreRecord {
-  const queue = body?.queue ?? '';
-  return {kind: 'progress', jobId, queue, progress: body?.progress};
+  const {queue = '', organisation, progress} = body ?? {};
+  return {kind: 'progress', jobId, queue, organisation, progress};
 }
 
 function unpack(value: string): {readonly v: number} | undefined {
--- /dev/null
+++ b/packages/gypsumwall-organisations/src/index.ts
@@ -0,0 +1,4 @@
+export * as apiKey from './api_key.js';
+export * as keyDirectory from './key_directory.js';
+export * as organisation from './organisation.js';
+export * as quotaLedger from './quota_ledger.js';
--- a/packages/gypsumwall-scheduling/src/active_job.ts
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -31,9 +31,13 @@
    * The task; absent for an attempt that no job of this scheduler asked for.
    */
   readonly task?: {readonly stepRun: StepRun; readonly index: number};
-  /** Resources reserved for it on the worker, under this id of a step run. */
+  /**
+   * Resources reserved for it on the worker, under this id of a step run and
+   * in the quota of this organisation.
+   */
   readonly size: types.resources.Resources;
   readonly stepRunId: string;
+  readonly organisation?: types.ids.OrganisationId;
   phase: AttemptPhase;
   /**
    * When the worker answered the start or the stop. A report requested after
@@ -118,6 +122,8 @@
 /** A job that is not over. */
 export interface ActiveJob {
   readonly id: types.ids.JobId;
+  /** Whose quota its tasks count against; absent if there is none. */
+  readonly organisation?: types.ids.OrganisationId;
   readonly request: jobRequest.JobRequest;
   policy: jobRequest.QueuePolicy;
   readonly arrival: number;
--- a/packages/gypsumwall-scheduling/src/attempt_table.ts
+++ b/packages/gypsumwall-scheduling/src/attempt_table.ts
@@ -51,7 +51,7 @@
       attempts?.delete(attempt);
       if (attempts?.size === 0) byWorker.delete(attempt.workerId);
       attempt.task?.stepRun.attempts.delete(attempt);
-      registry.release(attempt.workerId, attempt.stepRunId, attempt.size);
+      registry.release(attempt.workerId, attempt);
     },
     has: (attempt) => byKey.get(keyOfAttempt(attempt)) === attempt,
     size: () => byKey.size,
--- a/packages/gypsumwall-scheduling/src/gang_fit.ts
+++ b/packages/gypsumwall-scheduling/src/gang_fit.ts
@@ -2,7 +2,6 @@
  * Finds workers for all tasks of a gang at once, in one rack if its tasks run
  * slower when they are spread.
  */
-import type * as types from '@gypsumwall/types';
 import type * as workerRegistry from './worker_registry.js';
 
 /** A worker that may run tasks of the gang, and how many fit on it. */
@@ -11,23 +10,6 @@
   readonly tasks: number;
 }
 
-/** Returns how many tasks of a size fit into the free resources. */
-export function tasksThatFit(
-  size: types.resources.Resources,
-  available: types.resources.Resources,
-): number {
-  return Math.min(
-    fittingCount(available.cpuMillis, size.cpuMillis),
-    fittingCount(available.memoryMb, size.memoryMb),
-    fittingCount(available.accelerators, size.accelerators),
-  );
-}
-
-function fittingCount(available: number, need: number): number {
-  if (need === 0) return available < 0 ? 0 : Infinity;
-  return Math.max(0, Math.floor(available / need));
-}
-
 /** How the tasks of a gang are distributed. */
 export interface GangLayout {
   readonly sameRack: boolean;
--- a/packages/gypsumwall-scheduling/src/gang_reservation.ts
+++ b/packages/gypsumwall-scheduling/src/gang_reservation.ts
@@ -12,10 +12,9 @@
  * that between runs of the same kind, and neither was it for other kinds of
  * work.
  */
-import type * as types from '@gypsumwall/types';
+import * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
 import * as chooseWorker from './choose_worker.js';
-import * as gangFit from './gang_fit.js';
 import type * as workerRegistry from './worker_registry.js';
 
 /**
@@ -65,7 +64,7 @@
         if (reservations.has(id)) continue;
         chosen.push(id);
         missing -= Math.min(
-          gangFit.tasksThatFit(size, capacity),
+          types.resources.tasksThatFit(size, capacity),
           stepRun.request.maxPerWorker ?? Infinity,
         );
       }
--- a/packages/gypsumwall-scheduling/src/job_steps.ts
+++ b/packages/gypsumwall-scheduling/src/job_steps.ts
@@ -24,6 +24,7 @@
 /** What is known of a job when it is added to a scheduler. */
 export interface JobStart {
   readonly id: types.ids.JobId;
+  readonly organisation?: types.ids.OrganisationId;
   readonly request: jobRequest.JobRequest;
   readonly policy: jobRequest.QueuePolicy;
   readonly arrival: number;
--- a/packages/gypsumwall-scheduling/src/place_isolated.ts
+++ b/packages/gypsumwall-scheduling/src/place_isolated.ts
@@ -3,6 +3,7 @@
 import * as chooseWorker from './choose_worker.js';
 import * as crashRecords from './crash_records.js';
 import * as placements from './placements.js';
+import * as quotaGate from './quota_gate.js';
 import type * as workerRegistry from './worker_registry.js';
 
 /** Whether a queued task of a step needs isolation. */
@@ -44,6 +45,7 @@
     .filter((worker) => isolation.canStartIsolated(stepRun, worker, now));
   const placed: placements.Placement[] = [];
   for (const index of indexes) {
+    if (quotaGate.startableTasks(stepRun, registry.quotas) < 1) break;
     const worker = chooseIsolationWorker(stepRun, suitable, placed, context);
     if (worker === undefined) break;
     placed.push(placements.reserve(stepRun, index, worker, registry));
--- a/packages/gypsumwall-scheduling/src/place_step.ts
+++ b/packages/gypsumwall-scheduling/src/place_step.ts
@@ -1,10 +1,12 @@
 /** Places the queued tasks of one step on workers. */
+import * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
 import * as chooseWorker from './choose_worker.js';
 import * as domainAffinity from './domain_affinity.js';
 import * as gangFit from './gang_fit.js';
 import * as placeIsolated from './place_isolated.js';
 import * as placements from './placements.js';
+import * as quotaGate from './quota_gate.js';
 import type * as workerRegistry from './worker_registry.js';
 
 /**
@@ -95,7 +97,9 @@
   context: chooseWorker.ChoiceContext,
 ): placements.Placement[] {
   const placed: placements.Placement[] = [];
+  const {quotas} = context.registry;
   while (stepRun.waitingIndexes.length > 0) {
+    if (quotaGate.startableTasks(stepRun, quotas) < 1) break;
     const index = stepRun.waitingIndexes.at(-1)!;
     const isSuspected = stepRun.crashes.has(index);
     const choice = isSuspected ? {...context, isSuspected} : context;
@@ -135,7 +139,7 @@
   const count = indexes.length;
   let total = 0;
   const fittingWorkers = candidates.map((worker) => {
-    const fitting = gangFit.tasksThatFit(size, worker.free);
+    const fitting = types.resources.tasksThatFit(size, worker.free);
     const tasks = Math.min(
       fitting,
       chooseWorker.remainingSlots(stepRun, worker),
@@ -143,7 +147,9 @@
     total += tasks;
     return {worker, tasks};
   });
-  if (total < count) return [];
+  const {quotas} = context.registry;
+  if (total < count || quotaGate.startableTasks(stepRun, quotas) < count)
+    return [];
   const trusted = fittingWorkers.filter(({worker}) =>
     chooseWorker.isTrusted(stepRun, worker, context),
   );
--- a/packages/gypsumwall-scheduling/src/placements.ts
+++ b/packages/gypsumwall-scheduling/src/placements.ts
@@ -10,6 +10,17 @@
   readonly worker: workerRegistry.RegisteredWorker;
 }
 
+/** What each task of a step reserves. */
+export function reservationOf(
+  stepRun: activeJob.StepRun,
+): workerRegistry.Reservation {
+  return {
+    stepRunId: stepRun.id,
+    organisation: stepRun.job.organisation,
+    size: chooseWorker.reservedSize(stepRun),
+  };
+}
+
 /** Reserves capacity for a task that was removed from the queue. */
 export function reserve(
   stepRun: activeJob.StepRun,
@@ -17,11 +28,7 @@
   worker: workerRegistry.RegisteredWorker,
   registry: workerRegistry.WorkerRegistry,
 ): Placement {
-  registry.reserve(
-    worker.info.id,
-    stepRun.id,
-    chooseWorker.reservedSize(stepRun),
-  );
+  registry.reserve(worker.info.id, reservationOf(stepRun));
   return {stepRun, index, worker};
 }
 
@@ -30,11 +37,7 @@
   {stepRun, worker}: Placement,
   registry: workerRegistry.WorkerRegistry,
 ): void {
-  registry.release(
-    worker.info.id,
-    stepRun.id,
-    chooseWorker.reservedSize(stepRun),
-  );
+  registry.release(worker.info.id, reservationOf(stepRun));
 }
 
 /** Releases the capacity and queues the task again. */
--- a/packages/gypsumwall-scheduling/src/plan_advice_calls.ts
+++ b/packages/gypsumwall-scheduling/src/plan_advice_calls.ts
@@ -13,7 +13,6 @@
 import * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
 import * as chooseWorker from './choose_worker.js';
-import * as gangFit from './gang_fit.js';
 import type * as jobRequest from './job_request.js';
 import * as stepAdvice from './step_advice.js';
 import type * as workerRegistry from './worker_registry.js';
@@ -185,7 +184,7 @@
     if (stepRun.advice.refused.has(id)) continue;
     if (!chooseWorker.isEligible(stepRun, worker)) continue;
     const fitting = Math.min(
-      gangFit.tasksThatFit(size, worker.free),
+      types.resources.tasksThatFit(size, worker.free),
       chooseWorker.remainingSlots(stepRun, worker),
       stepRun.waitingIndexes.length,
     );
--- a/packages/gypsumwall-scheduling/src/report_reader.ts
+++ b/packages/gypsumwall-scheduling/src/report_reader.ts
@@ -28,6 +28,10 @@
   readonly attempts: attemptTable.AttemptTable;
   readonly health: workerHealth.WorkerHealth;
   readonly jobRegistry: jobRegistries.JobRegistry;
+  /** The organisation of a task whose job is over. */
+  readonly organisationOf: (
+    taskId: types.ids.TaskId,
+  ) => types.ids.OrganisationId | undefined;
   readonly onEvent: (event: schedulerTypes.SchedulerEvent) => void;
 }
 
@@ -198,6 +202,10 @@
         ? (worker?.info.capacity ?? types.resources.NO_RESOURCES)
         : chooseWorker.reservedSize(task.stepRun);
     const stepRunId = task?.stepRun.id ?? 'stray';
+    const organisation =
+      task === undefined
+        ? parts.organisationOf(reported.taskId)
+        : task.stepRun.job.organisation;
     const attempt: activeJob.Attempt = {
       taskId: reported.taskId,
       number: reported.attempt,
@@ -205,6 +213,7 @@
       task,
       size,
       stepRunId,
+      organisation,
       phase: 'running',
       confirmedAt: now,
       startedAt: now,
@@ -212,7 +221,7 @@
       percentChangedAt: now,
     };
     attempts.add(attempt);
-    registry.reserve(workerId, stepRunId, size);
+    registry.reserve(workerId, attempt);
     if (task === undefined) {
       jobRegistry.stop(attempt);
       return;
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -21,7 +21,9 @@
 import * as startOrders from './start_orders.js';
 import * as stepAdvice from './step_advice.js';
 import type * as schedulerTypes from './scheduler_types.js';
+import * as taskIds from './task_id.js';
 import * as taskIsolation from './task_isolation.js';
+import * as unaccountedWork from './unaccounted_work.js';
 import * as waitingOrder from './waiting_order.js';
 import * as waitReporter from './wait_reporter.js';
 import * as workerRegistry from './worker_registry.js';
@@ -55,6 +57,10 @@
     attempts,
     health,
     jobRegistry,
+    organisationOf: (id) => {
+      const jobId = taskIds.parseTaskId(id)?.jobId;
+      return jobId && options.organisationOf?.(jobId);
+    },
     onEvent,
   });
   const losses = workerLosses.createWorkerLosses();
@@ -222,6 +228,7 @@
         activeJob.setPolicy(job, policyOf(job.policy.queue) ?? job.policy);
       }
     },
+    updateOrganisations: (next) => registry.quotas.setOrganisations(next),
     cancelJob(id) {
       const job = jobs.get(id);
       if (job !== undefined) jobRegistry.finishJob(job, 'cancelled');
@@ -271,6 +278,9 @@
         if (job.finishedOccurrences.size + job.openOccurrences.size >= total)
           jobsToOpen.delete(job);
       }
+      registry.quotas.setUnaccounted(
+        unaccountedWork.unaccountedWork(jobs.values()),
+      );
       const cycle = runCycle(now, capacity.needed);
       recordWorkers(cycle.awaitingCommit);
       startOrders.numberAttempts(cycle.placed, options.attemptBase);
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -1,4 +1,5 @@
 /** Inputs, decisions and events of a scheduler. */
+import type * as organisations from '@gypsumwall/organisations';
 import type * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
 import type * as adviserPool from './adviser_pool.js';
@@ -112,6 +113,10 @@
   updatePolicies(
     policyOf: (queue: string) => jobRequest.QueuePolicy | undefined,
   ): void;
+  /** Applies the organisations of the operator's configuration. */
+  updateOrganisations(
+    organisations: organisations.organisation.Organisations,
+  ): void;
   cancelJob(id: types.ids.JobId): void;
   putWorker(info: workerRegistry.WorkerInfo): void;
   /**
@@ -198,6 +203,10 @@
    * this scheduler, or nothing can run on it any more.
    */
   readonly isReconciled: (worker: types.ids.WorkerId) => boolean;
+  /** The organisation of a job that is over, if it is known. */
+  readonly organisationOf?: (
+    job: types.ids.JobId,
+  ) => types.ids.OrganisationId | undefined;
   /** Receives each decision about a task, for the log. */
   readonly onEvent: (event: SchedulerEvent) => void;
 }
--- a/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
+++ b/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
@@ -16,6 +16,7 @@
 import * as placeIsolated from './place_isolated.js';
 import * as placeStep from './place_step.js';
 import * as placements from './placements.js';
+import * as quotaGate from './quota_gate.js';
 import * as refusalBackoff from './refusal_backoff.js';
 
 /**
@@ -70,9 +71,18 @@
   };
   const isReserved = (id: types.ids.WorkerId) => reservation.isReserved(id);
   const choice = {...context, isReserved};
+  const gate = quotaGate.createQuotaGate(context.registry.quotas);
   const skipped = longestSkipped(ordered);
   let triesLeft = MAX_TRIED_STEPS - skipped.size;
   for (const stepRun of ordered) {
+    const verdict = gate.check(stepRun);
+    if (verdict !== 'open') {
+      // Tried once the quota has room, whatever else has changed.
+      stepRun.hasChanged = true;
+      stepRun.skippedSince = undefined;
+      if (verdict === 'next') result.awaitingAdvice.push(stepRun);
+      continue;
+    }
     const isDue =
       stepRun.hasChanged ||
       hasFreedCapacity(stepRun, context) ||
--- a/packages/gypsumwall-scheduling/src/start_orders.ts
+++ b/packages/gypsumwall-scheduling/src/start_orders.ts
@@ -1,8 +1,7 @@
 /** Creates the start orders for the placements of a cycle. */
 import type * as types from '@gypsumwall/types';
 import * as activeJob from './active_job.js';
-import * as chooseWorker from './choose_worker.js';
-import type * as placements from './placements.js';
+import * as placements from './placements.js';
 import type * as schedulerTypes from './scheduler_types.js';
 import * as stepAdvice from './step_advice.js';
 import * as taskIds from './task_id.js';
@@ -36,8 +35,7 @@
     number: stepRun.highestAttempts.get(key)!,
     workerId: worker.info.id,
     task: {stepRun, index},
-    size: chooseWorker.reservedSize(stepRun),
-    stepRunId: stepRun.id,
+    ...placements.reservationOf(stepRun),
     phase: 'starting',
     percent: 0,
     percentChangedAt: now,
--- a/packages/gypsumwall-scheduling/src/take_advice_requests.ts
+++ b/packages/gypsumwall-scheduling/src/take_advice_requests.ts
@@ -10,7 +10,6 @@
 import * as planAdviceCalls from './plan_advice_calls.js';
 import * as adviserPool from './adviser_pool.js';
 import * as chooseWorker from './choose_worker.js';
-import * as gangFit from './gang_fit.js';
 import type * as schedulerTypes from './scheduler_types.js';
 import * as stepAdvice from './step_advice.js';
 import type * as workerRegistry from './worker_registry.js';
@@ -129,7 +128,7 @@
     if (advice.refused.has(id) || !canUse(stepRun, id)) continue;
     if (!chooseWorker.isEligible(stepRun, worker)) continue;
     const left = chooseWorker.remainingSlots(stepRun, worker);
-    const fitting = gangFit.tasksThatFit(size, worker.free);
+    const fitting = types.resources.tasksThatFit(size, worker.free);
     missing -= Math.max(0, Math.min(fitting, left));
     if (missing <= 0) return true;
   }
--- a/packages/gypsumwall-scheduling/src/task_isolation.ts
+++ b/packages/gypsumwall-scheduling/src/task_isolation.ts
@@ -9,7 +9,6 @@
 import type * as activeJob from './active_job.js';
 import * as chooseWorker from './choose_worker.js';
 import * as crashRecords from './crash_records.js';
-import * as gangFit from './gang_fit.js';
 import type * as attemptTable from './attempt_table.js';
 import type * as workerRegistry from './worker_registry.js';
 
@@ -255,7 +254,7 @@
         free = types.resources.subtract(free, size);
     }
     return Math.min(
-      gangFit.tasksThatFit(chooseWorker.reservedSize(stepRun), free),
+      types.resources.tasksThatFit(chooseWorker.reservedSize(stepRun), free),
       chooseWorker.remainingSlots(stepRun, worker),
     );
   }
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/unaccounted_work.ts
@@ -0,0 +1,51 @@
+/**
+ * What attempts of an earlier scheduler may hold that are not found yet. Until
+ * the workers recorded for a job are reconciled, each of its remaining tasks
+ * may run there, so it counts against the quota of its organisation.
+ */
+import * as types from '@gypsumwall/types';
+import type * as activeJob from './active_job.js';
+import * as chooseWorker from './choose_worker.js';
+
+/** Sums up what these jobs may hold besides their known attempts. */
+export function unaccountedWork(
+  jobs: Iterable<activeJob.ActiveJob>,
+): Map<types.ids.OrganisationId, types.resources.Resources> {
+  const amounts = new Map<
+    types.ids.OrganisationId,
+    types.resources.Resources
+  >();
+  for (const job of jobs) {
+    const {organisation} = job;
+    if (organisation === undefined || !job.isAwaitingReconciliation) continue;
+    const before = amounts.get(organisation) ?? types.resources.NO_RESOURCES;
+    amounts.set(organisation, types.resources.add(before, remainderOf(job)));
+  }
+  return amounts;
+}
+
+function remainderOf(job: activeJob.ActiveJob): types.resources.Resources {
+  let sum = types.resources.NO_RESOURCES;
+  for (const {steps} of job.openOccurrences.values()) {
+    for (const stepRun of steps) {
+      if (stepRun.state === 'done') continue;
+      const size = chooseWorker.reservedSize(stepRun);
+      sum = types.resources.add(
+        sum,
+        types.resources.multiply(size, possibleAttempts(stepRun)),
+      );
+    }
+  }
+  return sum;
+}
+
+/** Maximum number of attempts of a step that may run and are not found. */
+function possibleAttempts({
+  request,
+  doneIndexes,
+  attempts,
+}: activeJob.StepRun): number {
+  const attemptsPerTask = request.speculative ? 2 : 1;
+  const possible = (request.taskCount - doneIndexes.size) * attemptsPerTask;
+  return Math.max(0, possible - attempts.size);
+}
--- a/packages/gypsumwall-scheduling/src/worker_registry.ts
+++ b/packages/gypsumwall-scheduling/src/worker_registry.ts
@@ -5,6 +5,7 @@
  * more. The sum of the started tasks therefore never exceeds the capacity of a
  * worker, even if the worker checks nothing.
  */
+import * as organisations from '@gypsumwall/organisations';
 import * as types from '@gypsumwall/types';
 
 /** A worker as listed by the platform. */
@@ -34,22 +35,24 @@
   readonly tasksByStep: Map<string, number>;
 }
 
+/** Resources reserved for an attempt. */
+export interface Reservation {
+  readonly stepRunId: string;
+  /** Whose quota it counts against; absent if there is no organisation. */
+  readonly organisation?: types.ids.OrganisationId;
+  readonly size: types.resources.Resources;
+}
+
 /** The workers of a cell. */
 export interface WorkerRegistry {
+  /** What the reservations of each organisation add up to. */
+  readonly quotas: organisations.quotaLedger.QuotaLedger;
   readonly workers: ReadonlyMap<types.ids.WorkerId, RegisteredWorker>;
   /** Adds a worker or updates it from the list. */
   put(info: WorkerInfo): RegisteredWorker;
   remove(id: types.ids.WorkerId): void;
-  reserve(
-    id: types.ids.WorkerId,
-    stepRun: string,
-    size: types.resources.Resources,
-  ): void;
-  release(
-    id: types.ids.WorkerId,
-    stepRun: string,
-    size: types.resources.Resources,
-  ): void;
+  reserve(id: types.ids.WorkerId, reservation: Reservation): void;
+  release(id: types.ids.WorkerId, reservation: Reservation): void;
   /** Sets whether new tasks may be placed on a worker. */
   setUsable(id: types.ids.WorkerId, usable: boolean): void;
   /** Marks that a worker may accept tasks that it could not accept before. */
@@ -60,13 +63,13 @@
 
 /** Creates a registry without workers. */
 export function createWorkerRegistry(): WorkerRegistry {
+  const quotas = organisations.quotaLedger.createQuotaLedger();
   const workers = new Map<types.ids.WorkerId, RegisteredWorker>();
   let freed = new Set<types.ids.WorkerId>();
 
   function adjust(
     id: types.ids.WorkerId,
-    stepRun: string,
-    size: types.resources.Resources,
+    {stepRunId, size}: Reservation,
     sign: 1 | -1,
   ): void {
     const worker = workers.get(id);
@@ -77,12 +80,13 @@
       memoryMb: worker.free.memoryMb - sign * size.memoryMb,
       accelerators: worker.free.accelerators - sign * size.accelerators,
     };
-    const count = (worker.tasksByStep.get(stepRun) ?? 0) + sign;
-    if (count > 0) worker.tasksByStep.set(stepRun, count);
-    else worker.tasksByStep.delete(stepRun);
+    const count = (worker.tasksByStep.get(stepRunId) ?? 0) + sign;
+    if (count > 0) worker.tasksByStep.set(stepRunId, count);
+    else worker.tasksByStep.delete(stepRunId);
   }
 
   return {
+    quotas,
     workers,
     put(info) {
       freed.add(info.id);
@@ -106,9 +110,13 @@
       return worker;
     },
     remove: (id) => void workers.delete(id),
-    reserve: (id, stepRun, size) => adjust(id, stepRun, size, 1),
-    release(id, stepRun, size) {
-      adjust(id, stepRun, size, -1);
+    reserve(id, reservation) {
+      adjust(id, reservation, 1);
+      quotas.allocate(reservation.organisation, reservation.size);
+    },
+    release(id, reservation) {
+      adjust(id, reservation, -1);
+      quotas.release(reservation.organisation, reservation.size);
       freed.add(id);
     },
     setUsable(id, usable) {
--- a/packages/gypsumwall-types/src/ids.ts
+++ b/packages/gypsumwall-types/src/ids.ts
@@ -3,7 +3,8 @@
  * created; the compiler then distinguishes it from other kinds of ids.
  */
 
-type Brand<Name extends string> = string & {readonly __brand: Name};
+/** A string with a brand, for ids of single packages. */
+export type Brand<Name extends string> = string & {readonly __brand: Name};
 
 /** A process of an entry instance; each restart of it gets a new id. */
 export type EntryId = Brand<'EntryId'>;
@@ -15,6 +16,8 @@
 export type FailureDomain = Brand<'FailureDomain'>;
 /** A rack within a failure domain. */
 export type RackId = Brand<'RackId'>;
+/** An organisation: a customer with keys and a quota on the users' platform. */
+export type OrganisationId = Brand<'OrganisationId'>;
 /** A team: the owner of jobs, quotas and a settings subtree. */
 export type TeamId = Brand<'TeamId'>;
 /**
--- a/packages/gypsumwall-types/src/resources.ts
+++ b/packages/gypsumwall-types/src/resources.ts
@@ -51,3 +51,20 @@
     need.accelerators <= free.accelerators
   );
 }
+
+/**
+ * How many tasks that each need `need` fit into `available`; 0 while any
+ * resource is exceeded.
+ */
+export function tasksThatFit(need: Resources, available: Resources): number {
+  return Math.min(
+    countThatFits(need.cpuMillis, available.cpuMillis),
+    countThatFits(need.memoryMb, available.memoryMb),
+    countThatFits(need.accelerators, available.accelerators),
+  );
+}
+
+function countThatFits(need: number, available: number): number {
+  if (available < 0) return 0;
+  return need === 0 ? Infinity : Math.floor(available / need);
+}
--- a/scripts/build_deploy.mjs
+++ b/scripts/build_deploy.mjs
@@ -35,6 +35,8 @@
   alias: {
     '@gypsumwall/types': './packages/gypsumwall-types/src/index.ts',
     '@gypsumwall/telemetry': './packages/gypsumwall-telemetry/src/index.ts',
+    '@gypsumwall/organisations':
+      './packages/gypsumwall-organisations/src/index.ts',
     '@gypsumwall/scheduling': './packages/gypsumwall-scheduling/src/index.ts',
     '@gypsumwall/cell': './packages/gypsumwall-cell/src/index.ts',
   },
--- a/scripts/package_arrows.mjs
+++ b/scripts/package_arrows.mjs
@@ -12,8 +12,9 @@
   records: ['types', 'settings', 'telemetry', 'platform'],
   membership: ['types', 'telemetry', 'platform', 'records', 'protocol'],
   placement: ['types'],
-  scheduling: ['types'],
-  cell: ['types', 'telemetry', 'scheduling'],
+  organisations: ['types'],
+  scheduling: ['types', 'organisations'],
+  cell: ['types', 'telemetry', 'organisations', 'scheduling'],
   routing: ['types', 'telemetry', 'platform'],
   entry: [
     'types',
