scheduler: rank work beyond an organisation's rate behind all other work

Cause: the scheduler knew no organisations, so one that sent many times its usual delayed all others. Change: a token bucket for each organisation, filled at its weight in jobs a second, marks a job as in excess when it is added; excess work ranks behind all other work. Long-running work is exempt, since it would wait for as long as the cell is full. step_waits names the organisation and whether its quota or its rate is the reason.

Tests: each rule of quotas and rates with a small cell (organisations.test), and random worlds with two organisations, whose actual runs are checked against the quotas at each start (waiting_work.test).

--- /dev/null
+++ b/packages/gypsumwall-organisations/src/arrival_meter.ts
@@ -0,0 +1,59 @@
+/**
+ * Compares the jobs that an organisation sends with the rate that it is
+ * entitled to while the cell is full.
+ */
+import * as types from '@gypsumwall/types';
+import type * as organisation from './organisation.js';
+
+const MS_PER_S = 1_000;
+/** Length of the time over which the rate may be exceeded; seconds. */
+const BURST_S = 1;
+
+/** Counts the arrivals of each organisation. */
+export interface ArrivalMeter {
+  /** Applies the organisations of a configuration. */
+  setOrganisations(organisations: organisation.Organisations): void;
+  /** Counts a job; returns whether it exceeds the rate of its organisation. */
+  exceedsRate(
+    id: types.ids.OrganisationId | undefined,
+    arrivedAt: types.clock.MonotonicMs,
+  ): boolean;
+}
+
+/** A token bucket; each job takes a token. */
+interface Bucket {
+  readonly tokens: number;
+  readonly filledAt: types.clock.MonotonicMs;
+}
+
+/** Creates a meter without organisations; no job exceeds a rate. */
+export function createArrivalMeter(): ArrivalMeter {
+  let organisations: organisation.Organisations = new Map();
+  const buckets = new Map<types.ids.OrganisationId, Bucket>();
+
+  return {
+    setOrganisations(next) {
+      organisations = next;
+      for (const id of buckets.keys()) if (!next.has(id)) buckets.delete(id);
+    },
+    exceedsRate(id, arrivedAt) {
+      const weight = id && organisations.get(id)?.weight;
+      if (id === undefined || weight === undefined) return false;
+      const {tokens, filledAt} = buckets.get(id) ?? {
+        tokens: weight * BURST_S,
+        filledAt: arrivedAt,
+      };
+      const passedMs = Math.max(0, arrivedAt - filledAt);
+      const available = Math.min(
+        weight * BURST_S,
+        tokens + (weight * passedMs) / MS_PER_S,
+      );
+      const isExceeded = available < 1;
+      buckets.set(id, {
+        tokens: isExceeded ? available : available - 1,
+        filledAt: types.clock.after(filledAt, passedMs),
+      });
+      return isExceeded;
+    },
+  };
+}
--- a/packages/gypsumwall-scheduling/src/__fixtures__/scheduler_world.ts
+++ b/packages/gypsumwall-scheduling/src/__fixtures__/scheduler_world.ts
@@ -38,6 +38,7 @@
 
 /** Options for submitting a job. */
 export interface Submission {
+  readonly organisation?: string;
   readonly policy?: Partial<jobRequest.QueuePolicy>;
   readonly progress?: jobProgress.JobProgress;
   readonly inherited?: boolean;
@@ -116,6 +117,12 @@
       scheduler.addJob(
         {
           id,
+          organisation:
+            submission.organisation === undefined
+              ? undefined
+              : types.ids.brand<types.ids.OrganisationId>(
+                  submission.organisation,
+                ),
           request: {payload: name, steps},
           policy: {...POLICY, ...submission.policy},
           acceptedAt: world.now,
--- a/packages/gypsumwall-scheduling/src/__fixtures__/unreliable_world.ts
+++ b/packages/gypsumwall-scheduling/src/__fixtures__/unreliable_world.ts
@@ -5,6 +5,7 @@
  * can be compared.
  */
 import * as assert from 'node:assert/strict';
+import * as organisations from '@gypsumwall/organisations';
 import * as types from '@gypsumwall/types';
 import type * as activeJob from '../active_job.js';
 import * as jobProgress from '../job_progress.js';
@@ -86,6 +87,7 @@
 
 interface SubmittedJob {
   readonly id: types.ids.JobId;
+  readonly organisation: types.ids.OrganisationId | undefined;
   readonly request: jobRequest.JobRequest;
   readonly policy: jobRequest.QueuePolicy;
   readonly acceptedAt: types.clock.MonotonicMs;
@@ -104,11 +106,20 @@
 const keyOf = (taskId: string, attemptNumber: number) =>
   `${taskId}#${attemptNumber}`;
 
+/** Organisations of a world. */
+export interface WorldOrganisations {
+  /** Organisations of the jobs, in turn. */
+  readonly owners: readonly (string | undefined)[];
+  /** Quotas in cores; each change of the configuration takes the next one. */
+  readonly cores: readonly number[];
+}
+
 /** Creates a world with the clock at 1,000,000 ms. */
-export function createUnreliableWorld() {
+export function createUnreliableWorld(organised?: WorldOrganisations) {
   let now = 1_000_000 as types.clock.MonotonicMs;
   let generation = 0;
   let scheduler: schedulerTypes.Scheduler;
+  let configVersion = 0;
   const unreconciled = new Set<types.ids.WorkerId>();
   const workers: RealWorker[] = [];
   const jobs: SubmittedJob[] = [];
@@ -127,9 +138,26 @@
     scheduler = schedulers.createScheduler({
       attemptBase: generation * ATTEMPTS_PER_GENERATION,
       isReconciled: (worker) => !unreconciled.has(worker),
+      organisationOf: (id) => jobs.find((job) => job.id === id)?.organisation,
       onEvent: () => undefined,
     });
+    scheduler.updateOrganisations(currentOrganisations());
+  }
+
+  function currentOrganisations(): organisations.organisation.Organisations {
+    if (organised === undefined) return new Map();
+    const {owners, cores} = organised;
+    const ids = new Set(owners.filter((owner) => owner !== undefined));
+    return new Map(
+      [...ids].map((owner, nth) => {
+        const id = types.ids.brand<types.ids.OrganisationId>(owner);
+        const cpuMillis = 1_000 * cores[(configVersion + nth) % cores.length]!;
+        const quota = {...organisations.organisation.UNLIMITED, cpuMillis};
+        return [id, {id, keyHashes: [], quota}];
+      }),
+    );
   }
+
   createScheduler();
 
   function elapse(spanMs: number): void {
@@ -183,8 +211,14 @@
     steps: jobRequest.StepRequest[],
     policy: Partial<jobRequest.QueuePolicy> = {},
   ): types.ids.JobId {
+    const owners = organised?.owners ?? [];
+    const owner = owners[jobs.length % owners.length];
     const job: SubmittedJob = {
       id: types.ids.brand(`j${jobs.length}`),
+      organisation:
+        owner === undefined
+          ? undefined
+          : types.ids.brand<types.ids.OrganisationId>(owner),
       request: {payload: '', steps},
       policy: {...worlds.POLICY, ...policy},
       acceptedAt: now,
@@ -198,9 +232,9 @@
   function addJob(job: SubmittedJob, inherited: boolean): void {
     const progress = persisted.get(job.id) ?? jobProgress.NO_PROGRESS;
     if (job.cancelled || jobProgress.isOver(progress.phase)) return;
-    const {id, request, policy, acceptedAt} = job;
+    const {id, organisation, request, policy, acceptedAt} = job;
     scheduler.addJob(
-      {id, request, policy, acceptedAt, inherited, progress},
+      {id, organisation, request, policy, acceptedAt, inherited, progress},
       now,
       WALL,
     );
@@ -216,6 +250,7 @@
 
   function decide(): number {
     const decisions = scheduler.decide(now, WALL);
+    checkQuotas(decisions.starts);
     for (const order of decisions.starts) {
       const worker = workers.find((one) => one.id === order.attempt.workerId)!;
       starts.push({order, worker, generation});
@@ -497,6 +532,46 @@
     }
   }
 
+  /**
+   * Checks that these starts and everything that runs or may still start stay
+   * within the quotas.
+   */
+  function checkQuotas(ordered: readonly schedulerTypes.StartOrder[]): void {
+    const starting = ordered.map(({attempt}) => attempt);
+    const pending = [...starts, ...lateStarts]
+      .filter(mayRun)
+      .map(({order}) => order.attempt);
+    const running = workers.flatMap((one) => [...one.attempts.values()]);
+    for (const {id, quota} of currentOrganisations().values()) {
+      if (!starting.some(({organisation}) => organisation === id)) continue;
+      const distinct = new Set(
+        [...starting, ...pending, ...running]
+          .filter(({taskId}) => jobOf(taskId).organisation === id)
+          .map((one) => keyOf(one.taskId, one.number)),
+      );
+      let used = types.resources.NO_RESOURCES;
+      for (const key of distinct) {
+        const taskId = types.ids.brand<types.ids.TaskId>(key.split('#')[0]!);
+        used = types.resources.add(used, sizeOf({taskId}));
+      }
+      assert.ok(
+        types.resources.fits(used, quota),
+        `${id} uses ${used.cpuMillis} of ${quota.cpuMillis}`,
+      );
+    }
+  }
+
+  /** Whether the worker would accept a start. */
+  function mayRun({worker, order, generation: sentIn}: PendingStart): boolean {
+    const {taskId, number: attemptNumber} = order.attempt;
+    const isRejected = worker.rejectedKeys.has(keyOf(taskId, attemptNumber));
+    return worker.isAlive && sentIn >= worker.generation && !isRejected;
+  }
+
+  function jobOf(taskId: types.ids.TaskId): SubmittedJob {
+    return jobs.find((one) => one.id === taskId.split('.')[0])!;
+  }
+
   function usedResources(worker: RealWorker): types.resources.Resources {
     let used = types.resources.NO_RESOURCES;
     for (const attempt of worker.attempts.values()) {
@@ -505,10 +580,11 @@
     return used;
   }
 
-  function sizeOf({taskId}: RealAttempt): types.resources.Resources {
-    const [jobId, , step] = taskId.split('.');
-    const job = jobs.find((one) => one.id === jobId)!;
-    const {size, usesSpareCpu} = job.request.steps[Number(step)]!;
+  function sizeOf({
+    taskId,
+  }: Pick<RealAttempt, 'taskId'>): types.resources.Resources {
+    const [, , step] = taskId.split('.');
+    const {size, usesSpareCpu} = jobOf(taskId).request.steps[Number(step)]!;
     return usesSpareCpu ? {...size, cpuMillis: 0} : size;
   }
 
@@ -550,6 +626,12 @@
       jobs.find((job) => job.id === id)!.cancelled = true;
       scheduler.cancelJob(id);
     },
+    /** Publishes the next configuration. */
+    publishConfig() {
+      configVersion++;
+      scheduler.updatePolicies(() => undefined);
+      scheduler.updateOrganisations(currentOrganisations());
+    },
     decide,
     answerStart,
     deliverLate,
--- a/packages/gypsumwall-scheduling/src/__tests__/decisions.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/decisions.test.ts
@@ -13,6 +13,7 @@
 function claimant(fields: Partial<jobOrder.Claimant> = {}): jobOrder.Claimant {
   return {
     priority: 1,
+    isExcess: false,
     dueAt: at(10_000),
     worthlessAt: at(30_000),
     remainingMs: 1_000,
--- a/packages/gypsumwall-scheduling/src/active_job.ts
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -98,6 +98,8 @@
    * has more free capacity.
    */
   hasChanged: boolean;
+  /** Whether the quota of its organisation kept it waiting in the last cycle. */
+  isOverQuota: boolean;
   /** Number of starts refused since a worker last accepted one. */
   refusals: number;
   /** No task of it starts before this moment, because starts were refused. */
@@ -127,6 +129,8 @@
   readonly request: jobRequest.JobRequest;
   policy: jobRequest.QueuePolicy;
   readonly arrival: number;
+  /** Whether it exceeds the rate that its organisation is entitled to. */
+  readonly isExcess: boolean;
   readonly acceptedAt: types.clock.MonotonicMs;
   /**
    * Whether an earlier scheduler may have started attempts of the job on
@@ -196,6 +200,7 @@
       checkpoints: new Map(),
       advice: stepAdvice.createStepAdvice(),
       hasChanged: true,
+      isOverQuota: false,
       refusals: 0,
     });
   });
@@ -216,6 +221,8 @@
   const worthlessAfterMs = objective * jobOrder.LATE_FACTOR;
   return {
     priority: job.policy.priority,
+    // It would wait for as long as the cell is full.
+    isExcess: job.isExcess && !stepRun.request.longRunning,
     dueAt: types.clock.after(occurrence.objectiveStartsAt, objective),
     worthlessAt: types.clock.after(
       occurrence.objectiveStartsAt,
--- a/packages/gypsumwall-scheduling/src/job_order.ts
+++ b/packages/gypsumwall-scheduling/src/job_order.ts
@@ -1,5 +1,6 @@
 /**
- * The order in which steps get capacity. Work that can still be on time ranks
+ * The order in which steps get capacity. Work that its organisation is entitled
+ * to ranks before what it sends in excess of its rate. Work that can still be on time ranks
  * before late work, and late work before work that is so late that its caller
  * has no use for it; within each class the priority of the queue decides, then
  * the latest start that meets the objective.
@@ -9,6 +10,8 @@
 /** The properties of waiting work that decide its rank. */
 export interface Claimant {
   readonly priority: number;
+  /** Whether it exceeds the rate that its organisation is entitled to. */
+  readonly isExcess: boolean;
   /** When the job should be done. */
   readonly dueAt: types.clock.MonotonicMs;
   /** When the result is of no more use to the caller. */
@@ -58,6 +61,7 @@
   const {claimant: a} = left;
   const {claimant: b} = right;
   return (
+    Number(a.isExcess) - Number(b.isExcess) ||
     left.lateness - right.lateness ||
     a.priority - b.priority ||
     latestStart(a) - latestStart(b) ||
--- a/packages/gypsumwall-scheduling/src/job_steps.ts
+++ b/packages/gypsumwall-scheduling/src/job_steps.ts
@@ -22,18 +22,23 @@
   | 'alone';
 
 /** What is known of a job when it is added to a scheduler. */
-export interface JobStart {
+export interface AddedJob {
   readonly id: types.ids.JobId;
   readonly organisation?: types.ids.OrganisationId;
   readonly request: jobRequest.JobRequest;
   readonly policy: jobRequest.QueuePolicy;
-  readonly arrival: number;
   readonly acceptedAt: types.clock.MonotonicMs;
   /** Whether an earlier scheduler may have started attempts of it. */
   readonly inherited: boolean;
   readonly progress: jobProgress.JobProgress;
 }
 
+/** The same with what the scheduler adds. */
+export interface JobStart extends AddedJob {
+  readonly arrival: number;
+  readonly isExcess: boolean;
+}
+
 /** Creates the state of a job from its request and its stored progress. */
 export function createJob(start: JobStart): activeJob.ActiveJob {
   const {progress, inherited, ...rest} = start;
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -3,6 +3,7 @@
  * run on one of them. It does no input or output and reads no clock: the holder
  * of the cell passes in what it receives and carries out the decisions.
  */
+import * as organisations from '@gypsumwall/organisations';
 import * as types from '@gypsumwall/types';
 import * as activeJob from './active_job.js';
 import type * as adviserPool from './adviser_pool.js';
@@ -83,6 +84,7 @@
   });
   const order = waitingOrder.createWaitingOrder();
   const reporter = waitReporter.createWaitReporter(onEvent);
+  const meter = organisations.arrivalMeter.createArrivalMeter();
   let arrivals = 0;
   let reservations: schedulingCycle.CycleResult['reservations'] = new Map();
 
@@ -218,7 +220,9 @@
     workerRegistry: registry,
     jobs,
     addJob(start, now, wall) {
-      const job = jobSteps.createJob({...start, arrival: arrivals++});
+      const {organisation, acceptedAt} = start;
+      const isExcess = meter.exceedsRate(organisation, acceptedAt);
+      const job = jobSteps.createJob({...start, arrival: arrivals++, isExcess});
       jobRegistry.add(job);
       jobRegistry.openDue(job, now, wall);
     },
@@ -228,7 +232,10 @@
         activeJob.setPolicy(job, policyOf(job.policy.queue) ?? job.policy);
       }
     },
-    updateOrganisations: (next) => registry.quotas.setOrganisations(next),
+    updateOrganisations(next) {
+      registry.quotas.setOrganisations(next);
+      meter.setOrganisations(next);
+    },
     cancelJob(id) {
       const job = jobs.get(id);
       if (job !== undefined) jobRegistry.finishJob(job, 'cancelled');
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -104,7 +104,7 @@
   readonly jobs: ReadonlyMap<types.ids.JobId, activeJob.ActiveJob>;
   /** Adds a job. Its attempts are recognised in worker reports from then on. */
   addJob(
-    start: Omit<jobSteps.JobStart, 'arrival'>,
+    start: jobSteps.AddedJob,
     now: types.clock.MonotonicMs,
     wall: types.clock.WallMs,
   ): void;
@@ -211,6 +211,12 @@
   readonly onEvent: (event: SchedulerEvent) => void;
 }
 
+/** Why work of an organisation waits although workers may have capacity. */
+export type OrganisationWaitReason =
+  | 'organisation_at_quota'
+  /** It exceeds the organisation's rate and ranks behind all other work. */
+  | 'behind_other_organisations';
+
 /** A decision, or a change in what the scheduler knows. */
 export type SchedulerEvent =
   | {
@@ -237,6 +243,9 @@
       readonly type: 'step_waits';
       readonly step: string;
       readonly queue: string;
+      readonly organisation?: types.ids.OrganisationId;
+      /** Present if the organisation is the reason. */
+      readonly reason?: OrganisationWaitReason;
       readonly tasks: number;
       readonly ofTasks: number;
       readonly waitedMs: number;
--- a/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
+++ b/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
@@ -76,7 +76,8 @@
   let triesLeft = MAX_TRIED_STEPS - skipped.size;
   for (const stepRun of ordered) {
     const verdict = gate.check(stepRun);
-    if (verdict !== 'open') {
+    stepRun.isOverQuota = verdict !== 'open';
+    if (stepRun.isOverQuota) {
       // Tried once the quota has room, whatever else has changed.
       stepRun.hasChanged = true;
       stepRun.skippedSince = undefined;
--- a/packages/gypsumwall-scheduling/src/wait_reporter.ts
+++ b/packages/gypsumwall-scheduling/src/wait_reporter.ts
@@ -74,6 +74,8 @@
       type: 'step_waits',
       step: stepRun.id,
       queue: stepRun.job.policy.queue,
+      organisation: stepRun.job.organisation,
+      reason: organisationReason(stepRun),
       tasks: stepRun.waitingIndexes.length,
       ofTasks: stepRun.request.taskCount,
       waitedMs,
@@ -111,6 +113,14 @@
   };
 }
 
+function organisationReason({
+  isOverQuota,
+  job,
+}: activeJob.StepRun): schedulerTypes.OrganisationWaitReason | undefined {
+  if (isOverQuota) return 'organisation_at_quota';
+  return job.isExcess ? 'behind_other_organisations' : undefined;
+}
+
 /** Whether a gang waits for the end of its remaining members. */
 function isGangStopping({
   request,
