--- a/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
@@ -1,5 +1,6 @@
 /** Entries that share one in-memory store, with in-memory workers. */
 import * as result from 'true-myth/result';
+import * as organisations from '@gypsumwall/organisations';
 import type * as scheduling from '@gypsumwall/scheduling';
 import * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
@@ -43,6 +44,43 @@
   };
 }
 
+/** An organisation in a configuration of a test. */
+export interface TestOrganisation {
+  readonly keys: readonly string[];
+  readonly cores: number;
+}
+
+/** Publishes a configuration with these organisations by name. */
+export async function publish(
+  store: FakeStore,
+  version: number,
+  named: Readonly<Record<string, TestOrganisation>>,
+): Promise<void> {
+  const value = JSON.stringify({version, named});
+  await store.config.append([{key: 'config', value}], {timeoutMs: 1});
+}
+
+function decodeConfig(value: string): ports.CellConfig {
+  const {version, named} = JSON.parse(value) as {
+    version: number;
+    named: Readonly<Record<string, TestOrganisation>>;
+  };
+  const decoded = Object.entries(named).map(([name, {keys, cores}]) => {
+    const id = types.ids.brand<types.ids.OrganisationId>(name);
+    const keyHashes = keys.map(organisations.apiKey.hashKey);
+    const cpuMillis = cores * 1_000;
+    const quota = {...organisations.organisation.UNLIMITED, cpuMillis};
+    return [id, {id, keyHashes, quota}] as const;
+  });
+  return {
+    version,
+    queues: [{host: 'h', pathPrefix: '/', isPublic: false, policy: POLICY}],
+    organisations: new Map(decoded),
+    maxBodyBytes: 1_000,
+    idleTimeoutMs: 1_000,
+  };
+}
+
 /** The logs of a store, shared by all its entries. */
 export interface FakeStore {
   readonly jobs: fakeLogs.FakeLog;
@@ -116,7 +154,7 @@
           cores,
         },
         logs: view,
-        decodeConfig: () => result.ok(undefined),
+        decodeConfig: (_key, value) => result.ok(decodeConfig(value)),
         decodeWorker: (_key, value) => result.ok(decodeWorker(value)),
         connect: (info) => workers.get(info.id)!.connect(),
         adviser: {ask: () => Promise.resolve(result.ok(new Map()))},
