emulator: organisations with keys and quotas, and rules of the judge on them

The emulator's configuration has organisations; jobs belong to them in turn and callers send their first key. The demo takes a key away and halves the quotas while a worker leaves and the holder is killed. The judge finds starts above each quota that may be in force, and calls that were served with an unknown key or refused with a valid one; findings contain no keys.

--- a/packages/gypsumwall-emulator/src/__tests__/demo_platform.test.ts
+++ b/packages/gypsumwall-emulator/src/__tests__/demo_platform.test.ts
@@ -58,6 +58,21 @@
   assert.ok(done.length > 50, `${done.length} runs were done`);
 });
 
+// Guards against starts above a quota and against calls that are served with a
+// revoked key or refused with a valid one, while a worker leaves, a key and half
+// of a quota are taken away, and the holder is killed.
+test('promises hold with organisations whose keys and quotas change', async () => {
+  const withOrganisations = emulatorConfig.readEmulatorConfig(
+    'packages/gypsumwall-emulator/examples/organisations.jsonc',
+  );
+  const {findings, events} = await runDemoWith({config: withOrganisations});
+  assert.deepEqual(findings, []);
+  const served = events.filter(
+    (event) => event.type === 'key_used' && event.isAccepted,
+  );
+  assert.ok(served.length > 50, `${served.length} calls were served`);
+});
+
 // Guards against a judge that misses a long-running task that has stopped.
 test('a worker that hides the end of a long-running task is found', async () => {
   const {lasting} = createFirstIds();
--- a/packages/gypsumwall-emulator/src/bin/demo_platform.ts
+++ b/packages/gypsumwall-emulator/src/bin/demo_platform.ts
@@ -13,7 +13,7 @@
 
 /** The package's folder, resolved from the compiled file. */
 const PACKAGE_FOLDER = url.fileURLToPath(new URL('../../', import.meta.url));
-const DEMO_CONFIG = path.join(PACKAGE_FOLDER, 'examples/demo.jsonc');
+const DEMO_CONFIG = path.join(PACKAGE_FOLDER, 'examples/organisations.jsonc');
 const DEPLOY_FILE = 'deploy/system.toml';
 const DURATIONS: runDemo.DemoDurations = {
   shortJobIntervalMs: 100,
--- a/packages/gypsumwall-emulator/src/config/emulator_config.ts
+++ b/packages/gypsumwall-emulator/src/config/emulator_config.ts
@@ -39,6 +39,21 @@
     .optional(),
 });
 
+const organisationSchema = zod.strictObject({
+  name: nameSchema,
+  /** Its callers send the first key that is not revoked. */
+  keys: zod.array(nameSchema).min(1, 'give a key'),
+  /** Jobs a second that it is entitled to in a full cell. */
+  weight: zod.number().min(0, 'give a number from 0').default(1),
+  /** What its tasks may hold at a time; 0 is no limit. */
+  quota: zod
+    .strictObject({
+      cpuMillis: zod.number().min(0, 'give thousandths of a core from 0'),
+      memoryMb: zod.number().min(0, 'give mebibytes from 0').default(0),
+    })
+    .prefault({cpuMillis: 0}),
+});
+
 const poolSchema = zod.strictObject({
   name: nameSchema,
   workersPerZone: positiveIntegerSchema,
@@ -96,6 +111,8 @@
     zones: zod.array(nameSchema).min(1, 'name a zone'),
     pools: zod.array(poolSchema).min(1, 'describe a pool'),
     queues: zod.array(queueSchema).min(1, 'describe a queue'),
+    /** Jobs belong to these in turn; without any, callers send no keys. */
+    organisations: zod.array(organisationSchema).default([]),
     /** Share of the workers on which the adviser doesn't allow a step to run. */
     adviserRefusedShare: shareSchema.default(0),
     store: storeSchema.prefault({}),
--- a/packages/gypsumwall-emulator/src/demo/demo_report.ts
+++ b/packages/gypsumwall-emulator/src/demo/demo_report.ts
@@ -1,6 +1,7 @@
 /** The demo's report: counts of jobs, start times, and which promises held. */
 import * as hdr from 'hdr-histogram-js';
 import * as finding from '../judge/finding.js';
+import * as organisationUsage from '../judge/organisation_usage.js';
 import * as taskAttempts from '../judge/task_attempts.js';
 import type * as history from '../model/history.js';
 import * as mixedJobs from './mixed_jobs.js';
@@ -33,6 +34,7 @@
     ...rows.map(formatRow),
     '',
     `ends of runs: ${countEnds(result.events)}`,
+    ...listPeaks(result.events),
     `calls to the store: ${reads} reads, ${writes} writes`,
     '',
     ...finding.PROMISES.map((promise) =>
@@ -42,6 +44,19 @@
   return lines.join('\n');
 }
 
+/** The most that each organisation had running, beside its first quota. */
+function listPeaks(events: readonly history.HistoryEvent[]): string[] {
+  const config = events.find((event) => event.type === 'config_published');
+  const usage = organisationUsage.listUsage(events);
+  return (config?.organisations ?? []).map(({name, quota}) => {
+    const used = usage
+      .filter(({organisation}) => organisation === name)
+      .map((one) => one.used.cpuMillis);
+    const limit = quota.cpuMillis === 0 ? 'no quota' : `${quota.cpuMillis} m`;
+    return `${name}: at most ${Math.max(0, ...used)} m in use, ${limit}`;
+  });
+}
+
 function collectRows(result: runDemo.DemoResult): Row[] {
   const rows = new Map(
     mixedJobs.KINDS.map((kind) => [kind, createEmptyRow(kind)]),
--- a/packages/gypsumwall-emulator/src/demo/mixed_jobs.ts
+++ b/packages/gypsumwall-emulator/src/demo/mixed_jobs.ts
@@ -74,8 +74,12 @@
   return {cpuMillis, memoryMb, accelerators: 0};
 }
 
-/** Creates a generator of jobs. */
-export function createMixedJobs(seed: number): MixedJobs {
+/** Creates a generator of jobs that belong to the organisations in turn. */
+export function createMixedJobs(
+  seed: number,
+  organisations: readonly string[] = [],
+): MixedJobs {
+  let made = 0;
   const kinds = new Map<string, JobKind>();
   // Each kind has its own generator, so that the id of its nth job doesn't
   // depend on when jobs of other kinds are created.
@@ -96,9 +100,11 @@
       const jobId = drawId(randoms[kind]);
       kinds.set(jobId, kind);
       const payload = `${kind} ${jobId}`;
+      const organisation = organisations[made++ % organisations.length];
       return {
         jobId,
         queue: QUEUE_BY_KIND[kind],
+        ...(organisation !== undefined && {organisation}),
         payload,
         steps: STEPS_BY_KIND[kind],
       };
--- a/packages/gypsumwall-emulator/src/demo/run_demo.ts
+++ b/packages/gypsumwall-emulator/src/demo/run_demo.ts
@@ -7,6 +7,7 @@
 import type * as workerMachine from '../model/worker_machine.js';
 import * as emulatedCell from '../rig/emulated_cell.js';
 import * as jobTraffic from './job_traffic.js';
+import * as organisationChanges from './organisation_changes.js';
 import * as mixedJobs from './mixed_jobs.js';
 
 /** Options of {@link runDemo}. */
@@ -49,7 +50,8 @@
   const cell = await emulatedCell.startEmulatedCell(options);
   let keepsLogs = true;
   try {
-    const jobs = mixedJobs.createMixedJobs(options.config.seed);
+    const names = options.config.organisations.map(({name}) => name);
+    const jobs = mixedJobs.createMixedJobs(options.config.seed, names);
     await runScenario(cell, jobs, options);
     const {history: eventHistory, store} = cell.model;
     eventHistory.record({type: 'history_closed'});
@@ -108,6 +110,8 @@
   print(`${leavingMachine.name} announces that it leaves.`);
   await leavingMachine.leave();
   print(`${leavingMachine.name} has left.`);
+  organisationChanges.revokeFirstKey(cell, print);
+  organisationChanges.halveQuotas(cell, print);
   await types.clock.sleepFor(clock, durations.beforeKillMs);
 
   const killedEntry = (await cell.findHolder()) ?? holder;
--- a/packages/gypsumwall-emulator/src/judge/__tests__/judge.test.ts
+++ b/packages/gypsumwall-emulator/src/judge/__tests__/judge.test.ts
@@ -5,6 +5,8 @@
 import type * as history from '../../model/history.js';
 import type * as jobCatalog from '../../model/job_catalog.js';
 import * as judge from '../judge.js';
+import * as keyRules from '../key_rules.js';
+import * as quotaRules from '../quota_rules.js';
 
 const {test} = nodeTest;
 const STEP = plainStep.createPlainStep();
@@ -214,3 +216,55 @@
   ];
   assert.deepEqual(brokenPromises(seen), ['nothing accepted is lost']);
 });
+
+const published = (cpuMillis: number, key: string): history.EventDetails => ({
+  type: 'config_published',
+  organisations: [
+    {name: 'north', keys: [key], weight: 1, quota: {cpuMillis, memoryMb: 0}},
+  ],
+});
+
+// Guards against a judge that misses starts above a quota, or that counts a
+// quota which was lowered a moment ago as in force everywhere.
+test('a start above each quota that may be in force is found', () => {
+  const job = {...createJob({taskCount: 9}), organisation: 'north'};
+  const begin = (index: number): history.EventDetails => ({
+    type: 'run_started',
+    workerId: 'w',
+    taskId: `j.0.0.${index}`,
+    attempt: 1,
+  });
+  const exceeded = (...seen: history.EventDetails[]) =>
+    quotaRules.findExceededQuotas(createEvents(...seen)).length;
+  const sent: history.EventDetails = {type: 'job_sent', job};
+  const starts = [0, 1, 2].map(begin);
+  assert.equal(exceeded(published(1_000, 'k'), sent, ...starts), 1);
+  assert.equal(exceeded(published(2_000, 'k'), sent, ...starts), 0);
+  const lowered = [published(2_000, 'k'), sent, published(1_000, 'k')];
+  assert.equal(exceeded(...lowered, ...starts), 0);
+  const pauses = starts.map(() => shown('running'));
+  assert.equal(exceeded(...lowered, ...pauses, ...starts), 1);
+});
+
+// Guards against a judge that misses calls with revoked keys.
+test('a call that is judged by an outdated key is found, without the key', () => {
+  const used = (key: string, second: number, isAccepted: boolean) => ({
+    type: 'key_used' as const,
+    key,
+    sentAt: (second * 1_000) as types.clock.MonotonicMs,
+    isAccepted,
+  });
+  const found = keyRules.findMisjudgedKeys(
+    createEvents(
+      published(0, 'old-key'),
+      published(0, 'new-key'),
+      used('old-key', 3, true),
+      used('new-key', 3, false),
+      used('old-key', 5, true),
+      used('new-key', 5, false),
+      used('new-key', 6, true),
+    ),
+  );
+  assert.equal(found.length, 2);
+  assert.doesNotMatch(JSON.stringify(found), /-key/);
+});
--- a/packages/gypsumwall-emulator/src/judge/finding.ts
+++ b/packages/gypsumwall-emulator/src/judge/finding.ts
@@ -8,7 +8,9 @@
   | 'nothing accepted is lost'
   | 'lasting tasks run again in time'
   | 'nothing runs that was not asked for'
-  | 'tasks that crash workers are given up';
+  | 'tasks that crash workers are given up'
+  | 'organisations stay within their quotas'
+  | 'keys count as configured';
 
 /** All promises, in the order in which reports list them. */
 export const PROMISES: readonly PromiseName[] = [
@@ -19,6 +21,8 @@
   'lasting tasks run again in time',
   'nothing runs that was not asked for',
   'tasks that crash workers are given up',
+  'organisations stay within their quotas',
+  'keys count as configured',
 ];
 
 /** One violation of a promise. */
--- a/packages/gypsumwall-emulator/src/judge/judge.ts
+++ b/packages/gypsumwall-emulator/src/judge/judge.ts
@@ -4,8 +4,10 @@
 import * as crashRules from './crash_rules.js';
 import * as gangRules from './gang_rules.js';
 import * as jobRules from './job_rules.js';
+import * as keyRules from './key_rules.js';
 import * as longRunningRules from './long_running_rules.js';
 import * as orderRules from './order_rules.js';
+import * as quotaRules from './quota_rules.js';
 import * as attemptRules from './attempt_rules.js';
 import * as taskAttempts from './task_attempts.js';
 
@@ -22,5 +24,7 @@
     ...longRunningRules.findLongDowntimes(events, attempts),
     ...attemptRules.findUnaskedStarts(events),
     ...crashRules.findCrashLoops(events, attempts),
+    ...quotaRules.findExceededQuotas(events),
+    ...keyRules.findMisjudgedKeys(events),
   ];
 }
--- a/packages/gypsumwall-emulator/src/model/__tests__/caller.test.ts
+++ b/packages/gypsumwall-emulator/src/model/__tests__/caller.test.ts
@@ -26,6 +26,7 @@
     catalog: jobCatalogs.createJobCatalog(),
     patienceMs: 3_000,
     attempts: 4,
+    keyOf: () => undefined,
     retryPauseMs: 100,
     send(entry) {
       const type = answers[asked.length] ?? 'refused';
--- a/packages/gypsumwall-emulator/src/model/caller.ts
+++ b/packages/gypsumwall-emulator/src/model/caller.ts
@@ -9,6 +9,8 @@
   | {readonly type: 'ok'; readonly state: history.JobState | undefined}
   /** The entry did nothing. */
   | {readonly type: 'refused'}
+  /** The entry does not know the caller's key. */
+  | {readonly type: 'unauthorised'}
   /** The entry knows no such job or queue. */
   | {readonly type: 'absent'}
   /** No answer, or one that leaves open whether the call took effect. */
@@ -23,6 +25,7 @@
   kind: CallKind,
   job: jobCatalog.JobSpec,
   timeoutMs: number,
+  key: string | undefined,
 ) => Promise<CallAnswer>;
 
 /** The callers of a platform. */
@@ -42,6 +45,8 @@
   readonly catalog: jobCatalog.JobCatalog;
   readonly balancer: balancer.Balancer;
   readonly send: SendCall;
+  /** The key that callers of an organisation send. */
+  readonly keyOf: (organisation: string) => string | undefined;
   /** Time limit for a call with all its tries. */
   readonly patienceMs: number;
   readonly attempts: number;
@@ -66,14 +71,29 @@
       const timeoutMs = deadline - clock.monotonic();
       if (timeoutMs <= 0) break;
       const entry = options.balancer.pick(callerNumber, nth);
-      const answer = await options.send(entry, kind, job, timeoutMs);
+      const {organisation} = job;
+      const key = organisation && options.keyOf(organisation);
+      const sentAt = clock.monotonic();
+      const answer = await options.send(entry, kind, job, timeoutMs, key);
       answers.push(answer);
-      if (answer.type === 'ok' || answer.type === 'absent') break;
+      recordKeyUse(key, sentAt, answer);
+      if (isFinal(answer)) break;
       await types.clock.sleepFor(clock, options.retryPauseMs);
     }
     return answers;
   }
 
+  function recordKeyUse(
+    key: string | undefined,
+    sentAt: types.clock.MonotonicMs,
+    answer: CallAnswer,
+  ): void {
+    if (key === undefined) return;
+    if (answer.type !== 'ok' && answer.type !== 'unauthorised') return;
+    const isAccepted = answer.type === 'ok';
+    eventHistory.record({type: 'key_used', key, sentAt, isAccepted});
+  }
+
   async function submit(
     job: jobCatalog.JobSpec,
   ): Promise<'accepted' | 'refused' | 'unknown'> {
@@ -109,6 +129,18 @@
   };
 }
 
+function isFinal(answer: CallAnswer): boolean {
+  switch (answer.type) {
+    case 'ok':
+    case 'absent':
+    case 'unauthorised':
+      return true;
+    case 'refused':
+    case 'unknown':
+      return false;
+  }
+}
+
 function extractState(
   answer: CallAnswer | undefined,
 ): history.JobState | undefined {
@@ -121,7 +153,8 @@
 ): 'accepted' | 'refused' | 'unknown' {
   if (answers.some((answer) => answer.type === 'ok')) return 'accepted';
   const isRefused = answers.every(
-    (answer) => answer.type === 'refused' || answer.type === 'absent',
+    ({type}) =>
+      type === 'refused' || type === 'absent' || type === 'unauthorised',
   );
   return isRefused ? 'refused' : 'unknown';
 }
--- a/packages/gypsumwall-emulator/src/model/history.ts
+++ b/packages/gypsumwall-emulator/src/model/history.ts
@@ -3,6 +3,7 @@
  * of the judge. Event types and fields are also read outside this package.
  */
 import type * as types from '@gypsumwall/types';
+import type * as operator from './operator.js';
 import type * as jobCatalog from './job_catalog.js';
 
 /** How an attempt ended at its worker. Sent under these names. */
@@ -45,6 +46,18 @@
       readonly type: 'cancel_sent' | 'cancel_acknowledged';
       readonly jobId: string;
     }
+  | {
+      /** The store has acknowledged a configuration. */
+      readonly type: 'config_published';
+      readonly organisations: readonly operator.Organisation[];
+    }
+  | {
+      readonly type: 'key_used';
+      readonly key: string;
+      readonly sentAt: types.clock.MonotonicMs;
+      /** Whether an entry served the call; otherwise the key is unknown to it. */
+      readonly isAccepted: boolean;
+    }
   | {
       readonly type: 'worker_up';
       readonly workerId: string;
--- a/packages/gypsumwall-emulator/src/model/job_catalog.ts
+++ b/packages/gypsumwall-emulator/src/model/job_catalog.ts
@@ -31,6 +31,8 @@
 export interface JobSpec {
   readonly jobId: string;
   readonly queue: string;
+  /** Who submits it; absent where callers need no keys. */
+  readonly organisation?: string;
   /** Opaque; passed to the tasks unchanged. */
   readonly payload: string;
   readonly steps: readonly StepSpec[];
--- a/packages/gypsumwall-emulator/src/model/operator.ts
+++ b/packages/gypsumwall-emulator/src/model/operator.ts
@@ -19,9 +19,21 @@
   readonly advice?: adviser.AdvicePolicy | undefined;
 }
 
+/** A customer of the system. */
+export interface Organisation {
+  readonly name: string;
+  readonly keys: readonly string[];
+  /** Jobs a second that it is entitled to in a full cell. */
+  readonly weight: number;
+  /** What its tasks may hold at a time; 0 is no limit. */
+  readonly quota: {readonly cpuMillis: number; readonly memoryMb: number};
+}
+
 /** The whole configuration. */
 export interface OperatorConfig {
   readonly queues: readonly QueuePolicy[];
+  /** Empty if callers need no keys. */
+  readonly organisations: readonly Organisation[];
   readonly pools: readonly {
     readonly name: string;
     readonly refusesExcess: boolean;
--- a/packages/gypsumwall-emulator/src/model/platform_model.ts
+++ b/packages/gypsumwall-emulator/src/model/platform_model.ts
@@ -51,8 +51,13 @@
   readonly adviser: advisers.Adviser | undefined;
   readonly random: types.random.Random;
   readonly machines: readonly workerMachine.WorkerMachine[];
-  /** Publishes the configuration of the queues and returns its version. */
-  publish(): number;
+  /** The organisations of the newest configuration. */
+  organisations(): readonly operators.Organisation[];
+  /**
+   * Publishes the configuration of the queues, with other organisations if they
+   * are given, and returns its version.
+   */
+  publish(organisations?: readonly operators.Organisation[]): number;
   /** Adds a machine whose worker receives calls at the address. */
   addMachine(spec: MachineSpec, address: string): workerMachine.WorkerMachine;
   stop(): void;
@@ -108,6 +113,7 @@
     encode: encoders.listing,
   });
   const adviser = createAdviser(options, catalog);
+  let organisations: readonly operators.Organisation[] = config.organisations;
   const machines: workerMachine.WorkerMachine[] = [];
   const context: worker.WorkerContext = {
     clock,
@@ -134,7 +140,13 @@
     adviser,
     random,
     machines,
-    publish: () => operator.publish(config),
+    organisations: () => organisations,
+    publish(next = organisations) {
+      organisations = next;
+      const version = operator.publish({...config, organisations});
+      history.record({type: 'config_published', organisations});
+      return version;
+    },
     addMachine({name, zone, rack, pool}, address) {
       const {heartbeatMs, drainMs, restartMs} = config.workers;
       const machine = workerMachine.createWorkerMachine(context, list, {
--- a/packages/gypsumwall-emulator/src/rig/emulated_cell.ts
+++ b/packages/gypsumwall-emulator/src/rig/emulated_cell.ts
@@ -148,6 +148,7 @@
       history: model.history,
       catalog: model.catalog,
       send: client.send,
+      keyOf: (organisation) => keyOf(model, organisation),
       ...config.callers,
     }),
     async untilReady(deadline) {
@@ -175,3 +176,11 @@
     },
   };
 }
+
+function keyOf(
+  model: platformModels.PlatformModel,
+  organisation: string,
+): string | undefined {
+  const found = model.organisations().find(({name}) => name === organisation);
+  return found?.keys[0];
+}
--- a/packages/gypsumwall-emulator/src/wire/config_record.ts
+++ b/packages/gypsumwall-emulator/src/wire/config_record.ts
@@ -28,9 +28,23 @@
       standby: false,
     })),
     limits: LIMITS,
+    tenants:
+      config.organisations.length === 0
+        ? undefined
+        : config.organisations.map(encodeOrganisation),
   });
 }
 
+function encodeOrganisation({
+  name,
+  keys,
+  weight,
+  quota,
+}: operator.Organisation) {
+  const cap = {cpu: quota.cpuMillis, memMb: quota.memoryMb, gpu: 0};
+  return {name, apiKeys: keys, priority: 1, weight, cap};
+}
+
 function encodeQueue(queue: operator.QueuePolicy) {
   const {advice} = queue;
   return {
--- a/packages/gypsumwall-emulator/src/wire/entry_client.ts
+++ b/packages/gypsumwall-emulator/src/wire/entry_client.ts
@@ -62,6 +62,7 @@
     kind: caller.CallKind,
     job: jobCatalog.JobSpec,
     timeoutMs: number,
+    key: string | undefined,
   ): Promise<caller.CallAnswer> {
     const queue = options.queues.find(({name}) => name === job.queue);
     const address = options.entries.get(entry)?.callers;
@@ -74,7 +75,11 @@
       const answer = await undici.request(url, {
         dispatcher: agent,
         method: METHODS[kind],
-        headers: {host: queue.host, 'content-type': 'application/json'},
+        headers: {
+          host: queue.host,
+          'content-type': 'application/json',
+          ...(key !== undefined && {authorization: `Bearer ${key}`}),
+        },
         body: kind === 'submit' ? jobBody.encodeJob(job) : null,
         signal,
       });
@@ -102,6 +107,7 @@
 
 function decodeAnswer(status: number, text: string): caller.CallAnswer {
   if (status === 200) return {type: 'ok', state: extractState(text)};
+  if (status === 401) return {type: 'unauthorised'};
   if (status === 404 || status === 410) return {type: 'absent'};
   if (status === 429 || status === 503) return {type: 'refused'};
   return {type: 'unknown'};
