--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -375,6 +375,7 @@
       jobs: jobs.size,
       runs: attempts.size(),
       waitingSteps: waitingSteps.size,
+      organisations: registry.quotas.usage(),
     }),
   };
 }
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -192,6 +192,8 @@
   readonly jobs: number;
   readonly runs: number;
   readonly waitingSteps: number;
+  /** What the tasks of each organisation hold, and their quotas. */
+  readonly organisations: readonly organisations.quotaLedger.QuotaUsage[];
 }
 
 /** Options of a scheduler. */
