cell: a refusal never hides that a peer may have applied the call

A peer's final refusal after another peer's lost answer hid the same.

What peers may have applied is now kept for the whole call, and every refusal after it is answered as unknown.

--- a/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
@@ -13,8 +13,12 @@
 interface Situation {
   readonly own: jobService.JobServiceAnswer<undefined>;
   readonly relayed: peerDirectory.RelayOutcome;
-  /** Outcome of the calls to the holder, if it differs from `relayed`. */
-  readonly byHolder?: peerDirectory.RelayOutcome;
+  /**
+   * Outcomes of the calls to the holder, if they differ from `relayed`; the
+   * last one is repeated.
+   */
+  readonly byHolder?:
+    peerDirectory.RelayOutcome | readonly peerDirectory.RelayOutcome[];
   readonly reachable: boolean;
   /** Whether the store turns out to refuse the entry when it appends. */
   readonly refusesAppend?: boolean;
@@ -54,8 +58,12 @@
     close: () => {},
     relay: (_req, limits) => {
       asked.push(limits.onlyPreferred ? 'holder' : 'any peer');
-      const byHolder = limits.onlyPreferred ? situation.byHolder : undefined;
-      return Promise.resolve(byHolder ?? situation.relayed);
+      const {byHolder, relayed} = situation;
+      if (!limits.onlyPreferred || byHolder === undefined)
+        return Promise.resolve(relayed);
+      const outcomes = [byHolder].flat();
+      const nth = asked.filter((one) => one === 'holder').length - 1;
+      return Promise.resolve(outcomes[Math.min(nth, outcomes.length - 1)]!);
     },
   };
   return forwardingJobServices.createForwardingJobService({
@@ -79,7 +87,7 @@
 
 const REFUSED = {type: 'not_run', retryAfterMs: 1_000} as const;
 const OK = {type: 'ok', value: undefined} as const;
-const PEER_OK = {type: 'answered', res: OK} as const;
+const PEER_OK = {type: 'answered', res: OK, maybeApplied: false} as const;
 
 test('a call is answered by a peer while the store refuses this entry', async () => {
   const answer = await submit({
@@ -110,12 +118,42 @@
   assert.equal(refused.type, 'not_run');
 });
 
+// Guards against a caller who is told that nothing ran while the job runs: the
+// holder received the call and was slow, a second call to it was refused, and
+// then the store refused the entry.
+test('a refusal after an unanswered call to the holder is not reported', async () => {
+  const slow = {type: 'unanswered', maybeApplied: true, isSlow: true} as const;
+  const lost = {
+    type: 'unanswered',
+    maybeApplied: false,
+    isSlow: false,
+  } as const;
+  const answer = await submit({
+    own: REFUSED,
+    relayed: lost,
+    byHolder: [slow, lost],
+    reachable: true,
+    latencyMs: 'unknown',
+  });
+  assert.equal(answer.type, 'unknown');
+});
+
+// Guards against the same where another peer then refuses the call for good.
+test('a final refusal after an unanswered call is not reported', async () => {
+  for (const type of ['outdated_caller', 'invalid'] as const) {
+    const res = {type, message: 'refused'} as const;
+    const relayed = {type: 'answered', res, maybeApplied: true} as const;
+    const answer = await submit({own: REFUSED, relayed, reachable: false});
+    assert.equal(answer.type, 'unknown');
+  }
+});
+
 // Guards against a finished job that is reported as running for six seconds,
 // and against a count of 4 pending jobs where there are 20. The store answers
 // the entry again, which is still reading what it missed; its peers know the
 // answers.
 test('queries go to a peer while the local replica is stale', async () => {
-  const relayed = {type: 'answered', res: {type: 'ok', value: 20}} as const;
+  const relayed = {...PEER_OK, res: {type: 'ok', value: 20}} as const;
   const situation = {own: OK, relayed, reachable: true};
   const asked: string[] = [];
   const old = createService({...situation, current: false}, asked);
--- a/packages/gypsumwall-cell/src/__tests__/relayed_queries.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/relayed_queries.test.ts
@@ -61,7 +61,9 @@
 test('a query that no peer can answer does not stop jobs from being forwarded', async () => {
   const taken = {type: 'ok', value: undefined} as const;
   const service = createService(false, (req) =>
-    req.type === 'submit' ? {type: 'answered', res: taken} : UNANSWERED,
+    req.type === 'submit'
+      ? {type: 'answered', res: taken, maybeApplied: false}
+      : UNANSWERED,
   );
   assert.equal((await service.pendingIn(queue)).type, 'not_run');
   const answer = await service.submit(id, worlds.POLICY, worlds.request(1));
@@ -73,7 +75,11 @@
 // newest job.
 test('a state that this entry does not know is queried at a peer', async () => {
   const known = {type: 'ok', value: 'queued'} as const;
-  const service = createService(true, () => ({type: 'answered', res: known}));
+  const service = createService(true, () => ({
+    type: 'answered',
+    res: known,
+    maybeApplied: false,
+  }));
   assert.deepEqual(await service.phaseOf(id, queue), known);
 });
 
--- a/packages/gypsumwall-cell/src/__tests__/slow_store.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/slow_store.test.ts
@@ -97,7 +97,7 @@
       return {type: 'unanswered', maybeApplied: true, isSlow: true};
     }
     return res.type === 'ok'
-      ? {type: 'answered', res}
+      ? {type: 'answered', res, maybeApplied: false}
       : {
           type: 'unanswered',
           maybeApplied: res.type === 'unknown',
--- a/packages/gypsumwall-cell/src/forwarding_job_service.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -50,6 +50,24 @@
   isSlow: false,
 } as const;
 
+/** A call of a caller in progress. */
+interface TrackedCall {
+  /**
+   * Forwards the call to any peer, unless none could answer a call of this type
+   * a moment ago.
+   */
+  relayToAny(): Promise<peerDirectory.RelayOutcome>;
+  /**
+   * Forwards the call to the holder, which appends it in a batch with others;
+   * does nothing on the holder itself.
+   */
+  relayToHolder(withinMs: number): Promise<peerDirectory.RelayOutcome>;
+  /** The final answer, given what its relays may have caused. */
+  conclude<Value>(
+    answer: jobService.JobServiceAnswer<Value>,
+  ): jobService.JobServiceAnswer<Value>;
+}
+
 /** Options of a forwarding job service. */
 export interface ForwardingJobServiceOptions {
   readonly local: jobService.JobService;
@@ -96,51 +114,54 @@
     return outcome;
   }
 
-  /**
-   * Forwards a call to any peer, unless none could answer a call of this type a
-   * moment ago.
-   */
-  async function relayToAny(
-    req: peerProtocol.RelayReq,
-  ): Promise<peerDirectory.RelayOutcome> {
-    if (clock.monotonic() < (pausedUntil.get(req.type) ?? 0)) {
-      return NOT_RELAYED;
-    }
-    const outcome = await relay(req, {
-      preferred: options.holder(),
-      onlyPreferred: false,
-      peerTimeoutMs: PEER_TIMEOUT_MS,
-      totalTimeoutMs: ALL_PEERS_TIMEOUT_MS,
-    });
-    if (outcome.type === 'unanswered') {
-      const until = types.clock.after(clock.monotonic(), UNANSWERED_PAUSE_MS);
-      pausedUntil.set(req.type, until);
+  /** One caller's call, and whether a peer may have applied it. */
+  function trackCall(req: peerProtocol.RelayReq): TrackedCall {
+    let maybeApplied = false;
+
+    async function send(
+      limits: peerDirectory.RelayLimits,
+    ): Promise<peerDirectory.RelayOutcome> {
+      const outcome = await relay(req, limits);
+      maybeApplied ||= outcome.maybeApplied;
+      return outcome;
     }
-    return outcome;
-  }
 
-  /**
-   * Forwards a call to the holder, which appends it in a batch with others;
-   * does nothing on the holder itself.
-   */
-  async function relayToHolder(
-    req: peerProtocol.RelayReq,
-    withinMs: number,
-  ): Promise<peerDirectory.RelayOutcome> {
-    const preferred = options.holder();
-    if (preferred === undefined) return NOT_RELAYED;
-    const limits = {peerTimeoutMs: withinMs, totalTimeoutMs: withinMs};
-    return relay(req, {preferred, onlyPreferred: true, ...limits});
+    return {
+      async relayToAny() {
+        if (clock.monotonic() < (pausedUntil.get(req.type) ?? 0)) {
+          return NOT_RELAYED;
+        }
+        const outcome = await send({
+          preferred: options.holder(),
+          onlyPreferred: false,
+          peerTimeoutMs: PEER_TIMEOUT_MS,
+          totalTimeoutMs: ALL_PEERS_TIMEOUT_MS,
+        });
+        if (outcome.type === 'unanswered') {
+          const now = clock.monotonic();
+          const until = types.clock.after(now, UNANSWERED_PAUSE_MS);
+          pausedUntil.set(req.type, until);
+        }
+        return outcome;
+      },
+      relayToHolder(withinMs) {
+        const preferred = options.holder();
+        if (preferred === undefined) return Promise.resolve(NOT_RELAYED);
+        const limits = {peerTimeoutMs: withinMs, totalTimeoutMs: withinMs};
+        return send({preferred, onlyPreferred: true, ...limits});
+      },
+      conclude: (answer) => (maybeApplied ? withUncertainty(answer) : answer),
+    };
   }
 
   /** Waits for the holder's answer for as long as a slow store needs. */
   async function waitForHolder<Value>(
-    req: peerProtocol.RelayReq,
+    call: TrackedCall,
     withinMs: number,
     ask: () => Promise<jobService.JobServiceAnswer<Value>>,
   ): Promise<jobService.JobServiceAnswer<Value>> {
     const askedAt = clock.monotonic();
-    const relayed = await relayToHolder(req, withinMs);
+    const relayed = await call.relayToHolder(withinMs);
     if (relayed.type === 'answered') return answerOf(relayed.res);
     if (relayed.maybeApplied) return {type: 'unknown'};
     if (clock.monotonic() - askedAt < MAX_DIRECT_DELAY_MS) return ask();
@@ -154,39 +175,40 @@
    * peer to peer are refused by each of them and keep the queue full.
    */
   async function forwardRefused<Value>(
-    req: peerProtocol.RelayReq,
+    call: TrackedCall,
     refused: jobService.JobServiceAnswer<Value>,
   ): Promise<jobService.JobServiceAnswer<Value>> {
-    const viaHolder = await relayToHolder(req, PEER_TIMEOUT_MS);
+    const viaHolder = await call.relayToHolder(PEER_TIMEOUT_MS);
     if (viaHolder.type === 'answered') return answerOf(viaHolder.res);
     if (viaHolder.isSlow) {
       const answerRefused = () => Promise.resolve(refused);
-      return waitForHolder(req, SLOW_RETRY_TIMEOUT_MS, answerRefused);
+      return waitForHolder(call, SLOW_RETRY_TIMEOUT_MS, answerRefused);
     }
-    if (options.storeReachable()) {
-      return withUncertainty(refused, viaHolder.maybeApplied);
-    }
-    const relayed = await relayToAny(req);
-    if (relayed.type === 'answered') return answerOf(relayed.res);
-    return withUncertainty(
-      refused,
-      relayed.maybeApplied || viaHolder.maybeApplied,
-    );
+    if (options.storeReachable()) return refused;
+    const relayed = await call.relayToAny();
+    return relayed.type === 'answered' ? answerOf(relayed.res) : refused;
   }
 
   /** Returns the local answer, or a peer's answer where that is better. */
   async function serve<Value>(
     req: peerProtocol.RelayReq,
     ask: () => Promise<jobService.JobServiceAnswer<Value>>,
+  ): Promise<jobService.JobServiceAnswer<Value>> {
+    const call = trackCall(req);
+    return call.conclude(await serveTracked(call, ask));
+  }
+
+  async function serveTracked<Value>(
+    call: TrackedCall,
+    ask: () => Promise<jobService.JobServiceAnswer<Value>>,
   ): Promise<jobService.JobServiceAnswer<Value>> {
     if (!options.storeReachable()) {
-      const relayed = await relayToAny(req);
-      if (relayed.type === 'answered') return answerOf(relayed.res);
-      return withUncertainty(await ask(), relayed.maybeApplied);
+      const relayed = await call.relayToAny();
+      return relayed.type === 'answered' ? answerOf(relayed.res) : ask();
     }
     const latencyMs = localService.storeLatencyMs();
     if (latencyMs !== undefined && latencyMs > SLOW_STORE_MS) {
-      return waitForHolder(req, SLOW_HOLDER_TIMEOUT_MS, ask);
+      return waitForHolder(call, SLOW_HOLDER_TIMEOUT_MS, ask);
     }
     // Without a recent append an entry doesn't know the store's latency. The
     // holder does, because it appends all the time. Before entries asked the
@@ -195,22 +217,16 @@
     // and 234 of 360 jobs were lost.
     const viaHolder =
       latencyMs === undefined
-        ? await relayToHolder(req, PEER_TIMEOUT_MS)
+        ? await call.relayToHolder(PEER_TIMEOUT_MS)
         : NOT_RELAYED;
     if (viaHolder.type === 'answered') return answerOf(viaHolder.res);
-    if (viaHolder.isSlow) return waitForHolder(req, SLOW_RETRY_TIMEOUT_MS, ask);
+    if (viaHolder.isSlow)
+      return waitForHolder(call, SLOW_RETRY_TIMEOUT_MS, ask);
     const direct = await ask();
-    if (direct.type !== 'not_run' && direct.type !== 'unknown') return direct;
-    if (direct.type === 'not_run') {
-      const forwarded = await forwardRefused<Value>(req, direct);
-      return withUncertainty(forwarded, viaHolder.maybeApplied);
-    }
-    const relayed = await relayToAny(req);
-    if (relayed.type === 'answered') return answerOf(relayed.res);
-    return withUncertainty(
-      direct,
-      relayed.maybeApplied || viaHolder.maybeApplied,
-    );
+    if (direct.type === 'not_run') return forwardRefused(call, direct);
+    if (direct.type !== 'unknown') return direct;
+    const relayed = await call.relayToAny();
+    return relayed.type === 'answered' ? answerOf(relayed.res) : direct;
   }
 
   return {
@@ -229,14 +245,15 @@
       }
       const final = await localService.finalPhaseOf(id, queue, caller);
       if (final.type === 'ok') return final;
-      const relayed = await relayToAny({type: 'phase', id, caller, queue});
+      const call = trackCall({type: 'phase', id, caller, queue});
+      const relayed = await call.relayToAny();
       if (relayed.type === 'answered') return answerOf(relayed.res);
       return localService.phaseOf(id, queue, caller);
     },
     async pendingIn(queue) {
       const direct = await localService.pendingIn(queue);
       if (direct.type === 'ok') return direct;
-      const relayed = await relayToAny({type: 'pending', queue});
+      const relayed = await trackCall({type: 'pending', queue}).relayToAny();
       return relayed.type === 'answered' ? answerOf(relayed.res) : direct;
     },
     finalPhaseOf: (id, queue, caller) =>
@@ -277,13 +294,20 @@
 }
 
 /**
- * Turns a refusal into "unknown" if a peer may have applied the call. A peer
- * that received the call without answering may have done so, and the caller
- * must not be told that nothing runs.
+ * The answer to a call that a peer may have applied. The peer received it
+ * without answering, so the caller must not be told that nothing runs.
  */
 function withUncertainty<Value>(
-  direct: jobService.JobServiceAnswer<Value>,
-  maybeApplied: boolean,
+  answer: jobService.JobServiceAnswer<Value>,
 ): jobService.JobServiceAnswer<Value> {
-  return direct.type === 'not_run' && maybeApplied ? {type: 'unknown'} : direct;
+  switch (answer.type) {
+    case 'not_run':
+    case 'invalid':
+    case 'outdated_caller':
+      return {type: 'unknown'};
+    case 'ok':
+    case 'absent':
+    case 'unknown':
+      return answer;
+  }
 }
--- a/packages/gypsumwall-cell/src/peer_directory.ts
+++ b/packages/gypsumwall-cell/src/peer_directory.ts
@@ -39,7 +39,12 @@
 
 /** Outcome of a forwarded call. */
 export type RelayOutcome =
-  | {readonly type: 'answered'; readonly res: peerProtocol.RelayRes}
+  | {
+      readonly type: 'answered';
+      readonly res: peerProtocol.RelayRes;
+      /** Whether a peer that was asked before may have applied the call. */
+      readonly maybeApplied: boolean;
+    }
   /** No peer gave a definite answer. */
   | {
       readonly type: 'unanswered';
@@ -170,7 +175,7 @@
         }
         recordAnswer(peer, answer);
         if (isFinal(answer.value)) {
-          return {type: 'answered', res: answer.value};
+          return {type: 'answered', res: answer.value, maybeApplied};
         } else if (answer.value.type === 'unknown') {
           maybeApplied = true;
         }
