--- a/packages/gypsumwall-cell/src/forwarding_job_service.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -1,10 +1,11 @@
 /**
- * The job service that callers use. It answers from this entry's local job
- * service while the store is available, and forwards calls to a peer while the
- * store refuses this entry or is slow. Queries are also forwarded until this
- * entry has read the records it missed. The store handles the appends of a
- * log one at a time, so while it is slow all entries send their calls through
- * the holder, which combines them in batches.
+ * The job service that callers use. Calls that append to the store go through
+ * the holder, which combines them in batches: the store handles the appends of
+ * a log one at a time, so while it is slow the appends of many entries would
+ * make a queue that it refuses. An entry appends by itself while no holder is
+ * alive or the store refuses the holder, and forwards its calls to any peer
+ * while the store refuses it. Queries are answered locally, and forwarded until
+ * this entry has read the records it missed.
  */
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
@@ -12,22 +13,11 @@
 import type * as peerDirectory from './peer_directory.js';
 import type * as peerProtocol from './peer_protocol.js';
 
-/** Append latency above which calls go through the holder; milliseconds. */
-const SLOW_STORE_MS = 60;
 /**
- * Timeout of a call through the holder while the store is slow, enough for two
- * of the store's appends; milliseconds.
+ * Timeout of a call through the holder, enough for several appends of a slow
+ * store; callers wait for 3 s; milliseconds.
  */
-const SLOW_HOLDER_TIMEOUT_MS = 2_500;
-/** The same, after a first try that timed out; milliseconds. */
-const SLOW_RETRY_TIMEOUT_MS = 2_000;
-/**
- * If the holder took longer than this, the entry doesn't try the call itself,
- * because its caller would wait until the deadline; milliseconds.
- */
-const MAX_DIRECT_DELAY_MS = 800;
-/** When a caller should retry after such a refusal; milliseconds. */
-const RETRY_AFTER_MS = 1_000;
+const HOLDER_TIMEOUT_MS = 2_500;
 /**
  * Timeouts for one peer's answer and for all peers together. A healthy peer
  * answers in 20 ms, and callers must not be blocked; milliseconds.
@@ -61,7 +51,7 @@
    * Forwards the call to the holder, which appends it in a batch with others;
    * does nothing on the holder itself.
    */
-  relayToHolder(withinMs: number): Promise<peerDirectory.RelayOutcome>;
+  relayToHolder(): Promise<peerDirectory.RelayOutcome>;
   /** The final answer, given what its relays may have caused. */
   conclude<Value>(
     answer: jobService.JobServiceAnswer<Value>,
@@ -100,7 +90,13 @@
     req: peerProtocol.RelayReq,
     limits: peerDirectory.RelayLimits,
   ): Promise<peerDirectory.RelayOutcome> {
-    const outcome = await peers.relay(req, limits);
+    return logOutcome(req, await peers.relay(req, limits));
+  }
+
+  function logOutcome(
+    req: peerProtocol.RelayReq,
+    outcome: peerDirectory.RelayOutcome,
+  ): peerDirectory.RelayOutcome {
     const answered = outcome.type === 'answered';
     logger.info('call_relayed', {
       job: req.type === 'pending' ? undefined : req.id,
@@ -133,7 +129,6 @@
         }
         const outcome = await send({
           preferred: options.holder(),
-          onlyPreferred: false,
           peerTimeoutMs: PEER_TIMEOUT_MS,
           totalTimeoutMs: ALL_PEERS_TIMEOUT_MS,
         });
@@ -144,51 +139,20 @@
         }
         return outcome;
       },
-      relayToHolder(withinMs) {
-        const preferred = options.holder();
-        if (preferred === undefined) return Promise.resolve(NOT_RELAYED);
-        const limits = {peerTimeoutMs: withinMs, totalTimeoutMs: withinMs};
-        return send({preferred, onlyPreferred: true, ...limits});
+      async relayToHolder() {
+        const holder = options.holder();
+        if (holder === undefined) return NOT_RELAYED;
+        const outcome = logOutcome(
+          req,
+          await peers.relayTo(holder, req, HOLDER_TIMEOUT_MS),
+        );
+        maybeApplied ||= outcome.maybeApplied;
+        return outcome;
       },
       conclude: (answer) => (maybeApplied ? withUncertainty(answer) : answer),
     };
   }
 
-  /** Waits for the holder's answer for as long as a slow store needs. */
-  async function waitForHolder<Value>(
-    call: TrackedCall,
-    withinMs: number,
-    ask: () => Promise<jobService.JobServiceAnswer<Value>>,
-  ): Promise<jobService.JobServiceAnswer<Value>> {
-    const askedAt = clock.monotonic();
-    const relayed = await call.relayToHolder(withinMs);
-    if (relayed.type === 'answered') return answerOf(relayed.res);
-    if (relayed.maybeApplied) return {type: 'unknown'};
-    if (clock.monotonic() - askedAt < MAX_DIRECT_DELAY_MS) return ask();
-    return {type: 'not_run', retryAfterMs: RETRY_AFTER_MS};
-  }
-
-  /**
-   * Forwards a call that the store refused here to the holder, whose appends
-   * the store may still accept. Other peers are asked only if the store refuses
-   * this entry altogether: when too many appends are queued, calls that go from
-   * peer to peer are refused by each of them and keep the queue full.
-   */
-  async function forwardRefused<Value>(
-    call: TrackedCall,
-    refused: jobService.JobServiceAnswer<Value>,
-  ): Promise<jobService.JobServiceAnswer<Value>> {
-    const viaHolder = await call.relayToHolder(PEER_TIMEOUT_MS);
-    if (viaHolder.type === 'answered') return answerOf(viaHolder.res);
-    if (viaHolder.isSlow) {
-      const answerRefused = () => Promise.resolve(refused);
-      return waitForHolder(call, SLOW_RETRY_TIMEOUT_MS, answerRefused);
-    }
-    if (options.storeReachable()) return refused;
-    const relayed = await call.relayToAny();
-    return relayed.type === 'answered' ? answerOf(relayed.res) : refused;
-  }
-
   /** Returns the local answer, or a peer's answer where that is better. */
   async function serve<Value>(
     req: peerProtocol.RelayReq,
@@ -206,25 +170,22 @@
       const relayed = await call.relayToAny();
       return relayed.type === 'answered' ? answerOf(relayed.res) : ask();
     }
-    const latencyMs = localService.storeLatencyMs();
-    if (latencyMs !== undefined && latencyMs > SLOW_STORE_MS) {
-      return waitForHolder(call, SLOW_HOLDER_TIMEOUT_MS, ask);
-    }
-    // Without a recent append an entry doesn't know the store's latency. The
-    // holder does, because it appends all the time. Before entries asked the
-    // holder, each of 45 entries sent one append to a slow store before it
-    // knew; this made a queue of 19 s, the store refused all appends for 6 s,
-    // and 234 of 360 jobs were lost.
-    const viaHolder =
-      latencyMs === undefined
-        ? await call.relayToHolder(PEER_TIMEOUT_MS)
-        : NOT_RELAYED;
+    const viaHolder = await call.relayToHolder();
     if (viaHolder.type === 'answered') return answerOf(viaHolder.res);
-    if (viaHolder.isSlow)
-      return waitForHolder(call, SLOW_RETRY_TIMEOUT_MS, ask);
+    if (viaHolder.isSlow) return {type: 'unknown'};
     const direct = await ask();
-    if (direct.type === 'not_run') return forwardRefused(call, direct);
-    if (direct.type !== 'unknown') return direct;
+    switch (direct.type) {
+      case 'ok':
+      case 'absent':
+      case 'invalid':
+      case 'outdated_caller':
+        return direct;
+      case 'not_run':
+        if (options.storeReachable()) return direct;
+        break;
+      case 'unknown':
+        break;
+    }
     const relayed = await call.relayToAny();
     return relayed.type === 'answered' ? answerOf(relayed.res) : direct;
   }
--- a/packages/gypsumwall-cell/src/job_service.ts
+++ b/packages/gypsumwall-cell/src/job_service.ts
@@ -54,7 +54,12 @@
 export type JobServiceAnswer<Value> =
   | {readonly type: 'ok'; readonly value: Value}
   /** The call had no effect and will have none. */
-  | {readonly type: 'not_run'; readonly retryAfterMs: number}
+  | {
+      readonly type: 'not_run';
+      readonly retryAfterMs: number;
+      /** Whether the store is reachable and has too many queued appends. */
+      readonly isStoreOverloaded?: boolean;
+    }
   /** The call may have taken effect; the caller should repeat it. */
   | {readonly type: 'unknown'}
   | {readonly type: 'absent'}
@@ -213,7 +218,11 @@
       case 'stored':
         return {type: 'ok', value: undefined};
       case 'not_run':
-        return {type: 'not_run', retryAfterMs: STORE_RETRY_AFTER_MS};
+        return {
+          type: 'not_run',
+          retryAfterMs: STORE_RETRY_AFTER_MS,
+          isStoreOverloaded: follower.reachableSince() !== undefined,
+        };
       case 'unknown':
         return {type: 'unknown'};
     }
--- a/packages/gypsumwall-cell/src/peer_directory.ts
+++ b/packages/gypsumwall-cell/src/peer_directory.ts
@@ -21,15 +21,24 @@
 const MAX_BACKOFF_MS = 30_000;
 /** Timeout of a ping; a live peer answers within 10 ms; milliseconds. */
 const PING_TIMEOUT_MS = 120;
-/** Connections to one peer; calls queue up at the adviser anyway. */
-const MAX_CONNECTIONS = 8;
+/**
+ * How long a call waits for a peer's answer before the peer is pinged, and the
+ * pause between two pings; milliseconds.
+ */
+const LIVENESS_CHECK_AFTER_MS = 80;
+const LIVENESS_CHECK_INTERVAL_MS = 250;
+/** Number of successive pings that must fail, because one may get lost. */
+const MAX_FAILED_PINGS = 2;
+/**
+ * Connections to one peer. Calls that wait for a slow store occupy them
+ * meanwhile.
+ */
+const MAX_CONNECTIONS = 16;
 
 /** Limits of a forwarded call. */
 export interface RelayLimits {
   /** The instance that is asked first. */
   readonly preferred: string | undefined;
-  /** Whether only the preferred instance is asked. */
-  readonly onlyPreferred: boolean;
   /**
    * Timeouts for one peer's answer and for all peers together; milliseconds.
    */
@@ -58,6 +67,8 @@
   readonly record: storeRecords.EntryRecord;
   readonly client: httpClient.HttpClient;
   readonly adviser: ports.Adviser;
+  /** A ping in progress, shared by all calls that wait. */
+  ping: Promise<boolean> | undefined;
   backoffUntil: types.clock.MonotonicMs;
   nextBackoffMs: number;
 }
@@ -70,6 +81,15 @@
   advisers(): Map<string, ports.Adviser>;
   /** Forwards a caller's call to peers until one gives a definite answer. */
   relay(req: peerProtocol.RelayReq, limits: RelayLimits): Promise<RelayOutcome>;
+  /**
+   * Forwards a call to one peer. Waits for the answer for as long as the peer
+   * is alive, up to the timeout in milliseconds.
+   */
+  relayTo(
+    instance: string,
+    req: peerProtocol.RelayReq,
+    timeoutMs: number,
+  ): Promise<RelayOutcome>;
   /**
    * Whether a peer answers in time; true for an unknown peer, which isn't
    * called.
@@ -97,6 +117,7 @@
     const peer: Peer = {
       record,
       client,
+      ping: undefined,
       backoffUntil: clock.monotonic(),
       nextBackoffMs: FIRST_BACKOFF_MS,
       adviser: {
@@ -148,12 +169,39 @@
     peer.nextBackoffMs = Math.min(MAX_BACKOFF_MS, doubled);
   }
 
-  function usablePeers({preferred, onlyPreferred}: RelayLimits): Peer[] {
+  /** Resolves once the peer fails to answer pings, or the signal aborts. */
+  async function untilLost(peer: Peer, signal: AbortSignal): Promise<void> {
+    await types.clock.sleepFor(clock, LIVENESS_CHECK_AFTER_MS, signal);
+    let failed = 0;
+    while (!signal.aborted && failed < MAX_FAILED_PINGS) {
+      peer.ping ??= peerProtocol
+        .ping(peer.client, PING_TIMEOUT_MS)
+        .finally(() => (peer.ping = undefined));
+      failed = (await peer.ping) ? 0 : failed + 1;
+      if (failed > 0) continue;
+      await types.clock.sleepFor(clock, LIVENESS_CHECK_INTERVAL_MS, signal);
+    }
+  }
+
+  /** The answer, or undefined if the peer was lost first. */
+  async function relayWhileAlive(
+    peer: Peer,
+    req: peerProtocol.RelayReq,
+    timeoutMs: number,
+  ): Promise<Awaited<ReturnType<typeof peerProtocol.relay>> | undefined> {
+    const answered = new AbortController();
+    const answer = peerProtocol
+      .relay(peer.client, req, timeoutMs)
+      .finally(() => answered.abort());
+    const lost = untilLost(peer, answered.signal);
+    await Promise.race([answer, lost]);
+    return answered.signal.aborted ? answer : undefined;
+  }
+
+  function usablePeers({preferred}: RelayLimits): Peer[] {
     const now = clock.monotonic();
     const first = preferred === undefined ? undefined : peers.get(preferred);
-    const others = onlyPreferred
-      ? []
-      : [...peers.values()].filter((peer) => peer !== first);
+    const others = [...peers.values()].filter((peer) => peer !== first);
     const ordered = first === undefined ? others : [first, ...others];
     return ordered.filter((peer) => peer.backoffUntil <= now);
   }
@@ -182,6 +230,33 @@
       }
       return {type: 'unanswered', maybeApplied, isSlow};
     },
+    async relayTo(instance, req, timeoutMs) {
+      const unsent = {
+        type: 'unanswered',
+        maybeApplied: false,
+        isSlow: false,
+      } as const;
+      const peer = peers.get(instance);
+      if (peer === undefined || peer.backoffUntil > clock.monotonic())
+        return unsent;
+      const until = types.clock.after(clock.monotonic(), timeoutMs);
+      const answer = await relayWhileAlive(peer, req, timeoutMs);
+      if (answer === undefined) {
+        backOff(peer);
+        return {...unsent, maybeApplied: true};
+      }
+      if (result.isErr(answer)) {
+        const isSlow = clock.monotonic() >= until;
+        if (!isSlow) backOff(peer);
+        const maybeApplied = answer.error.effect === 'unknown';
+        return {...unsent, maybeApplied, isSlow};
+      }
+      recordAnswer(peer, answer);
+      if (isFinal(answer.value) || isOverloaded(answer.value)) {
+        return {type: 'answered', res: answer.value, maybeApplied: false};
+      }
+      return {...unsent, maybeApplied: answer.value.type === 'unknown'};
+    },
     apply(instance, record) {
       if (instance === self) return;
       peers.get(instance)?.client.close();
@@ -238,3 +313,8 @@
       return false;
   }
 }
+
+/** Whether the peer reaches a store that accepts no more appends. */
+function isOverloaded(res: peerProtocol.RelayRes): boolean {
+  return res.type === 'not_run' && res.isStoreOverloaded === true;
+}
