--- a/packages/gypsumwall-cell/src/__tests__/retention.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/retention.test.ts
@@ -41,6 +41,7 @@
       jobsLog,
       jobs: {endedBefore: () => []} as unknown as jobTable.JobTable,
       holder: () => holder,
+      appendLatencyMs: () => undefined,
       retentionMs: () => 1_000,
       clock: types.clock.createSystemClock(),
       logger: telemetry.logger.createLogger('silent'),
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -397,6 +397,7 @@
           jobsLog: logs.jobs,
           jobs,
           holder: held,
+          appendLatencyMs: () => localService.storeLatencyMs(),
           retentionMs,
           clock,
           logger,
--- a/packages/gypsumwall-cell/src/retention.ts
+++ b/packages/gypsumwall-cell/src/retention.ts
@@ -19,6 +19,11 @@
 const RETENTION_INTERVAL_MS = 1_000;
 /** Timeout of an append; milliseconds. */
 const APPEND_TIMEOUT_MS = 600;
+/**
+ * Latency of appends above which nothing is dropped, so that the appends of
+ * jobs don't wait for it; milliseconds.
+ */
+const MAX_APPEND_LATENCY_MS = 60;
 
 /**
  * Maximum number of records in one append, so that a burst of finished jobs
@@ -32,6 +37,8 @@
   readonly jobs: jobTable.JobTable;
   /** The holder in this process, if it holds the cell. */
   readonly holder: () => cellHolderTypes.CellHolder | undefined;
+  /** Recent latency of appends in milliseconds, if it is known. */
+  readonly appendLatencyMs: () => number | undefined;
   /** How long the state of a finished job can be queried; milliseconds. */
   readonly retentionMs: () => number;
   readonly clock: types.clock.Clock;
@@ -53,6 +60,7 @@
       await types.clock.sleepFor(clock, RETENTION_INTERVAL_MS, signal);
       const holder = parts.holder();
       if (holder === undefined) continue;
+      if ((parts.appendLatencyMs() ?? 0) > MAX_APPEND_LATENCY_MS) continue;
       const before = types.clock.after(clock.monotonic(), -parts.retentionMs());
       endedJobs.push(...holder.takeEndedJobs());
       await dropRequests();
