--- a/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
@@ -20,6 +20,7 @@
   readonly refusesAppend?: boolean;
   /** Whether the entry's replica of the logs is current. */
   readonly current?: boolean;
+  readonly isStoreSlow?: boolean;
 }
 
 function createService(situation: Situation, asked: string[] = []) {
@@ -63,6 +64,7 @@
     clock: types.clock.createSystemClock(),
     logger: telemetry.logger.createLogger('silent'),
     storeReachable: () => reachable,
+    isStoreQuick: () => situation.isStoreSlow !== true,
     holder: () => 'other',
   });
 }
@@ -196,6 +198,23 @@
   }
 });
 
+// Load: a slow store and a holder that is lost or too busy to answer. Entries
+// that appended by themselves made a queue that the store refused for 6 s.
+test('an entry does not append by itself to a slow store', async () => {
+  for (const maybeApplied of [true, false]) {
+    const byHolder = {type: 'unanswered', maybeApplied, isSlow: false} as const;
+    const answer = await submit({
+      own: OK,
+      relayed: PEER_OK,
+      byHolder,
+      reachable: true,
+      isStoreSlow: true,
+    });
+    const type = maybeApplied ? 'unknown' : 'not_run';
+    assert.deepEqual(answer, {type, asked: ['holder']});
+  }
+});
+
 // The holder's append takes 0.4 s, or 0.8 s with the one before it. An entry
 // that gave up on the holder appended by itself and so lengthened the queue.
 test('an entry waits for a holder that is alive but slow', async () => {
--- a/packages/gypsumwall-cell/src/__tests__/relayed_queries.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/relayed_queries.test.ts
@@ -50,6 +50,7 @@
     clock,
     logger: telemetry.logger.createLogger('silent'),
     storeReachable: () => reachable,
+    isStoreQuick: () => true,
     holder: () => 'other',
   });
 }
--- a/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
@@ -258,7 +258,15 @@
       const tookMs = calls === 1 ? 300 : 1;
       setTimeout(() => {
         const now = clock.monotonic();
-        if (quick) health.recordRead(now, types.clock.after(now, 5));
+        if (quick) {
+          const answeredAt = types.clock.after(now, 5);
+          health.recordRead({
+            sentAt: now,
+            answeredAt,
+            waitMs: 0,
+            isEmpty: true,
+          });
+        }
       }, 20);
       return new Promise<result.Result<string, types.stepError.StepError>>(
         (resolve) => setTimeout(() => resolve(result.ok('done')), tookMs),
--- a/packages/gypsumwall-cell/src/__tests__/slow_store.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/slow_store.test.ts
@@ -125,6 +125,7 @@
       clock,
       logger,
       storeReachable: () => true,
+      isStoreQuick: () => true,
       holder: () => (holderIsKnown ? 'holder' : undefined),
     }),
   );
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -166,6 +166,7 @@
     clock,
     logger,
     storeReachable: () => jobsFollower.reachableSince() !== undefined,
+    isStoreQuick: () => health.isQuick(),
     holder: remoteHolder,
   });
 
--- a/packages/gypsumwall-cell/src/forwarding_job_service.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -30,6 +30,8 @@
  * can't count pending jobs but can still accept one; milliseconds.
  */
 const UNANSWERED_PAUSE_MS = 400;
+/** When a caller should retry while the holder is lost; milliseconds. */
+const RETRY_AFTER_MS = 1_000;
 /** How long an entry counts as served by its peers; milliseconds. */
 const RELAYED_RECENTLY_MS = 1_500;
 
@@ -65,6 +67,8 @@
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
   readonly storeReachable: () => boolean;
+  /** Whether the store has answered a read quickly just now. */
+  readonly isStoreQuick: () => boolean;
   /** Instance that holds the cell; undefined if it is this one or none. */
   readonly holder: () => string | undefined;
 }
@@ -173,6 +177,10 @@
     const viaHolder = await call.relayToHolder();
     if (viaHolder.type === 'answered') return answerOf(viaHolder.res);
     if (viaHolder.isSlow) return {type: 'unknown'};
+    // Appends of many entries would make a queue at a slow store, which the
+    // next holder would find.
+    if (options.holder() !== undefined && !options.isStoreQuick())
+      return {type: 'not_run', retryAfterMs: RETRY_AFTER_MS};
     const direct = await ask();
     switch (direct.type) {
       case 'ok':
--- a/packages/gypsumwall-cell/src/log_follower.ts
+++ b/packages/gypsumwall-cell/src/log_follower.ts
@@ -192,6 +192,16 @@
     return found;
   }
 
+  function recordLatency(
+    read: ports.ReadOutcome,
+    sentAt: types.clock.MonotonicMs,
+    waitMs: number,
+  ): void {
+    const isEmpty = read.type === 'records' && read.records.length === 0;
+    const answeredAt = clock.monotonic();
+    options.storeHealth.recordRead({sentAt, answeredAt, waitMs, isEmpty});
+  }
+
   /** Undefined if the read failed. */
   async function readOnce(waitMs: number): Promise<LogEnd | undefined> {
     if (position === undefined) return load();
@@ -204,7 +214,7 @@
       return undefined;
     }
     onAnswered(sentAt);
-    options.storeHealth.recordRead(sentAt, clock.monotonic());
+    recordLatency(read.value, sentAt, waitMs);
     switch (read.value.type) {
       case 'records': {
         const {endOffset} = read.value;
--- a/packages/gypsumwall-cell/src/peer_directory.ts
+++ b/packages/gypsumwall-cell/src/peer_directory.ts
@@ -27,8 +27,17 @@
  */
 const LIVENESS_CHECK_AFTER_MS = 80;
 const LIVENESS_CHECK_INTERVAL_MS = 250;
-/** Number of successive pings that must fail, because one may get lost. */
+/**
+ * Timeout of such a ping, and the number of successive ones that must fail: a
+ * peer that has just received many calls answers none for a quarter of a
+ * second; milliseconds.
+ */
+const LIVENESS_PING_TIMEOUT_MS = 250;
 const MAX_FAILED_PINGS = 2;
+/**
+ * How long a peer that failed them gets no calls of this kind; milliseconds.
+ */
+const UNRESPONSIVE_PAUSE_MS = 500;
 /**
  * Connections to one peer. Calls that wait for a slow store occupy them
  * meanwhile.
@@ -69,6 +78,8 @@
   readonly adviser: ports.Adviser;
   /** A ping in progress, shared by all calls that wait. */
   ping: Promise<boolean> | undefined;
+  /** Until then, `relayTo` does not call it. */
+  unresponsiveUntil: types.clock.MonotonicMs;
   backoffUntil: types.clock.MonotonicMs;
   nextBackoffMs: number;
 }
@@ -118,6 +129,7 @@
       record,
       client,
       ping: undefined,
+      unresponsiveUntil: clock.monotonic(),
       backoffUntil: clock.monotonic(),
       nextBackoffMs: FIRST_BACKOFF_MS,
       adviser: {
@@ -169,13 +181,19 @@
     peer.nextBackoffMs = Math.min(MAX_BACKOFF_MS, doubled);
   }
 
+  function markUnresponsive(peer: Peer): void {
+    backOff(peer);
+    const now = clock.monotonic();
+    peer.unresponsiveUntil = types.clock.after(now, UNRESPONSIVE_PAUSE_MS);
+  }
+
   /** Resolves once the peer fails to answer pings, or the signal aborts. */
   async function untilLost(peer: Peer, signal: AbortSignal): Promise<void> {
     await types.clock.sleepFor(clock, LIVENESS_CHECK_AFTER_MS, signal);
     let failed = 0;
     while (!signal.aborted && failed < MAX_FAILED_PINGS) {
       peer.ping ??= peerProtocol
-        .ping(peer.client, PING_TIMEOUT_MS)
+        .ping(peer.client, LIVENESS_PING_TIMEOUT_MS)
         .finally(() => (peer.ping = undefined));
       failed = (await peer.ping) ? 0 : failed + 1;
       if (failed > 0) continue;
@@ -237,17 +255,17 @@
         isSlow: false,
       } as const;
       const peer = peers.get(instance);
-      if (peer === undefined || peer.backoffUntil > clock.monotonic())
+      if (peer === undefined || peer.unresponsiveUntil > clock.monotonic())
         return unsent;
       const until = types.clock.after(clock.monotonic(), timeoutMs);
       const answer = await relayWhileAlive(peer, req, timeoutMs);
       if (answer === undefined) {
-        backOff(peer);
+        markUnresponsive(peer);
         return {...unsent, maybeApplied: true};
       }
       if (result.isErr(answer)) {
         const isSlow = clock.monotonic() >= until;
-        if (!isSlow) backOff(peer);
+        if (!isSlow) markUnresponsive(peer);
         const maybeApplied = answer.error.effect === 'unknown';
         return {...unsent, maybeApplied, isSlow};
       }
--- a/packages/gypsumwall-cell/src/store_probe.ts
+++ b/packages/gypsumwall-cell/src/store_probe.ts
@@ -53,7 +53,7 @@
     const answer = await log.probe(from);
     if (result.isErr(answer)) return;
     const now = clock.monotonic();
-    health.recordRead(sentAt, now);
+    health.recordRead({sentAt, answeredAt: now, waitMs: 0, isEmpty: true});
     if (now - answeredAt >= MIN_OUTAGE_MS) health.recordRecovery();
     answeredAt = now;
   }
