--- a/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
@@ -37,6 +37,7 @@
     storeHealth: storeHealth.createStoreHealth(),
     clock,
     logger,
+    onAppended: () => {},
     onFenced: () => assert.fail('fenced'),
   });
   await log.append([], {fence: {epoch: 1, sequence: 0}, timeoutMs: 1});
@@ -59,6 +60,7 @@
     storeHealth: storeHealth.createStoreHealth(),
     clock,
     logger,
+    onAppended: () => {},
     onFenced: () => (fenced = true),
   });
   await log.append([], {fence: {epoch: 2, sequence: 0}, timeoutMs: 1});
--- a/packages/gypsumwall-cell/src/batch_appender.ts
+++ b/packages/gypsumwall-cell/src/batch_appender.ts
@@ -28,6 +28,11 @@
   readonly isStoreUnavailable: () => boolean;
   /** Whether another entry may append what the store refuses here. */
   readonly canForward: () => boolean;
+  /** Called when the log contains entries from this offset on. */
+  readonly onAppended: (
+    entries: readonly ports.KeyedEntry[],
+    firstOffset: number,
+  ) => void;
 }
 
 /** Appends single records. */
@@ -79,6 +84,8 @@
     if (result.isErr(answer) && answer.error.effect === 'not_run') {
       refusedAt = clock.monotonic();
     }
+    if (result.isOk(answer) && answer.value.type === 'appended')
+      parts.onAppended(entries, answer.value.firstOffset);
     for (const one of batch) one.resolve(answer);
     sendNext();
   }
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -282,6 +282,8 @@
       storeHealth: health,
       clock,
       logger,
+      onAppended: (entries, firstOffset) =>
+        cellFollower.applyAppended(entries, firstOffset),
       onFenced: () => {
         if (holder === created) holder = undefined;
       },
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -99,6 +99,7 @@
     clock,
     logger,
     onFenced: stopFenced,
+    onAppended: options.onAppended,
   });
   const roster = workerRoster.createWorkerRoster({
     clock,
--- a/packages/gypsumwall-cell/src/cell_holder_types.ts
+++ b/packages/gypsumwall-cell/src/cell_holder_types.ts
@@ -4,6 +4,7 @@
 import type * as telemetry from '@gypsumwall/telemetry';
 import type * as types from '@gypsumwall/types';
 import type * as cellState from './cell_state.js';
+import type * as cellWriter from './cell_writer.js';
 import type * as claimView from './claim_view.js';
 import type * as jobTable from './job_table.js';
 import type * as ports from './ports.js';
@@ -47,6 +48,8 @@
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
   readonly onFenced: () => void;
+  /** Called when the cell's log contains entries from this offset on. */
+  readonly onAppended: cellWriter.CellWriterOptions['onAppended'];
 }
 
 /** The holder of a cell. */
--- a/packages/gypsumwall-cell/src/cell_writer.ts
+++ b/packages/gypsumwall-cell/src/cell_writer.ts
@@ -41,6 +41,11 @@
    * The store has seen a higher epoch: this process no longer holds the cell.
    */
   readonly onFenced: () => void;
+  /** Called when the log contains entries from this offset on. */
+  readonly onAppended: (
+    entries: readonly ports.KeyedEntry[],
+    firstOffset: number,
+  ) => void;
 }
 
 /** Appends to the cell's log for the holder. */
@@ -92,6 +97,8 @@
         if (!isAppended(outcome)) return;
         confirmedAt = askedAt;
         sequence++;
+        if (outcome.type === 'appended')
+          options.onAppended(entries, outcome.firstOffset);
         return;
       }
       logger.warn('cell_append_failed', {
--- a/packages/gypsumwall-cell/src/job_service.ts
+++ b/packages/gypsumwall-cell/src/job_service.ts
@@ -157,6 +157,8 @@
     storeHealth: options.storeHealth,
     isStoreUnavailable: () => follower.reachableSince() === undefined,
     canForward: options.canForward,
+    onAppended: (entries, firstOffset) =>
+      follower.applyAppended(entries, firstOffset),
   });
 
   /**
--- a/packages/gypsumwall-cell/src/log_follower.ts
+++ b/packages/gypsumwall-cell/src/log_follower.ts
@@ -50,6 +50,14 @@
   stop(): void;
   /** Offset of the next record; undefined before the first load. */
   position(): number | undefined;
+  /**
+   * Passes on records that this entry has appended at an offset, without reading
+   * them, if every record before them was passed on.
+   */
+  applyAppended(
+    entries: readonly ports.KeyedEntry[],
+    firstOffset: number,
+  ): void;
   /** Reads to the log's current end; false if that failed. */
   catchUp(): Promise<boolean>;
   /** Since when every call has been answered; undefined while calls fail. */
@@ -313,6 +321,16 @@
       }
     },
     stop: () => stopping.abort(),
+    applyAppended(entries, firstOffset) {
+      // Otherwise another entry has appended in between.
+      if (position !== firstOffset || stopping.signal.aborted) return;
+      const records = entries.map((entry, nth) => ({
+        ...entry,
+        offset: firstOffset + nth,
+      }));
+      newestEnd = Math.max(newestEnd, firstOffset + records.length);
+      apply(records);
+    },
     position: () => position,
     catchUp,
     reachableSince: () => reachableSince,
