--- a/packages/gypsumwall-cell/src/__tests__/slow_store.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/slow_store.test.ts
@@ -67,6 +67,7 @@
 function createOwnService(log: ports.KeyedLog, isHolder: boolean) {
   const follower = {
     reachableSince: () => clock.monotonic(),
+    applyAppended: () => {},
     catchUp: () => Promise.resolve(true),
   } as unknown as logFollower.LogFollower;
   return jobServices.createJobService({
