--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -202,7 +202,11 @@
     state.retainUsedWorkers(storeRecords.idsOf('used_worker', records));
   }
 
+  /**
+   * The holder knows every state that it has stored, as only it writes them.
+   */
   async function refreshStates(): Promise<boolean> {
+    if (holder?.isConfirmed() === true) return true;
     const ageMs = clock.monotonic() - (cellFollower.completeUntil() ?? 0);
     return ageMs <= jobService.MAX_STATE_AGE_MS || cellFollower.catchUp();
   }
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -67,6 +67,12 @@
  * range belong to earlier holders.
  */
 const ATTEMPTS_PER_GENERATION = 1_000;
+/**
+ * How long after its last confirmed append a holder answers queries about jobs
+ * without reading the log; milliseconds. A holder that was replaced answers
+ * with old states for as long.
+ */
+const MAX_UNCONFIRMED_ANSWER_MS = 1_500;
 /**
  * How long a handover waits for orders in flight, and then for its appends;
  * milliseconds.
@@ -370,6 +376,8 @@
       scheduler.cancelJob(id);
       requestCycle();
     },
+    isConfirmed: () =>
+      clock.monotonic() - writer.confirmedAt() < MAX_UNCONFIRMED_ANSWER_MS,
     onConfigChanged() {
       scheduler.updatePolicies(options.policyOf);
       applyOrganisations();
--- a/packages/gypsumwall-cell/src/cell_holder_types.ts
+++ b/packages/gypsumwall-cell/src/cell_holder_types.ts
@@ -62,6 +62,8 @@
   onJobAdded(job: jobTable.JobEntry): void;
   onJobCancelled(id: types.ids.JobId): void;
   onConfigChanged(): void;
+  /** Whether the store has confirmed recently that it holds the cell. */
+  isConfirmed(): boolean;
   /** Returns jobs whose end has been stored since the last call. */
   takeEndedJobs(): types.ids.JobId[];
   /** Drops the progress of jobs from the cell's log after their retention. */
--- a/packages/gypsumwall-cell/src/forwarding_job_service.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -18,6 +18,11 @@
  * store; callers wait for 3 s; milliseconds.
  */
 const HOLDER_TIMEOUT_MS = 2_500;
+/**
+ * Timeout of a query to the holder, which answers without the store;
+ * milliseconds.
+ */
+const PHASE_TIMEOUT_MS = 400;
 /**
  * Timeouts for one peer's answer and for all peers together. A healthy peer
  * answers in 20 ms, and callers must not be blocked; milliseconds.
@@ -53,7 +58,7 @@
    * Forwards the call to the holder, which appends it in a batch with others;
    * does nothing on the holder itself.
    */
-  relayToHolder(): Promise<peerDirectory.RelayOutcome>;
+  relayToHolder(withinMs: number): Promise<peerDirectory.RelayOutcome>;
   /** The final answer, given what its relays may have caused. */
   conclude<Value>(
     answer: jobService.JobServiceAnswer<Value>,
@@ -102,6 +107,7 @@
     outcome: peerDirectory.RelayOutcome,
   ): peerDirectory.RelayOutcome {
     const answered = outcome.type === 'answered';
+    if (answered && req.type === 'phase') return outcome;
     logger.info('call_relayed', {
       job: req.type === 'pending' ? undefined : req.id,
       call: req.type,
@@ -143,12 +149,12 @@
         }
         return outcome;
       },
-      async relayToHolder() {
+      async relayToHolder(withinMs) {
         const holder = options.holder();
         if (holder === undefined) return NOT_RELAYED;
         const outcome = logOutcome(
           req,
-          await peers.relayTo(holder, req, HOLDER_TIMEOUT_MS),
+          await peers.relayTo(holder, req, withinMs),
         );
         maybeApplied ||= outcome.maybeApplied;
         return outcome;
@@ -174,7 +180,7 @@
       const relayed = await call.relayToAny();
       return relayed.type === 'answered' ? answerOf(relayed.res) : ask();
     }
-    const viaHolder = await call.relayToHolder();
+    const viaHolder = await call.relayToHolder(HOLDER_TIMEOUT_MS);
     if (viaHolder.type === 'answered') return answerOf(viaHolder.res);
     if (viaHolder.isSlow) return {type: 'unknown'};
     // Appends of many entries would make a queue at a slow store, which the
@@ -208,13 +214,15 @@
         localService.cancel(id, queue, caller),
       ),
     async phaseOf(id, queue, caller) {
+      const final = await localService.finalPhaseOf(id, queue, caller);
+      if (final.type === 'ok') return final;
+      const call = trackCall({type: 'phase', id, caller, queue});
+      const viaHolder = await call.relayToHolder(PHASE_TIMEOUT_MS);
+      if (viaHolder.type === 'answered') return answerOf(viaHolder.res);
       if (options.storeReachable() && localService.isCurrent()) {
         const direct = await localService.phaseOf(id, queue, caller);
         if (direct.type !== 'not_run') return direct;
       }
-      const final = await localService.finalPhaseOf(id, queue, caller);
-      if (final.type === 'ok') return final;
-      const call = trackCall({type: 'phase', id, caller, queue});
       const relayed = await call.relayToAny();
       if (relayed.type === 'answered') return answerOf(relayed.res);
       return localService.phaseOf(id, queue, caller);
