--- a/packages/gypsumwall-bench/src/step_cell.ts
+++ b/packages/gypsumwall-bench/src/step_cell.ts
@@ -4,6 +4,7 @@
  * their usual latencies. The processor time of the scheduler is measured in
  * real time.
  */
+import * as organisations from '@gypsumwall/organisations';
 import * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
 import * as cellMeasures from './cell_measures.js';
@@ -18,7 +19,6 @@
 /** Delay before a scheduling cycle, as the holder waits. */
 const CYCLE_INTERVAL_MS = 3;
 const WORKERS_PER_RACK = 20;
-const CAPACITY = {cpuMillis: 16_000, memoryMb: 32_768, accelerators: 0};
 const MAX_WAIT_MS = 1e6;
 /** Virtual time at which a run starts. */
 const START_AT_MS = 1_000;
@@ -36,6 +36,8 @@
   readonly tookMs: ReadonlyMap<string, ReturnType<typeof createHistogram>>;
   /** Share of the jobs that met their objective, by kind. */
   readonly onTime: ReadonlyMap<string, number>;
+  /** Share of the jobs that ended while their callers had a use for it. */
+  readonly useful: ReadonlyMap<string, number>;
 }
 
 interface PendingJob {
@@ -56,6 +58,22 @@
   readonly countFromMs: number;
 }
 
+/** A time in which the store handles appends slowly, one at a time. */
+export interface SlowStore {
+  readonly fromMs: number;
+  readonly toMs: number;
+  readonly appendMs: number;
+}
+
+/** Organisations that own the jobs. */
+export interface JobOwners {
+  readonly count: number;
+  /** Jobs a second that each is entitled to. */
+  readonly weight: number;
+  /** The first one sends this many times as much as the others. */
+  readonly firstFactor: number;
+}
+
 /** Simulates a cell with the given number of workers for the given time. */
 export function runStepCell(options: {
   readonly workers: number;
@@ -67,12 +85,18 @@
   readonly load: number;
   /** Jobs that wait when a holder takes over, if any. */
   readonly backlog?: Backlog;
+  readonly scenario?: stepLoad.Scenario;
+  readonly slowStore?: SlowStore;
+  readonly owners?: JobOwners;
+  /** Whether the jobs of an owner are measured; by default all are. */
+  readonly isMeasured?: (owner: number) => boolean;
 }): StepCellResult {
+  const scenario = options.scenario ?? stepLoad.PLANNING;
   const random = types.random.createRandom(options.seed);
   const events: {at: number; callback: () => void}[] = [];
   const pendingJobs = new Map<string, PendingJob>();
   const tookMs = new Map<string, ReturnType<typeof createHistogram>>();
-  const onTime = new Map<string, {met: number; all: number}>();
+  const onTime = new Map<string, {met: number; useful: number; all: number}>();
   const running = new Map<string, Set<scheduling.activeJob.Attempt>>();
   const sequences = new Map<string, number>();
   const pool = scheduling.adviserPool.createAdviserPool<string>();
@@ -87,6 +111,8 @@
   let cycles = 0;
   let starts = 0;
   let isCyclePlanned = false;
+  let unstored: scheduling.schedulerTypes.DirtyJob[] = [];
+  let isAppending = false;
   let jobCount = 0;
 
   const scheduler = scheduling.scheduler.createScheduler({
@@ -107,13 +133,18 @@
     const durations = tookMs.get(pendingJob.kind.name) ?? createHistogram();
     durations.recordValue(Math.max(1, Math.round(durationMs)));
     tookMs.set(pendingJob.kind.name, durations);
-    countObjective(pendingJob, durationMs <= pendingJob.objectiveMs);
+    countObjective(pendingJob, durationMs);
   }
 
-  function countObjective({kind}: PendingJob, met: boolean): void {
-    const counts = onTime.get(kind.name) ?? {met: 0, all: 0};
+  function countObjective(
+    {kind, objectiveMs}: PendingJob,
+    durationMs: number,
+  ): void {
+    const counts = onTime.get(kind.name) ?? {met: 0, useful: 0, all: 0};
     counts.all++;
-    if (met) counts.met++;
+    if (durationMs <= objectiveMs) counts.met++;
+    if (durationMs <= objectiveMs * scheduling.jobOrder.LATE_FACTOR)
+      counts.useful++;
     onTime.set(kind.name, counts);
   }
 
@@ -125,7 +156,7 @@
     if (pendingJob.at - START_AT_MS < (options.backlog?.countFromMs ?? 0))
       return;
     if (now - pendingJob.at > pendingJob.objectiveMs)
-      countObjective(pendingJob, false);
+      countObjective(pendingJob, Infinity);
   }
 
   function measure<Value>(work: () => Value): Value {
@@ -172,11 +203,29 @@
     for (const request of decisions.advice) requestAdvice(request);
   }
 
+  function appendMsNow(): number {
+    const {slowStore} = options;
+    const spentMs = now - START_AT_MS;
+    const isSlow =
+      slowStore !== undefined &&
+      spentMs >= slowStore.fromMs &&
+      spentMs < slowStore.toMs;
+    return isSlow ? slowStore.appendMs : APPEND_MS;
+  }
+
+  /** Appends in batches; one is in flight at a time. */
   function appendDirty(): void {
-    const dirty = measure(() => scheduler.takeDirty());
-    if (dirty.length === 0) return;
-    schedule(APPEND_MS, () => {
-      measure(() => scheduler.onStored(dirty));
+    unstored.push(...measure(() => scheduler.takeDirty()));
+    if (isAppending || unstored.length === 0) return;
+    isAppending = true;
+    const batch = unstored;
+    unstored = [];
+    const startedAt = now;
+    schedule(appendMsNow(), () => {
+      isAppending = false;
+      scheduler.setCommitLatency(now - startedAt);
+      measure(() => scheduler.onStored(batch));
+      appendDirty();
       requestCycle();
     });
   }
@@ -198,7 +247,7 @@
   }
 
   function jobKindOf(queue: string): stepLoad.JobKind {
-    return stepLoad.PEAK_KINDS.find((kind) => kind.policy.queue === queue)!;
+    return scenario.kinds.find((kind) => kind.policy.queue === queue)!;
   }
 
   function endAttempt(
@@ -272,12 +321,23 @@
     const {policy} = kind;
     const chainMs = scheduling.jobRequest.expectedChainMs(request);
     const objectiveMs = chainMs * policy.slackFactor + policy.targetMs;
-    pendingJobs.set(id, {kind, at: acceptedAt, objectiveMs});
+    const owner = drawOwner();
+    const isMeasured =
+      owner === undefined || (options.isMeasured?.(owner) ?? true);
+    if (isMeasured) pendingJobs.set(id, {kind, at: acceptedAt, objectiveMs});
     const progress = scheduling.jobProgress.NO_PROGRESS;
     const wall = now as unknown as types.clock.WallMs;
     measure(() =>
       scheduler.addJob(
-        {id, request, policy, acceptedAt, inherited: false, progress},
+        {
+          id,
+          organisation: owner === undefined ? undefined : organisationId(owner),
+          request,
+          policy,
+          acceptedAt,
+          inherited: false,
+          progress,
+        },
         now,
         wall,
       ),
@@ -285,9 +345,18 @@
     requestCycle();
   }
 
+  /** Number of the organisation of the next job. */
+  function drawOwner(): number | undefined {
+    const {owners} = options;
+    if (owners === undefined) return undefined;
+    const {count, firstFactor} = owners;
+    const drawn = random.next() * (count - 1 + firstFactor);
+    return drawn < firstFactor ? 0 : Math.floor(drawn - firstFactor) + 1;
+  }
+
   /** Accepts at once all jobs that arrived while there was no holder. */
   function acceptBacklog({spanMs}: Backlog): void {
-    for (const kind of stepLoad.PEAK_KINDS) {
+    for (const kind of scenario.kinds) {
       const count = Math.round((kind.rate * options.load * spanMs) / 1_000);
       for (let index = 0; index < count; index++) {
         accept(kind, types.clock.after(now, -random.next() * spanMs));
@@ -296,13 +365,18 @@
   }
 
   function scheduleArrival(kind: stepLoad.JobKind): void {
-    const burst = stepLoad.BURSTS.find(
+    const burst = scenario.bursts.find(
       (candidate) =>
         candidate.kind === kind.name &&
         now >= candidate.fromMs &&
         now < candidate.toMs,
     );
-    const rate = kind.rate * options.load * (burst?.factor ?? 1);
+    const {owners} = options;
+    const ownersFactor =
+      owners === undefined
+        ? 1
+        : (owners.count - 1 + owners.firstFactor) / owners.count;
+    const rate = kind.rate * options.load * (burst?.factor ?? 1) * ownersFactor;
     const meanGapMs = 1_000 / rate;
     schedule(-Math.log(1 - random.next()) * meanGapMs, () =>
       handleArrival(kind),
@@ -316,14 +390,15 @@
       address: '',
       domain: types.ids.brand(`domain-${number % 4}`),
       pool: stepLoad.POOL,
-      capacity: CAPACITY,
+      capacity: scenario.capacity,
       labels: [],
       rack: types.ids.brand(`rack-${Math.floor(number / WORKERS_PER_RACK)}`),
       draining: false,
     });
     scheduler.setUsable(id, true, now);
   }
-  for (const kind of stepLoad.PEAK_KINDS) scheduleArrival(kind);
+  scheduler.updateOrganisations(createOrganisations(options.owners));
+  for (const kind of scenario.kinds) scheduleArrival(kind);
   const {backlog} = options;
   if (backlog !== undefined)
     schedule(backlog.takeoverAtMs, () => acceptBacklog(backlog));
@@ -335,9 +410,12 @@
     next.callback();
   }
   for (const pendingJob of pendingJobs.values()) recordUnfinished(pendingJob);
-  const shares = [...onTime].map(
-    ([name, {met, all}]) => [name, met / all] as const,
-  );
+  const sharesOf = (count: (counts: {met: number; useful: number}) => number) =>
+    new Map(
+      [...onTime].map(
+        ([name, counts]) => [name, count(counts) / counts.all] as const,
+      ),
+    );
   return {
     starts,
     seconds: options.seconds,
@@ -345,10 +423,27 @@
     cycles,
     maxCycleMs,
     tookMs,
-    onTime: new Map(shares),
+    onTime: sharesOf(({met}) => met),
+    useful: sharesOf(({useful}) => useful),
   };
 }
 
+function organisationId(owner: number): types.ids.OrganisationId {
+  return types.ids.brand(`organisation-${owner}`);
+}
+
+function createOrganisations(
+  owners: JobOwners | undefined,
+): organisations.organisation.Organisations {
+  const quota = organisations.organisation.UNLIMITED;
+  return new Map(
+    Array.from({length: owners?.count ?? 0}, (_, owner) => {
+      const id = organisationId(owner);
+      return [id, {id, keyHashes: [], weight: owners?.weight, quota}];
+    }),
+  );
+}
+
 function createHistogram() {
   return cellMeasures.buildHistogram(MAX_WAIT_MS);
 }
--- a/packages/gypsumwall-bench/src/step_load.ts
+++ b/packages/gypsumwall-bench/src/step_load.ts
@@ -120,6 +120,103 @@
   },
 ];
 
+/** Work and workers of a cell. */
+export interface Scenario {
+  readonly kinds: readonly JobKind[];
+  readonly bursts: readonly Burst[];
+  readonly capacity: types.resources.Resources;
+}
+
+/** The peak of a planning service. */
+export const PLANNING: Scenario = {
+  kinds: PEAK_KINDS,
+  bursts: BURSTS,
+  capacity: {cpuMillis: 16_000, memoryMb: 32_768, accelerators: 0},
+};
+
+/**
+ * A booking service whose tasks take a large part of a worker, in processors
+ * and in memory, with few attempts for each task.
+ */
+export const BOOKING: Scenario = {
+  capacity: {cpuMillis: 64_000, memoryMb: 262_144, accelerators: 0},
+  bursts: [
+    {kind: 'urgent', factor: 2.1, fromMs: 7_000, toMs: 11_000},
+    {kind: 'wide-large', factor: 1.7, fromMs: 20_000, toMs: 24_000},
+  ],
+  kinds: [
+    {
+      name: 'wide-large',
+      rate: 2.5,
+      policy: {
+        pool: POOL,
+        maxFailures: 2,
+        queue: 'wide-large',
+        priority: 1,
+        slackFactor: 2.2,
+        targetMs: 1_000,
+        advice: {callMs: 799, perWorkerMs: 8.06, validMs: 2_500},
+      },
+      meanSteps: 1.2,
+      maxSteps: 3,
+      meanTasks: 20,
+      maxTasks: 120,
+      cpuMillis: 18_000,
+      memoryMb: 67_000,
+      workMs: 5_000,
+      gangShare: 1,
+      approvedShare: 0.35,
+      failingShare: 0.02,
+    },
+    {
+      name: 'wide-small',
+      rate: 7.2,
+      policy: {
+        pool: POOL,
+        maxFailures: 2,
+        queue: 'wide-small',
+        priority: 2,
+        slackFactor: 4,
+        targetMs: 3_000,
+        advice: {callMs: 223, perWorkerMs: 2.34, validMs: 2_500},
+      },
+      meanSteps: 1.5,
+      maxSteps: 4,
+      meanTasks: 25,
+      maxTasks: 150,
+      cpuMillis: 6_900,
+      memoryMb: 14_000,
+      workMs: 3_400,
+      gangShare: 0,
+      approvedShare: 0.45,
+      failingShare: 0.02,
+    },
+    {
+      name: 'urgent',
+      rate: 58,
+      policy: {
+        pool: POOL,
+        maxFailures: 2,
+        queue: 'urgent',
+        priority: 0,
+        slackFactor: 1.5,
+        targetMs: 250,
+        advice: {callMs: 16.7, perWorkerMs: 0.17, validMs: 2_500},
+      },
+      meanSteps: 1,
+      maxSteps: 1,
+      meanTasks: 3.2,
+      maxTasks: 19,
+      cpuMillis: 9_900,
+      memoryMb: 28_000,
+      workMs: 800,
+      gangShare: 0.3,
+      approvedShare: 0.7,
+      failingShare: 0.02,
+    },
+  ],
+};
+
 /** Draws a request for a job of the given kind. */
 export function drawRequest(
   kind: JobKind,
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -268,6 +268,7 @@
     // renewed.
     if (!mayRenew()) return;
     const startedAt = clock.monotonic();
+    scheduler.setCommitLatency(writer.latencyMs());
     const decisions = scheduler.decide(
       startedAt,
       clock.wall(),
--- a/packages/gypsumwall-cell/src/cell_writer.ts
+++ b/packages/gypsumwall-cell/src/cell_writer.ts
@@ -54,6 +54,8 @@
   write(records: readonly storeRecords.StoreRecord[]): Promise<void>;
   /** When the last confirmed append was sent. */
   confirmedAt(): types.clock.MonotonicMs;
+  /** Recent latency of appends; 0 without a recent one; milliseconds. */
+  latencyMs(): number;
   /** Appends until the writer is stopped or fenced. */
   run(): Promise<void>;
   stop(): void;
@@ -179,6 +181,7 @@
       });
     },
     confirmedAt: () => confirmedAt,
+    latencyMs: () => hedger.latencyMs() ?? 0,
     async run() {
       while (!stopping.signal.aborted) {
         await waitForWork();
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -31,6 +31,10 @@
 import * as workerHealth from './worker_health.js';
 import * as workerLosses from './worker_losses.js';
 
+/** Latency above which commits of the store are slow; milliseconds. */
+const SLOW_COMMIT_MS = 100;
+/** Number of further workers recorded for a step while commits are slow. */
+const MAX_FURTHER_WORKERS = 3;
 /** Used where calls to the adviser are not limited. */
 const UNLIMITED_ADVICE: adviserPool.AdviceCapacity = {
   needed: Infinity,
@@ -86,6 +90,7 @@
   const reporter = waitReporter.createWaitReporter(onEvent);
   const meter = organisations.arrivalMeter.createArrivalMeter();
   let arrivals = 0;
+  let commitMs = 0;
   let reservations: schedulingCycle.CycleResult['reservations'] = new Map();
 
   function waitsForIsolation(id: types.ids.JobId): boolean {
@@ -134,7 +139,7 @@
     now: types.clock.MonotonicMs,
     callsLeft: number,
   ): schedulingCycle.CycleResult {
-    const {steps, gangFellBehind} = order.sort(waitingSteps, now);
+    const {steps, gangFellBehind} = order.sort(waitingSteps, now, commitMs);
     if (gangFellBehind)
       for (const id of reservations.keys()) registry.markFreed(id);
     for (const id of health.takeRestored(now)) registry.markFreed(id);
@@ -208,11 +213,33 @@
   function recordWorkers(
     awaitingCommit: readonly placements.Placement[],
   ): void {
-    for (const {stepRun, worker} of awaitingCommit) {
-      const {job} = stepRun;
-      if (job.workers.has(worker.info.id)) continue;
-      job.workers.set(worker.info.id, 'recording');
-      dirty.add(job);
+    for (const {stepRun, worker} of awaitingCommit)
+      recordWorker(stepRun.job, worker.info.id);
+    if (commitMs <= SLOW_COMMIT_MS) return;
+    for (const stepRun of new Set(awaitingCommit.map((one) => one.stepRun)))
+      recordFurtherWorkers(stepRun);
+  }
+
+  function recordWorker(
+    job: activeJob.ActiveJob,
+    id: types.ids.WorkerId,
+  ): void {
+    if (job.workers.has(id)) return;
+    job.workers.set(id, 'recording');
+    dirty.add(job);
+  }
+
+  /**
+   * Records more approved workers for a step than it needs now. When the commit
+   * is done, others may use the capacity that the step had found.
+   */
+  function recordFurtherWorkers({job, advice}: activeJob.StepRun): void {
+    let count = 0;
+    for (const id of advice.approvals.keys()) {
+      if (count >= MAX_FURTHER_WORKERS) return;
+      if (job.workers.has(id) || !registry.workers.has(id)) continue;
+      recordWorker(job, id);
+      count++;
     }
   }
 
@@ -359,6 +386,9 @@
       dirty.clear();
       return taken;
     },
+    setCommitLatency(latencyMs) {
+      commitMs = latencyMs;
+    },
     onStored(stored) {
       for (const {jobId, progress} of stored) {
         const job = jobs.get(jobId);
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -182,6 +182,11 @@
   takeStops(): activeJob.Attempt[];
   /** Returns the jobs to store that were not returned before. */
   takeDirty(): DirtyJob[];
+  /**
+   * Sets how long the store takes to commit progress, in milliseconds. The first
+   * start of a job waits for one commit, and its end is shown after another.
+   */
+  setCommitLatency(latencyMs: number): void;
   /** The store has committed the progress of these jobs. */
   onStored(jobs: readonly DirtyJob[]): void;
   counts(): SchedulerCounts;
--- a/packages/gypsumwall-scheduling/src/waiting_order.ts
+++ b/packages/gypsumwall-scheduling/src/waiting_order.ts
@@ -3,7 +3,7 @@
  * cycle to the next only few steps change their position, so sorting the
  * previous order again takes time that is linear in the number of steps.
  */
-import type * as types from '@gypsumwall/types';
+import * as types from '@gypsumwall/types';
 import * as activeJob from './active_job.js';
 import * as jobOrder from './job_order.js';
 
@@ -23,6 +23,7 @@
   sort(
     waiting: ReadonlySet<activeJob.StepRun>,
     now: types.clock.MonotonicMs,
+    commitMs: number,
   ): SortedSteps;
 }
 
@@ -32,14 +33,14 @@
   let steps: activeJob.StepRun[] = [];
 
   return {
-    sort(waiting, now) {
+    sort(waiting, now, commitMs) {
       const kept = steps.filter((stepRun) => waiting.has(stepRun));
       for (const stepRun of waiting)
         if (!known.has(stepRun)) kept.push(stepRun);
       let gangFellBehind = false;
       const ranked = kept.map((stepRun) => {
         const before = stepRun.rank;
-        const rank = rankOf(stepRun, now);
+        const rank = rankOf(stepRun, now, commitMs);
         const changedLateness =
           before !== undefined && before.lateness !== rank.lateness;
         if (changedLateness && stepRun.request.gang) gangFellBehind = true;
@@ -54,10 +55,17 @@
   };
 }
 
+/**
+ * The first start of a job waits until its workers are stored, and its end is
+ * shown once it is stored.
+ */
 function rankOf(
   stepRun: activeJob.StepRun,
   now: types.clock.MonotonicMs,
+  commitMs: number,
 ): jobOrder.RankedClaimant {
   const claimant = stepRun.rank?.claimant ?? activeJob.claimantOf(stepRun);
-  return {claimant, lateness: jobOrder.lateness(claimant, now)};
+  const commits = stepRun.job.workers.size === 0 ? 2 : 1;
+  const startAt = types.clock.after(now, commits * commitMs);
+  return {claimant, lateness: jobOrder.lateness(claimant, startAt)};
 }
--- a/scripts/package_arrows.mjs
+++ b/scripts/package_arrows.mjs
@@ -50,6 +50,7 @@
     'records',
     'membership',
     'placement',
+    'organisations',
     'scheduling',
     'routing',
     'entry',
