cell: log what a refusal was made from, and refused jobs that are stored

The logs could not tell two hypotheses of a refused job that ran apart: an attempt that may have been applied is forgotten, or an attempt counts as not applied without proof. No line had the caller's answer or its attempts, and no entry noticed that a job which it had refused was in the log.

call_concluded has the answer to a submission or cancellation that is no success, with each attempt and its effect; relay_failed has the error of a forwarded call; refused_job_stored, at warn, tells of a record in the log that is no younger than this entry's refusal of its job. No change of what callers are told: the tests of the service pass unchanged but for the new options.

--- a/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
@@ -66,6 +66,7 @@
     storeReachable: () => reachable,
     isStoreQuick: () => situation.isStoreSlow !== true,
     holder: () => 'other',
+    onJobRefused: () => {},
   });
 }
 
--- a/packages/gypsumwall-cell/src/__tests__/lost_peers.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/lost_peers.test.ts
@@ -23,7 +23,11 @@
 }
 
 function createDirectory(clock: types.clock.Clock) {
-  const peers = peerDirectories.createPeerDirectory('self', clock);
+  const peers = peerDirectories.createPeerDirectory({
+    self: 'self',
+    clock,
+    logger: telemetry.logger.createLogger('silent'),
+  });
   const register = (cores: number) =>
     peers.apply('lost', {
       entryId: types.ids.brand('lost.1'),
--- a/packages/gypsumwall-cell/src/__tests__/relayed_queries.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/relayed_queries.test.ts
@@ -27,6 +27,8 @@
 };
 
 /** A job service whose local calls are all refused. */
+const logger = telemetry.logger.createLogger('silent');
+
 function createService(
   reachable: boolean,
   relay: (req: peerProtocol.RelayReq) => peerDirectory.RelayOutcome,
@@ -44,14 +46,15 @@
   return forwardingJobService.createForwardingJobService({
     local: own,
     peers: {
-      ...peerDirectory.createPeerDirectory('self', clock),
+      ...peerDirectory.createPeerDirectory({self: 'self', clock, logger}),
       relay: (req) => Promise.resolve(relay(req)),
     },
     clock,
-    logger: telemetry.logger.createLogger('silent'),
+    logger,
     storeReachable: () => reachable,
     isStoreQuick: () => true,
     holder: () => 'other',
+    onJobRefused: () => {},
   });
 }
 
@@ -92,10 +95,11 @@
   server.post('/relay', async (_req, res) => res.send(undefined));
   await server.listen({host: '127.0.0.1', port: 0});
   const {port} = server.server.address() as net.AddressInfo;
-  const peers = peerDirectory.createPeerDirectory(
-    'self',
-    types.clock.createSystemClock(),
-  );
+  const peers = peerDirectory.createPeerDirectory({
+    self: 'self',
+    clock: types.clock.createSystemClock(),
+    logger,
+  });
   try {
     peers.apply('old', {
       entryId: types.ids.brand('old.1'),
--- a/packages/gypsumwall-cell/src/__tests__/slow_peers.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/slow_peers.test.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 import * as nodeTest from 'node:test';
+import * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import * as peerDirectories from '../peer_directory.js';
 import * as peerProtocol from '../peer_protocol.js';
@@ -16,7 +17,11 @@
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const {port} = server.address() as net.AddressInfo;
   const clock = types.clock.createSystemClock();
-  const peers = peerDirectories.createPeerDirectory('self', clock);
+  const peers = peerDirectories.createPeerDirectory({
+    self: 'self',
+    clock,
+    logger: telemetry.logger.createLogger('silent'),
+  });
   peers.apply('peer', {
     entryId: types.ids.brand('peer.1'),
     domain: types.ids.brand('d1'),
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -27,6 +27,7 @@
 import * as pauseDetector from './pause_detector.js';
 import * as failoverPolicy from './failover_policy.js';
 import * as applyRecords from './apply_records.js';
+import * as refusedJobs from './refused_jobs.js';
 import * as retention from './retention.js';
 
 /**
@@ -79,8 +80,13 @@
   const stopping = new AbortController();
   const state = cellStates.createCellState();
   const health = storeHealth.createStoreHealth();
-  const peers = peerDirectory.createPeerDirectory(self.instance, clock);
+  const peers = peerDirectory.createPeerDirectory({
+    self: self.instance,
+    clock,
+    logger,
+  });
   const detector = pauseDetector.createPauseDetector(clock);
+  const refusals = refusedJobs.createRefusedJobs(clock);
   let holder: cellHolderTypes.CellHolder | undefined;
   let isLeaving = false;
   let takeovers: types.clock.MonotonicMs[] = [];
@@ -168,6 +174,7 @@
     storeReachable: () => jobsFollower.reachableSince() !== undefined,
     isStoreQuick: () => health.isQuick(),
     holder: remoteHolder,
+    onJobRefused: (id) => refusals.add(id),
   });
 
   function remoteHolder(): string | undefined {
@@ -217,8 +224,29 @@
   }
 
   function applyJobRecord(record: storeRecords.StoreRecord): void {
-    if (record.kind === 'entry') peers.apply(record.instance, record.entry);
-    else jobs.apply(record, clock.monotonic());
+    if (record.kind === 'entry') {
+      peers.apply(record.instance, record.entry);
+      return;
+    }
+    if (record.kind === 'job' && record.job !== undefined)
+      logStoredRefusal(record.jobId, record.job);
+    jobs.apply(record, clock.monotonic());
+  }
+
+  /** Logs that a job is in the log which this entry has refused. */
+  function logStoredRefusal(
+    id: types.ids.JobId,
+    {acceptedAt}: storeRecords.JobRecord,
+  ): void {
+    const stored = refusals.take(id, acceptedAt);
+    if (stored === undefined) return;
+    // A caller may submit a refused job again, which creates a later record.
+    const level = stored.isOlderThanRefusal ? 'warn' : 'info';
+    logger[level]('refused_job_stored', {
+      job: id,
+      outcome: stored.isOlderThanRefusal ? 'same_call' : 'later_call',
+      refusedMsAgo: stored.refusedMsAgo,
+    });
   }
 
   function applyCellRecord(
--- a/packages/gypsumwall-cell/src/forwarding_job_service.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -9,6 +9,7 @@
  */
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
+import * as callAttempts from './call_attempts.js';
 import type * as jobService from './job_service.js';
 import type * as peerDirectory from './peer_directory.js';
 import type * as peerProtocol from './peer_protocol.js';
@@ -47,24 +48,26 @@
   isSlow: false,
 } as const;
 
-/** A call of a caller in progress. */
-interface TrackedCall {
-  /**
-   * Forwards the call to any peer, unless none could answer a call of this type
-   * a moment ago.
-   */
+/** A call of a caller in progress, and the attempts to carry it out. */
+interface TrackedCall<Value> {
+  /** Carries the call out in this entry's local job service. */
+  carryOut(): Promise<jobService.JobServiceAnswer<Value>>;
+  /** Forwards the call like `relayToAny` of the service. */
   relayToAny(): Promise<peerDirectory.RelayOutcome>;
-  /**
-   * Forwards the call to the holder, which appends it in a batch with others;
-   * does nothing on the holder itself.
-   */
+  /** Forwards the call like `relayToHolder` of the service. */
   relayToHolder(withinMs: number): Promise<peerDirectory.RelayOutcome>;
   /** The final answer, given what its relays may have caused. */
-  conclude<Value>(
+  conclude(
     answer: jobService.JobServiceAnswer<Value>,
   ): jobService.JobServiceAnswer<Value>;
 }
 
+/** The calls of callers that change something. */
+type EffectiveReq = Extract<
+  peerProtocol.RelayReq,
+  {readonly type: 'submit' | 'cancel'}
+>;
+
 /** Options of a forwarding job service. */
 export interface ForwardingJobServiceOptions {
   readonly local: jobService.JobService;
@@ -76,6 +79,8 @@
   readonly isStoreQuick: () => boolean;
   /** Instance that holds the cell; undefined if it is this one or none. */
   readonly holder: () => string | undefined;
+  /** Called when a caller is told that its job will never run. */
+  readonly onJobRefused: (id: types.ids.JobId) => void;
 }
 
 /** A job service that can reach the store through peers. */
@@ -120,65 +125,96 @@
     return outcome;
   }
 
-  /** One caller's call, and whether a peer may have applied it. */
-  function trackCall(req: peerProtocol.RelayReq): TrackedCall {
+  /**
+   * Forwards a call to any peer, unless none could answer a call of this type a
+   * moment ago.
+   */
+  async function relayToAny(
+    req: peerProtocol.RelayReq,
+  ): Promise<peerDirectory.RelayOutcome> {
+    if (clock.monotonic() < (pausedUntil.get(req.type) ?? 0)) {
+      return NOT_RELAYED;
+    }
+    const outcome = await relay(req, {
+      preferred: options.holder(),
+      peerTimeoutMs: PEER_TIMEOUT_MS,
+      totalTimeoutMs: ALL_PEERS_TIMEOUT_MS,
+    });
+    if (outcome.type === 'unanswered') {
+      const until = types.clock.after(clock.monotonic(), UNANSWERED_PAUSE_MS);
+      pausedUntil.set(req.type, until);
+    }
+    return outcome;
+  }
+
+  /**
+   * Forwards a call to the holder, which appends it in a batch with others;
+   * does nothing on the holder itself.
+   */
+  async function relayToHolder(
+    req: peerProtocol.RelayReq,
+    withinMs: number,
+  ): Promise<peerDirectory.RelayOutcome> {
+    const holder = options.holder();
+    if (holder === undefined) return NOT_RELAYED;
+    return logOutcome(req, await peers.relayTo(holder, req, withinMs));
+  }
+
+  function trackCall<Value>(
+    req: EffectiveReq,
+    carryOut: () => Promise<jobService.JobServiceAnswer<Value>>,
+  ): TrackedCall<Value> {
+    const attempts = callAttempts.createCallAttempts();
     let maybeApplied = false;
 
-    async function send(
-      limits: peerDirectory.RelayLimits,
+    async function track(
+      name: string,
+      send: () => Promise<peerDirectory.RelayOutcome>,
     ): Promise<peerDirectory.RelayOutcome> {
-      const outcome = await relay(req, limits);
+      const outcome = await attempts.run(name, send, effectOfRelay);
       maybeApplied ||= outcome.maybeApplied;
       return outcome;
     }
 
     return {
-      async relayToAny() {
-        if (clock.monotonic() < (pausedUntil.get(req.type) ?? 0)) {
-          return NOT_RELAYED;
+      carryOut: () => attempts.run('own', carryOut, effectOfAnswer),
+      relayToAny: () => track('any_peer', () => relayToAny(req)),
+      relayToHolder: (withinMs) =>
+        track('holder', () => relayToHolder(req, withinMs)),
+      conclude(answer) {
+        const concluded = maybeApplied ? withUncertainty(answer) : answer;
+        if (concluded.type !== 'ok') {
+          logger.info('call_concluded', {
+            job: req.id,
+            call: req.type,
+            outcome: concluded.type,
+            attempts: attempts.describe(),
+          });
         }
-        const outcome = await send({
-          preferred: options.holder(),
-          peerTimeoutMs: PEER_TIMEOUT_MS,
-          totalTimeoutMs: ALL_PEERS_TIMEOUT_MS,
-        });
-        if (outcome.type === 'unanswered') {
-          const now = clock.monotonic();
-          const until = types.clock.after(now, UNANSWERED_PAUSE_MS);
-          pausedUntil.set(req.type, until);
-        }
-        return outcome;
-      },
-      async relayToHolder(withinMs) {
-        const holder = options.holder();
-        if (holder === undefined) return NOT_RELAYED;
-        const outcome = logOutcome(
-          req,
-          await peers.relayTo(holder, req, withinMs),
-        );
-        maybeApplied ||= outcome.maybeApplied;
-        return outcome;
+        const isRefused = effectOfAnswer(concluded) === 'not_applied';
+        if (req.type === 'submit' && isRefused) options.onJobRefused(req.id);
+        return concluded;
       },
-      conclude: (answer) => (maybeApplied ? withUncertainty(answer) : answer),
     };
   }
 
   /** Returns the local answer, or a peer's answer where that is better. */
   async function serve<Value>(
-    req: peerProtocol.RelayReq,
-    ask: () => Promise<jobService.JobServiceAnswer<Value>>,
+    req: EffectiveReq,
+    carryOut: () => Promise<jobService.JobServiceAnswer<Value>>,
   ): Promise<jobService.JobServiceAnswer<Value>> {
-    const call = trackCall(req);
-    return call.conclude(await serveTracked(call, ask));
+    const call = trackCall(req, carryOut);
+    return call.conclude(await serveTracked(call));
   }
 
   async function serveTracked<Value>(
-    call: TrackedCall,
-    ask: () => Promise<jobService.JobServiceAnswer<Value>>,
+    call: TrackedCall<Value>,
   ): Promise<jobService.JobServiceAnswer<Value>> {
     if (!options.storeReachable()) {
       const relayed = await call.relayToAny();
-      return relayed.type === 'answered' ? answerOf(relayed.res) : ask();
+      return relayed.type === 'answered'
+        ? answerOf(relayed.res)
+        : call.carryOut();
     }
     const viaHolder = await call.relayToHolder(HOLDER_TIMEOUT_MS);
     if (viaHolder.type === 'answered') return answerOf(viaHolder.res);
@@ -187,7 +223,7 @@
     // next holder would find.
     if (options.holder() !== undefined && !options.isStoreQuick())
       return {type: 'not_run', retryAfterMs: RETRY_AFTER_MS};
-    const direct = await ask();
+    const direct = await call.carryOut();
     switch (direct.type) {
       case 'ok':
       case 'absent':
@@ -216,21 +252,21 @@
     async phaseOf(id, queue, caller) {
       const final = await localService.finalPhaseOf(id, queue, caller);
       if (final.type === 'ok') return final;
-      const call = trackCall({type: 'phase', id, caller, queue});
-      const viaHolder = await call.relayToHolder(PHASE_TIMEOUT_MS);
+      const req = {type: 'phase', id, caller, queue} as const;
+      const viaHolder = await relayToHolder(req, PHASE_TIMEOUT_MS);
       if (viaHolder.type === 'answered') return answerOf(viaHolder.res);
       if (options.storeReachable() && localService.isCurrent()) {
         const direct = await localService.phaseOf(id, queue, caller);
         if (direct.type !== 'not_run') return direct;
       }
-      const relayed = await call.relayToAny();
+      const relayed = await relayToAny(req);
       if (relayed.type === 'answered') return answerOf(relayed.res);
       return localService.phaseOf(id, queue, caller);
     },
     async pendingIn(queue) {
       const direct = await localService.pendingIn(queue);
       if (direct.type === 'ok') return direct;
-      const relayed = await trackCall({type: 'pending', queue}).relayToAny();
+      const relayed = await relayToAny({type: 'pending', queue});
       return relayed.type === 'answered' ? answerOf(relayed.res) : direct;
     },
     finalPhaseOf: (id, queue, caller) =>
@@ -270,6 +306,32 @@
   return res as jobService.JobServiceAnswer<Value>;
 }
 
+/** What a call that was answered like this has caused. */
+function effectOfAnswer(
+  answer: jobService.JobServiceAnswer<unknown>,
+): callAttempts.AttemptEffect {
+  switch (answer.type) {
+    case 'ok':
+      return 'applied';
+    case 'unknown':
+      return 'unknown';
+    case 'not_run':
+    case 'absent':
+    case 'invalid':
+    case 'outdated_caller':
+      return 'not_applied';
+  }
+}
+
+/** What a forwarded call has caused at all peers that received it. */
+function effectOfRelay(
+  outcome: peerDirectory.RelayOutcome,
+): callAttempts.AttemptEffect {
+  const known =
+    outcome.type === 'answered' ? effectOfAnswer(outcome.res) : 'not_applied';
+  return known === 'not_applied' && outcome.maybeApplied ? 'unknown' : known;
+}
+
 /**
  * The answer to a call that a peer may have applied. The peer received it
  * without answering, so the caller must not be told that nothing runs.
--- a/packages/gypsumwall-cell/src/peer_directory.ts
+++ b/packages/gypsumwall-cell/src/peer_directory.ts
@@ -4,6 +4,7 @@
  * avoided for a while.
  */
 import * as result from 'true-myth/result';
+import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import * as httpClient from './http_client.js';
 import * as peerProtocol from './peer_protocol.js';
@@ -73,6 +74,7 @@
     };
 
 interface Peer {
+  readonly instance: string;
   readonly record: storeRecords.EntryRecord;
   readonly client: httpClient.HttpClient;
   readonly adviser: ports.Adviser;
@@ -115,17 +117,30 @@
   close(): void;
 }
 
+/** Options of a peer directory. */
+export interface PeerDirectoryOptions {
+  /** This entry's instance, which is no peer. */
+  readonly self: string;
+  readonly clock: types.clock.Clock;
+  readonly logger: telemetry.logger.Logger;
+}
+
 /** Creates an empty directory. */
-export function createPeerDirectory(
-  self: string,
-  clock: types.clock.Clock,
-): PeerDirectory {
+export function createPeerDirectory({
+  self,
+  clock,
+  logger,
+}: PeerDirectoryOptions): PeerDirectory {
   const peers = new Map<string, Peer>();
 
-  function createPeer(record: storeRecords.EntryRecord): Peer {
+  function createPeer(
+    instance: string,
+    record: storeRecords.EntryRecord,
+  ): Peer {
     const client = httpClient.createHttpClient(record.address, MAX_CONNECTIONS);
     const direct = peerProtocol.createPeerAdviser(client);
     const peer: Peer = {
+      instance,
       record,
       client,
       ping: undefined,
@@ -216,6 +231,19 @@
     return answered.signal.aborted ? answer : undefined;
   }
 
+  function logFailedRelay(
+    peer: Peer,
+    req: peerProtocol.RelayReq,
+    err: types.stepError.StepError,
+  ): void {
+    logger.info('relay_failed', {
+      job: req.type === 'pending' ? undefined : req.id,
+      call: req.type,
+      peer: peer.instance,
+      error: types.stepError.describeError(err),
+    });
+  }
+
   function usablePeers({preferred}: RelayLimits): Peer[] {
     const now = clock.monotonic();
     const first = preferred === undefined ? undefined : peers.get(preferred);
@@ -235,6 +263,7 @@
         const timeoutMs = Math.min(limits.peerTimeoutMs, leftMs);
         const answer = await peerProtocol.relay(peer.client, req, timeoutMs);
         if (result.isErr(answer)) {
+          logFailedRelay(peer, req, answer.error);
           if (answer.error.effect === 'unknown') maybeApplied = true;
           isSlow = (await checkUnanswered(peer, answer.error)) || isSlow;
           continue;
@@ -264,6 +293,7 @@
         return {...unsent, maybeApplied: true};
       }
       if (result.isErr(answer)) {
+        logFailedRelay(peer, req, answer.error);
         const isSlow = clock.monotonic() >= until;
         if (!isSlow) markUnresponsive(peer);
         const maybeApplied = answer.error.effect === 'unknown';
@@ -279,7 +309,7 @@
       if (instance === self) return;
       peers.get(instance)?.client.close();
       if (record === undefined) peers.delete(instance);
-      else peers.set(instance, createPeer(record));
+      else peers.set(instance, createPeer(instance, record));
     },
     advisers() {
       const now = clock.monotonic();
