--- a/packages/gypsumwall-cell/src/peer_directory.ts
+++ b/packages/gypsumwall-cell/src/peer_directory.ts
@@ -123,6 +123,8 @@
   readonly self: string;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
+  /** Opens the connections to a peer; over HTTP by default. */
+  readonly openClient?: typeof httpClient.createHttpClient;
 }
 
 /** Creates an empty directory. */
@@ -130,6 +132,7 @@
   self,
   clock,
   logger,
+  openClient = httpClient.createHttpClient,
 }: PeerDirectoryOptions): PeerDirectory {
   const peers = new Map<string, Peer>();
 
@@ -137,7 +140,7 @@
     instance: string,
     record: storeRecords.EntryRecord,
   ): Peer {
-    const client = httpClient.createHttpClient(record.address, MAX_CONNECTIONS);
+    const client = openClient(record.address, MAX_CONNECTIONS);
     const direct = peerProtocol.createPeerAdviser(client);
     const peer: Peer = {
       instance,
