cell, platform: a failed call may have had an effect

What callers saw: a job that was refused with 503 could run. Every status but 200 of a call between entries, and every unexpected one of an append, counted as a refusal. A peer whose handler fails after its append answers 500, and a server behind a proxy 502 or 504; the entry then told its caller that nothing runs.

Only a status that says so is a refusal now: 4xx, 503 and 507.

--- a/packages/gypsumwall-cell/src/http_client.ts
+++ b/packages/gypsumwall-cell/src/http_client.ts
@@ -218,17 +218,27 @@
   }
 }
 
-/** The error for an answer whose status means that the call had no effect. */
-export function refusalError(
+/** Statuses above 499 by which a server says that it has not acted. */
+const REFUSAL_STATUSES: ReadonlySet<number> = new Set([503, 507]);
+
+/**
+ * Fails with the status of an answer. After a status that is no refusal, such
+ * as 500 or 504, the server may have acted on the call.
+ */
+export function failWithStatus<Value>(
   step: string,
   peer: string,
-  answer: HttpAnswer,
-): types.stepError.StepError {
-  return types.stepError.createStepError({
-    kind: 'refused',
-    step,
-    peer,
-    effect: 'not_run',
-    message: `status ${answer.status}: ${answer.body.toString('utf8', 0, 200)}`,
-  });
+  {status, body}: HttpAnswer,
+): result.Result<Value, types.stepError.StepError> {
+  const isRefusal =
+    (status >= 400 && status < 500) || REFUSAL_STATUSES.has(status);
+  return result.err(
+    types.stepError.createStepError({
+      kind: isRefusal ? 'refused' : 'invalid',
+      step,
+      peer,
+      effect: isRefusal ? 'not_run' : 'unknown',
+      message: `status ${status}: ${body.toString('utf8', 0, 200)}`,
+    }),
+  );
 }
--- a/packages/gypsumwall-cell/src/peer_protocol.ts
+++ b/packages/gypsumwall-cell/src/peer_protocol.ts
@@ -45,8 +45,10 @@
       });
       if (result.isErr(answer)) return result.err(answer.error);
       if (answer.value.status !== 200) {
-        return result.err(
-          httpClient.refusalError('peer.advise', client.address, answer.value),
+        return httpClient.failWithStatus(
+          'peer.advise',
+          client.address,
+          answer.value,
         );
       }
       return httpClient.decodeAnswer(
@@ -124,8 +126,10 @@
   });
   if (result.isErr(answer)) return result.err(answer.error);
   if (answer.value.status !== 200) {
-    return result.err(
-      httpClient.refusalError('peer.relay', client.address, answer.value),
+    return httpClient.failWithStatus(
+      'peer.relay',
+      client.address,
+      answer.value,
     );
   }
   return httpClient.decodeAnswer(
