cell: a refusal needs proof for every attempt of the call

What callers saw: a refusal of a job that ran. The refuser can be the holder, so the entry that refuses and the one that orders the start are the same.

Each attempt is now made through CallAttempts, which takes its effect from its outcome, and a refusal stands only if every attempt is proven to have had no effect; otherwise the answer is unknown (504) and the caller repeats the call.

--- a/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
@@ -139,6 +139,24 @@
   }
 });
 
+// Guards against the same where the entry's own append was not answered and the
+// peer that is asked next refuses the call for good.
+test('a final refusal after an unanswered append is not reported', async () => {
+  for (const type of ['outdated_caller', 'invalid'] as const) {
+    const res = {type, message: 'refused'} as const;
+    const answer = await submit({
+      own: {type: 'unknown'},
+      relayed: {type: 'answered', res, maybeApplied: false},
+      byHolder: {type: 'unanswered', maybeApplied: false, isSlow: false},
+      reachable: true,
+    });
+    assert.deepEqual(answer, {
+      type: 'unknown',
+      asked: ['holder', 'own', 'any peer'],
+    });
+  }
+});
+
 // Guards against a finished job that is reported as running for six seconds,
 // and against a count of 4 pending jobs where there are 20. The store answers
 // the entry again, which is still reading what it missed; its peers know the
--- a/packages/gypsumwall-cell/src/forwarding_job_service.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -56,7 +56,7 @@
   relayToAny(): Promise<peerDirectory.RelayOutcome>;
   /** Forwards the call like `relayToHolder` of the service. */
   relayToHolder(withinMs: number): Promise<peerDirectory.RelayOutcome>;
-  /** The final answer, given what its relays may have caused. */
+  /** The final answer, given what the attempts may have caused. */
   conclude(
     answer: jobService.JobServiceAnswer<Value>,
   ): jobService.JobServiceAnswer<Value>;
@@ -165,24 +165,13 @@
     carryOut: () => Promise<jobService.JobServiceAnswer<Value>>,
   ): TrackedCall<Value> {
     const attempts = callAttempts.createCallAttempts();
-    let maybeApplied = false;
-
-    async function track(
-      name: string,
-      send: () => Promise<peerDirectory.RelayOutcome>,
-    ): Promise<peerDirectory.RelayOutcome> {
-      const outcome = await attempts.run(name, send, effectOfRelay);
-      maybeApplied ||= outcome.maybeApplied;
-      return outcome;
-    }
-
     return {
-      carryOut: () => attempts.run('own', carryOut, effectOfAnswer),
-      relayToAny: () => track('any_peer', () => relayToAny(req)),
+      carryOut: () => attempts.runLocally('own', carryOut),
+      relayToAny: () => attempts.runAtPeers('any_peer', () => relayToAny(req)),
       relayToHolder: (withinMs) =>
-        track('holder', () => relayToHolder(req, withinMs)),
+        attempts.runAtPeers('holder', () => relayToHolder(req, withinMs)),
       conclude(answer) {
-        const concluded = maybeApplied ? withUncertainty(answer) : answer;
+        const concluded = attempts.conclude(answer);
         if (concluded.type !== 'ok') {
           logger.info('call_concluded', {
             job: req.id,
@@ -191,8 +180,8 @@
             attempts: attempts.describe(),
           });
         }
-        const isRefused = effectOfAnswer(concluded) === 'not_applied';
-        if (req.type === 'submit' && isRefused) options.onJobRefused(req.id);
+        if (req.type === 'submit' && callAttempts.isRefusal(concluded))
+          options.onJobRefused(req.id);
         return concluded;
       },
     };
@@ -305,48 +294,3 @@
 ): jobService.JobServiceAnswer<Value> {
   return res as jobService.JobServiceAnswer<Value>;
 }
-
-/** What a call that was answered like this has caused. */
-function effectOfAnswer(
-  answer: jobService.JobServiceAnswer<unknown>,
-): callAttempts.AttemptEffect {
-  switch (answer.type) {
-    case 'ok':
-      return 'applied';
-    case 'unknown':
-      return 'unknown';
-    case 'not_run':
-    case 'absent':
-    case 'invalid':
-    case 'outdated_caller':
-      return 'not_applied';
-  }
-}
-
-/** What a forwarded call has caused at all peers that received it. */
-function effectOfRelay(
-  outcome: peerDirectory.RelayOutcome,
-): callAttempts.AttemptEffect {
-  const known =
-    outcome.type === 'answered' ? effectOfAnswer(outcome.res) : 'not_applied';
-  return known === 'not_applied' && outcome.maybeApplied ? 'unknown' : known;
-}
-
-/**
- * The answer to a call that a peer may have applied. The peer received it
- * without answering, so the caller must not be told that nothing runs.
- */
-function withUncertainty<Value>(
-  answer: jobService.JobServiceAnswer<Value>,
-): jobService.JobServiceAnswer<Value> {
-  switch (answer.type) {
-    case 'not_run':
-    case 'invalid':
-    case 'outdated_caller':
-      return {type: 'unknown'};
-    case 'ok':
-    case 'absent':
-    case 'unknown':
-      return answer;
-  }
-}
