cell: a repeated submission is not refused while an earlier one may be stored

A caller repeats a call without an answer. A 503 for the repeat promises that the job never runs, and an entry gave it although the call before, at the same entry, may have stored the job.

The test failed before: in the model with three submissions in turn an 'invalid' came after a submission that was stored.

--- a/packages/gypsumwall-cell/src/__fixtures__/submission_world.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/submission_world.ts
@@ -21,8 +21,8 @@
 const LINK_MS = 2;
 /** A call without an answer takes effect at most this much later. */
 const MAX_DELAY_MS = 6_000;
-/** All calls and their late effects are over by then. */
-const END_MS = 20_000;
+/** A submission is answered by then. */
+const MAX_CALL_MS = 10_000;
 const TICK_MS = 20;
 const logger = telemetry.logger.createLogger('silent');
 
@@ -32,9 +32,13 @@
 /** A submission and what became of it. */
 export interface SubmissionOutcome {
   readonly answer: jobServices.JobServiceAnswer<undefined>['type'];
+  /** Whether an attempt of this submission has stored the job. */
   readonly isStored: boolean;
 }
 
+/** Pause before the caller submits the job again; milliseconds. */
+const RETRY_PAUSE_MS = 200;
+
 /** Effects and answers of a call; what a server can do to it. */
 const DELIVERIES = [
   'answered',
@@ -46,12 +50,18 @@
   'failed_after_effect',
 ] as const;
 
-/** Submits a job at the first entry and returns how that ended. */
-export async function submitOnce(draw: Draw): Promise<SubmissionOutcome> {
+/**
+ * Submits a job at the first entry until it is accepted, at most so many times,
+ * and returns how each submission ended.
+ */
+export async function submitJob(
+  draw: Draw,
+  submissions: number,
+): Promise<SubmissionOutcome[]> {
   const clock = types.virtualClock.createVirtualClock();
   const id = types.ids.brand<types.ids.JobId>('job');
   const pause = (spanMs: number) => types.clock.sleepFor(clock, spanMs);
-  const stored = new Set<string>();
+  const stored: string[] = [];
   const isLikely = () => draw(4) > 0;
   const drawDelivery = () => DELIVERIES[draw(DELIVERIES.length)]!;
 
@@ -104,7 +114,7 @@
         'append',
         timeoutMs,
         () => {
-          for (const {key} of entries) stored.add(key);
+          stored.push(...entries.map(({value}) => value));
           return Promise.resolve({type: 'appended', firstOffset: 0});
         },
         {
@@ -203,13 +213,32 @@
     holder: () => (isLikely() ? others[draw(others.length)] : undefined),
     onJobRefused: () => {},
   });
-  const answer = service.submit(id, cellWorld.POLICY, cellWorld.request(1));
+  async function submitInTurn(): Promise<SubmissionOutcome['answer'][]> {
+    const answers: SubmissionOutcome['answer'][] = [];
+    for (let nth = 0; nth < submissions; nth++) {
+      // The payload tells which submission a record comes from.
+      const request = {...cellWorld.request(1), payload: payloadOf(nth)};
+      const answer = await service.submit(id, cellWorld.POLICY, request);
+      answers.push(answer.type);
+      if (answer.type === 'ok') break;
+      await pause(RETRY_PAUSE_MS);
+    }
+    return answers;
+  }
+
+  const answers = submitInTurn();
+  const end = submissions * MAX_CALL_MS + MAX_DELAY_MS;
   // In steps, because work that is started by an immediate would otherwise miss
   // its time.
-  for (let now = 0; now <= END_MS; now += TICK_MS) await clock.runUntil(now);
-  return {answer: (await answer).type, isStored: stored.size > 0};
+  for (let now = 0; now <= end; now += TICK_MS) await clock.runUntil(now);
+  return (await answers).map((answer, nth) => ({
+    answer,
+    isStored: stored.some((value) => value.includes(payloadOf(nth))),
+  }));
 }
 
+const payloadOf = (nth: number) => `submission ${nth}`;
+
 function failure<Value>(
   step: string,
   kind: types.stepError.StepErrorKind,
--- a/packages/gypsumwall-cell/src/call_attempts.ts
+++ b/packages/gypsumwall-cell/src/call_attempts.ts
@@ -33,13 +33,27 @@
   conclude<Value>(
     answer: jobService.JobServiceAnswer<Value>,
   ): jobService.JobServiceAnswer<Value>;
+  /**
+   * Whether the call may be applied without its caller knowing: it is in
+   * progress, or its answer was that the outcome is unknown.
+   */
+  isOpen(): boolean;
   /** The attempts in order, such as `own:unknown,any_peer:not_applied`. */
   describe(): string;
 }
 
-/** Creates the list of attempts of a call that has just arrived. */
-export function createCallAttempts(): CallAttempts {
+/**
+ * Creates the list of attempts of a call that has just arrived. Earlier calls
+ * of the same kind for the same job count for its answer, too.
+ */
+export function createCallAttempts(
+  earlier: readonly CallAttempts[] = [],
+): CallAttempts {
   const attempts: {readonly name: string; effect: AttemptEffect}[] = [];
+  let isOpen = true;
+
+  const isUnproven = () =>
+    attempts.some(({effect}) => effect !== 'not_applied');
 
   async function run<Outcome>(
     name: string,
@@ -57,9 +71,13 @@
     runLocally: (name, attempt) => run(name, attempt, effectOfAnswer),
     runAtPeers: (name, attempt) => run(name, attempt, effectOfRelay),
     conclude(answer) {
-      const isUnproven = attempts.some(({effect}) => effect !== 'not_applied');
-      return isRefusal(answer) && isUnproven ? {type: 'unknown'} : answer;
+      const isProven = !isUnproven() && !earlier.some((call) => call.isOpen());
+      const concluded: typeof answer =
+        isRefusal(answer) && !isProven ? {type: 'unknown'} : answer;
+      isOpen = concluded.type === 'unknown' && isUnproven();
+      return concluded;
     },
+    isOpen: () => isOpen,
     describe: () =>
       attempts.map(({name, effect}) => `${name}:${effect}`).join(','),
   };
--- a/packages/gypsumwall-cell/src/forwarding_job_service.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -13,6 +13,7 @@
 import type * as jobService from './job_service.js';
 import type * as peerDirectory from './peer_directory.js';
 import type * as peerProtocol from './peer_protocol.js';
+import * as recentAttempts from './recent_attempts.js';
 
 /**
  * Timeout of a call through the holder, enough for several appends of a slow
@@ -94,6 +95,10 @@
   options: ForwardingJobServiceOptions,
 ): ForwardingJobService {
   const {local: localService, peers, clock, logger} = options;
+  const recentCalls = {
+    submit: recentAttempts.createRecentAttempts(clock),
+    cancel: recentAttempts.createRecentAttempts(clock),
+  };
   let relayedAt: types.clock.MonotonicMs | undefined;
   const pausedUntil = new Map<
     peerProtocol.RelayReq['type'],
@@ -164,7 +169,7 @@
     req: EffectiveReq,
     carryOut: () => Promise<jobService.JobServiceAnswer<Value>>,
   ): TrackedCall<Value> {
-    const attempts = callAttempts.createCallAttempts();
+    const attempts = recentCalls[req.type].open(req.id, req.caller);
     return {
       carryOut: () => attempts.runLocally('own', carryOut),
       relayToAny: () => attempts.runAtPeers('any_peer', () => relayToAny(req)),
--- a/packages/gypsumwall-cell/src/job_service.ts
+++ b/packages/gypsumwall-cell/src/job_service.ts
@@ -13,6 +13,7 @@
 import type * as jobTable from './job_table.js';
 import type * as logFollower from './log_follower.js';
 import type * as ports from './ports.js';
+import * as recentAttempts from './recent_attempts.js';
 import type * as storeHealth from './store_health.js';
 import * as storeRecords from './store_records.js';
 
@@ -151,6 +152,8 @@
 /** Creates the job service of one entry. */
 export function createJobService(options: JobServiceOptions): JobService {
   const {jobs, follower, clock, logger} = options;
+  const submissions = recentAttempts.createRecentAttempts(clock);
+  const cancellations = recentAttempts.createRecentAttempts(clock);
   const appender = batchAppender.createBatchAppender({
     log: options.jobsLog,
     clock,
@@ -332,37 +335,62 @@
     return `step ${overQuota}: the tasks that run together exceed the quota of ${caller.organisation}: use fewer or smaller ones`;
   }
 
+  async function submitOnce(
+    id: types.ids.JobId,
+    policy: scheduling.jobRequest.QueuePolicy,
+    request: scheduling.jobRequest.JobRequest,
+    caller: organisations.keyDirectory.Caller | undefined,
+  ): Promise<JobServiceAnswer<undefined>> {
+    if (isOutdated(caller)) return {type: 'outdated_caller'};
+    const known = jobs.get(id);
+    if (known !== undefined) {
+      return isOwn(known, caller)
+        ? {type: 'ok', value: undefined}
+        : {type: 'invalid', message: 'the job id is in use: choose another'};
+    }
+    const message = describeObstacle(policy, request, caller);
+    if (message !== undefined) return {type: 'invalid', message};
+    if (follower.reachableSince() === undefined) {
+      logger.info('job_refused', {
+        job: id,
+        reason: 'the store is unavailable',
+      });
+      return {type: 'not_run', retryAfterMs: STORE_RETRY_AFTER_MS};
+    }
+    const organisation = caller?.organisation;
+    const job = {request, policy, acceptedAt: clock.wall(), organisation};
+    return storeAndAnswer('job_submitted', {kind: 'job', jobId: id, job});
+  }
+
+  async function cancelOnce(
+    id: types.ids.JobId,
+    queue: string,
+    caller: organisations.keyDirectory.Caller | undefined,
+  ): Promise<JobServiceAnswer<undefined>> {
+    const found = await find(id, queue, caller);
+    if (found.type !== 'ok') return found;
+    const {phase} = found.value.progress;
+    if (scheduling.jobProgress.isOver(phase)) {
+      return {type: 'ok', value: undefined};
+    }
+    const record = {kind: 'cancel', jobId: id, dropped: false} as const;
+    return storeAndAnswer('job_cancel_asked', record);
+  }
+
   return {
     async submit(id, policy, request, caller) {
-      if (isOutdated(caller)) return {type: 'outdated_caller'};
-      const known = jobs.get(id);
-      if (known !== undefined) {
-        return isOwn(known, caller)
-          ? {type: 'ok', value: undefined}
-          : {type: 'invalid', message: 'the job id is in use: choose another'};
-      }
-      const message = describeObstacle(policy, request, caller);
-      if (message !== undefined) return {type: 'invalid', message};
-      if (follower.reachableSince() === undefined) {
-        logger.info('job_refused', {
-          job: id,
-          reason: 'the store is unavailable',
-        });
-        return {type: 'not_run', retryAfterMs: STORE_RETRY_AFTER_MS};
-      }
-      const organisation = caller?.organisation;
-      const job = {request, policy, acceptedAt: clock.wall(), organisation};
-      return storeAndAnswer('job_submitted', {kind: 'job', jobId: id, job});
+      const call = submissions.open(id, caller);
+      return call.conclude(
+        await call.runLocally('append', () =>
+          submitOnce(id, policy, request, caller),
+        ),
+      );
     },
     async cancel(id, queue, caller) {
-      const found = await find(id, queue, caller);
-      if (found.type !== 'ok') return found;
-      const {phase} = found.value.progress;
-      if (scheduling.jobProgress.isOver(phase)) {
-        return {type: 'ok', value: undefined};
-      }
-      const record = {kind: 'cancel', jobId: id, dropped: false} as const;
-      return storeAndAnswer('job_cancel_asked', record);
+      const call = cancellations.open(id, caller);
+      return call.conclude(
+        await call.runLocally('append', () => cancelOnce(id, queue, caller)),
+      );
     },
     async phaseOf(id, queue, caller) {
       const found = await find(id, queue, caller);
