--- a/packages/gypsumwall-cell/src/job_service.ts
+++ b/packages/gypsumwall-cell/src/job_service.ts
@@ -4,21 +4,18 @@
  * with other entries is needed, so any entry that reaches the store can accept
  * jobs.
  */
-import * as result from 'true-myth/result';
 import type * as organisations from '@gypsumwall/organisations';
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
-import * as batchAppender from './batch_appender.js';
 import type * as jobTable from './job_table.js';
 import type * as logFollower from './log_follower.js';
 import type * as ports from './ports.js';
 import * as recentAttempts from './recent_attempts.js';
+import * as recordStore from './record_store.js';
 import type * as storeHealth from './store_health.js';
-import * as storeRecords from './store_records.js';
+import type * as storeRecords from './store_records.js';
 
-/** How long an append is tried; callers wait for 3 s; milliseconds. */
-const APPEND_TIMEOUT_MS = 2_400;
 /** When a caller should retry while the store is unavailable; milliseconds. */
 const STORE_RETRY_AFTER_MS = 1_000;
 /**
@@ -44,12 +41,6 @@
 export const MAX_STATE_AGE_MS = 20;
 /** How long a query for a state waits for such a read; milliseconds. */
 const REFRESH_TIMEOUT_MS = 300;
-/**
- * An append that is unanswered for this long triggers a read of the log, to
- * detect that the store is unavailable. An append usually takes 10 ms;
- * milliseconds.
- */
-const OVERDUE_APPEND_MS = 150;
 
 /** Outcome of a call. */
 export type JobServiceAnswer<Value> =
@@ -154,66 +145,21 @@
   const {jobs, follower, clock, logger} = options;
   const submissions = recentAttempts.createRecentAttempts(clock);
   const cancellations = recentAttempts.createRecentAttempts(clock);
-  const appender = batchAppender.createBatchAppender({
+  const records = recordStore.createRecordStore({
     log: options.jobsLog,
-    clock,
+    follower,
     storeHealth: options.storeHealth,
-    isStoreUnavailable: () => follower.reachableSince() === undefined,
     canForward: options.canForward,
-    onAppended: (entries, firstOffset) =>
-      follower.applyAppended(entries, firstOffset),
+    clock,
+    logger,
   });
 
-  /**
-   * Appends a record, several times if necessary; all records here are
-   * idempotent.
-   */
-  async function store(
-    record: storeRecords.StoreRecord,
-  ): Promise<'stored' | 'not_run' | 'unknown'> {
-    const entry = storeRecords.encode(record);
-    const until = types.clock.after(clock.monotonic(), APPEND_TIMEOUT_MS);
-    const appended = appender.append(entry, until);
-    void readLogIfOverdue(appended);
-    const answer = await appended;
-    if (result.isOk(answer)) return 'stored';
-    logger.info('append_failed', {
-      key: entry.key,
-      error: types.stepError.describeError(answer.error),
-    });
-    if (answer.error.effect === 'unknown') return 'unknown';
-    await checkReachability();
-    return 'not_run';
-  }
-
-  /**
-   * Reads the log to find out why an append was refused. A store that refuses
-   * this entry refuses reads as well; a store with too many queued appends
-   * still answers reads. A peer can do better only in the first case; in the
-   * second its appends would lengthen the queue.
-   */
-  async function checkReachability(): Promise<void> {
-    const timeout = falseAfter(REFRESH_TIMEOUT_MS);
-    await Promise.race([follower.catchUp(), timeout]);
-  }
-
-  /**
-   * Reads the log if an append is overdue, to detect an unavailable store;
-   * reads are rare otherwise.
-   */
-  async function readLogIfOverdue(appended: Promise<unknown>): Promise<void> {
-    const answered = new AbortController();
-    void appended.then(() => answered.abort());
-    await types.clock.sleepFor(clock, OVERDUE_APPEND_MS, answered.signal);
-    if (!answered.signal.aborted) await follower.catchUp();
-  }
-
   async function storeAndAnswer(
     event: string,
     record: storeRecords.StoreRecord & {readonly jobId: types.ids.JobId},
   ): Promise<JobServiceAnswer<undefined>> {
     const startedAt = clock.monotonic();
-    const outcome = await store(record);
+    const outcome = await records.store(record);
     logger.info(event, {
       job: record.jobId,
       outcome,
@@ -422,7 +368,7 @@
       );
     },
     isCurrent,
-    storeLatencyMs: () => appender.latencyMs(),
+    storeLatencyMs: () => records.latencyMs(),
   };
 }
 
