cell: an append counts as stored only if it was appended

record_store took every answer to an append for stored, also those that say that nothing was appended (412, 409). An append to the jobs' log has no condition, so a sound store never answers so; one that does lost an accepted job. Now the outcome is unknown, and the log says so at level error.

The test failed before: 'stored' for 'moved', 'fenced' and 'out_of_sequence'.

--- a/packages/gypsumwall-cell/src/record_store.ts
+++ b/packages/gypsumwall-cell/src/record_store.ts
@@ -78,6 +78,20 @@
     if (!answered.signal.aborted) await follower.catchUp();
   }
 
+  function outcomeOf(key: string, {type}: ports.AppendOutcome): StoreOutcome {
+    switch (type) {
+      case 'appended':
+        return 'stored';
+      case 'moved':
+      case 'fenced':
+      case 'out_of_sequence':
+        // These answer conditions that the append didn't have, and another call
+        // of the same append may still be open.
+        logger.error('append_misanswered', {key, outcome: type});
+        return 'unknown';
+    }
+  }
+
   return {
     async store(record) {
       const entry = storeRecords.encode(record);
@@ -85,7 +99,7 @@
       const appended = appender.append(entry, until);
       void readLogIfOverdue(appended);
       const answer = await appended;
-      if (result.isOk(answer)) return 'stored';
+      if (result.isOk(answer)) return outcomeOf(entry.key, answer.value);
       logger.info('append_failed', {
         key: entry.key,
         error: types.stepError.describeError(answer.error),
