cell: pause after a refusal also while an earlier append is open

A refused append was repeated after 40 ms, but at once while an earlier one was still unanswered: a store that lost one answer and refused the rest got 401 appends from one entry in 2 s, each of which keeps its queue full and has a price. Now the pause follows each refusal; an answer of the open append ends it. The test failed before with 401 calls and allows 50, one for each pause of 40 ms.

--- /dev/null
+++ b/packages/gypsumwall-cell/src/__tests__/hedge.test.ts
@@ -0,0 +1,35 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as result from 'true-myth/result';
+import * as types from '@gypsumwall/types';
+import * as hedge from '../hedge.js';
+import type * as ports from '../ports.js';
+import * as storeHealth from '../store_health.js';
+
+const {test} = nodeTest;
+const CALL_MS = 2;
+const DEADLINE_MS = 2_000;
+
+// Load: a store that loses the first call and refuses the others at once. Each
+// refusal was followed by another call without a pause, 500 a second.
+test('refused calls are repeated with pauses while an earlier one is open', async () => {
+  const clock = types.virtualClock.createVirtualClock();
+  const health = storeHealth.createStoreHealth();
+  let calls = 0;
+  const call = async (): ports.Answer<never> => {
+    calls++;
+    await types.clock.sleepFor(clock, calls === 1 ? DEADLINE_MS : CALL_MS);
+    return result.err({
+      kind: 'refused',
+      step: 'append',
+      peer: 'store',
+      effect: 'not_run',
+      message: 'too many queued appends',
+    });
+  };
+  const until = types.clock.after(clock.monotonic(), DEADLINE_MS);
+  const answer = hedge.createHedger(clock, health).hedge({call, until});
+  await clock.runUntil(DEADLINE_MS * 2);
+  assert.ok(result.isErr(await answer));
+  assert.ok(calls <= DEADLINE_MS / 40, `${calls} calls`);
+});
--- a/packages/gypsumwall-cell/src/hedge.ts
+++ b/packages/gypsumwall-cell/src/hedge.ts
@@ -89,7 +89,10 @@
     return answer;
   }
 
-  /** Waits for an answer, or for a reason to assume that the answer is lost. */
+  /**
+   * Waits for an answer, or for a reason to assume that the answer is lost;
+   * true if a call was answered or failed.
+   */
   async function waitToResend(
     race: Race<unknown>,
     sentAt: types.clock.MonotonicMs,
@@ -97,14 +100,16 @@
       until,
       shouldGiveUp,
     }: Pick<HedgeOptions<unknown>, 'until' | 'shouldGiveUp'>,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const resendAt = earlier(types.clock.after(sentAt, MAX_RESEND_MS), until);
     let checkAt = earlier(types.clock.after(sentAt, MIN_RESEND_MS), until);
     for (;;) {
       const change = race.change();
       await clock.sleepUntil(checkAt, change);
-      if (change.aborted || clock.monotonic() >= resendAt) return;
-      if (health.hasQuickReadSince(sentAt) || shouldGiveUp?.() === true) return;
+      if (change.aborted) return true;
+      if (clock.monotonic() >= resendAt) return false;
+      if (health.hasQuickReadSince(sentAt) || shouldGiveUp?.() === true)
+        return false;
       checkAt = earlier(
         types.clock.after(clock.monotonic(), CHECK_INTERVAL_MS),
         until,
@@ -118,16 +123,22 @@
       const race = createRace(() => timed(call));
       const giveUp = () => race.giveUp();
       signal?.addEventListener('abort', giveUp);
-      for (;;) {
+      const isOver = () => race.isSettled() || clock.monotonic() >= until;
+      do {
         const sentAt = clock.monotonic();
         race.send();
-        await waitToResend(race, sentAt, {until, shouldGiveUp});
-        if (race.isSettled() || clock.monotonic() >= until) break;
-        if (shouldGiveUp?.() === true) break;
-        if (race.open() > 0) continue;
-        if (race.isRefused() && isRefusalFinal?.() === true) break;
-        await types.clock.sleepFor(clock, REFUSAL_PAUSE_MS, signal);
-      }
+        const limits = {until, shouldGiveUp};
+        const hasChanged = await waitToResend(race, sentAt, limits);
+        if (isOver() || shouldGiveUp?.() === true) break;
+        if (!hasChanged) continue;
+        if (
+          race.open() === 0 &&
+          race.isRefused() &&
+          isRefusalFinal?.() === true
+        )
+          break;
+        await types.clock.sleepFor(clock, REFUSAL_PAUSE_MS, race.change());
+      } while (!isOver());
       signal?.removeEventListener('abort', giveUp);
       return race.outcome();
     },
