cell: log a worker's change of capacity

A start beyond a capacity that had shrunk could not be traced: no line said when the holder read the new capacity, and from which record of the list. The line names the capacity before and after and the record's offset.

--- a/packages/gypsumwall-cell/src/worker_roster.ts
+++ b/packages/gypsumwall-cell/src/worker_roster.ts
@@ -162,8 +162,31 @@
     if (!isClosed && entries.get(info.id) === entry) await entry.session.run();
   }
 
+  function logCapacityChange(
+    {id, capacity: before}: scheduling.workerRegistry.WorkerInfo,
+    {capacity}: scheduling.workerRegistry.WorkerInfo,
+    offset: number,
+  ): void {
+    const {cpuMillis, memoryMb, accelerators} = capacity;
+    const isSame =
+      cpuMillis === before.cpuMillis &&
+      memoryMb === before.memoryMb &&
+      accelerators === before.accelerators;
+    if (isSame) return;
+    logger.info('worker_capacity_changed', {
+      worker: id,
+      cpuMillis,
+      memoryMb,
+      accelerators,
+      beforeCpuMillis: before.cpuMillis,
+      beforeMemoryMb: before.memoryMb,
+      offset,
+    });
+  }
+
   function updateWorker(
     listed: ports.ListedWorker,
+    offset: number,
     writtenAfter?: logFollower.ClockReading,
   ): void {
     const {info, leavesInMs} = listed;
@@ -183,6 +206,7 @@
       entry.evacuateAt = undefined;
       entry.isEvacuating = false;
     }
+    logCapacityChange(entry.info, info, offset);
     entry.info = info;
     entry.writtenAfter = writtenAfter;
     entry.listed = true;
@@ -272,14 +296,15 @@
         const listedKeys = new Set(records.map((record) => record.key));
         for (const id of entries.keys()) if (!listedKeys.has(id)) unlist(id);
       }
-      for (const {key, value} of records) {
+      for (const {key, value, offset} of records) {
         if (value === '') {
           onRemoved(types.ids.brand(key));
           continue;
         }
         const decoded = options.decode(key, value);
         if (result.isOk(decoded)) {
-          updateWorker(decoded.value, reloaded ? undefined : writtenAfter);
+          const after = reloaded ? undefined : writtenAfter;
+          updateWorker(decoded.value, offset, after);
           continue;
         }
         reportUnreadable(key, decoded.error);
