cell: start nothing by a list entry that has expired

6.47 it writes its last heartbeat with 32 cores; read by the holder at 7.12 7.0 it shrinks to 6.4 cores; its heartbeats are carried out late by the store until 15.0, and none arrives 11.015 the holder reads that the list has removed it after three silent heartbeats: worker_unlisted. Its registry still has 32 cores 11.385 to 12.538 the holder orders eleven starts there, with up to 31,850 thousandths of a core allocated; those from 11.744 on break the rule 12.644 the holder reads the next entry, with 6.4 cores

Cause: the holder placed tasks by the capacity in a list entry without a bound of its age. A worker stayed open to new tasks for 2.5 s after its removal from the list, and one whose entry could not be read, or had arrived late and was kept longer by the list, without end. The poll of a worker doesn't tell its capacity, so nothing else could.

Change: an entry counts as long as the list itself would keep it, three heartbeats from when it was written, by the worker's clock, less 250 ms for the order. Nothing starts by an older one or on a worker off the list. What runs there goes on, and its lease is as long as before. The age counts a suspension of the holder. `worker_entry_expired` and `worker_entry_current` in the log, and the word `outdated` in `step_waits`, tell of it.

--- a/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
@@ -21,7 +21,7 @@
 };
 
 /** Silence after which the list removes a worker; milliseconds. */
-const LIST_EXPIRY_MS = 3_000;
+export const LIST_EXPIRY_MS = 3_000;
 
 /** A request of one step of small tasks. */
 export function request(taskCount: number): scheduling.jobRequest.JobRequest {
@@ -99,6 +99,15 @@
   ): Promise<fakeWorkers.FakeWorker>;
   /** Lists a worker as draining; it leaves after the given milliseconds. */
   drain(worker: fakeWorkers.FakeWorker, leavesInMs: number): Promise<void>;
+  /**
+   * Lists a worker with a capacity, in an entry that was written at a reading
+   * of its clock.
+   */
+  list(
+    worker: fakeWorkers.FakeWorker,
+    cores: number,
+    writtenAtMs: number,
+  ): Promise<void>;
   /** Removes a worker from the list. */
   unlist(worker: fakeWorkers.FakeWorker): Promise<void>;
   /** Starts an entry; `view` may give it logs with faults of its own. */
@@ -136,6 +145,11 @@
       const value = JSON.stringify({...info, draining: true, leavesInMs});
       await store.workers.append([{key: info.id, value}], {timeoutMs: 1});
     },
+    async list({info}, cores, writtenAtMs) {
+      const capacity = {...info.capacity, cpuMillis: cores * 1_000};
+      const value = JSON.stringify({...info, capacity, writtenAtMs});
+      await store.workers.append([{key: info.id, value}], {timeoutMs: 1});
+    },
     async unlist({info}) {
       await store.workers.append([{key: info.id, value: ''}], {timeoutMs: 1});
     },
@@ -177,10 +191,10 @@
 }
 
 function decodeWorker(value: string): ports.ListedWorker {
-  const {leavesInMs, ...info} = JSON.parse(
+  const {leavesInMs, writtenAtMs, ...info} = JSON.parse(
     value,
-  ) as scheduling.workerRegistry.WorkerInfo & {leavesInMs?: number};
-  return {info, leavesInMs};
+  ) as scheduling.workerRegistry.WorkerInfo & Omit<ports.ListedWorker, 'info'>;
+  return {info, leavesInMs, writtenAtMs};
 }
 
 /** A log whose faults affect one entry only. */
--- a/packages/gypsumwall-cell/src/__fixtures__/fake_worker.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/fake_worker.ts
@@ -32,6 +32,8 @@
   readonly running: Map<string, FakeAttempt>;
   /** Every start that took effect. */
   readonly started: FakeAttempt[];
+  /** Reading of the worker's own clock. */
+  clockMs(): number;
   end(taskId: string, how: scheduling.jobSteps.AttemptOutcome): void;
 }
 
@@ -133,6 +135,7 @@
     stopMs: 0,
     running,
     started,
+    clockMs,
     end: endAttempt,
     connect: () => ({
       async start(call) {
--- a/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
@@ -191,13 +191,25 @@
 // ms later on ours; a task that starts elsewhere earlier runs twice.
 test('a lease has expired only according to the slowest clock', () => {
   const times = workerClock.createWorkerClock();
-  times.recordReading(10_000, at(0));
+  times.recordReading(10_000, at(0), 0 as types.clock.WallMs);
   times.recordLease(11_000);
   assert.equal(times.hasLeaseExpired(at(1_020)), false);
   assert.equal(times.hasLeaseExpired(at(1_200)), true);
   assert.ok(times.lowerBound(at(1_000))! <= 10_980, 'a lower bound');
 });
 
+// Guards against starts by a list entry that expired while this process was
+// suspended, which only the wall clock shows.
+test('the estimate of a clock counts a suspension of the process', () => {
+  const times = workerClock.createWorkerClock();
+  const wall = (ms: number) => ms as types.clock.WallMs;
+  assert.equal(times.estimate(at(0), wall(50_000)), undefined);
+  times.recordReading(10_000, at(0), wall(50_000));
+  assert.equal(times.estimate(at(500), wall(50_500)), 10_500);
+  assert.equal(times.estimate(at(600), wall(54_600)), 14_600);
+  assert.equal(times.estimate(at(600), wall(0)), 10_600);
+});
+
 // The instance is suspended for seconds, which only the wall clock shows.
 test('a suspension is detected', () => {
   let wall = 50_000;
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -269,6 +269,7 @@
     if (!mayRenew()) return;
     const startedAt = clock.monotonic();
     scheduler.setCommitLatency(writer.latencyMs());
+    roster.checkListEntries();
     const decisions = scheduler.decide(
       startedAt,
       clock.wall(),
--- a/packages/gypsumwall-cell/src/ports.ts
+++ b/packages/gypsumwall-cell/src/ports.ts
@@ -175,6 +175,11 @@
    * entry was written; milliseconds.
    */
   readonly leavesInMs?: number;
+  /**
+   * When its list entry was written, on the worker's clock; milliseconds.
+   * Undefined if the entry doesn't say.
+   */
+  readonly writtenAtMs?: number;
 }
 
 /** The address of a queue for callers, and the queue's policy. */
--- a/packages/gypsumwall-cell/src/worker_clock.ts
+++ b/packages/gypsumwall-cell/src/worker_clock.ts
@@ -12,11 +12,23 @@
 
 /** The clock and the lease of one worker. */
 export interface WorkerClock {
-  recordReading(clockMs: number, now: types.clock.MonotonicMs): void;
+  recordReading(
+    clockMs: number,
+    now: types.clock.MonotonicMs,
+    wall: types.clock.WallMs,
+  ): void;
   /**
    * A lower bound of the worker's clock; undefined before the first reading.
    */
   lowerBound(now: types.clock.MonotonicMs): number | undefined;
+  /**
+   * The worker's clock if it is not slow. Counts a suspension of this process,
+   * during which the monotonic clock stops. Undefined before the first reading.
+   */
+  estimate(
+    now: types.clock.MonotonicMs,
+    wall: types.clock.WallMs,
+  ): number | undefined;
   /** Records a lease that was sent, whether or not it was answered. */
   recordLease(until: number): void;
   /** Whether every lease that was sent has expired for certain. */
@@ -25,12 +37,22 @@
 
 /** Creates the estimate before the first reading. */
 export function createWorkerClock(): WorkerClock {
-  let reading: {clockMs: number; at: types.clock.MonotonicMs} | undefined;
+  let reading:
+    | {
+        readonly clockMs: number;
+        readonly at: types.clock.MonotonicMs;
+        readonly wall: types.clock.WallMs;
+      }
+    | undefined;
   let leaseUntil: number | undefined;
 
   return {
-    recordReading(clockMs, now) {
-      reading = {clockMs, at: now};
+    recordReading(clockMs, now, wall) {
+      reading = {clockMs, at: now, wall};
+    },
+    estimate(now, wall) {
+      if (reading === undefined) return undefined;
+      return reading.clockMs + Math.max(now - reading.at, wall - reading.wall);
     },
     lowerBound(now) {
       if (reading === undefined) return undefined;
--- a/packages/gypsumwall-cell/src/worker_roster.ts
+++ b/packages/gypsumwall-cell/src/worker_roster.ts
@@ -21,11 +21,16 @@
  */
 const EVACUATION_SLACK_MS = 1_000;
 /**
- * How long a worker is still used after it disappears from the list while it
- * answers. After an outage of the store all workers may be missing from the
- * list; they are back within two seconds; milliseconds.
+ * Time after which a worker that disappeared from the list while it answers is
+ * treated as leaving. After an outage of the store all workers may be missing
+ * from the list; they are back within two seconds; milliseconds.
  */
 const UNLISTED_GRACE_MS = 2_500;
+/**
+ * Time that an order may take to reach its worker: a list entry must not expire
+ * before; milliseconds.
+ */
+const ORDER_MARGIN_MS = 250;
 
 /**
  * A removal counts as the worker's own as long as its last list entry is
@@ -97,6 +102,8 @@
   /** The lease of an unreachable worker has expired. */
   onLeaseExpired(id: types.ids.WorkerId): void;
   tick(now: types.clock.MonotonicMs): void;
+  /** Closes workers with an expired list entry to new tasks. */
+  checkListEntries(): void;
   /**
    * All leases of earlier holders have expired: removes unlisted workers that
    * never answered.
@@ -112,7 +119,10 @@
   listed: boolean;
   /** The newest list entry of the worker was written after this moment. */
   writtenAfter?: logFollower.ClockReading;
-  /** When a worker that disappeared from the list is no longer used. */
+  /** When it was written, on the worker's clock. */
+  writtenAtMs?: number;
+  isCurrent: boolean;
+  /** When a worker that disappeared from the list is treated as leaving. */
   unusedAt?: types.clock.MonotonicMs;
   /** From this moment on, all attempts on the worker are stopped. */
   evacuateAt?: types.clock.MonotonicMs;
@@ -138,7 +148,13 @@
       scheduler.removeWorker(crashed, 'crashed', clock.monotonic());
     }
     const session = options.openSession(info);
-    const entry: Entry = {info, listed, session, isEvacuating: false};
+    const entry: Entry = {
+      info,
+      listed,
+      session,
+      isCurrent: true,
+      isEvacuating: false,
+    };
     entries.set(info.id, entry);
     logger.info('worker_found', {
       worker: info.id,
@@ -189,7 +205,7 @@
     offset: number,
     writtenAfter?: logFollower.ClockReading,
   ): void {
-    const {info, leavesInMs} = listed;
+    const {info, leavesInMs, writtenAtMs} = listed;
     if (!entries.has(info.id) && !options.isUsedPool(info.pool)) {
       reportUnreadable(info.id, `pool = ${info.pool}: no queue uses this pool`);
       return;
@@ -209,6 +225,7 @@
     logCapacityChange(entry.info, info, offset);
     entry.info = info;
     entry.writtenAfter = writtenAfter;
+    entry.writtenAtMs = writtenAtMs;
     entry.listed = true;
     entry.unusedAt = undefined;
     scheduler.putWorker(info);
@@ -222,6 +239,26 @@
     entry.unusedAt = types.clock.after(clock.monotonic(), UNLISTED_GRACE_MS);
   }
 
+  /** Age of the newest list entry by the worker's clock, if both are known. */
+  function ageOnWorkerMs({session, writtenAtMs}: Entry): number | undefined {
+    const nowMs = session.clockMs();
+    if (nowMs === undefined || writtenAtMs === undefined) return undefined;
+    return nowMs - writtenAtMs;
+  }
+
+  /**
+   * Whether the capacity in a worker's list entry counts: the list itself keeps
+   * an entry no longer than its expiry. It may hold an older one that arrived
+   * late, or may not be readable.
+   */
+  function isCurrent(entry: Entry): boolean {
+    if (!entry.listed) return false;
+    const ageMs = ageOnWorkerMs(entry);
+    const {listExpiryMs} = options;
+    if (ageMs === undefined || listExpiryMs === undefined) return true;
+    return ageMs <= listExpiryMs - ORDER_MARGIN_MS;
+  }
+
   /**
    * Maximum age of a list entry. A loaded entry may be as old as the list's
    * expiry.
@@ -353,6 +390,22 @@
         options.onChange();
       }
     },
+    checkListEntries() {
+      for (const [id, entry] of entries) {
+        const current = isCurrent(entry);
+        if (current === entry.isCurrent) continue;
+        entry.isCurrent = current;
+        scheduler.setCurrent(id, current);
+        const event = current ? 'worker_entry_current' : 'worker_entry_expired';
+        const {listed} = entry;
+        const ageMs = ageOnWorkerMs(entry);
+        logger.info(event, {
+          worker: id,
+          listed,
+          ageMs: ageMs && Math.round(ageMs),
+        });
+      }
+    },
     removeSilent() {
       for (const [id, entry] of entries) {
         if (entry.listed || entry.session.hasReported()) continue;
--- a/packages/gypsumwall-cell/src/worker_session.ts
+++ b/packages/gypsumwall-cell/src/worker_session.ts
@@ -81,6 +81,8 @@
   isReachable(): boolean;
   /** Whether the worker has ever answered in this session. */
   hasReported(): boolean;
+  /** Estimate of the worker's clock; undefined before its first report. */
+  clockMs(): number | undefined;
   close(): void;
 }
 
@@ -197,7 +199,7 @@
     if (askedAt < lastAskedAt) return;
     lastAskedAt = askedAt;
     const now = clock.monotonic();
-    workerClock.recordReading(report.clockMs, now);
+    workerClock.recordReading(report.clockMs, now, clock.wall());
     // An earlier holder may have granted a longer lease than this one does. It
     // can't grant one after this answer, because the worker now refuses its
     // token.
@@ -324,6 +326,7 @@
     },
     isReachable: () => isReachable,
     hasReported: () => hasReported,
+    clockMs: () => workerClock.estimate(clock.monotonic(), clock.wall()),
     close,
   };
 }
--- a/packages/gypsumwall-scheduling/src/__fixtures__/waiting_checks.ts
+++ b/packages/gypsumwall-scheduling/src/__fixtures__/waiting_checks.ts
@@ -7,7 +7,7 @@
 import * as jobOrder from '../job_order.js';
 import * as quotaGate from '../quota_gate.js';
 import * as workerHealth from '../worker_health.js';
-import type * as workerRegistry from '../worker_registry.js';
+import * as workerRegistry from '../worker_registry.js';
 import type * as worlds from './unreliable_world.js';
 
 function stepsOf(world: worlds.UnreliableWorld): activeJob.StepRun[] {
@@ -114,9 +114,10 @@
   stepRun: activeJob.StepRun,
   worker: workerRegistry.RegisteredWorker,
 ): boolean {
-  const {info, isUsable} = worker;
+  const {info} = worker;
   const {request, job, advice} = stepRun;
-  if (!isUsable || info.draining || info.pool !== job.policy.pool) return false;
+  if (!workerRegistry.acceptsTasks(worker)) return false;
+  if (info.pool !== job.policy.pool) return false;
   const label = request.requiredLabel;
   if (label !== undefined && !info.labels.includes(label)) return false;
   if (job.policy.advice === undefined) return true;
--- a/packages/gypsumwall-scheduling/src/choose_worker.ts
+++ b/packages/gypsumwall-scheduling/src/choose_worker.ts
@@ -4,7 +4,7 @@
 import * as domainAffinity from './domain_affinity.js';
 import * as stepAdvice from './step_advice.js';
 import type * as taskIsolation from './task_isolation.js';
-import type * as workerRegistry from './worker_registry.js';
+import * as workerRegistry from './worker_registry.js';
 import type * as workerHealth from './worker_health.js';
 
 /** Input of a choice. */
@@ -102,7 +102,7 @@
   worker: workerRegistry.RegisteredWorker,
   {health, now, isolation}: ChoiceContext,
 ): boolean {
-  if (!worker.isUsable || worker.info.draining) return false;
+  if (!workerRegistry.acceptsTasks(worker)) return false;
   if (isolation?.isClosedTo(stepRun, worker.info.id) === true) return false;
   if (!isEligible(stepRun, worker)) return false;
   return health.trustOf(worker.info.id, now) !== 'avoided';
--- a/packages/gypsumwall-scheduling/src/plan_advice_calls.ts
+++ b/packages/gypsumwall-scheduling/src/plan_advice_calls.ts
@@ -15,7 +15,7 @@
 import * as chooseWorker from './choose_worker.js';
 import type * as jobRequest from './job_request.js';
 import * as stepAdvice from './step_advice.js';
-import type * as workerRegistry from './worker_registry.js';
+import * as workerRegistry from './worker_registry.js';
 
 /** Maximum number of workers that the adviser accepts in one call. */
 const MAX_NAMED_WORKERS = 100;
@@ -179,7 +179,7 @@
   const candidates: Candidate[] = [];
   for (const worker of registry.workers.values()) {
     const {id} = worker.info;
-    if (!worker.isUsable || worker.info.draining) continue;
+    if (!workerRegistry.acceptsTasks(worker)) continue;
     // Refusals are final.
     if (stepRun.advice.refused.has(id)) continue;
     if (!chooseWorker.isEligible(stepRun, worker)) continue;
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -280,6 +280,7 @@
       if (!usable) lossHandler.onWorkerUnanswered(id, now);
       registry.setUsable(id, usable);
     },
+    setCurrent: (id, current) => registry.setCurrent(id, current),
     onWorkerUnreachable(id) {
       for (const attempt of attempts.ofWorker(id))
         jobRegistry.queueCopy(attempt);
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -133,12 +133,17 @@
    * without any attempt running on it.
    */
   onLeaseExpired(id: types.ids.WorkerId, now: types.clock.MonotonicMs): void;
-  /** Sets whether new tasks may be placed on a worker. */
+  /** Sets whether a worker answers; no new task starts on one that doesn't. */
   setUsable(
     id: types.ids.WorkerId,
     usable: boolean,
     now: types.clock.MonotonicMs,
   ): void;
+  /**
+   * Sets whether the list entry of a worker is recent; no new task starts by an
+   * older one.
+   */
+  setCurrent(id: types.ids.WorkerId, current: boolean): void;
   /**
    * A worker does not answer: a second attempt of each of its tasks is queued
    * where the step allows copies.
--- a/packages/gypsumwall-scheduling/src/take_advice_requests.ts
+++ b/packages/gypsumwall-scheduling/src/take_advice_requests.ts
@@ -12,7 +12,7 @@
 import * as chooseWorker from './choose_worker.js';
 import type * as schedulerTypes from './scheduler_types.js';
 import * as stepAdvice from './step_advice.js';
-import type * as workerRegistry from './worker_registry.js';
+import * as workerRegistry from './worker_registry.js';
 
 /** Minimum interval between two checks of one step; milliseconds. */
 const RECHECK_INTERVAL_MS = 80;
@@ -103,8 +103,8 @@
 }: planAdviceCalls.AdviceContext): workerRegistry.RegisteredWorker[] {
   const withCapacity: workerRegistry.RegisteredWorker[] = [];
   for (const worker of registry.workers.values()) {
-    const {free, info, isUsable} = worker;
-    if (!isUsable || info.draining) continue;
+    const {free} = worker;
+    if (!workerRegistry.acceptsTasks(worker)) continue;
     if (free.cpuMillis >= 0 && free.memoryMb > 0) withCapacity.push(worker);
   }
   return withCapacity;
--- a/packages/gypsumwall-scheduling/src/wait_reasons.ts
+++ b/packages/gypsumwall-scheduling/src/wait_reasons.ts
@@ -10,6 +10,8 @@
 export type WaitReason =
   | 'unusable'
   | 'draining'
+  /** Its list entry has expired, so its capacity isn't known. */
+  | 'outdated'
   /** In another pool, or without the label that the step requires. */
   | 'other_kind'
   /** Refused by the adviser. */
@@ -59,6 +61,7 @@
   const needsAdvice = job.policy.advice !== undefined;
   if (!worker.isUsable) return 'unusable';
   if (draining) return 'draining';
+  if (!worker.isCurrent) return 'outdated';
   if (!chooseWorker.isEligible(stepRun, worker)) return 'other_kind';
   if (needsAdvice && advice.refused.has(id)) return 'refused';
   if (chooseWorker.remainingSlots(stepRun, worker) < 1) return 'at_limit';
--- a/packages/gypsumwall-scheduling/src/worker_registry.ts
+++ b/packages/gypsumwall-scheduling/src/worker_registry.ts
@@ -31,6 +31,11 @@
    * Whether it has answered recently under the fencing token of this holder.
    */
   isUsable: boolean;
+  /**
+   * Whether its list entry is recent. The capacity in an older one may have
+   * shrunk since.
+   */
+  isCurrent: boolean;
   /** Number of tasks reserved here, by step run id. */
   readonly tasksByStep: Map<string, number>;
 }
@@ -55,12 +60,23 @@
   release(id: types.ids.WorkerId, reservation: Reservation): void;
   /** Sets whether new tasks may be placed on a worker. */
   setUsable(id: types.ids.WorkerId, usable: boolean): void;
+  /** Sets whether the list entry of a worker is recent. */
+  setCurrent(id: types.ids.WorkerId, current: boolean): void;
   /** Marks that a worker may accept tasks that it could not accept before. */
   markFreed(id: types.ids.WorkerId): void;
   /** Returns the workers marked as freed since the last call. */
   takeFreed(): ReadonlySet<types.ids.WorkerId>;
 }
 
+/** Whether new tasks may be placed on a worker. */
+export function acceptsTasks({
+  info,
+  isUsable,
+  isCurrent,
+}: RegisteredWorker): boolean {
+  return isUsable && isCurrent && !info.draining;
+}
+
 /** Creates a registry without workers. */
 export function createWorkerRegistry(): WorkerRegistry {
   const quotas = organisations.quotaLedger.createQuotaLedger();
@@ -104,6 +120,7 @@
         info,
         free: info.capacity,
         isUsable: false,
+        isCurrent: true,
         tasksByStep: new Map(),
       };
       workers.set(info.id, worker);
@@ -124,6 +141,11 @@
       if (worker !== undefined) worker.isUsable = usable;
       freed.add(id);
     },
+    setCurrent(id, current) {
+      const worker = workers.get(id);
+      if (worker !== undefined) worker.isCurrent = current;
+      freed.add(id);
+    },
     markFreed: (id) => void freed.add(id),
     takeFreed() {
       const taken = freed;
