emulator: every 4xx answer to a submission is a refusal

Only 429, 503, 401, 404 and 410 counted as answers that leave nothing running. A job that was answered 400 or 413 on every try and ran all the same was not found, because its submission counted as open.

--- a/packages/gypsumwall-emulator/src/wire/entry_client.ts
+++ b/packages/gypsumwall-emulator/src/wire/entry_client.ts
@@ -109,7 +109,8 @@
   if (status === 200) return {type: 'ok', state: extractState(text)};
   if (status === 401) return {type: 'unauthorised'};
   if (status === 404 || status === 410) return {type: 'absent'};
-  if (status === 429 || status === 503) return {type: 'refused'};
+  if (status >= 400 && status < 500) return {type: 'refused'};
+  if (status === 503) return {type: 'refused'};
   return {type: 'unknown'};
 }
 
