emulator: slow appends, reset connections, frozen and terminated entries

The store's appends can take several times as long, one at a time, so that queues form and are refused. Connections to the store can be reset before or after their call is carried out. Entries can be suspended, continued and stopped with SIGTERM. Appends that are carried out can be observed, answered or not.

--- a/packages/gypsumwall-emulator/src/model/__tests__/store.test.ts
+++ b/packages/gypsumwall-emulator/src/model/__tests__/store.test.ts
@@ -51,6 +51,32 @@
   ]);
 });
 
+test('appends of a slow store wait for each other until the queue is full', async () => {
+  const {clock, store} = createStoreFixture({appendMs: 20});
+  store.setSlowdown(50);
+  const calls = [1, 2, 3, 4].map(() => store.append('a', APPEND));
+  assert.deepEqual(await answerTypes(clock, calls), [
+    'answer',
+    'answer',
+    'answer',
+    'unavailable',
+  ]);
+});
+
+test('some calls whose connection is reset are carried out', async () => {
+  const observed: string[] = [];
+  const {clock, store} = createStoreFixture({
+    onAppend: (caller) => void observed.push(caller),
+  });
+  store.setFault('a', {type: 'resetting', share: 1});
+  const calls = Array.from({length: 20}, () => store.append('a', APPEND));
+  const answers = await answerTypes(clock, calls);
+  assert.deepEqual([...new Set(answers)], ['reset']);
+  const carriedOut = store.log(APPEND.topic).endOffset();
+  assert.ok(carriedOut > 0 && carriedOut < calls.length);
+  assert.equal(observed.length, carriedOut);
+});
+
 test('a fault of one caller does not affect other callers', async () => {
   const {clock, store} = createStoreFixture();
   store.setFault('a', {type: 'unavailable'});
--- a/packages/gypsumwall-emulator/src/model/platform_model.ts
+++ b/packages/gypsumwall-emulator/src/model/platform_model.ts
@@ -40,6 +40,7 @@
   readonly config: emulatorConfig.EmulatorConfig;
   readonly encoders: RecordEncoders;
   readonly injectedFaults?: InjectedFaults | undefined;
+  readonly onAppend?: stores.AppendObserver | undefined;
 }
 
 /** Model of the platform. */
@@ -101,6 +102,7 @@
     random,
     ...config.store,
     shouldDrop,
+    onAppend: options.onAppend,
   });
   const operator = operators.createOperator(
     store.log(stores.OPERATOR_TOPIC),
--- a/packages/gypsumwall-emulator/src/model/store.ts
+++ b/packages/gypsumwall-emulator/src/model/store.ts
@@ -5,39 +5,12 @@
 import * as types from '@gypsumwall/types';
 import * as keyedLog from './keyed_log.js';
 import * as rateLimit from './rate_limit.js';
+import * as storeFaults from './store_faults.js';
 
 /** Topics of the logs that only the platform itself writes. */
 export const OPERATOR_TOPIC = 'operator';
 export const WORKERS_TOPIC = 'workers';
 
-/** A fault that affects the calls of a caller. */
-export type StoreFault =
-  | {readonly type: 'none'}
-  /** Calls are refused and have no effect. */
-  | {readonly type: 'unavailable'}
-  | {readonly type: 'throttled'}
-  /** Calls have no effect and get no answer. */
-  | {readonly type: 'silent'}
-  | {readonly type: 'slow'; readonly addedMs: number}
-  | {
-      readonly type: 'lossy';
-      /** Share of calls that are carried out but not answered. */
-      readonly lostShare: number;
-      /** Share of calls that are carried out later and not answered. */
-      readonly lateShare: number;
-      readonly maxDelayMs: number;
-    };
-
-/** How a call ends for its caller. */
-export type Delivery<Value> =
-  | {readonly type: 'answer'; readonly value: Value}
-  | {readonly type: 'unavailable'}
-  | {readonly type: 'throttled'}
-  /** Only the platform may write to the log. */
-  | {readonly type: 'forbidden'}
-  /** The call never gets an answer. */
-  | {readonly type: 'lost'};
-
 /** An append by the system. */
 export interface AppendCall extends keyedLog.AppendConditions {
   readonly topic: string;
@@ -57,20 +30,25 @@
   append(
     caller: string,
     call: AppendCall,
-  ): Promise<Delivery<keyedLog.AppendOutcome>>;
-  read(caller: string, call: ReadCall): Promise<Delivery<keyedLog.ReadOutcome>>;
+  ): Promise<storeFaults.Delivery<keyedLog.AppendOutcome>>;
+  read(
+    caller: string,
+    call: ReadCall,
+  ): Promise<storeFaults.Delivery<keyedLog.ReadOutcome>>;
   readNewest(
     caller: string,
     topic: string,
     after: string,
-  ): Promise<Delivery<keyedLog.NewestPage>>;
+  ): Promise<storeFaults.Delivery<keyedLog.NewestPage>>;
   /** Returns a log for direct access, without latency, limits or faults. */
   log(topic: string): keyedLog.KeyedLog;
   /**
    * Sets the fault of one caller, or of all callers that have none of their
    * own if `caller` is `all`.
    */
-  setFault(caller: string, fault: StoreFault): void;
+  setFault(caller: string, fault: storeFaults.StoreFault): void;
+  /** Makes every append take `factor` times as long as configured. */
+  setSlowdown(factor: number): void;
   /** Compacts every log. */
   compactLogs(): void;
   /** Returns the number of calls by kind, including refused ones. */
@@ -91,22 +69,32 @@
    * keeping them.
    */
   readonly shouldDrop?: (topic: string, entry: keyedLog.KeyedEntry) => boolean;
+  /** Called after each append that was carried out, answered or not. */
+  readonly onAppend?: AppendObserver | undefined;
 }
 
+/** Observes the appends that reach a log. */
+export type AppendObserver = (
+  caller: string,
+  call: AppendCall,
+  outcome: keyedLog.AppendOutcome,
+) => void;
+
 /** A log with more than this waiting refuses appends. */
 const MAX_QUEUE_MS = 2_000;
 const ALL_CALLERS = 'all';
-const NO_FAULT: StoreFault = {type: 'none'};
+const NO_FAULT: storeFaults.StoreFault = {type: 'none'};
 
 /** Creates an empty store. */
 export function createStore(options: StoreOptions): Store {
   const {clock, random} = options;
   const logs = new Map<string, keyedLog.KeyedLog>();
-  const faults = new Map<string, StoreFault>();
+  const faults = new Map<string, storeFaults.StoreFault>();
   const busyUntil = new Map<string, types.clock.MonotonicMs>();
   const writes = rateLimit.createRateLimit(clock, options.writesPerS);
   const reads = rateLimit.createRateLimit(clock, options.readsPerS);
   const counts = {reads: 0, writes: 0};
+  let slowdown = 1;
 
   function log(topic: string): keyedLog.KeyedLog {
     const existing = logs.get(topic);
@@ -116,14 +104,16 @@
     return created;
   }
 
-  const findFault = (caller: string): StoreFault =>
+  const findFault = (caller: string): storeFaults.StoreFault =>
     faults.get(caller) ?? faults.get(ALL_CALLERS) ?? NO_FAULT;
 
   /** Returns undefined if the call may proceed, otherwise how it ends. */
   async function checkAdmission(
     caller: string,
     limit: rateLimit.RateLimit,
-  ): Promise<Exclude<Delivery<never>, {type: 'answer'}> | undefined> {
+  ): Promise<
+    Exclude<storeFaults.Delivery<never>, {type: 'answer'}> | undefined
+  > {
     const fault = findFault(caller);
     switch (fault.type) {
       case 'unavailable':
@@ -136,29 +126,17 @@
         break;
       case 'none':
       case 'lossy':
+      case 'resetting':
         break;
     }
     return limit.tryAcquire() ? undefined : {type: 'throttled'};
   }
 
-  /** Carries the call out; a lossy fault can delay it or lose its answer. */
-  async function deliver<Value>(
+  const deliver = <Value>(
     caller: string,
     carryOut: () => Value,
-  ): Promise<Delivery<Value>> {
-    const fault = findFault(caller);
-    if (fault.type !== 'lossy') return {type: 'answer', value: carryOut()};
-    const randomShare = random.next();
-    if (randomShare < fault.lateShare) {
-      await types.clock.sleepFor(clock, random.integer(0, fault.maxDelayMs));
-      carryOut();
-      return {type: 'lost'};
-    }
-    const value = carryOut();
-    return randomShare < fault.lateShare + fault.lostShare
-      ? {type: 'lost'}
-      : {type: 'answer', value};
-  }
+  ): Promise<storeFaults.Delivery<Value>> =>
+    storeFaults.deliver(clock, random, findFault(caller), carryOut);
 
   /** Waits for earlier appends of the log; returns false if the queue is full. */
   async function waitForTurn(topic: string): Promise<boolean> {
@@ -167,24 +145,27 @@
     if (start - now > MAX_QUEUE_MS) return false;
     const end = types.clock.after(
       start as types.clock.MonotonicMs,
-      options.appendMs,
+      options.appendMs * slowdown,
     );
     busyUntil.set(topic, end);
     await clock.sleepUntil(end);
     return true;
   }
 
-  function appendNow(call: AppendCall): keyedLog.AppendOutcome {
+  function appendNow(caller: string, call: AppendCall): keyedLog.AppendOutcome {
     const {shouldDrop} = options;
     const keptEntries = call.entries.filter(
       (entry) => shouldDrop?.(call.topic, entry) !== true,
     );
-    return log(call.topic).append(keptEntries, call);
+    const outcome = log(call.topic).append(keptEntries, call);
+    options.onAppend?.(caller, call, outcome);
+    return outcome;
   }
 
   return {
     log,
     callCounts: () => ({...counts}),
+    setSlowdown: (factor) => void (slowdown = factor),
     setFault: (caller, fault) => void faults.set(caller, fault),
     compactLogs() {
       for (const each of logs.values()) each.compact();
@@ -197,7 +178,7 @@
         return {type: 'forbidden'};
       }
       if (!(await waitForTurn(call.topic))) return {type: 'unavailable'};
-      return deliver(caller, () => appendNow(call));
+      return deliver(caller, () => appendNow(caller, call));
     },
     async read(caller, {topic, from, maxBytes, waitMs}) {
       counts.reads += 1;
--- a/packages/gypsumwall-emulator/src/rig/emulated_cell.ts
+++ b/packages/gypsumwall-emulator/src/rig/emulated_cell.ts
@@ -11,6 +11,7 @@
 import * as balancers from '../model/balancer.js';
 import * as callers from '../model/caller.js';
 import * as platformModels from '../model/platform_model.js';
+import type * as stores from '../model/store.js';
 import * as adviserServer from '../wire/adviser_server.js';
 import * as configRecord from '../wire/config_record.js';
 import * as entryClients from '../wire/entry_client.js';
@@ -26,6 +27,9 @@
   readonly clock: types.clock.Clock;
   readonly model: platformModels.PlatformModel;
   readonly callers: callers.Callers;
+  readonly balancer: balancers.Balancer;
+  /** Sends one try of a caller's call to an entry. */
+  readonly send: callers.SendCall;
   readonly entries: readonly entryMachine.EntryMachine[];
   /** Resolves once every entry is in rotation; rejects at the deadline. */
   untilReady(deadline: types.clock.MonotonicMs): Promise<void>;
@@ -44,6 +48,8 @@
   /** The build folder, if it isn't the one that the deploy file names. */
   readonly builtInto?: string | undefined;
   readonly injectedFaults?: platformModels.InjectedFaults | undefined;
+  /** Called after each append that the store carried out. */
+  readonly onAppend?: stores.AppendObserver | undefined;
 }
 
 const POLL_MS = 50;
@@ -59,6 +65,7 @@
     clock,
     config,
     injectedFaults: options.injectedFaults,
+    onAppend: options.onAppend,
     encoders: {
       config: configRecord.encodeConfig,
       listing: listingRecord.encodeListing,
@@ -140,6 +147,8 @@
     clock,
     model,
     entries,
+    balancer,
+    send: client.send,
     folder,
     callers: callers.createCallers({
       clock,
--- a/packages/gypsumwall-emulator/src/rig/entry_machine.ts
+++ b/packages/gypsumwall-emulator/src/rig/entry_machine.ts
@@ -19,6 +19,13 @@
   start(): void;
   /** Kills the process without notice; it is restarted after `restartMs`. */
   kill(): void;
+  /** Stops the process with SIGTERM, and with SIGKILL after the grace period. */
+  terminate(): void;
+  /** Suspends the process; nothing happens if it isn't running. */
+  freeze(): void;
+  /** Lets a suspended process continue. */
+  thaw(): void;
+  isRunning(): boolean;
   /** Kills the process for good. */
   stop(): Promise<void>;
 }
@@ -77,6 +84,14 @@
     if (!stopped.signal.aborted) start();
   }
 
+  async function terminate(): Promise<void> {
+    const target = child;
+    target?.sendSignal('SIGTERM');
+    const graceMs = options.settings.graceMs;
+    await types.clock.sleepFor(clock, graceMs, stopped.signal);
+    if (target?.isRunning() === true) target.sendSignal('SIGKILL');
+  }
+
   return {
     name,
     logFile,
@@ -87,6 +102,10 @@
       metrics: `${ip}:${role.metricsPort}/${role.metricsPath}`,
     },
     kill: () => child?.sendSignal('SIGKILL'),
+    terminate: () => void terminate(),
+    freeze: () => child?.sendSignal('SIGSTOP'),
+    thaw: () => child?.sendSignal('SIGCONT'),
+    isRunning: () => child?.isRunning() === true,
     async stop() {
       stopped.abort();
       child?.sendSignal('SIGKILL');
--- a/packages/gypsumwall-emulator/src/wire/store_server.ts
+++ b/packages/gypsumwall-emulator/src/wire/store_server.ts
@@ -3,6 +3,7 @@
 import * as zod from 'zod';
 import type * as keyedLog from '../model/keyed_log.js';
 import * as store from '../model/store.js';
+import type * as storeFaults from '../model/store_faults.js';
 import * as httpServer from './http_server.js';
 import * as recordCodec from './record_codec.js';
 
@@ -85,7 +86,7 @@
 
 function sendDelivery<Value>(
   res: fastify.FastifyReply,
-  delivery: store.Delivery<Value>,
+  delivery: storeFaults.Delivery<Value>,
   send: (value: Value) => fastify.FastifyReply,
 ): fastify.FastifyReply {
   switch (delivery.type) {
@@ -99,6 +100,9 @@
       return res.code(403).send({});
     case 'lost':
       return httpServer.leaveUnanswered(res);
+    case 'reset':
+      res.raw.socket?.destroy();
+      return httpServer.leaveUnanswered(res);
   }
 }
 
