emulator: a key is judged by the configurations in force until the answer

A call may wait at an entry that is frozen, restarting or busy, and its key may be revoked meanwhile. It now admits the configurations from sending to the answer. A verdict that none of them supports is still found, and the existing test of that is unchanged. The new test failed before.

--- a/packages/gypsumwall-emulator/src/judge/__tests__/judge.test.ts
+++ b/packages/gypsumwall-emulator/src/judge/__tests__/judge.test.ts
@@ -247,6 +247,26 @@
 });
 
 // Guards against a judge that misses calls with revoked keys.
+// Guards against findings about calls that an entry receives late, after their
+// key was revoked.
+test('a call may be judged by any configuration in force until its answer', () => {
+  const used = (key: string, sentSecond: number): history.EventDetails => ({
+    type: 'key_used',
+    key,
+    sentAt: (sentSecond * 1_000) as types.clock.MonotonicMs,
+    isAccepted: false,
+  });
+  const early = createEvents(published(0, 'key'), filler, used('key', 1));
+  const late = createEvents(
+    published(0, 'key'),
+    filler,
+    published(0, 'other-key'),
+    used('key', 1),
+  );
+  assert.equal(keyRules.findMisjudgedKeys(early).length, 1);
+  assert.equal(keyRules.findMisjudgedKeys(late).length, 0);
+});
+
 test('a call that is judged by an outdated key is found, without the key', () => {
   const used = (key: string, second: number, isAccepted: boolean) => ({
     type: 'key_used' as const,
--- a/packages/gypsumwall-emulator/src/judge/config_times.ts
+++ b/packages/gypsumwall-emulator/src/judge/config_times.ts
@@ -30,5 +30,14 @@
   configs: readonly ConfigSpan[],
   at: number,
 ): ConfigSpan[] {
-  return configs.filter(({from, until}) => from <= at && at <= until);
+  return configsBetween(configs, at, at);
+}
+
+/** The configurations by which an entry may act at any moment of a span. */
+export function configsBetween(
+  configs: readonly ConfigSpan[],
+  start: number,
+  end: number,
+): ConfigSpan[] {
+  return configs.filter(({from, until}) => from <= end && start <= until);
 }
--- a/packages/gypsumwall-emulator/src/judge/key_rules.ts
+++ b/packages/gypsumwall-emulator/src/judge/key_rules.ts
@@ -5,7 +5,7 @@
 
 /**
  * Finds calls that were served with a key, or refused for it, although every
- * configuration that may be in force says otherwise. Keys are left out of the
+ * configuration that may be in force until the answer says otherwise. Keys are left out of the
  * findings.
  */
 export function findMisjudgedKeys(
@@ -14,9 +14,9 @@
   const configs = configTimes.listConfigs(events);
   return events.flatMap((event) => {
     if (event.type !== 'key_used') return [];
-    const {key, sentAt, isAccepted} = event;
+    const {key, sentAt, isAccepted, at} = event;
     const known = configTimes
-      .configsAt(configs, sentAt)
+      .configsBetween(configs, sentAt, Math.max(sentAt, at))
       .map(({organisations}) =>
         organisations.some(({keys}) => keys.includes(key)),
       );
