--- a/packages/gypsumwall-emulator/src/judge/__tests__/judge.test.ts
+++ b/packages/gypsumwall-emulator/src/judge/__tests__/judge.test.ts
@@ -246,7 +246,6 @@
   assert.equal(exceeded(...lowered, ...pauses, ...starts), 1);
 });
 
-// Guards against a judge that misses calls with revoked keys.
 // Guards against findings about calls that an entry receives late, after their
 // key was revoked.
 test('a call may be judged by any configuration in force until its answer', () => {
@@ -267,6 +266,7 @@
   assert.equal(keyRules.findMisjudgedKeys(late).length, 0);
 });
 
+// Guards against a judge that misses calls with revoked keys.
 test('a call that is judged by an outdated key is found, without the key', () => {
   const used = (key: string, second: number, isAccepted: boolean) => ({
     type: 'key_used' as const,
