cell: tell a refused call's record from those of other calls

The line compared the record's time with the refusal's only. It now compares with the arrival of the refused call as well, and only a record created during the call is at warn.

--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -174,7 +174,7 @@
     storeReachable: () => jobsFollower.reachableSince() !== undefined,
     isStoreQuick: () => health.isQuick(),
     holder: remoteHolder,
-    onJobRefused: (id) => refusals.add(id),
+    onJobRefused: (id, arrivedAt) => refusals.add(id, arrivedAt),
   });
 
   function remoteHolder(): string | undefined {
@@ -240,11 +240,11 @@
   ): void {
     const stored = refusals.take(id, acceptedAt);
     if (stored === undefined) return;
-    // A caller may submit a refused job again, which creates a later record.
-    const level = stored.isOlderThanRefusal ? 'warn' : 'info';
+    // Another entry may have accepted an earlier or later call.
+    const level = stored.created === 'during_call' ? 'warn' : 'info';
     logger[level]('refused_job_stored', {
       job: id,
-      outcome: stored.isOlderThanRefusal ? 'same_call' : 'later_call',
+      outcome: stored.created,
       refusedMsAgo: stored.refusedMsAgo,
     });
   }
--- a/packages/gypsumwall-cell/src/forwarding_job_service.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -81,7 +81,10 @@
   /** Instance that holds the cell; undefined if it is this one or none. */
   readonly holder: () => string | undefined;
   /** Called when a caller is told that its job will never run. */
-  readonly onJobRefused: (id: types.ids.JobId) => void;
+  readonly onJobRefused: (
+    id: types.ids.JobId,
+    arrivedAt: types.clock.WallMs,
+  ) => void;
 }
 
 /** A job service that can reach the store through peers. */
@@ -170,6 +173,7 @@
     carryOut: () => Promise<jobService.JobServiceAnswer<Value>>,
   ): TrackedCall<Value> {
     const attempts = recentCalls[req.type].open(req.id, req.caller);
+    const arrivedAt = clock.wall();
     return {
       carryOut: () => attempts.runLocally('own', carryOut),
       relayToAny: () => attempts.runAtPeers('any_peer', () => relayToAny(req)),
@@ -186,7 +190,7 @@
           });
         }
         if (req.type === 'submit' && callAttempts.isRefusal(concluded))
-          options.onJobRefused(req.id);
+          options.onJobRefused(req.id, arrivedAt);
         return concluded;
       },
     };
--- a/packages/gypsumwall-cell/src/refused_jobs.ts
+++ b/packages/gypsumwall-cell/src/refused_jobs.ts
@@ -18,15 +18,16 @@
   /** Time since the refusal; milliseconds. */
   readonly refusedMsAgo: number;
   /**
-   * Whether the record was created before the refusal. Then it comes from the
-   * refused call or from one beside it, and not from a later call.
+   * When its record was created, compared to the refused call. The record may
+   * come from another entry, whose clock may be off.
    */
-  readonly isOlderThanRefusal: boolean;
+  readonly created: 'before_call' | 'during_call' | 'after_call';
 }
 
 /** The refusals of one entry. */
 export interface RefusedJobs {
-  add(id: types.ids.JobId): void;
+  /** Adds a job whose refused call arrived at a moment. */
+  add(id: types.ids.JobId, arrivedAt: types.clock.WallMs): void;
   /**
    * Returns the refusal of a job that is now in the log, and forgets it;
    * undefined if there is none. `createdAt` is when the record was created.
@@ -39,7 +40,8 @@
 
 interface Refusal {
   readonly at: types.clock.MonotonicMs;
-  readonly wall: types.clock.WallMs;
+  readonly arrivedAt: types.clock.WallMs;
+  readonly answeredAt: types.clock.WallMs;
 }
 
 /** Creates an empty list. */
@@ -56,9 +58,10 @@
   }
 
   return {
-    add(id) {
+    add(id, arrivedAt) {
       refusals.delete(id);
-      refusals.set(id, {at: clock.monotonic(), wall: clock.wall()});
+      const answeredAt = clock.wall();
+      refusals.set(id, {at: clock.monotonic(), arrivedAt, answeredAt});
       dropOld();
     },
     take(id, createdAt) {
@@ -68,8 +71,16 @@
       refusals.delete(id);
       return {
         refusedMsAgo: Math.round(clock.monotonic() - refusal.at),
-        isOlderThanRefusal: createdAt <= refusal.wall,
+        created: compare(createdAt, refusal),
       };
     },
   };
 }
+
+function compare(
+  createdAt: types.clock.WallMs,
+  {arrivedAt, answeredAt}: Refusal,
+): StoredRefusal['created'] {
+  if (createdAt < arrivedAt) return 'before_call';
+  return createdAt <= answeredAt ? 'during_call' : 'after_call';
+}
