cell: accept the repeat of an accepted submission

A repeat of a call may arrive seconds after its answer. Another organisation's call with the same id is another job, and a final refusal stays one.

The test failed before: 'not_run' for 'ok'.

--- a/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
@@ -157,6 +157,32 @@
   }
 });
 
+// Guards against a refusal of a job that this entry has reported as accepted:
+// the call arrives again while neither the store nor a peer can be reached.
+test('a repeat of an accepted submission is accepted', async () => {
+  let own: jobService.JobServiceAnswer<undefined> = OK;
+  const service = createService({
+    get own() {
+      return own;
+    },
+    relayed: {type: 'unanswered', maybeApplied: false, isSlow: false},
+    reachable: true,
+  });
+  const submitAs = async (name: string) => {
+    const caller = {
+      organisation: types.ids.brand<types.ids.OrganisationId>(name),
+      configVersion: 1,
+    };
+    const request = worlds.request(1);
+    return (await service.submit(id, worlds.POLICY, request, caller)).type;
+  };
+  assert.equal(await submitAs('north'), 'ok');
+  for (own of [REFUSED, {type: 'unknown'}] as const)
+    assert.equal(await submitAs('north'), 'ok', own.type);
+  own = REFUSED;
+  assert.equal(await submitAs('south'), 'not_run', 'not the same job');
+});
+
 // Guards against a finished job that is reported as running for six seconds,
 // and against a count of 4 pending jobs where there are 20. The store answers
 // the entry again, which is still reading what it missed; its peers know the
--- a/packages/gypsumwall-cell/src/call_attempts.ts
+++ b/packages/gypsumwall-cell/src/call_attempts.ts
@@ -14,13 +14,25 @@
   /** It may have been applied, or may be applied later. */
   | 'unknown';
 
+/** What is known of a call as a whole. */
+export type CallStanding =
+  /** It is in progress, or its caller was told that its effect is unknown. */
+  | 'open'
+  /** Its caller was told that it is applied. */
+  | 'applied'
+  /** It has no effect, beyond that of earlier calls. */
+  | 'without_effect';
+
+/** The answer to a call that changes something. */
+export type CallAnswer = jobService.JobServiceAnswer<undefined>;
+
 /** The attempts of one call. The names of attempts appear in logs. */
 export interface CallAttempts {
   /** Makes an attempt in the local job service. */
-  runLocally<Value>(
+  runLocally(
     name: string,
-    attempt: () => Promise<jobService.JobServiceAnswer<Value>>,
-  ): Promise<jobService.JobServiceAnswer<Value>>;
+    attempt: () => Promise<CallAnswer>,
+  ): Promise<CallAnswer>;
   /** Makes an attempt at peers. */
   runAtPeers(
     name: string,
@@ -30,14 +42,8 @@
    * The answer to the caller. A refusal promises that the call has no effect,
    * so it stands only if that is proven for every attempt.
    */
-  conclude<Value>(
-    answer: jobService.JobServiceAnswer<Value>,
-  ): jobService.JobServiceAnswer<Value>;
-  /**
-   * Whether the call may be applied without its caller knowing: it is in
-   * progress, or its answer was that the outcome is unknown.
-   */
-  isOpen(): boolean;
+  conclude(answer: CallAnswer): CallAnswer;
+  standing(): CallStanding;
   /** The attempts in order, such as `own:unknown,any_peer:not_applied`. */
   describe(): string;
 }
@@ -50,11 +56,35 @@
   earlier: readonly CallAttempts[] = [],
 ): CallAttempts {
   const attempts: {readonly name: string; effect: AttemptEffect}[] = [];
-  let isOpen = true;
+  let standing: CallStanding = 'open';
 
-  const isUnproven = () =>
+  const hasEarlier = (wanted: CallStanding) =>
+    earlier.some((call) => call.standing() === wanted);
+
+  const mayHaveEffect = () =>
     attempts.some(({effect}) => effect !== 'not_applied');
 
+  function answerFor(answer: CallAnswer): CallAnswer {
+    switch (answer.type) {
+      case 'ok':
+      case 'absent':
+        return answer;
+      case 'not_run':
+      case 'unknown':
+        if (hasEarlier('applied')) return {type: 'ok', value: undefined};
+        break;
+      case 'invalid':
+      case 'outdated_caller':
+        break;
+    }
+    return mayHaveEffect() || hasEarlier('open') ? {type: 'unknown'} : answer;
+  }
+
+  function standingAfter({type}: CallAnswer): CallStanding {
+    if (type === 'ok') return 'applied';
+    return type === 'unknown' && mayHaveEffect() ? 'open' : 'without_effect';
+  }
+
   async function run<Outcome>(
     name: string,
     attempt: () => Promise<Outcome>,
@@ -71,13 +101,11 @@
     runLocally: (name, attempt) => run(name, attempt, effectOfAnswer),
     runAtPeers: (name, attempt) => run(name, attempt, effectOfRelay),
     conclude(answer) {
-      const isProven = !isUnproven() && !earlier.some((call) => call.isOpen());
-      const concluded: typeof answer =
-        isRefusal(answer) && !isProven ? {type: 'unknown'} : answer;
-      isOpen = concluded.type === 'unknown' && isUnproven();
+      const concluded = answerFor(answer);
+      standing = standingAfter(concluded);
       return concluded;
     },
-    isOpen: () => isOpen,
+    standing: () => standing,
     describe: () =>
       attempts.map(({name, effect}) => `${name}:${effect}`).join(','),
   };
--- a/packages/gypsumwall-cell/src/forwarding_job_service.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -50,17 +50,15 @@
 } as const;
 
 /** A call of a caller in progress, and the attempts to carry it out. */
-interface TrackedCall<Value> {
+interface TrackedCall {
   /** Carries the call out in this entry's local job service. */
-  carryOut(): Promise<jobService.JobServiceAnswer<Value>>;
+  carryOut(): Promise<callAttempts.CallAnswer>;
   /** Forwards the call like `relayToAny` of the service. */
   relayToAny(): Promise<peerDirectory.RelayOutcome>;
   /** Forwards the call like `relayToHolder` of the service. */
   relayToHolder(withinMs: number): Promise<peerDirectory.RelayOutcome>;
   /** The final answer, given what the attempts may have caused. */
-  conclude(
-    answer: jobService.JobServiceAnswer<Value>,
-  ): jobService.JobServiceAnswer<Value>;
+  conclude(answer: callAttempts.CallAnswer): callAttempts.CallAnswer;
 }
 
 /** The calls of callers that change something. */
@@ -168,10 +166,10 @@
     return logOutcome(req, await peers.relayTo(holder, req, withinMs));
   }
 
-  function trackCall<Value>(
+  function trackCall(
     req: EffectiveReq,
-    carryOut: () => Promise<jobService.JobServiceAnswer<Value>>,
-  ): TrackedCall<Value> {
+    carryOut: () => Promise<callAttempts.CallAnswer>,
+  ): TrackedCall {
     const attempts = recentCalls[req.type].open(req.id, req.caller);
     const arrivedAt = clock.wall();
     return {
@@ -197,17 +195,17 @@
   }
 
   /** Returns the local answer, or a peer's answer where that is better. */
-  async function serve<Value>(
+  async function serve(
     req: EffectiveReq,
-    carryOut: () => Promise<jobService.JobServiceAnswer<Value>>,
-  ): Promise<jobService.JobServiceAnswer<Value>> {
+    carryOut: () => Promise<callAttempts.CallAnswer>,
+  ): Promise<callAttempts.CallAnswer> {
     const call = trackCall(req, carryOut);
     return call.conclude(await serveTracked(call));
   }
 
-  async function serveTracked<Value>(
-    call: TrackedCall<Value>,
-  ): Promise<jobService.JobServiceAnswer<Value>> {
+  async function serveTracked(
+    call: TrackedCall,
+  ): Promise<callAttempts.CallAnswer> {
     if (!options.storeReachable()) {
       const relayed = await call.relayToAny();
       return relayed.type === 'answered'
--- a/packages/gypsumwall-cell/src/recent_attempts.ts
+++ b/packages/gypsumwall-cell/src/recent_attempts.ts
@@ -1,7 +1,8 @@
 /**
  * The attempts of recent calls at one entry. A caller repeats a call without an
- * answer, so that several calls may be made for one job, and a refusal of a
- * later one must not hide that an earlier one may have been applied.
+ * answer, and a repeat may also arrive after the answer. Then several calls are
+ * made for one job, and a refusal of a later one must not hide that an earlier
+ * one was or may have been applied.
  */
 import type * as organisations from '@gypsumwall/organisations';
 import * as types from '@gypsumwall/types';
@@ -46,8 +47,8 @@
       dropOld();
       // Another organisation's call with the same id is about another job.
       const key = `${caller?.organisation ?? ''}/${id}`;
-      const earlier = (jobs.get(key)?.calls ?? []).filter((call) =>
-        call.isOpen(),
+      const earlier = (jobs.get(key)?.calls ?? []).filter(
+        (call) => call.standing() !== 'without_effect',
       );
       const call = callAttempts.createCallAttempts(earlier);
       const until = types.clock.after(clock.monotonic(), MEMORY_MS);
