emulator: a store that answers calls with 502 in campaigns

The campaigns did not exercise one half of the mended fault: answers that leave open whether the call was carried out. Half of such calls are carried out.

--- a/packages/gypsumwall-emulator/src/campaign/fault_plan.ts
+++ b/packages/gypsumwall-emulator/src/campaign/fault_plan.ts
@@ -100,6 +100,7 @@
       () => ({type: 'silent'}),
       () => ({type: 'slow', addedMs: random.integer(50, 1_000)}),
       () => ({type: 'resetting', share: random.next()}),
+      () => ({type: 'failing', share: random.next()}),
       ...Array<() => storeFaults.StoreFault>(3).fill(() => ({
         type: 'lossy',
         lostShare: random.next() / 2,
--- a/packages/gypsumwall-emulator/src/model/__tests__/store.test.ts
+++ b/packages/gypsumwall-emulator/src/model/__tests__/store.test.ts
@@ -63,18 +63,23 @@
   ]);
 });
 
-test('some calls whose connection is reset are carried out', async () => {
-  const observed: string[] = [];
-  const {clock, store} = createStoreFixture({
-    onAppend: (caller) => void observed.push(caller),
-  });
-  store.setFault('a', {type: 'resetting', share: 1});
-  const calls = Array.from({length: 20}, () => store.append('a', APPEND));
-  const answers = await answerTypes(clock, calls);
-  assert.deepEqual([...new Set(answers)], ['reset']);
-  const carriedOut = store.log(APPEND.topic).endOffset();
-  assert.ok(carriedOut > 0 && carriedOut < calls.length);
-  assert.equal(observed.length, carriedOut);
+test('some calls that fail or whose connection is reset are carried out', async () => {
+  for (const [fault, delivery] of [
+    ['resetting', 'reset'],
+    ['failing', 'failed'],
+  ] as const) {
+    const observed: string[] = [];
+    const {clock, store} = createStoreFixture({
+      onAppend: (caller) => void observed.push(caller),
+    });
+    store.setFault('a', {type: fault, share: 1});
+    const calls = Array.from({length: 20}, () => store.append('a', APPEND));
+    const answers = await answerTypes(clock, calls);
+    assert.deepEqual([...new Set(answers)], [delivery]);
+    const carriedOut = store.log(APPEND.topic).endOffset();
+    assert.ok(carriedOut > 0 && carriedOut < calls.length);
+    assert.equal(observed.length, carriedOut);
+  }
 });
 
 test('a fault of one caller does not affect other callers', async () => {
--- a/packages/gypsumwall-emulator/src/model/store.ts
+++ b/packages/gypsumwall-emulator/src/model/store.ts
@@ -127,6 +127,7 @@
       case 'none':
       case 'lossy':
       case 'resetting':
+      case 'failing':
         break;
     }
     return limit.tryAcquire() ? undefined : {type: 'throttled'};
--- a/packages/gypsumwall-emulator/src/model/store_faults.ts
+++ b/packages/gypsumwall-emulator/src/model/store_faults.ts
@@ -22,7 +22,9 @@
    * This share of the connections is reset, each before or after its call is
    * carried out.
    */
-  | {readonly type: 'resetting'; readonly share: number};
+  | {readonly type: 'resetting'; readonly share: number}
+  /** The same, with an answer that the call failed. */
+  | {readonly type: 'failing'; readonly share: number};
 
 /** How a call ends for its caller. */
 export type Delivery<Value> =
@@ -34,7 +36,9 @@
   /** The call never gets an answer. */
   | {readonly type: 'lost'}
   /** The call's connection is reset instead of an answer. */
-  | {readonly type: 'reset'};
+  | {readonly type: 'reset'}
+  /** The answer leaves open whether the call was carried out. */
+  | {readonly type: 'failed'};
 
 /** Carries out a call that was admitted, subject to the fault. */
 export async function deliver<Value>(
@@ -57,9 +61,10 @@
         : {type: 'answer', value};
     }
     case 'resetting':
+    case 'failing':
       if (random.next() >= fault.share) break;
       if (random.next() < CARRIED_OUT_SHARE) carryOut();
-      return {type: 'reset'};
+      return {type: fault.type === 'failing' ? 'failed' : 'reset'};
     case 'none':
     case 'slow':
     // A call that was admitted before such a fault began is answered.
@@ -71,5 +76,5 @@
   return {type: 'answer', value: carryOut()};
 }
 
-/** This share of the calls whose connection is reset is carried out before. */
+/** This share of the calls that fail or are reset is carried out before. */
 const CARRIED_OUT_SHARE = 0.5;
--- a/packages/gypsumwall-emulator/src/wire/__tests__/servers.test.ts
+++ b/packages/gypsumwall-emulator/src/wire/__tests__/servers.test.ts
@@ -134,6 +134,8 @@
     assert.equal(model.store.log('keyed.t').endOffset(), 1);
     model.store.setFault(CALLER, {type: 'resetting', share: 1});
     await assert.rejects(callStore(APPEND, RECORD), {code: 'UND_ERR_SOCKET'});
+    model.store.setFault(CALLER, {type: 'failing', share: 1});
+    assert.equal((await callStore(APPEND, RECORD)).status, 502);
     model.store.setFault(CALLER, {type: 'none'});
     const forbidden = '/v1/log-append?topic=keyed.servers&part=0';
     assert.equal((await callStore(forbidden, RECORD)).status, 403);
--- a/packages/gypsumwall-emulator/src/wire/store_server.ts
+++ b/packages/gypsumwall-emulator/src/wire/store_server.ts
@@ -100,6 +100,8 @@
       return res.code(403).send({});
     case 'lost':
       return httpServer.leaveUnanswered(res);
+    case 'failed':
+      return res.code(502).send({});
     case 'reset':
       res.raw.socket?.destroy();
       return httpServer.leaveUnanswered(res);
