--- a/packages/gypsumwall-cell/src/__tests__/record_store.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/record_store.test.ts
@@ -11,12 +11,15 @@
 
 const {test} = nodeTest;
 
-function createRecordStore(outcome: ports.AppendOutcome) {
+function createRecordStore(
+  outcome: ports.AppendOutcome,
+  onApplied: () => void = () => {},
+) {
   const log = fakeLogs.createFakeLog();
   log.append = () => Promise.resolve(result.ok(outcome));
   const follower = {
     reachableSince: () => 0,
-    applyAppended: () => {},
+    applyAppended: onApplied,
     catchUp: () => Promise.resolve(true),
   } as unknown as logFollower.LogFollower;
   return recordStore.createRecordStore({
@@ -46,3 +49,17 @@
   const appended = createRecordStore({type: 'appended', firstOffset: 0});
   assert.equal(await appended.store(record), 'stored');
 });
+
+// Guards against a job that this entry alone knows: it applied records that the
+// store had not appended.
+test('only records that were appended are applied without a read', async () => {
+  const jobId = types.ids.brand<types.ids.JobId>('job');
+  const record = {kind: 'cancel', jobId, dropped: false} as const;
+  let applied = 0;
+  const onApplied = () => void applied++;
+  await createRecordStore({type: 'moved'}, onApplied).store(record);
+  assert.equal(applied, 0);
+  const appended = {type: 'appended', firstOffset: 0} as const;
+  await createRecordStore(appended, onApplied).store(record);
+  assert.equal(applied, 1);
+});
