cell: registration and retention take only an appended record for stored

An entry that no peer calls stayed unregistered, and the progress of a finished job was dropped while its request stayed, so that it would run again. A sound store gives no such answer to an append without a condition.

--- a/packages/gypsumwall-cell/src/__tests__/retention.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/retention.test.ts
@@ -1,5 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
+import * as result from 'true-myth/result';
 import * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import * as worlds from '../__fixtures__/cell_world.js';
@@ -85,3 +86,34 @@
     stopping.abort();
   }
 });
+
+// Guards against a finished job that runs again: its progress was dropped
+// although the store had not appended the drop of its request.
+test('progress is kept unless the drop of the request was appended', async () => {
+  const log = fakeLogs.createFakeLog();
+  log.append = () => Promise.resolve(result.ok({type: 'moved'}));
+  let isProgressDropped = false;
+  const holder = {
+    takeEndedJobs: () => [],
+    dropProgress: () => {
+      isProgressDropped = true;
+      return Promise.resolve();
+    },
+  } as unknown as cellHolderTypes.CellHolder;
+  const stopping = new AbortController();
+  void retention.runRetention(
+    {
+      jobsLog: log,
+      jobs: {endedBefore: () => idsOf(1)} as unknown as jobTable.JobTable,
+      holder: () => holder,
+      appendLatencyMs: () => undefined,
+      retentionMs: () => 1_000,
+      clock: types.clock.createSystemClock(),
+      logger: telemetry.logger.createLogger('silent'),
+    },
+    stopping.signal,
+  );
+  await new Promise((resolve) => setTimeout(resolve, 1_500));
+  stopping.abort();
+  assert.equal(isProgressDropped, false);
+});
--- a/packages/gypsumwall-cell/src/entry_registration.ts
+++ b/packages/gypsumwall-cell/src/entry_registration.ts
@@ -3,7 +3,7 @@
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import type * as cellEntryTypes from './cell_entry_types.js';
-import type * as ports from './ports.js';
+import * as ports from './ports.js';
 import * as storeRecords from './store_records.js';
 
 /**
@@ -60,9 +60,9 @@
     if (isDeferred && !(await isStoreQuick())) return false;
     const timeoutMs = REGISTER_TIMEOUT_MS;
     const answer = await jobsLog.append([record], {timeoutMs});
-    if (result.isOk(answer)) return true;
+    if (result.isOk(answer) && answer.value.type === 'appended') return true;
     logger.warn('register_failed', {
-      error: types.stepError.describeError(answer.error),
+      error: ports.describeFailedAppend(answer),
     });
     return false;
   }
--- a/packages/gypsumwall-cell/src/ports.ts
+++ b/packages/gypsumwall-cell/src/ports.ts
@@ -3,10 +3,10 @@
  * platform folder implements them, and the tests have fakes. The error of a
  * failed call says whether the call may have taken effect.
  */
-import type * as result from 'true-myth/result';
+import * as result from 'true-myth/result';
 import type * as organisations from '@gypsumwall/organisations';
 import type * as scheduling from '@gypsumwall/scheduling';
-import type * as types from '@gypsumwall/types';
+import * as types from '@gypsumwall/types';
 
 /** Outcome of a call. */
 export type Answer<Value> = Promise<
@@ -45,6 +45,15 @@
   /** The sequence number is not the next one; nothing was appended. */
   | {readonly type: 'out_of_sequence'; readonly expected: number};
 
+/** Describes why an append is not known to be stored, for logs. */
+export function describeFailedAppend(
+  answer: Awaited<Answer<AppendOutcome>>,
+): string {
+  return result.isErr(answer)
+    ? types.stepError.describeError(answer.error)
+    : `answered ${answer.value.type}`;
+}
+
 /** Outcome of a read. */
 export type ReadOutcome =
   | {
--- a/packages/gypsumwall-cell/src/retention.ts
+++ b/packages/gypsumwall-cell/src/retention.ts
@@ -8,7 +8,7 @@
 import * as types from '@gypsumwall/types';
 import type * as cellHolderTypes from './cell_holder_types.js';
 import type * as jobTable from './job_table.js';
-import type * as ports from './ports.js';
+import * as ports from './ports.js';
 import * as storeRecords from './store_records.js';
 
 /**
@@ -108,10 +108,10 @@
         timeoutMs: APPEND_TIMEOUT_MS,
       },
     );
-    if (result.isOk(answer)) return true;
+    if (result.isOk(answer) && answer.value.type === 'appended') return true;
     logger.warn('retention_failed', {
       records: records.length,
-      error: types.stepError.describeError(answer.error),
+      error: ports.describeFailedAppend(answer),
     });
     return false;
   }
