cell: a job that this entry has read is not refused

What callers saw: a refusal from the holder of a job whose tasks it then started. The table of jobs was looked at before the attempts of a submission and not before its answer: a store that appends and answers with a refusal, a holder that is silent or overloaded, or a peer's refusal for good gave 'not_run' or 'invalid' for a job that the entry had read from the log by then.

A submission whose record this entry has read is answered as accepted, unless the caller's key may have been revoked.

--- a/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
@@ -38,6 +38,7 @@
       Promise.resolve(
         situation.current === false ? REFUSED : {type: 'ok', value: 4},
       ),
+    isStored: () => false,
     isCurrent: () => situation.current ?? true,
     storeLatencyMs: () => 5,
   };
--- a/packages/gypsumwall-cell/src/call_attempts.ts
+++ b/packages/gypsumwall-cell/src/call_attempts.ts
@@ -40,9 +40,10 @@
   ): Promise<peerDirectory.RelayOutcome>;
   /**
    * The answer to the caller. A refusal promises that the call has no effect,
-   * so it stands only if that is proven for every attempt.
+   * so it stands only if that is proven for every attempt. `isStored` tells
+   * whether the call is known to be applied by now, whoever did it.
    */
-  conclude(answer: CallAnswer): CallAnswer;
+  conclude(answer: CallAnswer, isStored?: boolean): CallAnswer;
   standing(): CallStanding;
   /** The attempts in order, such as `own:unknown,any_peer:not_applied`. */
   describe(): string;
@@ -64,16 +65,19 @@
   const mayHaveEffect = () =>
     attempts.some(({effect}) => effect !== 'not_applied');
 
-  function answerFor(answer: CallAnswer): CallAnswer {
+  function answerFor(answer: CallAnswer, isStored: boolean): CallAnswer {
     switch (answer.type) {
       case 'ok':
       case 'absent':
         return answer;
       case 'not_run':
       case 'unknown':
-        if (hasEarlier('applied')) return {type: 'ok', value: undefined};
+        if (isStored || hasEarlier('applied')) return APPLIED;
         break;
       case 'invalid':
+        if (isStored) return APPLIED;
+        break;
+      // The caller's key may have been revoked.
       case 'outdated_caller':
         break;
     }
@@ -100,8 +104,8 @@
   return {
     runLocally: (name, attempt) => run(name, attempt, effectOfAnswer),
     runAtPeers: (name, attempt) => run(name, attempt, effectOfRelay),
-    conclude(answer) {
-      const concluded = answerFor(answer);
+    conclude(answer, isStored = false) {
+      const concluded = answerFor(answer, isStored);
       standing = standingAfter(concluded);
       return concluded;
     },
@@ -111,6 +115,8 @@
   };
 }
 
+const APPLIED = {type: 'ok', value: undefined} as const;
+
 /** Whether an answer tells the caller that the call has no effect. */
 export function isRefusal(
   answer: jobService.JobServiceAnswer<unknown>,
--- a/packages/gypsumwall-cell/src/forwarding_job_service.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -178,7 +178,9 @@
       relayToHolder: (withinMs) =>
         attempts.runAtPeers('holder', () => relayToHolder(req, withinMs)),
       conclude(answer) {
-        const concluded = attempts.conclude(answer);
+        const isStored =
+          req.type === 'submit' && localService.isStored(req.id, req.caller);
+        const concluded = attempts.conclude(answer, isStored);
         if (concluded.type !== 'ok') {
           logger.info('call_concluded', {
             job: req.id,
@@ -267,6 +269,7 @@
     },
     finalPhaseOf: (id, queue, caller) =>
       localService.finalPhaseOf(id, queue, caller),
+    isStored: (id, caller) => localService.isStored(id, caller),
     isCurrent: () => localService.isCurrent(),
     storeLatencyMs: () => localService.storeLatencyMs(),
     hasRelayedRecently: () =>
--- a/packages/gypsumwall-cell/src/job_service.ts
+++ b/packages/gypsumwall-cell/src/job_service.ts
@@ -99,6 +99,11 @@
    * where 20 jobs had been pending for 5 s.
    */
   pendingIn(queue: string): Promise<JobServiceAnswer<number>>;
+  /** Whether this entry has read the record of the caller's job. */
+  isStored(
+    id: types.ids.JobId,
+    caller?: organisations.keyDirectory.Caller,
+  ): boolean;
   /** Whether this entry's replica is current enough to answer queries. */
   isCurrent(): boolean;
   /**
@@ -323,14 +328,21 @@
     return storeAndAnswer('job_cancel_asked', record);
   }
 
+  function isStored(
+    id: types.ids.JobId,
+    caller: organisations.keyDirectory.Caller | undefined,
+  ): boolean {
+    const known = jobs.get(id);
+    return known !== undefined && isOwn(known, caller);
+  }
+
   return {
     async submit(id, policy, request, caller) {
       const call = submissions.open(id, caller);
-      return call.conclude(
-        await call.runLocally('append', () =>
-          submitOnce(id, policy, request, caller),
-        ),
+      const answer = await call.runLocally('append', () =>
+        submitOnce(id, policy, request, caller),
       );
+      return call.conclude(answer, isStored(id, caller));
     },
     async cancel(id, queue, caller) {
       const call = cancellations.open(id, caller);
@@ -367,6 +379,7 @@
           : {type: 'ok', value: pending},
       );
     },
+    isStored,
     isCurrent,
     storeLatencyMs: () => records.latencyMs(),
   };
