cell: bound each unanswered call by its own time, apart from accepted ones

Two faults of the memory of recent calls, found by its review. Each repeat of a job renewed the time of all its calls, so that a caller that goes on repeating was told 504 without Retry-After for ever. And accepted jobs, of which far more arrive, pushed unanswered calls out of the bounded list. Each call has its own deadline now, and accepted jobs are a list of their own, a moment each. Two calls at the same time no longer get 200 and 503.

--- a/packages/gypsumwall-cell/src/call_attempts.ts
+++ b/packages/gypsumwall-cell/src/call_attempts.ts
@@ -49,19 +49,19 @@
   describe(): string;
 }
 
-/**
- * Creates the list of attempts of a call that has just arrived. Earlier calls
- * of the same kind for the same job count for its answer, too.
- */
-export function createCallAttempts(
-  earlier: readonly CallAttempts[] = [],
-): CallAttempts {
+/** Other calls of the same kind for the same job. */
+export interface EarlierCalls {
+  /** Whether one of them was answered as applied. */
+  isApplied(): boolean;
+  /** Whether one of them is open. */
+  mayBeApplied(): boolean;
+}
+
+/** Creates the list of attempts of a call that has just arrived. */
+export function createCallAttempts(earlier: EarlierCalls): CallAttempts {
   const attempts: {readonly name: string; effect: AttemptEffect}[] = [];
   let standing: CallStanding = 'open';
 
-  const hasEarlier = (wanted: CallStanding) =>
-    earlier.some((call) => call.standing() === wanted);
-
   const mayHaveEffect = () =>
     attempts.some(({effect}) => effect !== 'not_applied');
 
@@ -72,7 +72,7 @@
         return answer;
       case 'not_run':
       case 'unknown':
-        if (isStored || hasEarlier('applied')) return APPLIED;
+        if (isStored || earlier.isApplied()) return APPLIED;
         break;
       case 'invalid':
         if (isStored) return APPLIED;
@@ -81,7 +81,8 @@
       case 'outdated_caller':
         break;
     }
-    return mayHaveEffect() || hasEarlier('open') ? {type: 'unknown'} : answer;
+    const isProven = !mayHaveEffect() && !earlier.mayBeApplied();
+    return isProven ? answer : {type: 'unknown'};
   }
 
   function standingAfter({type}: CallAnswer): CallStanding {
--- a/packages/gypsumwall-cell/src/recent_attempts.ts
+++ b/packages/gypsumwall-cell/src/recent_attempts.ts
@@ -1,8 +1,8 @@
 /**
- * The attempts of recent calls at one entry. A caller repeats a call without an
- * answer, and a repeat may also arrive after the answer. Then several calls are
- * made for one job, and a refusal of a later one must not hide that an earlier
- * one was or may have been applied.
+ * The recent calls at one entry. A caller repeats a call without an answer, and
+ * a repeat may also arrive after the answer. Then several calls are made for
+ * one job, and a refusal of a later one must not hide that an earlier one was or
+ * may have been applied.
  */
 import type * as organisations from '@gypsumwall/organisations';
 import * as types from '@gypsumwall/types';
@@ -13,7 +13,7 @@
  * later, and callers repeat their calls for 3 s; milliseconds.
  */
 const MEMORY_MS = 15_000;
-/** Maximum number of jobs whose calls are kept; the oldest are dropped. */
+/** Maximum number of jobs with open, and with applied calls; drops the oldest. */
 const MAX_JOBS = 5_000;
 
 /** The recent calls of one kind. */
@@ -25,21 +25,53 @@
   ): callAttempts.CallAttempts;
 }
 
-interface JobCalls {
-  readonly calls: readonly callAttempts.CallAttempts[];
+interface OpenCall {
+  readonly attempts: callAttempts.CallAttempts;
   readonly until: types.clock.MonotonicMs;
 }
 
 /** Creates an empty list. */
 export function createRecentAttempts(clock: types.clock.Clock): RecentAttempts {
-  // In the order of their newest calls.
-  const jobs = new Map<string, JobCalls>();
+  // Both in the order of their newest calls.
+  const openCalls = new Map<string, readonly OpenCall[]>();
+  const appliedUntil = new Map<string, types.clock.MonotonicMs>();
+
+  const isOver = (until: types.clock.MonotonicMs) => until <= clock.monotonic();
 
   function dropOld(): void {
-    for (const [key, {until}] of jobs) {
-      if (clock.monotonic() < until && jobs.size <= MAX_JOBS) return;
-      jobs.delete(key);
+    dropOldest(openCalls, (calls) => calls.every(({until}) => isOver(until)));
+    dropOldest(appliedUntil, isOver);
+  }
+
+  function remember(key: string, attempts: callAttempts.CallAttempts): void {
+    const until = types.clock.after(clock.monotonic(), MEMORY_MS);
+    const calls = openCalls.get(key) ?? [];
+    openCalls.delete(key);
+    openCalls.set(key, [
+      ...calls.filter((call) => !isOver(call.until)),
+      {attempts, until},
+    ]);
+  }
+
+  function forget(key: string, attempts: callAttempts.CallAttempts): void {
+    const calls = openCalls.get(key) ?? [];
+    const others = calls.filter((call) => call.attempts !== attempts);
+    if (others.length > 0) openCalls.set(key, others);
+    else openCalls.delete(key);
+  }
+
+  function onConcluded(key: string, attempts: callAttempts.CallAttempts): void {
+    switch (attempts.standing()) {
+      case 'open':
+        return;
+      case 'applied':
+        appliedUntil.delete(key);
+        appliedUntil.set(key, types.clock.after(clock.monotonic(), MEMORY_MS));
+        break;
+      case 'without_effect':
+        break;
     }
+    forget(key, attempts);
   }
 
   return {
@@ -47,14 +79,36 @@
       dropOld();
       // Another organisation's call with the same id is about another job.
       const key = `${caller?.organisation ?? ''}/${id}`;
-      const earlier = (jobs.get(key)?.calls ?? []).filter(
-        (call) => call.standing() !== 'without_effect',
-      );
-      const call = callAttempts.createCallAttempts(earlier);
-      const until = types.clock.after(clock.monotonic(), MEMORY_MS);
-      jobs.delete(key);
-      jobs.set(key, {calls: [...earlier, call], until});
-      return call;
+      const earlier = openCalls.get(key) ?? [];
+      const attempts = callAttempts.createCallAttempts({
+        isApplied: () => !isOver(appliedUntil.get(key) ?? NEVER),
+        mayBeApplied: () =>
+          earlier.some(
+            (call) =>
+              !isOver(call.until) && call.attempts.standing() === 'open',
+          ),
+      });
+      remember(key, attempts);
+      return {
+        ...attempts,
+        conclude(answer, isStored) {
+          const concluded = attempts.conclude(answer, isStored);
+          onConcluded(key, attempts);
+          return concluded;
+        },
+      };
     },
   };
 }
+
+const NEVER = -Infinity as types.clock.MonotonicMs;
+
+function dropOldest<Value>(
+  jobs: Map<string, Value>,
+  isOld: (value: Value) => boolean,
+): void {
+  for (const [key, value] of jobs) {
+    if (!isOld(value) && jobs.size <= MAX_JOBS) return;
+    jobs.delete(key);
+  }
+}
