cell: an answer of a peer that is not understood proves nothing

The same class: an answer to a forwarded call with a type that this version doesn't know counted as 'not applied', and null ended the caller's call with 500. Such an answer is now a failed call with an unknown effect.

--- a/packages/gypsumwall-cell/src/peer_protocol.ts
+++ b/packages/gypsumwall-cell/src/peer_protocol.ts
@@ -136,6 +136,22 @@
     `peer.relay ${req.type}`,
     client.address,
     answer.value,
-    (body) => JSON.parse(body.toString()) as RelayRes,
+    decodeRelayRes,
   );
 }
+
+const ANSWER_TYPES: ReadonlySet<unknown> = new Set<RelayRes['type']>([
+  'ok',
+  'not_run',
+  'unknown',
+  'absent',
+  'outdated_caller',
+  'invalid',
+]);
+
+/** Throws for an answer of another version, which may mean anything. */
+function decodeRelayRes(body: Buffer): RelayRes {
+  const res = JSON.parse(body.toString()) as {readonly type?: unknown} | null;
+  if (ANSWER_TYPES.has(res?.type)) return res as RelayRes;
+  throw new Error(`type = ${String(res?.type)}: this version doesn't know it`);
+}
