cell: cancel a job whose submission is open

What callers would see: 410 for a cancellation, and then the job runs. A submission was unanswered, the cancellation found no job in the log, and the store carried the submission out afterwards.

An entry at which a submission of the job is open stores the cancellation all the same, which every reader of the log applies once the job arrives; if a peer finds no job, the answer is unknown.

--- a/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
@@ -158,6 +158,31 @@
   }
 });
 
+// Guards against a job that runs after its caller was told that it is gone.
+test('a cancellation is not answered as absent while the submission is open', async () => {
+  let byHolder: peerDirectory.RelayOutcome = {
+    type: 'unanswered',
+    maybeApplied: true,
+    isSlow: true,
+  };
+  const service = createService({
+    own: REFUSED,
+    relayed: PEER_OK,
+    get byHolder() {
+      return byHolder;
+    },
+    reachable: true,
+  });
+  const request = worlds.request(1);
+  const submitted = await service.submit(id, worlds.POLICY, request);
+  assert.equal(submitted.type, 'unknown');
+  const res = {type: 'absent'} as const;
+  byHolder = {type: 'answered', res, maybeApplied: false};
+  assert.equal((await service.cancel(id, 'plans')).type, 'unknown');
+  const other = types.ids.brand<types.ids.JobId>('other');
+  assert.equal((await service.cancel(other, 'plans')).type, 'absent');
+});
+
 // Guards against a refusal of a job that this entry has reported as accepted:
 // the call arrives again while neither the store nor a peer can be reached.
 test('a repeat of an accepted submission is accepted', async () => {
--- a/packages/gypsumwall-cell/src/forwarding_job_service.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -166,6 +166,24 @@
     return logOutcome(req, await peers.relayTo(holder, req, withinMs));
   }
 
+  function concludeWith(
+    {type, id, caller}: EffectiveReq,
+    attempts: callAttempts.CallAttempts,
+    answer: callAttempts.CallAnswer,
+  ): callAttempts.CallAnswer {
+    switch (type) {
+      case 'submit':
+        return attempts.conclude(answer, localService.isStored(id, caller));
+      case 'cancel': {
+        // A job may arrive in the log after a peer has found none.
+        const isEarly =
+          answer.type === 'absent' &&
+          recentCalls.submit.mayBeApplied(id, caller);
+        return attempts.conclude(isEarly ? {type: 'unknown'} : answer);
+      }
+    }
+  }
+
   function trackCall(
     req: EffectiveReq,
     carryOut: () => Promise<callAttempts.CallAnswer>,
@@ -178,9 +196,7 @@
       relayToHolder: (withinMs) =>
         attempts.runAtPeers('holder', () => relayToHolder(req, withinMs)),
       conclude(answer) {
-        const isStored =
-          req.type === 'submit' && localService.isStored(req.id, req.caller);
-        const concluded = attempts.conclude(answer, isStored);
+        const concluded = concludeWith(req, attempts, answer);
         if (concluded.type !== 'ok') {
           logger.info('call_concluded', {
             job: req.id,
--- a/packages/gypsumwall-cell/src/job_service.ts
+++ b/packages/gypsumwall-cell/src/job_service.ts
@@ -319,10 +319,20 @@
     caller: organisations.keyDirectory.Caller | undefined,
   ): Promise<JobServiceAnswer<undefined>> {
     const found = await find(id, queue, caller);
-    if (found.type !== 'ok') return found;
-    const {phase} = found.value.progress;
-    if (scheduling.jobProgress.isOver(phase)) {
-      return {type: 'ok', value: undefined};
+    switch (found.type) {
+      case 'ok':
+        if (scheduling.jobProgress.isOver(found.value.progress.phase))
+          return {type: 'ok', value: undefined};
+        break;
+      case 'absent':
+        // The job may arrive in the log after this; it is cancelled then.
+        if (!submissions.mayBeApplied(id, caller)) return found;
+        break;
+      case 'not_run':
+      case 'unknown':
+      case 'outdated_caller':
+      case 'invalid':
+        return found;
     }
     const record = {kind: 'cancel', jobId: id, dropped: false} as const;
     return storeAndAnswer('job_cancel_asked', record);
--- a/packages/gypsumwall-cell/src/recent_attempts.ts
+++ b/packages/gypsumwall-cell/src/recent_attempts.ts
@@ -23,6 +23,11 @@
     id: types.ids.JobId,
     caller: organisations.keyDirectory.Caller | undefined,
   ): callAttempts.CallAttempts;
+  /** Whether a call about this job may be applied later. */
+  mayBeApplied(
+    id: types.ids.JobId,
+    caller: organisations.keyDirectory.Caller | undefined,
+  ): boolean;
 }
 
 interface OpenCall {
@@ -74,19 +79,19 @@
     forget(key, attempts);
   }
 
+  const isOpen = ({attempts, until}: OpenCall) =>
+    !isOver(until) && attempts.standing() === 'open';
+
   return {
+    mayBeApplied: (id, caller) =>
+      openCalls.get(keyOf(id, caller))?.some(isOpen) ?? false,
     open(id, caller) {
       dropOld();
-      // Another organisation's call with the same id is about another job.
-      const key = `${caller?.organisation ?? ''}/${id}`;
+      const key = keyOf(id, caller);
       const earlier = openCalls.get(key) ?? [];
       const attempts = callAttempts.createCallAttempts({
         isApplied: () => !isOver(appliedUntil.get(key) ?? NEVER),
-        mayBeApplied: () =>
-          earlier.some(
-            (call) =>
-              !isOver(call.until) && call.attempts.standing() === 'open',
-          ),
+        mayBeApplied: () => earlier.some(isOpen),
       });
       remember(key, attempts);
       return {
@@ -101,6 +106,14 @@
   };
 }
 
+/** Another organisation's call with the same id is about another job. */
+function keyOf(
+  id: types.ids.JobId,
+  caller: organisations.keyDirectory.Caller | undefined,
+): string {
+  return `${caller?.organisation ?? ''}/${id}`;
+}
+
 const NEVER = -Infinity as types.clock.MonotonicMs;
 
 function dropOldest<Value>(
