emulator: give an entry ports that differ

Each port was found by listening and closing, and the kernel may give the same again: 500 ports found so were 480 different ones.

--- a/packages/gypsumwall-emulator/src/rig/entry_machine.ts
+++ b/packages/gypsumwall-emulator/src/rig/entry_machine.ts
@@ -54,12 +54,16 @@
   const {clock, role, folder} = options;
   const {name} = options.settings;
   const ip = await loopback.findFreeIp(options.random, role.metricsPort);
+  const [callersPort, readinessPort, peerPort] = (await loopback.findFreePorts(
+    ip,
+    3,
+  )) as [number, number, number];
   const settings: settingsFile.EntrySettings = {
     ...options.settings,
     ip,
-    callersPort: await loopback.findFreePort(ip),
-    readinessPort: await loopback.findFreePort(ip),
-    peerPort: await loopback.findFreePort(ip),
+    callersPort,
+    readinessPort,
+    peerPort,
   };
   const settingsPath = path.join(folder, `${name}.conf`);
   fs.writeFileSync(settingsPath, settingsFile.encodeSettings(settings));
--- a/packages/gypsumwall-emulator/src/rig/loopback.ts
+++ b/packages/gypsumwall-emulator/src/rig/loopback.ts
@@ -16,29 +16,40 @@
       random.integer(MIN_BYTE, MAX_BYTE),
     );
     const ip = ['127', ...ipBytes].join('.');
-    if ((await tryPort(ip, port)) !== undefined) return ip;
+    const server = await listenOn(ip, port);
+    if (server === undefined) continue;
+    await close(server);
+    return ip;
   }
   throw new Error(`port ${port}: no free address on loopback`);
 }
 
-/** Finds a port that is free now; another process may take it before its use. */
-export async function findFreePort(ip: string): Promise<number> {
-  const port = await tryPort(ip, 0);
-  if (port === undefined) throw new Error(`${ip}: no free port`);
-  return port;
+/** Finds ports that are free now; another process may take one before its use. */
+export async function findFreePorts(
+  ip: string,
+  count: number,
+): Promise<number[]> {
+  // All are held until the last is found, or two of them could be the same.
+  const servers = await Promise.all(
+    Array.from({length: count}, () => listenOn(ip, 0)),
+  );
+  const ports = servers.map((server) => {
+    if (server === undefined) throw new Error(`${ip}: no free port`);
+    return (server.address() as net.AddressInfo).port;
+  });
+  await Promise.all(servers.map((server) => close(server!)));
+  return ports;
 }
 
-/** Listens on the port briefly; resolves to undefined if the port is in use. */
-function tryPort(
-  ip: string,
-  requestedPort: number,
-): Promise<number | undefined> {
+/** Resolves to undefined if the port is in use. */
+function listenOn(ip: string, port: number): Promise<net.Server | undefined> {
   return new Promise((resolve) => {
     const server = net.createServer();
     server.once('error', () => resolve(undefined));
-    server.listen(requestedPort, ip, () => {
-      const {port} = server.address() as net.AddressInfo;
-      server.close(() => resolve(port));
-    });
+    server.listen(port, ip, () => resolve(server));
   });
 }
+
+function close(server: net.Server): Promise<void> {
+  return new Promise((resolve) => server.close(() => resolve()));
+}
