--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -17,6 +17,7 @@
 import * as holderProbes from './holder_probe.js';
 import * as jobTables from './job_table.js';
 import * as logFollower from './log_follower.js';
+import * as loopMonitor from './loop_monitor.js';
 import * as peerDirectory from './peer_directory.js';
 import type * as ports from './ports.js';
 import * as forwardingJobService from './forwarding_job_service.js';
@@ -84,7 +85,9 @@
     self: self.instance,
     clock,
     logger,
+    meter: options.meter,
   });
+  const monitor = loopMonitor.createLoopMonitor({clock});
   const detector = pauseDetector.createPauseDetector(clock);
   const refusals = refusedJobs.createRefusedJobs(clock);
   let holder: cellHolderTypes.CellHolder | undefined;
@@ -459,6 +462,7 @@
       configVersion: configs.config()?.version,
       storeReachable: jobsFollower.reachableSince() !== undefined,
       replicaAgeMs: replicaAgeMs(),
+      loopUtilization: monitor.utilization(),
       scheduler: holder?.counts(),
     }),
   };
--- a/packages/gypsumwall-cell/src/cell_entry_types.ts
+++ b/packages/gypsumwall-cell/src/cell_entry_types.ts
@@ -7,6 +7,7 @@
 import type * as configKeeper from './config_keeper.js';
 import type * as jobService from './job_service.js';
 import type * as ports from './ports.js';
+import type * as trafficMeter from './traffic_meter.js';
 
 /** Options of an entry. */
 export interface CellEntryOptions {
@@ -43,6 +44,8 @@
   readonly clock: types.clock.Clock;
   readonly random: types.random.Random;
   readonly logger: telemetry.logger.Logger;
+  /** Counts the calls to peers. */
+  readonly meter?: trafficMeter.TrafficMeter;
 }
 
 /** An entry of a cell. */
@@ -79,5 +82,7 @@
    * if unknown.
    */
   readonly replicaAgeMs: number;
+  /** Busy share of the event loop, from 0 to 1. */
+  readonly loopUtilization: number;
   readonly scheduler: scheduling.schedulerTypes.SchedulerCounts | undefined;
 }
--- a/packages/gypsumwall-cell/src/http_client.ts
+++ b/packages/gypsumwall-cell/src/http_client.ts
@@ -8,6 +8,7 @@
 import * as result from 'true-myth/result';
 import * as types from '@gypsumwall/types';
 import type * as ports from './ports.js';
+import type * as trafficMeter from './traffic_meter.js';
 
 /** One call. */
 export interface HttpCall {
@@ -50,10 +51,14 @@
  */
 const KEEP_ALIVE_PROBE_MS = 1_000;
 
-/** Creates a client of `host:port` with a maximum number of connections. */
+/**
+ * Creates a client of `host:port` with a maximum number of connections. Its
+ * calls are counted by the meter, if there is one.
+ */
 export function createHttpClient(
   address: string,
   maxConnections: number,
+  meter?: trafficMeter.TrafficMeter,
 ): HttpClient {
   const [host, port] = splitAddress(address);
   const agent = new http.Agent({
@@ -115,9 +120,14 @@
   return {
     address,
     async call(call) {
+      const {step} = call;
+      const sentBytes = call.path.length + bytesOf(call.body);
       try {
-        return result.ok(await send(call));
+        const answer = await send(call);
+        meter?.record({step, sentBytes, receivedBytes: answer.body.length});
+        return result.ok(answer);
       } catch (thrown) {
+        meter?.record({step, sentBytes, receivedBytes: undefined});
         return result.err(callError(call, address, thrown));
       }
     },
@@ -159,12 +169,15 @@
   };
 }
 
+function bytesOf(body: HttpCall['body']): number {
+  return body === undefined ? 0 : Buffer.byteLength(body);
+}
+
 function headersOf(call: HttpCall): http.OutgoingHttpHeaders {
   if (call.body === undefined) return {...call.headers};
-  const length = Buffer.byteLength(call.body);
   return {
     'content-type': 'application/json',
-    'content-length': length,
+    'content-length': bytesOf(call.body),
     ...call.headers,
   };
 }
--- a/packages/gypsumwall-cell/src/peer_directory.ts
+++ b/packages/gypsumwall-cell/src/peer_directory.ts
@@ -11,6 +11,7 @@
 import type * as ports from './ports.js';
 import type * as standbyChoice from './standby_choice.js';
 import type * as storeRecords from './store_records.js';
+import type * as trafficMeter from './traffic_meter.js';
 
 /**
  * How long a peer that didn't answer is avoided, doubled each time up to the
@@ -125,6 +126,8 @@
   readonly logger: telemetry.logger.Logger;
   /** Opens the connections to a peer; over HTTP by default. */
   readonly openClient?: typeof httpClient.createHttpClient;
+  /** Counts the calls to peers. */
+  readonly meter?: trafficMeter.TrafficMeter;
 }
 
 /** Creates an empty directory. */
@@ -133,6 +136,7 @@
   clock,
   logger,
   openClient = httpClient.createHttpClient,
+  meter,
 }: PeerDirectoryOptions): PeerDirectory {
   const peers = new Map<string, Peer>();
 
@@ -140,7 +144,7 @@
     instance: string,
     record: storeRecords.EntryRecord,
   ): Peer {
-    const client = openClient(record.address, MAX_CONNECTIONS);
+    const client = openClient(record.address, MAX_CONNECTIONS, meter);
     const direct = peerProtocol.createPeerAdviser(client);
     const peer: Peer = {
       instance,
