cell: bound the start orders in flight by the latency of their answers

Callers saw too little served on cells of large jobs and slow links. A job of 100 tasks was 100 calls at the same moment; those that queued for 250 ms in the holder's process or on its link counted as unknown, and cost a stop, a poll and another start each, which is more than the order itself.

The holder now keeps a window of orders in flight, which grows while answers are quick and shrinks once they take over 80 ms; while orders wait it decides nothing more, so urgent work isn't ranked behind a queue. An order whose attempt was stopped while it waited isn't sent.

It ends the loss of work and not the lack of capacity.

--- a/packages/gypsumwall-cell/src/__fixtures__/fake_worker.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/fake_worker.ts
@@ -6,6 +6,7 @@
 import type * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
 import type * as ports from '../ports.js';
+import type * as slowUplink from './slow_uplink.js';
 
 /** One attempt on the worker. */
 export interface FakeAttempt {
@@ -29,6 +30,8 @@
   pollsToLose: number;
   /** Duration of a stop; milliseconds. */
   stopMs: number;
+  /** The link of the holder, which start orders pass, if it is slow. */
+  uplink: slowUplink.SlowUplink | undefined;
   readonly running: Map<string, FakeAttempt>;
   /** Every start that took effect. */
   readonly started: FakeAttempt[];
@@ -133,6 +136,7 @@
     losesAnswers: false,
     pollsToLose: 0,
     stopMs: 0,
+    uplink: undefined,
     running,
     started,
     clockMs,
@@ -142,6 +146,8 @@
         await Promise.resolve();
         if (worker.isReplaced) return result.ok({type: 'gone'});
         if (worker.cut) return unanswered(call.timeoutMs);
+        if ((await worker.uplink?.transfer(call.timeoutMs)) === false)
+          return lost();
         const answer = start(call);
         return worker.losesAnswers
           ? unanswered(call.timeoutMs)
--- /dev/null
+++ b/packages/gypsumwall-cell/src/__tests__/order_window.test.ts
@@ -0,0 +1,57 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as types from '@gypsumwall/types';
+import * as orderWindow from '../order_window.js';
+
+const {test} = nodeTest;
+
+function createWindow() {
+  let now = 1_000;
+  const inFlight: ((result: orderWindow.OrderResult) => void)[] = [];
+  const clock = {
+    ...types.clock.createSystemClock(),
+    monotonic: () => now as types.clock.MonotonicMs,
+  };
+  const window = orderWindow.createOrderWindow<number>({
+    clock,
+    send: () => new Promise((resolve) => inFlight.push(resolve)),
+    onRoom() {},
+  });
+  return {
+    window,
+    inFlight,
+    /** Answers all orders in flight, `rounds` times. */
+    answer: async (rounds: number, result: orderWindow.OrderResult) => {
+      for (let round = 0; round < rounds; round++) {
+        now += 200;
+        for (const resolve of inFlight.splice(0)) resolve(result);
+        await new Promise(setImmediate);
+      }
+    },
+  };
+}
+
+// Guards against a burst of orders that times out in the queue of a slow link.
+test('orders in flight are bounded by the latency of the answers', async () => {
+  const {window, inFlight, answer} = createWindow();
+  for (let order = 0; order < 5_000; order++) window.add(order);
+  assert.ok(window.isFull());
+  const first = inFlight.length;
+  await answer(20, {type: 'answered', latencyMs: 200});
+  assert.ok(inFlight.length < first / 2, 'late answers shrink the window');
+  await answer(80, {type: 'lost', latencyMs: 250});
+  assert.ok(inFlight.length >= 1, 'orders are always sent');
+  const least = inFlight.length;
+  await answer(40, {type: 'answered', latencyMs: 5});
+  assert.ok(inFlight.length > least, 'quick answers widen it');
+});
+
+test('an order that was not sent makes room for the next one', async () => {
+  const {window, answer} = createWindow();
+  for (let order = 0; order < 100; order++) window.add(order);
+  const size = window.size();
+  await answer(10, {type: 'unsent'});
+  assert.equal(window.size(), size);
+  assert.equal(window.pending(), 0);
+  assert.equal(window.isFull(), false);
+});
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -13,6 +13,7 @@
 import type * as jobTable from './job_table.js';
 import * as leaseLength from './lease_length.js';
 import * as logFollower from './log_follower.js';
+import * as orderWindow from './order_window.js';
 import type * as storeRecords from './store_records.js';
 import * as failoverBarrier from './failover_barrier.js';
 import * as workerRoster from './worker_roster.js';
@@ -84,6 +85,8 @@
  */
 const ORDERS_CHECK_INTERVAL_MS = 10;
 
+type StartOrder = scheduling.schedulerTypes.StartOrder;
+
 /** Creates the holder of a claim that was just read. */
 export function createCellHolder(
   options: cellHolderTypes.CellHolderOptions,
@@ -171,7 +174,11 @@
   /** Jobs whose end is stored, and whose requests can be dropped. */
   let ended: types.ids.JobId[] = [];
   let lastWrite: Promise<void> = Promise.resolve();
-  let ordersInFlight = 0;
+  const orders = orderWindow.createOrderWindow<StartOrder>({
+    clock,
+    send: startAttempt,
+    onRoom: requestCycle,
+  });
   let isCycleScheduled = false;
   let lastCycleMs = 0;
   let isScheduling = false;
@@ -267,6 +274,11 @@
     // Each start grants a lease, so nothing is started while leases may not be
     // renewed.
     if (!mayRenew()) return;
+    // What is decided now would wait behind the orders that wait already.
+    if (orders.isFull()) {
+      void flush();
+      return;
+    }
     const startedAt = clock.monotonic();
     scheduler.setCommitLatency(writer.latencyMs());
     roster.checkListEntries();
@@ -277,7 +289,7 @@
     );
     lastCycleMs = clock.monotonic() - startedAt;
     void flush();
-    for (const order of decisions.starts) void startAttempt(order);
+    for (const order of decisions.starts) orders.add(order);
     for (const request of decisions.advice) void adviceCalls.ask(request);
   }
 
@@ -293,17 +305,19 @@
   }
 
   async function startAttempt(
-    order: scheduling.schedulerTypes.StartOrder,
-  ): Promise<void> {
-    const session = roster.session(order.attempt.workerId);
-    if (session === undefined) {
-      const refused = {type: 'refused', reason: 'other'} as const;
-      scheduler.onStartAnswered(order.attempt, refused, clock.monotonic());
-      return;
-    }
-    ordersInFlight++;
-    await session.start(order);
-    ordersInFlight--;
+    order: StartOrder,
+  ): Promise<orderWindow.OrderResult> {
+    const {attempt} = order;
+    const session = roster.session(attempt.workerId);
+    // The attempt may have been stopped while its order waited.
+    const isDue = isScheduling && scheduler.isStartDue(attempt);
+    if (isDue && session !== undefined) return session.start(order);
+    scheduler.onStartAnswered(
+      attempt,
+      isDue ? {type: 'refused', reason: 'other'} : {type: 'unsent'},
+      clock.monotonic(),
+    );
+    return {type: 'unsent'};
   }
 
   function admitJob(job: jobTable.JobEntry, inherited: boolean): void {
@@ -402,7 +416,7 @@
     async handOver() {
       isScheduling = false;
       const until = types.clock.after(clock.monotonic(), HANDOVER_TIMEOUT_MS);
-      while (ordersInFlight > 0 && clock.monotonic() < until) {
+      while (orders.pending() > 0 && clock.monotonic() < until) {
         await types.clock.sleepFor(clock, ORDERS_CHECK_INTERVAL_MS);
       }
       const released: storeRecords.ClaimRecord = {
--- a/packages/gypsumwall-cell/src/worker_session.ts
+++ b/packages/gypsumwall-cell/src/worker_session.ts
@@ -9,6 +9,7 @@
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import * as pollWithRetry from './poll_with_retry.js';
+import type * as orderWindow from './order_window.js';
 import type * as ports from './ports.js';
 import * as workerClocks from './worker_clock.js';
 
@@ -72,7 +73,9 @@
 export interface WorkerSession {
   readonly workerId: types.ids.WorkerId;
   run(): Promise<void>;
-  start(order: scheduling.schedulerTypes.StartOrder): Promise<void>;
+  start(
+    order: scheduling.schedulerTypes.StartOrder,
+  ): Promise<orderWindow.OrderResult>;
   stopAttempt(attempt: scheduling.activeJob.Attempt): Promise<void>;
   /**
    * Whether the worker is reachable: false from an unanswered poll or start
@@ -280,7 +283,7 @@
       if (leaseUntil === undefined) {
         const refused = {type: 'refused', reason: 'other'} as const;
         scheduler.onStartAnswered(attempt, refused, clock.monotonic());
-        return;
+        return {type: 'unsent'};
       }
       const sentAt = clock.monotonic();
       const answer = await link.start({
@@ -293,7 +296,9 @@
         leaseUntil,
         timeoutMs: ORDER_TIMEOUT_MS,
       });
-      if (closing.signal.aborted) return;
+      const latencyMs = clock.monotonic() - sentAt;
+      const type = result.isOk(answer) ? 'answered' : 'lost';
+      if (closing.signal.aborted) return {type, latencyMs};
       const outcome = startOutcome(answer);
       scheduler.onStartAnswered(attempt, outcome, clock.monotonic());
       logger.info('start_answered', {
@@ -301,12 +306,13 @@
         attempt: attempt.number,
         worker: worker.id,
         outcome: outcome.type === 'refused' ? outcome.reason : outcome.type,
-        tookMs: Math.round(clock.monotonic() - sentAt),
+        tookMs: Math.round(latencyMs),
         error: result.isErr(answer)
           ? types.stepError.describeError(answer.error)
           : undefined,
       });
       options.onChange();
+      return {type, latencyMs};
     },
     async stopAttempt(target) {
       while (!closing.signal.aborted) {
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -324,6 +324,8 @@
       const advice = requestAdvice(cycle.awaitingAdvice, now, capacity);
       return {starts, advice};
     },
+    isStartDue: (attempt) =>
+      attempts.has(attempt) && attempt.phase === 'starting',
     onStartAnswered(attempt, outcome, now) {
       if (!attempts.has(attempt)) return;
       switch (outcome.type) {
@@ -340,6 +342,9 @@
             jobRegistry.markRunning(attempt.task.stepRun.job);
           }
           return;
+        case 'unsent':
+          jobRegistry.dropAttempt(attempt);
+          return;
         case 'unknown':
           // Only an answered stop proves that the attempt does not run and
           // never will.
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -38,6 +38,8 @@
   | {readonly type: 'started'}
   /** The attempt certainly never runs. */
   | {readonly type: 'refused'; readonly reason: RefusalReason}
+  /** The order was not sent, so the attempt never runs. */
+  | {readonly type: 'unsent'}
   /** The attempt may run, now or later. */
   | {readonly type: 'unknown'};
 
@@ -168,6 +170,8 @@
     wall: types.clock.WallMs,
     capacity?: adviserPool.AdviceCapacity,
   ): Decisions;
+  /** Whether a start order for the attempt should still be sent. */
+  isStartDue(attempt: activeJob.Attempt): boolean;
   onStartAnswered(
     attempt: activeJob.Attempt,
     outcome: StartOutcome,
