cell: run no scheduling cycle for a report without news

What depends on time alone is decided by the tick, ten times a second. The tests of sessions and holders pass unchanged.

--- a/packages/gypsumwall-cell/src/worker_session.ts
+++ b/packages/gypsumwall-cell/src/worker_session.ts
@@ -218,11 +218,13 @@
       now,
     );
     setReachable(true, 'answered');
+    // A report without news changes nothing that a cycle looks at before the
+    // next tick.
+    if (!hasReported || ends.length > 0) options.onChange();
     if (!hasReported) {
       hasReported = true;
       options.onFirstReport();
     }
-    options.onChange();
     if (ends.length > 0 || isStoring) await acknowledge();
   }
 
