cell: judge a holder's silence by its usual pauses

A holder whose link or processor is busy writes its records late and misses pings of 120 ms; its successor is no quicker and begins with both logs to load, all workers to ask and a longer queue, so it is lost in the same way.

A silence now counts only if it is also 1.5 times the longest pause that the entry has read between two records of this holder in the last 8 to 16 s. Pauses above 0.9 s count as that, so a holder that is gone is replaced after 1.35 s at most before the backoff; one that writes as usual, as early as before. Guarded by safeguards, 'a holder that usually writes seldom is not taken for lost', which failed before, and by record_pauses.

--- a/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
@@ -87,6 +87,7 @@
     reachableSince: at(0),
     isHolderLost: false,
     takeovers: [],
+    longestPauseMs: 0,
     isLeaving: false,
     now: at(failoverPolicy.MAX_SILENCE_MS + 1),
     ...fields,
@@ -110,6 +111,18 @@
   );
 });
 
+// Guards against a failover from a holder whose link is busy to one that is no
+// quicker, each of which finds more to do.
+test('a holder that usually writes seldom is not taken for lost', () => {
+  const now = at(700);
+  const usual = view({isHolderLost: true, longestPauseMs: 500, now});
+  assert.equal(failoverPolicy.vacancyOf(usual), undefined);
+  const unusual = view({isHolderLost: true, longestPauseMs: 300, now});
+  assert.equal(failoverPolicy.vacancyOf(unusual), 'lost');
+  const dead = view({longestPauseMs: 60_000, now: at(1_400)});
+  assert.equal(failoverPolicy.vacancyOf(dead), 'silent');
+});
+
 // Guards against a cell in which no job ever starts: 73 holders were seen in 45
 // s. Taking over 160 workers keeps a small instance too busy to write or to
 // answer its peers for a second. The next one took over after half of that time
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -28,6 +28,7 @@
 import * as pauseDetector from './pause_detector.js';
 import * as failoverPolicy from './failover_policy.js';
 import * as applyRecords from './apply_records.js';
+import * as recordPauses from './record_pauses.js';
 import * as refusedJobs from './refused_jobs.js';
 import * as retention from './retention.js';
 
@@ -87,6 +88,7 @@
     logger,
     meter: options.meter,
   });
+  const pauses = recordPauses.createRecordPauses(clock);
   const monitor = loopMonitor.createLoopMonitor({clock});
   const detector = pauseDetector.createPauseDetector(clock);
   const refusals = refusedJobs.createRefusedJobs(clock);
@@ -136,6 +138,7 @@
     storeHealth: health,
     onRecords(records, reloaded) {
       // Even a record that can't be decoded shows that the holder is alive.
+      recordPause();
       lastRecordAt = clock.monotonic();
       if (reloaded) retainLoaded(records);
       applyRecords.applyRecords(records, logger, applyCellRecord);
@@ -180,6 +183,15 @@
     onJobRefused: (id, arrivedAt) => refusals.add(id, arrivedAt),
   });
 
+  /** Only a pause during which the log was read is the holder's. */
+  function recordPause(): void {
+    const since = failoverPolicy.silentSince({
+      lastRecordAt,
+      reachableSince: cellFollower.reachableSince(),
+    });
+    if (since !== undefined) pauses.add(clock.monotonic() - since);
+  }
+
   function remoteHolder(): string | undefined {
     const instance = state.claim()?.instance;
     return instance === self.instance ? undefined : instance;
@@ -260,6 +272,7 @@
     state.apply(record, offset);
     jobs.apply(record, lastRecordAt);
     if (record.kind !== 'claim') return;
+    pauses.reset();
     markReplacedHolder(before);
     onClaimRead();
   }
@@ -418,6 +431,7 @@
           lastRecordAt: () => lastRecordAt,
           isHolderLost: () => holderProbe.isLost(),
           takeovers: () => takeovers,
+          longestPauseMs: () => pauses.longestMs(),
           isHolder: () => holder !== undefined,
           isLeaving: () => isLeaving,
           isOutranked,
--- a/packages/gypsumwall-cell/src/election.ts
+++ b/packages/gypsumwall-cell/src/election.ts
@@ -56,6 +56,8 @@
   /** Whether the holder probe considers the holder lost. */
   readonly isHolderLost: () => boolean;
   readonly takeovers: () => readonly types.clock.MonotonicMs[];
+  /** Longest pause between two recent records of the holder; milliseconds. */
+  readonly longestPauseMs: () => number;
   readonly isHolder: () => boolean;
   readonly isLeaving: () => boolean;
   /** Whether this entry is a standby of its failure domain. */
@@ -87,6 +89,7 @@
       reachableSince: follower.reachableSince(),
       isHolderLost: parts.isHolderLost(),
       takeovers: parts.takeovers(),
+      longestPauseMs: parts.longestPauseMs(),
       isLeaving: parts.isLeaving(),
       now: clock.monotonic(),
     });
--- a/packages/gypsumwall-cell/src/failover_policy.ts
+++ b/packages/gypsumwall-cell/src/failover_policy.ts
@@ -64,6 +64,8 @@
   /** When holders were replaced that hadn't released the cell; ascending. */
   readonly takeovers: readonly types.clock.MonotonicMs[];
   readonly isLeaving: boolean;
+  /** Longest pause between two recent records of the holder; milliseconds. */
+  readonly longestPauseMs: number;
   readonly now: types.clock.MonotonicMs;
 }
 
@@ -84,6 +86,13 @@
   return lastRecordAt > reachableSince ? lastRecordAt : reachableSince;
 }
 
+/**
+ * A silence is unusual if it is this many times the longest one between two
+ * recent records of the holder. A holder whose link or processor is busy writes
+ * seldom, and no other entry would do better.
+ */
+const UNUSUAL_SILENCE_FACTOR = 1.5;
+
 /** How many times the usual silence a holder is allowed. */
 function backoffFactor({takeovers, now}: FailoverView): number {
   const recent = takeovers.filter((at) => now - at < TAKEOVER_WINDOW_MS).length;
@@ -102,7 +111,10 @@
   // An instance runs one process, so the process that claimed has ended.
   if (claim.instance === self.instance) return 'own_predecessor';
   const baseMs = view.isHolderLost ? PROBE_AFTER_MS : MAX_SILENCE_MS;
+  const longestMs = Math.min(view.longestPauseMs, MAX_SILENCE_MS);
+  const usualMs = longestMs * UNUSUAL_SILENCE_FACTOR;
   const silentMs = view.now - since;
-  if (silentMs <= baseMs * backoffFactor(view)) return undefined;
+  if (silentMs <= Math.max(baseMs, usualMs) * backoffFactor(view))
+    return undefined;
   return view.isHolderLost ? 'lost' : 'silent';
 }
