cell: have peers call the workers that the holder can't poll

Callers of a cell of many workers and small entries saw nothing served. On the small twin, 99 workers and 0.12 of a core, polling alone made the holder's loop busy for 0.46 to 0.89 of the time, while the other 14 entries used 0.04 of theirs.

Beyond 300 workers a core the holder has peers make its calls, over one stream of lines for each peer: calls of 15 ms go together, a job's payload goes once a line, answers of 10 ms come together. Peers of a worker's failure domain come first. A call through a peer means what the call means: the token, the lease and the attempt are the holder's, an unanswered call is of unknown effect, and one that the peer has certainly not made is made directly. A peer that is silent for 1 s is replaced. An earlier version answers 404, and its workers are called directly.

Sites whose holders have 1.35 cores and up to 405 workers call them directly, as before.

--- a/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
@@ -46,6 +46,7 @@
     apply: () => {},
     maxCores: () => 0,
     standbyCandidates: () => [],
+    relayPeers: () => [],
     markLost: () => {},
     ping: () => Promise.resolve(true),
     advisers: () => new Map(),
--- a/packages/gypsumwall-cell/src/__tests__/replica_age.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/replica_age.test.ts
@@ -153,11 +153,14 @@
   const world = worlds.createCellWorld();
   const view = {...world.store, cell: worlds.createLogView(world.store.cell)};
   const entry = world.addEntry('a', view);
-  const server = peerServers.createPeerServer(
-    {ask: () => Promise.reject(new Error('unexpected advice request'))},
-    entry.localJobService,
-    telemetry.logger.createLogger('silent'),
-  );
+  const server = peerServers.createPeerServer({
+    adviser: {
+      ask: () => Promise.reject(new Error('unexpected advice request')),
+    },
+    service: entry.localJobService,
+    connect: () => assert.fail('unexpected call of a worker'),
+    logger: telemetry.logger.createLogger('silent'),
+  });
   const ask = async () => {
     const payload = {type: 'pending', queue: worlds.POLICY.queue};
     const res = await server.inject({method: 'POST', url: '/relay', payload});
--- a/packages/gypsumwall-cell/src/__tests__/stale_answers.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/stale_answers.test.ts
@@ -99,11 +99,14 @@
 test('a peer with a stale replica does not answer a query for a state', async () => {
   const {world, view, first} = createWorld();
   const second = world.addEntry('b', view);
-  const server = peerServers.createPeerServer(
-    {ask: () => Promise.reject(new Error('unexpected advice request'))},
-    second.localJobService,
-    telemetry.logger.createLogger('silent'),
-  );
+  const server = peerServers.createPeerServer({
+    adviser: {
+      ask: () => Promise.reject(new Error('unexpected advice request')),
+    },
+    service: second.localJobService,
+    connect: () => assert.fail('unexpected call of a worker'),
+    logger: telemetry.logger.createLogger('silent'),
+  });
   try {
     const worker = await world.addWorker('w1', 4);
     await submit(first, 'job');
--- /dev/null
+++ b/packages/gypsumwall-cell/src/__tests__/worker_channel.test.ts
@@ -0,0 +1,152 @@
+import * as assert from 'node:assert/strict';
+import type * as net from 'node:net';
+import * as nodeTest from 'node:test';
+import * as result from 'true-myth/result';
+import * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import * as worlds from '../__fixtures__/cell_world.js';
+import * as fakeWorkers from '../__fixtures__/fake_worker.js';
+import * as httpServer from '../http_server.js';
+import * as peerServers from '../peer_server.js';
+import type * as ports from '../ports.js';
+import * as workerChannelClient from '../worker_channel_client.js';
+
+const {test} = nodeTest;
+const POLL = {token: 1, acknowledged: 0, waitMs: 0, timeoutMs: 500};
+
+function startCall(task: string, payload: string): ports.StartCall {
+  const taskId = types.ids.brand<types.ids.TaskId>(task);
+  const rest = {attempt: 1, token: 1, leaseUntil: 1e9, timeoutMs: 500};
+  return {taskId, payload, ...rest};
+}
+
+type Server = ReturnType<typeof httpServer.createHttpServer>;
+
+async function listen(server: Server): Promise<string> {
+  await server.listen({host: '127.0.0.1', port: 0});
+  const {port} = server.server.address() as net.AddressInfo;
+  return `127.0.0.1:${port}`;
+}
+
+/** Runs with a channel to a peer that calls fake workers. */
+async function withChannel(
+  connect: (name: string) => ports.WorkerLink,
+  use: (
+    channel: workerChannelClient.WorkerChannel,
+    server: Server,
+  ) => Promise<void>,
+): Promise<number> {
+  const world = worlds.createCellWorld();
+  const server = peerServers.createPeerServer({
+    adviser: {ask: () => assert.fail('unexpected advice request')},
+    service: world.addEntry('a').localJobService,
+    connect: ({id}) => connect(id),
+    logger: telemetry.logger.createLogger('silent'),
+  });
+  let lost = 0;
+  const channel = workerChannelClient.openWorkerChannel({
+    address: await listen(server),
+    clock: types.clock.createSystemClock(),
+    onLost: () => lost++,
+  });
+  try {
+    await use(channel, server);
+  } finally {
+    channel.close();
+    server.server.closeAllConnections();
+    await server.close();
+    world.stop();
+  }
+  return lost;
+}
+
+test('a peer makes the calls of a holder, with the payloads of starts', async () => {
+  const worker = fakeWorkers.createFakeWorker('w1', 4);
+  const payloads: string[] = [];
+  const link = worker.connect();
+  const connect = (): ports.WorkerLink => ({
+    ...link,
+    start(call) {
+      payloads.push(call.payload);
+      return link.start(call);
+    },
+  });
+  const lost = await withChannel(connect, async (channel) => {
+    const calls = ['a', 'a', 'b'].map((payload, nth) => {
+      const call = startCall(`t${nth}`, payload);
+      return channel.call(worker.info, {type: 'start', call});
+    });
+    for (const answer of await Promise.all(calls))
+      assert.equal(result.isOk(answer) && answer.value.type, 'accepted');
+    const poll = {type: 'poll', call: POLL} as const;
+    const report = await channel.call(worker.info, poll);
+    assert.ok(result.isOk(report) && report.value.type === 'report');
+    assert.equal(report.value.running.length, 3);
+    const {taskId} = startCall('t0', 'a');
+    const stop = {taskId, attempt: 1, token: 1, timeoutMs: 500};
+    await channel.call(worker.info, {type: 'stop', call: stop});
+  });
+  assert.deepEqual(payloads, ['a', 'a', 'b']);
+  assert.equal(worker.running.size, 2);
+  assert.equal(lost, 1);
+});
+
+// Guards against a task that is started twice, because a call that a lost peer
+// may have made counted as not made.
+test('a call is of unknown effect if its peer is lost', async () => {
+  const worker = fakeWorkers.createFakeWorker('w1', 4);
+  worker.cut = true;
+  const connect = () => worker.connect();
+  await withChannel(connect, async (channel, server) => {
+    const call = {...startCall('t', 'a'), timeoutMs: 5_000};
+    const answer = channel.call(worker.info, {type: 'start', call});
+    await new Promise((resolve) => setTimeout(resolve, 200));
+    server.server.closeAllConnections();
+    const lost = await answer;
+    assert.ok(result.isErr(lost));
+    assert.equal(lost.error.effect, 'unknown');
+    const poll = {type: 'poll', call: POLL} as const;
+    const after = await channel.call(worker.info, poll);
+    assert.ok(result.isErr(after));
+    assert.equal(after.error.effect, 'not_run');
+  });
+});
+
+// Guards against workers that no one calls while entries of two versions run.
+test('a peer of an earlier version has made no call', async () => {
+  const server = httpServer.createHttpServer();
+  const channel = workerChannelClient.openWorkerChannel({
+    address: await listen(server),
+    clock: types.clock.createSystemClock(),
+    onLost() {},
+  });
+  const {info} = fakeWorkers.createFakeWorker('w1', 4);
+  const answer = await channel.call(info, {type: 'poll', call: POLL});
+  assert.ok(result.isErr(answer));
+  assert.equal(answer.error.effect, 'not_run');
+  server.server.closeAllConnections();
+  await server.close();
+});
+
+test('a peer that falls silent is lost', async () => {
+  const server = httpServer.createHttpServer();
+  server.addContentTypeParser('*', (_req, _body, done) => done(null));
+  server.post('/worker-channel', (_req, res) => {
+    res.hijack();
+    res.raw.writeHead(200);
+    res.raw.flushHeaders();
+  });
+  let isLost = false;
+  const channel = workerChannelClient.openWorkerChannel({
+    address: await listen(server),
+    clock: types.clock.createSystemClock(),
+    onLost: () => (isLost = true),
+  });
+  const {info} = fakeWorkers.createFakeWorker('w1', 4);
+  const call = {...POLL, timeoutMs: 9_000};
+  const answer = await channel.call(info, {type: 'poll', call});
+  assert.ok(result.isErr(answer) && isLost);
+  assert.equal(answer.error.effect, 'unknown');
+  server.server.closeAllConnections();
+  await server.close();
+});
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -318,6 +318,8 @@
       decodeWorker: options.decodeWorker,
       isUsedPool: (pool) => configs.isUsedPool(pool),
       connect: options.connect,
+      cores: self.cores,
+      relayPeers: () => peers.relayPeers(),
       advisers: () => peers.advisers().set(self.instance, options.adviser),
       jobs,
       state,
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -17,6 +17,7 @@
 import type * as storeRecords from './store_records.js';
 import * as failoverBarrier from './failover_barrier.js';
 import * as workerRoster from './worker_roster.js';
+import * as workerRoutes from './worker_routes.js';
 import * as workerSession from './worker_session.js';
 
 /**
@@ -110,6 +111,13 @@
     onFenced: stopFenced,
     onAppended: options.onAppended,
   });
+  const routes = workerRoutes.createWorkerRoutes({
+    cores: options.cores,
+    peers: options.relayPeers,
+    connect: options.connect,
+    clock,
+    logger,
+  });
   const roster = workerRoster.createWorkerRoster({
     clock,
     logger,
@@ -196,7 +204,7 @@
   ): workerSession.WorkerSession {
     return workerSession.createWorkerSession({
       worker,
-      link: options.connect(worker),
+      link: routes.connect(worker),
       token,
       leaseMs: () => leaseMsOn(worker.id),
       maxLeaseMs: options.leaseMs,
@@ -357,6 +365,7 @@
     clearInterval(tickTimer);
     workerFollower.stop();
     roster.close();
+    routes.close();
     writer.stop();
   }
 
--- a/packages/gypsumwall-cell/src/cell_holder_types.ts
+++ b/packages/gypsumwall-cell/src/cell_holder_types.ts
@@ -10,6 +10,7 @@
 import type * as ports from './ports.js';
 import type * as storeHealth from './store_health.js';
 import type * as workerRoster from './worker_roster.js';
+import type * as workerRoutes from './worker_routes.js';
 
 /** Options of a holder. */
 export interface CellHolderOptions {
@@ -21,6 +22,10 @@
   readonly connect: (
     worker: scheduling.workerRegistry.WorkerInfo,
   ) => ports.WorkerLink;
+  /** Processor capacity of this instance, in cores. */
+  readonly cores: number;
+  /** Peers that can call workers for this holder. */
+  readonly relayPeers: () => Iterable<workerRoutes.RelayPeer>;
   /** Entries through which the adviser can be asked now, including this one. */
   readonly advisers: () => ReadonlyMap<string, ports.Adviser>;
   readonly jobs: jobTable.JobTable;
--- a/packages/gypsumwall-cell/src/peer_directory.ts
+++ b/packages/gypsumwall-cell/src/peer_directory.ts
@@ -12,6 +12,7 @@
 import type * as standbyChoice from './standby_choice.js';
 import type * as storeRecords from './store_records.js';
 import type * as trafficMeter from './traffic_meter.js';
+import type * as workerRoutes from './worker_routes.js';
 
 /**
  * How long a peer that didn't answer is avoided, doubled each time up to the
@@ -113,6 +114,8 @@
   markLost(instance: string): void;
   /** Cores of the largest peer that isn't avoided; 0 without peers. */
   maxCores(): number;
+  /** Peers through which workers can be called: those that aren't avoided. */
+  relayPeers(): Iterable<workerRoutes.RelayPeer>;
   /** Peers that can be standbys: those that aren't avoided. */
   standbyCandidates(): Iterable<standbyChoice.StandbyCandidate>;
   close(): void;
@@ -342,6 +345,14 @@
         .map((peer) => peer.record.cores ?? 0);
       return Math.max(0, ...cores);
     },
+    *relayPeers() {
+      const now = clock.monotonic();
+      for (const [instance, {record, backoffUntil}] of peers) {
+        if (backoffUntil > now) continue;
+        const {domain, address, cores = 0} = record;
+        yield {instance, domain, address, cores};
+      }
+    },
     *standbyCandidates() {
       const now = clock.monotonic();
       for (const [instance, {record, backoffUntil}] of peers) {
--- a/packages/gypsumwall-cell/src/peer_server.ts
+++ b/packages/gypsumwall-cell/src/peer_server.ts
@@ -1,20 +1,52 @@
 /** Answers the calls of other entries. */
+import type * as stream from 'node:stream';
 import type * as fastify from 'fastify';
 import * as result from 'true-myth/result';
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import type * as jobService from './job_service.js';
 import * as httpServer from './http_server.js';
+import * as lineStream from './line_stream.js';
 import * as peerProtocol from './peer_protocol.js';
 import type * as ports from './ports.js';
+import * as workerChannel from './worker_channel.js';
+import * as workerChannelServer from './worker_channel_server.js';
+
+/** What the server answers with. */
+export interface PeerServerOptions {
+  readonly adviser: ports.Adviser;
+  readonly service: jobService.JobService;
+  /** Opens the connections to a worker that is called for the holder. */
+  readonly connect: workerChannelServer.Connect;
+  readonly logger: telemetry.logger.Logger;
+}
 
 /** Creates the server; the caller has to start listening. */
-export function createPeerServer(
-  adviser: ports.Adviser,
-  service: jobService.JobService,
-  logger: telemetry.logger.Logger,
-): fastify.FastifyInstance {
+export function createPeerServer({
+  adviser,
+  service,
+  connect,
+  logger,
+}: PeerServerOptions): fastify.FastifyInstance {
   const server = httpServer.createHttpServer();
+  // The body stays open, so it is read as a stream.
+  server.addContentTypeParser(lineStream.LINES_TYPE, (_req, body, done) =>
+    done(null, body),
+  );
+  server.post<{Body: stream.Readable}>(
+    workerChannel.WORKER_CHANNEL_PATH,
+    (req, res) => {
+      res.hijack();
+      res.raw.writeHead(200, {'content-type': lineStream.LINES_TYPE});
+      res.raw.flushHeaders();
+      workerChannelServer.serveWorkerChannel(
+        req.body,
+        res.raw,
+        connect,
+        logger,
+      );
+    },
+  );
   server.post<{Body: peerProtocol.AdviseReq}>(
     peerProtocol.ADVISE_PATH,
     async (req, res) => {
--- a/packages/gypsumwall-cell/src/ports.ts
+++ b/packages/gypsumwall-cell/src/ports.ts
@@ -154,12 +154,16 @@
   readonly timeoutMs: number;
 }
 
+/** An order to stop an attempt. */
+export type StopCall = Pick<
+  StartCall,
+  'taskId' | 'attempt' | 'token' | 'timeoutMs'
+>;
+
 /** The connections to one incarnation of a worker. */
 export interface WorkerLink {
   start(call: StartCall): Answer<OrderAnswer>;
-  stop(
-    call: Pick<StartCall, 'taskId' | 'attempt' | 'token' | 'timeoutMs'>,
-  ): Answer<OrderAnswer>;
+  stop(call: StopCall): Answer<OrderAnswer>;
   poll(call: PollCall): Answer<PollAnswer>;
   close(): void;
 }
--- /dev/null
+++ b/packages/gypsumwall-cell/src/worker_channel_client.ts
@@ -0,0 +1,192 @@
+/** The holder's end of a stream of calls that a peer makes to workers. */
+import * as result from 'true-myth/result';
+import type * as scheduling from '@gypsumwall/scheduling';
+import * as types from '@gypsumwall/types';
+import * as lineStream from './line_stream.js';
+import type * as ports from './ports.js';
+import * as workerChannel from './worker_channel.js';
+
+/** How long calls are collected before they are sent; milliseconds. */
+const CALL_DELAY_MS = 15;
+/**
+ * Added to the timeout of a call, for the collection at both ends and the way
+ * to the peer; milliseconds.
+ */
+const RELAY_ALLOWANCE_MS = 250;
+/** A peer that is silent for this long is considered lost; milliseconds. */
+const MAX_SILENCE_MS = 1_000;
+/** Interval at which overdue calls are looked for; milliseconds. */
+const CHECK_INTERVAL_MS = 50;
+
+/** Options of a channel. */
+export interface WorkerChannelOptions {
+  readonly address: string;
+  readonly clock: types.clock.Clock;
+  /** Called once when the channel can't be used any more. */
+  readonly onLost: (err: types.stepError.StepError) => void;
+  readonly open?: typeof lineStream.openLineStream;
+}
+
+/** A channel to one peer. */
+export interface WorkerChannel {
+  call(
+    worker: scheduling.workerRegistry.WorkerInfo,
+    call: workerChannel.WorkerCall,
+  ): ports.Answer<workerChannel.WorkerAnswer>;
+  close(): void;
+}
+
+interface OpenCall {
+  readonly deadline: types.clock.MonotonicMs;
+  readonly resolve: (
+    answer: Awaited<ports.Answer<workerChannel.WorkerAnswer>>,
+  ) => void;
+}
+
+interface WaitingCall {
+  readonly nth: number;
+  readonly worker: scheduling.workerRegistry.WorkerInfo;
+  readonly call: workerChannel.WorkerCall;
+}
+
+/** Opens a channel; calls wait until the peer has accepted it. */
+export function openWorkerChannel(
+  options: WorkerChannelOptions,
+): WorkerChannel {
+  const {address, clock, open = lineStream.openLineStream} = options;
+  const openCalls = new Map<number, OpenCall>();
+  const knownWorkers = new Set<types.ids.WorkerId>();
+  let waiting: WaitingCall[] = [];
+  let timer: NodeJS.Timeout | undefined;
+  let isOpen = false;
+  let isLost = false;
+  let lastNth = 0;
+  let heardAt = clock.monotonic();
+
+  function sendWaiting(): void {
+    timer = undefined;
+    if (!isOpen || waiting.length === 0) return;
+    const line = encodeCalls(waiting, knownWorkers);
+    waiting = [];
+    stream.write(JSON.stringify(line));
+  }
+
+  function fail(
+    nth: number,
+    {resolve}: OpenCall,
+    err: types.stepError.StepError,
+  ): void {
+    openCalls.delete(nth);
+    resolve(result.err(err));
+  }
+
+  function onLine(text: string): void {
+    heardAt = clock.monotonic();
+    let line: workerChannel.AnswersLine;
+    try {
+      line = workerChannel.parseAnswers(text);
+    } catch (thrown) {
+      stream.close(types.stepError.messageOf(thrown));
+      return;
+    }
+    for (const sent of line.answers) {
+      const call = openCalls.get(sent.nth);
+      if (call === undefined) continue;
+      openCalls.delete(sent.nth);
+      call.resolve(
+        'answer' in sent ? result.ok(sent.answer) : result.err(sent.err),
+      );
+    }
+  }
+
+  function onClosed(err: types.stepError.StepError): void {
+    if (isLost) return;
+    isLost = true;
+    clearInterval(checks);
+    clearTimeout(timer);
+    const unsent = new Set(waiting.map(({nth}) => nth));
+    for (const [nth, call] of openCalls) {
+      const effect = unsent.has(nth) ? 'not_run' : 'unknown';
+      fail(nth, call, {...err, effect});
+    }
+    options.onLost(err);
+  }
+
+  function check(): void {
+    const now = clock.monotonic();
+    if (now - heardAt > MAX_SILENCE_MS) {
+      stream.close(`silent for ${MAX_SILENCE_MS} ms`);
+      return;
+    }
+    for (const [nth, call] of openCalls) {
+      if (now > call.deadline) fail(nth, call, overdue(address));
+    }
+  }
+
+  const stream = open(address, workerChannel.WORKER_CHANNEL_PATH, {
+    onOpen() {
+      isOpen = true;
+      heardAt = clock.monotonic();
+      sendWaiting();
+    },
+    onLine,
+    onClosed,
+  });
+  const checks = setInterval(check, CHECK_INTERVAL_MS);
+
+  return {
+    call(worker, call) {
+      if (isLost) return Promise.resolve(result.err(closedError(address)));
+      return new Promise((resolve) => {
+        const nth = ++lastNth;
+        const timeoutMs = call.call.timeoutMs + RELAY_ALLOWANCE_MS;
+        const deadline = types.clock.after(clock.monotonic(), timeoutMs);
+        openCalls.set(nth, {deadline, resolve});
+        waiting.push({nth, worker, call});
+        timer ??= setTimeout(sendWaiting, CALL_DELAY_MS);
+      });
+    },
+    close: () => stream.close('the holder has ended'),
+  };
+}
+
+function encodeCalls(
+  waiting: readonly WaitingCall[],
+  knownWorkers: Set<types.ids.WorkerId>,
+): workerChannel.CallsLine {
+  const workers: scheduling.workerRegistry.WorkerInfo[] = [];
+  const payloads: string[] = [];
+  const calls = waiting.map(({nth, worker, call}): workerChannel.SentCall => {
+    if (!knownWorkers.has(worker.id)) {
+      knownWorkers.add(worker.id);
+      workers.push(worker);
+    }
+    const sent = {nth, worker: worker.id};
+    if (call.type !== 'start') return {...sent, ...call};
+    const {payload, ...rest} = call.call;
+    const known = payloads.lastIndexOf(payload);
+    const position = known < 0 ? payloads.push(payload) - 1 : known;
+    return {...sent, type: 'start', call: rest, payload: position};
+  });
+  return {workers, payloads, calls};
+}
+
+function overdue(peer: string): types.stepError.StepError {
+  return types.stepError.createStepError({
+    kind: 'timeout',
+    step: 'peer.worker_call',
+    peer,
+    effect: 'unknown',
+    message: 'no answer in time',
+  });
+}
+
+function closedError(peer: string): types.stepError.StepError {
+  return types.stepError.createStepError({
+    kind: 'unreachable',
+    step: 'peer.worker_call',
+    peer,
+    effect: 'not_run',
+    message: 'the channel is closed',
+  });
+}
--- /dev/null
+++ b/packages/gypsumwall-cell/src/worker_channel_server.ts
@@ -0,0 +1,99 @@
+/** Makes the calls to workers that a holder sends to this entry. */
+import type * as stream from 'node:stream';
+import * as result from 'true-myth/result';
+import type * as scheduling from '@gypsumwall/scheduling';
+import type * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import * as lineStream from './line_stream.js';
+import type * as ports from './ports.js';
+import * as workerChannel from './worker_channel.js';
+
+/** How long answers are collected before they are sent; milliseconds. */
+const ANSWER_DELAY_MS = 10;
+
+/** Opens the connections to a worker. */
+export type Connect = (
+  worker: scheduling.workerRegistry.WorkerInfo,
+) => ports.WorkerLink;
+
+/** Serves one stream until the holder closes it. */
+export function serveWorkerChannel(
+  calls: stream.Readable,
+  answers: stream.Writable,
+  connect: Connect,
+  logger: telemetry.logger.Logger,
+): void {
+  const links = new Map<types.ids.WorkerId, ports.WorkerLink>();
+  let collected: workerChannel.SentAnswer[] = [];
+  let timer: NodeJS.Timeout | undefined;
+
+  function sendAnswers(): void {
+    timer = undefined;
+    const line: workerChannel.AnswersLine = {answers: collected};
+    collected = [];
+    if (answers.writable) answers.write(`${JSON.stringify(line)}\n`);
+  }
+
+  function addAnswer(answer: workerChannel.SentAnswer): void {
+    collected.push(answer);
+    timer ??= setTimeout(sendAnswers, ANSWER_DELAY_MS);
+  }
+
+  async function carryOut(
+    sent: workerChannel.SentCall,
+    payloads: readonly string[],
+  ): Promise<void> {
+    const link = links.get(sent.worker);
+    if (link === undefined) return;
+    const answer = await callWorker(link, sent, payloads);
+    addAnswer(
+      result.isOk(answer)
+        ? {nth: sent.nth, answer: answer.value}
+        : {nth: sent.nth, err: answer.error},
+    );
+  }
+
+  function onLine(text: string): void {
+    let line: workerChannel.CallsLine;
+    try {
+      line = workerChannel.parseCalls(text);
+    } catch (thrown) {
+      logger.warn('worker_channel_unreadable', {
+        error: types.stepError.messageOf(thrown),
+      });
+      calls.destroy();
+      return;
+    }
+    for (const worker of line.workers) {
+      links.get(worker.id)?.close();
+      links.set(worker.id, connect(worker));
+    }
+    for (const sent of line.calls) void carryOut(sent, line.payloads);
+  }
+
+  const heartbeat = setInterval(() => {
+    if (timer === undefined) sendAnswers();
+  }, workerChannel.ANSWER_HEARTBEAT_MS);
+  lineStream.readLines(calls, onLine);
+  calls.once('close', () => {
+    clearInterval(heartbeat);
+    clearTimeout(timer);
+    answers.end();
+    for (const link of links.values()) link.close();
+  });
+}
+
+function callWorker(
+  link: ports.WorkerLink,
+  sent: workerChannel.SentCall,
+  payloads: readonly string[],
+): ports.Answer<workerChannel.WorkerAnswer> {
+  switch (sent.type) {
+    case 'start':
+      return link.start({...sent.call, payload: payloads[sent.payload] ?? ''});
+    case 'stop':
+      return link.stop(sent.call);
+    case 'poll':
+      return link.poll(sent.call);
+  }
+}
