cell: a busy entry refuses the forwarded calls of its peers

An entry whose event loop is busy for over 0.7 of the time now refuses such calls at once. The caller's entry carries the call out by itself, as it does without a holder, and forwards none for 1 s; while the store is slow it refuses the caller, as before.

Guarded by peer_effects, 'a peer that says it is busy gets no forwarded calls for now', which failed before.

--- a/packages/gypsumwall-cell/src/__tests__/peer_effects.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/peer_effects.test.ts
@@ -23,7 +23,10 @@
 };
 
 /** What a peer makes of a forwarded call. */
-type Behavior = 'unsent' | 'lost' | 'unknown' | 'not_run' | 'invalid';
+type Behavior = 'unsent' | 'lost' | 'unknown' | 'not_run' | 'invalid' | 'busy';
+
+/** Peers that received a forwarded call. */
+let relayed: Behavior[] = [];
 
 function createClient(behavior: Behavior): httpClient.HttpClient {
   return {
@@ -40,7 +43,12 @@
         return Promise.resolve(result.err(err));
       }
       const isRelay = path === peerProtocol.RELAY_PATH;
-      const body = JSON.stringify(isRelay ? {type: behavior} : {});
+      if (isRelay) relayed.push(behavior);
+      const res =
+        behavior === 'busy'
+          ? {type: 'not_run', isPeerBusy: true}
+          : {type: behavior};
+      const body = JSON.stringify(isRelay ? res : {});
       return Promise.resolve(result.ok({status: 200, body: Buffer.from(body)}));
     },
     close: () => {},
@@ -95,3 +103,16 @@
     assert.equal(outcome.maybeApplied, maybeApplied, behavior);
   }
 });
+
+// Guards against a busy holder that gets the calls of all entries all the same,
+// and is so late with its own work that it is replaced.
+test('a peer that says it is busy gets no forwarded calls for now', async () => {
+  relayed = [];
+  const peers = createPeers('busy');
+  for (let call = 0; call < 3; call++) {
+    const outcome = await peers.relayTo('busy', REQ, 100);
+    assert.equal(outcome.type, 'unanswered');
+    assert.equal(outcome.maybeApplied, false);
+  }
+  assert.deepEqual(relayed, ['busy']);
+});
--- a/packages/gypsumwall-cell/src/__tests__/replica_age.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/replica_age.test.ts
@@ -158,6 +158,7 @@
       ask: () => Promise.reject(new Error('unexpected advice request')),
     },
     service: entry.localJobService,
+    isBusy: () => false,
     connect: () => assert.fail('unexpected call of a worker'),
     logger: telemetry.logger.createLogger('silent'),
   });
--- a/packages/gypsumwall-cell/src/__tests__/stale_answers.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/stale_answers.test.ts
@@ -104,6 +104,7 @@
       ask: () => Promise.reject(new Error('unexpected advice request')),
     },
     service: second.localJobService,
+    isBusy: () => false,
     connect: () => assert.fail('unexpected call of a worker'),
     logger: telemetry.logger.createLogger('silent'),
   });
--- a/packages/gypsumwall-cell/src/__tests__/worker_channel.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/worker_channel.test.ts
@@ -40,6 +40,7 @@
   const server = peerServers.createPeerServer({
     adviser: {ask: () => assert.fail('unexpected advice request')},
     service: world.addEntry('a').localJobService,
+    isBusy: () => false,
     connect: ({id}) => connect(id),
     logger: telemetry.logger.createLogger('silent'),
   });
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -74,6 +74,12 @@
  */
 const HOLDER_PAUSE_MS = 6;
 
+/**
+ * Busy share of the event loop above which an entry refuses the calls of its
+ * peers. Above it, queueing multiplies the time of each call.
+ */
+const MAX_LOOP_UTILIZATION = 0.7;
+
 /** Creates an entry; it does nothing until `start` is called. */
 export function createCellEntry(
   options: cellEntryTypes.CellEntryOptions,
@@ -411,6 +417,7 @@
     findCaller: (key) => configs.keys.find(key),
     isConfigCurrent,
     isReady,
+    isBusy: () => monitor.utilization() >= MAX_LOOP_UTILIZATION,
     start() {
       void configFollower.run();
       void jobsFollower.run();
--- a/packages/gypsumwall-cell/src/cell_entry_types.ts
+++ b/packages/gypsumwall-cell/src/cell_entry_types.ts
@@ -65,6 +65,8 @@
   isConfigCurrent(): boolean;
   /** Whether callers can be served. */
   isReady(): boolean;
+  /** Whether this process is too busy to carry out the calls of peers. */
+  isBusy(): boolean;
   start(): void;
   /** Hands the cell over if this entry holds it; callers are still served. */
   leave(): Promise<void>;
--- a/packages/gypsumwall-cell/src/job_service.ts
+++ b/packages/gypsumwall-cell/src/job_service.ts
@@ -51,6 +51,8 @@
       readonly retryAfterMs: number;
       /** Whether the store is reachable and has too many queued appends. */
       readonly isStoreOverloaded?: boolean;
+      /** Whether a peer is too busy to carry out the calls of others. */
+      readonly isPeerBusy?: boolean;
     }
   /** The call may have taken effect; the caller should repeat it. */
   | {readonly type: 'unknown'}
--- a/packages/gypsumwall-cell/src/peer_directory.ts
+++ b/packages/gypsumwall-cell/src/peer_directory.ts
@@ -41,6 +41,8 @@
  * How long a peer that failed them gets no calls of this kind; milliseconds.
  */
 const UNRESPONSIVE_PAUSE_MS = 500;
+/** The same for a peer that said that it is busy; milliseconds. */
+const BUSY_PAUSE_MS = 1_000;
 /**
  * Connections to one peer. Calls that wait for a slow store occupy them
  * meanwhile.
@@ -83,7 +85,7 @@
   /** A ping in progress, shared by all calls that wait. */
   ping: Promise<boolean> | undefined;
   /** Until then, `relayTo` does not call it. */
-  unresponsiveUntil: types.clock.MonotonicMs;
+  relaysPausedUntil: types.clock.MonotonicMs;
   backoffUntil: types.clock.MonotonicMs;
   nextBackoffMs: number;
 }
@@ -154,7 +156,7 @@
       record,
       client,
       ping: undefined,
-      unresponsiveUntil: clock.monotonic(),
+      relaysPausedUntil: clock.monotonic(),
       backoffUntil: clock.monotonic(),
       nextBackoffMs: FIRST_BACKOFF_MS,
       adviser: {
@@ -208,8 +210,11 @@
 
   function markUnresponsive(peer: Peer): void {
     backOff(peer);
-    const now = clock.monotonic();
-    peer.unresponsiveUntil = types.clock.after(now, UNRESPONSIVE_PAUSE_MS);
+    pauseRelays(peer, UNRESPONSIVE_PAUSE_MS);
+  }
+
+  function pauseRelays(peer: Peer, spanMs: number): void {
+    peer.relaysPausedUntil = types.clock.after(clock.monotonic(), spanMs);
   }
 
   /** Resolves once the peer fails to answer pings, or the signal aborts. */
@@ -294,7 +299,7 @@
         isSlow: false,
       } as const;
       const peer = peers.get(instance);
-      if (peer === undefined || peer.unresponsiveUntil > clock.monotonic())
+      if (peer === undefined || peer.relaysPausedUntil > clock.monotonic())
         return unsent;
       const until = types.clock.after(clock.monotonic(), timeoutMs);
       const answer = await relayWhileAlive(peer, req, timeoutMs);
@@ -313,6 +318,7 @@
       if (isFinal(answer.value) || isOverloaded(answer.value)) {
         return {type: 'answered', res: answer.value, maybeApplied: false};
       }
+      if (isBusy(answer.value)) pauseRelays(peer, BUSY_PAUSE_MS);
       return {...unsent, maybeApplied: answer.value.type === 'unknown'};
     },
     apply(instance, record) {
@@ -384,3 +390,7 @@
 function isOverloaded(res: peerProtocol.RelayRes): boolean {
   return res.type === 'not_run' && res.isStoreOverloaded === true;
 }
+
+function isBusy(res: peerProtocol.RelayRes): boolean {
+  return res.type === 'not_run' && res.isPeerBusy === true;
+}
--- a/packages/gypsumwall-cell/src/peer_server.ts
+++ b/packages/gypsumwall-cell/src/peer_server.ts
@@ -16,6 +16,8 @@
 export interface PeerServerOptions {
   readonly adviser: ports.Adviser;
   readonly service: jobService.JobService;
+  /** Whether this entry is too busy to carry out the calls of others. */
+  readonly isBusy: () => boolean;
   /** Opens the connections to a worker that is called for the holder. */
   readonly connect: workerChannelServer.Connect;
   readonly logger: telemetry.logger.Logger;
@@ -25,6 +27,7 @@
 export function createPeerServer({
   adviser,
   service,
+  isBusy,
   connect,
   logger,
 }: PeerServerOptions): fastify.FastifyInstance {
@@ -64,11 +67,22 @@
   server.get(peerProtocol.PING_PATH, async (_req, res) => res.send({}));
   server.post<{Body: peerProtocol.RelayReq}>(
     peerProtocol.RELAY_PATH,
-    async (req, res) => res.send(await answerRelayed(service, req.body)),
+    async (req, res) =>
+      res.send(isBusy() ? BUSY : await answerRelayed(service, req.body)),
   );
   return server;
 }
 
+/**
+ * Refuses a forwarded call at once, since every other entry can carry it out as
+ * well. A holder that queued them was late with its own work and was replaced.
+ */
+const BUSY: peerProtocol.RelayRes = {
+  type: 'not_run',
+  retryAfterMs: 1_000,
+  isPeerBusy: true,
+};
+
 /** Answers from this entry's local job service, which never forwards a call. */
 function answerRelayed(
   service: jobService.JobService,
