cell: pause longer after each refused append

A store that answers appends with errors got 59 appends in 2.4 s from one entry (the refused job's postmortem lists it): the pause after a refusal was 40 ms, however many there were. It now doubles up to 160 ms. A repeated call is a load on the store and on the entry's own link, which delays what can succeed. Guarded by hedge, 'the pause between refused calls grows', which failed before: more than 20 calls in 2.4 s.

--- a/packages/gypsumwall-cell/src/__tests__/hedge.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/hedge.test.ts
@@ -33,3 +33,28 @@
   assert.ok(result.isErr(await answer));
   assert.ok(calls <= DEADLINE_MS / 40, `${calls} calls`);
 });
+
+// Guards against a store that answers each call with an error and gets 25 calls
+// a second from every entry for each of its appends.
+test('the pause between refused calls grows', async () => {
+  const clock = types.virtualClock.createVirtualClock();
+  const health = storeHealth.createStoreHealth();
+  let calls = 0;
+  const call = (): ports.Answer<never> => {
+    calls++;
+    return Promise.resolve(
+      result.err({
+        kind: 'invalid',
+        step: 'append',
+        peer: 'store',
+        effect: 'unknown',
+        message: 'status 500',
+      }),
+    );
+  };
+  const until = types.clock.after(clock.monotonic(), 2_400);
+  const answer = hedge.createHedger(clock, health).hedge({call, until});
+  await clock.runUntil(3_000);
+  assert.ok(result.isErr(await answer));
+  assert.ok(calls <= 20, `${calls} calls in 2.4 s`);
+});
--- a/packages/gypsumwall-cell/src/hedge.ts
+++ b/packages/gypsumwall-cell/src/hedge.ts
@@ -27,8 +27,12 @@
 const NEWEST_LATENCY_WEIGHT = 0.5;
 /** A measured latency is discarded after this time; milliseconds. */
 const MAX_LATENCY_AGE_MS = 1_000;
-/** Pause after an answer that refuses the call; milliseconds. */
-const REFUSAL_PAUSE_MS = 40;
+/**
+ * Pause after an answer that refuses the call, doubled after each further one up
+ * to the maximum; milliseconds.
+ */
+const FIRST_REFUSAL_PAUSE_MS = 40;
+const MAX_REFUSAL_PAUSE_MS = 160;
 
 /** Options of one hedged call. */
 export interface HedgeOptions<Value> {
@@ -124,6 +128,7 @@
       const giveUp = () => race.giveUp();
       signal?.addEventListener('abort', giveUp);
       const isOver = () => race.isSettled() || clock.monotonic() >= until;
+      let pauseMs = FIRST_REFUSAL_PAUSE_MS;
       do {
         const sentAt = clock.monotonic();
         race.send();
@@ -137,7 +142,8 @@
           isRefusalFinal?.() === true
         )
           break;
-        await types.clock.sleepFor(clock, REFUSAL_PAUSE_MS, race.change());
+        await types.clock.sleepFor(clock, pauseMs, race.change());
+        pauseMs = Math.min(MAX_REFUSAL_PAUSE_MS, pauseMs * 2);
       } while (!isOver());
       signal?.removeEventListener('abort', giveUp);
       return race.outcome();
