cell: repeat an unanswered stop less and less often

An unanswered stop was repeated after 0.15 s without a bound on its rate, for each attempt of a worker that is cut off. The pause now doubles up to 0.6 s, which is within the time that a cancelled task has. Guarded by worker_session, 'an unanswered stop is repeated less and less often', which failed before: 14 stops in 2 s.

--- a/packages/gypsumwall-cell/src/__tests__/worker_session.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/worker_session.test.ts
@@ -5,6 +5,7 @@
 import * as types from '@gypsumwall/types';
 import * as worlds from '../__fixtures__/cell_world.js';
 import * as fakeWorkers from '../__fixtures__/fake_worker.js';
+import type * as ports from '../ports.js';
 import * as workerSessions from '../worker_session.js';
 
 const {test} = nodeTest;
@@ -95,3 +96,28 @@
     process.off('warning', record);
   }
 });
+
+// Guards against a link that the stops for workers which are cut off fill: each
+// of their attempts was stopped again every 0.4 s.
+test('an unanswered stop is repeated less and less often', async () => {
+  const worker = fakeWorkers.createFakeWorker('w1', 4);
+  worker.cut = true;
+  let stops = 0;
+  const link = worker.connect();
+  const counted = {
+    ...worker,
+    connect: () => ({
+      ...link,
+      stop(call: ports.StopCall) {
+        stops++;
+        return link.stop({...call, timeoutMs: 1});
+      },
+    }),
+  };
+  const {session, orderOf} = openSession(counted);
+  const stopped = session.stopAttempt(orderOf('job.0.0.0').attempt);
+  await new Promise((resolve) => setTimeout(resolve, 2_000));
+  session.close();
+  await stopped;
+  assert.ok(stops <= 5, `${stops} stops in 2 s`);
+});
--- a/packages/gypsumwall-cell/src/worker_session.ts
+++ b/packages/gypsumwall-cell/src/worker_session.ts
@@ -30,11 +30,15 @@
  * milliseconds.
  */
 const ORDER_TIMEOUT_MS = 250;
+/** Pause after an unanswered poll; milliseconds. */
+const RETRY_PAUSE_MS = 150;
 /**
- * Pause after an unanswered poll, or an unanswered or refused stop;
+ * Pause after an unanswered or refused stop, doubled after each further one up
+ * to the maximum: the stops of all attempts on a worker fail together;
  * milliseconds.
  */
-const RETRY_PAUSE_MS = 150;
+const FIRST_STOP_PAUSE_MS = 150;
+const MAX_STOP_PAUSE_MS = 600;
 /**
  * Pause while ended attempts can't be stored. The worker answers at once with
  * the same ones, and would be polled without a pause otherwise; milliseconds.
@@ -317,6 +321,7 @@
       return {type, latencyMs};
     },
     async stopAttempt(target) {
+      let pauseMs = FIRST_STOP_PAUSE_MS;
       while (!closing.signal.aborted) {
         const {taskId, number: attempt} = target;
         const timeoutMs = ORDER_TIMEOUT_MS;
@@ -329,7 +334,8 @@
           }
           if (answer.value.type !== 'refused') return;
         }
-        await pause(RETRY_PAUSE_MS);
+        await pause(pauseMs);
+        pauseMs = Math.min(MAX_STOP_PAUSE_MS, pauseMs * 2);
       }
     },
     isReachable: () => isReachable,
