emulator: campaigns of entries that are too small to call their workers

--cpu-percent sets the processor share in the entries' settings, so that the holder has its peers call the workers while these are killed, frozen and cut off.

--- a/packages/gypsumwall-emulator/src/__tests__/fault_campaign.test.ts
+++ b/packages/gypsumwall-emulator/src/__tests__/fault_campaign.test.ts
@@ -21,3 +21,19 @@
   assert.deepEqual(result.findings, []);
   assert.ok(result.counts.accepted > 0 && result.counts.refused > 0);
 });
+
+// Guards against work that is lost or runs twice when the peers that call the
+// workers for the holder are killed, frozen or cut off.
+test('promises hold while peers that call the workers fail', async () => {
+  const result = await runCampaign.runCampaign({
+    seed: 7,
+    entries: 4,
+    organisations: 2,
+    cpuShare: 0.01,
+    durationMs: 8_000,
+    deployFile: 'deploy/system.toml',
+    builtInto,
+  });
+  assert.deepEqual(result.findings, []);
+  assert.ok(result.counts.accepted > 0);
+});
--- a/packages/gypsumwall-emulator/src/campaign/campaign_config.ts
+++ b/packages/gypsumwall-emulator/src/campaign/campaign_config.ts
@@ -11,6 +11,7 @@
   seed: number,
   entries: number,
   organisations: number,
+  cpuShare = 1,
 ): emulatorConfig.EmulatorConfig {
   return emulatorConfig.emulatorConfigSchema.parse({
     seed,
@@ -37,6 +38,7 @@
       name: `org${nth + 1}`,
       keys: [`org${nth + 1}-1`],
     })),
+    entries: {cpuShare},
     store: {appendMs: 6},
   });
 }
--- a/packages/gypsumwall-emulator/src/campaign/campaign_options.ts
+++ b/packages/gypsumwall-emulator/src/campaign/campaign_options.ts
@@ -7,6 +7,8 @@
   /** Number of entries; undefined if each seed draws its own. */
   readonly entries: number | undefined;
   readonly organisations: number;
+  /** Processor share of an entry's instance, as its settings say. */
+  readonly cpuShare: number;
   readonly durationMs: number;
   /** Folder of a built program; undefined for that of the deploy file. */
   readonly program: string | undefined;
@@ -31,6 +33,7 @@
       from: {type: 'string', default: `${randomSeed}`},
       entries: {type: 'string'},
       organisations: {type: 'string', default: '2'},
+      'cpu-percent': {type: 'string', default: '100'},
       seconds: {type: 'string', default: '20'},
       program: {type: 'string'},
     },
@@ -51,6 +54,7 @@
       0,
       MAX_ORGANISATIONS,
     ),
+    cpuShare: wholeNumber('cpu-percent', values['cpu-percent'], 1, 100) / 100,
     durationMs: seconds * SECOND_MS,
     program: values.program,
   };
--- a/packages/gypsumwall-emulator/src/campaign/run_campaign.ts
+++ b/packages/gypsumwall-emulator/src/campaign/run_campaign.ts
@@ -24,6 +24,8 @@
   readonly entries: number;
   /** 0 for programs that don't know organisations. */
   readonly organisations: number;
+  /** Processor share of an entry's instance, as its settings say. */
+  readonly cpuShare?: number;
   /** How long faults are injected, in milliseconds. */
   readonly durationMs: number;
   readonly deployFile: string;
@@ -60,6 +62,7 @@
     seed,
     entries,
     organisations,
+    options.cpuShare,
   );
   const trace = jobTrace.createJobTrace();
   const cell = await emulatedCell.startEmulatedCell({
--- a/packages/gypsumwall-emulator/src/config/emulator_config.ts
+++ b/packages/gypsumwall-emulator/src/config/emulator_config.ts
@@ -101,6 +101,8 @@
   graceMs: durationMsSchema.default(6_000),
   restartMs: durationMsSchema.default(1_000),
   statusKeepMs: durationMsSchema.default(120_000),
+  /** Processor share of an instance, as its settings say; nothing enforces it. */
+  cpuShare: zod.number().positive().default(1),
 });
 
 /** Schema of the whole file. */
--- a/packages/gypsumwall-emulator/src/wire/settings_file.ts
+++ b/packages/gypsumwall-emulator/src/wire/settings_file.ts
@@ -18,6 +18,7 @@
   readonly checkpointMs: number;
   readonly graceMs: number;
   readonly statusKeepMs: number;
+  readonly cpuShare: number;
 }
 
 const SECOND_MS = 1_000;
@@ -37,7 +38,7 @@
     'listen.readiness': `${ip}:${settings.readinessPort}`,
     internalPorts: `${peerPort},${peerPort}`,
     bootstrap: 'true',
-    'limits.cpuShare': 1,
+    'limits.cpuShare': settings.cpuShare,
     'limits.cores': 1,
     discovery: 'platform',
     heartbeatMs: settings.heartbeatMs,
