cell: ping a holder only after a silence that is unusual for it

The probe now waits for as long as the failover does, 1.5 times the longest recent pause. Guarded by holder_probe, 'a holder that usually writes seldom is not pinged', which failed before.

--- a/packages/gypsumwall-cell/src/__tests__/holder_probe.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/holder_probe.test.ts
@@ -8,6 +8,7 @@
 async function probeFor(
   silentMs: number,
   isAlive: boolean,
+  longestPauseMs = 0,
 ): Promise<{readonly lost: boolean; readonly asked: number}> {
   const clock = types.clock.createSystemClock();
   const stopping = new AbortController();
@@ -16,6 +17,7 @@
   const probe = holderProbes.createHolderProbe({
     holder: () => 'holder',
     silentSince: () => silentSince,
+    longestPauseMs: () => longestPauseMs,
     ping: () => {
       asked++;
       return Promise.resolve(isAlive);
@@ -54,3 +56,10 @@
   assert.equal(lost, false);
   assert.equal(asked, 0);
 });
+
+// Guards against pings that keep a busy holder from writing.
+test('a holder that usually writes seldom is not pinged', async () => {
+  const {lost, asked} = await probeFor(450, false, 800);
+  assert.equal(lost, false);
+  assert.equal(asked, 0);
+});
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -174,6 +174,7 @@
         lastRecordAt,
         reachableSince: cellFollower.reachableSince(),
       }),
+    longestPauseMs: () => pauses.longestMs(),
     ping: (instance, timeoutMs) => peers.ping(instance, timeoutMs),
     isStandby,
     clock,
--- a/packages/gypsumwall-cell/src/failover_policy.ts
+++ b/packages/gypsumwall-cell/src/failover_policy.ts
@@ -93,6 +93,14 @@
  */
 const UNUSUAL_SILENCE_FACTOR = 1.5;
 
+/**
+ * Longest silence in milliseconds that is not unusual, given the longest recent
+ * pause between two records.
+ */
+export function usualSilenceMs(longestPauseMs: number): number {
+  return Math.min(longestPauseMs, MAX_SILENCE_MS) * UNUSUAL_SILENCE_FACTOR;
+}
+
 /** How many times the usual silence a holder is allowed. */
 function backoffFactor({takeovers, now}: FailoverView): number {
   const recent = takeovers.filter((at) => now - at < TAKEOVER_WINDOW_MS).length;
@@ -111,10 +119,8 @@
   // An instance runs one process, so the process that claimed has ended.
   if (claim.instance === self.instance) return 'own_predecessor';
   const baseMs = view.isHolderLost ? PROBE_AFTER_MS : MAX_SILENCE_MS;
-  const longestMs = Math.min(view.longestPauseMs, MAX_SILENCE_MS);
-  const usualMs = longestMs * UNUSUAL_SILENCE_FACTOR;
+  const minMs = Math.max(baseMs, usualSilenceMs(view.longestPauseMs));
   const silentMs = view.now - since;
-  if (silentMs <= Math.max(baseMs, usualMs) * backoffFactor(view))
-    return undefined;
+  if (silentMs <= minMs * backoffFactor(view)) return undefined;
   return view.isHolderLost ? 'lost' : 'silent';
 }
--- a/packages/gypsumwall-cell/src/holder_probe.ts
+++ b/packages/gypsumwall-cell/src/holder_probe.ts
@@ -31,6 +31,8 @@
    * reads fail.
    */
   readonly silentSince: () => types.clock.MonotonicMs | undefined;
+  /** Longest pause between two recent records of the holder; milliseconds. */
+  readonly longestPauseMs: () => number;
   readonly ping: (instance: string, timeoutMs: number) => Promise<boolean>;
   /**
    * Only standbys send pings; pings of all entries would overload a slow
@@ -55,7 +57,9 @@
   function silentHolder(): string | undefined {
     const since = parts.silentSince();
     if (since === undefined) return undefined;
-    return clock.monotonic() - since < failoverPolicy.PROBE_AFTER_MS
+    const usualMs = failoverPolicy.usualSilenceMs(parts.longestPauseMs());
+    const probeAfterMs = Math.max(failoverPolicy.PROBE_AFTER_MS, usualMs);
+    return clock.monotonic() - since < probeAfterMs
       ? undefined
       : parts.holder();
   }
