cell: collect work for longer under load

A busy holder handled each line, report and placement by itself: a chunk every 10 to 15 ms from each peer, a scheduling cycle every 3 ms, an append every 10 ms. From a loop that is busy for 0.6 of the time on, these delays now grow to 50 ms, so that each wake-up does more; below it nothing changes. Guarded by batch_delay.

--- a/packages/gypsumwall-cell/src/__tests__/worker_channel.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/worker_channel.test.ts
@@ -47,6 +47,7 @@
   let lost = 0;
   const channel = workerChannelClient.openWorkerChannel({
     address: await listen(server),
+    loopUtilization: () => 0,
     clock: types.clock.createSystemClock(),
     onLost: () => lost++,
   });
@@ -118,6 +119,7 @@
   const server = httpServer.createHttpServer();
   const channel = workerChannelClient.openWorkerChannel({
     address: await listen(server),
+    loopUtilization: () => 0,
     clock: types.clock.createSystemClock(),
     onLost() {},
   });
@@ -140,6 +142,7 @@
   let isLost = false;
   const channel = workerChannelClient.openWorkerChannel({
     address: await listen(server),
+    loopUtilization: () => 0,
     clock: types.clock.createSystemClock(),
     onLost: () => (isLost = true),
   });
--- a/packages/gypsumwall-cell/src/__tests__/worker_routes.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/worker_routes.test.ts
@@ -37,6 +37,7 @@
         return fakeWorkers.createFakeWorker(id, 1).connect().poll(call);
       },
     }),
+    loopUtilization: () => 0,
     clock: types.clock.createSystemClock(),
     logger: telemetry.logger.createLogger('silent'),
     openChannel(options) {
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -326,6 +326,7 @@
       isUsedPool: (pool) => configs.isUsedPool(pool),
       connect: options.connect,
       cores: self.cores,
+      loopUtilization: () => monitor.utilization(),
       relayPeers: () => peers.relayPeers(),
       advisers: () => peers.advisers().set(self.instance, options.adviser),
       jobs,
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -6,6 +6,7 @@
 import * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
 import * as adviceCaller from './advice_caller.js';
+import * as batchDelay from './batch_delay.js';
 import type * as cellHolderTypes from './cell_holder_types.js';
 import * as cellWriter from './cell_writer.js';
 import * as claimView from './claim_view.js';
@@ -106,6 +107,7 @@
     log: options.cellLog,
     epoch: token,
     storeHealth: options.storeHealth,
+    loopUtilization: options.loopUtilization,
     clock,
     logger,
     onFenced: stopFenced,
@@ -115,6 +117,7 @@
     cores: options.cores,
     peers: options.relayPeers,
     connect: options.connect,
+    loopUtilization: options.loopUtilization,
     clock,
     logger,
   });
@@ -271,7 +274,10 @@
     isCycleScheduled = true;
     setTimeout(
       runCycle,
-      Math.max(CYCLE_INTERVAL_MS, lastCycleMs * CYCLE_INTERVAL_FACTOR),
+      Math.max(
+        batchDelay.batchDelayMs(CYCLE_INTERVAL_MS, options.loopUtilization()),
+        lastCycleMs * CYCLE_INTERVAL_FACTOR,
+      ),
     );
   }
 
--- a/packages/gypsumwall-cell/src/cell_holder_types.ts
+++ b/packages/gypsumwall-cell/src/cell_holder_types.ts
@@ -24,6 +24,8 @@
   ) => ports.WorkerLink;
   /** Processor capacity of this instance, in cores. */
   readonly cores: number;
+  /** Busy share of this process's event loop, from 0 to 1. */
+  readonly loopUtilization: () => number;
   /** Peers that can call workers for this holder. */
   readonly relayPeers: () => Iterable<workerRoutes.RelayPeer>;
   /** Entries through which the adviser can be asked now, including this one. */
--- a/packages/gypsumwall-cell/src/cell_writer.ts
+++ b/packages/gypsumwall-cell/src/cell_writer.ts
@@ -6,6 +6,7 @@
 import * as result from 'true-myth/result';
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
+import * as batchDelay from './batch_delay.js';
 import * as hedge from './hedge.js';
 import type * as ports from './ports.js';
 import type * as storeHealth from './store_health.js';
@@ -35,6 +36,8 @@
   readonly log: ports.KeyedLog;
   readonly epoch: number;
   readonly storeHealth: storeHealth.StoreHealth;
+  /** Busy share of this process's event loop, from 0 to 1. */
+  readonly loopUtilization: () => number;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
   /**
@@ -193,7 +196,9 @@
         );
         if (stopping.signal.aborted) break;
         for (const pending of batch) pending.resolve();
-        await pause(BATCH_PAUSE_MS);
+        await pause(
+          batchDelay.batchDelayMs(BATCH_PAUSE_MS, options.loopUtilization()),
+        );
       }
       // The remaining records were never stored, so their promises must not
       // resolve.
--- a/packages/gypsumwall-cell/src/worker_channel.ts
+++ b/packages/gypsumwall-cell/src/worker_channel.ts
@@ -46,6 +46,8 @@
   readonly workers: readonly scheduling.workerRegistry.WorkerInfo[];
   readonly payloads: readonly string[];
   readonly calls: readonly SentCall[];
+  /** How long the peer collects answers before it sends them; milliseconds. */
+  readonly answerDelayMs: number;
 }
 
 const ANSWER_TYPES: ReadonlySet<unknown> = new Set<WorkerAnswer['type']>([
@@ -59,8 +61,9 @@
 /** Parses a line; throws if it is malformed or of an unknown form. */
 export function parseCalls(text: string): CallsLine {
   const line = JSON.parse(text) as Partial<CallsLine>;
-  const {workers, payloads, calls} = line;
+  const {workers, payloads, calls, answerDelayMs} = line;
   if (
+    typeof answerDelayMs === 'number' &&
     Array.isArray(workers) &&
     Array.isArray(payloads) &&
     Array.isArray(calls)
--- a/packages/gypsumwall-cell/src/worker_channel_client.ts
+++ b/packages/gypsumwall-cell/src/worker_channel_client.ts
@@ -2,12 +2,17 @@
 import * as result from 'true-myth/result';
 import type * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
+import * as batchDelay from './batch_delay.js';
 import * as lineStream from './line_stream.js';
 import type * as ports from './ports.js';
 import * as workerChannel from './worker_channel.js';
 
-/** How long calls are collected before they are sent; milliseconds. */
+/**
+ * How long calls are collected before they are sent, and answers at the peer;
+ * milliseconds.
+ */
 const CALL_DELAY_MS = 15;
+const ANSWER_DELAY_MS = 10;
 /**
  * Added to the timeout of a call, for the collection at both ends and the way
  * to the peer; milliseconds.
@@ -21,6 +26,8 @@
 /** Options of a channel. */
 export interface WorkerChannelOptions {
   readonly address: string;
+  /** Busy share of this process's event loop, from 0 to 1. */
+  readonly loopUtilization: () => number;
   readonly clock: types.clock.Clock;
   /** Called once when the channel can't be used any more. */
   readonly onLost: (err: types.stepError.StepError) => void;
@@ -63,10 +70,16 @@
   let lastNth = 0;
   let heardAt = clock.monotonic();
 
+  const delayMs = (minMs: number) =>
+    batchDelay.batchDelayMs(minMs, options.loopUtilization());
+
   function sendWaiting(): void {
     timer = undefined;
     if (!isOpen || waiting.length === 0) return;
-    const line = encodeCalls(waiting, knownWorkers);
+    const line: workerChannel.CallsLine = {
+      ...encodeCalls(waiting, knownWorkers),
+      answerDelayMs: delayMs(ANSWER_DELAY_MS),
+    };
     waiting = [];
     stream.write(JSON.stringify(line));
   }
@@ -143,7 +156,7 @@
         const deadline = types.clock.after(clock.monotonic(), timeoutMs);
         openCalls.set(nth, {deadline, resolve});
         waiting.push({nth, worker, call});
-        timer ??= setTimeout(sendWaiting, CALL_DELAY_MS);
+        timer ??= setTimeout(sendWaiting, delayMs(CALL_DELAY_MS));
       });
     },
     close: () => stream.close('the holder has ended'),
@@ -153,7 +166,7 @@
 function encodeCalls(
   waiting: readonly WaitingCall[],
   knownWorkers: Set<types.ids.WorkerId>,
-): workerChannel.CallsLine {
+): Omit<workerChannel.CallsLine, 'answerDelayMs'> {
   const workers: scheduling.workerRegistry.WorkerInfo[] = [];
   const payloads: string[] = [];
   const calls = waiting.map(({nth, worker, call}): workerChannel.SentCall => {
--- a/packages/gypsumwall-cell/src/worker_channel_server.ts
+++ b/packages/gypsumwall-cell/src/worker_channel_server.ts
@@ -8,9 +8,6 @@
 import type * as ports from './ports.js';
 import * as workerChannel from './worker_channel.js';
 
-/** How long answers are collected before they are sent; milliseconds. */
-const ANSWER_DELAY_MS = 10;
-
 /** Opens the connections to a worker. */
 export type Connect = (
   worker: scheduling.workerRegistry.WorkerInfo,
@@ -26,6 +23,7 @@
   const links = new Map<types.ids.WorkerId, ports.WorkerLink>();
   let collected: workerChannel.SentAnswer[] = [];
   let timer: NodeJS.Timeout | undefined;
+  let answerDelayMs = 0;
 
   function sendAnswers(): void {
     timer = undefined;
@@ -36,7 +34,7 @@
 
   function addAnswer(answer: workerChannel.SentAnswer): void {
     collected.push(answer);
-    timer ??= setTimeout(sendAnswers, ANSWER_DELAY_MS);
+    timer ??= setTimeout(sendAnswers, answerDelayMs);
   }
 
   async function carryOut(
@@ -64,6 +62,7 @@
       calls.destroy();
       return;
     }
+    answerDelayMs = line.answerDelayMs;
     for (const worker of line.workers) {
       links.get(worker.id)?.close();
       links.set(worker.id, connect(worker));
--- a/packages/gypsumwall-cell/src/worker_routes.ts
+++ b/packages/gypsumwall-cell/src/worker_routes.ts
@@ -41,6 +41,8 @@
   readonly connect: (
     worker: scheduling.workerRegistry.WorkerInfo,
   ) => ports.WorkerLink;
+  /** Busy share of this process's event loop, from 0 to 1. */
+  readonly loopUtilization: () => number;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
   readonly openChannel?: typeof workerChannelClient.openWorkerChannel;
@@ -91,6 +93,7 @@
       workers: new Set(),
       channel: openChannel({
         address: peer.address,
+        loopUtilization: options.loopUtilization,
         clock,
         onLost: (err) => onLost(relay, err),
       }),
