--- a/packages/gypsumwall-cell/src/__tests__/worker_routes.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/worker_routes.test.ts
@@ -25,7 +25,7 @@
   const channels = new Map<string, workerChannelClient.WorkerChannelOptions>();
   let fails = false;
   const routes = workerRoutes.createWorkerRoutes({
-    cores: 1 / 300,
+    cores: 1 / 100,
     peers: () => [
       {instance: 'p1', domain: domain('d1'), cores: 0.1, address: 'p1'},
       {instance: 'p2', domain: domain('d2'), cores: 0.1, address: 'p2'},
--- a/packages/gypsumwall-cell/src/worker_routes.ts
+++ b/packages/gypsumwall-cell/src/worker_routes.ts
@@ -14,10 +14,10 @@
 import * as workerChannelClient from './worker_channel_client.js';
 
 /**
- * Workers that an instance can poll for each core. At two polls a second and
- * 0.7 ms of processor time for each they take two fifths of it.
+ * Workers that an instance polls for each core. At rest they take a seventh of
+ * it, and the orders and reports of a busy cell several times as much.
  */
-const MAX_WORKERS_PER_CORE = 300;
+const MAX_WORKERS_PER_CORE = 100;
 /** The same for a peer, which also serves its callers. */
 const MAX_RELAYED_PER_CORE = 150;
 /** How long a peer that was lost is not used; milliseconds. */
