cell: a peer that leaves hands back the workers that it calls

A planned stop of a peer ended the stream with its calls open: starts became unknown and were stopped and repeated, polls failed and their workers counted as unreachable. A peer that is shutting down now says so on the stream; the holder gives its workers to others, and open calls are still answered. Guarded by worker_channel, 'a peer that is leaving says so and ends its open calls', and worker_routes, 'workers of a peer that is leaving ...'; without the field the first never ends, the second keeps calling the peer.

--- a/packages/gypsumwall-cell/src/__tests__/replica_age.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/replica_age.test.ts
@@ -159,6 +159,7 @@
     },
     service: entry.localJobService,
     isBusy: () => false,
+    isLeaving: () => false,
     connect: () => assert.fail('unexpected call of a worker'),
     logger: telemetry.logger.createLogger('silent'),
   });
--- a/packages/gypsumwall-cell/src/__tests__/worker_channel.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/worker_channel.test.ts
@@ -20,6 +20,10 @@
   return {taskId, payload, ...rest};
 }
 
+/** Whether the peer is shutting down, and how often that was noticed. */
+let isLeaving = false;
+let left = 0;
+
 type Server = ReturnType<typeof httpServer.createHttpServer>;
 
 async function listen(server: Server): Promise<string> {
@@ -41,6 +45,7 @@
     adviser: {ask: () => assert.fail('unexpected advice request')},
     service: world.addEntry('a').localJobService,
     isBusy: () => false,
+    isLeaving: () => isLeaving,
     connect: ({id}) => connect(id),
     logger: telemetry.logger.createLogger('silent'),
   });
@@ -48,6 +53,7 @@
   const channel = workerChannelClient.openWorkerChannel({
     address: await listen(server),
     loopUtilization: () => 0,
+    onLeaving: () => left++,
     clock: types.clock.createSystemClock(),
     onLost: () => lost++,
   });
@@ -120,6 +126,7 @@
   const channel = workerChannelClient.openWorkerChannel({
     address: await listen(server),
     loopUtilization: () => 0,
+    onLeaving: () => left++,
     clock: types.clock.createSystemClock(),
     onLost() {},
   });
@@ -143,6 +150,7 @@
   const channel = workerChannelClient.openWorkerChannel({
     address: await listen(server),
     loopUtilization: () => 0,
+    onLeaving: () => left++,
     clock: types.clock.createSystemClock(),
     onLost: () => (isLost = true),
   });
@@ -154,3 +162,18 @@
   server.server.closeAllConnections();
   await server.close();
 });
+
+// Guards against a planned stop of a peer that breaks the calls it has open.
+test('a peer that is leaving says so and ends its open calls', async () => {
+  const worker = fakeWorkers.createFakeWorker('w1', 4);
+  const connect = () => worker.connect();
+  left = 0;
+  await withChannel(connect, async (channel) => {
+    const poll = {type: 'poll', call: {...POLL, waitMs: 40}} as const;
+    const open = channel.call(worker.info, poll);
+    isLeaving = true;
+    await worlds.until(() => left > 0, 'the peer says that it leaves');
+    assert.ok(result.isOk(await open));
+  });
+  isLeaving = false;
+});
--- a/packages/gypsumwall-cell/src/__tests__/worker_routes.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/worker_routes.test.ts
@@ -106,3 +106,15 @@
   await first.poll(POLL);
   assert.deepEqual(calledBy, ['p1', 'holder']);
 });
+
+test('workers of a peer that is leaving are called through another', async () => {
+  const {channels, calledBy, connect} = createRoutes();
+  const first = connect('w1', 'd1');
+  connect('w2', 'd2');
+  await first.poll(POLL);
+  channels.get('p1')!.onLeaving();
+  await first.poll(POLL);
+  channels.get('p1')!.onLost(CLOSED);
+  await first.poll(POLL);
+  assert.deepEqual(calledBy, ['p1', 'p2', 'p2']);
+});
--- a/packages/gypsumwall-cell/src/peer_server.ts
+++ b/packages/gypsumwall-cell/src/peer_server.ts
@@ -20,6 +20,8 @@
   readonly isBusy: () => boolean;
   /** Opens the connections to a worker that is called for the holder. */
   readonly connect: workerChannelServer.Connect;
+  /** Whether this process is shutting down. */
+  readonly isLeaving: () => boolean;
   readonly logger: telemetry.logger.Logger;
 }
 
@@ -29,6 +31,7 @@
   service,
   isBusy,
   connect,
+  isLeaving,
   logger,
 }: PeerServerOptions): fastify.FastifyInstance {
   const server = httpServer.createHttpServer();
@@ -42,12 +45,11 @@
       res.hijack();
       res.raw.writeHead(200, {'content-type': lineStream.LINES_TYPE});
       res.raw.flushHeaders();
-      workerChannelServer.serveWorkerChannel(
-        req.body,
-        res.raw,
+      workerChannelServer.serveWorkerChannel(req.body, res.raw, {
         connect,
+        isLeaving,
         logger,
-      );
+      });
     },
   );
   server.post<{Body: peerProtocol.AdviseReq}>(
--- a/packages/gypsumwall-cell/src/worker_channel.ts
+++ b/packages/gypsumwall-cell/src/worker_channel.ts
@@ -75,13 +75,14 @@
 
 /** Parses a line; throws if it is malformed or of an unknown form. */
 export function parseAnswers(text: string): AnswersLine {
-  const {answers} = JSON.parse(text) as Partial<AnswersLine>;
+  const {answers, isLeaving} = JSON.parse(text) as Partial<AnswersLine>;
   for (const sent of answers ?? []) {
     if ('err' in sent || ANSWER_TYPES.has(sent.answer.type)) continue;
     throw new Error(`type = ${sent.answer.type}: this version doesn't know it`);
   }
-  if (answers !== undefined) return {answers};
-  throw new Error('answers are absent: no line of answers');
+  if (answers !== undefined && isLeaving !== undefined)
+    return {answers, isLeaving};
+  throw new Error('fields are absent: no line of answers');
 }
 
 /** The outcome of one call. */
@@ -92,4 +93,6 @@
 /** A line of the peer. */
 export interface AnswersLine {
   readonly answers: readonly SentAnswer[];
+  /** Whether the peer is shutting down and should get no more calls. */
+  readonly isLeaving: boolean;
 }
--- a/packages/gypsumwall-cell/src/worker_channel_client.ts
+++ b/packages/gypsumwall-cell/src/worker_channel_client.ts
@@ -29,6 +29,8 @@
   /** Busy share of this process's event loop, from 0 to 1. */
   readonly loopUtilization: () => number;
   readonly clock: types.clock.Clock;
+  /** Called when the peer is shutting down; open calls are still answered. */
+  readonly onLeaving: () => void;
   /** Called once when the channel can't be used any more. */
   readonly onLost: (err: types.stepError.StepError) => void;
   readonly open?: typeof lineStream.openLineStream;
@@ -102,6 +104,7 @@
       stream.close(types.stepError.messageOf(thrown));
       return;
     }
+    if (line.isLeaving) options.onLeaving();
     for (const sent of line.answers) {
       const call = openCalls.get(sent.nth);
       if (call === undefined) continue;
@@ -110,6 +113,9 @@
         'answer' in sent ? result.ok(sent.answer) : result.err(sent.err),
       );
     }
+    if (line.isLeaving && openCalls.size === 0) {
+      stream.close('the peer is leaving');
+    }
   }
 
   function onClosed(err: types.stepError.StepError): void {
--- a/packages/gypsumwall-cell/src/worker_channel_server.ts
+++ b/packages/gypsumwall-cell/src/worker_channel_server.ts
@@ -13,12 +13,19 @@
   worker: scheduling.workerRegistry.WorkerInfo,
 ) => ports.WorkerLink;
 
+/** Options of the server's end of a stream. */
+export interface WorkerChannelServerOptions {
+  readonly connect: Connect;
+  /** Whether this process is shutting down. */
+  readonly isLeaving: () => boolean;
+  readonly logger: telemetry.logger.Logger;
+}
+
 /** Serves one stream until the holder closes it. */
 export function serveWorkerChannel(
   calls: stream.Readable,
   answers: stream.Writable,
-  connect: Connect,
-  logger: telemetry.logger.Logger,
+  {connect, isLeaving, logger}: WorkerChannelServerOptions,
 ): void {
   const links = new Map<types.ids.WorkerId, ports.WorkerLink>();
   let collected: workerChannel.SentAnswer[] = [];
@@ -27,7 +34,10 @@
 
   function sendAnswers(): void {
     timer = undefined;
-    const line: workerChannel.AnswersLine = {answers: collected};
+    const line: workerChannel.AnswersLine = {
+      answers: collected,
+      isLeaving: isLeaving(),
+    };
     collected = [];
     if (answers.writable) answers.write(`${JSON.stringify(line)}\n`);
   }
--- a/packages/gypsumwall-cell/src/worker_routes.ts
+++ b/packages/gypsumwall-cell/src/worker_routes.ts
@@ -73,13 +73,29 @@
   const pausedUntil = new Map<string, types.clock.MonotonicMs>();
   let isClosed = false;
 
-  function onLost(relay: Relay, err: types.stepError.StepError): void {
+  /** Gives the workers of a relay to others; its open calls go on. */
+  function retire(relay: Relay): void {
     const {instance} = relay.peer;
     relays.delete(instance);
     for (const id of relay.workers) relayOf.delete(id);
-    if (isClosed) return;
     const until = types.clock.after(clock.monotonic(), LOST_PEER_PAUSE_MS);
     pausedUntil.set(instance, until);
+  }
+
+  function onLeaving(relay: Relay): void {
+    const {instance} = relay.peer;
+    if (relays.get(instance) !== relay) return;
+    retire(relay);
+    logger.info('worker_relay_leaving', {
+      peer: instance,
+      workers: relay.workers.size,
+    });
+  }
+
+  function onLost(relay: Relay, err: types.stepError.StepError): void {
+    const {instance} = relay.peer;
+    if (isClosed || relays.get(instance) !== relay) return;
+    retire(relay);
     logger.info('worker_relay_lost', {
       peer: instance,
       workers: relay.workers.size,
@@ -95,6 +111,7 @@
         address: peer.address,
         loopUtilization: options.loopUtilization,
         clock,
+        onLeaving: () => onLeaving(relay),
         onLost: (err) => onLost(relay, err),
       }),
     };
