cell: worker channels of busy holders and of lost ones

Found on rereading the streams by which peers call workers: a holder whose loop was busy for over 1 s took its peers for silent before it read what had arrived; calls that timed out before the peer accepted the stream were sent all the same; a peer kept the stream of a holder that vanished without a reset, and its connections to the workers, for as long as TCP does. Lines are now read before a peer is judged, timed-out calls are dropped, and a stream without a line for 10 s is closed (a holder polls each worker every 2 s). No test of its own for the last: it takes 10 s of real time.

--- a/packages/gypsumwall-cell/src/__tests__/replica_age.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/replica_age.test.ts
@@ -160,6 +160,7 @@
     service: entry.localJobService,
     isBusy: () => false,
     isLeaving: () => false,
+    clock: types.clock.createSystemClock(),
     connect: () => assert.fail('unexpected call of a worker'),
     logger: telemetry.logger.createLogger('silent'),
   });
--- a/packages/gypsumwall-cell/src/__tests__/worker_channel.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/worker_channel.test.ts
@@ -46,6 +46,7 @@
     service: world.addEntry('a').localJobService,
     isBusy: () => false,
     isLeaving: () => isLeaving,
+    clock: types.clock.createSystemClock(),
     connect: ({id}) => connect(id),
     logger: telemetry.logger.createLogger('silent'),
   });
--- a/packages/gypsumwall-cell/src/peer_server.ts
+++ b/packages/gypsumwall-cell/src/peer_server.ts
@@ -22,6 +22,7 @@
   readonly connect: workerChannelServer.Connect;
   /** Whether this process is shutting down. */
   readonly isLeaving: () => boolean;
+  readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
 }
 
@@ -32,6 +33,7 @@
   isBusy,
   connect,
   isLeaving,
+  clock,
   logger,
 }: PeerServerOptions): fastify.FastifyInstance {
   const server = httpServer.createHttpServer();
@@ -48,6 +50,7 @@
       workerChannelServer.serveWorkerChannel(req.body, res.raw, {
         connect,
         isLeaving,
+        clock,
         logger,
       });
     },
--- a/packages/gypsumwall-cell/src/worker_channel_client.ts
+++ b/packages/gypsumwall-cell/src/worker_channel_client.ts
@@ -77,12 +77,15 @@
 
   function sendWaiting(): void {
     timer = undefined;
-    if (!isOpen || waiting.length === 0) return;
+    if (!isOpen) return;
+    // Calls that timed out before the peer accepted the stream are not sent.
+    const due = waiting.filter(({nth}) => openCalls.has(nth));
+    waiting = [];
+    if (due.length === 0) return;
     const line: workerChannel.CallsLine = {
-      ...encodeCalls(waiting, knownWorkers),
+      ...encodeCalls(due, knownWorkers),
       answerDelayMs: delayMs(ANSWER_DELAY_MS),
     };
-    waiting = [];
     stream.write(JSON.stringify(line));
   }
 
@@ -132,6 +135,7 @@
   }
 
   function check(): void {
+    if (isLost) return;
     const now = clock.monotonic();
     if (now - heardAt > MAX_SILENCE_MS) {
       stream.close(`silent for ${MAX_SILENCE_MS} ms`);
@@ -151,7 +155,8 @@
     onLine,
     onClosed,
   });
-  const checks = setInterval(check, CHECK_INTERVAL_MS);
+  // Lines that arrived while this process was busy are read first.
+  const checks = setInterval(() => setImmediate(check), CHECK_INTERVAL_MS);
 
   return {
     call(worker, call) {
--- a/packages/gypsumwall-cell/src/worker_channel_server.ts
+++ b/packages/gypsumwall-cell/src/worker_channel_server.ts
@@ -8,6 +8,13 @@
 import type * as ports from './ports.js';
 import * as workerChannel from './worker_channel.js';
 
+/**
+ * A stream without a line for this long is closed: its holder polls each worker
+ * every 2 s at least, and a lost one may leave the connection open;
+ * milliseconds.
+ */
+const MAX_SILENCE_MS = 10_000;
+
 /** Opens the connections to a worker. */
 export type Connect = (
   worker: scheduling.workerRegistry.WorkerInfo,
@@ -18,6 +25,7 @@
   readonly connect: Connect;
   /** Whether this process is shutting down. */
   readonly isLeaving: () => boolean;
+  readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
 }
 
@@ -25,12 +33,13 @@
 export function serveWorkerChannel(
   calls: stream.Readable,
   answers: stream.Writable,
-  {connect, isLeaving, logger}: WorkerChannelServerOptions,
+  {connect, isLeaving, clock, logger}: WorkerChannelServerOptions,
 ): void {
   const links = new Map<types.ids.WorkerId, ports.WorkerLink>();
   let collected: workerChannel.SentAnswer[] = [];
   let timer: NodeJS.Timeout | undefined;
   let answerDelayMs = 0;
+  let heardAt = clock.monotonic();
 
   function sendAnswers(): void {
     timer = undefined;
@@ -62,6 +71,7 @@
   }
 
   function onLine(text: string): void {
+    heardAt = clock.monotonic();
     let line: workerChannel.CallsLine;
     try {
       line = workerChannel.parseCalls(text);
@@ -81,8 +91,12 @@
   }
 
   const heartbeat = setInterval(() => {
-    if (timer === undefined) sendAnswers();
+    if (clock.monotonic() - heardAt > MAX_SILENCE_MS) calls.destroy();
+    else if (timer === undefined) sendAnswers();
   }, workerChannel.ANSWER_HEARTBEAT_MS);
+  answers.once('error', (err) =>
+    logger.info('worker_channel_failed', {error: err.message}),
+  );
   lineStream.readLines(calls, onLine);
   calls.once('close', () => {
     clearInterval(heartbeat);
