scheduler: bound the further workers of a step, not of a cycle

While the store is slow, each cycle recorded three more workers for a step whose commit was open: 22 after eight cycles for a job of one task. After a failover the job waits until all of them are accounted for. MAX_FURTHER_WORKERS counted those of one cycle; those that earlier cycles recorded and the step doesn't use now count as well.

--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -216,8 +216,12 @@
     for (const {stepRun, worker} of awaitingCommit)
       recordWorker(stepRun.job, worker.info.id);
     if (commitMs <= SLOW_COMMIT_MS) return;
-    for (const stepRun of new Set(awaitingCommit.map((one) => one.stepRun)))
-      recordFurtherWorkers(stepRun);
+    const needed = new Map<activeJob.StepRun, Set<types.ids.WorkerId>>();
+    for (const {stepRun, worker} of awaitingCommit) {
+      const ids = needed.get(stepRun) ?? new Set();
+      needed.set(stepRun, ids.add(worker.info.id));
+    }
+    for (const [stepRun, ids] of needed) recordFurtherWorkers(stepRun, ids);
   }
 
   function recordWorker(
@@ -231,16 +235,22 @@
 
   /**
    * Records more approved workers for a step than it needs now. When the commit
-   * is done, others may use the capacity that the step had found.
+   * is done, others may use the capacity that the step had found. Those that an
+   * earlier cycle recorded count: a failover waits for all of them.
    */
-  function recordFurtherWorkers({job, advice}: activeJob.StepRun): void {
-    let count = 0;
-    for (const id of advice.approvals.keys()) {
-      if (count >= MAX_FURTHER_WORKERS) return;
-      if (job.workers.has(id) || !registry.workers.has(id)) continue;
-      recordWorker(job, id);
-      count++;
-    }
+  function recordFurtherWorkers(
+    {job, advice, attempts: started}: activeJob.StepRun,
+    needed: ReadonlySet<types.ids.WorkerId>,
+  ): void {
+    const used = new Set(needed);
+    for (const attempt of started) used.add(attempt.workerId);
+    const further = [...advice.approvals.keys()].filter(
+      (id) => !used.has(id) && registry.workers.has(id),
+    );
+    const unrecorded = further.filter((id) => !job.workers.has(id));
+    const recorded = further.length - unrecorded.length;
+    const missing = Math.max(0, MAX_FURTHER_WORKERS - recorded);
+    for (const id of unrecorded.slice(0, missing)) recordWorker(job, id);
   }
 
   return {
