cell: size the window of orders by latency beyond the shortest

The window shrank to its least size, 4 orders, once answers took over 80 ms. An answer now counts as late by what it takes beyond the shortest one of the last 5 to 10 s, and the least size is 16, 83 ms of the slowest link known (2 Mbit/s, 1.3 KB an order).

--- a/packages/gypsumwall-cell/src/order_window.ts
+++ b/packages/gypsumwall-cell/src/order_window.ts
@@ -8,14 +8,19 @@
 import * as types from '@gypsumwall/types';
 
 /** Orders in flight at first, at least, and at most. */
-const INITIAL_SIZE = 16;
-const MIN_SIZE = 4;
+const INITIAL_SIZE = 32;
+const MIN_SIZE = 16;
 const MAX_SIZE = 512;
 /**
- * Latency above which an answer has queued: ten times the usual one, and a
+ * Latency beyond the shortest recent one above which an answer has queued, a
  * third of an order's timeout; milliseconds.
  */
-const MAX_LATENCY_MS = 80;
+const MAX_QUEUED_MS = 80;
+/**
+ * How long a latency is remembered at least; milliseconds. The shortest one
+ * changes when orders go through peers, which collect them.
+ */
+const LATENCY_MEMORY_MS = 5_000;
 /** Factors of the size after a late and after a lost answer. */
 const LATE_FACTOR = 0.9;
 const LOST_FACTOR = 0.7;
@@ -25,7 +30,7 @@
  */
 const SHRINK_INTERVAL_MS = 100;
 
-/** How an order ended: `sent` is false if it was not sent. */
+/** How an order ended; the latency is in milliseconds. */
 export type OrderResult =
   | {readonly type: 'answered' | 'lost'; readonly latencyMs: number}
   | {readonly type: 'unsent'};
@@ -59,6 +64,7 @@
   let inFlight = 0;
   let size = INITIAL_SIZE;
   let shrinkableAt = clock.monotonic();
+  const shortest = createShortestLatency(clock);
 
   function shrink(factor: number): void {
     const now = clock.monotonic();
@@ -75,8 +81,9 @@
         shrink(LOST_FACTOR);
         return;
       case 'answered':
-        if (result.latencyMs > MAX_LATENCY_MS) shrink(LATE_FACTOR);
-        else size = Math.min(MAX_SIZE, size + 1 / size);
+        if (shortest.queuedMs(result.latencyMs) > MAX_QUEUED_MS) {
+          shrink(LATE_FACTOR);
+        } else size = Math.min(MAX_SIZE, size + 1 / size);
     }
   }
 
@@ -106,3 +113,25 @@
     size: () => Math.floor(size),
   };
 }
+
+interface ShortestLatency {
+  /** Returns by how much a latency exceeds the shortest recent one. */
+  queuedMs(latencyMs: number): number;
+}
+
+function createShortestLatency(clock: types.clock.Clock): ShortestLatency {
+  let before = Infinity;
+  let current = Infinity;
+  let startedAt = clock.monotonic();
+  return {
+    queuedMs(latencyMs) {
+      if (clock.monotonic() - startedAt >= LATENCY_MEMORY_MS) {
+        before = current;
+        current = Infinity;
+        startedAt = clock.monotonic();
+      }
+      current = Math.min(current, latencyMs);
+      return latencyMs - Math.min(before, current);
+    },
+  };
+}
