cell: end waits without creating an error

An abort without a reason creates an error with its stack trace, and every poll, append, forwarded call and hedged call ends a wait by one. No behaviour changes: nothing reads the reason.

--- a/packages/gypsumwall-cell/src/cell_writer.ts
+++ b/packages/gypsumwall-cell/src/cell_writer.ts
@@ -154,7 +154,7 @@
   async function waitForWork(): Promise<void> {
     if (queue.length > 0) return;
     const resumed = new AbortController();
-    resume = () => resumed.abort();
+    resume = () => resumed.abort(types.clock.WAIT_ENDED);
     const until = types.clock.after(
       clock.monotonic(),
       failoverPolicy.HEARTBEAT_MS,
--- a/packages/gypsumwall-cell/src/hedge.ts
+++ b/packages/gypsumwall-cell/src/hedge.ts
@@ -189,7 +189,7 @@
         ? {...received.error, effect: 'unknown'}
         : received.error;
     }
-    changed.abort();
+    changed.abort(types.clock.WAIT_ENDED);
   }
 
   return {
@@ -199,7 +199,7 @@
     },
     change() {
       changed = new AbortController();
-      if (settled) changed.abort();
+      if (settled) changed.abort(types.clock.WAIT_ENDED);
       return changed.signal;
     },
     open: () => open,
@@ -207,7 +207,7 @@
     isRefused: () => lastError?.effect === 'not_run',
     giveUp() {
       settled = true;
-      changed.abort();
+      changed.abort(types.clock.WAIT_ENDED);
     },
     outcome() {
       if (answer !== undefined) return result.ok(answer.value);
--- a/packages/gypsumwall-cell/src/peer_directory.ts
+++ b/packages/gypsumwall-cell/src/peer_directory.ts
@@ -240,7 +240,7 @@
     const answered = new AbortController();
     const answer = peerProtocol
       .relay(peer.client, req, timeoutMs)
-      .finally(() => answered.abort());
+      .finally(() => answered.abort(types.clock.WAIT_ENDED));
     const lost = untilLost(peer, answered.signal);
     await Promise.race([answer, lost]);
     return answered.signal.aborted ? answer : undefined;
--- a/packages/gypsumwall-cell/src/poll_with_retry.ts
+++ b/packages/gypsumwall-cell/src/poll_with_retry.ts
@@ -34,7 +34,7 @@
   const giveUpAt = types.clock.after(clock.monotonic(), call.timeoutMs);
   const answered = new AbortController();
   const first = pollOnce(link, call, clock);
-  void first.then(() => answered.abort());
+  void first.then(() => answered.abort(types.clock.WAIT_ENDED));
   const overdueMs = call.waitMs + OVERDUE_AFTER_MS;
   await types.clock.sleepFor(clock, overdueMs, answered.signal);
   const timeoutMs = giveUpAt - clock.monotonic();
--- a/packages/gypsumwall-cell/src/record_store.ts
+++ b/packages/gypsumwall-cell/src/record_store.ts
@@ -73,7 +73,7 @@
    */
   async function readLogIfOverdue(appended: Promise<unknown>): Promise<void> {
     const answered = new AbortController();
-    void appended.then(() => answered.abort());
+    void appended.then(() => answered.abort(types.clock.WAIT_ENDED));
     await types.clock.sleepFor(clock, OVERDUE_APPEND_MS, answered.signal);
     if (!answered.signal.aborted) await follower.catchUp();
   }
--- a/packages/gypsumwall-types/src/clock.ts
+++ b/packages/gypsumwall-types/src/clock.ts
@@ -33,6 +33,12 @@
   return (from + spanMs) as Moment;
 }
 
+/**
+ * Reason of an abort that only ends a wait. Without a reason, each abort creates
+ * an error with its stack trace.
+ */
+export const WAIT_ENDED = null;
+
 /** Waits for `spanMs`, or until the signal aborts. */
 export function sleepFor(
   clock: Clock,
