cell: append submissions in each failure domain while the store is quick

Starts fell to 12 to 33 a second, and came back when the submissions ended.

Cause: each submission of all entries went through the holder: its payload came in from the entry, went out to the store and came back with the next read, at the one process through which all starts pass.

Change: while the store is quick the strongest entry of a failure domain that doesn't hold the cell appends for its domain.

Tests: the two new ones of forwarding_job_service fail before the change, where the holder is asked in both cases.

--- a/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
@@ -21,6 +21,8 @@
   /** Whether the entry's replica of the logs is current. */
   readonly current?: boolean;
   readonly isStoreSlow?: boolean;
+  /** The entry that appends for the domain, if it isn't the holder. */
+  readonly appender?: string;
 }
 
 function createService(situation: Situation, asked: string[] = []) {
@@ -55,8 +57,8 @@
       asked.push('any peer');
       return Promise.resolve(situation.relayed);
     },
-    relayTo: () => {
-      asked.push('holder');
+    relayTo: (instance) => {
+      asked.push(instance === 'appender' ? 'appender' : 'holder');
       return Promise.resolve(situation.byHolder ?? situation.relayed);
     },
   };
@@ -68,6 +70,7 @@
     storeReachable: () => reachable,
     isStoreQuick: () => situation.isStoreSlow !== true,
     holder: () => 'other',
+    domainAppender: () => situation.appender ?? 'other',
     onJobRefused: () => {},
   });
 }
@@ -340,3 +343,34 @@
   });
   assert.deepEqual(answer, {type: 'ok', asked: ['holder', 'own', 'any peer']});
 });
+
+// Guards against a holder that gets the submissions of all entries, and whose
+// link or processor then leaves nothing for its own work.
+test('the appender of the failure domain gets calls while the store is quick', async () => {
+  const relayed = PEER_OK;
+  const situation = {own: OK, relayed, reachable: true, appender: 'appender'};
+  assert.deepEqual((await submit(situation)).asked, ['appender']);
+});
+
+// Guards against appends of several entries in the queue of a slow store.
+test('the holder gets calls while the store is slow', async () => {
+  const {asked} = await submit({
+    own: OK,
+    relayed: PEER_OK,
+    reachable: true,
+    isStoreSlow: true,
+    appender: 'appender',
+  });
+  assert.deepEqual(asked, ['holder']);
+});
+
+test('an entry appends by itself if the appender is lost', async () => {
+  const lost = {
+    type: 'unanswered',
+    maybeApplied: false,
+    isSlow: false,
+  } as const;
+  const situation = {own: OK, relayed: lost, reachable: true};
+  const {type, asked} = await submit({...situation, appender: 'appender'});
+  assert.deepEqual({type, asked}, {type: 'ok', asked: ['appender', 'own']});
+});
--- a/packages/gypsumwall-cell/src/__tests__/relayed_queries.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/relayed_queries.test.ts
@@ -55,6 +55,7 @@
     storeReachable: () => reachable,
     isStoreQuick: () => true,
     holder: () => 'other',
+    domainAppender: () => 'other',
     onJobRefused: () => {},
   });
 }
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -11,6 +11,7 @@
 import * as cellStates from './cell_state.js';
 import * as claimView from './claim_view.js';
 import * as configKeeper from './config_keeper.js';
+import * as domainAppenders from './domain_appender.js';
 import * as election from './election.js';
 import * as entryRegistration from './entry_registration.js';
 import * as jobService from './job_service.js';
@@ -160,7 +161,8 @@
     replicaAgeMs,
     catchUp: catchUpOnJobs,
     refreshStates,
-    canForward: () => remoteHolder() !== undefined,
+    canForward: () =>
+      remoteHolder() !== undefined && domainAppender() !== undefined,
     clock,
     logger,
     couldEverFit,
@@ -187,6 +189,7 @@
     storeReachable: () => jobsFollower.reachableSince() !== undefined,
     isStoreQuick: () => health.isQuick(),
     holder: remoteHolder,
+    domainAppender,
     onJobRefused: (id, arrivedAt) => refusals.add(id, arrivedAt),
   });
 
@@ -204,6 +207,13 @@
     return instance === self.instance ? undefined : instance;
   }
 
+  function domainAppender(): string | undefined {
+    const holding = state.claim()?.instance;
+    const candidates = peers.standbyCandidates();
+    const instance = domainAppenders.chooseAppender(self, candidates, holding);
+    return instance === self.instance ? undefined : instance;
+  }
+
   /**
    * Age of this entry's replica: jobs are accepted in one log and their
    * progress is stored in another, so the older log decides. Records read
--- a/packages/gypsumwall-cell/src/forwarding_job_service.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -1,11 +1,12 @@
 /**
  * The job service that callers use. Calls that append to the store go through
- * the holder, which combines them in batches: the store handles the appends of
- * a log one at a time, so while it is slow the appends of many entries would
- * make a queue that it refuses. An entry appends by itself while no holder is
- * alive or the store refuses the holder, and forwards its calls to any peer
- * while the store refuses it. Queries are answered locally, and forwarded until
- * this entry has read the records it missed.
+ * one entry of the failure domain, which combines them in batches, and through
+ * the holder while the store is slow: the store handles the appends of a log
+ * one at a time, so the appends of many entries would make a queue that it
+ * refuses. An entry appends by itself while no such entry is alive or the store
+ * refuses it, and forwards its calls to any peer while the store refuses this
+ * entry. Queries are answered locally, and forwarded until this entry has read
+ * the records it missed.
  */
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
@@ -16,10 +17,10 @@
 import * as recentAttempts from './recent_attempts.js';
 
 /**
- * Timeout of a call through the holder, enough for several appends of a slow
- * store; callers wait for 3 s; milliseconds.
+ * Timeout of a call through the entry that appends, enough for several appends
+ * of a slow store; callers wait for 3 s; milliseconds.
  */
-const HOLDER_TIMEOUT_MS = 2_500;
+const APPENDER_TIMEOUT_MS = 2_500;
 /**
  * Timeout of a query to the holder, which answers without the store;
  * milliseconds.
@@ -55,8 +56,8 @@
   carryOut(): Promise<callAttempts.CallAnswer>;
   /** Forwards the call like `relayToAny` of the service. */
   relayToAny(): Promise<peerDirectory.RelayOutcome>;
-  /** Forwards the call like `relayToHolder` of the service. */
-  relayToHolder(withinMs: number): Promise<peerDirectory.RelayOutcome>;
+  /** Forwards the call to the entry that appends it now. */
+  relayToAppender(): Promise<peerDirectory.RelayOutcome>;
   /** The final answer, given what the attempts may have caused. */
   conclude(answer: callAttempts.CallAnswer): callAttempts.CallAnswer;
 }
@@ -78,6 +79,8 @@
   readonly isStoreQuick: () => boolean;
   /** Instance that holds the cell; undefined if it is this one or none. */
   readonly holder: () => string | undefined;
+  /** Instance that appends for the failure domain; undefined if it is this one. */
+  readonly domainAppender: () => string | undefined;
   /** Called when a caller is told that its job will never run. */
   readonly onJobRefused: (
     id: types.ids.JobId,
@@ -153,17 +156,26 @@
     return outcome;
   }
 
+  async function relayTo(
+    instance: string | undefined,
+    req: peerProtocol.RelayReq,
+    withinMs: number,
+  ): Promise<peerDirectory.RelayOutcome> {
+    if (instance === undefined) return NOT_RELAYED;
+    return logOutcome(req, await peers.relayTo(instance, req, withinMs));
+  }
+
   /**
-   * Forwards a call to the holder, which appends it in a batch with others;
-   * does nothing on the holder itself.
+   * Forwards a call to the entry that appends it in a batch with others. While
+   * the store is slow that is the holder, which knows its own records at once.
    */
-  async function relayToHolder(
+  function relayToAppender(
     req: peerProtocol.RelayReq,
-    withinMs: number,
   ): Promise<peerDirectory.RelayOutcome> {
-    const holder = options.holder();
-    if (holder === undefined) return NOT_RELAYED;
-    return logOutcome(req, await peers.relayTo(holder, req, withinMs));
+    const instance = options.isStoreQuick()
+      ? options.domainAppender()
+      : options.holder();
+    return relayTo(instance, req, APPENDER_TIMEOUT_MS);
   }
 
   function concludeWith(
@@ -193,8 +205,8 @@
     return {
       carryOut: () => attempts.runLocally('own', carryOut),
       relayToAny: () => attempts.runAtPeers('any_peer', () => relayToAny(req)),
-      relayToHolder: (withinMs) =>
-        attempts.runAtPeers('holder', () => relayToHolder(req, withinMs)),
+      relayToAppender: () =>
+        attempts.runAtPeers('appender', () => relayToAppender(req)),
       conclude(answer) {
         const concluded = concludeWith(req, attempts, answer);
         if (concluded.type !== 'ok') {
@@ -230,9 +242,9 @@
         ? answerOf(relayed.res)
         : call.carryOut();
     }
-    const viaHolder = await call.relayToHolder(HOLDER_TIMEOUT_MS);
-    if (viaHolder.type === 'answered') return answerOf(viaHolder.res);
-    if (viaHolder.isSlow) return {type: 'unknown'};
+    const viaAppender = await call.relayToAppender();
+    if (viaAppender.type === 'answered') return answerOf(viaAppender.res);
+    if (viaAppender.isSlow) return {type: 'unknown'};
     // Appends of many entries would make a queue at a slow store, which the
     // next holder would find.
     if (options.holder() !== undefined && !options.isStoreQuick())
@@ -267,7 +279,8 @@
       const final = await localService.finalPhaseOf(id, queue, caller);
       if (final.type === 'ok') return final;
       const req = {type: 'phase', id, caller, queue} as const;
-      const viaHolder = await relayToHolder(req, PHASE_TIMEOUT_MS);
+      const holder = options.holder();
+      const viaHolder = await relayTo(holder, req, PHASE_TIMEOUT_MS);
       if (viaHolder.type === 'answered') return answerOf(viaHolder.res);
       if (options.storeReachable() && localService.isCurrent()) {
         const direct = await localService.phaseOf(id, queue, caller);
--- a/packages/gypsumwall-cell/src/standby_choice.ts
+++ b/packages/gypsumwall-cell/src/standby_choice.ts
@@ -35,7 +35,10 @@
 }
 
 /** The same order at all entries; equal ones are ordered by name. */
-function outranks(left: StandbyCandidate, right: StandbyCandidate): boolean {
+export function outranks(
+  left: StandbyCandidate,
+  right: StandbyCandidate,
+): boolean {
   if (left.cores !== right.cores) return left.cores > right.cores;
   return left.instance < right.instance;
 }
