cell, platform: leave a part of a slow link to calls while a backlog is read

Cause: the holder reads the jobs' log without a pause as long as it is behind, 37 KB at a time, which holds a link of 2 Mbit/s for 150 ms. Answers to orders and polls wait behind these reads, the window of orders shrinks, and orders count as unknown. Entries also took the time of such a read for that of the store, so they considered a quick store slow and sent their submissions through the holder, 20 to 58 KB/s in these seconds.

--- a/packages/gypsumwall-cell/src/http_client.ts
+++ b/packages/gypsumwall-cell/src/http_client.ts
@@ -36,6 +36,10 @@
 export interface HttpAnswer {
   readonly status: number;
   readonly body: Buffer;
+  /**
+   * Time from the answer's first byte to its end; 0 if absent; milliseconds.
+   */
+  readonly transferMs?: number;
 }
 
 /** Sends calls to one address. */
@@ -96,6 +100,7 @@
       req.on('error', fail);
       const {chunkTimeoutMs} = call;
       req.on('response', (res) => {
+        const begunAt = performance.now();
         const chunks: Buffer[] = [];
         res.on('data', (chunk: Buffer) => {
           chunks.push(chunk);
@@ -110,7 +115,8 @@
         res.on('end', () => {
           timer.stop();
           const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-          resolve({status: res.statusCode ?? 0, body});
+          const transferMs = performance.now() - begunAt;
+          resolve({status: res.statusCode ?? 0, body, transferMs});
         });
       });
       req.end(call.body);
--- a/packages/gypsumwall-cell/src/log_follower.ts
+++ b/packages/gypsumwall-cell/src/log_follower.ts
@@ -18,6 +18,13 @@
  */
 const STALE_REPLICA_MS = 2_000;
 
+/**
+ * Pause between two reads of a follower that is behind, as a multiple of the
+ * time in which the last answer was transferred. Otherwise the reads of a long
+ * backlog take all of a slow link, and calls to workers time out behind them.
+ */
+const TRANSFER_PAUSE_FACTOR = 0.5;
+
 /** Options of a follower. */
 export interface FollowerOptions {
   readonly log: ports.KeyedLog;
@@ -99,6 +106,8 @@
   let isFailing = false;
   /** When the newest answered call was sent. */
   let newestAnsweredAt = 0;
+  /** How long the newest answer to a read was transferred; milliseconds. */
+  let transferMs = 0;
   let loading: Promise<LogEnd | undefined> | undefined;
   let completeUntil: types.clock.MonotonicMs | undefined;
   let completeWall: types.clock.WallMs | undefined;
@@ -206,7 +215,9 @@
     waitMs: number,
   ): void {
     const isEmpty = read.type === 'records' && read.records.length === 0;
-    const answeredAt = clock.monotonic();
+    transferMs = read.type === 'records' ? (read.transferMs ?? 0) : 0;
+    // A long answer on a slow link says nothing about the store.
+    const answeredAt = types.clock.after(clock.monotonic(), -transferMs);
     options.storeHealth.recordRead({sentAt, answeredAt, waitMs, isEmpty});
   }
 
@@ -244,6 +255,15 @@
 
   const isBehind = () => position !== undefined && position < newestEnd;
 
+  const pause = (spanMs: number) =>
+    types.clock.sleepFor(clock, spanMs, stopping.signal);
+
+  /** Leaves a part of the link to other calls before a backlog is read on. */
+  async function pauseForLink(): Promise<void> {
+    const pauseMs = transferMs * TRANSFER_PAUSE_FACTOR;
+    if (pauseMs >= 1) await pause(pauseMs);
+  }
+
   /**
    * Reads to where the log ends according to a call sent from now on. One read
    * returns a limited number of records, and a shared load may have begun long
@@ -259,6 +279,7 @@
       if (found === undefined) return false;
       if (found.sentAt >= askedAt) targetOffset ??= found.endOffset;
       if (targetOffset !== undefined && position === before) break;
+      if (isBehind()) await pauseForLink();
     }
     return (position ?? 0) >= targetOffset;
   }
@@ -309,8 +330,8 @@
         const ok = await readNext(failurePauseMs);
         if (ok) {
           failurePauseMs = FIRST_RETRY_MS;
-          const spanMs = isBehind() ? 0 : options.pauseMs();
-          await types.clock.sleepFor(clock, spanMs, stopping.signal);
+          if (isBehind()) await pauseForLink();
+          else await pause(options.pauseMs());
           continue;
         }
         // A read during an outage includes the pause.
--- a/packages/gypsumwall-cell/src/ports.ts
+++ b/packages/gypsumwall-cell/src/ports.ts
@@ -64,6 +64,11 @@
       readonly records: readonly KeyedRecord[];
       /** Where the log ended when it was read. */
       readonly endOffset: number;
+      /**
+       * How long the answer took to arrive once it had begun; 0 if absent;
+       * milliseconds.
+       */
+      readonly transferMs?: number;
     }
   /**
    * The records from that offset on were compacted; the newest record of each
