cell: a compact form of the calls that peers make to workers

Cause: the holder's link. A start takes 1.2 KB, since the payload of a job goes to each peer with tasks of it, and in several lines again; each report lists all attempts of a worker with names and fields, about two reports for each task.

Change: the holder offers a second form of lines when it opens the stream, and a peer that knows it answers with its media type; with others, the lines are as before. In the new form calls and answers are rows, workers and payloads go by number, and a report holds what has changed since the worker's last one. While the store is slow payloads are always sent. A peer without the record makes no call, and the holder calls the worker itself.

Tests: a property test of both forms over series of reports, more payloads than are remembered, unknown rows, payloads from records. With the changes of a report taken for the whole report, or payloads dropped before the calls of their line, they fail.

--- /dev/null
+++ b/packages/gypsumwall-cell/src/__tests__/channel_forms.test.ts
@@ -0,0 +1,168 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as fc from 'fast-check';
+import * as types from '@gypsumwall/types';
+import * as fakeWorkers from '../__fixtures__/fake_worker.js';
+import * as channelForms from '../channel_forms.js';
+import type * as ports from '../ports.js';
+import type * as workerChannel from '../worker_channel.js';
+
+const {test} = nodeTest;
+const WORKERS = ['w1', 'w2', 'w3'].map(
+  (name) => fakeWorkers.createFakeWorker(name, 4).info,
+);
+const FORMS = [undefined, channelForms.COMPACT_TYPE];
+
+const taskIds = fc
+  .nat(6)
+  .map((nth) => types.ids.brand<types.ids.TaskId>(`job${nth}.0.0.${nth}`));
+const checkpoints = fc.constantFrom('', 's1', 's2');
+const running = fc.uniqueArray(
+  fc.record({
+    taskId: taskIds,
+    attempt: fc.integer({min: 1, max: 3}),
+    checkpoint: checkpoints,
+    percent: fc.nat(100),
+  }),
+  {selector: ({taskId, attempt}) => `${taskId}#${attempt}`},
+);
+const ends = fc.array(
+  fc.record({
+    sequence: fc.nat(),
+    taskId: taskIds,
+    attempt: fc.integer({min: 1, max: 3}),
+    how: fc.constantFrom('done' as const, 'failed' as const),
+    checkpoint: checkpoints,
+  }),
+);
+const outcomes: fc.Arbitrary<workerChannel.CallOutcome> = fc.oneof(
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      answer: fc.record({
+        type: fc.constant('report' as const),
+        clockMs: fc.nat(),
+        running,
+        ends,
+        hasMoreEnds: fc.boolean(),
+      }),
+    }),
+  },
+  fc.constantFrom<workerChannel.CallOutcome>(
+    {answer: {type: 'accepted', clockMs: 5}},
+    {answer: {type: 'refused', reason: 'no_room'}},
+    {answer: {type: 'gone'}},
+    {answer: {type: 'fenced'}},
+    {
+      err: {
+        kind: 'timeout',
+        step: 'worker.start',
+        peer: 'w1',
+        effect: 'unknown',
+        message: 'injected fault',
+      },
+    },
+  ),
+);
+const lines = fc.array(
+  fc.array(fc.tuple(fc.constantFrom(...WORKERS), outcomes)),
+);
+
+/** The order of attempts in a report has no meaning. */
+function normalize(outcomes: readonly workerChannel.CallOutcome[]): unknown {
+  const sorted = outcomes.map((outcome) => {
+    if ('err' in outcome || outcome.answer.type !== 'report') return outcome;
+    const rows = outcome.answer.running.map(
+      ({taskId, attempt, checkpoint, percent}) =>
+        JSON.stringify([taskId, attempt, checkpoint, percent]),
+    );
+    return {answer: {...outcome.answer, running: rows.sort()}};
+  });
+  return JSON.parse(JSON.stringify(sorted));
+}
+
+/** Both ends of a stream whose workers have been introduced. */
+function openStream(mediaType: string | undefined) {
+  const holder = channelForms.createHolderForm(mediaType, () => true);
+  const peer = channelForms.createPeerForm(mediaType).form;
+  const call = {token: 1, acknowledged: 0, waitMs: 0, timeoutMs: 10};
+  const calls = WORKERS.map((worker, nth) => ({
+    nth,
+    worker,
+    call: {type: 'poll' as const, call},
+  }));
+  peer.decodeCalls(holder.encodeCalls(calls, 5));
+  return {holder, peer};
+}
+
+// Guards against a holder that takes changes of a report for the whole report,
+// and so for attempts that do not run any more.
+test('answers arrive as they were sent, in each form', () => {
+  for (const mediaType of FORMS) {
+    fc.assert(
+      fc.property(lines, (sentLines) => {
+        const {holder, peer} = openStream(mediaType);
+        for (const sent of sentLines) {
+          const answers = sent.map(([{id: worker}, outcome], nth) => ({
+            nth,
+            worker,
+            ...outcome,
+          }));
+          const line = holder.decodeAnswers(peer.encodeAnswers(answers, true));
+          assert.equal(line.isLeaving, true);
+          assert.deepEqual(
+            normalize(line.answers.map(({nth: _, ...outcome}) => outcome)),
+            normalize(sent.map(([, outcome]) => outcome)),
+          );
+        }
+      }),
+    );
+  }
+});
+
+function startOf(payload: string): workerChannel.WorkerCall {
+  const call: ports.StartCall = {
+    taskId: types.ids.brand('job.0.0.1'),
+    attempt: 1,
+    payload,
+    token: 7,
+    leaseUntil: 900,
+    timeoutMs: 250,
+    ticket: 't1',
+    checkpoint: 's1',
+  };
+  return {type: 'start', call};
+}
+
+// Guards against a task that starts with the payload of another job: more
+// payloads than the ends of a stream remember are sent, also in one line.
+test('each start arrives with its own payload, in each form', () => {
+  const payloads = Array.from({length: 200}, (_, nth) => `payload ${nth}`);
+  for (const mediaType of FORMS) {
+    const {holder, peer} = openStream(mediaType);
+    const [worker] = WORKERS;
+    for (const sent of [payloads, ...payloads.map((one) => [one, one])]) {
+      const calls = sent.map((payload, nth) => ({
+        nth,
+        worker: worker!,
+        call: startOf(payload),
+      }));
+      const received = peer.decodeCalls(holder.encodeCalls(calls, 5));
+      assert.deepEqual(
+        received.calls.map(({call}) => call),
+        calls.map(({call}) => call),
+      );
+    }
+  }
+});
+
+// Guards against a call that is taken for another one beside a later version.
+test('a line of an unknown version is refused, in each form', () => {
+  for (const mediaType of FORMS) {
+    const {holder, peer} = openStream(mediaType);
+    for (const line of ['{}', '{"token":1,"delayMs":1,"calls":[[1,"x",0]]}'])
+      assert.throws(() => peer.decodeCalls(line));
+    for (const line of ['{}', '{"answers":[[1,"x"]],"isLeaving":false}'])
+      assert.throws(() => holder.decodeAnswers(line));
+  }
+});
--- a/packages/gypsumwall-cell/src/__tests__/replica_age.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/replica_age.test.ts
@@ -159,6 +159,7 @@
     },
     service: entry.localJobService,
     isBusy: () => false,
+    findPayload: () => Promise.resolve(undefined),
     isLeaving: () => false,
     clock: types.clock.createSystemClock(),
     connect: () => assert.fail('unexpected call of a worker'),
--- a/packages/gypsumwall-cell/src/__tests__/stale_answers.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/stale_answers.test.ts
@@ -105,6 +105,7 @@
     },
     service: second.localJobService,
     isBusy: () => false,
+    findPayload: () => Promise.resolve(undefined),
     isLeaving: () => false,
     clock: types.clock.createSystemClock(),
     connect: () => assert.fail('unexpected call of a worker'),
--- a/packages/gypsumwall-cell/src/__tests__/worker_channel.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/worker_channel.test.ts
@@ -24,6 +24,11 @@
 let isLeaving = false;
 let left = 0;
 
+/** Payloads by job, as the peer finds them in the records of jobs. */
+const recordedPayloads = new Map<string, string>();
+/** Whether the holder sends payloads itself. */
+let sendsPayload = true;
+
 type Server = ReturnType<typeof httpServer.createHttpServer>;
 
 async function listen(server: Server): Promise<string> {
@@ -45,6 +50,7 @@
     adviser: {ask: () => assert.fail('unexpected advice request')},
     service: world.addEntry('a').localJobService,
     isBusy: () => false,
+    findPayload: (job) => Promise.resolve(recordedPayloads.get(job)),
     isLeaving: () => isLeaving,
     clock: types.clock.createSystemClock(),
     connect: ({id}) => connect(id),
@@ -54,6 +60,7 @@
   const channel = workerChannelClient.openWorkerChannel({
     address: await listen(server),
     loopUtilization: () => 0,
+    sendsPayload: () => sendsPayload,
     onLeaving: () => left++,
     clock: types.clock.createSystemClock(),
     onLost: () => lost++,
@@ -100,6 +107,37 @@
   assert.equal(lost, 1);
 });
 
+// Guards against a task that runs without its payload where the holder's link is
+// too narrow to send it: a peer without the job's record makes no call.
+test('a peer takes payloads that are not sent from the records of jobs', async () => {
+  const worker = fakeWorkers.createFakeWorker('w1', 4);
+  const payloads: string[] = [];
+  const link = worker.connect();
+  const connect = (): ports.WorkerLink => ({
+    ...link,
+    start(call) {
+      payloads.push(call.payload);
+      return link.start(call);
+    },
+  });
+  recordedPayloads.set('known', 'a');
+  sendsPayload = false;
+  await withChannel(connect, async (channel) => {
+    const known = startCall('known.0.0.0', 'a');
+    const started = await channel.call(worker.info, {
+      type: 'start',
+      call: known,
+    });
+    assert.equal(result.isOk(started) && started.value.type, 'accepted');
+    const call = startCall('unknown.0.0.0', 'b');
+    const refused = await channel.call(worker.info, {type: 'start', call});
+    assert.ok(result.isErr(refused));
+    assert.equal(refused.error.effect, 'not_run');
+  });
+  sendsPayload = true;
+  assert.deepEqual(payloads, ['a']);
+});
+
 // Guards against a task that is started twice, because a call that a lost peer
 // may have made counted as not made.
 test('a call is of unknown effect if its peer is lost', async () => {
@@ -127,6 +165,7 @@
   const channel = workerChannelClient.openWorkerChannel({
     address: await listen(server),
     loopUtilization: () => 0,
+    sendsPayload: () => true,
     onLeaving: () => left++,
     clock: types.clock.createSystemClock(),
     onLost() {},
@@ -151,6 +190,7 @@
   const channel = workerChannelClient.openWorkerChannel({
     address: await listen(server),
     loopUtilization: () => 0,
+    sendsPayload: () => true,
     onLeaving: () => left++,
     clock: types.clock.createSystemClock(),
     onLost: () => (isLost = true),
--- a/packages/gypsumwall-cell/src/__tests__/worker_routes.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/worker_routes.test.ts
@@ -38,6 +38,7 @@
       },
     }),
     loopUtilization: () => 0,
+    sendsPayload: () => true,
     clock: types.clock.createSystemClock(),
     logger: telemetry.logger.createLogger('silent'),
     openChannel(options) {
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -22,6 +22,7 @@
 import * as peerDirectory from './peer_directory.js';
 import type * as ports from './ports.js';
 import * as forwardingJobService from './forwarding_job_service.js';
+import * as payloadBudget from './payload_budget.js';
 import * as standbyChoice from './standby_choice.js';
 import * as storeProbe from './store_probe.js';
 import * as storeHealth from './store_health.js';
@@ -50,6 +51,15 @@
  * which its count of pending jobs may be returned; milliseconds.
  */
 const JOBS_PAUSE_MS = 500;
+/**
+ * The same while peers have tasks started whose payloads are in that log;
+ * milliseconds.
+ */
+const REFERENCED_JOBS_PAUSE_MS = 40;
+/** How long the log is read so often after such a start; milliseconds. */
+const REFERENCE_MEMORY_MS = 2_000;
+/** Timeout of the search for a payload in that log; milliseconds. */
+const FIND_PAYLOAD_TIMEOUT_MS = 200;
 /**
  * How long a read waits at the store for a new record. An unresponsive store is
  * detected this much later; milliseconds.
@@ -110,6 +120,12 @@
   let takeovers: types.clock.MonotonicMs[] = [];
   let lastRecordAt = clock.monotonic();
   let reachableAt = clock.monotonic();
+  /** When a peer last referred to a job's record. */
+  let referencedAt: types.clock.MonotonicMs | undefined;
+  const takePayloadBytes = payloadBudget.createPayloadBudget({
+    linkMbps: self.linkMbps ?? Infinity,
+    clock,
+  });
 
   const configs = configKeeper.createConfigKeeper({
     decode: options.decodeConfig,
@@ -141,7 +157,7 @@
       }
       applyRecords.applyRecords(records, logger, applyJobRecord);
     },
-    pauseMs: () => (holder === undefined ? JOBS_PAUSE_MS : HOLDER_PAUSE_MS),
+    pauseMs: jobsPauseMs,
     readWaitMs: READ_WAIT_MS,
   });
   const cellFollower = logFollower.createLogFollower({
@@ -257,6 +273,24 @@
     return ageMs <= jobService.MAX_STATE_AGE_MS || cellFollower.catchUp();
   }
 
+  function jobsPauseMs(): number {
+    if (holder !== undefined) return HOLDER_PAUSE_MS;
+    const isReferenced =
+      referencedAt !== undefined &&
+      clock.monotonic() - referencedAt < REFERENCE_MEMORY_MS;
+    return isReferenced ? REFERENCED_JOBS_PAUSE_MS : JOBS_PAUSE_MS;
+  }
+
+  async function findPayload(id: types.ids.JobId): Promise<string | undefined> {
+    referencedAt = clock.monotonic();
+    const known = () => jobs.get(id)?.record?.request.payload;
+    if (known() === undefined) {
+      const timeout = types.clock.sleepFor(clock, FIND_PAYLOAD_TIMEOUT_MS);
+      await Promise.race([jobsFollower.catchUp(), timeout]);
+    }
+    return known();
+  }
+
   async function catchUpOnJobs(): Promise<boolean> {
     const read = [jobsFollower.catchUp(), cellFollower.catchUp()];
     return (await Promise.all(read)).every((ok) => ok);
@@ -344,6 +378,9 @@
       connect: options.connect,
       cores: self.cores,
       loopUtilization: () => monitor.utilization(),
+      // While the store is slow, peers read a job's record too late.
+      sendsPayload: (payload) =>
+        !health.isQuick() || takePayloadBytes(Buffer.byteLength(payload)),
       relayPeers: () => peers.relayPeers(),
       advisers: () => peers.advisers().set(self.instance, options.adviser),
       jobs,
@@ -437,6 +474,7 @@
     isConfigCurrent,
     isReady,
     isBusy: () => monitor.utilization() >= MAX_LOOP_UTILIZATION,
+    findPayload,
     start() {
       void configFollower.run();
       void jobsFollower.run();
--- a/packages/gypsumwall-cell/src/cell_entry_types.ts
+++ b/packages/gypsumwall-cell/src/cell_entry_types.ts
@@ -20,6 +20,8 @@
     readonly peerAddress: string;
     /** Processor capacity of the instance, in cores. */
     readonly cores: number;
+    /** Bandwidth of the instance's link, in Mbit/s; unlimited if absent. */
+    readonly linkMbps?: number;
   };
   readonly logs: {
     readonly jobs: ports.KeyedLog;
@@ -67,6 +69,8 @@
   isReady(): boolean;
   /** Whether this process is too busy to carry out the calls of peers. */
   isBusy(): boolean;
+  /** Payload of a job according to its record; undefined if it isn't found. */
+  findPayload(job: types.ids.JobId): Promise<string | undefined>;
   start(): void;
   /** Hands the cell over if this entry holds it; callers are still served. */
   leave(): Promise<void>;
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -118,6 +118,7 @@
     peers: options.relayPeers,
     connect: options.connect,
     loopUtilization: options.loopUtilization,
+    sendsPayload: options.sendsPayload,
     clock,
     logger,
   });
--- a/packages/gypsumwall-cell/src/cell_holder_types.ts
+++ b/packages/gypsumwall-cell/src/cell_holder_types.ts
@@ -9,6 +9,7 @@
 import type * as jobTable from './job_table.js';
 import type * as ports from './ports.js';
 import type * as storeHealth from './store_health.js';
+import type * as workerChannel from './worker_channel.js';
 import type * as workerRoster from './worker_roster.js';
 import type * as workerRoutes from './worker_routes.js';
 
@@ -26,6 +27,8 @@
   readonly cores: number;
   /** Busy share of this process's event loop, from 0 to 1. */
   readonly loopUtilization: () => number;
+  /** Whether peers get the payload of a start from this holder. */
+  readonly sendsPayload: workerChannel.SendsPayload;
   /** Peers that can call workers for this holder. */
   readonly relayPeers: () => Iterable<workerRoutes.RelayPeer>;
   /** Entries through which the adviser can be asked now, including this one. */
--- /dev/null
+++ b/packages/gypsumwall-cell/src/compact_channel_form.ts
@@ -0,0 +1,425 @@
+/**
+ * The form of a worker channel for busy links: rows in place of objects,
+ * workers and payloads by number, and of a report only what has changed since
+ * the worker's last one on the same stream. Both ends keep the same tables,
+ * because the lines of a stream arrive once and in order.
+ */
+import type * as scheduling from '@gypsumwall/scheduling';
+import type * as types from '@gypsumwall/types';
+import type * as ports from './ports.js';
+import type * as workerChannel from './worker_channel.js';
+
+/** Number of payloads that both ends of a stream remember. */
+const MAX_KNOWN_PAYLOADS = 64;
+
+type RunningAttempt = scheduling.schedulerTypes.RunningAttempt;
+type Report = Extract<ports.PollAnswer, {readonly type: 'report'}>;
+
+/** Number, kind, and position of the worker in the order of introduction. */
+type CallHead<Kind extends string> = readonly [number, Kind, number];
+
+/** Task, attempt, end of the lease, timeout, payload, ticket, checkpoint. */
+type StartRow = readonly [
+  ...CallHead<'start'>,
+  types.ids.TaskId,
+  number,
+  number,
+  number,
+  /** Number of the payload; null if it is in the job's record. */
+  number | null,
+  (string | null)?,
+  string?,
+];
+/** Task, attempt, timeout. */
+type StopRow = readonly [...CallHead<'stop'>, types.ids.TaskId, number, number];
+/** Acknowledged sequence number, wait, timeout, end of the lease. */
+type PollRow = readonly [...CallHead<'poll'>, number, number, number, number?];
+
+interface CallsLine {
+  /** Workers that are called for the first time on this stream. */
+  readonly workers?: readonly scheduling.workerRegistry.WorkerInfo[];
+  /** Payloads that are sent for the first time, with their numbers. */
+  readonly payloads?: readonly (readonly [number, string])[];
+  readonly token: number;
+  readonly delayMs: number;
+  readonly calls: readonly (StartRow | StopRow | PollRow)[];
+}
+
+/** Task, attempt, saved progress, percent. */
+type RunningRow = readonly [types.ids.TaskId, number, string, number];
+/** Sequence number, task, attempt, outcome, saved progress. */
+type EndRow = readonly [
+  number,
+  types.ids.TaskId,
+  number,
+  scheduling.schedulerTypes.AttemptEnd['how'],
+  string,
+];
+
+type AnswerRow =
+  | readonly [number, 'accepted', number]
+  | readonly [number, 'refused', scheduling.schedulerTypes.RefusalReason]
+  | readonly [number, 'fenced' | 'gone']
+  | readonly [number, 'err', types.stepError.StepError]
+  /** Worker, its clock, changed attempts, ends, and whether there are more. */
+  | readonly [
+      number,
+      'report',
+      number,
+      number,
+      RunningChanges,
+      EndRow[],
+      0 | 1,
+    ];
+
+/**
+ * What changed since the last report of the worker: positions of attempts that
+ * are not listed any more or have other saved progress, the percentages of the
+ * others, and new attempts.
+ */
+type RunningChanges = readonly [
+  removed: readonly number[],
+  percents: readonly number[],
+  added: readonly RunningRow[],
+];
+
+interface AnswersLine {
+  readonly leaving?: 1;
+  readonly answers: readonly AnswerRow[];
+}
+
+const CALL_KINDS: ReadonlySet<string> = new Set<CallsLine['calls'][number][1]>([
+  'start',
+  'stop',
+  'poll',
+]);
+const ANSWER_KINDS: ReadonlySet<string> = new Set<AnswerRow[1]>([
+  'accepted',
+  'refused',
+  'fenced',
+  'gone',
+  'err',
+  'report',
+]);
+
+/** Throws for a row of another version, which may mean anything. */
+function checkKind(kind: string, known: ReadonlySet<string>): void {
+  if (known.has(kind)) return;
+  throw new Error(`type = ${kind}: this version doesn't know it`);
+}
+
+/** Creates the holder's end of a stream. */
+export function createHolderForm(
+  sendsPayload: workerChannel.SendsPayload,
+): workerChannel.HolderForm {
+  const positions = new Map<types.ids.WorkerId, number>();
+  const payloads = createSentPayloads();
+  const lastRunning = new Map<number, readonly RunningAttempt[]>();
+  let token = 0;
+
+  function encodeStart(
+    nth: number,
+    position: number,
+    call: ports.StartCall,
+  ): StartRow {
+    const {taskId, attempt, leaseUntil, timeoutMs, payload, ticket} = call;
+    const known = payloads.find(payload);
+    const number =
+      known ?? (sendsPayload(payload) ? payloads.add(payload) : null);
+    const head = [nth, 'start', position, taskId, attempt] as const;
+    const row = [...head, leaseUntil, timeoutMs, number] as const;
+    if (call.checkpoint !== undefined)
+      return [...row, ticket ?? null, call.checkpoint];
+    return ticket === undefined ? row : [...row, ticket];
+  }
+
+  function encodeCall(
+    {nth, worker, call}: workerChannel.ChannelCall,
+    added: scheduling.workerRegistry.WorkerInfo[],
+  ): CallsLine['calls'][number] {
+    let position = positions.get(worker.id);
+    if (position === undefined) {
+      position = positions.size;
+      positions.set(worker.id, position);
+      added.push(worker);
+    }
+    // All calls of a holder carry the same token.
+    token = call.call.token;
+    switch (call.type) {
+      case 'start':
+        return encodeStart(nth, position, call.call);
+      case 'stop': {
+        const {taskId, attempt, timeoutMs} = call.call;
+        return [nth, 'stop', position, taskId, attempt, timeoutMs];
+      }
+      case 'poll': {
+        const {acknowledged, waitMs, timeoutMs, leaseUntil} = call.call;
+        const head = [nth, 'poll', position, acknowledged] as const;
+        return leaseUntil === undefined
+          ? [...head, waitMs, timeoutMs]
+          : [...head, waitMs, timeoutMs, leaseUntil];
+      }
+    }
+  }
+
+  function decodeAnswer(row: AnswerRow): workerChannel.SentAnswer {
+    const [nth] = row;
+    checkKind(row[1], ANSWER_KINDS);
+    switch (row[1]) {
+      case 'accepted':
+        return {nth, answer: {type: 'accepted', clockMs: row[2]}};
+      case 'refused':
+        return {nth, answer: {type: 'refused', reason: row[2]}};
+      case 'fenced':
+      case 'gone':
+        return {nth, answer: {type: row[1]}};
+      case 'err':
+        return {nth, err: row[2]};
+      case 'report': {
+        const [, , position, clockMs, changes, ends, hasMore] = row;
+        const running = applyChanges(lastRunning.get(position) ?? [], changes);
+        lastRunning.set(position, running);
+        const answer: Report = {
+          type: 'report',
+          clockMs,
+          running,
+          ends: ends.map(decodeEnd),
+          hasMoreEnds: hasMore === 1,
+        };
+        return {nth, answer};
+      }
+    }
+  }
+
+  return {
+    encodeCalls(sent, answerDelayMs) {
+      const workers: scheduling.workerRegistry.WorkerInfo[] = [];
+      const calls = sent.map((call) => encodeCall(call, workers));
+      const added = payloads.takeAdded();
+      const line: CallsLine = {
+        workers: workers.length > 0 ? workers : undefined,
+        payloads: added.length > 0 ? added : undefined,
+        token,
+        delayMs: Math.round(answerDelayMs),
+        calls,
+      };
+      return JSON.stringify(line);
+    },
+    decodeAnswers(text) {
+      const {answers, leaving} = JSON.parse(text) as Partial<AnswersLine>;
+      if (!Array.isArray(answers)) throw new Error('no line of answers');
+      const rows = answers as AnswersLine['answers'];
+      return {answers: rows.map(decodeAnswer), isLeaving: leaving === 1};
+    },
+  };
+}
+
+/** Creates the peer's end of a stream. */
+export function createPeerForm(): workerChannel.PeerForm {
+  const workerIds: types.ids.WorkerId[] = [];
+  const positions = new Map<types.ids.WorkerId, number>();
+  const payloads = new Map<number, string>();
+  const lastRunning = new Map<number, readonly RunningAttempt[]>();
+
+  function decodeStart(
+    row: StartRow,
+    token: number,
+  ): workerChannel.ReceivedCall['call'] {
+    const [, , , taskId, attempt, leaseUntil, timeoutMs, number] = row;
+    const call = {
+      taskId,
+      attempt,
+      token,
+      leaseUntil,
+      timeoutMs,
+      ticket: row[8] ?? undefined,
+      checkpoint: row[9],
+    };
+    if (number === null) return {type: 'start_by_reference', call};
+    const payload = payloads.get(number);
+    if (payload === undefined)
+      throw new Error(`payload = ${number}: it was not sent on this stream`);
+    return {type: 'start', call: {...call, payload}};
+  }
+
+  function decodeCall(
+    row: CallsLine['calls'][number],
+    token: number,
+  ): workerChannel.ReceivedCall {
+    const [nth, , position] = row;
+    const worker = workerIds[position];
+    if (worker === undefined)
+      throw new Error(`worker = ${position}: it was not sent on this stream`);
+    checkKind(row[1], CALL_KINDS);
+    switch (row[1]) {
+      case 'start':
+        return {nth, worker, call: decodeStart(row, token)};
+      case 'stop': {
+        const [, , , taskId, attempt, timeoutMs] = row;
+        const call = {taskId, attempt, token, timeoutMs};
+        return {nth, worker, call: {type: 'stop', call}};
+      }
+      case 'poll': {
+        const [, , , acknowledged, waitMs, timeoutMs, leaseUntil] = row;
+        const call = {token, acknowledged, waitMs, timeoutMs, leaseUntil};
+        return {nth, worker, call: {type: 'poll', call}};
+      }
+    }
+  }
+
+  function encodeReport(
+    nth: number,
+    worker: types.ids.WorkerId,
+    report: Report,
+  ): AnswerRow {
+    const position = positions.get(worker)!;
+    const before = lastRunning.get(position) ?? [];
+    const changes = findChanges(before, report.running);
+    lastRunning.set(position, applyChanges(before, changes));
+    const ends = report.ends.map(encodeEnd);
+    const hasMore = report.hasMoreEnds ? 1 : 0;
+    return [nth, 'report', position, report.clockMs, changes, ends, hasMore];
+  }
+
+  return {
+    decodeCalls(text) {
+      const line = JSON.parse(text) as Partial<CallsLine>;
+      const {workers = [], token, delayMs, calls} = line;
+      if (
+        typeof token !== 'number' ||
+        typeof delayMs !== 'number' ||
+        !Array.isArray(calls)
+      ) {
+        const names = Object.keys(line).join(',');
+        throw new Error(`fields = ${names}: no line of calls`);
+      }
+      for (const {id} of workers) positions.set(id, workerIds.push(id) - 1);
+      const added = line.payloads ?? [];
+      for (const [number, payload] of added) payloads.set(number, payload);
+      const rows = calls as CallsLine['calls'];
+      const received = rows.map((row) => decodeCall(row, token));
+      // The calls of a line may use payloads that the same line displaces.
+      for (const [number] of added)
+        payloads.delete(number - MAX_KNOWN_PAYLOADS);
+      return {workers, calls: received, answerDelayMs: delayMs};
+    },
+    encodeAnswers(sent, isLeaving) {
+      const answers = sent.map((one): AnswerRow => {
+        const {nth} = one;
+        if ('err' in one) return [nth, 'err', one.err];
+        const {answer} = one;
+        switch (answer.type) {
+          case 'accepted':
+            return [nth, 'accepted', answer.clockMs];
+          case 'refused':
+            return [nth, 'refused', answer.reason];
+          case 'fenced':
+          case 'gone':
+            return [nth, answer.type];
+          case 'report':
+            return encodeReport(nth, one.worker, answer);
+        }
+      });
+      const line: AnswersLine = isLeaving ? {leaving: 1, answers} : {answers};
+      return JSON.stringify(line);
+    },
+  };
+}
+
+/** The payloads that were sent on a stream, with their numbers. */
+interface SentPayloads {
+  find(payload: string): number | undefined;
+  add(payload: string): number;
+  /** Returns the payloads that were added since the last call. */
+  takeAdded(): (readonly [number, string])[];
+}
+
+function createSentPayloads(): SentPayloads {
+  const numbers = new Map<string, number>();
+  const byNumber = new Map<number, string>();
+  let added: (readonly [number, string])[] = [];
+  let count = 0;
+  return {
+    find: (payload) => numbers.get(payload),
+    add(payload) {
+      const number = count++;
+      numbers.set(payload, number);
+      byNumber.set(number, payload);
+      added.push([number, payload]);
+      const dropped = byNumber.get(number - MAX_KNOWN_PAYLOADS);
+      if (dropped !== undefined) {
+        byNumber.delete(number - MAX_KNOWN_PAYLOADS);
+        numbers.delete(dropped);
+      }
+      return number;
+    },
+    takeAdded() {
+      const taken = added;
+      added = [];
+      return taken;
+    },
+  };
+}
+
+function findChanges(
+  before: readonly RunningAttempt[],
+  after: readonly RunningAttempt[],
+): RunningChanges {
+  const rest = new Map(after.map((one) => [keyOf(one), one]));
+  const removed: number[] = [];
+  const percents: number[] = [];
+  before.forEach((one, position) => {
+    const key = keyOf(one);
+    const still = rest.get(key);
+    if (still === undefined || still.checkpoint !== one.checkpoint) {
+      removed.push(position);
+      return;
+    }
+    rest.delete(key);
+    percents.push(still.percent);
+  });
+  const added = [...rest.values()].map(
+    ({taskId, attempt, checkpoint, percent}) =>
+      [taskId, attempt, checkpoint, percent] as const,
+  );
+  return [removed, percents, added];
+}
+
+function applyChanges(
+  before: readonly RunningAttempt[],
+  [removed, percents, added]: RunningChanges,
+): RunningAttempt[] {
+  const gone = new Set(removed);
+  const kept = before.filter((_, position) => !gone.has(position));
+  return [
+    ...kept.map((one, nth) => ({
+      ...one,
+      percent: percents[nth] ?? one.percent,
+    })),
+    ...added.map(([taskId, attempt, checkpoint, percent]) => ({
+      taskId,
+      attempt,
+      checkpoint,
+      percent,
+    })),
+  ];
+}
+
+function keyOf({taskId, attempt}: RunningAttempt): string {
+  return `${taskId}#${attempt}`;
+}
+
+function encodeEnd(end: scheduling.schedulerTypes.AttemptEnd): EndRow {
+  const {sequence, taskId, attempt, how, checkpoint} = end;
+  return [sequence, taskId, attempt, how, checkpoint];
+}
+
+function decodeEnd([
+  sequence,
+  taskId,
+  attempt,
+  how,
+  checkpoint,
+]: EndRow): scheduling.schedulerTypes.AttemptEnd {
+  return {sequence, taskId, attempt, how, checkpoint};
+}
--- a/packages/gypsumwall-cell/src/line_stream.ts
+++ b/packages/gypsumwall-cell/src/line_stream.ts
@@ -15,8 +15,8 @@
 
 /** What happens on a stream. */
 export interface LineStreamEvents {
-  /** The server has accepted the stream. */
-  readonly onOpen: () => void;
+  /** The server has accepted the stream, with the media type of its answer. */
+  readonly onOpen: (mediaType: string | undefined) => void;
   readonly onLine: (line: string) => void;
   /** Called once, at the end of the stream or if it can't be opened. */
   readonly onClosed: (err: types.stepError.StepError) => void;
@@ -28,10 +28,11 @@
   close(reason: string): void;
 }
 
-/** Opens a stream to `host:port`. */
+/** Opens a stream to `host:port`; accepts answers of a media type. */
 export function openLineStream(
   address: string,
   path: string,
+  accepted: string,
   events: LineStreamEvents,
 ): LineStream {
   const [host, port] = httpClient.splitAddress(address);
@@ -41,7 +42,7 @@
     port,
     path,
     method: 'POST',
-    headers: {'content-type': LINES_TYPE},
+    headers: {'content-type': LINES_TYPE, accept: accepted},
   });
   let isClosed = false;
 
@@ -72,7 +73,7 @@
       return;
     }
     clearTimeout(opening);
-    events.onOpen();
+    events.onOpen(res.headers['content-type']);
     readLines(res, events.onLine);
     res.on('close', () => close('the peer closed the stream'));
   });
--- a/packages/gypsumwall-cell/src/peer_server.ts
+++ b/packages/gypsumwall-cell/src/peer_server.ts
@@ -4,6 +4,7 @@
 import * as result from 'true-myth/result';
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
+import * as channelForms from './channel_forms.js';
 import type * as jobService from './job_service.js';
 import * as httpServer from './http_server.js';
 import * as lineStream from './line_stream.js';
@@ -20,6 +21,8 @@
   readonly isBusy: () => boolean;
   /** Opens the connections to a worker that is called for the holder. */
   readonly connect: workerChannelServer.Connect;
+  /** See `WorkerChannelServerOptions`. */
+  readonly findPayload: workerChannelServer.WorkerChannelServerOptions['findPayload'];
   /** Whether this process is shutting down. */
   readonly isLeaving: () => boolean;
   readonly clock: types.clock.Clock;
@@ -32,6 +35,7 @@
   service,
   isBusy,
   connect,
+  findPayload,
   isLeaving,
   clock,
   logger,
@@ -44,11 +48,14 @@
   server.post<{Body: stream.Readable}>(
     workerChannel.WORKER_CHANNEL_PATH,
     (req, res) => {
+      const {mediaType, form} = channelForms.createPeerForm(req.headers.accept);
       res.hijack();
-      res.raw.writeHead(200, {'content-type': lineStream.LINES_TYPE});
+      res.raw.writeHead(200, {'content-type': mediaType});
       res.raw.flushHeaders();
       workerChannelServer.serveWorkerChannel(req.body, res.raw, {
+        form,
         connect,
+        findPayload,
         isLeaving,
         clock,
         logger,
--- a/packages/gypsumwall-cell/src/worker_channel.ts
+++ b/packages/gypsumwall-cell/src/worker_channel.ts
@@ -1,8 +1,8 @@
 /**
  * The protocol by which a holder has its calls to workers made by a peer. Calls
  * and answers are collected for some milliseconds and sent together, as lines
- * of JSON on one stream. A call through a peer means what the call itself
- * means: one that gets no answer may have been executed, or may be later.
+ * on one stream. A call through a peer means what the call itself means: one
+ * that gets no answer may have been executed, or may be later.
  */
 import type * as scheduling from '@gypsumwall/scheduling';
 import type * as types from '@gypsumwall/types';
@@ -26,69 +26,42 @@
 /** The answer to such a call. */
 export type WorkerAnswer = ports.OrderAnswer | ports.PollAnswer;
 
-/** A call as it is sent; the payload of a start is sent apart. */
-export type SentCall = {
+/** A call that the holder sends on a channel. */
+export interface ChannelCall {
+  /** Number of the call on this stream. */
+  readonly nth: number;
+  readonly worker: scheduling.workerRegistry.WorkerInfo;
+  readonly call: WorkerCall;
+}
+
+/** A start whose payload the peer takes from the job's record. */
+export interface StartByReference {
+  readonly type: 'start_by_reference';
+  readonly call: Omit<ports.StartCall, 'payload'>;
+}
+
+/** A call that the peer has received. */
+export interface ReceivedCall {
   readonly nth: number;
   readonly worker: types.ids.WorkerId;
-} & (
-  | {
-      readonly type: 'start';
-      readonly call: Omit<ports.StartCall, 'payload'>;
-      /** Position in the payloads of the line, which tasks of a job share. */
-      readonly payload: number;
-    }
-  | Extract<WorkerCall, {readonly type: 'stop' | 'poll'}>
-);
+  readonly call: WorkerCall | StartByReference;
+}
 
-/** A line of the holder. */
-export interface CallsLine {
+/** A line of the holder, as the peer has received it. */
+export interface ReceivedCalls {
   /** Workers that are called for the first time on this stream. */
   readonly workers: readonly scheduling.workerRegistry.WorkerInfo[];
-  readonly payloads: readonly string[];
-  readonly calls: readonly SentCall[];
+  readonly calls: readonly ReceivedCall[];
   /** How long the peer collects answers before it sends them; milliseconds. */
   readonly answerDelayMs: number;
 }
 
-const ANSWER_TYPES: ReadonlySet<unknown> = new Set<WorkerAnswer['type']>([
-  'accepted',
-  'refused',
-  'fenced',
-  'gone',
-  'report',
-]);
-
-/** Parses a line; throws if it is malformed or of an unknown form. */
-export function parseCalls(text: string): CallsLine {
-  const line = JSON.parse(text) as Partial<CallsLine>;
-  const {workers, payloads, calls, answerDelayMs} = line;
-  if (
-    typeof answerDelayMs === 'number' &&
-    Array.isArray(workers) &&
-    Array.isArray(payloads) &&
-    Array.isArray(calls)
-  ) {
-    return line as CallsLine;
-  }
-  throw new Error(`fields = ${Object.keys(line).join(',')}: no line of calls`);
-}
-
-/** Parses a line; throws if it is malformed or of an unknown form. */
-export function parseAnswers(text: string): AnswersLine {
-  const {answers, isLeaving} = JSON.parse(text) as Partial<AnswersLine>;
-  for (const sent of answers ?? []) {
-    if ('err' in sent || ANSWER_TYPES.has(sent.answer.type)) continue;
-    throw new Error(`type = ${sent.answer.type}: this version doesn't know it`);
-  }
-  if (answers !== undefined && isLeaving !== undefined)
-    return {answers, isLeaving};
-  throw new Error('fields are absent: no line of answers');
-}
-
 /** The outcome of one call. */
-export type SentAnswer =
-  | {readonly nth: number; readonly answer: WorkerAnswer}
-  | {readonly nth: number; readonly err: types.stepError.StepError};
+export type CallOutcome =
+  {readonly answer: WorkerAnswer} | {readonly err: types.stepError.StepError};
+
+/** The outcome of the call with this number on the stream. */
+export type SentAnswer = {readonly nth: number} & CallOutcome;
 
 /** A line of the peer. */
 export interface AnswersLine {
@@ -96,3 +69,26 @@
   /** Whether the peer is shutting down and should get no more calls. */
   readonly isLeaving: boolean;
 }
+
+/** The holder's end of a stream in one form. */
+export interface HolderForm {
+  encodeCalls(calls: readonly ChannelCall[], answerDelayMs: number): string;
+  /** Throws for a line that is malformed or of an unknown version. */
+  decodeAnswers(text: string): AnswersLine;
+}
+
+/** The peer's end of a stream in one form. */
+export interface PeerForm {
+  /** Throws for a line that is malformed or of an unknown version. */
+  decodeCalls(text: string): ReceivedCalls;
+  encodeAnswers(
+    answers: readonly (SentAnswer & {readonly worker: types.ids.WorkerId})[],
+    isLeaving: boolean,
+  ): string;
+}
+
+/**
+ * Whether the holder sends the payload of a start itself, rather than have the
+ * peer take it from the job's record.
+ */
+export type SendsPayload = (payload: string) => boolean;
--- a/packages/gypsumwall-cell/src/worker_channel_client.ts
+++ b/packages/gypsumwall-cell/src/worker_channel_client.ts
@@ -3,6 +3,7 @@
 import type * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
 import * as batchDelay from './batch_delay.js';
+import * as channelForms from './channel_forms.js';
 import * as lineStream from './line_stream.js';
 import type * as ports from './ports.js';
 import * as workerChannel from './worker_channel.js';
@@ -28,6 +29,7 @@
   readonly address: string;
   /** Busy share of this process's event loop, from 0 to 1. */
   readonly loopUtilization: () => number;
+  readonly sendsPayload: workerChannel.SendsPayload;
   readonly clock: types.clock.Clock;
   /** Called when the peer is shutting down; open calls are still answered. */
   readonly onLeaving: () => void;
@@ -52,22 +54,16 @@
   ) => void;
 }
 
-interface WaitingCall {
-  readonly nth: number;
-  readonly worker: scheduling.workerRegistry.WorkerInfo;
-  readonly call: workerChannel.WorkerCall;
-}
-
 /** Opens a channel; calls wait until the peer has accepted it. */
 export function openWorkerChannel(
   options: WorkerChannelOptions,
 ): WorkerChannel {
   const {address, clock, open = lineStream.openLineStream} = options;
   const openCalls = new Map<number, OpenCall>();
-  const knownWorkers = new Set<types.ids.WorkerId>();
-  let waiting: WaitingCall[] = [];
+  let waiting: workerChannel.ChannelCall[] = [];
   let timer: NodeJS.Timeout | undefined;
-  let isOpen = false;
+  /** Undefined until the peer has accepted the stream. */
+  let form: workerChannel.HolderForm | undefined;
   let isLost = false;
   let lastNth = 0;
   let heardAt = clock.monotonic();
@@ -77,16 +73,12 @@
 
   function sendWaiting(): void {
     timer = undefined;
-    if (!isOpen) return;
+    if (form === undefined) return;
     // Calls that timed out before the peer accepted the stream are not sent.
     const due = waiting.filter(({nth}) => openCalls.has(nth));
     waiting = [];
     if (due.length === 0) return;
-    const line: workerChannel.CallsLine = {
-      ...encodeCalls(due, knownWorkers),
-      answerDelayMs: delayMs(ANSWER_DELAY_MS),
-    };
-    stream.write(JSON.stringify(line));
+    stream.write(form.encodeCalls(due, delayMs(ANSWER_DELAY_MS)));
   }
 
   function fail(
@@ -100,9 +92,10 @@
 
   function onLine(text: string): void {
     heardAt = clock.monotonic();
+    if (form === undefined) return;
     let line: workerChannel.AnswersLine;
     try {
-      line = workerChannel.parseAnswers(text);
+      line = form.decodeAnswers(text);
     } catch (thrown) {
       stream.close(types.stepError.messageOf(thrown));
       return;
@@ -146,9 +139,10 @@
     }
   }
 
-  const stream = open(address, workerChannel.WORKER_CHANNEL_PATH, {
-    onOpen() {
-      isOpen = true;
+  const path = workerChannel.WORKER_CHANNEL_PATH;
+  const stream = open(address, path, channelForms.COMPACT_TYPE, {
+    onOpen(mediaType) {
+      form = channelForms.createHolderForm(mediaType, options.sendsPayload);
       heardAt = clock.monotonic();
       sendWaiting();
     },
@@ -174,27 +168,6 @@
   };
 }
 
-function encodeCalls(
-  waiting: readonly WaitingCall[],
-  knownWorkers: Set<types.ids.WorkerId>,
-): Omit<workerChannel.CallsLine, 'answerDelayMs'> {
-  const workers: scheduling.workerRegistry.WorkerInfo[] = [];
-  const payloads: string[] = [];
-  const calls = waiting.map(({nth, worker, call}): workerChannel.SentCall => {
-    if (!knownWorkers.has(worker.id)) {
-      knownWorkers.add(worker.id);
-      workers.push(worker);
-    }
-    const sent = {nth, worker: worker.id};
-    if (call.type !== 'start') return {...sent, ...call};
-    const {payload, ...rest} = call.call;
-    const known = payloads.lastIndexOf(payload);
-    const position = known < 0 ? payloads.push(payload) - 1 : known;
-    return {...sent, type: 'start', call: rest, payload: position};
-  });
-  return {workers, payloads, calls};
-}
-
 function overdue(peer: string): types.stepError.StepError {
   return types.stepError.createStepError({
     kind: 'timeout',
--- a/packages/gypsumwall-cell/src/worker_channel_server.ts
+++ b/packages/gypsumwall-cell/src/worker_channel_server.ts
@@ -1,7 +1,7 @@
 /** Makes the calls to workers that a holder sends to this entry. */
 import type * as stream from 'node:stream';
 import * as result from 'true-myth/result';
-import type * as scheduling from '@gypsumwall/scheduling';
+import * as scheduling from '@gypsumwall/scheduling';
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import * as lineStream from './line_stream.js';
@@ -22,7 +22,10 @@
 
 /** Options of the server's end of a stream. */
 export interface WorkerChannelServerOptions {
+  readonly form: workerChannel.PeerForm;
   readonly connect: Connect;
+  /** Payload of a job according to its record; undefined if it isn't found. */
+  readonly findPayload: (job: types.ids.JobId) => Promise<string | undefined>;
   /** Whether this process is shutting down. */
   readonly isLeaving: () => boolean;
   readonly clock: types.clock.Clock;
@@ -33,48 +36,71 @@
 export function serveWorkerChannel(
   calls: stream.Readable,
   answers: stream.Writable,
-  {connect, isLeaving, clock, logger}: WorkerChannelServerOptions,
+  options: WorkerChannelServerOptions,
 ): void {
+  const {form, connect, clock, logger} = options;
   const links = new Map<types.ids.WorkerId, ports.WorkerLink>();
-  let collected: workerChannel.SentAnswer[] = [];
+  let collected: Parameters<
+    workerChannel.PeerForm['encodeAnswers']
+  >[0][number][] = [];
   let timer: NodeJS.Timeout | undefined;
   let answerDelayMs = 0;
   let heardAt = clock.monotonic();
 
   function sendAnswers(): void {
     timer = undefined;
-    const line: workerChannel.AnswersLine = {
-      answers: collected,
-      isLeaving: isLeaving(),
-    };
+    const line = form.encodeAnswers(collected, options.isLeaving());
     collected = [];
-    if (answers.writable) answers.write(`${JSON.stringify(line)}\n`);
+    if (answers.writable) answers.write(`${line}\n`);
   }
 
-  function addAnswer(answer: workerChannel.SentAnswer): void {
-    collected.push(answer);
-    timer ??= setTimeout(sendAnswers, answerDelayMs);
-  }
-
-  async function carryOut(
-    sent: workerChannel.SentCall,
-    payloads: readonly string[],
-  ): Promise<void> {
-    const link = links.get(sent.worker);
+  async function carryOut({
+    nth,
+    worker,
+    call,
+  }: workerChannel.ReceivedCall): Promise<void> {
+    const link = links.get(worker);
     if (link === undefined) return;
-    const answer = await callWorker(link, sent, payloads);
-    addAnswer(
+    const answer = await callWorker(link, call);
+    collected.push(
       result.isOk(answer)
-        ? {nth: sent.nth, answer: answer.value}
-        : {nth: sent.nth, err: answer.error},
+        ? {nth, worker, answer: answer.value}
+        : {nth, worker, err: answer.error},
     );
+    timer ??= setTimeout(sendAnswers, answerDelayMs);
+  }
+
+  async function startByReference(
+    link: ports.WorkerLink,
+    call: workerChannel.StartByReference['call'],
+  ): Promise<Awaited<ports.Answer<ports.OrderAnswer>>> {
+    const jobId = scheduling.taskId.parseTaskId(call.taskId)?.jobId;
+    const payload = jobId && (await options.findPayload(jobId));
+    if (payload === undefined) return result.err(unknownPayload(call.taskId));
+    return link.start({...call, payload});
+  }
+
+  function callWorker(
+    link: ports.WorkerLink,
+    received: workerChannel.ReceivedCall['call'],
+  ): ports.Answer<workerChannel.WorkerAnswer> {
+    switch (received.type) {
+      case 'start':
+        return link.start(received.call);
+      case 'start_by_reference':
+        return startByReference(link, received.call);
+      case 'stop':
+        return link.stop(received.call);
+      case 'poll':
+        return link.poll(received.call);
+    }
   }
 
   function onLine(text: string): void {
     heardAt = clock.monotonic();
-    let line: workerChannel.CallsLine;
+    let line: workerChannel.ReceivedCalls;
     try {
-      line = workerChannel.parseCalls(text);
+      line = form.decodeCalls(text);
     } catch (thrown) {
       logger.warn('worker_channel_unreadable', {
         error: types.stepError.messageOf(thrown),
@@ -87,7 +113,7 @@
       links.get(worker.id)?.close();
       links.set(worker.id, connect(worker));
     }
-    for (const sent of line.calls) void carryOut(sent, line.payloads);
+    for (const call of line.calls) void carryOut(call);
   }
 
   const heartbeat = setInterval(() => {
@@ -106,17 +132,12 @@
   });
 }
 
-function callWorker(
-  link: ports.WorkerLink,
-  sent: workerChannel.SentCall,
-  payloads: readonly string[],
-): ports.Answer<workerChannel.WorkerAnswer> {
-  switch (sent.type) {
-    case 'start':
-      return link.start({...sent.call, payload: payloads[sent.payload] ?? ''});
-    case 'stop':
-      return link.stop(sent.call);
-    case 'poll':
-      return link.poll(sent.call);
-  }
+function unknownPayload(task: types.ids.TaskId): types.stepError.StepError {
+  return types.stepError.createStepError({
+    kind: 'refused',
+    step: 'peer.worker_call',
+    peer: '',
+    effect: 'not_run',
+    message: `task = ${task}: the record of its job is not known here`,
+  });
 }
--- a/packages/gypsumwall-cell/src/worker_routes.ts
+++ b/packages/gypsumwall-cell/src/worker_routes.ts
@@ -43,6 +43,7 @@
   ) => ports.WorkerLink;
   /** Busy share of this process's event loop, from 0 to 1. */
   readonly loopUtilization: () => number;
+  readonly sendsPayload: workerChannel.SendsPayload;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
   readonly openChannel?: typeof workerChannelClient.openWorkerChannel;
@@ -110,6 +111,7 @@
       channel: openChannel({
         address: peer.address,
         loopUtilization: options.loopUtilization,
+        sendsPayload: options.sendsPayload,
         clock,
         onLeaving: () => onLeaving(relay),
         onLost: (err) => onLost(relay, err),
