cell: refuse submissions while what waits would take 20 s to begin

Cause: nothing compared what is accepted with what begins.

Change: each entry counts the tasks of the jobs that wait and those of the jobs that have begun within 10 s, from the records that it reads anyway. While what waits would take more than 20 s to begin, a submission is refused at once, with the excess as its Retry-After. Both the entry that a caller reaches and the one that appends check that, since an entry that the store turns away doesn't know the load; such a refusal is final, so that the job isn't offered to peer after peer. A rate counts after 6 s of waiting at the earliest, so that a failover is no overload. Jobs that were or may have been accepted, long-running ones and those with a schedule are never refused.

--- a/packages/gypsumwall-cell/src/__fixtures__/submission_world.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/submission_world.ts
@@ -146,6 +146,7 @@
       logger,
       couldEverFit: isLikely,
       fitsQuota: () => true,
+      checkLoad: () => ({type: 'admitted'}),
       isOutdated: () => false,
     });
   }
--- a/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
@@ -23,6 +23,8 @@
   readonly isStoreSlow?: boolean;
   /** The entry that appends, if it isn't the holder. */
   readonly appender?: string;
+  /** Whether the cell can't take the job on. */
+  readonly isShed?: boolean;
 }
 
 function createService(situation: Situation, asked: string[] = []) {
@@ -40,6 +42,7 @@
       Promise.resolve(
         situation.current === false ? REFUSED : {type: 'ok', value: 4},
       ),
+    shed: () => (situation.isShed === true ? SHED : undefined),
     isStored: () => false,
     isCurrent: () => situation.current ?? true,
     storeLatencyMs: () => 5,
@@ -85,6 +88,7 @@
 }
 
 const REFUSED = {type: 'not_run', retryAfterMs: 1_000} as const;
+const SHED = {...REFUSED, isCellOverloaded: true} as const;
 const OK = {type: 'ok', value: undefined} as const;
 const PEER_OK = {type: 'answered', res: OK, maybeApplied: false} as const;
 
@@ -360,3 +364,30 @@
   const {type, asked} = await submit({...situation, appender: 'appender'});
   assert.deepEqual({type, asked}, {type: 'ok', asked: ['appender', 'own']});
 });
+
+// Guards against callers who wait for an answer although it is known that the
+// cell can't take their job on, and against a refusal of a job that may run.
+test('a job that the cell cannot take on is refused before any attempt', async () => {
+  const situation = {own: OK, relayed: PEER_OK, reachable: true};
+  const {type, asked} = await submit({...situation, isShed: true});
+  assert.deepEqual({type, asked}, {type: 'not_run', asked: []});
+  const relayed = {
+    type: 'unanswered',
+    maybeApplied: true,
+    isSlow: true,
+  } as const;
+  const mutable: {isShed?: boolean} = {};
+  const service = createService({
+    ...situation,
+    relayed,
+    get isShed() {
+      return mutable.isShed;
+    },
+  });
+  const request = worlds.request(1);
+  const first = await service.submit(id, worlds.POLICY, request);
+  assert.equal(first.type, 'unknown');
+  mutable.isShed = true;
+  const repeated = await service.submit(id, worlds.POLICY, request);
+  assert.equal(repeated.type, 'unknown');
+});
--- a/packages/gypsumwall-cell/src/__tests__/known_submissions.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/known_submissions.test.ts
@@ -45,6 +45,7 @@
     logger,
     couldEverFit: () => true,
     fitsQuota: () => true,
+    checkLoad: () => ({type: 'admitted'}),
     isOutdated: () => false,
   });
   return forwardingJobService.createForwardingJobService({
--- a/packages/gypsumwall-cell/src/__tests__/relayed_queries.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/relayed_queries.test.ts
@@ -39,6 +39,7 @@
     phaseOf: () => Promise.resolve(REFUSED),
     finalPhaseOf: () => Promise.resolve(REFUSED),
     pendingIn: () => Promise.resolve(REFUSED),
+    shed: () => undefined,
     isStored: () => false,
     isCurrent: () => reachable,
     storeLatencyMs: () => 5,
--- a/packages/gypsumwall-cell/src/__tests__/repeated_calls.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/repeated_calls.test.ts
@@ -54,6 +54,7 @@
     logger,
     couldEverFit: () => true,
     fitsQuota: () => true,
+    checkLoad: () => ({type: 'admitted'}),
     isOutdated: () => false,
   });
 }
--- a/packages/gypsumwall-cell/src/__tests__/slow_store.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/slow_store.test.ts
@@ -83,6 +83,7 @@
     logger,
     couldEverFit: () => true,
     fitsQuota: () => true,
+    checkLoad: () => ({type: 'admitted'}),
     isOutdated: () => false,
   });
 }
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -15,6 +15,7 @@
 import * as election from './election.js';
 import * as entryRegistration from './entry_registration.js';
 import * as jobService from './job_service.js';
+import * as loadShedder from './load_shedder.js';
 import * as holderProbes from './holder_probe.js';
 import * as jobTables from './job_table.js';
 import * as logFollower from './log_follower.js';
@@ -137,12 +138,15 @@
     onChanged: () => holder?.onConfigChanged(),
   });
   const submissions = rateMeter.createRateMeter(clock, SUBMISSION_SPAN_MS);
+  const shedder = loadShedder.createLoadShedder(clock);
   const jobs = jobTables.createJobTable({
     onAdded(job) {
       submissions.add();
       holder?.onJobAdded(job);
     },
     onCancelled: (id) => holder?.onJobCancelled(id),
+    onQueued: (job) => shedder.onQueued(job),
+    onDequeued: (job) => shedder.onDequeued(job),
   });
   const configFollower = logFollower.createLogFollower({
     log: logs.config,
@@ -197,6 +201,7 @@
     logger,
     couldEverFit,
     fitsQuota,
+    checkLoad: (request) => shedder.check(request),
     isOutdated: (caller) => configs.keys.isOutdated(caller),
   });
   const holderProbe = holderProbes.createHolderProbe({
--- a/packages/gypsumwall-cell/src/forwarding_job_service.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -210,13 +210,27 @@
     };
   }
 
+  /**
+   * Refuses a job that the cell can't take on. One that may have been accepted
+   * before is not refused.
+   */
+  function shedLoad(req: EffectiveReq): callAttempts.CallAnswer | undefined {
+    if (req.type !== 'submit') return undefined;
+    const {id, caller, request} = req;
+    const isKnown =
+      localService.isStored(id, caller) ||
+      recentCalls.submit.mayBeApplied(id, caller);
+    return isKnown ? undefined : localService.shed(id, request);
+  }
+
   /** Returns the local answer, or a peer's answer where that is better. */
   async function serve(
     req: EffectiveReq,
     carryOut: () => Promise<callAttempts.CallAnswer>,
   ): Promise<callAttempts.CallAnswer> {
+    const shed = shedLoad(req);
     const call = trackCall(req, carryOut);
-    return call.conclude(await serveTracked(call));
+    return call.conclude(shed ?? (await serveTracked(call)));
   }
 
   async function serveTracked(
@@ -284,6 +298,7 @@
     },
     finalPhaseOf: (id, queue, caller) =>
       localService.finalPhaseOf(id, queue, caller),
+    shed: (id, request) => localService.shed(id, request),
     isStored: (id, caller) => localService.isStored(id, caller),
     isCurrent: () => localService.isCurrent(),
     storeLatencyMs: () => localService.storeLatencyMs(),
--- a/packages/gypsumwall-cell/src/job_service.ts
+++ b/packages/gypsumwall-cell/src/job_service.ts
@@ -9,6 +9,7 @@
 import * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
 import type * as jobTable from './job_table.js';
+import type * as loadShedder from './load_shedder.js';
 import type * as logFollower from './log_follower.js';
 import type * as ports from './ports.js';
 import * as recentAttempts from './recent_attempts.js';
@@ -53,6 +54,8 @@
       readonly isStoreOverloaded?: boolean;
       /** Whether a peer is too busy to carry out the calls of others. */
       readonly isPeerBusy?: boolean;
+      /** Whether the cell can't take the job on, so that no peer can either. */
+      readonly isCellOverloaded?: boolean;
     }
   /** The call may have taken effect; the caller should repeat it. */
   | {readonly type: 'unknown'}
@@ -101,6 +104,13 @@
    * where 20 jobs had been pending for 5 s.
    */
   pendingIn(queue: string): Promise<JobServiceAnswer<number>>;
+  /**
+   * The refusal of a job that the cell can't take on; undefined for other jobs.
+   */
+  shed(
+    id: types.ids.JobId,
+    request: scheduling.jobRequest.JobRequest,
+  ): JobServiceAnswer<undefined> | undefined;
   /** Whether this entry has read the record of the caller's job. */
   isStored(
     id: types.ids.JobId,
@@ -143,6 +153,8 @@
     caller: organisations.keyDirectory.Caller,
     step: scheduling.jobRequest.StepRequest,
   ) => boolean;
+  /** Decides whether the cell can take a job on. */
+  readonly checkLoad: loadShedder.LoadShedder['check'];
   /** Whether the keys of the caller's organisation may have changed since. */
   readonly isOutdated: (caller: organisations.keyDirectory.Caller) => boolean;
 }
@@ -265,6 +277,30 @@
     return step < 0 ? undefined : step;
   }
 
+  /**
+   * The refusal of a job that the cell can't take on. An entry with a stale
+   * replica doesn't know the load.
+   */
+  function shed(
+    id: types.ids.JobId,
+    request: scheduling.jobRequest.JobRequest,
+  ): JobServiceAnswer<undefined> | undefined {
+    if (!isCurrent()) return undefined;
+    const verdict = options.checkLoad(request);
+    switch (verdict.type) {
+      case 'admitted':
+        return undefined;
+      case 'refused': {
+        const {retryAfterMs} = verdict;
+        logger.info('job_shed', {
+          job: id,
+          retryAfterMs: Math.round(retryAfterMs),
+        });
+        return {type: 'not_run', retryAfterMs, isCellOverloaded: true};
+      }
+    }
+  }
+
   const isOutdated = (caller: organisations.keyDirectory.Caller | undefined) =>
     caller !== undefined && options.isOutdated(caller);
 
@@ -310,6 +346,8 @@
       });
       return {type: 'not_run', retryAfterMs: STORE_RETRY_AFTER_MS};
     }
+    const refusal = shed(id, request);
+    if (refusal !== undefined) return refusal;
     const organisation = caller?.organisation;
     const job = {request, policy, acceptedAt: clock.wall(), organisation};
     return storeAndAnswer('job_submitted', {kind: 'job', jobId: id, job});
@@ -391,6 +429,7 @@
           : {type: 'ok', value: pending},
       );
     },
+    shed,
     isStored,
     isCurrent,
     storeLatencyMs: () => records.latencyMs(),
--- a/packages/gypsumwall-cell/src/job_table.ts
+++ b/packages/gypsumwall-cell/src/job_table.ts
@@ -56,6 +56,10 @@
 export interface JobTableListener {
   onAdded(job: JobEntry): void;
   onCancelled(id: types.ids.JobId): void;
+  /** None of the tasks of the job has started yet. */
+  onQueued?(job: JobEntry): void;
+  /** A task of the job has started, or none ever will. */
+  onDequeued?(job: JobEntry): void;
 }
 
 function isWaiting({record, progress}: JobEntry): boolean {
@@ -65,6 +69,7 @@
 /** Creates an empty table. */
 export function createJobTable(listener: JobTableListener): JobTable {
   const jobs = new Map<types.ids.JobId, JobEntry>();
+  const queuedJobs = new Set<JobEntry>();
   // Two logs are followed in parallel, and a repeat of a job moves its record
   // to a later offset, so a cancellation or progress may be read before the
   // job.
@@ -74,6 +79,23 @@
     scheduling.jobProgress.JobProgress
   >();
 
+  function updateQueued(job: JobEntry): void {
+    const isQueued = isWaiting(job) && jobs.get(job.id) === job;
+    if (isQueued === queuedJobs.has(job)) return;
+    if (isQueued) {
+      queuedJobs.add(job);
+      listener.onQueued?.(job);
+    } else {
+      queuedJobs.delete(job);
+      listener.onDequeued?.(job);
+    }
+  }
+
+  function remove(job: JobEntry): void {
+    jobs.delete(job.id);
+    updateQueued(job);
+  }
+
   function finishIfOver(job: JobEntry, now: types.clock.MonotonicMs): void {
     const isOver = scheduling.jobProgress.isOver(job.progress.phase);
     if (!isOver && cancelledIds.has(job.id)) {
@@ -102,6 +124,7 @@
     earlyProgress.delete(id);
     jobs.set(id, job);
     finishIfOver(job, now);
+    updateQueued(job);
     if (job.endedAt === undefined) listener.onAdded(job);
   }
 
@@ -117,6 +140,7 @@
     if (job === undefined) return;
     job.record = undefined;
     job.endedAt ??= now;
+    updateQueued(job);
   }
 
   function applyProgress(
@@ -124,15 +148,16 @@
     now: types.clock.MonotonicMs,
   ): void {
     const {jobId: id, queue, organisation, progress} = record;
+    const job = jobs.get(id);
     if (progress === undefined) {
       earlyProgress.delete(id);
-      jobs.delete(id);
+      if (job !== undefined) remove(job);
       return;
     }
-    const job = jobs.get(id);
     if (job !== undefined) {
       job.progress = progress;
       finishIfOver(job, now);
+      updateQueued(job);
     } else if (scheduling.jobProgress.isOver(progress.phase)) {
       const over = {record: undefined, progress, endedAt: now};
       jobs.set(id, {id, queue, organisation, ...over});
@@ -147,7 +172,10 @@
   ): void {
     cancelledIds.add(id);
     const job = jobs.get(id);
-    if (job !== undefined) finishIfOver(job, now);
+    if (job !== undefined) {
+      finishIfOver(job, now);
+      updateQueued(job);
+    }
     listener.onCancelled(id);
   }
 
@@ -156,9 +184,7 @@
     all: () => jobs.values(),
     pendingIn(queue) {
       let count = 0;
-      for (const job of jobs.values()) {
-        if (job.queue === queue && isWaiting(job)) count++;
-      }
+      for (const job of queuedJobs) if (job.queue === queue) count++;
       return count;
     },
     apply(record, now) {
@@ -187,7 +213,7 @@
     retainProgress(ids) {
       for (const [id, job] of jobs) {
         const isOver = scheduling.jobProgress.isOver(job.progress.phase);
-        if (isOver && !ids.has(id)) jobs.delete(id);
+        if (isOver && !ids.has(id)) remove(job);
       }
     },
     endedBefore(moment) {
--- a/packages/gypsumwall-cell/src/peer_directory.ts
+++ b/packages/gypsumwall-cell/src/peer_directory.ts
@@ -284,7 +284,7 @@
           continue;
         }
         recordAnswer(peer, answer);
-        if (isFinal(answer.value)) {
+        if (isFinal(answer.value) || isShed(answer.value)) {
           return {type: 'answered', res: answer.value, maybeApplied};
         } else if (answer.value.type === 'unknown') {
           maybeApplied = true;
@@ -315,7 +315,8 @@
         return {...unsent, maybeApplied, isSlow};
       }
       recordAnswer(peer, answer);
-      if (isFinal(answer.value) || isOverloaded(answer.value)) {
+      const {value} = answer;
+      if (isFinal(value) || isOverloaded(value) || isShed(value)) {
         return {type: 'answered', res: answer.value, maybeApplied: false};
       }
       if (isBusy(answer.value)) pauseRelays(peer, BUSY_PAUSE_MS);
@@ -391,6 +392,11 @@
   return res.type === 'not_run' && res.isStoreOverloaded === true;
 }
 
+/** Whether the peer knows that the cell can't take the job on. */
+function isShed(res: peerProtocol.RelayRes): boolean {
+  return res.type === 'not_run' && res.isCellOverloaded === true;
+}
+
 function isBusy(res: peerProtocol.RelayRes): boolean {
   return res.type === 'not_run' && res.isPeerBusy === true;
 }
--- a/packages/gypsumwall-cell/src/rate_meter.ts
+++ b/packages/gypsumwall-cell/src/rate_meter.ts
@@ -1,9 +1,10 @@
-/** Measures how often something happens, over a span that ends now. */
+/** Measures the rate of events over a span that ends now. */
 import * as types from '@gypsumwall/types';
 
 /** Events within a span of time. */
 export interface RateMeter {
-  add(): void;
+  /** Records an event now, or several of them. */
+  add(count?: number): void;
   /** Events in a millisecond, over the last `spanMs` of the meter's span. */
   perMs(spanMs?: number): number;
 }
@@ -13,22 +14,29 @@
   clock: types.clock.Clock,
   maxSpanMs: number,
 ): RateMeter {
-  /** When they happened, ascending. */
-  let events: types.clock.MonotonicMs[] = [];
+  /** In the order in which they happened. */
+  let events: {
+    readonly at: types.clock.MonotonicMs;
+    readonly count: number;
+  }[] = [];
 
   return {
-    add() {
+    add(count = 1) {
       const now = clock.monotonic();
-      events.push(now);
+      events.push({at: now, count});
       // Dropped in bulk, so that each of them is copied a few times at most.
-      if (now - events[0]! > 2 * maxSpanMs)
-        events = events.filter((at) => now - at <= maxSpanMs);
+      if (now - events[0]!.at > 2 * maxSpanMs)
+        events = events.filter(({at}) => now - at <= maxSpanMs);
     },
     perMs(spanMs = maxSpanMs) {
       const oldest = clock.monotonic() - spanMs;
-      let first = events.length;
-      while (first > 0 && events[first - 1]! >= oldest) first--;
-      return (events.length - first) / spanMs;
+      let total = 0;
+      for (let nth = events.length - 1; nth >= 0; nth--) {
+        const {at, count} = events[nth]!;
+        if (at < oldest) break;
+        total += count;
+      }
+      return total / spanMs;
     },
   };
 }
