cell: split the compact form of worker channels, and the search for payloads

Row types, differences of reports and the table of payloads get modules of their own; the type of a collected answer gets a name. No change of behaviour; the tests of channels, routes and entries pass as before.

--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -14,6 +14,7 @@
 import * as configKeeper from './config_keeper.js';
 import * as election from './election.js';
 import * as entryRegistration from './entry_registration.js';
+import * as jobPayloads from './job_payloads.js';
 import * as jobService from './job_service.js';
 import * as loadShedder from './load_shedder.js';
 import * as holderProbes from './holder_probe.js';
@@ -58,10 +59,6 @@
  * milliseconds.
  */
 const REFERENCED_JOBS_PAUSE_MS = 40;
-/** How long the log is read so often after such a start; milliseconds. */
-const REFERENCE_MEMORY_MS = 2_000;
-/** Timeout of the search for a payload in that log; milliseconds. */
-const FIND_PAYLOAD_TIMEOUT_MS = 200;
 /**
  * How long a read waits at the store for a new record. An unresponsive store is
  * detected this much later; milliseconds.
@@ -125,8 +122,6 @@
   let takeovers: types.clock.MonotonicMs[] = [];
   let lastRecordAt = clock.monotonic();
   let reachableAt = clock.monotonic();
-  /** When a peer last referred to a job's record. */
-  let referencedAt: types.clock.MonotonicMs | undefined;
   const takePayloadBytes = payloadBudget.createPayloadBudget({
     linkMbps: self.linkMbps ?? Infinity,
     clock,
@@ -188,6 +183,11 @@
     readWaitMs: READ_WAIT_MS,
     maxAgeMs: () => (holder === undefined ? 0 : MAX_HOLDER_REPLICA_AGE_MS),
   });
+  const payloads = jobPayloads.createJobPayloads({
+    jobs,
+    catchUp: () => jobsFollower.catchUp(),
+    clock,
+  });
   const localService = jobService.createJobService({
     jobsLog: logs.jobs,
     jobs,
@@ -290,20 +290,7 @@
 
   function jobsPauseMs(): number {
     if (holder !== undefined) return HOLDER_PAUSE_MS;
-    const isReferenced =
-      referencedAt !== undefined &&
-      clock.monotonic() - referencedAt < REFERENCE_MEMORY_MS;
-    return isReferenced ? REFERENCED_JOBS_PAUSE_MS : JOBS_PAUSE_MS;
-  }
-
-  async function findPayload(id: types.ids.JobId): Promise<string | undefined> {
-    referencedAt = clock.monotonic();
-    const known = () => jobs.get(id)?.record?.request.payload;
-    if (known() === undefined) {
-      const timeout = types.clock.sleepFor(clock, FIND_PAYLOAD_TIMEOUT_MS);
-      await Promise.race([jobsFollower.catchUp(), timeout]);
-    }
-    return known();
+    return payloads.isReferenced() ? REFERENCED_JOBS_PAUSE_MS : JOBS_PAUSE_MS;
   }
 
   async function catchUpOnJobs(): Promise<boolean> {
@@ -489,7 +476,7 @@
     isConfigCurrent,
     isReady,
     isBusy: () => monitor.utilization() >= MAX_LOOP_UTILIZATION,
-    findPayload,
+    findPayload: (id) => payloads.find(id),
     start() {
       void configFollower.run();
       void jobsFollower.run();
--- a/packages/gypsumwall-cell/src/compact_channel_form.ts
+++ b/packages/gypsumwall-cell/src/compact_channel_form.ts
@@ -7,12 +7,10 @@
 import type * as scheduling from '@gypsumwall/scheduling';
 import type * as types from '@gypsumwall/types';
 import type * as ports from './ports.js';
+import * as runningChanges from './running_changes.js';
+import * as sentPayloads from './sent_payloads.js';
 import type * as workerChannel from './worker_channel.js';
 
-/** Number of payloads that both ends of a stream remember. */
-const MAX_KNOWN_PAYLOADS = 64;
-
-type RunningAttempt = scheduling.schedulerTypes.RunningAttempt;
 type Report = Extract<ports.PollAnswer, {readonly type: 'report'}>;
 
 /** Number, kind, and position of the worker in the order of introduction. */
@@ -45,8 +43,6 @@
   readonly calls: readonly (StartRow | StopRow | PollRow)[];
 }
 
-/** Task, attempt, saved progress, percent. */
-type RunningRow = readonly [types.ids.TaskId, number, string, number];
 /** Sequence number, task, attempt, outcome, saved progress. */
 type EndRow = readonly [
   number,
@@ -67,22 +63,11 @@
       'report',
       number,
       number,
-      RunningChanges,
+      runningChanges.RunningChanges,
       EndRow[],
       0 | 1,
     ];
 
-/**
- * What changed since the last report of the worker: positions of attempts that
- * are not listed any more or have other saved progress, the percentages of the
- * others, and new attempts.
- */
-type RunningChanges = readonly [
-  removed: readonly number[],
-  percents: readonly number[],
-  added: readonly RunningRow[],
-];
-
 interface AnswersLine {
   readonly leaving?: 1;
   readonly answers: readonly AnswerRow[];
@@ -113,8 +98,11 @@
   sendsPayload: workerChannel.SendsPayload,
 ): workerChannel.HolderForm {
   const positions = new Map<types.ids.WorkerId, number>();
-  const payloads = createSentPayloads();
-  const lastRunning = new Map<number, readonly RunningAttempt[]>();
+  const payloads = sentPayloads.createSentPayloads();
+  const lastRunning = new Map<
+    number,
+    readonly scheduling.schedulerTypes.RunningAttempt[]
+  >();
   let token = 0;
 
   function encodeStart(
@@ -177,7 +165,10 @@
         return {nth, err: row[2]};
       case 'report': {
         const [, , position, clockMs, changes, ends, hasMore] = row;
-        const running = applyChanges(lastRunning.get(position) ?? [], changes);
+        const running = runningChanges.applyChanges(
+          lastRunning.get(position) ?? [],
+          changes,
+        );
         lastRunning.set(position, running);
         const answer: Report = {
           type: 'report',
@@ -219,7 +210,10 @@
   const workerIds: types.ids.WorkerId[] = [];
   const positions = new Map<types.ids.WorkerId, number>();
   const payloads = new Map<number, string>();
-  const lastRunning = new Map<number, readonly RunningAttempt[]>();
+  const lastRunning = new Map<
+    number,
+    readonly scheduling.schedulerTypes.RunningAttempt[]
+  >();
 
   function decodeStart(
     row: StartRow,
@@ -274,8 +268,8 @@
   ): AnswerRow {
     const position = positions.get(worker)!;
     const before = lastRunning.get(position) ?? [];
-    const changes = findChanges(before, report.running);
-    lastRunning.set(position, applyChanges(before, changes));
+    const changes = runningChanges.findChanges(before, report.running);
+    lastRunning.set(position, runningChanges.applyChanges(before, changes));
     const ends = report.ends.map(encodeEnd);
     const hasMore = report.hasMoreEnds ? 1 : 0;
     return [nth, 'report', position, report.clockMs, changes, ends, hasMore];
@@ -300,7 +294,7 @@
       const received = rows.map((row) => decodeCall(row, token));
       // The calls of a line may use payloads that the same line displaces.
       for (const [number] of added)
-        payloads.delete(number - MAX_KNOWN_PAYLOADS);
+        payloads.delete(number - sentPayloads.MAX_KNOWN_PAYLOADS);
       return {workers, calls: received, answerDelayMs: delayMs};
     },
     encodeAnswers(sent, isLeaving) {
@@ -326,89 +320,6 @@
   };
 }
 
-/** The payloads that were sent on a stream, with their numbers. */
-interface SentPayloads {
-  find(payload: string): number | undefined;
-  add(payload: string): number;
-  /** Returns the payloads that were added since the last call. */
-  takeAdded(): (readonly [number, string])[];
-}
-
-function createSentPayloads(): SentPayloads {
-  const numbers = new Map<string, number>();
-  const byNumber = new Map<number, string>();
-  let added: (readonly [number, string])[] = [];
-  let count = 0;
-  return {
-    find: (payload) => numbers.get(payload),
-    add(payload) {
-      const number = count++;
-      numbers.set(payload, number);
-      byNumber.set(number, payload);
-      added.push([number, payload]);
-      const dropped = byNumber.get(number - MAX_KNOWN_PAYLOADS);
-      if (dropped !== undefined) {
-        byNumber.delete(number - MAX_KNOWN_PAYLOADS);
-        numbers.delete(dropped);
-      }
-      return number;
-    },
-    takeAdded() {
-      const taken = added;
-      added = [];
-      return taken;
-    },
-  };
-}
-
-function findChanges(
-  before: readonly RunningAttempt[],
-  after: readonly RunningAttempt[],
-): RunningChanges {
-  const rest = new Map(after.map((one) => [keyOf(one), one]));
-  const removed: number[] = [];
-  const percents: number[] = [];
-  before.forEach((one, position) => {
-    const key = keyOf(one);
-    const still = rest.get(key);
-    if (still === undefined || still.checkpoint !== one.checkpoint) {
-      removed.push(position);
-      return;
-    }
-    rest.delete(key);
-    percents.push(still.percent);
-  });
-  const added = [...rest.values()].map(
-    ({taskId, attempt, checkpoint, percent}) =>
-      [taskId, attempt, checkpoint, percent] as const,
-  );
-  return [removed, percents, added];
-}
-
-function applyChanges(
-  before: readonly RunningAttempt[],
-  [removed, percents, added]: RunningChanges,
-): RunningAttempt[] {
-  const gone = new Set(removed);
-  const kept = before.filter((_, position) => !gone.has(position));
-  return [
-    ...kept.map((one, nth) => ({
-      ...one,
-      percent: percents[nth] ?? one.percent,
-    })),
-    ...added.map(([taskId, attempt, checkpoint, percent]) => ({
-      taskId,
-      attempt,
-      checkpoint,
-      percent,
-    })),
-  ];
-}
-
-function keyOf({taskId, attempt}: RunningAttempt): string {
-  return `${taskId}#${attempt}`;
-}
-
 function encodeEnd(end: scheduling.schedulerTypes.AttemptEnd): EndRow {
   const {sequence, taskId, attempt, how, checkpoint} = end;
   return [sequence, taskId, attempt, how, checkpoint];
--- a/packages/gypsumwall-cell/src/forwarding_job_service.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -2,8 +2,8 @@
  * The job service that callers use. Calls that append to the store go through
  * one entry that combines them (`choose_appender.ts`). An entry appends by
  * itself while that one isn't alive or the store refuses it, and forwards its
- * calls to any peer while the store refuses this entry. Queries are answered locally, and forwarded until this entry has read
- * the records it missed.
+ * calls to any peer while the store refuses this entry. Queries are answered
+ * locally, and forwarded until this entry has read the records it missed.
  */
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
--- a/packages/gypsumwall-cell/src/worker_channel.ts
+++ b/packages/gypsumwall-cell/src/worker_channel.ts
@@ -63,6 +63,9 @@
 /** The outcome of the call with this number on the stream. */
 export type SentAnswer = {readonly nth: number} & CallOutcome;
 
+/** The outcome of a call, with the worker that was called. */
+export type WorkerOutcome = SentAnswer & {readonly worker: types.ids.WorkerId};
+
 /** A line of the peer. */
 export interface AnswersLine {
   readonly answers: readonly SentAnswer[];
@@ -81,10 +84,7 @@
 export interface PeerForm {
   /** Throws for a line that is malformed or of an unknown version. */
   decodeCalls(text: string): ReceivedCalls;
-  encodeAnswers(
-    answers: readonly (SentAnswer & {readonly worker: types.ids.WorkerId})[],
-    isLeaving: boolean,
-  ): string;
+  encodeAnswers(outcomes: readonly WorkerOutcome[], isLeaving: boolean): string;
 }
 
 /**
--- a/packages/gypsumwall-cell/src/worker_channel_server.ts
+++ b/packages/gypsumwall-cell/src/worker_channel_server.ts
@@ -40,9 +40,7 @@
 ): void {
   const {form, connect, clock, logger} = options;
   const links = new Map<types.ids.WorkerId, ports.WorkerLink>();
-  let collected: Parameters<
-    workerChannel.PeerForm['encodeAnswers']
-  >[0][number][] = [];
+  let collected: workerChannel.WorkerOutcome[] = [];
   let timer: NodeJS.Timeout | undefined;
   let answerDelayMs = 0;
   let heardAt = clock.monotonic();
