--- a/packages/gypsumwall-cell/src/ports.ts
+++ b/packages/gypsumwall-cell/src/ports.ts
@@ -65,8 +65,8 @@
       /** Where the log ended when it was read. */
       readonly endOffset: number;
       /**
-       * How long the answer took to arrive once it had begun; 0 if absent;
-       * milliseconds.
+       * The part of the read's time in which the link transferred the answer; 0
+       * if absent; milliseconds.
        */
       readonly transferMs?: number;
     }
