cell: judge the backlog by the highest rate of the last 30 s

Cause: while the store is slow for five seconds and a third of the entries are killed, hardly anything begins, so the rate of the last 10 s falls, and the same backlog seems to take many times as long.

Change: the highest rate within 30 s counts.

Test: 'the rate before an outage counts' fails without the memory.

--- a/packages/gypsumwall-cell/src/__tests__/load_shedder.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/load_shedder.test.ts
@@ -85,6 +85,19 @@
   assert.equal(cell.check().type, 'admitted');
 });
 
+// Guards against refusals after an outage of the store, in which nothing begins.
+test('the rate before an outage counts', () => {
+  const cell = createCell();
+  // Enough jobs wait for the rate to be measured.
+  cell.run(400, 0, 10);
+  for (let nth = 0; nth < 100; nth++) {
+    cell.run(100, 10, 10);
+    cell.check();
+  }
+  cell.run(12_000, 0, 10);
+  assert.equal(cell.check().type, 'admitted');
+});
+
 // Guards against long-running work that is refused although it is of use
 // whenever it begins.
 test('a job that runs until it is cancelled is admitted', () => {
--- a/packages/gypsumwall-cell/src/load_shedder.ts
+++ b/packages/gypsumwall-cell/src/load_shedder.ts
@@ -4,7 +4,7 @@
  * than it can start never runs the rest, and what it does run is late.
  */
 import type * as scheduling from '@gypsumwall/scheduling';
-import type * as types from '@gypsumwall/types';
+import * as types from '@gypsumwall/types';
 import type * as jobTable from './job_table.js';
 import * as rateMeter from './rate_meter.js';
 
@@ -19,6 +19,11 @@
  */
 const MIN_RATE_SPAN_MS = 6_000;
 const MAX_RATE_SPAN_MS = 10_000;
+/**
+ * How long the highest rate counts: what the cell can start is not less because
+ * the store or the holder is away for seconds; milliseconds.
+ */
+const RATE_MEMORY_MS = 30_000;
 /** Time within which all work that waits should have begun; milliseconds. */
 const MAX_BACKLOG_MS = 20_000;
 /** Bounds of the delay after which a refused caller should retry; milliseconds. */
@@ -47,18 +52,27 @@
   let queuedTasks = 0;
   /** Since when enough jobs wait for a rate to be measured. */
   let busySince: types.clock.MonotonicMs | undefined;
+  let highest = {perMs: 0, until: clock.monotonic()};
 
   function updateBusy(): void {
     if (queued.size < MIN_QUEUED_JOBS) busySince = undefined;
     else busySince ??= clock.monotonic();
   }
 
+  /** Tasks that begin in a millisecond while enough jobs wait. */
+  function beginRate(busyMs: number): number {
+    const now = clock.monotonic();
+    const perMs = begins.perMs(Math.min(MAX_RATE_SPAN_MS, busyMs));
+    if (perMs >= highest.perMs || highest.until <= now)
+      highest = {perMs, until: types.clock.after(now, RATE_MEMORY_MS)};
+    return highest.perMs;
+  }
+
   /** Time until all work that waits has begun; 0 if that isn't known. */
   function backlogMs(): number {
     if (busySince === undefined) return 0;
     const busyMs = clock.monotonic() - busySince;
-    if (busyMs < MIN_RATE_SPAN_MS) return 0;
-    return queuedTasks / begins.perMs(Math.min(MAX_RATE_SPAN_MS, busyMs));
+    return busyMs < MIN_RATE_SPAN_MS ? 0 : queuedTasks / beginRate(busyMs);
   }
 
   return {
