cell: refuse submissions by what the holder's processor can start

Cause: the rate at which work begins also falls when the store or the workers are the limit. Then the backlog ends with the outage, or waits for workers as work in a queue does, and refusals only add calls. The rate also isn't known in the first seconds after a loss of power, when a weak holder accepts most of what it never runs.

No rate is measured.

--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -133,7 +133,7 @@
     onChanged: () => holder?.onConfigChanged(),
   });
   const submissions = rateMeter.createRateMeter(clock, SUBMISSION_SPAN_MS);
-  const shedder = loadShedder.createLoadShedder(clock);
+  const shedder = loadShedder.createLoadShedder(holderCores);
   const jobs = jobTables.createJobTable({
     onAdded(job) {
       submissions.add();
@@ -242,6 +242,15 @@
     return instance === self.instance ? undefined : instance;
   }
 
+  /** Processor capacity of the holder; that of this entry if it isn't known. */
+  function holderCores(): number {
+    const instance = state.claim()?.instance;
+    if (instance === undefined || instance === self.instance) return self.cores;
+    for (const peer of peers.standbyCandidates())
+      if (peer.instance === instance && peer.cores > 0) return peer.cores;
+    return self.cores;
+  }
+
   function appender(): string | undefined {
     return chooseAppender.chooseAppender({
       self,
