cell: log what a holder does and what it costs

LOST and SHORT at weak entries: logs couldn't tell whether the holder's processor, the window of orders, the adviser or the workers limit the starts. holder_load says every two seconds how much processor time the holder has used, its scheduling cycles and their time, cycles skipped since orders waited, starts, calls to the adviser and what waits.

--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -17,6 +17,7 @@
 import * as orderWindow from './order_window.js';
 import type * as storeRecords from './store_records.js';
 import * as failoverBarrier from './failover_barrier.js';
+import * as holderLoad from './holder_load.js';
 import * as workerRoster from './worker_roster.js';
 import * as workerRoutes from './worker_routes.js';
 import * as workerSession from './worker_session.js';
@@ -191,6 +192,20 @@
     send: startAttempt,
     onRoom: requestCycle,
   });
+  const load = holderLoad.createHolderLoad({
+    clock,
+    logger,
+    state: () => {
+      const {waitingSteps, runs} = scheduler.counts();
+      return {
+        loopUtilization: options.loopUtilization(),
+        pendingOrders: orders.pending(),
+        windowSize: orders.size(),
+        waitingSteps,
+        runs,
+      };
+    },
+  });
   let isCycleScheduled = false;
   let lastCycleMs = 0;
   let isScheduling = false;
@@ -291,6 +306,7 @@
     if (!mayRenew()) return;
     // What is decided now would wait behind the orders that wait already.
     if (orders.isFull()) {
+      load.onSkippedCycle();
       void flush();
       return;
     }
@@ -303,9 +319,13 @@
       adviceCalls.capacity(),
     );
     lastCycleMs = clock.monotonic() - startedAt;
+    load.onCycle(lastCycleMs);
     void flush();
     for (const order of decisions.starts) orders.add(order);
-    for (const request of decisions.advice) void adviceCalls.ask(request);
+    for (const request of decisions.advice) {
+      load.onAdviceCall();
+      void adviceCalls.ask(request);
+    }
   }
 
   function sendStops(): void {
@@ -326,7 +346,10 @@
     const session = roster.session(attempt.workerId);
     // The attempt may have been stopped while its order waited.
     const isDue = isScheduling && scheduler.isStartDue(attempt);
-    if (isDue && session !== undefined) return session.start(order);
+    if (isDue && session !== undefined) {
+      load.onStart();
+      return session.start(order);
+    }
     scheduler.onStartAnswered(
       attempt,
       isDue ? {type: 'refused', reason: 'other'} : {type: 'unsent'},
@@ -363,6 +386,7 @@
     submissions.tick();
     barrier.tick(now);
     roster.tick(now);
+    load.tick();
     requestCycle();
   }
 
