cell: separate the types of the job service from its implementation

job_service, call_attempts, peer_directory, peer_protocol and recent_attempts imported each other in a circle, by types only. The types of calls and answers stand in job_service_types now, on which all of them depend. No change of behaviour.

--- a/packages/gypsumwall-cell/src/__fixtures__/submission_world.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/submission_world.ts
@@ -9,6 +9,7 @@
 import * as forwardingJobServices from '../forwarding_job_service.js';
 import type * as httpClient from '../http_client.js';
 import * as jobServices from '../job_service.js';
+import type * as jobServiceTypes from '../job_service_types.js';
 import * as jobTables from '../job_table.js';
 import type * as logFollower from '../log_follower.js';
 import * as peerDirectories from '../peer_directory.js';
@@ -31,7 +32,7 @@
 
 /** A submission and what became of it. */
 export interface SubmissionOutcome {
-  readonly answer: jobServices.JobServiceAnswer<undefined>['type'];
+  readonly answer: jobServiceTypes.JobServiceAnswer<undefined>['type'];
   /** Whether an attempt of this submission has stored the job. */
   readonly isStored: boolean;
 }
@@ -124,7 +125,7 @@
       ),
   } as Partial<ports.KeyedLog> as ports.KeyedLog;
 
-  function createLocalService(): jobServices.JobService {
+  function createLocalService(): jobServiceTypes.JobService {
     const follower = {
       reachableSince: () => (isLikely() ? clock.monotonic() : undefined),
       applyAppended: () => {},
--- a/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
@@ -3,7 +3,7 @@
 import * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import * as worlds from '../__fixtures__/cell_world.js';
-import type * as jobService from '../job_service.js';
+import type * as jobServiceTypes from '../job_service_types.js';
 import type * as peerDirectory from '../peer_directory.js';
 import * as forwardingJobServices from '../forwarding_job_service.js';
 
@@ -11,7 +11,7 @@
 const id = types.ids.brand<types.ids.JobId>('job');
 
 interface Situation {
-  readonly own: jobService.JobServiceAnswer<undefined>;
+  readonly own: jobServiceTypes.JobServiceAnswer<undefined>;
   readonly relayed: peerDirectory.RelayOutcome;
   /** Outcome of a call to the holder, if it differs from `relayed`. */
   readonly byHolder?: peerDirectory.RelayOutcome;
@@ -29,7 +29,7 @@
 
 function createService(situation: Situation, asked: string[] = []) {
   let {reachable} = situation;
-  const own: jobService.JobService = {
+  const own: jobServiceTypes.JobService = {
     submit: () => {
       asked.push('own');
       if (situation.refusesAppend === true) reachable = false;
@@ -194,7 +194,7 @@
 // Guards against a refusal of a job that this entry has reported as accepted:
 // the call arrives again while neither the store nor a peer can be reached.
 test('a repeat of an accepted submission is accepted', async () => {
-  let own: jobService.JobServiceAnswer<undefined> = OK;
+  let own: jobServiceTypes.JobServiceAnswer<undefined> = OK;
   const service = createService({
     get own() {
       return own;
--- a/packages/gypsumwall-cell/src/__tests__/known_submissions.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/known_submissions.test.ts
@@ -6,6 +6,7 @@
 import * as fakeLogs from '../__fixtures__/fake_log.js';
 import * as forwardingJobService from '../forwarding_job_service.js';
 import * as jobServices from '../job_service.js';
+import type * as jobServiceTypes from '../job_service_types.js';
 import * as jobTables from '../job_table.js';
 import type * as logFollower from '../log_follower.js';
 import type * as peerDirectory from '../peer_directory.js';
@@ -19,7 +20,7 @@
 /** An entry that has read a job from the log, and whose holder is lost. */
 function createService(
   relay: peerDirectory.RelayOutcome,
-): jobServices.JobService {
+): jobServiceTypes.JobService {
   const jobs = jobTables.createJobTable({
     onAdded: () => {},
     onCancelled: () => {},
--- a/packages/gypsumwall-cell/src/__tests__/relayed_queries.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/relayed_queries.test.ts
@@ -5,7 +5,7 @@
 import * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import * as worlds from '../__fixtures__/cell_world.js';
-import type * as jobService from '../job_service.js';
+import type * as jobServiceTypes from '../job_service_types.js';
 import * as peerDirectory from '../peer_directory.js';
 import type * as peerProtocol from '../peer_protocol.js';
 import * as forwardingJobService from '../forwarding_job_service.js';
@@ -33,7 +33,7 @@
   reachable: boolean,
   relay: (req: peerProtocol.RelayReq) => peerDirectory.RelayOutcome,
 ): forwardingJobService.ForwardingJobService {
-  const own: jobService.JobService = {
+  const own: jobServiceTypes.JobService = {
     submit: () => Promise.resolve(REFUSED),
     cancel: () => Promise.resolve(REFUSED),
     phaseOf: () => Promise.resolve(REFUSED),
--- a/packages/gypsumwall-cell/src/__tests__/repeated_calls.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/repeated_calls.test.ts
@@ -7,6 +7,7 @@
 import * as fakeLogs from '../__fixtures__/fake_log.js';
 import * as forwardingJobService from '../forwarding_job_service.js';
 import * as jobServices from '../job_service.js';
+import type * as jobServiceTypes from '../job_service_types.js';
 import * as jobTables from '../job_table.js';
 import type * as logFollower from '../log_follower.js';
 import type * as peerDirectory from '../peer_directory.js';
@@ -19,7 +20,7 @@
 const request = worlds.request(1);
 
 /** A service whose first append isn't answered, and whose later are refused. */
-function createService(isKnown: boolean): jobServices.JobService {
+function createService(isKnown: boolean): jobServiceTypes.JobService {
   const jobs = jobTables.createJobTable({
     onAdded: () => {},
     onCancelled: () => {},
@@ -75,7 +76,7 @@
 // Guards against cancellations without Retry-After after a submission that was
 // not answered.
 test('submissions do not count for cancellations', async () => {
-  const local: jobServices.JobService = {
+  const local: jobServiceTypes.JobService = {
     ...createService(false),
     submit: () => Promise.resolve({type: 'unknown'}),
     cancel: () => Promise.resolve({type: 'not_run', retryAfterMs: 1_000}),
--- a/packages/gypsumwall-cell/src/__tests__/slow_store.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/slow_store.test.ts
@@ -12,6 +12,7 @@
 import * as fakeLogs from '../__fixtures__/fake_log.js';
 import * as forwardingJobServices from '../forwarding_job_service.js';
 import * as jobServices from '../job_service.js';
+import type * as jobServiceTypes from '../job_service_types.js';
 import * as jobTables from '../job_table.js';
 import type * as logFollower from '../log_follower.js';
 import type * as peerDirectory from '../peer_directory.js';
@@ -89,7 +90,7 @@
 }
 
 /** Peers of which only the holder exists, and is slow. */
-function peersWith(holder: jobServices.JobService) {
+function peersWith(holder: jobServiceTypes.JobService) {
   const relayTo: peerDirectory.PeerDirectory['relayTo'] = async (
     _holder,
     req,
@@ -136,7 +137,7 @@
   let stored = 0;
   let timedOut = 0;
   async function submit(
-    service: jobServices.JobService,
+    service: jobServiceTypes.JobService,
     round: number,
     nth: number,
   ) {
--- a/packages/gypsumwall-cell/src/call_attempts.ts
+++ b/packages/gypsumwall-cell/src/call_attempts.ts
@@ -3,7 +3,7 @@
  * service, and forwarded to peers. Several of them may be made for one call,
  * each with an effect of its own, and the caller's answer depends on all.
  */
-import type * as jobService from './job_service.js';
+import type * as jobServiceTypes from './job_service_types.js';
 import type * as peerDirectory from './peer_directory.js';
 
 /** What an attempt has caused. */
@@ -24,7 +24,7 @@
   | 'without_effect';
 
 /** The answer to a call that changes something. */
-export type CallAnswer = jobService.JobServiceAnswer<undefined>;
+export type CallAnswer = jobServiceTypes.JobServiceAnswer<undefined>;
 
 /** The attempts of one call. The names of attempts appear in logs. */
 export interface CallAttempts {
@@ -120,7 +120,7 @@
 
 /** Whether an answer tells the caller that the call has no effect. */
 export function isRefusal(
-  answer: jobService.JobServiceAnswer<unknown>,
+  answer: jobServiceTypes.JobServiceAnswer<unknown>,
 ): boolean {
   switch (answer.type) {
     case 'not_run':
@@ -135,7 +135,7 @@
 }
 
 function effectOfAnswer(
-  answer: jobService.JobServiceAnswer<unknown>,
+  answer: jobServiceTypes.JobServiceAnswer<unknown>,
 ): AttemptEffect {
   switch (answer.type) {
     case 'ok':
--- a/packages/gypsumwall-cell/src/cell_entry_types.ts
+++ b/packages/gypsumwall-cell/src/cell_entry_types.ts
@@ -5,7 +5,7 @@
 import type * as types from '@gypsumwall/types';
 import type * as cellHolderTypes from './cell_holder_types.js';
 import type * as configKeeper from './config_keeper.js';
-import type * as jobService from './job_service.js';
+import type * as jobServiceTypes from './job_service_types.js';
 import type * as ports from './ports.js';
 import type * as trafficMeter from './traffic_meter.js';
 
@@ -53,9 +53,9 @@
 /** An entry of a cell. */
 export interface CellEntry {
   /** Serves callers. */
-  readonly jobService: jobService.JobService;
+  readonly jobService: jobServiceTypes.JobService;
   /** Serves peers; never forwards a call. */
-  readonly localJobService: jobService.JobService;
+  readonly localJobService: jobServiceTypes.JobService;
   /** The newest configuration; undefined until one has been read. */
   config(): ports.CellConfig | undefined;
   /** Identifies a caller by its API key; undefined if the key is unknown. */
--- a/packages/gypsumwall-cell/src/forwarding_job_service.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -8,7 +8,7 @@
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import * as callAttempts from './call_attempts.js';
-import type * as jobService from './job_service.js';
+import type * as jobServiceTypes from './job_service_types.js';
 import type * as peerDirectory from './peer_directory.js';
 import type * as peerProtocol from './peer_protocol.js';
 import * as recentAttempts from './recent_attempts.js';
@@ -67,7 +67,7 @@
 
 /** Options of a forwarding job service. */
 export interface ForwardingJobServiceOptions {
-  readonly local: jobService.JobService;
+  readonly local: jobServiceTypes.JobService;
   readonly peers: peerDirectory.PeerDirectory;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
@@ -86,7 +86,7 @@
 }
 
 /** A job service that can reach the store through peers. */
-export interface ForwardingJobService extends jobService.JobService {
+export interface ForwardingJobService extends jobServiceTypes.JobService {
   /** Whether a peer has stored a record for this entry recently. */
   hasRelayedRecently(): boolean;
 }
@@ -331,6 +331,6 @@
 /** A peer's answer to the same call has the same type of value. */
 function answerOf<Value>(
   res: peerProtocol.RelayRes,
-): jobService.JobServiceAnswer<Value> {
-  return res as jobService.JobServiceAnswer<Value>;
+): jobServiceTypes.JobServiceAnswer<Value> {
+  return res as jobServiceTypes.JobServiceAnswer<Value>;
 }
--- a/packages/gypsumwall-cell/src/index.ts
+++ b/packages/gypsumwall-cell/src/index.ts
@@ -1,6 +1,6 @@
 export * as cellEntry from './cell_entry.js';
 export * as cellEntryTypes from './cell_entry_types.js';
-export * as jobService from './job_service.js';
+export * as jobServiceTypes from './job_service_types.js';
 export * as httpClient from './http_client.js';
 export * as httpServer from './http_server.js';
 export * as loopMonitor from './loop_monitor.js';
--- a/packages/gypsumwall-cell/src/job_service.ts
+++ b/packages/gypsumwall-cell/src/job_service.ts
@@ -8,6 +8,7 @@
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
+import type * as jobServiceTypes from './job_service_types.js';
 import type * as jobTable from './job_table.js';
 import type * as loadShedder from './load_shedder.js';
 import type * as logFollower from './log_follower.js';
@@ -43,88 +44,6 @@
 /** How long a query for a state waits for such a read; milliseconds. */
 const REFRESH_TIMEOUT_MS = 300;
 
-/** Outcome of a call. */
-export type JobServiceAnswer<Value> =
-  | {readonly type: 'ok'; readonly value: Value}
-  /** The call had no effect and will have none. */
-  | {
-      readonly type: 'not_run';
-      readonly retryAfterMs: number;
-      /** Whether the store is reachable and has too many queued appends. */
-      readonly isStoreOverloaded?: boolean;
-      /** Whether a peer is too busy to carry out the calls of others. */
-      readonly isPeerBusy?: boolean;
-      /** Whether the cell can't take the job on, so that no peer can either. */
-      readonly isCellOverloaded?: boolean;
-    }
-  /** The call may have taken effect; the caller should repeat it. */
-  | {readonly type: 'unknown'}
-  | {readonly type: 'absent'}
-  /**
-   * The call had no effect: the keys of the caller's organisation have changed
-   * since it was identified.
-   */
-  | {readonly type: 'outdated_caller'}
-  | {readonly type: 'invalid'; readonly message: string};
-
-/**
- * Serves callers. A caller is absent where calls need no key. The jobs of other
- * organisations are absent for a caller.
- */
-export interface JobService {
-  submit(
-    id: types.ids.JobId,
-    policy: scheduling.jobRequest.QueuePolicy,
-    request: scheduling.jobRequest.JobRequest,
-    caller?: organisations.keyDirectory.Caller,
-  ): Promise<JobServiceAnswer<undefined>>;
-  cancel(
-    id: types.ids.JobId,
-    queue: string,
-    caller?: organisations.keyDirectory.Caller,
-  ): Promise<JobServiceAnswer<undefined>>;
-  phaseOf(
-    id: types.ids.JobId,
-    queue: string,
-    caller?: organisations.keyDirectory.Caller,
-  ): Promise<JobServiceAnswer<scheduling.jobProgress.JobPhase>>;
-  /**
-   * The phase of a finished job, for which no replica is too old; otherwise a
-   * refusal.
-   */
-  finalPhaseOf(
-    id: types.ids.JobId,
-    queue: string,
-    caller?: organisations.keyDirectory.Caller,
-  ): Promise<JobServiceAnswer<scheduling.jobProgress.JobPhase>>;
-  /**
-   * Number of jobs of a queue none of whose tasks has started. An entry that
-   * the store has refused lacks the jobs accepted by others until it has read
-   * all of them, and must not count in its own replica: it once returned 4
-   * where 20 jobs had been pending for 5 s.
-   */
-  pendingIn(queue: string): Promise<JobServiceAnswer<number>>;
-  /**
-   * The refusal of a job that the cell can't take on; undefined for other jobs.
-   */
-  shed(
-    id: types.ids.JobId,
-    request: scheduling.jobRequest.JobRequest,
-  ): JobServiceAnswer<undefined> | undefined;
-  /** Whether this entry has read the record of the caller's job. */
-  isStored(
-    id: types.ids.JobId,
-    caller?: organisations.keyDirectory.Caller,
-  ): boolean;
-  /** Whether this entry's replica is current enough to answer queries. */
-  isCurrent(): boolean;
-  /**
-   * Recent latency of appends in milliseconds; undefined without a recent
-   * append.
-   */
-  storeLatencyMs(): number | undefined;
-}
-
 /** Options of a job service. */
 export interface JobServiceOptions {
   readonly jobsLog: ports.KeyedLog;
@@ -160,7 +79,9 @@
 }
 
 /** Creates the job service of one entry. */
-export function createJobService(options: JobServiceOptions): JobService {
+export function createJobService(
+  options: JobServiceOptions,
+): jobServiceTypes.JobService {
   const {jobs, follower, clock, logger} = options;
   const submissions = recentAttempts.createRecentAttempts(clock);
   const cancellations = recentAttempts.createRecentAttempts(clock);
@@ -176,7 +97,7 @@
   async function storeAndAnswer(
     event: string,
     record: storeRecords.StoreRecord & {readonly jobId: types.ids.JobId},
-  ): Promise<JobServiceAnswer<undefined>> {
+  ): Promise<jobServiceTypes.JobServiceAnswer<undefined>> {
     const startedAt = clock.monotonic();
     const outcome = await records.store(record);
     logger.info(event, {
@@ -250,7 +171,7 @@
     id: types.ids.JobId,
     queue: string,
     caller: organisations.keyDirectory.Caller | undefined,
-  ): Promise<JobServiceAnswer<jobTable.JobEntry>> {
+  ): Promise<jobServiceTypes.JobServiceAnswer<jobTable.JobEntry>> {
     if (isOutdated(caller)) return {type: 'outdated_caller'};
     const known = knownJob(id) ?? (await findInLogs(id));
     if (known === 'not_read') {
@@ -284,7 +205,7 @@
   function shed(
     id: types.ids.JobId,
     request: scheduling.jobRequest.JobRequest,
-  ): JobServiceAnswer<undefined> | undefined {
+  ): jobServiceTypes.JobServiceAnswer<undefined> | undefined {
     if (!isCurrent()) return undefined;
     const verdict = options.checkLoad(request);
     switch (verdict.type) {
@@ -329,7 +250,7 @@
     policy: scheduling.jobRequest.QueuePolicy,
     request: scheduling.jobRequest.JobRequest,
     caller: organisations.keyDirectory.Caller | undefined,
-  ): Promise<JobServiceAnswer<undefined>> {
+  ): Promise<jobServiceTypes.JobServiceAnswer<undefined>> {
     if (isOutdated(caller)) return {type: 'outdated_caller'};
     const known = jobs.get(id);
     if (known !== undefined) {
@@ -357,7 +278,7 @@
     id: types.ids.JobId,
     queue: string,
     caller: organisations.keyDirectory.Caller | undefined,
-  ): Promise<JobServiceAnswer<undefined>> {
+  ): Promise<jobServiceTypes.JobServiceAnswer<undefined>> {
     const found = await find(id, queue, caller);
     switch (found.type) {
       case 'ok':
--- a/packages/gypsumwall-cell/src/peer_protocol.ts
+++ b/packages/gypsumwall-cell/src/peer_protocol.ts
@@ -7,7 +7,7 @@
 import type * as organisations from '@gypsumwall/organisations';
 import type * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
-import type * as jobService from './job_service.js';
+import type * as jobServiceTypes from './job_service_types.js';
 import * as httpClient from './http_client.js';
 import type * as ports from './ports.js';
 
@@ -109,7 +109,7 @@
   | {readonly type: 'pending'; readonly queue: string};
 
 /** The answer of the peer's local job service. */
-export type RelayRes = jobService.JobServiceAnswer<unknown>;
+export type RelayRes = jobServiceTypes.JobServiceAnswer<unknown>;
 
 /** Forwards a call to a peer; all such calls are idempotent. */
 export async function relay(
--- a/packages/gypsumwall-cell/src/peer_server.ts
+++ b/packages/gypsumwall-cell/src/peer_server.ts
@@ -5,7 +5,7 @@
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import * as channelForms from './channel_forms.js';
-import type * as jobService from './job_service.js';
+import type * as jobServiceTypes from './job_service_types.js';
 import * as httpServer from './http_server.js';
 import * as lineStream from './line_stream.js';
 import * as peerProtocol from './peer_protocol.js';
@@ -16,7 +16,7 @@
 /** What the server answers with. */
 export interface PeerServerOptions {
   readonly adviser: ports.Adviser;
-  readonly service: jobService.JobService;
+  readonly service: jobServiceTypes.JobService;
   /** Whether this entry is too busy to carry out the calls of others. */
   readonly isBusy: () => boolean;
   /** Opens the connections to a worker that is called for the holder. */
@@ -97,7 +97,7 @@
 
 /** Answers from this entry's local job service, which never forwards a call. */
 function answerRelayed(
-  service: jobService.JobService,
+  service: jobServiceTypes.JobService,
   req: peerProtocol.RelayReq,
 ): Promise<peerProtocol.RelayRes> {
   switch (req.type) {
