cell: separate the scheduling loop from the holder

Cycles, the order window and the holder's load stand in scheduling_loop; the holder keeps claim, barrier, roster, progress and handover. No change of behaviour.

--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -6,7 +6,6 @@
 import * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
 import * as adviceCaller from './advice_caller.js';
-import * as batchDelay from './batch_delay.js';
 import type * as cellHolderTypes from './cell_holder_types.js';
 import * as cellWriter from './cell_writer.js';
 import * as claimView from './claim_view.js';
@@ -14,10 +13,9 @@
 import type * as jobTable from './job_table.js';
 import * as leaseLength from './lease_length.js';
 import * as logFollower from './log_follower.js';
-import * as orderWindow from './order_window.js';
+import * as schedulingLoop from './scheduling_loop.js';
 import type * as storeRecords from './store_records.js';
 import * as failoverBarrier from './failover_barrier.js';
-import * as holderLoad from './holder_load.js';
 import * as workerRoster from './worker_roster.js';
 import * as workerRoutes from './worker_routes.js';
 import * as workerSession from './worker_session.js';
@@ -44,17 +42,6 @@
  * which includes a margin, the lease has expired.
  */
 const SLOW_CLOCK_FACTOR = 1.05;
-/**
- * Minimum pause between two scheduling cycles, so that changes that arrive
- * together are handled in one cycle; milliseconds.
- */
-const CYCLE_INTERVAL_MS = 3;
-/**
- * A scheduling cycle over a long queue takes milliseconds. The pause after a
- * cycle is this many times the cycle's duration, so that scheduling takes at
- * most a fifth of the processor and leaves the rest to the calls.
- */
-const CYCLE_INTERVAL_FACTOR = 4;
 /**
  * Interval at which decisions that depend only on time are checked;
  * milliseconds.
@@ -88,8 +75,6 @@
  */
 const ORDERS_CHECK_INTERVAL_MS = 10;
 
-type StartOrder = scheduling.schedulerTypes.StartOrder;
-
 /** Creates the holder of a claim that was just read. */
 export function createCellHolder(
   options: cellHolderTypes.CellHolderOptions,
@@ -187,28 +172,18 @@
   /** Jobs whose end is stored, and whose requests can be dropped. */
   let ended: types.ids.JobId[] = [];
   let lastWrite: Promise<void> = Promise.resolve();
-  const orders = orderWindow.createOrderWindow<StartOrder>({
-    clock,
-    send: startAttempt,
-    onRoom: requestCycle,
-  });
-  const load = holderLoad.createHolderLoad({
+  const loop = schedulingLoop.createSchedulingLoop({
+    scheduler,
+    adviceCalls,
+    session: (worker) => roster.session(worker),
+    mayRenew,
+    checkListEntries: () => roster.checkListEntries(),
+    flush,
+    commitLatencyMs: () => writer.latencyMs(),
+    loopUtilization: options.loopUtilization,
     clock,
     logger,
-    state: () => {
-      const {waitingSteps, runs} = scheduler.counts();
-      return {
-        loopUtilization: options.loopUtilization(),
-        pendingOrders: orders.pending(),
-        windowSize: orders.size(),
-        waitingSteps,
-        runs,
-      };
-    },
   });
-  let isCycleScheduled = false;
-  let lastCycleMs = 0;
-  let isScheduling = false;
   let tickTimer: NodeJS.Timeout | undefined;
 
   function stopFenced(): void {
@@ -286,76 +261,7 @@
   }
 
   function requestCycle(): void {
-    if (isCycleScheduled || !isScheduling) return;
-    isCycleScheduled = true;
-    setTimeout(
-      runCycle,
-      Math.max(
-        batchDelay.batchDelayMs(CYCLE_INTERVAL_MS, options.loopUtilization()),
-        lastCycleMs * CYCLE_INTERVAL_FACTOR,
-      ),
-    );
-  }
-
-  function runCycle(): void {
-    isCycleScheduled = false;
-    if (!isScheduling || stopping.signal.aborted) return;
-    sendStops();
-    // Each start grants a lease, so nothing is started while leases may not be
-    // renewed.
-    if (!mayRenew()) return;
-    // What is decided now would wait behind the orders that wait already.
-    if (orders.isFull()) {
-      load.onSkippedCycle();
-      void flush();
-      return;
-    }
-    const startedAt = clock.monotonic();
-    scheduler.setCommitLatency(writer.latencyMs());
-    roster.checkListEntries();
-    const decisions = scheduler.decide(
-      startedAt,
-      clock.wall(),
-      adviceCalls.capacity(),
-    );
-    lastCycleMs = clock.monotonic() - startedAt;
-    load.onCycle(lastCycleMs);
-    void flush();
-    for (const order of decisions.starts) orders.add(order);
-    for (const request of decisions.advice) {
-      load.onAdviceCall();
-      void adviceCalls.ask(request);
-    }
-  }
-
-  function sendStops(): void {
-    for (const attempt of scheduler.takeStops()) {
-      logger.info('stop_decided', {
-        task: attempt.taskId,
-        attempt: attempt.number,
-        worker: attempt.workerId,
-      });
-      void roster.session(attempt.workerId)?.stopAttempt(attempt);
-    }
-  }
-
-  async function startAttempt(
-    order: StartOrder,
-  ): Promise<orderWindow.OrderResult> {
-    const {attempt} = order;
-    const session = roster.session(attempt.workerId);
-    // The attempt may have been stopped while its order waited.
-    const isDue = isScheduling && scheduler.isStartDue(attempt);
-    if (isDue && session !== undefined) {
-      load.onStart();
-      return session.start(order);
-    }
-    scheduler.onStartAnswered(
-      attempt,
-      isDue ? {type: 'refused', reason: 'other'} : {type: 'unsent'},
-      clock.monotonic(),
-    );
-    return {type: 'unsent'};
+    loop.requestCycle();
   }
 
   function admitJob(job: jobTable.JobEntry, inherited: boolean): void {
@@ -386,12 +292,12 @@
     submissions.tick();
     barrier.tick(now);
     roster.tick(now);
-    load.tick();
+    loop.tick();
     requestCycle();
   }
 
   function stop(): void {
-    isScheduling = false;
+    loop.stop();
     stopping.abort();
     clearInterval(tickTimer);
     workerFollower.stop();
@@ -412,7 +318,7 @@
       applyOrganisations();
       for (const job of jobs.all()) admitJob(job, true);
       scheduler.onWorkerReconciled();
-      isScheduling = true;
+      loop.start();
       roster.inherit(options.state.usedWorkers.values());
       void workerFollower.run();
       tickTimer = setInterval(tick, TICK_MS);
@@ -424,7 +330,7 @@
       });
     },
     onJobAdded(job) {
-      if (!isScheduling) return;
+      if (!loop.isStarted()) return;
       submissions.add(job);
       requestCycle();
     },
@@ -454,9 +360,9 @@
         })),
       ),
     async handOver() {
-      isScheduling = false;
+      loop.stop();
       const until = types.clock.after(clock.monotonic(), HANDOVER_TIMEOUT_MS);
-      while (orders.pending() > 0 && clock.monotonic() < until) {
+      while (loop.pendingOrders() > 0 && clock.monotonic() < until) {
         await types.clock.sleepFor(clock, ORDERS_CHECK_INTERVAL_MS);
       }
       const released: storeRecords.ClaimRecord = {
