cell: separate roles, readiness and limits of jobs from the entry

Who holds the cell, appends and stands by is in entry_roles; how current the replicas are and whether callers can be served in entry_readiness; which steps could ever run in job_limits. No change of behaviour.

--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -2,18 +2,18 @@
  * One entry of a cell. It follows the logs, serves callers, and becomes the
  * cell's holder when no other entry is.
  */
-import type * as organisations from '@gypsumwall/organisations';
-import type * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
 import type * as cellEntryTypes from './cell_entry_types.js';
 import * as cellHolder from './cell_holder.js';
 import type * as cellHolderTypes from './cell_holder_types.js';
 import * as cellStates from './cell_state.js';
-import * as chooseAppender from './choose_appender.js';
 import * as claimView from './claim_view.js';
 import * as configKeeper from './config_keeper.js';
 import * as election from './election.js';
+import * as entryReadiness from './entry_readiness.js';
 import * as entryRegistration from './entry_registration.js';
+import * as entryRoles from './entry_roles.js';
+import * as jobLimits from './job_limits.js';
 import * as jobPayloads from './job_payloads.js';
 import * as jobService from './job_service.js';
 import * as loadShedder from './load_shedder.js';
@@ -25,7 +25,6 @@
 import type * as ports from './ports.js';
 import * as forwardingJobService from './forwarding_job_service.js';
 import * as payloadBudget from './payload_budget.js';
-import * as standbyChoice from './standby_choice.js';
 import * as storeProbe from './store_probe.js';
 import * as storeHealth from './store_health.js';
 import * as storeRecords from './store_records.js';
@@ -66,16 +65,6 @@
 const READ_WAIT_MS = 250;
 /** The same for the configuration's log, which changes rarely; milliseconds. */
 const CONFIG_READ_WAIT_MS = 1_000;
-/**
- * An entry that reaches neither the store nor a peer reports itself as not
- * ready after this time; milliseconds.
- */
-const UNREADY_AFTER_MS = 400;
-/**
- * Maximum age of a configuration by which an unknown key or queue is refused
- * for good; milliseconds. A read of the log waits for a change for 1 s.
- */
-const MAX_CONFIG_AGE_MS = 1_500;
 /** Maximum delay until a configuration change takes effect; milliseconds. */
 const CONFIG_PAUSE_MS = 100;
 /**
@@ -121,7 +110,6 @@
   let isLeaving = false;
   let takeovers: types.clock.MonotonicMs[] = [];
   let lastRecordAt = clock.monotonic();
-  let reachableAt = clock.monotonic();
   const takePayloadBytes = payloadBudget.createPayloadBudget({
     linkMbps: self.linkMbps ?? Infinity,
     clock,
@@ -133,7 +121,16 @@
     onChanged: () => holder?.onConfigChanged(),
   });
   const submissions = rateMeter.createRateMeter(clock, SUBMISSION_SPAN_MS);
-  const shedder = loadShedder.createLoadShedder(holderCores);
+  const roles = entryRoles.createEntryRoles({
+    self,
+    state,
+    peers,
+    arePeersKnown: () => jobsFollower.position() !== undefined,
+    storeHealth: health,
+    submissions,
+  });
+  const shedder = loadShedder.createLoadShedder(() => roles.holderCores());
+  const limits = jobLimits.createJobLimits({state, configs});
   const jobs = jobTables.createJobTable({
     onAdded(job) {
       submissions.add();
@@ -179,10 +176,18 @@
       if (reloaded) retainLoaded(records);
       applyRecords.applyRecords(records, logger, applyCellRecord);
     },
-    pauseMs: () => (isStandby() ? STANDBY_PAUSE_MS : OBSERVER_PAUSE_MS),
+    pauseMs: () => (roles.isStandby() ? STANDBY_PAUSE_MS : OBSERVER_PAUSE_MS),
     readWaitMs: READ_WAIT_MS,
     maxAgeMs: () => (holder === undefined ? 0 : MAX_HOLDER_REPLICA_AGE_MS),
   });
+  const readiness = entryReadiness.createEntryReadiness({
+    configs,
+    followers: {config: configFollower, jobs: jobsFollower, cell: cellFollower},
+    detector,
+    isLeaving: () => isLeaving,
+    hasRelayedRecently: () => service.hasRelayedRecently(),
+    clock,
+  });
   const payloads = jobPayloads.createJobPayloads({
     jobs,
     catchUp: () => jobsFollower.catchUp(),
@@ -193,19 +198,20 @@
     jobs,
     follower: jobsFollower,
     storeHealth: health,
-    replicaAgeMs,
+    replicaAgeMs: () => readiness.replicaAgeMs(),
     catchUp: catchUpOnJobs,
     refreshStates,
-    canForward: () => remoteHolder() !== undefined && appender() !== undefined,
+    canForward: () =>
+      roles.remoteHolder() !== undefined && roles.appender() !== undefined,
     clock,
     logger,
-    couldEverFit,
-    fitsQuota,
+    couldEverFit: (pool, step) => limits.couldEverFit(pool, step),
+    fitsQuota: (caller, step) => limits.fitsQuota(caller, step),
     checkLoad: (request) => shedder.check(request),
     isOutdated: (caller) => configs.keys.isOutdated(caller),
   });
   const holderProbe = holderProbes.createHolderProbe({
-    holder: remoteHolder,
+    holder: () => roles.remoteHolder(),
     silentSince: () =>
       failoverPolicy.silentSince({
         lastRecordAt,
@@ -213,7 +219,7 @@
       }),
     longestPauseMs: () => pauses.longestMs(),
     ping: (instance, timeoutMs) => peers.ping(instance, timeoutMs),
-    isStandby,
+    isStandby: () => roles.isStandby(),
     clock,
   });
   const service = forwardingJobService.createForwardingJobService({
@@ -223,8 +229,8 @@
     logger,
     storeReachable: () => jobsFollower.reachableSince() !== undefined,
     isStoreQuick: () => health.isQuick(),
-    holder: remoteHolder,
-    appender,
+    holder: () => roles.remoteHolder(),
+    appender: () => roles.appender(),
     onJobRefused: (id, arrivedAt) => refusals.add(id, arrivedAt),
   });
 
@@ -237,45 +243,6 @@
     if (since !== undefined) pauses.add(clock.monotonic() - since);
   }
 
-  function remoteHolder(): string | undefined {
-    const instance = state.claim()?.instance;
-    return instance === self.instance ? undefined : instance;
-  }
-
-  /** Processor capacity of the holder; that of this entry if it isn't known. */
-  function holderCores(): number {
-    const instance = state.claim()?.instance;
-    if (instance === undefined || instance === self.instance) return self.cores;
-    for (const peer of peers.standbyCandidates())
-      if (peer.instance === instance && peer.cores > 0) return peer.cores;
-    return self.cores;
-  }
-
-  function appender(): string | undefined {
-    return chooseAppender.chooseAppender({
-      self,
-      peers: peers.standbyCandidates(),
-      holder: state.claim()?.instance,
-      isStoreQuick: health.isQuick(),
-      submissionsPerSecond: submissions.perMs() * 1_000,
-    });
-  }
-
-  /**
-   * Age of this entry's replica: jobs are accepted in one log and their
-   * progress is stored in another, so the older log decides. Records read
-   * before a suspension of the process count as infinitely old, because the
-   * monotonic clock doesn't show how long the suspension lasted.
-   */
-  function replicaAgeMs(): number {
-    const completeUntil = Math.min(
-      jobsFollower.completeUntil() ?? -Infinity,
-      cellFollower.completeUntil() ?? -Infinity,
-    );
-    if (completeUntil <= detector.lastDetectedAt()) return Infinity;
-    return clock.monotonic() - completeUntil;
-  }
-
   /**
    * Drops jobs and workers that a load doesn't contain. Their deletion records
    * may have been compacted while this entry couldn't read, so a load, which
@@ -415,75 +382,13 @@
     void created.start();
   }
 
-  /**
-   * Judges by the workers seen so far; refuses nothing if none of the pool was
-   * seen.
-   */
-  function couldEverFit(
-    pool: string,
-    step: scheduling.jobRequest.StepRequest,
-  ): boolean {
-    let isPoolKnown = false;
-    for (const {info} of state.usedWorkers.values()) {
-      if (info.pool !== pool) continue;
-      isPoolKnown = true;
-      if (types.resources.fits(step.size, info.capacity)) return true;
-    }
-    return !isPoolKnown;
-  }
-
-  /** A step that isn't a gang runs in waves, so one of its tasks must fit. */
-  function fitsQuota(
-    {organisation}: organisations.keyDirectory.Caller,
-    {gang, taskCount, size}: scheduling.jobRequest.StepRequest,
-  ): boolean {
-    const quota = configs.config()?.organisations?.get(organisation)?.quota;
-    if (quota === undefined) return true;
-    return types.resources.tasksThatFit(size, quota) >= (gang ? taskCount : 1);
-  }
-
-  /**
-   * An entry that can't accept jobs reports that it isn't ready, so that the
-   * balancer sends new callers to others. If no entry reaches the store, none
-   * is ready, and the balancer then uses all of them.
-   */
-  function isReady(): boolean {
-    if (isLeaving || configs.config() === undefined) return false;
-    if (jobsFollower.position() === undefined) return false;
-    const now = clock.monotonic();
-    if (jobsFollower.reachableSince() !== undefined) reachableAt = now;
-    return now - reachableAt < UNREADY_AFTER_MS || service.hasRelayedRecently();
-  }
-
-  /**
-   * Whether the configuration was read recently. Otherwise a newer version may
-   * contain a key or queue that is unknown here.
-   */
-  function isConfigCurrent(): boolean {
-    const completeUntil = configFollower.completeUntil();
-    if (completeUntil === undefined) return false;
-    if (completeUntil <= detector.lastDetectedAt()) return false;
-    return clock.monotonic() - completeUntil <= MAX_CONFIG_AGE_MS;
-  }
-
-  /** No entry is a standby before it knows its peers. */
-  function isStandby(): boolean {
-    if (jobsFollower.position() === undefined) return false;
-    return standbyChoice.isStandby(self, peers.standbyCandidates());
-  }
-
-  function isOutranked(): boolean {
-    const peersKnown = jobsFollower.position() !== undefined;
-    return !peersKnown || peers.maxCores() > self.cores;
-  }
-
   return {
     jobService: service,
     localJobService: localService,
     config: () => configs.config(),
     findCaller: (key) => configs.keys.find(key),
-    isConfigCurrent,
-    isReady,
+    isConfigCurrent: () => readiness.isConfigCurrent(),
+    isReady: () => readiness.isReady(),
     isBusy: () => monitor.utilization() >= MAX_LOOP_UTILIZATION,
     findPayload: (id) => payloads.find(id),
     start() {
@@ -511,8 +416,8 @@
           longestPauseMs: () => pauses.longestMs(),
           isHolder: () => holder !== undefined,
           isLeaving: () => isLeaving,
-          isOutranked,
-          isStandby,
+          isOutranked: () => roles.isOutranked(),
+          isStandby: () => roles.isStandby(),
           clock,
           random: options.random,
           logger,
@@ -552,7 +457,7 @@
       holdsCell: holder !== undefined,
       configVersion: configs.config()?.version,
       storeReachable: jobsFollower.reachableSince() !== undefined,
-      replicaAgeMs: replicaAgeMs(),
+      replicaAgeMs: readiness.replicaAgeMs(),
       loopUtilization: monitor.utilization(),
       scheduler: holder?.counts(),
     }),
