cell: measure what a holder can start at its limit

Admission counts 1.4 ms of processor time for a task, a figure of one machine.

A holder now measures its starts a second over spans of 1 s in which its event loop is busy for at least 0.9 of the time and workers have room. An idle holder and an outage of the store, during which the loop waits, don't count, nor do spans without a start, such as those of a takeover.

The rate and the number of tasks that run are an optional field of the heartbeat record, which is written once a second while the holder is at its limit, and once when it no longer is. The last record in the log serves a successor, in whose mean it counts as 5 s, until it has measured its own rate. Compatibility was checked in store_records and apply_records: an older build decodes a heartbeat by its key and version and ignores all fields; a heartbeat without the field, which an older holder writes, is encoded as before and clears the value. Nothing uses it yet.

--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -16,6 +16,8 @@
 import * as schedulingLoop from './scheduling_loop.js';
 import type * as storeRecords from './store_records.js';
 import * as failoverBarrier from './failover_barrier.js';
+import * as holderCapacity from './holder_capacity.js';
+import * as workerRoom from './worker_room.js';
 import * as workerRoster from './worker_roster.js';
 import * as workerRoutes from './worker_routes.js';
 import * as workerSession from './worker_session.js';
@@ -94,6 +96,7 @@
     epoch: token,
     storeHealth: options.storeHealth,
     loopUtilization: options.loopUtilization,
+    heartbeat,
     clock,
     logger,
     onFenced: stopFenced,
@@ -172,6 +175,14 @@
   /** Jobs whose end is stored, and whose requests can be dropped. */
   let ended: types.ids.JobId[] = [];
   let lastWrite: Promise<void> = Promise.resolve();
+  const capacity = holderCapacity.createHolderCapacityMeter({
+    clock,
+    inherited: options.state.capacity(),
+    runs: () => scheduler.counts().runs,
+    hasRoom: () =>
+      workerRoom.hasRoom(scheduler.workerRegistry.workers.values()),
+    publish: () => writer.write([heartbeat()]),
+  });
   const loop = schedulingLoop.createSchedulingLoop({
     scheduler,
     adviceCalls,
@@ -179,6 +190,7 @@
     mayRenew,
     checkListEntries: () => roster.checkListEntries(),
     flush,
+    onStart: () => capacity.onStart(),
     commitLatencyMs: () => writer.latencyMs(),
     loopUtilization: options.loopUtilization,
     clock,
@@ -186,6 +198,10 @@
   });
   let tickTimer: NodeJS.Timeout | undefined;
 
+  function heartbeat(): storeRecords.StoreRecord {
+    return {kind: 'heartbeat', capacity: capacity.capacity()};
+  }
+
   function stopFenced(): void {
     if (stopping.signal.aborted) return;
     logger.warn('cell_lost', {generation: claim.generation, token});
@@ -293,6 +309,7 @@
     barrier.tick(now);
     roster.tick(now);
     loop.tick();
+    capacity.tick();
     requestCycle();
   }
 
--- a/packages/gypsumwall-cell/src/cell_state.ts
+++ b/packages/gypsumwall-cell/src/cell_state.ts
@@ -4,11 +4,14 @@
  */
 import type * as types from '@gypsumwall/types';
 import * as claimView from './claim_view.js';
+import type * as holderCapacity from './holder_capacity.js';
 import type * as storeRecords from './store_records.js';
 
 /** The state of a cell. */
 export interface CellState {
   claim(): claimView.CellClaim | undefined;
+  /** What the holder can do; undefined unless it is at its limit. */
+  capacity(): holderCapacity.HolderCapacity | undefined;
   readonly usedWorkers: ReadonlyMap<
     types.ids.WorkerId,
     storeRecords.UsedWorkerRecord
@@ -24,12 +27,14 @@
 /** Creates the state of a cell that was never held. */
 export function createCellState(): CellState {
   let claim: claimView.CellClaim | undefined;
+  let capacity: holderCapacity.HolderCapacity | undefined;
   const usedWorkers = new Map<
     types.ids.WorkerId,
     storeRecords.UsedWorkerRecord
   >();
   return {
     claim: () => claim,
+    capacity: () => capacity,
     usedWorkers,
     retainUsedWorkers(ids) {
       for (const id of usedWorkers.keys()) {
@@ -40,6 +45,7 @@
       if (record.kind === 'claim') {
         claim = claimView.foldClaim(claim, record.claim, offset);
       }
+      if (record.kind === 'heartbeat') capacity = record.capacity;
       if (record.kind !== 'used_worker') return;
       const {workerId, worker} = record;
       if (worker === undefined) usedWorkers.delete(workerId);
--- a/packages/gypsumwall-cell/src/cell_writer.ts
+++ b/packages/gypsumwall-cell/src/cell_writer.ts
@@ -38,6 +38,8 @@
   readonly storeHealth: storeHealth.StoreHealth;
   /** Busy share of this process's event loop, from 0 to 1. */
   readonly loopUtilization: () => number;
+  /** The record that is written while there is nothing else to write. */
+  readonly heartbeat?: () => storeRecords.StoreRecord;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
   /**
@@ -78,7 +80,7 @@
 
 /** Creates the writer of a claim that was just read from the log. */
 export function createCellWriter(options: CellWriterOptions): CellWriter {
-  const {log, clock, logger} = options;
+  const {log, clock, logger, heartbeat = () => ({kind: 'heartbeat'})} = options;
   const stopping = new AbortController();
   const hedger = hedge.createHedger(clock, options.storeHealth);
   let queue: PendingWrite[] = [];
@@ -192,9 +194,7 @@
         if (stopping.signal.aborted) break;
         const batch = takeBatch();
         const records = batch.flatMap((pending) => pending.records);
-        await append(
-          records.length > 0 ? records : [{kind: 'heartbeat' as const}],
-        );
+        await append(records.length > 0 ? records : [heartbeat()]);
         if (stopping.signal.aborted) break;
         for (const pending of batch) pending.resolve();
         await pause(
--- a/packages/gypsumwall-cell/src/scheduling_loop.ts
+++ b/packages/gypsumwall-cell/src/scheduling_loop.ts
@@ -37,6 +37,8 @@
   readonly checkListEntries: () => void;
   /** Stores changed progress. */
   readonly flush: () => Promise<void>;
+  /** Called when a start is sent. */
+  readonly onStart: () => void;
   /** Recent latency of the appends of progress; milliseconds. */
   readonly commitLatencyMs: () => number;
   /** Busy share of this process's event loop, from 0 to 1. */
@@ -153,6 +155,7 @@
     const isDue = isStarted && scheduler.isStartDue(attempt);
     if (isDue && session !== undefined) {
       load.onStart();
+      parts.onStart();
       return session.start(order);
     }
     scheduler.onStartAnswered(
--- a/packages/gypsumwall-cell/src/store_records.ts
+++ b/packages/gypsumwall-cell/src/store_records.ts
@@ -6,6 +6,7 @@
 import * as result from 'true-myth/result';
 import type * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
+import type * as holderCapacity from './holder_capacity.js';
 
 /** A job as it was accepted; the first record of an ID defines the job. */
 export interface JobRecord {
@@ -77,8 +78,12 @@
       readonly entry: EntryRecord | undefined;
     }
   | {readonly kind: 'claim'; readonly claim: ClaimRecord}
-  /** Only shows that the holder is alive. */
-  | {readonly kind: 'heartbeat'}
+  /** Shows that the holder is alive. */
+  | {
+      readonly kind: 'heartbeat';
+      /** Absent unless the holder is at its limit, and in older records. */
+      readonly capacity?: holderCapacity.HolderCapacity;
+    }
   | {
       readonly kind: 'used_worker';
       readonly workerId: types.ids.WorkerId;
@@ -119,8 +124,10 @@
       };
     case 'claim':
       return {key: KEY_PREFIXES.claim, value: pack(record.claim)};
-    case 'heartbeat':
-      return {key: KEY_PREFIXES.heartbeat, value: pack({})};
+    case 'heartbeat': {
+      const value = pack({capacity: record.capacity});
+      return {key: KEY_PREFIXES.heartbeat, value};
+    }
     case 'used_worker': {
       const value = pack(record.worker);
       return {key: KEY_PREFIXES.used_worker + record.workerId, value};
@@ -160,7 +167,8 @@
 
 function decodeKnown(key: string, value: string): StoreRecord {
   const body = unpack(value);
-  if (key === KEY_PREFIXES.heartbeat) return {kind: 'heartbeat'};
+  if (key === KEY_PREFIXES.heartbeat)
+    return {kind: 'heartbeat', capacity: cast<HeartbeatBody>(body)?.capacity};
   if (key === KEY_PREFIXES.claim) {
     if (body === undefined) throw new Error('the claim has no value');
     return {kind: 'claim', claim: body as unknown as ClaimRecord};
@@ -189,6 +197,10 @@
   }
 }
 
+interface HeartbeatBody {
+  readonly capacity?: holderCapacity.HolderCapacity;
+}
+
 interface ProgressBody {
   readonly queue: string;
   readonly organisation?: types.ids.OrganisationId;
