cell: refuse what can't begin while it is of use

Nothing was refused in time to help: 1.4 ms of processor time were counted for a task where 2 to 4.4 were used, and the bound of 20 s is the same for all work.

An entry now judges by the starts a second that the holder has measured at its limit: it refuses a job that would begin when its caller has no more use of it, by the tasks that rank before it, and every job while more than 10 s of work wait. Jobs past their use rank before none. Entries learn of each other's jobs with a delay, so each admits its share of what there is room for. Retry-After covers the excess. Without a measured rate the former rule holds.

The new tests call an interface that is new; by the former rule 570 tasks at a holder of 0.14 of a core counted as 5.7 s and were accepted, which one that starts 35 a second needs 16 s for.

--- a/packages/gypsumwall-cell/src/__tests__/load_shedder.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/load_shedder.test.ts
@@ -2,38 +2,57 @@
 import * as nodeTest from 'node:test';
 import * as types from '@gypsumwall/types';
 import * as worlds from '../__fixtures__/cell_world.js';
+import type * as holderCapacity from '../holder_capacity.js';
 import type * as jobTable from '../job_table.js';
 import * as loadShedders from '../load_shedder.js';
 
 const {test} = nodeTest;
 
-function createCell(cores = 0.14) {
-  const shedder = loadShedders.createLoadShedder(() => cores);
+function createCell(cores = 0.14, capacity?: holderCapacity.HolderCapacity) {
+  let now = 0;
+  const shedder = loadShedders.createLoadShedder({
+    holderCores: () => cores,
+    capacity: () => capacity,
+    entries: () => 15,
+    random: types.random.createRandom(1),
+    clock: {
+      ...types.clock.createSystemClock(),
+      monotonic: () => now as types.clock.MonotonicMs,
+      wall: () => now as types.clock.WallMs,
+    },
+  });
   const queued: jobTable.JobEntry[] = [];
 
-  function submitOne(tasks: number): void {
-    const {queue} = worlds.POLICY;
+  function submitOne(tasks: number, policy = worlds.POLICY): void {
+    const {queue} = policy;
     const request = worlds.request(tasks);
-    const acceptedAt = 0 as types.clock.WallMs;
+    const acceptedAt = now as types.clock.WallMs;
     const job: jobTable.JobEntry = {
       id: types.ids.brand(`job${queued.length}`),
       queue,
       organisation: undefined,
-      record: {request, policy: worlds.POLICY, acceptedAt},
+      record: {request, policy, acceptedAt},
       progress: {phase: 'queued', workers: [], occurrences: {}, finished: []},
     };
     queued.push(job);
-    shedder.onQueued(job);
+    shedder.onUpdated(job, true);
   }
 
   return {
-    submit(count: number, tasks = 1) {
-      for (let nth = 0; nth < count; nth++) submitOne(tasks);
+    submit(count: number, tasks = 1, policy = worlds.POLICY) {
+      for (let nth = 0; nth < count; nth++) submitOne(tasks, policy);
     },
+    pass: (spanMs: number) => void (now += spanMs),
     begin(count: number) {
-      for (const job of queued.splice(0, count)) shedder.onDequeued(job);
+      for (const job of queued.splice(0, count)) {
+        job.progress = {...job.progress, phase: 'running'};
+        shedder.onUpdated(job, true);
+      }
     },
-    check: (request = worlds.request(1)) => shedder.check(request),
+    offer: (request = worlds.request(1), policy = worlds.POLICY) =>
+      shedder.check('offered', policy, request),
+    check: (request = worlds.request(1), policy = worlds.POLICY) =>
+      shedder.check('append', policy, request),
   };
 }
 
@@ -92,3 +111,80 @@
   const steps = request.steps.map((step) => ({...step, longRunning: true}));
   assert.equal(cell.check({...request, steps}).type, 'admitted');
 });
+
+// Guards against a backlog of a minute at a holder whose starts take longer
+// than assumed, and against refusals at one that starts more.
+test('a holder that has measured its rate is judged by it', () => {
+  const slow = createCell(0.14, {startsPerSecond: 35, runs: 0});
+  slow.submit(170);
+  assert.equal(slow.check().type, 'admitted');
+  slow.submit(400);
+  const verdict = slow.check();
+  assert.ok(verdict.type === 'refused');
+  assert.ok(verdict.retryAfterMs >= 6_000 && verdict.retryAfterMs <= 7_000);
+
+  const quick = createCell(0.14, {startsPerSecond: 500, runs: 0});
+  quick.submit(2_400);
+  assert.equal(quick.check().type, 'admitted');
+});
+
+// Guards against a backlog in jobs that have begun, which nobody counts.
+test('tasks that wait count although their jobs have begun', () => {
+  const cell = createCell(0.14, {startsPerSecond: 50, runs: 100});
+  cell.submit(10, 60);
+  cell.begin(10);
+  cell.submit(20);
+  assert.equal(cell.check().type, 'refused');
+});
+
+// Guards against a rate that an older build, which stores none, never replaces.
+test('a rate that is not stored again is not used', () => {
+  const cell = createCell(0.14, {startsPerSecond: 35, runs: 0});
+  cell.submit(570);
+  assert.equal(cell.check().type, 'refused');
+  cell.pass(20_000);
+  assert.equal(cell.check().type, 'admitted');
+});
+
+/** Jobs of 1 s that have to begin within 0.3 s, or 2.9 s to be of any use. */
+const URGENT = {...worlds.POLICY, slackFactor: 1, targetMs: 300};
+/** The same with 11 s. */
+const PATIENT = {...worlds.POLICY, priority: 1, targetMs: 10_000};
+
+// Guards against urgent jobs that are accepted and begin when their callers
+// have left, and against refusals of work that is worth waiting for.
+test('a job that would begin when it is of no more use is refused', () => {
+  const cell = createCell(0.14, {startsPerSecond: 50, runs: 0});
+  cell.submit(20, 10, PATIENT);
+  assert.equal(cell.check(worlds.request(1), URGENT).type, 'admitted');
+  cell.submit(20, 1, URGENT);
+  cell.pass(100);
+  assert.equal(cell.check(worlds.request(1), URGENT).type, 'refused');
+  assert.equal(cell.check(worlds.request(1), PATIENT).type, 'admitted');
+});
+
+// Guards against old jobs that keep new ones out, which rank before them.
+test('jobs that are of no more use do not make new ones late', () => {
+  const cell = createCell(0.14, {startsPerSecond: 50, runs: 0});
+  cell.submit(400, 1, URGENT);
+  assert.equal(cell.check(worlds.request(1), URGENT).type, 'refused');
+  cell.pass(3_000);
+  assert.equal(cell.check(worlds.request(1), URGENT).type, 'admitted');
+  cell.submit(200, 1, PATIENT);
+  assert.equal(cell.check(worlds.request(1), URGENT).type, 'refused');
+});
+
+// Guards against a burst of jobs whenever there is room for one, because each
+// entry admits them before it knows what the others have admitted.
+test('the entries together admit what there is room for', () => {
+  const cell = createCell(0.14, {startsPerSecond: 50, runs: 0});
+  cell.submit(470, 1, PATIENT);
+  let admitted = 0;
+  for (let round = 0; round < 200; round++) {
+    cell.pass(35);
+    if (cell.offer(worlds.request(1), PATIENT).type === 'admitted') admitted++;
+  }
+  // One of 15 entries, ten times as long as they need to read a job, while 30
+  // tasks may be added.
+  assert.ok(admitted >= 10 && admitted <= 50, `${admitted} admitted`);
+});
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -129,7 +129,13 @@
     storeHealth: health,
     submissions,
   });
-  const shedder = loadShedder.createLoadShedder(() => roles.holderCores());
+  const shedder = loadShedder.createLoadShedder({
+    holderCores: () => roles.holderCores(),
+    capacity: () => state.capacity(),
+    entries: () => 1 + [...peers.standbyCandidates()].length,
+    clock,
+    random: options.random,
+  });
   const limits = jobLimits.createJobLimits({state, configs});
   const jobs = jobTables.createJobTable({
     onAdded(job) {
@@ -137,8 +143,7 @@
       holder?.onJobAdded(job);
     },
     onCancelled: (id) => holder?.onJobCancelled(id),
-    onQueued: (job) => shedder.onQueued(job),
-    onDequeued: (job) => shedder.onDequeued(job),
+    onUpdated: (job, isLive) => shedder.onUpdated(job, isLive),
   });
   const configFollower = logFollower.createLogFollower({
     log: logs.config,
@@ -207,7 +212,7 @@
     logger,
     couldEverFit: (pool, step) => limits.couldEverFit(pool, step),
     fitsQuota: (caller, step) => limits.fitsQuota(caller, step),
-    checkLoad: (request) => shedder.check(request),
+    checkLoad: (...args) => shedder.check(...args),
     isOutdated: (caller) => configs.keys.isOutdated(caller),
   });
   const holderProbe = holderProbes.createHolderProbe({
--- a/packages/gypsumwall-cell/src/forwarding_job_service.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -216,11 +216,11 @@
    */
   function shedLoad(req: EffectiveReq): callAttempts.CallAnswer | undefined {
     if (req.type !== 'submit') return undefined;
-    const {id, caller, request} = req;
+    const {id, caller, policy, request} = req;
     const isKnown =
       localService.isStored(id, caller) ||
       recentCalls.submit.mayBeApplied(id, caller);
-    return isKnown ? undefined : localService.shed(id, request);
+    return isKnown ? undefined : localService.shed(id, policy, request);
   }
 
   /** Returns the local answer, or a peer's answer where that is better. */
@@ -298,7 +298,7 @@
     },
     finalPhaseOf: (id, queue, caller) =>
       localService.finalPhaseOf(id, queue, caller),
-    shed: (id, request) => localService.shed(id, request),
+    shed: (id, policy, request) => localService.shed(id, policy, request),
     isStored: (id, caller) => localService.isStored(id, caller),
     isCurrent: () => localService.isCurrent(),
     storeLatencyMs: () => localService.storeLatencyMs(),
--- a/packages/gypsumwall-cell/src/job_service.ts
+++ b/packages/gypsumwall-cell/src/job_service.ts
@@ -203,18 +203,22 @@
    * replica doesn't know the load.
    */
   function shed(
+    stage: loadShedder.Stage,
     id: types.ids.JobId,
+    policy: scheduling.jobRequest.QueuePolicy,
     request: scheduling.jobRequest.JobRequest,
   ): jobServiceTypes.JobServiceAnswer<undefined> | undefined {
     if (!isCurrent()) return undefined;
-    const verdict = options.checkLoad(request);
+    const verdict = options.checkLoad(stage, policy, request);
     switch (verdict.type) {
       case 'admitted':
         return undefined;
       case 'refused': {
-        const {retryAfterMs} = verdict;
+        const {reason, retryAfterMs, backlogMs} = verdict;
         logger.info('job_shed', {
           job: id,
+          reason,
+          backlogMs: Math.round(backlogMs),
           retryAfterMs: Math.round(retryAfterMs),
         });
         return {type: 'not_run', retryAfterMs, isCellOverloaded: true};
@@ -267,7 +271,7 @@
       });
       return {type: 'not_run', retryAfterMs: STORE_RETRY_AFTER_MS};
     }
-    const refusal = shed(id, request);
+    const refusal = shed('append', id, policy, request);
     if (refusal !== undefined) return refusal;
     const organisation = caller?.organisation;
     const job = {request, policy, acceptedAt: clock.wall(), organisation};
@@ -350,7 +354,7 @@
           : {type: 'ok', value: pending},
       );
     },
-    shed,
+    shed: (id, policy, request) => shed('offered', id, policy, request),
     isStored,
     isCurrent,
     storeLatencyMs: () => records.latencyMs(),
--- a/packages/gypsumwall-cell/src/job_service_types.ts
+++ b/packages/gypsumwall-cell/src/job_service_types.ts
@@ -69,6 +69,7 @@
    */
   shed(
     id: types.ids.JobId,
+    policy: scheduling.jobRequest.QueuePolicy,
     request: scheduling.jobRequest.JobRequest,
   ): JobServiceAnswer<undefined> | undefined;
   /** Whether this entry has read the record of the caller's job. */
--- a/packages/gypsumwall-cell/src/job_table.ts
+++ b/packages/gypsumwall-cell/src/job_table.ts
@@ -56,10 +56,11 @@
 export interface JobTableListener {
   onAdded(job: JobEntry): void;
   onCancelled(id: types.ids.JobId): void;
-  /** None of the tasks of the job has started yet. */
-  onQueued?(job: JobEntry): void;
-  /** A task of the job has started, or none ever will. */
-  onDequeued?(job: JobEntry): void;
+  /**
+   * The job was added, has progressed or was dropped; `isLive` tells whether
+   * tasks of it may still start.
+   */
+  onUpdated?(job: JobEntry, isLive: boolean): void;
 }
 
 function isWaiting({record, progress}: JobEntry): boolean {
@@ -80,15 +81,10 @@
   >();
 
   function updateQueued(job: JobEntry): void {
-    const isQueued = isWaiting(job) && jobs.get(job.id) === job;
-    if (isQueued === queuedJobs.has(job)) return;
-    if (isQueued) {
-      queuedJobs.add(job);
-      listener.onQueued?.(job);
-    } else {
-      queuedJobs.delete(job);
-      listener.onDequeued?.(job);
-    }
+    const isKnown = jobs.get(job.id) === job;
+    if (isKnown && isWaiting(job)) queuedJobs.add(job);
+    else queuedJobs.delete(job);
+    listener.onUpdated?.(job, isKnown && job.record !== undefined);
   }
 
   function remove(job: JobEntry): void {
--- /dev/null
+++ b/packages/gypsumwall-cell/src/waiting_work.ts
@@ -0,0 +1,181 @@
+/**
+ * The work that waits in a cell, as an entry knows it from the logs, and how
+ * much of it ranks before a new job. The holder ranks exactly; this is an
+ * estimate without organisations and without the progress of chains.
+ */
+import * as scheduling from '@gypsumwall/scheduling';
+import type * as types from '@gypsumwall/types';
+import type * as jobTable from './job_table.js';
+
+/** How long the same ranks are used; milliseconds. */
+const RANKS_VALID_MS = 100;
+
+/** When the first task of a job has to start, from its acceptance. */
+export interface StartLimits {
+  /** For the job to be on time; milliseconds. */
+  readonly onTimeMs: number;
+  /** For its caller to have any use of it; milliseconds. */
+  readonly usefulMs: number;
+}
+
+/** Numbers of tasks that rank before a new job. */
+export interface TasksAhead {
+  /** While the new job can still be on time. */
+  readonly onTime: number;
+  /** Once it is late. */
+  readonly late: number;
+}
+
+/** The jobs that aren't done. */
+export interface WaitingWork {
+  onUpdated(job: jobTable.JobEntry, isLive: boolean): void;
+  /** Number of jobs that aren't done. */
+  jobs(): number;
+  /** Number of jobs of which no task has started. */
+  queuedJobs(): number;
+  /** Number of the tasks of these jobs. */
+  queuedTasks(): number;
+  /** Number of tasks that wait while this many run. */
+  waitingTasks(runs: number): number;
+  /** What ranks before a new job of a priority while this many tasks run. */
+  ahead(priority: number, runs: number): TasksAhead;
+}
+
+/** Tasks of the jobs of one priority that are still of use to callers. */
+interface RankedTasks {
+  onTime: number;
+  late: number;
+}
+
+interface LiveJob {
+  /** Number of tasks that aren't done. */
+  readonly tasks: number;
+  /** Whether none of its tasks has started. */
+  readonly isQueued: boolean;
+  readonly priority: number;
+  readonly acceptedAt: types.clock.WallMs;
+  readonly limits: StartLimits;
+}
+
+/** When a job has to start, by its expected duration. */
+export function startLimits(
+  {slackFactor, targetMs}: scheduling.jobRequest.QueuePolicy,
+  request: scheduling.jobRequest.JobRequest,
+): StartLimits {
+  const chainMs = scheduling.jobRequest.expectedChainMs(request);
+  const objectiveMs = chainMs * slackFactor + targetMs;
+  return {
+    onTimeMs: objectiveMs - chainMs,
+    usefulMs: objectiveMs * scheduling.jobOrder.LATE_FACTOR - chainMs,
+  };
+}
+
+/**
+ * Whether a job waits for its schedule, or has steps that run until it is
+ * cancelled and are of use whenever they start.
+ */
+export function isOpenEnded({
+  steps,
+  schedule,
+}: scheduling.jobRequest.JobRequest): boolean {
+  return schedule !== undefined || steps.some((step) => step.longRunning);
+}
+
+/** Creates the work of a cell without jobs. */
+export function createWaitingWork(clock: types.clock.Clock): WaitingWork {
+  const live = new Map<jobTable.JobEntry, LiveJob>();
+  let queuedJobs = 0;
+  let queuedTasks = 0;
+  let liveTasks = 0;
+  let ranks = new Map<number, RankedTasks>();
+  let rankedAt: types.clock.MonotonicMs | undefined;
+
+  function count({tasks, isQueued}: LiveJob, sign: 1 | -1): void {
+    liveTasks += sign * tasks;
+    if (!isQueued) return;
+    queuedJobs += sign;
+    queuedTasks += sign * tasks;
+  }
+
+  function remove(job: jobTable.JobEntry): LiveJob | undefined {
+    const known = live.get(job);
+    if (known === undefined) return undefined;
+    count(known, -1);
+    live.delete(job);
+    return known;
+  }
+
+  function rank(runs: number): void {
+    const wall = clock.wall();
+    const begunTasks = liveTasks - queuedTasks;
+    const waitingShare =
+      begunTasks > 0 ? Math.max(0, 1 - runs / begunTasks) : 0;
+    ranks = new Map();
+    for (const {
+      tasks,
+      isQueued,
+      priority,
+      acceptedAt,
+      limits,
+    } of live.values()) {
+      const ageMs = wall - acceptedAt;
+      if (ageMs > limits.usefulMs) continue;
+      const ranked = ranks.get(priority) ?? {onTime: 0, late: 0};
+      const waiting = isQueued ? tasks : tasks * waitingShare;
+      ranked[ageMs <= limits.onTimeMs ? 'onTime' : 'late'] += waiting;
+      ranks.set(priority, ranked);
+    }
+  }
+
+  return {
+    onUpdated(job, isLive) {
+      const known = remove(job);
+      const {record, progress} = job;
+      if (!isLive || record === undefined || isOpenEnded(record.request))
+        return;
+      const {request, policy, acceptedAt} = record;
+      const added = {
+        tasks: countTasks(request, progress),
+        isQueued: progress.phase === 'queued',
+        priority: policy.priority,
+        acceptedAt,
+        limits: known?.limits ?? startLimits(policy, request),
+      };
+      live.set(job, added);
+      count(added, 1);
+    },
+    jobs: () => live.size,
+    queuedJobs: () => queuedJobs,
+    queuedTasks: () => queuedTasks,
+    waitingTasks: (runs) => Math.max(queuedTasks, liveTasks - runs),
+    ahead(priority, runs) {
+      const now = clock.monotonic();
+      if (rankedAt === undefined || now - rankedAt >= RANKS_VALID_MS) {
+        rank(runs);
+        rankedAt = now;
+      }
+      const ahead = {onTime: 0, late: 0};
+      for (const [other, {onTime, late}] of ranks) {
+        ahead.late += onTime;
+        if (other <= priority) ahead.late += late;
+        // Late work of the same priority gets its turn first, or the queue
+        // would admit what makes it later still.
+        if (other <= priority) ahead.onTime += onTime;
+        if (other === priority) ahead.onTime += late;
+      }
+      return ahead;
+    },
+  };
+}
+
+/** Number of tasks of a job that aren't done. */
+export function countTasks(
+  {steps}: scheduling.jobRequest.JobRequest,
+  {occurrences} = scheduling.jobProgress.NO_PROGRESS,
+): number {
+  const [progress = []] = Object.values(occurrences);
+  return steps.reduce((sum, {taskCount}, step) => {
+    const done = progress[step]?.done ?? [];
+    return sum + (done === 'all' ? 0 : taskCount - done.length);
+  }, 0);
+}
