scheduler: sort only the steps whose rank has changed

Callers saw: with hundreds of waiting steps at a holder on a small processor, half of the jobs started seconds after they were accepted, because scheduling cycles took 15 to 90 ms and came three a second (the next one waits for four times the duration of the last).

Cause: each cycle built the rank of every waiting step anew, sorted all of them, filtered and sorted the skipped ones, compared each untried step with each freed worker, and twice a second built the table of waits for the log.

Now a step moves only if its lateness has changed or it is new; these are sorted and merged with the others. The ten steps skipped for longest are selected, not sorted. A step without approvals isn't compared with freed workers.

--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -146,10 +146,7 @@
     for (const id of isolation.releaseExpired(now)) registry.markFreed(id);
     const freed = registry.takeFreed();
     const context = {registry, health, now, freed, isolation};
-    const startable = steps.filter(
-      (stepRun) => !stepRun.job.isAwaitingReconciliation,
-    );
-    const cycle = schedulingCycle.runCycle(startable, context);
+    const cycle = schedulingCycle.runCycle(steps, context);
     for (const [id, gang] of reservations) {
       if (cycle.reservations.get(id) !== gang) registry.markFreed(id);
     }
--- a/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
+++ b/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
@@ -56,7 +56,7 @@
   readonly reservations: ReadonlyMap<types.ids.WorkerId, activeJob.StepRun>;
 }
 
-/** Runs a cycle over steps that may start, sorted by urgency. */
+/** Runs a cycle over the waiting steps, sorted by urgency. */
 export function runCycle(
   ordered: readonly activeJob.StepRun[],
   context: CycleContext,
@@ -75,6 +75,7 @@
   const skipped = longestSkipped(ordered);
   let triesLeft = MAX_TRIED_STEPS - skipped.size;
   for (const stepRun of ordered) {
+    if (stepRun.job.isAwaitingReconciliation) continue;
     const verdict = gate.check(stepRun);
     stepRun.isOverQuota = verdict !== 'open';
     if (stepRun.isOverQuota) {
@@ -98,7 +99,7 @@
     const needsAdvice = stepRun.job.policy.advice !== undefined;
     if (needsAdvice && stepRun.waitingIndexes.length > 0)
       result.awaitingAdvice.push(stepRun);
-    const committed = committedOf(stepRun, found);
+    const committed = found.length > 0 ? committedOf(stepRun, found) : found;
     result.placed.push(...committed);
     // Uncommitted placements are made again in the next cycle.
     const isSkipped = stepRun.hasChanged && !isPaused;
@@ -121,9 +122,18 @@
 function longestSkipped(
   ordered: readonly activeJob.StepRun[],
 ): ReadonlySet<activeJob.StepRun> {
-  const skipped = ordered.filter((one) => one.skippedSince !== undefined);
-  skipped.sort((a, b) => a.skippedSince! - b.skippedSince!);
-  return new Set(skipped.slice(0, MAX_SKIPPED_STEPS));
+  const longest: activeJob.StepRun[] = [];
+  for (const stepRun of ordered) {
+    const since = stepRun.skippedSince;
+    if (since === undefined) continue;
+    let position = longest.length;
+    while (position > 0 && since < longest[position - 1]!.skippedSince!)
+      position--;
+    if (position >= MAX_SKIPPED_STEPS) continue;
+    longest.splice(position, 0, stepRun);
+    if (longest.length > MAX_SKIPPED_STEPS) longest.pop();
+  }
+  return new Set(longest);
 }
 
 /** Whether a worker that the step may use has more free capacity. */
@@ -133,6 +143,7 @@
 ): boolean {
   const {advice, job} = stepRun;
   const needsAdvice = job.policy.advice !== undefined;
+  if (needsAdvice && advice.approvals.size === 0) return false;
   const size = chooseWorker.reservedSize(stepRun);
   for (const id of freed) {
     if (needsAdvice && !advice.approvals.has(id)) continue;
--- a/packages/gypsumwall-scheduling/src/wait_reporter.ts
+++ b/packages/gypsumwall-scheduling/src/wait_reporter.ts
@@ -12,8 +12,13 @@
 const REPORT_AFTER_MS = 1_000;
 /** Minimum interval between two reports of one step. */
 const REPEAT_AFTER_MS = 2_000;
-/** Interval between two sweeps over the waiting steps. */
-const SWEEP_INTERVAL_MS = 500;
+/** Minimum interval between two sweeps over the waiting steps. */
+const MIN_SWEEP_INTERVAL_MS = 500;
+/**
+ * The interval for each waiting step: a sweep looks at all of them, and must not
+ * delay the start of what it reports on.
+ */
+const SWEEP_INTERVAL_PER_STEP_MS = 2;
 const MAX_REPORTS_PER_SWEEP = 4;
 
 /** Input of a sweep. */
@@ -94,7 +99,11 @@
     sweep({ordered, jobs}, context) {
       const {now} = context;
       if (now < nextSweepAt) return;
-      nextSweepAt = types.clock.after(now, SWEEP_INTERVAL_MS);
+      const intervalMs = Math.max(
+        MIN_SWEEP_INTERVAL_MS,
+        ordered.length * SWEEP_INTERVAL_PER_STEP_MS,
+      );
+      nextSweepAt = types.clock.after(now, intervalMs);
       const previous = waits;
       waits = new Map();
       [...ordered, ...stoppingGangs(jobs)].forEach((stepRun, rank) => {
--- a/packages/gypsumwall-scheduling/src/waiting_order.ts
+++ b/packages/gypsumwall-scheduling/src/waiting_order.ts
@@ -1,7 +1,7 @@
 /**
  * Sorts the waiting steps by the order in which they get capacity. From one
- * cycle to the next only few steps change their position, so sorting the
- * previous order again takes time that is linear in the number of steps.
+ * cycle to the next only few steps change their position; only these are sorted,
+ * and merged with the others.
  */
 import * as types from '@gypsumwall/types';
 import * as activeJob from './active_job.js';
@@ -29,43 +29,78 @@
 
 /** Creates an order without steps. */
 export function createWaitingOrder(): WaitingOrder {
-  let known: ReadonlySet<activeJob.StepRun> = new Set();
+  const known = new Set<activeJob.StepRun>();
   let steps: activeJob.StepRun[] = [];
 
   return {
     sort(waiting, now, commitMs) {
-      const kept = steps.filter((stepRun) => waiting.has(stepRun));
-      for (const stepRun of waiting)
-        if (!known.has(stepRun)) kept.push(stepRun);
+      const kept: activeJob.StepRun[] = [];
+      const moved: activeJob.StepRun[] = [];
       let gangFellBehind = false;
-      const ranked = kept.map((stepRun) => {
+
+      function place(stepRun: activeJob.StepRun): void {
         const before = stepRun.rank;
-        const rank = rankOf(stepRun, now, commitMs);
-        const changedLateness =
-          before !== undefined && before.lateness !== rank.lateness;
-        if (changedLateness && stepRun.request.gang) gangFellBehind = true;
-        stepRun.rank = rank;
-        return {...rank, stepRun};
-      });
-      ranked.sort(jobOrder.compareRanked);
-      steps = ranked.map((one) => one.stepRun);
-      known = new Set(steps);
+        const hasMoved = updateRank(stepRun, now, commitMs);
+        const wasKnown = known.has(stepRun);
+        if (wasKnown && !hasMoved) kept.push(stepRun);
+        else moved.push(stepRun);
+        if (hasMoved && before !== undefined && stepRun.request.gang)
+          gangFellBehind = true;
+        if (!wasKnown) known.add(stepRun);
+      }
+
+      for (const stepRun of steps) {
+        if (waiting.has(stepRun)) place(stepRun);
+        else known.delete(stepRun);
+      }
+      // All known steps wait, so with as many of both there is no other.
+      if (known.size < waiting.size)
+        for (const stepRun of waiting) if (!known.has(stepRun)) place(stepRun);
+      steps = merge(kept, moved.sort(compareSteps));
       return {steps, gangFellBehind};
     },
   };
 }
 
-/**
- * The first start of a job waits until its workers are stored, and its end is
- * shown once it is stored.
- */
-function rankOf(
+/** Updates the rank of a step; false if it is the same as before. */
+function updateRank(
   stepRun: activeJob.StepRun,
   now: types.clock.MonotonicMs,
   commitMs: number,
-): jobOrder.RankedClaimant {
-  const claimant = stepRun.rank?.claimant ?? activeJob.claimantOf(stepRun);
+): boolean {
+  const {rank} = stepRun;
+  const claimant = rank?.claimant ?? activeJob.claimantOf(stepRun);
+  // The first start of a job waits until its workers are stored, and its end
+  // is shown once it is stored.
   const commits = stepRun.job.workers.size === 0 ? 2 : 1;
   const startAt = types.clock.after(now, commits * commitMs);
-  return {claimant, lateness: jobOrder.lateness(claimant, startAt)};
+  const lateness = jobOrder.lateness(claimant, startAt);
+  if (rank?.lateness === lateness) return false;
+  stepRun.rank = {claimant, lateness};
+  return true;
+}
+
+/** Compares two steps that have a rank. */
+function compareSteps(
+  left: activeJob.StepRun,
+  right: activeJob.StepRun,
+): number {
+  return jobOrder.compareRanked(left.rank!, right.rank!);
+}
+
+/** Merges two sorted lists. */
+function merge(
+  kept: activeJob.StepRun[],
+  moved: readonly activeJob.StepRun[],
+): activeJob.StepRun[] {
+  if (moved.length === 0) return kept;
+  const merged: activeJob.StepRun[] = [];
+  let next = 0;
+  for (const stepRun of kept) {
+    while (next < moved.length && compareSteps(moved[next]!, stepRun) < 0)
+      merged.push(moved[next++]!);
+    merged.push(stepRun);
+  }
+  for (const stepRun of moved.slice(next)) merged.push(stepRun);
+  return merged;
 }
