cell: repeat a poll once it is overdue by the measured delay

Callers saw: a holder whose event loop is full starts less work.

Cause: a poll that was not answered 120 ms after its wait was sent once more. A call through a peer is collected for up to 50 ms at either end and read late by a busy loop, so that most answers come later than that. The second poll adds to the load that made the first one late.

The delay of answers beyond the wait is now measured over all workers of the holder, and a poll is repeated after the smoothed delay plus four deviations, as a retransmission timeout is computed, at least after 120 ms as before. Lost polls of an idle holder are repeated as before, and the timeout of a poll is the same.

--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -9,6 +9,7 @@
 import type * as cellHolderTypes from './cell_holder_types.js';
 import * as cellWriter from './cell_writer.js';
 import * as claimView from './claim_view.js';
+import * as pollDelays from './poll_delay.js';
 import * as recentSubmissions from './recent_submissions.js';
 import type * as jobTable from './job_table.js';
 import * as leaseLength from './lease_length.js';
@@ -111,6 +112,7 @@
     clock,
     logger,
   });
+  const pollDelay = pollDelays.createPollDelay();
   const roster = workerRoster.createWorkerRoster({
     clock,
     logger,
@@ -216,6 +218,7 @@
       worker,
       link: routes.connect(worker),
       token,
+      pollDelay,
       leaseMs: () => leaseMsOn(worker.id),
       maxLeaseMs: options.leaseMs,
       clock,
--- a/packages/gypsumwall-cell/src/poll_with_retry.ts
+++ b/packages/gypsumwall-cell/src/poll_with_retry.ts
@@ -8,14 +8,9 @@
  */
 import * as result from 'true-myth/result';
 import * as types from '@gypsumwall/types';
+import type * as pollDelay from './poll_delay.js';
 import type * as ports from './ports.js';
 
-/**
- * Besides its wait, a poll usually takes 5 ms; polls that take this much longer
- * are rarely answered at all; milliseconds.
- */
-const OVERDUE_AFTER_MS = 120;
-
 /** The answer to a poll and when the poll was sent. */
 export interface PollResult {
   readonly answer: Awaited<ports.Answer<ports.PollAnswer>>;
@@ -30,12 +25,18 @@
   link: ports.WorkerLink,
   call: ports.PollCall,
   clock: types.clock.Clock,
+  delay: pollDelay.PollDelay,
 ): Promise<PollResult> {
   const giveUpAt = types.clock.after(clock.monotonic(), call.timeoutMs);
   const answered = new AbortController();
   const first = pollOnce(link, call, clock);
-  void first.then(() => answered.abort(types.clock.WAIT_ENDED));
-  const overdueMs = call.waitMs + OVERDUE_AFTER_MS;
+  void first.then((found) => {
+    answered.abort(types.clock.WAIT_ENDED);
+    const delayMs = clock.monotonic() - found.askedAt - call.waitMs;
+    // The worker has answered before the end of its wait otherwise.
+    if (result.isOk(found.answer) && delayMs >= 0) delay.record(delayMs);
+  });
+  const overdueMs = call.waitMs + delay.overdueMs();
   await types.clock.sleepFor(clock, overdueMs, answered.signal);
   const timeoutMs = giveUpAt - clock.monotonic();
   if (answered.signal.aborted || timeoutMs <= 0) return first;
--- a/packages/gypsumwall-cell/src/worker_session.ts
+++ b/packages/gypsumwall-cell/src/worker_session.ts
@@ -8,6 +8,7 @@
 import type * as scheduling from '@gypsumwall/scheduling';
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
+import * as pollDelays from './poll_delay.js';
 import * as pollWithRetry from './poll_with_retry.js';
 import type * as orderWindow from './order_window.js';
 import type * as ports from './ports.js';
@@ -55,6 +56,8 @@
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
   readonly scheduler: scheduling.schedulerTypes.Scheduler;
+  /** The delay of all workers' answers to polls. */
+  readonly pollDelay?: pollDelays.PollDelay;
   /** The longest lease that a worker grants, in milliseconds. */
   readonly maxLeaseMs: number;
   /** Whether the holder may renew leases now. */
@@ -96,6 +99,7 @@
 /** Creates a session; it does nothing until `run` is called. */
 export function createWorkerSession(options: SessionOptions): WorkerSession {
   const {worker, link, token, clock, logger, scheduler} = options;
+  const {pollDelay = pollDelays.createPollDelay()} = options;
   const closing = new AbortController();
   // Every stop in flight adds its own listener to the signal.
   events.EventEmitter.setMaxListeners(0, closing.signal);
@@ -165,6 +169,7 @@
       link,
       {token, acknowledged, leaseUntil, waitMs, timeoutMs},
       clock,
+      pollDelay,
     );
     if (closing.signal.aborted) return;
     if (result.isErr(answer)) {
