cell: call a busy holder less and less often

Callers saw: a holder with a full event loop starts less work.

Cause: each peer tries a busy holder again after 1 s, however long it has been busy, and with each call that is open for 80 ms pings it.

The pause now doubles with each refusal up to 4 s and starts at 1 s again once the peer answers. Calls that were open together count once. Meanwhile an entry does what it does after the refusal; nothing that is sent or stored changes.

--- a/packages/gypsumwall-cell/src/peer_directory.ts
+++ b/packages/gypsumwall-cell/src/peer_directory.ts
@@ -41,8 +41,12 @@
  * How long a peer that failed them gets no calls of this kind; milliseconds.
  */
 const UNRESPONSIVE_PAUSE_MS = 500;
-/** The same for a peer that said that it is busy; milliseconds. */
-const BUSY_PAUSE_MS = 1_000;
+/**
+ * The same for a peer that said that it is busy, doubled each time up to the
+ * maximum: the refusals themselves take a part of its processor; milliseconds.
+ */
+const FIRST_BUSY_PAUSE_MS = 1_000;
+const MAX_BUSY_PAUSE_MS = 4_000;
 /**
  * Connections to one peer. Calls that wait for a slow store occupy them
  * meanwhile.
@@ -86,6 +90,8 @@
   ping: Promise<boolean> | undefined;
   /** Until then, `relayTo` does not call it. */
   relaysPausedUntil: types.clock.MonotonicMs;
+  /** The next such pause if it says that it is busy. */
+  nextBusyPauseMs: number;
   backoffUntil: types.clock.MonotonicMs;
   nextBackoffMs: number;
 }
@@ -157,6 +163,7 @@
       client,
       ping: undefined,
       relaysPausedUntil: clock.monotonic(),
+      nextBusyPauseMs: FIRST_BUSY_PAUSE_MS,
       backoffUntil: clock.monotonic(),
       nextBackoffMs: FIRST_BACKOFF_MS,
       adviser: {
@@ -217,6 +224,14 @@
     peer.relaysPausedUntil = types.clock.after(clock.monotonic(), spanMs);
   }
 
+  /** Pauses the calls to a busy peer; those that were open together count once. */
+  function pauseBusy(peer: Peer): void {
+    if (peer.relaysPausedUntil > clock.monotonic()) return;
+    pauseRelays(peer, peer.nextBusyPauseMs);
+    const doubled = peer.nextBusyPauseMs * 2;
+    peer.nextBusyPauseMs = Math.min(MAX_BUSY_PAUSE_MS, doubled);
+  }
+
   /** Resolves once the peer fails to answer pings, or the signal aborts. */
   async function untilLost(peer: Peer, signal: AbortSignal): Promise<void> {
     await types.clock.sleepFor(clock, LIVENESS_CHECK_AFTER_MS, signal);
@@ -316,10 +331,14 @@
       }
       recordAnswer(peer, answer);
       const {value} = answer;
+      if (isBusy(value)) {
+        pauseBusy(peer);
+        return unsent;
+      }
+      peer.nextBusyPauseMs = FIRST_BUSY_PAUSE_MS;
       if (isFinal(value) || isOverloaded(value) || isShed(value)) {
         return {type: 'answered', res: answer.value, maybeApplied: false};
       }
-      if (isBusy(answer.value)) pauseRelays(peer, BUSY_PAUSE_MS);
       return {...unsent, maybeApplied: answer.value.type === 'unknown'};
     },
     apply(instance, record) {
