scheduler: do not try steps that no worker is approved for

Callers saw: with hundreds of waiting steps, workers idle while work that could start waits.

A new step counts as changed and is tried, although nothing of it can start before the adviser has approved a worker. At a busy holder with three cycles a second these tries leave few for steps whose answers have come.

A step whose queue needs advice and that has no approval is now passed on to the adviser without a try; an answer that approves a worker marks it as changed, as before. Steps that wait for an isolated start are tried as before.

The new test failed before: 0 starts instead of 1.

--- a/packages/gypsumwall-scheduling/src/__tests__/scheduling_cycle.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/scheduling_cycle.test.ts
@@ -69,6 +69,19 @@
   assert.ok(tries() <= 4);
 });
 
+// Guards against startable work that waits while steps without any approval are tried in vain.
+test('steps that wait for the adviser do not delay others', () => {
+  const world = worlds.createSchedulerWorld();
+  world.addWorker('w1', 4);
+  const advice = {callMs: 20, perWorkerMs: 1, validMs: 4_000};
+  for (let nth = 0; nth < 100; nth++) {
+    const policy = {priority: 0, advice};
+    world.submit(`asking${nth}`, [worlds.step()], {policy});
+  }
+  world.submit('free', [worlds.step()]);
+  assert.equal(world.decide().length, 1);
+});
+
 type Action =
   | {type: 'submit'; tasks: number; cores: number; gang: boolean}
   | {type: 'end'; pick: number; how: 'done' | 'failed'}
--- a/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
+++ b/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
@@ -85,11 +85,7 @@
       if (verdict === 'next') result.awaitingAdvice.push(stepRun);
       continue;
     }
-    const isDue =
-      stepRun.hasChanged ||
-      hasFreedCapacity(stepRun, context) ||
-      // Workers become suitable for isolated tasks as time passes.
-      placeIsolated.waitsForIsolation(stepRun);
+    const isDue = isDueNow(stepRun, context);
     const isPaused = refusalBackoff.isPaused(stepRun, context.now);
     const isTried =
       isDue && !isPaused && (skipped.has(stepRun) || triesLeft-- > 0);
@@ -136,6 +132,17 @@
   return new Set(longest);
 }
 
+/** Whether trying the step may give another result than before. */
+function isDueNow(stepRun: activeJob.StepRun, context: CycleContext): boolean {
+  // Workers become suitable for isolated tasks as time passes.
+  if (placeIsolated.waitsForIsolation(stepRun)) return true;
+  // Nothing can start before the adviser approves a worker.
+  const {advice, job} = stepRun;
+  if (job.policy.advice !== undefined && advice.approvals.size === 0)
+    return false;
+  return stepRun.hasChanged || hasFreedCapacity(stepRun, context);
+}
+
 /** Whether a worker that the step may use has more free capacity. */
 function hasFreedCapacity(
   stepRun: activeJob.StepRun,
@@ -143,7 +150,6 @@
 ): boolean {
   const {advice, job} = stepRun;
   const needsAdvice = job.policy.advice !== undefined;
-  if (needsAdvice && advice.approvals.size === 0) return false;
   const size = chooseWorker.reservedSize(stepRun);
   for (const id of freed) {
     if (needsAdvice && !advice.approvals.has(id)) continue;
