cell: keep calls to a peer whose record is read again

After a restart of all entries the new holder's first advice calls failed with "socket hang up". An entry that starts registers once the store answers quickly, on a slow link seconds after its peers call it at the address of its earlier process; a peer that read the record closed the client of that address with all its calls in progress.

The client of an unchanged address is kept and only its idle connections are closed, which may lead to the old process; a call to that process ends by its own timeout. The avoidance of the peer is forgotten as before. The test failed before. Nothing stored or sent changes.

--- a/packages/gypsumwall-cell/src/__fixtures__/submission_world.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/submission_world.ts
@@ -187,6 +187,7 @@
             fail: () => result.ok(answerWith(500)),
           },
         ),
+      closeIdle: () => {},
       close: () => {},
     };
   }
--- a/packages/gypsumwall-cell/src/__tests__/busy_peer.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/busy_peer.test.ts
@@ -26,6 +26,7 @@
         const body = Buffer.from(JSON.stringify(answer));
         return Promise.resolve(result.ok({status: 200, body}));
       },
+      closeIdle: () => {},
       close: () => {},
     }),
   });
--- a/packages/gypsumwall-cell/src/__tests__/peer_effects.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/peer_effects.test.ts
@@ -51,6 +51,7 @@
       const body = JSON.stringify(isRelay ? res : {});
       return Promise.resolve(result.ok({status: 200, body: Buffer.from(body)}));
     },
+    closeIdle: () => {},
     close: () => {},
   };
 }
--- a/packages/gypsumwall-cell/src/__tests__/slow_peers.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/slow_peers.test.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 import * as nodeTest from 'node:test';
+import * as result from 'true-myth/result';
 import * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import * as peerDirectories from '../peer_directory.js';
@@ -22,18 +23,19 @@
     clock,
     logger: telemetry.logger.createLogger('silent'),
   });
-  peers.apply('peer', {
-    entryId: types.ids.brand('peer.1'),
-    domain: types.ids.brand('d1'),
+  const record = {
+    entryId: types.ids.brand<types.ids.EntryId>('peer.1'),
+    domain: types.ids.brand<types.ids.FailureDomain>('d1'),
     address: `127.0.0.1:${port}`,
     cores: 1,
-  });
+  };
+  peers.apply('peer', record);
   const close = () => {
     server.closeAllConnections();
     server.close();
     peers.close();
   };
-  return {peers, close};
+  return {peers, server, record, close};
 }
 
 // Load: 45 entries and a slow store. The holder received a call and waited for
@@ -73,3 +75,21 @@
     isSlow: false,
   });
 });
+
+// Guards against advice that is lost after a restart of all entries: their
+// records are read seconds after the first calls to them, and each record ended
+// the calls in progress.
+test('a call goes on when the record of its peer is read again', async () => {
+  const {peers, server, record, close} = await openPeer(true);
+  server.on('request', (req, res) => {
+    if (req.url !== peerProtocol.ADVISE_PATH) return;
+    peers.apply('peer', {...record, entryId: types.ids.brand('peer.2')});
+    res.end(JSON.stringify({approved: [['w1', 'ticket']]}));
+  });
+  const adviser = peers.advisers().get('peer')!;
+  const answer = await adviser.ask('job.0.0', [], 1_000);
+  const isAlive = await peers.ping('peer', 1_000);
+  close();
+  assert.ok(result.isOk(answer), 'the advice was lost');
+  assert.equal(isAlive, true);
+});
--- a/packages/gypsumwall-cell/src/__tests__/unknown_peer_answers.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/unknown_peer_answers.test.ts
@@ -17,6 +17,7 @@
       address,
       call: () =>
         Promise.resolve(result.ok({status: 200, body: Buffer.from(body)})),
+      closeIdle: () => {},
       close: () => {},
     }),
   });
--- a/packages/gypsumwall-cell/src/http_client.ts
+++ b/packages/gypsumwall-cell/src/http_client.ts
@@ -46,6 +46,8 @@
 export interface HttpClient {
   readonly address: string;
   call(call: HttpCall): ports.Answer<HttpAnswer>;
+  /** Closes the connections that no call uses; calls in progress go on. */
+  closeIdle(): void;
   close(): void;
 }
 
@@ -137,6 +139,10 @@
         return result.err(callError(call, address, thrown));
       }
     },
+    closeIdle() {
+      for (const sockets of Object.values(agent.freeSockets))
+        for (const socket of sockets ?? []) socket.destroy();
+    },
     close: () => agent.destroy(),
   };
 }
--- a/packages/gypsumwall-cell/src/peer_directory.ts
+++ b/packages/gypsumwall-cell/src/peer_directory.ts
@@ -154,8 +154,8 @@
   function createPeer(
     instance: string,
     record: storeRecords.EntryRecord,
+    client: httpClient.HttpClient,
   ): Peer {
-    const client = openClient(record.address, MAX_CONNECTIONS, meter);
     const direct = peerProtocol.createPeerAdviser(client);
     const peer: Peer = {
       instance,
@@ -177,6 +177,22 @@
     return peer;
   }
 
+  /**
+   * Keeps the client of an address: the record may be read seconds after the
+   * new process was first called. Idle connections may lead to the old one.
+   */
+  function clientOf(
+    address: string,
+    known: httpClient.HttpClient | undefined,
+  ): httpClient.HttpClient {
+    if (known?.address === address) {
+      known.closeIdle();
+      return known;
+    }
+    known?.close();
+    return openClient(address, MAX_CONNECTIONS, meter);
+  }
+
   /**
    * If the adviser behind a peer refuses a call, the peer itself has answered.
    */
@@ -343,9 +359,14 @@
     },
     apply(instance, record) {
       if (instance === self) return;
-      peers.get(instance)?.client.close();
-      if (record === undefined) peers.delete(instance);
-      else peers.set(instance, createPeer(instance, record));
+      const known = peers.get(instance)?.client;
+      if (record === undefined) {
+        known?.close();
+        peers.delete(instance);
+        return;
+      }
+      const client = clientOf(record.address, known);
+      peers.set(instance, createPeer(instance, record, client));
     },
     advisers() {
       const now = clock.monotonic();
