--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -339,15 +339,16 @@
       for (const job of jobs.all()) admitJob(job, true);
       scheduler.onWorkerReconciled();
       loop.start();
-      roster.inherit(options.state.usedWorkers.values());
-      void workerFollower.run();
-      tickTimer = setInterval(tick, TICK_MS);
+      // The lines of the workers would displace it.
       logger.info('cell_held', {
         generation: claim.generation,
         token,
         jobs: scheduler.counts().jobs,
         usedWorkers: barrier.unaccounted(),
       });
+      roster.inherit(options.state.usedWorkers.values());
+      void workerFollower.run();
+      tickTimer = setInterval(tick, TICK_MS);
     },
     onJobAdded(job) {
       if (!loop.isStarted()) return;
--- a/packages/gypsumwall-cell/src/election.ts
+++ b/packages/gypsumwall-cell/src/election.ts
@@ -128,6 +128,7 @@
       generation: before === undefined ? 0 : before.generation + 1,
       state: 'held',
     };
+    const silentMs = clock.monotonic() - parts.lastRecordAt();
     const answer = await parts.cellLog.append(
       [storeRecords.encode({kind: 'claim', claim})],
       {
@@ -139,6 +140,8 @@
     logger.info('claim_sent', {
       reason,
       at: position,
+      silentMs: Math.round(silentMs),
+      longestPauseMs: Math.round(parts.longestPauseMs()),
       outcome: result.isOk(answer)
         ? answer.value.type
         : types.stepError.describeError(answer.error),
--- a/packages/gypsumwall-cell/src/log_follower.ts
+++ b/packages/gypsumwall-cell/src/log_follower.ts
@@ -63,6 +63,11 @@
   stop(): void;
   /** Offset of the next record; undefined before the first load. */
   position(): number | undefined;
+  /**
+   * How long the newest load took, or has taken so far; 0 before the first one;
+   * milliseconds.
+   */
+  loadMs(): number;
   /**
    * Passes on records that this entry has appended at an offset, without reading
    * them, if every record before them was passed on. The replica is then
@@ -117,6 +122,9 @@
   /** How long the newest answer to a read was transferred; milliseconds. */
   let transferMs = 0;
   let loading: Promise<LogEnd | undefined> | undefined;
+  let loadStartedAt: types.clock.MonotonicMs | undefined;
+  /** How long the newest complete load took; milliseconds. */
+  let loadMs = 0;
   let completeUntil: types.clock.MonotonicMs | undefined;
   let completeWall: types.clock.WallMs | undefined;
   /** The read to the log's end in progress, and the one queued after it. */
@@ -179,7 +187,10 @@
    * load would take as long.
    */
   function load(): Promise<LogEnd | undefined> {
-    loading ??= loadOnce().finally(() => (loading = undefined));
+    loading ??= loadOnce().finally(() => {
+      loading = undefined;
+      loadStartedAt = undefined;
+    });
     return loading;
   }
 
@@ -188,6 +199,7 @@
     let after: string | undefined;
     let loadedTo: number | undefined;
     const startedAt = clock.monotonic();
+    loadStartedAt = startedAt;
     const sentWall = clock.wall();
     do {
       const sentAt = clock.monotonic();
@@ -206,12 +218,15 @@
     records.sort((a, b) => a.offset - b.offset);
     options.onRecords(records, true);
     position = loadedTo;
+    loadMs = clock.monotonic() - startedAt;
     newestEnd = Math.max(newestEnd, loadedTo);
     const found = {sentAt: startedAt, sentWall, endOffset: loadedTo};
     recordComplete(found);
     logger.info('log_loaded', {
       log: log.name,
       records: records.length,
+      chars: records.reduce((sum, {value}) => sum + value.length, 0),
+      tookMs: Math.round(loadMs),
       end: loadedTo,
     });
     return found;
@@ -375,6 +390,10 @@
       recordComplete({sentAt, sentWall, endOffset});
     },
     position: () => position,
+    loadMs: () =>
+      loadStartedAt === undefined
+        ? loadMs
+        : Math.max(loadMs, clock.monotonic() - loadStartedAt),
     catchUp,
     reachableSince: () => reachableSince,
     completeUntil: () => completeUntil,
