cell: allow a new holder the time that the logs take to load

The usual pause between a holder's records was forgotten with each claim, so a new holder, who has the most to do, was allowed the least: 0.38 s and two unanswered pings. Now a pause is expected of it that is as long as an entry that judges it took itself to load the logs, limited as every pause is (1.35 s in all), and forgotten like other pauses after 8 to 16 s. Where loads are quick nothing changes, and a holder lost at another time is replaced as before; one that is lost right after a takeover on slow links is replaced 0.5 to 0.9 s later than before.

Nothing stored or sent changes.

--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -248,6 +248,14 @@
     if (since !== undefined) pauses.add(clock.monotonic() - since);
   }
 
+  /**
+   * A new holder reads the logs and calls all workers. Where that takes long,
+   * it took this entry as long to load the logs.
+   */
+  function takeoverPauseMs(): number {
+    return Math.max(cellFollower.loadMs(), jobsFollower.loadMs());
+  }
+
   /**
    * Drops jobs and workers that a load doesn't contain. Their deletion records
    * may have been compacted while this entry couldn't read, so a load, which
@@ -313,7 +321,7 @@
     state.apply(record, offset);
     jobs.apply(record, lastRecordAt);
     if (record.kind !== 'claim') return;
-    pauses.reset();
+    pauses.reset(takeoverPauseMs());
     markReplacedHolder(before);
     onClaimRead();
   }
--- a/packages/gypsumwall-cell/src/record_pauses.ts
+++ b/packages/gypsumwall-cell/src/record_pauses.ts
@@ -8,8 +8,11 @@
 export interface RecordPauses {
   /** A pause between two records of the same holder has ended. */
   add(pauseMs: number): void;
-  /** Forgets everything, because another holder has begun. */
-  reset(): void;
+  /**
+   * Forgets everything, because another holder has begun. A pause of the given
+   * length is expected of it.
+   */
+  reset(expectedMs: number): void;
   /** The longest recent pause; 0 without any; milliseconds. */
   longestMs(): number;
 }
@@ -33,9 +36,9 @@
       advance();
       current = Math.max(current, pauseMs);
     },
-    reset() {
+    reset(expectedMs) {
       before = 0;
-      current = 0;
+      current = expectedMs;
       startedAt = clock.monotonic();
     },
     longestMs() {
