cell: back off when an append waits in the store's queue

Cause: a quick read was taken as proof that an append's answer was lost, so an entry sent its append again every 120 ms. Reads don't wait in the queue of a log's appends.

Change: an append is overdue by a retransmission timeout as in RFC 6298: it follows the latency of answers and its variation, and doubles with each call that is sent again. What was sent into an outage is sent again at the store's recovery, as before, since it waits in no queue.

Test: 'appends that queue behind others are not sent again and again' failed before: 7,218 calls for 500 appends. A draft failed 'a store that did not answer is used again within 0.3 s of its recovery', which led to the reset.

--- a/packages/gypsumwall-cell/src/__tests__/hedge.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/hedge.test.ts
@@ -58,3 +58,44 @@
   assert.ok(result.isErr(await answer));
   assert.ok(calls <= 20, `${calls} calls in 2.4 s`);
 });
+
+const ENTRIES = 100;
+const APPEND_MS = 4;
+const BACKLOG_MS = 600;
+const ROUND_MS = 1_000;
+const ROUNDS = 5;
+
+// Guards against a queue of appends that outlives its cause: reads don't wait in
+// it and stay quick, so 97 entries sent their appends again every 120 ms, and
+// the log took 480 appends a second for 60 jobs.
+test('appends that queue behind others are not sent again and again', async () => {
+  const clock = types.virtualClock.createVirtualClock();
+  let freeAt: number = clock.monotonic() + BACKLOG_MS;
+  let calls = 0;
+  let lastRoundMs = 0;
+  const append = async (): ports.Answer<void> => {
+    calls++;
+    freeAt = Math.max(freeAt, clock.monotonic()) + APPEND_MS;
+    await types.clock.sleepFor(clock, freeAt - clock.monotonic());
+    return result.ok(undefined);
+  };
+  async function runEntry(nth: number): Promise<void> {
+    const hedger = hedge.createHedger(clock, {
+      ...storeHealth.createStoreHealth(),
+      hasQuickReadSince: () => true,
+    });
+    await types.clock.sleepFor(clock, (nth * ROUND_MS) / ENTRIES);
+    for (let round = 0; round < ROUNDS; round++) {
+      const startedAt = clock.monotonic();
+      const until = types.clock.after(startedAt, DEADLINE_MS);
+      await hedger.hedge({call: append, until});
+      lastRoundMs = clock.monotonic() - startedAt;
+      await types.clock.sleepFor(clock, ROUND_MS - lastRoundMs);
+    }
+  }
+  const entries = Array.from({length: ENTRIES}, (_, nth) => runEntry(nth));
+  await clock.runUntil(ROUNDS * DEADLINE_MS + BACKLOG_MS);
+  await Promise.all(entries);
+  assert.ok(calls <= ENTRIES * ROUNDS * 1.5, `${calls} calls`);
+  assert.ok(lastRoundMs <= 100, `the last append took ${lastRoundMs} ms`);
+});
--- a/packages/gypsumwall-cell/src/hedge.ts
+++ b/packages/gypsumwall-cell/src/hedge.ts
@@ -4,11 +4,13 @@
  * answers, a caller then waits a fraction of a second instead of a whole
  * timeout. With a slow store nothing is sent again: it handles the calls of a
  * log one by one, and repeated calls made a queue so long that it refused them
- * all.
+ * all. Reads don't wait in that queue, so quick reads alone don't show that the
+ * answer to an append is lost: it must be overdue as well (`resend_timeout.ts`).
  */
 import * as result from 'true-myth/result';
 import * as types from '@gypsumwall/types';
 import type * as ports from './ports.js';
+import * as resendTimeouts from './resend_timeout.js';
 import type * as storeHealth from './store_health.js';
 
 /**
@@ -21,7 +23,9 @@
  * milliseconds.
  */
 const CHECK_INTERVAL_MS = 30;
-/** After this time a call is sent again in any case; milliseconds. */
+/**
+ * After this time a call is sent again even without a quick read; milliseconds.
+ */
 const MAX_RESEND_MS = 1_200;
 /** Weight of the newest answer in the moving average of the latency. */
 const NEWEST_LATENCY_WEIGHT = 0.5;
@@ -72,6 +76,10 @@
 ): Hedger {
   let latency: number | undefined;
   let updatedAt = clock.monotonic();
+  const resendTimeout = resendTimeouts.createResendTimeout(
+    MIN_RESEND_MS,
+    MAX_RESEND_MS,
+  );
 
   function latencyMs(): number | undefined {
     if (clock.monotonic() - updatedAt > MAX_LATENCY_AGE_MS) latency = undefined;
@@ -82,6 +90,7 @@
     const before = latencyMs() ?? 0;
     latency = before + (tookMs - before) * NEWEST_LATENCY_WEIGHT;
     updatedAt = clock.monotonic();
+    resendTimeout.recordAnswer(tookMs);
   }
 
   async function timed<Value>(
@@ -106,14 +115,24 @@
     }: Pick<HedgeOptions<unknown>, 'until' | 'shouldGiveUp'>,
   ): Promise<boolean> {
     const resendAt = earlier(types.clock.after(sentAt, MAX_RESEND_MS), until);
+    const overdueAt = types.clock.after(sentAt, resendTimeout.currentMs());
+    const recovery = health.nextRecovery();
     let checkAt = earlier(types.clock.after(sentAt, MIN_RESEND_MS), until);
     for (;;) {
       const change = race.change();
       await clock.sleepUntil(checkAt, change);
       if (change.aborted) return true;
-      if (clock.monotonic() >= resendAt) return false;
-      if (health.hasQuickReadSince(sentAt) || shouldGiveUp?.() === true)
+      const now = clock.monotonic();
+      if (now >= resendAt || shouldGiveUp?.() === true) return false;
+      if (recovery.aborted) {
+        // What was sent during the outage is lost, and waits in no queue.
+        resendTimeout.reset();
+        return false;
+      }
+      if (now >= overdueAt && health.hasQuickReadSince(sentAt)) {
+        resendTimeout.recordResend();
         return false;
+      }
       checkAt = earlier(
         types.clock.after(clock.monotonic(), CHECK_INTERVAL_MS),
         until,
