cell: refuse what can't be appended in time

Held requests cost far more than refused ones, and their callers have no time left for another try.

Cause: records wait for the batch in flight however long it takes. A refused batch was also sent again as it was, without what had come meanwhile.

Change: a record that isn't sent within 1 s is refused, at once if the open call, judged by earlier ones, takes longer. None of it was sent, so the answer that the call has no effect is true. Retry-After covers the wait.

--- a/packages/gypsumwall-cell/src/job_service.ts
+++ b/packages/gypsumwall-cell/src/job_service.ts
@@ -111,7 +111,7 @@
       case 'not_run':
         return {
           type: 'not_run',
-          retryAfterMs: STORE_RETRY_AFTER_MS,
+          retryAfterMs: Math.max(STORE_RETRY_AFTER_MS, records.waitMs()),
           isStoreOverloaded: follower.reachableSince() !== undefined,
         };
       case 'unknown':
--- a/packages/gypsumwall-cell/src/record_store.ts
+++ b/packages/gypsumwall-cell/src/record_store.ts
@@ -13,6 +13,11 @@
 
 /** How long an append is tried; callers wait for 3 s; milliseconds. */
 const APPEND_TIMEOUT_MS = 2_400;
+/**
+ * A record that can't be sent within this time is refused, so that its caller
+ * has time for another try; milliseconds.
+ */
+const SEND_TIMEOUT_MS = 1_000;
 /**
  * An append that is unanswered for this long triggers a read of the log, to
  * detect that the store is unavailable. An append usually takes 10 ms;
@@ -29,6 +34,7 @@
 export interface RecordStore {
   store(record: storeRecords.StoreRecord): Promise<StoreOutcome>;
   /** See `BatchAppender`. */
+  waitMs(): number;
   latencyMs(): number | undefined;
 }
 
@@ -95,8 +101,11 @@
   return {
     async store(record) {
       const entry = storeRecords.encode(record);
-      const until = types.clock.after(clock.monotonic(), APPEND_TIMEOUT_MS);
-      const appended = appender.append(entry, until);
+      const startedAt = clock.monotonic();
+      const appended = appender.append(entry, {
+        sendBy: types.clock.after(startedAt, SEND_TIMEOUT_MS),
+        until: types.clock.after(startedAt, APPEND_TIMEOUT_MS),
+      });
       void readLogIfOverdue(appended);
       const answer = await appended;
       if (result.isOk(answer)) return outcomeOf(entry.key, answer.value);
@@ -105,9 +114,11 @@
         error: types.stepError.describeError(answer.error),
       });
       if (answer.error.effect === 'unknown') return 'unknown';
-      await checkReachability();
+      // A record that wasn't sent shows nothing about the store.
+      if (answer.error.kind !== 'too_late') await checkReachability();
       return 'not_run';
     },
+    waitMs: () => appender.waitMs(),
     latencyMs: () => appender.latencyMs(),
   };
 }
