cell: store how long the leases on workers with long-running tasks are

Cause: the holder grants 6.5 s there, but its successor couldn't know and waited for the longest lease that a worker grants (10 s), counted from 3 s after its majority.

The holder now stores a bound with the used worker, under its generation, and keeps to it: no lease is longer, and 0.7 s after its last confirmed append was first sent leases are 3.5 s at most. A bound is stored only once leases granted before don't outlast one granted then; a longer lease is granted only after a record without the bound is stored. So the successor knows that full leases have expired 0.7 s and the bound after it read the last record, and the rest 3 s and 3.5 s after its majority. It also uses the bound for leases of the holder before on workers that answer and are lost later. The first sending is taken, since the repeat of an append may be confirmed after its records were read.

Price, worked out: if the store has been unavailable for more than 1.2 s when a worker is cut off for 6 s, lasting tasks there end, which outlived it before.

The field is optional. An older entry ignores it (it reads only `info`) and, as successor, waits for the longest lease; records without it mean the same to this version. A bound counts only if its generation is the one right before the claim: an older holder in between grants more and doesn't rewrite it (test).

--- /dev/null
+++ b/packages/gypsumwall-cell/src/__tests__/lease_bounds.test.ts
@@ -0,0 +1,135 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as types from '@gypsumwall/types';
+import * as fakeWorkers from '../__fixtures__/fake_worker.js';
+import * as failoverBarrier from '../failover_barrier.js';
+import * as leaseBounds from '../lease_bounds.js';
+import type * as storeRecords from '../store_records.js';
+
+const {test} = nodeTest;
+const MAX_MS = 10_000;
+const GENERATION = 3;
+const RUNS = 1_000;
+const TICK_MS = 10;
+const MIN_CLOCK_RATE = 0.98;
+/** As the holder's rules say, see `mayRenew`; milliseconds. */
+const MAJORITY_LOSS_MS = 3_000;
+const {info} = fakeWorkers.createFakeWorker('lost', 1);
+const answering = ['x', 'y'].map((id) => types.ids.brand<typeof info.id>(id));
+const at = (ms: number) => ms as types.clock.MonotonicMs;
+
+/** When a successor accounts for the worker, which never answers it. */
+function accountedAt(
+  leaseBound: storeRecords.LeaseBound | undefined,
+  {claimedAt, lastRecordAt, majorityAt}: Record<string, number>,
+): number {
+  const usedWorkers = new Map<typeof info.id, storeRecords.UsedWorkerRecord>(
+    answering.map((id) => [id, {info}]),
+  );
+  usedWorkers.set(info.id, {info, leaseBound});
+  const earlier = leaseBounds.createEarlierLeases({
+    usedWorkers,
+    generation: GENERATION + 1,
+    maxMs: MAX_MS,
+    claimedAt: at(claimedAt!),
+    lastRecordAt: at(lastRecordAt!),
+  });
+  const {workers, bounds, shorter} = earlier;
+  const barrier = failoverBarrier.createFailoverBarrier(
+    workers,
+    bounds,
+    () => {},
+    shorter,
+  );
+  let now = claimedAt!;
+  for (; !barrier.isAccounted(info.id); now += TICK_MS) {
+    if (now >= majorityAt!)
+      for (const id of answering) barrier.markAccounted(id, at(now));
+    barrier.tick(at(now));
+  }
+  return now;
+}
+
+/**
+ * A holder grants leases while its appends are stored and confirmed late, until
+ * a successor has claimed the cell and the holder has noticed. Returns when the
+ * successor accounts for the worker, and when the last lease really expires.
+ */
+async function playFailover(random: types.random.Random) {
+  const below = (ms: number) => Math.floor(random.next() * ms);
+  const claimedAt = below(30_000);
+  const majorityAt = claimedAt + below(4_000);
+  const earlierMs = [0, 6_500, MAX_MS][below(3)]!;
+  let now = 0;
+  let firstSentAt = 0;
+  let confirmedAt = 0;
+  let lastRecordAt = 0;
+  let leaseEnd = earlierMs / MIN_CLOCK_RATE;
+  let hasLongRunning = random.next() < 0.5;
+  let stored: storeRecords.LeaseBound | undefined;
+  let queue: {bound: typeof stored; resolve: () => void}[] = [];
+  let batch = {records: queue, sentAt: 0, storedAt: 0, confirmedAt: 0};
+  const leases = leaseBounds.createWorkerLeases({
+    maxMs: MAX_MS,
+    generation: GENERATION,
+    earlierMs,
+    view: () => ({hasLongRunning, isLeaving: false}),
+    firstSentAt: () => at(firstSentAt),
+    store: (bound) => new Promise((resolve) => queue.push({bound, resolve})),
+    clock: {...types.clock.createSystemClock(), monotonic: () => at(now)},
+  });
+  for (; now < claimedAt + 20_000; now += 1 + below(300)) {
+    if (batch.storedAt <= Math.min(now, claimedAt) && batch.records.length > 0)
+      stored = batch.records.at(-1)!.bound;
+    if (batch.storedAt <= claimedAt) {
+      lastRecordAt = batch.storedAt;
+      if (batch.confirmedAt <= now) {
+        firstSentAt = batch.sentAt;
+        confirmedAt = Math.min(batch.confirmedAt, claimedAt);
+        for (const {resolve} of batch.records) resolve();
+        const storedAt = now + below(random.next() < 0.2 ? 4_000 : 100);
+        const lateMs = below(random.next() < 0.2 ? 4_000 : 100);
+        batch = {
+          records: queue,
+          sentAt: now,
+          storedAt,
+          confirmedAt: storedAt + lateMs,
+        };
+        queue = [];
+      }
+    }
+    await Promise.resolve();
+    if (random.next() < 0.05) hasLongRunning = !hasLongRunning;
+    const ageMs = now - confirmedAt;
+    const reachesMajority = now < majorityAt + MAJORITY_LOSS_MS;
+    if (ageMs > leaseBounds.RENEW_UNCONFIRMED_MS) continue;
+    if (ageMs >= leaseBounds.MAJORITY_CHECK_MS && !reachesMajority) continue;
+    const until = now + leases.grantMs() / MIN_CLOCK_RATE;
+    leaseEnd = Math.max(leaseEnd, until);
+  }
+  const moments = {claimedAt, lastRecordAt, majorityAt};
+  return {leaseEnd, stored, accountedAt: accountedAt(stored, moments)};
+}
+
+// Guards against a task that runs twice because a successor takes a lease of
+// the holder before it for shorter than it is.
+test('a successor waits for every lease of a holder that stores bounds', async () => {
+  const random = types.random.createRandom(1);
+  let bounded = 0;
+  for (let run = 0; run < RUNS; run++) {
+    const played = await playFailover(random);
+    if (played.stored !== undefined) bounded++;
+    assert.ok(played.accountedAt >= played.leaseEnd, `run ${run}`);
+  }
+  assert.ok(bounded > RUNS / 5, `only ${bounded} with a bound`);
+});
+
+// Guards against a bound that a holder of an older version has not kept to.
+test('a bound of an earlier generation does not count', () => {
+  const moments = {claimedAt: 1_000, lastRecordAt: 100, majorityAt: 1_100};
+  const bound = {maxMs: 6_500, generation: GENERATION};
+  const older = {maxMs: 6_500, generation: GENERATION - 1};
+  const unbounded = accountedAt(undefined, moments);
+  assert.ok(accountedAt(bound, moments) < unbounded - 4_000);
+  assert.equal(accountedAt(older, moments), unbounded);
+});
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -110,6 +110,8 @@
   let isLeaving = false;
   let takeovers: types.clock.MonotonicMs[] = [];
   let lastRecordAt = clock.monotonic();
+  /** `lastRecordAt` before the newest records. */
+  let earlierRecordAt = lastRecordAt;
   const takePayloadBytes = payloadBudget.createPayloadBudget({
     linkMbps: self.linkMbps ?? Infinity,
     clock,
@@ -177,6 +179,7 @@
     onRecords(records, reloaded) {
       // Even a record that can't be decoded shows that the holder is alive.
       recordPause();
+      earlierRecordAt = lastRecordAt;
       lastRecordAt = clock.monotonic();
       if (reloaded) retainLoaded(records);
       applyRecords.applyRecords(records, logger, applyCellRecord);
@@ -380,6 +383,8 @@
       policyOf: (queue) => configs.policyOf(queue),
       organisations: () => configs.organisations(),
       leaseMs: options.leaseMs,
+      // The claim was appended on condition that nothing had to be read.
+      lastRecordAt: earlierRecordAt,
       longestStopMs: options.longestStopMs,
       listExpiryMs: options.listExpiryMs,
       storeHealth: health,
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -12,7 +12,7 @@
 import * as pollDelays from './poll_delay.js';
 import * as recentSubmissions from './recent_submissions.js';
 import type * as jobTable from './job_table.js';
-import * as leaseLength from './lease_length.js';
+import * as leaseBounds from './lease_bounds.js';
 import * as logFollower from './log_follower.js';
 import * as schedulingLoop from './scheduling_loop.js';
 import type * as storeRecords from './store_records.js';
@@ -23,28 +23,6 @@
 import * as workerRoutes from './worker_routes.js';
 import * as workerSession from './worker_session.js';
 
-/**
- * A holder whose appends aren't confirmed renews leases for this long. While
- * the store is unavailable no other entry can take over, and letting the leases
- * expire would stop all running work; outages of 9 s were seen. A successor
- * waits this long plus one lease for workers that it can't reach; milliseconds.
- */
-const RENEW_UNCONFIRMED_MS = 12_000;
-/**
- * A holder whose appends aren't confirmed checks after this time whether it
- * still reaches a majority of the workers; milliseconds.
- */
-const MAJORITY_CHECK_MS = 1_500;
-/**
- * Time after which a holder that lost its majority has noticed: the check
- * above, plus a poll of 1.2 s that must fail first; milliseconds.
- */
-const MAJORITY_LOSS_DETECTION_MS = 3_000;
-/**
- * A worker's clock may be 2% slow. After the lease's length times this factor,
- * which includes a margin, the lease has expired.
- */
-const SLOW_CLOCK_FACTOR = 1.05;
 /**
  * Interval at which decisions that depend only on time are checked;
  * milliseconds.
@@ -85,6 +63,13 @@
   const {claim, clock, logger, jobs} = options;
   const token = claimView.tokenOf(claim);
   const claimedAt = clock.monotonic();
+  const earlierLeases = leaseBounds.createEarlierLeases({
+    usedWorkers: options.state.usedWorkers,
+    generation: claim.generation,
+    maxMs: options.leaseMs,
+    claimedAt,
+    lastRecordAt: options.lastRecordAt,
+  });
   const stopping = new AbortController();
   const scheduler = scheduling.scheduler.createScheduler({
     attemptBase: claim.generation * ATTEMPTS_PER_GENERATION,
@@ -128,15 +113,8 @@
     onChange: requestCycle,
   });
   const barrier = failoverBarrier.createFailoverBarrier(
-    [...options.state.usedWorkers.keys()],
-    {
-      latestAt: types.clock.after(
-        claimedAt,
-        RENEW_UNCONFIRMED_MS + options.leaseMs * SLOW_CLOCK_FACTOR,
-      ),
-      afterMajorityMs:
-        MAJORITY_LOSS_DETECTION_MS + options.leaseMs * SLOW_CLOCK_FACTOR,
-    },
+    earlierLeases.workers,
+    earlierLeases.bounds,
     () => {
       scheduler.onWorkerReconciled();
       if (barrier.unaccounted() > 0) return;
@@ -145,6 +123,7 @@
         tookMs: Math.round(clock.monotonic() - claimedAt),
       });
     },
+    earlierLeases.shorter,
   );
   const workerFollower = logFollower.createLogFollower({
     log: options.workerLog,
@@ -214,13 +193,30 @@
   function openSession(
     worker: scheduling.workerRegistry.WorkerInfo,
   ): workerSession.WorkerSession {
+    const {id} = worker;
+    const leases = leaseBounds.createWorkerLeases({
+      maxMs: options.leaseMs,
+      generation: claim.generation,
+      earlierMs: earlierLeases.longestMs(id) ?? 0,
+      view: () => leaseViewOf(id),
+      firstSentAt: () => writer.firstSentAt(),
+      store: (leaseBound) =>
+        writer.write([
+          {
+            kind: 'used_worker',
+            workerId: id,
+            worker: {info: worker, leaseBound},
+          },
+        ]),
+      clock,
+    });
     return workerSession.createWorkerSession({
       worker,
       link: routes.connect(worker),
       token,
       pollDelay,
-      leaseMs: () => leaseMsOn(worker.id),
-      maxLeaseMs: options.leaseMs,
+      leaseMs: () => leases.grantMs(),
+      maxLeaseMs: earlierLeases.longestMs(id) ?? options.leaseMs,
       clock,
       logger,
       scheduler,
@@ -238,13 +234,12 @@
     });
   }
 
-  function leaseMsOn(id: types.ids.WorkerId): number {
-    return leaseLength.leaseLength({
-      maxMs: options.leaseMs,
+  function leaseViewOf(id: types.ids.WorkerId): leaseBounds.WorkerView {
+    const listed = scheduler.workerRegistry.workers.get(id)?.info;
+    return {
       hasLongRunning: scheduler.hostsLongRunningTasks(id),
-      isLeaving:
-        scheduler.workerRegistry.workers.get(id)?.info.draining ?? false,
-    });
+      isLeaving: listed?.draining ?? false,
+    };
   }
 
   /**
@@ -253,8 +248,9 @@
    */
   function mayRenew(): boolean {
     const unconfirmedMs = clock.monotonic() - writer.confirmedAt();
-    if (unconfirmedMs > RENEW_UNCONFIRMED_MS) return false;
-    return unconfirmedMs < MAJORITY_CHECK_MS || roster.reachableShare() > 0.5;
+    if (unconfirmedMs > leaseBounds.RENEW_UNCONFIRMED_MS) return false;
+    const isRecent = unconfirmedMs < leaseBounds.MAJORITY_CHECK_MS;
+    return isRecent || roster.reachableShare() > 0.5;
   }
 
   /**
--- a/packages/gypsumwall-cell/src/cell_writer.ts
+++ b/packages/gypsumwall-cell/src/cell_writer.ts
@@ -60,6 +60,11 @@
   write(records: readonly storeRecords.StoreRecord[]): Promise<void>;
   /** When the last confirmed append was sent. */
   confirmedAt(): types.clock.MonotonicMs;
+  /**
+   * When the last confirmed append was sent for the first time. Its records
+   * weren't in the log before; a repeat is confirmed later than it is stored.
+   */
+  firstSentAt(): types.clock.MonotonicMs;
   /** Recent latency of appends; 0 without a recent one; milliseconds. */
   latencyMs(): number;
   /** Appends until the writer is stopped or fenced. */
@@ -88,12 +93,14 @@
   // Sequence 0 of the epoch is the claim itself.
   let sequence = 1;
   let confirmedAt = clock.monotonic();
+  let firstSentAt = confirmedAt;
 
   async function append(
     records: readonly storeRecords.StoreRecord[],
   ): Promise<void> {
     const entries = records.map(storeRecords.encode);
     const fence = {epoch: options.epoch, sequence};
+    const startedAt = clock.monotonic();
     while (!stopping.signal.aborted) {
       const answer = await hedger.hedge({
         signal: stopping.signal,
@@ -104,6 +111,7 @@
         const {outcome, askedAt} = answer.value;
         if (!isAppended(outcome)) return;
         confirmedAt = askedAt;
+        firstSentAt = startedAt;
         sequence++;
         if (outcome.type === 'appended')
           options.onAppended(entries, outcome.firstOffset, askedAt);
@@ -187,6 +195,7 @@
       });
     },
     confirmedAt: () => confirmedAt,
+    firstSentAt: () => firstSentAt,
     latencyMs: () => hedger.latencyMs() ?? 0,
     async run() {
       while (!stopping.signal.aborted) {
--- a/packages/gypsumwall-cell/src/failover_barrier.ts
+++ b/packages/gypsumwall-cell/src/failover_barrier.ts
@@ -21,30 +21,44 @@
   readonly latestAt: types.clock.MonotonicMs;
   /** Time after more than half of the workers have answered; milliseconds. */
   readonly afterMajorityMs: number;
+  /** Not before this moment, whatever has been answered. */
+  readonly earliestAt?: types.clock.MonotonicMs;
 }
 
 /** The workers of one takeover. */
 export interface FailoverBarrier {
   markAccounted(worker: types.ids.WorkerId, now: types.clock.MonotonicMs): void;
   isAccounted(worker: types.ids.WorkerId): boolean;
-  /** Accounts for all workers once old leases have expired. */
+  /** Accounts for workers on which old leases have expired. */
   tick(now: types.clock.MonotonicMs): void;
   unaccounted(): number;
 }
 
 /**
  * Creates a barrier. `onAccounted` is called after each change, possibly during
- * the call that causes it.
+ * the call that causes it. `shorter` has the bounds of workers on which other
+ * bounds than the common ones are known.
  */
 export function createFailoverBarrier(
   workers: readonly types.ids.WorkerId[],
   bounds: LeaseBounds,
   onAccounted: () => void,
+  shorter: ReadonlyMap<types.ids.WorkerId, LeaseBounds> = new Map(),
 ): FailoverBarrier {
   const pending = new Set(workers);
   const total = pending.size;
   let majorityAt: types.clock.MonotonicMs | undefined;
 
+  function haveExpired(
+    {latestAt, afterMajorityMs, earliestAt}: LeaseBounds,
+    now: types.clock.MonotonicMs,
+  ): boolean {
+    if (earliestAt !== undefined && now < earliestAt) return false;
+    const isMajorityWaitOver =
+      majorityAt !== undefined && now - majorityAt > afterMajorityMs;
+    return isMajorityWaitOver || now >= latestAt;
+  }
+
   return {
     markAccounted(worker, now) {
       if (!pending.delete(worker)) return;
@@ -53,12 +67,12 @@
     },
     isAccounted: (worker) => !pending.has(worker),
     tick(now) {
-      if (pending.size === 0) return;
-      const isMajorityWaitOver =
-        majorityAt !== undefined && now - majorityAt > bounds.afterMajorityMs;
-      if (!isMajorityWaitOver && now < bounds.latestAt) return;
-      pending.clear();
-      onAccounted();
+      const before = pending.size;
+      for (const worker of pending) {
+        if (haveExpired(shorter.get(worker) ?? bounds, now))
+          pending.delete(worker);
+      }
+      if (pending.size < before) onAccounted();
     },
     unaccounted: () => pending.size,
   };
--- a/packages/gypsumwall-cell/src/store_records.ts
+++ b/packages/gypsumwall-cell/src/store_records.ts
@@ -42,9 +42,24 @@
   readonly state: 'held' | 'released';
 }
 
+/**
+ * The longest lease that a holder grants to a worker. It says nothing about the
+ * leases of later holders.
+ */
+export interface LeaseBound {
+  readonly maxMs: number;
+  /** Generation of the claim of the holder that keeps to it. */
+  readonly generation: number;
+}
+
 /** A worker that may run attempts of the cell. */
 export interface UsedWorkerRecord {
   readonly info: scheduling.workerRegistry.WorkerInfo;
+  /**
+   * Absent if leases are only bounded by what a worker grants, and in older
+   * records.
+   */
+  readonly leaseBound?: LeaseBound;
 }
 
 /** Any record of a cell. */
--- a/packages/gypsumwall-cell/src/worker_session.ts
+++ b/packages/gypsumwall-cell/src/worker_session.ts
@@ -58,7 +58,7 @@
   readonly scheduler: scheduling.schedulerTypes.Scheduler;
   /** The delay of all workers' answers to polls. */
   readonly pollDelay?: pollDelays.PollDelay;
-  /** The longest lease that a worker grants, in milliseconds. */
+  /** The longest lease that an earlier holder granted, in milliseconds. */
   readonly maxLeaseMs: number;
   /** Whether the holder may renew leases now. */
   readonly mayRenew: () => boolean;
