cell: count the same workers for both majorities of a takeover

A holder whose appends aren't confirmed renews leases while more than half of the workers answer it, and its successor takes old leases for expired some time after more than half have answered the successor. That is safe only if two such majorities share a worker. They needn't have: the successor counted workers that had left or crashed as if they had refused the old holder, and the old holder counted only listed workers, all of them in an empty list as reachable. With 33 used workers of which 4 have left, 13 answers were a majority of the successor's, and 15 of the 16 others a majority of the old holder's 29. A task could then run twice.

Workers that are gone now leave the successor's total instead of counting for its majority. The old holder counts all used workers, listed or not, and removals until they are stored: a successor finds these in the log. So its workers include all of the successor's, what it reaches isn't gone, and the two majorities of that set share a worker.

A worker also counted as reachable for as long as a busy holder hadn't read that its polls fail, which the 3 s of the successor don't cover. Only answers to polls that were sent in the last 2.5 s count now; a poll that was answered proves that the worker hadn't answered the successor when it was sent.

Two tests, red with the old counting put into the compiled modules.

--- a/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
@@ -202,6 +202,24 @@
   assert.equal(barrier.unaccounted(), 0);
 });
 
+// Guards against two majorities at once: those that have left refuse nothing,
+// so the old holder may still reach more than half of the others.
+test('workers that are gone do not count for a majority', () => {
+  const barrier = failoverBarrier.createFailoverBarrier(
+    ['a', 'b', 'c', 'd', 'e'].map(worker),
+    {latestAt: at(20_000), afterMajorityMs: 5_000},
+    () => {},
+  );
+  barrier.markAccounted(worker('a'), at(100));
+  barrier.markGone(worker('b'), at(100));
+  barrier.markGone(worker('c'), at(100));
+  barrier.tick(at(5_201));
+  assert.equal(barrier.unaccounted(), 2);
+  barrier.markAccounted(worker('d'), at(5_201));
+  barrier.tick(at(10_202));
+  assert.equal(barrier.unaccounted(), 0, 'two of three have answered');
+});
+
 // A worker's clock is 2% slow, so a lease of 1,000 ms on it expires up to 1,020
 // ms later on ours; a task that starts elsewhere earlier runs twice.
 test('a lease has expired only according to the slowest clock', () => {
--- a/packages/gypsumwall-cell/src/__tests__/worker_roster.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/worker_roster.test.ts
@@ -11,10 +11,14 @@
 
 const {test} = nodeTest;
 
+const ASKED_AT = 5_000 as types.clock.MonotonicMs;
+
 function createRoster() {
   const opened: string[] = [];
   const warned: string[] = [];
   const calls: string[] = [];
+  const reachable = new Set<string>();
+  const stored = {now: Promise.resolve()};
   const roster = workerRosters.createWorkerRoster({
     clock: types.clock.createSystemClock(),
     logger: telemetry.logger.createLogger('warn', {}, (line) =>
@@ -36,12 +40,14 @@
       const session: Partial<workerSession.WorkerSession> = {
         run: () => Promise.resolve(),
         close: () => {},
+        isReachable: () => reachable.has(info.id),
+        lastAskedAt: () => ASKED_AT,
       };
       return session as workerSession.WorkerSession;
     },
     write(records) {
       for (const {kind} of records) calls.push(`write ${kind}`);
-      return Promise.resolve();
+      return stored.now;
     },
     longestStopMs: 400,
     listExpiryMs: undefined,
@@ -52,7 +58,7 @@
     },
     onChange: () => {},
   });
-  return {roster, opened, warned, calls};
+  return {roster, opened, warned, calls, reachable, stored};
 }
 
 const listed = (name: string, pool: string) => {
@@ -85,3 +91,27 @@
   roster.onGone(types.ids.brand('w1'));
   assert.deepEqual(calls, ['crashed', 'flush', 'write used_worker']);
 });
+
+// Guards against a holder that counts fewer workers than its successor, so that
+// each of them has a majority.
+test('unlisted workers and unstored removals count as unreachable', async () => {
+  const {roster, reachable, stored} = createRoster();
+  const names = ['w1', 'w2', 'w3'];
+  roster.applyList(
+    names.map((name) => listed(name, 'pool')),
+    false,
+  );
+  reachable.add('w1');
+  const later = types.clock.after(ASKED_AT, 1);
+  assert.equal(roster.reachableShare(later), 0, 'its answer is too old');
+  const removed = ['w2', 'w3'].map((key) => ({key, value: '', offset: 1}));
+  roster.applyList(removed, false);
+  assert.equal(roster.reachableShare(ASKED_AT), 1 / 3);
+  let store = () => {};
+  stored.now = new Promise((resolve) => (store = resolve));
+  roster.onGone(types.ids.brand('w3'));
+  assert.equal(roster.reachableShare(ASKED_AT), 1 / 3);
+  store();
+  await new Promise((resolve) => setImmediate(resolve));
+  assert.equal(roster.reachableShare(ASKED_AT), 1 / 2);
+});
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -106,7 +106,7 @@
     isUsedPool: options.isUsedPool,
     longestStopMs: options.longestStopMs,
     listExpiryMs: options.listExpiryMs,
-    onLeft: (id) => barrier.markAccounted(id, clock.monotonic()),
+    onLeft: (id) => barrier.markGone(id, clock.monotonic()),
     openSession,
     write: (records) => writer.write(records),
     flush,
@@ -228,7 +228,7 @@
       onFenced: stopFenced,
       onGone: () => {
         roster.onGone(worker.id);
-        barrier.markAccounted(worker.id, clock.monotonic());
+        barrier.markGone(worker.id, clock.monotonic());
       },
       onLeaseExpired: () => roster.onLeaseExpired(worker.id),
     });
@@ -247,10 +247,12 @@
    * on these limits.
    */
   function mayRenew(): boolean {
-    const unconfirmedMs = clock.monotonic() - writer.confirmedAt();
+    const now = clock.monotonic();
+    const unconfirmedMs = now - writer.confirmedAt();
     if (unconfirmedMs > leaseBounds.RENEW_UNCONFIRMED_MS) return false;
     const isRecent = unconfirmedMs < leaseBounds.MAJORITY_CHECK_MS;
-    return isRecent || roster.reachableShare() > 0.5;
+    const since = types.clock.after(now, -leaseBounds.MAX_ANSWER_AGE_MS);
+    return isRecent || roster.reachableShare(since) > 0.5;
   }
 
   /**
--- a/packages/gypsumwall-cell/src/failover_barrier.ts
+++ b/packages/gypsumwall-cell/src/failover_barrier.ts
@@ -27,7 +27,13 @@
 
 /** The workers of one takeover. */
 export interface FailoverBarrier {
+  /** The worker has answered under the new fencing token. */
   markAccounted(worker: types.ids.WorkerId, now: types.clock.MonotonicMs): void;
+  /**
+   * Its incarnation has ended. It answers no holder any more, so a majority is
+   * one of the others.
+   */
+  markGone(worker: types.ids.WorkerId, now: types.clock.MonotonicMs): void;
   isAccounted(worker: types.ids.WorkerId): boolean;
   /** Accounts for workers on which old leases have expired. */
   tick(now: types.clock.MonotonicMs): void;
@@ -46,7 +52,8 @@
   shorter: ReadonlyMap<types.ids.WorkerId, LeaseBounds> = new Map(),
 ): FailoverBarrier {
   const pending = new Set(workers);
-  const total = pending.size;
+  let total = pending.size;
+  let answered = 0;
   let majorityAt: types.clock.MonotonicMs | undefined;
 
   function haveExpired(
@@ -59,10 +66,21 @@
     return isMajorityWaitOver || now >= latestAt;
   }
 
+  function checkMajority(now: types.clock.MonotonicMs): void {
+    if (answered > total / 2) majorityAt ??= now;
+  }
+
   return {
     markAccounted(worker, now) {
       if (!pending.delete(worker)) return;
-      if (total - pending.size > total / 2) majorityAt ??= now;
+      answered++;
+      checkMajority(now);
+      onAccounted();
+    },
+    markGone(worker, now) {
+      if (!pending.delete(worker)) return;
+      total--;
+      checkMajority(now);
       onAccounted();
     },
     isAccounted: (worker) => !pending.has(worker),
--- a/packages/gypsumwall-cell/src/lease_bounds.ts
+++ b/packages/gypsumwall-cell/src/lease_bounds.ts
@@ -31,8 +31,14 @@
  */
 export const MAJORITY_CHECK_MS = 1_500;
 /**
- * Time after which a holder that lost its majority has noticed: the check
- * above, plus a poll of 1.2 s that must fail first; milliseconds.
+ * Only workers that answered a poll sent within this time count for that
+ * majority, however late a busy holder reads the answers: two polls of 1.2 s;
+ * milliseconds.
+ */
+export const MAX_ANSWER_AGE_MS = 2_500;
+/**
+ * Time after which a holder that lost its majority has noticed: the check and
+ * the age above, with a margin; milliseconds.
  */
 const MAJORITY_LOSS_DETECTION_MS = 3_000;
 /**
--- a/packages/gypsumwall-cell/src/worker_roster.ts
+++ b/packages/gypsumwall-cell/src/worker_roster.ts
@@ -109,7 +109,13 @@
    * never answered.
    */
   removeSilent(): void;
-  reachableShare(): number;
+  /**
+   * Share of the used workers that are reachable and have answered a poll that
+   * was sent since then. Includes unlisted ones and those whose removal isn't
+   * stored: a successor finds them among the used workers, and its majority
+   * must not be disjoint from this holder's.
+   */
+  reachableShare(since: types.clock.MonotonicMs): number;
   close(): void;
 }
 
@@ -136,6 +142,7 @@
   /** Faults of list entries that couldn't be used, by key. */
   const reportedFaults = new Map<string, string>();
   const recentlySilent = silentWorkers.createSilentWorkers(clock);
+  let unstoredRemovals = 0;
   let isClosed = false;
 
   function addWorker(
@@ -321,12 +328,17 @@
     // A successor that doesn't find the worker must find the consequences of
     // its crash instead.
     void options.flush();
-    void options.write([
-      {kind: 'used_worker', workerId: id, worker: undefined},
-    ]);
+    void storeRemoval(id);
     options.onChange();
   }
 
+  async function storeRemoval(id: types.ids.WorkerId): Promise<void> {
+    unstoredRemovals++;
+    const worker = undefined;
+    await options.write([{kind: 'used_worker', workerId: id, worker}]);
+    unstoredRemovals--;
+  }
+
   return {
     applyList(records, reloaded, writtenAfter) {
       if (reloaded) {
@@ -416,11 +428,14 @@
         );
       }
     },
-    reachableShare() {
-      const listed = [...entries.values()].filter((entry) => entry.listed);
-      if (listed.length === 0) return 1;
-      const reachable = listed.filter((entry) => entry.session.isReachable());
-      return reachable.length / listed.length;
+    reachableShare(since) {
+      const used = entries.size + unstoredRemovals;
+      if (used === 0) return 1;
+      let reachable = 0;
+      for (const {session} of entries.values())
+        if (session.isReachable() && session.lastAskedAt() >= since)
+          reachable++;
+      return reachable / used;
     },
     close() {
       isClosed = true;
--- a/packages/gypsumwall-cell/src/worker_session.ts
+++ b/packages/gypsumwall-cell/src/worker_session.ts
@@ -91,6 +91,11 @@
   isReachable(): boolean;
   /** Whether the worker has ever answered in this session. */
   hasReported(): boolean;
+  /**
+   * When the newest answered poll was sent. Until then the worker had not
+   * answered a newer holder.
+   */
+  lastAskedAt(): types.clock.MonotonicMs;
   /** Estimate of the worker's clock; undefined before its first report. */
   clockMs(): number | undefined;
   close(): void;
@@ -345,6 +350,7 @@
     },
     isReachable: () => isReachable,
     hasReported: () => hasReported,
+    lastAskedAt: () => lastAskedAt,
     clockMs: () => workerClock.estimate(clock.monotonic(), clock.wall()),
     close,
   };
