cell: let one entry of each domain append for a busy holder

Cause: a holder whose event loop is busy takes no calls, so each entry appends its own while the store is quick. In the 0.3 s after the store turned slow 17 entries sent one, at 0.24 s each; the store refuses what would wait for 2 s, and among that was the append with which the holder serves everybody.

Change: while the holder takes no calls, the strongest other entry of the failure domain appends in its place, as it already does for a holder that is too small. An entry appends by itself if that one doesn't answer either. At a slow store the holder alone appends, as before.

Tests: 'one entry of a domain takes the place of a holder that takes no calls' and 'the strongest other entry of the domain takes the place of the holder'. Before, the entry appended by itself. Nothing is stored or sent that an older build doesn't know: the calls are the relayed submissions and cancels that each entry answers.

--- a/packages/gypsumwall-cell/src/__fixtures__/submission_world.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/submission_world.ts
@@ -215,6 +215,8 @@
     isStoreQuick: isLikely,
     holder: () => (isLikely() ? others[draw(others.length)] : undefined),
     appender: () => (isLikely() ? others[draw(others.length)] : undefined),
+    substituteAppender: () =>
+      isLikely() ? others[draw(others.length)] : undefined,
     onJobRefused: () => {},
   });
   async function submitInTurn(): Promise<SubmissionOutcome['answer'][]> {
--- a/packages/gypsumwall-cell/src/__tests__/choose_appender.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/choose_appender.test.ts
@@ -61,3 +61,12 @@
 test('each entry appends by itself while there is no holder', () => {
   assert.deepEqual(appendersOf(undefined), ['a1', 'a2', 'a3', 'b1']);
 });
+
+// Guards against a choice of the busy holder itself, or of another domain.
+test('the strongest other entry of the domain takes the place of the holder', () => {
+  const substitutes = ENTRIES.map((self) => {
+    const peers = ENTRIES.filter((peer) => peer !== self);
+    return chooseAppender.chooseSubstitute(self, peers, 'a1');
+  });
+  assert.deepEqual(substitutes, ['a2', undefined, 'a2', undefined]);
+});
--- a/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/forwarding_job_service.test.ts
@@ -23,6 +23,8 @@
   readonly isStoreSlow?: boolean;
   /** The entry that appends, if it isn't the holder. */
   readonly appender?: string;
+  /** The entry that takes the holder's place. */
+  readonly substitute?: string;
   /** Whether the cell can't take the job on. */
   readonly isShed?: boolean;
 }
@@ -61,8 +63,11 @@
       return Promise.resolve(situation.relayed);
     },
     relayTo: (instance) => {
-      asked.push(instance === 'appender' ? 'appender' : 'holder');
-      return Promise.resolve(situation.byHolder ?? situation.relayed);
+      asked.push(instance === 'other' ? 'holder' : instance);
+      const byHolder = situation.byHolder ?? situation.relayed;
+      return Promise.resolve(
+        instance === situation.substitute ? situation.relayed : byHolder,
+      );
     },
   };
   return forwardingJobServices.createForwardingJobService({
@@ -74,6 +79,7 @@
     isStoreQuick: () => situation.isStoreSlow !== true,
     holder: () => 'other',
     appender: () => situation.appender ?? 'other',
+    substituteAppender: () => situation.substitute,
     onJobRefused: () => {},
   });
 }
@@ -391,3 +397,34 @@
   const repeated = await service.submit(id, worlds.POLICY, request);
   assert.equal(repeated.type, 'unknown');
 });
+
+// Guards against a busy holder's calls that every entry appends by itself: a
+// store that turned slow then had 30 of them in its queue, and refused the
+// holder's.
+test('one entry of a domain takes the place of a holder that takes no calls', async () => {
+  const byHolder = {
+    type: 'unanswered',
+    maybeApplied: false,
+    isSlow: false,
+  } as const;
+  const situation = {own: OK, byHolder, substitute: 'strongest'};
+  const viaSubstitute = await submit({
+    ...situation,
+    relayed: PEER_OK,
+    reachable: true,
+  });
+  assert.deepEqual(viaSubstitute, {type: 'ok', asked: ['holder', 'strongest']});
+  const lost = await submit({
+    ...situation,
+    relayed: byHolder,
+    reachable: true,
+  });
+  assert.deepEqual(lost, {type: 'ok', asked: ['holder', 'strongest', 'own']});
+  const atSlowStore = await submit({
+    ...situation,
+    relayed: PEER_OK,
+    reachable: true,
+    isStoreSlow: true,
+  });
+  assert.deepEqual(atSlowStore, {type: 'not_run', asked: ['holder']});
+});
--- a/packages/gypsumwall-cell/src/__tests__/known_submissions.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/known_submissions.test.ts
@@ -61,6 +61,7 @@
     isStoreQuick: () => false,
     holder: () => 'other',
     appender: () => 'other',
+    substituteAppender: () => undefined,
     onJobRefused: () => {},
   });
 }
--- a/packages/gypsumwall-cell/src/__tests__/relayed_queries.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/relayed_queries.test.ts
@@ -57,6 +57,7 @@
     isStoreQuick: () => true,
     holder: () => 'other',
     appender: () => 'other',
+    substituteAppender: () => undefined,
     onJobRefused: () => {},
   });
 }
--- a/packages/gypsumwall-cell/src/__tests__/repeated_calls.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/repeated_calls.test.ts
@@ -97,6 +97,7 @@
     isStoreQuick: () => true,
     holder: () => undefined,
     appender: () => undefined,
+    substituteAppender: () => undefined,
     onJobRefused: () => {},
   });
   const submitted = await service.submit(id, worlds.POLICY, request);
--- a/packages/gypsumwall-cell/src/__tests__/slow_store.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/slow_store.test.ts
@@ -131,6 +131,7 @@
       isStoreQuick: () => true,
       holder: () => (holderIsKnown ? 'holder' : undefined),
       appender: () => (holderIsKnown ? 'holder' : undefined),
+      substituteAppender: () => undefined,
       onJobRefused: () => {},
     }),
   );
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -239,6 +239,7 @@
     isStoreQuick: () => health.isQuick(),
     holder: () => roles.remoteHolder(),
     appender: () => roles.appender(),
+    substituteAppender: () => roles.substituteAppender(),
     onJobRefused: (id, arrivedAt) => refusals.add(id, arrivedAt),
   });
 
--- a/packages/gypsumwall-cell/src/choose_appender.ts
+++ b/packages/gypsumwall-cell/src/choose_appender.ts
@@ -37,6 +37,19 @@
   return appender === self.instance ? undefined : appender;
 }
 
+/**
+ * Returns the instance that appends in place of a holder that takes no calls of
+ * this entry; undefined if this entry appends by itself.
+ */
+export function chooseSubstitute(
+  self: standbyChoice.StandbyCandidate,
+  peers: Iterable<standbyChoice.StandbyCandidate>,
+  holder: string,
+): string | undefined {
+  const chosen = strongestOf(self, [...peers], holder);
+  return chosen === self.instance ? undefined : chosen;
+}
+
 /** Whether the holder can combine the appends of the whole cell. */
 function canCombine({
   self,
--- a/packages/gypsumwall-cell/src/entry_roles.ts
+++ b/packages/gypsumwall-cell/src/entry_roles.ts
@@ -36,6 +36,8 @@
   holderCores(): number;
   /** Instance that appends for this entry; undefined if it is this one. */
   appender(): string | undefined;
+  /** The same while the holder takes no calls of this entry. */
+  substituteAppender(): string | undefined;
   /** Whether this entry is a standby; none is before it knows its peers. */
   isStandby(): boolean;
   /** Whether a peer has more processor capacity, or the peers aren't known. */
@@ -45,6 +47,17 @@
 /** Creates the roles of one entry. */
 export function createEntryRoles(parts: EntryRolesParts): EntryRoles {
   const {self, state, peers, arePeersKnown} = parts;
+
+  function appender(): string | undefined {
+    return chooseAppender.chooseAppender({
+      self,
+      peers: peers.standbyCandidates(),
+      holder: state.claim()?.instance,
+      isStoreQuick: parts.storeHealth.isQuick(),
+      submissionsPerSecond: parts.submissions.perMs() * MS_PER_SECOND,
+    });
+  }
+
   return {
     remoteHolder() {
       const instance = state.claim()?.instance;
@@ -58,14 +71,13 @@
         if (peer.instance === instance && peer.cores > 0) return peer.cores;
       return self.cores;
     },
-    appender: () =>
-      chooseAppender.chooseAppender({
-        self,
-        peers: peers.standbyCandidates(),
-        holder: state.claim()?.instance,
-        isStoreQuick: parts.storeHealth.isQuick(),
-        submissionsPerSecond: parts.submissions.perMs() * MS_PER_SECOND,
-      }),
+    appender,
+    substituteAppender() {
+      const holder = state.claim()?.instance;
+      if (holder === undefined || appender() !== holder) return undefined;
+      const candidates = peers.standbyCandidates();
+      return chooseAppender.chooseSubstitute(self, candidates, holder);
+    },
     isStandby: () =>
       arePeersKnown() &&
       standbyChoice.isStandby(self, peers.standbyCandidates()),
--- a/packages/gypsumwall-cell/src/forwarding_job_service.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -1,9 +1,10 @@
 /**
  * The job service that callers use. Calls that append to the store go through
- * one entry that combines them (`choose_appender.ts`). An entry appends by
- * itself while that one isn't alive or the store refuses it, and forwards its
- * calls to any peer while the store refuses this entry. Queries are answered
- * locally, and forwarded until this entry has read the records it missed.
+ * one entry that combines them (`choose_appender.ts`), or through the one that
+ * takes its place. An entry appends by itself while neither is alive or the store
+ * refuses them, and forwards its calls to any peer while the store refuses this
+ * entry. Queries are answered locally, and forwarded until this entry has read
+ * the records it missed.
  */
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
@@ -55,6 +56,8 @@
   relayToAny(): Promise<peerDirectory.RelayOutcome>;
   /** Forwards the call to the entry that appends it now. */
   relayToAppender(): Promise<peerDirectory.RelayOutcome>;
+  /** Forwards the call to the entry that takes the holder's place. */
+  relayToSubstitute(): Promise<peerDirectory.RelayOutcome>;
   /** The final answer, given what the attempts may have caused. */
   conclude(answer: callAttempts.CallAnswer): callAttempts.CallAnswer;
 }
@@ -78,6 +81,8 @@
   readonly holder: () => string | undefined;
   /** Instance that appends the calls of this entry; undefined if it is this one. */
   readonly appender: () => string | undefined;
+  /** The same while the holder takes no calls of this entry. */
+  readonly substituteAppender: () => string | undefined;
   /** Called when a caller is told that its job will never run. */
   readonly onJobRefused: (
     id: types.ids.JobId,
@@ -193,6 +198,10 @@
         attempts.runAtPeers('appender', () =>
           relayTo(options.appender(), req, APPENDER_TIMEOUT_MS),
         ),
+      relayToSubstitute: () =>
+        attempts.runAtPeers('substitute', () =>
+          relayTo(options.substituteAppender(), req, APPENDER_TIMEOUT_MS),
+        ),
       conclude(answer) {
         const concluded = concludeWith(req, attempts, answer);
         if (concluded.type !== 'ok') {
@@ -249,6 +258,9 @@
     // next holder would find.
     if (options.holder() !== undefined && !options.isStoreQuick())
       return {type: 'not_run', retryAfterMs: RETRY_AFTER_MS};
+    const viaSubstitute = await call.relayToSubstitute();
+    if (viaSubstitute.type === 'answered') return answerOf(viaSubstitute.res);
+    if (viaSubstitute.isSlow) return {type: 'unknown'};
     const direct = await call.carryOut();
     switch (direct.type) {
       case 'ok':
