cell: decide as many starts as can be sent soon

Cause: a cycle orders all tasks of up to 30 steps, whatever can be sent. As many cycles were skipped as were run.

A cycle now starts as many tasks as the window will have sent soon: twice its size, less what is in flight or waits. A wide step starts in parts, gangs as a whole. Cycles are skipped only without any room. Orders that wait keep the window full while the next cycle is decided.

--- a/packages/gypsumwall-cell/src/order_window.ts
+++ b/packages/gypsumwall-cell/src/order_window.ts
@@ -21,6 +21,12 @@
  * changes when orders go through peers, which collect them.
  */
 const LATENCY_MEMORY_MS = 5_000;
+/**
+ * Orders in flight or waiting, as a multiple of the size, up to which more are
+ * accepted: those that wait are sent while the next ones are decided. What is
+ * added later waits behind them, however urgent it is.
+ */
+const ACCEPTED_FACTOR = 2;
 /** Factors of the size after a late and after a lost answer. */
 const LATE_FACTOR = 0.9;
 const LOST_FACTOR = 0.7;
@@ -39,7 +45,7 @@
 export interface OrderWindowOptions<Order> {
   readonly clock: types.clock.Clock;
   readonly send: (order: Order) => Promise<OrderResult>;
-  /** Called when no order waits any more. */
+  /** Called when there is room again. */
   readonly onRoom: () => void;
 }
 
@@ -47,8 +53,8 @@
 export interface OrderWindow<Order> {
   /** Sends an order, after those that wait. */
   add(order: Order): void;
-  /** Whether orders wait, so that no more should be decided. */
-  isFull(): boolean;
+  /** Number of orders that should be added now at most. */
+  room(): number;
   /** Number of orders that are in flight or wait. */
   pending(): number;
   /** Maximum number of orders in flight now. */
@@ -92,14 +98,18 @@
     const result = await options.send(order);
     inFlight--;
     adapt(result);
-    const wasFull = waiting.length > 0;
     sendWaiting();
-    if (wasFull && waiting.length === 0) options.onRoom();
+    if (room() > 0) options.onRoom();
+  }
+
+  function room(): number {
+    const accepted = Math.floor(size) * ACCEPTED_FACTOR;
+    return Math.max(0, accepted - inFlight - waiting.length);
   }
 
   function sendWaiting(): void {
-    const room = Math.max(0, Math.floor(size) - inFlight);
-    const next = waiting.splice(0, room);
+    const sendable = Math.max(0, Math.floor(size) - inFlight);
+    const next = waiting.splice(0, sendable);
     for (const order of next) void sendOne(order);
   }
 
@@ -108,7 +118,7 @@
       waiting.push(order);
       sendWaiting();
     },
-    isFull: () => waiting.length > 0,
+    room,
     pending: () => waiting.length + inFlight,
     size: () => Math.floor(size),
   };
--- a/packages/gypsumwall-cell/src/scheduling_loop.ts
+++ b/packages/gypsumwall-cell/src/scheduling_loop.ts
@@ -107,7 +107,7 @@
     // renewed.
     if (!parts.mayRenew()) return;
     // What is decided now would wait behind the orders that wait already.
-    if (orders.isFull()) {
+    if (orders.room() === 0) {
       load.onSkippedCycle();
       void parts.flush();
       return;
@@ -129,6 +129,7 @@
       startedAt,
       clock.wall(),
       parts.adviceCalls.capacity(),
+      orders.room(),
     );
     lastCycleMs = clock.monotonic() - startedAt;
     load.onCycle(lastCycleMs);
--- a/packages/gypsumwall-scheduling/src/__tests__/scheduling_cycle.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/scheduling_cycle.test.ts
@@ -82,6 +82,28 @@
   assert.equal(world.decide().length, 1);
 });
 
+// Guards against urgent work that waits behind the orders of a wide step, and against a rest that never starts.
+test('a cycle starts only what there is room for, by rank', () => {
+  const world = worlds.createSchedulerWorld();
+  const {scheduler} = world;
+  world.addWorker('w1', 200);
+  const startUpTo = (maxStarts: number): string[] => {
+    const {starts} = scheduler.decide(world.now, WALL, undefined, maxStarts);
+    scheduler.onStored(scheduler.takeDirty());
+    return starts.map(({attempt}) => attempt.taskId);
+  };
+  world.submit('wide', [worlds.step({taskCount: 100})]);
+  assert.equal(startUpTo(10).length, 0, 'its worker is recorded first');
+  assert.equal(startUpTo(10).length, 10);
+  world.submit('urgent', [worlds.step()], {policy: {priority: 0}});
+  assert.equal(startUpTo(0).length, 0);
+  assert.equal(startUpTo(10).length, 10);
+  assert.equal(startUpTo(10)[0], 'urgent.0.0.0');
+  let started = 30;
+  for (let cycle = 0; cycle < 8; cycle++) started += startUpTo(10).length;
+  assert.equal(started, 101);
+});
+
 type Action =
   | {type: 'submit'; tasks: number; cores: number; gang: boolean}
   | {type: 'end'; pick: number; how: 'done' | 'failed'}
--- a/packages/gypsumwall-scheduling/src/choose_worker.ts
+++ b/packages/gypsumwall-scheduling/src/choose_worker.ts
@@ -16,6 +16,11 @@
   readonly isReserved?: (worker: types.ids.WorkerId) => boolean;
   /** Workers reserved for tasks that may crash them. */
   readonly isolation?: taskIsolation.TaskIsolation;
+  /**
+   * Number of tasks of a step that are placed on recorded workers now, and on
+   * others; a gang is placed as a whole.
+   */
+  readonly maxTasks?: number;
   /** Whether a worker has crashed while it ran the task. */
   readonly isSuspected?: boolean;
 }
--- a/packages/gypsumwall-scheduling/src/place_step.ts
+++ b/packages/gypsumwall-scheduling/src/place_step.ts
@@ -87,7 +87,10 @@
   );
   const place = stepRun.request.gang ? placeWholeGang : placeTasks;
   const first = recorded.length > 0 ? place(stepRun, recorded, context) : [];
-  if (stepRun.waitingIndexes.length === 0) return first;
+  const isComplete = stepRun.waitingIndexes.length === 0;
+  if (isComplete || first.length >= (context.maxTasks ?? Infinity))
+    return first;
+  // Most of these start only once their workers are recorded.
   return [...first, ...place(stepRun, candidates, context)];
 }
 
@@ -97,8 +100,9 @@
   context: chooseWorker.ChoiceContext,
 ): placements.Placement[] {
   const placed: placements.Placement[] = [];
+  const {maxTasks = Infinity} = context;
   const {quotas} = context.registry;
-  while (stepRun.waitingIndexes.length > 0) {
+  while (stepRun.waitingIndexes.length > 0 && placed.length < maxTasks) {
     if (quotaGate.startableTasks(stepRun, quotas) < 1) break;
     const index = stepRun.waitingIndexes.at(-1)!;
     const isSuspected = stepRun.crashes.has(index);
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -138,6 +138,7 @@
   function runCycle(
     now: types.clock.MonotonicMs,
     callsLeft: number,
+    maxStarts: number,
   ): schedulingCycle.CycleResult {
     const {steps, gangFellBehind} = order.sort(waitingSteps, now, commitMs);
     if (gangFellBehind)
@@ -145,7 +146,7 @@
     for (const id of health.takeRestored(now)) registry.markFreed(id);
     for (const id of isolation.releaseExpired(now)) registry.markFreed(id);
     const freed = registry.takeFreed();
-    const context = {registry, health, now, freed, isolation};
+    const context = {registry, health, now, freed, isolation, maxStarts};
     const cycle = schedulingCycle.runCycle(steps, context);
     for (const [id, gang] of reservations) {
       if (cycle.reservations.get(id) !== gang) registry.markFreed(id);
@@ -312,7 +313,7 @@
         jobRegistry.stopPartialGangs(job);
       }
     },
-    decide(now, wall, capacity = UNLIMITED_ADVICE) {
+    decide(now, wall, capacity = UNLIMITED_ADVICE, maxStarts = Infinity) {
       for (const job of jobsToOpen) {
         jobRegistry.openDue(job, now, wall);
         const total = job.request.schedule?.occurrences ?? 1;
@@ -323,7 +324,7 @@
       registry.quotas.setUnaccounted(
         unaccountedWork.unaccountedWork(jobs.values()),
       );
-      const cycle = runCycle(now, capacity.needed);
+      const cycle = runCycle(now, capacity.needed, maxStarts);
       recordWorkers(cycle.awaitingCommit);
       startOrders.numberAttempts(cycle.placed, options.attemptBase);
       const starts = cycle.placed.map((placed) => orderStart(placed, now));
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -163,12 +163,14 @@
   onWorkerReconciled(): void;
   /**
    * Runs a scheduling cycle. Without `capacity`, calls to the adviser are not
-   * limited.
+   * limited. About `maxStarts` tasks are started, by rank; with 0, no step is
+   * tried.
    */
   decide(
     now: types.clock.MonotonicMs,
     wall: types.clock.WallMs,
     capacity?: adviserPool.AdviceCapacity,
+    maxStarts?: number,
   ): Decisions;
   /** Whether a start order for the attempt should still be sent. */
   isStartDue(attempt: activeJob.Attempt): boolean;
--- a/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
+++ b/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
@@ -37,6 +37,8 @@
    * Workers that may accept tasks that they could not accept in the last cycle.
    */
   readonly freed: ReadonlySet<types.ids.WorkerId>;
+  /** Number of starts after which no further step is tried. */
+  readonly maxStarts: number;
 }
 
 /** Result of a cycle. */
@@ -87,10 +89,16 @@
     }
     const isDue = isDueNow(stepRun, context);
     const isPaused = refusalBackoff.isPaused(stepRun, context.now);
+    const maxTasks = context.maxStarts - result.placed.length;
     const isTried =
-      isDue && !isPaused && (skipped.has(stepRun) || triesLeft-- > 0);
-    stepRun.hasChanged = isDue && !isTried;
-    const found = isTried ? placeStep.placeStep(stepRun, choice) : [];
+      isDue &&
+      !isPaused &&
+      maxTasks > 0 &&
+      (skipped.has(stepRun) || triesLeft-- > 0);
+    const found = isTried
+      ? placeStep.placeStep(stepRun, {...choice, maxTasks})
+      : [];
+    stepRun.hasChanged = isDue && (!isTried || found.length >= maxTasks);
     if (isWaitingGang(stepRun) && !isPaused) reservation.reserveFor(stepRun);
     const needsAdvice = stepRun.job.policy.advice !== undefined;
     if (needsAdvice && stepRun.waitingIndexes.length > 0)
