scheduler: ask the adviser only for work that can start soon

Callers saw: at a holder with a full event loop a third of the processor goes to the adviser.

Cause: each cycle asks about the 20 most urgent steps that have capacity, however many tasks of higher rank have their answers and wait for an order.

A cycle now counts the tasks that it starts, and those that it left for want of room; steps that rank behind four windows of orders of them aren't asked about. Steps of higher rank are asked about at once. At a holder with room nothing changes. The new test failed before: the later step was asked about in the first cycle.

--- a/packages/gypsumwall-cell/src/scheduling_loop.ts
+++ b/packages/gypsumwall-cell/src/scheduling_loop.ts
@@ -23,6 +23,11 @@
  */
 const CYCLE_INTERVAL_FACTOR = 4;
 
+/**
+ * Tasks that could start with the advice that they have, as a multiple of the
+ * orders in flight at most: enough until the next answers of the adviser.
+ */
+const READY_FACTOR = 4;
 /** Dependencies of the loop. */
 export interface SchedulingLoopParts {
   readonly scheduler: scheduling.schedulerTypes.Scheduler;
@@ -129,7 +134,7 @@
       startedAt,
       clock.wall(),
       parts.adviceCalls.capacity(),
-      orders.room(),
+      {starts: orders.room(), ready: orders.size() * READY_FACTOR},
     );
     lastCycleMs = clock.monotonic() - startedAt;
     load.onCycle(lastCycleMs);
--- a/packages/gypsumwall-scheduling/src/__tests__/scheduling_cycle.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/scheduling_cycle.test.ts
@@ -88,7 +88,8 @@
   const {scheduler} = world;
   world.addWorker('w1', 200);
   const startUpTo = (maxStarts: number): string[] => {
-    const {starts} = scheduler.decide(world.now, WALL, undefined, maxStarts);
+    const limits = {starts: maxStarts, ready: Infinity};
+    const {starts} = scheduler.decide(world.now, WALL, undefined, limits);
     scheduler.onStored(scheduler.takeDirty());
     return starts.map(({attempt}) => attempt.taskId);
   };
@@ -104,6 +105,27 @@
   assert.equal(started, 101);
 });
 
+// Guards against calls to the adviser whose answers expire before their tasks can start.
+test('the adviser is not asked while enough work of higher rank can start', () => {
+  const world = worlds.createSchedulerWorld();
+  world.addWorker('w1', 200);
+  const advice = {callMs: 20, perWorkerMs: 1, validMs: 4_000};
+  const askedFor = (): string[] => {
+    const limits = {starts: 10, ready: 20};
+    const {scheduler} = world;
+    const found = scheduler.decide(world.now, WALL, undefined, limits);
+    scheduler.onStored(scheduler.takeDirty());
+    return found.advice.map(({stepRun}) => stepRun.id);
+  };
+  world.submit('wide', [worlds.step({taskCount: 100})]);
+  askedFor();
+  world.submit('later', [worlds.step()], {policy: {advice}});
+  world.submit('urgent', [worlds.step()], {policy: {priority: 0, advice}});
+  assert.deepEqual(askedFor(), ['urgent.0.0']);
+  const later = Array.from({length: 10}, askedFor).flat();
+  assert.deepEqual(later, ['later.0.0']);
+});
+
 type Action =
   | {type: 'submit'; tasks: number; cores: number; gang: boolean}
   | {type: 'end'; pick: number; how: 'done' | 'failed'}
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -42,6 +42,11 @@
   spare: Infinity,
 };
 
+const UNLIMITED_CYCLE: schedulingCycle.CycleLimits = {
+  starts: Infinity,
+  ready: Infinity,
+};
+
 /** Creates a scheduler without jobs and workers. */
 export function createScheduler(
   options: schedulerTypes.SchedulerOptions,
@@ -138,7 +143,7 @@
   function runCycle(
     now: types.clock.MonotonicMs,
     callsLeft: number,
-    maxStarts: number,
+    limits: schedulingCycle.CycleLimits,
   ): schedulingCycle.CycleResult {
     const {steps, gangFellBehind} = order.sort(waitingSteps, now, commitMs);
     if (gangFellBehind)
@@ -146,7 +151,7 @@
     for (const id of health.takeRestored(now)) registry.markFreed(id);
     for (const id of isolation.releaseExpired(now)) registry.markFreed(id);
     const freed = registry.takeFreed();
-    const context = {registry, health, now, freed, isolation, maxStarts};
+    const context = {registry, health, now, freed, isolation, limits};
     const cycle = schedulingCycle.runCycle(steps, context);
     for (const [id, gang] of reservations) {
       if (cycle.reservations.get(id) !== gang) registry.markFreed(id);
@@ -313,7 +318,7 @@
         jobRegistry.stopPartialGangs(job);
       }
     },
-    decide(now, wall, capacity = UNLIMITED_ADVICE, maxStarts = Infinity) {
+    decide(now, wall, capacity = UNLIMITED_ADVICE, limits = UNLIMITED_CYCLE) {
       for (const job of jobsToOpen) {
         jobRegistry.openDue(job, now, wall);
         const total = job.request.schedule?.occurrences ?? 1;
@@ -324,7 +329,7 @@
       registry.quotas.setUnaccounted(
         unaccountedWork.unaccountedWork(jobs.values()),
       );
-      const cycle = runCycle(now, capacity.needed, maxStarts);
+      const cycle = runCycle(now, capacity.needed, limits);
       recordWorkers(cycle.awaitingCommit);
       startOrders.numberAttempts(cycle.placed, options.attemptBase);
       const starts = cycle.placed.map((placed) => orderStart(placed, now));
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -8,6 +8,7 @@
 import type * as jobRequest from './job_request.js';
 import type * as jobSteps from './job_steps.js';
 import type * as workerRegistry from './worker_registry.js';
+import type * as schedulingCycle from './scheduling_cycle.js';
 
 /** A start order that is to be sent to a worker. */
 export interface StartOrder {
@@ -163,14 +164,13 @@
   onWorkerReconciled(): void;
   /**
    * Runs a scheduling cycle. Without `capacity`, calls to the adviser are not
-   * limited. About `maxStarts` tasks are started, by rank; with 0, no step is
-   * tried.
+   * limited.
    */
   decide(
     now: types.clock.MonotonicMs,
     wall: types.clock.WallMs,
     capacity?: adviserPool.AdviceCapacity,
-    maxStarts?: number,
+    limits?: schedulingCycle.CycleLimits,
   ): Decisions;
   /** Whether a start order for the attempt should still be sent. */
   isStartDue(attempt: activeJob.Attempt): boolean;
--- a/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
+++ b/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
@@ -31,14 +31,27 @@
  */
 const MAX_SKIPPED_STEPS = 10;
 
+/** What a cycle decides at most. */
+export interface CycleLimits {
+  /**
+   * About as many tasks are started, by rank; with 0, no step is tried. A gang
+   * is started as a whole.
+   */
+  readonly starts: number;
+  /**
+   * The adviser isn't asked about steps that rank behind as many tasks which can
+   * start with the advice that they have: the answers would expire meanwhile.
+   */
+  readonly ready: number;
+}
+
 /** Input of a cycle. */
 export interface CycleContext extends chooseWorker.ChoiceContext {
   /**
    * Workers that may accept tasks that they could not accept in the last cycle.
    */
   readonly freed: ReadonlySet<types.ids.WorkerId>;
-  /** Number of starts after which no further step is tried. */
-  readonly maxStarts: number;
+  readonly limits: CycleLimits;
 }
 
 /** Result of a cycle. */
@@ -65,6 +78,7 @@
 ): CycleResult {
   const reservation = gangReservation.createGangReservation(context);
   const {reservations} = reservation;
+  const {limits} = context;
   const result: CycleResult = {
     placed: [],
     awaitingAdvice: [],
@@ -76,6 +90,7 @@
   const gate = quotaGate.createQuotaGate(context.registry.quotas);
   const skipped = longestSkipped(ordered);
   let triesLeft = MAX_TRIED_STEPS - skipped.size;
+  let readyTasks = 0;
   for (const stepRun of ordered) {
     if (stepRun.job.isAwaitingReconciliation) continue;
     const verdict = gate.check(stepRun);
@@ -89,7 +104,7 @@
     }
     const isDue = isDueNow(stepRun, context);
     const isPaused = refusalBackoff.isPaused(stepRun, context.now);
-    const maxTasks = context.maxStarts - result.placed.length;
+    const maxTasks = limits.starts - result.placed.length;
     const isTried =
       isDue &&
       !isPaused &&
@@ -98,11 +113,16 @@
     const found = isTried
       ? placeStep.placeStep(stepRun, {...choice, maxTasks})
       : [];
-    stepRun.hasChanged = isDue && (!isTried || found.length >= maxTasks);
+    // What was not tried is expected to start in a later cycle.
+    const isLeft = isDue && (!isTried || found.length >= maxTasks);
+    stepRun.hasChanged = isLeft;
     if (isWaitingGang(stepRun) && !isPaused) reservation.reserveFor(stepRun);
     const needsAdvice = stepRun.job.policy.advice !== undefined;
-    if (needsAdvice && stepRun.waitingIndexes.length > 0)
+    const isWaiting = stepRun.waitingIndexes.length > 0;
+    if (needsAdvice && isWaiting && readyTasks < limits.ready)
       result.awaitingAdvice.push(stepRun);
+    readyTasks += found.length;
+    if (isLeft && !isPaused) readyTasks += stepRun.waitingIndexes.length;
     const committed = found.length > 0 ? committedOf(stepRun, found) : found;
     result.placed.push(...committed);
     // Uncommitted placements are made again in the next cycle.
