cell: expect of a new holder the pauses of its predecessor

The usual pause between records is known to be that of the load, not of the entry ("no other entry would do better"), but it was forgotten with each claim, so that the successor was judged as if the cell were idle.

The pauses of the predecessor are kept, without the newest, which is the silence that led to the takeover; they expire like others after 8 to 16 s.

Nothing stored or sent changes.

--- a/packages/gypsumwall-cell/src/record_pauses.ts
+++ b/packages/gypsumwall-cell/src/record_pauses.ts
@@ -9,8 +9,9 @@
   /** A pause between two records of the same holder has ended. */
   add(pauseMs: number): void;
   /**
-   * Forgets everything, because another holder has begun. A pause of the given
-   * length is expected of it.
+   * Another holder has begun. Pauses of the given length are expected of it,
+   * and such as its predecessor made at the same work; the newest of those led
+   * to the takeover and is forgotten.
    */
   reset(expectedMs: number): void;
   /** The longest recent pause; 0 without any; milliseconds. */
@@ -21,6 +22,8 @@
 export function createRecordPauses(clock: types.clock.Clock): RecordPauses {
   let before = 0;
   let current = 0;
+  /** The longest pause before the newest one. */
+  let beforeNewest = 0;
   let startedAt = clock.monotonic();
 
   function advance(): void {
@@ -34,11 +37,15 @@
   return {
     add(pauseMs) {
       advance();
+      beforeNewest = Math.max(before, current);
       current = Math.max(current, pauseMs);
     },
     reset(expectedMs) {
+      advance();
+      const usualMs = Math.min(beforeNewest, Math.max(before, current));
       before = 0;
-      current = expectedMs;
+      current = Math.max(expectedMs, usualMs);
+      beforeNewest = current;
       startedAt = clock.monotonic();
     },
     longestMs() {
