cell: do not back off at a log with a single writer

A holder that is silent for 0.9 s is replaced.

Cause: the backoff is for a queue that many writers keep full. The holder alone writes the cell's log, has one batch in flight, and must not fall silent.

Change: the hedger of that log sends again at the fixed time, as before.

Test: 'the only writer of a log does not back off while answers are lost' failed before: answered after 0.84 s.

--- a/packages/gypsumwall-cell/src/__tests__/hedge.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/hedge.test.ts
@@ -99,3 +99,28 @@
   assert.ok(calls <= ENTRIES * ROUNDS * 1.5, `${calls} calls`);
   assert.ok(lastRoundMs <= 100, `the last append took ${lastRoundMs} ms`);
 });
+
+// Guards against a holder that is replaced while the store loses a third of its
+// answers: three of them in a row kept it silent for 0.84 s.
+test('the only writer of a log does not back off while answers are lost', async () => {
+  const clock = types.virtualClock.createVirtualClock();
+  const health = {
+    ...storeHealth.createStoreHealth(),
+    hasQuickReadSince: () => true,
+  };
+  let calls = 0;
+  const call = async (): ports.Answer<void> => {
+    calls++;
+    await types.clock.sleepFor(clock, calls <= 3 ? DEADLINE_MS : CALL_MS);
+    return result.ok(undefined);
+  };
+  const startedAt = clock.monotonic();
+  const until = types.clock.after(startedAt, DEADLINE_MS);
+  const answer = hedge
+    .createHedger(clock, health, {hasSingleWriter: true})
+    .hedge({call, until})
+    .then(() => clock.monotonic() - startedAt);
+  await clock.runUntil(DEADLINE_MS * 2);
+  const tookMs = await answer;
+  assert.ok(tookMs <= 500, `answered after ${tookMs} ms`);
+});
--- a/packages/gypsumwall-cell/src/cell_writer.ts
+++ b/packages/gypsumwall-cell/src/cell_writer.ts
@@ -87,7 +87,9 @@
 export function createCellWriter(options: CellWriterOptions): CellWriter {
   const {log, clock, logger, heartbeat = () => ({kind: 'heartbeat'})} = options;
   const stopping = new AbortController();
-  const hedger = hedge.createHedger(clock, options.storeHealth);
+  const hedger = hedge.createHedger(clock, options.storeHealth, {
+    hasSingleWriter: true,
+  });
   let queue: PendingWrite[] = [];
   let resume = () => {};
   // Sequence 0 of the epoch is the claim itself.
--- a/packages/gypsumwall-cell/src/hedge.ts
+++ b/packages/gypsumwall-cell/src/hedge.ts
@@ -69,16 +69,26 @@
   latencyMs(): number | undefined;
 }
 
+/** Options of a hedger. */
+export interface HedgerOptions {
+  /**
+   * Whether the log has a single writer; false by default. Its calls don't wait
+   * behind those of others, and it must not fall silent while answers are lost.
+   */
+  readonly hasSingleWriter?: boolean;
+}
+
 /** Creates a hedger without a measured latency. */
 export function createHedger(
   clock: types.clock.Clock,
   health: storeHealth.StoreHealth,
+  {hasSingleWriter = false}: HedgerOptions = {},
 ): Hedger {
   let latency: number | undefined;
   let updatedAt = clock.monotonic();
   const resendTimeout = resendTimeouts.createResendTimeout(
     MIN_RESEND_MS,
-    MAX_RESEND_MS,
+    hasSingleWriter ? MIN_RESEND_MS : MAX_RESEND_MS,
   );
 
   function latencyMs(): number | undefined {
