cell: count steps that could start as the work ahead

The estimate of what ranks before a new job counted all tasks of a job that aren't done, those of steps too that wait for earlier steps of the same job. They take no turn before the new job, so only tasks of steps whose predecessors are done count now. The bound on all that waits is as before: those tasks have to be started as well before everything accepted has run.

The test failed before.

--- a/packages/gypsumwall-cell/src/__tests__/load_shedder.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/load_shedder.test.ts
@@ -1,5 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
+import type * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
 import * as worlds from '../__fixtures__/cell_world.js';
 import type * as holderCapacity from '../holder_capacity.js';
@@ -23,9 +24,11 @@
   });
   const queued: jobTable.JobEntry[] = [];
 
-  function submitOne(tasks: number, policy = worlds.POLICY): void {
+  function submitRequest(
+    request: scheduling.jobRequest.JobRequest,
+    policy: scheduling.jobRequest.QueuePolicy,
+  ): void {
     const {queue} = policy;
-    const request = worlds.request(tasks);
     const acceptedAt = now as types.clock.WallMs;
     const job: jobTable.JobEntry = {
       id: types.ids.brand(`job${queued.length}`),
@@ -40,8 +43,10 @@
 
   return {
     submit(count: number, tasks = 1, policy = worlds.POLICY) {
-      for (let nth = 0; nth < count; nth++) submitOne(tasks, policy);
+      for (let nth = 0; nth < count; nth++)
+        submitRequest(worlds.request(tasks), policy);
     },
+    submitRequest,
     pass: (spanMs: number) => void (now += spanMs),
     begin(count: number) {
       for (const job of queued.splice(0, count)) {
@@ -163,6 +168,18 @@
   assert.equal(cell.check(worlds.request(1), PATIENT).type, 'admitted');
 });
 
+// Guards against refusals because of steps that wait for others, not for the
+// holder.
+test('tasks of steps that can not start yet rank before no job', () => {
+  const cell = createCell(0.14, {startsPerSecond: 50, runs: 20});
+  const [step] = worlds.request(1).steps;
+  const later = {...step!, taskCount: 20, after: [0]};
+  const request = {...worlds.request(1), steps: [step!, later]};
+  for (let nth = 0; nth < 20; nth++) cell.submitRequest(request, URGENT);
+  cell.begin(20);
+  assert.equal(cell.check(worlds.request(1), URGENT).type, 'admitted');
+});
+
 // Guards against old jobs that keep new ones out, which rank before them.
 test('jobs that are of no more use do not make new ones late', () => {
   const cell = createCell(0.14, {startsPerSecond: 50, runs: 0});
--- a/packages/gypsumwall-cell/src/load_shedder.ts
+++ b/packages/gypsumwall-cell/src/load_shedder.ts
@@ -171,7 +171,7 @@
     onUpdated: (job, isLive) => work.onUpdated(job, isLive),
     check(stage, policy, request) {
       if (stage === 'offered')
-        offered.add(policy.priority, waitingWork.countTasks(request));
+        offered.add(policy.priority, countTasks(request));
       const estimated = estimate(policy, request);
       if (estimated === undefined) return ADMITTED;
       const {excessMs, unreadMs = 0} = estimated;
@@ -191,3 +191,7 @@
   );
   return {type: 'refused', reason, retryAfterMs, backlogMs};
 }
+
+function countTasks({steps}: scheduling.jobRequest.JobRequest): number {
+  return steps.reduce((sum, step) => sum + step.taskCount, 0);
+}
--- a/packages/gypsumwall-cell/src/waiting_work.ts
+++ b/packages/gypsumwall-cell/src/waiting_work.ts
@@ -50,6 +50,8 @@
 interface LiveJob {
   /** Number of tasks that aren't done. */
   readonly tasks: number;
+  /** Number of those whose steps wait for no other step. */
+  readonly openTasks: number;
   /** Whether none of its tasks has started. */
   readonly isQueued: boolean;
   readonly priority: number;
@@ -87,14 +89,19 @@
   let queuedJobs = 0;
   let queuedTasks = 0;
   let liveTasks = 0;
+  let begunOpenTasks = 0;
   let ranks = new Map<number, RankedTasks>();
   let rankedAt: types.clock.MonotonicMs | undefined;
 
-  function count({tasks, isQueued}: LiveJob, sign: 1 | -1): void {
+  function count(job: LiveJob, sign: 1 | -1): void {
+    const {tasks, openTasks, isQueued} = job;
     liveTasks += sign * tasks;
-    if (!isQueued) return;
-    queuedJobs += sign;
-    queuedTasks += sign * tasks;
+    if (isQueued) {
+      queuedJobs += sign;
+      queuedTasks += sign * tasks;
+    } else {
+      begunOpenTasks += sign * openTasks;
+    }
   }
 
   function remove(job: jobTable.JobEntry): LiveJob | undefined {
@@ -107,12 +114,11 @@
 
   function rank(runs: number): void {
     const wall = clock.wall();
-    const begunTasks = liveTasks - queuedTasks;
     const waitingShare =
-      begunTasks > 0 ? Math.max(0, 1 - runs / begunTasks) : 0;
+      begunOpenTasks > 0 ? Math.max(0, 1 - runs / begunOpenTasks) : 0;
     ranks = new Map();
     for (const {
-      tasks,
+      openTasks,
       isQueued,
       priority,
       acceptedAt,
@@ -121,7 +127,7 @@
       const ageMs = wall - acceptedAt;
       if (ageMs > limits.usefulMs) continue;
       const ranked = ranks.get(priority) ?? {onTime: 0, late: 0};
-      const waiting = isQueued ? tasks : tasks * waitingShare;
+      const waiting = isQueued ? openTasks : openTasks * waitingShare;
       ranked[ageMs <= limits.onTimeMs ? 'onTime' : 'late'] += waiting;
       ranks.set(priority, ranked);
     }
@@ -135,7 +141,7 @@
         return;
       const {request, policy, acceptedAt} = record;
       const added = {
-        tasks: countTasks(request, progress),
+        ...countTasks(request, progress),
         isQueued: progress.phase === 'queued',
         priority: policy.priority,
         acceptedAt,
@@ -168,14 +174,22 @@
   };
 }
 
-/** Number of tasks of a job that aren't done. */
-export function countTasks(
+/** Numbers of tasks of a job that aren't done. */
+function countTasks(
   {steps}: scheduling.jobRequest.JobRequest,
-  {occurrences} = scheduling.jobProgress.NO_PROGRESS,
-): number {
+  {occurrences}: scheduling.jobProgress.JobProgress,
+): Pick<LiveJob, 'tasks' | 'openTasks'> {
   const [progress = []] = Object.values(occurrences);
-  return steps.reduce((sum, {taskCount}, step) => {
+  const left = steps.map(({taskCount}, step) => {
     const done = progress[step]?.done ?? [];
-    return sum + (done === 'all' ? 0 : taskCount - done.length);
-  }, 0);
+    return done === 'all' ? 0 : taskCount - done.length;
+  });
+  let tasks = 0;
+  let openTasks = 0;
+  steps.forEach(({after}, step) => {
+    const isOpen = after.every((earlier) => left[earlier] === 0);
+    tasks += left[step]!;
+    if (isOpen) openTasks += left[step]!;
+  });
+  return {tasks, openTasks};
 }
