--- a/packages/gypsumwall-cell/src/__tests__/hedge.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/hedge.test.ts
@@ -124,3 +124,38 @@
   const tookMs = await answer;
   assert.ok(tookMs <= 500, `answered after ${tookMs} ms`);
 });
+
+// Guards against batches of the only writer that queue behind repeats of the
+// earlier ones, at a store whose appends take longer than the shortest timeout.
+test('the only writer of a log does not keep a slow store busy', async () => {
+  const clock = types.virtualClock.createVirtualClock();
+  const appendMs = 240;
+  const batches = 20;
+  let freeAt: number = clock.monotonic();
+  let calls = 0;
+  let lastMs = 0;
+  const call = async (): ports.Answer<void> => {
+    calls++;
+    freeAt = Math.max(freeAt, clock.monotonic()) + appendMs;
+    await types.clock.sleepFor(clock, freeAt - clock.monotonic());
+    return result.ok(undefined);
+  };
+  const hedger = hedge.createHedger(
+    clock,
+    {...storeHealth.createStoreHealth(), hasQuickReadSince: () => true},
+    {hasSingleWriter: true},
+  );
+  async function write(): Promise<void> {
+    for (let nth = 0; nth < batches; nth++) {
+      const startedAt = clock.monotonic();
+      const until = types.clock.after(startedAt, 4_000);
+      await hedger.hedge({call, until});
+      lastMs = clock.monotonic() - startedAt;
+    }
+  }
+  const written = write();
+  await clock.runUntil(60_000);
+  await written;
+  assert.ok(calls <= batches * 1.5, `${calls} calls`);
+  assert.ok(lastMs <= appendMs * 2, `the last batch took ${lastMs} ms`);
+});
--- a/packages/gypsumwall-cell/src/hedge.ts
+++ b/packages/gypsumwall-cell/src/hedge.ts
@@ -72,8 +72,9 @@
 /** Options of a hedger. */
 export interface HedgerOptions {
   /**
-   * Whether the log has a single writer; false by default. Its calls don't wait
-   * behind those of others, and it must not fall silent while answers are lost.
+   * Whether the log has a single writer with one call at a time; false by
+   * default. Its calls wait behind none but their own repeats, and it must not
+   * fall silent while answers are lost, so that the timeout isn't doubled.
    */
   readonly hasSingleWriter?: boolean;
 }
@@ -88,7 +89,7 @@
   let updatedAt = clock.monotonic();
   const resendTimeout = resendTimeouts.createResendTimeout(
     MIN_RESEND_MS,
-    hasSingleWriter ? MIN_RESEND_MS : MAX_RESEND_MS,
+    MAX_RESEND_MS,
   );
 
   function latencyMs(): number | undefined {
@@ -140,7 +141,7 @@
         return false;
       }
       if (now >= overdueAt && health.hasQuickReadSince(sentAt)) {
-        resendTimeout.recordResend();
+        if (!hasSingleWriter) resendTimeout.recordResend();
         return false;
       }
       checkAt = earlier(
