cell: repeat an overdue poll before it fails

Found by review: the delay after which a poll is repeated had no upper bound, while a poll fails 500 ms after its wait. With answers that take 20 and 350 ms in turn it was 900 ms in a script, so that a lost poll was never repeated and its worker counted as unreachable. It is 380 ms at most now. The new test failed before.

--- a/packages/gypsumwall-cell/src/__tests__/poll_delay.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/poll_delay.test.ts
@@ -39,3 +39,11 @@
   await Promise.all(Array.from({length: 20}, pollOnce));
   assert.equal(polls, 20);
 });
+
+// Guards against lost polls that a busy holder repeats only after they have
+// failed, so that it takes the worker for unreachable.
+test('a poll is repeated before it fails, however late answers come', () => {
+  const delay = pollDelays.createPollDelay();
+  for (let nth = 0; nth < 50; nth++) delay.record(nth % 2 === 0 ? 20 : 350);
+  assert.ok(delay.overdueMs() < 500, `${delay.overdueMs()} ms`);
+});
--- a/packages/gypsumwall-cell/src/poll_delay.ts
+++ b/packages/gypsumwall-cell/src/poll_delay.ts
@@ -7,6 +7,8 @@
 
 /** Lower bound; beyond its wait, a poll usually takes 5 ms; milliseconds. */
 const MIN_OVERDUE_MS = 120;
+/** Upper bound: a poll fails 500 ms after its wait; milliseconds. */
+const MAX_OVERDUE_MS = 380;
 const DELAY_WEIGHT = 1 / 8;
 const DEVIATION_WEIGHT = 1 / 4;
 const DEVIATIONS = 4;
@@ -30,6 +32,9 @@
       deviationMs += DEVIATION_WEIGHT * (Math.abs(error) - deviationMs);
     },
     overdueMs: () =>
-      Math.max(MIN_OVERDUE_MS, meanMs + DEVIATIONS * deviationMs),
+      Math.min(
+        MAX_OVERDUE_MS,
+        Math.max(MIN_OVERDUE_MS, meanMs + DEVIATIONS * deviationMs),
+      ),
   };
 }
