cell: count as a job's backlog only what could start before it

Found by review, each in a script: 40 chains of four steps of 10 s, one step of each running and nothing that could start, counted as a backlog of 15 s at 8 starts a second, and every job was refused; 500 waiting tasks of a low priority refused an urgent job, before which none of them ranks.

The backlog of a job is now the tasks of its priority and more urgent ones whose steps wait for no other step. Less urgent work than the bound still can't be added, so what waits is bounded as before, but for urgent work within its use.

--- a/packages/gypsumwall-cell/src/load_shedder.ts
+++ b/packages/gypsumwall-cell/src/load_shedder.ts
@@ -4,7 +4,7 @@
  * runs the rest, and what it does run is late. Work that waits for workers is
  * accepted.
  */
-import type * as scheduling from '@gypsumwall/scheduling';
+import * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
 import type * as holderCapacity from './holder_capacity.js';
 import type * as jobTable from './job_table.js';
@@ -135,7 +135,7 @@
   ): Estimate {
     const timeFor = (tasks: number) =>
       (tasks * MS_PER_SECOND) / startsPerSecond;
-    const backlogMs = timeFor(work.waitingTasks(runs));
+    const backlogMs = timeFor(work.waitingTasks(policy.priority, runs));
     const backlogExcessMs = backlogMs - MAX_BACKLOG_MS;
     const limits = waitingWork.startLimits(policy, request);
     const ahead = work.ahead(policy.priority, runs);
@@ -157,7 +157,7 @@
     policy: scheduling.jobRequest.QueuePolicy,
     request: scheduling.jobRequest.JobRequest,
   ): Estimate | undefined {
-    if (waitingWork.isOpenEnded(request)) return undefined;
+    if (scheduling.jobRequest.isOpenEnded(request)) return undefined;
     const measured = validCapacity();
     if (measured === undefined)
       return work.queuedJobs() < MIN_JOBS ? undefined : estimateAssumed();
--- a/packages/gypsumwall-cell/src/waiting_work.ts
+++ b/packages/gypsumwall-cell/src/waiting_work.ts
@@ -35,8 +35,11 @@
   queuedJobs(): number;
   /** Number of the tasks of these jobs. */
   queuedTasks(): number;
-  /** Number of tasks that wait while this many run. */
-  waitingTasks(runs: number): number;
+  /**
+   * Number of tasks of this priority and more urgent ones that could start but
+   * wait, while this many run.
+   */
+  waitingTasks(priority: number, runs: number): number;
   /** What ranks before a new job of a priority while this many tasks run. */
   ahead(priority: number, runs: number): TasksAhead;
 }
@@ -47,6 +50,14 @@
   late: number;
 }
 
+/** Tasks of one priority whose steps wait for no other step. */
+interface OpenTasks {
+  /** Those of jobs of which no task has started. */
+  queued: number;
+  /** Those of other jobs; some of them run. */
+  begun: number;
+}
+
 interface LiveJob {
   /** Number of tasks that aren't done. */
   readonly tasks: number;
@@ -72,36 +83,29 @@
   };
 }
 
-/**
- * Whether a job waits for its schedule, or has steps that run until it is
- * cancelled and are of use whenever they start.
- */
-export function isOpenEnded({
-  steps,
-  schedule,
-}: scheduling.jobRequest.JobRequest): boolean {
-  return schedule !== undefined || steps.some((step) => step.longRunning);
-}
-
 /** Creates the work of a cell without jobs. */
 export function createWaitingWork(clock: types.clock.Clock): WaitingWork {
   const live = new Map<jobTable.JobEntry, LiveJob>();
   let queuedJobs = 0;
   let queuedTasks = 0;
-  let liveTasks = 0;
-  let begunOpenTasks = 0;
+  const openTasks = new Map<number, OpenTasks>();
   let ranks = new Map<number, RankedTasks>();
   let rankedAt: types.clock.MonotonicMs | undefined;
 
   function count(job: LiveJob, sign: 1 | -1): void {
-    const {tasks, openTasks, isQueued} = job;
-    liveTasks += sign * tasks;
-    if (isQueued) {
-      queuedJobs += sign;
-      queuedTasks += sign * tasks;
-    } else {
-      begunOpenTasks += sign * openTasks;
-    }
+    const open = openTasks.get(job.priority) ?? {queued: 0, begun: 0};
+    openTasks.set(job.priority, open);
+    open[job.isQueued ? 'queued' : 'begun'] += sign * job.openTasks;
+    if (!job.isQueued) return;
+    queuedJobs += sign;
+    queuedTasks += sign * job.tasks;
+  }
+
+  /** Share of the open tasks of begun jobs that don't run. */
+  function waitingShare(runs: number): number {
+    let begunTasks = 0;
+    for (const {begun} of openTasks.values()) begunTasks += begun;
+    return begunTasks > 0 ? Math.max(0, 1 - runs / begunTasks) : 0;
   }
 
   function remove(job: jobTable.JobEntry): LiveJob | undefined {
@@ -114,20 +118,14 @@
 
   function rank(runs: number): void {
     const wall = clock.wall();
-    const waitingShare =
-      begunOpenTasks > 0 ? Math.max(0, 1 - runs / begunOpenTasks) : 0;
+    const share = waitingShare(runs);
     ranks = new Map();
-    for (const {
-      openTasks,
-      isQueued,
-      priority,
-      acceptedAt,
-      limits,
-    } of live.values()) {
-      const ageMs = wall - acceptedAt;
+    for (const job of live.values()) {
+      const {priority, limits} = job;
+      const ageMs = wall - job.acceptedAt;
       if (ageMs > limits.usefulMs) continue;
       const ranked = ranks.get(priority) ?? {onTime: 0, late: 0};
-      const waiting = isQueued ? openTasks : openTasks * waitingShare;
+      const waiting = job.isQueued ? job.openTasks : job.openTasks * share;
       ranked[ageMs <= limits.onTimeMs ? 'onTime' : 'late'] += waiting;
       ranks.set(priority, ranked);
     }
@@ -137,7 +135,11 @@
     onUpdated(job, isLive) {
       const known = remove(job);
       const {record, progress} = job;
-      if (!isLive || record === undefined || isOpenEnded(record.request))
+      if (
+        !isLive ||
+        record === undefined ||
+        scheduling.jobRequest.isOpenEnded(record.request)
+      )
         return;
       const {request, policy, acceptedAt} = record;
       const added = {
@@ -153,7 +155,13 @@
     jobs: () => live.size,
     queuedJobs: () => queuedJobs,
     queuedTasks: () => queuedTasks,
-    waitingTasks: (runs) => Math.max(queuedTasks, liveTasks - runs),
+    waitingTasks(priority, runs) {
+      const share = waitingShare(runs);
+      let waiting = 0;
+      for (const [other, {queued, begun}] of openTasks)
+        if (other <= priority) waiting += queued + begun * share;
+      return waiting;
+    },
     ahead(priority, runs) {
       const now = clock.monotonic();
       if (rankedAt === undefined || now - rankedAt >= RANKS_VALID_MS) {
--- a/packages/gypsumwall-scheduling/src/job_request.ts
+++ b/packages/gypsumwall-scheduling/src/job_request.ts
@@ -95,6 +95,14 @@
   return Math.max(0, ...ends);
 }
 
+/**
+ * Whether a job waits for its schedule, or has steps that run until it is
+ * cancelled and are of use whenever they start.
+ */
+export function isOpenEnded({steps, schedule}: JobRequest): boolean {
+  return schedule !== undefined || steps.some((step) => step.longRunning);
+}
+
 /** Returns a description of what is wrong with a request, or undefined. */
 export function describeFault(request: JobRequest): string | undefined {
   if (request.steps.length === 0)
