cell: take the rate of a holder from work that waits, and count runs that end

Found by review, each in a script: a holder whose loop is busy with other things published the starts that were asked for as what it can start, so that admission shrank with what it had refused (33, 24, 18, 14 a second at a demand of 2 a span); a first busy span with one start was published as one a second; tasks that run until they are cancelled counted as running, while their jobs don't count as work, so that 300 of them hid a backlog; and a successor counted no task as running until its workers had reported.

A span counts while work waits at its end, a rate after 20 starts. Runs are those of jobs that end, and the inherited number until all workers are accounted for. Two new tests failed before.

--- a/packages/gypsumwall-cell/src/__tests__/holder_capacity.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/holder_capacity.test.ts
@@ -11,11 +11,12 @@
 function createHolder(inherited?: holderCapacity.HolderCapacity) {
   let now = 0 as types.clock.MonotonicMs;
   const loop = {active: 0, idle: 0, utilization: 0};
-  const state = {hasRoom: true, published: 0};
+  const state = {hasRoom: true, hasWaiting: true, published: 0};
   const meter = holderCapacity.createHolderCapacityMeter({
     clock: {...types.clock.createSystemClock(), monotonic: () => now},
     inherited,
     runs: () => 7,
+    hasWaiting: () => state.hasWaiting,
     hasRoom: () => state.hasRoom,
     publish: () => {
       state.published++;
@@ -75,6 +76,21 @@
   assert.equal(await holder.spend(10, 40, 1), undefined);
 });
 
+// Guards against a demand that is taken for the capacity, so that admission
+// shrinks with what it has refused.
+test('a busy holder without waiting work is not at its limit', async () => {
+  const holder = createHolder();
+  holder.state.hasWaiting = false;
+  assert.equal(await holder.spend(10, 40, 1), undefined);
+});
+
+// Guards against the few starts of a takeover that are taken for the capacity.
+test('a rate counts once enough starts were measured', async () => {
+  const holder = createHolder();
+  assert.equal(await holder.spend(1, 1, 1), undefined);
+  assert.ok((await holder.spend(3, 40, 1))! > 30);
+});
+
 test('a successor publishes the last known rate until it has its own', async () => {
   const holder = createHolder({startsPerSecond: 30, runs: 100});
   assert.deepEqual(holder.meter.capacity(), {startsPerSecond: 30, runs: 7});
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -156,10 +156,12 @@
   /** Jobs whose end is stored, and whose requests can be dropped. */
   let ended: types.ids.JobId[] = [];
   let lastWrite: Promise<void> = Promise.resolve();
+  const inherited = options.state.capacity();
   const capacity = holderCapacity.createHolderCapacityMeter({
     clock,
-    inherited: options.state.capacity(),
-    runs: () => scheduler.counts().runs,
+    inherited,
+    runs: countRuns,
+    hasWaiting: () => scheduler.counts().waitingSteps > 0,
     hasRoom: () =>
       workerRoom.hasRoom(scheduler.workerRegistry.workers.values()),
     publish: () => writer.write([heartbeat()]),
@@ -179,6 +181,16 @@
   });
   let tickTimer: NodeJS.Timeout | undefined;
 
+  /** Tasks that run, of jobs that end; until workers report, as inherited. */
+  function countRuns(): number {
+    const runs = scheduler.countAttempts(
+      (request) => !scheduling.jobRequest.isOpenEnded(request),
+    );
+    return barrier.unaccounted() > 0
+      ? Math.max(runs, inherited?.runs ?? 0)
+      : runs;
+  }
+
   function heartbeat(): storeRecords.StoreRecord {
     return {kind: 'heartbeat', capacity: capacity.capacity()};
   }
--- a/packages/gypsumwall-cell/src/holder_capacity.ts
+++ b/packages/gypsumwall-cell/src/holder_capacity.ts
@@ -21,6 +21,8 @@
 const MIN_BUSY_SHARE = 0.9;
 /** Time after the last such span for which it stays the limit; milliseconds. */
 const AT_LIMIT_MS = 5_000;
+/** Number of measured starts from which on a rate counts. */
+const MIN_STARTS = 20;
 /** Part of the earlier spans in the mean when another is added. */
 const RETAINED_SHARE = 0.8;
 /** Weight of the previous holder's rate in the mean; milliseconds. */
@@ -33,6 +35,8 @@
   /** The capacity of the previous holder, according to the log. */
   readonly inherited: HolderCapacity | undefined;
   readonly runs: () => number;
+  /** Whether work could start but waits. Without it, demand is the limit. */
+  readonly hasWaiting: () => boolean;
   /** Whether workers have room for more. Without it, they are the limit. */
   readonly hasRoom: () => boolean;
   /**
@@ -56,6 +60,7 @@
   clock,
   inherited,
   runs,
+  hasWaiting,
   hasRoom,
   publish,
   readLoop = () => perfHooks.performance.eventLoopUtilization(),
@@ -73,13 +78,16 @@
     starts: ((inherited?.startsPerSecond ?? 0) * INHERITED_MS) / MS_PER_SECOND,
     spanMs: inherited === undefined ? 0 : INHERITED_MS,
   };
+  let measuredStarts = inherited === undefined ? 0 : MIN_STARTS;
 
   function addSpan(spanMs: number): void {
     sums = {
       starts: sums.starts * RETAINED_SHARE + starts,
       spanMs: sums.spanMs * RETAINED_SHARE + spanMs,
     };
-    startsPerSecond = (sums.starts * MS_PER_SECOND) / sums.spanMs;
+    measuredStarts += starts;
+    if (measuredStarts >= MIN_STARTS)
+      startsPerSecond = (sums.starts * MS_PER_SECOND) / sums.spanMs;
   }
 
   async function publishOnce(isKnown: boolean): Promise<void> {
@@ -94,7 +102,7 @@
     const activeMs = loop.active - loopBefore.active;
     const idleMs = loop.idle - loopBefore.idle;
     const isBusy = activeMs >= (activeMs + idleMs) * MIN_BUSY_SHARE;
-    if (isBusy && hasRoom()) {
+    if (isBusy && hasWaiting() && hasRoom()) {
       limitedAt = now;
       // A holder that starts nothing is occupied with something else, such as
       // its takeover.
--- a/packages/gypsumwall-scheduling/src/attempt_table.ts
+++ b/packages/gypsumwall-scheduling/src/attempt_table.ts
@@ -19,6 +19,7 @@
   remove(attempt: activeJob.Attempt): void;
   has(attempt: activeJob.Attempt): boolean;
   size(): number;
+  values(): Iterable<activeJob.Attempt>;
 }
 
 const NO_ATTEMPTS: ReadonlySet<activeJob.Attempt> = new Set();
@@ -55,5 +56,6 @@
     },
     has: (attempt) => byKey.get(keyOfAttempt(attempt)) === attempt,
     size: () => byKey.size,
+    values: () => byKey.values(),
   };
 }
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -420,6 +420,12 @@
         }
       }
     },
+    countAttempts(isCounted) {
+      let count = 0;
+      for (const {task} of attempts.values())
+        if (task !== undefined && isCounted(task.stepRun.job.request)) count++;
+      return count;
+    },
     counts: () => ({
       jobs: jobs.size,
       runs: attempts.size(),
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -200,6 +200,8 @@
   setCommitLatency(latencyMs: number): void;
   /** The store has committed the progress of these jobs. */
   onStored(jobs: readonly DirtyJob[]): void;
+  /** Number of attempts of jobs with such a request. */
+  countAttempts(isCounted: (request: jobRequest.JobRequest) => boolean): number;
   counts(): SchedulerCounts;
 }
 
