scheduler, cell: name the parts of a cycle and say when jobs are refused

Read through as a newcomer: the loop of a cycle held the trying of a step; load_shedder's head named one of its two reasons. No change of behaviour.

--- a/packages/gypsumwall-cell/src/load_shedder.ts
+++ b/packages/gypsumwall-cell/src/load_shedder.ts
@@ -1,8 +1,8 @@
 /**
  * Refuses submissions while the holder's processor would need too long to start
- * the work that waits. A cell that accepts more than its holder can start never
- * runs the rest, and what it does run is late. Work that waits for workers is
- * accepted.
+ * the work that waits, or to start the job while its caller has any use of it. A
+ * cell that accepts more than its holder can start never runs the rest, and what
+ * it does run is late. Work that waits for workers is accepted.
  */
 import * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
--- a/packages/gypsumwall-cell/src/scheduling_loop.ts
+++ b/packages/gypsumwall-cell/src/scheduling_loop.ts
@@ -22,12 +22,12 @@
  * most a fifth of the processor and leaves the rest to the calls.
  */
 const CYCLE_INTERVAL_FACTOR = 4;
-
 /**
  * Tasks that could start with the advice that they have, as a multiple of the
  * orders in flight at most: enough until the next answers of the adviser.
  */
 const READY_FACTOR = 4;
+
 /** Dependencies of the loop. */
 export interface SchedulingLoopParts {
   readonly scheduler: scheduling.schedulerTypes.Scheduler;
--- a/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
+++ b/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
@@ -71,6 +71,13 @@
   readonly reservations: ReadonlyMap<types.ids.WorkerId, activeJob.StepRun>;
 }
 
+/** What trying a step gave. */
+interface StepTry {
+  readonly found: placements.Placement[];
+  /** Whether the step is expected to start more tasks in a later cycle. */
+  readonly isLeft: boolean;
+}
+
 /** Runs a cycle over the waiting steps, sorted by urgency. */
 export function runCycle(
   ordered: readonly activeJob.StepRun[],
@@ -91,6 +98,20 @@
   const skipped = longestSkipped(ordered);
   let triesLeft = MAX_TRIED_STEPS - skipped.size;
   let readyTasks = 0;
+
+  function postpone(stepRun: activeJob.StepRun): StepTry {
+    return {found: [], isLeft: isDueNow(stepRun, context)};
+  }
+
+  function tryStep(stepRun: activeJob.StepRun): StepTry {
+    const maxTasks = limits.starts - result.placed.length;
+    if (!isDueNow(stepRun, context)) return {found: [], isLeft: false};
+    if (maxTasks <= 0 || !(skipped.has(stepRun) || triesLeft-- > 0))
+      return {found: [], isLeft: true};
+    const found = placeStep.placeStep(stepRun, {...choice, maxTasks});
+    return {found, isLeft: found.length >= maxTasks};
+  }
+
   for (const stepRun of ordered) {
     if (stepRun.job.isAwaitingReconciliation) continue;
     const verdict = gate.check(stepRun);
@@ -102,19 +123,8 @@
       if (verdict === 'next') result.awaitingAdvice.push(stepRun);
       continue;
     }
-    const isDue = isDueNow(stepRun, context);
     const isPaused = refusalBackoff.isPaused(stepRun, context.now);
-    const maxTasks = limits.starts - result.placed.length;
-    const isTried =
-      isDue &&
-      !isPaused &&
-      maxTasks > 0 &&
-      (skipped.has(stepRun) || triesLeft-- > 0);
-    const found = isTried
-      ? placeStep.placeStep(stepRun, {...choice, maxTasks})
-      : [];
-    // What was not tried is expected to start in a later cycle.
-    const isLeft = isDue && (!isTried || found.length >= maxTasks);
+    const {found, isLeft} = isPaused ? postpone(stepRun) : tryStep(stepRun);
     stepRun.hasChanged = isLeft;
     if (isWaitingGang(stepRun) && !isPaused) reservation.reserveFor(stepRun);
     const needsAdvice = stepRun.job.policy.advice !== undefined;
