--- a/packages/gypsumwall-cell/src/__tests__/hedge.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/hedge.test.ts
@@ -159,3 +159,33 @@
   assert.ok(calls <= batches * 1.5, `${calls} calls`);
   assert.ok(lastMs <= appendMs * 2, `the last batch took ${lastMs} ms`);
 });
+
+// Guards against a holder that falls silent because the late answer of a call
+// whose repeat was answered raised the timeout of the next ones.
+test('a late answer does not delay the repeats of later calls', async () => {
+  const clock = types.virtualClock.createVirtualClock();
+  const delaysMs = [1_000, CALL_MS, DEADLINE_MS, DEADLINE_MS, CALL_MS];
+  const call = async (): ports.Answer<void> => {
+    await types.clock.sleepFor(clock, delaysMs.shift() ?? CALL_MS);
+    return result.ok(undefined);
+  };
+  const hedger = hedge.createHedger(
+    clock,
+    {...storeHealth.createStoreHealth(), hasQuickReadSince: () => true},
+    {hasSingleWriter: true},
+  );
+  async function write(): Promise<number> {
+    const startedAt = clock.monotonic();
+    const until = types.clock.after(startedAt, DEADLINE_MS);
+    await hedger.hedge({call, until});
+    return clock.monotonic() - startedAt;
+  }
+  async function run(): Promise<number> {
+    await write();
+    await types.clock.sleepFor(clock, 1_000);
+    return write();
+  }
+  const tookMs = run();
+  await clock.runUntil(10_000);
+  assert.ok((await tookMs) <= 500, `answered after ${await tookMs} ms`);
+});
--- a/packages/gypsumwall-cell/src/hedge.ts
+++ b/packages/gypsumwall-cell/src/hedge.ts
@@ -104,12 +104,18 @@
     resendTimeout.recordAnswer(tookMs);
   }
 
+  /**
+   * Calls and records the latency. An answer that comes when another call has
+   * been answered tells nothing of the next one (Karn's algorithm).
+   */
   async function timed<Value>(
     call: () => ports.Answer<Value>,
+    isSettled: () => boolean,
   ): Promise<Awaited<ports.Answer<Value>>> {
     const sentAt = clock.monotonic();
     const answer = await call();
-    if (result.isOk(answer)) recordLatency(clock.monotonic() - sentAt);
+    if (result.isOk(answer) && !isSettled())
+      recordLatency(clock.monotonic() - sentAt);
     return answer;
   }
 
@@ -153,8 +159,16 @@
 
   return {
     latencyMs,
-    async hedge({call, until, shouldGiveUp, isRefusalFinal, signal}) {
-      const race = createRace(() => timed(call));
+    async hedge<Value>({
+      call,
+      until,
+      shouldGiveUp,
+      isRefusalFinal,
+      signal,
+    }: HedgeOptions<Value>) {
+      const race: Race<Value> = createRace(() =>
+        timed(call, () => race.isSettled()),
+      );
       const giveUp = () => race.giveUp();
       signal?.addEventListener('abort', giveUp);
       const isOver = () => race.isSettled() || clock.monotonic() >= until;
