cell: bound all work that still has to start

All tasks that still have to start are bounded by 20 s as well, as at a holder whose rate isn't known. The new test failed before.

--- a/packages/gypsumwall-cell/src/__tests__/load_shedder.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/load_shedder.test.ts
@@ -199,6 +199,21 @@
   assert.equal(cell.check(worlds.request(1), URGENT).type, 'admitted');
 });
 
+// Guards against far more work than the holder can start, which waits for
+// earlier steps of its jobs.
+test('later steps of accepted jobs are bounded', () => {
+  const cell = createCell(0.14, {startsPerSecond: 40, runs: 0});
+  const [step] = worlds.request(1).steps;
+  const wide = {...step!, taskCount: 50, after: [0]};
+  const request = {...worlds.request(1), steps: [step!, wide]};
+  let jobs = 0;
+  while (jobs < 100 && cell.check(request, PATIENT).type === 'admitted') {
+    cell.submitRequest(request, PATIENT);
+    jobs++;
+  }
+  assert.ok(jobs * 51 <= 40 * 20 + 51, `${jobs} jobs`);
+});
+
 // Guards against refusals at a holder that keeps up, because steps of running
 // chains wait for each other.
 test('steps that wait for earlier steps are no backlog', () => {
--- a/packages/gypsumwall-cell/src/load_shedder.ts
+++ b/packages/gypsumwall-cell/src/load_shedder.ts
@@ -21,11 +21,14 @@
 /** Cores that one process uses. */
 const MAX_CORES = 1;
 /**
- * Time within which a holder whose rate isn't known should be able to start all
- * work; milliseconds.
+ * Time within which the holder should be able to start all work, also that which
+ * waits for earlier steps; milliseconds.
+ */
+const MAX_TOTAL_BACKLOG_MS = 20_000;
+/**
+ * Time within which a holder that has measured its rate should be able to start
+ * what could start before a job; milliseconds.
  */
-const MAX_ASSUMED_BACKLOG_MS = 20_000;
-/** The same with a rate that the holder has measured; milliseconds. */
 const MAX_BACKLOG_MS = 10_000;
 /**
  * Time within which entries have read the jobs that the others have accepted;
@@ -124,7 +127,7 @@
   function estimateAssumed(): Estimate {
     const cores = Math.min(holderCores(), MAX_CORES);
     const backlogMs = (work.queuedTasks() * TASK_PROCESSOR_MS) / cores;
-    const excessMs = backlogMs - MAX_ASSUMED_BACKLOG_MS;
+    const excessMs = backlogMs - MAX_TOTAL_BACKLOG_MS;
     return {reason: 'backlog', backlogMs, excessMs};
   }
 
@@ -136,7 +139,11 @@
     const timeFor = (tasks: number) =>
       (tasks * MS_PER_SECOND) / startsPerSecond;
     const backlogMs = timeFor(work.waitingTasks(policy.priority, runs));
-    const backlogExcessMs = backlogMs - MAX_BACKLOG_MS;
+    const totalMs = timeFor(work.unstartedTasks(runs));
+    const backlogExcessMs = Math.max(
+      backlogMs - MAX_BACKLOG_MS,
+      totalMs - MAX_TOTAL_BACKLOG_MS,
+    );
     const limits = waitingWork.startLimits(policy, request);
     const ahead = work.ahead(policy.priority, runs);
     const useExcessMs = Math.min(
--- a/packages/gypsumwall-cell/src/waiting_work.ts
+++ b/packages/gypsumwall-cell/src/waiting_work.ts
@@ -35,6 +35,8 @@
   queuedJobs(): number;
   /** Number of the tasks of these jobs. */
   queuedTasks(): number;
+  /** Number of all tasks that still have to start while this many run. */
+  unstartedTasks(runs: number): number;
   /**
    * Number of tasks of this priority and more urgent ones that could start but
    * wait, while this many run.
@@ -88,6 +90,7 @@
   const live = new Map<jobTable.JobEntry, LiveJob>();
   let queuedJobs = 0;
   let queuedTasks = 0;
+  let liveTasks = 0;
   const openTasks = new Map<number, OpenTasks>();
   let ranks = new Map<number, RankedTasks>();
   let rankedAt: types.clock.MonotonicMs | undefined;
@@ -96,6 +99,7 @@
     const open = openTasks.get(job.priority) ?? {queued: 0, begun: 0};
     openTasks.set(job.priority, open);
     open[job.isQueued ? 'queued' : 'begun'] += sign * job.openTasks;
+    liveTasks += sign * job.tasks;
     if (!job.isQueued) return;
     queuedJobs += sign;
     queuedTasks += sign * job.tasks;
@@ -155,6 +159,7 @@
     jobs: () => live.size,
     queuedJobs: () => queuedJobs,
     queuedTasks: () => queuedTasks,
+    unstartedTasks: (runs) => Math.max(queuedTasks, liveTasks - runs),
     waitingTasks(priority, runs) {
       const share = waitingShare(runs);
       let waiting = 0;
