scheduler: break the import circles where placement and isolation join

choose_worker and task_isolation, active_job, crash_records and job_progress, and refusal_backoff, scheduler_types and scheduling_cycle imported each other. New parts (speed, room, wait for a place) join there and would have added to each circle. What a step needs of a worker is a module of its own now, the kind of a crash stands with the stored progress, and isolation is handed the workers to choose from.

--- a/packages/gypsumwall-scheduling/src/__tests__/task_isolation.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/task_isolation.test.ts
@@ -4,7 +4,6 @@
 import * as types from '@gypsumwall/types';
 import * as worlds from '../__fixtures__/scheduler_world.js';
 import type * as activeJob from '../active_job.js';
-import type * as crashRecords from '../crash_records.js';
 import * as jobProgress from '../job_progress.js';
 import type * as jobRequest from '../job_request.js';
 
@@ -103,7 +102,7 @@
 // Guards against a crashing task that is not recognised because of power
 // failures.
 test('group losses count beside a single crash, but not by themselves', () => {
-  const startsIsolated = (...kinds: crashRecords.CrashKind[]) => {
+  const startsIsolated = (...kinds: jobProgress.CrashKind[]) => {
     const world = worlds.createSchedulerWorld();
     world.addWorker('w1', 4);
     const workers = kinds.map((kind, nth) => [`old${nth}`, kind] as const);
--- a/packages/gypsumwall-scheduling/src/active_job.ts
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -3,7 +3,6 @@
  * helpers that several modules use.
  */
 import * as types from '@gypsumwall/types';
-import type * as crashRecords from './crash_records.js';
 import * as jobProgress from './job_progress.js';
 import * as jobRequest from './job_request.js';
 import * as stepAdvice from './step_advice.js';
@@ -76,10 +75,7 @@
   /**
    * Workers that crashed while they ran a task, by task index, also for a gang.
    */
-  readonly crashes: Map<
-    number,
-    Map<types.ids.WorkerId, crashRecords.CrashKind>
-  >;
+  readonly crashes: Map<number, Map<types.ids.WorkerId, jobProgress.CrashKind>>;
   /**
    * Highest attempt number used, by task index; under `GANG_KEY` for a gang.
    */
@@ -288,7 +284,7 @@
   }
   if (stepRun.state === 'done') return {done: 'all', failures};
   const done = [...stepRun.doneIndexes];
-  const crashes: Record<string, Record<string, crashRecords.CrashKind>> = {};
+  const crashes: Record<string, Record<string, jobProgress.CrashKind>> = {};
   for (const [index, workers] of stepRun.crashes) {
     if (!stepRun.doneIndexes.has(index))
       crashes[index] = Object.fromEntries(workers);
--- a/packages/gypsumwall-scheduling/src/choose_worker.ts
+++ b/packages/gypsumwall-scheduling/src/choose_worker.ts
@@ -3,8 +3,10 @@
 import type * as activeJob from './active_job.js';
 import * as domainAffinity from './domain_affinity.js';
 import * as stepAdvice from './step_advice.js';
+import * as stepNeeds from './step_needs.js';
 import type * as taskIsolation from './task_isolation.js';
 import * as workerRegistry from './worker_registry.js';
+import type * as workerSpeeds from './worker_speeds.js';
 import type * as workerHealth from './worker_health.js';
 
 /** Input of a choice. */
@@ -14,6 +16,8 @@
   readonly now: types.clock.MonotonicMs;
   /** Whether a worker is reserved for work of higher rank. */
   readonly isReserved?: (worker: types.ids.WorkerId) => boolean;
+  /** How fast the workers are; equally fast if absent. */
+  readonly speeds?: workerSpeeds.WorkerSpeeds;
   /** Workers reserved for tasks that may crash them. */
   readonly isolation?: taskIsolation.TaskIsolation;
   /**
@@ -25,29 +29,6 @@
   readonly isSuspected?: boolean;
 }
 
-/**
- * Whether a worker is in the pool of a step and has its required label,
- * regardless of free capacity.
- */
-export function isEligible(
-  stepRun: activeJob.StepRun,
-  worker: workerRegistry.RegisteredWorker,
-): boolean {
-  const {info} = worker;
-  const {request} = stepRun;
-  if (info.pool !== stepRun.job.policy.pool) return false;
-  const label = request.requiredLabel;
-  return label === undefined || info.labels.includes(label);
-}
-
-/** Resources reserved on the worker for a task of a step. */
-export function reservedSize(
-  stepRun: activeJob.StepRun,
-): types.resources.Resources {
-  const {size, usesSpareCpu} = stepRun.request;
-  return usesSpareCpu ? {...size, cpuMillis: 0} : size;
-}
-
 /**
  * Finds the workers that have capacity for a task of the step and may run it
  * now. Capacity is checked first: in a full cell it leaves few workers, and the
@@ -57,7 +38,7 @@
   stepRun: activeJob.StepRun,
   context: ChoiceContext,
 ): workerRegistry.RegisteredWorker[] {
-  const size = reservedSize(stepRun);
+  const size = stepNeeds.reservedSize(stepRun);
   const {advice, job} = stepRun;
   const needsAdvice = job.policy.advice !== undefined;
   const found: workerRegistry.RegisteredWorker[] = [];
@@ -109,21 +90,10 @@
 ): boolean {
   if (!workerRegistry.acceptsTasks(worker)) return false;
   if (isolation?.isClosedTo(stepRun, worker.info.id) === true) return false;
-  if (!isEligible(stepRun, worker)) return false;
+  if (!stepNeeds.isEligible(stepRun, worker)) return false;
   return health.trustOf(worker.info.id, now) !== 'avoided';
 }
 
-/**
- * How many more tasks of the step a worker may run under its limit per worker.
- */
-export function remainingSlots(
-  stepRun: activeJob.StepRun,
-  worker: workerRegistry.RegisteredWorker,
-): number {
-  const limit = stepRun.request.maxPerWorker ?? Infinity;
-  return limit - (worker.tasksByStep.get(stepRun.id) ?? 0);
-}
-
 /**
  * Whether a worker is healthy and no task of the job has failed on it. A failed
  * task is tried on other workers first: on a worker that fails all its tasks,
@@ -151,12 +121,12 @@
   candidates: readonly workerRegistry.RegisteredWorker[],
   context: ChoiceContext,
 ): workerRegistry.RegisteredWorker | undefined {
-  const size = reservedSize(stepRun);
+  const size = stepNeeds.reservedSize(stepRun);
   let best: workerRegistry.RegisteredWorker | undefined;
   let bestCost = Infinity;
   for (const worker of candidates) {
     if (!types.resources.fits(size, worker.free)) continue;
-    if (remainingSlots(stepRun, worker) < 1) continue;
+    if (stepNeeds.remainingSlots(stepRun, worker) < 1) continue;
     const cost = costOf(stepRun, worker, context);
     if (cost >= bestCost) continue;
     best = worker;
--- a/packages/gypsumwall-scheduling/src/crash_attribution.ts
+++ b/packages/gypsumwall-scheduling/src/crash_attribution.ts
@@ -65,7 +65,7 @@
     stepRun: activeJob.StepRun,
     index: number,
     worker: types.ids.WorkerId,
-    kind: crashRecords.CrashKind,
+    kind: jobProgress.CrashKind,
   ): boolean {
     const {job} = stepRun;
     if (jobProgress.isOver(job.phase) || stepRun.state === 'done') return false;
--- a/packages/gypsumwall-scheduling/src/crash_records.ts
+++ b/packages/gypsumwall-scheduling/src/crash_records.ts
@@ -10,16 +10,10 @@
  */
 import type * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
-
-/** Possible cause of a crash. */
-export type CrashKind =
-  /** Something that ran on the worker. */
-  | 'single'
-  /** An external cause: most of its rack or failure domain was lost with it. */
-  | 'group';
+import type * as jobProgress from './job_progress.js';
 
 /** Crashes of one task, by worker incarnation. */
-export type Crashes = ReadonlyMap<types.ids.WorkerId, CrashKind>;
+export type Crashes = ReadonlyMap<types.ids.WorkerId, jobProgress.CrashKind>;
 
 /** Number of crashes from which a task starts isolated from other jobs. */
 const MIN_CRASHES_TO_ISOLATE = 2;
@@ -69,10 +63,11 @@
   stepRun: activeJob.StepRun,
   index: number,
   worker: types.ids.WorkerId,
-  kind: CrashKind,
+  kind: jobProgress.CrashKind,
 ): boolean {
   const crashes =
-    stepRun.crashes.get(index) ?? new Map<types.ids.WorkerId, CrashKind>();
+    stepRun.crashes.get(index) ??
+    new Map<types.ids.WorkerId, jobProgress.CrashKind>();
   if (crashes.has(worker)) return false;
   stepRun.crashes.set(index, crashes.set(worker, kind));
   stepRun.job.unstoredCrashes = 'new';
--- a/packages/gypsumwall-scheduling/src/gang_reservation.ts
+++ b/packages/gypsumwall-scheduling/src/gang_reservation.ts
@@ -15,6 +15,7 @@
 import * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
 import * as chooseWorker from './choose_worker.js';
+import * as stepNeeds from './step_needs.js';
 import type * as workerRegistry from './worker_registry.js';
 
 /**
@@ -55,7 +56,7 @@
     reservations,
     reserveFor(stepRun) {
       if (gangsTried++ >= MAX_GANGS_TRIED) return;
-      const size = chooseWorker.reservedSize(stepRun);
+      const size = stepNeeds.reservedSize(stepRun);
       let missing = stepRun.request.taskCount * SPARE_FACTOR;
       const chosen: types.ids.WorkerId[] = [];
       for (const worker of mostFreeFirst(stepRun, context)) {
--- a/packages/gypsumwall-scheduling/src/job_progress.ts
+++ b/packages/gypsumwall-scheduling/src/job_progress.ts
@@ -5,7 +5,6 @@
  */
 
 import type * as types from '@gypsumwall/types';
-import type * as crashRecords from './crash_records.js';
 
 /** Phase of a job. */
 export type JobPhase =
@@ -17,6 +16,13 @@
   | 'failed'
   | 'cancelled';
 
+/** Possible cause of a crash. */
+export type CrashKind =
+  /** Something that ran on the worker. */
+  | 'single'
+  /** An external cause: most of its rack or failure domain was lost with it. */
+  | 'group';
+
 /** Progress of one step of one occurrence. */
 export interface StepProgress {
   /** Indexes of tasks that are done, ascending; `all` when none is left. */
@@ -30,7 +36,7 @@
   readonly failures: Readonly<Record<string, readonly number[]>>;
   /** Crashes by task index and worker; absent if there are none. */
   readonly crashes?: Readonly<
-    Record<string, Readonly<Record<string, crashRecords.CrashKind>>>
+    Record<string, Readonly<Record<string, CrashKind>>>
   >;
 }
 
--- a/packages/gypsumwall-scheduling/src/place_step.ts
+++ b/packages/gypsumwall-scheduling/src/place_step.ts
@@ -2,6 +2,7 @@
 import * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
 import * as chooseWorker from './choose_worker.js';
+import * as stepNeeds from './step_needs.js';
 import * as domainAffinity from './domain_affinity.js';
 import * as gangFit from './gang_fit.js';
 import * as placeIsolated from './place_isolated.js';
@@ -66,7 +67,9 @@
   missing: number,
   context: chooseWorker.ChoiceContext,
 ): void {
-  if (missing > 0) context.isolation?.reserveFor(stepRun, missing, context);
+  if (missing <= 0 || context.isolation === undefined) return;
+  const available = chooseWorker.findAvailableWorkers(stepRun, context);
+  context.isolation.reserveFor(stepRun, missing, available, context.now);
 }
 
 function placeTogether(
@@ -138,16 +141,13 @@
   context: chooseWorker.ChoiceContext,
   indexes: readonly number[],
 ): placements.Placement[] {
-  const size = chooseWorker.reservedSize(stepRun);
+  const size = stepNeeds.reservedSize(stepRun);
   const {sameRack} = stepRun.request;
   const count = indexes.length;
   let total = 0;
   const fittingWorkers = candidates.map((worker) => {
     const fitting = types.resources.tasksThatFit(size, worker.free);
-    const tasks = Math.min(
-      fitting,
-      chooseWorker.remainingSlots(stepRun, worker),
-    );
+    const tasks = Math.min(fitting, stepNeeds.remainingSlots(stepRun, worker));
     total += tasks;
     return {worker, tasks};
   });
--- a/packages/gypsumwall-scheduling/src/placements.ts
+++ b/packages/gypsumwall-scheduling/src/placements.ts
@@ -1,6 +1,6 @@
 /** Placements of tasks on workers in a cycle, and their reservations. */
 import type * as activeJob from './active_job.js';
-import * as chooseWorker from './choose_worker.js';
+import * as stepNeeds from './step_needs.js';
 import type * as workerRegistry from './worker_registry.js';
 
 /** A task and the worker chosen for it. */
@@ -17,7 +17,7 @@
   return {
     stepRunId: stepRun.id,
     organisation: stepRun.job.organisation,
-    size: chooseWorker.reservedSize(stepRun),
+    size: stepNeeds.reservedSize(stepRun),
   };
 }
 
--- a/packages/gypsumwall-scheduling/src/plan_advice_calls.ts
+++ b/packages/gypsumwall-scheduling/src/plan_advice_calls.ts
@@ -12,7 +12,7 @@
  */
 import * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
-import * as chooseWorker from './choose_worker.js';
+import * as stepNeeds from './step_needs.js';
 import type * as jobRequest from './job_request.js';
 import * as stepAdvice from './step_advice.js';
 import * as workerRegistry from './worker_registry.js';
@@ -175,17 +175,17 @@
   stepRun: activeJob.StepRun,
   {registry, canUse}: AdviceContext,
 ): Candidate[] {
-  const size = chooseWorker.reservedSize(stepRun);
+  const size = stepNeeds.reservedSize(stepRun);
   const candidates: Candidate[] = [];
   for (const worker of registry.workers.values()) {
     const {id} = worker.info;
     if (!workerRegistry.acceptsTasks(worker)) continue;
     // Refusals are final.
     if (stepRun.advice.refused.has(id)) continue;
-    if (!chooseWorker.isEligible(stepRun, worker)) continue;
+    if (!stepNeeds.isEligible(stepRun, worker)) continue;
     const fitting = Math.min(
       types.resources.tasksThatFit(size, worker.free),
-      chooseWorker.remainingSlots(stepRun, worker),
+      stepNeeds.remainingSlots(stepRun, worker),
       stepRun.waitingIndexes.length,
     );
     const tasks = canUse(stepRun, id) ? Math.max(0, fitting) : 0;
--- a/packages/gypsumwall-scheduling/src/quota_gate.ts
+++ b/packages/gypsumwall-scheduling/src/quota_gate.ts
@@ -5,7 +5,7 @@
 import type * as organisations from '@gypsumwall/organisations';
 import type * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
-import * as chooseWorker from './choose_worker.js';
+import * as stepNeeds from './step_needs.js';
 
 /** Whether a step may start under the quota of its organisation. */
 export type QuotaVerdict =
@@ -36,7 +36,7 @@
       if (organisation === undefined) return 'open';
       if (closedTo.has(organisation)) return 'closed';
       const {request, waitingIndexes} = stepRun;
-      const size = chooseWorker.reservedSize(stepRun);
+      const size = stepNeeds.reservedSize(stepRun);
       const needed = request.gang ? waitingIndexes.length : 1;
       if (quotas.startableTasks(organisation, size) >= needed) return 'open';
       if (!request.gang) return 'closed';
@@ -54,6 +54,6 @@
 ): number {
   return quotas.startableTasks(
     stepRun.job.organisation,
-    chooseWorker.reservedSize(stepRun),
+    stepNeeds.reservedSize(stepRun),
   );
 }
--- a/packages/gypsumwall-scheduling/src/refusal_backoff.ts
+++ b/packages/gypsumwall-scheduling/src/refusal_backoff.ts
@@ -6,7 +6,10 @@
  */
 import * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
-import type * as schedulerTypes from './scheduler_types.js';
+
+/** Why a worker refused a start. */
+export type RefusalReason =
+  'bad_ticket' | 'superseded' | 'no_room' | 'unhealthy' | 'other';
 
 /** Number of refusals that are followed by another start without a pause. */
 const REFUSALS_WITHOUT_PAUSE = 4;
@@ -16,7 +19,7 @@
 /** Records that a start of the step was refused. */
 export function recordRefusal(
   stepRun: activeJob.StepRun,
-  reason: schedulerTypes.RefusalReason,
+  reason: RefusalReason,
   now: types.clock.MonotonicMs,
 ): void {
   switch (reason) {
--- a/packages/gypsumwall-scheduling/src/report_reader.ts
+++ b/packages/gypsumwall-scheduling/src/report_reader.ts
@@ -4,7 +4,7 @@
  */
 import * as types from '@gypsumwall/types';
 import * as activeJob from './active_job.js';
-import * as chooseWorker from './choose_worker.js';
+import * as stepNeeds from './step_needs.js';
 import * as crashRecords from './crash_records.js';
 import type * as jobRegistries from './job_registry.js';
 import * as jobProgress from './job_progress.js';
@@ -200,7 +200,7 @@
     const size =
       task === undefined
         ? (worker?.info.capacity ?? types.resources.NO_RESOURCES)
-        : chooseWorker.reservedSize(task.stepRun);
+        : stepNeeds.reservedSize(task.stepRun);
     const stepRunId = task?.stepRun.id ?? 'stray';
     const organisation =
       task === undefined
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -7,6 +7,7 @@
 import type * as jobProgress from './job_progress.js';
 import type * as jobRequest from './job_request.js';
 import type * as jobSteps from './job_steps.js';
+import type * as refusalBackoff from './refusal_backoff.js';
 import type * as workerRegistry from './worker_registry.js';
 import type * as schedulingCycle from './scheduling_cycle.js';
 
@@ -45,8 +46,7 @@
   | {readonly type: 'unknown'};
 
 /** Why a worker refused a start. */
-export type RefusalReason =
-  'bad_ticket' | 'superseded' | 'no_room' | 'unhealthy' | 'other';
+export type RefusalReason = refusalBackoff.RefusalReason;
 
 /** An attempt that a worker reports as running. */
 export interface RunningAttempt {
@@ -307,7 +307,7 @@
       readonly runs: number;
       /** Number of these that were isolated from other jobs. */
       readonly isolated: number;
-      readonly kind: crashRecords.CrashKind;
+      readonly kind: jobProgress.CrashKind;
       /**
        * Whether other workers were lost at the same moment without an
        * explanation.
--- a/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
+++ b/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
@@ -11,6 +11,7 @@
 import * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
 import * as chooseWorker from './choose_worker.js';
+import * as stepNeeds from './step_needs.js';
 import * as crashRecords from './crash_records.js';
 import * as gangReservation from './gang_reservation.js';
 import * as placeIsolated from './place_isolated.js';
@@ -188,7 +189,7 @@
 ): boolean {
   const {advice, job} = stepRun;
   const needsAdvice = job.policy.advice !== undefined;
-  const size = chooseWorker.reservedSize(stepRun);
+  const size = stepNeeds.reservedSize(stepRun);
   for (const id of freed) {
     if (needsAdvice && !advice.approvals.has(id)) continue;
     const worker = registry.workers.get(id);
--- a/packages/gypsumwall-scheduling/src/take_advice_requests.ts
+++ b/packages/gypsumwall-scheduling/src/take_advice_requests.ts
@@ -9,7 +9,7 @@
 import type * as activeJob from './active_job.js';
 import * as planAdviceCalls from './plan_advice_calls.js';
 import * as adviserPool from './adviser_pool.js';
-import * as chooseWorker from './choose_worker.js';
+import * as stepNeeds from './step_needs.js';
 import type * as schedulerTypes from './scheduler_types.js';
 import * as stepAdvice from './step_advice.js';
 import * as workerRegistry from './worker_registry.js';
@@ -120,14 +120,14 @@
   {canUse}: planAdviceCalls.AdviceContext,
 ): boolean {
   const {advice, request, waitingIndexes} = stepRun;
-  const size = chooseWorker.reservedSize(stepRun);
+  const size = stepNeeds.reservedSize(stepRun);
   let missing = request.gang ? waitingIndexes.length : 1;
   for (const worker of withCapacity) {
     const {id} = worker.info;
     if (!types.resources.fits(size, worker.free)) continue;
     if (advice.refused.has(id) || !canUse(stepRun, id)) continue;
-    if (!chooseWorker.isEligible(stepRun, worker)) continue;
-    const left = chooseWorker.remainingSlots(stepRun, worker);
+    if (!stepNeeds.isEligible(stepRun, worker)) continue;
+    const left = stepNeeds.remainingSlots(stepRun, worker);
     const fitting = types.resources.tasksThatFit(size, worker.free);
     missing -= Math.max(0, Math.min(fitting, left));
     if (missing <= 0) return true;
--- a/packages/gypsumwall-scheduling/src/task_isolation.ts
+++ b/packages/gypsumwall-scheduling/src/task_isolation.ts
@@ -7,7 +7,7 @@
  */
 import * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
-import * as chooseWorker from './choose_worker.js';
+import * as stepNeeds from './step_needs.js';
 import * as crashRecords from './crash_records.js';
 import type * as attemptTable from './attempt_table.js';
 import type * as workerRegistry from './worker_registry.js';
@@ -94,12 +94,14 @@
     now: types.clock.MonotonicMs,
   ): void;
   /**
-   * Reserves workers, so that tasks of the step can start isolated there soon.
+   * Reserves some of the workers that may run the step, so that tasks of it can
+   * start isolated there soon.
    */
   reserveFor(
     stepRun: activeJob.StepRun,
     taskCount: number,
-    context: chooseWorker.ChoiceContext,
+    available: readonly workerRegistry.RegisteredWorker[],
+    now: types.clock.MonotonicMs,
   ): void;
   /**
    * Opens workers that no longer have to be closed to other jobs and returns
@@ -254,8 +256,8 @@
         free = types.resources.subtract(free, size);
     }
     return Math.min(
-      types.resources.tasksThatFit(chooseWorker.reservedSize(stepRun), free),
-      chooseWorker.remainingSlots(stepRun, worker),
+      types.resources.tasksThatFit(stepNeeds.reservedSize(stepRun), free),
+      stepNeeds.remainingSlots(stepRun, worker),
     );
   }
 
@@ -314,7 +316,7 @@
           startIsolationPeriod(attempt, 0, now);
       }
     },
-    reserveFor(stepRun, taskCount, context) {
+    reserveFor(stepRun, taskCount, available, now) {
       const {id: jobId} = stepRun.job;
       const reserved = [...holds].filter(
         ([, hold]) => hold.type === 'reserved',
@@ -330,8 +332,7 @@
         if (hold.jobId !== jobId || worker === undefined) continue;
         missing -= tasksBesideOwn(stepRun, worker);
       }
-      const candidates = chooseWorker
-        .findAvailableWorkers(stepRun, context)
+      const candidates = available
         .filter(
           ({info}) =>
             !holds.has(info.id) &&
@@ -339,7 +340,7 @@
             !hostsSuspect(stepRun, info.id),
         )
         .sort(compareByLoad);
-      const until = types.clock.after(context.now, MAX_RESERVATION_MS);
+      const until = types.clock.after(now, MAX_RESERVATION_MS);
       for (const worker of candidates) {
         if (missing <= 0 || reservable < 1) return;
         const fitting = tasksBesideOwn(stepRun, worker);
--- a/packages/gypsumwall-scheduling/src/unaccounted_work.ts
+++ b/packages/gypsumwall-scheduling/src/unaccounted_work.ts
@@ -5,7 +5,7 @@
  */
 import * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
-import * as chooseWorker from './choose_worker.js';
+import * as stepNeeds from './step_needs.js';
 
 /** Sums up what these jobs may hold besides their known attempts. */
 export function unaccountedWork(
@@ -29,7 +29,7 @@
   for (const {steps} of job.openOccurrences.values()) {
     for (const stepRun of steps) {
       if (stepRun.state === 'done') continue;
-      const size = chooseWorker.reservedSize(stepRun);
+      const size = stepNeeds.reservedSize(stepRun);
       sum = types.resources.add(
         sum,
         types.resources.multiply(size, possibleAttempts(stepRun)),
--- a/packages/gypsumwall-scheduling/src/wait_reasons.ts
+++ b/packages/gypsumwall-scheduling/src/wait_reasons.ts
@@ -2,6 +2,7 @@
 import * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
 import * as chooseWorker from './choose_worker.js';
+import * as stepNeeds from './step_needs.js';
 import * as placeIsolated from './place_isolated.js';
 import * as stepAdvice from './step_advice.js';
 import type * as workerRegistry from './worker_registry.js';
@@ -62,10 +63,10 @@
   if (!worker.isUsable) return 'unusable';
   if (draining) return 'draining';
   if (!worker.isCurrent) return 'outdated';
-  if (!chooseWorker.isEligible(stepRun, worker)) return 'other_kind';
+  if (!stepNeeds.isEligible(stepRun, worker)) return 'other_kind';
   if (needsAdvice && advice.refused.has(id)) return 'refused';
-  if (chooseWorker.remainingSlots(stepRun, worker) < 1) return 'at_limit';
-  const size = chooseWorker.reservedSize(stepRun);
+  if (stepNeeds.remainingSlots(stepRun, worker) < 1) return 'at_limit';
+  const size = stepNeeds.reservedSize(stepRun);
   if (!types.resources.fits(size, worker.free)) return 'no_room';
   const trust = context.health.trustOf(id, context.now);
   if (trust === 'avoided') return 'avoided';
