cell: count the tasks of waiting jobs when they are asked for

Every entry learns of every change of every job, and counted the tasks of the changed job at once, although only an entry that decides on a submission asks for the numbers, and for most of them only while the holder is at its limit.

WaitingWork now notes the changed jobs and counts each of them once, when a number of tasks is asked for. Numbers of jobs are still kept at once. A job's start limits are worked out when they are first needed.

--- a/packages/gypsumwall-cell/src/waiting_work.ts
+++ b/packages/gypsumwall-cell/src/waiting_work.ts
@@ -2,10 +2,15 @@
  * The work that waits in a cell, as an entry knows it from the logs, and how
  * much of it ranks before a new job. The holder ranks exactly; this is an
  * estimate without organisations and without the progress of chains.
+ *
+ * The tasks of a job are counted when a number of tasks is asked for, once for
+ * all its changes until then: every entry learns of every change, and few of
+ * them ask.
  */
 import * as scheduling from '@gypsumwall/scheduling';
 import type * as types from '@gypsumwall/types';
 import type * as jobTable from './job_table.js';
+import type * as storeRecords from './store_records.js';
 
 /** How long the same ranks are used; milliseconds. */
 const RANKS_VALID_MS = 100;
@@ -60,7 +65,17 @@
   begun: number;
 }
 
+/** A job that isn't done, as far as no task has to be counted. */
 interface LiveJob {
+  /** Whether none of its tasks has started. */
+  isQueued: boolean;
+  /** Undefined until its tasks are counted. */
+  counted: CountedJob | undefined;
+  /** Undefined until they are needed; they never change. */
+  limits: StartLimits | undefined;
+}
+
+interface CountedJob {
   /** Number of tasks that aren't done. */
   readonly tasks: number;
   /** Number of those whose steps wait for no other step. */
@@ -69,7 +84,6 @@
   readonly isQueued: boolean;
   readonly priority: number;
   readonly acceptedAt: types.clock.WallMs;
-  readonly limits: StartLimits;
 }
 
 /** When a job has to start, by its expected duration. */
@@ -88,6 +102,8 @@
 /** Creates the work of a cell without jobs. */
 export function createWaitingWork(clock: types.clock.Clock): WaitingWork {
   const live = new Map<jobTable.JobEntry, LiveJob>();
+  /** Jobs that have changed since their tasks were counted. */
+  const changed = new Set<jobTable.JobEntry>();
   let queuedJobs = 0;
   let queuedTasks = 0;
   let liveTasks = 0;
@@ -95,14 +111,31 @@
   let ranks = new Map<number, RankedTasks>();
   let rankedAt: types.clock.MonotonicMs | undefined;
 
-  function count(job: LiveJob, sign: 1 | -1): void {
+  function add(job: CountedJob, sign: 1 | -1): void {
     const open = openTasks.get(job.priority) ?? {queued: 0, begun: 0};
     openTasks.set(job.priority, open);
     open[job.isQueued ? 'queued' : 'begun'] += sign * job.openTasks;
     liveTasks += sign * job.tasks;
-    if (!job.isQueued) return;
-    queuedJobs += sign;
-    queuedTasks += sign * job.tasks;
+    if (job.isQueued) queuedTasks += sign * job.tasks;
+  }
+
+  function remove(job: jobTable.JobEntry): void {
+    const known = live.get(job);
+    if (known === undefined) return;
+    if (known.isQueued) queuedJobs--;
+    if (known.counted !== undefined) add(known.counted, -1);
+    live.delete(job);
+    changed.delete(job);
+  }
+
+  function countChanged(): void {
+    for (const job of changed) {
+      const known = live.get(job)!;
+      if (known.counted !== undefined) add(known.counted, -1);
+      known.counted = countJob(job.record!, job.progress);
+      add(known.counted, 1);
+    }
+    changed.clear();
   }
 
   /** Share of the open tasks of begun jobs that don't run. */
@@ -112,24 +145,18 @@
     return begunTasks > 0 ? Math.max(0, 1 - runs / begunTasks) : 0;
   }
 
-  function remove(job: jobTable.JobEntry): LiveJob | undefined {
-    const known = live.get(job);
-    if (known === undefined) return undefined;
-    count(known, -1);
-    live.delete(job);
-    return known;
-  }
-
   function rank(runs: number): void {
     const wall = clock.wall();
     const share = waitingShare(runs);
     ranks = new Map();
-    for (const job of live.values()) {
-      const {priority, limits} = job;
-      const ageMs = wall - job.acceptedAt;
+    for (const [{record}, job] of live) {
+      const {priority, acceptedAt, isQueued, openTasks: open} = job.counted!;
+      job.limits ??= startLimits(record!.policy, record!.request);
+      const {limits} = job;
+      const ageMs = wall - acceptedAt;
       if (ageMs > limits.usefulMs) continue;
       const ranked = ranks.get(priority) ?? {onTime: 0, late: 0};
-      const waiting = job.isQueued ? job.openTasks : job.openTasks * share;
+      const waiting = isQueued ? open : open * share;
       ranked[ageMs <= limits.onTimeMs ? 'onTime' : 'late'] += waiting;
       ranks.set(priority, ranked);
     }
@@ -137,30 +164,40 @@
 
   return {
     onUpdated(job, isLive) {
-      const known = remove(job);
       const {record, progress} = job;
+      const known = live.get(job);
       if (
         !isLive ||
         record === undefined ||
-        scheduling.jobRequest.isOpenEnded(record.request)
-      )
+        (known === undefined &&
+          scheduling.jobRequest.isOpenEnded(record.request))
+      ) {
+        remove(job);
         return;
-      const {request, policy, acceptedAt} = record;
-      const added = {
-        ...countTasks(request, progress),
-        isQueued: progress.phase === 'queued',
-        priority: policy.priority,
-        acceptedAt,
-        limits: known?.limits ?? startLimits(policy, request),
+      }
+      const work = known ?? {
+        isQueued: false,
+        counted: undefined,
+        limits: undefined,
       };
-      live.set(job, added);
-      count(added, 1);
+      if (work.isQueued) queuedJobs--;
+      work.isQueued = progress.phase === 'queued';
+      if (work.isQueued) queuedJobs++;
+      live.set(job, work);
+      changed.add(job);
     },
     jobs: () => live.size,
     queuedJobs: () => queuedJobs,
-    queuedTasks: () => queuedTasks,
-    unstartedTasks: (runs) => Math.max(queuedTasks, liveTasks - runs),
+    queuedTasks() {
+      countChanged();
+      return queuedTasks;
+    },
+    unstartedTasks(runs) {
+      countChanged();
+      return Math.max(queuedTasks, liveTasks - runs);
+    },
     waitingTasks(priority, runs) {
+      countChanged();
       const share = waitingShare(runs);
       let waiting = 0;
       for (const [other, {queued, begun}] of openTasks)
@@ -170,6 +207,7 @@
     ahead(priority, runs) {
       const now = clock.monotonic();
       if (rankedAt === undefined || now - rankedAt >= RANKS_VALID_MS) {
+        countChanged();
         rank(runs);
         rankedAt = now;
       }
@@ -187,11 +225,23 @@
   };
 }
 
+function countJob(
+  {request, policy, acceptedAt}: storeRecords.JobRecord,
+  progress: scheduling.jobProgress.JobProgress,
+): CountedJob {
+  return {
+    ...countTasks(request, progress),
+    isQueued: progress.phase === 'queued',
+    priority: policy.priority,
+    acceptedAt,
+  };
+}
+
 /** Numbers of tasks of a job that aren't done. */
 function countTasks(
   {steps}: scheduling.jobRequest.JobRequest,
   {occurrences}: scheduling.jobProgress.JobProgress,
-): Pick<LiveJob, 'tasks' | 'openTasks'> {
+): Pick<CountedJob, 'tasks' | 'openTasks'> {
   const [progress = []] = Object.values(occurrences);
   const left = steps.map(({taskCount}, step) => {
     const done = progress[step]?.done ?? [];
