--- a/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/cell_world.ts
@@ -169,7 +169,7 @@
         },
         logs: view,
         decodeConfig: (_key, value) => result.ok(decodeConfig(value)),
-        decodeWorker: (_key, value) => result.ok(decodeWorker(value)),
+        decodeWorker: (_key, value) => decodeWorker(value),
         connect: (info) => workers.get(info.id)!.connect(),
         adviser: {ask: () => Promise.resolve(result.ok(new Map()))},
         leaseMs,
@@ -190,11 +190,14 @@
   };
 }
 
-function decodeWorker(value: string): ports.ListedWorker {
+function decodeWorker(
+  value: string,
+): result.Result<ports.ListedWorker, string> {
   const {leavesInMs, writtenAtMs, ...info} = JSON.parse(
     value,
   ) as scheduling.workerRegistry.WorkerInfo & Omit<ports.ListedWorker, 'info'>;
-  return {info, leavesInMs, writtenAtMs};
+  if (info.address === undefined) return result.err('addr: give host:port');
+  return result.ok({info, leavesInMs, writtenAtMs});
 }
 
 /** A log whose faults affect one entry only. */
--- a/packages/gypsumwall-cell/src/__fixtures__/fake_worker.ts
+++ b/packages/gypsumwall-cell/src/__fixtures__/fake_worker.ts
@@ -17,7 +17,8 @@
 
 /** A worker that can be cut off. */
 export interface FakeWorker {
-  readonly info: scheduling.workerRegistry.WorkerInfo;
+  /** As its incarnation would list itself now. */
+  info: scheduling.workerRegistry.WorkerInfo;
   /** Opens a connection; each holder has its own. */
   connect(): ports.WorkerLink;
   /** Whether calls are neither delivered nor answered. */
@@ -38,6 +39,11 @@
   /** Reading of the worker's own clock. */
   clockMs(): number;
   end(taskId: string, how: scheduling.jobSteps.AttemptOutcome): void;
+  /**
+   * Starts again under its id: it runs and knows nothing of before, its counts
+   * start anew, and calls in progress are lost.
+   */
+  restart(bornMs: number): void;
 }
 
 /** Creates a worker with the given number of cores. */
@@ -46,7 +52,7 @@
   cores: number,
   address = `${name}:1`,
 ): FakeWorker {
-  const startedAt = performance.now();
+  let startedAt = performance.now();
   const running = new Map<string, FakeAttempt>();
   const started: FakeAttempt[] = [];
   let ends: scheduling.schedulerTypes.AttemptEnd[] = [];
@@ -113,7 +119,7 @@
     const attempted = {taskId, attempt, token};
     if (!running.has(taskId)) started.push(attempted);
     running.set(taskId, attempted);
-    return {type: 'accepted', clockMs: clockMs()};
+    return {type: 'accepted', clockMs: clockMs(), bornMs: worker.info.bornMs};
   }
 
   const worker: FakeWorker = {
@@ -141,6 +147,18 @@
     started,
     clockMs,
     end: endAttempt,
+    restart(bornMs) {
+      worker.info = {...worker.info, bornMs, draining: false};
+      startedAt = performance.now();
+      running.clear();
+      ends = [];
+      sequence = 0;
+      highestToken = 0;
+      leaseUntil = 0;
+      const resumed = resumePolls;
+      resumePolls = [];
+      for (const resume of resumed) resume();
+    },
     connect: () => ({
       async start(call) {
         await Promise.resolve();
@@ -164,6 +182,7 @@
       },
       async poll(call) {
         await Promise.resolve();
+        const {bornMs} = worker.info;
         if (worker.isReplaced) return result.ok({type: 'gone'});
         if (worker.cut) return unanswered(Math.min(call.timeoutMs, 60));
         if (call.waitMs > 0 && worker.pollsToLose > 0) {
@@ -174,6 +193,7 @@
         ends = ends.filter((end) => end.sequence > call.acknowledged);
         if (ends.length === 0 && call.waitMs > 0) await nextEnd(call.waitMs);
         if (worker.cut) return unanswered(Math.min(call.timeoutMs, 60));
+        if (worker.info.bornMs !== bornMs) return lost();
         if (call.leaseUntil !== undefined) {
           leaseUntil = Math.max(leaseUntil, call.leaseUntil);
         }
@@ -189,6 +209,7 @@
           })),
           ends: [...ends],
           hasMoreEnds: false,
+          bornMs,
         });
       },
       close() {},
--- a/packages/gypsumwall-cell/src/__tests__/channel_forms.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/channel_forms.test.ts
@@ -166,3 +166,86 @@
       assert.throws(() => holder.decodeAnswers(line));
   }
 });
+
+const REPORT: ports.PollAnswer = {
+  type: 'report',
+  clockMs: 5,
+  running: [],
+  ends: [],
+  hasMoreEnds: false,
+};
+
+/** Introduces a worker on a stream; returns what the peer is told of it. */
+function introduce(
+  {holder, peer}: ReturnType<typeof openStream>,
+  worker: workerChannel.ChannelCall['worker'],
+) {
+  const call = {token: 1, acknowledged: 0, waitMs: 0, timeoutMs: 10};
+  const calls = [{nth: 90, worker, call: {type: 'poll' as const, call}}];
+  const received = peer.decodeCalls(holder.encodeCalls(calls, 5));
+  return {workers: received.workers, called: received.calls[0]?.worker};
+}
+
+// Guards against a holder that doesn't learn, through a peer, that a worker has
+// started again under its id, and against calls to the address that it had.
+test('another incarnation of a worker is told apart, in each form', () => {
+  for (const mediaType of FORMS) {
+    const stream = openStream(mediaType);
+    const first = {
+      ...WORKERS[0]!,
+      id: types.ids.brand<types.ids.WorkerId>('w9'),
+    };
+    const second = {...first, bornMs: 2, address: 'elsewhere:1'};
+    const bornOf = (answer: workerChannel.WorkerAnswer) => {
+      const sent = [{nth: 1, worker: first.id, answer}];
+      const line = stream.peer.encodeAnswers(sent, false);
+      const [decoded] = stream.holder.decodeAnswers(line).answers;
+      assert.ok(decoded !== undefined && 'answer' in decoded);
+      assert.equal(decoded.answer.type, answer.type);
+      return 'bornMs' in decoded.answer ? decoded.answer.bornMs : undefined;
+    };
+    const answers: workerChannel.WorkerAnswer[] = [
+      REPORT,
+      {type: 'accepted', clockMs: 5},
+      {type: 'refused', reason: 'no_room'},
+    ];
+    assert.deepEqual(introduce(stream, first).workers, [first]);
+    for (const answer of answers)
+      assert.equal(bornOf({...answer, bornMs: 1} as typeof answer), 1);
+    assert.deepEqual(introduce(stream, first).workers, []);
+    const again = introduce(stream, second);
+    assert.deepEqual(again.workers, [second]);
+    assert.equal(again.called, second.id);
+    for (const answer of answers) {
+      assert.equal(bornOf(answer), undefined);
+      const own = bornOf({...answer, bornMs: 2} as typeof answer);
+      assert.ok(own === 2 || own === undefined, 'as the holder named it');
+      assert.equal(bornOf({...answer, bornMs: 3} as typeof answer), 3);
+    }
+  }
+});
+
+// Guards against entries of two builds that can't call workers for each other.
+test('lines without the start of an incarnation are read, in each form', () => {
+  const plain = openStream(undefined);
+  const compact = openStream(channelForms.COMPACT_TYPE);
+  const answersOf = (form: workerChannel.HolderForm, line: string) =>
+    form
+      .decodeAnswers(line)
+      .answers.map((one) => ('answer' in one ? one.answer.type : 'err'));
+  const kinds = ['report', 'accepted', 'refused'];
+  assert.deepEqual(
+    answersOf(
+      compact.holder,
+      '{"answers":[[1,"report",0,5,[[],[],[]],[],0],[2,"accepted",5],[3,"refused","no_room"]]}',
+    ),
+    kinds,
+  );
+  assert.deepEqual(
+    answersOf(
+      plain.holder,
+      `{"isLeaving":false,"answers":[{"nth":1,"answer":${JSON.stringify(REPORT)}},{"nth":2,"answer":{"type":"accepted","clockMs":5}},{"nth":3,"answer":{"type":"refused","reason":"no_room"}}]}`,
+    ),
+    kinds,
+  );
+});
--- a/packages/gypsumwall-cell/src/__tests__/worker_session.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/worker_session.test.ts
@@ -33,6 +33,7 @@
     flush: () => Promise.resolve(),
     onFirstReport: () => {},
     onFenced: () => {},
+    isOwnBirth: () => true,
     onGone: () => {},
     onLeaseExpired: () => {},
   });
--- a/packages/gypsumwall-cell/src/apply_records.ts
+++ b/packages/gypsumwall-cell/src/apply_records.ts
@@ -18,12 +18,19 @@
   for (const {key, value, offset} of records) {
     const applied = result.andThen(
       (record) =>
-        result.tryOrElse(types.stepError.messageOf, () =>
-          apply(record, offset),
-        ),
+        result.tryOrElse(types.stepError.messageOf, () => {
+          apply(record, offset);
+          return faultOf(record);
+        }),
       storeRecords.decode(key, value),
     );
-    if (result.isOk(applied)) continue;
-    logger.warn('record_unreadable', {key, offset, error: applied.error});
+    const error = result.isOk(applied) ? applied.value : applied.error;
+    if (error === undefined) continue;
+    logger.warn('record_unreadable', {key, offset, error});
   }
 }
+
+/** Some records that can't be understood have a meaning all the same. */
+function faultOf(record: storeRecords.StoreRecord): string | undefined {
+  return record.kind === 'used_worker' ? record.worker?.fault : undefined;
+}
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -19,6 +19,7 @@
 import * as failoverBarrier from './failover_barrier.js';
 import * as holderCapacity from './holder_capacity.js';
 import * as workerRoom from './worker_room.js';
+import type * as unansweredStarts from './unanswered_starts.js';
 import * as workerRoster from './worker_roster.js';
 import * as workerRoutes from './worker_routes.js';
 import * as workerSession from './worker_session.js';
@@ -208,6 +209,7 @@
 
   function openSession(
     worker: scheduling.workerRegistry.WorkerInfo,
+    earlierStarts?: readonly unansweredStarts.UnansweredStart[],
   ): workerSession.WorkerSession {
     const {id} = worker;
     const leases = leaseBounds.createWorkerLeases({
@@ -246,6 +248,8 @@
         roster.onGone(worker.id);
         barrier.markGone(worker.id, clock.monotonic());
       },
+      isOwnBirth: (bornMs) => roster.isOwnBirth(id, bornMs),
+      earlierStarts,
       onLeaseExpired: () => roster.onLeaseExpired(worker.id),
     });
   }
--- a/packages/gypsumwall-cell/src/cell_holder_types.ts
+++ b/packages/gypsumwall-cell/src/cell_holder_types.ts
@@ -10,7 +10,7 @@
 import type * as ports from './ports.js';
 import type * as storeHealth from './store_health.js';
 import type * as workerChannel from './worker_channel.js';
-import type * as workerRoster from './worker_roster.js';
+import type * as workerRosterTypes from './worker_roster_types.js';
 import type * as workerRoutes from './worker_routes.js';
 
 /** Options of a holder. */
@@ -18,8 +18,8 @@
   readonly claim: claimView.CellClaim;
   readonly cellLog: ports.KeyedLog;
   readonly workerLog: ports.KeyedLog;
-  readonly decodeWorker: workerRoster.RosterOptions['decode'];
-  readonly isUsedPool: workerRoster.RosterOptions['isUsedPool'];
+  readonly decodeWorker: workerRosterTypes.RosterOptions['decode'];
+  readonly isUsedPool: workerRosterTypes.RosterOptions['isUsedPool'];
   readonly connect: (
     worker: scheduling.workerRegistry.WorkerInfo,
   ) => ports.WorkerLink;
--- a/packages/gypsumwall-cell/src/compact_channel_form.ts
+++ b/packages/gypsumwall-cell/src/compact_channel_form.ts
@@ -4,7 +4,7 @@
  * the worker's last one on the same stream. Both ends keep the same tables,
  * because the lines of a stream arrive once and in order.
  */
-import type * as scheduling from '@gypsumwall/scheduling';
+import * as scheduling from '@gypsumwall/scheduling';
 import type * as types from '@gypsumwall/types';
 import type * as ports from './ports.js';
 import * as runningChanges from './running_changes.js';
@@ -53,11 +53,20 @@
 ];
 
 type AnswerRow =
-  | readonly [number, 'accepted', number]
-  | readonly [number, 'refused', scheduling.schedulerTypes.RefusalReason]
+  /** Clock; the start of the incarnation, as in a report. */
+  | readonly [number, 'accepted', number, number?]
+  | readonly [
+      number,
+      'refused',
+      scheduling.schedulerTypes.RefusalReason,
+      number?,
+    ]
   | readonly [number, 'fenced' | 'gone']
   | readonly [number, 'err', types.stepError.StepError]
-  /** Worker, its clock, changed attempts, ends, and whether there are more. */
+  /**
+   * Worker, its clock, changed attempts, ends, whether there are more, and the
+   * start of its incarnation if that isn't the one that the holder has named.
+   */
   | readonly [
       number,
       'report',
@@ -66,6 +75,7 @@
       runningChanges.RunningChanges,
       EndRow[],
       0 | 1,
+      number?,
     ];
 
 interface AnswersLine {
@@ -97,7 +107,7 @@
 export function createHolderForm(
   sendsPayload: workerChannel.SendsPayload,
 ): workerChannel.HolderForm {
-  const positions = new Map<types.ids.WorkerId, number>();
+  const positions = new Map<types.ids.WorkerIncarnation, number>();
   const payloads = sentPayloads.createSentPayloads();
   const lastRunning = new Map<
     number,
@@ -125,10 +135,11 @@
     {nth, worker, call}: workerChannel.ChannelCall,
     added: scheduling.workerRegistry.WorkerInfo[],
   ): CallsLine['calls'][number] {
-    let position = positions.get(worker.id);
+    const incarnation = scheduling.workerIncarnation.keyOf(worker);
+    let position = positions.get(incarnation);
     if (position === undefined) {
       position = positions.size;
-      positions.set(worker.id, position);
+      positions.set(incarnation, position);
       added.push(worker);
     }
     // All calls of a holder carry the same token.
@@ -155,16 +166,22 @@
     checkKind(row[1], ANSWER_KINDS);
     switch (row[1]) {
       case 'accepted':
-        return {nth, answer: {type: 'accepted', clockMs: row[2]}};
+        return {
+          nth,
+          answer: {type: 'accepted', clockMs: row[2], bornMs: row[3]},
+        };
       case 'refused':
-        return {nth, answer: {type: 'refused', reason: row[2]}};
+        return {
+          nth,
+          answer: {type: 'refused', reason: row[2], bornMs: row[3]},
+        };
       case 'fenced':
       case 'gone':
         return {nth, answer: {type: row[1]}};
       case 'err':
         return {nth, err: row[2]};
       case 'report': {
-        const [, , position, clockMs, changes, ends, hasMore] = row;
+        const [, , position, clockMs, changes, ends, hasMore, bornMs] = row;
         const running = runningChanges.applyChanges(
           lastRunning.get(position) ?? [],
           changes,
@@ -176,6 +193,7 @@
           running,
           ends: ends.map(decodeEnd),
           hasMoreEnds: hasMore === 1,
+          bornMs,
         };
         return {nth, answer};
       }
@@ -208,6 +226,8 @@
 /** Creates the peer's end of a stream. */
 export function createPeerForm(): workerChannel.PeerForm {
   const workerIds: types.ids.WorkerId[] = [];
+  /** Starts of the incarnations that the holder calls, as it knows them. */
+  const births = new Map<types.ids.WorkerId, number | undefined>();
   const positions = new Map<types.ids.WorkerId, number>();
   const payloads = new Map<number, string>();
   const lastRunning = new Map<
@@ -272,7 +292,17 @@
     lastRunning.set(position, runningChanges.applyChanges(before, changes));
     const ends = report.ends.map(encodeEnd);
     const hasMore = report.hasMoreEnds ? 1 : 0;
-    return [nth, 'report', position, report.clockMs, changes, ends, hasMore];
+    const row = [nth, 'report', position, report.clockMs] as const;
+    return [...row, changes, ends, hasMore, ...otherBirth(worker, report)];
+  }
+
+  /** The start of the incarnation that answered, if the holder needs it. */
+  function otherBirth(
+    worker: types.ids.WorkerId,
+    {bornMs}: {readonly bornMs?: number},
+  ): [number?] {
+    if (bornMs === undefined || births.get(worker) === bornMs) return [];
+    return [bornMs];
   }
 
   return {
@@ -287,7 +317,10 @@
         const names = Object.keys(line).join(',');
         throw new Error(`fields = ${names}: no line of calls`);
       }
-      for (const {id} of workers) positions.set(id, workerIds.push(id) - 1);
+      for (const {id, bornMs} of workers) {
+        positions.set(id, workerIds.push(id) - 1);
+        births.set(id, bornMs);
+      }
       const added = line.payloads ?? [];
       for (const [number, payload] of added) payloads.set(number, payload);
       const rows = calls as CallsLine['calls'];
@@ -304,9 +337,19 @@
         const {answer} = one;
         switch (answer.type) {
           case 'accepted':
-            return [nth, 'accepted', answer.clockMs];
+            return [
+              nth,
+              'accepted',
+              answer.clockMs,
+              ...otherBirth(one.worker, answer),
+            ];
           case 'refused':
-            return [nth, 'refused', answer.reason];
+            return [
+              nth,
+              'refused',
+              answer.reason,
+              ...otherBirth(one.worker, answer),
+            ];
           case 'fenced':
           case 'gone':
             return [nth, answer.type];
--- a/packages/gypsumwall-cell/src/job_limits.ts
+++ b/packages/gypsumwall-cell/src/job_limits.ts
@@ -34,7 +34,7 @@
     couldEverFit(pool, step) {
       let isPoolKnown = false;
       for (const {info} of state.usedWorkers.values()) {
-        if (info.pool !== pool) continue;
+        if (info?.pool !== pool) continue;
         isPoolKnown = true;
         if (types.resources.fits(step.size, info.capacity)) return true;
       }
--- a/packages/gypsumwall-cell/src/plain_channel_form.ts
+++ b/packages/gypsumwall-cell/src/plain_channel_form.ts
@@ -32,7 +32,10 @@
 
 /** Creates the holder's end of a stream. */
 export function createHolderForm(): workerChannel.HolderForm {
-  const knownWorkers = new Set<types.ids.WorkerId>();
+  const knownWorkers = new Map<
+    types.ids.WorkerId,
+    scheduling.workerRegistry.WorkerInfo
+  >();
 
   function encodeCall(
     {nth, worker, call}: workerChannel.ChannelCall,
@@ -50,8 +53,9 @@
     encodeCalls(sent, answerDelayMs) {
       const workers: scheduling.workerRegistry.WorkerInfo[] = [];
       for (const {worker} of sent) {
-        if (knownWorkers.has(worker.id)) continue;
-        knownWorkers.add(worker.id);
+        // A worker that has started again may have another address.
+        if (isSameEndpoint(knownWorkers.get(worker.id), worker)) continue;
+        knownWorkers.set(worker.id, worker);
         workers.push(worker);
       }
       const payloads: string[] = [];
@@ -63,6 +67,13 @@
   };
 }
 
+function isSameEndpoint(
+  known: scheduling.workerRegistry.WorkerInfo | undefined,
+  {address, bornMs}: scheduling.workerRegistry.WorkerInfo,
+): boolean {
+  return known?.address === address && known.bornMs === bornMs;
+}
+
 /** Creates the peer's end of a stream. */
 export function createPeerForm(): workerChannel.PeerForm {
   return {
--- a/packages/gypsumwall-cell/src/ports.ts
+++ b/packages/gypsumwall-cell/src/ports.ts
@@ -118,10 +118,16 @@
 
 /** A worker's answer to an order. */
 export type OrderAnswer =
-  | {readonly type: 'accepted'; readonly clockMs: number}
+  | {
+      readonly type: 'accepted';
+      readonly clockMs: number;
+      /** See `WorkerInfo.bornMs`; undefined if the answer doesn't say. */
+      readonly bornMs?: number;
+    }
   | {
       readonly type: 'refused';
       readonly reason: scheduling.schedulerTypes.RefusalReason;
+      readonly bornMs?: number;
     }
   /** The worker has seen a higher fencing token. */
   | {readonly type: 'fenced'}
@@ -137,6 +143,7 @@
       readonly ends: readonly scheduling.schedulerTypes.AttemptEnd[];
       /** Whether there may be more ended attempts than were listed. */
       readonly hasMoreEnds: boolean;
+      readonly bornMs?: number;
     }
   | {readonly type: 'fenced'}
   | {readonly type: 'gone'};
--- a/packages/gypsumwall-cell/src/store_records.ts
+++ b/packages/gypsumwall-cell/src/store_records.ts
@@ -7,6 +7,7 @@
 import type * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
 import type * as holderCapacity from './holder_capacity.js';
+import * as recordChecks from './record_checks.js';
 
 /** A job as it was accepted; the first record of an ID defines the job. */
 export interface JobRecord {
@@ -54,7 +55,10 @@
 
 /** A worker that may run attempts of the cell. */
 export interface UsedWorkerRecord {
-  readonly info: scheduling.workerRegistry.WorkerInfo;
+  /** Absent if the record can't be understood; attempts may run there still. */
+  readonly info?: scheduling.workerRegistry.WorkerInfo;
+  /** Why the record can't be understood; never stored. */
+  readonly fault?: string;
   /**
    * Absent if leases are only bounded by what a worker grants, and in older
    * records.
@@ -176,57 +180,62 @@
   try {
     return result.ok(decodeKnown(key, value));
   } catch (thrown) {
-    return result.err(types.stepError.messageOf(thrown));
+    const fault = types.stepError.messageOf(thrown);
+    if (!key.startsWith(KEY_PREFIXES.used_worker)) return result.err(fault);
+    // If it were passed over, a successor would start tasks elsewhere that may
+    // still run on this worker.
+    const workerId = types.ids.brand<types.ids.WorkerId>(key.slice(1));
+    return result.ok({kind: 'used_worker', workerId, worker: {fault}});
   }
 }
 
 function decodeKnown(key: string, value: string): StoreRecord {
   const body = unpack(value);
   if (key === KEY_PREFIXES.heartbeat)
-    return {kind: 'heartbeat', capacity: cast<HeartbeatBody>(body)?.capacity};
+    return {kind: 'heartbeat', capacity: recordChecks.readCapacity(body ?? {})};
   if (key === KEY_PREFIXES.claim) {
     if (body === undefined) throw new Error('the claim has no value');
-    return {kind: 'claim', claim: body as unknown as ClaimRecord};
+    return {kind: 'claim', claim: recordChecks.checkClaim(body)};
   }
   const id = key.slice(1);
   const prefix = key.slice(0, 1);
   switch (prefix) {
     case KEY_PREFIXES.job:
-      return {kind: 'job', jobId: types.ids.brand(id), job: cast(body)};
+      return {
+        kind: 'job',
+        jobId: types.ids.brand(id),
+        job: body && recordChecks.checkJob(body),
+      };
     case KEY_PREFIXES.cancel: {
       const jobId = types.ids.brand<types.ids.JobId>(id);
       return {kind: 'cancel', jobId, dropped: body === undefined};
     }
     case KEY_PREFIXES.progress:
-      return decodeProgress(types.ids.brand(id), cast<ProgressBody>(body));
+      return decodeProgress(types.ids.brand(id), body);
     case KEY_PREFIXES.entry:
-      return {kind: 'entry', instance: id, entry: cast(body)};
+      return {
+        kind: 'entry',
+        instance: id,
+        entry: body && recordChecks.checkEntry(body),
+      };
     case KEY_PREFIXES.used_worker:
       return {
         kind: 'used_worker',
         workerId: types.ids.brand(id),
-        worker: cast(body),
+        worker: body && recordChecks.checkUsedWorker(body),
       };
     default:
       throw new Error(`unknown kind of key`);
   }
 }
 
-interface HeartbeatBody {
-  readonly capacity?: holderCapacity.HolderCapacity;
-}
-
-interface ProgressBody {
-  readonly queue: string;
-  readonly organisation?: types.ids.OrganisationId;
-  readonly progress: scheduling.jobProgress.JobProgress;
-}
-
 function decodeProgress(
   jobId: types.ids.JobId,
-  body: ProgressBody | undefined,
+  body: object | undefined,
 ): StoreRecord {
-  const {queue = '', organisation, progress} = body ?? {};
+  if (body === undefined)
+    return {kind: 'progress', jobId, queue: '', progress: undefined};
+  const {queue, organisation, progress} = recordChecks.checkProgress(body);
   return {kind: 'progress', jobId, queue, organisation, progress};
 }
 
@@ -238,8 +247,3 @@
   }
   return body as {v: number};
 }
-
-/** Only this program writes these records, so their structure isn't checked. */
-function cast<Body>(body: object | undefined): Body | undefined {
-  return body as Body | undefined;
-}
--- a/packages/gypsumwall-cell/src/worker_roster.ts
+++ b/packages/gypsumwall-cell/src/worker_roster.ts
@@ -1,17 +1,16 @@
 /**
- * The holder's sessions: one for each incarnation of a worker that is listed or
- * may still run attempts. A worker is stored as used before anything is sent to
- * it.
+ * The workers of a holder: applies the platform's list, and what sessions find
+ * out about their workers.
  */
 import * as result from 'true-myth/result';
-import type * as scheduling from '@gypsumwall/scheduling';
-import type * as telemetry from '@gypsumwall/telemetry';
+import * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
+import * as listEntryAges from './list_entry_age.js';
+import * as listFaults from './list_faults.js';
 import type * as logFollower from './log_follower.js';
 import type * as ports from './ports.js';
-import * as silentWorkers from './silent_workers.js';
-import type * as storeRecords from './store_records.js';
-import type * as workerSession from './worker_session.js';
+import * as workerEntries from './worker_entries.js';
+import type * as workerRosterTypes from './worker_roster_types.js';
 
 /**
  * Time needed to evacuate a leaving worker in addition to the stops themselves:
@@ -26,163 +25,39 @@
  * from the list; they are back within two seconds; milliseconds.
  */
 const UNLISTED_GRACE_MS = 2_500;
-/**
- * Time that an order may take to reach its worker: a list entry must not expire
- * before; milliseconds.
- */
-const ORDER_MARGIN_MS = 250;
-
-/**
- * A removal counts as the worker's own as long as its last list entry is
- * younger than this share of the time after which the list removes a silent
- * worker.
- */
-const EXPIRY_MARGIN = 0.8;
-
-/**
- * Number of remembered faults, each of which is logged once. Beyond it all are
- * forgotten and logged again.
- */
-const MAX_REPORTED_FAULTS = 1_000;
-
-/** Options of a roster. */
-export interface RosterOptions {
-  readonly clock: types.clock.Clock;
-  readonly logger: telemetry.logger.Logger;
-  readonly scheduler: scheduling.schedulerTypes.Scheduler;
-  readonly decode: (
-    key: string,
-    value: string,
-  ) => result.Result<ports.ListedWorker, string>;
-  /**
-   * Whether tasks of any queue run in the pool. Workers of other pools aren't
-   * called: their list entries may belong to another program, and their
-   * addresses to anyone.
-   */
-  readonly isUsedPool: (pool: string) => boolean;
-  /** Maximum time that a worker takes to stop a task; milliseconds. */
-  readonly longestStopMs: number;
-  /**
-   * The list removes a worker when it has left, or after this much silence;
-   * milliseconds. Undefined if the platform doesn't specify it.
-   */
-  readonly listExpiryMs: number | undefined;
-  /**
-   * A worker that had announced its departure has left: nothing runs there any
-   * more.
-   */
-  readonly onLeft: (worker: types.ids.WorkerId) => void;
-  readonly openSession: (
-    worker: scheduling.workerRegistry.WorkerInfo,
-  ) => workerSession.WorkerSession;
-  readonly write: (
-    records: readonly storeRecords.StoreRecord[],
-  ) => Promise<void>;
-  /** Resolves once all progress until now is stored. */
-  readonly flush: () => Promise<void>;
-  readonly onChange: () => void;
-}
-
-/** The workers of a holder. */
-export interface WorkerRoster {
-  /**
-   * Applies records of the platform's list. All of them were written after the
-   * given moment; undefined if no such moment is known.
-   */
-  applyList(
-    records: readonly ports.KeyedRecord[],
-    reloaded: boolean,
-    writtenAfter?: logFollower.ClockReading,
-  ): void;
-  /** Opens sessions to workers that an earlier holder used. */
-  inherit(workers: Iterable<storeRecords.UsedWorkerRecord>): void;
-  session(id: types.ids.WorkerId): workerSession.WorkerSession | undefined;
-  /** The incarnation has ended. */
-  onGone(id: types.ids.WorkerId): void;
-  /** The lease of an unreachable worker has expired. */
-  onLeaseExpired(id: types.ids.WorkerId): void;
-  tick(now: types.clock.MonotonicMs): void;
-  /** Closes workers with an expired list entry to new tasks. */
-  checkListEntries(): void;
-  /**
-   * All leases of earlier holders have expired: removes unlisted workers that
-   * never answered.
-   */
-  removeSilent(): void;
-  /**
-   * Share of the used workers that are reachable and have answered a poll that
-   * was sent since then. Includes unlisted ones and those whose removal isn't
-   * stored: a successor finds them among the used workers, and its majority
-   * must not be disjoint from this holder's.
-   */
-  reachableShare(since: types.clock.MonotonicMs): number;
-  close(): void;
-}
-
-interface Entry {
-  session: workerSession.WorkerSession;
-  info: scheduling.workerRegistry.WorkerInfo;
-  listed: boolean;
-  /** The newest list entry of the worker was written after this moment. */
-  writtenAfter?: logFollower.ClockReading;
-  /** When it was written, on the worker's clock. */
-  writtenAtMs?: number;
-  isCurrent: boolean;
-  /** When a worker that disappeared from the list is treated as leaving. */
-  unusedAt?: types.clock.MonotonicMs;
-  /** From this moment on, all attempts on the worker are stopped. */
-  evacuateAt?: types.clock.MonotonicMs;
-  isEvacuating: boolean;
-}
-
 /** Creates an empty roster. */
-export function createWorkerRoster(options: RosterOptions): WorkerRoster {
+export function createWorkerRoster(
+  options: workerRosterTypes.RosterOptions,
+): workerRosterTypes.WorkerRoster {
   const {clock, logger, scheduler} = options;
-  const entries = new Map<types.ids.WorkerId, Entry>();
-  /** Faults of list entries that couldn't be used, by key. */
-  const reportedFaults = new Map<string, string>();
-  const recentlySilent = silentWorkers.createSilentWorkers(clock);
-  let unstoredRemovals = 0;
-  let isClosed = false;
+  const workers = workerEntries.createWorkerEntries(options);
+  const {entries} = workers;
+  const faults = listFaults.createListFaults(logger);
+  const ages = listEntryAges.createListEntryAges(clock, options.listExpiryMs);
 
-  function addWorker(
-    info: scheduling.workerRegistry.WorkerInfo,
-    listed: boolean,
-    isRecorded: boolean,
-  ): Entry {
-    const crashed = recentlySilent.takeRestarted(info);
-    if (crashed !== undefined) {
-      scheduler.removeWorker(crashed, 'crashed', clock.monotonic());
-    }
-    const session = options.openSession(info);
-    const entry: Entry = {
-      info,
-      listed,
-      session,
-      isCurrent: true,
-      isEvacuating: false,
-    };
-    entries.set(info.id, entry);
-    logger.info('worker_found', {
-      worker: info.id,
-      listed,
-      domain: info.domain,
-      cpuMillis: info.capacity.cpuMillis,
-    });
-    void recordAndRun(entry, isRecorded);
-    return entry;
+  /** The record of the worker, or its list entry, did not say. */
+  function learnBirth(
+    entry: workerRosterTypes.RosterEntry,
+    bornMs: number,
+  ): void {
+    const {id} = entry.info;
+    if (entry.info.bornMs === bornMs) return;
+    entry.info = {...entry.info, bornMs};
+    const registered = scheduler.workerRegistry.workers.get(id)?.info;
+    if (registered !== undefined) scheduler.putWorker({...registered, bornMs});
   }
 
-  async function recordAndRun(
-    entry: Entry,
-    isRecorded: boolean,
-  ): Promise<void> {
-    const {info} = entry;
-    if (!isRecorded) {
-      const worker = {info};
-      await options.write([{kind: 'used_worker', workerId: info.id, worker}]);
-    }
-    if (!isClosed && entries.get(info.id) === entry) await entry.session.run();
+  /** The new incarnation is used once its own list entry is read. */
+  function restartUnlisted(
+    before: workerRosterTypes.RosterEntry,
+    bornMs: number,
+  ): void {
+    const info = {...before.info, bornMs, draining: false};
+    const entry = workers.restart(before, info, 'answer');
+    entry.isCurrent = false;
+    scheduler.setCurrent(info.id, false);
+    entry.unusedAt = types.clock.after(clock.monotonic(), UNLISTED_GRACE_MS);
+    options.onChange();
   }
 
   function logCapacityChange(
@@ -212,16 +87,38 @@
     offset: number,
     writtenAfter?: logFollower.ClockReading,
   ): void {
-    const {info, leavesInMs, writtenAtMs} = listed;
-    if (!entries.has(info.id) && !options.isUsedPool(info.pool)) {
-      reportUnreadable(info.id, `pool = ${info.pool}: no queue uses this pool`);
+    const {leavesInMs, writtenAtMs} = listed;
+    const {id, pool} = listed.info;
+    const known = entries.get(id);
+    const succession = compareWithKnown(known, listed.info.bornMs);
+    if (succession === 'earlier') {
+      faults.report(id, `born = ${listed.info.bornMs}: it has restarted since`);
+      return;
+    }
+    const isNew = known === undefined || succession === 'later';
+    if (isNew && !options.isUsedPool(pool)) {
+      faults.report(id, `pool = ${pool}: no queue uses this pool`);
+      if (known !== undefined)
+        workers.remove(
+          id,
+          workerEntries.endOf(known),
+          `restarted in pool ${pool}`,
+        );
       return;
     }
-    const entry = entries.get(info.id) ?? addWorker(info, true, false);
+    faults.clear(id);
+    const bornMs = listed.info.bornMs ?? known?.info.bornMs;
+    const info = {...listed.info, bornMs};
+    const entry =
+      known === undefined
+        ? workers.add(info, true, false)
+        : succession === 'later'
+          ? workers.restart(known, info, 'list')
+          : known;
     if (info.draining && !entry.info.draining) {
       logger.info('worker_draining', {worker: info.id, leavesInMs});
       const neededMs = options.longestStopMs + EVACUATION_SLACK_MS;
-      const leftMs = (leavesInMs ?? 0) - entryAgeMs(writtenAfter);
+      const leftMs = (leavesInMs ?? 0) - ages.maximumMs({writtenAfter});
       const spanMs = Math.max(0, leftMs - neededMs);
       entry.evacuateAt = types.clock.after(clock.monotonic(), spanMs);
     }
@@ -231,13 +128,20 @@
     }
     logCapacityChange(entry.info, info, offset);
     entry.info = info;
-    entry.writtenAfter = writtenAfter;
-    entry.writtenAtMs = writtenAtMs;
+    entry.times = {writtenAfter, writtenAtMs};
     entry.listed = true;
     entry.unusedAt = undefined;
     scheduler.putWorker(info);
   }
 
+  function compareWithKnown(
+    known: workerRosterTypes.RosterEntry | undefined,
+    bornMs: number | undefined,
+  ): scheduling.workerIncarnation.Succession {
+    if (known === undefined) return 'same';
+    return scheduling.workerIncarnation.compareBirth(known.info, bornMs);
+  }
+
   function unlist(id: types.ids.WorkerId): void {
     const entry = entries.get(id);
     if (entry === undefined || !entry.listed) return;
@@ -246,35 +150,6 @@
     entry.unusedAt = types.clock.after(clock.monotonic(), UNLISTED_GRACE_MS);
   }
 
-  /** Age of the newest list entry by the worker's clock, if both are known. */
-  function ageOnWorkerMs({session, writtenAtMs}: Entry): number | undefined {
-    const nowMs = session.clockMs();
-    if (nowMs === undefined || writtenAtMs === undefined) return undefined;
-    return nowMs - writtenAtMs;
-  }
-
-  /**
-   * Whether the capacity in a worker's list entry counts: the list itself keeps
-   * an entry no longer than its expiry. It may hold an older one that arrived
-   * late, or may not be readable.
-   */
-  function isCurrent(entry: Entry): boolean {
-    if (!entry.listed) return false;
-    const ageMs = ageOnWorkerMs(entry);
-    const {listExpiryMs} = options;
-    if (ageMs === undefined || listExpiryMs === undefined) return true;
-    return ageMs <= listExpiryMs - ORDER_MARGIN_MS;
-  }
-
-  /**
-   * Maximum age of a list entry. A loaded entry may be as old as the list's
-   * expiry.
-   */
-  function entryAgeMs(writtenAfter?: logFollower.ClockReading): number {
-    if (writtenAfter === undefined) return options.listExpiryMs ?? 0;
-    return clock.monotonic() - writtenAfter.at;
-  }
-
   /**
    * Whether a removed worker has left. The list removes a worker that has left,
    * and also one that was silent for too long, which may be cut off and still
@@ -283,62 +158,20 @@
    */
   function hasLeft(id: types.ids.WorkerId): boolean {
     const entry = entries.get(id);
-    const {listExpiryMs} = options;
-    if (entry?.writtenAfter === undefined || listExpiryMs === undefined) {
-      return false;
-    }
-    const {at, wall} = entry.writtenAfter;
-    // The monotonic clock doesn't count a suspension of this process.
-    const silentMs = Math.max(clock.monotonic() - at, clock.wall() - wall);
-    return entry.info.draining && silentMs < listExpiryMs * EXPIRY_MARGIN;
+    if (entry === undefined) return false;
+    return entry.info.draining && ages.isRecent(entry.times);
   }
 
   function onRemoved(id: types.ids.WorkerId): void {
+    faults.clear(id);
     if (!hasLeft(id)) {
       unlist(id);
       return;
     }
-    removeWorker(id, 'left', 'left as announced');
+    workers.remove(id, 'left', 'left as announced');
     options.onLeft(id);
   }
 
-  /**
-   * Logs each fault once, because a bad list entry may be rewritten every
-   * second.
-   */
-  function reportUnreadable(key: string, error: string): void {
-    if (reportedFaults.get(key) === error) return;
-    if (reportedFaults.size >= MAX_REPORTED_FAULTS) reportedFaults.clear();
-    reportedFaults.set(key, error);
-    logger.warn('worker_unreadable', {key, error});
-  }
-
-  function removeWorker(
-    id: types.ids.WorkerId,
-    cause: scheduling.schedulerTypes.WorkerLoss,
-    reason: string,
-  ): void {
-    const entry = entries.get(id);
-    if (entry === undefined) return;
-    logger.info('worker_gone', {worker: id, cause, reason});
-    entries.delete(id);
-    entry.session.close();
-    if (cause === 'silent') recentlySilent.add(entry.info);
-    scheduler.removeWorker(id, cause, clock.monotonic());
-    // A successor that doesn't find the worker must find the consequences of
-    // its crash instead.
-    void options.flush();
-    void storeRemoval(id);
-    options.onChange();
-  }
-
-  async function storeRemoval(id: types.ids.WorkerId): Promise<void> {
-    unstoredRemovals++;
-    const worker = undefined;
-    await options.write([{kind: 'used_worker', workerId: id, worker}]);
-    unstoredRemovals--;
-  }
-
   return {
     applyList(records, reloaded, writtenAfter) {
       if (reloaded) {
@@ -356,29 +189,44 @@
           updateWorker(decoded.value, offset, after);
           continue;
         }
-        reportUnreadable(key, decoded.error);
+        faults.report(key, decoded.error);
         unlist(types.ids.brand(key));
       }
       options.onChange();
     },
-    inherit(workers) {
-      for (const {info} of workers) {
-        if (entries.has(info.id)) continue;
+    inherit(records) {
+      for (const {info} of records) {
+        if (info === undefined || entries.has(info.id)) continue;
         scheduler.putWorker({...info, draining: true});
-        addWorker(info, false, true);
+        workers.add(info, false, true);
       }
     },
     session: (id) => entries.get(id)?.session,
     onGone(id) {
-      const announced = entries.get(id)?.info.draining === true;
-      const cause = announced ? 'left' : 'crashed';
-      removeWorker(id, cause, 'another incarnation answers at its address');
+      const entry = entries.get(id);
+      const cause =
+        entry === undefined ? 'crashed' : workerEntries.endOf(entry);
+      workers.remove(id, cause, 'another incarnation answers at its address');
+    },
+    isOwnBirth(id, bornMs) {
+      const entry = entries.get(id);
+      if (entry === undefined) return false;
+      switch (compareWithKnown(entry, bornMs)) {
+        case 'same':
+          learnBirth(entry, bornMs);
+          return true;
+        case 'later':
+          restartUnlisted(entry, bornMs);
+          return false;
+        case 'earlier':
+          return false;
+      }
     },
     onLeaseExpired(id) {
       const entry = entries.get(id);
       if (entry === undefined) return;
       if (!entry.listed) {
-        removeWorker(
+        workers.remove(
           id,
           'silent',
           'not on the list, and its lease has expired',
@@ -404,13 +252,13 @@
     },
     checkListEntries() {
       for (const [id, entry] of entries) {
-        const current = isCurrent(entry);
+        const {session, times, listed} = entry;
+        const current = listed && ages.isCurrent(times, session.clockMs());
         if (current === entry.isCurrent) continue;
         entry.isCurrent = current;
         scheduler.setCurrent(id, current);
         const event = current ? 'worker_entry_current' : 'worker_entry_expired';
-        const {listed} = entry;
-        const ageMs = ageOnWorkerMs(entry);
+        const ageMs = ages.onWorkerMs(times, session.clockMs());
         logger.info(event, {
           worker: id,
           listed,
@@ -421,7 +269,7 @@
     removeSilent() {
       for (const [id, entry] of entries) {
         if (entry.listed || entry.session.hasReported()) continue;
-        removeWorker(
+        workers.remove(
           id,
           'silent',
           'never answered, and every lease has expired',
@@ -429,7 +277,7 @@
       }
     },
     reachableShare(since) {
-      const used = entries.size + unstoredRemovals;
+      const used = entries.size + workers.unstoredRemovals();
       if (used === 0) return 1;
       let reachable = 0;
       for (const {session} of entries.values())
@@ -437,9 +285,9 @@
           reachable++;
       return reachable / used;
     },
+    unusableEntries: () => faults.count(),
     close() {
-      isClosed = true;
-      for (const entry of entries.values()) entry.session.close();
+      workers.close();
     },
   };
 }
--- a/packages/gypsumwall-cell/src/worker_session.ts
+++ b/packages/gypsumwall-cell/src/worker_session.ts
@@ -6,13 +6,15 @@
 import * as events from 'node:events';
 import * as result from 'true-myth/result';
 import type * as scheduling from '@gypsumwall/scheduling';
-import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import * as pollDelays from './poll_delay.js';
 import * as pollWithRetry from './poll_with_retry.js';
 import type * as orderWindow from './order_window.js';
 import type * as ports from './ports.js';
+import * as unansweredStarts from './unanswered_starts.js';
 import * as workerClocks from './worker_clock.js';
+import type * as workerSessionOptions from './worker_session_options.js';
+import * as workerStops from './worker_stops.js';
 
 /**
  * How long a worker may hold back its answer to a poll if no attempt ends;
@@ -24,58 +26,14 @@
  * latency; milliseconds.
  */
 const ANSWER_TIMEOUT_MS = 500;
-/**
- * Timeout of the answer to an order, thirty times the usual latency. An
- * unanswered order is settled by a stop and a poll before its task starts
- * elsewhere, and urgent tasks can spare about 500 ms for all of that;
- * milliseconds.
- */
-const ORDER_TIMEOUT_MS = 250;
 /** Pause after an unanswered poll; milliseconds. */
 const RETRY_PAUSE_MS = 150;
-/**
- * Pause after an unanswered or refused stop, doubled after each further one up
- * to the maximum: the stops of all attempts on a worker fail together;
- * milliseconds.
- */
-const FIRST_STOP_PAUSE_MS = 150;
-const MAX_STOP_PAUSE_MS = 600;
 /**
  * Pause while ended attempts can't be stored. The worker answers at once with
  * the same ones, and would be polled without a pause otherwise; milliseconds.
  */
 const UNSTORED_PAUSE_MS = 200;
 
-/** Options of a session. */
-export interface SessionOptions {
-  readonly worker: scheduling.workerRegistry.WorkerInfo;
-  readonly link: ports.WorkerLink;
-  readonly token: number;
-  /** Length of the next lease on the worker's clock, in milliseconds. */
-  readonly leaseMs: () => number;
-  readonly clock: types.clock.Clock;
-  readonly logger: telemetry.logger.Logger;
-  readonly scheduler: scheduling.schedulerTypes.Scheduler;
-  /** The delay of all workers' answers to polls. */
-  readonly pollDelay?: pollDelays.PollDelay;
-  /** The longest lease that an earlier holder granted, in milliseconds. */
-  readonly maxLeaseMs: number;
-  /** Whether the holder may renew leases now. */
-  readonly mayRenew: () => boolean;
-  /** The last moment at which this process is known to have held the cell. */
-  readonly confirmedAt: () => types.clock.MonotonicMs;
-  /** Called when a new scheduling cycle is needed. */
-  readonly onChange: () => void;
-  /** Resolves once everything reported so far is stored. */
-  readonly flush: () => Promise<void>;
-  /** The worker has answered under this holder's token for the first time. */
-  readonly onFirstReport: () => void;
-  readonly onFenced: () => void;
-  readonly onGone: () => void;
-  /** The lease expired while the worker didn't answer. */
-  readonly onLeaseExpired: () => void;
-}
-
 /** The session with one worker. */
 export interface WorkerSession {
   readonly workerId: types.ids.WorkerId;
@@ -98,17 +56,33 @@
   lastAskedAt(): types.clock.MonotonicMs;
   /** Estimate of the worker's clock; undefined before its first report. */
   clockMs(): number | undefined;
+  /** Start orders, also to incarnations before, that were not answered. */
+  unansweredStarts(): readonly unansweredStarts.UnansweredStart[];
+  /** Stops the attempts of the orders to the incarnation before. */
+  stopEarlierStarts(): Promise<void>;
   close(): void;
 }
 
 /** Creates a session; it does nothing until `run` is called. */
-export function createWorkerSession(options: SessionOptions): WorkerSession {
+export function createWorkerSession(
+  options: workerSessionOptions.SessionOptions,
+): WorkerSession {
   const {worker, link, token, clock, logger, scheduler} = options;
   const {pollDelay = pollDelays.createPollDelay()} = options;
   const closing = new AbortController();
   // Every stop in flight adds its own listener to the signal.
   events.EventEmitter.setMaxListeners(0, closing.signal);
   const workerClock = workerClocks.createWorkerClock();
+  const {earlierStarts} = options;
+  const starts = unansweredStarts.createUnansweredStarts(
+    clock,
+    earlierStarts ?? [],
+  );
+  /** Until then calls to the incarnation before may be carried out. */
+  const earlierCallsUntil =
+    earlierStarts &&
+    types.clock.after(clock.monotonic(), unansweredStarts.MAX_ORDER_DELAY_MS);
+  let {bornMs} = worker;
   let isReachable = false;
   let hasReported = false;
   let lastSequence = 0;
@@ -125,6 +99,15 @@
     options.onChange();
   }
 
+  /** Whether an answer is from the incarnation of this session. */
+  function isOwnAnswer(answer: ports.OrderAnswer | ports.PollAnswer): boolean {
+    const answered = 'bornMs' in answer ? answer.bornMs : undefined;
+    if (answered === undefined || answered === bornMs) return true;
+    if (!options.isOwnBirth(answered)) return false;
+    bornMs = answered;
+    return true;
+  }
+
   function extendLease(): number | undefined {
     const now = workerClock.lowerBound(clock.monotonic());
     if (now === undefined || !options.mayRenew()) return undefined;
@@ -147,10 +130,11 @@
       token,
       acknowledged,
       waitMs: 0,
-      timeoutMs: ORDER_TIMEOUT_MS,
+      timeoutMs: workerStops.ORDER_TIMEOUT_MS,
     });
     if (closing.signal.aborted || result.isErr(answer)) return;
     if (answer.value.type !== 'report') return;
+    if (!isOwnAnswer(answer.value)) return;
     logger.debug('run_settled', {
       task: attempt.taskId,
       attempt: attempt.number,
@@ -178,7 +162,11 @@
     );
     if (closing.signal.aborted) return;
     if (result.isErr(answer)) {
-      await onPollFailed(answer.error);
+      await onPollFailed(types.stepError.describeError(answer.error));
+      return;
+    }
+    if (!isOwnAnswer(answer.value)) {
+      await onPollFailed('an earlier incarnation answered');
       return;
     }
     switch (answer.value.type) {
@@ -196,8 +184,9 @@
     }
   }
 
-  async function onPollFailed(err: types.stepError.StepError): Promise<void> {
-    setReachable(false, types.stepError.describeError(err));
+  async function onPollFailed(reason: string): Promise<void> {
+    if (closing.signal.aborted) return;
+    setReachable(false, reason);
     scheduler.onWorkerUnreachable(worker.id);
     // Only leases that expired before the last confirmed append count: a
     // successor may have renewed one that expires later.
@@ -223,6 +212,10 @@
     if (!hasReported && report.running.length > 0) {
       workerClock.recordLease(report.clockMs + options.maxLeaseMs);
     }
+    // A late call to the incarnation before names a time on another clock, and
+    // may have extended the lease up to its maximum.
+    if (earlierCallsUntil !== undefined && now < earlierCallsUntil)
+      workerClock.recordLease(report.clockMs + options.maxLeaseMs);
     const ends = report.ends.filter((end) => end.sequence > lastSequence);
     for (const end of ends) lastSequence = Math.max(lastSequence, end.sequence);
     const complete = !report.hasMoreEnds;
@@ -283,6 +276,25 @@
     }
   }
 
+  /**
+   * Another incarnation has carried out a start. If it is the next one, the
+   * session with that one stops the attempt.
+   */
+  function onOtherIncarnation(attempt: scheduling.activeJob.Attempt): void {
+    if (closing.signal.aborted) return;
+    setReachable(false, 'an earlier incarnation answered');
+    scheduler.onStartAnswered(attempt, {type: 'unknown'}, clock.monotonic());
+    options.onChange();
+  }
+
+  const stops = workerStops.createWorkerStops({
+    link,
+    token,
+    closing: closing.signal,
+    isOwnAnswer,
+    pause,
+  });
+
   function close(): void {
     closing.abort();
     link.close();
@@ -302,19 +314,27 @@
         return {type: 'unsent'};
       }
       const sentAt = clock.monotonic();
+      const reference = {taskId: attempt.taskId, attempt: attempt.number};
+      starts.add(reference);
       const answer = await link.start({
-        taskId: attempt.taskId,
-        attempt: attempt.number,
+        ...reference,
         payload,
         checkpoint,
         ticket,
         token,
         leaseUntil,
-        timeoutMs: ORDER_TIMEOUT_MS,
+        timeoutMs: workerStops.ORDER_TIMEOUT_MS,
       });
       const latencyMs = clock.monotonic() - sentAt;
       const type = result.isOk(answer) ? 'answered' : 'lost';
+      const isCarriedOut =
+        result.isOk(answer) || answer.error.effect === 'not_run';
+      if (isCarriedOut) starts.onAnswered(reference);
       if (closing.signal.aborted) return {type, latencyMs};
+      if (result.isOk(answer) && !isOwnAnswer(answer.value)) {
+        onOtherIncarnation(attempt);
+        return {type, latencyMs};
+      }
       const outcome = startOutcome(answer);
       scheduler.onStartAnswered(attempt, outcome, clock.monotonic());
       logger.info('start_answered', {
@@ -331,22 +351,14 @@
       return {type, latencyMs};
     },
     async stopAttempt(target) {
-      let pauseMs = FIRST_STOP_PAUSE_MS;
-      while (!closing.signal.aborted) {
-        const {taskId, number: attempt} = target;
-        const timeoutMs = ORDER_TIMEOUT_MS;
-        const answer = await link.stop({taskId, attempt, token, timeoutMs});
-        if (result.isOk(answer)) {
-          if (answer.value.type === 'accepted') {
-            scheduler.onStopAnswered(target, clock.monotonic());
-            await pollAfterStop(target);
-            return;
-          }
-          if (answer.value.type !== 'refused') return;
-        }
-        await pause(pauseMs);
-        pauseMs = Math.min(MAX_STOP_PAUSE_MS, pauseMs * 2);
-      }
+      const {taskId, number: attempt} = target;
+      if (!(await stops.send({taskId, attempt}))) return;
+      scheduler.onStopAnswered(target, clock.monotonic());
+      await pollAfterStop(target);
+    },
+    unansweredStarts: () => starts.list(),
+    async stopEarlierStarts() {
+      await Promise.all((earlierStarts ?? []).map(stops.send));
     },
     isReachable: () => isReachable,
     hasReported: () => hasReported,
--- a/packages/gypsumwall-scheduling/src/active_job.ts
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -7,6 +7,7 @@
 import * as jobRequest from './job_request.js';
 import * as stepAdvice from './step_advice.js';
 import * as taskId from './task_id.js';
+import type * as workerIncarnation from './worker_incarnation.js';
 import * as jobOrder from './job_order.js';
 
 /** State of an attempt between its start order and its end. */
@@ -75,7 +76,10 @@
   /**
    * Workers that crashed while they ran a task, by task index, also for a gang.
    */
-  readonly crashes: Map<number, Map<types.ids.WorkerId, jobProgress.CrashKind>>;
+  readonly crashes: Map<
+    number,
+    Map<types.ids.WorkerIncarnation, jobProgress.CrashKind>
+  >;
   /**
    * Highest attempt number used, by task index; under `GANG_KEY` for a gang.
    */
@@ -150,7 +154,7 @@
    * Workers that crashed before this scheduler took over and may have run tasks
    * of the job. Cleared once it is known which tasks run on other workers.
    */
-  readonly unresolvedCrashes: Set<types.ids.WorkerId>;
+  readonly unresolvedCrashes: Set<workerIncarnation.Incarnation>;
   /**
    * Set while crashes of its tasks are not stored: `new`, or the progress whose
    * commit stores them.
--- a/packages/gypsumwall-scheduling/src/crash_attribution.ts
+++ b/packages/gypsumwall-scheduling/src/crash_attribution.ts
@@ -9,6 +9,7 @@
 import * as jobProgress from './job_progress.js';
 import type * as schedulerTypes from './scheduler_types.js';
 import * as taskIds from './task_id.js';
+import type * as workerIncarnation from './worker_incarnation.js';
 import * as workerLosses from './worker_losses.js';
 
 /** Dependencies of the crash attribution. */
@@ -22,7 +23,7 @@
 export interface CrashAttribution {
   /** Records that a worker crashed with these attempts. */
   recordCrash(
-    worker: types.ids.WorkerId,
+    worker: workerIncarnation.Incarnation,
     attempts: readonly activeJob.Attempt[],
     now: types.clock.MonotonicMs,
   ): void;
@@ -32,7 +33,7 @@
    * started again meanwhile.
    */
   recordSilence(
-    worker: types.ids.WorkerId,
+    worker: workerIncarnation.Incarnation,
     attempts: readonly activeJob.Attempt[],
     now: types.clock.MonotonicMs,
   ): void;
@@ -50,6 +51,7 @@
 }
 
 interface UnprovenCrash {
+  readonly incarnation: workerIncarnation.Incarnation;
   readonly attempts: readonly activeJob.Attempt[];
   readonly forgetAt: types.clock.MonotonicMs;
 }
@@ -64,7 +66,7 @@
   function recordForTask(
     stepRun: activeJob.StepRun,
     index: number,
-    worker: types.ids.WorkerId,
+    worker: workerIncarnation.Incarnation,
     kind: jobProgress.CrashKind,
   ): boolean {
     const {job} = stepRun;
@@ -75,7 +77,8 @@
     const crashes = crashRecords.crashCount(stepRun, index);
     if (crashRecords.needsIsolation(stepRun, index)) {
       const task = taskIds.taskId(stepRun.id, index);
-      onEvent({type: 'task_suspected', task, worker, crashes});
+      const {id} = worker;
+      onEvent({type: 'task_suspected', task, worker: id, crashes});
     }
     return true;
   }
@@ -87,10 +90,10 @@
   function recordSingleCrash(
     stepRun: activeJob.StepRun,
     index: number,
-    workers: readonly types.ids.WorkerId[],
+    workers: readonly workerIncarnation.Incarnation[],
   ): void {
-    const known = stepRun.crashes.get(index);
-    const worker = workers.find((id) => known?.has(id) !== true);
+    const known = stepRun.crashes.get(index) ?? new Map();
+    const worker = workers.find((one) => !crashRecords.isRecorded(known, one));
     if (worker === undefined) return;
     if (!recordForTask(stepRun, index, worker, 'single')) return;
     const reason = crashRecords.giveUpReason(stepRun, index, undefined);
@@ -129,16 +132,17 @@
   }
 
   return {
-    recordCrash(worker, lost, now) {
-      const attempts = [
-        ...lost,
-        ...(unprovenCrashes.get(worker)?.attempts ?? []),
-      ];
+    recordCrash(incarnation, lost, now) {
+      const worker = incarnation.id;
+      const unproven = unprovenCrashes.get(worker);
+      const attempts = [...lost, ...(unproven?.attempts ?? [])];
       unprovenCrashes.delete(worker);
+      const crashed = unproven?.incarnation ?? incarnation;
       const kind = losses.isGroupLoss(worker) ? 'group' : 'single';
       onEvent({
         type: 'worker_crashed',
         worker,
+        bornMs: crashed.bornMs,
         runs: attempts.length,
         isolated: attempts.filter(
           (attempt) => attempt.isolatedUntil !== undefined,
@@ -149,13 +153,14 @@
       for (const attempt of attempts) {
         if (attempt.task === undefined) continue;
         const {stepRun, index} = attempt.task;
-        if (!recordForTask(stepRun, index, worker, kind)) continue;
+        if (!recordForTask(stepRun, index, crashed, kind)) continue;
         const ranMs = isolatedMs(attempt, now);
         const reason = crashRecords.giveUpReason(stepRun, index, ranMs);
         if (reason !== undefined) giveUp(attempt.task, reason);
       }
     },
-    recordSilence(worker, attempts, now) {
+    recordSilence(incarnation, attempts, now) {
+      const worker = incarnation.id;
       for (const [id, {forgetAt}] of unprovenCrashes) {
         if (forgetAt <= now) unprovenCrashes.delete(id);
       }
@@ -163,6 +168,7 @@
       const forgetAt = types.clock.after(now, workerLosses.LOSS_RETENTION_MS);
       const before = unprovenCrashes.get(worker)?.attempts ?? [];
       unprovenCrashes.set(worker, {
+        incarnation,
         attempts: [...before, ...attempts],
         forgetAt,
       });
--- a/packages/gypsumwall-scheduling/src/crash_records.ts
+++ b/packages/gypsumwall-scheduling/src/crash_records.ts
@@ -11,9 +11,13 @@
 import type * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
 import type * as jobProgress from './job_progress.js';
+import * as workerIncarnation from './worker_incarnation.js';
 
 /** Crashes of one task, by worker incarnation. */
-export type Crashes = ReadonlyMap<types.ids.WorkerId, jobProgress.CrashKind>;
+export type Crashes = ReadonlyMap<
+  types.ids.WorkerIncarnation,
+  jobProgress.CrashKind
+>;
 
 /** Number of crashes from which a task starts isolated from other jobs. */
 const MIN_CRASHES_TO_ISOLATE = 2;
@@ -62,18 +66,51 @@
 export function recordCrash(
   stepRun: activeJob.StepRun,
   index: number,
-  worker: types.ids.WorkerId,
+  worker: workerIncarnation.Incarnation,
   kind: jobProgress.CrashKind,
 ): boolean {
   const crashes =
     stepRun.crashes.get(index) ??
-    new Map<types.ids.WorkerId, jobProgress.CrashKind>();
-  if (crashes.has(worker)) return false;
-  stepRun.crashes.set(index, crashes.set(worker, kind));
+    new Map<types.ids.WorkerIncarnation, jobProgress.CrashKind>();
+  const key = workerIncarnation.keyOf(worker);
+  if (isRecorded(crashes, worker)) {
+    nameIncarnation(crashes, worker);
+    return false;
+  }
+  stepRun.crashes.set(index, crashes.set(key, kind));
   stepRun.job.unstoredCrashes = 'new';
   return true;
 }
 
+/**
+ * Whether a crash is recorded, or one of an unknown incarnation of the same
+ * worker, which may be this one: counting it twice could give up a healthy
+ * task.
+ */
+export function isRecorded(
+  crashes: Crashes,
+  worker: workerIncarnation.Incarnation,
+): boolean {
+  const {id} = worker;
+  return (
+    crashes.has(workerIncarnation.keyOf(worker)) ||
+    crashes.has(workerIncarnation.keyOf({id}))
+  );
+}
+
+/** A crash of an unknown incarnation stands for one incarnation at most. */
+function nameIncarnation(
+  crashes: Map<types.ids.WorkerIncarnation, jobProgress.CrashKind>,
+  worker: workerIncarnation.Incarnation,
+): void {
+  const plain = workerIncarnation.keyOf({id: worker.id});
+  const key = workerIncarnation.keyOf(worker);
+  const kind = crashes.get(plain);
+  if (kind === undefined || key === plain || crashes.has(key)) return;
+  crashes.delete(plain);
+  crashes.set(key, kind);
+}
+
 /** Whether a task may start only isolated from other jobs. */
 export function needsIsolation(
   stepRun: activeJob.StepRun,
--- a/packages/gypsumwall-scheduling/src/index.ts
+++ b/packages/gypsumwall-scheduling/src/index.ts
@@ -6,6 +6,7 @@
 export * as scheduler from './scheduler.js';
 export * as schedulerTypes from './scheduler_types.js';
 export * as taskId from './task_id.js';
+export * as workerIncarnation from './worker_incarnation.js';
 export * as workerLosses from './worker_losses.js';
 export * as workerRegistry from './worker_registry.js';
 export * as jobOrder from './job_order.js';
--- a/packages/gypsumwall-scheduling/src/job_progress.ts
+++ b/packages/gypsumwall-scheduling/src/job_progress.ts
@@ -34,7 +34,10 @@
    * up a healthy job.
    */
   readonly failures: Readonly<Record<string, readonly number[]>>;
-  /** Crashes by task index and worker; absent if there are none. */
+  /**
+   * Crashes by task index and `workerIncarnation.keyOf` the worker; absent if
+   * there are none.
+   */
   readonly crashes?: Readonly<
     Record<string, Readonly<Record<string, CrashKind>>>
   >;
--- a/packages/gypsumwall-scheduling/src/job_request.ts
+++ b/packages/gypsumwall-scheduling/src/job_request.ts
@@ -85,6 +85,10 @@
   readonly advice?: AdvicePolicy;
 }
 
+/** More would block a process for seconds whenever they are listed. */
+const MAX_TASKS_PER_STEP = 1_000_000;
+const MAX_OCCURRENCES = 1_000_000;
+
 /** Expected duration of the longest chain of steps, in milliseconds. */
 export function expectedChainMs(request: JobRequest): number {
   const ends: number[] = [];
@@ -105,6 +109,9 @@
 
 /** Returns a description of what is wrong with a request, or undefined. */
 export function describeFault(request: JobRequest): string | undefined {
+  const {schedule} = request;
+  const fault = schedule && faultOfSchedule(schedule);
+  if (fault !== undefined) return fault;
   if (request.steps.length === 0)
     return 'steps = []: a job needs at least one step';
   for (const [index, step] of request.steps.entries()) {
@@ -114,13 +121,31 @@
   return undefined;
 }
 
+function faultOfSchedule({
+  occurrences,
+  firstAt,
+  intervalMs,
+}: Schedule): string | undefined {
+  const isCount = Number.isInteger(occurrences) && occurrences >= 1;
+  if (!isCount || occurrences > MAX_OCCURRENCES)
+    return `occurrences = ${occurrences}: give a whole number from 1 to ${MAX_OCCURRENCES}`;
+  if (!Number.isFinite(firstAt)) return `start = ${firstAt}: give a number`;
+  if (Number.isFinite(intervalMs) && intervalMs >= 0) return undefined;
+  return `interval = ${intervalMs}: give a number from 0`;
+}
+
 function faultOfStep(step: StepRequest, index: number): string | undefined {
-  if (!Number.isInteger(step.taskCount) || step.taskCount < 1) {
-    return `task count = ${step.taskCount}: give a whole number from 1`;
+  const {taskCount, expectedMs} = step;
+  const isCount = Number.isInteger(taskCount) && taskCount >= 1;
+  if (!isCount || taskCount > MAX_TASKS_PER_STEP) {
+    return `task count = ${taskCount}: give a whole number from 1 to ${MAX_TASKS_PER_STEP}`;
   }
+  if (!Number.isFinite(expectedMs))
+    return `expected time = ${expectedMs}: give a number`;
   const {cpuMillis, memoryMb, accelerators} = step.size;
   for (const amount of [cpuMillis, memoryMb, accelerators]) {
-    if (!(amount >= 0)) return `size = ${amount}: give a number from 0`;
+    if (!(Number.isFinite(amount) && amount >= 0))
+      return `size = ${amount}: give a number from 0`;
   }
   const wrong = step.after.find(
     (earlier) => !Number.isInteger(earlier) || earlier < 0 || earlier >= index,
--- a/packages/gypsumwall-scheduling/src/job_steps.ts
+++ b/packages/gypsumwall-scheduling/src/job_steps.ts
@@ -70,13 +70,18 @@
 ): void {
   if (stepRun === undefined) return;
   if (progress.done === 'all') stepRun.state = 'done';
-  else for (const index of progress.done) stepRun.doneIndexes.add(index);
+  else {
+    const {taskCount} = stepRun.request;
+    for (const index of progress.done)
+      if (index < taskCount) stepRun.doneIndexes.add(index);
+  }
   for (const [index, failedAttempts] of Object.entries(progress.failures)) {
     stepRun.failures.set(Number(index), new Set(failedAttempts));
   }
   for (const [index, workers] of Object.entries(progress.crashes ?? {})) {
     const crashes = Object.entries(workers).map(
-      ([id, kind]) => [types.ids.brand<types.ids.WorkerId>(id), kind] as const,
+      ([key, kind]) =>
+        [types.ids.brand<types.ids.WorkerIncarnation>(key), kind] as const,
     );
     stepRun.crashes.set(Number(index), new Map(crashes));
   }
--- a/packages/gypsumwall-scheduling/src/lost_attempts.ts
+++ b/packages/gypsumwall-scheduling/src/lost_attempts.ts
@@ -3,10 +3,12 @@
  * tasks.
  */
 import type * as types from '@gypsumwall/types';
+import type * as activeJob from './active_job.js';
 import type * as crashAttribution from './crash_attribution.js';
 import type * as jobRegistries from './job_registry.js';
 import type * as attemptTable from './attempt_table.js';
 import type * as schedulerTypes from './scheduler_types.js';
+import type * as workerIncarnation from './worker_incarnation.js';
 import type * as workerLosses from './worker_losses.js';
 
 /** Dependencies of the handler of lost workers. */
@@ -27,7 +29,19 @@
   ): void;
   /** Ends all attempts of a lost worker. */
   endAttempts(
-    id: types.ids.WorkerId,
+    incarnation: workerIncarnation.Incarnation,
+    cause: schedulerTypes.WorkerLoss,
+    now: types.clock.MonotonicMs,
+  ): void;
+  /** Drops attempts that ended with their worker, and queues their tasks. */
+  dropAttempts(
+    ended: readonly activeJob.Attempt[],
+    cause: schedulerTypes.WorkerLoss,
+  ): void;
+  /** Records what the loss of a worker shows about these attempts. */
+  attribute(
+    incarnation: workerIncarnation.Incarnation,
+    lost: readonly activeJob.Attempt[],
     cause: schedulerTypes.WorkerLoss,
     now: types.clock.MonotonicMs,
   ): void;
@@ -35,14 +49,51 @@
    * Records that a worker of an earlier scheduler has crashed, with tasks that
    * are not known yet.
    */
-  recordUnresolvedCrash(id: types.ids.WorkerId): void;
+  recordUnresolvedCrash(incarnation: workerIncarnation.Incarnation): void;
 }
 
 /** Creates the handler of a scheduler. */
 export function createLostAttempts(parts: LostAttemptsParts): LostAttempts {
   const {attempts, jobRegistry, losses, crashes} = parts;
 
+  function dropAttempts(
+    ended: readonly activeJob.Attempt[],
+    reason: schedulerTypes.WorkerLoss,
+  ): void {
+    for (const attempt of ended) {
+      parts.onEvent({
+        type: 'run_ended',
+        run: attempt.taskId,
+        attempt: attempt.number,
+        worker: attempt.workerId,
+        how: 'lost',
+        reason,
+      });
+      jobRegistry.dropAttempt(attempt);
+    }
+  }
+
+  function attribute(
+    incarnation: workerIncarnation.Incarnation,
+    lost: readonly activeJob.Attempt[],
+    cause: schedulerTypes.WorkerLoss,
+    now: types.clock.MonotonicMs,
+  ): void {
+    switch (cause) {
+      case 'left':
+        return;
+      case 'crashed':
+        crashes.recordCrash(incarnation, lost, now);
+        return;
+      case 'silent':
+        crashes.recordSilence(incarnation, lost, now);
+        return;
+    }
+  }
+
   return {
+    dropAttempts,
+    attribute,
     onWorkerUnanswered(id, now) {
       const isExplained = [...attempts.ofWorker(id)].some(
         ({isolatedUntil}) =>
@@ -50,34 +101,15 @@
       );
       losses.recordLoss(id, isExplained, now);
     },
-    endAttempts(worker, reason, now) {
-      const ended = [...attempts.ofWorker(worker)];
-      for (const attempt of ended) {
-        const {taskId, number: attemptNumber} = attempt;
-        const lost = {
-          run: taskId,
-          attempt: attemptNumber,
-          worker,
-          how: 'lost',
-        } as const;
-        parts.onEvent({type: 'run_ended', ...lost, reason});
-        jobRegistry.dropAttempt(attempt);
-      }
-      switch (reason) {
-        case 'left':
-          return;
-        case 'crashed':
-          crashes.recordCrash(worker, ended, now);
-          return;
-        case 'silent':
-          crashes.recordSilence(worker, ended, now);
-          return;
-      }
+    endAttempts(incarnation, reason, now) {
+      const ended = [...attempts.ofWorker(incarnation.id)];
+      dropAttempts(ended, reason);
+      attribute(incarnation, ended, reason, now);
     },
-    recordUnresolvedCrash(id) {
+    recordUnresolvedCrash(incarnation) {
       for (const job of jobRegistry.jobs.values()) {
-        if (job.isAwaitingReconciliation && job.workers.has(id))
-          job.unresolvedCrashes.add(id);
+        if (job.isAwaitingReconciliation && job.workers.has(incarnation.id))
+          job.unresolvedCrashes.add(incarnation);
       }
     },
   };
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -30,6 +30,7 @@
 import * as workerRegistry from './worker_registry.js';
 import * as workerHealth from './worker_health.js';
 import * as workerLosses from './worker_losses.js';
+import * as workerRestarts from './worker_restarts.js';
 
 /** Latency above which commits of the store are slow; milliseconds. */
 const SLOW_COMMIT_MS = 100;
@@ -91,6 +92,16 @@
     attempts,
     isWaiting: (id) => waitsForIsolation(id),
   });
+  const restarts = workerRestarts.createWorkerRestarts({
+    registry,
+    attempts,
+    jobRegistry,
+    crashes,
+    lossHandler,
+    losses,
+    health,
+    isolation,
+  });
   const order = waitingOrder.createWaitingOrder();
   const reporter = waitReporter.createWaitReporter(onEvent);
   const meter = organisations.arrivalMeter.createArrivalMeter();
@@ -281,14 +292,12 @@
       if (job !== undefined) jobRegistry.finishJob(job, 'cancelled');
     },
     putWorker: (info) => void registry.put(info),
-    removeWorker(id, cause, now) {
-      if (cause === 'crashed') lossHandler.recordUnresolvedCrash(id);
-      registry.remove(id);
-      lossHandler.endAttempts(id, cause, now);
-      losses.recordRemoval(id);
-      health.forgetWorker(id);
+    removeWorker: (id, cause, now) => restarts.remove(id, cause, now),
+    restartWorker: (info, cause, now) => restarts.restart(info, cause, now),
+    onLeaseExpired(id, now) {
+      const incarnation = registry.workers.get(id)?.info ?? {id};
+      lossHandler.endAttempts(incarnation, 'silent', now);
     },
-    onLeaseExpired: (id, now) => lossHandler.endAttempts(id, 'silent', now),
     setUsable(id, usable, now) {
       if (!usable) lossHandler.onWorkerUnanswered(id, now);
       registry.setUsable(id, usable);
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -78,13 +78,16 @@
   readonly complete: boolean;
 }
 
+/** How an incarnation is certainly over. */
+export type IncarnationEnd = Exclude<WorkerLoss, 'silent'>;
+
 /** Why a worker's attempts were lost. */
 export type WorkerLoss =
   /** The worker had announced that it leaves. */
   | 'left'
   /**
-   * Another incarnation answers at the address of the worker, which had not
-   * announced that it leaves.
+   * Another incarnation answers at the address of the worker or under its id,
+   * and the worker had not announced that it leaves.
    */
   | 'crashed'
   /**
@@ -131,6 +134,16 @@
     cause: WorkerLoss,
     now: types.clock.MonotonicMs,
   ): void;
+  /**
+   * A worker has started again under its id, with this info. What ran there
+   * ended with the incarnation before. Attempts whose start was not answered
+   * may still be started by the new incarnation: they are stopped there.
+   */
+  restartWorker(
+    info: workerRegistry.WorkerInfo,
+    cause: IncarnationEnd,
+    now: types.clock.MonotonicMs,
+  ): void;
   /**
    * The lease of a worker has certainly expired. The worker may answer again,
    * without any attempt running on it.
@@ -303,6 +316,8 @@
   | {
       readonly type: 'worker_crashed';
       readonly worker: types.ids.WorkerId;
+      /** Start of its incarnation; undefined if it isn't known. */
+      readonly bornMs?: number;
       /** Attempts that were lost with the worker. */
       readonly runs: number;
       /** Number of these that were isolated from other jobs. */
--- a/packages/gypsumwall-scheduling/src/step_advice.ts
+++ b/packages/gypsumwall-scheduling/src/step_advice.ts
@@ -63,6 +63,18 @@
   for (const worker of workers) advice.pendingWorkers.add(worker);
 }
 
+/**
+ * Forgets a worker: tickets are valid for one incarnation, and the next one may
+ * be of another kind.
+ */
+export function forgetWorker(
+  {approvals, refused}: StepAdvice,
+  worker: types.ids.WorkerId,
+): void {
+  approvals.delete(worker);
+  refused.delete(worker);
+}
+
 /** Records the answer to a call; `approved` is undefined if there was none. */
 export function recordAnswer(
   advice: StepAdvice,
--- a/packages/gypsumwall-scheduling/src/task_isolation.ts
+++ b/packages/gypsumwall-scheduling/src/task_isolation.ts
@@ -108,6 +108,8 @@
    * them; called once before each cycle.
    */
   releaseExpired(now: types.clock.MonotonicMs): types.ids.WorkerId[];
+  /** Drops what holds for the incarnation of a worker that is over. */
+  forgetWorker(worker: types.ids.WorkerId): void;
 }
 
 /** Dependencies of the task isolation. */
@@ -365,5 +367,10 @@
       }
       return released;
     },
+    forgetWorker(worker) {
+      holds.delete(worker);
+      openUntil.delete(worker);
+      placedSuspects.delete(worker);
+    },
   };
 }
--- a/packages/gypsumwall-scheduling/src/worker_losses.ts
+++ b/packages/gypsumwall-scheduling/src/worker_losses.ts
@@ -3,6 +3,7 @@
  * cause, such as a power failure of a rack, for which no task is to blame.
  */
 import * as types from '@gypsumwall/types';
+import * as workerIncarnation from './worker_incarnation.js';
 import type * as workerRegistry from './worker_registry.js';
 
 /**
@@ -81,8 +82,13 @@
 /** Creates a record without workers. */
 export function createWorkerLosses(): WorkerLosses {
   const incarnations = new Map<types.ids.WorkerId, Incarnation>();
+  /** Lost incarnations of workers that have started again under their ids. */
+  let replaced: Incarnation[] = [];
 
   function prune(now: types.clock.MonotonicMs): void {
+    replaced = replaced.filter(
+      ({loss}) => loss !== undefined && loss.forgetAt > now,
+    );
     for (const [id, {loss}] of incarnations) {
       if (loss !== undefined && loss.forgetAt <= now) incarnations.delete(id);
     }
@@ -100,12 +106,14 @@
   ): {readonly up: number; readonly lost: number} {
     let up = 0;
     let lost = 0;
-    for (const [other, {info, upAt, loss}] of incarnations) {
+    const counted = incarnations.get(id);
+    for (const incarnation of [...incarnations.values(), ...replaced]) {
+      const {info, upAt, loss} = incarnation;
       if (upAt > at || !isMember(info)) continue;
       if (loss !== undefined && loss.at < at - withinMs) continue;
       up++;
       if (loss === undefined || loss.at > at + withinMs) continue;
-      if (other === id || !loss.isExplained) lost++;
+      if (incarnation === counted || !loss.isExplained) lost++;
     }
     return {up, lost};
   }
@@ -124,10 +132,17 @@
 
   return {
     recordAnswer(info, now) {
-      const incarnation = incarnations.get(info.id);
-      if (incarnation === undefined)
-        incarnations.set(info.id, {info, upAt: now});
-      else incarnation.loss = undefined;
+      const known = incarnations.get(info.id);
+      if (
+        known !== undefined &&
+        workerIncarnation.compareBirth(known.info, info.bornMs) === 'same'
+      ) {
+        incarnations.set(info.id, {info, upAt: known.upAt});
+        return;
+      }
+      // Its loss counts for workers that are lost with it.
+      if (known?.loss !== undefined) replaced.push(known);
+      incarnations.set(info.id, {info, upAt: now});
     },
     recordLoss(id, isExplained, now) {
       prune(now);
--- a/packages/gypsumwall-scheduling/src/worker_registry.ts
+++ b/packages/gypsumwall-scheduling/src/worker_registry.ts
@@ -10,8 +10,12 @@
 
 /** A worker as listed by the platform. */
 export interface WorkerInfo {
-  /** Identifies one incarnation of a worker process. */
   readonly id: types.ids.WorkerId;
+  /**
+   * Start of the incarnation that has the id now, in milliseconds since 1970;
+   * undefined if the worker or the record doesn't say.
+   */
+  readonly bornMs?: number;
   readonly address: string;
   readonly domain: types.ids.FailureDomain;
   readonly pool: string;
