emulator: restart every other worker of a campaign under its id

Workers say when their incarnation started, in list entries and answers. With keepIds, which campaigns set, every other machine restarts its worker under the id that it had, and late orders reach the next incarnation of that id.

--- a/packages/gypsumwall-emulator/src/campaign/campaign_config.ts
+++ b/packages/gypsumwall-emulator/src/campaign/campaign_config.ts
@@ -39,6 +39,7 @@
       keys: [`org${nth + 1}-1`],
     })),
     entries: {cpuShare},
+    workers: {keepIds: true},
     store: {appendMs: 6},
   });
 }
--- a/packages/gypsumwall-emulator/src/config/emulator_config.ts
+++ b/packages/gypsumwall-emulator/src/config/emulator_config.ts
@@ -89,6 +89,8 @@
   gangTimeoutMs: durationMsSchema.default(3_000),
   drainMs: durationMsSchema.default(2_000),
   restartMs: durationMsSchema.default(1_000),
+  /** Whether every other worker restarts under the id that it had. */
+  keepIds: zod.boolean().default(false),
 });
 
 const callersSchema = zod.strictObject({
--- a/packages/gypsumwall-emulator/src/model/__tests__/worker.test.ts
+++ b/packages/gypsumwall-emulator/src/model/__tests__/worker.test.ts
@@ -21,6 +21,7 @@
 const STEP = plainStep.createPlainStep({taskCount: 2});
 const CAPACITY = {cpuMillis: 1_500, memoryMb: 1_000, accelerators: 0};
 const OPTIONS = {
+  bornMs: 0,
   capacity: CAPACITY,
   refusesExcess: true,
   clockRate: 0.98,
--- a/packages/gypsumwall-emulator/src/model/__tests__/worker_machine.test.ts
+++ b/packages/gypsumwall-emulator/src/model/__tests__/worker_machine.test.ts
@@ -26,8 +26,8 @@
   },
 }`;
 
-function createFixture() {
-  const parsed = emulatorConfig.parseEmulatorConfig('test.jsonc', CONFIG);
+function createFixture(text = CONFIG, count = 1) {
+  const parsed = emulatorConfig.parseEmulatorConfig('test.jsonc', text);
   assert.ok(parsed.isOk);
   const config = parsed.value;
   const clock = types.virtualClock.createVirtualClock();
@@ -42,11 +42,14 @@
   });
   const [place] = platformModel.listMachines(config);
   assert.ok(place !== undefined);
-  const machine = model.addMachine(place, '127.0.0.1:1');
+  const [machine, other] = Array.from({length: count}, () =>
+    model.addMachine(place, '127.0.0.1:1'),
+  );
+  assert.ok(machine !== undefined);
   const list = model.store.log(stores.WORKERS_TOPIC);
   const listEntries = () =>
     list.readNewest('').records.map(({key, value}) => `${key} ${value}`);
-  return {clock, model, machine, listEntries};
+  return {clock, model, machine, other, listEntries};
 }
 
 test('a worker leaves at the announced time', async () => {
@@ -73,3 +76,16 @@
   await crashed;
   assert.deepEqual(listEntries(), ['p-z-0-2 [false,null]']);
 });
+
+test('a worker that keeps its id restarts with nothing but the id', async () => {
+  const text = CONFIG.replace('"restartMs"', '"keepIds": true, "restartMs"');
+  const {clock, other} = createFixture(text, 2);
+  const first = other?.worker();
+  const crashed = other?.crash();
+  await clock.runUntil(RESTART_MS);
+  await crashed;
+  const second = other?.worker();
+  assert.notEqual(first, second);
+  assert.equal(first?.id, second?.id);
+  assert.equal(second!.bornMs - first!.bornMs, RESTART_MS);
+});
--- a/packages/gypsumwall-emulator/src/model/platform_model.ts
+++ b/packages/gypsumwall-emulator/src/model/platform_model.ts
@@ -150,7 +150,7 @@
       return version;
     },
     addMachine({name, zone, rack, pool}, address) {
-      const {heartbeatMs, drainMs, restartMs} = config.workers;
+      const {heartbeatMs, drainMs, restartMs, keepIds} = config.workers;
       const machine = workerMachine.createWorkerMachine(context, list, {
         name,
         zone,
@@ -159,6 +159,7 @@
         heartbeatMs,
         drainMs,
         restartMs,
+        keepsId: keepIds && machines.length % 2 === 1,
         pool: pool.name,
         kind: pool.kind,
         worker: {
--- a/packages/gypsumwall-emulator/src/model/worker.ts
+++ b/packages/gypsumwall-emulator/src/model/worker.ts
@@ -34,6 +34,8 @@
 /** Options of {@link createWorker}. */
 export interface WorkerOptions {
   readonly id: string;
+  /** Start of this incarnation; milliseconds since 1970. */
+  readonly bornMs: number;
   readonly capacity: types.resources.Resources;
   /**
    * After a change of the capacity, starts that fit into the previous one
@@ -55,6 +57,7 @@
 /** A running worker. */
 export interface Worker {
   readonly id: string;
+  readonly bornMs: number;
   readonly clockMs: () => number;
   start(order: workerOrders.StartOrder): workerOrders.OrderAnswer;
   stop(order: workerOrders.StopOrder): workerOrders.OrderAnswer;
@@ -300,6 +303,7 @@
 
   return {
     id: workerId,
+    bornMs: options.bornMs,
     clockMs: () => lease.readMs(),
     running: () => [...attempts.values()],
     setSpeed: (newSpeed) => void (speed = newSpeed),
--- a/packages/gypsumwall-emulator/src/model/worker_list.ts
+++ b/packages/gypsumwall-emulator/src/model/worker_list.ts
@@ -5,6 +5,8 @@
 /** What a worker reports about itself with each heartbeat. */
 export interface WorkerListing {
   readonly id: string;
+  /** Start of its incarnation; milliseconds since 1970. */
+  readonly bornMs: number;
   readonly pool: string;
   /** `host:port`. */
   readonly address: string;
--- a/packages/gypsumwall-emulator/src/model/worker_machine.ts
+++ b/packages/gypsumwall-emulator/src/model/worker_machine.ts
@@ -21,13 +21,15 @@
   readonly address: string;
   readonly worker: Omit<
     worker.WorkerOptions,
-    'id' | 'onCrash' | 'capacityNoticeMs'
+    'id' | 'bornMs' | 'onCrash' | 'capacityNoticeMs'
   >;
   readonly heartbeatMs: number;
   /** Time from the announcement that a worker leaves to that worker's end. */
   readonly drainMs: number;
   /** Time after which a crashed worker starts again. */
   readonly restartMs: number;
+  /** Whether each incarnation of its worker has the same id. */
+  readonly keepsId: boolean;
 }
 
 /** A machine that runs at most one worker. */
@@ -72,10 +74,14 @@
 
   function startWorker(): void {
     incarnations += 1;
-    const id = `${options.name}-${incarnations}`;
+    const id = options.keepsId
+      ? options.name
+      : `${options.name}-${incarnations}`;
+    const bornMs = Math.floor(clock.wall());
     current = worker.createWorker(context, {
       ...options.worker,
       id,
+      bornMs,
       capacity,
       capacityNoticeMs: CAPACITY_NOTICE_MS + options.heartbeatMs,
       onCrash: (taskId) => void crash(taskId),
@@ -96,6 +102,7 @@
     const {pool, zone, rack, kind, address} = options;
     list.put({
       id: incarnation.id,
+      bornMs: incarnation.bornMs,
       pool,
       zone,
       rack,
--- a/packages/gypsumwall-emulator/src/wire/listing_record.ts
+++ b/packages/gypsumwall-emulator/src/wire/listing_record.ts
@@ -23,5 +23,6 @@
     labels: [listing.kind, listing.rack],
     clockMs: listing.clockMs,
     seq: listing.sequence,
+    born: listing.bornMs,
   });
 }
--- a/packages/gypsumwall-emulator/src/wire/worker_server.ts
+++ b/packages/gypsumwall-emulator/src/wire/worker_server.ts
@@ -77,6 +77,11 @@
     return undefined;
   }
 
+  function carryOutLate(workerId: string, order: Order): void {
+    const current = machine?.worker();
+    if (current?.id === workerId) order(current);
+  }
+
   async function handleOrder(
     req: fastify.FastifyRequest,
     res: fastify.FastifyReply,
@@ -92,7 +97,8 @@
         return res.code(503).send({});
       case 'late_orders':
         await types.clock.sleepFor(clock, random.integer(0, fault.maxDelayMs));
-        if (machine?.worker() === target) order(target);
+        // Possibly the next incarnation, if it has the same id.
+        carryOutLate(target.id, order);
         return httpServer.leaveUnanswered(res);
     }
   }
@@ -141,19 +147,24 @@
   };
 }
 
+/** What every answer says of the worker. */
+function describeSelf(target: worker.Worker) {
+  return {clockMs: target.clockMs(), born: target.bornMs};
+}
+
 function sendOrder(
   res: fastify.FastifyReply,
   target: worker.Worker,
   answer: workerOrders.OrderAnswer,
 ): fastify.FastifyReply {
-  const clockMs = target.clockMs();
+  const self = describeSelf(target);
   switch (answer.type) {
     case 'accepted':
-      return res.send({clockMs});
+      return res.send(self);
     case 'refused':
-      return res.code(409).send({clockMs, reason: answer.reason});
+      return res.code(409).send({...self, reason: answer.reason});
     case 'invalid':
-      return res.code(400).send({clockMs, message: answer.message});
+      return res.code(400).send({...self, message: answer.message});
   }
 }
 
@@ -162,13 +173,13 @@
   target: worker.Worker,
   answer: workerOrders.HoldAnswer,
 ): fastify.FastifyReply {
-  const clockMs = target.clockMs();
+  const self = describeSelf(target);
   switch (answer.type) {
     case 'refused':
-      return res.code(409).send({clockMs, reason: answer.reason});
+      return res.code(409).send({...self, reason: answer.reason});
     case 'report':
       return res.send({
-        clockMs,
+        ...self,
         running: answer.running.map(encodeRunning),
         finished: answer.ends.map((end) => [
           end.sequence,
