--- a/packages/gypsumwall-scheduling/src/__tests__/restarted_worker.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/restarted_worker.test.ts
@@ -4,7 +4,9 @@
 import * as types from '@gypsumwall/types';
 import * as worlds from '../__fixtures__/scheduler_world.js';
 import type * as activeJob from '../active_job.js';
+import * as attemptTable from '../attempt_table.js';
 import * as jobProgress from '../job_progress.js';
+import * as taskIsolation from '../task_isolation.js';
 import * as workerLosses from '../worker_losses.js';
 
 const {test} = nodeTest;
@@ -225,3 +227,24 @@
   assert.equal(losses.isGroupLoss(ids[2]!), true);
   assert.equal(losses.lostAt(W1), undefined);
 });
+
+// Guards against a worker that stays closed for a reservation of its life
+// before.
+test('a reservation for a task that needs isolation ends with the incarnation', () => {
+  const world = worlds.createSchedulerWorld();
+  const id = world.addWorker('w1', 2);
+  const jobId = world.submit('job', [worlds.step()]);
+  world.startAll();
+  const registry = world.scheduler.workerRegistry;
+  const isolation = taskIsolation.createTaskIsolation({
+    registry,
+    attempts: attemptTable.createAttemptTable(registry),
+    isWaiting: () => true,
+  });
+  const {openOccurrences} = world.scheduler.jobs.get(jobId)!;
+  const stepRun = openOccurrences.get(0)!.steps[0]!;
+  isolation.reserveFor(stepRun, 1, [registry.workers.get(id)!], world.now);
+  assert.equal(isolation.isHeldFor(stepRun, id), true);
+  isolation.forgetWorker(id);
+  assert.equal(isolation.isHeldFor(stepRun, id), false);
+});
