--- a/packages/gypsumwall-cell/src/cell_entry_types.ts
+++ b/packages/gypsumwall-cell/src/cell_entry_types.ts
@@ -91,4 +91,6 @@
   /** Busy share of the event loop, from 0 to 1. */
   readonly loopUtilization: number;
   readonly scheduler: scheduling.schedulerTypes.SchedulerCounts | undefined;
+  /** Entries of the worker list that its holder can't use; 0 elsewhere. */
+  readonly unusableListEntries: number;
 }
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -421,5 +421,6 @@
     },
     stop,
     counts: () => scheduler.counts(),
+    unusableListEntries: () => roster.unusableEntries(),
   };
 }
--- a/packages/gypsumwall-cell/src/cell_holder_types.ts
+++ b/packages/gypsumwall-cell/src/cell_holder_types.ts
@@ -87,4 +87,6 @@
   handOver(): Promise<void>;
   stop(): void;
   counts(): scheduling.schedulerTypes.SchedulerCounts;
+  /** Number of list entries that name no worker to use. */
+  unusableListEntries(): number;
 }
