cell: call a worker at the address of the incarnation in the call

Cause: in the compact channel form an incarnation was introduced once. A poll of the closed session before, repeated over another relay, introduced the old one last, and all later calls went to its address; so did those after a change of the address alone. Change: a worker is introduced again whenever its start or address differs from what the peer was told last, as in the plain form and docs/design/011.

--- a/packages/gypsumwall-cell/src/__tests__/channel_forms.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/channel_forms.test.ts
@@ -225,6 +225,24 @@
   }
 });
 
+// Guards against a worker that can't be reached through a peer any more: a poll
+// of the incarnation before is repeated after the next one was introduced, and
+// all calls then go to the address that the worker had.
+test('the peer calls the address of the incarnation in the call, in each form', () => {
+  for (const mediaType of FORMS) {
+    const stream = openStream(mediaType);
+    const first = {...WORKERS[0]!, bornMs: 1};
+    const second = {...first, bornMs: 2, address: 'elsewhere:1'};
+    const unknown = {...first, bornMs: undefined};
+    const moved = {...unknown, address: 'elsewhere:2'};
+    for (const worker of [second, first, second, unknown, moved]) {
+      const {address} = introduce(stream, worker).workers[0]!;
+      assert.equal(address, worker.address);
+      assert.deepEqual(introduce(stream, worker).workers, []);
+    }
+  }
+});
+
 // Guards against entries of two builds that can't call workers for each other.
 test('lines without the start of an incarnation are read, in each form', () => {
   const plain = openStream(undefined);
--- a/packages/gypsumwall-cell/src/compact_channel_form.ts
+++ b/packages/gypsumwall-cell/src/compact_channel_form.ts
@@ -4,12 +4,12 @@
  * the worker's last one on the same stream. Both ends keep the same tables,
  * because the lines of a stream arrive once and in order.
  */
-import * as scheduling from '@gypsumwall/scheduling';
+import type * as scheduling from '@gypsumwall/scheduling';
 import type * as types from '@gypsumwall/types';
 import type * as ports from './ports.js';
 import * as runningChanges from './running_changes.js';
 import * as sentPayloads from './sent_payloads.js';
-import type * as workerChannel from './worker_channel.js';
+import * as workerChannel from './worker_channel.js';
 
 type Report = Extract<ports.PollAnswer, {readonly type: 'report'}>;
 
@@ -103,11 +103,16 @@
   throw new Error(`type = ${kind}: this version doesn't know it`);
 }
 
+interface IntroducedWorker extends workerChannel.Endpoint {
+  readonly position: number;
+}
+
 /** Creates the holder's end of a stream. */
 export function createHolderForm(
   sendsPayload: workerChannel.SendsPayload,
 ): workerChannel.HolderForm {
-  const positions = new Map<types.ids.WorkerIncarnation, number>();
+  const introduced = new Map<types.ids.WorkerId, IntroducedWorker>();
+  let introductions = 0;
   const payloads = sentPayloads.createSentPayloads();
   const lastRunning = new Map<
     number,
@@ -131,17 +136,30 @@
     return ticket === undefined ? row : [...row, ticket];
   }
 
+  /**
+   * The peer calls the worker that was introduced last under an id. A call of
+   * the incarnation before may come after those of the next one, which is then
+   * introduced again: its calls would go to the address of the one before.
+   */
+  function positionOf(
+    worker: scheduling.workerRegistry.WorkerInfo,
+    added: scheduling.workerRegistry.WorkerInfo[],
+  ): number {
+    const known = introduced.get(worker.id);
+    if (known !== undefined && workerChannel.isSameEndpoint(known, worker))
+      return known.position;
+    const {address, bornMs} = worker;
+    const position = introductions++;
+    introduced.set(worker.id, {address, bornMs, position});
+    added.push(worker);
+    return position;
+  }
+
   function encodeCall(
     {nth, worker, call}: workerChannel.ChannelCall,
     added: scheduling.workerRegistry.WorkerInfo[],
   ): CallsLine['calls'][number] {
-    const incarnation = scheduling.workerIncarnation.keyOf(worker);
-    let position = positions.get(incarnation);
-    if (position === undefined) {
-      position = positions.size;
-      positions.set(incarnation, position);
-      added.push(worker);
-    }
+    const position = positionOf(worker, added);
     // All calls of a holder carry the same token.
     token = call.call.token;
     switch (call.type) {
--- a/packages/gypsumwall-cell/src/plain_channel_form.ts
+++ b/packages/gypsumwall-cell/src/plain_channel_form.ts
@@ -2,7 +2,7 @@
 import type * as scheduling from '@gypsumwall/scheduling';
 import type * as types from '@gypsumwall/types';
 import type * as ports from './ports.js';
-import type * as workerChannel from './worker_channel.js';
+import * as workerChannel from './worker_channel.js';
 
 /** A call as it is sent; the payload of a start is sent apart. */
 type SentCall = {
@@ -53,8 +53,8 @@
     encodeCalls(sent, answerDelayMs) {
       const workers: scheduling.workerRegistry.WorkerInfo[] = [];
       for (const {worker} of sent) {
-        // A worker that has started again may have another address.
-        if (isSameEndpoint(knownWorkers.get(worker.id), worker)) continue;
+        const known = knownWorkers.get(worker.id);
+        if (workerChannel.isSameEndpoint(known, worker)) continue;
         knownWorkers.set(worker.id, worker);
         workers.push(worker);
       }
@@ -67,13 +67,6 @@
   };
 }
 
-function isSameEndpoint(
-  known: scheduling.workerRegistry.WorkerInfo | undefined,
-  {address, bornMs}: scheduling.workerRegistry.WorkerInfo,
-): boolean {
-  return known?.address === address && known.bornMs === bornMs;
-}
-
 /** Creates the peer's end of a stream. */
 export function createPeerForm(): workerChannel.PeerForm {
   return {
--- a/packages/gypsumwall-cell/src/worker_channel.ts
+++ b/packages/gypsumwall-cell/src/worker_channel.ts
@@ -34,6 +34,23 @@
   readonly call: WorkerCall;
 }
 
+/** What a peer knows of a worker that was introduced to it. */
+export type Endpoint = Pick<
+  scheduling.workerRegistry.WorkerInfo,
+  'address' | 'bornMs'
+>;
+
+/**
+ * Whether the peer's connections to a worker serve calls to another one of the
+ * same id: a worker that has started again may have another address.
+ */
+export function isSameEndpoint(
+  known: Endpoint | undefined,
+  {address, bornMs}: Endpoint,
+): boolean {
+  return known?.address === address && known.bornMs === bornMs;
+}
+
 /** A start whose payload the peer takes from the job's record. */
 export interface StartByReference {
   readonly type: 'start_by_reference';
