cell, platform: don't let an entry of another program end a worker

An entry of the list may come from another writer. One in a pool that no queue uses, with a later start, ended the incarnation at once, so that its tasks could have run twice; it only takes the worker off the list now, and an answer proves a restart.

--- a/packages/gypsumwall-cell/src/worker_roster.ts
+++ b/packages/gypsumwall-cell/src/worker_roster.ts
@@ -101,12 +101,9 @@
     const isNew = known === undefined || succession === 'later';
     if (isNew && !options.isUsedPool(pool)) {
       faults.report(id, `pool = ${pool}: no queue uses this pool`);
-      if (known !== undefined)
-        workers.remove(
-          id,
-          workerEntries.endOf(known),
-          `restarted in pool ${pool}`,
-        );
+      // Another program may have written the entry: only an answer proves that
+      // the incarnation is over.
+      unlist(id);
       return;
     }
     faults.clear(id);
