--- a/packages/gypsumwall-cell/src/compact_channel_form.ts
+++ b/packages/gypsumwall-cell/src/compact_channel_form.ts
@@ -9,7 +9,7 @@
 import type * as ports from './ports.js';
 import * as runningChanges from './running_changes.js';
 import * as sentPayloads from './sent_payloads.js';
-import type * as workerChannel from './worker_channel.js';
+import * as workerChannel from './worker_channel.js';
 
 type Report = Extract<ports.PollAnswer, {readonly type: 'report'}>;
 
@@ -53,11 +53,20 @@
 ];
 
 type AnswerRow =
-  | readonly [number, 'accepted', number]
-  | readonly [number, 'refused', scheduling.schedulerTypes.RefusalReason]
+  /** Clock; the start of the incarnation, as in a report. */
+  | readonly [number, 'accepted', number, number?]
+  | readonly [
+      number,
+      'refused',
+      scheduling.schedulerTypes.RefusalReason,
+      number?,
+    ]
   | readonly [number, 'fenced' | 'gone']
   | readonly [number, 'err', types.stepError.StepError]
-  /** Worker, its clock, changed attempts, ends, and whether there are more. */
+  /**
+   * Worker, its clock, changed attempts, ends, whether there are more, and the
+   * start of its incarnation if that isn't the one that the holder has named.
+   */
   | readonly [
       number,
       'report',
@@ -66,6 +75,7 @@
       runningChanges.RunningChanges,
       EndRow[],
       0 | 1,
+      number?,
     ];
 
 interface AnswersLine {
@@ -93,11 +103,16 @@
   throw new Error(`type = ${kind}: this version doesn't know it`);
 }
 
+interface IntroducedWorker extends workerChannel.Endpoint {
+  readonly position: number;
+}
+
 /** Creates the holder's end of a stream. */
 export function createHolderForm(
   sendsPayload: workerChannel.SendsPayload,
 ): workerChannel.HolderForm {
-  const positions = new Map<types.ids.WorkerId, number>();
+  const introduced = new Map<types.ids.WorkerId, IntroducedWorker>();
+  let introductions = 0;
   const payloads = sentPayloads.createSentPayloads();
   const lastRunning = new Map<
     number,
@@ -121,16 +136,30 @@
     return ticket === undefined ? row : [...row, ticket];
   }
 
+  /**
+   * The peer calls the worker that was introduced last under an id. A call of
+   * the incarnation before may come after those of the next one, which is then
+   * introduced again: its calls would go to the address of the one before.
+   */
+  function positionOf(
+    worker: scheduling.workerRegistry.WorkerInfo,
+    added: scheduling.workerRegistry.WorkerInfo[],
+  ): number {
+    const known = introduced.get(worker.id);
+    if (known !== undefined && workerChannel.isSameEndpoint(known, worker))
+      return known.position;
+    const {address, bornMs} = worker;
+    const position = introductions++;
+    introduced.set(worker.id, {address, bornMs, position});
+    added.push(worker);
+    return position;
+  }
+
   function encodeCall(
     {nth, worker, call}: workerChannel.ChannelCall,
     added: scheduling.workerRegistry.WorkerInfo[],
   ): CallsLine['calls'][number] {
-    let position = positions.get(worker.id);
-    if (position === undefined) {
-      position = positions.size;
-      positions.set(worker.id, position);
-      added.push(worker);
-    }
+    const position = positionOf(worker, added);
     // All calls of a holder carry the same token.
     token = call.call.token;
     switch (call.type) {
@@ -155,16 +184,22 @@
     checkKind(row[1], ANSWER_KINDS);
     switch (row[1]) {
       case 'accepted':
-        return {nth, answer: {type: 'accepted', clockMs: row[2]}};
+        return {
+          nth,
+          answer: {type: 'accepted', clockMs: row[2], bornMs: row[3]},
+        };
       case 'refused':
-        return {nth, answer: {type: 'refused', reason: row[2]}};
+        return {
+          nth,
+          answer: {type: 'refused', reason: row[2], bornMs: row[3]},
+        };
       case 'fenced':
       case 'gone':
         return {nth, answer: {type: row[1]}};
       case 'err':
         return {nth, err: row[2]};
       case 'report': {
-        const [, , position, clockMs, changes, ends, hasMore] = row;
+        const [, , position, clockMs, changes, ends, hasMore, bornMs] = row;
         const running = runningChanges.applyChanges(
           lastRunning.get(position) ?? [],
           changes,
@@ -176,6 +211,7 @@
           running,
           ends: ends.map(decodeEnd),
           hasMoreEnds: hasMore === 1,
+          bornMs,
         };
         return {nth, answer};
       }
@@ -208,6 +244,8 @@
 /** Creates the peer's end of a stream. */
 export function createPeerForm(): workerChannel.PeerForm {
   const workerIds: types.ids.WorkerId[] = [];
+  /** Starts of the incarnations that the holder calls, as it knows them. */
+  const births = new Map<types.ids.WorkerId, number | undefined>();
   const positions = new Map<types.ids.WorkerId, number>();
   const payloads = new Map<number, string>();
   const lastRunning = new Map<
@@ -272,7 +310,17 @@
     lastRunning.set(position, runningChanges.applyChanges(before, changes));
     const ends = report.ends.map(encodeEnd);
     const hasMore = report.hasMoreEnds ? 1 : 0;
-    return [nth, 'report', position, report.clockMs, changes, ends, hasMore];
+    const row = [nth, 'report', position, report.clockMs] as const;
+    return [...row, changes, ends, hasMore, ...otherBirth(worker, report)];
+  }
+
+  /** The start of the incarnation that answered, if the holder needs it. */
+  function otherBirth(
+    worker: types.ids.WorkerId,
+    {bornMs}: {readonly bornMs?: number},
+  ): [number?] {
+    if (bornMs === undefined || births.get(worker) === bornMs) return [];
+    return [bornMs];
   }
 
   return {
@@ -287,7 +335,10 @@
         const names = Object.keys(line).join(',');
         throw new Error(`fields = ${names}: no line of calls`);
       }
-      for (const {id} of workers) positions.set(id, workerIds.push(id) - 1);
+      for (const {id, bornMs} of workers) {
+        positions.set(id, workerIds.push(id) - 1);
+        births.set(id, bornMs);
+      }
       const added = line.payloads ?? [];
       for (const [number, payload] of added) payloads.set(number, payload);
       const rows = calls as CallsLine['calls'];
@@ -304,9 +355,19 @@
         const {answer} = one;
         switch (answer.type) {
           case 'accepted':
-            return [nth, 'accepted', answer.clockMs];
+            return [
+              nth,
+              'accepted',
+              answer.clockMs,
+              ...otherBirth(one.worker, answer),
+            ];
           case 'refused':
-            return [nth, 'refused', answer.reason];
+            return [
+              nth,
+              'refused',
+              answer.reason,
+              ...otherBirth(one.worker, answer),
+            ];
           case 'fenced':
           case 'gone':
             return [nth, answer.type];
--- a/packages/gypsumwall-cell/src/plain_channel_form.ts
+++ b/packages/gypsumwall-cell/src/plain_channel_form.ts
@@ -2,7 +2,7 @@
 import type * as scheduling from '@gypsumwall/scheduling';
 import type * as types from '@gypsumwall/types';
 import type * as ports from './ports.js';
-import type * as workerChannel from './worker_channel.js';
+import * as workerChannel from './worker_channel.js';
 
 /** A call as it is sent; the payload of a start is sent apart. */
 type SentCall = {
@@ -32,7 +32,10 @@
 
 /** Creates the holder's end of a stream. */
 export function createHolderForm(): workerChannel.HolderForm {
-  const knownWorkers = new Set<types.ids.WorkerId>();
+  const knownWorkers = new Map<
+    types.ids.WorkerId,
+    scheduling.workerRegistry.WorkerInfo
+  >();
 
   function encodeCall(
     {nth, worker, call}: workerChannel.ChannelCall,
@@ -50,8 +53,9 @@
     encodeCalls(sent, answerDelayMs) {
       const workers: scheduling.workerRegistry.WorkerInfo[] = [];
       for (const {worker} of sent) {
-        if (knownWorkers.has(worker.id)) continue;
-        knownWorkers.add(worker.id);
+        const known = knownWorkers.get(worker.id);
+        if (workerChannel.isSameEndpoint(known, worker)) continue;
+        knownWorkers.set(worker.id, worker);
         workers.push(worker);
       }
       const payloads: string[] = [];
