cell: read records and count calls with fewer intermediate objects

Every entry reads every record of the logs. Each made a slice of the answer, a copied object and five closures of the results of decoding and applying; each call copied the totals of its kind of server.

Records are decoded at their place in the answer, applied with a plain try, and calls are added to counters that are found by their step.

--- a/packages/gypsumwall-cell/src/apply_records.ts
+++ b/packages/gypsumwall-cell/src/apply_records.ts
@@ -15,15 +15,25 @@
   logger: telemetry.logger.Logger,
   apply: (record: storeRecords.StoreRecord, offset: number) => void,
 ): void {
-  for (const {key, value, offset} of records) {
-    const applied = result.andThen(
-      (record) =>
-        result.tryOrElse(types.stepError.messageOf, () =>
-          apply(record, offset),
-        ),
-      storeRecords.decode(key, value),
-    );
-    if (result.isOk(applied)) continue;
-    logger.warn('record_unreadable', {key, offset, error: applied.error});
+  for (const record of records) {
+    const {key, offset} = record;
+    const error = applyRecord(record, apply);
+    if (error !== undefined)
+      logger.warn('record_unreadable', {key, offset, error});
+  }
+}
+
+/** Returns what is wrong with the record, or undefined. */
+function applyRecord(
+  {key, value, offset}: ports.KeyedRecord,
+  apply: (record: storeRecords.StoreRecord, offset: number) => void,
+): string | undefined {
+  const decoded = storeRecords.decode(key, value);
+  if (result.isErr(decoded)) return decoded.error;
+  try {
+    apply(decoded.value, offset);
+    return undefined;
+  } catch (thrown) {
+    return types.stepError.messageOf(thrown);
   }
 }
--- a/packages/gypsumwall-cell/src/traffic_meter.ts
+++ b/packages/gypsumwall-cell/src/traffic_meter.ts
@@ -24,26 +24,34 @@
   totals(): ReadonlyMap<string, TrafficTotals>;
 }
 
-const NONE: TrafficTotals = {
-  calls: 0,
-  failedCalls: 0,
-  sentBytes: 0,
-  receivedBytes: 0,
-};
+type Counters = {-readonly [Name in keyof TrafficTotals]: TrafficTotals[Name]};
 
 /** Creates counters at zero. */
 export function createTrafficMeter(): TrafficMeter {
-  const totals = new Map<string, TrafficTotals>();
+  const totals = new Map<string, Counters>();
+  /** The counters of a step's kind, to find them without dividing its name. */
+  const countersByStep = new Map<string, Counters>();
+
+  function countersOf(step: string): Counters {
+    const kind = step.split('.', 1)[0]!;
+    const counters = totals.get(kind) ?? {
+      calls: 0,
+      failedCalls: 0,
+      sentBytes: 0,
+      receivedBytes: 0,
+    };
+    totals.set(kind, counters);
+    countersByStep.set(step, counters);
+    return counters;
+  }
+
   return {
     record({step, sentBytes, receivedBytes}) {
-      const kind = step.split('.', 1)[0]!;
-      const before = totals.get(kind) ?? NONE;
-      totals.set(kind, {
-        calls: before.calls + 1,
-        failedCalls: before.failedCalls + (receivedBytes === undefined ? 1 : 0),
-        sentBytes: before.sentBytes + sentBytes,
-        receivedBytes: before.receivedBytes + (receivedBytes ?? 0),
-      });
+      const counters = countersByStep.get(step) ?? countersOf(step);
+      counters.calls++;
+      counters.sentBytes += sentBytes;
+      if (receivedBytes === undefined) counters.failedCalls++;
+      else counters.receivedBytes += receivedBytes;
     },
     totals: () => totals,
   };
