cell: write lines of peers unframed, and check channels together

A peer that makes calls to workers wrote each line of answers in three pieces, a chunk's size, the line and a line end.

A holder with 31 peers woke up 620 times a second to look for overdue calls, once for each channel every 50 ms. All channels now do it at the same moments.

--- a/packages/gypsumwall-cell/src/__tests__/worker_channel.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/worker_channel.test.ts
@@ -1,4 +1,5 @@
 import * as assert from 'node:assert/strict';
+import * as http from 'node:http';
 import type * as net from 'node:net';
 import * as nodeTest from 'node:test';
 import * as result from 'true-myth/result';
@@ -7,8 +8,10 @@
 import * as worlds from '../__fixtures__/cell_world.js';
 import * as fakeWorkers from '../__fixtures__/fake_worker.js';
 import * as httpServer from '../http_server.js';
+import * as lineStream from '../line_stream.js';
 import * as peerServers from '../peer_server.js';
 import type * as ports from '../ports.js';
+import * as workerChannel from '../worker_channel.js';
 import * as workerChannelClient from '../worker_channel_client.js';
 
 const {test} = nodeTest;
@@ -76,6 +79,32 @@
   return lost;
 }
 
+// Guards against three pieces for each line, with their processor time: the
+// answers of peers are most of what a holder reads.
+test('the lines of a peer have no frame around them', async () => {
+  await withChannel(
+    () => assert.fail('unexpected call'),
+    async (_channel, server) => {
+      const {port} = server.server.address() as net.AddressInfo;
+      const path = workerChannel.WORKER_CHANNEL_PATH;
+      const headers = {'content-type': lineStream.LINES_TYPE};
+      const to = {host: '127.0.0.1', port, path, method: 'POST', headers};
+      const req = http.request(to);
+      req.flushHeaders();
+      const res = await new Promise<http.IncomingMessage>((resolve) =>
+        req.once('response', resolve),
+      );
+      assert.equal(res.headers['transfer-encoding'], undefined);
+      assert.equal(res.headers['content-length'], undefined);
+      // A peer without answers writes empty lines.
+      await new Promise((resolve) => lineStream.readLines(res, resolve));
+      const closed = new Promise((resolve) => res.once('close', resolve));
+      server.server.closeAllConnections();
+      await closed;
+    },
+  );
+});
+
 test('a peer makes the calls of a holder, with the payloads of starts', async () => {
   const worker = fakeWorkers.createFakeWorker('w1', 4);
   const payloads: string[] = [];
--- a/packages/gypsumwall-cell/src/peer_server.ts
+++ b/packages/gypsumwall-cell/src/peer_server.ts
@@ -50,6 +50,9 @@
     (req, res) => {
       const {mediaType, form} = channelForms.createPeerForm(req.headers.accept);
       res.hijack();
+      // Each line is then written in one piece, without a frame around it; the
+      // stream ends with its connection.
+      res.raw.removeHeader('transfer-encoding');
       res.raw.writeHead(200, {'content-type': mediaType});
       res.raw.flushHeaders();
       workerChannelServer.serveWorkerChannel(req.body, res.raw, {
--- a/packages/gypsumwall-cell/src/worker_channel_client.ts
+++ b/packages/gypsumwall-cell/src/worker_channel_client.ts
@@ -21,7 +21,10 @@
 const RELAY_ALLOWANCE_MS = 250;
 /** A peer that is silent for this long is considered lost; milliseconds. */
 const MAX_SILENCE_MS = 1_000;
-/** Interval at which overdue calls are looked for; milliseconds. */
+/**
+ * Interval at which overdue calls are looked for. All channels do it at the same
+ * moments, which wakes a holder with many peers up once; milliseconds.
+ */
 const CHECK_INTERVAL_MS = 50;
 
 /** Options of a channel. */
@@ -62,6 +65,7 @@
   const openCalls = new Map<number, OpenCall>();
   let waiting: workerChannel.ChannelCall[] = [];
   let timer: NodeJS.Timeout | undefined;
+  let checkTimer: NodeJS.Timeout | undefined;
   /** Undefined until the peer has accepted the stream. */
   let form: workerChannel.HolderForm | undefined;
   let isLost = false;
@@ -117,7 +121,7 @@
   function onClosed(err: types.stepError.StepError): void {
     if (isLost) return;
     isLost = true;
-    clearInterval(checks);
+    clearTimeout(checkTimer);
     clearTimeout(timer);
     const unsent = new Set(waiting.map(({nth}) => nth));
     for (const [nth, call] of openCalls) {
@@ -127,8 +131,16 @@
     options.onLost(err);
   }
 
+  function scheduleCheck(): void {
+    const sinceLastMs = clock.monotonic() % CHECK_INTERVAL_MS;
+    const delayMs = Math.ceil(CHECK_INTERVAL_MS - sinceLastMs);
+    // Lines that arrived while this process was busy are read first.
+    checkTimer = setTimeout(() => setImmediate(check), delayMs);
+  }
+
   function check(): void {
     if (isLost) return;
+    scheduleCheck();
     const now = clock.monotonic();
     if (now - heardAt > MAX_SILENCE_MS) {
       stream.close(`silent for ${MAX_SILENCE_MS} ms`);
@@ -149,8 +161,7 @@
     onLine,
     onClosed,
   });
-  // Lines that arrived while this process was busy are read first.
-  const checks = setInterval(() => setImmediate(check), CHECK_INTERVAL_MS);
+  scheduleCheck();
 
   return {
     call(worker, call) {
