types: end the waits of a signal by one listener

Each wait of a loop added a listener to the signal that stops the loop and removed it again, and a wait of a fraction of a millisecond had a timer queue of its own. A signal now has one listener, and waits are whole milliseconds, which ends no timer later, as Node compares them with a clock of whole ones.

--- a/packages/gypsumwall-types/src/clock.ts
+++ b/packages/gypsumwall-types/src/clock.ts
@@ -50,29 +50,49 @@
 
 /** Creates a clock that reads the real time of this process. */
 export function createSystemClock(): Clock {
+  /**
+   * Waits by the signal that ends them. A signal has one listener for all its
+   * waits, since a listener costs many times the processor time of a timer.
+   */
+  const waitsBySignal = new WeakMap<AbortSignal, Set<() => void>>();
+
+  function waitsOf(signal: AbortSignal): Set<() => void> {
+    const known = waitsBySignal.get(signal);
+    if (known !== undefined) return known;
+    const waits = new Set<() => void>();
+    const endAll = () => {
+      for (const end of waits) end();
+    };
+    signal.addEventListener('abort', endAll, {once: true});
+    waitsBySignal.set(signal, waits);
+    return waits;
+  }
+
+  function sleepUntil(
+    deadline: MonotonicMs,
+    signal?: AbortSignal,
+  ): Promise<void> {
+    if (signal?.aborted === true) return Promise.resolve();
+    return new Promise<void>((resolve) => {
+      // A fraction changes no timer's end but takes a queue of its own.
+      const spanMs = Math.ceil(Math.max(0, deadline - performance.now()));
+      const waits = signal && waitsOf(signal);
+      const end = () => {
+        clearTimeout(timer);
+        waits?.delete(end);
+        resolve();
+      };
+      const timer = setTimeout(end, Math.min(spanMs, MAX_TIMER_MS));
+      waits?.add(end);
+    });
+  }
+
   return {
     monotonic: () => performance.now() as MonotonicMs,
     wall: () => Date.now() as WallMs,
-    sleepUntil: (deadline, signal) => sleepUntil(deadline, signal),
+    sleepUntil,
   };
 }
 
 /** Maximum delay of a Node timer; a longer one overflows and fires at once. */
 const MAX_TIMER_MS = 2 ** 31 - 1;
-
-function sleepUntil(deadline: MonotonicMs, signal?: AbortSignal) {
-  return new Promise<void>((resolve) => {
-    if (signal?.aborted === true) {
-      resolve();
-      return;
-    }
-    const spanMs = Math.max(0, deadline - performance.now());
-    const finish = () => {
-      clearTimeout(timer);
-      signal?.removeEventListener('abort', finish);
-      resolve();
-    };
-    const timer = setTimeout(finish, Math.min(spanMs, MAX_TIMER_MS));
-    signal?.addEventListener('abort', finish, {once: true});
-  });
-}
