cell: reject bad addresses, and don't reuse early-answered connections

The timer of a call ran before the call was sent. If sending threw, as for 'nowhere' or a port over 65535, the call failed but its timer then ended the process with 'Cannot access sending before initialization'. A connection whose call was answered before its body was sent took the next call, which waited behind the rest that the server may never read.

The timer starts after the call was handed over, and a connection with unsent bytes is closed after its answer.

Both new tests fail without the change and pass with it.

--- a/packages/gypsumwall-cell/src/__tests__/http_client.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/http_client.test.ts
@@ -223,3 +223,33 @@
     },
   );
 });
+
+// Guards against a record with a bad address that ends every process that calls
+// it.
+test('a call to an invalid address fails, also after its timeout', async () => {
+  for (const address of ['nowhere', '127.0.0.1:99999']) {
+    const client = httpClient.createHttpClient(address, 1);
+    const answer = await client.call({...CALL, timeoutMs: 20});
+    assert.ok(result.isErr(answer), address);
+  }
+  // A timer that was left behind would throw now.
+  await new Promise((resolve) => setTimeout(resolve, 60));
+});
+
+// Guards against calls that wait behind a large body that an overloaded server
+// refused without reading it.
+test('a connection whose call was answered early is not used again', async () => {
+  const used = new Set<number>();
+  const onCall = (socket: net.Socket, nth: number) => {
+    if (used.has(nth)) return;
+    used.add(nth);
+    if (nth === 0) socket.pause();
+    socket.write(`${ANSWER}{}`);
+  };
+  await withRawServer(onCall, async (client) => {
+    const body = Buffer.alloc(32 << 20);
+    assert.ok(result.isOk(await client.call({...CALL, body})));
+    assert.ok(result.isOk(await client.call(CALL)));
+    assert.equal(used.size, 2);
+  });
+});
--- a/packages/gypsumwall-cell/src/http_client.ts
+++ b/packages/gypsumwall-cell/src/http_client.ts
@@ -75,7 +75,6 @@
       const timer = createAnswerTimer((spanMs) =>
         sending.abort(new Error(`no answer in ${spanMs} ms`)),
       );
-      timer.restart(call.timeoutMs);
       const sending = pool.send(message, {
         onConnected: () => void (sent = true),
         onProgress() {
@@ -90,6 +89,8 @@
           reject(Object.assign(err, {sent}));
         },
       });
+      // Only now, as sending throws for an address that is no address.
+      timer.restart(call.timeoutMs);
     });
   }
 
--- a/packages/gypsumwall-cell/src/http_connection.ts
+++ b/packages/gypsumwall-cell/src/http_connection.ts
@@ -144,7 +144,9 @@
   ): void {
     call = undefined;
     const now = performance.now();
-    if (answer.isReusable) {
+    // After an early answer the next call would wait behind the unsent rest of
+    // this one, which the server may never read.
+    if (answer.isReusable && socket.writableLength === 0) {
       reusableUntil = now + (answer.reusableForMs ?? Infinity);
       socket.unref();
       listener.onIdle(connection);
