cell: keep the timeout of a call until the body of its answer begins

The own HTTP connections restarted the time-out of a long answer with its head and with interim answers, and shortened it to that of a part: a store that sends the head of a held back answer first would have failed each read that waits for longer. Header values that aren't ASCII were sent in another encoding than before and are refused now.

--- a/packages/gypsumwall-cell/src/answer_parser.ts
+++ b/packages/gypsumwall-cell/src/answer_parser.ts
@@ -37,6 +37,8 @@
    * an answer.
    */
   push(bytes: Buffer): ParsedAnswer | undefined;
+  /** Whether a part of the body of the current answer has been taken. */
+  hasBody(): boolean;
   /**
    * Takes the end of the connection. Returns the answer if that completes it.
    */
@@ -184,6 +186,7 @@
         unparsed = unparsed.subarray(found);
       }
     },
+    hasBody: () => body.length > 0,
     end: () => (state.type === 'until_close' ? complete(false) : undefined),
   };
 }
--- a/packages/gypsumwall-cell/src/http_client.ts
+++ b/packages/gypsumwall-cell/src/http_client.ts
@@ -51,7 +51,7 @@
 }
 
 const REQUEST_PATH = /^\/[\x21-\x7e]*$/;
-const HEADER_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/;
+const HEADER_VALUE = /^[\t\x20-\x7e]*$/;
 
 /**
  * Creates a client of `host:port` with a maximum number of connections. Its
--- a/packages/gypsumwall-cell/src/http_connection.ts
+++ b/packages/gypsumwall-cell/src/http_connection.ts
@@ -25,7 +25,7 @@
 
 /** An answer and how long it was transferred. */
 export interface ReceivedAnswer extends answerParsers.ParsedAnswer {
-  /** Time from the answer's first bytes to its end; milliseconds. */
+  /** Time from the first bytes of the body to its end; milliseconds. */
   readonly transferMs: number;
 }
 
@@ -33,7 +33,7 @@
 export interface CallHandlers {
   /** From now on the server may receive the call. */
   readonly onConnected: () => void;
-  /** A part of the answer has arrived. */
+  /** A part of the answer's body has arrived. */
   readonly onProgress: () => void;
   readonly onAnswer: (answer: ReceivedAnswer) => void;
   readonly onFailed: (err: Error) => void;
@@ -67,7 +67,7 @@
   let call: CallHandlers | undefined;
   let isConnected = false;
   let isClosed = false;
-  /** When the answer's first bytes arrived, if they were not all. */
+  /** When the first bytes of the body arrived, if they were not all. */
   let begunAt: number | undefined;
   /** On the clock of `performance.now`. */
   let reusableUntil = Infinity;
@@ -134,6 +134,8 @@
       onAnswer(call, answer);
       return;
     }
+    // A head may come long before its body, as that of a held back answer does.
+    if (!parser.hasBody()) return;
     begunAt ??= performance.now();
     call.onProgress();
   }
