--- a/packages/gypsumwall-cell/src/apply_records.ts
+++ b/packages/gypsumwall-cell/src/apply_records.ts
@@ -15,18 +15,26 @@
   logger: telemetry.logger.Logger,
   apply: (record: storeRecords.StoreRecord, offset: number) => void,
 ): void {
-  for (const {key, value, offset} of records) {
-    const applied = result.andThen(
-      (record) =>
-        result.tryOrElse(types.stepError.messageOf, () => {
-          apply(record, offset);
-          return faultOf(record);
-        }),
-      storeRecords.decode(key, value),
-    );
-    const error = result.isOk(applied) ? applied.value : applied.error;
-    if (error === undefined) continue;
-    logger.warn('record_unreadable', {key, offset, error});
+  for (const record of records) {
+    const {key, offset} = record;
+    const error = applyRecord(record, apply);
+    if (error !== undefined)
+      logger.warn('record_unreadable', {key, offset, error});
+  }
+}
+
+/** Returns what is wrong with the record, or undefined. */
+function applyRecord(
+  {key, value, offset}: ports.KeyedRecord,
+  apply: (record: storeRecords.StoreRecord, offset: number) => void,
+): string | undefined {
+  const decoded = storeRecords.decode(key, value);
+  if (result.isErr(decoded)) return decoded.error;
+  try {
+    apply(decoded.value, offset);
+    return faultOf(decoded.value);
+  } catch (thrown) {
+    return types.stepError.messageOf(thrown);
   }
 }
 
