--- a/packages/gypsumwall-cell/src/__tests__/unreadable_records.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/unreadable_records.test.ts
@@ -234,6 +234,11 @@
     errorFor(1, ['progress', 'phase'], 'lost'),
     /progress.phase = \\"lost\\"/,
   );
+  // Each occurrence would be opened at once.
+  assert.match(
+    errorFor(0, ['request', 'schedule', 'occurrences'], 1e9),
+    /occurrences = 1000000000: give a whole number/,
+  );
   assert.match(errorFor(2, ['address'], 7), /address = 7: give a string/);
   assert.match(
     errorFor(3, ['generation'], undefined),
--- a/packages/gypsumwall-cell/src/__tests__/worker_births.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/worker_births.test.ts
@@ -162,13 +162,17 @@
 // second hide everything else.
 test('each unusable entry is logged once until it can be used', () => {
   const {roster, list, logged} = createRoster();
-  const all = (beat: number) =>
-    Array.from({length: 3_000}, (_none, nth) => ({
+  const entries = (beat: number, length: number) =>
+    Array.from({length}, (_none, nth) => ({
       key: `x${nth}`,
       value: `bad seq = "${beat}"`,
       offset: beat,
     }));
-  for (let beat = 0; beat < 3; beat++) roster.applyList(all(beat), false);
+  const write = (beat: number, count: number) =>
+    roster.applyList(entries(beat, count), false);
+  for (let beat = 0; beat < 3; beat++) write(beat, 500);
+  assert.equal(logged.length, 500);
+  for (let beat = 3; beat < 6; beat++) write(beat, 3_000);
   assert.equal(roster.unusableEntries(), 3_000);
   assert.equal(logged.length, 1_000);
   list({});
--- a/packages/gypsumwall-cell/src/compact_channel_form.ts
+++ b/packages/gypsumwall-cell/src/compact_channel_form.ts
@@ -6,6 +6,7 @@
  */
 import * as scheduling from '@gypsumwall/scheduling';
 import type * as types from '@gypsumwall/types';
+import * as compactRows from './compact_rows.js';
 import type * as ports from './ports.js';
 import * as runningChanges from './running_changes.js';
 import * as sentPayloads from './sent_payloads.js';
@@ -13,96 +14,6 @@
 
 type Report = Extract<ports.PollAnswer, {readonly type: 'report'}>;
 
-/** Number, kind, and position of the worker in the order of introduction. */
-type CallHead<Kind extends string> = readonly [number, Kind, number];
-
-/** Task, attempt, end of the lease, timeout, payload, ticket, checkpoint. */
-type StartRow = readonly [
-  ...CallHead<'start'>,
-  types.ids.TaskId,
-  number,
-  number,
-  number,
-  /** Number of the payload; null if it is in the job's record. */
-  number | null,
-  (string | null)?,
-  string?,
-];
-/** Task, attempt, timeout. */
-type StopRow = readonly [...CallHead<'stop'>, types.ids.TaskId, number, number];
-/** Acknowledged sequence number, wait, timeout, end of the lease. */
-type PollRow = readonly [...CallHead<'poll'>, number, number, number, number?];
-
-interface CallsLine {
-  /** Workers that are called for the first time on this stream. */
-  readonly workers?: readonly scheduling.workerRegistry.WorkerInfo[];
-  /** Payloads that are sent for the first time, with their numbers. */
-  readonly payloads?: readonly (readonly [number, string])[];
-  readonly token: number;
-  readonly delayMs: number;
-  readonly calls: readonly (StartRow | StopRow | PollRow)[];
-}
-
-/** Sequence number, task, attempt, outcome, saved progress. */
-type EndRow = readonly [
-  number,
-  types.ids.TaskId,
-  number,
-  scheduling.schedulerTypes.AttemptEnd['how'],
-  string,
-];
-
-type AnswerRow =
-  /** Clock; the start of the incarnation, as in a report. */
-  | readonly [number, 'accepted', number, number?]
-  | readonly [
-      number,
-      'refused',
-      scheduling.schedulerTypes.RefusalReason,
-      number?,
-    ]
-  | readonly [number, 'fenced' | 'gone']
-  | readonly [number, 'err', types.stepError.StepError]
-  /**
-   * Worker, its clock, changed attempts, ends, whether there are more, and the
-   * start of its incarnation if that isn't the one that the holder has named.
-   */
-  | readonly [
-      number,
-      'report',
-      number,
-      number,
-      runningChanges.RunningChanges,
-      EndRow[],
-      0 | 1,
-      number?,
-    ];
-
-interface AnswersLine {
-  readonly leaving?: 1;
-  readonly answers: readonly AnswerRow[];
-}
-
-const CALL_KINDS: ReadonlySet<string> = new Set<CallsLine['calls'][number][1]>([
-  'start',
-  'stop',
-  'poll',
-]);
-const ANSWER_KINDS: ReadonlySet<string> = new Set<AnswerRow[1]>([
-  'accepted',
-  'refused',
-  'fenced',
-  'gone',
-  'err',
-  'report',
-]);
-
-/** Throws for a row of another version, which may mean anything. */
-function checkKind(kind: string, known: ReadonlySet<string>): void {
-  if (known.has(kind)) return;
-  throw new Error(`type = ${kind}: this version doesn't know it`);
-}
-
 /** Creates the holder's end of a stream. */
 export function createHolderForm(
   sendsPayload: workerChannel.SendsPayload,
@@ -119,7 +30,7 @@
     nth: number,
     position: number,
     call: ports.StartCall,
-  ): StartRow {
+  ): compactRows.StartRow {
     const {taskId, attempt, leaseUntil, timeoutMs, payload, ticket} = call;
     const known = payloads.find(payload);
     const number =
@@ -134,7 +45,7 @@
   function encodeCall(
     {nth, worker, call}: workerChannel.ChannelCall,
     added: scheduling.workerRegistry.WorkerInfo[],
-  ): CallsLine['calls'][number] {
+  ): compactRows.CallsLine['calls'][number] {
     const incarnation = scheduling.workerIncarnation.keyOf(worker);
     let position = positions.get(incarnation);
     if (position === undefined) {
@@ -161,9 +72,9 @@
     }
   }
 
-  function decodeAnswer(row: AnswerRow): workerChannel.SentAnswer {
+  function decodeAnswer(row: compactRows.AnswerRow): workerChannel.SentAnswer {
     const [nth] = row;
-    checkKind(row[1], ANSWER_KINDS);
+    compactRows.checkKind(row[1], compactRows.ANSWER_KINDS);
     switch (row[1]) {
       case 'accepted':
         return {
@@ -191,7 +102,7 @@
           type: 'report',
           clockMs,
           running,
-          ends: ends.map(decodeEnd),
+          ends: ends.map(compactRows.decodeEnd),
           hasMoreEnds: hasMore === 1,
           bornMs,
         };
@@ -205,7 +116,7 @@
       const workers: scheduling.workerRegistry.WorkerInfo[] = [];
       const calls = sent.map((call) => encodeCall(call, workers));
       const added = payloads.takeAdded();
-      const line: CallsLine = {
+      const line: compactRows.CallsLine = {
         workers: workers.length > 0 ? workers : undefined,
         payloads: added.length > 0 ? added : undefined,
         token,
@@ -215,9 +126,11 @@
       return JSON.stringify(line);
     },
     decodeAnswers(text) {
-      const {answers, leaving} = JSON.parse(text) as Partial<AnswersLine>;
+      const {answers, leaving} = JSON.parse(
+        text,
+      ) as Partial<compactRows.AnswersLine>;
       if (!Array.isArray(answers)) throw new Error('no line of answers');
-      const rows = answers as AnswersLine['answers'];
+      const rows = answers as compactRows.AnswersLine['answers'];
       return {answers: rows.map(decodeAnswer), isLeaving: leaving === 1};
     },
   };
@@ -236,7 +149,7 @@
   >();
 
   function decodeStart(
-    row: StartRow,
+    row: compactRows.StartRow,
     token: number,
   ): workerChannel.ReceivedCall['call'] {
     const [, , , taskId, attempt, leaseUntil, timeoutMs, number] = row;
@@ -257,14 +170,14 @@
   }
 
   function decodeCall(
-    row: CallsLine['calls'][number],
+    row: compactRows.CallsLine['calls'][number],
     token: number,
   ): workerChannel.ReceivedCall {
     const [nth, , position] = row;
     const worker = workerIds[position];
     if (worker === undefined)
       throw new Error(`worker = ${position}: it was not sent on this stream`);
-    checkKind(row[1], CALL_KINDS);
+    compactRows.checkKind(row[1], compactRows.CALL_KINDS);
     switch (row[1]) {
       case 'start':
         return {nth, worker, call: decodeStart(row, token)};
@@ -285,12 +198,12 @@
     nth: number,
     worker: types.ids.WorkerId,
     report: Report,
-  ): AnswerRow {
+  ): compactRows.AnswerRow {
     const position = positions.get(worker)!;
     const before = lastRunning.get(position) ?? [];
     const changes = runningChanges.findChanges(before, report.running);
     lastRunning.set(position, runningChanges.applyChanges(before, changes));
-    const ends = report.ends.map(encodeEnd);
+    const ends = report.ends.map(compactRows.encodeEnd);
     const hasMore = report.hasMoreEnds ? 1 : 0;
     const row = [nth, 'report', position, report.clockMs] as const;
     return [...row, changes, ends, hasMore, ...otherBirth(worker, report)];
@@ -307,7 +220,7 @@
 
   return {
     decodeCalls(text) {
-      const line = JSON.parse(text) as Partial<CallsLine>;
+      const line = JSON.parse(text) as Partial<compactRows.CallsLine>;
       const {workers = [], token, delayMs, calls} = line;
       if (
         typeof token !== 'number' ||
@@ -323,7 +236,7 @@
       }
       const added = line.payloads ?? [];
       for (const [number, payload] of added) payloads.set(number, payload);
-      const rows = calls as CallsLine['calls'];
+      const rows = calls as compactRows.CallsLine['calls'];
       const received = rows.map((row) => decodeCall(row, token));
       // The calls of a line may use payloads that the same line displaces.
       for (const [number] of added)
@@ -331,7 +244,7 @@
       return {workers, calls: received, answerDelayMs: delayMs};
     },
     encodeAnswers(sent, isLeaving) {
-      const answers = sent.map((one): AnswerRow => {
+      const answers = sent.map((one): compactRows.AnswerRow => {
         const {nth} = one;
         if ('err' in one) return [nth, 'err', one.err];
         const {answer} = one;
@@ -357,23 +270,10 @@
             return encodeReport(nth, one.worker, answer);
         }
       });
-      const line: AnswersLine = isLeaving ? {leaving: 1, answers} : {answers};
+      const line: compactRows.AnswersLine = isLeaving
+        ? {leaving: 1, answers}
+        : {answers};
       return JSON.stringify(line);
     },
   };
 }
-
-function encodeEnd(end: scheduling.schedulerTypes.AttemptEnd): EndRow {
-  const {sequence, taskId, attempt, how, checkpoint} = end;
-  return [sequence, taskId, attempt, how, checkpoint];
-}
-
-function decodeEnd([
-  sequence,
-  taskId,
-  attempt,
-  how,
-  checkpoint,
-]: EndRow): scheduling.schedulerTypes.AttemptEnd {
-  return {sequence, taskId, attempt, how, checkpoint};
-}
--- a/packages/gypsumwall-scheduling/src/worker_restarts.ts
+++ b/packages/gypsumwall-scheduling/src/worker_restarts.ts
@@ -6,7 +6,6 @@
  * incarnation, so its attempt is stopped there before its task runs elsewhere.
  */
 import type * as types from '@gypsumwall/types';
-import type * as activeJob from './active_job.js';
 import type * as attemptTable from './attempt_table.js';
 import type * as crashAttribution from './crash_attribution.js';
 import type * as jobRegistries from './job_registry.js';
@@ -71,15 +70,6 @@
     }
   }
 
-  /**
-   * Stops an attempt again whose start may still be carried out. An answered
-   * stop of the incarnation before proves nothing for the next one.
-   */
-  function stopAgain(attempt: activeJob.Attempt): void {
-    if (attempt.phase === 'stopping') jobRegistry.retryStop(attempt);
-    else jobRegistry.stop(attempt);
-  }
-
   return {
     remove(id, cause, now) {
       const incarnation = incarnationOf(id);
@@ -96,14 +86,17 @@
       const all = [...attempts.ofWorker(id)];
       const unsettled = all.filter((one) => one.startedAt === undefined);
       const ended = all.filter((one) => one.startedAt !== undefined);
+      const stopping = unsettled.filter(({phase}) => phase === 'stopping');
       lossHandler.dropAttempts(ended, cause);
       for (const attempt of unsettled) registry.release(id, attempt);
       registry.remove(id);
       registry.put(info);
       for (const attempt of unsettled) {
         registry.reserve(id, attempt);
-        stopAgain(attempt);
+        jobRegistry.stop(attempt);
       }
+      // What the incarnation before answered proves nothing for the next one.
+      for (const attempt of stopping) jobRegistry.retryStop(attempt);
       // The task of an unanswered start may be what crashed the worker.
       lossHandler.attribute(incarnation, all, cause, now);
       forget(id);
