--- a/packages/gypsumwall-cell/src/__tests__/worker_births.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/worker_births.test.ts
@@ -178,6 +178,8 @@
   list({});
   roster.applyList([{key: 'x0', value: '', offset: 9}], false);
   assert.equal(roster.unusableEntries(), 2_999);
+  roster.applyList(entries(9, 10), true);
+  assert.equal(roster.unusableEntries(), 10, 'the list was loaded again');
 });
 
 function openSession(
--- a/packages/gypsumwall-cell/src/list_faults.ts
+++ b/packages/gypsumwall-cell/src/list_faults.ts
@@ -13,6 +13,8 @@
   report(key: string, error: string): void;
   /** The entry of this key can be used, or was removed. */
   clear(key: string): void;
+  /** Forgets all keys but these, which are all that the list has. */
+  retain(listed: ReadonlySet<string>): void;
   /** Number of keys whose entry can't be used. */
   count(): number;
 }
@@ -31,6 +33,9 @@
       }
     },
     clear: (key) => void keys.delete(key),
+    retain(listed) {
+      for (const key of keys) if (!listed.has(key)) keys.delete(key);
+    },
     count: () => keys.size,
   };
 }
--- a/packages/gypsumwall-cell/src/worker_roster.ts
+++ b/packages/gypsumwall-cell/src/worker_roster.ts
@@ -176,6 +176,7 @@
     applyList(records, reloaded, writtenAfter) {
       if (reloaded) {
         const listedKeys = new Set(records.map((record) => record.key));
+        faults.retain(listedKeys);
         for (const id of entries.keys()) if (!listedKeys.has(id)) unlist(id);
       }
       for (const {key, value, offset} of records) {
