--- a/packages/gypsumwall-cell/src/__tests__/worker_births.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/worker_births.test.ts
@@ -188,13 +188,17 @@
 // second hide everything else.
 test('each unusable entry is logged once until it can be used', () => {
   const {roster, list, logged} = createRoster();
-  const all = (beat: number) =>
-    Array.from({length: 3_000}, (_none, nth) => ({
+  const entries = (beat: number, length: number) =>
+    Array.from({length}, (_none, nth) => ({
       key: `x${nth}`,
       value: `bad seq = "${beat}"`,
       offset: beat,
     }));
-  for (let beat = 0; beat < 3; beat++) roster.applyList(all(beat), false);
+  const write = (beat: number, count: number) =>
+    roster.applyList(entries(beat, count), false);
+  for (let beat = 0; beat < 3; beat++) write(beat, 500);
+  assert.equal(logged.length, 500);
+  for (let beat = 3; beat < 6; beat++) write(beat, 3_000);
   assert.equal(roster.unusableEntries(), 3_000);
   assert.equal(logged.length, 1_000);
   list({});
@@ -202,6 +206,8 @@
   assert.equal(roster.unusableEntries(), 2_999);
   roster.applyList([{key: 'x1', value: 'bad', offset: 10}], true);
   assert.equal(roster.unusableEntries(), 1);
+  roster.applyList(entries(9, 10), true);
+  assert.equal(roster.unusableEntries(), 10, 'the list was loaded again');
 });
 
 function openSession(
--- a/packages/gypsumwall-cell/src/list_faults.ts
+++ b/packages/gypsumwall-cell/src/list_faults.ts
@@ -13,7 +13,7 @@
   report(key: string, error: string): void;
   /** The entry of this key can be used, or was removed. */
   clear(key: string): void;
-  /** Drops all other keys, because the list was loaded with these. */
+  /** Forgets all keys but these, which are all that the list has. */
   retain(listed: ReadonlySet<string>): void;
   /** Number of keys whose entry can't be used. */
   count(): number;
