cell: shrink the order window by the share of late answers

The window of start orders shrank by a tenth for each answer that came late, up to ten times a second, also where only the answers of a few slow or cut workers were late. On a play of a busy cell (246 workers) it stayed at 23 to 26 orders, so 430 to 680 tasks a second started, while 770 to 960 steps waited, all calls to the adviser were free and a third of the workers had no room; 2 to 6% of the answers were late.

What queues at the holder or on its link delays nearly all answers, so the window now shrinks from a quarter of late answers on. The new test ends with a window of 18 without the change.

--- a/packages/gypsumwall-cell/src/__tests__/order_window.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/order_window.test.ts
@@ -20,6 +20,7 @@
   return {
     window,
     inFlight,
+    pass: (spanMs: number) => void (now += spanMs),
     /** Answers all orders in flight, `rounds` times. */
     answer: async (rounds: number, result: orderWindow.OrderResult) => {
       for (let round = 0; round < rounds; round++) {
@@ -66,3 +67,18 @@
   await answer(40, {type: 'answered', latencyMs: 120});
   assert.ok(window.size() > first);
 });
+
+// Guards against a cell with free workers that starts a quarter of what waits,
+// because some slow workers answer late and others do not answer.
+test('late answers of single workers are no reason to shrink', async () => {
+  const {window, inFlight, pass} = createWindow();
+  for (let order = 0; order < 20_000; order++) window.add(order);
+  for (let nth = 0; nth < 4_000; nth++) {
+    pass(2);
+    const latencyMs = nth % 20 === 0 ? 250 : 40;
+    const type = nth % 40 === 0 ? 'lost' : 'answered';
+    inFlight.shift()!({type, latencyMs});
+    await new Promise(setImmediate);
+  }
+  assert.ok(window.size() > 64, `size ${window.size()}`);
+});
--- a/packages/gypsumwall-cell/src/order_window.ts
+++ b/packages/gypsumwall-cell/src/order_window.ts
@@ -3,7 +3,8 @@
  * on a slow link or in a busy process until they time out, and each of them
  * then costs a stop, a poll and another start. The bound follows the latency of
  * the answers, as in delay-based congestion control (L. Brakmo et al., TCP
- * Vegas): it grows while answers are quick, and shrinks once they have queued.
+ * Vegas): it grows while answers are quick, and shrinks once a good part of them
+ * have queued.
  */
 import * as types from '@gypsumwall/types';
 
@@ -27,6 +28,12 @@
  * added later waits behind them, however urgent it is.
  */
 const ACCEPTED_FACTOR = 2;
+/**
+ * Share of late and lost answers from which on the size shrinks. What queues at
+ * the holder or on its link delays nearly all answers; a few slow or lost
+ * workers delay their own ones only.
+ */
+const MAX_LATE_SHARE = 0.25;
 /** Factors of the size after a late and after a lost answer. */
 const LATE_FACTOR = 0.9;
 const LOST_FACTOR = 0.7;
@@ -70,11 +77,19 @@
   let inFlight = 0;
   let size = INITIAL_SIZE;
   let shrinkableAt = clock.monotonic();
+  /** Moving mean over about one window of answers. */
+  let lateShare = 0;
   const shortest = createShortestLatency(clock);
 
-  function shrink(factor: number): void {
+  function addAnswer(isLate: boolean): void {
+    lateShare += (Number(isLate) - lateShare) / size;
+  }
+
+  /** Shrinks the window if more answers than those of single workers are late. */
+  function onLate(factor: number): void {
+    addAnswer(true);
     const now = clock.monotonic();
-    if (now < shrinkableAt) return;
+    if (lateShare < MAX_LATE_SHARE || now < shrinkableAt) return;
     size = Math.max(MIN_SIZE, size * factor);
     shrinkableAt = types.clock.after(now, SHRINK_INTERVAL_MS);
   }
@@ -84,12 +99,15 @@
       case 'unsent':
         return;
       case 'lost':
-        shrink(LOST_FACTOR);
+        onLate(LOST_FACTOR);
         return;
       case 'answered':
         if (shortest.queuedMs(result.latencyMs) > MAX_QUEUED_MS) {
-          shrink(LATE_FACTOR);
-        } else size = Math.min(MAX_SIZE, size + 1 / size);
+          onLate(LATE_FACTOR);
+        } else {
+          addAnswer(false);
+          size = Math.min(MAX_SIZE, size + 1 / size);
+        }
     }
   }
 
