cell: refuse jobs for which the workers have no room in time

Work that waited for workers was always accepted: a flood of one organisation ranked last, but filled the queue, and its callers waited until their deadline for jobs that the cell could not start.

While a pool is nearly full and work waits, the holder stores with its heartbeat, once a second, the room of the pool, how fast work starts, and what waits and arrives by rank. Entries forecast from it when a job would start, and refuse at once what could neither be on time nor end while its caller has a use for it, by a margin. What exceeds the rate of its organisation has all other work before it, so it is refused first. Retry-After is the time until there should be room, spread over the work that ranks before. Without a reading of the last 3 s, jobs are accepted as before.

--- a/packages/gypsumwall-cell/src/__tests__/holder_capacity.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/holder_capacity.test.ts
@@ -105,7 +105,8 @@
   const state = cellStates.createCellState();
   const read = (record: storeRecords.StoreRecord) => {
     const {key, value} = storeRecords.encode(record);
-    state.apply(storeRecords.decode(key, value).unwrapOr(record), 1);
+    const decoded = storeRecords.decode(key, value).unwrapOr(record);
+    state.apply(decoded, 1, types.clock.createSystemClock().monotonic());
     return state.capacity();
   };
   const capacity = {startsPerSecond: 30, runs: 100};
--- /dev/null
+++ b/packages/gypsumwall-cell/src/__tests__/room_admission.test.ts
@@ -0,0 +1,173 @@
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import type * as organisations from '@gypsumwall/organisations';
+import type * as scheduling from '@gypsumwall/scheduling';
+import * as types from '@gypsumwall/types';
+import * as worlds from '../__fixtures__/cell_world.js';
+import * as roomAdmissions from '../room_admission.js';
+import type * as roomReading from '../room_reading.js';
+import * as storeRecords from '../store_records.js';
+
+const {test} = nodeTest;
+/** Jobs of this queue may start 2 s late, and are of use up to 8 s. */
+const URGENT = worlds.POLICY;
+const PATIENT = {...worlds.POLICY, priority: 2, slackFactor: 10};
+const FLOODER = types.ids.brand<types.ids.OrganisationId>('flooder');
+const OTHER = types.ids.brand<types.ids.OrganisationId>('other');
+
+/** A full pool of 100 cores on which this much work of 1 s waits. */
+function fullPool(
+  waiting: readonly Partial<roomReading.RankReading>[],
+): roomReading.RoomReading {
+  const none = {pool: 'pool', priority: 0, isExcess: false};
+  return {
+    pool: 'pool',
+    cpuMillis: 100_000,
+    usedCpuMillis: 98_000,
+    startedCoreMsPerMs: 100,
+    ranks: waiting.map((row) => ({
+      ...none,
+      onTimeCoreMs: 0,
+      lateCoreMs: 0,
+      arrivingCoreMsPerMs: 0,
+      ...row,
+    })),
+  };
+}
+
+function createEntry(reading: roomReading.RoomReading | undefined) {
+  let now = 1_000 as types.clock.MonotonicMs;
+  const rooms = reading && {readings: [reading], readAt: now};
+  const weights: [types.ids.OrganisationId, number][] = [
+    [FLOODER, 2],
+    [OTHER, 2],
+  ];
+  const configured: organisations.organisation.Organisations = new Map(
+    weights.map(([id, weight]) => {
+      const quota = {cpuMillis: 1e6, memoryMb: 1e6, accelerators: 0};
+      return [id, {id, keyHashes: [], weight, quota}];
+    }),
+  );
+  const admission = roomAdmissions.createRoomAdmission({
+    rooms: () => rooms,
+    organisations: () => configured,
+    random: types.random.createRandom(1),
+    clock: {
+      ...types.clock.createSystemClock(),
+      monotonic: () => now,
+    },
+  });
+  return {
+    pass: (spanMs: number) => void (now = types.clock.after(now, spanMs)),
+    accept(count: number, organisation: types.ids.OrganisationId) {
+      for (let nth = 0; nth < count; nth++) {
+        const acceptedAt = 0 as types.clock.WallMs;
+        const request = worlds.request(1);
+        admission.onAccepted({
+          id: types.ids.brand(`${organisation}${nth}`),
+          queue: URGENT.queue,
+          organisation,
+          record: {request, policy: URGENT, acceptedAt},
+          progress: {
+            phase: 'queued',
+            workers: [],
+            occurrences: {},
+            finished: [],
+          },
+        });
+      }
+    },
+    check: (policy = URGENT, organisation = OTHER) =>
+      admission.check(policy, worlds.request(1), organisation),
+  };
+}
+
+// Guards against callers that wait until their deadline for a job which the
+// cell knew it could not start.
+test('a job that would start after its caller has a use for it is refused at once', () => {
+  const entry = createEntry(fullPool([{onTimeCoreMs: 1_500_000}]));
+  const refusal = entry.check();
+  assert.equal(refusal?.reason, 'no_room');
+  assert.ok(refusal.retryAfterMs >= 3_000, `${refusal.retryAfterMs}`);
+});
+
+// Guards against refusals of jobs that would be on time, or late but of use.
+test('a job that its caller has a use for is accepted', () => {
+  const ahead = {onTimeCoreMs: 250_000};
+  assert.equal(createEntry(fullPool([ahead])).check(), undefined);
+  const late = createEntry(fullPool([{onTimeCoreMs: 600_000}]));
+  assert.equal(late.check(), undefined);
+});
+
+// Guards against urgent jobs that are refused because patient work waits.
+test('work that ranks behind a job is no reason to refuse it', () => {
+  const patient = {priority: 2, onTimeCoreMs: 5_000_000};
+  const entry = createEntry(fullPool([patient]));
+  assert.equal(entry.check(URGENT), undefined);
+  assert.equal(entry.check(PATIENT)?.reason, 'no_room');
+});
+
+// Guards against refusals by a cell that has room, and by an entry that is cut
+// off or whose holder is lost.
+test('jobs are accepted without a recent reading of their pool', () => {
+  assert.equal(createEntry(undefined).check(), undefined);
+  const full = fullPool([{onTimeCoreMs: 5_000_000}]);
+  const entry = createEntry(full);
+  entry.pass(2_900);
+  assert.ok(entry.check() !== undefined);
+  entry.pass(200);
+  assert.equal(entry.check(), undefined);
+  const elsewhere = createEntry({...full, pool: 'other'});
+  assert.equal(elsewhere.check(), undefined);
+});
+
+// Guards against a burst within a second, of which the reading knows nothing.
+test('jobs accepted since the reading count', () => {
+  const entry = createEntry(fullPool([{onTimeCoreMs: 500_000}]));
+  entry.accept(2, OTHER);
+  assert.equal(entry.check(), undefined);
+  entry.accept(900, OTHER);
+  assert.equal(entry.check()?.reason, 'no_room');
+});
+
+// Guards against callers that return together, and urgent ones behind others.
+test('refused callers return spread over time, urgent ones first', () => {
+  const entry = createEntry(
+    fullPool([{onTimeCoreMs: 450_000}, {priority: 2, onTimeCoreMs: 4_500_000}]),
+  );
+  const delays = (policy: scheduling.jobRequest.QueuePolicy) =>
+    Array.from({length: 50}, () => entry.check(policy)!.retryAfterMs).sort(
+      (a, b) => a - b,
+    );
+  const [urgent, patient] = [delays(URGENT), delays(PATIENT)];
+  assert.ok(urgent[45]! - urgent[5]! > 3_000, 'spread');
+  assert.ok(urgent[25]! < patient[25]!, 'urgent first');
+});
+
+// Guards against one organisation's flood that has the jobs of others refused.
+test('what exceeds the rate of its organisation is refused before other work', () => {
+  const entry = createEntry(fullPool([{onTimeCoreMs: 250_000}]));
+  entry.accept(1_300, FLOODER);
+  assert.equal(entry.check(URGENT, FLOODER)?.isExcess, true);
+  assert.equal(entry.check(URGENT, OTHER), undefined);
+});
+
+// Guards against a record of another build that ends the process or refuses
+// all work.
+test('readings in a form that is not known are left out', () => {
+  const reading = fullPool([{onTimeCoreMs: 1}]);
+  const record = {kind: 'heartbeat', rooms: [reading]} as const;
+  const {key, value} = storeRecords.encode(record);
+  assert.deepEqual(storeRecords.decode(key, value).unwrapOr(undefined), {
+    ...record,
+    capacity: undefined,
+  });
+  for (const rooms of ['[1]', '{}', '[{"pool":"p","ranks":[null]}]', 'null']) {
+    const decoded = storeRecords.decode(key, `{"v":1,"rooms":${rooms}}`);
+    assert.deepEqual(decoded.unwrapOr(undefined), {
+      kind: 'heartbeat',
+      capacity: undefined,
+      rooms: undefined,
+    });
+  }
+});
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -10,13 +10,12 @@
 import * as claimView from './claim_view.js';
 import * as configKeeper from './config_keeper.js';
 import * as election from './election.js';
+import * as entryAdmission from './entry_admission.js';
 import * as entryReadiness from './entry_readiness.js';
 import * as entryRegistration from './entry_registration.js';
 import * as entryRoles from './entry_roles.js';
-import * as jobLimits from './job_limits.js';
 import * as jobPayloads from './job_payloads.js';
 import * as jobService from './job_service.js';
-import * as loadShedder from './load_shedder.js';
 import * as holderProbes from './holder_probe.js';
 import * as jobTables from './job_table.js';
 import * as logFollower from './log_follower.js';
@@ -131,21 +130,22 @@
     storeHealth: health,
     submissions,
   });
-  const shedder = loadShedder.createLoadShedder({
-    holderCores: () => roles.holderCores(),
-    capacity: () => state.capacity(),
-    entries: () => 1 + [...peers.standbyCandidates()].length,
+  const admission = entryAdmission.createEntryAdmission({
+    state,
+    configs,
+    roles,
+    peers,
     clock,
     random: options.random,
   });
-  const limits = jobLimits.createJobLimits({state, configs});
   const jobs = jobTables.createJobTable({
     onAdded(job) {
       submissions.add();
+      admission.onAccepted(job);
       holder?.onJobAdded(job);
     },
     onCancelled: (id) => holder?.onJobCancelled(id),
-    onUpdated: (job, isLive) => shedder.onUpdated(job, isLive),
+    onUpdated: (job, isLive) => admission.onUpdated(job, isLive),
   });
   const configFollower = logFollower.createLogFollower({
     log: logs.config,
@@ -213,9 +213,9 @@
       roles.remoteHolder() !== undefined && roles.appender() !== undefined,
     clock,
     logger,
-    couldEverFit: (pool, step) => limits.couldEverFit(pool, step),
-    fitsQuota: (caller, step) => limits.fitsQuota(caller, step),
-    checkLoad: (...args) => shedder.check(...args),
+    couldEverFit: (...args) => admission.limits.couldEverFit(...args),
+    fitsQuota: (...args) => admission.limits.fitsQuota(...args),
+    checkLoad: (...args) => admission.check(...args),
     isOutdated: (caller) => configs.keys.isOutdated(caller),
   });
   const holderProbe = holderProbes.createHolderProbe({
@@ -322,7 +322,7 @@
     offset: number,
   ): void {
     const before = state.claim();
-    state.apply(record, offset);
+    state.apply(record, offset, lastRecordAt);
     jobs.apply(record, lastRecordAt);
     if (record.kind !== 'claim') return;
     pauses.reset(takeoverPauseMs());
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -17,8 +17,7 @@
 import * as schedulingLoop from './scheduling_loop.js';
 import type * as storeRecords from './store_records.js';
 import * as failoverBarrier from './failover_barrier.js';
-import * as holderCapacity from './holder_capacity.js';
-import * as workerRoom from './worker_room.js';
+import * as holderReadings from './holder_readings.js';
 import * as workerRoster from './worker_roster.js';
 import * as workerRoutes from './worker_routes.js';
 import * as workerSession from './worker_session.js';
@@ -82,7 +81,7 @@
     epoch: token,
     storeHealth: options.storeHealth,
     loopUtilization: options.loopUtilization,
-    heartbeat,
+    heartbeat: () => readings.heartbeat(),
     clock,
     logger,
     onFenced: stopFenced,
@@ -156,15 +155,16 @@
   /** Jobs whose end is stored, and whose requests can be dropped. */
   let ended: types.ids.JobId[] = [];
   let lastWrite: Promise<void> = Promise.resolve();
-  const inherited = options.state.capacity();
-  const capacity = holderCapacity.createHolderCapacityMeter({
+  const readings = holderReadings.createHolderReadings({
     clock,
-    inherited,
-    runs: countRuns,
-    hasWaiting: () => scheduler.counts().waitingSteps > 0,
-    hasRoom: () =>
-      workerRoom.hasRoom(scheduler.workerRegistry.workers.values()),
-    publish: () => writer.write([heartbeat()]),
+    scheduler,
+    inherited: {
+      capacity: options.state.capacity(),
+      rooms: options.state.rooms(),
+    },
+    unaccountedShare: () =>
+      barrier.unaccounted() / Math.max(1, earlierLeases.workers.length),
+    write: (records) => writer.write(records),
   });
   const loop = schedulingLoop.createSchedulingLoop({
     scheduler,
@@ -173,7 +173,7 @@
     mayRenew,
     checkListEntries: () => roster.checkListEntries(),
     flush,
-    onStart: () => capacity.onStart(),
+    onStart: (attempt) => readings.onStart(attempt),
     commitLatencyMs: () => writer.latencyMs(),
     loopUtilization: options.loopUtilization,
     clock,
@@ -181,24 +181,6 @@
   });
   let tickTimer: NodeJS.Timeout | undefined;
 
-  /**
-   * Tasks that run, of jobs that end. Workers that haven't reported count with
-   * their share of what ran before.
-   */
-  function countRuns(): number {
-    const runs = scheduler.countAttempts(
-      (request) => !scheduling.jobRequest.isOpenEnded(request),
-    );
-    const unaccounted = barrier.unaccounted();
-    if (unaccounted === 0) return runs;
-    const share = unaccounted / earlierLeases.workers.length;
-    return runs + (inherited?.runs ?? 0) * share;
-  }
-
-  function heartbeat(): storeRecords.StoreRecord {
-    return {kind: 'heartbeat', capacity: capacity.capacity()};
-  }
-
   function stopFenced(): void {
     if (stopping.signal.aborted) return;
     logger.warn('cell_lost', {generation: claim.generation, token});
@@ -312,6 +294,8 @@
       now,
       wall,
     );
+    const added = scheduler.jobs.get(id);
+    if (added !== undefined && !inherited) readings.onAdded(added);
   }
 
   function applyOrganisations(): void {
@@ -326,7 +310,7 @@
     barrier.tick(now);
     roster.tick(now);
     loop.tick();
-    capacity.tick();
+    readings.tick();
     requestCycle();
   }
 
--- a/packages/gypsumwall-cell/src/cell_state.ts
+++ b/packages/gypsumwall-cell/src/cell_state.ts
@@ -5,6 +5,7 @@
 import type * as types from '@gypsumwall/types';
 import * as claimView from './claim_view.js';
 import type * as holderCapacity from './holder_capacity.js';
+import type * as roomReading from './room_reading.js';
 import type * as storeRecords from './store_records.js';
 
 /** The state of a cell. */
@@ -12,11 +13,17 @@
   claim(): claimView.CellClaim | undefined;
   /** What the holder can do; undefined unless it is at its limit. */
   capacity(): holderCapacity.HolderCapacity | undefined;
+  /** The pools that are nearly full; undefined if none is. */
+  rooms(): roomReading.DatedReadings | undefined;
   readonly usedWorkers: ReadonlyMap<
     types.ids.WorkerId,
     storeRecords.UsedWorkerRecord
   >;
-  apply(record: storeRecords.StoreRecord, offset: number): void;
+  apply(
+    record: storeRecords.StoreRecord,
+    offset: number,
+    now: types.clock.MonotonicMs,
+  ): void;
   /**
    * Drops all workers except these, because a load of the log contains all that
    * exist.
@@ -28,6 +35,7 @@
 export function createCellState(): CellState {
   let claim: claimView.CellClaim | undefined;
   let capacity: holderCapacity.HolderCapacity | undefined;
+  let rooms: roomReading.DatedReadings | undefined;
   const usedWorkers = new Map<
     types.ids.WorkerId,
     storeRecords.UsedWorkerRecord
@@ -35,17 +43,21 @@
   return {
     claim: () => claim,
     capacity: () => capacity,
+    rooms: () => rooms,
     usedWorkers,
     retainUsedWorkers(ids) {
       for (const id of usedWorkers.keys()) {
         if (!ids.has(id)) usedWorkers.delete(id);
       }
     },
-    apply(record, offset) {
+    apply(record, offset, now) {
       if (record.kind === 'claim') {
         claim = claimView.foldClaim(claim, record.claim, offset);
       }
-      if (record.kind === 'heartbeat') capacity = record.capacity;
+      if (record.kind === 'heartbeat') {
+        capacity = record.capacity;
+        rooms = record.rooms && {readings: record.rooms, readAt: now};
+      }
       if (record.kind !== 'used_worker') return;
       const {workerId, worker} = record;
       if (worker === undefined) usedWorkers.delete(workerId);
--- /dev/null
+++ b/packages/gypsumwall-cell/src/entry_admission.ts
@@ -0,0 +1,58 @@
+/** Which jobs an entry accepts, given the load and the limits of the cell. */
+import type * as types from '@gypsumwall/types';
+import type * as cellState from './cell_state.js';
+import type * as configKeeper from './config_keeper.js';
+import type * as entryRoles from './entry_roles.js';
+import * as jobLimits from './job_limits.js';
+import type * as jobTable from './job_table.js';
+import * as loadShedder from './load_shedder.js';
+import type * as peerDirectory from './peer_directory.js';
+import * as roomAdmission from './room_admission.js';
+
+/** Dependencies of the admission. */
+export interface EntryAdmissionParts {
+  readonly state: cellState.CellState;
+  readonly configs: configKeeper.ConfigKeeper;
+  readonly roles: Pick<entryRoles.EntryRoles, 'holderCores'>;
+  readonly peers: Pick<peerDirectory.PeerDirectory, 'standbyCandidates'>;
+  readonly clock: types.clock.Clock;
+  readonly random: types.random.Random;
+}
+
+/** Admits the jobs that callers offer to one entry. */
+export interface EntryAdmission extends loadShedder.LoadShedder {
+  /** This entry has read a job that the cell has accepted. */
+  onAccepted(job: jobTable.JobEntry): void;
+  /** Limits that no load changes. */
+  readonly limits: jobLimits.JobLimits;
+}
+
+/** Creates an admission that knows no jobs. */
+export function createEntryAdmission({
+  state,
+  configs,
+  roles,
+  peers,
+  clock,
+  random,
+}: EntryAdmissionParts): EntryAdmission {
+  const room = roomAdmission.createRoomAdmission({
+    rooms: () => state.rooms(),
+    organisations: () => configs.organisations(),
+    clock,
+    random,
+  });
+  const shedder = loadShedder.createLoadShedder({
+    holderCores: () => roles.holderCores(),
+    capacity: () => state.capacity(),
+    entries: () => 1 + [...peers.standbyCandidates()].length,
+    room,
+    clock,
+    random,
+  });
+  return {
+    ...shedder,
+    onAccepted: (job) => room.onAccepted(job),
+    limits: jobLimits.createJobLimits({state, configs}),
+  };
+}
--- a/packages/gypsumwall-cell/src/forwarding_job_service.ts
+++ b/packages/gypsumwall-cell/src/forwarding_job_service.ts
@@ -229,7 +229,7 @@
     const isKnown =
       localService.isStored(id, caller) ||
       recentCalls.submit.mayBeApplied(id, caller);
-    return isKnown ? undefined : localService.shed(id, policy, request);
+    return isKnown ? undefined : localService.shed(id, policy, request, caller);
   }
 
   /** Returns the local answer, or a peer's answer where that is better. */
@@ -310,7 +310,7 @@
     },
     finalPhaseOf: (id, queue, caller) =>
       localService.finalPhaseOf(id, queue, caller),
-    shed: (id, policy, request) => localService.shed(id, policy, request),
+    shed: (...args) => localService.shed(...args),
     isStored: (id, caller) => localService.isStored(id, caller),
     isCurrent: () => localService.isCurrent(),
     storeLatencyMs: () => localService.storeLatencyMs(),
--- a/packages/gypsumwall-cell/src/job_service.ts
+++ b/packages/gypsumwall-cell/src/job_service.ts
@@ -10,7 +10,7 @@
 import * as types from '@gypsumwall/types';
 import type * as jobServiceTypes from './job_service_types.js';
 import type * as jobTable from './job_table.js';
-import type * as loadShedder from './load_shedder.js';
+import * as loadShedder from './load_shedder.js';
 import type * as logFollower from './log_follower.js';
 import type * as ports from './ports.js';
 import * as recentAttempts from './recent_attempts.js';
@@ -207,19 +207,22 @@
     id: types.ids.JobId,
     policy: scheduling.jobRequest.QueuePolicy,
     request: scheduling.jobRequest.JobRequest,
+    caller: organisations.keyDirectory.Caller | undefined,
   ): jobServiceTypes.JobServiceAnswer<undefined> | undefined {
     if (!isCurrent()) return undefined;
-    const verdict = options.checkLoad(stage, policy, request);
+    const organisation = caller?.organisation;
+    const verdict = options.checkLoad(stage, policy, request, organisation);
     switch (verdict.type) {
       case 'admitted':
         return undefined;
       case 'refused': {
-        const {reason, retryAfterMs, backlogMs} = verdict;
+        const {retryAfterMs} = verdict;
         logger.info('job_shed', {
           job: id,
-          reason,
-          backlogMs: Math.round(backlogMs),
-          retryAfterMs: Math.round(retryAfterMs),
+          queue: policy.queue,
+          organisation,
+          stage,
+          ...loadShedder.describeRefusal(verdict),
         });
         return {type: 'not_run', retryAfterMs, isCellOverloaded: true};
       }
@@ -271,7 +274,7 @@
       });
       return {type: 'not_run', retryAfterMs: STORE_RETRY_AFTER_MS};
     }
-    const refusal = shed('append', id, policy, request);
+    const refusal = shed('append', id, policy, request, caller);
     if (refusal !== undefined) return refusal;
     const organisation = caller?.organisation;
     const job = {request, policy, acceptedAt: clock.wall(), organisation};
@@ -354,7 +357,8 @@
           : {type: 'ok', value: pending},
       );
     },
-    shed: (id, policy, request) => shed('offered', id, policy, request),
+    shed: (id, policy, request, caller) =>
+      shed('offered', id, policy, request, caller),
     isStored,
     isCurrent,
     storeLatencyMs: () => records.latencyMs(),
--- a/packages/gypsumwall-cell/src/job_service_types.ts
+++ b/packages/gypsumwall-cell/src/job_service_types.ts
@@ -71,6 +71,7 @@
     id: types.ids.JobId,
     policy: scheduling.jobRequest.QueuePolicy,
     request: scheduling.jobRequest.JobRequest,
+    caller?: organisations.keyDirectory.Caller,
   ): JobServiceAnswer<undefined> | undefined;
   /** Whether this entry has read the record of the caller's job. */
   isStored(
--- a/packages/gypsumwall-cell/src/load_shedder.ts
+++ b/packages/gypsumwall-cell/src/load_shedder.ts
@@ -2,13 +2,15 @@
  * Refuses submissions while the holder's processor would need too long to start
  * the work that waits, or to start the job while its caller has any use of it. A
  * cell that accepts more than its holder can start never runs the rest, and what
- * it does run is late. Work that waits for workers is accepted.
+ * it does run is late. Work that would wait too long for workers is refused by
+ * `room_admission`.
  */
 import * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
 import type * as holderCapacity from './holder_capacity.js';
 import type * as jobTable from './job_table.js';
 import * as offeredTasks from './offered_tasks.js';
+import * as roomAdmission from './room_admission.js';
 import * as waitingWork from './waiting_work.js';
 
 /** Fewer jobs are no sign of overload, however many tasks they have. */
@@ -61,7 +63,8 @@
       readonly retryAfterMs: number;
       /** Time in which the holder could start all that waits; milliseconds. */
       readonly backlogMs: number;
-    };
+    }
+  | roomAdmission.RoomRefusal;
 
 /** Options of a shedder. */
 export interface LoadShedderOptions {
@@ -71,6 +74,8 @@
   readonly capacity: () => holderCapacity.HolderCapacity | undefined;
   /** Number of entries that accept jobs. */
   readonly entries: () => number;
+  /** Decides by the room of the workers; absent where nothing measures it. */
+  readonly room?: roomAdmission.RoomAdmission;
   readonly clock: types.clock.Clock;
   readonly random: types.random.Random;
 }
@@ -82,6 +87,7 @@
     stage: Stage,
     policy: scheduling.jobRequest.QueuePolicy,
     request: scheduling.jobRequest.JobRequest,
+    organisation?: types.ids.OrganisationId,
   ): Verdict;
 }
 
@@ -105,6 +111,7 @@
   holderCores,
   capacity,
   entries,
+  room,
   clock,
   random,
 }: LoadShedderOptions): LoadShedder {
@@ -174,22 +181,50 @@
       : estimateMeasured(measured, policy, request);
   }
 
+  function checkHolder(
+    stage: Stage,
+    policy: scheduling.jobRequest.QueuePolicy,
+    request: scheduling.jobRequest.JobRequest,
+  ): Verdict {
+    if (stage === 'offered') offered.add(policy.priority, countTasks(request));
+    const estimated = estimate(policy, request);
+    if (estimated === undefined) return ADMITTED;
+    const {excessMs, unreadMs = 0} = estimated;
+    // Together, the entries admit as much as there is room for, although each
+    // of them learns late what the others have admitted.
+    const share = stage === 'offered' ? random.next() : 0;
+    return excessMs <= -share * unreadMs ? ADMITTED : refusal(estimated);
+  }
+
   return {
     onUpdated: (job, isLive) => work.onUpdated(job, isLive),
-    check(stage, policy, request) {
-      if (stage === 'offered')
-        offered.add(policy.priority, countTasks(request));
-      const estimated = estimate(policy, request);
-      if (estimated === undefined) return ADMITTED;
-      const {excessMs, unreadMs = 0} = estimated;
-      // Together, the entries admit as much as there is room for, although each
-      // of them learns late what the others have admitted.
-      const share = stage === 'offered' ? random.next() : 0;
-      return excessMs <= -share * unreadMs ? ADMITTED : refusal(estimated);
+    check(stage, policy, request, organisation) {
+      const verdict = checkHolder(stage, policy, request);
+      if (verdict.type === 'refused') return verdict;
+      return room?.check(policy, request, organisation) ?? verdict;
     },
   };
 }
 
+/** What a refusal was based on, for the log. */
+export function describeRefusal(
+  refusal: Extract<Verdict, {readonly type: 'refused'}>,
+): Record<string, string | number | boolean> {
+  const {reason} = refusal;
+  const retryAfterMs = Math.round(refusal.retryAfterMs);
+  switch (reason) {
+    case 'backlog':
+    case 'no_use':
+      return {reason, backlogMs: Math.round(refusal.backlogMs), retryAfterMs};
+    case 'no_room':
+      return {
+        reason,
+        ...roomAdmission.describeRefusal(refusal),
+        retryAfterMs,
+      };
+  }
+}
+
 /** The refusal of a job until the excess should be worked off. */
 function refusal({reason, backlogMs, excessMs}: Estimate): Verdict {
   const retryAfterMs = Math.min(
--- a/packages/gypsumwall-cell/src/scheduling_loop.ts
+++ b/packages/gypsumwall-cell/src/scheduling_loop.ts
@@ -43,7 +43,7 @@
   /** Stores changed progress. */
   readonly flush: () => Promise<void>;
   /** Called when a start is sent. */
-  readonly onStart: () => void;
+  readonly onStart: (attempt: scheduling.activeJob.Attempt) => void;
   /** Recent latency of the appends of progress; milliseconds. */
   readonly commitLatencyMs: () => number;
   /** Busy share of this process's event loop, from 0 to 1. */
@@ -161,7 +161,7 @@
     const isDue = isStarted && scheduler.isStartDue(attempt);
     if (isDue && session !== undefined) {
       load.onStart();
-      parts.onStart();
+      parts.onStart(attempt);
       return session.start(order);
     }
     scheduler.onStartAnswered(
--- a/packages/gypsumwall-cell/src/store_records.ts
+++ b/packages/gypsumwall-cell/src/store_records.ts
@@ -7,6 +7,7 @@
 import type * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
 import type * as holderCapacity from './holder_capacity.js';
+import * as roomReading from './room_reading.js';
 
 /** A job as it was accepted; the first record of an ID defines the job. */
 export interface JobRecord {
@@ -98,6 +99,8 @@
       readonly kind: 'heartbeat';
       /** Absent unless the holder is at its limit, and in older records. */
       readonly capacity?: holderCapacity.HolderCapacity;
+      /** The pools that are nearly full; absent in older records. */
+      readonly rooms?: readonly roomReading.RoomReading[];
     }
   | {
       readonly kind: 'used_worker';
@@ -140,7 +143,8 @@
     case 'claim':
       return {key: KEY_PREFIXES.claim, value: pack(record.claim)};
     case 'heartbeat': {
-      const value = pack({capacity: record.capacity});
+      const {capacity, rooms} = record;
+      const value = pack({capacity, rooms});
       return {key: KEY_PREFIXES.heartbeat, value};
     }
     case 'used_worker': {
@@ -182,8 +186,10 @@
 
 function decodeKnown(key: string, value: string): StoreRecord {
   const body = unpack(value);
-  if (key === KEY_PREFIXES.heartbeat)
-    return {kind: 'heartbeat', capacity: cast<HeartbeatBody>(body)?.capacity};
+  if (key === KEY_PREFIXES.heartbeat) {
+    const {capacity, rooms} = cast<HeartbeatBody>(body) ?? {};
+    return {kind: 'heartbeat', capacity, rooms: roomReading.keepKnown(rooms)};
+  }
   if (key === KEY_PREFIXES.claim) {
     if (body === undefined) throw new Error('the claim has no value');
     return {kind: 'claim', claim: body as unknown as ClaimRecord};
@@ -214,6 +220,7 @@
 
 interface HeartbeatBody {
   readonly capacity?: holderCapacity.HolderCapacity;
+  readonly rooms?: unknown;
 }
 
 interface ProgressBody {
--- a/packages/gypsumwall-organisations/src/arrival_meter.ts
+++ b/packages/gypsumwall-organisations/src/arrival_meter.ts
@@ -18,6 +18,11 @@
     id: types.ids.OrganisationId | undefined,
     arrivedAt: types.clock.MonotonicMs,
   ): boolean;
+  /** Whether a job would exceed the rate; counts nothing. */
+  wouldExceedRate(
+    id: types.ids.OrganisationId | undefined,
+    arrivesAt: types.clock.MonotonicMs,
+  ): boolean;
 }
 
 /** A token bucket; each job takes a token. */
@@ -31,29 +36,38 @@
   let organisations: organisation.Organisations = new Map();
   const buckets = new Map<types.ids.OrganisationId, Bucket>();
 
+  /** The bucket at a moment; undefined if no rate is set. */
+  function bucketAt(
+    id: types.ids.OrganisationId | undefined,
+    now: types.clock.MonotonicMs,
+  ): Bucket | undefined {
+    const weight = id && organisations.get(id)?.weight;
+    if (id === undefined || weight === undefined) return undefined;
+    const full = weight * BURST_S;
+    const {tokens, filledAt} = buckets.get(id) ?? {tokens: full, filledAt: now};
+    const passedMs = Math.max(0, now - filledAt);
+    return {
+      tokens: Math.min(full, tokens + (weight * passedMs) / MS_PER_S),
+      filledAt: types.clock.after(filledAt, passedMs),
+    };
+  }
+
   return {
     setOrganisations(next) {
       organisations = next;
       for (const id of buckets.keys()) if (!next.has(id)) buckets.delete(id);
     },
     exceedsRate(id, arrivedAt) {
-      const weight = id && organisations.get(id)?.weight;
-      if (id === undefined || weight === undefined) return false;
-      const {tokens, filledAt} = buckets.get(id) ?? {
-        tokens: weight * BURST_S,
-        filledAt: arrivedAt,
-      };
-      const passedMs = Math.max(0, arrivedAt - filledAt);
-      const available = Math.min(
-        weight * BURST_S,
-        tokens + (weight * passedMs) / MS_PER_S,
-      );
-      const isExceeded = available < 1;
-      buckets.set(id, {
-        tokens: isExceeded ? available : available - 1,
-        filledAt: types.clock.after(filledAt, passedMs),
-      });
+      const bucket = bucketAt(id, arrivedAt);
+      if (id === undefined || bucket === undefined) return false;
+      const isExceeded = bucket.tokens < 1;
+      const tokens = isExceeded ? bucket.tokens : bucket.tokens - 1;
+      buckets.set(id, {...bucket, tokens});
       return isExceeded;
     },
+    wouldExceedRate(id, arrivesAt) {
+      const bucket = bucketAt(id, arrivesAt);
+      return bucket !== undefined && bucket.tokens < 1;
+    },
   };
 }
--- a/packages/gypsumwall-scheduling/src/index.ts
+++ b/packages/gypsumwall-scheduling/src/index.ts
@@ -9,3 +9,4 @@
 export * as workerLosses from './worker_losses.js';
 export * as workerRegistry from './worker_registry.js';
 export * as jobOrder from './job_order.js';
+export * as waitingDemand from './waiting_demand.js';
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -26,6 +26,7 @@
 import * as taskIsolation from './task_isolation.js';
 import * as unaccountedWork from './unaccounted_work.js';
 import * as waitingOrder from './waiting_order.js';
+import * as waitingDemand from './waiting_demand.js';
 import * as waitReporter from './wait_reporter.js';
 import * as workerRegistry from './worker_registry.js';
 import * as workerHealth from './worker_health.js';
@@ -426,6 +427,7 @@
         if (task !== undefined && isCounted(task.stepRun.job.request)) count++;
       return count;
     },
+    waitingDemand: () => waitingDemand.sumWaiting(waitingSteps),
     counts: () => ({
       jobs: jobs.size,
       runs: attempts.size(),
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -9,6 +9,7 @@
 import type * as jobSteps from './job_steps.js';
 import type * as refusalBackoff from './refusal_backoff.js';
 import type * as workerRegistry from './worker_registry.js';
+import type * as waitingDemand from './waiting_demand.js';
 import type * as schedulingCycle from './scheduling_cycle.js';
 
 /** A start order that is to be sent to a worker. */
@@ -202,6 +203,8 @@
   onStored(jobs: readonly DirtyJob[]): void;
   /** Number of attempts of jobs with such a request. */
   countAttempts(isCounted: (request: jobRequest.JobRequest) => boolean): number;
+  /** The work that waits for workers, by the rank of the last cycle. */
+  waitingDemand(): waitingDemand.WaitingDemand[];
   counts(): SchedulerCounts;
 }
 
