cell: show refusals by reason, room and how good forecasts were

Gauges of refused jobs by reason and organisation, of the room that an entry knows of, and of forecast against actual starts at the holder.

--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -443,15 +443,13 @@
         },
         stopping.signal,
       );
-      const {retentionMs} = options;
-      const held = () => holder;
       void retention.runRetention(
         {
           jobsLog: logs.jobs,
           jobs,
-          holder: held,
+          holder: () => holder,
           appendLatencyMs: () => localService.storeLatencyMs(),
-          retentionMs,
+          retentionMs: options.retentionMs,
           clock,
           logger,
         },
@@ -479,6 +477,8 @@
       replicaAgeMs: readiness.replicaAgeMs(),
       loopUtilization: monitor.utilization(),
       scheduler: holder?.counts(),
+      admission: admission.status(),
+      forecast: holder?.forecastAccuracy(),
     }),
   };
 }
--- a/packages/gypsumwall-cell/src/cell_entry_types.ts
+++ b/packages/gypsumwall-cell/src/cell_entry_types.ts
@@ -5,6 +5,8 @@
 import type * as types from '@gypsumwall/types';
 import type * as cellHolderTypes from './cell_holder_types.js';
 import type * as configKeeper from './config_keeper.js';
+import type * as entryAdmission from './entry_admission.js';
+import type * as forecastCheck from './forecast_check.js';
 import type * as jobServiceTypes from './job_service_types.js';
 import type * as ports from './ports.js';
 import type * as trafficMeter from './traffic_meter.js';
@@ -91,4 +93,7 @@
   /** Busy share of the event loop, from 0 to 1. */
   readonly loopUtilization: number;
   readonly scheduler: scheduling.schedulerTypes.SchedulerCounts | undefined;
+  readonly admission: entryAdmission.AdmissionStatus;
+  /** At the holder: how good its forecasts of starts were. */
+  readonly forecast: forecastCheck.ForecastAccuracy | undefined;
 }
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -401,5 +401,6 @@
     },
     stop,
     counts: () => scheduler.counts(),
+    forecastAccuracy: () => readings.accuracy(),
   };
 }
--- a/packages/gypsumwall-cell/src/cell_holder_types.ts
+++ b/packages/gypsumwall-cell/src/cell_holder_types.ts
@@ -6,6 +6,7 @@
 import type * as cellState from './cell_state.js';
 import type * as cellWriter from './cell_writer.js';
 import type * as claimView from './claim_view.js';
+import type * as forecastCheck from './forecast_check.js';
 import type * as jobTable from './job_table.js';
 import type * as ports from './ports.js';
 import type * as storeHealth from './store_health.js';
@@ -87,4 +88,6 @@
   handOver(): Promise<void>;
   stop(): void;
   counts(): scheduling.schedulerTypes.SchedulerCounts;
+  /** How good forecasts of starts were; undefined without any. */
+  forecastAccuracy(): forecastCheck.ForecastAccuracy | undefined;
 }
--- a/packages/gypsumwall-cell/src/entry_admission.ts
+++ b/packages/gypsumwall-cell/src/entry_admission.ts
@@ -7,7 +7,9 @@
 import type * as jobTable from './job_table.js';
 import * as loadShedder from './load_shedder.js';
 import type * as peerDirectory from './peer_directory.js';
+import * as refusalCounts from './refusal_counts.js';
 import * as roomAdmission from './room_admission.js';
+import type * as roomReading from './room_reading.js';
 
 /** Dependencies of the admission. */
 export interface EntryAdmissionParts {
@@ -25,6 +27,14 @@
   onAccepted(job: jobTable.JobEntry): void;
   /** Limits that no load changes. */
   readonly limits: jobLimits.JobLimits;
+  status(): AdmissionStatus;
+}
+
+/** What an entry refuses, and why. */
+export interface AdmissionStatus {
+  readonly refusals: readonly refusalCounts.RefusalCount[];
+  /** The pools that are nearly full. */
+  readonly rooms: readonly roomReading.RoomReading[];
 }
 
 /** Creates an admission that knows no jobs. */
@@ -50,9 +60,20 @@
     clock,
     random,
   });
+  const refusals = refusalCounts.createRefusalCounts();
   return {
-    ...shedder,
+    onUpdated: (job, isLive) => shedder.onUpdated(job, isLive),
+    check(stage, policy, request, organisation) {
+      const verdict = shedder.check(stage, policy, request, organisation);
+      if (verdict.type === 'refused')
+        refusals.add(verdict.reason, organisation);
+      return verdict;
+    },
     onAccepted: (job) => room.onAccepted(job),
     limits: jobLimits.createJobLimits({state, configs}),
+    status: () => ({
+      refusals: refusals.all(),
+      rooms: state.rooms()?.readings ?? [],
+    }),
   };
 }
--- a/packages/gypsumwall-cell/src/holder_readings.ts
+++ b/packages/gypsumwall-cell/src/holder_readings.ts
@@ -5,6 +5,7 @@
  */
 import * as scheduling from '@gypsumwall/scheduling';
 import type * as types from '@gypsumwall/types';
+import * as forecastCheck from './forecast_check.js';
 import * as holderCapacity from './holder_capacity.js';
 import * as roomMeter from './room_meter.js';
 import type * as roomReading from './room_reading.js';
@@ -35,6 +36,8 @@
   tick(): void;
   /** The record that shows that the holder is alive. */
   heartbeat(): storeRecords.StoreRecord;
+  /** How good its forecasts were; undefined without any. */
+  accuracy(): forecastCheck.ForecastAccuracy | undefined;
 }
 
 /** Creates the readings of a holder that starts now. */
@@ -63,6 +66,8 @@
     publish,
   });
 
+  const check = forecastCheck.createForecastCheck(clock);
+
   /**
    * Tasks that run, of jobs that end. Workers that haven't reported count with
    * their share of what ran before.
@@ -90,17 +95,21 @@
       const {coreMsOf} = scheduling.waitingDemand;
       const coreMs = coreMsOf(size.cpuMillis, request.expectedMs, 1);
       room.onStart(job.policy.pool, coreMs);
+      check.onStart(job.id);
     },
-    onAdded({request, policy, isExcess}) {
+    onAdded(job) {
+      const {request, policy, isExcess} = job;
       if (scheduling.jobRequest.isOpenEnded(request)) return;
       const {pool, priority} = policy;
       const coreMs = scheduling.waitingDemand.coreMsOfJob(request);
       room.onArrival({pool, priority, isExcess}, coreMs);
+      check.onAdded(job, room.readings());
     },
     tick() {
       capacity.tick();
       room.tick();
     },
     heartbeat,
+    accuracy: () => check.accuracy(),
   };
 }
--- a/packages/gypsumwall-cell/src/load_shedder.ts
+++ b/packages/gypsumwall-cell/src/load_shedder.ts
@@ -54,6 +54,9 @@
  */
 export type Stage = 'offered' | 'append';
 
+/** Why a job is refused. */
+export type RefusalReason = 'backlog' | 'no_use' | 'no_room';
+
 /** Whether a submission may be accepted. */
 export type Verdict =
   | {readonly type: 'admitted'}
