scheduler: try only steps that have a valid ticket

A step whose tickets had expired was tried whenever a worker that it had once been approved for had more free capacity, and so was a step whose freed worker is reserved for a gang.

The new test fails without the change: of 100 steps with expired tickets and a startable one that ranks behind, nothing starts.

--- a/packages/gypsumwall-scheduling/src/__tests__/scheduling_cycle.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/scheduling_cycle.test.ts
@@ -4,6 +4,7 @@
 import * as fc from 'fast-check';
 import * as worlds from '../__fixtures__/scheduler_world.js';
 import type * as activeJob from '../active_job.js';
+import * as stepAdvice from '../step_advice.js';
 
 const {test} = nodeTest;
 const WALL = 0 as types.clock.WallMs;
@@ -82,6 +83,35 @@
   assert.equal(world.decide().length, 1);
 });
 
+// Guards against free workers while steps of higher rank, whose tickets have expired, are tried in vain.
+test('steps without a valid ticket do not delay others', () => {
+  const world = worlds.createSchedulerWorld();
+  const {scheduler} = world;
+  const worker = world.addWorker('w1', 1);
+  world.submit('first', [worlds.step()]);
+  const [running] = world.startAll();
+  const advice = {callMs: 20, perWorkerMs: 1, validMs: 4_000};
+  const approve = (name: string, priority: number) => {
+    const policy = {priority, advice, slackFactor: 50};
+    const id = world.submit(name, [worlds.step()], {policy});
+    const stepRun = scheduler.jobs.get(id)!.openOccurrences.get(0)!.steps[0]!;
+    stepAdvice.recordCall(stepRun.advice, [worker]);
+    scheduler.onAdviceAnswered(
+      {stepRun, workers: [worker], callMs: 1, needed: false},
+      new Map([[worker, 't']]),
+      types.clock.after(world.now, advice.validMs),
+    );
+  };
+  for (let nth = 0; nth < 100; nth++) approve(`stale${nth}`, 0);
+  for (let cycle = 0; cycle < 10; cycle++) world.decide();
+  world.now = types.clock.after(world.now, advice.validMs);
+  approve('fresh', 1);
+  world.decide();
+  world.end(running!, 'done');
+  const started = world.decide().map(({attempt}) => attempt.taskId);
+  assert.deepEqual(started, ['fresh.0.0.0']);
+});
+
 // Guards against urgent work that waits behind the orders of a wide step, and against a rest that never starts.
 test('a cycle starts only what there is room for, by rank', () => {
   const world = worlds.createSchedulerWorld();
--- a/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
+++ b/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
@@ -11,6 +11,7 @@
 import * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
 import * as chooseWorker from './choose_worker.js';
+import * as stepAdvice from './step_advice.js';
 import * as stepNeeds from './step_needs.js';
 import * as crashRecords from './crash_records.js';
 import * as gangReservation from './gang_reservation.js';
@@ -101,12 +102,12 @@
   let readyTasks = 0;
 
   function postpone(stepRun: activeJob.StepRun): StepTry {
-    return {found: [], isLeft: isDueNow(stepRun, context)};
+    return {found: [], isLeft: isDueNow(stepRun, choice)};
   }
 
   function tryStep(stepRun: activeJob.StepRun): StepTry {
     const maxTasks = limits.starts - result.placed.length;
-    if (!isDueNow(stepRun, context)) return {found: [], isLeft: false};
+    if (!isDueNow(stepRun, choice)) return {found: [], isLeft: false};
     if (maxTasks <= 0 || !(skipped.has(stepRun) || triesLeft-- > 0))
       return {found: [], isLeft: true};
     const found = placeStep.placeStep(stepRun, {...choice, maxTasks});
@@ -175,23 +176,30 @@
 function isDueNow(stepRun: activeJob.StepRun, context: CycleContext): boolean {
   // Workers become suitable for isolated tasks as time passes.
   if (placeIsolated.waitsForIsolation(stepRun)) return true;
-  // Nothing can start before the adviser approves a worker.
+  // Nothing can start without a ticket of the adviser; a new one is a change.
   const {advice, job} = stepRun;
-  if (job.policy.advice !== undefined && advice.approvals.size === 0)
+  if (
+    job.policy.advice !== undefined &&
+    !stepAdvice.hasTicket(advice, context.now)
+  )
     return false;
   return stepRun.hasChanged || hasFreedCapacity(stepRun, context);
 }
 
-/** Whether a worker that the step may use has more free capacity. */
+/**
+ * Whether a worker that the step may use has more free capacity. The end of a
+ * reservation marks the worker as freed, and a new ticket is a change.
+ */
 function hasFreedCapacity(
   stepRun: activeJob.StepRun,
-  {freed, registry}: CycleContext,
+  {freed, registry, now, isReserved}: CycleContext,
 ): boolean {
   const {advice, job} = stepRun;
   const needsAdvice = job.policy.advice !== undefined;
   const size = stepNeeds.reservedSize(stepRun);
   for (const id of freed) {
-    if (needsAdvice && !advice.approvals.has(id)) continue;
+    if (needsAdvice && !stepAdvice.ticketFor(advice, id, now)) continue;
+    if (isReserved?.(id) === true) continue;
     const worker = registry.workers.get(id);
     if (worker !== undefined && types.resources.fits(size, worker.free)) {
       return true;
--- a/packages/gypsumwall-scheduling/src/step_advice.ts
+++ b/packages/gypsumwall-scheduling/src/step_advice.ts
@@ -13,6 +13,8 @@
 /** The advice for one step. */
 export interface StepAdvice {
   readonly approvals: Map<types.ids.WorkerId, Approval>;
+  /** When the last of its tickets expires. */
+  ticketsUntil: types.clock.MonotonicMs;
   /** Workers that were named and not approved. Refusals are final. */
   readonly refused: Set<types.ids.WorkerId>;
   /** Workers named in open calls. */
@@ -32,6 +34,7 @@
 export function createStepAdvice(): StepAdvice {
   return {
     approvals: new Map(),
+    ticketsUntil: 0 as types.clock.MonotonicMs,
     refused: new Set(),
     pendingWorkers: new Set(),
     openCalls: 0,
@@ -54,6 +57,14 @@
   return now < usableUntil ? approval.ticket : undefined;
 }
 
+/** Whether there may be a worker with a valid ticket. */
+export function hasTicket(
+  {approvals, ticketsUntil}: StepAdvice,
+  now: types.clock.MonotonicMs,
+): boolean {
+  return approvals.size > 0 && now + MIN_TICKET_REMAINING_MS < ticketsUntil;
+}
+
 /** Records that a call which names these workers was sent. */
 export function recordCall(
   advice: StepAdvice,
@@ -73,6 +84,8 @@
   advice.openCalls--;
   for (const worker of workers) advice.pendingWorkers.delete(worker);
   if (approved === undefined) return;
+  if (approved.size > 0 && validUntil > advice.ticketsUntil)
+    advice.ticketsUntil = validUntil;
   for (const worker of workers) {
     const ticket = approved.get(worker);
     if (ticket !== undefined) {
