scheduler: leave out of the waiting work what may run already

After a takeover, jobs whose workers haven't reported are in the waiting steps with all tasks that aren't done, and counted as work that waits for room, so that entries could refuse jobs because of work that runs. They are left out until they are reconciled. waiting_demand.test fails without the change.

--- a/packages/gypsumwall-scheduling/src/waiting_demand.ts
+++ b/packages/gypsumwall-scheduling/src/waiting_demand.ts
@@ -49,8 +49,8 @@
 
 /**
  * Sums up the steps that could start if there were room. Work that nobody has
- * use for, that waits for its own organisation's quota, or that runs until it
- * is cancelled doesn't count.
+ * use for, that waits for its own organisation's quota, that may run already
+ * after a takeover, or that runs until it is cancelled doesn't count.
  */
 export function sumWaiting(
   steps: Iterable<activeJob.StepRun>,
@@ -61,10 +61,11 @@
       claimant: activeJob.claimantOf(stepRun),
       lateness: 0,
     };
-    if (lateness === 2 || claimant.isLongRunning || stepRun.isOverQuota)
-      continue;
+    const {job, isOverQuota} = stepRun;
+    if (lateness === 2 || claimant.isLongRunning || isOverQuota) continue;
+    if (job.isAwaitingReconciliation) continue;
     const {priority, isExcess} = claimant;
-    const rank = {pool: stepRun.job.policy.pool, priority, isExcess};
+    const rank = {pool: job.policy.pool, priority, isExcess};
     const key = keyOf(rank);
     const sum = sums.get(key) ?? {...rank, onTimeCoreMs: 0, lateCoreMs: 0};
     const coreMs = coreMsOf(
