cell: date accepted jobs by their acceptance, and refuse none without a rate

An entry that reads a second or more of jobs at once, as with a slow store, took an organisation within its rate for a flood: of 20 jobs a second with weight 20, read together after 1 s, the next was refused. The rate is now counted at the time of acceptance. Where only memory is used and nothing starts, the forecast was infinite, or NaN for jobs without processors, and each job was refused, with NaN as Retry-After; such a reading now refuses nothing. Both new tests of room_admission.test fail without the change.

--- a/packages/gypsumwall-cell/src/__tests__/room_admission.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/room_admission.test.ts
@@ -175,6 +175,33 @@
   assert.equal(entry.check(URGENT, OTHER), undefined);
 });
 
+// Guards against an organisation within its rate that is taken for a flood
+// because an entry reads its jobs late, and many at once.
+test('jobs count towards the rate when they were accepted, not when they are read', () => {
+  const entry = createEntry(fullPool([{onTimeCoreMs: 1_500_000}]));
+  for (const ageMs of [1_500, 1_000, 500, 0])
+    entry.accept(1, OTHER, types.clock.after(WALL, -ageMs));
+  assert.equal(entry.check(URGENT, OTHER)?.isExcess, false);
+  entry.accept(2, OTHER);
+  assert.equal(entry.check(URGENT, OTHER)?.isExcess, true);
+});
+
+// Guards against refusals for ever, with a delay that is no number, by a pool
+// of which only the memory is used and in which nothing starts.
+test('jobs are accepted where nothing tells how fast work starts', () => {
+  const full = fullPool([{onTimeCoreMs: 0}]);
+  const reading = {...full, usedCpuMillis: 0, startedCoreMsPerMs: 0};
+  const plain = worlds.request(1);
+  for (const cpuMillis of [0, 1_000]) {
+    const steps = plain.steps.map((step) => ({
+      ...step,
+      size: {...step.size, cpuMillis},
+    }));
+    const entry = createEntry(reading);
+    assert.equal(entry.check(URGENT, OTHER, {...plain, steps}), undefined);
+  }
+});
+
 // Guards against a record of another build that ends the process or refuses
 // all work.
 test('readings in a form that is not known are left out', () => {
--- a/packages/gypsumwall-cell/src/room_admission.ts
+++ b/packages/gypsumwall-cell/src/room_admission.ts
@@ -5,7 +5,7 @@
  */
 import * as organisations from '@gypsumwall/organisations';
 import * as scheduling from '@gypsumwall/scheduling';
-import type * as types from '@gypsumwall/types';
+import * as types from '@gypsumwall/types';
 import * as admissionForecast from './admission_forecast.js';
 import type * as jobTable from './job_table.js';
 import * as roomReading from './room_reading.js';
@@ -103,11 +103,15 @@
     onAccepted({record, organisation}) {
       if (record === undefined) return;
       const {request, acceptedAt} = record;
-      if (clock.wall() - acceptedAt > MAX_ACCEPTED_AGE_MS) return;
+      const ageMs = Math.max(0, clock.wall() - acceptedAt);
+      if (ageMs > MAX_ACCEPTED_AGE_MS) return;
       const {priority, pool} = record.policy;
       if (recentReading(pool) === undefined) return;
       applyOrganisations();
-      const isExcess = meter.exceedsRate(organisation, clock.monotonic());
+      // Jobs of a second or more are read at once while the store is slow; they
+      // would exceed a rate that their organisation keeps.
+      const arrivedAt = types.clock.after(clock.monotonic(), -ageMs);
+      const isExcess = meter.exceedsRate(organisation, arrivedAt);
       if (scheduling.jobRequest.isOpenEnded(request)) return;
       const {coreMsOfJob, keyOf} = scheduling.waitingDemand;
       const rank = {pool, priority, isExcess};
@@ -128,7 +132,8 @@
       const known = {...recent, accepted: accepted.values()};
       const forecast = admissionForecast.forecastStart(job, known);
       const excessMs = admissionForecast.excessMs(forecast, limits);
-      if (excessMs <= 0) return undefined;
+      // Where nothing starts and no processor is in use, there is no forecast.
+      if (!Number.isFinite(excessMs) || excessMs <= 0) return undefined;
       const {reading, ageMs} = recent;
       return {
         type: 'refused',
