cell: spread callers that are refused for room also when all wait long

With more than 10 s of work ahead, delay and spread were cut off together at the longest delay, so that all refused callers were told to return after 10 s. The earliest return is now bounded by 7 s, and the spread by the rest. room_admission.test gets both bounds.

--- a/packages/gypsumwall-cell/src/__tests__/room_admission.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/room_admission.test.ts
@@ -164,6 +164,8 @@
     );
   const [urgent, patient] = [delays(URGENT), delays(PATIENT)];
   assert.ok(urgent[45]! - urgent[5]! > 3_000, 'spread');
+  assert.ok(patient[45]! - patient[5]! > 2_000, 'spread where all wait long');
+  assert.ok(patient[49]! <= 10_000, 'bound');
   assert.ok(urgent[25]! < patient[25]!, 'urgent first');
 });
 
--- a/packages/gypsumwall-cell/src/room_admission.ts
+++ b/packages/gypsumwall-cell/src/room_admission.ts
@@ -19,6 +19,8 @@
 /** Bounds of the delay after which a refused caller should retry; milliseconds. */
 const MIN_RETRY_AFTER_MS = 1_000;
 const MAX_RETRY_AFTER_MS = 10_000;
+/** Part of the longest delay over which callers are spread at least. */
+const MIN_SPREAD_SHARE = 0.3;
 
 type WaitingDemand = scheduling.waitingDemand.WaitingDemand;
 
@@ -192,9 +194,10 @@
   {onTimeMs}: admissionForecast.StartForecast,
   random: types.random.Random,
 ): number {
-  const spreadMs = random.next() * onTimeMs;
-  return Math.min(
-    MAX_RETRY_AFTER_MS,
-    Math.max(MIN_RETRY_AFTER_MS, excessMs + spreadMs),
+  const earliestMs = Math.min(
+    MAX_RETRY_AFTER_MS * (1 - MIN_SPREAD_SHARE),
+    Math.max(MIN_RETRY_AFTER_MS, excessMs),
   );
+  const spreadMs = Math.min(onTimeMs, MAX_RETRY_AFTER_MS - earliestMs);
+  return earliestMs + random.next() * spreadMs;
 }
