--- a/packages/gypsumwall-cell/src/holder_load.ts
+++ b/packages/gypsumwall-cell/src/holder_load.ts
@@ -17,6 +17,8 @@
   readonly windowSize: number;
   readonly waitingSteps: number;
   readonly runs: number;
+  /** Processors in use of the workers that accept tasks, in percent. */
+  readonly usedPercent: number;
 }
 
 /** Options of the log. */
--- a/packages/gypsumwall-cell/src/scheduling_loop.ts
+++ b/packages/gypsumwall-cell/src/scheduling_loop.ts
@@ -9,6 +9,7 @@
 import * as batchDelay from './batch_delay.js';
 import * as holderLoad from './holder_load.js';
 import * as orderWindow from './order_window.js';
+import * as workerRoom from './worker_room.js';
 import type * as workerSession from './worker_session.js';
 
 /**
@@ -89,6 +90,9 @@
       windowSize: orders.size(),
       waitingSteps,
       runs,
+      usedPercent: workerRoom.usedPercent(
+        workerRoom.sumRoom(scheduler.workerRegistry.workers.values()),
+      ),
     };
   }
 
--- a/packages/gypsumwall-cell/src/worker_room.ts
+++ b/packages/gypsumwall-cell/src/worker_room.ts
@@ -62,3 +62,9 @@
     free.memoryMb < capacity.memoryMb * NEARLY_FULL_SHARE
   );
 }
+
+/** Processors in use, in percent; 100 without workers. */
+export function usedPercent({free, capacity}: WorkerRoom): number {
+  if (capacity.cpuMillis === 0) return 100;
+  return Math.round(100 - (free.cpuMillis * 100) / capacity.cpuMillis);
+}
