cell: accept jobs that a reading of the room says nothing about

A load of the log adds all jobs that aren't done; they no longer count as accepted since the reading. A job that needs a label is accepted, as the reading doesn't tell the workers of a label apart.

--- a/packages/gypsumwall-cell/src/__tests__/organisation_flood.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/organisation_flood.test.ts
@@ -46,7 +46,11 @@
 /** Plays a full cell as a queue in front of cores that are refilled steadily. */
 function play(floodFactor: number, isAdmitting: boolean): Outcome {
   let now = 0 as types.clock.MonotonicMs;
-  const clock = {...types.clock.createSystemClock(), monotonic: () => now};
+  const clock = {
+    ...types.clock.createSystemClock(),
+    monotonic: () => now,
+    wall: () => now as number as types.clock.WallMs,
+  };
   const ids = Array.from({length: ORGANISATIONS}, (_, nth) =>
     types.ids.brand<types.ids.OrganisationId>(`o${nth}`),
   );
--- a/packages/gypsumwall-cell/src/__tests__/room_admission.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/room_admission.test.ts
@@ -13,6 +13,7 @@
 const URGENT = worlds.POLICY;
 const PATIENT = {...worlds.POLICY, priority: 2, slackFactor: 10};
 const FLOODER = types.ids.brand<types.ids.OrganisationId>('flooder');
+const WALL = 100_000 as types.clock.WallMs;
 const OTHER = types.ids.brand<types.ids.OrganisationId>('other');
 
 /** A full pool of 100 cores on which this much work of 1 s waits. */
@@ -55,13 +56,17 @@
     clock: {
       ...types.clock.createSystemClock(),
       monotonic: () => now,
+      wall: () => WALL,
     },
   });
   return {
     pass: (spanMs: number) => void (now = types.clock.after(now, spanMs)),
-    accept(count: number, organisation: types.ids.OrganisationId) {
+    accept(
+      count: number,
+      organisation: types.ids.OrganisationId,
+      acceptedAt = WALL,
+    ) {
       for (let nth = 0; nth < count; nth++) {
-        const acceptedAt = 0 as types.clock.WallMs;
         const request = worlds.request(1);
         admission.onAccepted({
           id: types.ids.brand(`${organisation}${nth}`),
@@ -77,8 +82,11 @@
         });
       }
     },
-    check: (policy = URGENT, organisation = OTHER) =>
-      admission.check(policy, worlds.request(1), organisation),
+    check: (
+      policy = URGENT,
+      organisation = OTHER,
+      request = worlds.request(1),
+    ) => admission.check(policy, request, organisation),
   };
 }
 
@@ -126,10 +134,25 @@
   const entry = createEntry(fullPool([{onTimeCoreMs: 500_000}]));
   entry.accept(2, OTHER);
   assert.equal(entry.check(), undefined);
+  // A load of the log adds jobs that the reading contains.
+  entry.accept(900, OTHER, 0 as types.clock.WallMs);
+  assert.equal(entry.check(), undefined);
   entry.accept(900, OTHER);
   assert.equal(entry.check()?.reason, 'no_room');
 });
 
+// Guards against a job that is refused while the few workers which it may run
+// on have room, and against lasting work that never begins.
+test('jobs that the reading says nothing about are accepted', () => {
+  const entry = createEntry(fullPool([{onTimeCoreMs: 5_000_000}]));
+  const plain = worlds.request(1);
+  assert.ok(entry.check(URGENT, OTHER, plain) !== undefined);
+  for (const field of [{requiredLabel: 'a'}, {longRunning: true}]) {
+    const steps = plain.steps.map((step) => ({...step, ...field}));
+    assert.equal(entry.check(URGENT, OTHER, {...plain, steps}), undefined);
+  }
+});
+
 // Guards against callers that return together, and urgent ones behind others.
 test('refused callers return spread over time, urgent ones first', () => {
   const entry = createEntry(
--- a/packages/gypsumwall-cell/src/room_admission.ts
+++ b/packages/gypsumwall-cell/src/room_admission.ts
@@ -11,6 +11,11 @@
 import * as roomReading from './room_reading.js';
 import * as waitingWork from './waiting_work.js';
 
+/**
+ * Jobs accepted longer ago are in the reading already: a load of the log adds
+ * all jobs that aren't done; milliseconds.
+ */
+const MAX_ACCEPTED_AGE_MS = 3_000;
 /** Bounds of the delay after which a refused caller should retry; milliseconds. */
 const MIN_RETRY_AFTER_MS = 1_000;
 const MAX_RETRY_AFTER_MS = 10_000;
@@ -97,7 +102,8 @@
   return {
     onAccepted({record, organisation}) {
       if (record === undefined) return;
-      const {request} = record;
+      const {request, acceptedAt} = record;
+      if (clock.wall() - acceptedAt > MAX_ACCEPTED_AGE_MS) return;
       const {priority, pool} = record.policy;
       if (recentReading(pool) === undefined) return;
       applyOrganisations();
@@ -113,8 +119,7 @@
     check(policy, request, organisation) {
       const {pool, priority} = policy;
       const recent = recentReading(pool);
-      if (recent === undefined || scheduling.jobRequest.isOpenEnded(request))
-        return undefined;
+      if (recent === undefined || !isForecastable(request)) return undefined;
       applyOrganisations();
       const isExcess = meter.wouldExceedRate(organisation, clock.monotonic());
       const limits = waitingWork.startLimits(policy, request);
@@ -140,6 +145,17 @@
   };
 }
 
+/**
+ * Whether the reading tells when a job starts. It doesn't tell the workers of a
+ * label apart, and work without an end is of use whenever it starts.
+ */
+function isForecastable(request: scheduling.jobRequest.JobRequest): boolean {
+  return (
+    !scheduling.jobRequest.isOpenEnded(request) &&
+    request.steps.every(({requiredLabel}) => requiredLabel === undefined)
+  );
+}
+
 /** What a refusal was based on, for the log. */
 export function describeRefusal({
   forecast,
