cell: forecast starts with bursts that pass

Work that arrives with a higher rank counted for as long as a job waits, so that a patient job was refused in a burst of some seconds although it had 20 s to start. It counts for 10 s now. The new test fails without the change.

--- a/packages/gypsumwall-cell/src/__tests__/room_admission.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/room_admission.test.ts
@@ -115,6 +115,21 @@
   assert.equal(entry.check(PATIENT)?.reason, 'no_room');
 });
 
+// Guards against patient jobs that are refused in a burst which passes before
+// they have to start, and against those that later work keeps from starting.
+test('work that arrives with a higher rank counts for the time of a burst', () => {
+  const waiting = {priority: 2, onTimeCoreMs: 500_000};
+  const burst = {priority: 0, arrivingCoreMsPerMs: 95};
+  assert.equal(
+    createEntry(fullPool([waiting, burst])).check(PATIENT),
+    undefined,
+  );
+  const longer = {...waiting, onTimeCoreMs: 4_200_000};
+  assert.equal(createEntry(fullPool([longer])).check(PATIENT), undefined);
+  const refusal = createEntry(fullPool([longer, burst])).check(PATIENT);
+  assert.equal(refusal?.reason, 'no_room');
+});
+
 // Guards against refusals by a cell that has room, and by an entry that is cut
 // off or whose holder is lost.
 test('jobs are accepted without a recent reading of their pool', () => {
--- a/packages/gypsumwall-cell/src/admission_forecast.ts
+++ b/packages/gypsumwall-cell/src/admission_forecast.ts
@@ -19,10 +19,10 @@
  */
 const MIN_STARTED_SHARE = 0.25;
 /**
- * Least part of the starts that work of a low rank is expected to get: urgent
- * work may arrive faster than it starts for a short time only.
+ * Time for which work is expected to arrive as fast as now. Bursts pass, and a
+ * job that could start then must not be refused; milliseconds.
  */
-const MIN_LEFT_SHARE = 0.1;
+const MAX_BURST_MS = 10_000;
 const MILLIS_PER_CORE = 1_000;
 
 type WaitingDemand = scheduling.waitingDemand.WaitingDemand;
@@ -84,7 +84,11 @@
 
   function startMs({coreMs, arrivingPerMs}: WorkAhead): number {
     const left = Math.max(0, coreMs - rate * ageMs) + job.coreMs;
-    return left / Math.max(rate - arrivingPerMs, rate * MIN_LEFT_SHARE);
+    const inBurstMs =
+      rate > arrivingPerMs ? left / (rate - arrivingPerMs) : Infinity;
+    return inBurstMs <= MAX_BURST_MS
+      ? inBurstMs
+      : (left + arrivingPerMs * MAX_BURST_MS) / rate;
   }
 
   return {onTimeMs: startMs(onTime), lateMs: startMs(late)};
