--- a/packages/gypsumwall-cell/src/holder_readings.ts
+++ b/packages/gypsumwall-cell/src/holder_readings.ts
@@ -65,7 +65,6 @@
     waiting: () => scheduler.waitingDemand(),
     publish,
   });
-
   const check = forecastCheck.createForecastCheck(clock);
 
   /**
--- a/packages/gypsumwall-cell/src/room_meter.ts
+++ b/packages/gypsumwall-cell/src/room_meter.ts
@@ -50,7 +50,7 @@
   let since = clock.monotonic();
   const started = workRates.createWorkRates();
   const arriving = workRates.createWorkRates();
-  /** The ranks of which jobs have arrived while their pool was nearly full. */
+  /** The ranks of the jobs that have arrived. */
   const ranks = new Map<string, scheduling.waitingDemand.Rank>();
   let current: readonly roomReading.RoomReading[] | undefined;
   let isPublishing = false;
