cell, organisations: shrink the order window for lost orders; rates below one

Lost orders shrank the window only where most answers were late: with a slow link to a part of the workers it grew without end and every order on that link timed out. It shrinks from a tenth of lost answers on. An organisation with a weight below 1 had room for no token, so that each of its jobs counted as excess and was refused while the cell was full.

--- a/packages/gypsumwall-cell/src/order_window.ts
+++ b/packages/gypsumwall-cell/src/order_window.ts
@@ -34,6 +34,12 @@
  * a slow peer that relays for a part of the workers, delay their own ones only.
  */
 const MAX_LATE_SHARE = 0.5;
+/**
+ * Share of lost answers from which on it shrinks as well: on a slow path that
+ * serves a part of the workers, more orders in flight would time out without
+ * end.
+ */
+const MAX_LOST_SHARE = 0.1;
 /** Factors of the size after a late and after a lost answer. */
 const LATE_FACTOR = 0.9;
 const LOST_FACTOR = 0.7;
@@ -77,19 +83,21 @@
   let inFlight = 0;
   let size = INITIAL_SIZE;
   let shrinkableAt = clock.monotonic();
-  /** Moving mean over about one window of answers. */
+  /** Moving means over about one window of answers. */
   let lateShare = 0;
+  let lostShare = 0;
   const shortest = createShortestLatency(clock);
 
-  function addAnswer(isLate: boolean): void {
+  function addAnswer(isLate: boolean, isLost: boolean): void {
     lateShare += (Number(isLate) - lateShare) / size;
+    lostShare += (Number(isLost) - lostShare) / size;
   }
 
-  /** Shrinks the window if most answers are late. */
-  function onLate(factor: number): void {
-    addAnswer(true);
+  /** Shrinks the window if most answers are late, or a part of them is lost. */
+  function shrinkIfLate(factor: number): void {
     const now = clock.monotonic();
-    if (lateShare < MAX_LATE_SHARE || now < shrinkableAt) return;
+    const isLate = lateShare >= MAX_LATE_SHARE || lostShare >= MAX_LOST_SHARE;
+    if (!isLate || now < shrinkableAt) return;
     size = Math.max(MIN_SIZE, size * factor);
     shrinkableAt = types.clock.after(now, SHRINK_INTERVAL_MS);
   }
@@ -99,13 +107,15 @@
       case 'unsent':
         return;
       case 'lost':
-        onLate(LOST_FACTOR);
+        addAnswer(true, true);
+        shrinkIfLate(LOST_FACTOR);
         return;
       case 'answered':
         if (shortest.queuedMs(result.latencyMs) > MAX_QUEUED_MS) {
-          onLate(LATE_FACTOR);
+          addAnswer(true, false);
+          shrinkIfLate(LATE_FACTOR);
         } else {
-          addAnswer(false);
+          addAnswer(false, false);
           size = Math.min(MAX_SIZE, size + 1 / size);
         }
     }
--- a/packages/gypsumwall-organisations/src/arrival_meter.ts
+++ b/packages/gypsumwall-organisations/src/arrival_meter.ts
@@ -43,7 +43,8 @@
   ): Bucket | undefined {
     const weight = id && organisations.get(id)?.weight;
     if (id === undefined || weight === undefined) return undefined;
-    const full = weight * BURST_S;
+    // An organisation with a weight below 1 may send single jobs too.
+    const full = Math.max(1, weight * BURST_S);
     const {tokens, filledAt} = buckets.get(id) ?? {tokens: full, filledAt: now};
     const passedMs = Math.max(0, now - filledAt);
     return {
