--- a/packages/gypsumwall-cell/src/__tests__/unreadable_records.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/unreadable_records.test.ts
@@ -149,7 +149,7 @@
     onCancelled: () => {},
   });
   applyRecords.applyRecords(records, logger, (record, offset) => {
-    state.apply(record, offset);
+    state.apply(record, offset, NOW);
     jobs.apply(record, NOW);
   });
   return {state, jobs, logged};
--- a/packages/gypsumwall-cell/src/scheduling_loop.ts
+++ b/packages/gypsumwall-cell/src/scheduling_loop.ts
@@ -9,6 +9,7 @@
 import * as batchDelay from './batch_delay.js';
 import * as holderLoad from './holder_load.js';
 import * as orderWindow from './order_window.js';
+import * as workerRoom from './worker_room.js';
 import type * as workerSession from './worker_session.js';
 
 /**
@@ -43,7 +44,7 @@
   /** Stores changed progress. */
   readonly flush: () => Promise<void>;
   /** Called when a start is sent. */
-  readonly onStart: () => void;
+  readonly onStart: (attempt: scheduling.activeJob.Attempt) => void;
   /** Recent latency of the appends of progress; milliseconds. */
   readonly commitLatencyMs: () => number;
   /** Busy share of this process's event loop, from 0 to 1. */
@@ -89,6 +90,9 @@
       windowSize: orders.size(),
       waitingSteps,
       runs,
+      usedPercent: workerRoom.usedPercent(
+        workerRoom.sumRoom(scheduler.workerRegistry.workers.values()),
+      ),
     };
   }
 
@@ -161,7 +165,7 @@
     const isDue = isStarted && scheduler.isStartDue(attempt);
     if (isDue && session !== undefined) {
       load.onStart();
-      parts.onStart();
+      parts.onStart(attempt);
       return session.start(order);
     }
     scheduler.onStartAnswered(
--- a/packages/gypsumwall-cell/src/store_records.ts
+++ b/packages/gypsumwall-cell/src/store_records.ts
@@ -8,6 +8,7 @@
 import * as types from '@gypsumwall/types';
 import type * as holderCapacity from './holder_capacity.js';
 import * as recordChecks from './record_checks.js';
+import * as roomReading from './room_reading.js';
 
 /** A job as it was accepted; the first record of an ID defines the job. */
 export interface JobRecord {
@@ -102,6 +103,8 @@
       readonly kind: 'heartbeat';
       /** Absent unless the holder is at its limit, and in older records. */
       readonly capacity?: holderCapacity.HolderCapacity;
+      /** The pools that are nearly full; absent in older records. */
+      readonly rooms?: readonly roomReading.RoomReading[];
     }
   | {
       readonly kind: 'used_worker';
@@ -144,7 +147,8 @@
     case 'claim':
       return {key: KEY_PREFIXES.claim, value: pack(record.claim)};
     case 'heartbeat': {
-      const value = pack({capacity: record.capacity});
+      const {capacity, rooms} = record;
+      const value = pack({capacity, rooms});
       return {key: KEY_PREFIXES.heartbeat, value};
     }
     case 'used_worker': {
@@ -191,8 +195,14 @@
 
 function decodeKnown(key: string, value: string): StoreRecord {
   const body = unpack(value);
-  if (key === KEY_PREFIXES.heartbeat)
-    return {kind: 'heartbeat', capacity: recordChecks.readCapacity(body ?? {})};
+  if (key === KEY_PREFIXES.heartbeat) {
+    const {rooms, ...heartbeat} = (body ?? {}) as HeartbeatBody;
+    return {
+      kind: 'heartbeat',
+      capacity: recordChecks.readCapacity(heartbeat),
+      rooms: roomReading.keepKnown(rooms),
+    };
+  }
   if (key === KEY_PREFIXES.claim) {
     if (body === undefined) throw new Error('the claim has no value');
     return {kind: 'claim', claim: recordChecks.checkClaim(body)};
@@ -229,6 +239,10 @@
   }
 }
 
+interface HeartbeatBody {
+  readonly rooms?: unknown;
+}
+
 function decodeProgress(
   jobId: types.ids.JobId,
   body: object | undefined,
--- a/packages/gypsumwall-scheduling/src/index.ts
+++ b/packages/gypsumwall-scheduling/src/index.ts
@@ -10,3 +10,4 @@
 export * as workerLosses from './worker_losses.js';
 export * as workerRegistry from './worker_registry.js';
 export * as jobOrder from './job_order.js';
+export * as waitingDemand from './waiting_demand.js';
