--- a/packages/gypsumwall-scheduling/src/__tests__/waiting_work.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/waiting_work.test.ts
@@ -105,6 +105,15 @@
   }
 });
 
+/** Waits for a near place whenever that is allowed. */
+const LONGEST_WAIT: nearChoice.NearOptions = {
+  farFactor: 3,
+  decidePlace: ({now, waitEndsAt}) =>
+    now < waitEndsAt
+      ? {type: 'wait', until: waitEndsAt}
+      : {type: 'start_far', reason: 'waited_enough'},
+};
+
 // Guards against a wait for a near place that does not end, whatever failed
 // before.
 test('no task is left waiting for a near place', () => {
