--- a/packages/gypsumwall-scheduling/src/__tests__/near_places.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/near_places.test.ts
@@ -105,12 +105,16 @@
   world.submit('near', [worlds.step(DATA_IN_R1)], {policy: LATE_START});
   let waitedMs = 0;
   for (; waitedMs < 5_000; waitedMs += 100) {
-    reportProgress(world, running!, 95);
+    reportProgress(world, running!, (100 * waitedMs) / (waitedMs + 20));
     if (world.startAll().length > 0) break;
     elapse(world, 99);
   }
   assert.ok(waitedMs <= 2_100, `it waited ${waitedMs} ms`);
   assert.equal(world.scheduler.counts().near.waitsLost, 1);
+  const outcomes = world.events.flatMap((event) =>
+    event.type === 'near_wait_ended' ? [event.outcome] : [],
+  );
+  assert.deepEqual(outcomes, ['waited_enough']);
 });
 
 // Failure: the only near worker is about to leave, or stops answering, while a
--- a/packages/gypsumwall-scheduling/src/__tests__/waiting_work.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/waiting_work.test.ts
@@ -120,7 +120,7 @@
   const property = fc.property(
     arbitraryWorkers,
     arbitraryActions,
-    (workers, actions) => runWorld(workers, actions, undefined, {farFactor: 3}),
+    (workers, actions) => runWorld(workers, actions, undefined, LONGEST_WAIT),
   );
   for (const {seed, runs} of seededRuns(SEEDED_NEAR_RUNS)) {
     fc.assert(property, {seed, numRuns: runs});
