bench: compare how long steps wait for a near place

The simulated cell gets work with data in racks, gangs that need one rack and estimates that are off. Three ways are compared: never wait, wait a fixed time as in delay scheduling, wait by forecast.

--- a/packages/gypsumwall-bench/src/statistics.ts
+++ b/packages/gypsumwall-bench/src/statistics.ts
@@ -15,6 +15,20 @@
   return `${formatNumber(median(values))} [${formatNumber(low)}..${formatNumber(high)}]`;
 }
 
+/** Formats the mean and its standard error as `mean +- error`. */
+export function formatMeanAndError(values: readonly number[]): string {
+  const mean = meanOf(values);
+  const squares = values.map((value) => (value - mean) ** 2);
+  const freedom = Math.max(1, values.length - 1);
+  const variance = squares.reduce((sum, one) => sum + one, 0) / freedom;
+  const error = Math.sqrt(variance / values.length);
+  return `${formatNumber(mean)} +- ${formatNumber(error)}`;
+}
+
+function meanOf(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
 /** Formats a number with three significant digits. */
 export function formatNumber(value: number): string {
   if (!Number.isFinite(value)) return String(value);
--- a/packages/gypsumwall-bench/src/step_cell.ts
+++ b/packages/gypsumwall-bench/src/step_cell.ts
@@ -8,6 +8,7 @@
 import * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
 import * as cellMeasures from './cell_measures.js';
+import * as nearWorks from './near_work.js';
 import * as stepLoad from './step_load.js';
 
 /** Round trip of an append to the store. */
@@ -19,6 +20,8 @@
 /** Delay before a scheduling cycle, as the holder waits. */
 const CYCLE_INTERVAL_MS = 3;
 const WORKERS_PER_RACK = 20;
+/** Interval of the cycles that a holder runs in any case. */
+const TICK_MS = 100;
 const MAX_WAIT_MS = 1e6;
 /** Virtual time at which a run starts. */
 const START_AT_MS = 1_000;
@@ -38,6 +41,7 @@
   readonly onTime: ReadonlyMap<string, number>;
   /** Share of the jobs that ended while their callers had a use for it. */
   readonly useful: ReadonlyMap<string, number>;
+  readonly near: scheduling.nearStarts.NearCounts;
 }
 
 interface PendingJob {
@@ -88,11 +92,18 @@
   readonly scenario?: stepLoad.Scenario;
   readonly slowStore?: SlowStore;
   readonly owners?: JobOwners;
+  /** Work that runs slower in some places than in others, if any. */
+  readonly nearWork?: nearWorks.NearWork;
   /** Whether the jobs of an owner are measured; by default all are. */
   readonly isMeasured?: (owner: number) => boolean;
 }): StepCellResult {
   const scenario = options.scenario ?? stepLoad.PLANNING;
   const random = types.random.createRandom(options.seed);
+  // The same jobs arrive however long steps wait for near places.
+  const arrivalRandom =
+    options.nearWork === undefined
+      ? random
+      : types.random.createRandom(options.seed + 2);
   const events: {at: number; callback: () => void}[] = [];
   const pendingJobs = new Map<string, PendingJob>();
   const tookMs = new Map<string, ReturnType<typeof createHistogram>>();
@@ -116,6 +127,7 @@
   let jobCount = 0;
 
   const scheduler = scheduling.scheduler.createScheduler({
+    ...options.nearWork,
     attemptBase: 0,
     isReconciled: () => true,
     onEvent(event) {
@@ -123,6 +135,17 @@
     },
   });
 
+  const rackOf = (number: number) =>
+    `rack-${Math.floor(number / WORKERS_PER_RACK)}`;
+  const nearRuns =
+    options.nearWork &&
+    nearWorks.createNearRuns(
+      options.nearWork,
+      (id) => scheduler.workerRegistry.workers.get(id)!.info.rack,
+      [...new Set(Array.from({length: options.workers}, (_, n) => rackOf(n)))],
+      types.random.createRandom(options.seed + 1),
+    );
+
   function recordJobOver(id: string): void {
     const pendingJob = pendingJobs.get(id);
     if (pendingJob === undefined) return;
@@ -199,6 +222,7 @@
     schedulerMs += cycleMs;
     maxCycleMs = Math.max(maxCycleMs, cycleMs);
     appendDirty();
+    nearRuns?.onStarts(decisions.starts);
     for (const order of decisions.starts) startAttempt(order);
     for (const request of decisions.advice) requestAdvice(request);
   }
@@ -240,7 +264,8 @@
     });
     const {request, job} = attempt.task!.stepRun;
     const fails = random.next() < jobKindOf(job.policy.queue).failingShare;
-    const spanMs = request.expectedMs * (fails ? random.next() : 1);
+    const runMs = nearRuns?.runMs(attempt) ?? request.expectedMs;
+    const spanMs = runMs * (fails ? random.next() : 1);
     schedule(ORDER_ROUND_TRIP_MS + spanMs, () =>
       endAttempt(attempt, fails ? 'failed' : 'done'),
     );
@@ -250,6 +275,11 @@
     return scenario.kinds.find((kind) => kind.policy.queue === queue)!;
   }
 
+  function percentOf(attempt: scheduling.activeJob.Attempt): number {
+    if (nearRuns === undefined) return Math.floor(random.next() * 100);
+    return nearRuns.percentAfter(attempt, now - (attempt.startedAt ?? now));
+  }
+
   function endAttempt(
     attempt: scheduling.activeJob.Attempt,
     outcome: scheduling.jobSteps.AttemptOutcome,
@@ -266,7 +296,7 @@
         taskId: other.taskId,
         attempt: other.number,
         checkpoint: '',
-        percent: Math.floor(random.next() * 100),
+        percent: percentOf(other),
       })),
       ends: [{sequence, taskId, attempt: number, how: outcome, checkpoint: ''}],
       complete: true,
@@ -317,7 +347,8 @@
     acceptedAt: types.clock.MonotonicMs,
   ): void {
     const id = types.ids.brand<types.ids.JobId>(`job${++jobCount}`);
-    const request = stepLoad.drawRequest(kind, random);
+    const drawn = stepLoad.drawRequest(kind, arrivalRandom);
+    const request = nearRuns?.addPlaces(id, drawn) ?? drawn;
     const {policy} = kind;
     const chainMs = scheduling.jobRequest.expectedChainMs(request);
     const objectiveMs = chainMs * policy.slackFactor + policy.targetMs;
@@ -378,27 +409,43 @@
         : (owners.count - 1 + owners.firstFactor) / owners.count;
     const rate = kind.rate * options.load * (burst?.factor ?? 1) * ownersFactor;
     const meanGapMs = 1_000 / rate;
-    schedule(-Math.log(1 - random.next()) * meanGapMs, () =>
+    schedule(-Math.log(1 - arrivalRandom.next()) * meanGapMs, () =>
       handleArrival(kind),
     );
   }
 
+  /** A wait for a near place depends on time alone. */
+  function scheduleTick(): void {
+    schedule(TICK_MS, () => {
+      requestCycle();
+      scheduleTick();
+    });
+  }
+
+  /** Racks lie in one domain where places matter. */
+  function domainOf(number: number): string {
+    const part =
+      nearRuns === undefined ? number : Math.floor(number / WORKERS_PER_RACK);
+    return `domain-${part % 4}`;
+  }
+
   for (let number = 0; number < options.workers; number++) {
     const id = types.ids.brand<types.ids.WorkerId>(`worker-${number}`);
     scheduler.putWorker({
       id,
       address: '',
-      domain: types.ids.brand(`domain-${number % 4}`),
+      domain: types.ids.brand(domainOf(number)),
       pool: stepLoad.POOL,
       capacity: scenario.capacity,
       labels: [],
-      rack: types.ids.brand(`rack-${Math.floor(number / WORKERS_PER_RACK)}`),
+      rack: types.ids.brand(rackOf(number)),
       draining: false,
     });
     scheduler.setUsable(id, true, now);
   }
   scheduler.updateOrganisations(createOrganisations(options.owners));
   for (const kind of scenario.kinds) scheduleArrival(kind);
+  if (nearRuns !== undefined) scheduleTick();
   const {backlog} = options;
   if (backlog !== undefined)
     schedule(backlog.takeoverAtMs, () => acceptBacklog(backlog));
@@ -425,6 +472,7 @@
     tookMs,
     onTime: sharesOf(({met}) => met),
     useful: sharesOf(({useful}) => useful),
+    near: scheduler.counts().near,
   };
 }
 
