scheduling loop: log how many steps have a near place

holder_load also has the steps that run slower in some places and the near and far starts of their tasks, so that a log shows whether callers name places.

--- a/packages/gypsumwall-cell/src/holder_load.ts
+++ b/packages/gypsumwall-cell/src/holder_load.ts
@@ -17,6 +17,13 @@
   readonly windowSize: number;
   readonly waitingSteps: number;
   readonly runs: number;
+  /**
+   * Steps that run slower in some places, and the starts of their tasks, since
+   * the holder took over.
+   */
+  readonly nearSteps: number;
+  readonly nearStarts: number;
+  readonly farStarts: number;
 }
 
 /** Options of the log. */
--- a/packages/gypsumwall-cell/src/scheduling_loop.ts
+++ b/packages/gypsumwall-cell/src/scheduling_loop.ts
@@ -82,13 +82,16 @@
   let lastCycleMs = 0;
 
   function readState(): holderLoad.HolderState {
-    const {waitingSteps, runs} = scheduler.counts();
+    const {waitingSteps, runs, near} = scheduler.counts();
     return {
       loopUtilization: parts.loopUtilization(),
       pendingOrders: orders.pending(),
       windowSize: orders.size(),
       waitingSteps,
       runs,
+      nearSteps: near.steps,
+      nearStarts: near.nearStarts,
+      farStarts: near.farStarts,
     };
   }
 
