scheduler: wait longer for a near place in a full cell

A far start keeps the room for longer than a near one, so where more work waits than has room it delays that work by as much as it delays itself. Such a step waits up to twice as long, as long as it stays on time.

--- a/packages/gypsumwall-scheduling/src/__tests__/near_places.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/near_places.test.ts
@@ -148,6 +148,22 @@
   assert.deepEqual(workersOf(world.startAll()), ['r2-0', 'r2-0']);
 });
 
+// Load: a full cell. Guards against far starts that take three times as much of
+// the room for which other work waits.
+test('a step waits longer where other work waits for the same room', () => {
+  const waitsFor = (otherTasks: number) => {
+    const world = worlds.createSchedulerWorld(FAR);
+    fillR1(world, [1], {expectedMs: 2_500});
+    addRack(world, 'r2', [1]);
+    world.submit('near', [worlds.step(DATA_IN_R1)], {policy: LATE_START});
+    const others = worlds.step({taskCount: otherTasks});
+    world.submit('others', [others], {policy: {slackFactor: 90, priority: 2}});
+    return world.startAll().every(({taskId}) => taskId.startsWith('others'));
+  };
+  assert.equal(waitsFor(1), false);
+  assert.equal(waitsFor(9), true);
+});
+
 // Load: work of higher rank waits for the room that becomes free near the data.
 test('room that goes to work of higher rank is not waited for', () => {
   const world = worlds.createSchedulerWorld(FAR);
--- a/packages/gypsumwall-scheduling/src/__tests__/wait_for_place.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/wait_for_place.test.ts
@@ -14,6 +14,7 @@
   nearStartsAt: at(400),
   dueAt: at(10_000),
   waitEndsAt: at(2_000),
+  isContended: false,
 };
 
 interface Case {
@@ -39,6 +40,16 @@
     options: {nearStartsAt: undefined},
     expected: 'no_near_room',
   },
+  {
+    name: 'other work waits for the room that a far start takes longer',
+    options: {nearStartsAt: at(1_900), isContended: true},
+    expected: 'wait',
+  },
+  {
+    name: 'other work waits and the wait may make the step late',
+    options: {nearStartsAt: at(1_900), isContended: true, dueAt: at(3_500)},
+    expected: 'near_may_be_late',
+  },
   {
     name: 'only the near start can be on time',
     options: {dueAt: at(1_500)},
@@ -72,8 +83,9 @@
 // Guards against a step that waits without end because each forecast promises
 // a near place soon.
 test('the total wait is bounded by the run time that it saves', () => {
-  assert.equal(waitForPlace.waitLimit(at(100), 1_000, 3_000), at(2_100));
-  assert.equal(waitForPlace.waitLimit(at(0), 60_000, 180_000), at(10_000));
+  assert.equal(waitForPlace.waitLimit(at(100), OPTIONS), at(2_100));
+  const long = {...OPTIONS, nearRunMs: 60_000, farRunMs: 180_000};
+  assert.equal(waitForPlace.waitLimit(at(0), long), at(10_000));
 });
 
 // Load: objectives as tight as a far start allows. Guards against a job that
--- a/packages/gypsumwall-scheduling/src/place_near.ts
+++ b/packages/gypsumwall-scheduling/src/place_near.ts
@@ -176,9 +176,10 @@
   const {request, waitingIndexes, nearWait} = stepRun;
   const nearRunMs = request.expectedMs;
   const farRunMs = (nearRunMs * choice.farFactor) / slowestOf(far, context);
-  const waitEndsAt =
-    nearWait?.endsAt ?? waitForPlace.waitLimit(now, nearRunMs, farRunMs);
-  const times = {now, nearRunMs, farRunMs, waitEndsAt};
+  const isContended = choice.forecast.isContended(stepRun);
+  const runTimes = {nearRunMs, farRunMs, isContended};
+  const waitEndsAt = nearWait?.endsAt ?? waitForPlace.waitLimit(now, runTimes);
+  const times = {...runTimes, now, waitEndsAt};
   const tasks = waitingIndexes.length;
   const until = waitForPlace.latestUsefulStart(times);
   const question = {stepRun, tasks, until};
--- a/packages/gypsumwall-scheduling/src/room_forecast.ts
+++ b/packages/gypsumwall-scheduling/src/room_forecast.ts
@@ -7,14 +7,12 @@
 import type * as activeJob from './active_job.js';
 import * as nearPlace from './near_place.js';
 import * as stepNeeds from './step_needs.js';
+import * as workAhead from './work_ahead.js';
 import type * as workerRegistry from './worker_registry.js';
 import type * as workerSpeeds from './worker_speeds.js';
 
 /** A worker on which tasks of a step may start. */
-export interface PossibleWorker {
-  readonly worker: workerRegistry.RegisteredWorker;
-  /** Probability that the adviser lets it run the step; 1 if it does. */
-  readonly approvedShare: number;
+export interface PossibleWorker extends workAhead.ApprovedWorker {
   /** Earliest start, because approvals are asked for before. */
   readonly notBefore: types.clock.MonotonicMs;
 }
@@ -41,6 +39,11 @@
    * fewer tasks if not all could start until the end of the question's time.
    */
   runsOf(question: RoomQuestion): ExpectedRun[];
+  /**
+   * Whether more other work waits in the step's pool than has room there, so that
+   * a far start makes other work wait for as long as it runs longer.
+   */
+  isContended(stepRun: activeJob.StepRun): boolean;
 }
 
 /** Input of a forecast. */
@@ -71,9 +74,9 @@
 
 /** Creates the forecast of a cycle. */
 export function createRoomForecast(parts: RoomForecastParts): RoomForecast {
-  const {now, registry, speeds} = parts;
+  const {now, speeds} = parts;
   const endsByWorker = new Map<types.ids.WorkerId, ExpectedEnd[]>();
-  const ahead = createWorkAhead(parts);
+  const ahead = workAhead.createWorkAhead(parts.ordered, parts.registry);
 
   function endsOn(id: types.ids.WorkerId): ExpectedEnd[] {
     const known = endsByWorker.get(id);
@@ -103,7 +106,7 @@
       );
       openings.sort((a, b) => a.at - b.at);
       const runs: ExpectedRun[] = [];
-      let slots = -ahead.tasksBefore(stepRun, workers, registry);
+      let slots = -ahead.tasksBefore(stepRun, workers);
       for (const {at, weight, worker} of openings) {
         slots += weight;
         const runMs =
@@ -114,6 +117,7 @@
       }
       return runs;
     },
+    isContended: (stepRun) => ahead.isContended(stepRun),
   };
 }
 
@@ -206,75 +210,3 @@
 function clamp(value: number, min: number, max: number): number {
   return Math.min(max, Math.max(min, value));
 }
-
-interface WorkAhead {
-  /** Number of tasks of the step's size that get room on the workers before. */
-  tasksBefore(
-    stepRun: activeJob.StepRun,
-    workers: readonly PossibleWorker[],
-    registry: workerRegistry.WorkerRegistry,
-  ): number;
-}
-
-/**
- * Adds up the waiting work that ranks before a step. The position advances with
- * the questions of a cycle, so that all of them together pass over the waiting
- * steps once.
- */
-function createWorkAhead({ordered}: RoomForecastParts): WorkAhead {
-  /** Processors that are waited for anywhere in a pool, and in one rack. */
-  const byPool = new Map<string, number>();
-  const byRack = new Map<string, number>();
-  const capacityByPool = new Map<string, number>();
-  let position = 0;
-
-  function countUpTo(stepRun: activeJob.StepRun): void {
-    const end = ordered.indexOf(stepRun, position);
-    for (; position < end; position++) {
-      const {request, waitingIndexes, job, isOverQuota} = ordered[position]!;
-      if (isOverQuota || job.isAwaitingReconciliation) continue;
-      const size = stepNeeds.reservedSize(ordered[position]!);
-      const cpuMillis = waitingIndexes.length * size.cpuMillis;
-      const {preferredRack} = request;
-      if (preferredRack === undefined) add(byPool, job.policy.pool, cpuMillis);
-      else add(byRack, preferredRack, cpuMillis);
-    }
-  }
-
-  function poolCapacity(
-    pool: string,
-    registry: workerRegistry.WorkerRegistry,
-  ): number {
-    const known = capacityByPool.get(pool);
-    if (known !== undefined) return known;
-    let cpuMillis = 0;
-    for (const {info} of registry.workers.values())
-      if (info.pool === pool) cpuMillis += info.capacity.cpuMillis;
-    capacityByPool.set(pool, cpuMillis);
-    return cpuMillis;
-  }
-
-  return {
-    tasksBefore(stepRun, workers, registry) {
-      const {cpuMillis} = stepNeeds.reservedSize(stepRun);
-      if (cpuMillis === 0) return 0;
-      countUpTo(stepRun);
-      const {pool} = stepRun.job.policy;
-      const racks = new Set(workers.map(({worker}) => worker.info.rack));
-      let inRacks = 0;
-      for (const rack of racks) inRacks += byRack.get(rack) ?? 0;
-      const anywhere = byPool.get(pool) ?? 0;
-      if (anywhere === 0) return inRacks / cpuMillis;
-      const capacity = workers.reduce(
-        (sum, {worker}) => sum + worker.info.capacity.cpuMillis,
-        0,
-      );
-      const share = capacity / Math.max(1, poolCapacity(pool, registry));
-      return (inRacks + anywhere * share) / cpuMillis;
-    },
-  };
-}
-
-function add(sums: Map<string, number>, key: string, amount: number): void {
-  sums.set(key, (sums.get(key) ?? 0) + amount);
-}
--- a/packages/gypsumwall-scheduling/src/wait_for_place.ts
+++ b/packages/gypsumwall-scheduling/src/wait_for_place.ts
@@ -18,8 +18,12 @@
   readonly dueAt: types.clock.MonotonicMs;
   /** When the step has waited for as long as it may. */
   readonly waitEndsAt: types.clock.MonotonicMs;
+  /** Whether other work waits for the room that a far start takes longer. */
+  readonly isContended: boolean;
 }
 
+type RunTimes = Pick<PlaceOptions, 'nearRunMs' | 'farRunMs' | 'isContended'>;
+
 /** Why a step starts far. */
 export type FarReason =
   /** The step has waited for as long as it may. */
@@ -29,7 +33,9 @@
   /** No start at the near place is foreseen. */
   | 'no_near_room'
   /** The wait isn't expected to gain enough. */
-  | 'no_gain';
+  | 'no_gain'
+  /** The end far away is on time and that at the near place may not be. */
+  | 'near_may_be_late';
 
 /** What a step does. */
 export type PlaceDecision =
@@ -69,62 +75,67 @@
  * and the repeated forecasts.
  */
 const MIN_GAIN_MS = 50;
+/**
+ * Where other work waits for the room, a far start delays that work by as much
+ * as the step itself.
+ */
+const CONTENDED_WORTH = 2;
 /** Maximum total wait of a step, whatever its estimated run time. */
 const MAX_WAIT_MS = 10_000;
 
 /**
- * Returns when a step that could start far now must stop waiting. A wait as
- * long as the run time that it saves costs at most as much again as the far
- * start would have.
+ * Returns when a step that could start far now must stop waiting: after as long
+ * as a near start is worth, so that the wait costs at most as much again.
  */
 export function waitLimit(
   now: types.clock.MonotonicMs,
-  nearRunMs: number,
-  farRunMs: number,
+  times: RunTimes,
 ): types.clock.MonotonicMs {
+  return types.clock.after(now, Math.min(MAX_WAIT_MS, worthMs(times)));
+}
+
+/**
+ * How long a wait a near start is worth, in milliseconds: the run time that it
+ * saves the step and, in a full cell, the work that waits for the same room.
+ */
+function worthMs({nearRunMs, farRunMs, isContended}: RunTimes): number {
   const savedMs = Math.max(0, farRunMs - nearRunMs);
-  return types.clock.after(now, Math.min(MAX_WAIT_MS, savedMs));
+  return isContended ? CONTENDED_WORTH * savedMs : savedMs;
 }
 
 /**
  * Returns the latest start at the near place for which a wait that begins now is
  * expected to pay.
  */
-export function latestUsefulStart({
-  now,
-  nearRunMs,
-  farRunMs,
-  waitEndsAt,
-}: Pick<
-  PlaceOptions,
-  'now' | 'nearRunMs' | 'farRunMs' | 'waitEndsAt'
->): types.clock.MonotonicMs {
-  const gainMs = farRunMs - nearRunMs - MIN_GAIN_MS;
+export function latestUsefulStart(
+  options: RunTimes & Pick<PlaceOptions, 'now' | 'waitEndsAt'>,
+): types.clock.MonotonicMs {
+  const {now, waitEndsAt} = options;
+  const gainMs = worthMs(options) - MIN_GAIN_MS;
   const byGain = types.clock.after(now, gainMs / WAIT_ERROR_FACTOR);
   return byGain < waitEndsAt ? byGain : waitEndsAt;
 }
 
 /**
- * Waits only where the step is expected to end sooner for it, also if the wait
- * turns out longer. A step that would be on time far away therefore waits only
- * where it would be on time after the wait, too.
+ * Waits only where that is expected to gain, also if the wait turns out longer
+ * than forecast. A step that would be on time far away waits only where it
+ * would be on time after the wait, too.
  */
 export function decidePlace(options: PlaceOptions): PlaceDecision {
-  const {now, nearRunMs, nearStartsAt, dueAt, waitEndsAt} = options;
+  const {now, nearRunMs, farRunMs, nearStartsAt, dueAt, waitEndsAt} = options;
   const latestNearStart = types.clock.after(dueAt, -nearRunMs);
   if (now >= waitEndsAt) return startFar('waited_enough');
   if (now > latestNearStart) return startFar('late');
   if (nearStartsAt === undefined) return startFar('no_near_room');
   if (nearStartsAt > latestUsefulStart(options)) return startFar('no_gain');
+  const waitMs = (nearStartsAt - now) * WAIT_ERROR_FACTOR;
+  const isFarOnTime = types.clock.after(now, farRunMs) <= dueAt;
+  if (isFarOnTime && types.clock.after(now, waitMs) > latestNearStart)
+    return startFar('near_may_be_late');
   const until = waitEndsAt < latestNearStart ? waitEndsAt : latestNearStart;
   return {type: 'wait', until};
 }
 
-/** Never waits. */
-export function startFarAtOnce(): PlaceDecision {
-  return startFar('no_gain');
-}
-
 function startFar(reason: FarReason): PlaceDecision {
   return {type: 'start_far', reason};
 }
