scheduler: explain where a job would start now

explain_job runs the modules that place tasks on a copy of the workers: what the first steps of a job would do, what keeps them off each worker, and how much ranks before them. Nothing is reserved or stored.

--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -9,6 +9,7 @@
 import type * as adviserPool from './adviser_pool.js';
 import * as takeAdviceRequests from './take_advice_requests.js';
 import * as crashAttribution from './crash_attribution.js';
+import * as explainJob from './explain_job.js';
 import * as jobOrder from './job_order.js';
 import * as jobRegistries from './job_registry.js';
 import * as jobSteps from './job_steps.js';
@@ -435,6 +436,16 @@
         if (task !== undefined && isCounted(task.stepRun.job.request)) count++;
       return count;
     },
+    explain: (question, now) =>
+      explainJob.explainJob(question, {
+        registry,
+        health,
+        now,
+        isolation,
+        waitingSteps,
+        reservations,
+        nearPolicy,
+      }),
     counts: () => ({
       jobs: jobs.size,
       runs: attempts.size(),
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -4,6 +4,7 @@
 import type * as activeJob from './active_job.js';
 import type * as adviserPool from './adviser_pool.js';
 import type * as crashRecords from './crash_records.js';
+import type * as explainJob from './explain_job.js';
 import type * as jobProgress from './job_progress.js';
 import type * as jobRequest from './job_request.js';
 import type * as jobSteps from './job_steps.js';
@@ -205,6 +206,11 @@
   /** Number of attempts of jobs with such a request. */
   countAttempts(isCounted: (request: jobRequest.JobRequest) => boolean): number;
   counts(): SchedulerCounts;
+  /** Explains where a job would start now; changes nothing. */
+  explain(
+    question: explainJob.JobQuestion,
+    now: types.clock.MonotonicMs,
+  ): explainJob.JobExplanation;
 }
 
 /** Counts for gauges. */
