cli: explain where a job would go

gypsumwall explain asks an entry on the users' platform beside its metrics. Each entry tells whether it would accept the job and who holds the cell, with the age of its copy; the holder also what the first steps would do. The answer comes from the modules that decide; nothing is sent or stored.

--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -473,6 +473,16 @@
       cellFollower.stop();
       peers.close();
     },
+    explain(question) {
+      const ageMs = readiness.replicaAgeMs();
+      const {policy, request} = question;
+      return {
+        admission: shedder.check('append', policy, request),
+        holder: state.claim()?.instance,
+        placement: holder?.explain(question),
+        replicaAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : null,
+      };
+    },
     status: () => ({
       holdsCell: holder !== undefined,
       configVersion: configs.config()?.version,
--- a/packages/gypsumwall-cell/src/cell_entry_types.ts
+++ b/packages/gypsumwall-cell/src/cell_entry_types.ts
@@ -6,6 +6,7 @@
 import type * as cellHolderTypes from './cell_holder_types.js';
 import type * as configKeeper from './config_keeper.js';
 import type * as jobServiceTypes from './job_service_types.js';
+import type * as loadShedder from './load_shedder.js';
 import type * as ports from './ports.js';
 import type * as trafficMeter from './traffic_meter.js';
 
@@ -81,6 +82,23 @@
   leave(): Promise<void>;
   stop(): void;
   status(): EntryStatus;
+  /** Explains what would become of a job now; changes nothing. */
+  explain(question: scheduling.explainJob.JobQuestion): EntryExplanation;
+}
+
+/** What an entry knows about the way of a job. */
+export interface EntryExplanation {
+  /** Whether this entry would accept it. */
+  readonly admission: loadShedder.Verdict;
+  /** The instance that holds the cell, as far as this entry knows. */
+  readonly holder: string | undefined;
+  /** Where it would start; undefined unless this entry holds the cell. */
+  readonly placement: scheduling.explainJob.JobExplanation | undefined;
+  /**
+   * Maximum age of this entry's replica of the logs, in milliseconds; null if
+   * unknown.
+   */
+  readonly replicaAgeMs: number | null;
 }
 
 /** State of an entry for gauges and operators. */
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -418,5 +418,6 @@
     },
     stop,
     counts: () => scheduler.counts(),
+    explain: (question) => scheduler.explain(question, clock.monotonic()),
   };
 }
--- a/packages/gypsumwall-cell/src/cell_holder_types.ts
+++ b/packages/gypsumwall-cell/src/cell_holder_types.ts
@@ -89,4 +89,8 @@
   handOver(): Promise<void>;
   stop(): void;
   counts(): scheduling.schedulerTypes.SchedulerCounts;
+  /** Explains where a job would start now; changes nothing. */
+  explain(
+    question: scheduling.explainJob.JobQuestion,
+  ): scheduling.explainJob.JobExplanation;
 }
--- a/packages/gypsumwall-cell/src/holder_load.ts
+++ b/packages/gypsumwall-cell/src/holder_load.ts
@@ -24,6 +24,9 @@
   readonly nearSteps: number;
   readonly nearStarts: number;
   readonly farStarts: number;
+  readonly nearWaits: number;
+  /** Number of these that ended with a start at the near place. */
+  readonly nearWaitsWon: number;
 }
 
 /** Options of the log. */
--- a/packages/gypsumwall-cell/src/scheduling_loop.ts
+++ b/packages/gypsumwall-cell/src/scheduling_loop.ts
@@ -92,6 +92,8 @@
       nearSteps: near.steps,
       nearStarts: near.nearStarts,
       farStarts: near.farStarts,
+      nearWaits: near.waitsBegun,
+      nearWaitsWon: near.waitsWon,
     };
   }
 
--- a/packages/gypsumwall/src/__tests__/commands.test.ts
+++ b/packages/gypsumwall/src/__tests__/commands.test.ts
@@ -238,3 +238,42 @@
   const result = await run(['status'], () => ({body}));
   assert.equal(result.stdout, 'id: bole-1\nlist.ageMs: 12\nlist.peers: none\n');
 });
+
+const EXPLANATION = {
+  admission: {type: 'admitted'},
+  holder: 'entry-2',
+  replicaAgeMs: 130,
+  placement: {
+    objectiveMs: 3_000,
+    expectedMs: 1_000,
+    steps: [
+      {
+        step: 0,
+        tasks: 4,
+        stepsAhead: 2,
+        workers: {no_room: 3, not_recorded: 1},
+        outlook: {type: 'waits_for_near_place', rack: 'r1', atMostMs: 900},
+      },
+    ],
+  },
+};
+
+nodeTest.test('explain prints where a job would go', async () => {
+  const job = writeTestFile('job.json', {phases: [{count: 4}]});
+  const args = ['explain', '--job', job, '--queue', 'plans'];
+  const answered = await run(args, () => ({body: EXPLANATION}));
+  assert.equal(answered.code, EXIT.ok, answered.stderr);
+  assert.match(answered.stdout, /waits for rack r1, 900 ms at most/);
+  assert.match(answered.stdout, /no_room:3,not_recorded:1/);
+  const [call] = answered.calls;
+  assert.equal(call?.path, '/explain?queue=plans');
+  assert.equal(call.headers.authorization, undefined);
+});
+
+nodeTest.test('explain names the holder at another entry', async () => {
+  const job = writeTestFile('job.json', {phases: [{count: 4}]});
+  const args = ['explain', '--job', job, '--queue', 'plans'];
+  const body = {...EXPLANATION, placement: undefined};
+  const answered = await run(args, () => ({body}));
+  assert.match(answered.stdout, /known to the holder only, which is entry-2/);
+});
--- a/packages/gypsumwall/src/command_table.ts
+++ b/packages/gypsumwall/src/command_table.ts
@@ -2,6 +2,7 @@
 import type * as commandPlugin from './command_plugin.js';
 import * as drainCommand from './commands/drain_command.js';
 import * as entryCommand from './commands/entry_command.js';
+import * as explainCommand from './commands/explain_command.js';
 import * as jobCancelCommand from './commands/job_cancel_command.js';
 import * as jobListCommand from './commands/job_list_command.js';
 import * as jobResultCommand from './commands/job_result_command.js';
@@ -27,6 +28,7 @@
   'job:cancel': jobCancelCommand.JobCancelCommand,
   'job:list': jobListCommand.JobListCommand,
   request: requestCommand.RequestCommand,
+  explain: explainCommand.ExplainCommand,
   status: statusCommand.StatusCommand,
   drain: drainCommand.DrainCommand,
 };
--- a/packages/gypsumwall/src/entry_client.ts
+++ b/packages/gypsumwall/src/entry_client.ts
@@ -56,10 +56,19 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
+/** Whether the calls of a client need a token. */
+export type ClientAccess = 'with_token' | 'without_token';
+
 /** Creates a client with the entry and the token that the flags name. */
-export function createEntryClient(flags: callFlags.CallFlags): EntryClient {
+export function createEntryClient(
+  flags: callFlags.CallFlags,
+  access: ClientAccess = 'with_token',
+): EntryClient {
   const origin = parseOrigin(flags.entry);
-  const token = readToken(flags['token-file']);
+  const authorization =
+    access === 'with_token'
+      ? {authorization: `Bearer ${readToken(flags['token-file'])}`}
+      : {};
   const timeoutMs = flags['timeout-ms'];
   return {
     origin,
@@ -70,7 +79,7 @@
         const res = await undici.request(`${origin}${call.path}`, {
           method: call.method,
           headers: {
-            authorization: `Bearer ${token}`,
+            ...authorization,
             ...timeoutHeader(timeoutMs),
             ...call.headers,
           },
