--- a/packages/gypsumwall-scheduling/src/wait_for_place.ts
+++ b/packages/gypsumwall-scheduling/src/wait_for_place.ts
@@ -80,8 +80,12 @@
  * as the step itself.
  */
 const CONTENDED_WORTH = 2;
-/** Maximum total wait of a step, whatever its estimated run time. */
-const MAX_WAIT_MS = 10_000;
+/**
+ * Maximum total wait of a step, whatever its estimated run time: a job with
+ * nothing running must not wait for 3 s while there is room for it, and its
+ * advice and the commit of its workers take a part of that.
+ */
+const MAX_WAIT_MS = 2_000;
 
 /**
  * Returns when a step that could start far now must stop waiting: after as long
