--- a/packages/gypsumwall-scheduling/src/rack_order.ts
+++ b/packages/gypsumwall-scheduling/src/rack_order.ts
@@ -27,22 +27,32 @@
   stepRun: activeJob.StepRun,
   sorted: readonly Candidate[],
   all: readonly RackCandidate[],
-): Candidate[] {
-  const {request} = stepRun;
-  const rackTasks = new Map<types.ids.RackId, number>();
-  for (const {rack, tasks} of request.sameRack ? all : [])
-    rackTasks.set(rack, (rackTasks.get(rack) ?? 0) + tasks);
-  const place = ({rack}: RackCandidate) =>
-    nearPlace.isWaitedFor(stepRun, rack) || rack === request.preferredRack
-      ? Infinity
-      : (rackTasks.get(rack) ?? 0);
-  // Racks with as many tasks stay apart by name.
-  return [...sorted].sort((a, b) => {
-    const [left, right] = [place(a), place(b)];
-    if (left !== right) return right > left ? 1 : -1;
-    if (!request.sameRack || a.rack === b.rack) return 0;
-    return a.rack < b.rack ? -1 : 1;
-  });
+): readonly Candidate[] {
+  const {preferredRack, sameRack} = stepRun.request;
+  const byRack = new Map<types.ids.RackId | undefined, Candidate[]>();
+  for (const candidate of sorted) {
+    const {rack} = candidate;
+    // Other racks than that of the data are alike.
+    const key = sameRack || rack === preferredRack ? rack : undefined;
+    const inRack = byRack.get(key);
+    if (inRack === undefined) byRack.set(key, [candidate]);
+    else inRack.push(candidate);
+  }
+  if (byRack.size <= 1) return sorted;
+  const rackTasks = new Map<types.ids.RackId | undefined, number>();
+  if (sameRack) {
+    for (const {rack, tasks} of all)
+      rackTasks.set(rack, (rackTasks.get(rack) ?? 0) + tasks);
+  }
+  if (preferredRack !== undefined)
+    rackTasks.set(types.ids.brand<types.ids.RackId>(preferredRack), Infinity);
+  const waitedFor = stepRun.nearWait?.rack;
+  if (waitedFor !== undefined) rackTasks.set(waitedFor, Infinity);
+  const tasksIn = (rack: types.ids.RackId | undefined) =>
+    rackTasks.get(rack) ?? 0;
+  return [...byRack.keys()]
+    .sort((a, b) => compareDown(tasksIn(a), tasksIn(b)))
+    .flatMap((rack) => byRack.get(rack)!);
 }
 
 /**
