--- a/packages/gypsumwall-scheduling/src/explain_job.ts
+++ b/packages/gypsumwall-scheduling/src/explain_job.ts
@@ -81,6 +81,12 @@
   readonly organisation?: types.ids.OrganisationId;
 }
 
+/** Explains a job as if it were accepted and due now. */
+export type ExplainJob = (
+  question: JobQuestion,
+  now: types.clock.MonotonicMs,
+) => JobExplanation;
+
 /** State of the scheduler that the explanation reads. */
 export interface ExplainContext extends Omit<
   chooseWorker.ChoiceContext,
--- a/packages/gypsumwall-scheduling/src/place_near.ts
+++ b/packages/gypsumwall-scheduling/src/place_near.ts
@@ -41,9 +41,8 @@
   {nearWait}: activeJob.StepRun,
   now: types.clock.MonotonicMs,
 ): boolean {
-  return nearWait !== undefined && nearWait.tasks > 0
-    ? now >= nearWait.recheckAt
-    : false;
+  if (nearWait === undefined || nearWait.tasks === 0) return false;
+  return now >= nearWait.recheckAt;
 }
 
 /** Places the tasks that start now; the candidates have free capacity. */
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -207,10 +207,7 @@
   countAttempts(isCounted: (request: jobRequest.JobRequest) => boolean): number;
   counts(): SchedulerCounts;
   /** Explains where a job would start now; changes nothing. */
-  explain(
-    question: explainJob.JobQuestion,
-    now: types.clock.MonotonicMs,
-  ): explainJob.JobExplanation;
+  readonly explain: explainJob.ExplainJob;
 }
 
 /** Counts for gauges. */
--- a/packages/gypsumwall-scheduling/src/wait_for_place.ts
+++ b/packages/gypsumwall-scheduling/src/wait_for_place.ts
@@ -54,15 +54,15 @@
   /** When the step must stop waiting, since it first could have started far. */
   readonly endsAt: types.clock.MonotonicMs;
   /** Number of its tasks that wait, by the last decision. */
-  tasks: number;
+  readonly tasks: number;
   /** The rack that is waited for; undefined while nothing waits. */
-  rack?: types.ids.RackId;
+  readonly rack?: types.ids.RackId;
   /** The last decision holds until this moment. */
-  recheckAt: types.clock.MonotonicMs;
+  readonly recheckAt: types.clock.MonotonicMs;
   /** Since when tasks wait without interruption. */
   since?: types.clock.MonotonicMs;
   /** Expected run time that a near start saves; milliseconds. */
-  savedMs: number;
+  readonly savedMs: number;
 }
 
 /**
