--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -387,6 +387,7 @@
       // The claim was appended on condition that nothing had to be read.
       lastRecordAt: earlierRecordAt,
       longestStopMs: options.longestStopMs,
+      farFactor: options.farFactor,
       listExpiryMs: options.listExpiryMs,
       storeHealth: health,
       clock,
@@ -470,6 +471,16 @@
       cellFollower.stop();
       peers.close();
     },
+    explain(question) {
+      const ageMs = readiness.replicaAgeMs();
+      const {policy, request} = question;
+      return {
+        admission: admission.preview(policy, request),
+        holder: state.claim()?.instance,
+        placement: holder?.explain(question),
+        replicaAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : null,
+      };
+    },
     status: () => ({
       holdsCell: holder !== undefined,
       configVersion: configs.config()?.version,
--- a/packages/gypsumwall-cell/src/cell_holder_types.ts
+++ b/packages/gypsumwall-cell/src/cell_holder_types.ts
@@ -52,6 +52,8 @@
   readonly lastRecordAt: types.clock.MonotonicMs;
   /** Maximum time that a worker takes to stop a task; milliseconds. */
   readonly longestStopMs: number;
+  /** As in the options of the entry. */
+  readonly farFactor?: number;
   /**
    * Silence after which the platform's list removes a worker; milliseconds.
    * Undefined if unknown.
@@ -92,4 +94,8 @@
   unusableListEntries(): number;
   /** How good forecasts of starts were; undefined without any. */
   forecastAccuracy(): forecastCheck.ForecastAccuracy | undefined;
+  /** Explains where a job would start now; changes nothing. */
+  explain(
+    question: scheduling.explainJob.JobQuestion,
+  ): scheduling.explainJob.JobExplanation;
 }
--- a/packages/gypsumwall-cell/src/entry_admission.ts
+++ b/packages/gypsumwall-cell/src/entry_admission.ts
@@ -1,4 +1,5 @@
 /** Which jobs an entry accepts, given the load and the limits of the cell. */
+import type * as scheduling from '@gypsumwall/scheduling';
 import type * as types from '@gypsumwall/types';
 import type * as cellState from './cell_state.js';
 import type * as configKeeper from './config_keeper.js';
@@ -23,6 +24,11 @@
 
 /** Admits the jobs that callers offer to one entry. */
 export interface EntryAdmission extends loadShedder.LoadShedder {
+  /** The verdict on a job that nobody offers; isn't counted. */
+  preview: (
+    policy: scheduling.jobRequest.QueuePolicy,
+    request: scheduling.jobRequest.JobRequest,
+  ) => loadShedder.Verdict;
   /** This entry has read a job that the cell has accepted. */
   onAccepted(job: jobTable.JobEntry): void;
   /** Limits that no load changes. */
@@ -69,6 +75,7 @@
         refusals.add(verdict.reason, organisation);
       return verdict;
     },
+    preview: (policy, request) => shedder.check('append', policy, request),
     onAccepted: (job) => room.onAccepted(job),
     limits: jobLimits.createJobLimits({state, configs}),
     status: () => ({
--- a/packages/gypsumwall-cell/src/holder_load.ts
+++ b/packages/gypsumwall-cell/src/holder_load.ts
@@ -19,6 +19,16 @@
   readonly runs: number;
   /** Processors in use of the workers that accept tasks, in percent. */
   readonly usedPercent: number;
+  /**
+   * Steps that run slower in some places, and the starts of their tasks, since
+   * the holder took over.
+   */
+  readonly nearSteps: number;
+  readonly nearStarts: number;
+  readonly farStarts: number;
+  readonly nearWaits: number;
+  /** Number of these that ended with a start at the near place. */
+  readonly nearWaitsWon: number;
 }
 
 /** Options of the log. */
--- a/packages/gypsumwall-cell/src/scheduling_loop.ts
+++ b/packages/gypsumwall-cell/src/scheduling_loop.ts
@@ -83,7 +83,7 @@
   let lastCycleMs = 0;
 
   function readState(): holderLoad.HolderState {
-    const {waitingSteps, runs} = scheduler.counts();
+    const {waitingSteps, runs, near} = scheduler.counts();
     return {
       loopUtilization: parts.loopUtilization(),
       pendingOrders: orders.pending(),
@@ -93,6 +93,11 @@
       usedPercent: workerRoom.usedPercent(
         workerRoom.sumRoom(scheduler.workerRegistry.workers.values()),
       ),
+      nearSteps: near.steps,
+      nearStarts: near.nearStarts,
+      farStarts: near.farStarts,
+      nearWaits: near.waitsBegun,
+      nearWaitsWon: near.waitsWon,
     };
   }
 
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -9,11 +9,14 @@
 import type * as adviserPool from './adviser_pool.js';
 import * as takeAdviceRequests from './take_advice_requests.js';
 import * as crashAttribution from './crash_attribution.js';
+import * as explainJob from './explain_job.js';
 import * as jobOrder from './job_order.js';
 import * as jobRegistries from './job_registry.js';
 import * as jobSteps from './job_steps.js';
 import * as lostAttempts from './lost_attempts.js';
 import * as placeIsolated from './place_isolated.js';
+import * as nearChoice from './near_choice.js';
+import * as nearStarts from './near_starts.js';
 import type * as placements from './placements.js';
 import * as refusalBackoff from './refusal_backoff.js';
 import * as reportReader from './report_reader.js';
@@ -105,6 +108,11 @@
   });
   const order = waitingOrder.createWaitingOrder();
   const reporter = waitReporter.createWaitReporter(onEvent);
+  const starts = nearStarts.createNearStarts(onEvent);
+  const nearPolicy = nearChoice.createNearPolicy(options, {
+    starts,
+    attemptsOf: (id) => attempts.ofWorker(id),
+  });
   const meter = organisations.arrivalMeter.createArrivalMeter();
   let arrivals = 0;
   let commitMs = 0;
@@ -164,7 +172,8 @@
     for (const id of isolation.releaseExpired(now)) registry.markFreed(id);
     const freed = registry.takeFreed();
     const context = {registry, health, now, freed, isolation, limits};
-    const cycle = schedulingCycle.runCycle(steps, context);
+    const cycle = schedulingCycle.runCycle(steps, {...context, nearPolicy});
+    starts.onPlaced(cycle.placed, now);
     for (const [id, gang] of reservations) {
       if (cycle.reservations.get(id) !== gang) registry.markFreed(id);
     }
@@ -275,6 +284,7 @@
       const {organisation, acceptedAt} = start;
       const isExcess = meter.exceedsRate(organisation, acceptedAt);
       const job = jobSteps.createJob({...start, arrival: arrivals++, isExcess});
+      starts.onJobAdded(start.request);
       jobRegistry.add(job);
       jobRegistry.openDue(job, now, wall);
     },
@@ -342,10 +352,10 @@
       const cycle = runCycle(now, capacity.needed, limits);
       recordWorkers(cycle.awaitingCommit);
       startOrders.numberAttempts(cycle.placed, options.attemptBase);
-      const starts = cycle.placed.map((placed) => orderStart(placed, now));
+      const orders = cycle.placed.map((placed) => orderStart(placed, now));
       for (const {stepRun} of cycle.placed) jobRegistry.updateWaiting(stepRun);
       const advice = requestAdvice(cycle.awaitingAdvice, now, capacity);
-      return {starts, advice};
+      return {starts: orders, advice};
     },
     isStartDue: (attempt) =>
       attempts.has(attempt) && attempt.phase === 'starting',
@@ -437,11 +447,22 @@
       return count;
     },
     waitingDemand: () => waitingDemand.sumWaiting(waitingSteps),
+    explain: (question, now) =>
+      explainJob.explainJob(question, {
+        registry,
+        health,
+        now,
+        isolation,
+        waitingSteps,
+        reservations,
+        nearPolicy,
+      }),
     counts: () => ({
       jobs: jobs.size,
       runs: attempts.size(),
       waitingSteps: waitingSteps.size,
       organisations: registry.quotas.usage(),
+      near: starts.counts(),
     }),
   };
 }
--- a/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
+++ b/packages/gypsumwall-scheduling/src/scheduling_cycle.ts
@@ -15,8 +15,11 @@
 import * as stepNeeds from './step_needs.js';
 import * as crashRecords from './crash_records.js';
 import * as gangReservation from './gang_reservation.js';
+import * as nearChoices from './near_choice.js';
 import * as placeIsolated from './place_isolated.js';
+import * as placeNear from './place_near.js';
 import * as placeStep from './place_step.js';
+import * as placeTasks from './place_tasks.js';
 import * as placements from './placements.js';
 import * as quotaGate from './quota_gate.js';
 import * as refusalBackoff from './refusal_backoff.js';
@@ -54,6 +57,8 @@
    */
   readonly freed: ReadonlySet<types.ids.WorkerId>;
   readonly limits: CycleLimits;
+  /** Absent if no place is far from another. */
+  readonly nearPolicy?: nearChoices.NearPolicy;
 }
 
 /** Result of a cycle. */
@@ -95,7 +100,12 @@
     reservations,
   };
   const isReserved = (id: types.ids.WorkerId) => reservation.isReserved(id);
-  const choice = {...context, isReserved};
+  const nearChoice = nearChoices.createNearChoice(
+    context.nearPolicy,
+    ordered,
+    context,
+  );
+  const choice = {...context, isReserved, nearChoice};
   const gate = quotaGate.createQuotaGate(context.registry.quotas);
   const skipped = longestSkipped(ordered);
   let triesLeft = MAX_TRIED_STEPS - skipped.size;
@@ -183,7 +193,9 @@
     !stepAdvice.hasTicket(advice, context.now)
   )
     return false;
-  return stepRun.hasChanged || hasFreedCapacity(stepRun, context);
+  if (stepRun.hasChanged || placeNear.isRecheckDue(stepRun, context.now))
+    return true;
+  return hasFreedCapacity(stepRun, context);
 }
 
 /**
@@ -218,7 +230,7 @@
   found: placements.Placement[],
 ): placements.Placement[] {
   const committed = found.filter(
-    (one) => placeStep.isRecorded(stepRun, one.worker) && isCrashStored(one),
+    (one) => placeTasks.isRecorded(stepRun, one.worker) && isCrashStored(one),
   );
   const isComplete = committed.length === found.length;
   return stepRun.request.gang && !isComplete ? [] : committed;
