scheduler: learn the speeds of workers and place tasks by them

On a cell with workers of several speeds the scheduler took all of them for equally fast, so that short urgent work ran on slow workers.

Speeds are learned from the run times of tasks against the other tasks of their step. A task goes to the slowest worker on which it is expected to meet its objective; calls to the adviser and gangs follow the same order.

--- a/packages/gypsumwall-scheduling/src/choose_worker.ts
+++ b/packages/gypsumwall-scheduling/src/choose_worker.ts
@@ -2,6 +2,7 @@
 import * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
 import * as domainAffinity from './domain_affinity.js';
+import * as speedFit from './speed_fit.js';
 import * as stepAdvice from './step_advice.js';
 import * as stepNeeds from './step_needs.js';
 import type * as taskIsolation from './task_isolation.js';
@@ -112,9 +113,9 @@
 /**
  * Chooses the best of the given workers with capacity for a task: trusted ones
  * first, then the rack near the data, then the failure domain of the job, then
- * for a suspected task workers without suspected tasks of other jobs, and then
- * the worker with the least free processors, which leaves other workers free
- * for large tasks.
+ * for a suspected task workers without suspected tasks of other jobs, then the
+ * speed that suits the step, and then the worker with the least free
+ * processors, which leaves other workers free for large tasks.
  */
 export function chooseWorker(
   stepRun: activeJob.StepRun,
@@ -122,12 +123,13 @@
   context: ChoiceContext,
 ): workerRegistry.RegisteredWorker | undefined {
   const size = stepNeeds.reservedSize(stepRun);
+  const needed = speedFit.neededSpeed(stepRun, context.now);
   let best: workerRegistry.RegisteredWorker | undefined;
   let bestCost = Infinity;
   for (const worker of candidates) {
     if (!types.resources.fits(size, worker.free)) continue;
     if (stepNeeds.remainingSlots(stepRun, worker) < 1) continue;
-    const cost = costOf(stepRun, worker, context);
+    const cost = costOf(stepRun, worker, context, needed);
     if (cost >= bestCost) continue;
     best = worker;
     bestCost = cost;
@@ -152,12 +154,14 @@
   stepRun: activeJob.StepRun,
   worker: workerRegistry.RegisteredWorker,
   context: ChoiceContext,
+  needed: number,
 ): number {
   const {preferredRack} = stepRun.request;
   const isFar =
     preferredRack !== undefined && preferredRack !== worker.info.rack;
   const trusted = isTrusted(stepRun, worker, context);
-  const {isSuspected = false, isolation} = context;
+  const {isSuspected = false, isolation, speeds} = context;
+  const speed = speeds?.speedOf(worker.info.id) ?? 1;
   const isTogether =
     isSuspected && isolation?.hostsSuspect(stepRun, worker.info.id) === true;
   return (
@@ -167,6 +171,7 @@
     (domainAffinity.isOutsideHomeDomain(stepRun, worker)
       ? OTHER_DOMAIN_COST
       : 0) +
+    speedFit.speedCost(speed, needed) +
     worker.free.cpuMillis
   );
 }
--- a/packages/gypsumwall-scheduling/src/gang_fit.ts
+++ b/packages/gypsumwall-scheduling/src/gang_fit.ts
@@ -2,12 +2,15 @@
  * Finds workers for all tasks of a gang at once, in one rack if its tasks run
  * slower when they are spread.
  */
+import * as speedFit from './speed_fit.js';
 import type * as workerRegistry from './worker_registry.js';
 
 /** A worker that may run tasks of the gang, and how many fit on it. */
 export interface GangCandidate {
   readonly worker: workerRegistry.RegisteredWorker;
   readonly tasks: number;
+  /** Speed of the worker; equally fast as the others if absent. */
+  readonly speed?: number;
 }
 
 /** How the tasks of a gang are distributed. */
@@ -18,19 +21,23 @@
    * of which task is at fault.
    */
   readonly spread: boolean;
+  /** Speed from which on the gang meets its objective; 0 if any will do. */
+  readonly neededSpeed?: number;
 }
 
 /**
  * Returns one worker for each task, or undefined if they do not all fit.
- * Workers that fit the most tasks come first, so that a gang uses few workers
- * and leaves the others free.
+ * Workers of like speed come first, and among them those that fit the most
+ * tasks, so that a gang uses few workers and leaves the others free.
  */
 export function fitGang(
   candidates: readonly GangCandidate[],
   taskCount: number,
-  {sameRack, spread}: GangLayout,
+  {sameRack, spread, neededSpeed = 0}: GangLayout,
 ): workerRegistry.RegisteredWorker[] | undefined {
-  const place = spread ? fillEvenly : fillLargestFirst;
+  const fill = spread ? fillEvenly : fillLargestFirst;
+  const place = (some: readonly GangCandidate[], count: number) =>
+    fillLikeSpeed(some, count, neededSpeed, fill);
   if (!sameRack) return place(candidates, taskCount);
   const racks = new Map<string, GangCandidate[]>();
   for (const candidate of candidates) {
@@ -44,6 +51,27 @@
   return place(candidates, taskCount);
 }
 
+type Fill = (
+  candidates: readonly GangCandidate[],
+  taskCount: number,
+) => workerRegistry.RegisteredWorker[] | undefined;
+
+/** Fills the workers of one speed that fit the gang, or else all. */
+function fillLikeSpeed(
+  candidates: readonly GangCandidate[],
+  taskCount: number,
+  neededSpeed: number,
+  fill: Fill,
+): workerRegistry.RegisteredWorker[] | undefined {
+  const speedOf = ({speed = 1}: GangCandidate) => speed;
+  const groups = speedFit.groupBySpeed(candidates, speedOf, neededSpeed);
+  for (const group of groups.length > 1 ? groups : []) {
+    const workers = fill(group, taskCount);
+    if (workers !== undefined) return workers;
+  }
+  return fill(candidates, taskCount);
+}
+
 function hasSlotsFor(
   candidates: readonly GangCandidate[],
   taskCount: number,
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/learned_speeds.ts
@@ -0,0 +1,249 @@
+/**
+ * Learns the speeds of workers from the run times of tasks. A run is compared
+ * only with the other runs of its step, because estimates of run times are far
+ * off while the tasks of one step are alike. A step ran on workers of several
+ * speeds, so its usual run time and the speeds are estimated in turn, each by
+ * medians, which a task of several times its usual length doesn't move.
+ *
+ * Pattern: a cell with two generations of hardware. Workers that are equally
+ * fast keep a speed of exactly 1, however much their tasks vary.
+ */
+import type * as types from '@gypsumwall/types';
+import * as speedPriors from './speed_priors.js';
+import type * as workerRegistry from './worker_registry.js';
+import type * as workerSpeeds from './worker_speeds.js';
+
+/** Runs that are kept; the oldest steps are dropped first. */
+const MAX_RUNS = 4_096;
+/** Interval between two estimates; milliseconds. */
+const REFRESH_INTERVAL_MS = 500;
+/** Speeds and run times of steps are estimated in turn this many times. */
+const PASSES = 3;
+/** Bounds of a speed. */
+export const MIN_SPEED = 0.25;
+export const MAX_SPEED = 4;
+/** Deviations up to this factor count as equal. */
+const DEAD_BAND_LOG = Math.log(1.15);
+/** Standard error of a median relative to that of a mean. */
+const MEDIAN_ERROR_FACTOR = 1.25;
+/** A deviation of fewer standard errors is chance where workers are alike. */
+const MIN_DEVIATIONS = 2;
+/** A deviation of more is certain, even if no other worker deviates. */
+const CERTAIN_DEVIATIONS = 4;
+/** Reports come some milliseconds late, however alike the tasks are. */
+const MIN_NOISE_LOG = 0.05;
+/** Residuals are cut here: a tail of a distribution isn't noise. */
+const MAX_RESIDUAL_LOG = 1;
+
+/** The run time of one task; updated while it runs. */
+export interface Run {
+  readonly worker: types.ids.WorkerId;
+  /** Logarithm of its whole run time in milliseconds. */
+  logMs: number;
+}
+
+/** Speeds that are learned from runs. */
+export interface LearnedSpeeds extends workerSpeeds.WorkerSpeeds {
+  /** Adds a run of a task of a step; `runMs` is its whole run time. */
+  add(stepRunId: string, worker: types.ids.WorkerId, runMs: number): Run;
+  /** Updates the run time of a run; milliseconds. */
+  update(run: Run, runMs: number): void;
+  /**
+   * Estimates the speeds again if there are new runs and the last estimate is
+   * old enough; true if it did.
+   */
+  refresh(
+    registry: workerRegistry.WorkerRegistry,
+    now: types.clock.MonotonicMs,
+  ): boolean;
+  /** Forgets a worker whose incarnation is over. */
+  forget(worker: types.ids.WorkerId): void;
+}
+
+interface Estimate {
+  logSpeed: number;
+  /** The speed that each run shows; reused by each pass. */
+  readonly shown: number[];
+}
+
+/** Creates speeds of workers of which nothing is known. */
+export function createLearnedSpeeds(): LearnedSpeeds {
+  const runsByStep = new Map<string, Run[]>();
+  const estimates = new Map<types.ids.WorkerId, Estimate>();
+  let published: ReadonlyMap<types.ids.WorkerId, number> = new Map();
+  let runCount = 0;
+  let hasNewRuns = false;
+  let refreshAt = 0;
+
+  function dropOldSteps(): void {
+    for (const [stepRunId, runs] of runsByStep) {
+      if (runCount <= MAX_RUNS) return;
+      runsByStep.delete(stepRunId);
+      runCount -= runs.length;
+    }
+  }
+
+  function estimateOf(worker: types.ids.WorkerId): Estimate {
+    let estimate = estimates.get(worker);
+    if (estimate === undefined) {
+      estimate = {logSpeed: 0, shown: []};
+      estimates.set(worker, estimate);
+    }
+    return estimate;
+  }
+
+  function showSpeeds(): void {
+    for (const {shown} of estimates.values()) shown.length = 0;
+    for (const runs of runsByStep.values()) {
+      const [first] = runs;
+      if (runs.every(({worker}) => worker === first?.worker)) continue;
+      const usual = runs.map(
+        ({worker, logMs}) => logMs + estimateOf(worker).logSpeed,
+      );
+      const sorted = [...usual].sort((a, b) => a - b);
+      runs.forEach(({worker, logMs}, nth) => {
+        const usualOfOthers = medianWithout(sorted, usual[nth]!);
+        estimateOf(worker).shown.push(usualOfOthers - logMs);
+      });
+    }
+  }
+
+  /** Moves all estimates so that a usual worker has a speed of 1. */
+  function centre(): void {
+    let sum = 0;
+    let count = 0;
+    for (const {shown, logSpeed} of estimates.values()) {
+      if (shown.length === 0) continue;
+      sum += logSpeed;
+      count++;
+    }
+    const mean = count > 0 ? sum / count : 0;
+    for (const estimate of estimates.values()) estimate.logSpeed -= mean;
+  }
+
+  /** Standard deviation of the speed that one run shows. */
+  function noiseOf(): number {
+    let sum = 0;
+    let count = 0;
+    for (const {shown, logSpeed} of estimates.values()) {
+      for (const one of shown)
+        sum += Math.min(MAX_RESIDUAL_LOG, Math.abs(one - logSpeed));
+      count += shown.length;
+    }
+    // The standard deviation of a normal distribution is 1.25 times its mean
+    // deviation.
+    const noise = count > 0 ? (1.25 * sum) / count : MAX_RESIDUAL_LOG;
+    return Math.max(MIN_NOISE_LOG, noise);
+  }
+
+  function publish({
+    workers,
+  }: workerRegistry.WorkerRegistry): ReadonlyMap<types.ids.WorkerId, number> {
+    const noise = noiseOf();
+    const readings: speedPriors.SpeedReading[] = [];
+    for (const {info} of workers.values()) {
+      const estimate = estimates.get(info.id);
+      const runs = estimate?.shown.length ?? 0;
+      readings.push({
+        info,
+        logSpeed: estimate?.logSpeed ?? 0,
+        errorLog:
+          runs > 0 ? (MEDIAN_ERROR_FACTOR * noise) / Math.sqrt(runs) : Infinity,
+      });
+    }
+    const priorOf = speedPriors.createPriors(readings);
+    const speeds = new Map<types.ids.WorkerId, number>();
+    for (const reading of readings) {
+      const logSpeed = certainPart(reading, priorOf(reading.info));
+      if (Math.abs(logSpeed) <= DEAD_BAND_LOG) continue;
+      const speed = Math.exp(logSpeed);
+      speeds.set(
+        reading.info.id,
+        Math.min(MAX_SPEED, Math.max(MIN_SPEED, speed)),
+      );
+    }
+    return speeds;
+  }
+
+  return {
+    speedOf: (worker) => published.get(worker) ?? 1,
+    add(stepRunId, worker, runMs) {
+      const run = {worker, logMs: Math.log(Math.max(1, runMs))};
+      const runs = runsByStep.get(stepRunId);
+      if (runs === undefined) runsByStep.set(stepRunId, [run]);
+      else runs.push(run);
+      runCount++;
+      hasNewRuns = true;
+      dropOldSteps();
+      return run;
+    },
+    update(run, runMs) {
+      run.logMs = Math.log(Math.max(1, runMs));
+      hasNewRuns = true;
+    },
+    refresh(registry, now) {
+      if (!hasNewRuns || now < refreshAt) return false;
+      refreshAt = now + REFRESH_INTERVAL_MS;
+      hasNewRuns = false;
+      for (let pass = 0; pass < PASSES; pass++) {
+        showSpeeds();
+        for (const estimate of estimates.values()) {
+          if (estimate.shown.length > 0)
+            estimate.logSpeed = medianOf(estimate.shown);
+        }
+        centre();
+      }
+      published = publish(registry);
+      return true;
+    },
+    forget(worker) {
+      estimates.delete(worker);
+      for (const [stepRunId, runs] of runsByStep) {
+        const kept = runs.filter((run) => run.worker !== worker);
+        runCount -= runs.length - kept.length;
+        if (kept.length === 0) runsByStep.delete(stepRunId);
+        else if (kept.length < runs.length) runsByStep.set(stepRunId, kept);
+      }
+    },
+  };
+}
+
+/** The part of a deviation that isn't explained by noise. */
+function certainPart(
+  {logSpeed, errorLog}: speedPriors.SpeedReading,
+  prior: speedPriors.SpeedPrior,
+): number {
+  const deviation = logSpeed - prior.logSpeed;
+  if (Math.abs(deviation) > CERTAIN_DEVIATIONS * errorLog) return logSpeed;
+  const weight = prior.varianceLog / (prior.varianceLog + errorLog ** 2);
+  const isUsual = Math.abs(deviation) < MIN_DEVIATIONS * errorLog;
+  if (isUsual && weight < 0.5) return prior.logSpeed;
+  return prior.logSpeed + deviation * weight;
+}
+
+function medianOf(values: readonly number[]): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  const middle = sorted.length >> 1;
+  if (sorted.length % 2 === 1) return sorted[middle]!;
+  return (sorted[middle - 1]! + sorted[middle]!) / 2;
+}
+
+/** Median of at least two sorted values without one of them. */
+function medianWithout(sorted: readonly number[], left: number): number {
+  const rest = sorted.length - 1;
+  const position = positionOf(sorted, left);
+  const at = (nth: number) => sorted[nth < position ? nth : nth + 1]!;
+  const middle = rest >> 1;
+  return rest % 2 === 1 ? at(middle) : (at(middle - 1) + at(middle)) / 2;
+}
+
+function positionOf(sorted: readonly number[], value: number): number {
+  let low = 0;
+  let high = sorted.length - 1;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if (sorted[middle]! < value) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
--- a/packages/gypsumwall-scheduling/src/place_step.ts
+++ b/packages/gypsumwall-scheduling/src/place_step.ts
@@ -8,6 +8,7 @@
 import * as placeIsolated from './place_isolated.js';
 import * as placements from './placements.js';
 import * as quotaGate from './quota_gate.js';
+import * as speedFit from './speed_fit.js';
 import type * as workerRegistry from './worker_registry.js';
 
 /**
@@ -149,7 +150,7 @@
     const fitting = types.resources.tasksThatFit(size, worker.free);
     const tasks = Math.min(fitting, stepNeeds.remainingSlots(stepRun, worker));
     total += tasks;
-    return {worker, tasks};
+    return {worker, tasks, speed: context.speeds?.speedOf(worker.info.id)};
   });
   const {quotas} = context.registry;
   if (total < count || quotaGate.startableTasks(stepRun, quotas) < count)
@@ -161,7 +162,8 @@
     ({worker}) => !domainAffinity.isOutsideHomeDomain(stepRun, worker),
   );
   const isSuspected = stepRun.crashes.size > 0;
-  const layout = {sameRack, spread: isSuspected};
+  const neededSpeed = speedFit.neededSpeed(stepRun, context.now);
+  const layout = {sameRack, spread: isSuspected, neededSpeed};
   const choices = [inHomeDomain, trusted, fittingWorkers];
   if (isSuspected) {
     const isFreeOfOtherSuspects = ({worker}: gangFit.GangCandidate) =>
--- a/packages/gypsumwall-scheduling/src/plan_advice_calls.ts
+++ b/packages/gypsumwall-scheduling/src/plan_advice_calls.ts
@@ -14,8 +14,10 @@
 import type * as activeJob from './active_job.js';
 import * as stepNeeds from './step_needs.js';
 import type * as jobRequest from './job_request.js';
+import * as speedFit from './speed_fit.js';
 import * as stepAdvice from './step_advice.js';
 import * as workerRegistry from './worker_registry.js';
+import type * as workerSpeeds from './worker_speeds.js';
 
 /** Maximum number of workers that the adviser accepts in one call. */
 const MAX_NAMED_WORKERS = 100;
@@ -57,6 +59,8 @@
 export interface AdviceContext {
   readonly registry: workerRegistry.WorkerRegistry;
   readonly now: types.clock.MonotonicMs;
+  /** How fast the workers are; equally fast if absent. */
+  readonly speeds?: workerSpeeds.WorkerSpeeds;
   /**
    * Whether health, isolation and reservations allow the step to use a worker.
    * Pool, label, approval and free capacity are checked separately.
@@ -169,13 +173,16 @@
   readonly tasks: number;
   /** Free processors, in thousandths of a core. */
   readonly freeCpuMillis: number;
+  /** How badly its speed suits the step. */
+  readonly speedCost: number;
 }
 
 function findCandidates(
   stepRun: activeJob.StepRun,
-  {registry, canUse}: AdviceContext,
+  {registry, now, speeds, canUse}: AdviceContext,
 ): Candidate[] {
   const size = stepNeeds.reservedSize(stepRun);
+  const needed = speedFit.neededSpeed(stepRun, now);
   const candidates: Candidate[] = [];
   for (const worker of registry.workers.values()) {
     const {id} = worker.info;
@@ -194,6 +201,10 @@
       isApproved: false,
       tasks,
       freeCpuMillis: worker.free.cpuMillis,
+      speedCost: speedFit.speedCost(
+        speedFit.speedClass(speeds?.speedOf(id) ?? 1),
+        needed,
+      ),
     });
   }
   return candidates;
@@ -202,6 +213,8 @@
 function compareCandidates(a: Candidate, b: Candidate): number {
   return (
     Number(b.isApproved) - Number(a.isApproved) ||
+    Number(b.tasks > 0) - Number(a.tasks > 0) ||
+    a.speedCost - b.speedCost ||
     b.tasks - a.tasks ||
     b.freeCpuMillis - a.freeCpuMillis
   );
--- a/packages/gypsumwall-scheduling/src/report_reader.ts
+++ b/packages/gypsumwall-scheduling/src/report_reader.ts
@@ -11,6 +11,7 @@
 import * as jobSteps from './job_steps.js';
 import type * as attemptTable from './attempt_table.js';
 import type * as schedulerTypes from './scheduler_types.js';
+import type * as runMeters from './run_meter.js';
 import * as stallDetector from './stall_detector.js';
 import type * as workerRegistry from './worker_registry.js';
 import type * as workerHealth from './worker_health.js';
@@ -28,6 +29,7 @@
   readonly attempts: attemptTable.AttemptTable;
   readonly health: workerHealth.WorkerHealth;
   readonly jobRegistry: jobRegistries.JobRegistry;
+  readonly runMeter: runMeters.RunMeter;
   /** The organisation of a task whose job is over. */
   readonly organisationOf: (
     taskId: types.ids.TaskId,
@@ -43,7 +45,7 @@
 
 /** Creates the report reader of a scheduler. */
 export function createReportReader(parts: ReportReaderParts): ReportReader {
-  const {registry, attempts, health, jobRegistry} = parts;
+  const {registry, attempts, health, jobRegistry, runMeter} = parts;
 
   function applyEnd(
     workerId: types.ids.WorkerId,
@@ -52,6 +54,7 @@
   ): void {
     const attempt = attempts.find(reported.taskId, reported.attempt, workerId);
     if (attempt !== undefined) {
+      if (reported.how === 'done') runMeter.onDone(attempt, now);
       attempts.remove(attempt);
       jobRegistry.removeLeavingWorker(attempt);
     }
@@ -151,6 +154,7 @@
     if (attempt.percent !== reported.percent) {
       attempt.percent = reported.percent;
       attempt.percentChangedAt = now;
+      runMeter.onProgress(attempt, reported.percent, now);
     }
     attempt.startedAt ??= now;
     if (attempt.task !== undefined) {
@@ -222,6 +226,7 @@
     };
     attempts.add(attempt);
     registry.reserve(workerId, attempt);
+    runMeter.onProgress(attempt, reported.percent, now);
     if (task === undefined) {
       jobRegistry.stop(attempt);
       return;
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -12,11 +12,13 @@
 import * as jobOrder from './job_order.js';
 import * as jobRegistries from './job_registry.js';
 import * as jobSteps from './job_steps.js';
+import * as learnedSpeeds from './learned_speeds.js';
 import * as lostAttempts from './lost_attempts.js';
 import * as placeIsolated from './place_isolated.js';
 import type * as placements from './placements.js';
 import * as refusalBackoff from './refusal_backoff.js';
 import * as reportReader from './report_reader.js';
+import * as runMeters from './run_meter.js';
 import * as attemptTable from './attempt_table.js';
 import * as schedulingCycle from './scheduling_cycle.js';
 import * as startOrders from './start_orders.js';
@@ -62,11 +64,14 @@
     onEvent,
   });
   const {jobs, waitingSteps, jobsToOpen, dirty} = jobRegistry;
+  const speeds = learnedSpeeds.createLearnedSpeeds();
+  const runMeter = runMeters.createRunMeter(speeds, registry);
   const readReport = reportReader.createReportReader({
     registry,
     attempts,
     health,
     jobRegistry,
+    runMeter,
     organisationOf: (id) => {
       const jobId = taskIds.parseTaskId(id)?.jobId;
       return jobId && options.organisationOf?.(jobId);
@@ -151,7 +156,8 @@
     for (const id of health.takeRestored(now)) registry.markFreed(id);
     for (const id of isolation.releaseExpired(now)) registry.markFreed(id);
     const freed = registry.takeFreed();
-    const context = {registry, health, now, freed, isolation, limits};
+    speeds.refresh(registry, now);
+    const context = {registry, health, now, freed, isolation, limits, speeds};
     const cycle = schedulingCycle.runCycle(steps, context);
     for (const [id, gang] of reservations) {
       if (cycle.reservations.get(id) !== gang) registry.markFreed(id);
@@ -177,6 +183,7 @@
     return takeAdviceRequests.takeAdviceRequests(awaitingAdvice, capacity, {
       registry,
       now,
+      speeds,
       canUse(stepRun, id) {
         if (health.trustOf(id, now) === 'avoided') return false;
         if (!canHost(stepRun, id, now)) return false;
@@ -287,6 +294,7 @@
       lossHandler.endAttempts(id, cause, now);
       losses.recordRemoval(id);
       health.forgetWorker(id);
+      speeds.forget(id);
     },
     onLeaseExpired: (id, now) => lossHandler.endAttempts(id, 'silent', now),
     setUsable(id, usable, now) {
@@ -349,6 +357,7 @@
             attempt.startedAt ??= now;
             attempt.percentChangedAt = now;
             isolation.onStarted(attempt, now);
+            runMeter.onStarted(attempt, now);
           }
           if (attempt.task !== undefined) {
             refusalBackoff.resetRefusals(attempt.task.stepRun);
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/speed_fit.ts
@@ -0,0 +1,87 @@
+/**
+ * Which speed suits a step. Work that would miss its objective on a slow worker
+ * goes to a fast one; work with time to spare goes to a slow one, which leaves
+ * the fast ones free.
+ *
+ * Pattern: two thirds of the workers run at 0.7 of the usual speed and a third
+ * at 1.7; short urgent jobs have hardly more time than a slow worker needs,
+ * while wide jobs have several times as much.
+ */
+import type * as types from '@gypsumwall/types';
+import type * as activeJob from './active_job.js';
+import * as learnedSpeeds from './learned_speeds.js';
+
+/**
+ * Share of the expected run time that must be left: the tasks of a step differ,
+ * the last one decides, and its end has to be stored.
+ */
+const TIME_FACTOR = 1.5;
+/** A gap of this factor separates workers of unlike speed. */
+const LIKE_SPEED_FACTOR = 1.25;
+/** Speeds are rounded to powers of two of this width. */
+const CLASS_WIDTH_LOG2 = 0.5;
+/** Cost of a worker on which the work would miss its objective. */
+const TOO_SLOW_COST = 5e5;
+/** Cost of a speed of 1, in thousandths of a core left free. */
+const SPEED_COST = 3e4;
+
+/** Speed from which on a step meets its objective; 0 if any will do. */
+export function neededSpeed(
+  {rank}: activeJob.StepRun,
+  now: types.clock.MonotonicMs,
+): number {
+  if (rank === undefined || rank.claimant.isLongRunning) return 0;
+  const {dueAt, worthlessAt, remainingMs} = rank.claimant;
+  const neededMs = remainingMs * TIME_FACTOR;
+  for (const endsAt of [dueAt, worthlessAt]) {
+    const speed = neededMs / Math.max(1, endsAt - now);
+    if (speed <= learnedSpeeds.MAX_SPEED) return speed;
+  }
+  // No worker is fast enough.
+  return 0;
+}
+
+/**
+ * Cost of a worker of the given speed: the slowest that is fast enough is best,
+ * and otherwise the fastest.
+ */
+export function speedCost(speed: number, needed: number): number {
+  if (speed >= needed) return speed * SPEED_COST;
+  return TOO_SLOW_COST + (learnedSpeeds.MAX_SPEED - speed) * SPEED_COST;
+}
+
+/**
+ * Rounds a speed, so that workers of about the same speed are told apart by
+ * what is free on them.
+ */
+export function speedClass(speed: number): number {
+  return (
+    2 ** (Math.round(Math.log2(speed) / CLASS_WIDTH_LOG2) * CLASS_WIDTH_LOG2)
+  );
+}
+
+/**
+ * Groups workers by like speed, the group that suits best first. The members of
+ * a gang wait for the slowest one, so a fast worker among slow ones is wasted.
+ */
+export function groupBySpeed<Candidate>(
+  candidates: readonly Candidate[],
+  speedOf: (candidate: Candidate) => number,
+  needed: number,
+): readonly (readonly Candidate[])[] {
+  const sorted = [...candidates].sort((a, b) => speedOf(a) - speedOf(b));
+  const groups: {slowest: number; members: Candidate[]}[] = [];
+  let last = 0;
+  for (const candidate of sorted) {
+    const speed = speedOf(candidate);
+    if (speed > last * LIKE_SPEED_FACTOR)
+      groups.push({slowest: speed, members: []});
+    groups.at(-1)!.members.push(candidate);
+    last = speed;
+  }
+  if (groups.length < 2) return [candidates];
+  groups.sort(
+    (a, b) => speedCost(a.slowest, needed) - speedCost(b.slowest, needed),
+  );
+  return groups.map(({members}) => members);
+}
