bench: simulate workers of several speeds and tasks unlike their estimates

The virtual cells reported random progress, which misleads a scheduler that learns speeds from it; they now report the progress made. A cell may have workers of several speeds.

--- a/packages/gypsumwall-bench/src/attempt_outcomes.ts
+++ b/packages/gypsumwall-bench/src/attempt_outcomes.ts
@@ -7,27 +7,30 @@
 import type * as adviserCalls from './adviser_calls.js';
 import * as stepLoad from './step_load.js';
 
-/**
- * Draws how and when an attempt ends, and the progress it reports meanwhile.
- */
-export interface DrawOutcome {
-  (attempt: scheduling.activeJob.Attempt): {
-    readonly spanMs: number;
-    readonly outcome: scheduling.jobSteps.AttemptOutcome;
-  };
-  drawPercent(): number;
-}
+/** Draws how and when an attempt ends. */
+export type DrawOutcome = (attempt: scheduling.activeJob.Attempt) => {
+  readonly spanMs: number;
+  readonly outcome: scheduling.jobSteps.AttemptOutcome;
+};
 
 export function createDrawOutcome(random: types.random.Random): DrawOutcome {
-  const drawOutcome = (attempt: scheduling.activeJob.Attempt) => {
+  return (attempt) => {
     const {request, job} = attempt.task!.stepRun;
     const {failingShare} = jobKindOf(job.policy.queue);
     const fails = random.next() < failingShare;
     const spanMs = request.expectedMs * (fails ? random.next() : 1);
     return {spanMs, outcome: fails ? 'failed' : 'done'} as const;
   };
-  const drawPercent = () => Math.floor(random.next() * 100);
-  return Object.assign(drawOutcome, {drawPercent});
+}
+
+/** Progress that an attempt reports, 0 to 100; all workers are equally fast. */
+export function percentOf(
+  {task, startedAt}: scheduling.activeJob.Attempt,
+  now: types.clock.MonotonicMs,
+): number {
+  const {expectedMs} = task!.stepRun.request;
+  const ranMs = now - (startedAt ?? now);
+  return Math.min(100, Math.floor((100 * ranMs) / expectedMs));
 }
 
 /**
--- a/packages/gypsumwall-bench/src/step_cell.ts
+++ b/packages/gypsumwall-bench/src/step_cell.ts
@@ -8,6 +8,7 @@
 import * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
 import * as cellMeasures from './cell_measures.js';
+import * as runTimes from './run_times.js';
 import * as stepLoad from './step_load.js';
 
 /** Round trip of an append to the store. */
@@ -40,6 +41,12 @@
   readonly useful: ReadonlyMap<string, number>;
 }
 
+/** When an attempt began, and how long it takes by itself. */
+interface Run {
+  readonly startedAt: number;
+  readonly runMs: number;
+}
+
 interface PendingJob {
   readonly kind: stepLoad.JobKind;
   readonly at: types.clock.MonotonicMs;
@@ -88,6 +95,7 @@
   readonly scenario?: stepLoad.Scenario;
   readonly slowStore?: SlowStore;
   readonly owners?: JobOwners;
+  readonly unevenness?: runTimes.Unevenness;
   /** Whether the jobs of an owner are measured; by default all are. */
   readonly isMeasured?: (owner: number) => boolean;
 }): StepCellResult {
@@ -97,8 +105,13 @@
   const pendingJobs = new Map<string, PendingJob>();
   const tookMs = new Map<string, ReturnType<typeof createHistogram>>();
   const onTime = new Map<string, {met: number; useful: number; all: number}>();
-  const running = new Map<string, Set<scheduling.activeJob.Attempt>>();
+  const running = new Map<string, Map<scheduling.activeJob.Attempt, Run>>();
   const sequences = new Map<string, number>();
+  const times = runTimes.createRunTimes(
+    random,
+    (id) => Number(id.split('-')[1]),
+    options.unevenness,
+  );
   const pool = scheduling.adviserPool.createAdviserPool<string>();
   const entries = Array.from(
     {length: options.entries},
@@ -199,7 +212,7 @@
     schedulerMs += cycleMs;
     maxCycleMs = Math.max(maxCycleMs, cycleMs);
     appendDirty();
-    for (const order of decisions.starts) startAttempt(order);
+    startAttempts(decisions.starts);
     for (const request of decisions.advice) requestAdvice(request);
   }
 
@@ -230,17 +243,41 @@
     });
   }
 
-  function startAttempt(order: scheduling.schedulerTypes.StartOrder): void {
-    const {attempt} = order;
+  /** Starts attempts; the members of a gang end with the slowest one. */
+  function startAttempts(
+    orders: readonly scheduling.schedulerTypes.StartOrder[],
+  ): void {
+    const gangMs = new Map<scheduling.activeJob.StepRun, number>();
+    const runs = orders.map(({attempt}) => {
+      const runMs = times.drawRunMs(attempt);
+      const {stepRun} = attempt.task!;
+      if (stepRun.request.gang)
+        gangMs.set(stepRun, Math.max(runMs, gangMs.get(stepRun) ?? 0));
+      return {attempt, runMs};
+    });
+    for (const {attempt, runMs} of runs)
+      startAttempt(attempt, runMs, gangMs.get(attempt.task!.stepRun) ?? runMs);
+  }
+
+  function startAttempt(
+    attempt: scheduling.activeJob.Attempt,
+    runMs: number,
+    endsAfterMs: number,
+  ): void {
     starts++;
     schedule(ORDER_ROUND_TRIP_MS, () => {
-      const attempts = running.get(attempt.workerId) ?? new Set();
-      running.set(attempt.workerId, attempts.add(attempt));
+      const attempts =
+        running.get(attempt.workerId) ??
+        new Map<scheduling.activeJob.Attempt, Run>();
+      running.set(
+        attempt.workerId,
+        attempts.set(attempt, {startedAt: now, runMs}),
+      );
       measure(() => scheduler.onStartAnswered(attempt, {type: 'started'}, now));
     });
-    const {request, job} = attempt.task!.stepRun;
+    const {job} = attempt.task!.stepRun;
     const fails = random.next() < jobKindOf(job.policy.queue).failingShare;
-    const spanMs = request.expectedMs * (fails ? random.next() : 1);
+    const spanMs = endsAfterMs * (fails ? random.next() : 1);
     schedule(ORDER_ROUND_TRIP_MS + spanMs, () =>
       endAttempt(attempt, fails ? 'failed' : 'done'),
     );
@@ -262,11 +299,11 @@
     const report: scheduling.schedulerTypes.WorkerReport = {
       workerId,
       askedAt: now,
-      running: [...attempts].map((other) => ({
+      running: [...attempts].map(([other, {startedAt, runMs}]) => ({
         taskId: other.taskId,
         attempt: other.number,
         checkpoint: '',
-        percent: Math.floor(random.next() * 100),
+        percent: Math.min(100, Math.floor((100 * (now - startedAt)) / runMs)),
       })),
       ends: [{sequence, taskId, attempt: number, how: outcome, checkpoint: ''}],
       complete: true,
@@ -319,7 +356,9 @@
     const id = types.ids.brand<types.ids.JobId>(`job${++jobCount}`);
     const request = stepLoad.drawRequest(kind, random);
     const {policy} = kind;
-    const chainMs = scheduling.jobRequest.expectedChainMs(request);
+    const chainMs = scheduling.jobRequest.expectedChainMs(
+      times.realRequest(id, request),
+    );
     const objectiveMs = chainMs * policy.slackFactor + policy.targetMs;
     const owner = drawOwner();
     const isMeasured =
--- a/packages/gypsumwall-bench/src/virtual_decider.ts
+++ b/packages/gypsumwall-bench/src/virtual_decider.ts
@@ -2,7 +2,7 @@
 import * as scheduling from '@gypsumwall/scheduling';
 import type * as types from '@gypsumwall/types';
 import * as adviserCalls from './adviser_calls.js';
-import type * as attemptOutcomes from './attempt_outcomes.js';
+import * as attemptOutcomes from './attempt_outcomes.js';
 import type * as virtualProcess from './virtual_process.js';
 import type * as virtualTimeline from './virtual_timeline.js';
 import * as workerCalls from './worker_calls.js';
@@ -184,7 +184,7 @@
         taskId: other.taskId,
         attempt: other.number,
         checkpoint: '',
-        percent: parts.drawOutcome.drawPercent(),
+        percent: attemptOutcomes.percentOf(other, timeline.now()),
       })),
       ends: [{sequence, taskId, attempt: number, how: outcome, checkpoint: ''}],
       complete: true,
--- a/packages/gypsumwall-scheduling/src/gang_fit.ts
+++ b/packages/gypsumwall-scheduling/src/gang_fit.ts
@@ -56,7 +56,10 @@
   taskCount: number,
 ) => workerRegistry.RegisteredWorker[] | undefined;
 
-/** Fills the workers of one speed that fit the gang, or else all. */
+/**
+ * Tries the workers of each speed by themselves, and then with those before,
+ * until the gang fits.
+ */
 function fillLikeSpeed(
   candidates: readonly GangCandidate[],
   taskCount: number,
@@ -65,11 +68,13 @@
 ): workerRegistry.RegisteredWorker[] | undefined {
   const speedOf = ({speed = 1}: GangCandidate) => speed;
   const groups = speedFit.groupBySpeed(candidates, speedOf, neededSpeed);
-  for (const group of groups.length > 1 ? groups : []) {
-    const workers = fill(group, taskCount);
+  let usable: readonly GangCandidate[] = [];
+  for (const group of groups) {
+    usable = usable.length === 0 ? group : [...usable, ...group];
+    const workers = fill(group, taskCount) ?? fill(usable, taskCount);
     if (workers !== undefined) return workers;
   }
-  return fill(candidates, taskCount);
+  return undefined;
 }
 
 function hasSlotsFor(
--- a/packages/gypsumwall-scheduling/src/learned_speeds.ts
+++ b/packages/gypsumwall-scheduling/src/learned_speeds.ts
@@ -13,12 +13,14 @@
 import type * as workerRegistry from './worker_registry.js';
 import type * as workerSpeeds from './worker_speeds.js';
 
-/** Runs that are kept; the oldest steps are dropped first. */
-const MAX_RUNS = 4_096;
+/** Runs that are compared; those of the oldest steps are dropped first. */
+const MAX_RUNS = 2_048;
+/** Dropped runs count as at most this many. */
+const MAX_EARLIER_RUNS = 10;
 /** Interval between two estimates; milliseconds. */
 const REFRESH_INTERVAL_MS = 500;
 /** Speeds and run times of steps are estimated in turn this many times. */
-const PASSES = 3;
+const PASSES = 2;
 /** Bounds of a speed. */
 export const MIN_SPEED = 0.25;
 export const MAX_SPEED = 4;
@@ -40,6 +42,8 @@
   readonly worker: types.ids.WorkerId;
   /** Logarithm of its whole run time in milliseconds. */
   logMs: number;
+  /** Logarithm of the speed that it shows, if it was compared. */
+  shownLog?: number;
 }
 
 /** Speeds that are learned from runs. */
@@ -62,8 +66,11 @@
 
 interface Estimate {
   logSpeed: number;
-  /** The speed that each run shows; reused by each pass. */
+  /** Logarithms of the speeds that its runs show; reused by each pass. */
   readonly shown: number[];
+  /** Mean of what dropped runs have shown, and their number. */
+  earlierLog: number;
+  earlierRuns: number;
 }
 
 /** Creates speeds of workers of which nothing is known. */
@@ -80,13 +87,25 @@
       if (runCount <= MAX_RUNS) return;
       runsByStep.delete(stepRunId);
       runCount -= runs.length;
+      for (const run of runs) keepMean(run);
     }
   }
 
+  /** Keeps what a dropped run has shown, so that an idle worker stays known. */
+  function keepMean({worker, shownLog}: Run): void {
+    const estimate = estimates.get(worker);
+    if (estimate === undefined || shownLog === undefined) return;
+    estimate.earlierRuns = Math.min(MAX_EARLIER_RUNS, estimate.earlierRuns + 1);
+    const error = cutResidual(shownLog - estimate.logSpeed);
+    const target = estimate.logSpeed + error;
+    estimate.earlierLog +=
+      (target - estimate.earlierLog) / estimate.earlierRuns;
+  }
+
   function estimateOf(worker: types.ids.WorkerId): Estimate {
     let estimate = estimates.get(worker);
     if (estimate === undefined) {
-      estimate = {logSpeed: 0, shown: []};
+      estimate = {logSpeed: 0, shown: [], earlierLog: 0, earlierRuns: 0};
       estimates.set(worker, estimate);
     }
     return estimate;
@@ -97,13 +116,14 @@
     for (const runs of runsByStep.values()) {
       const [first] = runs;
       if (runs.every(({worker}) => worker === first?.worker)) continue;
-      const usual = runs.map(
+      const usual = Float64Array.from(
+        runs,
         ({worker, logMs}) => logMs + estimateOf(worker).logSpeed,
       );
-      const sorted = [...usual].sort((a, b) => a - b);
-      runs.forEach(({worker, logMs}, nth) => {
-        const usualOfOthers = medianWithout(sorted, usual[nth]!);
-        estimateOf(worker).shown.push(usualOfOthers - logMs);
+      const sorted = usual.slice().sort();
+      runs.forEach((run, nth) => {
+        run.shownLog = medianWithout(sorted, usual[nth]!) - run.logMs;
+        estimateOf(run.worker).shown.push(run.shownLog);
       });
     }
   }
@@ -112,13 +132,16 @@
   function centre(): void {
     let sum = 0;
     let count = 0;
-    for (const {shown, logSpeed} of estimates.values()) {
-      if (shown.length === 0) continue;
-      sum += logSpeed;
+    for (const estimate of estimates.values()) {
+      if (countRuns(estimate) === 0) continue;
+      sum += estimate.logSpeed;
       count++;
     }
     const mean = count > 0 ? sum / count : 0;
-    for (const estimate of estimates.values()) estimate.logSpeed -= mean;
+    for (const estimate of estimates.values()) {
+      estimate.logSpeed -= mean;
+      estimate.earlierLog -= mean;
+    }
   }
 
   /** Standard deviation of the speed that one run shows. */
@@ -126,8 +149,7 @@
     let sum = 0;
     let count = 0;
     for (const {shown, logSpeed} of estimates.values()) {
-      for (const one of shown)
-        sum += Math.min(MAX_RESIDUAL_LOG, Math.abs(one - logSpeed));
+      for (const one of shown) sum += Math.abs(cutResidual(one - logSpeed));
       count += shown.length;
     }
     // The standard deviation of a normal distribution is 1.25 times its mean
@@ -143,7 +165,7 @@
     const readings: speedPriors.SpeedReading[] = [];
     for (const {info} of workers.values()) {
       const estimate = estimates.get(info.id);
-      const runs = estimate?.shown.length ?? 0;
+      const runs = estimate === undefined ? 0 : countRuns(estimate);
       readings.push({
         info,
         logSpeed: estimate?.logSpeed ?? 0,
@@ -187,10 +209,7 @@
       hasNewRuns = false;
       for (let pass = 0; pass < PASSES; pass++) {
         showSpeeds();
-        for (const estimate of estimates.values()) {
-          if (estimate.shown.length > 0)
-            estimate.logSpeed = medianOf(estimate.shown);
-        }
+        for (const estimate of estimates.values()) combine(estimate);
         centre();
       }
       published = publish(registry);
@@ -221,15 +240,31 @@
   return prior.logSpeed + deviation * weight;
 }
 
+/** Number of runs that a speed is estimated from. */
+function countRuns({shown, earlierRuns}: Estimate): number {
+  return shown.length + earlierRuns;
+}
+
+function combine(estimate: Estimate): void {
+  const {shown, earlierLog, earlierRuns} = estimate;
+  if (shown.length === 0) return;
+  const sum = medianOf(shown) * shown.length + earlierLog * earlierRuns;
+  estimate.logSpeed = sum / countRuns(estimate);
+}
+
+function cutResidual(log: number): number {
+  return Math.max(-MAX_RESIDUAL_LOG, Math.min(MAX_RESIDUAL_LOG, log));
+}
+
 function medianOf(values: readonly number[]): number {
-  const sorted = [...values].sort((a, b) => a - b);
+  const sorted = Float64Array.from(values).sort();
   const middle = sorted.length >> 1;
   if (sorted.length % 2 === 1) return sorted[middle]!;
   return (sorted[middle - 1]! + sorted[middle]!) / 2;
 }
 
 /** Median of at least two sorted values without one of them. */
-function medianWithout(sorted: readonly number[], left: number): number {
+function medianWithout(sorted: Float64Array, left: number): number {
   const rest = sorted.length - 1;
   const position = positionOf(sorted, left);
   const at = (nth: number) => sorted[nth < position ? nth : nth + 1]!;
@@ -237,7 +272,7 @@
   return rest % 2 === 1 ? at(middle) : (at(middle - 1) + at(middle)) / 2;
 }
 
-function positionOf(sorted: readonly number[], value: number): number {
+function positionOf(sorted: Float64Array, value: number): number {
   let low = 0;
   let high = sorted.length - 1;
   while (low < high) {
--- a/packages/gypsumwall-scheduling/src/speed_fit.ts
+++ b/packages/gypsumwall-scheduling/src/speed_fit.ts
@@ -12,12 +12,10 @@
 import * as learnedSpeeds from './learned_speeds.js';
 
 /**
- * Share of the expected run time that must be left: the tasks of a step differ,
- * the last one decides, and its end has to be stored.
+ * Multiple of the expected run time that must be left: run times are often 2.5
+ * times their estimates, and the last task of a step decides.
  */
-const TIME_FACTOR = 1.5;
-/** A gap of this factor separates workers of unlike speed. */
-const LIKE_SPEED_FACTOR = 1.25;
+const TIME_FACTOR = 2.5;
 /** Speeds are rounded to powers of two of this width. */
 const CLASS_WIDTH_LOG2 = 0.5;
 /** Cost of a worker on which the work would miss its objective. */
@@ -69,19 +67,15 @@
   speedOf: (candidate: Candidate) => number,
   needed: number,
 ): readonly (readonly Candidate[])[] {
-  const sorted = [...candidates].sort((a, b) => speedOf(a) - speedOf(b));
-  const groups: {slowest: number; members: Candidate[]}[] = [];
-  let last = 0;
-  for (const candidate of sorted) {
-    const speed = speedOf(candidate);
-    if (speed > last * LIKE_SPEED_FACTOR)
-      groups.push({slowest: speed, members: []});
-    groups.at(-1)!.members.push(candidate);
-    last = speed;
+  const groups = new Map<number, Candidate[]>();
+  for (const candidate of candidates) {
+    const speed = speedClass(speedOf(candidate));
+    const group = groups.get(speed);
+    if (group === undefined) groups.set(speed, [candidate]);
+    else group.push(candidate);
   }
-  if (groups.length < 2) return [candidates];
-  groups.sort(
-    (a, b) => speedCost(a.slowest, needed) - speedCost(b.slowest, needed),
-  );
-  return groups.map(({members}) => members);
+  if (groups.size < 2) return [candidates];
+  return [...groups]
+    .sort(([a], [b]) => speedCost(a, needed) - speedCost(b, needed))
+    .map(([, group]) => group);
 }
