scheduler: keep speeds of idle workers and count few runs as nothing

A worker that ran nothing for some seconds lost its speed, and with fewer than five runs two unusually long tasks made a usual worker a slow one.

--- a/packages/gypsumwall-scheduling/src/learned_speeds.ts
+++ b/packages/gypsumwall-scheduling/src/learned_speeds.ts
@@ -2,8 +2,9 @@
  * Learns the speeds of workers from the run times of tasks. A run is compared
  * only with the other runs of its step, because estimates of run times are far
  * off while the tasks of one step are alike. A step ran on workers of several
- * speeds, so its usual run time and the speeds are estimated in turn, each by
- * medians, which a task of several times its usual length doesn't move.
+ * speeds, so its usual run time and the speeds are estimated in turn, by medians
+ * and means of the middle half, which a task of several times its usual length
+ * doesn't move.
  *
  * Pattern: a cell with two generations of hardware. Workers that are equally
  * fast keep a speed of exactly 1, however much their tasks vary.
@@ -26,8 +27,10 @@
 export const MAX_SPEED = 4;
 /** Deviations up to this factor count as equal. */
 const DEAD_BAND_LOG = Math.log(1.15);
-/** Standard error of a median relative to that of a mean. */
-const MEDIAN_ERROR_FACTOR = 1.25;
+/** With fewer runs, two unusually long tasks would decide a speed. */
+const MIN_RUNS = 5;
+/** Standard error of a mean of the middle half relative to that of a mean. */
+const MIDDLE_ERROR_FACTOR = 1.1;
 /** A deviation of fewer standard errors is chance where workers are alike. */
 const MIN_DEVIATIONS = 2;
 /** A deviation of more is certain, even if no other worker deviates. */
@@ -77,7 +80,7 @@
 export function createLearnedSpeeds(): LearnedSpeeds {
   const runsByStep = new Map<string, Run[]>();
   const estimates = new Map<types.ids.WorkerId, Estimate>();
-  let published: ReadonlyMap<types.ids.WorkerId, number> = new Map();
+  let published = new Map<types.ids.WorkerId, number>();
   let runCount = 0;
   let hasNewRuns = false;
   let refreshAt = 0;
@@ -150,7 +153,8 @@
     let count = 0;
     for (const {shown, logSpeed} of estimates.values()) {
       for (const one of shown) sum += Math.abs(cutResidual(one - logSpeed));
-      count += shown.length;
+      // Each estimate fits one run, so a worker with one run shows no noise.
+      count += Math.max(0, shown.length - 1);
     }
     // The standard deviation of a normal distribution is 1.25 times its mean
     // deviation.
@@ -160,7 +164,7 @@
 
   function publish({
     workers,
-  }: workerRegistry.WorkerRegistry): ReadonlyMap<types.ids.WorkerId, number> {
+  }: workerRegistry.WorkerRegistry): Map<types.ids.WorkerId, number> {
     const noise = noiseOf();
     const readings: speedPriors.SpeedReading[] = [];
     for (const {info} of workers.values()) {
@@ -170,7 +174,9 @@
         info,
         logSpeed: estimate?.logSpeed ?? 0,
         errorLog:
-          runs > 0 ? (MEDIAN_ERROR_FACTOR * noise) / Math.sqrt(runs) : Infinity,
+          runs < MIN_RUNS
+            ? Infinity
+            : (MIDDLE_ERROR_FACTOR * noise) / Math.sqrt(runs),
       });
     }
     const priorOf = speedPriors.createPriors(readings);
@@ -217,6 +223,7 @@
     },
     forget(worker) {
       estimates.delete(worker);
+      published.delete(worker);
       for (const [stepRunId, runs] of runsByStep) {
         const kept = runs.filter((run) => run.worker !== worker);
         runCount -= runs.length - kept.length;
@@ -248,7 +255,7 @@
 function combine(estimate: Estimate): void {
   const {shown, earlierLog, earlierRuns} = estimate;
   if (shown.length === 0) return;
-  const sum = medianOf(shown) * shown.length + earlierLog * earlierRuns;
+  const sum = middleOf(shown) * shown.length + earlierLog * earlierRuns;
   estimate.logSpeed = sum / countRuns(estimate);
 }
 
@@ -256,11 +263,13 @@
   return Math.max(-MAX_RESIDUAL_LOG, Math.min(MAX_RESIDUAL_LOG, log));
 }
 
-function medianOf(values: readonly number[]): number {
+/** Mean of the middle half of the values. */
+function middleOf(values: readonly number[]): number {
   const sorted = Float64Array.from(values).sort();
-  const middle = sorted.length >> 1;
-  if (sorted.length % 2 === 1) return sorted[middle]!;
-  return (sorted[middle - 1]! + sorted[middle]!) / 2;
+  const cut = sorted.length < 3 ? 0 : Math.ceil(sorted.length / 4);
+  let sum = 0;
+  for (let nth = cut; nth < sorted.length - cut; nth++) sum += sorted[nth]!;
+  return sum / (sorted.length - 2 * cut);
 }
 
 /** Median of at least two sorted values without one of them. */
