scheduler: show the speeds of workers in the log and the metrics

An operator sees by label how fast workers are, once that changes materially, and why urgent work goes to some of them. Tests of what is measured and of where work goes.

--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -479,6 +479,7 @@
       replicaAgeMs: readiness.replicaAgeMs(),
       loopUtilization: monitor.utilization(),
       scheduler: holder?.counts(),
+      speeds: holder?.speedSummary() ?? [],
     }),
   };
 }
--- a/packages/gypsumwall-cell/src/cell_entry_types.ts
+++ b/packages/gypsumwall-cell/src/cell_entry_types.ts
@@ -91,4 +91,6 @@
   /** Busy share of the event loop, from 0 to 1. */
   readonly loopUtilization: number;
   readonly scheduler: scheduling.schedulerTypes.SchedulerCounts | undefined;
+  /** How fast the workers are, by label; known to the holder. */
+  readonly speeds: readonly scheduling.speedSummary.SpeedSummary[];
 }
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -417,5 +417,6 @@
     },
     stop,
     counts: () => scheduler.counts(),
+    speedSummary: () => scheduler.speedSummary(),
   };
 }
--- a/packages/gypsumwall-cell/src/cell_holder_types.ts
+++ b/packages/gypsumwall-cell/src/cell_holder_types.ts
@@ -87,4 +87,6 @@
   handOver(): Promise<void>;
   stop(): void;
   counts(): scheduling.schedulerTypes.SchedulerCounts;
+  /** How fast the workers are, by label. */
+  speedSummary(): readonly scheduling.speedSummary.SpeedSummary[];
 }
--- a/packages/gypsumwall-scheduling/src/__fixtures__/uneven_runs.ts
+++ b/packages/gypsumwall-scheduling/src/__fixtures__/uneven_runs.ts
@@ -11,6 +11,7 @@
 
 /** Workers, what is known of them, and their runs. */
 export interface UnevenRuns {
+  readonly registry: workerRegistry.WorkerRegistry;
   readonly speeds: learnedSpeeds.LearnedSpeeds;
   readonly ids: readonly types.ids.WorkerId[];
   /** Runs steps of ten tasks on workers drawn from the first `count`. */
@@ -54,6 +55,7 @@
   }
 
   return {
+    registry,
     speeds,
     ids,
     runSteps(steps, count = workers.length) {
--- a/packages/gypsumwall-scheduling/src/__tests__/learned_speeds.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/learned_speeds.test.ts
@@ -1,6 +1,8 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
+import type * as types from '@gypsumwall/types';
 import * as unevenRuns from '../__fixtures__/uneven_runs.js';
+import * as speedSummary from '../speed_summary.js';
 
 const {test} = nodeTest;
 
@@ -83,3 +85,25 @@
     1,
   );
 });
+
+// Guards against an operator who can't see why work goes where it goes, and against a line for each estimate.
+test('the speeds of a label are reported when they change materially', () => {
+  const world = unevenRuns.createUnevenRuns(
+    UNEVEN.map((worker) => ({...worker, labels: ['kind-a', 'r1']})),
+  );
+  const events: speedSummary.SpeedEvent[] = [];
+  const reporter = speedSummary.createSpeedReporter((one) => events.push(one));
+  const report = (at: number) =>
+    reporter.report(
+      speedSummary.summarizeSpeeds(world.registry, world.speeds),
+      at as types.clock.MonotonicMs,
+    );
+  report(0);
+  assert.equal(events.length, 0);
+  world.runSteps(200);
+  for (let at = 1_000; at < 20_000; at += 500) report(at);
+  assert.equal(events.length, 1);
+  const [event] = events;
+  assert.deepEqual([event?.label, event?.workers], ['kind-a', 60]);
+  assert.ok(event!.min < 0.9 && event!.max > 1.3);
+});
--- a/packages/gypsumwall-scheduling/src/index.ts
+++ b/packages/gypsumwall-scheduling/src/index.ts
@@ -5,6 +5,7 @@
 export * as jobSteps from './job_steps.js';
 export * as scheduler from './scheduler.js';
 export * as schedulerTypes from './scheduler_types.js';
+export * as speedSummary from './speed_summary.js';
 export * as taskId from './task_id.js';
 export * as workerLosses from './worker_losses.js';
 export * as workerRegistry from './worker_registry.js';
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -21,6 +21,7 @@
 import * as runMeters from './run_meter.js';
 import * as attemptTable from './attempt_table.js';
 import * as schedulingCycle from './scheduling_cycle.js';
+import * as speedSummary from './speed_summary.js';
 import * as startOrders from './start_orders.js';
 import * as stepAdvice from './step_advice.js';
 import type * as schedulerTypes from './scheduler_types.js';
@@ -97,6 +98,7 @@
     isWaiting: (id) => waitsForIsolation(id),
   });
   const order = waitingOrder.createWaitingOrder();
+  const speedReporter = speedSummary.createSpeedReporter(onEvent);
   const reporter = waitReporter.createWaitReporter(onEvent);
   const meter = organisations.arrivalMeter.createArrivalMeter();
   let arrivals = 0;
@@ -156,7 +158,8 @@
     for (const id of health.takeRestored(now)) registry.markFreed(id);
     for (const id of isolation.releaseExpired(now)) registry.markFreed(id);
     const freed = registry.takeFreed();
-    speeds.refresh(registry, now);
+    if (speeds.refresh(registry, now))
+      speedReporter.report(speedSummary.summarizeSpeeds(registry, speeds), now);
     const context = {registry, health, now, freed, isolation, limits, speeds};
     const cycle = schedulingCycle.runCycle(steps, context);
     for (const [id, gang] of reservations) {
@@ -441,5 +444,6 @@
       waitingSteps: waitingSteps.size,
       organisations: registry.quotas.usage(),
     }),
+    speedSummary: () => speedSummary.summarizeSpeeds(registry, speeds),
   };
 }
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -9,6 +9,7 @@
 import type * as jobSteps from './job_steps.js';
 import type * as refusalBackoff from './refusal_backoff.js';
 import type * as workerRegistry from './worker_registry.js';
+import type * as speedSummary from './speed_summary.js';
 import type * as schedulingCycle from './scheduling_cycle.js';
 
 /** A start order that is to be sent to a worker. */
@@ -203,6 +204,8 @@
   /** Number of attempts of jobs with such a request. */
   countAttempts(isCounted: (request: jobRequest.JobRequest) => boolean): number;
   counts(): SchedulerCounts;
+  /** How fast the workers are, by label. */
+  speedSummary(): readonly speedSummary.SpeedSummary[];
 }
 
 /** Counts for gauges. */
@@ -331,6 +334,7 @@
       /** Workers that crashed while they ran the task, separated by commas. */
       readonly workers: string;
     }
+  | speedSummary.SpeedEvent
   | {
       readonly type: 'worker_stalled';
       readonly worker: types.ids.WorkerId;
