scheduler: spread gangs after crashes over workers of all speeds

Cause: a gang that is spread after crashes was filled by speed first, so that 8 members took 2 workers of 12 where they took 8 before, and a crash told nothing of the task at fault. Change: such a gang isn't grouped by speed. Result: the new test asks for 5 workers for 5 members; tests of the package pass.

--- a/packages/gypsumwall-scheduling/src/__tests__/speed_fit.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/speed_fit.test.ts
@@ -107,6 +107,20 @@
   assert.equal(fit(11, 1), undefined);
 });
 
+// Failure: a member of a gang crashes workers. Guards against a gang that gathers on the few workers of one speed, where a crash tells nothing of which task is at fault.
+test('a gang that is spread after crashes uses workers of all speeds', () => {
+  const names = ['slow-1', 'fast-1', 'slow-2', 'fast-2', 'slow-3'];
+  const {candidates} = createStep(names, {});
+  const layout = {sameRack: false, spread: true, neededSpeed: 1};
+  const gang = candidates.map((worker) => ({
+    worker,
+    tasks: 4,
+    speed: speeds.speedOf(worker.info.id),
+  }));
+  const chosen = gangFit.fitGang(gang, 5, layout);
+  assert.equal(new Set(chosen).size, 5);
+});
+
 // Load: a cell with a fast worker among slow ones. Guards against a scheduler that doesn't use what its workers report.
 test('a scheduler learns from the ends of tasks where urgent work goes', () => {
   const world = worlds.createSchedulerWorld();
--- a/packages/gypsumwall-scheduling/src/gang_fit.ts
+++ b/packages/gypsumwall-scheduling/src/gang_fit.ts
@@ -35,9 +35,10 @@
   taskCount: number,
   {sameRack, spread, neededSpeed = 0}: GangLayout,
 ): workerRegistry.RegisteredWorker[] | undefined {
-  const fill = spread ? fillEvenly : fillLargestFirst;
-  const place = (some: readonly GangCandidate[], count: number) =>
-    fillLikeSpeed(some, count, neededSpeed, fill);
+  // Fewer workers would tell less of which task is at fault.
+  const place: Fill = spread
+    ? fillEvenly
+    : (some, count) => fillLikeSpeed(some, count, neededSpeed);
   if (!sameRack) return place(candidates, taskCount);
   const racks = new Map<string, GangCandidate[]>();
   for (const candidate of candidates) {
@@ -64,14 +65,14 @@
   candidates: readonly GangCandidate[],
   taskCount: number,
   neededSpeed: number,
-  fill: Fill,
 ): workerRegistry.RegisteredWorker[] | undefined {
   const speedOf = ({speed = 1}: GangCandidate) => speed;
   const groups = speedFit.groupBySpeed(candidates, speedOf, neededSpeed);
   let usable: readonly GangCandidate[] = [];
   for (const group of groups) {
     usable = usable.length === 0 ? group : [...usable, ...group];
-    const workers = fill(group, taskCount) ?? fill(usable, taskCount);
+    const workers =
+      fillLargestFirst(group, taskCount) ?? fillLargestFirst(usable, taskCount);
     if (workers !== undefined) return workers;
   }
   return undefined;
