scheduler: centre the speeds of each group of compared workers

Cause: all estimates were centred together, but workers of two pools never run a step together, so nothing kept the pools from drifting apart: with equally fast workers and 10,000 steps, one pool had 0.54 to 0.65 and the other 1.64 to 1.93. Change: workers are in one group once a step has run on them, and each group is centred by itself. Result: the new test and the others of the package pass; the drift is gone in the same trial (1.00).

--- a/packages/gypsumwall-scheduling/src/__tests__/learned_speeds.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/learned_speeds.test.ts
@@ -1,6 +1,6 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
-import type * as types from '@gypsumwall/types';
+import * as types from '@gypsumwall/types';
 import * as unevenRuns from '../__fixtures__/uneven_runs.js';
 import * as speedSummary from '../speed_summary.js';
 
@@ -36,6 +36,23 @@
   }
 });
 
+// Load: two pools whose workers never run tasks of one step. Guards against speeds of whole pools that drift apart without any run that compares them.
+test('workers of two pools keep a speed of exactly 1', () => {
+  const alike = Array.from({length: 20}, () => ({speed: 1}));
+  const {ids, registry, speeds} = unevenRuns.createUnevenRuns(alike);
+  const random = types.random.createRandom(3);
+  for (let step = 0; step < 10_000; step++) {
+    for (let task = 0; task < 10; task++) {
+      const nth = (step % 2) * 10 + Math.floor(random.next() * 10);
+      const runMs = 1_000 * Math.exp(1.2 * (random.next() - 0.5));
+      speeds.add(`step${step}`, ids[nth]!, runMs);
+    }
+    if (step % 5 > 0) continue;
+    speeds.refresh(registry, (step * 1_000) as types.clock.MonotonicMs);
+  }
+  assert.deepEqual(new Set(ids.map((id) => speeds.speedOf(id))), new Set([1]));
+});
+
 // Guards against one slow worker among alike ones that keeps getting urgent work.
 test('a single slow worker is found', () => {
   const workers = Array.from({length: 60}, (_, nth) => ({
--- a/packages/gypsumwall-scheduling/src/learned_speeds.ts
+++ b/packages/gypsumwall-scheduling/src/learned_speeds.ts
@@ -74,6 +74,8 @@
   /** Mean of what dropped runs have shown, and their number. */
   earlierLog: number;
   earlierRuns: number;
+  /** Number of the workers whose runs were compared, also by way of others. */
+  group: number;
 }
 
 /** Creates speeds of workers of which nothing is known. */
@@ -82,6 +84,7 @@
   const estimates = new Map<types.ids.WorkerId, Estimate>();
   let published = new Map<types.ids.WorkerId, number>();
   let runCount = 0;
+  let groupCount = 0;
   let hasNewRuns = false;
   let refreshAt = 0;
 
@@ -108,7 +111,14 @@
   function estimateOf(worker: types.ids.WorkerId): Estimate {
     let estimate = estimates.get(worker);
     if (estimate === undefined) {
-      estimate = {logSpeed: 0, shown: [], earlierLog: 0, earlierRuns: 0};
+      const group = groupCount++;
+      estimate = {
+        logSpeed: 0,
+        shown: [],
+        earlierLog: 0,
+        earlierRuns: 0,
+        group,
+      };
       estimates.set(worker, estimate);
     }
     return estimate;
@@ -123,6 +133,7 @@
         runs,
         ({worker, logMs}) => logMs + estimateOf(worker).logSpeed,
       );
+      joinGroups(runs);
       const sorted = usual.slice().sort();
       runs.forEach((run, nth) => {
         run.shownLog = medianWithout(sorted, usual[nth]!) - run.logMs;
@@ -131,19 +142,35 @@
     }
   }
 
-  /** Moves all estimates so that a usual worker has a speed of 1. */
+  /** Workers are in one group once a step has run on them. */
+  function joinGroups(runs: readonly Run[]): void {
+    const {group} = estimateOf(runs[0]!.worker);
+    for (const {worker} of runs) {
+      const joined = estimateOf(worker).group;
+      if (joined === group) continue;
+      for (const estimate of estimates.values())
+        if (estimate.group === joined) estimate.group = group;
+    }
+  }
+
+  /**
+   * Moves all estimates so that a usual worker of each group has a speed of 1.
+   * Nothing relates groups to each other, such as pools, so that without this
+   * they would drift apart.
+   */
   function centre(): void {
-    let sum = 0;
-    let count = 0;
+    const sums = new Map<number, {log: number; count: number}>();
     for (const estimate of estimates.values()) {
       if (countRuns(estimate) === 0) continue;
-      sum += estimate.logSpeed;
-      count++;
+      const sum = sums.get(estimate.group) ?? {log: 0, count: 0};
+      sum.log += estimate.logSpeed;
+      sum.count++;
+      sums.set(estimate.group, sum);
     }
-    const mean = count > 0 ? sum / count : 0;
     for (const estimate of estimates.values()) {
-      estimate.logSpeed -= mean;
-      estimate.earlierLog -= mean;
+      const {log, count} = sums.get(estimate.group) ?? {log: 0, count: 1};
+      estimate.logSpeed -= log / count;
+      estimate.earlierLog -= log / count;
     }
   }
 
