--- a/packages/gypsumwall-scheduling/src/plan_advice_calls.ts
+++ b/packages/gypsumwall-scheduling/src/plan_advice_calls.ts
@@ -183,6 +183,7 @@
 ): Candidate[] {
   const size = stepNeeds.reservedSize(stepRun);
   const needed = speedFit.neededSpeed(stepRun, now);
+  const usualSpeedCost = speedFit.speedCost(1, needed);
   const candidates: Candidate[] = [];
   for (const worker of registry.workers.values()) {
     const {id} = worker.info;
@@ -196,15 +197,16 @@
       stepRun.waitingIndexes.length,
     );
     const tasks = canUse(stepRun, id) ? Math.max(0, fitting) : 0;
+    const speed = tasks > 0 ? (speeds?.speedOf(id) ?? 1) : 1;
     candidates.push({
       id,
       isApproved: false,
       tasks,
       freeCpuMillis: worker.free.cpuMillis,
-      speedCost: speedFit.speedCost(
-        speedFit.speedClass(speeds?.speedOf(id) ?? 1),
-        needed,
-      ),
+      speedCost:
+        speed === 1
+          ? usualSpeedCost
+          : speedFit.speedCost(speedFit.speedClass(speed), needed),
     });
   }
   return candidates;
--- a/packages/gypsumwall-scheduling/src/speed_fit.ts
+++ b/packages/gypsumwall-scheduling/src/speed_fit.ts
@@ -31,12 +31,11 @@
   if (rank === undefined || rank.claimant.isLongRunning) return 0;
   const {dueAt, worthlessAt, remainingMs} = rank.claimant;
   const neededMs = remainingMs * TIME_FACTOR;
-  for (const endsAt of [dueAt, worthlessAt]) {
-    const speed = neededMs / Math.max(1, endsAt - now);
-    if (speed <= learnedSpeeds.MAX_SPEED) return speed;
-  }
-  // No worker is fast enough.
-  return 0;
+  const inTime = neededMs / Math.max(1, dueAt - now);
+  if (inTime <= learnedSpeeds.MAX_SPEED) return inTime;
+  const useful = neededMs / Math.max(1, worthlessAt - now);
+  // If no worker is fast enough, the fast ones are left to others.
+  return useful <= learnedSpeeds.MAX_SPEED ? useful : 0;
 }
 
 /**
