--- a/packages/gypsumwall-scheduling/src/learned_speeds.ts
+++ b/packages/gypsumwall-scheduling/src/learned_speeds.ts
@@ -27,8 +27,8 @@
 export const MAX_SPEED = 4;
 /** Deviations up to this factor count as equal. */
 const DEAD_BAND_LOG = Math.log(1.15);
-/** With fewer runs, two unusually long tasks would decide a speed. */
-const MIN_RUNS = 5;
+/** With fewer runs, one unusually long task would decide a speed. */
+const MIN_RUNS = 3;
 /** Standard error of a mean of the middle half relative to that of a mean. */
 const MIDDLE_ERROR_FACTOR = 1.1;
 /** A deviation of fewer standard errors is chance where workers are alike. */
