--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -491,6 +491,7 @@
       unusableListEntries: holder?.unusableListEntries() ?? 0,
       admission: admission.status(),
       forecast: holder?.forecastAccuracy(),
+      speeds: holder?.speedSummary() ?? [],
     }),
   };
 }
--- a/packages/gypsumwall-cell/src/cell_entry_types.ts
+++ b/packages/gypsumwall-cell/src/cell_entry_types.ts
@@ -121,4 +121,6 @@
   readonly admission: entryAdmission.AdmissionStatus;
   /** At the holder: how good its forecasts of starts were. */
   readonly forecast: forecastCheck.ForecastAccuracy | undefined;
+  /** How fast the workers are, by label; known to the holder. */
+  readonly speeds: readonly scheduling.speedSummary.SpeedSummary[];
 }
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -409,5 +409,6 @@
     unusableListEntries: () => roster.unusableEntries(),
     forecastAccuracy: () => readings.accuracy(),
     explain: (question) => scheduler.explain(question, clock.monotonic()),
+    speedSummary: () => scheduler.speedSummary(),
   };
 }
--- a/packages/gypsumwall-cell/src/cell_holder_types.ts
+++ b/packages/gypsumwall-cell/src/cell_holder_types.ts
@@ -98,4 +98,6 @@
   explain(
     question: scheduling.explainJob.JobQuestion,
   ): scheduling.explainJob.JobExplanation;
+  /** How fast the workers are, by label. */
+  speedSummary(): readonly scheduling.speedSummary.SpeedSummary[];
 }
--- a/packages/gypsumwall-scheduling/src/gang_fit.ts
+++ b/packages/gypsumwall-scheduling/src/gang_fit.ts
@@ -3,6 +3,7 @@
  * slower when they are spread.
  */
 import type * as types from '@gypsumwall/types';
+import * as speedFit from './speed_fit.js';
 import type * as workerRegistry from './worker_registry.js';
 
 /** A worker that may run tasks of the gang, and how many fit on it. */
@@ -21,12 +22,17 @@
   readonly spread: boolean;
   /** Speeds of the workers; equal if absent. */
   readonly speedOf?: (worker: types.ids.WorkerId) => number;
+  /**
+   * Speed from which on the gang meets its objective, 0 if any will do. The
+   * slowest workers that have it are used; the fastest ones if absent.
+   */
+  readonly neededSpeed?: number;
 }
 
 /**
  * Returns one worker for each task, or undefined if they do not all fit.
- * Workers that fit the most tasks come first, so that a gang uses few workers
- * and leaves the others free.
+ * Workers of like speed come first, and among them those that fit the most
+ * tasks, so that a gang uses few workers and leaves the others free.
  */
 export function fitGang(
   candidates: readonly GangCandidate[],
@@ -54,15 +60,15 @@
 /** The workers chosen in a rack. */
 interface RackFit {
   readonly workers: workerRegistry.RegisteredWorker[];
-  /** Speed of the slowest of them, which the gang runs at. */
-  readonly speed: number;
+  /** Cost of the speed of the slowest of them, which the gang runs at. */
+  readonly speedCost: number;
   readonly workerCount: number;
   /** Number of further tasks that fit in the rack. */
   readonly left: number;
 }
 
 /**
- * Chooses the rack in which the gang ends first, then that with the fewest
+ * Chooses the rack whose speed suits the gang, then that with the fewest
  * workers used, then that with the least capacity left, so that the racks with
  * the most free capacity stay free for wider gangs.
  */
@@ -85,7 +91,7 @@
     const chosen = new Set(workers);
     const fit = {
       workers,
-      speed: slowestOf(chosen, layout),
+      speedCost: costOfSpeed(slowestOf(chosen, layout), layout),
       workerCount: chosen.size,
       left: slotsOf(inRack) - taskCount,
     };
@@ -104,8 +110,19 @@
   return slowest;
 }
 
+function costOfSpeed(speed: number, {neededSpeed}: GangLayout): number {
+  const rounded = speedFit.speedClass(speed);
+  return neededSpeed === undefined
+    ? -rounded
+    : speedFit.speedCost(rounded, neededSpeed);
+}
+
 function compareFits(a: RackFit, b: RackFit): number {
-  return b.speed - a.speed || a.workerCount - b.workerCount || a.left - b.left;
+  return (
+    a.speedCost - b.speedCost ||
+    a.workerCount - b.workerCount ||
+    a.left - b.left
+  );
 }
 
 function slotsOf(candidates: readonly GangCandidate[]): number {
@@ -121,15 +138,35 @@
   return [...candidates].sort((a, b) => b.tasks - a.tasks);
 }
 
+/**
+ * Fills the workers of one speed if the gang fits there, because its members
+ * wait for the slowest one; otherwise those of several speeds. A gang that is
+ * spread uses all, since fewer workers would tell less of the task at fault.
+ */
 function fill(
   ordered: readonly GangCandidate[],
   taskCount: number,
-  {spread}: GangLayout,
+  layout: GangLayout,
 ): workerRegistry.RegisteredWorker[] | undefined {
   if (slotsOf(ordered) < taskCount) return undefined;
-  return spread
-    ? fillEvenly(ordered, taskCount)
-    : fillInOrder(ordered, taskCount);
+  if (layout.spread) return fillEvenly(ordered, taskCount);
+  let usable: readonly GangCandidate[] = [];
+  for (const group of groupsOf(ordered, layout)) {
+    usable = usable.length === 0 ? group : [...usable, ...group];
+    const fitting = [group, usable].find((one) => slotsOf(one) >= taskCount);
+    if (fitting !== undefined) return fillInOrder(fitting, taskCount);
+  }
+  return undefined;
+}
+
+/** Groups of like speed, the one that suits best first. */
+function groupsOf(
+  ordered: readonly GangCandidate[],
+  {speedOf, neededSpeed = 0}: GangLayout,
+): readonly (readonly GangCandidate[])[] {
+  if (speedOf === undefined) return [ordered];
+  const speedOfCandidate = ({worker}: GangCandidate) => speedOf(worker.info.id);
+  return speedFit.groupBySpeed(ordered, speedOfCandidate, neededSpeed);
 }
 
 /** Distributes one task to each worker in turn. */
--- a/packages/gypsumwall-scheduling/src/index.ts
+++ b/packages/gypsumwall-scheduling/src/index.ts
@@ -8,6 +8,7 @@
 export * as jobSteps from './job_steps.js';
 export * as scheduler from './scheduler.js';
 export * as schedulerTypes from './scheduler_types.js';
+export * as speedSummary from './speed_summary.js';
 export * as taskId from './task_id.js';
 export * as workerIncarnation from './worker_incarnation.js';
 export * as workerLosses from './worker_losses.js';
--- a/packages/gypsumwall-scheduling/src/place_tasks.ts
+++ b/packages/gypsumwall-scheduling/src/place_tasks.ts
@@ -7,6 +7,7 @@
 import * as gangFit from './gang_fit.js';
 import * as placements from './placements.js';
 import * as quotaGate from './quota_gate.js';
+import * as speedFit from './speed_fit.js';
 import type * as workerRegistry from './worker_registry.js';
 
 /**
@@ -122,11 +123,15 @@
 }
 
 function layoutOf(
-  {request, crashes}: activeJob.StepRun,
-  {speeds}: chooseWorker.ChoiceContext,
+  stepRun: activeJob.StepRun,
+  {speeds, now}: chooseWorker.ChoiceContext,
 ): gangFit.GangLayout {
-  const speedOf = speeds && ((id: types.ids.WorkerId) => speeds.speedOf(id));
-  return {sameRack: request.sameRack, spread: crashes.size > 0, speedOf};
+  return {
+    sameRack: stepRun.request.sameRack,
+    spread: stepRun.crashes.size > 0,
+    speedOf: speeds && ((id: types.ids.WorkerId) => speeds.speedOf(id)),
+    neededSpeed: speedFit.neededSpeed(stepRun, now),
+  };
 }
 
 /**
--- a/packages/gypsumwall-scheduling/src/plan_advice_calls.ts
+++ b/packages/gypsumwall-scheduling/src/plan_advice_calls.ts
@@ -14,8 +14,10 @@
 import * as rackOrder from './rack_order.js';
 import * as stepNeeds from './step_needs.js';
 import type * as jobRequest from './job_request.js';
+import * as speedFit from './speed_fit.js';
 import * as stepAdvice from './step_advice.js';
 import * as workerRegistry from './worker_registry.js';
+import type * as workerSpeeds from './worker_speeds.js';
 
 /** Maximum number of workers that the adviser accepts in one call. */
 const MAX_NAMED_WORKERS = 100;
@@ -57,6 +59,8 @@
 export interface AdviceContext {
   readonly registry: workerRegistry.WorkerRegistry;
   readonly now: types.clock.MonotonicMs;
+  /** How fast the workers are; equally fast if absent. */
+  readonly speeds?: workerSpeeds.WorkerSpeeds;
   /**
    * Whether health, isolation and reservations allow the step to use a worker.
    * Pool, label, approval and free capacity are checked separately.
@@ -177,13 +181,17 @@
   readonly tasks: number;
   /** Free processors, in thousandths of a core. */
   readonly freeCpuMillis: number;
+  /** How badly its speed suits the step. */
+  readonly speedCost: number;
 }
 
 function findCandidates(
   stepRun: activeJob.StepRun,
-  {registry, canUse}: AdviceContext,
+  {registry, now, speeds, canUse}: AdviceContext,
 ): Candidate[] {
   const size = stepNeeds.reservedSize(stepRun);
+  const needed = speedFit.neededSpeed(stepRun, now);
+  const usualSpeedCost = speedFit.speedCost(1, needed);
   const candidates: Candidate[] = [];
   for (const worker of registry.workers.values()) {
     const {id} = worker.info;
@@ -197,12 +205,17 @@
       stepRun.waitingIndexes.length,
     );
     const tasks = canUse(stepRun, id) ? Math.max(0, fitting) : 0;
+    const speed = tasks > 0 ? (speeds?.speedOf(id) ?? 1) : 1;
     candidates.push({
       id,
       isApproved: false,
       rack: worker.info.rack,
       tasks,
       freeCpuMillis: worker.free.cpuMillis,
+      speedCost:
+        speed === 1
+          ? usualSpeedCost
+          : speedFit.speedCost(speedFit.speedClass(speed), needed),
     });
   }
   return candidates;
@@ -211,6 +224,8 @@
 function compareCandidates(a: Candidate, b: Candidate): number {
   return (
     Number(b.isApproved) - Number(a.isApproved) ||
+    Number(b.tasks > 0) - Number(a.tasks > 0) ||
+    a.speedCost - b.speedCost ||
     b.tasks - a.tasks ||
     b.freeCpuMillis - a.freeCpuMillis
   );
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -13,6 +13,7 @@
 import * as jobOrder from './job_order.js';
 import * as jobRegistries from './job_registry.js';
 import * as jobSteps from './job_steps.js';
+import * as learnedSpeeds from './learned_speeds.js';
 import * as lostAttempts from './lost_attempts.js';
 import * as placeIsolated from './place_isolated.js';
 import * as nearChoice from './near_choice.js';
@@ -20,8 +21,10 @@
 import type * as placements from './placements.js';
 import * as refusalBackoff from './refusal_backoff.js';
 import * as reportReader from './report_reader.js';
+import * as runMeters from './run_meter.js';
 import * as attemptTable from './attempt_table.js';
 import * as schedulingCycle from './scheduling_cycle.js';
+import * as speedSummary from './speed_summary.js';
 import * as startOrders from './start_orders.js';
 import * as stepAdvice from './step_advice.js';
 import type * as schedulerTypes from './scheduler_types.js';
@@ -67,11 +70,14 @@
     onEvent,
   });
   const {jobs, waitingSteps, jobsToOpen, dirty} = jobRegistry;
+  const speeds = learnedSpeeds.createLearnedSpeeds();
+  const runMeter = runMeters.createRunMeter(speeds, registry);
   const readReport = reportReader.createReportReader({
     registry,
     attempts,
     health,
     jobRegistry,
+    runMeter,
     organisationOf: (id) => {
       const jobId = taskIds.parseTaskId(id)?.jobId;
       return jobId && options.organisationOf?.(jobId);
@@ -107,6 +113,7 @@
     isolation,
   });
   const order = waitingOrder.createWaitingOrder();
+  const speedReporter = speedSummary.createSpeedReporter(onEvent);
   const reporter = waitReporter.createWaitReporter(onEvent);
   const starts = nearStarts.createNearStarts(onEvent);
   const nearPolicy = nearChoice.createNearPolicy(options, {
@@ -171,7 +178,9 @@
     for (const id of health.takeRestored(now)) registry.markFreed(id);
     for (const id of isolation.releaseExpired(now)) registry.markFreed(id);
     const freed = registry.takeFreed();
-    const context = {registry, health, now, freed, isolation, limits};
+    if (speeds.refresh(registry, now))
+      speedReporter.report(speedSummary.summarizeSpeeds(registry, speeds), now);
+    const context = {registry, health, now, freed, isolation, limits, speeds};
     const cycle = schedulingCycle.runCycle(steps, {...context, nearPolicy});
     starts.onPlaced(cycle.placed, now);
     for (const [id, gang] of reservations) {
@@ -198,6 +207,7 @@
     return takeAdviceRequests.takeAdviceRequests(awaitingAdvice, capacity, {
       registry,
       now,
+      speeds,
       canUse(stepRun, id) {
         if (health.trustOf(id, now) === 'avoided') return false;
         if (!canHost(stepRun, id, now)) return false;
@@ -303,8 +313,14 @@
       if (job !== undefined) jobRegistry.finishJob(job, 'cancelled');
     },
     putWorker: (info) => void registry.put(info),
-    removeWorker: (id, cause, now) => restarts.remove(id, cause, now),
-    restartWorker: (info, cause, now) => restarts.restart(info, cause, now),
+    removeWorker(id, cause, now) {
+      restarts.remove(id, cause, now);
+      speeds.forget(id);
+    },
+    restartWorker(info, cause, now) {
+      restarts.restart(info, cause, now);
+      speeds.forget(info.id);
+    },
     onLeaseExpired(id, now) {
       const incarnation = registry.workers.get(id)?.info ?? {id};
       lossHandler.endAttempts(incarnation, 'silent', now);
@@ -369,6 +385,7 @@
             attempt.startedAt ??= now;
             attempt.percentChangedAt = now;
             isolation.onStarted(attempt, now);
+            runMeter.onStarted(attempt, now);
           }
           if (attempt.task !== undefined) {
             refusalBackoff.resetRefusals(attempt.task.stepRun);
@@ -453,6 +470,7 @@
         health,
         now,
         isolation,
+        speeds,
         waitingSteps,
         reservations,
         nearPolicy,
@@ -464,5 +482,6 @@
       organisations: registry.quotas.usage(),
       near: starts.counts(),
     }),
+    speedSummary: () => speedSummary.summarizeSpeeds(registry, speeds),
   };
 }
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -13,6 +13,7 @@
 import type * as refusalBackoff from './refusal_backoff.js';
 import type * as workerRegistry from './worker_registry.js';
 import type * as waitingDemand from './waiting_demand.js';
+import type * as speedSummary from './speed_summary.js';
 import type * as schedulingCycle from './scheduling_cycle.js';
 
 /** A start order that is to be sent to a worker. */
@@ -224,6 +225,8 @@
   counts(): SchedulerCounts;
   /** Explains where a job would start now; changes nothing. */
   readonly explain: explainJob.ExplainJob;
+  /** How fast the workers are, by label. */
+  speedSummary(): readonly speedSummary.SpeedSummary[];
 }
 
 /** Counts for gauges. */
@@ -357,6 +360,7 @@
       /** Workers that crashed while they ran the task, separated by commas. */
       readonly workers: string;
     }
+  | speedSummary.SpeedEvent
   | {
       readonly type: 'worker_stalled';
       readonly worker: types.ids.WorkerId;
