--- a/packages/gypsumwall-cell/src/worker_room.ts
+++ b/packages/gypsumwall-cell/src/worker_room.ts
@@ -5,7 +5,7 @@
 /** Free share of processors and memory from which on there is room. */
 const MIN_FREE_SHARE = 0.25;
 /** Free share of processors or memory below which workers are nearly full. */
-const NEARLY_FULL_SHARE = 0.2;
+const NEARLY_FULL_SHARE = 0.15;
 
 /** Free and total resources of the workers that accept tasks. */
 export interface WorkerRoom {
