cell: list the usable peers only after a change

Elections, probes of the holder and the followers ask up to 50 times a second whether this entry stands by, and each submission asks who appends it.

The rate of submissions is counted without a copy of its events, and headers of answers are read without iterators.

--- a/packages/gypsumwall-cell/src/answer_parser.ts
+++ b/packages/gypsumwall-cell/src/answer_parser.ts
@@ -189,15 +189,16 @@
 }
 
 function parseHead(text: string): Head {
-  const [statusLine = '', ...lines] = text.split(LINE_END);
-  const [, minorVersion, digits] = STATUS_LINE.exec(statusLine) ?? [];
-  if (digits === undefined) throw new Error('the answer has no status line');
-  const status = Number(digits);
+  const lines = text.split(LINE_END);
+  const statusLine = STATUS_LINE.exec(lines[0]!);
+  if (statusLine === null) throw new Error('the answer has no status line');
+  const status = Number(statusLine[2]);
   let length: string | undefined;
   let isChunked = false;
   let connection = '';
   let keepAlive = '';
-  for (const line of lines) {
+  for (let nth = 1; nth < lines.length; nth++) {
+    const line = lines[nth]!;
     const colonAt = line.indexOf(':');
     const value = line.slice(colonAt + 1).trim();
     switch (line.slice(0, colonAt).toLowerCase()) {
@@ -218,7 +219,7 @@
     }
   }
   const keepsAlive =
-    minorVersion === '1'
+    statusLine[1] === '1'
       ? !connection.includes('close')
       : connection.includes('keep-alive');
   return {
--- a/packages/gypsumwall-cell/src/peer_directory.ts
+++ b/packages/gypsumwall-cell/src/peer_directory.ts
@@ -12,6 +12,7 @@
 import type * as standbyChoice from './standby_choice.js';
 import type * as storeRecords from './store_records.js';
 import type * as trafficMeter from './traffic_meter.js';
+import * as usablePeerList from './usable_peers.js';
 import type * as workerRoutes from './worker_routes.js';
 
 /**
@@ -86,6 +87,7 @@
   readonly record: storeRecords.EntryRecord;
   readonly client: httpClient.HttpClient;
   readonly adviser: ports.Adviser;
+  readonly candidate: standbyChoice.StandbyCandidate;
   /** A ping in progress, shared by all calls that wait. */
   ping: Promise<boolean> | undefined;
   /** Until then, `relayTo` does not call it. */
@@ -150,6 +152,7 @@
   meter,
 }: PeerDirectoryOptions): PeerDirectory {
   const peers = new Map<string, Peer>();
+  const usable = usablePeerList.createUsablePeers(peers, clock);
 
   function createPeer(
     instance: string,
@@ -157,10 +160,12 @@
     client: httpClient.HttpClient,
   ): Peer {
     const direct = peerProtocol.createPeerAdviser(client);
+    const {domain, cores = 0} = record;
     const peer: Peer = {
       instance,
       record,
       client,
+      candidate: {instance, domain, cores},
       ping: undefined,
       relaysPausedUntil: clock.monotonic(),
       nextBusyPauseMs: FIRST_BUSY_PAUSE_MS,
@@ -227,6 +232,7 @@
     // Calls that were open together fail together and count once.
     if (peer.backoffUntil > now) return;
     peer.backoffUntil = types.clock.after(now, peer.nextBackoffMs);
+    usable.onChanged();
     const doubled = peer.nextBackoffMs * 2;
     peer.nextBackoffMs = Math.min(MAX_BACKOFF_MS, doubled);
   }
@@ -363,10 +369,12 @@
       if (record === undefined) {
         known?.close();
         peers.delete(instance);
+        usable.onChanged();
         return;
       }
       const client = clientOf(record.address, known);
       peers.set(instance, createPeer(instance, record, client));
+      usable.onChanged();
     },
     advisers() {
       const now = clock.monotonic();
@@ -385,13 +393,7 @@
       const peer = peers.get(instance);
       if (peer !== undefined) backOff(peer);
     },
-    maxCores() {
-      const now = clock.monotonic();
-      const cores = [...peers.values()]
-        .filter((peer) => peer.backoffUntil <= now)
-        .map((peer) => peer.record.cores ?? 0);
-      return Math.max(0, ...cores);
-    },
+    maxCores: () => Math.max(0, ...usable.list().map(({cores}) => cores)),
     *relayPeers() {
       const now = clock.monotonic();
       for (const [instance, {record, backoffUntil}] of peers) {
@@ -400,13 +402,7 @@
         yield {instance, domain, address, cores};
       }
     },
-    *standbyCandidates() {
-      const now = clock.monotonic();
-      for (const [instance, {record, backoffUntil}] of peers) {
-        if (backoffUntil > now) continue;
-        yield {instance, domain: record.domain, cores: record.cores ?? 0};
-      }
-    },
+    standbyCandidates: () => usable.list(),
     close() {
       for (const peer of peers.values()) peer.client.close();
     },
--- a/packages/gypsumwall-cell/src/rate_meter.ts
+++ b/packages/gypsumwall-cell/src/rate_meter.ts
@@ -27,7 +27,14 @@
     },
     perMs() {
       const oldest = clock.monotonic() - spanMs;
-      return events.filter((at) => at >= oldest).length / spanMs;
+      let first = 0;
+      let end = events.length;
+      while (first < end) {
+        const middle = (first + end) >> 1;
+        if (events[middle]! < oldest) first = middle + 1;
+        else end = middle;
+      }
+      return (events.length - first) / spanMs;
     },
   };
 }
