cell, platform, scheduler: mend what the reviews of the merged parts left

- store_records and record_checks imported each other: reading is a module of its own, decode_record.
- Names for the adviser began with the rack of the data also where it is full and not waited for, so that a call bought approvals that could not be used.
Racks were sorted as keys, and an absent key always sorts last, whatever the comparison says; the test of a full rack showed it and fails without the change.

--- a/packages/gypsumwall-cell/src/__tests__/holder_capacity.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/holder_capacity.test.ts
@@ -3,6 +3,7 @@
 import * as types from '@gypsumwall/types';
 import * as cellStates from '../cell_state.js';
 import * as holderCapacity from '../holder_capacity.js';
+import * as decodeRecord from '../decode_record.js';
 import * as storeRecords from '../store_records.js';
 
 const {test} = nodeTest;
@@ -105,7 +106,7 @@
   const state = cellStates.createCellState();
   const read = (record: storeRecords.StoreRecord) => {
     const {key, value} = storeRecords.encode(record);
-    const decoded = storeRecords.decode(key, value).unwrapOr(record);
+    const decoded = decodeRecord.decodeRecord(key, value).unwrapOr(record);
     state.apply(decoded, 1, types.clock.createSystemClock().monotonic());
     return state.capacity();
   };
--- a/packages/gypsumwall-cell/src/__tests__/room_admission.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/room_admission.test.ts
@@ -6,6 +6,7 @@
 import * as worlds from '../__fixtures__/cell_world.js';
 import * as roomAdmissions from '../room_admission.js';
 import type * as roomReading from '../room_reading.js';
+import * as decodeRecord from '../decode_record.js';
 import * as storeRecords from '../store_records.js';
 
 const {test} = nodeTest;
@@ -225,12 +226,12 @@
   const reading = fullPool([{onTimeCoreMs: 1}]);
   const record = {kind: 'heartbeat', rooms: [reading]} as const;
   const {key, value} = storeRecords.encode(record);
-  assert.deepEqual(storeRecords.decode(key, value).unwrapOr(undefined), {
+  assert.deepEqual(decodeRecord.decodeRecord(key, value).unwrapOr(undefined), {
     ...record,
     capacity: undefined,
   });
   for (const rooms of ['[1]', '{}', '[{"pool":"p","ranks":[null]}]', 'null']) {
-    const decoded = storeRecords.decode(key, `{"v":1,"rooms":${rooms}}`);
+    const decoded = decodeRecord.decodeRecord(key, `{"v":1,"rooms":${rooms}}`);
     assert.deepEqual(decoded.unwrapOr(undefined), {
       kind: 'heartbeat',
       capacity: undefined,
--- a/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/safeguards.test.ts
@@ -14,6 +14,7 @@
 import type * as ports from '../ports.js';
 import * as queueTable from '../queue_table.js';
 import * as storeHealth from '../store_health.js';
+import * as decodeRecord from '../decode_record.js';
 import * as storeRecords from '../store_records.js';
 import * as pauseDetector from '../pause_detector.js';
 import * as failoverPolicy from '../failover_policy.js';
@@ -382,10 +383,10 @@
 test('records are decoded as they were encoded; newer versions are detected', () => {
   const record = accepted('a');
   const {key, value} = storeRecords.encode(record);
-  const decoded = storeRecords.decode(key, value);
+  const decoded = decodeRecord.decodeRecord(key, value);
   assert.ok(result.isOk(decoded));
   assert.equal(decoded.value.kind, 'job');
-  const newer = storeRecords.decode(key, '{"v":2}');
+  const newer = decodeRecord.decodeRecord(key, '{"v":2}');
   assert.ok(result.isErr(newer));
   assert.match(newer.error, /version = 2/);
 });
--- a/packages/gypsumwall-cell/src/__tests__/unreadable_records.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/unreadable_records.test.ts
@@ -13,6 +13,7 @@
 import * as failoverBarrier from '../failover_barrier.js';
 import * as jobTables from '../job_table.js';
 import * as leaseBounds from '../lease_bounds.js';
+import * as decodeRecord from '../decode_record.js';
 import * as storeRecords from '../store_records.js';
 
 const {test} = nodeTest;
@@ -180,7 +181,7 @@
 test('all records are read as they were written', () => {
   for (const record of RECORDS) {
     const {key, value} = storeRecords.encode(record);
-    const decoded = storeRecords.decode(key, value);
+    const decoded = decodeRecord.decodeRecord(key, value);
     assert.ok(result.isOk(decoded), key);
     const again = storeRecords.encode(decoded.value);
     assert.deepEqual(JSON.parse(again.value), JSON.parse(value));
--- a/packages/gypsumwall-cell/src/apply_records.ts
+++ b/packages/gypsumwall-cell/src/apply_records.ts
@@ -7,6 +7,7 @@
 import type * as telemetry from '@gypsumwall/telemetry';
 import * as types from '@gypsumwall/types';
 import type * as ports from './ports.js';
+import * as decodeRecord from './decode_record.js';
 import * as storeRecords from './store_records.js';
 
 /** Applies each record that can be decoded, and logs the others. */
@@ -28,7 +29,7 @@
   {key, value, offset}: ports.KeyedRecord,
   apply: (record: storeRecords.StoreRecord, offset: number) => void,
 ): string | undefined {
-  const decoded = storeRecords.decode(key, value);
+  const decoded = decodeRecord.decodeRecord(key, value);
   if (result.isErr(decoded)) return decoded.error;
   try {
     apply(decoded.value, offset);
--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -473,9 +473,8 @@
     },
     explain(question) {
       const ageMs = readiness.replicaAgeMs();
-      const {policy, request} = question;
       return {
-        admission: admission.preview(policy, request),
+        admission: admission.preview(question),
         holder: state.claim()?.instance,
         placement: holder?.explain(question),
         replicaAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : null,
--- a/packages/gypsumwall-cell/src/entry_admission.ts
+++ b/packages/gypsumwall-cell/src/entry_admission.ts
@@ -25,10 +25,7 @@
 /** Admits the jobs that callers offer to one entry. */
 export interface EntryAdmission extends loadShedder.LoadShedder {
   /** The verdict on a job that nobody offers; isn't counted. */
-  preview: (
-    policy: scheduling.jobRequest.QueuePolicy,
-    request: scheduling.jobRequest.JobRequest,
-  ) => loadShedder.Verdict;
+  preview(question: scheduling.explainJob.JobQuestion): loadShedder.Verdict;
   /** This entry has read a job that the cell has accepted. */
   onAccepted(job: jobTable.JobEntry): void;
   /** Limits that no load changes. */
@@ -75,7 +72,8 @@
         refusals.add(verdict.reason, organisation);
       return verdict;
     },
-    preview: (policy, request) => shedder.check('append', policy, request),
+    preview: ({policy, request, organisation}) =>
+      shedder.check('append', policy, request, organisation),
     onAccepted: (job) => room.onAccepted(job),
     limits: jobLimits.createJobLimits({state, configs}),
     status: () => ({
--- a/packages/gypsumwall-cell/src/store_records.ts
+++ b/packages/gypsumwall-cell/src/store_records.ts
@@ -1,14 +1,11 @@
 /**
  * The records that a cell keeps in the store, as JSON under a key that starts
- * with a prefix for the kind. A record that can't be decoded, such as one of a
- * newer version, stays in the store, and its reader logs it.
+ * with a prefix for the kind.
  */
-import * as result from 'true-myth/result';
 import type * as scheduling from '@gypsumwall/scheduling';
 import * as types from '@gypsumwall/types';
 import type * as holderCapacity from './holder_capacity.js';
-import * as recordChecks from './record_checks.js';
-import * as roomReading from './room_reading.js';
+import type * as roomReading from './room_reading.js';
 
 /** A job as it was accepted; the first record of an ID defines the job. */
 export interface JobRecord {
@@ -113,9 +110,10 @@
     };
 
 /** Version of the encodings below; readers leave newer records unchanged. */
-const VERSION = 1;
+export const VERSION = 1;
 
-const KEY_PREFIXES = {
+/** What the key of each kind of record begins with. */
+export const KEY_PREFIXES = {
   job: 'j',
   cancel: 'c',
   progress: 's',
@@ -175,89 +173,3 @@
 function pack(body: object | undefined): string {
   return body === undefined ? '' : JSON.stringify({v: VERSION, ...body});
 }
-
-/** Decodes a record; the error describes what is wrong with it. */
-export function decode(
-  key: string,
-  value: string,
-): result.Result<StoreRecord, string> {
-  try {
-    return result.ok(decodeKnown(key, value));
-  } catch (thrown) {
-    const fault = types.stepError.messageOf(thrown);
-    if (!key.startsWith(KEY_PREFIXES.used_worker)) return result.err(fault);
-    // If it were passed over, a successor would start tasks elsewhere that may
-    // still run on this worker.
-    const workerId = types.ids.brand<types.ids.WorkerId>(key.slice(1));
-    return result.ok({kind: 'used_worker', workerId, worker: {fault}});
-  }
-}
-
-function decodeKnown(key: string, value: string): StoreRecord {
-  const body = unpack(value);
-  if (key === KEY_PREFIXES.heartbeat) {
-    const {rooms, ...heartbeat} = (body ?? {}) as HeartbeatBody;
-    return {
-      kind: 'heartbeat',
-      capacity: recordChecks.readCapacity(heartbeat),
-      rooms: roomReading.keepKnown(rooms),
-    };
-  }
-  if (key === KEY_PREFIXES.claim) {
-    if (body === undefined) throw new Error('the claim has no value');
-    return {kind: 'claim', claim: recordChecks.checkClaim(body)};
-  }
-  const id = key.slice(1);
-  const prefix = key.slice(0, 1);
-  switch (prefix) {
-    case KEY_PREFIXES.job:
-      return {
-        kind: 'job',
-        jobId: types.ids.brand(id),
-        job: body && recordChecks.checkJob(body),
-      };
-    case KEY_PREFIXES.cancel: {
-      const jobId = types.ids.brand<types.ids.JobId>(id);
-      return {kind: 'cancel', jobId, dropped: body === undefined};
-    }
-    case KEY_PREFIXES.progress:
-      return decodeProgress(types.ids.brand(id), body);
-    case KEY_PREFIXES.entry:
-      return {
-        kind: 'entry',
-        instance: id,
-        entry: body && recordChecks.checkEntry(body),
-      };
-    case KEY_PREFIXES.used_worker:
-      return {
-        kind: 'used_worker',
-        workerId: types.ids.brand(id),
-        worker: body && recordChecks.checkUsedWorker(body),
-      };
-    default:
-      throw new Error(`unknown kind of key`);
-  }
-}
-
-interface HeartbeatBody {
-  readonly rooms?: unknown;
-}
-
-function decodeProgress(
-  jobId: types.ids.JobId,
-  body: object | undefined,
-): StoreRecord {
-  if (body === undefined)
-    return {kind: 'progress', jobId, queue: '', progress: undefined};
-  const {queue, organisation, progress} = recordChecks.checkProgress(body);
-  return {kind: 'progress', jobId, queue, organisation, progress};
-}
-
-function unpack(value: string): {readonly v: number} | undefined {
-  if (value === '') return undefined;
-  const body = JSON.parse(value) as {v?: unknown} | null;
-  if (body?.v !== VERSION) {
-    throw new Error(`version = ${String(body?.v)}: this program supports 1`);
-  }
-  return body as {v: number};
-}
--- a/packages/gypsumwall-scheduling/src/__tests__/near_places.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/near_places.test.ts
@@ -265,3 +265,21 @@
   ).advice;
   assert.ok(first!.workers.slice(0, 20).every((id) => id.startsWith('r3-')));
 });
+
+// Guards against a call that spends its names on workers without room, because
+// they are near.
+test('the adviser is not asked first about a full rack', () => {
+  const world = worlds.createSchedulerWorld(FAR);
+  for (let nth = 0; nth < 20; nth++) {
+    world.addWorker(`r3-${nth}`, 0, 'r3');
+    world.addWorker(`r1-${nth}`, 4, 'r1');
+  }
+  world.submit('near', [worlds.step({preferredRack: 'r3'})], {
+    policy: {advice: ADVICE},
+  });
+  const [first] = world.scheduler.decide(
+    world.now,
+    0 as types.clock.WallMs,
+  ).advice;
+  assert.ok(first!.workers.slice(0, 20).every((id) => id.startsWith('r1-')));
+});
--- a/packages/gypsumwall-scheduling/src/rack_order.ts
+++ b/packages/gypsumwall-scheduling/src/rack_order.ts
@@ -19,9 +19,9 @@
 }
 
 /**
- * Orders sorted candidates by rack: that of the step's data first, and for a
- * gang whole racks by the number of tasks that fit there, counted over all
- * candidates. The order within a rack stays.
+ * Orders sorted candidates by rack: that of the step's data first unless it is
+ * full, and for a gang whole racks by the number of tasks that fit there,
+ * counted over all candidates. The order within a rack stays.
  */
 export function orderByRack<Candidate extends RackCandidate>(
   stepRun: activeJob.StepRun,
@@ -44,15 +44,19 @@
     for (const {rack, tasks} of all)
       rackTasks.set(rack, (rackTasks.get(rack) ?? 0) + tasks);
   }
-  if (preferredRack !== undefined)
+  // Approvals in a full rack are of use only to a step that waits for it.
+  const hasNearRoom = all.some(
+    ({rack, tasks}) => rack === preferredRack && tasks > 0,
+  );
+  if (preferredRack !== undefined && hasNearRoom)
     rackTasks.set(types.ids.brand<types.ids.RackId>(preferredRack), Infinity);
   const waitedFor = stepRun.nearWait?.rack;
   if (waitedFor !== undefined) rackTasks.set(waitedFor, Infinity);
   const tasksIn = (rack: types.ids.RackId | undefined) =>
     rackTasks.get(rack) ?? 0;
-  return [...byRack.keys()]
-    .sort((a, b) => compareDown(tasksIn(a), tasksIn(b)))
-    .flatMap((rack) => byRack.get(rack)!);
+  return [...byRack]
+    .sort(([a], [b]) => compareDown(tasksIn(a), tasksIn(b)))
+    .flatMap(([, inRack]) => inRack);
 }
 
 /**
