--- a/packages/gypsumwall-cell/src/cell_entry.ts
+++ b/packages/gypsumwall-cell/src/cell_entry.ts
@@ -13,6 +13,7 @@
 import * as entryAdmission from './entry_admission.js';
 import * as entryReadiness from './entry_readiness.js';
 import * as entryRegistration from './entry_registration.js';
+import * as entryView from './entry_view.js';
 import * as entryRoles from './entry_roles.js';
 import * as jobPayloads from './job_payloads.js';
 import * as jobService from './job_service.js';
@@ -402,6 +403,9 @@
     void created.start();
   }
 
+  const parts = {admission, configs, jobsFollower, monitor, readiness, state};
+  const view = entryView.createEntryView(parts);
+
   return {
     jobService: service,
     localJobService: localService,
@@ -466,31 +470,11 @@
     stop() {
       stopping.abort();
       holder?.stop();
-      configFollower.stop();
-      jobsFollower.stop();
-      cellFollower.stop();
+      for (const follower of [configFollower, jobsFollower, cellFollower])
+        follower.stop();
       peers.close();
     },
-    explain(question) {
-      const ageMs = readiness.replicaAgeMs();
-      return {
-        admission: admission.preview(question),
-        holder: state.claim()?.instance,
-        placement: holder?.explain(question),
-        replicaAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : null,
-      };
-    },
-    status: () => ({
-      holdsCell: holder !== undefined,
-      configVersion: configs.config()?.version,
-      storeReachable: jobsFollower.reachableSince() !== undefined,
-      replicaAgeMs: readiness.replicaAgeMs(),
-      loopUtilization: monitor.utilization(),
-      scheduler: holder?.counts(),
-      unusableListEntries: holder?.unusableListEntries() ?? 0,
-      admission: admission.status(),
-      forecast: holder?.forecastAccuracy(),
-      speeds: holder?.speedSummary() ?? [],
-    }),
+    explain: (question) => view.explain(question, holder),
+    status: () => view.status(holder),
   };
 }
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -10,7 +10,6 @@
 import * as takeAdviceRequests from './take_advice_requests.js';
 import * as crashAttribution from './crash_attribution.js';
 import * as explainJob from './explain_job.js';
-import * as jobOrder from './job_order.js';
 import * as jobRegistries from './job_registry.js';
 import * as jobSteps from './job_steps.js';
 import * as learnedSpeeds from './learned_speeds.js';
@@ -31,18 +30,16 @@
 import * as taskIds from './task_id.js';
 import * as taskIsolation from './task_isolation.js';
 import * as unaccountedWork from './unaccounted_work.js';
+import * as usableWorkers from './usable_workers.js';
 import * as waitingOrder from './waiting_order.js';
 import * as waitingDemand from './waiting_demand.js';
 import * as waitReporter from './wait_reporter.js';
+import * as workerRecorder from './worker_recorder.js';
 import * as workerRegistry from './worker_registry.js';
 import * as workerHealth from './worker_health.js';
 import * as workerLosses from './worker_losses.js';
 import * as workerRestarts from './worker_restarts.js';
 
-/** Latency above which commits of the store are slow; milliseconds. */
-const SLOW_COMMIT_MS = 100;
-/** Number of further workers recorded for a step while commits are slow. */
-const MAX_FURTHER_WORKERS = 3;
 /** Used where calls to the adviser are not limited. */
 const UNLIMITED_ADVICE: adviserPool.AdviceCapacity = {
   needed: Infinity,
@@ -115,6 +112,7 @@
   const order = waitingOrder.createWaitingOrder();
   const speedReporter = speedSummary.createSpeedReporter(onEvent);
   const reporter = waitReporter.createWaitReporter(onEvent);
+  const recorder = workerRecorder.createWorkerRecorder(registry, dirty);
   const starts = nearStarts.createNearStarts(onEvent);
   const nearPolicy = nearChoice.createNearPolicy(options, {
     starts,
@@ -208,85 +206,16 @@
       registry,
       now,
       speeds,
-      canUse(stepRun, id) {
-        if (health.trustOf(id, now) === 'avoided') return false;
-        if (!canHost(stepRun, id, now)) return false;
-        const gang = reservations.get(id);
-        return gang === undefined || !outranks(gang, stepRun);
-      },
+      canUse: (stepRun, id) =>
+        usableWorkers.canUse(stepRun, id, {
+          health,
+          isolation,
+          reservations,
+          now,
+        }),
     });
   }
 
-  /**
-   * Whether isolation allows a waiting task of the step to start on a worker.
-   */
-  function canHost(
-    stepRun: activeJob.StepRun,
-    id: types.ids.WorkerId,
-    now: types.clock.MonotonicMs,
-  ): boolean {
-    if (isolation.isClosedTo(stepRun, id)) return false;
-    if (!placeIsolated.waitsForIsolation(stepRun)) return true;
-    if (placeIsolated.splitWaiting(stepRun).others.length > 0) return true;
-    return isolation.canSoonStartIsolated(stepRun, id, now);
-  }
-
-  /** Whether a step had a higher rank than another one in the last cycle. */
-  function outranks(
-    {rank}: activeJob.StepRun,
-    other: activeJob.StepRun,
-  ): boolean {
-    if (rank === undefined || other.rank === undefined) return false;
-    return jobOrder.compareRanked(rank, other.rank) < 0;
-  }
-
-  /**
-   * Marks the jobs to be stored with the workers on which their tasks are about
-   * to start.
-   */
-  function recordWorkers(
-    awaitingCommit: readonly placements.Placement[],
-  ): void {
-    for (const {stepRun, worker} of awaitingCommit)
-      recordWorker(stepRun.job, worker.info.id);
-    if (commitMs <= SLOW_COMMIT_MS) return;
-    const needed = new Map<activeJob.StepRun, Set<types.ids.WorkerId>>();
-    for (const {stepRun, worker} of awaitingCommit) {
-      const ids = needed.get(stepRun) ?? new Set();
-      needed.set(stepRun, ids.add(worker.info.id));
-    }
-    for (const [stepRun, ids] of needed) recordFurtherWorkers(stepRun, ids);
-  }
-
-  function recordWorker(
-    job: activeJob.ActiveJob,
-    id: types.ids.WorkerId,
-  ): void {
-    if (job.workers.has(id)) return;
-    job.workers.set(id, 'recording');
-    dirty.add(job);
-  }
-
-  /**
-   * Records more approved workers for a step than it needs now. When the commit
-   * is done, others may use the capacity that the step had found. Those that an
-   * earlier cycle recorded count: a failover waits for all of them.
-   */
-  function recordFurtherWorkers(
-    {job, advice, attempts: started}: activeJob.StepRun,
-    needed: ReadonlySet<types.ids.WorkerId>,
-  ): void {
-    const used = new Set(needed);
-    for (const attempt of started) used.add(attempt.workerId);
-    const further = [...advice.approvals.keys()].filter(
-      (id) => !used.has(id) && registry.workers.has(id),
-    );
-    const unrecorded = further.filter((id) => !job.workers.has(id));
-    const recorded = further.length - unrecorded.length;
-    const missing = Math.max(0, MAX_FURTHER_WORKERS - recorded);
-    for (const id of unrecorded.slice(0, missing)) recordWorker(job, id);
-  }
-
   return {
     workerRegistry: registry,
     jobs,
@@ -366,7 +295,7 @@
         unaccountedWork.unaccountedWork(jobs.values()),
       );
       const cycle = runCycle(now, capacity.needed, limits);
-      recordWorkers(cycle.awaitingCommit);
+      recorder.record(cycle.awaitingCommit, commitMs);
       startOrders.numberAttempts(cycle.placed, options.attemptBase);
       const orders = cycle.placed.map((placed) => orderStart(placed, now));
       for (const {stepRun} of cycle.placed) jobRegistry.updateWaiting(stepRun);
