scheduler: leave work that needs a label out of the forecast of room

Steps that need a label which no worker has counted as work before all others, so that a few of them made entries refuse jobs for which there was room while a pool is nearly full (found by the review, by a script). The new test fails without the change.

--- a/packages/gypsumwall-scheduling/src/__tests__/waiting_demand.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/waiting_demand.test.ts
@@ -27,3 +27,12 @@
   assert.ok(row !== undefined && row.onTimeCoreMs > 0);
   assert.deepEqual(others, []);
 });
+
+// Guards against refusals of all jobs because of work that no worker can run.
+test('work that needs a label does not count as waiting before other work', () => {
+  const world = worlds.createSchedulerWorld();
+  world.addWorker('w1', 4);
+  world.submit('never', [worlds.step({requiredLabel: 'gone', taskCount: 999})]);
+  world.decide();
+  assert.deepEqual(world.scheduler.waitingDemand(), []);
+});
--- a/packages/gypsumwall-scheduling/src/waiting_demand.ts
+++ b/packages/gypsumwall-scheduling/src/waiting_demand.ts
@@ -50,7 +50,9 @@
 /**
  * Sums up the steps that could start if there were room. Work that nobody has
  * use for, that waits for its own organisation's quota, that may run already
- * after a takeover, or that runs until it is cancelled doesn't count.
+ * after a takeover, or that runs until it is cancelled doesn't count. Neither
+ * does work that needs a label: it may wait for other workers than those with
+ * room, or for none.
  */
 export function sumWaiting(
   steps: Iterable<activeJob.StepRun>,
@@ -64,6 +66,7 @@
     const {job, isOverQuota} = stepRun;
     if (lateness === 2 || claimant.isLongRunning || isOverQuota) continue;
     if (job.isAwaitingReconciliation) continue;
+    if (stepRun.request.requiredLabel !== undefined) continue;
     const {priority, isExcess} = claimant;
     const rank = {pool: job.policy.pool, priority, isExcess};
     const key = keyOf(rank);
