--- a/packages/gypsumwall-cell/src/__tests__/busy_peer.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/busy_peer.test.ts
@@ -10,7 +10,8 @@
 const BUSY = {type: 'not_run', retryAfterMs: 1_000, isPeerBusy: true};
 const CALL_INTERVAL_MS = 100;
 
-// Guards against a holder whose processor goes into telling its peers that it is busy.
+// Guards against a holder whose processor goes into telling its peers that it
+// is busy.
 test('a peer that stays busy is called less and less often', async () => {
   let now = 0 as types.clock.MonotonicMs;
   let answer: object = BUSY;
--- a/packages/gypsumwall-cell/src/__tests__/poll_delay.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/poll_delay.test.ts
@@ -17,7 +17,8 @@
   hasMoreEnds: false,
 };
 
-// Guards against a busy holder that sends almost every poll twice, as each answer passes through queues.
+// Guards against a busy holder that sends almost every poll twice, as each
+// answer passes through queues.
 test('polls that are all answered late are not repeated', async () => {
   const clock = types.clock.createSystemClock();
   const delay = pollDelays.createPollDelay();
--- a/packages/gypsumwall-scheduling/src/__tests__/learned_speeds.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/learned_speeds.test.ts
@@ -12,7 +12,8 @@
   (_, nth) => ({speed: nth % 3 === 2 ? 1.7 : 0.7}),
 );
 
-// Load: two generations of workers, uneven tasks. Guards against fast workers that are taken for slow ones, and the other way round.
+// Load: two generations of workers, uneven tasks. Guards against fast workers
+// that are taken for slow ones, and the other way round.
 test('nine of ten speeds are told apart after fifteen runs a worker', () => {
   const world = unevenRuns.createUnevenRuns(UNEVEN);
   world.runSteps(90);
@@ -36,7 +37,8 @@
   }
 });
 
-// Load: two pools whose workers never run tasks of one step. Guards against speeds of whole pools that drift apart without any run that compares them.
+// Load: two pools whose workers never run tasks of one step. Guards against
+// speeds of whole pools that drift apart without any run that compares them.
 test('workers of two pools keep a speed of exactly 1', () => {
   const alike = Array.from({length: 20}, () => ({speed: 1}));
   const {ids, registry, speeds} = unevenRuns.createUnevenRuns(alike);
@@ -85,7 +87,8 @@
   assert.equal(world.speeds.speedOf(world.ids[0]!), 1);
 });
 
-// Load: workers are added under load. Guards against fast ones that get no urgent work, and against a label that says nothing.
+// Load: workers are added under load. Guards against fast ones that get no
+// urgent work, and against a label that says nothing.
 test('a new worker has the speed of its label if that tells speeds apart', () => {
   const speedOfNewWorker = (labelOf: (nth: number) => string) => {
     const workers = UNEVEN.map((worker, nth) => ({
@@ -103,7 +106,8 @@
   );
 });
 
-// Guards against an operator who can't see why work goes where it goes, and against a line for each estimate.
+// Guards against an operator who can't see why work goes where it goes, and
+// against a line for each estimate.
 test('the speeds of a label are reported when they change materially', () => {
   const world = unevenRuns.createUnevenRuns(
     UNEVEN.map((worker) => ({...worker, labels: ['kind-a', 'r1']})),
--- a/packages/gypsumwall-scheduling/src/__tests__/run_meter.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/run_meter.test.ts
@@ -42,7 +42,8 @@
   assert.deepEqual(measured, [1_200, 1_300]);
 });
 
-// Guards against fast workers that count as slow since their gangs wait for slow members, before the start and at the end.
+// Guards against fast workers that count as slow since their gangs wait for
+// slow members, before the start and at the end.
 test('a member of a gang is measured by its own progress', () => {
   const {attempt, meter, measured, at} = measureTasks({gang: true});
   meter.onStarted(attempt, at(1_000));
@@ -54,7 +55,8 @@
   assert.deepEqual(measured, [1_000]);
 });
 
-// Guards against workers that count as fast since they resumed from saved progress.
+// Guards against workers that count as fast since they resumed from saved
+// progress.
 test('a resumed run is measured from its first progress', () => {
   const {attempt, meter, measured, at} = measureTasks({savesProgress: true});
   attempt.task!.stepRun.checkpoints.set(attempt.task!.index, 'saved');
@@ -64,7 +66,8 @@
   assert.deepEqual(measured, [1_000]);
 });
 
-// Guards against workers that count as slow since their tasks were far from their data or group, or used only spare time.
+// Guards against workers that count as slow since their tasks were far from
+// their data or group, or used only spare time.
 test('runs that depend on more than the worker are not measured', () => {
   const left: Partial<jobRequest.StepRequest>[] = [
     {preferredRack: 'r2'},
@@ -86,7 +89,8 @@
   assert.deepEqual(near.measured, [1_000]);
 });
 
-// Guards against tasks without progress on a worker that hangs: its health is judged elsewhere.
+// Guards against tasks without progress on a worker that hangs: its health is
+// judged elsewhere.
 test('a run that makes no progress or is stopped shows no speed', () => {
   const {attempt, meter, measured, at} = measureTasks();
   const stopping: activeJob.Attempt = {...attempt, phase: 'stopping'};
--- a/packages/gypsumwall-scheduling/src/__tests__/scheduling_cycle.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/scheduling_cycle.test.ts
@@ -70,7 +70,8 @@
   assert.ok(tries() <= 4);
 });
 
-// Guards against startable work that waits while steps without any approval are tried in vain.
+// Guards against startable work that waits while steps without any approval are
+// tried in vain.
 test('steps that wait for the adviser do not delay others', () => {
   const world = worlds.createSchedulerWorld();
   world.addWorker('w1', 4);
@@ -83,7 +84,8 @@
   assert.equal(world.decide().length, 1);
 });
 
-// Guards against free workers while steps of higher rank, whose tickets have expired, are tried in vain.
+// Guards against free workers while steps of higher rank, whose tickets have
+// expired, are tried in vain.
 test('steps without a valid ticket do not delay others', () => {
   const world = worlds.createSchedulerWorld();
   const {scheduler} = world;
@@ -112,7 +114,8 @@
   assert.deepEqual(started, ['fresh.0.0.0']);
 });
 
-// Guards against urgent work that waits behind the orders of a wide step, and against a rest that never starts.
+// Guards against urgent work that waits behind the orders of a wide step, and
+// against a rest that never starts.
 test('a cycle starts only what there is room for, by rank', () => {
   const world = worlds.createSchedulerWorld();
   const {scheduler} = world;
@@ -135,7 +138,8 @@
   assert.equal(started, 101);
 });
 
-// Guards against calls to the adviser whose answers expire before their tasks can start.
+// Guards against calls to the adviser whose answers expire before their tasks
+// can start.
 test('the adviser is not asked while enough work of higher rank can start', () => {
   const world = worlds.createSchedulerWorld();
   world.addWorker('w1', 200);
--- a/packages/gypsumwall-scheduling/src/__tests__/speed_fit.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/speed_fit.test.ts
@@ -50,7 +50,9 @@
   return chooseWorker.chooseWorker(stepRun, candidates, choice)?.info.id;
 }
 
-// Load: urgent work of 0.5 s beside work with several times the time it needs. Guards against urgent work that is late on slow workers while the others use the fast ones.
+// Load: urgent work of 0.5 s beside work with several times the time it needs.
+// Guards against urgent work that is late on slow workers while the others use
+// the fast ones.
 test('tight work goes to fast workers and loose work to slow ones', () => {
   assert.equal(chosenOf(TIGHT), 'fast');
   assert.equal(chosenOf(LOOSE), 'slow');
@@ -63,7 +65,8 @@
   assert.equal(chosenOf(TIGHT, {preferredRack: 'r-slow'}), 'slow');
 });
 
-// Load: an adviser that approves named workers only. Guards against urgent work that may not run on the fast workers, since it named the others.
+// Load: an adviser that approves named workers only. Guards against urgent work
+// that may not run on the fast workers, since it named the others.
 test('a call to the adviser names the workers whose speed suits the step', () => {
   const names = Array.from({length: 60}, (_, nth) =>
     nth % 3 === 2 ? `fast-${nth}` : `slow-${nth}`,
@@ -84,7 +87,8 @@
   }
 });
 
-// Load: gangs on workers of two speeds. Guards against fast workers that wait for slow members.
+// Load: gangs on workers of two speeds. Guards against fast workers that wait
+// for slow members.
 test('the members of a gang run on workers of like speed', () => {
   const names = ['slow-1', 'fast-1', 'slow-2', 'fast-2', 'slow-3'];
   const {candidates} = createStep(names, {});
@@ -104,7 +108,9 @@
   assert.equal(fit(11, 1), undefined);
 });
 
-// Failure: a member of a gang crashes workers. Guards against a gang that gathers on the few workers of one speed, where a crash tells nothing of which task is at fault.
+// Failure: a member of a gang crashes workers. Guards against a gang that
+// gathers on the few workers of one speed, where a crash tells nothing of which
+// task is at fault.
 test('a gang that is spread after crashes uses workers of all speeds', () => {
   const names = ['slow-1', 'fast-1', 'slow-2', 'fast-2', 'slow-3'];
   const {candidates} = createStep(names, {});
@@ -115,7 +121,8 @@
   assert.equal(new Set(chosen).size, 5);
 });
 
-// Load: a cell with a fast worker among slow ones. Guards against a scheduler that doesn't use what its workers report.
+// Load: a cell with a fast worker among slow ones. Guards against a scheduler
+// that doesn't use what its workers report.
 test('a scheduler learns from the ends of tasks where urgent work goes', () => {
   const world = worlds.createSchedulerWorld();
   const names = ['slow-1', 'slow-2', 'fast-1', 'slow-3'];
--- a/packages/gypsumwall-scheduling/src/__tests__/waiting_order.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/waiting_order.test.ts
@@ -11,7 +11,8 @@
 const STEPS = 60;
 const CYCLES = 200;
 
-// Guards against an order that is out of date after steps have come, gone or become late.
+// Guards against an order that is out of date after steps have come, gone or
+// become late.
 test('the order is that of all waiting steps sorted anew', () => {
   const random = types.random.createRandom(11);
   const world = worlds.createSchedulerWorld();
