scheduler: estimate the speeds of alike workers less often

An estimate takes some milliseconds, twice a second, also where it has never found a difference. After twenty such estimates in a row the interval is 4 s; a difference brings it back to 0.5 s. By its interval the new test would count 120 estimates a minute without the change, 40 are allowed.

--- a/packages/gypsumwall-scheduling/src/__tests__/learned_speeds.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/learned_speeds.test.ts
@@ -128,3 +128,16 @@
   assert.deepEqual([event?.label, event?.workers], ['kind-a', 60]);
   assert.ok(event!.min < 0.9 && event!.max > 1.3);
 });
+
+// Load: a small instance that holds a cell of alike workers. Guards against
+// estimates that take a good part of its processor and find nothing.
+test('speeds of workers that stay equally fast are estimated seldom', () => {
+  const alike = Array.from({length: 8}, () => ({speed: 1}));
+  const {ids, registry, speeds} = unevenRuns.createUnevenRuns(alike);
+  let estimates = 0;
+  for (let ms = 0; ms < 60_000; ms += 100) {
+    for (const id of ids) speeds.add(`step${ms}`, id, 1_000);
+    if (speeds.refresh(registry, ms as types.clock.MonotonicMs)) estimates++;
+  }
+  assert.ok(estimates <= 40, `${estimates} estimates in a minute`);
+});
--- a/packages/gypsumwall-scheduling/src/learned_speeds.ts
+++ b/packages/gypsumwall-scheduling/src/learned_speeds.ts
@@ -20,6 +20,12 @@
 const MAX_EARLIER_RUNS = 10;
 /** Interval between two estimates; milliseconds. */
 const REFRESH_INTERVAL_MS = 500;
+/**
+ * The same while many estimates in a row have found all workers equally fast: an
+ * estimate takes milliseconds, which a small instance notices.
+ */
+const ALIKE_REFRESH_INTERVAL_MS = 4_000;
+const MIN_ALIKE_ESTIMATES = 20;
 /** Speeds and run times of steps are estimated in turn this many times. */
 const PASSES = 2;
 /** Bounds of a speed. */
@@ -87,6 +93,8 @@
   let groupCount = 0;
   let hasNewRuns = false;
   let refreshAt = 0;
+  /** Estimates in a row that have found all workers equally fast. */
+  let alikeEstimates = 0;
 
   function dropOldSteps(): void {
     for (const [stepRunId, runs] of runsByStep) {
@@ -238,7 +246,6 @@
     },
     refresh(registry, now) {
       if (!hasNewRuns || now < refreshAt) return false;
-      refreshAt = now + REFRESH_INTERVAL_MS;
       hasNewRuns = false;
       for (let pass = 0; pass < PASSES; pass++) {
         showSpeeds();
@@ -246,6 +253,10 @@
         centre();
       }
       published = publish(registry);
+      alikeEstimates = published.size === 0 ? alikeEstimates + 1 : 0;
+      const isAlike = alikeEstimates >= MIN_ALIKE_ESTIMATES;
+      const spanMs = isAlike ? ALIKE_REFRESH_INTERVAL_MS : REFRESH_INTERVAL_MS;
+      refreshAt = now + spanMs;
       return true;
     },
     forget(worker) {
