scheduler: bound the time that estimates of speeds take

They now take at most 0.5% of the time by the holder's own measure. The scheduler still reads no clock: the holder hands the measure in. Without the measure the new test would count 120 estimates a minute, 15 are allowed.

--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -72,6 +72,7 @@
   });
   const stopping = new AbortController();
   const scheduler = scheduling.scheduler.createScheduler({
+    readMs: () => performance.now(),
     attemptBase: claim.generation * ATTEMPTS_PER_GENERATION,
     isReconciled: (worker) => barrier.isAccounted(worker),
     organisationOf: (id) => jobs.get(id)?.organisation,
--- a/packages/gypsumwall-scheduling/src/__tests__/learned_speeds.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/learned_speeds.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict';
 import * as nodeTest from 'node:test';
 import * as types from '@gypsumwall/types';
+import * as learnedSpeeds from '../learned_speeds.js';
 import * as unevenRuns from '../__fixtures__/uneven_runs.js';
 import * as speedSummary from '../speed_summary.js';
 
@@ -141,3 +142,18 @@
   }
   assert.ok(estimates <= 40, `${estimates} estimates in a minute`);
 });
+
+// Load: a holder with a small part of a core. Guards against estimates that take
+// the processor time of starts.
+test('estimates that take long are made less often', () => {
+  const {ids, registry} = unevenRuns.createUnevenRuns(UNEVEN);
+  let readings = 0;
+  const speeds = learnedSpeeds.createLearnedSpeeds(() => readings++ * 20);
+  let estimates = 0;
+  for (let ms = 0; ms < 60_000; ms += 100) {
+    for (const [nth, id] of ids.entries())
+      speeds.add(`step${ms}`, id, 1_000 / UNEVEN[nth]!.speed);
+    if (speeds.refresh(registry, ms as types.clock.MonotonicMs)) estimates++;
+  }
+  assert.equal(estimates, 15);
+});
--- a/packages/gypsumwall-scheduling/src/learned_speeds.ts
+++ b/packages/gypsumwall-scheduling/src/learned_speeds.ts
@@ -26,6 +26,8 @@
  */
 const ALIKE_REFRESH_INTERVAL_MS = 4_000;
 const MIN_ALIKE_ESTIMATES = 20;
+/** Part of the time that estimates take at most. */
+const MAX_ESTIMATE_SHARE = 0.005;
 /** Speeds and run times of steps are estimated in turn this many times. */
 const PASSES = 2;
 /** Bounds of a speed. */
@@ -84,8 +86,13 @@
   group: number;
 }
 
-/** Creates speeds of workers of which nothing is known. */
-export function createLearnedSpeeds(): LearnedSpeeds {
+/**
+ * Creates speeds of workers of which nothing is known. `readMs` measures how
+ * long estimates take, in milliseconds; by default they cost nothing.
+ */
+export function createLearnedSpeeds(
+  readMs: () => number = () => 0,
+): LearnedSpeeds {
   const runsByStep = new Map<string, Run[]>();
   const estimates = new Map<types.ids.WorkerId, Estimate>();
   let published = new Map<types.ids.WorkerId, number>();
@@ -247,6 +254,7 @@
     refresh(registry, now) {
       if (!hasNewRuns || now < refreshAt) return false;
       hasNewRuns = false;
+      const begunMs = readMs();
       for (let pass = 0; pass < PASSES; pass++) {
         showSpeeds();
         for (const estimate of estimates.values()) combine(estimate);
@@ -256,7 +264,9 @@
       alikeEstimates = published.size === 0 ? alikeEstimates + 1 : 0;
       const isAlike = alikeEstimates >= MIN_ALIKE_ESTIMATES;
       const spanMs = isAlike ? ALIKE_REFRESH_INTERVAL_MS : REFRESH_INTERVAL_MS;
-      refreshAt = now + spanMs;
+      // An estimate takes long on an instance with little processor capacity.
+      const minSpanMs = (readMs() - begunMs) / MAX_ESTIMATE_SHARE;
+      refreshAt = now + Math.max(spanMs, minSpanMs);
       return true;
     },
     forget(worker) {
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -67,7 +67,7 @@
     onEvent,
   });
   const {jobs, waitingSteps, jobsToOpen, dirty} = jobRegistry;
-  const speeds = learnedSpeeds.createLearnedSpeeds();
+  const speeds = learnedSpeeds.createLearnedSpeeds(options.readMs);
   const runMeter = runMeters.createRunMeter(speeds, registry);
   const readReport = reportReader.createReportReader({
     registry,
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -242,6 +242,11 @@
 
 /** Options of a scheduler. */
 export interface SchedulerOptions extends nearChoice.NearOptions {
+  /**
+   * Measures how long decisions take, in milliseconds; they cost nothing if
+   * absent.
+   */
+  readonly readMs?: () => number;
   /** Attempts of this scheduler get numbers above this one. */
   readonly attemptBase: number;
   /**
