review: case 1, sound jobs are shown as failed after executor crashes

A job with a task that lasts is given up once four executors have crashed under it, one at a time within 20 s, though no run of it ended failed (crash_records.ts, crash_attribution.ts).

--- /dev/null
+++ b/review/common/cell.mjs
@@ -0,0 +1,154 @@
+/**
+ * Starts a small deployment for a case: the entries as the deploy file starts
+ * them, on the project's emulated platform, with the settings that the users'
+ * pages show for a small deployment. Records what callers and workers see.
+ */
+import * as fs from 'node:fs';
+import * as path from 'node:path';
+import * as timers from 'node:timers/promises';
+import * as url from 'node:url';
+
+/** The repository. */
+const ROOT = url.fileURLToPath(new URL('../../', import.meta.url));
+
+/** Exit codes of a case. */
+export const HELD = 0;
+export const BROKEN = 1;
+export const COULD_NOT_RUN = 2;
+
+/** Ends a case that takes longer, in milliseconds. */
+const TIME_LIMIT_MS = 115_000;
+const READY_TIMEOUT_MS = 20_000;
+
+export const sleep = (ms) => timers.setTimeout(ms);
+
+/** Whether the disruption of the case is to be made. */
+export const hasTrouble = process.env['TROUBLE'] !== '0';
+
+/**
+ * Runs a case in its folder. `play` gets the cell and returns what broke the
+ * rule, one line for each occasion.
+ */
+export async function runCase(folderUrl, settings, play) {
+  const folder = url.fileURLToPath(new URL('.', folderUrl));
+  const recordFile = path.join(folder, 'record.txt');
+  fs.writeFileSync(recordFile, '');
+  process.chdir(ROOT);
+  const startedAt = performance.now();
+  const note = (line) => {
+    const seconds = ((performance.now() - startedAt) / 1_000).toFixed(3);
+    fs.appendFileSync(recordFile, `${seconds.padStart(8)} s  ${line}\n`);
+  };
+  const limit = setTimeout(() => {
+    note(`the case took longer than ${TIME_LIMIT_MS} ms`);
+    process.exit(COULD_NOT_RUN);
+  }, TIME_LIMIT_MS);
+  let cell;
+  let code = COULD_NOT_RUN;
+  try {
+    const {emulatedCell, emulatorConfig} = await import(
+      url.pathToFileURL(
+        path.join(ROOT, 'packages/gypsumwall-emulator/lib/index.js'),
+      ).href
+    );
+    cell = await emulatedCell.startEmulatedCell({
+      config: emulatorConfig.emulatorConfigSchema.parse(settings),
+      deployFile: 'deploy/system.toml',
+    });
+    recordHistory(cell, note);
+    await cell.untilReady(cell.clock.monotonic() + READY_TIMEOUT_MS);
+    note(`trouble: ${hasTrouble ? 'yes' : 'no'}; all entries are ready`);
+    const faults = await play({cell, note});
+    for (const fault of faults) note(`BROKEN: ${fault}`);
+    note(faults.length > 0 ? 'the rule was broken' : 'the rule held');
+    code = faults.length > 0 ? BROKEN : HELD;
+  } catch (thrown) {
+    note(`the case could not run: ${thrown?.stack ?? thrown}`);
+  }
+  await cell?.close(false).catch(() => undefined);
+  clearTimeout(limit);
+  process.exit(code);
+}
+
+/** Writes each event of the platform's history to the record. */
+function recordHistory(cell, note) {
+  const {history} = cell.model;
+  const {record} = history;
+  history.record = (details) => {
+    record(details);
+    const {type, ...rest} = details;
+    note(`${type} ${JSON.stringify(rest)}`);
+  };
+}
+
+/** The entry that holds the cell; rejects if none does in time. */
+export async function findHolder(cell, timeoutMs = 10_000) {
+  const until = performance.now() + timeoutMs;
+  while (performance.now() < until) {
+    const holder = await cell.findHolder();
+    if (holder !== undefined) return holder;
+    await sleep(20);
+  }
+  throw new Error('no entry holds the cell');
+}
+
+/** The machine whose worker runs the task; undefined if none does. */
+export function machineOf(cell, taskId) {
+  return cell.model.machines.find((machine) =>
+    machine
+      .worker()
+      ?.running()
+      .some((run) => run.taskId === taskId),
+  );
+}
+
+/** Resolves once the condition holds; to false if it doesn't in time. */
+export async function until(condition, timeoutMs) {
+  const deadline = performance.now() + timeoutMs;
+  while (performance.now() < deadline) {
+    if (await condition()) return true;
+    await sleep(20);
+  }
+  return false;
+}
+
+/**
+ * The settings of a small deployment: three zones with an entry and three
+ * workers each, and the bounds of the sheet for terrain-delivery.
+ */
+export function smallDeployment(seed = 1) {
+  return {
+    seed,
+    zones: ['bagmati-a', 'bagmati-b', 'bagmati-c'],
+    pools: [
+      {
+        name: 'terrain',
+        workersPerZone: 3,
+        workersPerRack: 8,
+        capacity: {cpuMillis: 16_000, memoryMb: 65_536},
+      },
+    ],
+    queues: [
+      {
+        name: 'watch',
+        host: 'watch.example',
+        pathPrefix: '/watch/',
+        pool: 'terrain',
+        priority: 1,
+        maxAttempts: 4,
+        targetMs: 2_500,
+      },
+    ],
+    workers: {
+      heartbeatMs: 1_500,
+      longestLeaseMs: 10_000,
+      restoreMs: 250,
+      checkpointMs: 500,
+      stopMs: 900,
+      gangTimeoutMs: 3_000,
+      drainMs: 2_000,
+      restartMs: 4_000,
+    },
+    entries: {graceMs: 6_000, restartMs: 500, cpuShare: 0.675},
+  };
+}
