--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -8,11 +8,6 @@
 const STOP_GAP_MS = 1_300;
 /** Time for which the tasks are watched afterwards; milliseconds. */
 const WATCH_MS = 26_000;
-/** The rule's spans, in milliseconds. */
-const SINCE_LAST_RUN_MS = 6_000;
-const STILL_MS = 3_000;
-const CALM_BEFORE_MS = 4_000;
-
 const job = {
   jobId: '5c0e7a21d94b36f8',
   queue: 'watch',
@@ -47,37 +42,10 @@
   return {from: stoppedAt, until: cell.clock.monotonic()};
 }
 
-/** When a task didn't run though it had to, by the rule's spans. */
-function findStill(cell, task, disruptions, endAt) {
-  const spans = [];
-  let stoppedAt;
-  for (const event of cell.model.history.events()) {
-    const {type, at, taskId} = event;
-    if (type === 'run_started' && taskId === task) {
-      if (stoppedAt !== undefined) spans.push([stoppedAt, at]);
-      stoppedAt = undefined;
-    }
-    if (type === 'run_ended' && taskId === task) stoppedAt = at;
-    if (type === 'worker_lost_for_test' && event.tasks.includes(task))
-      stoppedAt = at;
-  }
-  if (stoppedAt !== undefined) spans.push([stoppedAt, endAt]);
-  for (const [stopped, started] of spans) {
-    // The last disruption that began before the task ran again.
-    const calmFrom = Math.max(
-      ...disruptions.map(({until}) => until + CALM_BEFORE_MS),
-    );
-    const from = Math.max(stopped + SINCE_LAST_RUN_MS, calmFrom);
-    if (started - from >= STILL_MS) return {stopped, started, from};
-  }
-  return undefined;
-}
-
 await common.runCase(
   import.meta.url,
   common.smallDeployment(),
   async ({cell, note}) => {
-    const {history} = cell.model;
     const told = await cell.callers.submit(job);
     if (told !== 'accepted') throw new Error(`the job is ${told}`);
     const areRunning = () =>
@@ -88,12 +56,7 @@
     const disruptions = [];
     if (common.hasTrouble) {
       const machine = common.machineOf(cell, tasks[0]);
-      const lost = tasks.filter(
-        (task) => common.machineOf(cell, task) === machine,
-      );
-      note(`${machine.name} is lost for good, with ${lost.length} tasks`);
-      machine.stop();
-      history.record({type: 'worker_lost_for_test', tasks: lost});
+      common.loseMachine(cell, machine, tasks, note);
       const lostAt = cell.clock.monotonic();
       disruptions.push({from: lostAt, until: lostAt});
       const restarts = [];
@@ -106,18 +69,6 @@
       note('the last disruption is over');
     }
     await common.sleep(WATCH_MS);
-    const endAt = cell.clock.monotonic();
-    const faults = [];
-    for (const task of tasks) {
-      const still = findStill(cell, task, disruptions, endAt);
-      if (still === undefined) continue;
-      const {stopped, started, from} = still;
-      faults.push(
-        `${task} stood still for ${Math.round(started - stopped)} ms, ` +
-          `${Math.round(started - from)} ms of them counted, ` +
-          `with ${cell.model.machines.length - 1} workers that have room`,
-      );
-    }
-    return faults;
+    return common.describeStill(cell, tasks, disruptions);
   },
 );
--- a/review/common/cell.mjs
+++ b/review/common/cell.mjs
@@ -152,3 +152,59 @@
     entries: {graceMs: 6_000, restartMs: 500, cpuShare: 0.675},
   };
 }
+
+/** The rule's spans for tasks that last, in milliseconds. */
+const SINCE_LAST_RUN_MS = 6_000;
+const STILL_MS = 3_000;
+const CALM_BEFORE_MS = 4_000;
+
+/** When a task didn't run though it had to, by the rule's spans. */
+export function findStill(cell, task, disruptions, endAt) {
+  const spans = [];
+  let stoppedAt;
+  for (const event of cell.model.history.events()) {
+    const {type, at, taskId} = event;
+    if (type === 'run_started' && taskId === task) {
+      if (stoppedAt !== undefined) spans.push([stoppedAt, at]);
+      stoppedAt = undefined;
+    }
+    if (type === 'run_ended' && taskId === task) stoppedAt = at;
+    if (type === 'worker_lost_for_test' && event.tasks.includes(task))
+      stoppedAt = at;
+  }
+  if (stoppedAt !== undefined) spans.push([stoppedAt, endAt]);
+  for (const [stopped, started] of spans) {
+    // The last disruption that began before the task ran again.
+    const calmFrom = Math.max(
+      ...disruptions.map(({until}) => until + CALM_BEFORE_MS),
+    );
+    const from = Math.max(stopped + SINCE_LAST_RUN_MS, calmFrom);
+    if (started - from >= STILL_MS) return {stopped, started, from};
+  }
+  return undefined;
+}
+
+/** Loses the machine for good; returns which of the tasks it ran. */
+export function loseMachine(cell, machine, tasks, note) {
+  const lost = tasks.filter((task) => machineOf(cell, task) === machine);
+  note(`${machine.name} is lost for good, with ${lost.length} tasks that last`);
+  machine.stop();
+  cell.model.history.record({type: 'worker_lost_for_test', tasks: lost});
+}
+
+/** Describes the tasks that stood still against the rule. */
+export function describeStill(cell, tasks, disruptions) {
+  const endAt = cell.clock.monotonic();
+  const faults = [];
+  for (const task of tasks) {
+    const still = findStill(cell, task, disruptions, endAt);
+    if (still === undefined) continue;
+    const {stopped, started, from} = still;
+    faults.push(
+      `${task} stood still for ${Math.round(started - stopped)} ms, ` +
+        `${Math.round(started - from)} ms of them counted, ` +
+        `with ${cell.model.machines.length - 1} workers that have room`,
+    );
+  }
+  return faults;
+}
