--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,6 +1,9 @@
 /** See `claim.txt`. */
 import * as common from '../common/cell.mjs';
 
+/** Whether the disruption is made; `TROUBLE=0` leaves it out. */
+const hasTrouble = process.env['TROUBLE'] !== '0';
+
 const TASKS = 12;
 /** Quiet time before the disruption; milliseconds. */
 const QUIET_MS = 9_000;
@@ -42,10 +45,11 @@
   return {from: stoppedAt, until: cell.clock.monotonic()};
 }
 
-await common.runCase(
-  import.meta.url,
-  common.smallDeployment(),
-  async ({cell, note}) => {
+await common.runCase({
+  folderUrl: import.meta.url,
+  settings: common.smallDeployment(),
+  hasTrouble,
+  play: async ({cell, note}) => {
     const told = await cell.callers.submit(job);
     if (told !== 'accepted') throw new Error(`the job is ${told}`);
     const areRunning = () =>
@@ -54,7 +58,7 @@
       throw new Error('the tasks do not all run');
     await common.sleep(QUIET_MS);
     const disruptions = [];
-    if (common.hasTrouble) {
+    if (hasTrouble) {
       const machine = common.machineOf(cell, tasks[0]);
       common.loseMachine(cell, machine, tasks, note);
       const lostAt = cell.clock.monotonic();
@@ -71,4 +75,4 @@
     await common.sleep(WATCH_MS);
     return common.describeStill(cell, tasks, disruptions);
   },
-);
+});
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,6 +1,9 @@
 /** See `claim.txt`. */
 import * as common from '../common/cell.mjs';
 
+/** Whether the disruption is made; `TROUBLE=0` leaves it out. */
+const hasTrouble = process.env['TROUBLE'] !== '0';
+
 const MACHINES = 9;
 /** Time for which the other work runs first; milliseconds. */
 const BUSY_MS = 5_000;
@@ -43,16 +46,17 @@
     throw new Error(`the tasks of ${job.jobId} do not all run`);
 }
 
-await common.runCase(
-  import.meta.url,
-  common.smallDeployment(),
-  async ({cell, note}) => {
+await common.runCase({
+  folderUrl: import.meta.url,
+  settings: common.smallDeployment(),
+  hasTrouble,
+  play: async ({cell, note}) => {
     await submit(cell, build);
     await common.sleep(BUSY_MS);
     await submit(cell, watch);
     await common.sleep(BEFORE_LOSS_MS);
     const disruptions = [];
-    if (common.hasTrouble) {
+    if (hasTrouble) {
       const machine = common.machineOf(cell, tasks[0]);
       common.loseMachine(cell, machine, tasks, note);
       const lostAt = cell.clock.monotonic();
@@ -73,4 +77,4 @@
     await common.sleep(WATCH_MS);
     return common.describeStill(cell, tasks, disruptions);
   },
-);
+});
--- a/review/common/cell.mjs
+++ b/review/common/cell.mjs
@@ -22,14 +22,11 @@
 
 export const sleep = (ms) => timers.setTimeout(ms);
 
-/** Whether the disruption of the case is to be made. */
-export const hasTrouble = process.env['TROUBLE'] !== '0';
-
 /**
  * Runs a case in its folder. `play` gets the cell and returns what broke the
- * rule, one line for each occasion.
+ * rule, one line for each occasion; `hasTrouble` is only recorded.
  */
-export async function runCase(folderUrl, settings, play) {
+export async function runCase({folderUrl, settings, hasTrouble, play}) {
   const folder = url.fileURLToPath(new URL('.', folderUrl));
   const recordFile = path.join(folder, 'record.txt');
   fs.writeFileSync(recordFile, '');
