review: the stand-ins end their entries when they fail

Cause: a signal to the script left entries behind, and a fault of the stand-ins ended it with 1, as a broken rule does. Change: both end the entries and exit with 2; ports are distinct.

--- a/review/common-2/cell.mjs
+++ b/review/common-2/cell.mjs
@@ -117,8 +117,9 @@
 
 async function createEntry({name, zone, store, folder}) {
   const host = await findHost();
-  const ports = [];
-  while (ports.length < 3) ports.push(await isFree(host, 0));
+  const found = new Set();
+  while (found.size < 3) found.add(await isFree(host, 0));
+  const ports = [...found];
   const settings = path.join(folder, `${name}.conf`);
   fs.writeFileSync(settings, settingsOf({name, host, zone, ports, store}));
   const log = path.join(folder, `${name}.log`);
@@ -141,11 +142,7 @@
 
   return {
     name,
-    log,
     front: `${host}:${ports[0]}`,
-    metrics: `${host}:${METRICS_PORT}`,
-    pid: () => child.pid,
-    signal: (name) => child.kill(name),
     /** SIGTERM, and SIGKILL after the grace period; it starts again. */
     async terminate() {
       const target = child;
@@ -154,9 +151,12 @@
       await new Promise((resolve) => target.once('exit', resolve));
       clearTimeout(timer);
     },
+    kill() {
+      isClosed = true;
+      child.kill('SIGKILL');
+    },
     async close() {
       isClosed = true;
-      child.kill('SIGCONT');
       child.kill('SIGKILL');
       if (child.exitCode === null && child.signalCode === null)
         await new Promise((resolve) => child.once('exit', resolve));
@@ -211,6 +211,17 @@
   kindOf = () => 'a',
 }) {
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'gypsumwall-review-'));
+  const machines = [];
+  // A fault of the stand-ins, or a signal, is no broken rule.
+  const abandon = (cause) => {
+    console.error(cause);
+    for (const one of machines) one.kill();
+    fs.rmSync(folder, {recursive: true, force: true});
+    process.exit(2);
+  };
+  process.on('uncaughtException', abandon);
+  process.on('SIGTERM', abandon);
+  process.on('SIGINT', abandon);
   const record = fs.createWriteStream(recordFile);
   const startedAt = performance.now();
   const seconds = () => ((performance.now() - startedAt) / 1_000).toFixed(3);
@@ -252,7 +263,6 @@
 
   const workerHost = await findHost();
   for (let nth = 0; nth < workers; nth++) await startExecutor(nth, 0);
-  const machines = [];
   for (let nth = 0; nth < entries; nth++) {
     const zone = ZONES[nth % 3];
     const name = `frontend-${zone}-${1 + Math.floor(nth / 3)}`;
--- a/review/common-2/store.mjs
+++ b/review/common-2/store.mjs
@@ -218,7 +218,12 @@
 
   const server = http.createServer(async (req, res) => {
     const chunks = [];
-    for await (const chunk of req) chunks.push(chunk);
+    try {
+      for await (const chunk of req) chunks.push(chunk);
+    } catch {
+      // The caller has gone before its call was complete.
+      return;
+    }
     const url = new URL(req.url, 'http://store');
     const query = url.searchParams;
     if (url.pathname === '/v1/log-append')
--- a/review/common-2/worker.mjs
+++ b/review/common-2/worker.mjs
@@ -155,7 +155,12 @@
   };
   const server = http.createServer(async (req, res) => {
     const chunks = [];
-    for await (const chunk of req) chunks.push(chunk);
+    try {
+      for await (const chunk of req) chunks.push(chunk);
+    } catch {
+      // The caller has gone before its call was complete.
+      return;
+    }
     const call = calls[req.url];
     const expected = req.headers['expect-instance'];
     if (expected !== undefined && expected !== id) {
