scheduling: log why a job failed and what counted

Cause: job_over said neither the rule that ended the job nor what had counted; no line told how a crash under a task was known, or that the limit of failures had changed. Change: job_over phase=failed carries reason, task, and the failed attempts with their workers and the limit, or the crashes with kind and evidence; crash_recorded for each crash that counts; failure_limit_changed. Decisions, stored records and calls stay as they are.

--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -292,6 +292,10 @@
     const now = clock.monotonic();
     const ageMs = inherited ? Math.max(0, wall - record.acceptedAt) : 0;
     const policy = options.policyOf(record.policy.queue) ?? record.policy;
+    const {queue, maxFailures: limit} = policy;
+    const {maxFailures: before} = record.policy;
+    if (limit !== before)
+      logger.info('failure_limit_changed', {job: job.id, queue, limit, before});
     const acceptedAt = types.clock.after(now, -ageMs);
     const {request, organisation} = record;
     const {id, progress} = job;
--- a/packages/gypsumwall-scheduling/src/active_job.ts
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -72,14 +72,18 @@
   waitingIndexes: number[];
   readonly attempts: Set<Attempt>;
   readonly doneIndexes: Set<number>;
-  /** Numbers of failed attempts by task index; under `GANG_KEY` for a gang. */
-  readonly failures: Map<number, Set<number>>;
+  /**
+   * Failed attempts by task index, or under `GANG_KEY` for a gang: their numbers
+   * with the worker that reported the end; undefined if an earlier scheduler
+   * received it.
+   */
+  readonly failures: Map<number, Map<number, types.ids.WorkerId | undefined>>;
   /**
    * Workers that crashed while they ran a task, by task index, also for a gang.
    */
   readonly crashes: Map<
     number,
-    Map<types.ids.WorkerIncarnation, jobProgress.CrashKind>
+    Map<types.ids.WorkerIncarnation, jobProgress.CrashRecord>
   >;
   /**
    * Highest attempt number used, by task index; under `GANG_KEY` for a gang.
@@ -287,14 +291,16 @@
 function stepProgressOf(stepRun: StepRun): jobProgress.StepProgress {
   const failures: Record<string, number[]> = {};
   for (const [index, failedAttempts] of stepRun.failures) {
-    failures[index] = [...failedAttempts];
+    failures[index] = [...failedAttempts.keys()];
   }
   if (stepRun.state === 'done') return {done: 'all', failures};
   const done = [...stepRun.doneIndexes];
   const crashes: Record<string, Record<string, jobProgress.CrashKind>> = {};
   for (const [index, workers] of stepRun.crashes) {
-    if (!stepRun.doneIndexes.has(index))
-      crashes[index] = Object.fromEntries(workers);
+    if (stepRun.doneIndexes.has(index)) continue;
+    const kinds: Record<string, jobProgress.CrashKind> = {};
+    for (const [worker, {kind}] of workers) kinds[worker] = kind;
+    crashes[index] = kinds;
   }
   if (Object.keys(crashes).length === 0) return {done, failures};
   return {done, failures, crashes};
--- a/packages/gypsumwall-scheduling/src/crash_attribution.ts
+++ b/packages/gypsumwall-scheduling/src/crash_attribution.ts
@@ -67,19 +67,19 @@
     stepRun: activeJob.StepRun,
     index: number,
     worker: workerIncarnation.Incarnation,
-    kind: jobProgress.CrashKind,
+    crash: jobProgress.CrashRecord,
   ): boolean {
     const {job} = stepRun;
     if (jobProgress.isOver(job.phase) || stepRun.state === 'done') return false;
     if (stepRun.doneIndexes.has(index)) return false;
-    if (!crashRecords.recordCrash(stepRun, index, worker, kind)) return false;
+    if (!crashRecords.recordCrash(stepRun, index, worker, crash)) return false;
     jobRegistry.dirty.add(job);
     const crashes = crashRecords.crashCount(stepRun, index);
-    if (crashRecords.needsIsolation(stepRun, index)) {
-      const task = taskIds.taskId(stepRun.id, index);
-      const {id} = worker;
+    const task = taskIds.taskId(stepRun.id, index);
+    const {id} = worker;
+    onEvent({type: 'crash_recorded', task, worker: id, ...crash, crashes});
+    if (crashRecords.needsIsolation(stepRun, index))
       onEvent({type: 'task_suspected', task, worker: id, crashes});
-    }
     return true;
   }
 
@@ -95,7 +95,8 @@
     const known = stepRun.crashes.get(index) ?? new Map();
     const worker = workers.find((one) => !crashRecords.isRecorded(known, one));
     if (worker === undefined) return;
-    if (!recordForTask(stepRun, index, worker, 'single')) return;
+    const crash = {kind: 'single', evidence: 'presumed'} as const;
+    if (!recordForTask(stepRun, index, worker, crash)) return;
     const reason = crashRecords.giveUpReason(stepRun, index, undefined);
     if (reason !== undefined) giveUp({stepRun, index}, reason);
   }
@@ -104,15 +105,17 @@
     {stepRun, index}: jobRegistries.TaskRef,
     reason: crashRecords.GiveUpReason,
   ): void {
+    const task = taskIds.taskId(stepRun.id, index);
     const workers = [...(stepRun.crashes.get(index)?.keys() ?? [])];
     onEvent({
       type: 'task_given_up',
-      task: taskIds.taskId(stepRun.id, index),
+      task,
       reason,
       crashes: workers.length,
       workers: workers.join(','),
     });
-    jobRegistry.finishJob(stepRun.job, 'failed');
+    const crashes = crashRecords.describeCrashes(stepRun, index);
+    jobRegistry.finishJob(stepRun.job, 'failed', {reason, task, crashes});
   }
 
   /**
@@ -153,7 +156,11 @@
       for (const attempt of attempts) {
         if (attempt.task === undefined) continue;
         const {stepRun, index} = attempt.task;
-        if (!recordForTask(stepRun, index, crashed, kind)) continue;
+        const evidence = lost.includes(attempt)
+          ? evidenceOf(attempt)
+          : 'lapsed';
+        const crash = {kind, evidence} as const;
+        if (!recordForTask(stepRun, index, crashed, crash)) continue;
         const ranMs = isolatedMs(attempt, now);
         const reason = crashRecords.giveUpReason(stepRun, index, ranMs);
         if (reason !== undefined) giveUp(attempt.task, reason);
@@ -189,6 +196,10 @@
   };
 }
 
+function evidenceOf({startedAt}: activeJob.Attempt): jobProgress.CrashEvidence {
+  return startedAt === undefined ? 'unanswered' : 'running';
+}
+
 /** Indexes of tasks of an open step that neither run nor are done. */
 function missingIndexes(stepRun: activeJob.StepRun): number[] {
   if (stepRun.state !== 'open') return [];
--- a/packages/gypsumwall-scheduling/src/crash_records.ts
+++ b/packages/gypsumwall-scheduling/src/crash_records.ts
@@ -16,7 +16,7 @@
 /** Crashes of one task, by worker incarnation. */
 export type Crashes = ReadonlyMap<
   types.ids.WorkerIncarnation,
-  jobProgress.CrashKind
+  jobProgress.CrashRecord
 >;
 
 /** Number of crashes from which a task starts isolated from other jobs. */
@@ -58,7 +58,7 @@
 
 function countSingle(crashes: Crashes): number {
   let count = 0;
-  for (const kind of crashes.values()) if (kind === 'single') count++;
+  for (const {kind} of crashes.values()) if (kind === 'single') count++;
   return count;
 }
 
@@ -67,17 +67,17 @@
   stepRun: activeJob.StepRun,
   index: number,
   worker: workerIncarnation.Incarnation,
-  kind: jobProgress.CrashKind,
+  crash: jobProgress.CrashRecord,
 ): boolean {
   const crashes =
     stepRun.crashes.get(index) ??
-    new Map<types.ids.WorkerIncarnation, jobProgress.CrashKind>();
+    new Map<types.ids.WorkerIncarnation, jobProgress.CrashRecord>();
   const key = workerIncarnation.keyOf(worker);
   if (isRecorded(crashes, worker)) {
     nameIncarnation(crashes, worker);
     return false;
   }
-  stepRun.crashes.set(index, crashes.set(key, kind));
+  stepRun.crashes.set(index, crashes.set(key, crash));
   stepRun.job.unstoredCrashes = 'new';
   return true;
 }
@@ -100,15 +100,26 @@
 
 /** A crash of an unknown incarnation stands for one incarnation at most. */
 function nameIncarnation(
-  crashes: Map<types.ids.WorkerIncarnation, jobProgress.CrashKind>,
+  crashes: Map<types.ids.WorkerIncarnation, jobProgress.CrashRecord>,
   worker: workerIncarnation.Incarnation,
 ): void {
   const plain = workerIncarnation.keyOf({id: worker.id});
   const key = workerIncarnation.keyOf(worker);
-  const kind = crashes.get(plain);
-  if (kind === undefined || key === plain || crashes.has(key)) return;
+  const crash = crashes.get(plain);
+  if (crash === undefined || key === plain || crashes.has(key)) return;
   crashes.delete(plain);
-  crashes.set(key, kind);
+  crashes.set(key, crash);
+}
+
+/** Lists the crashes of a task for the log, as `worker:kind:evidence`. */
+export function describeCrashes(
+  stepRun: activeJob.StepRun,
+  index: number,
+): string {
+  const crashes = stepRun.crashes.get(index) ?? new Map();
+  return [...crashes]
+    .map(([worker, {kind, evidence}]) => `${worker}:${kind}:${evidence}`)
+    .join(',');
 }
 
 /** Whether a task may start only isolated from other jobs. */
--- a/packages/gypsumwall-scheduling/src/job_progress.ts
+++ b/packages/gypsumwall-scheduling/src/job_progress.ts
@@ -23,6 +23,28 @@
   /** An external cause: most of its rack or failure domain was lost with it. */
   | 'group';
 
+/** How the scheduler knows that a task ran on a worker that crashed. */
+export type CrashEvidence =
+  /** The worker had accepted the start, or had listed the attempt. */
+  | 'running'
+  /** The start order was sent and not answered. */
+  | 'unanswered'
+  /** The attempt had ended with the lease before the crash was known. */
+  | 'lapsed'
+  /**
+   * The worker was recorded for the job by an earlier scheduler, and the task
+   * was found nowhere.
+   */
+  | 'presumed'
+  /** Restored from the stored progress, which does not say how it was known. */
+  | 'restored';
+
+/** A crash of a worker that ran a task, as far as the scheduler knows. */
+export interface CrashRecord {
+  readonly kind: CrashKind;
+  readonly evidence: CrashEvidence;
+}
+
 /** Progress of one step of one occurrence. */
 export interface StepProgress {
   /** Indexes of tasks that are done, ascending; `all` when none is left. */
--- a/packages/gypsumwall-scheduling/src/job_registry.ts
+++ b/packages/gypsumwall-scheduling/src/job_registry.ts
@@ -43,10 +43,14 @@
     now: types.clock.MonotonicMs,
     wall: types.clock.WallMs,
   ): void;
-  /** Ends a job and stops its remaining attempts. */
+  /**
+   * Ends a job and stops its remaining attempts; `failure` says why it has
+   * failed.
+   */
   finishJob(
     job: activeJob.ActiveJob,
     phase: 'completed' | 'failed' | 'cancelled',
+    failure?: schedulerTypes.JobFailure,
   ): void;
   /**
    * Marks a job as running once a worker has accepted a task of it. Until then
@@ -142,6 +146,7 @@
   function finishJob(
     job: activeJob.ActiveJob,
     phase: 'completed' | 'failed' | 'cancelled',
+    failure?: schedulerTypes.JobFailure,
   ): void {
     job.phase = phase;
     dirty.add(job);
@@ -160,6 +165,7 @@
       phase,
       queue: job.policy.queue,
       objectiveMs: Math.round(activeJob.objectiveMs(job)),
+      ...failure,
     });
   }
 
--- a/packages/gypsumwall-scheduling/src/job_steps.ts
+++ b/packages/gypsumwall-scheduling/src/job_steps.ts
@@ -76,14 +76,19 @@
       if (index < taskCount) stepRun.doneIndexes.add(index);
   }
   for (const [index, failedAttempts] of Object.entries(progress.failures)) {
-    stepRun.failures.set(Number(index), new Set(failedAttempts));
+    stepRun.failures.set(
+      Number(index),
+      new Map(failedAttempts.map((attempt) => [attempt, undefined])),
+    );
   }
   for (const [index, workers] of Object.entries(progress.crashes ?? {})) {
-    const crashes = Object.entries(workers).map(
-      ([key, kind]) =>
-        [types.ids.brand<types.ids.WorkerIncarnation>(key), kind] as const,
-    );
-    stepRun.crashes.set(Number(index), new Map(crashes));
+    const crashes = new Map<
+      types.ids.WorkerIncarnation,
+      jobProgress.CrashRecord
+    >();
+    for (const [key, kind] of Object.entries(workers))
+      crashes.set(types.ids.brand(key), {kind, evidence: 'restored'});
+    stepRun.crashes.set(Number(index), crashes);
   }
 }
 
@@ -202,14 +207,28 @@
   stepRun: activeJob.StepRun,
   index: number,
   attemptNumber: number,
+  worker: types.ids.WorkerId,
 ): boolean {
   const key = activeJob.counterKey(stepRun, index);
-  const failed = stepRun.failures.get(key) ?? new Set<number>();
-  stepRun.failures.set(key, failed.add(attemptNumber));
+  const failed =
+    stepRun.failures.get(key) ??
+    new Map<number, types.ids.WorkerId | undefined>();
+  stepRun.failures.set(key, failed.set(attemptNumber, worker));
   if (stepRun.request.longRunning) return false;
   return failed.size >= stepRun.job.policy.maxFailures;
 }
 
+/** Lists the failed attempts of a task for the log, as `attempt@worker`. */
+export function describeFailures(
+  stepRun: activeJob.StepRun,
+  index: number,
+): string {
+  const failed = stepRun.failures.get(activeJob.counterKey(stepRun, index));
+  return [...(failed ?? [])]
+    .map(([attempt, worker]) => `${attempt}@${worker ?? 'restored'}`)
+    .join(',');
+}
+
 /** Queues a task again, or a gang once all its attempts have ended. */
 export function requeue(stepRun: activeJob.StepRun, index: number): void {
   if (stepRun.state !== 'open' || jobProgress.isOver(stepRun.job.phase)) return;
--- a/packages/gypsumwall-scheduling/src/report_reader.ts
+++ b/packages/gypsumwall-scheduling/src/report_reader.ts
@@ -12,6 +12,7 @@
 import type * as attemptTable from './attempt_table.js';
 import type * as schedulerTypes from './scheduler_types.js';
 import type * as runMeters from './run_meter.js';
+import * as taskIds from './task_id.js';
 import * as stallDetector from './stall_detector.js';
 import type * as workerRegistry from './worker_registry.js';
 import type * as workerHealth from './worker_health.js';
@@ -125,10 +126,21 @@
     health.recordFailure(workerId, job.id, now);
     job.failedOn.add(workerId);
     if (stepRun.state === 'done' || jobProgress.isOver(job.phase)) return;
-    const isExhausted = jobSteps.recordFailure(stepRun, index, attemptNumber);
+    const isExhausted = jobSteps.recordFailure(
+      stepRun,
+      index,
+      attemptNumber,
+      workerId,
+    );
     jobRegistry.dirty.add(job);
-    if (isExhausted) jobRegistry.finishJob(job, 'failed');
-    else jobRegistry.requeue(stepRun, index, attemptNumber);
+    if (isExhausted) {
+      jobRegistry.finishJob(job, 'failed', {
+        reason: 'too_many_failures',
+        task: taskIds.taskId(stepRun.id, index),
+        limit: job.policy.maxFailures,
+        attempts: jobSteps.describeFailures(stepRun, index),
+      });
+    } else jobRegistry.requeue(stepRun, index, attemptNumber);
   }
 
   function saveCheckpoint(
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -229,8 +229,14 @@
     },
     hasJob: (id) => jobs.has(id),
     updatePolicies(policyOf) {
+      const reported = new Set<string>();
       for (const job of jobs.values()) {
-        activeJob.setPolicy(job, policyOf(job.policy.queue) ?? job.policy);
+        const {queue, maxFailures: before} = job.policy;
+        activeJob.setPolicy(job, policyOf(queue) ?? job.policy);
+        const {maxFailures: limit} = job.policy;
+        if (limit === before || reported.has(queue)) continue;
+        reported.add(queue);
+        onEvent({type: 'failure_limit_changed', queue, limit, before});
       }
     },
     updateOrganisations(next) {
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -268,6 +268,25 @@
   /** It exceeds the organisation's rate and ranks behind all other work. */
   | 'behind_other_organisations';
 
+/** Why a job has failed. */
+export type JobFailure =
+  | {
+      readonly reason: 'too_many_failures';
+      /** The task that has used up its attempts. */
+      readonly task: types.ids.TaskId;
+      /** Failed attempts that the policy of the queue allows a task. */
+      readonly limit: number;
+      /** The failed attempts, as `attempt@worker`, separated by commas. */
+      readonly attempts: string;
+    }
+  | {
+      readonly reason: crashRecords.GiveUpReason;
+      /** The task that crashes its workers. */
+      readonly task: types.ids.TaskId;
+      /** Its crashes, as `worker:kind:evidence`, separated by commas. */
+      readonly crashes: string;
+    };
+
 /** A decision, or a change in what the scheduler knows. */
 export type SchedulerEvent =
   | nearStarts.NearEvent
@@ -279,14 +298,14 @@
       readonly how: jobSteps.AttemptOutcome | 'vanished' | 'refused' | 'lost';
       readonly reason?: RefusalReason | WorkerLoss;
     }
-  | {
+  | (Partial<JobFailure> & {
       readonly type: 'job_over';
       readonly job: types.ids.JobId;
       readonly phase: jobProgress.JobPhase;
       readonly queue: string;
       /** Target duration of the job from its acceptance, in milliseconds. */
       readonly objectiveMs: number;
-    }
+    })
   | {
       /**
        * No task of a step has started for a while. The number of these events
@@ -348,6 +367,26 @@
        */
       readonly accompanied: boolean;
     }
+  | {
+      /** A worker crashed, and counts as a crash of this task. */
+      readonly type: 'crash_recorded';
+      readonly task: types.ids.TaskId;
+      readonly worker: types.ids.WorkerId;
+      readonly kind: jobProgress.CrashKind;
+      readonly evidence: jobProgress.CrashEvidence;
+      /** Crashes of the task since it was last cleared. */
+      readonly crashes: number;
+    }
+  | {
+      /**
+       * The operator has changed how many attempts of a task may fail; counts
+       * for jobs that were accepted before, too.
+       */
+      readonly type: 'failure_limit_changed';
+      readonly queue: string;
+      readonly limit: number;
+      readonly before: number;
+    }
   | {
       /** The task starts isolated from other jobs from now on. */
       readonly type: 'task_suspected';
