scheduling: ignore failures of tasks that are done

Callers saw: a job shown as failed that could still complete, or whose work was nearly done. A task with two attempts, a copy or one whose worker had been cut off, is done by one of them; the other ends failed later. Cause: an end failed was ignored only if its whole step was done. For a task that is done while others of its step are not, it counted towards the limit. Change: it is ignored if its task is done, as an end done is. Result: failed_ends.test.ts failed before (job_over reason=too_many_failures limit=2 attempts=1@w1,2@w1) and passes; 185 scheduling tests green.

--- a/packages/gypsumwall-scheduling/src/report_reader.ts
+++ b/packages/gypsumwall-scheduling/src/report_reader.ts
@@ -126,6 +126,7 @@
     health.recordFailure(workerId, job.id, now);
     job.failedOn.add(workerId);
     if (stepRun.state === 'done' || jobProgress.isOver(job.phase)) return;
+    if (stepRun.doneIndexes.has(index)) return;
     const isExhausted = jobSteps.recordFailure(
       stepRun,
       index,
