scheduling: check failed jobs against the record of the simulated cell

No check asked whether the world itself, not the scheduler's memory or log, holds the failures or crashes for which a job is shown as failed. The cell with crashing workers now keeps such a record: a failed job needs a task that ended `failed` as often as its queue allows, by attempt numbers for a gang, or under which two workers crashed, both until it was shown as failed. The random worlds check this for the culprits too.

The cell also gets what was missing to draw such cases: several steps, tasks that fail, workers that announce that they leave and whose address is reused, machines that are cut off while leases lapse and workers crash, and stops that are repeated until they are answered. A crash that no holder can know as one, of a worker that had announced its departure or behind a cut, doesn't count for the bound on further starts of a culprit; the worlds so far have none.

--- a/packages/gypsumwall-scheduling/src/__fixtures__/crash_model.ts
+++ b/packages/gypsumwall-scheduling/src/__fixtures__/crash_model.ts
@@ -11,8 +11,20 @@
 /** Behaviour of the tasks of a job. */
 export interface Behaviour {
   readonly workMs: number;
-  /** The task with this index crashes its worker after this time. */
+  /**
+   * The task of the first step with this index crashes its worker after this
+   * time.
+   */
   readonly crash?: {readonly index: number; readonly afterMs: number};
+  /**
+   * This many attempts of the task of the first step with this index end
+   * `failed` after this time.
+   */
+  readonly fail?: {
+    readonly index: number;
+    readonly afterMs: number;
+    readonly attempts: number;
+  };
 }
 
 /** A start that a worker has carried out. */
@@ -31,6 +43,24 @@
   /** The task that crashed the worker; absent if it crashed without one. */
   readonly culprit?: types.ids.TaskId;
   readonly tasks: readonly types.ids.TaskId[];
+  /**
+   * Whether the worker had announced its departure, or its machine was cut off
+   * before the next worker answered there: the crash is not known as one.
+   */
+  isHidden: boolean;
+}
+
+/** An attempt that ended `failed` at its worker. */
+export interface ObservedFailure {
+  readonly at: types.clock.MonotonicMs;
+  readonly taskId: types.ids.TaskId;
+  readonly attempt: number;
+}
+
+/** A job that is shown as failed, and since when. */
+export interface FailedJob {
+  readonly at: types.clock.MonotonicMs;
+  readonly job: Job;
 }
 
 /** An attempt as it actually exists on its worker. */
@@ -49,7 +79,12 @@
   info: workerRegistry.WorkerInfo;
   /** When the worker is restarted; absent while it is up. */
   backAt?: types.clock.MonotonicMs;
-  crashedAt?: types.clock.MonotonicMs;
+  /** When a worker that has announced its departure leaves. */
+  leavesAt?: types.clock.MonotonicMs;
+  /** Whether calls to and from the machine fail. */
+  isCutOff: boolean;
+  /** Since when the machine does not answer; absent while it does. */
+  silentSince?: types.clock.MonotonicMs;
   attempts: RealAttempt[];
   ends: schedulerTypes.AttemptEnd[];
   sequence: number;
@@ -69,7 +104,8 @@
 export interface Write {
   readonly dirty: readonly schedulerTypes.DirtyJob[];
   readonly dueAt: types.clock.MonotonicMs;
-  readonly receivedSequences: ReadonlyMap<Machine, number>;
+  /** Last received sequence numbers by incarnation. */
+  readonly receivedSequences: ReadonlyMap<types.ids.WorkerId, number>;
   /** Incarnations that the append removes from the recorded workers. */
   readonly removedWorkers: readonly types.ids.WorkerId[];
 }
@@ -97,6 +133,7 @@
       rack: types.ids.brand(domain),
       draining: false,
     },
+    isCutOff: false,
     attempts: [],
     ends: [],
     sequence: 0,
