scheduling: check why jobs have failed in worlds with unreliable calls

The unreliable world keeps which attempts ended `failed` and what ran on workers that crashed. After each action, each failed job must have a cause there.

--- a/packages/gypsumwall-scheduling/src/__fixtures__/unreliable_world.ts
+++ b/packages/gypsumwall-scheduling/src/__fixtures__/unreliable_world.ts
@@ -15,6 +15,7 @@
 import * as schedulers from '../scheduler.js';
 import type * as schedulerTypes from '../scheduler_types.js';
 import type * as workerRegistry from '../worker_registry.js';
+import type * as failureCause from './failure_cause.js';
 import * as worlds from './scheduler_world.js';
 
 const WALL = 0 as types.clock.WallMs;
@@ -136,6 +137,9 @@
   let adviceRequests: schedulerTypes.AdviceRequest[] = [];
   let reports: PendingReport[] = [];
   let writes: PendingWrite[] = [];
+  const failures: failureCause.WorldRecord['failures'][number][] = [];
+  const crashes: failureCause.WorldRecord['crashes'][number][] = [];
+  const failedJobs = new Set<SubmittedJob>();
 
   function createScheduler(): void {
     generation++;
@@ -329,6 +333,7 @@
     const {taskId, number: attemptNumber} = attempt;
     worker.attempts.delete(keyOf(taskId, attemptNumber));
     worker.rejectedKeys.add(keyOf(taskId, attemptNumber));
+    if (how === 'failed') failures.push({taskId, attempt: attemptNumber});
     const sequence = ++worker.sequence;
     worker.ends.push({
       sequence,
@@ -411,7 +416,11 @@
   function confirmWrite(): void {
     const write = writes.shift();
     if (write === undefined) return;
-    for (const {jobId, progress} of write.dirty) persisted.set(jobId, progress);
+    for (const {jobId, progress} of write.dirty) {
+      persisted.set(jobId, progress);
+      const job = jobs.find((one) => one.id === jobId)!;
+      if (progress.phase === 'failed') failedJobs.add(job);
+    }
     scheduler.onStored(write.dirty);
     for (const [worker, sequence] of write.receivedSequences) {
       worker.ends = worker.ends.filter((end) => end.sequence > sequence);
@@ -440,9 +449,15 @@
     scheduler.onAdviceAnswered(request, approved, until);
   }
 
-  function removeWorker(worker: RealWorker): void {
+  function crash(worker: RealWorker): void {
+    const tasks = [...worker.attempts.values()].map(({taskId}) => taskId);
+    crashes.push({tasks});
     worker.isAlive = false;
     worker.attempts.clear();
+  }
+
+  function removeWorker(worker: RealWorker): void {
+    crash(worker);
     starts = starts.filter((one) => one.worker !== worker);
     lateStarts = lateStarts.filter((one) => one.worker !== worker);
     stops = stops.filter((attempt) => attempt.workerId !== worker.id);
@@ -620,6 +635,9 @@
     },
     workers,
     jobs,
+    failures,
+    crashes,
+    failedJobs,
     refusedByAdviser,
     pickOf,
     elapse,
@@ -655,10 +673,7 @@
       scheduler.onWorkerUnreachable(worker.id);
     },
     /** Crashes the worker without informing the scheduler. */
-    crashUnnoticed(worker: RealWorker) {
-      worker.isAlive = false;
-      worker.attempts.clear();
-    },
+    crashUnnoticed: crash,
     expireLeases,
     takeOver,
     answerAll,
--- a/packages/gypsumwall-scheduling/src/__fixtures__/waiting_checks.ts
+++ b/packages/gypsumwall-scheduling/src/__fixtures__/waiting_checks.ts
@@ -3,6 +3,7 @@
 import * as types from '@gypsumwall/types';
 import type * as activeJob from '../active_job.js';
 import * as activeJobs from '../active_job.js';
+import * as failureCause from './failure_cause.js';
 import * as gangReservation from '../gang_reservation.js';
 import * as jobOrder from '../job_order.js';
 import * as quotaGate from '../quota_gate.js';
@@ -173,6 +174,12 @@
   }
 }
 
+/** Checks that each failed job had a task that failed or crashed workers. */
+export function checkFailedJobs(world: worlds.UnreliableWorld): void {
+  for (const job of world.failedJobs)
+    failureCause.assertFailureCause(job, world);
+}
+
 /** Waits until nothing more starts, and checks that all that could did. */
 export function settleAndCheck(world: worlds.UnreliableWorld): void {
   world.settle();
--- a/packages/gypsumwall-scheduling/src/__tests__/waiting_work.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/waiting_work.test.ts
@@ -67,8 +67,10 @@
   for (const action of actions) {
     worldActions.applyAction(world, action, waitingChecks.settleAndCheck);
     waitingChecks.checkCopies(world);
+    waitingChecks.checkFailedJobs(world);
   }
   waitingChecks.settleAndCheck(world);
+  waitingChecks.checkFailedJobs(world);
 }
 
 const arbitraryWorkers = fc.integer({min: 2, max: 12});
