emulator: judge whether a job shown as failed had a cause

The judge compared only the last state of a job with the expected one, so a `failed` without a cause was reported as a job that isn't completed, and not at all if it was shown only for a while or the job was cancelled. A new promise, "jobs fail only for a cause", needs events of the workers for each `failed`: as many ends `failed` of one task as any configuration until then allows (by attempt for a gang, none for long-running tasks), or two crashes of workers on which attempts of one task ran. For this the event `config_published` also has the limits of the queues. A job that fails after an unrelated crash breaks both promises now; the test of the judge expects both.

--- a/packages/gypsumwall-emulator/src/judge/__tests__/judge.test.ts
+++ b/packages/gypsumwall-emulator/src/judge/__tests__/judge.test.ts
@@ -214,7 +214,10 @@
     {type: 'worker_crashed', workerId: 'w'} as const,
     shown('failed'),
   ];
-  assert.deepEqual(brokenPromises(seen), ['nothing accepted is lost']);
+  assert.deepEqual(brokenPromises(seen), [
+    'nothing accepted is lost',
+    'jobs fail only for a cause',
+  ]);
 });
 
 const published = (cpuMillis: number, key: string): history.EventDetails => ({
@@ -222,6 +225,7 @@
   organisations: [
     {name: 'north', keys: [key], weight: 1, quota: {cpuMillis, memoryMb: 0}},
   ],
+  queues: [],
 });
 
 // Guards against a judge that misses starts above a quota, or that counts a
--- a/packages/gypsumwall-emulator/src/judge/config_times.ts
+++ b/packages/gypsumwall-emulator/src/judge/config_times.ts
@@ -8,6 +8,7 @@
 /** A configuration and the time in which an entry may act by it. */
 export interface ConfigSpan {
   readonly organisations: readonly operator.Organisation[];
+  readonly queues: readonly history.QueueLimit[];
   readonly from: number;
   readonly until: number;
 }
@@ -19,9 +20,9 @@
   const published = events.flatMap((event) =>
     event.type === 'config_published' ? [event] : [],
   );
-  return published.map(({organisations, at}, nth) => {
+  return published.map(({organisations, queues, at}, nth) => {
     const next = published[nth + 1]?.at ?? Infinity;
-    return {organisations, from: at, until: next + CONFIG_APPLY_MS};
+    return {organisations, queues, from: at, until: next + CONFIG_APPLY_MS};
   });
 }
 
--- a/packages/gypsumwall-emulator/src/judge/finding.ts
+++ b/packages/gypsumwall-emulator/src/judge/finding.ts
@@ -6,6 +6,7 @@
   | 'gangs start whole'
   | 'steps keep their order'
   | 'nothing accepted is lost'
+  | 'jobs fail only for a cause'
   | 'lasting tasks run again in time'
   | 'nothing runs that was not asked for'
   | 'tasks that crash workers are given up'
@@ -18,6 +19,7 @@
   'gangs start whole',
   'steps keep their order',
   'nothing accepted is lost',
+  'jobs fail only for a cause',
   'lasting tasks run again in time',
   'nothing runs that was not asked for',
   'tasks that crash workers are given up',
--- a/packages/gypsumwall-emulator/src/judge/judge.ts
+++ b/packages/gypsumwall-emulator/src/judge/judge.ts
@@ -2,6 +2,7 @@
 import type * as history from '../model/history.js';
 import type * as finding from './finding.js';
 import * as crashRules from './crash_rules.js';
+import * as failureRules from './failure_rules.js';
 import * as gangRules from './gang_rules.js';
 import * as jobRules from './job_rules.js';
 import * as keyRules from './key_rules.js';
@@ -21,6 +22,7 @@
     ...gangRules.findIncompleteGangs(events),
     ...orderRules.findEarlyStarts(events, attempts),
     ...jobRules.findLostJobs(events, attempts),
+    ...failureRules.findBaselessFailures(events, attempts),
     ...longRunningRules.findLongDowntimes(events, attempts),
     ...attemptRules.findUnaskedStarts(events),
     ...crashRules.findCrashLoops(events, attempts),
--- a/packages/gypsumwall-emulator/src/model/history.ts
+++ b/packages/gypsumwall-emulator/src/model/history.ts
@@ -28,6 +28,9 @@
   readonly attempt: number;
 }
 
+/** How often a task of a queue may end `failed` before its job fails. */
+export type QueueLimit = Pick<operator.QueuePolicy, 'name' | 'maxAttempts'>;
+
 /** What was observed, without the time. */
 export type EventDetails =
   | {readonly type: 'job_sent'; readonly job: jobCatalog.JobSpec}
@@ -50,6 +53,7 @@
       /** The store has acknowledged a configuration. */
       readonly type: 'config_published';
       readonly organisations: readonly operator.Organisation[];
+      readonly queues: readonly QueueLimit[];
     }
   | {
       readonly type: 'key_used';
--- a/packages/gypsumwall-emulator/src/model/platform_model.ts
+++ b/packages/gypsumwall-emulator/src/model/platform_model.ts
@@ -146,7 +146,11 @@
     publish(next = organisations) {
       organisations = next;
       const version = operator.publish({...config, organisations});
-      history.record({type: 'config_published', organisations});
+      const queues = config.queues.map(({name: queue, maxAttempts}) => ({
+        name: queue,
+        maxAttempts,
+      }));
+      history.record({type: 'config_published', organisations, queues});
       return version;
     },
     addMachine({name, zone, rack, pool}, address) {
