--- a/packages/gypsumwall-scheduling/src/__fixtures__/crash_events.ts
+++ b/packages/gypsumwall-scheduling/src/__fixtures__/crash_events.ts
@@ -134,7 +134,11 @@
 /** The jobs of a world, by how they have to end. */
 export interface DrawnJobs {
   readonly culprits: types.ids.JobId[];
-  /** Culprits of which copies may start. */
+  /**
+   * Culprits of which copies may start. A task and its copy may both crash their
+   * workers before a holder knows of either crash, so the starts of these are
+   * not bounded here.
+   */
   readonly copiedCulprits: types.ids.JobId[];
   /** With a task that fails as often as its queue allows. */
   readonly exhausted: types.ids.JobId[];
