emulator: draw crashes of workers beside losses of the holder

The plan of a campaign of 20 s has 1.1 crashes of workers and 1.6 kills of the holder on average (500 seeds, 4 entries), and 0.08 crashes within a second before such a kill, never two: it can't show what several of them do to a job. Nor has its traffic a task that waits for long.

With `--crashes` the plan also has one or two workers that crash every 2.5 to 4 seconds and the holder killed up to 0.9 s later, and the traffic has jobs with some twelve seconds of work for all workers, whose states are asked for at the end. All other faults and jobs of a seed stay as they were.

--- a/packages/gypsumwall-emulator/src/bin/campaign.ts
+++ b/packages/gypsumwall-emulator/src/bin/campaign.ts
@@ -1,9 +1,11 @@
 /**
  * `npm run soak:platform [-- --seeds N] [--from S] [--entries N]
- * [--organisations N] [--cpu-percent N] [--seconds N] [--program FOLDER]`: runs deployed entries
- * on the emulated platform with overlapping faults that are drawn from the
- * seeds S to S + N - 1, and prints a line for each seed. Without `--from`, S is
- * random. `--program` is the folder of another build; use `--organisations 0`
+ * [--organisations N] [--cpu-percent N] [--seconds N] [--crashes]
+ * [--program FOLDER]`: runs deployed entries on the emulated platform with
+ * overlapping faults that are drawn from the seeds S to S + N - 1, and prints a
+ * line for each seed. Without `--from`, S is random. With `--crashes`, workers
+ * often crash within a second before the holder is killed, while jobs have tasks
+ * that wait. `--program` is the folder of another build; use `--organisations 0`
  * for one that doesn't know organisations. With few percent of a core the
  * holder has its peers call the workers. Exits with 1 if a promise was
  * broken; the entries' logs are then kept.
@@ -32,6 +34,7 @@
       organisations: command.organisations,
       cpuShare: command.cpuShare,
       durationMs: command.durationMs,
+      crashesBesideKills: command.crashesBesideKills,
       deployFile: DEPLOY_FILE,
       builtInto: command.program,
     });
--- a/packages/gypsumwall-emulator/src/campaign/__tests__/campaign_options.test.ts
+++ b/packages/gypsumwall-emulator/src/campaign/__tests__/campaign_options.test.ts
@@ -17,6 +17,11 @@
   assert.equal(parse('--seconds', '8').durationMs, 8_000);
 });
 
+test('workers crash beside losses of the holder only if that is asked for', () => {
+  assert.equal(parse().crashesBesideKills, false);
+  assert.equal(parse('--crashes').crashesBesideKills, true);
+});
+
 test('an invalid value is reported with the allowed ones', () => {
   assert.throws(() => parse('--entries', '9'), {
     message: '--entries=9: give a whole number from 1 to 6',
--- a/packages/gypsumwall-emulator/src/campaign/__tests__/fault_plan.test.ts
+++ b/packages/gypsumwall-emulator/src/campaign/__tests__/fault_plan.test.ts
@@ -17,6 +17,26 @@
   assert.notDeepEqual(draw(3), draw(4));
 });
 
+// Guards against a campaign in which workers hardly ever crash beside losses of
+// the holder, and against seeds that no longer give the plan they gave.
+test('workers often crash beside losses of the holder if that is asked for', () => {
+  for (const seed of SEEDS) {
+    const usual = faultPlan.drawFaultPlan({...OPTIONS, seed});
+    const plan = faultPlan.drawFaultPlan({
+      ...OPTIONS,
+      seed,
+      crashesBesideKills: true,
+    });
+    const isAdded = ({fault}: faultPlan.PlannedFault) =>
+      fault.type === 'crash_beside_kill';
+    assert.ok(plan.filter(isAdded).length >= 5);
+    assert.deepEqual(
+      plan.filter((one) => !isAdded(one)),
+      usual,
+    );
+  }
+});
+
 test('faults of every type are drawn, several of them at a time', () => {
   const plans = SEEDS.map((seed) =>
     faultPlan.drawFaultPlan({...OPTIONS, seed}),
--- a/packages/gypsumwall-emulator/src/campaign/campaign_options.ts
+++ b/packages/gypsumwall-emulator/src/campaign/campaign_options.ts
@@ -10,6 +10,7 @@
   /** Processor share of an entry's instance, as its settings say. */
   readonly cpuShare: number;
   readonly durationMs: number;
+  readonly crashesBesideKills: boolean;
   /** Folder of a built program; undefined for that of the deploy file. */
   readonly program: string | undefined;
 }
@@ -35,6 +36,7 @@
       organisations: {type: 'string', default: '2'},
       'cpu-percent': {type: 'string', default: '100'},
       seconds: {type: 'string', default: '20'},
+      crashes: {type: 'boolean', default: false},
       program: {type: 'string'},
     },
   });
@@ -56,6 +58,7 @@
     ),
     cpuShare: wholeNumber('cpu-percent', values['cpu-percent'], 1, 100) / 100,
     durationMs: seconds * SECOND_MS,
+    crashesBesideKills: values.crashes,
     program: values.program,
   };
 }
--- a/packages/gypsumwall-emulator/src/campaign/fault_injector.ts
+++ b/packages/gypsumwall-emulator/src/campaign/fault_injector.ts
@@ -139,6 +139,15 @@
         void machine?.crash();
         return {end, target: machine?.name ?? ''};
       }
+      case 'crash_beside_kill': {
+        const crashed = fault.machines.map((nth) => machines[nth]);
+        for (const machine of crashed) void machine?.crash();
+        await types.clock.sleepFor(clock, fault.killAfterMs);
+        const entry = await findEntry('holder');
+        entry.kill();
+        const names = crashed.map((machine) => machine?.name ?? '');
+        return {end, target: [...names, entry.name].join(' ')};
+      }
       case 'small_workers':
         return {end: shrinkWorkers(fault.share), target: ''};
       case 'new_key':
--- a/packages/gypsumwall-emulator/src/campaign/fault_plan.ts
+++ b/packages/gypsumwall-emulator/src/campaign/fault_plan.ts
@@ -21,6 +21,12 @@
   | {readonly type: 'terminate'; readonly target: EntryTarget}
   | {readonly type: 'freeze'; readonly target: EntryTarget}
   | {readonly type: 'worker_crash'; readonly machine: number}
+  /** Workers crash together, and the holder is killed soon after. */
+  | {
+      readonly type: 'crash_beside_kill';
+      readonly machines: readonly number[];
+      readonly killAfterMs: number;
+    }
   /** Leaves this share of every worker's processors. */
   | {readonly type: 'small_workers'; readonly share: number}
   /** An organisation gets a new key and loses its oldest one. */
@@ -42,6 +48,8 @@
   readonly machines: number;
   readonly organisations: number;
   readonly durationMs: number;
+  /** Whether workers often crash beside losses of the holder. */
+  readonly crashesBesideKills?: boolean;
 }
 
 type DrawFault = () => CampaignFault;
@@ -58,15 +66,40 @@
 const MAX_LATE_MS = 4_000;
 const MAX_BURST_JOBS = 150;
 const MIN_BURST_JOBS = 30;
+const MAX_CRASHED_TOGETHER = 2;
+/** Before a crashed worker is back, so that the holder can't know of it. */
+const MAX_KILL_DELAY_MS = 900;
 
 /** Draws the plan, ordered by start. */
 export function drawFaultPlan(options: FaultPlanOptions): PlannedFault[] {
   const random = types.random.createRandom(options.seed);
-  return listSeries(random, options)
+  const series = listSeries(random, options);
+  // The last one, so that the others are the same with and without it.
+  if (options.crashesBesideKills === true)
+    series.push(createCrashSeries(random, options));
+  return series
     .flatMap((series) => drawSeries(random, series, options.durationMs))
     .sort((left, right) => left.startMs - right.startMs);
 }
 
+function createCrashSeries(
+  random: types.random.Random,
+  {machines}: FaultPlanOptions,
+): Series {
+  return {
+    pauseMs: [1_500, 3_000],
+    lengthMs: [1_000, 1_000],
+    draw: () => ({
+      type: 'crash_beside_kill',
+      machines: Array.from(
+        {length: random.integer(1, MAX_CRASHED_TOGETHER)},
+        () => random.integer(0, machines - 1),
+      ),
+      killAfterMs: random.integer(0, MAX_KILL_DELAY_MS),
+    }),
+  };
+}
+
 function drawSeries(
   random: types.random.Random,
   {pauseMs, lengthMs, draw}: Series,
--- a/packages/gypsumwall-emulator/src/campaign/job_stream.ts
+++ b/packages/gypsumwall-emulator/src/campaign/job_stream.ts
@@ -19,6 +19,10 @@
 export interface JobStream {
   /** Submits a new job. */
   sendOne(): void;
+  /** Submits a job of which most tasks wait for room for many seconds. */
+  sendWide(): void;
+  /** Asks for the states of these jobs, also of those without an answer. */
+  showWide(): Promise<void>;
   /** Submits jobs at intervals until aborted. */
   sendPeriodically(intervalMs: number, stop: AbortSignal): Promise<void>;
   /** Resolves to all submitted jobs once each submission has its result. */
@@ -40,6 +44,11 @@
 /** Too large for every worker while workers are small. */
 const LARGE_CPU_MILLIS = 8_000;
 const LARGE_SHARE = 0.05;
+/** Of a first step of small tasks, which uses most of the workers. */
+const FIRST_TASKS = 16;
+/** Some twelve seconds of work for all workers. */
+const WIDE_TASKS = 96;
+const WIDE_WORK_MS = 2_000;
 
 /** Creates the stream; all that it draws follows from the seed. */
 export function createJobStream(
@@ -49,7 +58,9 @@
 ): JobStream {
   const {clock, model} = cell;
   const random = types.random.createRandom(seed + 1);
+  const wideRandom = types.random.createRandom(seed + 2);
   const jobs: jobCatalog.JobSpec[] = [];
+  const wideJobs: jobCatalog.JobSpec[] = [];
   const pending: Promise<unknown>[] = [];
   const tries: ObservedTry[] = [];
   const balancer = createStickyBalancer(cell);
@@ -82,8 +93,7 @@
   );
 
   function createJob(): jobCatalog.JobSpec {
-    const digit = () => random.integer(0, MAX_HEX_DIGIT).toString(16);
-    const jobId = Array.from({length: ID_DIGITS}, digit).join('');
+    const jobId = drawId(random);
     const isLarge = random.next() < LARGE_SHARE;
     const cpuMillis = isLarge ? LARGE_CPU_MILLIS : SMALL_CPU_MILLIS;
     const step = {
@@ -95,13 +105,44 @@
       lasting: false,
       savesProgress: false,
     };
+    return createJobOf(jobId, [step]);
+  }
+
+  function createWideJob(): jobCatalog.JobSpec {
+    const rest = {gang: false, lasting: false, savesProgress: false};
+    const sizeOf = (cpuMillis: number) => ({
+      cpuMillis,
+      memoryMb: 128,
+      accelerators: 0,
+    });
+    const first = {
+      ...rest,
+      taskCount: FIRST_TASKS,
+      size: sizeOf(SMALL_CPU_MILLIS),
+      workMs: wideRandom.integer(50, 300),
+      after: [],
+    };
+    const wide = {
+      ...rest,
+      taskCount: WIDE_TASKS,
+      size: sizeOf(LARGE_CPU_MILLIS),
+      workMs: WIDE_WORK_MS,
+      after: [0],
+    };
+    return createJobOf(drawId(wideRandom), [first, wide]);
+  }
+
+  function createJobOf(
+    jobId: string,
+    steps: readonly jobCatalog.StepSpec[],
+  ): jobCatalog.JobSpec {
     const organisations = model.organisations();
     const organisation = organisations[jobs.length % organisations.length];
     return {
       jobId,
       queue,
       payload: jobId,
-      steps: [step],
+      steps,
       ...(organisation !== undefined && {organisation: organisation.name}),
     };
   }
@@ -130,6 +171,15 @@
 
   return {
     sendOne,
+    sendWide() {
+      const job = createWideJob();
+      jobs.push(job);
+      wideJobs.push(job);
+      pending.push(submit(job, clients.at(-1)!, undefined));
+    },
+    async showWide() {
+      await Promise.all(wideJobs.map((job) => clients.at(-1)!.stateOf(job)));
+    },
     tries,
     async sendPeriodically(intervalMs, stop) {
       while (!stop.aborted) {
@@ -144,6 +194,11 @@
   };
 }
 
+function drawId(random: types.random.Random): string {
+  const digit = () => random.integer(0, MAX_HEX_DIGIT).toString(16);
+  return Array.from({length: ID_DIGITS}, digit).join('');
+}
+
 /**
  * Keeps the callers on their entries until the entry's process is gone; retries
  * reach other entries.
--- a/packages/gypsumwall-emulator/src/campaign/run_campaign.ts
+++ b/packages/gypsumwall-emulator/src/campaign/run_campaign.ts
@@ -28,6 +28,11 @@
   readonly cpuShare?: number;
   /** How long faults are injected, in milliseconds. */
   readonly durationMs: number;
+  /**
+   * Whether workers often crash beside losses of the holder, while jobs have
+   * tasks that wait.
+   */
+  readonly crashesBesideKills?: boolean;
   readonly deployFile: string;
   /** Folder of the built program, if it isn't the one that the file names. */
   readonly builtInto?: string | undefined;
@@ -49,6 +54,7 @@
 
 const READY_TIMEOUT_MS = 15_000;
 const JOB_INTERVAL_MS = 20;
+const WIDE_JOB_INTERVAL_MS = 16_000;
 const SETTLE_TIMEOUT_MS = 30_000;
 /** Time for starts that nothing should have caused. */
 const QUIET_MS = 3_000;
@@ -58,6 +64,7 @@
   options: CampaignOptions,
 ): Promise<CampaignResult> {
   const {seed, entries, organisations, durationMs} = options;
+  const {crashesBesideKills = false} = options;
   const config = campaignConfig.createCampaignConfig(
     seed,
     entries,
@@ -84,9 +91,13 @@
       machines: model.machines.length,
       organisations,
       durationMs,
+      crashesBesideKills,
     });
     const stop = new AbortController();
     const sending = stream.sendPeriodically(JOB_INTERVAL_MS, stop.signal);
+    const sendingWide = crashesBesideKills
+      ? sendWideJobs(clock, stream, stop.signal)
+      : undefined;
     await faultInjector.injectFaults({
       cell,
       config,
@@ -98,8 +109,10 @@
     });
     stop.abort();
     await sending;
+    await sendingWide;
     const jobs = await stream.settled();
     await jobTraffic.waitForFinalStates(cell, jobs, after(SETTLE_TIMEOUT_MS));
+    await stream.showWide();
     await types.clock.sleepFor(clock, QUIET_MS);
     model.history.record({type: 'history_closed'});
     const events = model.history.events();
@@ -131,6 +144,17 @@
   }
 }
 
+async function sendWideJobs(
+  clock: types.clock.Clock,
+  stream: jobStream.JobStream,
+  stop: AbortSignal,
+): Promise<void> {
+  while (!stop.aborted) {
+    stream.sendWide();
+    await types.clock.sleepFor(clock, WIDE_JOB_INTERVAL_MS, stop);
+  }
+}
+
 function countResults(
   events: readonly history.HistoryEvent[],
 ): CampaignResult['counts'] {
