scheduling: give up tasks only for crashes that are known

Cause: a new holder that found a worker of a job crashed recorded a crash of it under each task of the job that it found nowhere, also if the task only waited, or had ended there long before. Each change of the holder beside a crash added one, and five ended the job. Unanswered starts and attempts that were being stopped counted in the same way, and a trial could end a job with no known crash at all. Class: an irreversible decision on presumptions. Change: a crash carries the evidence that the task ran on the worker. Only known ones count towards giving up, two at least; unanswered starts and stopped attempts lead to trials; a presumed crash counts for nothing but makes the task a suspect, whose attempts are stored from then on (suspects in the progress, optional), so that the next holder knows. A crash is also stored until it is attributed (crashedWorkers, optional), since the worker's removal is stored at once. What a worker lists to a new holder is no longer presumed.

--- a/packages/gypsumwall-cell/src/record_checks.ts
+++ b/packages/gypsumwall-cell/src/record_checks.ts
@@ -74,6 +74,7 @@
     throw createFault('progress.phase', progress['phase'], 'a phase of a job');
   checkTexts(progress['workers'], 'progress.workers');
   checkWholes(progress['finished'], 'progress.finished');
+  checkCrashedWorkers(progress['crashedWorkers']);
   const occurrences = readObject(
     progress['occurrences'],
     'progress.occurrences',
@@ -93,6 +94,7 @@
     checkIndex(index, 'step.failures');
     checkWholes(failures[index], 'step.failures[]');
   }
+  checkSuspects(step['suspects']);
   if (step['crashes'] === undefined) return;
   const crashes = readObject(step['crashes'], 'step.crashes');
   for (const index in crashes) {
@@ -106,6 +108,31 @@
   }
 }
 
+function checkSuspects(stored: unknown): void {
+  if (stored === undefined) return;
+  const suspects = readObject(stored, 'step.suspects');
+  for (const index in suspects) {
+    checkIndex(index, 'step.suspects');
+    const suspect = readObject(suspects[index], 'step.suspects[]');
+    checkTexts(suspect['workers'], 'step.suspects[].workers');
+    for (const name of ['isIsolated', 'isPresumed']) {
+      const value = suspect[name];
+      if (typeof value !== 'boolean')
+        throw createFault(`step.suspects[].${name}`, value, 'true or false');
+    }
+  }
+}
+
+function checkCrashedWorkers(stored: unknown): void {
+  if (stored === undefined) return;
+  for (const one of readList(stored, 'progress.crashedWorkers')) {
+    const worker = readObject(one, 'progress.crashedWorkers[]');
+    checkText(worker, 'progress.crashedWorkers[].', 'id');
+    if (worker['bornMs'] !== undefined)
+      checkNumber(worker, 'progress.crashedWorkers[].', 'bornMs');
+  }
+}
+
 /** Throws unless the body is an entry. */
 export function checkEntry(body: unknown): storeRecords.EntryRecord {
   const entry = readObject(body, 'entry');
--- a/packages/gypsumwall-scheduling/src/__tests__/crashing_tasks.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/crashing_tasks.test.ts
@@ -209,3 +209,19 @@
   crashChecks.assertGivenUp(world, culprit);
   crashChecks.assertCompleted(world, shorts);
 });
+
+// Guards against losses of power that count against each task since the holder
+// that saw them together was lost as well.
+test('no task is blamed for the loss of a domain if the holder is lost with it', () => {
+  const world = crashChecks.createWorld();
+  const long = world.submit('long', {taskCount: 120}, {workMs: 12_000});
+  for (let nth = 0; nth < 4; nth++) {
+    world.run(4_500);
+    world.cutPower('d0');
+    world.run(100);
+    world.killHolder();
+  }
+  world.run(60_000);
+  crashChecks.assertCompleted(world, [long]);
+  assert.ok(world.events.every((event) => event.type !== 'task_suspected'));
+});
--- a/packages/gypsumwall-scheduling/src/active_job.ts
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -85,6 +85,16 @@
     number,
     Map<types.ids.WorkerIncarnation, jobProgress.CrashRecord>
   >;
+  /**
+   * Indexes of tasks that may have run on a worker that crashed before a
+   * scheduler took over, or only have waited then.
+   */
+  readonly presumedCrashes: Set<number>;
+  /**
+   * Suspects as an earlier scheduler has stored them, by task index; empty once
+   * its workers are reconciled.
+   */
+  readonly inheritedSuspects: Map<number, jobProgress.StoredSuspect>;
   /**
    * Highest attempt number used, by task index; under `GANG_KEY` for a gang.
    */
@@ -159,9 +169,13 @@
   readonly failedOn: Set<types.ids.WorkerId>;
   /**
    * Workers that crashed before this scheduler took over and may have run tasks
-   * of the job. Cleared once it is known which tasks run on other workers.
+   * of the job, by id. Cleared once it is known which tasks run on other
+   * workers.
    */
-  readonly unresolvedCrashes: Set<workerIncarnation.Incarnation>;
+  readonly unresolvedCrashes: Map<
+    types.ids.WorkerId,
+    workerIncarnation.Incarnation
+  >;
   /**
    * Set while crashes of its tasks are not stored: `new`, or the progress whose
    * commit stores them.
@@ -203,6 +217,8 @@
       doneIndexes: new Set(),
       failures: new Map(),
       crashes: new Map(),
+      presumedCrashes: new Set(),
+      inheritedSuspects: new Map(),
       highestAttempts: new Map(),
       checkpoints: new Map(),
       advice: stepAdvice.createStepAdvice(),
@@ -284,8 +300,16 @@
   for (const [number, occurrence] of job.openOccurrences) {
     occurrences[number] = occurrence.steps.map(stepProgressOf);
   }
-  const workers = [...job.workers.keys()];
-  return {phase, workers, occurrences, finished: [...job.finishedOccurrences]};
+  const progress: jobProgress.JobProgress = {
+    phase,
+    workers: [...job.workers.keys()],
+    occurrences,
+    finished: [...job.finishedOccurrences],
+  };
+  if (job.unresolvedCrashes.size === 0) return progress;
+  const crashed = [...job.unresolvedCrashes.values()];
+  const crashedWorkers = crashed.map(({id, bornMs}) => ({id, bornMs}));
+  return {...progress, crashedWorkers};
 }
 
 function stepProgressOf(stepRun: StepRun): jobProgress.StepProgress {
@@ -299,9 +323,49 @@
   for (const [index, workers] of stepRun.crashes) {
     if (stepRun.doneIndexes.has(index)) continue;
     const kinds: Record<string, jobProgress.CrashKind> = {};
-    for (const [worker, {kind}] of workers) kinds[worker] = kind;
+    for (const [worker, crash] of workers)
+      kinds[worker] = jobProgress.provenKind(crash);
     crashes[index] = kinds;
   }
-  if (Object.keys(crashes).length === 0) return {done, failures};
-  return {done, failures, crashes};
+  const suspects = suspectsOf(stepRun);
+  return {
+    done,
+    failures,
+    ...(Object.keys(crashes).length > 0 ? {crashes} : {}),
+    ...(Object.keys(suspects).length > 0 ? {suspects} : {}),
+  };
+}
+
+/** Whether a task may crash its workers, so that its attempts are stored. */
+export function isSuspect(stepRun: StepRun, index: number): boolean {
+  return stepRun.crashes.has(index) || stepRun.presumedCrashes.has(index);
+}
+
+function suspectsOf(
+  stepRun: StepRun,
+): Record<string, jobProgress.StoredSuspect> {
+  const suspects = new Map<number, jobProgress.StoredSuspect>();
+  const add = (
+    index: number,
+    workers: readonly types.ids.WorkerId[],
+    isIsolated: boolean,
+  ) => {
+    if (stepRun.doneIndexes.has(index)) return;
+    const known = suspects.get(index);
+    suspects.set(index, {
+      workers: [...new Set([...(known?.workers ?? []), ...workers])],
+      isIsolated: isIsolated || known?.isIsolated === true,
+      isPresumed: stepRun.presumedCrashes.has(index),
+    });
+  };
+  for (const index of stepRun.presumedCrashes) add(index, [], false);
+  for (const [index, {workers, isIsolated}] of stepRun.inheritedSuspects)
+    add(index, workers, isIsolated);
+  for (const {task, workerId, startedAt, isolatedUntil} of stepRun.attempts) {
+    if (task === undefined || !isSuspect(stepRun, task.index)) continue;
+    const isIsolated = isolatedUntil !== undefined;
+    if (startedAt !== undefined || isIsolated)
+      add(task.index, [workerId], isIsolated);
+  }
+  return Object.fromEntries(suspects);
 }
--- a/packages/gypsumwall-scheduling/src/crash_attribution.ts
+++ b/packages/gypsumwall-scheduling/src/crash_attribution.ts
@@ -3,7 +3,7 @@
  * that caused them.
  */
 import * as types from '@gypsumwall/types';
-import type * as activeJob from './active_job.js';
+import * as activeJob from './active_job.js';
 import * as crashRecords from './crash_records.js';
 import type * as jobRegistries from './job_registry.js';
 import * as jobProgress from './job_progress.js';
@@ -45,7 +45,7 @@
   /**
    * Called when all workers recorded for a job of an earlier scheduler are
    * reconciled. A task that was not found on them may have run on a crashed
-   * worker.
+   * worker. Only for tasks that had crashes before is it known whether it did.
    */
   onJobReconciled(job: activeJob.ActiveJob): void;
 }
@@ -84,21 +84,36 @@
   }
 
   /**
-   * Records a crash for one of these workers only: a task has one attempt at a
-   * time, so it ran on one of them at most.
+   * Applies that a task was found on none of the workers of an earlier
+   * scheduler, some of which crashed. If it was no suspect, it may only have
+   * waited, or have ended there: that proves nothing, but from now on its
+   * attempts are stored, so that the next scheduler knows.
    */
-  function recordSingleCrash(
+  function recordMissingTask(
     stepRun: activeJob.StepRun,
     index: number,
-    workers: readonly workerIncarnation.Incarnation[],
+    crashed: readonly workerIncarnation.Incarnation[],
   ): void {
-    const known = stepRun.crashes.get(index) ?? new Map();
-    const worker = workers.find((one) => !crashRecords.isRecorded(known, one));
-    if (worker === undefined) return;
-    const crash = {kind: 'single', evidence: 'presumed'} as const;
-    if (!recordForTask(stepRun, index, worker, crash)) return;
-    const reason = crashRecords.giveUpReason(stepRun, index, undefined);
-    if (reason !== undefined) giveUp({stepRun, index}, reason);
+    if (!activeJob.isSuspect(stepRun, index)) {
+      stepRun.presumedCrashes.add(index);
+      jobRegistry.dirty.add(stepRun.job);
+      const task = taskIds.taskId(stepRun.id, index);
+      onEvent({type: 'crash_presumed', task, worker: crashed[0]!.id});
+      return;
+    }
+    const suspect = stepRun.inheritedSuspects.get(index);
+    // It is not known when the worker crashed after the start.
+    const isolatedMs =
+      suspect?.isIsolated === true && crashed.length === 1
+        ? Infinity
+        : undefined;
+    for (const worker of crashed) {
+      if (suspect?.workers.includes(worker.id) !== true) continue;
+      const crash = {kind: 'single', evidence: 'inherited'} as const;
+      if (!recordForTask(stepRun, index, worker, crash)) continue;
+      const reason = crashRecords.giveUpReason(stepRun, index, isolatedMs);
+      if (reason !== undefined) giveUp({stepRun, index}, reason);
+    }
   }
 
   function giveUp(
@@ -156,10 +171,8 @@
       for (const attempt of attempts) {
         if (attempt.task === undefined) continue;
         const {stepRun, index} = attempt.task;
-        const evidence = lost.includes(attempt)
-          ? evidenceOf(attempt)
-          : 'lapsed';
-        const crash = {kind, evidence} as const;
+        const evidence = evidenceOf(attempt, lost.includes(attempt));
+        const crash: jobProgress.CrashRecord = {kind, evidence};
         if (!recordForTask(stepRun, index, crashed, crash)) continue;
         const ranMs = isolatedMs(attempt, now);
         const reason = crashRecords.giveUpReason(stepRun, index, ranMs);
@@ -182,22 +195,34 @@
     },
     onWorkerAnswered: (worker) => void unprovenCrashes.delete(worker),
     onJobReconciled(job) {
-      const crashed = [...job.unresolvedCrashes];
+      const crashed = [...job.unresolvedCrashes.values()];
       job.unresolvedCrashes.clear();
-      if (crashed.length === 0) return;
+      if (crashed.length > 0) jobRegistry.dirty.add(job);
       for (const {steps} of job.openOccurrences.values()) {
         for (const stepRun of steps) {
-          for (const index of missingIndexes(stepRun)) {
-            recordSingleCrash(stepRun, index, crashed);
-          }
+          const missing = crashed.length === 0 ? [] : missingIndexes(stepRun);
+          for (const index of missing)
+            recordMissingTask(stepRun, index, crashed);
+          stepRun.inheritedSuspects.clear();
         }
       }
     },
   };
 }
 
-function evidenceOf({startedAt}: activeJob.Attempt): jobProgress.CrashEvidence {
-  return startedAt === undefined ? 'unanswered' : 'running';
+/**
+ * How it is known that an attempt ran on its worker when the worker crashed;
+ * `isLeased` tells whether its lease had not expired before.
+ */
+function evidenceOf(
+  {startedAt, phase, confirmedAt, isolatedUntil}: activeJob.Attempt,
+  isLeased: boolean,
+): jobProgress.CrashEvidence {
+  if (startedAt === undefined)
+    return isolatedUntil === undefined ? 'unanswered' : 'isolated';
+  // Without an answer to the stop, the attempt ran on as far as is known.
+  if (phase === 'stopping' && confirmedAt !== undefined) return 'stopping';
+  return isLeased ? 'running' : 'lapsed';
 }
 
 /** Indexes of tasks of an open step that neither run nor are done. */
--- a/packages/gypsumwall-scheduling/src/crash_records.ts
+++ b/packages/gypsumwall-scheduling/src/crash_records.ts
@@ -10,7 +10,7 @@
  */
 import type * as types from '@gypsumwall/types';
 import type * as activeJob from './active_job.js';
-import type * as jobProgress from './job_progress.js';
+import * as jobProgress from './job_progress.js';
 import * as workerIncarnation from './worker_incarnation.js';
 
 /** Crashes of one task, by worker incarnation. */
@@ -27,6 +27,12 @@
  * takes one more.
  */
 const MIN_CONCLUSIVE_CRASHES = 3;
+/**
+ * Number of workers that must have crashed while the task is known to have run
+ * there, whatever else is recorded. A healthy task may only have waited when the
+ * scheduler was lost and some workers of its job crashed.
+ */
+const MIN_PROVEN_CRASHES = 2;
 /** A crash within this time after the start is prompt; milliseconds. */
 const PROMPT_CRASH_MS = 1_000;
 /**
@@ -48,17 +54,20 @@
 /**
  * Number of crashes of a task since it was last cleared. Group losses do not
  * count by themselves. They count beside a single crash: the task may have
- * crashed its worker just as the power failed.
+ * crashed its worker just as the power failed. Presumed crashes do not count.
  */
 export function crashCount(stepRun: activeJob.StepRun, index: number): number {
   const crashes = stepRun.crashes.get(index);
-  if (crashes === undefined || countSingle(crashes) === 0) return 0;
-  return crashes.size;
+  if (crashes === undefined) return 0;
+  const isSingle = [...crashes.values()].some(({kind}) => kind === 'single');
+  return isSingle ? crashes.size : 0;
 }
 
-function countSingle(crashes: Crashes): number {
+/** Number of crashes for which the task may be to blame. */
+function countProven(crashes: Crashes): number {
   let count = 0;
-  for (const {kind} of crashes.values()) if (kind === 'single') count++;
+  for (const crash of crashes.values())
+    if (jobProgress.provenKind(crash) === 'single') count++;
   return count;
 }
 
@@ -157,12 +166,14 @@
   isolatedMs: number | undefined,
 ): GiveUpReason | undefined {
   const count = crashCount(stepRun, index);
+  const proven = countProven(stepRun.crashes.get(index) ?? new Map());
+  if (proven < MIN_PROVEN_CRASHES) return undefined;
   if (isolatedMs !== undefined) {
     const needed =
       MIN_CONCLUSIVE_CRASHES + (isolatedMs <= PROMPT_CRASH_MS ? 0 : 1);
     if (count >= needed) return 'crashed_in_isolation';
   }
-  if (count < MAX_CRASHES) return undefined;
-  const single = countSingle(stepRun.crashes.get(index) ?? new Map());
-  return single >= MIN_CONCLUSIVE_CRASHES ? 'too_many_crashes' : undefined;
+  const presumed = stepRun.presumedCrashes.has(index) ? 1 : 0;
+  if (count + presumed < MAX_CRASHES) return undefined;
+  return proven >= MIN_CONCLUSIVE_CRASHES ? 'too_many_crashes' : undefined;
 }
--- a/packages/gypsumwall-scheduling/src/job_progress.ts
+++ b/packages/gypsumwall-scheduling/src/job_progress.ts
@@ -5,6 +5,7 @@
  */
 
 import type * as types from '@gypsumwall/types';
+import type * as workerIncarnation from './worker_incarnation.js';
 
 /** Phase of a job. */
 export type JobPhase =
@@ -16,35 +17,78 @@
   | 'failed'
   | 'cancelled';
 
-/** Possible cause of a crash. */
+/** What a crash shows about a task. */
 export type CrashKind =
-  /** Something that ran on the worker. */
+  /** The task ran on the worker, and may have crashed it. */
   | 'single'
-  /** An external cause: most of its rack or failure domain was lost with it. */
+  /**
+   * Nothing by itself: an external cause explains the crash, since most of the
+   * rack or failure domain was lost with the worker, or it is not known whether
+   * the task ran there.
+   */
   | 'group';
 
 /** How the scheduler knows that a task ran on a worker that crashed. */
 export type CrashEvidence =
   /** The worker had accepted the start, or had listed the attempt. */
   | 'running'
-  /** The start order was sent and not answered. */
-  | 'unanswered'
-  /** The attempt had ended with the lease before the crash was known. */
+  /** The same, but the attempt had ended with its lease before. */
   | 'lapsed'
+  /** The same, but the attempt was being stopped and may have ended before. */
+  | 'stopping'
   /**
-   * The worker was recorded for the job by an earlier scheduler, and the task
-   * was found nowhere.
+   * An earlier scheduler had stored that the task, which had crashes, ran there;
+   * the task was found nowhere.
    */
-  | 'presumed'
+  | 'inherited'
+  /** The start order was sent and not answered; the task was isolated. */
+  | 'isolated'
+  /** The start order was sent and not answered. */
+  | 'unanswered'
   /** Restored from the stored progress, which does not say how it was known. */
   | 'restored';
 
-/** A crash of a worker that ran a task, as far as the scheduler knows. */
+/** A crash of a worker that may have run a task. */
 export interface CrashRecord {
+  /** What the crash shows if the task ran there. */
   readonly kind: CrashKind;
   readonly evidence: CrashEvidence;
 }
 
+/**
+ * What a crash shows about the task, as it is stored: nothing unless the task is
+ * known to have run there.
+ */
+export function provenKind({kind, evidence}: CrashRecord): CrashKind {
+  switch (evidence) {
+    case 'running':
+    case 'lapsed':
+    case 'inherited':
+    case 'isolated':
+    case 'restored':
+      return kind;
+    case 'stopping':
+    case 'unanswered':
+      return 'group';
+  }
+}
+
+/**
+ * A task that may crash its workers. A scheduler that takes over has to know
+ * whether it ran on a worker that crashed.
+ */
+export interface StoredSuspect {
+  /** Workers that run the task. */
+  readonly workers: readonly types.ids.WorkerId[];
+  /** Whether it is isolated from other jobs there. */
+  readonly isIsolated: boolean;
+  /**
+   * Whether it may have run on a worker that crashed before an earlier scheduler
+   * took over; not known of older crashes.
+   */
+  readonly isPresumed: boolean;
+}
+
 /** Progress of one step of one occurrence. */
 export interface StepProgress {
   /** Indexes of tasks that are done, ascending; `all` when none is left. */
@@ -63,6 +107,8 @@
   readonly crashes?: Readonly<
     Record<string, Readonly<Record<string, CrashKind>>>
   >;
+  /** Suspects by task index; absent if there are none, and in older records. */
+  readonly suspects?: Readonly<Record<string, StoredSuspect>>;
 }
 
 /** Progress of a job, with its occurrences by number. */
@@ -73,6 +119,11 @@
   readonly occurrences: Readonly<Record<string, readonly StepProgress[]>>;
   /** Numbers of the occurrences that are done as a whole. */
   readonly finished: readonly number[];
+  /**
+   * Workers of an earlier scheduler that crashed, until it is known which tasks
+   * run on the others. Absent if there are none, and in older records.
+   */
+  readonly crashedWorkers?: readonly workerIncarnation.Incarnation[];
 }
 
 /** The progress of a job that has not started. */
--- a/packages/gypsumwall-scheduling/src/job_registry.ts
+++ b/packages/gypsumwall-scheduling/src/job_registry.ts
@@ -79,6 +79,11 @@
     attemptNumber: number,
   ): void;
   dropAttempt(attempt: activeJob.Attempt): void;
+  /**
+   * Called when an attempt has begun or ended. The attempts of suspects are
+   * stored, so that a successor knows where they ran.
+   */
+  storeIfSuspect(attempt: activeJob.Attempt): void;
   /**
    * Called when an attempt has ended. If its worker is about to leave and has
    * no other attempt of the job, removes the worker from the workers recorded
@@ -226,10 +231,18 @@
     if (job.workers.delete(workerId)) dirty.add(job);
   }
 
+  function storeIfSuspect({task}: activeJob.Attempt): void {
+    if (task === undefined) return;
+    if (!activeJob.isSuspect(task.stepRun, task.index)) return;
+    const {job} = task.stepRun;
+    if (jobs.get(job.id) === job) dirty.add(job);
+  }
+
   /** Queues the task of an attempt whose outcome is not known. */
   function dropAttempt(attempt: activeJob.Attempt): void {
     const {task, number: attemptNumber} = attempt;
     parts.attempts.remove(attempt);
+    storeIfSuspect(attempt);
     removeLeavingWorker(attempt);
     if (task !== undefined) requeue(task.stepRun, task.index, attemptNumber);
   }
@@ -290,6 +303,7 @@
     retryStop,
     requeue,
     dropAttempt,
+    storeIfSuspect,
     removeLeavingWorker,
     queueCopy,
     updateWaiting,
--- a/packages/gypsumwall-scheduling/src/job_steps.ts
+++ b/packages/gypsumwall-scheduling/src/job_steps.ts
@@ -48,7 +48,9 @@
     isAwaitingReconciliation: inherited && progress.workers.length > 0,
     workers: new Map(progress.workers.map((id) => [id, 'recorded'])),
     failedOn: new Set(),
-    unresolvedCrashes: new Set(),
+    unresolvedCrashes: new Map(
+      progress.crashedWorkers?.map((worker) => [worker.id, worker]),
+    ),
     openOccurrences: new Map(),
     finishedOccurrences: new Set(progress.finished),
   };
@@ -90,6 +92,12 @@
       crashes.set(types.ids.brand(key), {kind, evidence: 'restored'});
     stepRun.crashes.set(Number(index), crashes);
   }
+  for (const [key, suspect] of Object.entries(progress.suspects ?? {})) {
+    const index = Number(key);
+    if (suspect.isPresumed) stepRun.presumedCrashes.add(index);
+    if (stepRun.job.isAwaitingReconciliation)
+      stepRun.inheritedSuspects.set(index, suspect);
+  }
 }
 
 /**
--- a/packages/gypsumwall-scheduling/src/lost_attempts.ts
+++ b/packages/gypsumwall-scheduling/src/lost_attempts.ts
@@ -107,9 +107,15 @@
       attribute(incarnation, ended, reason, now);
     },
     recordUnresolvedCrash(incarnation) {
+      // What ran on a worker that has answered is known.
+      if (losses.hasAnswered(incarnation.id)) return;
       for (const job of jobRegistry.jobs.values()) {
-        if (job.isAwaitingReconciliation && job.workers.has(incarnation.id))
-          job.unresolvedCrashes.add(incarnation);
+        const {id} = incarnation;
+        if (!job.isAwaitingReconciliation || !job.workers.has(id)) continue;
+        job.unresolvedCrashes.set(id, incarnation);
+        // The worker is removed from the used ones, so a successor would not
+        // find its crash.
+        jobRegistry.dirty.add(job);
       }
     },
   };
--- a/packages/gypsumwall-scheduling/src/report_reader.ts
+++ b/packages/gypsumwall-scheduling/src/report_reader.ts
@@ -57,6 +57,7 @@
     if (attempt !== undefined) {
       if (reported.how === 'done') runMeter.onDone(attempt, now);
       attempts.remove(attempt);
+      jobRegistry.storeIfSuspect(attempt);
       jobRegistry.removeLeavingWorker(attempt);
     }
     parts.onEvent({
@@ -190,7 +191,9 @@
     ranMs: number,
   ): void {
     if (ranMs < crashRecords.SURVIVAL_MS) return;
-    if (stepRun.crashes.delete(index)) jobRegistry.dirty.add(stepRun.job);
+    const isCleared = stepRun.crashes.delete(index);
+    if (stepRun.presumedCrashes.delete(index) || isCleared)
+      jobRegistry.dirty.add(stepRun.job);
   }
 
   function isStopOverdue(
@@ -247,6 +250,7 @@
     jobRegistry.markRunning(task.stepRun.job);
     recordAttemptNumber(task.stepRun, task.index, reported.attempt);
     saveCheckpoint(task.stepRun, task.index, reported.checkpoint);
+    jobRegistry.storeIfSuspect(attempt);
     if (wanted) jobRegistry.dequeue(task.stepRun, task.index);
     else jobRegistry.stop(attempt);
   }
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -161,6 +161,7 @@
   ): schedulerTypes.StartOrder {
     const startOrder = startOrders.createStartOrder(placement, now);
     attempts.add(startOrder.attempt);
+    jobRegistry.storeIfSuspect(startOrder.attempt);
     isolation.onStartOrdered(startOrder.attempt, now);
     return startOrder;
   }
@@ -320,6 +321,7 @@
             attempt.startedAt ??= now;
             attempt.percentChangedAt = now;
             isolation.onStarted(attempt, now);
+            jobRegistry.storeIfSuspect(attempt);
             runMeter.onStarted(attempt, now);
           }
           if (attempt.task !== undefined) {
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -377,6 +377,15 @@
       /** Crashes of the task since it was last cleared. */
       readonly crashes: number;
     }
+  | {
+      /**
+       * A worker crashed before this scheduler took over, and the task may have
+       * run there.
+       */
+      readonly type: 'crash_presumed';
+      readonly task: types.ids.TaskId;
+      readonly worker: types.ids.WorkerId;
+    }
   | {
       /**
        * The operator has changed how many attempts of a task may fail; counts
--- a/packages/gypsumwall-scheduling/src/worker_losses.ts
+++ b/packages/gypsumwall-scheduling/src/worker_losses.ts
@@ -69,6 +69,8 @@
    * while.
    */
   recordRemoval(id: types.ids.WorkerId): void;
+  /** Whether the present incarnation of a worker has ever answered. */
+  hasAnswered(id: types.ids.WorkerId): boolean;
   lostAt(id: types.ids.WorkerId): types.clock.MonotonicMs | undefined;
   /** Whether most of its rack or failure domain was lost with it. */
   isGroupLoss(id: types.ids.WorkerId): boolean;
@@ -154,6 +156,7 @@
     recordRemoval(id) {
       if (incarnations.get(id)?.loss === undefined) incarnations.delete(id);
     },
+    hasAnswered: (id) => incarnations.has(id),
     lostAt: (id) => incarnations.get(id)?.loss?.at,
     isGroupLoss(id) {
       const info = incarnations.get(id)?.info;
