cell: a silent worker that had announced its departure has left

Cause: a worker that was removed as silent is remembered, and counts as crashed once another worker has its address, also if it had announced that it leaves. Its tasks then had a crash that no worker had. Change: it is remembered only if it had not announced that. Result: left_workers.test.ts, 'a worker that was removed as silent after its announcement has left', failed before ('w1 crashed') and passes.

--- a/packages/gypsumwall-cell/src/worker_entries.ts
+++ b/packages/gypsumwall-cell/src/worker_entries.ts
@@ -145,7 +145,8 @@
     entries.delete(id);
     entry.session.close();
     const starts = entry.session.unansweredStarts();
-    if (cause === 'silent') recentlySilent.add(entry.info, starts);
+    const mayHaveCrashed = cause === 'silent' && !entry.info.draining;
+    if (mayHaveCrashed) recentlySilent.add(entry.info, starts);
     else recentlySilent.addEnded(id, starts);
     scheduler.removeWorker(id, cause, clock.monotonic());
     // A successor that doesn't find the worker must find the consequences of
