cell: a worker that may have left is not taken for crashed

Callers see: tasks that ran on workers which left as announced count crashes, and after some of them the job is shown as failed. Cause: a worker whose address answers for another one counts as crashed unless the holder has read that it leaves. While the list can't be read, or after a reload in which the entry is missing, the holder doesn't know. Change: the end is unknown if the copy of the list is older than the shortest notice, or if the entry disappeared in a reload; a crash is then only presumed. Result: left_workers.test.ts, 'a worker that has left while the list was not readable has not crashed', failed on (crashes w1: single) and passes.

--- a/packages/gypsumwall-cell/src/__tests__/left_workers.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/left_workers.test.ts
@@ -20,6 +20,10 @@
 const LEASE_MS = 4_000;
 /** The list is read within this time; milliseconds. */
 const LIST_READ_MS = 600;
+/** A worker announces that it leaves at least this long before; milliseconds. */
+const NOTICE_MS = 2_000;
+/** How long a read of the list waits for a change; milliseconds. */
+const LIST_READ_WAIT_MS = 1_200;
 /** Long enough that nothing is evacuated; milliseconds. */
 const LEAVES_IN_MS = 60_000;
 
@@ -51,11 +55,12 @@
 async function createBusyWorld() {
   const world = worlds.createCellWorld(LEASE_MS);
   const leaving = await world.addWorker('w1', 4);
-  const first = world.addEntry('a');
+  const listView = worlds.createLogView(world.store.workers);
+  const first = world.addEntry('a', {...world.store, workers: listView});
   await worlds.until(() => first.status().storeReachable, 'the store');
   await first.jobService.submit(JOB, worlds.POLICY, worlds.request(1));
   await worlds.until(() => leaving.running.size === 1, 'the task runs');
-  return {world, first, leaving};
+  return {world, first, leaving, listView};
 }
 
 /** The worker leaves, and another one takes its address. */
@@ -85,6 +90,26 @@
   }
 });
 
+// Guards against a crash that is counted before the announcement is read: the
+// address answers for another worker while the list can't be read.
+test('a worker that has left while the list was not readable has not crashed', async () => {
+  const {world, leaving, listView} = await createBusyWorld();
+  try {
+    listView.fault = 'down';
+    // A read in progress is still answered.
+    await pause(LIST_READ_WAIT_MS);
+    await world.drain(leaving, LEAVES_IN_MS);
+    await pause(NOTICE_MS);
+    const next = await replace(world, leaving);
+    await pause(1_000);
+    listView.fault = 'none';
+    await worlds.until(() => next.running.size === 1, 'on the next', 15_000);
+    await assertNoCrash(world);
+  } finally {
+    world.stop();
+  }
+});
+
 function createRoster() {
   const removals: string[] = [];
   const roster = workerRosters.createWorkerRoster({
@@ -102,6 +127,7 @@
     isUsedPool: () => true,
     openSession: () => {
       const session: Partial<workerSession.WorkerSession> = {
+        hasReported: () => true,
         unansweredStarts: () => [],
         run: () => Promise.resolve(),
         close: () => {},
@@ -111,6 +137,7 @@
     write: () => Promise.resolve(),
     longestStopMs: 400,
     listExpiryMs: undefined,
+    listReadUntil: () => types.clock.createSystemClock().monotonic(),
     onLeft: () => {},
     flush: () => Promise.resolve(),
     onChange: () => {},
--- a/packages/gypsumwall-cell/src/__tests__/worker_births.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/worker_births.test.ts
@@ -52,6 +52,7 @@
       const session: Partial<workerSession.WorkerSession> = {
         run: () => Promise.resolve(),
         close: () => {},
+        hasReported: () => true,
         unansweredStarts: () => [LOST],
         stopEarlierStarts: () => Promise.resolve(),
       };
@@ -66,6 +67,7 @@
     },
     longestStopMs: 400,
     listExpiryMs: undefined,
+    listReadUntil: () => types.clock.createSystemClock().monotonic(),
     onLeft: () => {},
     flush() {
       calls.push('flush');
--- a/packages/gypsumwall-cell/src/__tests__/worker_roster.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/worker_roster.test.ts
@@ -38,6 +38,7 @@
     openSession: (info) => {
       opened.push(info.id);
       const session: Partial<workerSession.WorkerSession> = {
+        hasReported: () => true,
         unansweredStarts: () => [],
         run: () => Promise.resolve(),
         close: () => {},
@@ -52,6 +53,7 @@
     },
     longestStopMs: 400,
     listExpiryMs: undefined,
+    listReadUntil: () => types.clock.createSystemClock().monotonic(),
     onLeft: () => {},
     flush() {
       calls.push('flush');
--- a/packages/gypsumwall-cell/src/cell_holder.ts
+++ b/packages/gypsumwall-cell/src/cell_holder.ts
@@ -108,6 +108,7 @@
     isUsedPool: options.isUsedPool,
     longestStopMs: options.longestStopMs,
     listExpiryMs: options.listExpiryMs,
+    listReadUntil: () => workerFollower.completeUntil(),
     onLeft: (id) => barrier.markGone(id, clock.monotonic()),
     openSession,
     write: (records) => writer.write(records),
--- a/packages/gypsumwall-cell/src/worker_entries.ts
+++ b/packages/gypsumwall-cell/src/worker_entries.ts
@@ -26,6 +26,10 @@
     info: scheduling.workerRegistry.WorkerInfo,
     seenIn: 'list' | 'answer',
   ): workerRosterTypes.RosterEntry;
+  /** How an incarnation has ended that is certainly over. */
+  endOf(
+    entry: workerRosterTypes.RosterEntry,
+  ): scheduling.schedulerTypes.IncarnationEnd;
   remove(
     id: types.ids.WorkerId,
     cause: scheduling.schedulerTypes.WorkerLoss,
@@ -36,12 +40,11 @@
   close(): void;
 }
 
-/** How an incarnation has ended that is certainly over. */
-export function endOf({
-  info,
-}: workerRosterTypes.RosterEntry): scheduling.schedulerTypes.IncarnationEnd {
-  return info.draining ? 'left' : 'crashed';
-}
+/**
+ * A worker announces that it leaves at least this long before; a copy of the list
+ * that is older may lack the announcement; milliseconds.
+ */
+const MIN_NOTICE_MS = 2_000;
 
 /** Creates an empty set of workers. */
 export function createWorkerEntries(
@@ -53,6 +56,19 @@
   let unstoredRemovals = 0;
   let isClosed = false;
 
+  function endOf({
+    info,
+    session,
+    missedRemoval,
+  }: workerRosterTypes.RosterEntry): scheduling.schedulerTypes.IncarnationEnd {
+    if (info.draining) return 'left';
+    // This holder knows of no attempt there, so the end proves nothing anyway.
+    if (!session.hasReported()) return 'crashed';
+    if (missedRemoval) return 'unknown';
+    const ageMs = clock.monotonic() - (options.listReadUntil() ?? 0);
+    return ageMs > MIN_NOTICE_MS ? 'unknown' : 'crashed';
+  }
+
   function addWorker(
     info: scheduling.workerRegistry.WorkerInfo,
     listed: boolean,
@@ -77,6 +93,7 @@
       listed,
       session,
       times: {},
+      missedRemoval: false,
       isCurrent: true,
       isEvacuating: false,
     };
@@ -167,6 +184,7 @@
     entries,
     add: addWorker,
     restart: restartWorker,
+    endOf,
     remove: removeWorker,
     unstoredRemovals: () => unstoredRemovals,
     close() {
--- a/packages/gypsumwall-cell/src/worker_roster.ts
+++ b/packages/gypsumwall-cell/src/worker_roster.ts
@@ -130,6 +130,7 @@
     entry.info = info;
     entry.times = {writtenAfter, writtenAtMs};
     entry.listed = true;
+    entry.missedRemoval = false;
     entry.unusedAt = undefined;
     scheduler.putWorker(info);
   }
@@ -190,7 +191,11 @@
       if (reloaded) {
         const listedKeys = new Set(records.map((record) => record.key));
         faults.retain(listedKeys);
-        for (const id of entries.keys()) if (!listedKeys.has(id)) unlist(id);
+        for (const [id, entry] of entries) {
+          if (listedKeys.has(id)) continue;
+          if (entry.listed) entry.missedRemoval = true;
+          unlist(id);
+        }
       }
       for (const {key, value, offset} of records) {
         if (value === '') {
@@ -218,8 +223,7 @@
     session: (id) => entries.get(id)?.session,
     onGone(id) {
       const entry = entries.get(id);
-      const cause =
-        entry === undefined ? 'crashed' : workerEntries.endOf(entry);
+      const cause = entry === undefined ? 'crashed' : workers.endOf(entry);
       workers.remove(id, cause, 'another incarnation answers at its address');
     },
     isOwnBirth(id, bornMs) {
--- a/packages/gypsumwall-cell/src/worker_roster_types.ts
+++ b/packages/gypsumwall-cell/src/worker_roster_types.ts
@@ -32,6 +32,8 @@
    * milliseconds. Undefined if the platform doesn't specify it.
    */
   readonly listExpiryMs: number | undefined;
+  /** The list is read completely until this moment; undefined before it is. */
+  readonly listReadUntil: () => types.clock.MonotonicMs | undefined;
   /**
    * A worker that had announced its departure has left: nothing runs there any
    * more.
@@ -103,6 +105,11 @@
   listed: boolean;
   /** When its newest list entry was written. */
   times: listEntryAges.EntryTimes;
+  /**
+   * Whether its list entry disappeared while changes of the list were missed,
+   * among them perhaps the announcement that it leaves.
+   */
+  missedRemoval: boolean;
   isCurrent: boolean;
   /** When a worker that disappeared from the list is treated as leaving. */
   unusedAt?: types.clock.MonotonicMs;
--- a/packages/gypsumwall-scheduling/src/active_job.ts
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -86,8 +86,8 @@
     Map<types.ids.WorkerIncarnation, jobProgress.CrashRecord>
   >;
   /**
-   * Indexes of tasks that may have run on a worker that crashed before a
-   * scheduler took over, or only have waited then.
+   * Indexes of tasks that may have run on a worker that crashed. They may also
+   * only have waited, or the worker may have left as announced.
    */
   readonly presumedCrashes: Set<number>;
   /**
--- a/packages/gypsumwall-scheduling/src/crash_attribution.ts
+++ b/packages/gypsumwall-scheduling/src/crash_attribution.ts
@@ -27,6 +27,14 @@
     attempts: readonly activeJob.Attempt[],
     now: types.clock.MonotonicMs,
   ): void;
+  /**
+   * Applies that a worker may have crashed with these attempts, or have left as
+   * announced.
+   */
+  presumeCrash(
+    worker: workerIncarnation.Incarnation,
+    attempts: readonly activeJob.Attempt[],
+  ): void;
   /**
    * Records attempts that ended with the lease of their worker, while it is not
    * known yet whether the worker has crashed or is cut off. Their tasks are
@@ -83,6 +91,21 @@
     return true;
   }
 
+  /** Makes a task a suspect without a crash that counts. */
+  function presumeForTask(
+    stepRun: activeJob.StepRun,
+    index: number,
+    {id}: workerIncarnation.Incarnation,
+  ): void {
+    const {job} = stepRun;
+    if (jobProgress.isOver(job.phase) || stepRun.state === 'done') return;
+    if (stepRun.doneIndexes.has(index)) return;
+    stepRun.presumedCrashes.add(index);
+    jobRegistry.dirty.add(job);
+    const task = taskIds.taskId(stepRun.id, index);
+    onEvent({type: 'crash_presumed', task, worker: id});
+  }
+
   /**
    * Applies that a task was found on none of the workers of an earlier
    * scheduler, some of which crashed. If it was no suspect, it may only have
@@ -95,10 +118,7 @@
     crashed: readonly workerIncarnation.Incarnation[],
   ): void {
     if (!activeJob.isSuspect(stepRun, index)) {
-      stepRun.presumedCrashes.add(index);
-      jobRegistry.dirty.add(stepRun.job);
-      const task = taskIds.taskId(stepRun.id, index);
-      onEvent({type: 'crash_presumed', task, worker: crashed[0]!.id});
+      presumeForTask(stepRun, index, crashed[0]!);
       return;
     }
     const suspect = stepRun.inheritedSuspects.get(index);
@@ -150,6 +170,12 @@
   }
 
   return {
+    presumeCrash(incarnation, lost) {
+      for (const {task} of lost) {
+        if (task !== undefined)
+          presumeForTask(task.stepRun, task.index, incarnation);
+      }
+    },
     recordCrash(incarnation, lost, now) {
       const worker = incarnation.id;
       const unproven = unprovenCrashes.get(worker);
--- a/packages/gypsumwall-scheduling/src/job_progress.ts
+++ b/packages/gypsumwall-scheduling/src/job_progress.ts
@@ -83,8 +83,7 @@
   /** Whether it is isolated from other jobs there. */
   readonly isIsolated: boolean;
   /**
-   * Whether it may have run on a worker that crashed before an earlier scheduler
-   * took over; not known of older crashes.
+   * Whether it may have run on a worker that crashed, without evidence that it did.
    */
   readonly isPresumed: boolean;
 }
--- a/packages/gypsumwall-scheduling/src/lost_attempts.ts
+++ b/packages/gypsumwall-scheduling/src/lost_attempts.ts
@@ -85,6 +85,9 @@
       case 'crashed':
         crashes.recordCrash(incarnation, lost, now);
         return;
+      case 'unknown':
+        crashes.presumeCrash(incarnation, lost);
+        return;
       case 'silent':
         crashes.recordSilence(incarnation, lost, now);
         return;
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -95,6 +95,11 @@
    * and the worker had not announced that it leaves.
    */
   | 'crashed'
+  /**
+   * The same, but the worker may have announced it: the list could not be read
+   * at that time.
+   */
+  | 'unknown'
   /**
    * The worker does not answer and its lease has expired; it may be cut off
    * from the network.
@@ -380,7 +385,7 @@
   | {
       /**
        * A worker crashed before this scheduler took over, and the task may have
-       * run there.
+       * run there; or the worker may have left as announced.
        */
       readonly type: 'crash_presumed';
       readonly task: types.ids.TaskId;
--- a/packages/gypsumwall-scheduling/src/worker_restarts.ts
+++ b/packages/gypsumwall-scheduling/src/worker_restarts.ts
@@ -73,7 +73,8 @@
   return {
     remove(id, cause, now) {
       const incarnation = incarnationOf(id);
-      if (cause === 'crashed') lossHandler.recordUnresolvedCrash(incarnation);
+      if (cause === 'crashed' || cause === 'unknown')
+        lossHandler.recordUnresolvedCrash(incarnation);
       registry.remove(id);
       lossHandler.endAttempts(incarnation, cause, now);
       forget(id);
@@ -82,7 +83,7 @@
       const {id} = info;
       const incarnation = incarnationOf(id);
       lossHandler.onWorkerUnanswered(id, now);
-      if (cause === 'crashed') lossHandler.recordUnresolvedCrash(incarnation);
+      if (cause !== 'left') lossHandler.recordUnresolvedCrash(incarnation);
       const all = [...attempts.ofWorker(id)];
       const unsettled = all.filter((one) => one.startedAt === undefined);
       const ended = all.filter((one) => one.startedAt !== undefined);
