scheduling: store how a crash of a task was known

Callers see: a job that fails for starts that never reached their workers, or a task that crashes its workers and is started without end by one holder after the other. Cause: unanswered starts in a trial counted as known crashes, so that one known crash was enough; elsewhere they were stored as group losses, which count for nothing once another holder takes over. Change: the evidence of each crash is stored beside its kind (optional field) and says how far it goes: a trial concludes with two known crashes only, the fifth crash also with likely ones. Crashes stored by an older build are likely.

--- a/packages/gypsumwall-cell/src/__tests__/unreadable_records.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/unreadable_records.test.ts
@@ -55,6 +55,7 @@
             done: [0],
             failures: {'1': [4]},
             crashes: {'1': {w1: 'single'}},
+            evidence: {'1': {w1: 'running'}},
             suspects: {
               '1': {workers: [info.id], isIsolated: false, isPresumed: true},
             },
--- a/packages/gypsumwall-cell/src/record_checks.ts
+++ b/packages/gypsumwall-cell/src/record_checks.ts
@@ -94,6 +94,7 @@
     checkIndex(index, 'step.failures');
     checkWholes(failures[index], 'step.failures[]');
   }
+  checkEvidence(step['evidence']);
   checkSuspects(step['suspects']);
   if (step['crashes'] === undefined) return;
   const crashes = readObject(step['crashes'], 'step.crashes');
@@ -108,6 +109,17 @@
   }
 }
 
+function checkEvidence(stored: unknown): void {
+  if (stored === undefined) return;
+  const evidence = readObject(stored, 'step.evidence');
+  for (const index in evidence) {
+    checkIndex(index, 'step.evidence');
+    const workers = readObject(evidence[index], 'step.evidence[]');
+    for (const worker in workers)
+      checkText(workers, 'step.evidence[].', worker);
+  }
+}
+
 function checkSuspects(stored: unknown): void {
   if (stored === undefined) return;
   const suspects = readObject(stored, 'step.suspects');
--- /dev/null
+++ b/packages/gypsumwall-scheduling/src/__tests__/stored_suspects.test.ts
@@ -0,0 +1,104 @@
+/**
+ * Load: holders are lost one after another beside crashes of workers. What one
+ * holder knows of the attempts of a task has to reach the next one.
+ */
+import * as assert from 'node:assert/strict';
+import * as nodeTest from 'node:test';
+import * as types from '@gypsumwall/types';
+import * as schedulerWorlds from '../__fixtures__/scheduler_world.js';
+import type * as activeJob from '../active_job.js';
+import * as jobProgress from '../job_progress.js';
+
+const {test} = nodeTest;
+type SchedulerWorld = schedulerWorlds.SchedulerWorld;
+
+const idOf = (name: string) => types.ids.brand<types.ids.WorkerId>(name);
+
+/** Progress of the job, of which the first step has these records. */
+function progressWith(
+  step: Partial<jobProgress.StepProgress>,
+  workers: readonly string[] = [],
+): jobProgress.JobProgress {
+  const occurrences = {'0': [{done: [], failures: {}, ...step}]};
+  const phase = 'running';
+  return {phase, workers: workers.map(idOf), occurrences, finished: []};
+}
+
+/** A holder that takes the job over while these workers don't answer. */
+function takeOver(
+  progress: jobProgress.JobProgress,
+  workers: readonly string[],
+): SchedulerWorld {
+  const world = schedulerWorlds.createSchedulerWorld();
+  for (const name of workers) {
+    world.addWorker(name, 4);
+    world.unreconciled.add(idOf(name));
+  }
+  const steps = [schedulerWorlds.step()];
+  world.submit('job', steps, {inherited: true, progress});
+  return world;
+}
+
+/** What the store holds once all changes of a holder are stored. */
+function storedBy(
+  world: SchedulerWorld,
+  before: jobProgress.JobProgress,
+): jobProgress.JobProgress {
+  const stored = world.scheduler.takeDirty();
+  world.scheduler.onStored(stored);
+  return stored.at(-1)?.progress ?? before;
+}
+
+function crash(world: SchedulerWorld, name: string): void {
+  world.scheduler.removeWorker(idOf(name), 'crashed', world.now);
+  world.unreconciled.delete(idOf(name));
+  world.scheduler.onWorkerReconciled();
+}
+
+/** Starts the task on a new worker; the start is not answered. */
+function startOn(world: SchedulerWorld, name: string): activeJob.Attempt {
+  world.addWorker(name, 4);
+  const orders = world.decide();
+  assert.equal(orders.length, 1, `a start on ${name}`);
+  return orders[0]!.attempt;
+}
+
+function startAnswered(world: SchedulerWorld, name: string): activeJob.Attempt {
+  const attempt = startOn(world, name);
+  world.scheduler.onStartAnswered(attempt, {type: 'started'}, world.now);
+  return attempt;
+}
+
+// Guards against a job that fails for one crash known to be under its task, or
+// for none: a start that isn't answered may never have reached the worker, also
+// in a trial. At the fifth crash the bound on starts of a task that crashes its
+// workers comes first.
+test('a task is not given up early for starts that were not answered', () => {
+  for (const answered of [0, 1]) {
+    const world = takeOver(progressWith({}), []);
+    for (const [nth, worker] of ['a', 'b', 'c', 'd'].entries()) {
+      if (nth < answered) startAnswered(world, worker);
+      else startOn(world, worker);
+      crash(world, worker);
+      const isActive = world.scheduler.hasJob(types.ids.brand('job'));
+      assert.ok(isActive, `${answered} answered, given up at crash ${nth + 1}`);
+    }
+  }
+});
+
+// Guards against a task that crashes its workers before they answer and that
+// each new holder starts among other jobs again: what led to a trial is not
+// stored as such.
+test('crashes under unanswered starts lead to a trial after a takeover too', () => {
+  const first = takeOver(progressWith({}), []);
+  for (const worker of ['a', 'b']) {
+    startOn(first, worker);
+    crash(first, worker);
+  }
+  const suspected = (world: SchedulerWorld) =>
+    world.events.some((event) => event.type === 'task_suspected');
+  assert.ok(suspected(first));
+  const second = takeOver(storedBy(first, progressWith({})), []);
+  const attempt = startOn(second, 'c');
+  assert.notEqual(attempt.isolatedUntil, undefined);
+});
--- a/packages/gypsumwall-scheduling/src/__tests__/task_isolation.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/task_isolation.test.ts
@@ -34,7 +34,11 @@
   const crashes = Object.fromEntries(
     indexes.map((index) => [index, Object.fromEntries(workers)]),
   );
-  const occurrences = {'0': [{done: [], failures: {}, crashes}]};
+  const known = workers.map(([worker]) => [worker, 'running']);
+  const evidence = Object.fromEntries(
+    indexes.map((index) => [index, Object.fromEntries(known)]),
+  );
+  const occurrences = {'0': [{done: [], failures: {}, crashes, evidence}]};
   const progress = {...RECORDED, occurrences};
   return world.submit(name, [worlds.step(fields)], {progress});
 }
--- a/packages/gypsumwall-scheduling/src/active_job.ts
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -320,18 +320,23 @@
   if (stepRun.state === 'done') return {done: 'all', failures};
   const done = [...stepRun.doneIndexes];
   const crashes: Record<string, Record<string, jobProgress.CrashKind>> = {};
+  const evidence: Record<string, Record<string, string>> = {};
   for (const [index, workers] of stepRun.crashes) {
     if (stepRun.doneIndexes.has(index)) continue;
     const kinds: Record<string, jobProgress.CrashKind> = {};
-    for (const [worker, crash] of workers)
-      kinds[worker] = jobProgress.provenKind(crash);
+    const evidences: Record<string, string> = {};
+    for (const [worker, crash] of workers) {
+      kinds[worker] = crash.kind;
+      evidences[worker] = crash.evidence;
+    }
     crashes[index] = kinds;
+    evidence[index] = evidences;
   }
   const suspects = suspectsOf(stepRun);
   return {
     done,
     failures,
-    ...(Object.keys(crashes).length > 0 ? {crashes} : {}),
+    ...(Object.keys(crashes).length > 0 ? {crashes, evidence} : {}),
     ...(Object.keys(suspects).length > 0 ? {suspects} : {}),
   };
 }
--- a/packages/gypsumwall-scheduling/src/crash_attribution.ts
+++ b/packages/gypsumwall-scheduling/src/crash_attribution.ts
@@ -198,7 +198,8 @@
         if (attempt.task === undefined) continue;
         const {stepRun, index} = attempt.task;
         const evidence = evidenceOf(attempt, lost.includes(attempt));
-        const crash: jobProgress.CrashRecord = {kind, evidence};
+        const isDoubtful = jobProgress.strengthOf(evidence) === 'doubtful';
+        const crash = {kind: isDoubtful ? 'group' : kind, evidence} as const;
         if (!recordForTask(stepRun, index, crashed, crash)) continue;
         const ranMs = isolatedMs(attempt, now);
         const reason = crashRecords.giveUpReason(stepRun, index, ranMs);
@@ -241,11 +242,10 @@
  * `isLeased` tells whether its lease had not expired before.
  */
 function evidenceOf(
-  {startedAt, phase, confirmedAt, isolatedUntil}: activeJob.Attempt,
+  {startedAt, phase, confirmedAt}: activeJob.Attempt,
   isLeased: boolean,
 ): jobProgress.CrashEvidence {
-  if (startedAt === undefined)
-    return isolatedUntil === undefined ? 'unanswered' : 'isolated';
+  if (startedAt === undefined) return 'unanswered';
   // Without an answer to the stop, the attempt ran on as far as is known.
   if (phase === 'stopping' && confirmedAt !== undefined) return 'stopping';
   return isLeased ? 'running' : 'lapsed';
--- a/packages/gypsumwall-scheduling/src/crash_records.ts
+++ b/packages/gypsumwall-scheduling/src/crash_records.ts
@@ -28,11 +28,11 @@
  */
 const MIN_CONCLUSIVE_CRASHES = 3;
 /**
- * Number of workers that must have crashed while the task is known to have run
- * there, whatever else is recorded. A healthy task may only have waited when the
- * scheduler was lost and some workers of its job crashed.
+ * Number of crashes with known evidence from which the task is at fault if the
+ * last one came while it was isolated. Otherwise a task could be given up for
+ * starts that never reached their workers.
  */
-const MIN_PROVEN_CRASHES = 2;
+const MIN_KNOWN_CRASHES = 2;
 /** A crash within this time after the start is prompt; milliseconds. */
 const PROMPT_CRASH_MS = 1_000;
 /**
@@ -59,15 +59,20 @@
 export function crashCount(stepRun: activeJob.StepRun, index: number): number {
   const crashes = stepRun.crashes.get(index);
   if (crashes === undefined) return 0;
-  const isSingle = [...crashes.values()].some(({kind}) => kind === 'single');
-  return isSingle ? crashes.size : 0;
+  return countSingle(crashes) > 0 ? crashes.size : 0;
 }
 
-/** Number of crashes for which the task may be to blame. */
-function countProven(crashes: Crashes): number {
+/** Number of single crashes, of those alone with such an evidence if given. */
+function countSingle(
+  crashes: Crashes | undefined,
+  strength?: jobProgress.EvidenceStrength,
+): number {
   let count = 0;
-  for (const crash of crashes.values())
-    if (jobProgress.provenKind(crash) === 'single') count++;
+  for (const {kind, evidence} of crashes?.values() ?? []) {
+    if (kind !== 'single') continue;
+    if (strength === undefined || jobProgress.strengthOf(evidence) === strength)
+      count++;
+  }
   return count;
 }
 
@@ -166,14 +171,16 @@
   isolatedMs: number | undefined,
 ): GiveUpReason | undefined {
   const count = crashCount(stepRun, index);
-  const proven = countProven(stepRun.crashes.get(index) ?? new Map());
-  if (proven < MIN_PROVEN_CRASHES) return undefined;
+  const crashes = stepRun.crashes.get(index);
   if (isolatedMs !== undefined) {
     const needed =
       MIN_CONCLUSIVE_CRASHES + (isolatedMs <= PROMPT_CRASH_MS ? 0 : 1);
-    if (count >= needed) return 'crashed_in_isolation';
+    const isKnown = countSingle(crashes, 'known') >= MIN_KNOWN_CRASHES;
+    if (isKnown && count >= needed) return 'crashed_in_isolation';
   }
   const presumed = stepRun.presumedCrashes.has(index) ? 1 : 0;
   if (count + presumed < MAX_CRASHES) return undefined;
-  return proven >= MIN_CONCLUSIVE_CRASHES ? 'too_many_crashes' : undefined;
+  return countSingle(crashes) >= MIN_CONCLUSIVE_CRASHES
+    ? 'too_many_crashes'
+    : undefined;
 }
--- a/packages/gypsumwall-scheduling/src/job_progress.ts
+++ b/packages/gypsumwall-scheduling/src/job_progress.ts
@@ -23,8 +23,8 @@
   | 'single'
   /**
    * Nothing by itself: an external cause explains the crash, since most of the
-   * rack or failure domain was lost with the worker, or it is not known whether
-   * the task ran there.
+   * rack or failure domain was lost with the worker, or the task may have ended
+   * there before.
    */
   | 'group';
 
@@ -36,43 +36,59 @@
   | 'lapsed'
   /** The same, but the attempt was being stopped and may have ended before. */
   | 'stopping'
+  /** The start order was sent and not answered. */
+  | 'unanswered'
   /**
-   * An earlier scheduler had stored that the task, which had crashes, ran there;
-   * the task was found nowhere.
+   * An earlier scheduler had stored that the suspect ran there, and it was found
+   * nowhere.
    */
   | 'inherited'
-  /** The start order was sent and not answered; the task was isolated. */
-  | 'isolated'
-  /** The start order was sent and not answered. */
-  | 'unanswered'
-  /** Restored from the stored progress, which does not say how it was known. */
+  /** Restored from a record that does not say how it was known. */
   | 'restored';
 
 /** A crash of a worker that may have run a task. */
 export interface CrashRecord {
-  /** What the crash shows if the task ran there. */
   readonly kind: CrashKind;
   readonly evidence: CrashEvidence;
 }
 
-/**
- * What a crash shows about the task, as it is stored: nothing unless the task is
- * known to have run there.
- */
-export function provenKind({kind, evidence}: CrashRecord): CrashKind {
+/** How far an evidence goes. */
+export type EvidenceStrength =
+  /** As far as is known, the task ran on the worker when it crashed. */
+  | 'known'
+  /** The task was sent there, but may not have started. */
+  | 'likely'
+  /** The task may well have ended before. */
+  | 'doubtful';
+
+/** How far an evidence goes; a doubtful crash has the kind `group`. */
+export function strengthOf(evidence: CrashEvidence): EvidenceStrength {
   switch (evidence) {
     case 'running':
     case 'lapsed':
     case 'inherited':
-    case 'isolated':
+      return 'known';
+    case 'unanswered':
     case 'restored':
-      return kind;
+      return 'likely';
     case 'stopping':
-    case 'unanswered':
-      return 'group';
+      return 'doubtful';
   }
 }
 
+const EVIDENCES: readonly CrashEvidence[] = [
+  'running',
+  'lapsed',
+  'stopping',
+  'unanswered',
+  'inherited',
+];
+
+/** Returns the evidence with this stored name. */
+export function readEvidence(stored: string | undefined): CrashEvidence {
+  return EVIDENCES.find((evidence) => evidence === stored) ?? 'restored';
+}
+
 /**
  * A task that may crash its workers. A scheduler that takes over has to know
  * whether it ran on a worker that crashed.
@@ -106,6 +122,10 @@
   readonly crashes?: Readonly<
     Record<string, Readonly<Record<string, CrashKind>>>
   >;
+  /** The evidence of these crashes; absent in older records. */
+  readonly evidence?: Readonly<
+    Record<string, Readonly<Record<string, string>>>
+  >;
   /** Suspects by task index; absent if there are none, and in older records. */
   readonly suspects?: Readonly<Record<string, StoredSuspect>>;
 }
--- a/packages/gypsumwall-scheduling/src/job_steps.ts
+++ b/packages/gypsumwall-scheduling/src/job_steps.ts
@@ -88,8 +88,11 @@
       types.ids.WorkerIncarnation,
       jobProgress.CrashRecord
     >();
-    for (const [key, kind] of Object.entries(workers))
-      crashes.set(types.ids.brand(key), {kind, evidence: 'restored'});
+    for (const [key, kind] of Object.entries(workers)) {
+      const stored = progress.evidence?.[index]?.[key];
+      const evidence = jobProgress.readEvidence(stored);
+      crashes.set(types.ids.brand(key), {kind, evidence});
+    }
     stepRun.crashes.set(Number(index), crashes);
   }
   for (const [key, suspect] of Object.entries(progress.suspects ?? {})) {
