scheduling: drop suspects from workers that answer without them

Callers see: a task that is blamed for the crash of a worker on which it no longer ran. Cause: what an earlier holder had stored of a suspect's attempts stayed in the store when its worker answered without them, and after an answered stop; the next holder counted a later crash of that worker. Change: a suspect leaves the record when its worker answers without it, when the job is reconciled, and when a stop is answered.

--- a/packages/gypsumwall-scheduling/src/__tests__/stored_suspects.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/stored_suspects.test.ts
@@ -55,6 +55,19 @@
   world.scheduler.onWorkerReconciled();
 }
 
+/** Answers of a worker on which nothing runs. */
+function answer(world: SchedulerWorld, name: string): void {
+  world.report(idOf(name), []);
+  world.unreconciled.delete(idOf(name));
+  world.scheduler.onWorkerReconciled();
+}
+
+/** Workers whose crashes have been recorded under the task. */
+const recordedCrashes = (world: SchedulerWorld) =>
+  world.events.flatMap((event) =>
+    event.type === 'crash_recorded' ? [event.worker] : [],
+  );
+
 /** Starts the task on a new worker; the start is not answered. */
 function startOn(world: SchedulerWorld, name: string): activeJob.Attempt {
   world.addWorker(name, 4);
@@ -86,6 +99,55 @@
   }
 });
 
+// Guards against a suspect that is said to run where a holder has seen that it
+// doesn't: the next holder blames it for a crash of that worker.
+test('a suspect is not stored on a worker that answered without it', () => {
+  const suspects = {
+    '0': {workers: [idOf('w1')], isIsolated: false, isPresumed: true},
+  };
+  const before = progressWith({suspects}, ['w1']);
+  const first = takeOver(before, ['w1']);
+  answer(first, 'w1');
+  const second = takeOver(storedBy(first, before), ['w1']);
+  crash(second, 'w1');
+  assert.deepEqual(recordedCrashes(second), []);
+});
+
+// The same while another worker of the job has not answered yet.
+test('a suspect is not stored on a worker that answered without it before all have', () => {
+  const suspects = {
+    '0': {workers: [idOf('w1')], isIsolated: false, isPresumed: true},
+  };
+  const before = progressWith({suspects}, ['w1', 'silent']);
+  const first = takeOver(before, ['w1', 'silent']);
+  answer(first, 'w1');
+  const second = takeOver(storedBy(first, before), ['w1', 'silent']);
+  crash(second, 'w1');
+  answer(second, 'silent');
+  assert.deepEqual(recordedCrashes(second), []);
+});
+
+// Guards against a holder that counts a crash which the holder before would not
+// have counted: the stop of the attempt had been answered.
+test('a stopped attempt counts for the next holder as for the one that stopped it', () => {
+  const presumed = {
+    '0': {workers: [], isIsolated: false, isPresumed: true},
+  };
+  const first = takeOver(progressWith({suspects: presumed}), []);
+  const attempt = startAnswered(first, 'w1');
+  first.scheduler.evacuate(idOf('w1'));
+  first.scheduler.takeStops();
+  first.scheduler.onStopAnswered(attempt, first.now);
+  const stored = storedBy(first, progressWith({}));
+  const crashesOf = (progress: jobProgress.JobProgress) =>
+    progress.occurrences['0']![0]!.crashes?.['0'];
+  crash(first, 'w1');
+  assert.deepEqual(crashesOf(storedBy(first, stored)), {w1: 'group'});
+  const second = takeOver(stored, ['w1']);
+  crash(second, 'w1');
+  assert.notDeepEqual(crashesOf(storedBy(second, stored)), {w1: 'single'});
+});
+
 // Guards against a task that crashes its workers before they answer and that
 // each new holder starts among other jobs again: what led to a trial is not
 // stored as such.
--- a/packages/gypsumwall-scheduling/src/active_job.ts
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -341,6 +341,14 @@
   };
 }
 
+/**
+ * Whether the worker has answered the stop of an attempt, which may have ended
+ * since then.
+ */
+export function isStopAnswered({phase, confirmedAt}: Attempt): boolean {
+  return phase === 'stopping' && confirmedAt !== undefined;
+}
+
 /** Whether a task may crash its workers, so that its attempts are stored. */
 export function isSuspect(stepRun: StepRun, index: number): boolean {
   return stepRun.crashes.has(index) || stepRun.presumedCrashes.has(index);
@@ -366,8 +374,10 @@
   for (const index of stepRun.presumedCrashes) add(index, [], false);
   for (const [index, {workers, isIsolated}] of stepRun.inheritedSuspects)
     add(index, workers, isIsolated);
-  for (const {task, workerId, startedAt, isolatedUntil} of stepRun.attempts) {
+  for (const attempt of stepRun.attempts) {
+    const {task, workerId, startedAt, isolatedUntil} = attempt;
     if (task === undefined || !isSuspect(stepRun, task.index)) continue;
+    if (isStopAnswered(attempt)) continue;
     const isIsolated = isolatedUntil !== undefined;
     if (startedAt !== undefined || isIsolated)
       add(task.index, [workerId], isIsolated);
--- a/packages/gypsumwall-scheduling/src/crash_attribution.ts
+++ b/packages/gypsumwall-scheduling/src/crash_attribution.ts
@@ -50,6 +50,11 @@
    * not crashed.
    */
   onWorkerAnswered(worker: types.ids.WorkerId): void;
+  /**
+   * Called when all attempts on a worker are known: suspects that an earlier
+   * scheduler had there, and that are not among them, have ended.
+   */
+  onAttemptsListed(worker: types.ids.WorkerId): void;
   /**
    * Called when all workers recorded for a job of an earlier scheduler are
    * reconciled. A task that was not found on them may have run on a crashed
@@ -91,6 +96,18 @@
     return true;
   }
 
+  function dropInheritedSuspects(
+    stepRun: activeJob.StepRun,
+    worker: types.ids.WorkerId,
+  ): void {
+    for (const [index, suspect] of stepRun.inheritedSuspects) {
+      if (!suspect.workers.includes(worker)) continue;
+      const workers = suspect.workers.filter((id) => id !== worker);
+      stepRun.inheritedSuspects.set(index, {...suspect, workers});
+      jobRegistry.dirty.add(stepRun.job);
+    }
+  }
+
   /** Makes a task a suspect without a crash that counts. */
   function presumeForTask(
     stepRun: activeJob.StepRun,
@@ -221,6 +238,15 @@
       });
     },
     onWorkerAnswered: (worker) => void unprovenCrashes.delete(worker),
+    onAttemptsListed(worker) {
+      for (const job of jobRegistry.jobs.values()) {
+        if (!job.isAwaitingReconciliation || !job.workers.has(worker)) continue;
+        // Another incarnation has answered.
+        if (job.unresolvedCrashes.has(worker)) continue;
+        for (const {steps} of job.openOccurrences.values())
+          for (const stepRun of steps) dropInheritedSuspects(stepRun, worker);
+      }
+    },
     onJobReconciled(job) {
       const crashed = [...job.unresolvedCrashes.values()];
       job.unresolvedCrashes.clear();
@@ -230,6 +256,7 @@
           const missing = crashed.length === 0 ? [] : missingIndexes(stepRun);
           for (const index of missing)
             recordMissingTask(stepRun, index, crashed);
+          if (stepRun.inheritedSuspects.size > 0) jobRegistry.dirty.add(job);
           stepRun.inheritedSuspects.clear();
         }
       }
@@ -242,12 +269,12 @@
  * `isLeased` tells whether its lease had not expired before.
  */
 function evidenceOf(
-  {startedAt, phase, confirmedAt}: activeJob.Attempt,
+  attempt: activeJob.Attempt,
   isLeased: boolean,
 ): jobProgress.CrashEvidence {
-  if (startedAt === undefined) return 'unanswered';
+  if (attempt.startedAt === undefined) return 'unanswered';
   // Without an answer to the stop, the attempt ran on as far as is known.
-  if (phase === 'stopping' && confirmedAt !== undefined) return 'stopping';
+  if (activeJob.isStopAnswered(attempt)) return 'stopping';
   return isLeased ? 'running' : 'lapsed';
 }
 
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -357,12 +357,14 @@
     },
     onStopAnswered(attempt, now) {
       attempt.confirmedAt = now;
+      jobRegistry.storeIfSuspect(attempt);
     },
     applyReport(report, now) {
       const info = registry.workers.get(report.workerId)?.info;
       if (info !== undefined) losses.recordAnswer(info, now);
       crashes.onWorkerAnswered(report.workerId);
       readReport(report, now);
+      if (report.complete) crashes.onAttemptsListed(report.workerId);
       isolation.onAttemptsFound(report.workerId, now);
     },
     onAdviceAnswered({stepRun, workers}, approved, validUntil) {
