scheduling: keep records of presumed crashes small

Callers see: nothing yet. Copies of such tasks were made, and presumptions were logged for jobs that had just been given up. Change: presumed tasks are a list of indexes, suspects have an entry only while they run, orders are stored only in trials, and a step is logged once. No copies of suspects.

--- a/packages/gypsumwall-cell/src/__tests__/unreadable_records.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/unreadable_records.test.ts
@@ -57,8 +57,9 @@
             crashes: {'1': {w1: 'single'}},
             evidence: {'1': {w1: 'running'}},
             suspects: {
-              '1': {workers: [info.id], isIsolated: false, isPresumed: true},
+              '1': {workers: [info.id], isIsolated: false},
             },
+            presumedCrashes: [2],
           },
         ],
       },
--- a/packages/gypsumwall-cell/src/record_checks.ts
+++ b/packages/gypsumwall-cell/src/record_checks.ts
@@ -95,6 +95,8 @@
     checkWholes(failures[index], 'step.failures[]');
   }
   checkEvidence(step['evidence']);
+  if (step['presumedCrashes'] !== undefined)
+    checkWholes(step['presumedCrashes'], 'step.presumedCrashes');
   checkSuspects(step['suspects']);
   if (step['crashes'] === undefined) return;
   const crashes = readObject(step['crashes'], 'step.crashes');
@@ -127,11 +129,13 @@
     checkIndex(index, 'step.suspects');
     const suspect = readObject(suspects[index], 'step.suspects[]');
     checkTexts(suspect['workers'], 'step.suspects[].workers');
-    for (const name of ['isIsolated', 'isPresumed']) {
-      const value = suspect[name];
-      if (typeof value !== 'boolean')
-        throw createFault(`step.suspects[].${name}`, value, 'true or false');
-    }
+    const {isIsolated} = suspect;
+    if (typeof isIsolated !== 'boolean')
+      throw createFault(
+        'step.suspects[].isIsolated',
+        isIsolated,
+        'true or false',
+      );
   }
 }
 
--- a/packages/gypsumwall-scheduling/src/__tests__/job_failure_reasons.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/job_failure_reasons.test.ts
@@ -81,7 +81,7 @@
   world.scheduler.onWorkerReconciled();
   assert.equal(evidence().length, 3);
   assert.deepEqual(eventsOf(world, 'crash_presumed'), [
-    {type: 'crash_presumed', task: 'inherited.0.0.0', worker: id},
+    {type: 'crash_presumed', step: 'inherited.0.0', worker: id, tasks: 1},
   ]);
 });
 
--- a/packages/gypsumwall-scheduling/src/__tests__/presumed_crashes.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/presumed_crashes.test.ts
@@ -91,7 +91,7 @@
 const recordedCrashes = (world: schedulerWorlds.SchedulerWorld) =>
   world.events.flatMap((event) =>
     event.type === 'crash_recorded' || event.type === 'crash_presumed'
-      ? [`${event.task}@${event.worker}`]
+      ? [`${event.type}: ${event.worker}`]
       : [],
   );
 
--- a/packages/gypsumwall-scheduling/src/__tests__/restarted_worker.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/restarted_worker.test.ts
@@ -166,17 +166,17 @@
 test('a crash before a takeover is presumed for the task that is not found', () => {
   const stored = stepAfterTakeover({});
   assert.equal(stored?.crashes, undefined);
-  assert.deepEqual(stored?.suspects, {
-    '0': {workers: [], isIsolated: false, isPresumed: true},
-  });
+  assert.deepEqual(stored?.presumedCrashes, [0]);
 });
 
 // Guards against a successor that takes a crash before its takeover for none,
 // and against one that counts it once more with each takeover.
 test('a crash before a takeover counts for a suspect that is stored to run there', () => {
-  const suspects = {'0': {workers: [W1], isIsolated: false, isPresumed: true}};
+  const suspects = {'0': {workers: [W1], isIsolated: false}};
   const counted = {'0': {'w1@1': 'single'}};
-  assert.deepEqual(stepAfterTakeover({suspects})?.crashes, counted);
+  const presumedCrashes = [0];
+  const presumed = stepAfterTakeover({suspects, presumedCrashes});
+  assert.deepEqual(presumed?.crashes, counted);
   const crashes = {'0': {'w1@1': 'single' as const}};
   const stored = stepAfterTakeover({suspects, crashes});
   assert.deepEqual(stored?.crashes, crashes);
@@ -188,7 +188,7 @@
   const crashes = {'0': {x: 'single' as const}};
   const w2 = types.ids.brand<types.ids.WorkerId>('w2');
   for (const workers of [[], [w2]]) {
-    const suspects = {'0': {workers, isIsolated: false, isPresumed: false}};
+    const suspects = {'0': {workers, isIsolated: false}};
     const stored = stepAfterTakeover({crashes, suspects});
     assert.deepEqual(stored?.crashes ?? crashes, crashes);
   }
--- a/packages/gypsumwall-scheduling/src/__tests__/stored_suspects.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/stored_suspects.test.ts
@@ -104,10 +104,8 @@
 // Guards against a suspect that is said to run where a holder has seen that it
 // doesn't: the next holder blames it for a crash of that worker.
 test('a suspect is not stored on a worker that answered without it', () => {
-  const suspects = {
-    '0': {workers: [idOf('w1')], isIsolated: false, isPresumed: true},
-  };
-  const before = progressWith({suspects}, ['w1']);
+  const suspects = {'0': {workers: [idOf('w1')], isIsolated: false}};
+  const before = progressWith({suspects, presumedCrashes: [0]}, ['w1']);
   const first = takeOver(before, ['w1']);
   answer(first, 'w1');
   const second = takeOver(storedBy(first, before), ['w1']);
@@ -117,10 +115,11 @@
 
 // The same while another worker of the job has not answered yet.
 test('a suspect is not stored on a worker that answered without it before all have', () => {
-  const suspects = {
-    '0': {workers: [idOf('w1')], isIsolated: false, isPresumed: true},
-  };
-  const before = progressWith({suspects}, ['w1', 'silent']);
+  const suspects = {'0': {workers: [idOf('w1')], isIsolated: false}};
+  const before = progressWith({suspects, presumedCrashes: [0]}, [
+    'w1',
+    'silent',
+  ]);
   const first = takeOver(before, ['w1', 'silent']);
   answer(first, 'w1');
   const second = takeOver(storedBy(first, before), ['w1', 'silent']);
@@ -132,10 +131,7 @@
 // Guards against a holder that counts a crash which the holder before would not
 // have counted: the stop of the attempt had been answered.
 test('a stopped attempt counts for the next holder as for the one that stopped it', () => {
-  const presumed = {
-    '0': {workers: [], isIsolated: false, isPresumed: true},
-  };
-  const first = takeOver(progressWith({suspects: presumed}), []);
+  const first = takeOver(progressWith({presumedCrashes: [0]}), []);
   const attempt = startAnswered(first, 'w1');
   first.scheduler.evacuate(idOf('w1'));
   first.scheduler.takeStops();
--- a/packages/gypsumwall-scheduling/src/active_job.ts
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -332,11 +332,15 @@
     crashes[index] = kinds;
     evidence[index] = evidences;
   }
+  const presumed = [...stepRun.presumedCrashes].filter(
+    (index) => !stepRun.doneIndexes.has(index),
+  );
   const suspects = suspectsOf(stepRun);
   return {
     done,
     failures,
     ...(Object.keys(crashes).length > 0 ? {crashes, evidence} : {}),
+    ...(presumed.length > 0 ? {presumedCrashes: presumed} : {}),
     ...(Object.keys(suspects).length > 0 ? {suspects} : {}),
   };
 }
@@ -363,15 +367,13 @@
     workers: readonly types.ids.WorkerId[],
     isIsolated: boolean,
   ) => {
-    if (stepRun.doneIndexes.has(index)) return;
+    if (workers.length === 0 || stepRun.doneIndexes.has(index)) return;
     const known = suspects.get(index);
     suspects.set(index, {
       workers: [...new Set([...(known?.workers ?? []), ...workers])],
       isIsolated: isIsolated || known?.isIsolated === true,
-      isPresumed: stepRun.presumedCrashes.has(index),
     });
   };
-  for (const index of stepRun.presumedCrashes) add(index, [], false);
   for (const [index, {workers, isIsolated}] of stepRun.inheritedSuspects)
     add(index, workers, isIsolated);
   for (const attempt of stepRun.attempts) {
--- a/packages/gypsumwall-scheduling/src/crash_attribution.ts
+++ b/packages/gypsumwall-scheduling/src/crash_attribution.ts
@@ -108,36 +108,49 @@
     }
   }
 
-  /** Makes a task a suspect without a crash that counts. */
-  function presumeForTask(
+  /** Makes tasks of a step suspects without a crash that counts. */
+  function presumeCrashes(
     stepRun: activeJob.StepRun,
-    index: number,
-    {id}: workerIncarnation.Incarnation,
+    indexes: readonly number[],
+    {id: worker}: workerIncarnation.Incarnation,
   ): void {
-    const {job} = stepRun;
+    const {job, presumedCrashes, doneIndexes} = stepRun;
     if (jobProgress.isOver(job.phase) || stepRun.state === 'done') return;
-    if (stepRun.doneIndexes.has(index)) return;
-    stepRun.presumedCrashes.add(index);
+    const added = indexes.filter(
+      (index) => !doneIndexes.has(index) && !presumedCrashes.has(index),
+    );
+    if (added.length === 0) return;
+    for (const index of added) presumedCrashes.add(index);
     jobRegistry.dirty.add(job);
-    const task = taskIds.taskId(stepRun.id, index);
-    onEvent({type: 'crash_presumed', task, worker: id});
+    const {length: tasks} = added;
+    onEvent({type: 'crash_presumed', step: stepRun.id, worker, tasks});
   }
 
   /**
-   * Applies that a task was found on none of the workers of an earlier
-   * scheduler, some of which crashed. If it was no suspect, it may only have
-   * waited, or have ended there: that proves nothing, but from now on its
+   * Applies that these tasks were found on none of the workers of an earlier
+   * scheduler, some of which crashed. Those that were no suspects may only have
+   * waited, or have ended there: that proves nothing, but from now on their
    * attempts are stored, so that the next scheduler knows.
    */
-  function recordMissingTask(
+  function recordMissingTasks(
     stepRun: activeJob.StepRun,
-    index: number,
+    indexes: readonly number[],
     crashed: readonly workerIncarnation.Incarnation[],
   ): void {
-    if (!activeJob.isSuspect(stepRun, index)) {
-      presumeForTask(stepRun, index, crashed[0]!);
-      return;
+    const unsuspected: number[] = [];
+    for (const index of indexes) {
+      if (activeJob.isSuspect(stepRun, index))
+        recordMissingSuspect(stepRun, index, crashed);
+      else unsuspected.push(index);
     }
+    presumeCrashes(stepRun, unsuspected, crashed[0]!);
+  }
+
+  function recordMissingSuspect(
+    stepRun: activeJob.StepRun,
+    index: number,
+    crashed: readonly workerIncarnation.Incarnation[],
+  ): void {
     const suspect = stepRun.inheritedSuspects.get(index);
     // It is not known when the worker crashed after the start.
     const isolatedMs =
@@ -149,7 +162,9 @@
       const crash = {kind: 'single', evidence: 'inherited'} as const;
       if (!recordForTask(stepRun, index, worker, crash)) continue;
       const reason = crashRecords.giveUpReason(stepRun, index, isolatedMs);
-      if (reason !== undefined) giveUp({stepRun, index}, reason);
+      if (reason === undefined) continue;
+      giveUp({stepRun, index}, reason);
+      return;
     }
   }
 
@@ -188,10 +203,14 @@
 
   return {
     presumeCrash(incarnation, lost) {
+      const indexes = new Map<activeJob.StepRun, number[]>();
       for (const {task} of lost) {
-        if (task !== undefined)
-          presumeForTask(task.stepRun, task.index, incarnation);
+        if (task === undefined) continue;
+        const known = indexes.get(task.stepRun) ?? [];
+        indexes.set(task.stepRun, [...known, task.index]);
       }
+      for (const [stepRun, ofStep] of indexes)
+        presumeCrashes(stepRun, ofStep, incarnation);
     },
     recordCrash(incarnation, lost, now) {
       const worker = incarnation.id;
@@ -256,8 +275,7 @@
       for (const {steps} of job.openOccurrences.values()) {
         for (const stepRun of steps) {
           const missing = crashed.length === 0 ? [] : missingIndexes(stepRun);
-          for (const index of missing)
-            recordMissingTask(stepRun, index, crashed);
+          if (missing.length > 0) recordMissingTasks(stepRun, missing, crashed);
           if (stepRun.inheritedSuspects.size > 0) jobRegistry.dirty.add(job);
           stepRun.inheritedSuspects.clear();
         }
--- a/packages/gypsumwall-scheduling/src/job_progress.ts
+++ b/packages/gypsumwall-scheduling/src/job_progress.ts
@@ -105,10 +105,6 @@
   readonly workers: readonly types.ids.WorkerId[];
   /** Whether it is isolated from other jobs there. */
   readonly isIsolated: boolean;
-  /**
-   * Whether it may have run on a worker that crashed, without evidence that it did.
-   */
-  readonly isPresumed: boolean;
 }
 
 /** Progress of one step of one occurrence. */
@@ -133,7 +129,15 @@
   readonly evidence?: Readonly<
     Record<string, Readonly<Record<string, string>>>
   >;
-  /** Suspects by task index; absent if there are none, and in older records. */
+  /**
+   * Indexes of tasks that may have run on a worker that crashed, without evidence
+   * that they did. Absent if there are none, and in older records.
+   */
+  readonly presumedCrashes?: readonly number[];
+  /**
+   * Suspects that run, by task index; absent if there are none, and in older
+   * records.
+   */
   readonly suspects?: Readonly<Record<string, StoredSuspect>>;
 }
 
--- a/packages/gypsumwall-scheduling/src/job_registry.ts
+++ b/packages/gypsumwall-scheduling/src/job_registry.ts
@@ -80,8 +80,8 @@
   ): void;
   dropAttempt(attempt: activeJob.Attempt): void;
   /**
-   * Called when an attempt has begun or ended. The attempts of suspects are
-   * stored, so that a successor knows where they ran.
+   * Called when an attempt has begun or ended. The attempts of suspects that run
+   * or are isolated are stored, so that a successor knows where they ran.
    */
   storeIfSuspect(attempt: activeJob.Attempt): void;
   /**
@@ -231,8 +231,13 @@
     if (job.workers.delete(workerId)) dirty.add(job);
   }
 
-  function storeIfSuspect({task}: activeJob.Attempt): void {
+  function storeIfSuspect({
+    task,
+    startedAt,
+    isolatedUntil,
+  }: activeJob.Attempt): void {
     if (task === undefined) return;
+    if (startedAt === undefined && isolatedUntil === undefined) return;
     if (!activeJob.isSuspect(task.stepRun, task.index)) return;
     const {job} = task.stepRun;
     if (jobs.get(job.id) === job) dirty.add(job);
@@ -253,7 +258,7 @@
     const {speculative, gang, longRunning} = stepRun.request;
     if (!speculative || gang || longRunning) return;
     // A copy of a task that crashes its workers would crash another worker.
-    if (stepRun.crashes.has(index)) return;
+    if (activeJob.isSuspect(stepRun, index)) return;
     if (stepRun.state !== 'open') return;
     if (jobProgress.isOver(stepRun.job.phase)) return;
     const attemptsOfTask = [...stepRun.attempts].filter(
--- a/packages/gypsumwall-scheduling/src/job_steps.ts
+++ b/packages/gypsumwall-scheduling/src/job_steps.ts
@@ -95,12 +95,11 @@
     }
     stepRun.crashes.set(Number(index), crashes);
   }
-  for (const [key, suspect] of Object.entries(progress.suspects ?? {})) {
-    const index = Number(key);
-    if (suspect.isPresumed) stepRun.presumedCrashes.add(index);
-    if (stepRun.job.isAwaitingReconciliation)
-      stepRun.inheritedSuspects.set(index, suspect);
-  }
+  for (const index of progress.presumedCrashes ?? [])
+    stepRun.presumedCrashes.add(index);
+  if (!stepRun.job.isAwaitingReconciliation) return;
+  for (const [index, suspect] of Object.entries(progress.suspects ?? {}))
+    stepRun.inheritedSuspects.set(Number(index), suspect);
 }
 
 /**
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -161,8 +161,8 @@
   ): schedulerTypes.StartOrder {
     const startOrder = startOrders.createStartOrder(placement, now);
     attempts.add(startOrder.attempt);
-    jobRegistry.storeIfSuspect(startOrder.attempt);
     isolation.onStartOrdered(startOrder.attempt, now);
+    jobRegistry.storeIfSuspect(startOrder.attempt);
     return startOrder;
   }
 
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -389,12 +389,14 @@
     }
   | {
       /**
-       * A worker crashed before this scheduler took over, and the task may have
+       * A worker crashed before this scheduler took over, and these tasks may have
        * run there; or the worker may have left as announced.
        */
       readonly type: 'crash_presumed';
-      readonly task: types.ids.TaskId;
+      readonly step: string;
       readonly worker: types.ids.WorkerId;
+      /** Number of tasks of the step that are suspects from now on. */
+      readonly tasks: number;
     }
   | {
       /**
