scheduling: count starts that are refused together once

Callers see: a job stands still for up to 5 s while workers are free. Cause: each refused start of a step lengthened the pause before its next one. A worker that has crashed refuses all starts that were sent to it at that moment, so a wide step had the longest pause at once. Change: refusals of starts that were sent before the pause began don't lengthen it. Result: refused_starts.test.ts, 'starts that one worker refuses together do not pause the step', failed before and passes; the growing delay of the other test of the file is as before.

--- a/packages/gypsumwall-scheduling/src/__tests__/refused_starts.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/refused_starts.test.ts
@@ -46,3 +46,21 @@
   world.now = types.clock.after(world.now, 400);
   assert.deepEqual(jobs(), [refused]);
 });
+
+// Guards against a step that stands still for seconds, with workers free, since
+// one worker refused many of its starts at the same moment.
+test('starts that one worker refuses together do not pause the step', () => {
+  const world = worlds.createSchedulerWorld();
+  const w1 = world.addWorker('w1', 16);
+  world.submit('job', [worlds.step({taskCount: 16})]);
+  const orders = world.decide();
+  assert.equal(orders.length, 16);
+  // The worker has crashed: it refuses the connection.
+  const refused = {type: 'refused', reason: 'other'} as const;
+  for (const {attempt} of orders)
+    world.scheduler.onStartAnswered(attempt, refused, world.now);
+  world.scheduler.setUsable(w1, false, world.now);
+  world.addWorker('w2', 16);
+  world.now = types.clock.after(world.now, 1_000);
+  assert.equal(world.startAll().length, 16);
+});
--- a/packages/gypsumwall-scheduling/src/refusal_backoff.ts
+++ b/packages/gypsumwall-scheduling/src/refusal_backoff.ts
@@ -32,6 +32,8 @@
     case 'other':
       break;
   }
+  // Starts that were sent together are refused together and count once.
+  if (isPaused(stepRun, now)) return;
   stepRun.refusals++;
   const refusalsBeyond = stepRun.refusals - REFUSALS_WITHOUT_PAUSE;
   if (refusalsBeyond <= 0) return;
