--- a/packages/gypsumwall-scheduling/src/__tests__/crashing_tasks.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/crashing_tasks.test.ts
@@ -225,3 +225,13 @@
   crashChecks.assertCompleted(world, [long]);
   assert.ok(world.events.every((event) => event.type !== 'task_suspected'));
 });
+
+// Guards against a start more than the bound: with workers that come back after
+// their lease, each next start precedes the proof of the crash before.
+test('a task that crashes its workers late is given up although they are back late', () => {
+  const world = crashChecks.createWorld({restartMs: 12_000});
+  const behaviour = {workMs: 20_000, crash: {index: 0, afterMs: 4_000}};
+  const culprit = world.submit('culprit', {}, behaviour);
+  world.run(150_000);
+  crashChecks.assertGivenUp(world, culprit);
+});
--- a/packages/gypsumwall-scheduling/src/__tests__/stored_suspects.test.ts
+++ b/packages/gypsumwall-scheduling/src/__tests__/stored_suspects.test.ts
@@ -184,3 +184,41 @@
   assert.equal(crashChecks.maxCrashesUnder(world, id), 0);
   crashChecks.assertFailedForCause(world);
 });
+
+// Guards against a task that crashes its workers and is started again without
+// end: the store is away, so where it runs isn't stored when the holder is lost.
+test('a crash counts although the store was away from the start on', () => {
+  for (const afterMs of [20, 200, 1_500]) {
+    const world = crashChecks.createWorld();
+    const behaviour = {workMs: 5_000, crash: {index: 0, afterMs}};
+    const culprit = world.submit('culprit', {}, behaviour);
+    for (let nth = 0; nth < 6; nth++) {
+      const {starts, crashes} = world;
+      const before = {starts: starts.length, crashes: crashes.length};
+      world.runUntil(() => starts.length > before.starts, 20_000);
+      world.setStoreDown(true);
+      world.runUntil(() => crashes.length > before.crashes, 20_000);
+      world.killHolder();
+      world.setStoreDown(false);
+    }
+    world.run(60_000);
+    crashChecks.assertGivenUp(world, culprit);
+  }
+});
+
+// Guards against lasting jobs that fail for losses of power: a new holder counts
+// each worker that was lost with its domain as a single crash.
+test('lasting tasks are not given up for losses of domains beside changes of the holder', () => {
+  const world = crashChecks.createWorld();
+  const jobs = ['a', 'b', 'c'].map((name) =>
+    crashChecks.submitLongRunning(world, name),
+  );
+  for (let nth = 0; nth < 8; nth++) {
+    world.run(4_500);
+    world.cutPower(`d${nth % crashChecks.CELL.domains}`);
+    world.run(600);
+    world.killHolder();
+  }
+  world.run(60_000);
+  for (const id of jobs) assert.equal(world.stateOf(id), 'running', id);
+});
