scheduling: look at inherited jobs only while workers are awaited

Callers see: nothing yet; a holder with many jobs would have answered late. Change: only the jobs that await reconciliation are looked at.

--- a/packages/gypsumwall-scheduling/src/crash_attribution.ts
+++ b/packages/gypsumwall-scheduling/src/crash_attribution.ts
@@ -50,6 +50,8 @@
    * not crashed.
    */
   onWorkerAnswered(worker: types.ids.WorkerId): void;
+  /** Called when a job is added, possibly one of an earlier scheduler. */
+  onJobAdded(job: activeJob.ActiveJob): void;
   /**
    * Called when all attempts on a worker are known: suspects that an earlier
    * scheduler had there, and that are not among them, have ended.
@@ -75,6 +77,8 @@
 ): CrashAttribution {
   const {losses, jobRegistry, onEvent} = parts;
   const unprovenCrashes = new Map<types.ids.WorkerId, UnprovenCrash>();
+  /** Jobs of earlier schedulers whose workers are not all reconciled. */
+  const awaitingJobs = new Set<activeJob.ActiveJob>();
 
   function recordForTask(
     stepRun: activeJob.StepRun,
@@ -259,9 +263,13 @@
       });
     },
     onWorkerAnswered: (worker) => void unprovenCrashes.delete(worker),
+    onJobAdded(job) {
+      if (job.isAwaitingReconciliation) awaitingJobs.add(job);
+    },
     onAttemptsListed(worker) {
-      for (const job of jobRegistry.jobs.values()) {
-        if (!job.isAwaitingReconciliation || !job.workers.has(worker)) continue;
+      for (const job of awaitingJobs) {
+        if (jobProgress.isOver(job.phase)) awaitingJobs.delete(job);
+        if (!job.workers.has(worker)) continue;
         // Another incarnation has answered.
         if (job.unresolvedCrashes.has(worker)) continue;
         for (const {steps} of job.openOccurrences.values())
@@ -269,6 +277,7 @@
       }
     },
     onJobReconciled(job) {
+      awaitingJobs.delete(job);
       const crashed = [...job.unresolvedCrashes.values()];
       job.unresolvedCrashes.clear();
       if (crashed.length > 0) jobRegistry.dirty.add(job);
--- a/packages/gypsumwall-scheduling/src/scheduler.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler.ts
@@ -226,6 +226,7 @@
       const job = jobSteps.createJob({...start, arrival: arrivals++, isExcess});
       starts.onJobAdded(start.request);
       jobRegistry.add(job);
+      crashes.onJobAdded(job);
       jobRegistry.openDue(job, now, wall);
     },
     hasJob: (id) => jobs.has(id),
