cell: keep the bound on crashes while the worker list is old

Callers see: tasks that crash their workers are started on all of them while the list can't be read, and crashes that count for nothing at a quiet moment. Cause: the end of a worker was unknown once the copy of the list was 2 s old, which it is just before a read without changes ends, and an unknown end was presumed only. A suspect that an earlier holder had on a worker that has left was blamed for it, as its record doesn't say that it leaves. Change: the copy may be 3.5 s old, since an address is used again 2 s after a departure that was announced 2 s before; an unknown end is a likely crash. A worker that never answered this holder and isn't listed may have left, and its crash is presumed. A suspect that is found running and a stop that is repeated are stored.

--- a/packages/gypsumwall-cell/src/record_checks.ts
+++ b/packages/gypsumwall-cell/src/record_checks.ts
@@ -146,6 +146,13 @@
     checkText(worker, 'progress.crashedWorkers[].', 'id');
     if (worker['bornMs'] !== undefined)
       checkNumber(worker, 'progress.crashedWorkers[].', 'bornMs');
+    const {mayHaveLeft} = worker;
+    if (typeof mayHaveLeft !== 'boolean')
+      throw createFault(
+        'progress.crashedWorkers[].mayHaveLeft',
+        mayHaveLeft,
+        'true or false',
+      );
   }
 }
 
--- a/packages/gypsumwall-cell/src/worker_entries.ts
+++ b/packages/gypsumwall-cell/src/worker_entries.ts
@@ -41,10 +41,11 @@
 }
 
 /**
- * A worker announces that it leaves at least this long before; a copy of the list
- * that is older may lack the announcement; milliseconds.
+ * Another worker has the address of one that has left no sooner than this after
+ * the announcement was stored; an older copy of the list may lack it. Longer than
+ * a read of the list may wait for a change; milliseconds.
  */
-const MIN_NOTICE_MS = 2_000;
+const MIN_REUSE_DELAY_MS = 3_500;
 
 /** Creates an empty set of workers. */
 export function createWorkerEntries(
@@ -59,14 +60,15 @@
   function endOf({
     info,
     session,
+    listed,
     missedRemoval,
   }: workerRosterTypes.RosterEntry): scheduling.schedulerTypes.IncarnationEnd {
     if (info.draining) return 'left';
-    // This holder knows of no attempt there, so the end proves nothing anyway.
-    if (!session.hasReported()) return 'crashed';
+    // The record of an earlier holder doesn't say whether the worker leaves.
+    if (!session.hasReported()) return listed ? 'crashed' : 'unknown';
     if (missedRemoval) return 'unknown';
     const ageMs = clock.monotonic() - (options.listReadUntil() ?? 0);
-    return ageMs > MIN_NOTICE_MS ? 'unknown' : 'crashed';
+    return ageMs > MIN_REUSE_DELAY_MS ? 'unknown' : 'crashed';
   }
 
   function addWorker(
--- a/packages/gypsumwall-scheduling/src/active_job.ts
+++ b/packages/gypsumwall-scheduling/src/active_job.ts
@@ -7,7 +7,6 @@
 import * as jobRequest from './job_request.js';
 import * as stepAdvice from './step_advice.js';
 import * as taskId from './task_id.js';
-import type * as workerIncarnation from './worker_incarnation.js';
 import * as jobOrder from './job_order.js';
 import type * as waitForPlace from './wait_for_place.js';
 
@@ -174,7 +173,7 @@
    */
   readonly unresolvedCrashes: Map<
     types.ids.WorkerId,
-    workerIncarnation.Incarnation
+    jobProgress.CrashedWorker
   >;
   /**
    * Set while crashes of its tasks are not stored: `new`, or the progress whose
@@ -307,9 +306,7 @@
     finished: [...job.finishedOccurrences],
   };
   if (job.unresolvedCrashes.size === 0) return progress;
-  const crashed = [...job.unresolvedCrashes.values()];
-  const crashedWorkers = crashed.map(({id, bornMs}) => ({id, bornMs}));
-  return {...progress, crashedWorkers};
+  return {...progress, crashedWorkers: [...job.unresolvedCrashes.values()]};
 }
 
 function stepProgressOf(stepRun: StepRun): jobProgress.StepProgress {
--- a/packages/gypsumwall-scheduling/src/crash_attribution.ts
+++ b/packages/gypsumwall-scheduling/src/crash_attribution.ts
@@ -21,19 +21,15 @@
 
 /** Attributes worker crashes to tasks. */
 export interface CrashAttribution {
-  /** Records that a worker crashed with these attempts. */
-  recordCrash(
-    worker: workerIncarnation.Incarnation,
-    attempts: readonly activeJob.Attempt[],
-    now: types.clock.MonotonicMs,
-  ): void;
   /**
-   * Applies that a worker may have crashed with these attempts, or have left as
-   * announced.
+   * Records that a worker crashed with these attempts, or may have, if its end is
+   * `unknown`.
    */
-  presumeCrash(
+  recordCrash(
     worker: workerIncarnation.Incarnation,
     attempts: readonly activeJob.Attempt[],
+    end: 'crashed' | 'unknown',
+    now: types.clock.MonotonicMs,
   ): void;
   /**
    * Records attempts that ended with the lease of their worker, while it is not
@@ -139,7 +135,7 @@
   function recordMissingTasks(
     stepRun: activeJob.StepRun,
     indexes: readonly number[],
-    crashed: readonly workerIncarnation.Incarnation[],
+    crashed: readonly jobProgress.CrashedWorker[],
   ): void {
     const unsuspected: number[] = [];
     for (const index of indexes) {
@@ -153,7 +149,7 @@
   function recordMissingSuspect(
     stepRun: activeJob.StepRun,
     index: number,
-    crashed: readonly workerIncarnation.Incarnation[],
+    crashed: readonly jobProgress.CrashedWorker[],
   ): void {
     const suspect = stepRun.inheritedSuspects.get(index);
     // It is not known when the worker crashed after the start.
@@ -163,6 +159,10 @@
         : undefined;
     for (const worker of crashed) {
       if (suspect?.workers.includes(worker.id) !== true) continue;
+      if (worker.mayHaveLeft) {
+        presumeCrashes(stepRun, [index], worker);
+        continue;
+      }
       const crash = {kind: 'single', evidence: 'inherited'} as const;
       if (!recordForTask(stepRun, index, worker, crash)) continue;
       const reason = crashRecords.giveUpReason(stepRun, index, isolatedMs);
@@ -206,17 +206,7 @@
   }
 
   return {
-    presumeCrash(incarnation, lost) {
-      const indexes = new Map<activeJob.StepRun, number[]>();
-      for (const {task} of lost) {
-        if (task === undefined) continue;
-        const known = indexes.get(task.stepRun) ?? [];
-        indexes.set(task.stepRun, [...known, task.index]);
-      }
-      for (const [stepRun, ofStep] of indexes)
-        presumeCrashes(stepRun, ofStep, incarnation);
-    },
-    recordCrash(incarnation, lost, now) {
+    recordCrash(incarnation, lost, end, now) {
       const worker = incarnation.id;
       const unproven = unprovenCrashes.get(worker);
       const attempts = [...lost, ...(unproven?.attempts ?? [])];
@@ -239,7 +229,10 @@
         if (attempt.task === undefined) continue;
         const {stepRun, index} = attempt.task;
         const isLeased = lost.includes(attempt);
-        const evidence = evidenceOf(attempt, {isSilent, isLeased});
+        const evidence =
+          end === 'unknown'
+            ? 'departed'
+            : evidenceOf(attempt, {isSilent, isLeased});
         const isDoubtful = jobProgress.strengthOf(evidence) === 'doubtful';
         const crash = {kind: isDoubtful ? 'group' : kind, evidence} as const;
         if (!recordForTask(stepRun, index, crashed, crash)) continue;
--- a/packages/gypsumwall-scheduling/src/job_progress.ts
+++ b/packages/gypsumwall-scheduling/src/job_progress.ts
@@ -23,8 +23,8 @@
   | 'single'
   /**
    * Nothing by itself: an external cause explains the crash, since most of the
-   * rack or failure domain was lost with the worker, or the task may have ended
-   * there before.
+   * rack or failure domain was lost with the worker, or the task has probably
+   * ended there before.
    */
   | 'group';
 
@@ -34,13 +34,15 @@
   | 'running'
   /** The same, but the attempt had ended with its lease before. */
   | 'lapsed'
-  /** The same, but the attempt was being stopped and may have ended before. */
+  /** As `running`, but the stop of the attempt had been answered. */
   | 'stopping'
   /**
-   * The same, but the worker was silent before and may have been cut off: the
-   * attempt may have ended before the crash.
+   * As `running` or `lapsed`, but the worker was silent before and may have been
+   * cut off: the attempt may have ended before the crash.
    */
   | 'silent'
+  /** As `running`, but the worker may have left as announced. */
+  | 'departed'
   /** The start order was sent and not answered. */
   | 'unanswered'
   /**
@@ -61,7 +63,10 @@
 export type EvidenceStrength =
   /** As far as is known, the task ran on the worker when it crashed. */
   | 'known'
-  /** The task was sent there, but may not have started, or may have ended. */
+  /**
+   * The task may not have started there, or have ended before, or the worker may
+   * not have crashed.
+   */
   | 'likely'
   /** The task has probably ended before. */
   | 'doubtful';
@@ -74,6 +79,7 @@
     case 'inherited':
       return 'known';
     case 'silent':
+    case 'departed':
     case 'unanswered':
     case 'restored':
       return 'likely';
@@ -87,6 +93,7 @@
   'lapsed',
   'stopping',
   'silent',
+  'departed',
   'unanswered',
   'inherited',
 ];
@@ -107,6 +114,12 @@
   readonly isIsolated: boolean;
 }
 
+/** A worker that crashed before a scheduler took over. */
+export interface CrashedWorker extends workerIncarnation.Incarnation {
+  /** Whether it may have left as announced. */
+  readonly mayHaveLeft: boolean;
+}
+
 /** Progress of one step of one occurrence. */
 export interface StepProgress {
   /** Indexes of tasks that are done, ascending; `all` when none is left. */
@@ -153,7 +166,7 @@
    * Workers of an earlier scheduler that crashed, until it is known which tasks
    * run on the others. Absent if there are none, and in older records.
    */
-  readonly crashedWorkers?: readonly workerIncarnation.Incarnation[];
+  readonly crashedWorkers?: readonly CrashedWorker[];
 }
 
 /** The progress of a job that has not started. */
--- a/packages/gypsumwall-scheduling/src/job_registry.ts
+++ b/packages/gypsumwall-scheduling/src/job_registry.ts
@@ -129,6 +129,7 @@
 
   function retryStop(attempt: activeJob.Attempt): void {
     attempt.confirmedAt = undefined;
+    storeIfSuspect(attempt);
     stops.push(attempt);
   }
 
--- a/packages/gypsumwall-scheduling/src/lost_attempts.ts
+++ b/packages/gypsumwall-scheduling/src/lost_attempts.ts
@@ -47,10 +47,13 @@
     now: types.clock.MonotonicMs,
   ): void;
   /**
-   * Records that a worker of an earlier scheduler has crashed, with tasks that
-   * are not known yet.
+   * Records that a worker of an earlier scheduler has crashed, or may have, with
+   * tasks that are not known yet.
    */
-  recordUnresolvedCrash(incarnation: workerIncarnation.Incarnation): void;
+  recordUnresolvedCrash(
+    incarnation: workerIncarnation.Incarnation,
+    end: 'crashed' | 'unknown',
+  ): void;
 }
 
 /** Creates the handler of a scheduler. */
@@ -84,10 +87,8 @@
       case 'left':
         return;
       case 'crashed':
-        crashes.recordCrash(incarnation, lost, now);
-        return;
       case 'unknown':
-        crashes.presumeCrash(incarnation, lost);
+        crashes.recordCrash(incarnation, lost, cause, now);
         return;
       case 'silent':
         crashes.recordSilence(incarnation, lost, now);
@@ -110,15 +111,15 @@
       dropAttempts(ended, reason);
       attribute(incarnation, ended, reason, now);
     },
-    recordUnresolvedCrash(incarnation) {
+    recordUnresolvedCrash({id, bornMs}, end) {
       // What ran on a worker that has answered is known.
-      if (losses.hasAnswered(incarnation.id)) return;
+      if (losses.hasAnswered(id)) return;
+      const crashed = {id, bornMs, mayHaveLeft: end === 'unknown'};
       for (const job of jobRegistry.jobs.values()) {
-        const {id} = incarnation;
         if (!job.isAwaitingReconciliation || !job.workers.has(id)) continue;
-        job.unresolvedCrashes.set(id, incarnation);
-        // The worker is removed from the used ones, so a successor would not
-        // find its crash.
+        job.unresolvedCrashes.set(id, crashed);
+        // The worker leaves the stored used workers at once, so a successor
+        // would not find its crash.
         jobRegistry.dirty.add(job);
       }
     },
--- a/packages/gypsumwall-scheduling/src/report_reader.ts
+++ b/packages/gypsumwall-scheduling/src/report_reader.ts
@@ -170,7 +170,10 @@
       attempt.percentChangedAt = now;
       runMeter.onProgress(attempt, reported.percent, now);
     }
-    attempt.startedAt ??= now;
+    if (attempt.startedAt === undefined) {
+      attempt.startedAt = now;
+      jobRegistry.storeIfSuspect(attempt);
+    }
     if (attempt.task !== undefined) {
       jobRegistry.markRunning(attempt.task.stepRun.job);
       saveCheckpoint(
--- a/packages/gypsumwall-scheduling/src/scheduler_types.ts
+++ b/packages/gypsumwall-scheduling/src/scheduler_types.ts
@@ -389,8 +389,8 @@
     }
   | {
       /**
-       * A worker crashed before this scheduler took over, and these tasks may have
-       * run there; or the worker may have left as announced.
+       * A worker crashed before this scheduler took over, or left, and these tasks
+       * may have run there.
        */
       readonly type: 'crash_presumed';
       readonly step: string;
--- a/packages/gypsumwall-scheduling/src/worker_restarts.ts
+++ b/packages/gypsumwall-scheduling/src/worker_restarts.ts
@@ -74,7 +74,7 @@
     remove(id, cause, now) {
       const incarnation = incarnationOf(id);
       if (cause === 'crashed' || cause === 'unknown')
-        lossHandler.recordUnresolvedCrash(incarnation);
+        lossHandler.recordUnresolvedCrash(incarnation, cause);
       registry.remove(id);
       lossHandler.endAttempts(incarnation, cause, now);
       forget(id);
@@ -83,7 +83,8 @@
       const {id} = info;
       const incarnation = incarnationOf(id);
       lossHandler.onWorkerUnanswered(id, false, now);
-      if (cause !== 'left') lossHandler.recordUnresolvedCrash(incarnation);
+      if (cause !== 'left')
+        lossHandler.recordUnresolvedCrash(incarnation, cause);
       const all = [...attempts.ofWorker(id)];
       const unsettled = all.filter((one) => one.startedAt === undefined);
       const ended = all.filter((one) => one.startedAt !== undefined);
