--- a/packages/gypsumwall-scheduling/src/crash_attribution.ts
+++ b/packages/gypsumwall-scheduling/src/crash_attribution.ts
@@ -56,7 +56,7 @@
   /**
    * Called when all workers recorded for a job of an earlier scheduler are
    * reconciled. A task that was not found on them may have run on a crashed
-   * worker. Only for tasks that had crashes before is it known whether it did.
+   * worker. Whether it did is known of suspects only.
    */
   onJobReconciled(job: activeJob.ActiveJob): void;
 }
