--- a/packages/gypsumwall-emulator/src/config/emulator_config.ts
+++ b/packages/gypsumwall-emulator/src/config/emulator_config.ts
@@ -105,6 +105,9 @@
   statusKeepMs: durationMsSchema.default(120_000),
   /** Processor share of an instance, as its settings say; nothing enforces it. */
   cpuShare: zod.number().positive().default(1),
+  /** Memory and descriptors of an instance, as `cpuShare`; if absent, unknown. */
+  memoryMb: positiveIntegerSchema.optional(),
+  maxFds: positiveIntegerSchema.optional(),
 });
 
 /** Schema of the whole file. */
--- a/packages/gypsumwall-emulator/src/rig/entry_machine.ts
+++ b/packages/gypsumwall-emulator/src/rig/entry_machine.ts
@@ -26,6 +26,8 @@
   /** Lets a suspended process continue. */
   thaw(): void;
   isRunning(): boolean;
+  /** Id of the process, also after its end; undefined before the first start. */
+  pid(): number | undefined;
   /** Kills the process for good. */
   stop(): Promise<void>;
 }
@@ -110,6 +112,7 @@
     freeze: () => child?.sendSignal('SIGSTOP'),
     thaw: () => child?.sendSignal('SIGCONT'),
     isRunning: () => child?.isRunning() === true,
+    pid: () => child?.pid,
     async stop() {
       stopped.abort();
       child?.sendSignal('SIGKILL');
--- a/packages/gypsumwall-emulator/src/wire/settings_file.ts
+++ b/packages/gypsumwall-emulator/src/wire/settings_file.ts
@@ -19,6 +19,8 @@
   readonly graceMs: number;
   readonly statusKeepMs: number;
   readonly cpuShare: number;
+  readonly memoryMb?: number | undefined;
+  readonly maxFds?: number | undefined;
 }
 
 const SECOND_MS = 1_000;
@@ -26,7 +28,7 @@
 /** Encodes the file. */
 export function encodeSettings(settings: EntrySettings): string {
   const {ip, zone, peerPort} = settings;
-  const fields: Readonly<Record<string, string | number>> = {
+  const fields: Readonly<Record<string, string | number | undefined>> = {
     nodeName: settings.name,
     role: 'entry',
     machineClass: 'frontend',
@@ -40,6 +42,8 @@
     bootstrap: 'true',
     'limits.cpuShare': settings.cpuShare,
     'limits.cores': 1,
+    'limits.memoryMb': settings.memoryMb,
+    'limits.maxFds': settings.maxFds,
     discovery: 'platform',
     heartbeatMs: settings.heartbeatMs,
     'bounds.graceS': settings.graceMs / SECOND_MS,
@@ -55,8 +59,8 @@
     'platform.addr': settings.storeAddress,
     'platform.form': 'log',
   };
-  const lines = Object.entries(fields).map(([name, value]) =>
-    [name, value].join('='),
-  );
+  const lines = Object.entries(fields)
+    .filter(([, value]) => value !== undefined)
+    .map(([name, value]) => [name, value].join('='));
   return lines.join('\n') + '\n';
 }
--- a/packages/gypsumwall/src/__tests__/known_red.test.ts
+++ b/packages/gypsumwall/src/__tests__/known_red.test.ts
@@ -6,6 +6,7 @@
     known: {name: string; cause: string; issue: string}[];
     failed: string[];
     passed: Set<string>;
+    isolated?: Set<string>;
     complete: boolean;
   }): string[];
 }
@@ -42,6 +43,19 @@
   assert.match(judgeRun(tooMany, ['a', 'b', 'c', 'd'], [])[0]!, /at most 3/);
 });
 
+nodeTest.test('isolated tests do not count against the maximum', () => {
+  const names = ['a', 'b', 'c', 'd'];
+  const run = {
+    known: names.map((name) => ({...LISTED, name})),
+    failed: names,
+    passed: new Set<string>(),
+    complete: true,
+  };
+  assert.deepEqual(knownRed.judge({...run, isolated: new Set(['a'])}), []);
+  const [fault] = knownRed.judge({...run, isolated: new Set()});
+  assert.match(fault!, /4 tests, at most 3/);
+});
+
 nodeTest.test('a listed command is printed and not matched with a test', () => {
   const command = {...LISTED, name: 'command: play a day'};
   assert.deepEqual(judgeRun([command], [], ['other']), []);
--- a/scripts/known_red.mjs
+++ b/scripts/known_red.mjs
@@ -1,6 +1,7 @@
 /**
  * Known test failures that are caused by faults not yet fixed. KNOWN-RED.txt
- * lists one per line as `test name | cause | issue`, and at most three tests. A
+ * lists one per line as `test name | cause | issue`, and at most three tests
+ * beside those that run isolated from other load. A
  * fault that only a simulation of the users' workloads reveals has
  * `command: ...` in place of the test name. It is printed but not run here, and
  * does not count as a test.
@@ -30,15 +31,17 @@
 
 /**
  * Prints the known failures and returns the faults of the run, one line each.
- * `complete` is false if only some of the test files ran.
+ * `complete` is false if only some of the test files ran; `isolated` are the
+ * names of failed tests that ran isolated from other load.
  */
-export function judge({known, failed, passed, complete}) {
+export function judge({known, failed, passed, isolated = new Set(), complete}) {
   const faults = known
     .filter(({name, cause, issue}) => !name || !cause || !issue)
     .map(({name}) => `KNOWN-RED.txt: "${name}" lacks its cause or its issue`);
   const tests = known.filter(({name}) => !name.startsWith(COMMAND_PREFIX));
-  if (tests.length > MAX_TESTS) {
-    faults.push(`KNOWN-RED.txt: ${tests.length} tests, at most ${MAX_TESTS}`);
+  const capped = tests.filter(({name}) => !isolated.has(name));
+  if (capped.length > MAX_TESTS) {
+    faults.push(`KNOWN-RED.txt: ${capped.length} tests, at most ${MAX_TESTS}`);
   }
   for (const {name, cause, issue} of known) {
     if (name.startsWith(COMMAND_PREFIX)) {
