cell: begin the requests of a caller's connection in turn and in bounds

Callers saw an entry end ("Reached heap limit") and their calls fail, when some clients sent requests ahead and didn't read the answers. Cause: Node's parser begins every request that one read of 64 KiB holds, over a thousand small ones, each with its objects and a forwarded call. Requests without a Host, or with an unknown Expect, are answered before any listener sees them. A destroyed socket frees none of this before its close event, which follows only after all sockets that are ready were read: with 200 connections the heap was full before the first was gone. Change: a guarded server for callers. A request that is alone on its connection and not begun is answered 503 with Retry-After, others lose the connection: an answer would be taken for that to a request whose outcome is open. A client that can't be parsed no longer keeps its descriptor after the 400.

--- /dev/null
+++ b/packages/gypsumwall-cell/src/guarded_http_server.ts
@@ -0,0 +1,306 @@
+/**
+ * HTTP server for callers that are outside the operator's control. It begins a
+ * request only within the limits of its connection and of all connections.
+ */
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import type * as fastify from 'fastify';
+import type * as telemetry from '@gypsumwall/telemetry';
+import type * as types from '@gypsumwall/types';
+import type * as clientLimits from './client_limits.js';
+import * as connectionLedgers from './connection_ledger.js';
+import * as httpServer from './http_server.js';
+import * as shedCounts from './shed_counts.js';
+import * as slicedSocket from './sliced_socket.js';
+
+/** A server with limits; the caller has to start listening. */
+export interface GuardedHttpServer {
+  readonly server: fastify.FastifyInstance;
+  /**
+   * Has to wrap the handling of each call: what a call holds counts until then,
+   * also if its connection is lost before.
+   */
+  track<T>(req: http.IncomingMessage, handle: () => Promise<T>): Promise<T>;
+  status(): ClientStatus;
+}
+
+/** What the callers of one entry hold, and what was refused. */
+export interface ClientStatus {
+  readonly connections: number;
+  readonly heldBytes: number;
+  /** Connections that were shed, by reason. */
+  readonly shed: Readonly<Record<connectionLedgers.ShedReason, number>>;
+}
+
+/** Options of {@link createGuardedHttpServer}. */
+export interface GuardedHttpServerOptions {
+  readonly limits: clientLimits.ClientLimits;
+  readonly clock: types.clock.Clock;
+  readonly logger: telemetry.logger.Logger;
+  /** Maximum size of a body, in bytes. */
+  readonly bodyLimit: number;
+  readonly keepAliveTimeoutMs: number;
+}
+
+/** A request whose headers have been read. */
+interface Request {
+  readonly connection: Connection;
+  readonly req: http.IncomingMessage;
+  readonly res: http.ServerResponse;
+  readonly charge: connectionLedgers.RequestCharge;
+  readonly begin: () => void;
+  phase: 'waiting' | 'active';
+  /** Whether the answer was sent or can't be sent any more. */
+  isAnswered: boolean;
+  /** False while a handler runs, which may outlive the connection. */
+  isHandled: boolean;
+}
+
+interface Connection {
+  readonly socket: net.Socket;
+  /** Requests that have not ended, in the order in which they were sent. */
+  readonly requests: Set<Request>;
+  /** Requests that wait for their turn. */
+  readonly waiting: Request[];
+  /** Requests that were begun and have not ended. */
+  active: number;
+  /** The request whose headers were read last. */
+  last: Request | undefined;
+  /** Whether requests that follow are ignored. */
+  isClosing: boolean;
+}
+
+/** A connection whose bytes have to wait may hold this many. */
+const MAX_STALLED_BYTES = 4_096;
+/** Objects of a request that waits for its turn or its answer. */
+const REQUEST_BYTES = 8_192;
+const CONTINUE_PATTERN = /(?:^|\W)100-continue(?:$|\W)/i;
+/** Retry-After of a request that was given up before it was begun. */
+const RETRY_AFTER_S = 1;
+const REFUSAL = JSON.stringify({
+  message: 'the call had no effect; retry after the delay in retry-after',
+});
+
+/** Creates the server. */
+export function createGuardedHttpServer(
+  options: GuardedHttpServerOptions,
+): GuardedHttpServer {
+  const {limits} = options;
+  const sheds = shedCounts.createShedCounts(options);
+  const connections = new WeakMap<net.Socket, Connection>();
+  const requests = new WeakMap<http.IncomingMessage, Request>();
+  /** Connections whose bytes wait until others are gone. */
+  const stalled = new Set<Connection>();
+  const ledger = connectionLedgers.createConnectionLedger<Connection>({
+    limits,
+    shed,
+  });
+
+  function onConnection(socket: net.Socket): void {
+    const connection = createConnection(socket);
+    connections.set(socket, connection);
+    ledger.open(connection);
+    slicedSocket.sliceSocket(socket, (restBytes) =>
+      checkSlice(connection, restBytes),
+    );
+    socket.on('close', () => {
+      ledger.close(connection);
+      stalled.delete(connection);
+      for (const request of connection.requests) {
+        request.isAnswered = true;
+        endIfDone(request);
+      }
+    });
+  }
+
+  function checkSlice(
+    connection: Connection,
+    restBytes: number,
+  ): slicedSocket.SliceVerdict {
+    const {socket} = connection;
+    if (connection.isClosing || socket.destroyed) return 'drop';
+    // The request that is being received takes no more bytes for now.
+    const isBodyHeld = connection.last?.req.complete === false;
+    if (socket.isPaused() && isBodyHeld) return 'hold';
+    if (!socket.isPaused() && !ledger.isFull()) return 'pass';
+    if (restBytes > MAX_STALLED_BYTES) {
+      const reason = socket.isPaused() ? 'answers_unread' : 'too_much_held';
+      ledger.shed(connection, reason);
+      return 'drop';
+    }
+    // Node resumes the socket when answers have been read.
+    if (!socket.isPaused()) stalled.add(connection);
+    return 'hold';
+  }
+
+  /** Reads on when shed connections are gone. */
+  function resumeStalled(): void {
+    if (stalled.size === 0 || ledger.isFull()) return;
+    const resumed = [...stalled];
+    stalled.clear();
+    for (const {socket} of resumed) socket.resume();
+  }
+
+  function onRequest(
+    handle: http.RequestListener,
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): void {
+    const connection = connections.get(req.socket);
+    // The parser goes on through the bytes that it has read when a connection
+    // is closed.
+    if (connection === undefined || connection.isClosing) return;
+    if (req.socket.destroyed) return;
+    const charge = ledger.begin(connection);
+    if (charge === undefined) return;
+    const request: Request = {
+      connection,
+      req,
+      res,
+      charge,
+      begin: () => begin(handle, req, res),
+      phase: 'waiting',
+      isAnswered: false,
+      isHandled: true,
+    };
+    requests.set(req, request);
+    connection.requests.add(request);
+    connection.last = request;
+    connection.waiting.push(request);
+    res.on('close', () => {
+      request.isAnswered = true;
+      endIfDone(request);
+    });
+    if (charge.add(REQUEST_BYTES)) beginWaiting(connection);
+  }
+
+  function beginWaiting(connection: Connection): void {
+    const {waiting} = connection;
+    while (connection.active < limits.maxActiveRequestsPerConnection) {
+      const request = waiting.shift();
+      if (request === undefined) return;
+      request.phase = 'active';
+      connection.active++;
+      request.begin();
+    }
+  }
+
+  /** Releases a request once its answer and its handling are over. */
+  function endIfDone(request: Request): void {
+    const {connection} = request;
+    const isDone = request.isAnswered && request.isHandled;
+    if (!isDone || !connection.requests.delete(request)) return;
+    request.charge.end();
+    if (connection.last === request) connection.last = undefined;
+    resumeStalled();
+    if (request.phase !== 'active') return;
+    connection.active--;
+    if (!connection.socket.destroyed) beginWaiting(connection);
+  }
+
+  /**
+   * Gives up the requests of a connection that were not begun. A refusal is
+   * sent if there is only one request, which was not begun: behind others it
+   * would be taken for an answer to the first of them.
+   */
+  function shed(
+    connection: Connection,
+    reason: connectionLedgers.ShedReason,
+  ): void {
+    sheds.add(reason);
+    connection.isClosing = true;
+    connection.waiting.length = 0;
+    const [first] = connection.requests;
+    const isRefusable =
+      connection.requests.size === 1 && first?.phase !== 'active';
+    if (isRefusable && reason === 'too_much_held') refuse(first!.res);
+    else connection.socket.destroy();
+  }
+
+  return {
+    server: httpServer.createSchemalessServer({
+      bodyLimit: options.bodyLimit,
+      forceCloseConnections: 'idle',
+      clientErrorHandler: (_err, socket) =>
+        httpServer.answerClientError(
+          socket,
+          (connections.get(socket)?.requests.size ?? 0) > 0,
+        ),
+      serverFactory(handle) {
+        const listener = onRequest.bind(undefined, handle);
+        const server = http.createServer(
+          {
+            keepAliveTimeout: options.keepAliveTimeoutMs,
+            // Otherwise such requests are answered before they are counted.
+            requireHostHeader: false,
+          },
+          listener,
+        );
+        server.on('connection', onConnection);
+        server.on('checkContinue', listener);
+        server.on('checkExpectation', listener);
+        return server;
+      },
+    }),
+    async track(req, handle) {
+      const request = requests.get(req);
+      if (request === undefined) return handle();
+      request.isHandled = false;
+      request.charge.setReleasable(false);
+      try {
+        return await handle();
+      } finally {
+        request.isHandled = true;
+        request.charge.setReleasable(true);
+        endIfDone(request);
+      }
+    },
+    status: () => ({
+      connections: ledger.connections(),
+      heldBytes: ledger.heldBytes(),
+      shed: sheds.counts(),
+    }),
+  };
+}
+
+function createConnection(socket: net.Socket): Connection {
+  const requests = new Set<Request>();
+  return {
+    socket,
+    requests,
+    waiting: [],
+    active: 0,
+    last: undefined,
+    isClosing: false,
+  };
+}
+
+/** Hands a request to its handler, unless its headers rule it out. */
+function begin(
+  handle: http.RequestListener,
+  req: http.IncomingMessage,
+  res: http.ServerResponse,
+): void {
+  const {host, expect} = req.headers;
+  if (host === undefined && req.httpVersion === '1.1') {
+    res.writeHead(400, {connection: 'close'}).end();
+    return;
+  }
+  if (expect !== undefined) {
+    if (!CONTINUE_PATTERN.test(expect)) {
+      res.writeHead(417).end();
+      return;
+    }
+    res.writeContinue();
+  }
+  handle(req, res);
+}
+
+function refuse(res: http.ServerResponse): void {
+  const headers = {
+    'content-type': 'application/json',
+    'retry-after': String(RETRY_AFTER_S),
+    connection: 'close',
+  };
+  res.writeHead(503, headers).end(REFUSAL);
+}
--- a/packages/gypsumwall-cell/src/http_server.ts
+++ b/packages/gypsumwall-cell/src/http_server.ts
@@ -10,6 +10,22 @@
  * themselves, and loading the compilers would take a tenth of the process's
  * startup time.
  */
+export function createSchemalessServer(
+  options: fastify.FastifyHttpOptions<http.Server>,
+): fastify.FastifyInstance {
+  return fastify.fastify({
+    logger: false,
+    schemaController: {
+      compilersFactory: {
+        buildValidator: refuseSchemas,
+        buildSerializer: refuseSchemas,
+      },
+    },
+    ...options,
+  });
+}
+
+/** Creates a server for other entries. */
 export function createHttpServer(
   options: fastify.FastifyHttpOptions<http.Server> = {},
 ): fastify.FastifyInstance {
@@ -19,21 +35,9 @@
     const before = requestsInProgress.get(socket) ?? 0;
     requestsInProgress.set(socket, before + change);
   };
-  const server = fastify.fastify({
-    logger: false,
-    // The answer to bytes that can't be parsed would be taken for that to the
-    // request in progress on the same connection, whose outcome is open.
-    clientErrorHandler(_err, socket) {
-      const isBusy = (requestsInProgress.get(socket) ?? 0) > 0;
-      if (isBusy || !socket.writable) socket.destroy();
-      else socket.end(BAD_REQUEST);
-    },
-    schemaController: {
-      compilersFactory: {
-        buildValidator: refuseSchemas,
-        buildSerializer: refuseSchemas,
-      },
-    },
+  const server = createSchemalessServer({
+    clientErrorHandler: (_err, socket) =>
+      answerClientError(socket, (requestsInProgress.get(socket) ?? 0) > 0),
     ...options,
   });
   server.server.on('request', ({socket}, res) => {
@@ -43,6 +47,21 @@
   return server;
 }
 
+/**
+ * Answers bytes that can't be parsed. If a request is in progress on the same
+ * connection, the answer would be taken for that to the request, whose outcome
+ * is open.
+ */
+export function answerClientError(socket: net.Socket, isBusy: boolean): void {
+  if (isBusy || !socket.writable) {
+    socket.destroy();
+    return;
+  }
+  socket.write(BAD_REQUEST);
+  // A client that never closes its side would keep the descriptor.
+  socket.destroySoon();
+}
+
 function refuseSchemas(): never {
   throw new Error('schemas are not supported; check the body in the handler');
 }
--- a/packages/gypsumwall-cell/src/index.ts
+++ b/packages/gypsumwall-cell/src/index.ts
@@ -1,5 +1,7 @@
 export * as cellEntry from './cell_entry.js';
 export * as cellEntryTypes from './cell_entry_types.js';
+export * as clientLimits from './client_limits.js';
+export * as guardedHttpServer from './guarded_http_server.js';
 export * as jobServiceTypes from './job_service_types.js';
 export * as httpClient from './http_client.js';
 export * as httpServer from './http_server.js';
--- /dev/null
+++ b/packages/gypsumwall-cell/src/sliced_socket.ts
@@ -0,0 +1,50 @@
+/**
+ * Passes the bytes of a connection to Node's HTTP parser in slices. The parser
+ * begins every request that a read of 64 KiB holds, which may be thousands, and
+ * the objects of all of them live until the connection is closed. Between two
+ * slices the parser can be stopped.
+ */
+import type * as net from 'node:net';
+
+/** What becomes of the bytes that were not passed yet. */
+export type SliceVerdict =
+  | 'pass'
+  /** They wait until the socket is resumed. */
+  | 'hold'
+  /** They are dropped. */
+  | 'drop';
+
+/** Decides before each slice; `restBytes` is what this read still holds. */
+export type CheckSlice = (restBytes: number) => SliceVerdict;
+
+const SLICE_BYTES = 512;
+
+/**
+ * Puts itself between a socket that an HTTP server has just accepted and the
+ * parser of the server.
+ */
+export function sliceSocket(socket: net.Socket, check: CheckSlice): void {
+  const parsers = socket.listeners('data') as ((bytes: Buffer) => void)[];
+  if (parsers.length !== 1) {
+    throw new Error(
+      `${parsers.length} data listeners on a new HTTP connection`,
+    );
+  }
+  const [parse] = parsers;
+  socket.removeAllListeners('data');
+  socket.on('data', (bytes: Buffer) => {
+    for (let offset = 0; offset < bytes.length; offset += SLICE_BYTES) {
+      switch (check(bytes.length - offset)) {
+        case 'pass':
+          parse!(bytes.subarray(offset, offset + SLICE_BYTES));
+          break;
+        case 'hold':
+          socket.pause();
+          socket.unshift(bytes.subarray(offset));
+          return;
+        case 'drop':
+          return;
+      }
+    }
+  });
+}
