platform: refuse a body that is announced over the limit before reading it

Callers saw an entry exceed the memory of its machine while clients sent bodies over the configured limit. Cause: the configured limit was looked at once the whole body was there; before that only the server's own limit of 1 MiB applied, also to a length that the headers had announced. Change: the announced length is compared with the limit of the configuration in force when the headers have been read; the answer is 413 as before, and what follows on the connection is dropped unparsed.

--- a/packages/gypsumwall-cell/src/guarded_http_server.ts
+++ b/packages/gypsumwall-cell/src/guarded_http_server.ts
@@ -37,8 +37,8 @@
   readonly limits: clientLimits.ClientLimits;
   readonly clock: types.clock.Clock;
   readonly logger: telemetry.logger.Logger;
-  /** Maximum size of a body, in bytes. */
-  readonly bodyLimit: number;
+  /** Maximum size of a body now, in bytes. */
+  readonly bodyLimit: () => number;
   readonly keepAliveTimeoutMs: number;
 }
 
@@ -76,10 +76,7 @@
 const REQUEST_BYTES = 8_192;
 const CONTINUE_PATTERN = /(?:^|\W)100-continue(?:$|\W)/i;
 /** Retry-After of a request that was given up before it was begun. */
-const RETRY_AFTER_S = 1;
-const REFUSAL = JSON.stringify({
-  message: 'the call had no effect; retry after the delay in retry-after',
-});
+const RETRY_AFTER_S = '1';
 
 /** Creates the server. */
 export function createGuardedHttpServer(
@@ -166,12 +163,25 @@
     requests.set(req, request);
     connection.requests.add(request);
     connection.last = request;
-    connection.waiting.push(request);
     res.on('close', () => {
       request.isAnswered = true;
       endIfDone(request);
     });
-    if (charge.add(REQUEST_BYTES)) beginWaiting(connection);
+    if (!charge.add(REQUEST_BYTES)) return;
+    const announcedBytes = Number(req.headers['content-length'] ?? 0);
+    if (announcedBytes > options.bodyLimit()) {
+      refuseBody(request, `the body has ${announcedBytes} bytes`);
+      return;
+    }
+    connection.waiting.push(request);
+    beginWaiting(connection);
+  }
+
+  /** Bytes that follow on the connection are dropped. */
+  function refuseBody({connection, res}: Request, fault: string): void {
+    connection.isClosing = true;
+    const message = `${fault}: send at most ${options.bodyLimit()}`;
+    sendAndClose(res, 413, {}, {message});
   }
 
   function beginWaiting(connection: Connection): void {
@@ -219,7 +229,6 @@
 
   return {
     server: httpServer.createSchemalessServer({
-      bodyLimit: options.bodyLimit,
       forceCloseConnections: 'idle',
       clientErrorHandler: (_err, socket) =>
         httpServer.answerClientError(
@@ -296,11 +305,24 @@
   handle(req, res);
 }
 
+/** Refuses a request that was not begun. */
 function refuse(res: http.ServerResponse): void {
-  const headers = {
+  const message =
+    'the call had no effect; retry after the delay in retry-after';
+  sendAndClose(res, 503, {'retry-after': RETRY_AFTER_S}, {message});
+}
+
+/** Sends an answer behind those before it, and closes the connection then. */
+function sendAndClose(
+  res: http.ServerResponse,
+  status: number,
+  headers: Readonly<Record<string, string>>,
+  body: object,
+): void {
+  res.writeHead(status, {
+    ...headers,
     'content-type': 'application/json',
-    'retry-after': String(RETRY_AFTER_S),
     connection: 'close',
-  };
-  res.writeHead(503, headers).end(REFUSAL);
+  });
+  res.end(JSON.stringify(body));
 }
