cell: collect the bodies of callers in shared segments, within one sum

Callers saw an entry exceed the memory of its machine, or end ("Reached heap limit"), while clients held bodies open just short of their end. Cause: each body was collected up to its own limit, and nothing bounded the sum of all. A body in chunks of one byte kept an object for each of them. What was given up stayed until the garbage collector ran, which doesn't see buffers outside of the heap: with large reads up to 60 MB of them waited for it. Change: the guarded server collects a body before its request may begin, in segments of 16 KiB that are charged before they are taken and used again at once. A body that exceeds the limit unannounced is refused 413 at that byte. After its first 4 KiB a read is still passed on in small slices, which keep the collector of young objects going. The crowd tests now wait until the entry has read what was sent, which is stricter: the crowd of one-byte chunks was judged too early before. A single body at the limit is served in chunks of one byte, 4,000 bytes and at once.

--- /dev/null
+++ b/packages/gypsumwall-cell/src/__tests__/guarded_http_server.test.ts
@@ -0,0 +1,155 @@
+import * as assert from 'node:assert/strict';
+import * as events from 'node:events';
+import * as net from 'node:net';
+import * as nodeTest from 'node:test';
+import * as telemetry from '@gypsumwall/telemetry';
+import * as types from '@gypsumwall/types';
+import * as clientLimits from '../client_limits.js';
+import * as guardedHttpServer from '../guarded_http_server.js';
+
+const {test} = nodeTest;
+const BODY_LIMIT = 262_144;
+const LIMITS = clientLimits.deriveClientLimits({
+  memoryBytes: 160 * 1_048_576,
+  heapBytes: 128 * 1_048_576,
+});
+const HEAD = 'POST / HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\n';
+
+/** Serves calls by answering the length of their bodies, after a gate. */
+async function serve(
+  t: nodeTest.TestContext,
+  limits: Partial<clientLimits.ClientLimits> = {},
+  gate: () => Promise<void> = () => Promise.resolve(),
+) {
+  const guarded = guardedHttpServer.createGuardedHttpServer({
+    limits: {...LIMITS, ...limits},
+    clock: types.clock.createSystemClock(),
+    logger: telemetry.logger.createLogger('error', {}, () => undefined),
+    bodyLimit: () => BODY_LIMIT,
+    keepAliveTimeoutMs: 30_000,
+  });
+  const {server} = guarded;
+  const seen: string[] = [];
+  server.removeAllContentTypeParsers();
+  server.addContentTypeParser('*', (req, _stream, done) =>
+    done(null, guarded.takeBody(req.raw)),
+  );
+  server.all('*', (req, res) =>
+    guarded.track(req.raw, async () => {
+      seen.push(req.url);
+      await gate();
+      const length = ((req.body as string | undefined) ?? '').length;
+      return res.send({path: req.url, length});
+    }),
+  );
+  await server.listen({host: '127.0.0.1', port: 0});
+  t.after(() => {
+    server.server.closeAllConnections();
+    return server.close();
+  });
+  const {port} = server.server.address() as net.AddressInfo;
+  function connect() {
+    const socket = net.connect(port, '127.0.0.1');
+    const client = {socket, received: ''};
+    socket.on('data', (bytes) => (client.received += bytes.toString()));
+    socket.on('error', () => undefined);
+    return client;
+  }
+  return {guarded, seen, connect};
+}
+
+type Client = {readonly socket: net.Socket; received: string};
+
+async function untilReceived(client: Client, pattern: RegExp): Promise<void> {
+  while (!pattern.test(client.received)) {
+    await events.EventEmitter.once(client.socket, 'data');
+  }
+}
+
+function encodeGets(paths: readonly number[]): string {
+  return paths.map((n) => `GET /${n} HTTP/1.1\r\nHost: h\r\n\r\n`).join('');
+}
+
+// Guards against a bound that an ordinary single request meets.
+for (const chunkBytes of [1, 4_000, BODY_LIMIT]) {
+  test(`a body at the limit is served in chunks of ${chunkBytes}`, async (t) => {
+    const {connect} = await serve(t);
+    const client = connect();
+    client.socket.write(`${HEAD}Transfer-Encoding: chunked\r\n\r\n`);
+    for (let sent = 0; sent < BODY_LIMIT; sent += chunkBytes) {
+      const length = Math.min(chunkBytes, BODY_LIMIT - sent);
+      client.socket.write(
+        `${length.toString(16)}\r\n${'a'.repeat(length)}\r\n`,
+      );
+    }
+    client.socket.write('0\r\n\r\n');
+    await untilReceived(client, /"length":262144/);
+  });
+}
+
+test('requests sent ahead are answered in order', async (t) => {
+  const {connect} = await serve(t);
+  const client = connect();
+  const paths = Array.from({length: 90}, (_, nth) => nth);
+  client.socket.write(encodeGets(paths));
+  await untilReceived(client, /"\/89"/);
+  const answered = [...client.received.matchAll(/"path":"\/(\d+)"/g)];
+  assert.deepEqual(
+    answered.map(([, path]) => Number(path)),
+    paths,
+  );
+});
+
+// Guards against beginning all requests that a connection has sent ahead.
+test('few requests of a connection are carried out at a time', async (t) => {
+  let open: () => void = () => undefined;
+  const gate = new Promise<void>((resolve) => (open = resolve));
+  const {connect, seen} = await serve(t, {}, () => gate);
+  const client = connect();
+  client.socket.write(encodeGets([1, 2, 3, 4, 5, 6]));
+  while (seen.length < 4) await new Promise(setImmediate);
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  assert.deepEqual(seen, ['/1', '/2', '/3', '/4']);
+  open();
+  await untilReceived(client, /"\/6"/);
+});
+
+// Guards against a refusal that doesn't say that the call had no effect.
+test('a single request that may not be held is refused and not begun', async (t) => {
+  const {connect, seen, guarded} = await serve(t, {maxHeldBytes: 20_000});
+  const client = connect();
+  client.socket.write(`${HEAD}Content-Length: 30000\r\n\r\n`);
+  client.socket.write('a'.repeat(29_000));
+  await untilReceived(client, /^HTTP\/1\.1 503[^]*retry-after: 1\r\n/i);
+  assert.deepEqual(seen, []);
+  assert.equal(guarded.status().shed.too_much_held, 1);
+});
+
+// Guards against a refusal that a client takes for the answer to a request whose
+// outcome is open.
+test('no refusal is sent behind a request that is carried out', async (t) => {
+  const {connect, seen} = await serve(
+    t,
+    {maxHeldBytes: 20_000},
+    () => new Promise(() => undefined),
+  );
+  const client = connect();
+  client.socket.write(encodeGets([1]));
+  while (seen.length === 0) await new Promise(setImmediate);
+  client.socket.write(`${HEAD}Content-Length: 30000\r\n\r\n`);
+  client.socket.write('a'.repeat(29_000));
+  await events.EventEmitter.once(client.socket, 'close');
+  assert.equal(client.received, '');
+});
+
+// Guards against reading on after a body has exceeded the limit.
+test('a body that exceeds the limit unannounced is refused', async (t) => {
+  const {connect, seen} = await serve(t);
+  const client = connect();
+  client.socket.write(`${HEAD}Transfer-Encoding: chunked\r\n\r\n`);
+  const chunk = `4000\r\n${'a'.repeat(0x4000)}\r\n`;
+  client.socket.write(chunk.repeat(17));
+  await untilReceived(client, /^HTTP\/1\.1 413/);
+  await events.EventEmitter.once(client.socket, 'close');
+  assert.deepEqual(seen, []);
+});
--- a/packages/gypsumwall-cell/src/client_limits.ts
+++ b/packages/gypsumwall-cell/src/client_limits.ts
@@ -26,15 +26,19 @@
 
 const MAX_REQUESTS_PER_CONNECTION = 100;
 const MAX_ACTIVE_REQUESTS_PER_CONNECTION = 4;
-/** The rest is for the state of the cell and for garbage. */
-const HELD_FRACTION = 1 / 4;
+/**
+ * The rest is for the state of the cell, and for what requests leave to the
+ * garbage collector, which may be more than they hold.
+ */
+const HELD_FRACTION = 1 / 16;
 
 /** Derives the limits. */
 export function deriveClientLimits(machine: MachineLimits): ClientLimits {
   const {memoryBytes, heapBytes} = machine;
+  const usableBytes = Math.min(memoryBytes, heapBytes);
   return {
     maxRequestsPerConnection: MAX_REQUESTS_PER_CONNECTION,
     maxActiveRequestsPerConnection: MAX_ACTIVE_REQUESTS_PER_CONNECTION,
-    maxHeldBytes: Math.min(memoryBytes, heapBytes) * HELD_FRACTION,
+    maxHeldBytes: usableBytes * HELD_FRACTION,
   };
 }
--- a/packages/gypsumwall-cell/src/guarded_http_server.ts
+++ b/packages/gypsumwall-cell/src/guarded_http_server.ts
@@ -7,6 +7,7 @@
 import type * as fastify from 'fastify';
 import type * as telemetry from '@gypsumwall/telemetry';
 import type * as types from '@gypsumwall/types';
+import * as bodyCollectors from './body_collector.js';
 import type * as clientLimits from './client_limits.js';
 import * as connectionLedgers from './connection_ledger.js';
 import * as httpServer from './http_server.js';
@@ -21,6 +22,8 @@
    * also if its connection is lost before.
    */
   track<T>(req: http.IncomingMessage, handle: () => Promise<T>): Promise<T>;
+  /** Returns the body of a call, once; undefined if it has none. */
+  takeBody(req: http.IncomingMessage): string | undefined;
   status(): ClientStatus;
 }
 
@@ -49,7 +52,11 @@
   readonly res: http.ServerResponse;
   readonly charge: connectionLedgers.RequestCharge;
   readonly begin: () => void;
-  phase: 'waiting' | 'active';
+  /** Absent if no body follows the headers. */
+  readonly body: bodyCollectors.BodyCollector | undefined;
+  phase: 'receiving' | 'waiting' | 'active';
+  /** Whether it was answered without having begun. */
+  isRefused: boolean;
   /** Whether the answer was sent or can't be sent any more. */
   isAnswered: boolean;
   /** False while a handler runs, which may outlive the connection. */
@@ -83,6 +90,7 @@
   options: GuardedHttpServerOptions,
 ): GuardedHttpServer {
   const {limits} = options;
+  const pool = bodyCollectors.createSegmentPool();
   const sheds = shedCounts.createShedCounts(options);
   const connections = new WeakMap<net.Socket, Connection>();
   const requests = new WeakMap<http.IncomingMessage, Request>();
@@ -155,8 +163,16 @@
       req,
       res,
       charge,
+      body: hasBody(req)
+        ? bodyCollectors.createBodyCollector({
+            pool,
+            charge,
+            limit: options.bodyLimit(),
+          })
+        : undefined,
       begin: () => begin(handle, req, res),
-      phase: 'waiting',
+      phase: 'receiving',
+      isRefused: false,
       isAnswered: false,
       isHandled: true,
     };
@@ -167,18 +183,46 @@
       request.isAnswered = true;
       endIfDone(request);
     });
-    if (!charge.add(REQUEST_BYTES)) return;
+    if (charge.add(REQUEST_BYTES)) receive(request);
+  }
+
+  /** Waits for the body of a request before the request may begin. */
+  function receive(request: Request): void {
+    const {req, body} = request;
+    const {expect} = req.headers;
+    // A client that expects something else may wait for the answer to that.
+    const isExpected = expect === undefined || CONTINUE_PATTERN.test(expect);
+    if (body === undefined || !isExpected) {
+      awaitTurn(request);
+      return;
+    }
     const announcedBytes = Number(req.headers['content-length'] ?? 0);
     if (announcedBytes > options.bodyLimit()) {
       refuseBody(request, `the body has ${announcedBytes} bytes`);
       return;
     }
-    connection.waiting.push(request);
-    beginWaiting(connection);
+    if (expect !== undefined) request.res.writeContinue();
+    req.on('data', (chunk: Buffer) => {
+      if (body.add(chunk) === 'too_long')
+        refuseBody(request, 'the body is too long');
+    });
+    req.on('end', () => {
+      if (request.phase === 'receiving') awaitTurn(request);
+    });
+  }
+
+  function awaitTurn(request: Request): void {
+    // A refused or shed request stays `receiving`; its end may still arrive.
+    if (request.isRefused) return;
+    request.phase = 'waiting';
+    request.connection.waiting.push(request);
+    beginWaiting(request.connection);
   }
 
   /** Bytes that follow on the connection are dropped. */
-  function refuseBody({connection, res}: Request, fault: string): void {
+  function refuseBody(request: Request, fault: string): void {
+    const {connection, res} = request;
+    request.isRefused = true;
     connection.isClosing = true;
     const message = `${fault}: send at most ${options.bodyLimit()}`;
     sendAndClose(res, 413, {}, {message});
@@ -200,6 +244,7 @@
     const {connection} = request;
     const isDone = request.isAnswered && request.isHandled;
     if (!isDone || !connection.requests.delete(request)) return;
+    request.body?.discard();
     request.charge.end();
     if (connection.last === request) connection.last = undefined;
     resumeStalled();
@@ -220,6 +265,11 @@
     sheds.add(reason);
     connection.isClosing = true;
     connection.waiting.length = 0;
+    for (const request of connection.requests) {
+      if (request.phase === 'active') continue;
+      request.isRefused = true;
+      request.body?.discard();
+    }
     const [first] = connection.requests;
     const isRefusable =
       connection.requests.size === 1 && first?.phase !== 'active';
@@ -264,6 +314,10 @@
         endIfDone(request);
       }
     },
+    takeBody(req) {
+      const request = requests.get(req);
+      return request?.body?.take();
+    },
     status: () => ({
       connections: ledger.connections(),
       heldBytes: ledger.heldBytes(),
@@ -272,6 +326,14 @@
   };
 }
 
+/** Whether a body follows the headers. */
+function hasBody({headers}: http.IncomingMessage): boolean {
+  return (
+    headers['transfer-encoding'] !== undefined ||
+    Number(headers['content-length'] ?? 0) > 0
+  );
+}
+
 function createConnection(socket: net.Socket): Connection {
   const requests = new Set<Request>();
   return {
@@ -290,17 +352,14 @@
   req: http.IncomingMessage,
   res: http.ServerResponse,
 ): void {
-  const {host, expect} = req.headers;
+  const {host, expect = ''} = req.headers;
   if (host === undefined && req.httpVersion === '1.1') {
     res.writeHead(400, {connection: 'close'}).end();
     return;
   }
-  if (expect !== undefined) {
-    if (!CONTINUE_PATTERN.test(expect)) {
-      res.writeHead(417).end();
-      return;
-    }
-    res.writeContinue();
+  if (expect !== '' && !CONTINUE_PATTERN.test(expect)) {
+    res.writeHead(417, {connection: 'close'}).end();
+    return;
   }
   handle(req, res);
 }
--- a/packages/gypsumwall-cell/src/shed_counts.ts
+++ b/packages/gypsumwall-cell/src/shed_counts.ts
@@ -28,7 +28,11 @@
 
 /** Creates counts of 0. */
 export function createShedCounts({clock, logger}: ShedCountsParts): ShedCounts {
-  const counts = {too_many_requests: 0, answers_unread: 0, too_much_held: 0};
+  const counts = {
+    too_many_requests: 0,
+    answers_unread: 0,
+    too_much_held: 0,
+  };
   let nextLogAt = clock.monotonic();
   return {
     add(reason) {
--- a/packages/gypsumwall-cell/src/sliced_socket.ts
+++ b/packages/gypsumwall-cell/src/sliced_socket.ts
@@ -17,6 +17,13 @@
 /** Decides before each slice; `restBytes` is what this read still holds. */
 export type CheckSlice = (restBytes: number) => SliceVerdict;
 
+/** Most requests fit into the first slice. */
+const FIRST_SLICE_BYTES = 4_096;
+/**
+ * Small, because the collector of young objects has to run before the reads,
+ * which it doesn't see, have filled the memory: each slice of a body leaves
+ * objects that it does see.
+ */
 const SLICE_BYTES = 512;
 
 /**
@@ -33,11 +40,15 @@
   const [parse] = parsers;
   socket.removeAllListeners('data');
   socket.on('data', (bytes: Buffer) => {
-    for (let offset = 0; offset < bytes.length; offset += SLICE_BYTES) {
+    let offset = 0;
+    while (offset < bytes.length) {
       switch (check(bytes.length - offset)) {
-        case 'pass':
-          parse!(bytes.subarray(offset, offset + SLICE_BYTES));
+        case 'pass': {
+          const length = offset === 0 ? FIRST_SLICE_BYTES : SLICE_BYTES;
+          parse!(bytes.subarray(offset, offset + length));
+          offset += length;
           break;
+        }
         case 'hold':
           socket.pause();
           socket.unshift(bytes.subarray(offset));
--- a/packages/gypsumwall-emulator/src/__fixtures__/client_crowd.ts
+++ b/packages/gypsumwall-emulator/src/__fixtures__/client_crowd.ts
@@ -17,10 +17,11 @@
 /** Connected clients. */
 export interface Crowd {
   /**
-   * Resolves when each client has sent all of its pieces, has lost its
-   * connection, or makes no progress because the server doesn't read.
+   * Resolves when each client has sent all of its pieces or has lost its
+   * connection, and the server has read everything; also if neither makes
+   * progress. `unreadBytes` are those that the server has not read.
    */
-  settle(): Promise<void>;
+  settle(unreadBytes: () => number): Promise<void>;
   close(): void;
 }
 
@@ -43,16 +44,18 @@
   );
   const {clock} = options;
   return {
-    async settle() {
+    async settle(unreadBytes) {
       const deadline = types.clock.after(clock.monotonic(), MAX_SETTLE_MS);
       let progressed = clock.monotonic();
-      let sent = -1;
-      while (clients.some(({isDone}) => !isDone)) {
+      let read = -1;
+      for (;;) {
+        const unread = unreadBytes();
+        if (unread === 0 && clients.every(({isDone}) => isDone)) return;
         const now = clock.monotonic();
         if (now >= deadline || now - progressed > STALL_MS) return;
-        const sum = clients.reduce((sum, {socket}) => sum + sentBy(socket), 0);
-        if (sum !== sent) progressed = now;
-        sent = sum;
+        const sent = clients.reduce((sum, {socket}) => sum + sentBy(socket), 0);
+        if (sent - unread !== read) progressed = now;
+        read = sent - unread;
         await types.clock.sleepFor(clock, POLL_MS);
       }
     },
--- a/packages/gypsumwall-emulator/src/__fixtures__/crowd_run.ts
+++ b/packages/gypsumwall-emulator/src/__fixtures__/crowd_run.ts
@@ -81,7 +81,7 @@
     const pid = entry.pid()!;
     const watch = processWatch.watchProcess(pid, address);
     const clients = clientCrowd.connectCrowd({...crowd, address, clock});
-    await clients.settle();
+    await clients.settle(() => watch.unreadBytes());
     await types.clock.sleepFor(clock, HOLD_MS);
     const isServed = await isAccepted(cell, entry, 1);
     const {memoryMb, sockets} = watch.peaks();
--- a/packages/gypsumwall-emulator/src/__fixtures__/process_watch.ts
+++ b/packages/gypsumwall-emulator/src/__fixtures__/process_watch.ts
@@ -16,6 +16,8 @@
 /** A watch that samples until it is stopped. */
 export interface ProcessWatch {
   peaks(): ProcessPeaks;
+  /** Bytes that the process has not read yet. */
+  unreadBytes(): number;
   stop(): void;
 }
 
@@ -46,6 +48,7 @@
       sample();
       return {memoryMb, sockets};
     },
+    unreadBytes: () => sumUnreadBytes(localAddress),
     stop: () => clearInterval(timer),
   };
 }
