cell: bound the connections of callers, close for a new one who stalls

Callers saw nothing yet, but an entry accepted connections without a bound: 700 clients that send nothing, or never end their headers or bodies, took 722 sockets where the machine allows 400, and the calls to the store, the workers and the peers are the first that fail at the limit of descriptors. Cause: nothing read limits.maxFds, and the listener goes on accepting. Change: callers get at most half of the sockets, and no more than what an eighth of the memory or the heap holds at 20 KiB each (896 with the heap of the deploy file, on each kind of machine). For a new connection the one that has kept the entry waiting longest for the rest of a request or for reading an answer is closed, then the one that has been idle longest; never one with a call in progress or one that has waited for less than a second. If there is none, the new one is closed. The choice is a module without a network.

--- a/packages/gypsumwall-cell/src/__tests__/client_limits.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/client_limits.test.ts
@@ -11,6 +11,7 @@
   const limits = clientLimits.deriveClientLimits({
     memoryBytes: 160 * MIB,
     heapBytes: 128 * MIB,
+    descriptors: 4_100,
   });
   assert.ok(limits.maxHeldBytes >= 8 * MIB);
 });
--- a/packages/gypsumwall-cell/src/__tests__/connection_ledger.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/connection_ledger.test.ts
@@ -15,6 +15,7 @@
       ...clientLimits.deriveClientLimits({
         memoryBytes: Infinity,
         heapBytes: LIMIT_BYTES,
+        descriptors: 4_100,
       }),
       maxRequestsPerConnection: MAX_REQUESTS,
       maxHeldBytes: LIMIT_BYTES,
--- a/packages/gypsumwall-cell/src/__tests__/guarded_http_server.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/guarded_http_server.test.ts
@@ -12,6 +12,7 @@
 const LIMITS = clientLimits.deriveClientLimits({
   memoryBytes: 160 * 1_048_576,
   heapBytes: 128 * 1_048_576,
+  descriptors: 4_100,
 });
 const HEAD = 'POST / HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\n';
 
@@ -153,3 +154,15 @@
   await events.EventEmitter.once(client.socket, 'close');
   assert.deepEqual(seen, []);
 });
+
+// Guards against clients that hold every connection without a request.
+test('a connection that sends nothing gives way to a new one', async (t) => {
+  const {connect} = await serve(t, {maxConnections: 1});
+  const silent = connect();
+  await events.EventEmitter.once(silent.socket, 'connect');
+  await new Promise((resolve) => setTimeout(resolve, 1_100));
+  const caller = connect();
+  caller.socket.write(encodeGets([1]));
+  await untilReceived(caller, /"\/1"/);
+  assert.ok(silent.socket.destroyed || silent.socket.readableEnded);
+});
--- a/packages/gypsumwall-cell/src/client_limits.ts
+++ b/packages/gypsumwall-cell/src/client_limits.ts
@@ -12,6 +12,8 @@
   readonly maxRequestsPerConnection: number;
   /** Requests of one connection that are carried out at the same time. */
   readonly maxActiveRequestsPerConnection: number;
+  /** Connections that are open at the same time. */
+  readonly maxConnections: number;
   /** What the requests of all connections may hold together, in bytes. */
   readonly maxHeldBytes: number;
 }
@@ -22,6 +24,8 @@
   readonly memoryBytes: number;
   /** Limit of the heap, in bytes. */
   readonly heapBytes: number;
+  /** Descriptors of the process, among them those for files. */
+  readonly descriptors: number;
 }
 
 const MAX_REQUESTS_PER_CONNECTION = 100;
@@ -32,13 +36,32 @@
  */
 const HELD_FRACTION = 1 / 16;
 
+/** Descriptors that the platform reserves for files. */
+const FILE_DESCRIPTORS = 200;
+/** The rest is for the store, the workers, the peers and the operators. */
+const CALLER_DESCRIPTORS_FRACTION = 1 / 2;
+const MIN_CONNECTIONS = 16;
+/** What an open connection takes with the headers of a request, unfinished. */
+const CONNECTION_BYTES = 20_480;
+const CONNECTIONS_MEMORY_FRACTION = 1 / 8;
+
 /** Derives the limits. */
 export function deriveClientLimits(machine: MachineLimits): ClientLimits {
-  const {memoryBytes, heapBytes} = machine;
+  const {memoryBytes, heapBytes, descriptors} = machine;
+  const sockets = descriptors - FILE_DESCRIPTORS;
   const usableBytes = Math.min(memoryBytes, heapBytes);
   return {
     maxRequestsPerConnection: MAX_REQUESTS_PER_CONNECTION,
     maxActiveRequestsPerConnection: MAX_ACTIVE_REQUESTS_PER_CONNECTION,
+    maxConnections: Math.max(
+      MIN_CONNECTIONS,
+      Math.floor(
+        Math.min(
+          sockets * CALLER_DESCRIPTORS_FRACTION,
+          (usableBytes * CONNECTIONS_MEMORY_FRACTION) / CONNECTION_BYTES,
+        ),
+      ),
+    ),
     maxHeldBytes: usableBytes * HELD_FRACTION,
   };
 }
--- a/packages/gypsumwall-cell/src/connection_ledger.ts
+++ b/packages/gypsumwall-cell/src/connection_ledger.ts
@@ -12,7 +12,11 @@
   /** It sends on although it doesn't read. */
   | 'answers_unread'
   /** It held most when all connections held too much. */
-  | 'too_much_held';
+  | 'too_much_held'
+  /** It kept the entry waiting when a new one needed its slot. */
+  | 'slot_needed'
+  /** It was new, and no other could be closed for it. */
+  | 'no_slot';
 
 /** What one request holds until it ends. */
 export interface RequestCharge {
--- a/packages/gypsumwall-cell/src/guarded_http_server.ts
+++ b/packages/gypsumwall-cell/src/guarded_http_server.ts
@@ -8,6 +8,7 @@
 import type * as telemetry from '@gypsumwall/telemetry';
 import type * as types from '@gypsumwall/types';
 import * as bodyCollectors from './body_collector.js';
+import * as chooseClosed from './choose_closed_connection.js';
 import type * as clientLimits from './client_limits.js';
 import * as connectionLedgers from './connection_ledger.js';
 import * as httpServer from './http_server.js';
@@ -75,6 +76,8 @@
   last: Request | undefined;
   /** Whether requests that follow are ignored. */
   isClosing: boolean;
+  state: chooseClosed.ConnectionState;
+  since: types.clock.MonotonicMs;
 }
 
 /** A connection whose bytes have to wait may hold this many. */
@@ -89,11 +92,13 @@
 export function createGuardedHttpServer(
   options: GuardedHttpServerOptions,
 ): GuardedHttpServer {
-  const {limits} = options;
+  const {limits, clock} = options;
   const pool = bodyCollectors.createSegmentPool();
   const sheds = shedCounts.createShedCounts(options);
   const connections = new WeakMap<net.Socket, Connection>();
   const requests = new WeakMap<http.IncomingMessage, Request>();
+  /** Connections that hold a slot. */
+  const open = new Set<Connection>();
   /** Connections whose bytes wait until others are gone. */
   const stalled = new Set<Connection>();
   const ledger = connectionLedgers.createConnectionLedger<Connection>({
@@ -102,14 +107,17 @@
   });
 
   function onConnection(socket: net.Socket): void {
-    const connection = createConnection(socket);
+    const connection = createConnection(socket, clock.monotonic());
     connections.set(socket, connection);
+    if (open.size >= limits.maxConnections) freeSlot(connection);
+    open.add(connection);
     ledger.open(connection);
     slicedSocket.sliceSocket(socket, (restBytes) =>
       checkSlice(connection, restBytes),
     );
     socket.on('close', () => {
       ledger.close(connection);
+      open.delete(connection);
       stalled.delete(connection);
       for (const request of connection.requests) {
         request.isAnswered = true;
@@ -118,6 +126,20 @@
     });
   }
 
+  /** Closes a connection for a new one, or the new one. */
+  function freeSlot(connection: Connection): void {
+    const closed = chooseClosed.chooseClosedConnection(open, clock.monotonic());
+    if (closed === undefined) {
+      sheds.add('no_slot');
+      connection.isClosing = true;
+      connection.socket.destroy();
+      return;
+    }
+    // Its slot is taken now; the descriptor follows at the end of the loop.
+    open.delete(closed);
+    ledger.shed(closed, 'slot_needed');
+  }
+
   function checkSlice(
     connection: Connection,
     restBytes: number,
@@ -179,6 +201,7 @@
     requests.set(req, request);
     connection.requests.add(request);
     connection.last = request;
+    updateState(connection);
     res.on('close', () => {
       request.isAnswered = true;
       endIfDone(request);
@@ -228,6 +251,13 @@
     sendAndClose(res, 413, {}, {message});
   }
 
+  function updateState(connection: Connection): void {
+    const state = findState(connection);
+    if (state === connection.state) return;
+    connection.state = state;
+    connection.since = clock.monotonic();
+  }
+
   function beginWaiting(connection: Connection): void {
     const {waiting} = connection;
     while (connection.active < limits.maxActiveRequestsPerConnection) {
@@ -246,6 +276,7 @@
     if (!isDone || !connection.requests.delete(request)) return;
     request.body?.discard();
     request.charge.end();
+    updateState(connection);
     if (connection.last === request) connection.last = undefined;
     resumeStalled();
     if (request.phase !== 'active') return;
@@ -306,12 +337,14 @@
       if (request === undefined) return handle();
       request.isHandled = false;
       request.charge.setReleasable(false);
+      updateState(request.connection);
       try {
         return await handle();
       } finally {
         request.isHandled = true;
         request.charge.setReleasable(true);
         endIfDone(request);
+        updateState(request.connection);
       }
     },
     takeBody(req) {
@@ -326,6 +359,12 @@
   };
 }
 
+function findState({requests}: Connection): chooseClosed.ConnectionState {
+  if (requests.size === 0) return 'idle';
+  for (const {isHandled} of requests) if (!isHandled) return 'busy';
+  return 'awaits_client';
+}
+
 /** Whether a body follows the headers. */
 function hasBody({headers}: http.IncomingMessage): boolean {
   return (
@@ -334,7 +373,10 @@
   );
 }
 
-function createConnection(socket: net.Socket): Connection {
+function createConnection(
+  socket: net.Socket,
+  now: types.clock.MonotonicMs,
+): Connection {
   const requests = new Set<Request>();
   return {
     socket,
@@ -343,6 +385,8 @@
     active: 0,
     last: undefined,
     isClosing: false,
+    state: 'awaits_client',
+    since: now,
   };
 }
 
--- a/packages/gypsumwall-cell/src/shed_counts.ts
+++ b/packages/gypsumwall-cell/src/shed_counts.ts
@@ -32,6 +32,8 @@
     too_many_requests: 0,
     answers_unread: 0,
     too_much_held: 0,
+    slot_needed: 0,
+    no_slot: 0,
   };
   let nextLogAt = clock.monotonic();
   return {
