cell: give up requests that never arrive and answers that are never read

Callers saw nothing yet: a request whose headers or body never ended kept its connection and what it held for ever, or for five minutes. Cause: the server for callers had no time limit for a request, and none for a connection on which nothing moves. A connection with requests on which nothing moves for 30 s is closed, unless a call is in progress. Another test holds the other side: a call and a pause that outlast shorter limits.

--- a/packages/gypsumwall-cell/src/__tests__/guarded_http_server.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/guarded_http_server.test.ts
@@ -166,3 +166,59 @@
   await untilReceived(caller, /"\/1"/);
   assert.ok(silent.socket.destroyed || silent.socket.readableEnded);
 });
+
+// Guards against requests that never arrive as a whole.
+test('a request that does not arrive in time is given up', async (t) => {
+  const {connect, guarded} = await serve(t, {requestTimeoutMs: 200});
+  const headless = connect();
+  headless.socket.write('GET / HTTP/1.1\r\n');
+  const bodiless = connect();
+  bodiless.socket.write(`${HEAD}Content-Length: 10\r\n\r\n`);
+  await Promise.all(
+    [headless, bodiless].map(({socket}) =>
+      events.EventEmitter.once(socket, 'close'),
+    ),
+  );
+  assert.match(headless.received, /^HTTP\/1\.1 408/);
+  assert.equal(bodiless.received, '');
+  assert.equal(guarded.status().shed.timed_out, 2);
+});
+
+// Guards against clients that send on and never read their answers.
+test('a connection whose answers are not read is given up', async (t) => {
+  const {connect, guarded} = await serve(t, {
+    maxRequestsPerConnection: 1_000_000,
+    maxHeldBytes: 1e9,
+    stallTimeoutMs: 500,
+  });
+  const client = connect();
+  client.socket.pause();
+  const gets = encodeGets(Array.from({length: 500}, (_, nth) => nth));
+  const send = () => {
+    while (!client.socket.destroyed && client.socket.write(gets));
+  };
+  client.socket.on('drain', send);
+  send();
+  while (guarded.status().connections === 0) await new Promise(setImmediate);
+  while (guarded.status().connections > 0) {
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  const {answers_unread: unread, timed_out: late} = guarded.status().shed;
+  assert.equal(unread + late, 1);
+});
+
+// Guards against closing an ordinary caller's connection between two calls, or
+// during a call that takes long.
+test('a call in progress and a pause outlast the timeouts', async (t) => {
+  let open: () => void = () => undefined;
+  const gate = new Promise<void>((resolve) => (open = resolve));
+  const limits = {requestTimeoutMs: 150, stallTimeoutMs: 150};
+  const {connect} = await serve(t, limits, () => gate);
+  const client = connect();
+  client.socket.write(encodeGets([1]));
+  setTimeout(open, 500);
+  await untilReceived(client, /"\/1"/);
+  await new Promise((resolve) => setTimeout(resolve, 500));
+  client.socket.write(encodeGets([2]));
+  await untilReceived(client, /"\/2"/);
+});
--- a/packages/gypsumwall-cell/src/client_limits.ts
+++ b/packages/gypsumwall-cell/src/client_limits.ts
@@ -14,6 +14,13 @@
   readonly maxActiveRequestsPerConnection: number;
   /** Connections that are open at the same time. */
   readonly maxConnections: number;
+  /** Time in which a whole request has to arrive, in milliseconds. */
+  readonly requestTimeoutMs: number;
+  /**
+   * Time after which a connection with requests is closed if no bytes move on
+   * it, in milliseconds: its client doesn't read.
+   */
+  readonly stallTimeoutMs: number;
   /** What the requests of all connections may hold together, in bytes. */
   readonly maxHeldBytes: number;
 }
@@ -45,6 +52,10 @@
 const CONNECTION_BYTES = 20_480;
 const CONNECTIONS_MEMORY_FRACTION = 1 / 8;
 
+/** A body of 1 MiB takes 4 s on a link of 2 Mbit/s. */
+const REQUEST_TIMEOUT_MS = 30_000;
+const STALL_TIMEOUT_MS = 30_000;
+
 /** Derives the limits. */
 export function deriveClientLimits(machine: MachineLimits): ClientLimits {
   const {memoryBytes, heapBytes, descriptors} = machine;
@@ -62,6 +73,8 @@
         ),
       ),
     ),
+    requestTimeoutMs: REQUEST_TIMEOUT_MS,
+    stallTimeoutMs: STALL_TIMEOUT_MS,
     maxHeldBytes: usableBytes * HELD_FRACTION,
   };
 }
--- a/packages/gypsumwall-cell/src/connection_ledger.ts
+++ b/packages/gypsumwall-cell/src/connection_ledger.ts
@@ -11,6 +11,8 @@
   | 'too_many_requests'
   /** It sends on although it doesn't read. */
   | 'answers_unread'
+  /** A request did not arrive in time, or its answer was not read in time. */
+  | 'timed_out'
   /** It held most when all connections held too much. */
   | 'too_much_held'
   /** It kept the entry waiting when a new one needed its slot. */
--- a/packages/gypsumwall-cell/src/guarded_http_server.ts
+++ b/packages/gypsumwall-cell/src/guarded_http_server.ts
@@ -84,6 +84,8 @@
 const MAX_STALLED_BYTES = 4_096;
 /** Objects of a request that waits for its turn or its answer. */
 const REQUEST_BYTES = 8_192;
+/** Requests may exceed their timeout by this part of it. */
+const CHECK_INTERVAL_FRACTION = 1 / 10;
 const CONTINUE_PATTERN = /(?:^|\W)100-continue(?:$|\W)/i;
 /** Retry-After of a request that was given up before it was begun. */
 const RETRY_AFTER_S = '1';
@@ -308,24 +310,43 @@
     else connection.socket.destroy();
   }
 
+  function clientErrorHandler(
+    err: NodeJS.ErrnoException,
+    socket: net.Socket,
+  ): void {
+    if (httpServer.isRequestTimeout(err)) sheds.add('timed_out');
+    const connection = connections.get(socket);
+    const isBusy = (connection?.requests.size ?? 0) > 0;
+    httpServer.answerClientError(err, socket, isBusy);
+  }
+
+  /** Called for each connection on which nothing has moved for a while. */
+  function onStalled(socket: net.Socket): void {
+    const connection = connections.get(socket);
+    if (connection === undefined || connection.requests.size === 0)
+      socket.destroy();
+    else if (connection.state !== 'busy') ledger.shed(connection, 'timed_out');
+  }
+
   return {
     server: httpServer.createSchemalessServer({
       forceCloseConnections: 'idle',
-      clientErrorHandler: (_err, socket) =>
-        httpServer.answerClientError(
-          socket,
-          (connections.get(socket)?.requests.size ?? 0) > 0,
-        ),
+      clientErrorHandler,
       serverFactory(handle) {
         const listener = onRequest.bind(undefined, handle);
         const server = http.createServer(
           {
             keepAliveTimeout: options.keepAliveTimeoutMs,
+            headersTimeout: limits.requestTimeoutMs,
+            requestTimeout: limits.requestTimeoutMs,
+            connectionsCheckingInterval:
+              limits.requestTimeoutMs * CHECK_INTERVAL_FRACTION,
             // Otherwise such requests are answered before they are counted.
             requireHostHeader: false,
           },
           listener,
         );
+        server.setTimeout(limits.stallTimeoutMs, onStalled);
         server.on('connection', onConnection);
         server.on('checkContinue', listener);
         server.on('checkExpectation', listener);
--- a/packages/gypsumwall-cell/src/http_server.ts
+++ b/packages/gypsumwall-cell/src/http_server.ts
@@ -5,6 +5,9 @@
 
 const BAD_REQUEST = 'HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n';
 
+const REQUEST_TIMEOUT =
+  'HTTP/1.1 408 Request Timeout\r\nconnection: close\r\n\r\n';
+
 /**
  * Creates a server without schema compilers: handlers check the bodies
  * themselves, and loading the compilers would take a tenth of the process's
@@ -36,8 +39,8 @@
     requestsInProgress.set(socket, before + change);
   };
   const server = createSchemalessServer({
-    clientErrorHandler: (_err, socket) =>
-      answerClientError(socket, (requestsInProgress.get(socket) ?? 0) > 0),
+    clientErrorHandler: (err, socket) =>
+      answerClientError(err, socket, (requestsInProgress.get(socket) ?? 0) > 0),
     ...options,
   });
   server.server.on('request', ({socket}, res) => {
@@ -52,16 +55,25 @@
  * connection, the answer would be taken for that to the request, whose outcome
  * is open.
  */
-export function answerClientError(socket: net.Socket, isBusy: boolean): void {
+export function answerClientError(
+  err: NodeJS.ErrnoException,
+  socket: net.Socket,
+  isBusy: boolean,
+): void {
   if (isBusy || !socket.writable) {
     socket.destroy();
     return;
   }
-  socket.write(BAD_REQUEST);
+  socket.write(isRequestTimeout(err) ? REQUEST_TIMEOUT : BAD_REQUEST);
   // A client that never closes its side would keep the descriptor.
   socket.destroySoon();
 }
 
+/** Whether a request did not arrive in time. */
+export function isRequestTimeout({code}: NodeJS.ErrnoException): boolean {
+  return code === 'ERR_HTTP_REQUEST_TIMEOUT';
+}
+
 function refuseSchemas(): never {
   throw new Error('schemas are not supported; check the body in the handler');
 }
--- a/packages/gypsumwall-cell/src/shed_counts.ts
+++ b/packages/gypsumwall-cell/src/shed_counts.ts
@@ -31,6 +31,7 @@
   const counts = {
     too_many_requests: 0,
     answers_unread: 0,
+    timed_out: 0,
     too_much_held: 0,
     slot_needed: 0,
     no_slot: 0,
