cell: split the guarded server by connection state and refusals

What a connection and a request are, and the answers that no handler gives, are modules of their own now.

--- a/packages/gypsumwall-cell/src/guarded_http_server.ts
+++ b/packages/gypsumwall-cell/src/guarded_http_server.ts
@@ -8,6 +8,8 @@
 import type * as telemetry from '@gypsumwall/telemetry';
 import type * as types from '@gypsumwall/types';
 import * as bodyCollectors from './body_collector.js';
+import * as callerConnection from './caller_connection.js';
+import * as callerRefusals from './caller_refusals.js';
 import * as chooseClosed from './choose_closed_connection.js';
 import type * as clientLimits from './client_limits.js';
 import * as connectionLedgers from './connection_ledger.js';
@@ -46,39 +48,8 @@
   readonly keepAliveTimeoutMs: number;
 }
 
-/** A request whose headers have been read. */
-interface Request {
-  readonly connection: Connection;
-  readonly req: http.IncomingMessage;
-  readonly res: http.ServerResponse;
-  readonly charge: connectionLedgers.RequestCharge;
-  readonly begin: () => void;
-  /** Absent if no body follows the headers. */
-  readonly body: bodyCollectors.BodyCollector | undefined;
-  phase: 'receiving' | 'waiting' | 'active';
-  /** Whether it was answered without having begun. */
-  isRefused: boolean;
-  /** Whether the answer was sent or can't be sent any more. */
-  isAnswered: boolean;
-  /** False while a handler runs, which may outlive the connection. */
-  isHandled: boolean;
-}
-
-interface Connection {
-  readonly socket: net.Socket;
-  /** Requests that have not ended, in the order in which they were sent. */
-  readonly requests: Set<Request>;
-  /** Requests that wait for their turn. */
-  readonly waiting: Request[];
-  /** Requests that were begun and have not ended. */
-  active: number;
-  /** The request whose headers were read last. */
-  last: Request | undefined;
-  /** Whether requests that follow are ignored. */
-  isClosing: boolean;
-  state: chooseClosed.ConnectionState;
-  since: types.clock.MonotonicMs;
-}
+type Connection = callerConnection.CallerConnection;
+type Request = callerConnection.CallerRequest;
 
 /** A connection whose bytes have to wait may hold this many. */
 const MAX_STALLED_BYTES = 4_096;
@@ -86,9 +57,6 @@
 const REQUEST_BYTES = 8_192;
 /** Requests may exceed their timeout by this part of it. */
 const CHECK_INTERVAL_FRACTION = 1 / 10;
-const CONTINUE_PATTERN = /(?:^|\W)100-continue(?:$|\W)/i;
-/** Retry-After of a request that was given up before it was begun. */
-const RETRY_AFTER_S = '1';
 
 /** Creates the server. */
 export function createGuardedHttpServer(
@@ -109,7 +77,10 @@
   });
 
   function onConnection(socket: net.Socket): void {
-    const connection = createConnection(socket, clock.monotonic());
+    const connection = callerConnection.createCallerConnection(
+      socket,
+      clock.monotonic(),
+    );
     connections.set(socket, connection);
     if (open.size >= limits.maxConnections) freeSlot(connection);
     open.add(connection);
@@ -187,14 +158,14 @@
       req,
       res,
       charge,
-      body: hasBody(req)
+      body: callerConnection.hasBody(req)
         ? bodyCollectors.createBodyCollector({
             pool,
             charge,
             limit: options.bodyLimit(),
           })
         : undefined,
-      begin: () => begin(handle, req, res),
+      begin: () => callerRefusals.beginOrRefuse(handle, req, res),
       phase: 'receiving',
       isRefused: false,
       isAnswered: false,
@@ -203,7 +174,7 @@
     requests.set(req, request);
     connection.requests.add(request);
     connection.last = request;
-    updateState(connection);
+    callerConnection.updateState(connection, clock.monotonic());
     res.on('close', () => {
       request.isAnswered = true;
       endIfDone(request);
@@ -214,10 +185,8 @@
   /** Waits for the body of a request before the request may begin. */
   function receive(request: Request): void {
     const {req, body} = request;
-    const {expect} = req.headers;
     // A client that expects something else may wait for the answer to that.
-    const isExpected = expect === undefined || CONTINUE_PATTERN.test(expect);
-    if (body === undefined || !isExpected) {
+    if (body === undefined || !callerRefusals.isExpectationKnown(req)) {
       awaitTurn(request);
       return;
     }
@@ -226,7 +195,7 @@
       refuseBody(request, `the body has ${announcedBytes} bytes`);
       return;
     }
-    if (expect !== undefined) request.res.writeContinue();
+    if (req.headers.expect !== undefined) request.res.writeContinue();
     req.on('data', (chunk: Buffer) => {
       if (body.add(chunk) === 'too_long')
         refuseBody(request, 'the body is too long');
@@ -249,15 +218,7 @@
     const {connection, res} = request;
     request.isRefused = true;
     connection.isClosing = true;
-    const message = `${fault}: send at most ${options.bodyLimit()}`;
-    sendAndClose(res, 413, {}, {message});
-  }
-
-  function updateState(connection: Connection): void {
-    const state = findState(connection);
-    if (state === connection.state) return;
-    connection.state = state;
-    connection.since = clock.monotonic();
+    callerRefusals.refuseBody(res, fault, options.bodyLimit());
   }
 
   function beginWaiting(connection: Connection): void {
@@ -278,7 +239,7 @@
     if (!isDone || !connection.requests.delete(request)) return;
     request.body?.discard();
     request.charge.end();
-    updateState(connection);
+    callerConnection.updateState(connection, clock.monotonic());
     if (connection.last === request) connection.last = undefined;
     resumeStalled();
     if (request.phase !== 'active') return;
@@ -306,7 +267,8 @@
     const [first] = connection.requests;
     const isRefusable =
       connection.requests.size === 1 && first?.phase !== 'active';
-    if (isRefusable && reason === 'too_much_held') refuse(first!.res);
+    if (isRefusable && reason === 'too_much_held')
+      callerRefusals.refuseForNow(first!.res);
     else connection.socket.destroy();
   }
 
@@ -358,14 +320,14 @@
       if (request === undefined) return handle();
       request.isHandled = false;
       request.charge.setReleasable(false);
-      updateState(request.connection);
+      callerConnection.updateState(request.connection, clock.monotonic());
       try {
         return await handle();
       } finally {
         request.isHandled = true;
         request.charge.setReleasable(true);
         endIfDone(request);
-        updateState(request.connection);
+        callerConnection.updateState(request.connection, clock.monotonic());
       }
     },
     takeBody(req) {
@@ -379,74 +341,3 @@
     }),
   };
 }
-
-function findState({requests}: Connection): chooseClosed.ConnectionState {
-  if (requests.size === 0) return 'idle';
-  for (const {isHandled} of requests) if (!isHandled) return 'busy';
-  return 'awaits_client';
-}
-
-/** Whether a body follows the headers. */
-function hasBody({headers}: http.IncomingMessage): boolean {
-  return (
-    headers['transfer-encoding'] !== undefined ||
-    Number(headers['content-length'] ?? 0) > 0
-  );
-}
-
-function createConnection(
-  socket: net.Socket,
-  now: types.clock.MonotonicMs,
-): Connection {
-  const requests = new Set<Request>();
-  return {
-    socket,
-    requests,
-    waiting: [],
-    active: 0,
-    last: undefined,
-    isClosing: false,
-    state: 'awaits_client',
-    since: now,
-  };
-}
-
-/** Hands a request to its handler, unless its headers rule it out. */
-function begin(
-  handle: http.RequestListener,
-  req: http.IncomingMessage,
-  res: http.ServerResponse,
-): void {
-  const {host, expect = ''} = req.headers;
-  if (host === undefined && req.httpVersion === '1.1') {
-    res.writeHead(400, {connection: 'close'}).end();
-    return;
-  }
-  if (expect !== '' && !CONTINUE_PATTERN.test(expect)) {
-    res.writeHead(417, {connection: 'close'}).end();
-    return;
-  }
-  handle(req, res);
-}
-
-/** Refuses a request that was not begun. */
-function refuse(res: http.ServerResponse): void {
-  const message =
-    'the call had no effect; retry after the delay in retry-after';
-  sendAndClose(res, 503, {'retry-after': RETRY_AFTER_S}, {message});
-}
-
-/** Sends an answer behind those before it, and closes the connection then. */
-function sendAndClose(
-  res: http.ServerResponse,
-  status: number,
-  headers: Readonly<Record<string, string>>,
-  body: object,
-): void {
-  res.writeHead(status, {
-    ...headers,
-    'content-type': 'application/json',
-    connection: 'close',
-  });
-  res.end(JSON.stringify(body));
-}
