cell: charge the read that waits for a body, close what is shed twice

Seen by reading: a body takes 16 KiB of a read at a time, and the rest of up to 64 KiB waits uncounted. A connection that waits for its refusal to be sent was shed already, so a later timeout or a needed slot left it open. Change: the first wait of a body charges 64 KiB to its request; a timeout and a needed slot close the socket in any case. Result: the new test finds the charge (not without it); the second part has no test of its own.

--- a/packages/gypsumwall-cell/src/__tests__/guarded_http_server.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/guarded_http_server.test.ts
@@ -159,6 +159,19 @@
   assert.equal(client.received, '');
 });
 
+// Guards against reads that wait for their body and that nothing counts.
+test('a read that waits for its body is charged', async (t) => {
+  const {connect, guarded} = await serve(t);
+  const client = connect();
+  client.socket.write(`${HEAD}Content-Length: 200000\r\n\r\n`);
+  client.socket.write('a'.repeat(100_000));
+  const isCharged = () => guarded.status().heldBytes > 100_000 + 65_536;
+  for (let tries = 0; !isCharged() && tries < 100; tries++) {
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+  assert.ok(isCharged(), `${guarded.status().heldBytes} bytes`);
+});
+
 // Guards against reading on after a body has exceeded the limit.
 test('a body that exceeds the limit unannounced is refused', async (t) => {
   const {connect, seen} = await serve(t);
--- a/packages/gypsumwall-cell/src/caller_connection.ts
+++ b/packages/gypsumwall-cell/src/caller_connection.ts
@@ -16,6 +16,8 @@
   /** Absent if no body follows the headers. */
   readonly body: bodyCollector.BodyCollector | undefined;
   phase: 'receiving' | 'waiting' | 'active';
+  /** Whether a read that waits until the body takes more is charged. */
+  isReadCharged: boolean;
   /** Whether it was answered without having begun. */
   isRefused: boolean;
   /** Whether the answer was sent or can't be sent any more. */
--- a/packages/gypsumwall-cell/src/guarded_http_server.ts
+++ b/packages/gypsumwall-cell/src/guarded_http_server.ts
@@ -53,6 +53,8 @@
 
 /** A connection whose bytes have to wait may hold this many. */
 const MAX_STALLED_BYTES = 4_096;
+/** What one read of a socket holds at most. */
+const READ_BYTES = 65_536;
 /** Objects of a request that waits for its turn or its answer. */
 const REQUEST_BYTES = 8_192;
 /** Requests may exceed their timeout by this part of it. */
@@ -111,6 +113,8 @@
     // Its slot is taken now; the descriptor follows at the end of the loop.
     open.delete(closed);
     ledger.shed(closed, 'slot_needed');
+    // The ledger sheds a connection once; this one may wait for a refusal.
+    closed.socket.destroy();
   }
 
   function checkSlice(
@@ -121,7 +125,8 @@
     if (connection.isClosing || socket.destroyed) return 'drop';
     // The request that is being received takes no more bytes for now.
     const isBodyHeld = connection.last?.req.complete === false;
-    if (socket.isPaused() && isBodyHeld) return 'hold';
+    if (socket.isPaused() && isBodyHeld)
+      return holdBody(connection.last!) ? 'hold' : 'drop';
     if (!socket.isPaused() && !ledger.isFull()) return 'pass';
     if (restBytes > MAX_STALLED_BYTES) {
       const reason = socket.isPaused() ? 'answers_unread' : 'too_much_held';
@@ -133,6 +138,13 @@
     return 'hold';
   }
 
+  /** Charges the read that waits for its body; returns false if it can't be held. */
+  function holdBody(request: Request): boolean {
+    if (request.isReadCharged) return true;
+    request.isReadCharged = true;
+    return request.charge.add(READ_BYTES);
+  }
+
   /** Reads on when shed connections are gone. */
   function resumeStalled(): void {
     if (stalled.size === 0 || ledger.isFull()) return;
@@ -167,6 +179,7 @@
         : undefined,
       begin: () => callerRefusals.beginOrRefuse(handle, req, res),
       phase: 'receiving',
+      isReadCharged: false,
       isRefused: false,
       isAnswered: false,
       isHandled: true,
@@ -285,9 +298,10 @@
   /** Called for each connection on which nothing has moved for a while. */
   function onStalled(socket: net.Socket): void {
     const connection = connections.get(socket);
-    if (connection === undefined || connection.requests.size === 0)
-      socket.destroy();
-    else if (connection.state !== 'busy') ledger.shed(connection, 'timed_out');
+    if (connection?.state === 'busy') return;
+    if (connection !== undefined && connection.requests.size > 0)
+      ledger.shed(connection, 'timed_out');
+    socket.destroy();
   }
 
   return {
