cell: hold the limits for callers against ordinary bursts

Tests only: 600 ordinary submissions at once are served and nobody is shed, and an ordinary submission is served while a hundred clients hold what the limits allow.

--- a/packages/gypsumwall-cell/src/__tests__/guarded_http_server.test.ts
+++ b/packages/gypsumwall-cell/src/__tests__/guarded_http_server.test.ts
@@ -159,6 +159,41 @@
   assert.equal(client.received, '');
 });
 
+// Guards against limits that ordinary callers meet when many come at once, as
+// after the end of an entry.
+test('a burst of ordinary callers is served', async (t) => {
+  const {connect, guarded} = await serve(t);
+  const body = 'a'.repeat(3_000);
+  const clients = Array.from({length: 600}, connect);
+  for (const {socket} of clients) {
+    socket.write(`${HEAD}Content-Length: ${body.length}\r\n\r\n${body}`);
+  }
+  await Promise.all(
+    clients.map((client) => untilReceived(client, /"length":3000/)),
+  );
+  const {shed} = guarded.status();
+  assert.deepEqual(
+    Object.values(shed).filter((count) => count > 0),
+    [],
+  );
+});
+
+// Guards against a sum that a few clients use up for all others.
+test('an ordinary caller is served while others hold all that they may', async (t) => {
+  const {connect, guarded} = await serve(t);
+  for (let nth = 0; nth < 100; nth++) {
+    const {socket} = connect();
+    socket.write(`${HEAD}Content-Length: 200000\r\n\r\n`);
+    socket.write('a'.repeat(199_999));
+  }
+  const hasShed = () => guarded.status().shed.too_much_held > 0;
+  while (!hasShed()) await new Promise(setImmediate);
+  const caller = connect();
+  caller.socket.write(`${HEAD}Content-Length: 3000\r\n\r\n`);
+  caller.socket.write('a'.repeat(3_000));
+  await untilReceived(caller, /"length":3000/);
+});
+
 // Guards against reads that wait for their body and that nothing counts.
 test('a read that waits for its body is charged', async (t) => {
   const {connect, guarded} = await serve(t);
